Build the thin whole path as separate processes

Cause: there was no code; everything else needs a path to stand on. Four packages (common, daemon, cli, stand-ins). An instance authenticates a caller, routes to an engine of one of two vendor dialects or to a plain service, and streams the answer back; configuration, member list, session lease, ownership, plan and load orders work in their simplest form.

Ruled out: CherryPy's process bus (its autoreloader and SIGHUP restart start processes); the application runs on CherryPy's server without it.

Not proved yet: retries, resume, claims, unloads, fencing on vendors without it.

--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,50 @@
+"""Fixtures that the tests of all packages share."""
+
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from redwingscale_standins.launcher.deployment import Deployment, Speed
+from redwingscale_standins.launcher.shape import Shape
+
+MakeDeployment = Callable[..., Deployment]
+FAST = Speed(weights_bytes_per_second=400e9, token_gap_seconds=0.002, report_lag_seconds=0.1)
+TEST_TIMING = {
+    "timing": {
+        "configuration_poll": 0.5,
+        "member_poll": 0.5,
+        "report_poll": 0.2,
+        "heartbeat": 0.2,
+        "full_cycle": 2.0,
+        "lease": 3.0,
+        "lease_renewal": 0.5,
+        "planning": 0.3,
+        "balancer_drain": 0.3,
+    }
+}
+
+
+@pytest.fixture
+def make_deployment(tmp_path: Path) -> Iterator[MakeDeployment]:
+    """Start deployments of real processes; stop them at the end of the test."""
+    started: list[Deployment] = []
+
+    def make(
+        shape: Shape, speed: Speed = FAST, settings: dict[str, Any] | None = None
+    ) -> Deployment:
+        directory = tmp_path / f"deployment-{len(started)}"
+        deployment = Deployment(shape, directory, speed, settings=settings or TEST_TIMING)
+        started.append(deployment)
+        deployment.start()
+        return deployment
+
+    yield make
+    for deployment in started:
+        deployment.stop()
+
+
+@pytest.fixture(scope="session")
+def izmir_text() -> str:
+    """The operators' text of the İzmir example."""
+    return (Path(__file__).parent / "examples" / "izmir.json").read_text()
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/__init__.py
@@ -0,0 +1,1 @@
+"""redwingscale: the operators' client."""
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""The client; import nothing from here outside the package."""
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: parser, base command, status codes."""
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/packages/redwingscale-common/src/redwingscale_common/network/server.py
@@ -0,0 +1,66 @@
+"""One HTTP port: a CherryPy application behind CherryPy's own server."""
+
+import threading
+from typing import NamedTuple
+
+import cherrypy
+from cheroot import wsgi
+
+SHUTDOWN_SECONDS = 2
+
+
+class ServerLimits(NamedTuple):
+    """Bounds of one port: worker threads, queued connections, socket timeout."""
+
+    threads: int = 32
+    backlog: int = 1024
+    timeout_seconds: int = 10
+
+
+class HttpServer:
+    """Serves ``handler`` on a TCP port; port 0 takes a free one.
+
+    The application runs without CherryPy's process bus: its autoreloader and
+    its restart on SIGHUP start a new process, which an instance must not do.
+    """
+
+    def __init__(self, handler: object, host: str, port: int, limits: ServerLimits) -> None:
+        application = cherrypy.Application(handler, "", {"/": _APPLICATION_CONFIG})
+        application.log.screen = False
+        application.log.access_log.handlers.clear()
+        application.log.error_log.propagate = False
+        application.log.access_log.propagate = False
+        self._server = wsgi.Server(
+            (host, port),
+            application,
+            numthreads=limits.threads,
+            request_queue_size=limits.backlog,
+            timeout=limits.timeout_seconds,
+            accepted_queue_size=limits.backlog,
+            accepted_queue_timeout=1,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        self._thread = threading.Thread(target=self._server.serve, name="http", daemon=True)
+
+    def start(self) -> None:
+        """Bind and serve; raise OSError when the address is taken."""
+        self._server.prepare()
+        self._thread.start()
+
+    @property
+    def port(self) -> int:
+        """The port in use, also when 0 was asked for."""
+        return int(self._server.bind_addr[1])
+
+    def stop(self) -> None:
+        """Stop accepting and close; open responses have a short time to end."""
+        self._server.stop()
+
+
+_APPLICATION_CONFIG = {
+    "request.show_tracebacks": False,
+    "request.process_request_body": False,
+    "tools.trailing_slash.on": False,
+    "tools.encode.on": False,
+    "checker.on": False,
+}
--- /dev/null
+++ b/packages/redwingscale-common/src/redwingscale_common/utils/logs.py
@@ -0,0 +1,35 @@
+"""Structured logs: one key=value line for each event, written by loguru."""
+
+import sys
+from typing import Any
+
+from loguru import logger
+
+_FORMAT = (
+    "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level.name} event={message}"
+    "{extra[context]}{extra[fields]}"
+)
+
+
+def configure_logs(level: str, **context: str) -> None:
+    """Send events of ``level`` and above to standard error, each with ``context``."""
+    logger.remove()
+    logger.configure(extra={"context": _pairs(context), "fields": ""})
+    logger.add(sys.stderr, format=_FORMAT, level=level.upper(), backtrace=False, diagnose=False)
+
+
+def log_event(event: str, *, level: str = "INFO", **fields: object) -> None:
+    """Write one line: the ``event`` name, then ``fields`` in the order given."""
+    logger.bind(fields=_pairs(fields)).log(level, event)
+
+
+def _pairs(fields: dict[str, Any]) -> str:
+    return "".join(f" {key}={_quote(value)}" for key, value in fields.items())
+
+
+def _quote(value: object) -> str:
+    text = str(value)
+    if text and not any(c.isspace() or c in '"=' for c in text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    return f'"{escaped}"'
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""redwingscaled: the process that every instance runs."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon; import nothing from here outside the package."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests are taken, and which are refused at once."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The accepted operators' text: apply, distribution, history."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/accepted.py
@@ -0,0 +1,22 @@
+"""An accepted version of the operators' text."""
+
+from typing import NamedTuple
+
+from redwingscale_common.configuration import Configuration
+
+
+class Pointer(NamedTuple):
+    """Which text is in force: its version, which only rises, and its digest."""
+
+    version: int
+    digest: str
+    author: str
+    at: str
+
+
+class Accepted(NamedTuple):
+    """A version in force at this instance, with its text and typed form."""
+
+    pointer: Pointer
+    text: str
+    configuration: Configuration
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/authentication.py
@@ -0,0 +1,23 @@
+"""Which caller sent a request."""
+
+from collections.abc import Mapping
+
+from redwingscale_common.configuration import Caller, Configuration
+from redwingscale_common.utils.digests import sha256_hex
+
+from redwingscale_daemon._internal.exceptions import Refusal
+
+BEARER = "Bearer "
+
+
+def authenticate(configuration: Configuration, headers: Mapping[str, str]) -> Caller:
+    """Return the caller of the bearer token; raise `Refusal` 401."""
+    value = headers.get("Authorization", "")
+    if not value.startswith(BEARER):
+        raise Refusal(401, "token_missing", "a bearer token is needed")
+    # Tokens are looked up by digest: neither the text nor the timing of a
+    # comparison can give a token away.
+    caller = configuration.callers_by_token.get(sha256_hex(value[len(BEARER) :].encode()))
+    if caller is None:
+        raise Refusal(401, "token_unknown", "the token belongs to no listed caller")
+    return caller
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Claims and kept outcomes of non-idempotent requests."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions, ownership and fencing numbers in the platform's table."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start, readiness, drain and end of an instance."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/instance.py
@@ -0,0 +1,89 @@
+"""Starts and ends everything that an instance runs."""
+
+import json
+import signal
+import threading
+import time
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from redwingscale_common.network.server import HttpServer
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.lifecycle.readiness import Readiness
+from redwingscale_daemon._internal.membership.listener import Listener
+from redwingscale_daemon._internal.membership.mesh import Mesh
+from redwingscale_daemon._internal.placement.owners import Owners
+from redwingscale_daemon._internal.telemetry.metrics import Metrics
+from redwingscale_daemon._internal.telemetry.tracing import Tracing
+from redwingscale_daemon._internal.utils.periodic import Periodic
+
+
+class Parts(NamedTuple):
+    """What the composition root has wired."""
+
+    callers: HttpServer
+    operators: HttpServer
+    listener: Listener
+    mesh: Mesh
+    owners: Owners
+    readiness: Readiness
+    tracing: Tracing
+    metrics: Metrics
+    tasks: Sequence[Periodic]
+
+
+class Instance:
+    """Runs the parts until SIGTERM or SIGINT, then ends without cutting a request."""
+
+    def __init__(self, parts: Parts, balancer_drain_seconds: float) -> None:
+        self._parts = parts
+        self._balancer_drain_seconds = balancer_drain_seconds
+        self._signalled = threading.Event()
+
+    def run(self) -> None:
+        """Start, print the addresses as one JSON line, and return after the drain."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        self._start()
+        self._signalled.wait()
+        self._drain()
+        self._stop()
+
+    def _on_signal(self, *_: object) -> None:
+        self._signalled.set()
+
+    def _start(self) -> None:
+        parts = self._parts
+        parts.listener.start()
+        parts.operators.start()
+        for task in parts.tasks:
+            task.start()
+        parts.callers.start()
+        ports = {
+            "callers_port": parts.callers.port,
+            "operators_port": parts.operators.port,
+            "peers_port": parts.listener.port,
+        }
+        print(json.dumps(ports), flush=True)
+        log_event("started", callers_port=parts.callers.port, operators_port=parts.operators.port)
+
+    def _drain(self) -> None:
+        """Be unready, wait out the balancer's lag, and finish every open request."""
+        log_event("draining", open_requests=self._parts.readiness.open_requests)
+        self._parts.readiness.drain()
+        time.sleep(self._balancer_drain_seconds)
+        self._parts.readiness.wait_until_idle()
+
+    def _stop(self) -> None:
+        parts = self._parts
+        parts.callers.stop()
+        parts.owners.stop()
+        for task in parts.tasks:
+            task.stop()
+        parts.mesh.stop()
+        parts.listener.stop()
+        parts.operators.stop()
+        parts.tracing.close()
+        parts.metrics.close()
+        log_event("stopped")
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/readiness.py
@@ -0,0 +1,49 @@
+"""Whether the balancer may send requests, and how many are being answered."""
+
+import threading
+
+from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
+
+
+class Readiness:
+    """Counts requests and tells why the instance is not ready."""
+
+    def __init__(self, current: CurrentConfiguration) -> None:
+        self._condition = threading.Condition()
+        self._current = current
+        self._open = 0
+        self._draining = False
+
+    def reason(self) -> str:
+        """Return why the instance is not ready; empty when it is."""
+        if self._draining:
+            return "draining"
+        return "" if self._current.get() else "no configuration"
+
+    @property
+    def draining(self) -> bool:
+        return self._draining
+
+    @property
+    def open_requests(self) -> int:
+        return self._open
+
+    def enter(self) -> None:
+        """Count a request in."""
+        with self._condition:
+            self._open += 1
+
+    def leave(self) -> None:
+        """Count a request out."""
+        with self._condition:
+            self._open -= 1
+            self._condition.notify_all()
+
+    def drain(self) -> None:
+        """Be unready from now on; requests that still come are answered."""
+        self._draining = True
+
+    def wait_until_idle(self) -> None:
+        """Block until no request is open."""
+        with self._condition:
+            self._condition.wait_for(lambda: self._open == 0)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Links between instances: heartbeats and versioned entries."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/entry.py
@@ -0,0 +1,34 @@
+"""Versioned entries that instances tell each other."""
+
+from typing import NamedTuple
+
+
+class EntryKey(NamedTuple):
+    """What an entry is about; a newer entry of the same key replaces it."""
+
+    origin: str
+    topic: str
+    key: str
+
+
+class Entry(NamedTuple):
+    """``payload`` (MessagePack) as told by ``origin``.
+
+    ``boot`` rises with each start of the origin and ``sequence`` with each of
+    its entries, so that a late or repeated copy never replaces a newer one.
+    """
+
+    origin: str
+    topic: str
+    key: str
+    boot: int
+    sequence: int
+    payload: bytes
+
+    @property
+    def entry_key(self) -> EntryKey:
+        return EntryKey(self.origin, self.topic, self.key)
+
+    def is_newer_than(self, other: "Entry | None") -> bool:
+        """Return whether this entry replaces ``other``."""
+        return other is None or (self.boot, self.sequence) > (other.boot, other.sequence)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small value types that several folders share."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/models/report.py
@@ -0,0 +1,51 @@
+"""The state of an engine, in one shape for every vendor."""
+
+from typing import NamedTuple
+
+
+class ResidentUnit(NamedTuple):
+    """A unit in an engine's memory; only a ``ready`` one answers requests."""
+
+    unit: str
+    size_bytes: int
+    ready: bool
+
+
+class Report(NamedTuple):
+    """One poll of an engine.
+
+    ``orders`` maps order ids to ``running``, ``done`` or ``failed``; an id that
+    is missing tells nothing: the order may be lost or still on its way.
+    """
+
+    leaving: bool
+    capacity_bytes: int
+    residents: tuple[ResidentUnit, ...]
+    running: int
+    waiting: int
+    slots: int
+    orders: dict[str, str]
+
+
+class Digest(NamedTuple):
+    """What the owner of an upstream tells all instances of it.
+
+    ``fence`` is the owner's fencing number: of two owners' digests the higher
+    one holds.
+    """
+
+    upstream: str
+    fence: int
+    leaving: bool
+    capacity_bytes: int
+    residents: tuple[ResidentUnit, ...]
+    running: int
+    waiting: int
+    slots: int
+
+
+class Heat(NamedTuple):
+    """Demand for a unit that one instance saw lately, in requests a second."""
+
+    unit: str
+    requests_per_second: float
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Planner, memory ledger and orders to engines."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/plan_store.py
@@ -0,0 +1,51 @@
+"""The plan in the platform: an object and a pointer row."""
+
+import msgspec
+from redwingscale_common.utils.digests import sha256_hex
+
+from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.placement.plan import Plan
+from redwingscale_daemon._internal.platform.platform import Platform
+from redwingscale_daemon._internal.platform.row import ABSENT, Committed
+
+POINTER_KEY = "plan"
+
+
+class PlanStore:
+    """Reads and replaces the plan."""
+
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+        self._version = ABSENT
+        self._plan: Plan | None = None
+
+    def read(self) -> Plan | None:
+        """Return the newest plan; raise `PlatformUnavailable`."""
+        row = self._platform.table.read([POINTER_KEY])[POINTER_KEY]
+        if row is None:
+            return None
+        if row.version != self._version or self._plan is None:
+            data = self._platform.objects.get(f"plan/{row.value['digest']}")
+            self._plan = msgspec.msgpack.decode(data, type=Plan)
+            self._version = row.version
+        return self._plan
+
+    def write(self, plan: Plan) -> bool:
+        """Replace the plan last read by ``plan``; return False when another came first."""
+        data = msgspec.msgpack.encode(plan)
+        digest = sha256_hex(data)
+        self._platform.objects.put(f"plan/{digest}", data)
+        value = {"digest": digest, "sequence": plan.sequence}
+        outcome = self._platform.table.put_if(POINTER_KEY, value, self._version)
+        if not isinstance(outcome, Committed):
+            return False
+        self._version = outcome.rows[POINTER_KEY].version
+        self._plan = plan
+        return True
+
+    def read_or_last(self) -> Plan | None:
+        """Return the newest plan, or the last one known while the store is down."""
+        try:
+            return self.read()
+        except PlatformError:
+            return self._plan
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform: table, object store, member list."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/objects.py
@@ -0,0 +1,24 @@
+"""The platform's object store; keys hold the digest of their content."""
+
+from redwingscale_daemon._internal.exceptions import PlatformUnavailable
+from redwingscale_daemon._internal.platform.http import PlatformHttp
+
+NOT_FOUND = 404
+
+
+class Objects:
+    """Writes and reads whole objects; a write of the same content is idempotent."""
+
+    def __init__(self, http: PlatformHttp) -> None:
+        self._http = http
+
+    def put(self, key: str, data: bytes) -> None:
+        """Store ``data``; raise `PlatformUnavailable` or `WriteUnknown`."""
+        self._http.send("PUT", f"/objects/{key}", data)
+
+    def get(self, key: str) -> bytes:
+        """Return the object; raise `PlatformUnavailable` when it cannot be had."""
+        response = self._http.get(f"/objects/{key}")
+        if response.status == NOT_FOUND:
+            raise PlatformUnavailable(f"no object {key}")
+        return response.body
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash upstreams."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Carries a request to upstreams and its answer back, whole or refused."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream an attempt goes to."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's settings: schema, checks, typed form."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, traces and their export."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/metrics.py
@@ -0,0 +1,39 @@
+"""Metrics by OpenTelemetry: a Prometheus page, and OTLP when it is set."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import MetricReader
+from prometheus_client import REGISTRY, generate_latest
+
+
+class Metrics:
+    """The instruments of one instance."""
+
+    def __init__(self, otlp_endpoint: str) -> None:
+        readers: list[MetricReader] = [PrometheusMetricReader()]
+        if otlp_endpoint:
+            readers.append(_otlp_reader(otlp_endpoint))
+        self._provider = MeterProvider(metric_readers=readers, shutdown_on_exit=False)
+        meter = self._provider.get_meter("redwingscale")
+        self.requests = meter.create_counter("redwingscale_requests", unit="1")
+        self.refusals = meter.create_counter("redwingscale_refusals", unit="1")
+        self.attempts = meter.create_counter("redwingscale_attempts", unit="1")
+        self.tokens = meter.create_counter("redwingscale_tokens", unit="1")
+        self.orders = meter.create_counter("redwingscale_orders", unit="1")
+        self.first_token = meter.create_histogram("redwingscale_first_token_seconds", unit="s")
+
+    def prometheus_page(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(REGISTRY)
+
+    def close(self) -> None:
+        """Export what is left."""
+        self._provider.shutdown()
+
+
+def _otlp_reader(endpoint: str) -> MetricReader:
+    # Imported here: the exporter costs memory that an instance without one keeps.
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
+    from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
+
+    return PeriodicExportingMetricReader(OTLPMetricExporter(endpoint=f"{endpoint}/v1/metrics"))
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/tracing.py
@@ -0,0 +1,66 @@
+"""Traces: a span for each hop, context taken from and passed on in headers."""
+
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.trace import Span, SpanKind
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+class Tracing:
+    """Starts spans; exports them by OTLP/HTTP when an endpoint is set."""
+
+    def __init__(self, instance: str, otlp_endpoint: str) -> None:
+        resource = Resource.create(
+            {"service.name": "redwingscaled", "service.instance.id": instance}
+        )
+        self._provider = TracerProvider(resource=resource, shutdown_on_exit=False)
+        if otlp_endpoint:
+            self._export_to(otlp_endpoint)
+        self._tracer = self._provider.get_tracer("redwingscale")
+
+    @contextmanager
+    def entry_span(self, name: str, headers: Mapping[str, str]) -> Iterator[Span]:
+        """Open the span of a request that came in with ``headers``."""
+        context = _PROPAGATOR.extract({"traceparent": headers.get("traceparent", "")})
+        span = self._tracer.start_span(name, context=context, kind=SpanKind.SERVER)
+        with trace.use_span(span, end_on_exit=False):
+            yield span
+
+    @contextmanager
+    def hop_span(self, name: str, parent: Span, **attributes: str) -> Iterator[Span]:
+        """Open the span of a call to an upstream or a peer, under ``parent``."""
+        context = trace.set_span_in_context(parent)
+        with self._tracer.start_as_current_span(
+            name, context=context, kind=SpanKind.CLIENT, attributes=attributes
+        ) as span:
+            yield span
+
+    def close(self) -> None:
+        """Export what is left."""
+        self._provider.shutdown()
+
+    def _export_to(self, endpoint: str) -> None:
+        # Imported here: the exporter costs memory that an instance without one keeps.
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+        from opentelemetry.sdk.trace.export import BatchSpanProcessor
+
+        exporter = OTLPSpanExporter(endpoint=f"{endpoint}/v1/traces")
+        self._provider.add_span_processor(BatchSpanProcessor(exporter))
+
+
+def trace_headers(span: Span) -> dict[str, str]:
+    """Return the headers that carry the context of ``span`` on."""
+    headers: dict[str, str] = {}
+    _PROPAGATOR.inject(headers, trace.set_span_in_context(span))
+    return headers
+
+
+def trace_id(span: Span) -> str:
+    """Return the trace id of ``span`` in hexadecimal."""
+    return format(span.get_span_context().trace_id, "032x")
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: directory, reports, and one module for each vendor dialect."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/dialect.py
@@ -0,0 +1,113 @@
+"""The dialects: one data class for each vendor, one function for each call."""
+
+from dataclasses import dataclass
+from typing import assert_never
+
+from redwingscale_daemon._internal.models.generation import Attempt, StreamEvent
+from redwingscale_daemon._internal.models.order import Order
+from redwingscale_daemon._internal.models.report import Report
+from redwingscale_daemon._internal.upstreams import alder, birch
+from redwingscale_daemon._internal.upstreams.call import Call
+
+
+@dataclass(frozen=True, slots=True)
+class Alder:
+    """Vendor alder."""
+
+
+@dataclass(frozen=True, slots=True)
+class Birch:
+    """Vendor birch."""
+
+
+Dialect = Alder | Birch
+
+DIALECTS_BY_VENDOR: dict[str, Dialect] = {"alder": Alder(), "birch": Birch()}
+
+
+def start_call(dialect: Dialect, attempt: Attempt) -> Call:
+    """Return the call that starts ``attempt``."""
+    match dialect:
+        case Alder():
+            return alder.start_call(attempt)
+        case Birch():
+            return birch.start_call(attempt)
+        case _:
+            assert_never(dialect)
+
+
+def resume_call(dialect: Dialect, attempt_id: str, start: int) -> Call:
+    """Return the call that resumes an attempt at token ``start``."""
+    match dialect:
+        case Alder():
+            return alder.resume_call(attempt_id, start)
+        case Birch():
+            return birch.resume_call(attempt_id, start)
+        case _:
+            assert_never(dialect)
+
+
+def cancel_call(dialect: Dialect, attempt_id: str) -> Call:
+    """Return the call that ends an attempt's work."""
+    match dialect:
+        case Alder():
+            return alder.cancel_call(attempt_id)
+        case Birch():
+            return birch.cancel_call(attempt_id)
+        case _:
+            assert_never(dialect)
+
+
+def parse_event(dialect: Dialect, event: bytes, attempt_id: str) -> StreamEvent | None:
+    """Return the event; None when it bears another attempt's id."""
+    match dialect:
+        case Alder():
+            return alder.parse_event(event, attempt_id)
+        case Birch():
+            return birch.parse_event(event, attempt_id)
+        case _:
+            assert_never(dialect)
+
+
+def state_call(dialect: Dialect) -> Call:
+    """Return the call that polls an engine's state."""
+    match dialect:
+        case Alder():
+            return alder.STATE_CALL
+        case Birch():
+            return birch.STATE_CALL
+        case _:
+            assert_never(dialect)
+
+
+def parse_report(dialect: Dialect, body: bytes) -> Report:
+    """Return the report in a state answer; raise `ReportInvalid`."""
+    match dialect:
+        case Alder():
+            return alder.parse_report(body)
+        case Birch():
+            return birch.parse_report(body)
+        case _:
+            assert_never(dialect)
+
+
+def order_call(dialect: Dialect, order: Order) -> Call:
+    """Return the call that sends ``order``."""
+    match dialect:
+        case Alder():
+            return alder.order_call(order)
+        case Birch():
+            return birch.order_call(order)
+        case _:
+            assert_never(dialect)
+
+
+def fence_call(dialect: Dialect, fence: int) -> Call | None:
+    """Return the call that raises the fence; None where the vendor has none."""
+    match dialect:
+        case Alder():
+            return alder.fence_call(fence)
+        case Birch():
+            return None
+        case _:
+            assert_never(dialect)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/directory.py
@@ -0,0 +1,83 @@
+"""What this instance knows of every upstream, for routing."""
+
+import threading
+import time
+from typing import NamedTuple
+
+import msgspec
+
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.models.member import EngineMember, Member
+from redwingscale_daemon._internal.models.report import Digest
+
+TOPIC = "digest"
+
+
+class EngineView(NamedTuple):
+    """An engine with its newest digest; ``seen_at`` is on the monotonic clock."""
+
+    member: EngineMember
+    digest: Digest | None
+    seen_at: float
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the list or the engine itself said that it leaves."""
+        return self.member.leaving or (self.digest is not None and self.digest.leaving)
+
+    def is_ready(self, unit: str) -> bool:
+        """Return whether ``unit`` is resident and answers requests."""
+        residents = self.digest.residents if self.digest else ()
+        return any(r.ready and r.unit == unit for r in residents)
+
+
+class Directory:
+    """Engines by id; readers take a snapshot that never changes under them."""
+
+    def __init__(self, board: Board) -> None:
+        self._lock = threading.Lock()
+        self._members: dict[str, EngineMember] = {}
+        self._digests: dict[str, tuple[Digest, float]] = {}
+        self._engines_by_id: dict[str, EngineView] = {}
+        self._ready_by_unit: dict[str, list[str]] = {}
+        board.subscribe(TOPIC, self._on_entry)
+
+    def update_members(self, members: dict[str, Member]) -> None:
+        """Take the engines of a new list."""
+        with self._lock:
+            self._members = {m.id: m for m in members.values() if isinstance(m, EngineMember)}
+            self._rebuild()
+
+    def engines(self) -> dict[str, EngineView]:
+        """Return all engines by id."""
+        return self._engines_by_id
+
+    def engines_with(self, unit: str) -> list[EngineView]:
+        """Return the engines where ``unit`` answers requests."""
+        engines = self._engines_by_id
+        return [engines[key] for key in self._ready_by_unit.get(unit, []) if key in engines]
+
+    def _on_entry(self, entry: Entry) -> None:
+        digest = msgspec.msgpack.decode(entry.payload, type=Digest)
+        with self._lock:
+            known = self._digests.get(digest.upstream)
+            # Two owners may publish for a while after a takeover; the higher fence holds.
+            if known is not None and known[0].fence > digest.fence:
+                return
+            self._digests[digest.upstream] = (digest, time.monotonic())
+            self._rebuild()
+
+    def _rebuild(self) -> None:
+        engines = {key: self._view(member) for key, member in self._members.items()}
+        ready: dict[str, list[str]] = {}
+        for view in engines.values():
+            for resident in view.digest.residents if view.digest else ():
+                if resident.ready:
+                    ready.setdefault(resident.unit, []).append(view.member.id)
+        self._engines_by_id = engines
+        self._ready_by_unit = ready
+
+    def _view(self, member: EngineMember) -> EngineView:
+        digest, seen_at = self._digests.get(member.id, (None, 0.0))
+        return EngineView(member, digest, seen_at)
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/__init__.py
@@ -0,0 +1,4 @@
+"""Stand-ins for the platform, the engines and a plain service.
+
+They are small, keep everything in memory and are never shipped to production.
+"""
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/handler.py
@@ -0,0 +1,59 @@
+"""What both dialects' HTTP handlers share: admin address and stream bodies."""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import cherrypy
+from redwingscale_common.network.exchange import json_response, read_json
+
+from redwingscale_standins.engine.engine import Engine
+from redwingscale_standins.engine.streams import Token
+from redwingscale_standins.hang import drop_connection
+
+BODY_LIMIT = 16 << 20
+
+
+def admin(engine: Engine, path: list[str]) -> bytes:
+    """Serve ``/admin/faults`` and ``/admin/record``."""
+    match cherrypy.request.method, path:
+        case "POST", ["faults"]:
+            engine.faults.update(read_json(BODY_LIMIT))
+            return json_response({})
+        case "GET", ["record"]:
+            return json_response(engine.record())
+    raise cherrypy.NotFound()
+
+
+def event_stream(
+    tokens: Iterator[Token], render: Callable[[Token], bytes], end: Callable[[int], bytes]
+) -> Iterator[bytes]:
+    """Return the body of a stream: each token rendered, then its end."""
+    cherrypy.response.headers["Content-Type"] = "text/event-stream"
+    cherrypy.response.stream = True
+
+    def body() -> Iterator[bytes]:
+        last = -1
+        for token in tokens:
+            last = token.position
+            yield render(token)
+        yield end(last + 1)
+
+    return body()
+
+
+def refuse_if_told(engine: Engine) -> None:
+    """Answer 503 while the switch ``refuse`` is on: nothing was run."""
+    if engine.faults.refuse:
+        raise cherrypy.HTTPError(503, "refused, not run")
+
+
+def lose_order_reply(engine: Engine) -> None:
+    """Drop the connection in place of an order's reply, if one is due."""
+    if engine.faults.take("lose_order_replies"):
+        drop_connection()
+
+
+def need(condition: Any, status: int, message: str) -> None:
+    """Raise ``status`` unless ``condition`` holds."""
+    if not condition:
+        raise cherrypy.HTTPError(status, message)
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/streams.py
@@ -0,0 +1,112 @@
+"""Streams of one engine: tokens at the batch's pace, resumable by index."""
+
+import os
+import threading
+import time
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from redwingscale_standins.engine.batch import Batch
+from redwingscale_standins.engine.cache import PrefixCache
+from redwingscale_standins.engine.generation import token_text
+from redwingscale_standins.engine.profile import EngineFaults, Profile
+
+CRASH_MARK = "CRASH-THE-ENGINE"
+SILENCE_SECONDS = 3600.0
+MAX_KEPT_STREAMS = 10_000
+
+
+class Work(NamedTuple):
+    """What one attempt asked for; ``skip`` tokens are already with the caller."""
+
+    attempt: str
+    unit: str
+    prompt: str
+    max_tokens: int
+    priority: int
+    skip: int
+
+
+class Token(NamedTuple):
+    """Token ``position`` of the answer of ``attempt``."""
+
+    attempt: str
+    position: int
+    text: str
+
+
+class Truncated(Exception):
+    """The switches cut this stream here."""
+
+
+class Streams:
+    """Runs attempts and keeps them by id, so that a broken one can be resumed."""
+
+    def __init__(self, profile: Profile, faults: EngineFaults) -> None:
+        self._lock = threading.Lock()
+        self._profile = profile
+        self._faults = faults
+        self._work_by_attempt: dict[str, Work] = {}
+        self._cancelled: set[str] = set()
+        self.batch = Batch(profile.slots)
+        self.cache = PrefixCache(profile.cache_blocks)
+        self.started = 0
+        self.finished = 0
+
+    def start(self, work: Work) -> Iterator[Token]:
+        """Yield the tokens of new ``work``."""
+        with self._lock:
+            if len(self._work_by_attempt) >= MAX_KEPT_STREAMS:
+                self._work_by_attempt.pop(next(iter(self._work_by_attempt)))
+            self._work_by_attempt[work.attempt] = work
+            self.started += 1
+        return self._run(work)
+
+    def resume(self, attempt: str, start: int) -> Iterator[Token] | None:
+        """Yield the rest of ``attempt`` from index ``start``; None when unknown."""
+        with self._lock:
+            work = self._work_by_attempt.get(attempt)
+        if work is None or attempt in self._cancelled:
+            return None
+        return self._run(work._replace(skip=start))
+
+    def cancel(self, attempt: str) -> None:
+        """End the work of ``attempt`` at its next token."""
+        with self._lock:
+            self._cancelled.add(attempt)
+
+    def _run(self, work: Work) -> Iterator[Token]:
+        with self.batch.slot(work.priority):
+            if CRASH_MARK in work.prompt:
+                time.sleep(0.05)
+                os._exit(137)
+            missing = self.cache.admit(work.unit, work.prompt)
+            time.sleep(missing * self._profile.block_prefill_seconds)
+            yield from self._tokens(work)
+        self.finished += 1
+
+    def _tokens(self, work: Work) -> Iterator[Token]:
+        for sent, index in enumerate(range(work.skip, work.max_tokens)):
+            if work.attempt in self._cancelled:
+                return
+            time.sleep(self._gap_seconds())
+            self._disturb(sent)
+            attempt = "another" if self._faults.wrong_attempt else work.attempt
+            shown = index + 1 if self._faults.swap_token == sent else index
+            token = Token(attempt, shown, token_text(work.unit, work.prompt, shown))
+            yield token
+            if self._faults.double_token == sent:
+                yield token
+
+    def _gap_seconds(self) -> float:
+        load = self.batch.running / self._profile.slots
+        factor = 1.0 + self._profile.batch_slowdown * load
+        return self._profile.token_gap_seconds * factor * self._faults.slow_factor
+
+    def _disturb(self, sent: int) -> None:
+        if self._faults.silent_after_tokens == sent:
+            time.sleep(SILENCE_SECONDS)
+        if self._faults.reset_after_tokens == sent:
+            raise ConnectionResetError
+        if self._faults.truncate_after_tokens == sent:
+            raise Truncated
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/plain/__init__.py
@@ -0,0 +1,1 @@
+"""A plain service that records every call it runs."""
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: transactional table, object store, instance list, weight store."""
