Add the operators' commands, the load tool and the drain order

The drain order names the boot of the process that is to end: entries stay in circulation and would drain its successor otherwise.

--- a/packages/redwingscale-cli/src/redwingscale_cli/_internal/commands/config_check.py
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/commands/config_check.py
@@ -2,14 +2,22 @@
 
 from pathlib import Path
 
+import typer
 from redwingscale_common.configuration import check_text
-from redwingscale_common.finding import Finding
 
+from redwingscale_cli._internal.cli.context import CommandContext
+from redwingscale_cli._internal.cli.output import print_json
+from redwingscale_cli._internal.cli.status_codes import FINDINGS
+from redwingscale_cli._internal.operations.text_file import read_text
 
-def findings_of(file: Path) -> list[Finding]:
-    """Return every finding in the text in ``file``."""
-    try:
-        text = file.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return [Finding("$", f"cannot be read: {error}")]
-    return check_text(str(file), text)
+
+def run(context: CommandContext, file: Path) -> None:
+    """Print every finding of the text in ``file``; exit 1 when there is one."""
+    findings = check_text(str(file), read_text(file))
+    if context.as_json:
+        print_json([finding._asdict() for finding in findings])
+    else:
+        for finding in findings:
+            typer.echo(finding.render(str(file)))
+    if findings:
+        raise typer.Exit(FINDINGS)
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/commands/status.py
@@ -0,0 +1,32 @@
+"""``redwingscale status``."""
+
+from redwingscale_cli._internal.cli.context import CommandContext
+from redwingscale_cli._internal.cli.output import print_json, print_table
+
+
+def run(context: CommandContext) -> None:
+    """Print every instance with its readiness and the version in force there."""
+    client = context.client()
+    status = client.get("/status")
+    versions = client.get("/configuration/in-force")
+    if context.as_json:
+        print_json({"asked": status, "version_by_instance": versions})
+        return
+    asked = status["instance"]["id"]
+    rows = [
+        (instance, version, _silence(instance, asked, status["peers"]))
+        for instance, version in sorted(versions.items())
+    ]
+    print_table(("INSTANCE", "VERSION", "LAST HEARD"), rows)
+    state = "ready" if status["ready"] else f"not ready: {status['reason']}"
+    session = "valid" if status["session_valid"] else "not valid"
+    print_table(
+        ("ASKED", "STATE", "OPEN", "SESSION"), [(asked, state, status["open_requests"], session)]
+    )
+
+
+def _silence(instance: str, asked: str, peers: dict[str, float | None]) -> str:
+    if instance == asked:
+        return "asked"
+    seconds = peers.get(instance)
+    return "never" if seconds is None else f"{seconds:.1f} s ago"
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small value types of the client."""
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of the instances."""
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What several commands do."""
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/operations/history.py
@@ -0,0 +1,14 @@
+"""Earlier versions of the operators' text."""
+
+from redwingscale_cli._internal.exceptions import UsageError
+from redwingscale_cli._internal.network.operators_client import OperatorsClient
+
+
+def text_of(client: OperatorsClient, version: int) -> str:
+    """Return the text of ``version``; raise `UsageError` when there is none."""
+    history = client.get("/configuration/history")
+    digests = {item["version"]: item["digest"] for item in history}
+    if version not in digests:
+        raise UsageError(f"there is no version {version}", hint="see: redwingscale config history")
+    text: str = client.get(f"/configuration/texts/{digests[version]}")["text"]
+    return text
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/operations/load_run.py
@@ -0,0 +1,39 @@
+"""Sends arrivals at their times, whatever the answers take (an open loop)."""
+
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import NamedTuple
+
+from redwingscale_cli._internal.cli.output import print_progress
+from redwingscale_cli._internal.models.load_plan import LoadPlan
+from redwingscale_cli._internal.models.load_result import RequestResult
+from redwingscale_cli._internal.network.callers_client import CallersClient
+from redwingscale_cli._internal.operations.load_arrivals import arrivals
+
+MOST_THREADS = 512
+PROGRESS_SECONDS = 2.0
+
+
+class LoadRun(NamedTuple):
+    """All results and how long the run took, in seconds."""
+
+    results: list[RequestResult]
+    seconds: float
+
+
+def run_load(plan: LoadPlan) -> LoadRun:
+    """Send all arrivals of ``plan`` and wait for their answers."""
+    client = CallersClient(plan)
+    started = time.monotonic()
+    next_progress = PROGRESS_SECONDS
+    futures: list[Future[RequestResult]] = []
+    with ThreadPoolExecutor(MOST_THREADS) as pool:
+        for arrival in arrivals(plan):
+            elapsed = time.monotonic() - started
+            time.sleep(max(0.0, arrival.at_seconds - elapsed))
+            futures.append(pool.submit(client.send, arrival))
+            if arrival.at_seconds > next_progress:
+                done = sum(f.done() for f in futures)
+                print_progress(f"{arrival.at_seconds:.0f} s: {len(futures)} sent, {done} answered")
+                next_progress += PROGRESS_SECONDS
+    return LoadRun([future.result() for future in futures], time.monotonic() - started)
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers, one topic a module."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/operators_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/operators_app.py
@@ -12,6 +12,7 @@
 from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
 from redwingscale_daemon._internal.configuration.store import ConfigurationStore, Lost
 from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.operators.drain_requests import DrainRequests
 from redwingscale_daemon._internal.operators.state_view import StateView
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 
@@ -26,6 +27,12 @@
     author: str = ""
 
 
+class DrainBody(msgspec.Struct):
+    """The instance that is to end."""
+
+    instance: str
+
+
 class OperatorsApp:
     """``/status``, ``/configuration``, ``/models``, ``/upstreams``, ``/metrics``."""
 
@@ -35,12 +42,14 @@
         store: ConfigurationStore,
         current: CurrentConfiguration,
         view: StateView,
+        drains: DrainRequests,
         metrics: Metrics,
     ) -> None:
         self._token_sha256 = token_sha256
         self._store = store
         self._current = current
         self._view = view
+        self._drains = drains
         self._metrics = metrics
 
     @cherrypy.expose
@@ -75,8 +84,15 @@
                 return json_response({"text": self._store.text(digest)})
             case "POST", ("configuration",):
                 return self._apply()
+            case "POST", ("drain",):
+                return self._drain()
         raise cherrypy.NotFound()
 
+    def _drain(self) -> bytes:
+        body = msgspec.convert(read_json(BODY_LIMIT), DrainBody)
+        known = self._drains.send(body.instance)
+        return json_response({"instance": body.instance, "known": known}, 202 if known else 404)
+
     def _show(self) -> bytes:
         pointer = self._store.pointer()
         if pointer is None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -17,6 +17,7 @@
 from redwingscale_daemon._internal.membership.members import Members
 from redwingscale_daemon._internal.membership.mesh import Mesh
 from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
+from redwingscale_daemon._internal.operators.drain_requests import DrainRequests
 from redwingscale_daemon._internal.operators.operators_app import OperatorsApp
 from redwingscale_daemon._internal.operators.state_view import StateView
 from redwingscale_daemon._internal.placement.owner import EngineOwner
@@ -78,7 +79,14 @@
         current, generation, plain, readiness, tracing, metrics, settings.limits.body_bytes
     )
     view = StateView(me, current, readiness, session, members, beats, directory, in_flight)
-    operators_app = OperatorsApp(settings.operators.token_sha256, store, current, view, metrics)
+    operators_app = OperatorsApp(
+        settings.operators.token_sha256,
+        store,
+        current,
+        view,
+        DrainRequests(me.id, board),
+        metrics,
+    )
 
     parts = Parts(
         callers=HttpServer(
