--- /dev/null
+++ b/benchmarks/lib/__init__.py
@@ -0,0 +1,1 @@
+"""What the benchmarks share."""
--- a/packages/redwingscale-cli/tests/unit/test_commands.py
+++ b/packages/redwingscale-cli/tests/unit/test_commands.py
@@ -3,10 +3,9 @@
 import json
 
 import pytest
-from typer.testing import CliRunner
-
 from redwingscale_cli._internal.cli.app import app
 from redwingscale_cli._internal.cli.command_table import COMMANDS_BY_NAME
+from typer.testing import CliRunner
 
 
 @pytest.fixture
--- a/packages/redwingscale-standins/src/redwingscale_standins/launcher/deployment.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/launcher/deployment.py
@@ -26,6 +26,8 @@
     weights_bytes_per_second: float = 40e9
     token_gap_seconds: float = 0.01
     report_lag_seconds: float = 0.5
+    slots: int = 32
+    batch_slowdown: float = 1.0
 
 
 class RunningMember(NamedTuple):
@@ -109,6 +111,8 @@
             f"--memory-bytes={engine.memory_bytes}",
             f"--token-gap-seconds={self._speed.token_gap_seconds}",
             f"--report-lag-seconds={self._speed.report_lag_seconds}",
+            f"--slots={self._speed.slots}",
+            f"--batch-slowdown={self._speed.batch_slowdown}",
             f"--weights-url={self.platform_url}/weights",
         ]
         process = self._spawn(engine.id, "redwingscale_standins.engine", arguments)
