Run non-idempotent requests at most once by claims in the table

Cause: a non-idempotent call was sent once per request received, so a repeat after a lost answer or through another instance ran it again. Change: a claim row is written before the first byte goes out, then one send, and the outcome is kept in the row or as an object. Claims of an instance share transactions. Sent calls are let finish past their deadline or when the caller has gone. A bare 503 of a plain service no longer counts as not run.

Not proved: expiry (rows are not deleted yet); a repeat through another instance while the table is down is told not_run of this sending, though an earlier one may have run.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
@@ -26,7 +26,10 @@
     parse_headers,
 )
 from redwingscale_daemon._internal.exceptions import Refusal, UpstreamError
+from redwingscale_daemon._internal.idempotency.claim import ClaimKey, request_fingerprint
+from redwingscale_daemon._internal.idempotency.once import Once
 from redwingscale_daemon._internal.lifecycle.readiness import Readiness
+from redwingscale_daemon._internal.models.generation import GenerationRequest, StreamEvent
 from redwingscale_daemon._internal.relay.generation import GenerationRelay
 from redwingscale_daemon._internal.relay.plain import PlainRelay, PlainRequest
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
@@ -43,6 +46,7 @@
         current: CurrentConfiguration,
         generation: GenerationRelay,
         plain: PlainRelay,
+        once: Once,
         readiness: Readiness,
         tracing: Tracing,
         metrics: Metrics,
@@ -51,6 +55,7 @@
         self._current = current
         self._generation = generation
         self._plain = plain
+        self._once = once
         self._readiness = readiness
         self._tracing = tracing
         self._metrics = metrics
@@ -144,15 +149,26 @@
         span: Span,
     ) -> bytes | Iterator[bytes]:
         headers = cherrypy.request.headers
-        body = parse_body(read_body(self._body_limit), chat=isinstance(shape, Chat))
+        raw = read_body(self._body_limit)
+        body = parse_body(raw, chat=isinstance(shape, Chat))
         request = build_request(body, configuration, caller, headers, request_id)
-        events = self._generation.run(request, span)
+        events = self._events(request, raw, span)
         if body.stream:
             cherrypy.response.headers["Content-Type"] = "text/event-stream"
             return stream_body(shape, request, events)
         cherrypy.response.headers["Content-Type"] = "application/json"
         return self._whole(shape, request, events)
 
+    def _events(self, request: GenerationRequest, raw: bytes, span: Span) -> Iterator[StreamEvent]:
+        if request.idempotent or not request.idempotency_key:
+            return self._generation.run(request, span)
+        return self._once.stream(
+            ClaimKey(request.caller, request.service, request.idempotency_key),
+            request_fingerprint("POST", cherrypy.request.path_info, raw),
+            request.deadline_at,
+            lambda: self._generation.run(request, span),
+        )
+
     def _whole(self, shape: Shape, request: Any, events: Iterator[Any]) -> bytes:
         try:
             return whole_body(shape, request, events)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/claims.py
@@ -0,0 +1,202 @@
+"""Claims on idempotency keys: made before a request is sent, ended with its outcome."""
+
+import threading
+import time
+from collections import OrderedDict
+from typing import NamedTuple
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import PlatformError, Refusal
+from redwingscale_daemon._internal.idempotency.claim import (
+    Claim,
+    Claimant,
+    ClaimKey,
+    Done,
+    Open,
+    Released,
+    Unknown,
+    parse_claim,
+)
+from redwingscale_daemon._internal.idempotency.committer import Committer
+from redwingscale_daemon._internal.idempotency.outcome import Answer, OutcomeStore
+from redwingscale_daemon._internal.idempotency.row_write import Beaten, Failed, RowWrite, Written
+from redwingscale_daemon._internal.idempotency.settler import Ending, Settler
+from redwingscale_daemon._internal.models.run_state import RunState
+from redwingscale_daemon._internal.platform.row import ABSENT, Row
+from redwingscale_daemon._internal.telemetry.metrics import Metrics
+
+TAKING_TRIES = 4
+ENDING_PATIENCE_SECONDS = 0.25
+RETRY_AFTER_PLATFORM_SECONDS = 1.0
+RETRY_AFTER_UNFINISHED_SECONDS = 1.0
+RETRY_AFTER_UNKNOWN_SECONDS = 30.0
+MOST_REMEMBERED = 4096
+
+
+class Claimed(NamedTuple):
+    """A claim that this instance holds: it alone may send the request, once."""
+
+    row: str
+    version: int
+    fingerprint: str
+
+
+class Claims:
+    """Takes claims and writes how they ended."""
+
+    def __init__(
+        self,
+        committer: Committer,
+        settler: Settler,
+        outcomes: OutcomeStore,
+        claimant: Claimant,
+        retention_seconds: int,
+        metrics: Metrics,
+    ) -> None:
+        self._committer = committer
+        self._settler = settler
+        self._outcomes = outcomes
+        self._claimant = claimant
+        self._retention_seconds = retention_seconds
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._remembered: OrderedDict[str, None] = OrderedDict()
+        committer.on_orphaned(self._withdraw)
+
+    def open(self, key: ClaimKey, fingerprint: str, patience_seconds: float) -> Claimed | Answer:
+        """Return the claim, or the answer kept for ``key``; raise `Refusal`.
+
+        Nothing of the request may have been sent yet: every refusal for a
+        claim that could not be made says that this sending was not run.
+        """
+        version = ABSENT
+        deadline = time.monotonic() + patience_seconds
+        for _ in range(TAKING_TRIES):
+            write = RowWrite(key.row, version, self._open_claim(fingerprint))
+            self._committer.submit(write)
+            match write.wait(max(0.0, deadline - time.monotonic())):
+                case Written(version=taken):
+                    return self._claimed(Claimed(key.row, taken, fingerprint))
+                case Beaten(row=None):
+                    version = ABSENT
+                case Beaten(row=Row() as row):
+                    claim = _same_request(parse_claim(row.value), fingerprint)
+                    if not isinstance(claim, Released):
+                        return self._repeat(claim)
+                    version = row.version
+                case Failed() | None:
+                    raise self._unavailable(key.row)
+        raise self._refusal(409, "claim_unfinished", "other sendings of this key are under way")
+
+    def keep(self, claimed: Claimed, answer: Answer) -> None:
+        """Keep ``answer`` for repeats, at once or as soon as the platform takes it."""
+        self._end(Ending(claimed.row, claimed.version, lambda: self._done(claimed, answer)))
+
+    def mark_unknown(self, claimed: Claimed) -> None:
+        """Write that nobody will learn whether the request was run."""
+        claim = Unknown(claimed.fingerprint, self._claimant, self._expires_at())
+        self._end(Ending(claimed.row, claimed.version, lambda: claim))
+
+    def release(self, claimed: Claimed) -> None:
+        """Give the claim back: the request was not run and a repeat may run it."""
+        with self._lock:
+            self._remembered.pop(claimed.row, None)
+        claim = Released(claimed.fingerprint, self._claimant, self._expires_at())
+        self._end(Ending(claimed.row, claimed.version, lambda: claim))
+
+    def _end(self, ending: Ending) -> None:
+        # The caller's answer does not wait for a platform that is slow or down:
+        # the settler goes on with what could not be written in this time.
+        try:
+            write = RowWrite(ending.row, ending.version, ending.claim())
+        except PlatformError:
+            self._settler.add(ending)
+            return
+        self._committer.submit(write)
+        if not isinstance(write.wait(ENDING_PATIENCE_SECONDS), Written):
+            self._settler.add(ending)
+
+    def _done(self, claimed: Claimed, answer: Answer) -> Done:
+        kept = self._outcomes.put(answer)
+        return Done(claimed.fingerprint, self._claimant, self._expires_at(), kept)
+
+    def _withdraw(self, write: RowWrite) -> None:
+        # Only an open claim that nobody waits for is withdrawn: its request was
+        # refused without being sent, and would else stay unfinished for good.
+        if isinstance(write.value, Open):
+            claim = Released(write.value.fingerprint, self._claimant, self._expires_at())
+            self._settler.withdraw(write, claim)
+
+    def _claimed(self, claimed: Claimed) -> Claimed:
+        with self._lock:
+            self._remembered[claimed.row] = None
+            if len(self._remembered) > MOST_REMEMBERED:
+                self._remembered.popitem(last=False)
+        self._metrics.claims.add(1, {"result": "claimed"})
+        return claimed
+
+    def _repeat(self, claim: Done | Open | Unknown) -> Answer:
+        match claim:
+            case Done(outcome=outcome):
+                try:
+                    answer = self._outcomes.get(outcome)
+                except PlatformError as error:
+                    raise self._refusal(
+                        503, "outcome_unavailable", str(error), run=RunState.RUN
+                    ) from error
+                self._metrics.claims.add(1, {"result": "replayed"})
+                return answer
+            case Unknown():
+                raise self._refusal(
+                    409,
+                    "outcome_unknown",
+                    "an earlier sending with this key may have run; its outcome is lost",
+                    retry_after_seconds=RETRY_AFTER_UNKNOWN_SECONDS,
+                )
+            case Open(holder=holder):
+                # The holder may have died between the claim and the send or after
+                # it. Nobody can tell which, so nobody sends it again.
+                raise self._refusal(
+                    409, "claim_unfinished", f"an earlier sending is open at {holder.instance}"
+                )
+
+    def _unavailable(self, row: str) -> Refusal:
+        with self._lock:
+            sent_here = row in self._remembered
+        if sent_here:
+            return self._refusal(
+                503, "claims_unavailable", "an earlier sending with this key may have run"
+            )
+        return self._refusal(
+            503,
+            "claims_unavailable",
+            "the platform's table does not answer, this sending was not run",
+            run=RunState.NOT_RUN,
+            retry_after_seconds=RETRY_AFTER_PLATFORM_SECONDS,
+        )
+
+    def _refusal(
+        self,
+        status: int,
+        code: str,
+        detail: str,
+        *,
+        run: RunState = RunState.UNKNOWN,
+        retry_after_seconds: float = RETRY_AFTER_UNFINISHED_SECONDS,
+    ) -> Refusal:
+        self._metrics.claims.add(1, {"result": code})
+        log_event("claim_refused", code=code, run=run, detail=detail)
+        return Refusal(status, code, detail, run=run, retry_after_seconds=retry_after_seconds)
+
+    def _open_claim(self, fingerprint: str) -> Open:
+        return Open(fingerprint, self._claimant, self._expires_at())
+
+    def _expires_at(self) -> int:
+        return int(time.time()) + self._retention_seconds
+
+
+def _same_request(claim: Claim, fingerprint: str) -> Claim:
+    if claim.fingerprint != fingerprint:
+        raise Refusal(422, "idempotency_key_reused", "the key was first used with another request")
+    return claim
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/committer.py
@@ -0,0 +1,193 @@
+"""Commits row writes of this instance in batches, one transaction at a time."""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
+from redwingscale_daemon._internal.idempotency.row_write import (
+    Beaten,
+    Failed,
+    RowWrite,
+    WriteResult,
+    Written,
+)
+from redwingscale_daemon._internal.platform.row import (
+    Check,
+    Committed,
+    Conflict,
+    Put,
+    Row,
+    Transaction,
+)
+from redwingscale_daemon._internal.platform.table import Table, new_write_id
+
+MOST_IN_BATCH = 64
+MOST_WAITING = 2048
+TRIES = 2
+LONGEST_PAUSE_SECONDS = 0.5
+
+Orphaned = Callable[[RowWrite], None]
+
+
+class Committer:
+    """One thread: what comes while a transaction is under way goes into the next.
+
+    A transaction takes effect whole or not at all, so one row that was taken
+    by somebody else fails the batch. The platform names the rows that failed:
+    those are settled and the rest is sent again.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        most_in_batch: int = MOST_IN_BATCH,
+        longest_pause_seconds: float = LONGEST_PAUSE_SECONDS,
+    ) -> None:
+        self._table = table
+        self._longest_pause_seconds = longest_pause_seconds
+        self._most_in_batch = most_in_batch
+        self._condition = threading.Condition()
+        self._waiting: deque[RowWrite] = deque()
+        self._refuse_until = 0.0
+        self._stopped = False
+        self._orphaned: Orphaned = lambda _: None
+        self._thread = threading.Thread(target=self._run, name="claims", daemon=True)
+        self.transactions = 0
+
+    def on_orphaned(self, orphaned: Orphaned) -> None:
+        """Call ``orphaned`` with each write that may stand though nobody waited for it."""
+        self._orphaned = orphaned
+
+    def start(self) -> None:
+        """Begin to commit."""
+        self._thread.start()
+
+    def stop(self, timeout_seconds: float = 5.0) -> None:
+        """Commit what waits and end."""
+        with self._condition:
+            self._stopped = True
+            self._condition.notify_all()
+        if self._thread.is_alive():
+            self._thread.join(timeout_seconds)
+
+    def submit(self, write: RowWrite) -> None:
+        """Queue ``write``; while the platform fails it is settled as failed at once."""
+        with self._condition:
+            answering = not self._stopped and time.monotonic() >= self._refuse_until
+            if answering and len(self._waiting) < MOST_WAITING:
+                self._waiting.append(write)
+                self._condition.notify_all()
+                return
+        write.settle(Failed("the platform's table does not answer", may_arrive=False))
+
+    def _run(self) -> None:
+        while self._await_work():
+            batch = self._next_batch()
+            self._commit(batch)
+
+    def _await_work(self) -> bool:
+        """Block until there is a write; return False when stopped and empty."""
+        with self._condition:
+            self._condition.wait_for(lambda: self._waiting or self._stopped)
+            return bool(self._waiting)
+
+    def _next_batch(self) -> list[RowWrite]:
+        by_key: dict[str, RowWrite] = {}
+        with self._condition:
+            waiting, self._waiting = self._waiting, deque()
+            for write in waiting:
+                # Two writes of one row cannot share a transaction: the second
+                # has to see the version that the first one makes.
+                if write.key in by_key or len(by_key) >= self._most_in_batch:
+                    self._waiting.append(write)
+                elif not write.abandoned:
+                    by_key[write.key] = write
+        return list(by_key.values())
+
+    def _commit(self, batch: list[RowWrite]) -> None:
+        may_arrive = False
+        tries = 0
+        began_at = time.monotonic()
+        while batch:
+            try:
+                batch = self._settle(batch, self._send(batch))
+            except PlatformUnavailable as error:
+                self._fail(batch, Failed(str(error), may_arrive), began_at)
+                return
+            except WriteUnknown as error:
+                # The reply is lost, the write may have taken effect or come late.
+                # The same batch again settles both: if the first one took effect,
+                # the checks fail on rows that bear its write id; if this one does,
+                # the checks of the late one fail.
+                may_arrive = True
+                tries += 1
+                if tries < TRIES:
+                    continue
+                self._fail(batch, Failed(str(error), may_arrive), began_at)
+                return
+
+    def _send(self, batch: list[RowWrite]) -> Committed | Conflict:
+        write_id = new_write_id()
+        for write in batch:
+            write.write_ids.add(write_id)
+        self.transactions += 1
+        transaction = Transaction(
+            write_id,
+            checks=[Check(w.key, w.version) for w in batch],
+            puts=[Put(w.key, w.value) for w in batch],
+        )
+        try:
+            return self._table.commit(transaction)
+        except msgspec.MsgspecError as error:
+            raise WriteUnknown(f"a reply that is not well-formed: {error}") from error
+
+    def _settle(self, batch: list[RowWrite], outcome: Committed | Conflict) -> list[RowWrite]:
+        """Settle what ``outcome`` decides and return the rest."""
+        match outcome:
+            case Committed(rows=rows):
+                for write in batch:
+                    self._end(write, Written(rows[write.key].version))
+                return []
+            case Conflict(rows=found):
+                for write in batch:
+                    if write.key in found:
+                        self._end(write, _beaten(write, found[write.key]))
+                rest = [w for w in batch if w.key not in found]
+                if len(rest) == len(batch):
+                    raise WriteUnknown("a conflict that names none of the rows")
+                return rest
+
+    def _fail(self, batch: list[RowWrite], failed: Failed, began_at: float) -> None:
+        """Fail ``batch`` and all that waits: a refusal at once beats a late one.
+
+        A platform that hangs is not asked again for a while, or else every claim
+        would wait for its timeout. One that refuses quickly needs no pause.
+        """
+        now = time.monotonic()
+        log_event("claims_not_written", level="WARNING", count=len(batch), error=failed.detail)
+        with self._condition:
+            self._refuse_until = now + min(now - began_at, self._longest_pause_seconds)
+            waiting, self._waiting = self._waiting, deque()
+        for write in batch:
+            self._end(write, failed)
+        for write in waiting:
+            write.settle(Failed(failed.detail, may_arrive=False))
+
+    def _end(self, write: RowWrite, result: WriteResult) -> None:
+        awaited = write.settle(result)
+        match result:
+            case Written() if not awaited:
+                self._orphaned(write)
+            case Failed(may_arrive=True):
+                self._orphaned(write)
+
+
+def _beaten(write: RowWrite, row: Row | None) -> WriteResult:
+    if row is not None and row.write_id in write.write_ids:
+        return Written(row.version)
+    return Beaten(row)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/once.py
@@ -0,0 +1,155 @@
+"""Runs a request at most once for its idempotency key, whoever waits for it."""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.idempotency.claim import ClaimKey
+from redwingscale_daemon._internal.idempotency.claims import Claimed, Claims
+from redwingscale_daemon._internal.idempotency.outcome import Answer
+from redwingscale_daemon._internal.models.generation import EndEvent, StreamEvent, TokenEvent
+from redwingscale_daemon._internal.models.run_state import RunState
+
+OK = 200
+TOKENS_TYPE = "application/json"
+RETRY_AFTER_LATE_SECONDS = 1.0
+
+Send = Callable[[], Answer]
+Start = Callable[[], Iterator[StreamEvent]]
+
+
+class Once:
+    """Claims a key, sends once, and keeps the outcome.
+
+    A request that was sent is let finish when its caller's deadline passes or
+    the caller goes away: only its outcome tells whether it was run, and a
+    repeat asks for it.
+    """
+
+    def __init__(self, claims: Claims, claim_patience_seconds: float) -> None:
+        self._claims = claims
+        self._claim_patience_seconds = claim_patience_seconds
+        self._condition = threading.Condition()
+        self._running = 0
+
+    def call(self, key: ClaimKey, fingerprint: str, deadline_at: float, send: Send) -> Answer:
+        """Return the answer of ``send`` or the one kept; raise `Refusal`.
+
+        ``send`` raises `Refusal`; its ``run`` decides how the claim ends.
+        """
+        claimed = self._claim(key, fingerprint, deadline_at)
+        if isinstance(claimed, Answer):
+            return claimed
+        future: Future[Answer] = Future()
+        self._spawn(lambda: self._send(claimed, send, future))
+        try:
+            return future.result(max(0.0, deadline_at - time.monotonic()))
+        except TimeoutError:
+            raise Refusal(
+                504,
+                "deadline_exceeded",
+                "the call was sent and goes on; a repeat with its key gets the outcome",
+                run=RunState.UNKNOWN,
+                retry_after_seconds=RETRY_AFTER_LATE_SECONDS,
+            ) from None
+
+    def stream(
+        self, key: ClaimKey, fingerprint: str, deadline_at: float, start: Start
+    ) -> Iterator[StreamEvent]:
+        """Return the events of ``start`` or those kept; raise `Refusal`."""
+        claimed = self._claim(key, fingerprint, deadline_at)
+        if isinstance(claimed, Answer):
+            return _replayed(claimed)
+        try:
+            events = start()
+        except BaseException as error:
+            self._end_failed(claimed, error)
+            raise
+        return self._recorded(claimed, events)
+
+    def wait_until_idle(self, timeout_seconds: float) -> None:
+        """Block until every request that was sent has ended, at most so long."""
+        with self._condition:
+            self._condition.wait_for(lambda: self._running == 0, timeout_seconds)
+            if self._running:
+                log_event("sends_left_running", level="WARNING", count=self._running)
+
+    def _claim(self, key: ClaimKey, fingerprint: str, deadline_at: float) -> Claimed | Answer:
+        remaining = deadline_at - time.monotonic()
+        patience = min(remaining, self._claim_patience_seconds)
+        claimed = self._claims.open(key, fingerprint, patience)
+        if isinstance(claimed, Claimed) and time.monotonic() >= deadline_at:
+            self._claims.release(claimed)
+            raise Refusal(504, "deadline_past", "the deadline passed before it could be sent")
+        return claimed
+
+    def _send(self, claimed: Claimed, send: Send, future: Future[Answer]) -> None:
+        try:
+            answer = send()
+        except BaseException as error:
+            self._end_failed(claimed, error)
+            future.set_exception(error)
+            return
+        # Kept before it is handed over: the caller may never see this answer, and
+        # then its repeat must find it.
+        self._claims.keep(claimed, answer)
+        future.set_result(answer)
+
+    def _recorded(self, claimed: Claimed, events: Iterator[StreamEvent]) -> Iterator[StreamEvent]:
+        texts: list[str] = []
+        try:
+            for event in events:
+                self._record(claimed, texts, event)
+                yield event
+        except GeneratorExit:
+            # The caller is gone; the generation goes on without it.
+            self._spawn(lambda: self._finish(claimed, texts, events))
+            raise
+        except BaseException as error:
+            self._end_failed(claimed, error)
+            raise
+
+    def _finish(self, claimed: Claimed, texts: list[str], events: Iterator[StreamEvent]) -> None:
+        try:
+            for event in events:
+                self._record(claimed, texts, event)
+        except BaseException as error:
+            self._end_failed(claimed, error)
+
+    def _record(self, claimed: Claimed, texts: list[str], event: StreamEvent) -> None:
+        match event:
+            case TokenEvent(text=text):
+                texts.append(text)
+            case EndEvent():
+                self._claims.keep(claimed, Answer(OK, TOKENS_TYPE, msgspec.json.encode(texts)))
+
+    def _end_failed(self, claimed: Claimed, error: BaseException) -> None:
+        if isinstance(error, Refusal) and error.run is RunState.NOT_RUN:
+            self._claims.release(claimed)
+        else:
+            self._claims.mark_unknown(claimed)
+
+    def _spawn(self, work: Callable[[], None]) -> None:
+        with self._condition:
+            self._running += 1
+        threading.Thread(target=self._counted, args=(work,), name="once", daemon=True).start()
+
+    def _counted(self, work: Callable[[], None]) -> None:
+        try:
+            work()
+        finally:
+            with self._condition:
+                self._running -= 1
+                self._condition.notify_all()
+
+
+def _replayed(answer: Answer) -> Iterator[StreamEvent]:
+    texts = msgspec.json.decode(answer.body, type=list[str])
+    for position, text in enumerate(texts):
+        yield TokenEvent(position, text)
+    yield EndEvent(len(texts))
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/outcome.py
@@ -0,0 +1,63 @@
+"""Answers kept for repeats: small ones in the claim's row, large ones as objects."""
+
+from typing import NamedTuple
+
+import msgspec
+from redwingscale_common.utils.digests import sha256_hex
+
+from redwingscale_daemon._internal.platform.objects import Objects
+
+LARGEST_IN_ROW_BYTES = 2048
+OBJECT_PREFIX = "outcomes/"
+
+
+class Answer(NamedTuple):
+    """A whole answer of an upstream."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class InRow(msgspec.Struct, frozen=True, tag="row"):
+    """An answer small enough for the row."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class InObject(msgspec.Struct, frozen=True, tag="object"):
+    """An answer whose body is the object ``object_key``."""
+
+    status: int
+    content_type: str
+    object_key: str
+
+
+class OutcomeStore:
+    """Puts answers where they belong and reads them back."""
+
+    def __init__(self, objects: Objects) -> None:
+        self._objects = objects
+
+    def put(self, answer: Answer) -> InRow | InObject:
+        """Return what the row holds; raise `PlatformUnavailable` or `WriteUnknown`.
+
+        The object is keyed by the digest of its content, so that writing it
+        again after a lost reply changes nothing.
+        """
+        if len(answer.body) <= LARGEST_IN_ROW_BYTES:
+            return InRow(*answer)
+        key = OBJECT_PREFIX + sha256_hex(answer.body)
+        self._objects.put(key, answer.body)
+        return InObject(answer.status, answer.content_type, key)
+
+    def get(self, kept: InRow | InObject) -> Answer:
+        """Return the answer; raise `PlatformUnavailable`."""
+        match kept:
+            case InRow():
+                return Answer(kept.status, kept.content_type, kept.body)
+            case InObject():
+                body = self._objects.get(kept.object_key)
+                return Answer(kept.status, kept.content_type, body)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/settler.py
@@ -0,0 +1,135 @@
+"""Writes how claims ended, again until the platform takes it."""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.idempotency.claim import Claim, Released
+from redwingscale_daemon._internal.idempotency.committer import Committer
+from redwingscale_daemon._internal.idempotency.row_write import (
+    Beaten,
+    RowWrite,
+    WriteResult,
+    Written,
+)
+from redwingscale_daemon._internal.platform.row import ABSENT
+from redwingscale_daemon._internal.platform.table import Table
+
+MOST_ENDINGS = 4096
+PAUSE_SECONDS = 0.5
+PATIENCE_SECONDS = 10.0
+
+
+class Ending(NamedTuple):
+    """How the claim in ``row`` ended; ``claim`` may raise `PlatformError`."""
+
+    row: str
+    version: int
+    claim: Callable[[], Claim]
+
+
+class _Withdrawal(NamedTuple):
+    write: RowWrite
+    claim: Released
+
+
+class Settler:
+    """One thread and a bounded queue; what does not fit stays unfinished and is logged."""
+
+    def __init__(self, committer: Committer, table: Table) -> None:
+        self._committer = committer
+        self._table = table
+        self._condition = threading.Condition()
+        self._jobs: deque[Ending | _Withdrawal] = deque()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="settler", daemon=True)
+
+    def start(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def add(self, ending: Ending) -> None:
+        """Write ``ending`` as soon as the platform takes it."""
+        self._add(ending)
+
+    def withdraw(self, write: RowWrite, claim: Released) -> None:
+        """Put ``claim`` in place of an open claim that may stand or still arrive."""
+        self._add(_Withdrawal(write, claim))
+
+    def stop(self, timeout_seconds: float) -> None:
+        """Wait until all is written, at most ``timeout_seconds``, and end."""
+        with self._condition:
+            self._condition.wait_for(lambda: not self._jobs, timeout_seconds)
+            lost = len(self._jobs)
+            self._stopped = True
+            self._condition.notify_all()
+        if lost:
+            log_event("claims_left_unfinished", level="WARNING", count=lost)
+
+    def _add(self, job: Ending | _Withdrawal) -> None:
+        with self._condition:
+            fits = len(self._jobs) < MOST_ENDINGS
+            if fits:
+                self._jobs.append(job)
+                self._condition.notify_all()
+        if not fits:
+            log_event("claims_left_unfinished", level="WARNING", count=1)
+
+    def _run(self) -> None:
+        while (job := self._first()) is not None:
+            if self._is_settled(job):
+                with self._condition:
+                    self._jobs.popleft()
+                    self._condition.notify_all()
+            else:
+                time.sleep(PAUSE_SECONDS)
+
+    def _first(self) -> Ending | _Withdrawal | None:
+        with self._condition:
+            self._condition.wait_for(lambda: self._jobs or self._stopped)
+            return None if self._stopped else self._jobs[0]
+
+    def _is_settled(self, job: Ending | _Withdrawal) -> bool:
+        try:
+            match job:
+                case Ending():
+                    return self._ended(job)
+                case _Withdrawal():
+                    return self._withdrawn(job)
+        except (PlatformError, msgspec.MsgspecError) as error:
+            log_event("claim_not_ended", level="WARNING", error=error)
+            return False
+
+    def _withdrawn(self, job: _Withdrawal) -> bool:
+        """Release the row if it is ours, or if our write may still come.
+
+        While the row has the version that the write checks for (or is absent),
+        the write may still take effect. A release in its place raises the
+        version, so that a late claim cannot stand up when nobody holds it.
+        """
+        write = job.write
+        row = self._table.read([write.key])[write.key]
+        version = row.version if row else ABSENT
+        ours = row is not None and row.write_id in write.write_ids
+        if not ours and version != write.version:
+            return True
+        result = self._commit(write.key, version, job.claim)
+        # Beaten: the late write has come in between; the next try sees its row.
+        return isinstance(result, Written)
+
+    def _ended(self, ending: Ending) -> bool:
+        result = self._commit(ending.row, ending.version, ending.claim())
+        # Beaten: an earlier try of this ending has taken effect after all; nobody
+        # else writes the row of an open claim.
+        return isinstance(result, Written | Beaten)
+
+    def _commit(self, row: str, version: int, claim: Claim) -> WriteResult | None:
+        write = RowWrite(row, version, claim)
+        self._committer.submit(write)
+        return write.wait(PATIENCE_SECONDS)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/instance.py
@@ -10,6 +10,9 @@
 from redwingscale_common.network.server import HttpServer
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.idempotency.committer import Committer
+from redwingscale_daemon._internal.idempotency.once import Once
+from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.lifecycle.readiness import Readiness
 from redwingscale_daemon._internal.membership.listener import Listener
 from redwingscale_daemon._internal.membership.mesh import Mesh
@@ -18,6 +21,11 @@
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
+# The longest that an end waits for calls that no caller waits for any more, and
+# for the platform to take their outcomes.
+UNATTENDED_SECONDS = 60.0
+SETTLING_SECONDS = 10.0
+
 
 class Parts(NamedTuple):
     """What the composition root has wired."""
@@ -27,6 +35,9 @@
     listener: Listener
     mesh: Mesh
     owners: Owners
+    committer: Committer
+    settler: Settler
+    once: Once
     readiness: Readiness
     tracing: Tracing
     metrics: Metrics
@@ -57,6 +68,8 @@
         parts = self._parts
         parts.listener.start()
         parts.operators.start()
+        parts.committer.start()
+        parts.settler.start()
         for task in parts.tasks:
             task.start()
         parts.callers.start()
@@ -74,6 +87,11 @@
         self._parts.readiness.drain()
         time.sleep(self._balancer_drain_seconds)
         self._parts.readiness.wait_until_idle()
+        # Calls whose callers went away or were too late: sent, so let finish, and
+        # their outcomes written for the repeats.
+        self._parts.once.wait_until_idle(UNATTENDED_SECONDS)
+        self._parts.settler.stop(SETTLING_SECONDS)
+        self._parts.committer.stop()
 
     def _stop(self) -> None:
         parts = self._parts
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/plain.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/plain.py
@@ -7,6 +7,11 @@
 from opentelemetry.trace import Span
 
 from redwingscale_daemon._internal.exceptions import Refusal, UpstreamError
+from redwingscale_daemon._internal.idempotency.claim import ClaimKey, request_fingerprint
+from redwingscale_daemon._internal.idempotency.once import Once
+from redwingscale_daemon._internal.idempotency.outcome import Answer
+from redwingscale_daemon._internal.models.member import PlainMember
+from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.routing.router import Router
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing, trace_headers
@@ -18,6 +23,11 @@
 )
 
 RETRY_AFTER_NO_UPSTREAM_SECONDS = 1.0
+RETRY_AFTER_FAILURE_SECONDS = 1.0
+MOST_ATTEMPTS = 3
+# How long a claimed call may go on past its caller's deadline, so that its
+# outcome is known to a repeat.
+FINISH_SECONDS = 60.0
 
 
 class PlainRequest(NamedTuple):
@@ -36,33 +46,64 @@
 
 
 class PlainRelay:
-    """Runs one call at one upstream."""
+    """Runs one call; what may not run twice is sent once."""
 
     def __init__(
         self,
         router: Router,
         client: PlainClient,
         in_flight: InFlight,
+        once: Once,
         tracing: Tracing,
         metrics: Metrics,
     ) -> None:
         self._router = router
         self._client = client
         self._in_flight = in_flight
+        self._once = once
         self._tracing = tracing
         self._metrics = metrics
 
     def run(self, request: PlainRequest, span: Span) -> PlainAnswer:
         """Return the whole answer; raise `Refusal`."""
-        member = self._router.choose_plain(request.service, ())
-        if member is None:
-            raise Refusal(
-                503,
-                "no_upstream",
-                f"service {request.service} has no upstream at the moment",
-                retry_after_seconds=RETRY_AFTER_NO_UPSTREAM_SECONDS,
-            )
-        remaining = request.deadline_at - time.monotonic()
+        if request.idempotent or not request.idempotency_key:
+            return self._send(request, span, grace_seconds=0.0)
+        # Without an upstream no claim is made: it would only be released again.
+        if self._router.choose_plain(request.service, ()) is None:
+            raise _no_upstream(request)
+        key = ClaimKey(request.caller, request.service, request.idempotency_key)
+        fingerprint = request_fingerprint(request.method, request.path, request.body)
+        answer = self._once.call(
+            key, fingerprint, request.deadline_at, lambda: self._answer(request, span)
+        )
+        return PlainAnswer(*answer)
+
+    def _answer(self, request: PlainRequest, span: Span) -> Answer:
+        return Answer(*self._send(request, span, grace_seconds=FINISH_SECONDS))
+
+    def _send(self, request: PlainRequest, span: Span, *, grace_seconds: float) -> PlainAnswer:
+        """Send to one upstream after another for as long as the request allows it."""
+        failures: list[UpstreamError] = []
+        while (member := self._next_member(request, failures)) is not None:
+            try:
+                return self._attempt(member, request, span, grace_seconds)
+            except UpstreamError as error:
+                failures.append(error)
+        raise _failed(request, failures) if failures else _no_upstream(request)
+
+    def _next_member(
+        self, request: PlainRequest, failures: list[UpstreamError]
+    ) -> PlainMember | None:
+        repeatable = request.idempotent or _run_state(failures) is RunState.NOT_RUN
+        late = bool(failures) and time.monotonic() >= request.deadline_at
+        if not repeatable or late or len(failures) >= MOST_ATTEMPTS:
+            return None
+        return self._router.choose_plain(request.service, [e.upstream for e in failures])
+
+    def _attempt(
+        self, member: PlainMember, request: PlainRequest, span: Span, grace_seconds: float
+    ) -> PlainAnswer:
+        remaining = request.deadline_at - time.monotonic() + grace_seconds
         with (
             self._in_flight.at(member.id),
             self._tracing.hop_span("attempt", span, upstream=member.id) as hop,
@@ -75,9 +116,32 @@
                 headers=request.headers | trace_headers(hop),
                 body=request.body,
             )
-            try:
-                return self._client.call(member, call, remaining)
-            except UpstreamError as error:
-                raise Refusal(
-                    503, "upstream_failed", str(error), run=error.run, retry_after_seconds=1.0
-                ) from error
+            return self._client.call(member, call, remaining)
+
+
+def _run_state(failures: list[UpstreamError]) -> RunState:
+    """Return what is certain after all of ``failures``."""
+    certain = all(error.run is RunState.NOT_RUN for error in failures)
+    return RunState.NOT_RUN if certain else RunState.UNKNOWN
+
+
+def _failed(request: PlainRequest, failures: list[UpstreamError]) -> Refusal:
+    run = _run_state(failures)
+    # To come back with a call that may have run would run it twice.
+    repeatable = request.idempotent or run is RunState.NOT_RUN
+    return Refusal(
+        503,
+        "upstream_failed",
+        "; ".join(str(error) for error in failures),
+        run=run,
+        retry_after_seconds=RETRY_AFTER_FAILURE_SECONDS if repeatable else None,
+    )
+
+
+def _no_upstream(request: PlainRequest) -> Refusal:
+    return Refusal(
+        503,
+        "no_upstream",
+        f"service {request.service} has no upstream at the moment",
+        retry_after_seconds=RETRY_AFTER_NO_UPSTREAM_SECONDS,
+    )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -7,6 +7,12 @@
 from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
 from redwingscale_daemon._internal.configuration.store import ConfigurationStore
 from redwingscale_daemon._internal.entry.callers_app import CallersApp
+from redwingscale_daemon._internal.idempotency.claim import Claimant
+from redwingscale_daemon._internal.idempotency.claims import Claims
+from redwingscale_daemon._internal.idempotency.committer import Committer
+from redwingscale_daemon._internal.idempotency.once import Once
+from redwingscale_daemon._internal.idempotency.outcome import OutcomeStore
+from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.leases.ownership import Ownership
 from redwingscale_daemon._internal.leases.session import Session
 from redwingscale_daemon._internal.lifecycle.instance import Instance, Parts
@@ -37,6 +43,7 @@
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 OPERATORS_THREADS = 4
+CLAIM_MARGIN_SECONDS = 0.5
 
 
 def build_instance(settings: Settings) -> Instance:
@@ -72,10 +79,21 @@
     owners = Owners(me, timing, members, beats, ownership, owner)
 
     router = Router(me.failure_domain, directory, members, in_flight, random.Random())
+    committer = Committer(platform.table)
+    settler = Settler(committer, platform.table)
+    claims = Claims(
+        committer,
+        settler,
+        OutcomeStore(platform.objects),
+        Claimant(me.id, board.boot),
+        settings.limits.claim_retention_seconds,
+        metrics,
+    )
+    once = Once(claims, settings.platform.timeout_seconds + CLAIM_MARGIN_SECONDS)
     generation = GenerationRelay(router, engines, in_flight, tracing, metrics)
-    plain = PlainRelay(router, PlainClient(timing.connect), in_flight, tracing, metrics)
+    plain = PlainRelay(router, PlainClient(timing.connect), in_flight, once, tracing, metrics)
     callers_app = CallersApp(
-        current, generation, plain, readiness, tracing, metrics, settings.limits.body_bytes
+        current, generation, plain, once, readiness, tracing, metrics, settings.limits.body_bytes
     )
     view = StateView(me, current, readiness, session, members, beats, directory, in_flight)
     operators_app = OperatorsApp(settings.operators.token_sha256, store, current, view, metrics)
@@ -93,6 +111,9 @@
         listener=listener,
         mesh=mesh,
         owners=owners,
+        committer=committer,
+        settler=settler,
+        once=once,
         readiness=readiness,
         tracing=tracing,
         metrics=metrics,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/schema.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/schema.py
@@ -13,6 +13,7 @@
     "queue_length": 256,
     "body_bytes": 4 << 20,
     "sender_timeout_seconds": 10,
+    "claim_retention_seconds": 86_400,
 }
 
 DEFAULT_TIMING: dict[str, Any] = {
@@ -65,6 +66,7 @@
                 "queue_length": _COUNT,
                 "body_bytes": _COUNT,
                 "sender_timeout_seconds": _COUNT,
+                "claim_retention_seconds": _COUNT,
             },
         ),
         "timing": _object([], dict.fromkeys(DEFAULT_TIMING, _SECONDS)),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/settings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/settings.py
@@ -42,12 +42,13 @@
 
 
 class Limits(NamedTuple):
-    """Bounds of what one instance takes on."""
+    """Bounds of what one instance takes on; claims are kept for their retention."""
 
     request_threads: int
     queue_length: int
     body_bytes: int
     sender_timeout_seconds: int
+    claim_retention_seconds: int
 
 
 class Timing(NamedTuple):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/metrics.py
@@ -20,6 +20,7 @@
         self.attempts = meter.create_counter("redwingscale_attempts", unit="1")
         self.tokens = meter.create_counter("redwingscale_tokens", unit="1")
         self.orders = meter.create_counter("redwingscale_orders", unit="1")
+        self.claims = meter.create_counter("redwingscale_claims", unit="1")
         self.first_token = meter.create_histogram("redwingscale_first_token_seconds", unit="s")
 
     def prometheus_page(self) -> bytes:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/plain_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/plain_client.py
@@ -10,7 +10,10 @@
 from redwingscale_daemon._internal.models.run_state import RunState
 
 ATTEMPT_HEADER = "X-Attempt-Id"
-NOT_RUN_STATUSES = frozenset({503})
+RETRY_AFTER = "Retry-After"
+SERVICE_UNAVAILABLE = 503
+BODILESS_STATUSES = frozenset({204, 304})
+LEAST_READ_SECONDS = 0.01
 
 
 class PlainCall(NamedTuple):
@@ -43,24 +46,55 @@
 
     def call(self, member: PlainMember, call: PlainCall, timeout_seconds: float) -> PlainAnswer:
         """Return the answer; raise `UpstreamError`, which tells if it may have run."""
-        headers = call.headers | {ATTEMPT_HEADER: call.attempt_id, "Connection": "close"}
         with new_pool(connections=1) as pool:
-            try:
-                response = pool.request(
-                    call.method,
-                    member.url + call.path,
-                    body=call.body or None,
-                    headers=headers,
-                    timeout=timeout(self._connect_seconds, max(0.01, timeout_seconds)),
-                )
-            except (
-                urllib3.exceptions.NewConnectionError,
-                urllib3.exceptions.ConnectTimeoutError,
-            ) as error:
-                raise UpstreamError(member.id, repr(error), run=RunState.NOT_RUN) from error
-            except urllib3.exceptions.HTTPError as error:
-                raise UpstreamError(member.id, repr(error), run=RunState.UNKNOWN) from error
-        if response.status in NOT_RUN_STATUSES:
-            raise UpstreamError(member.id, f"status {response.status}", run=RunState.NOT_RUN)
+            response = self._send(pool, member, call, timeout_seconds)
+            self._check(member, call, response)
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return PlainAnswer(response.status, content_type, response.data)
+
+    def _send(
+        self,
+        pool: urllib3.PoolManager,
+        member: PlainMember,
+        call: PlainCall,
+        timeout_seconds: float,
+    ) -> urllib3.BaseHTTPResponse:
+        headers = call.headers | {ATTEMPT_HEADER: call.attempt_id, "Connection": "close"}
+        read_seconds = max(LEAST_READ_SECONDS, timeout_seconds)
+        try:
+            return pool.request(
+                call.method,
+                member.url + call.path,
+                body=call.body or None,
+                headers=headers,
+                timeout=timeout(min(self._connect_seconds, read_seconds), read_seconds),
+                redirect=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise UpstreamError(member.id, repr(error), run=RunState.NOT_RUN) from error
+        except urllib3.exceptions.HTTPError as error:
+            raise UpstreamError(member.id, repr(error), run=RunState.UNKNOWN) from error
+
+    def _check(
+        self, member: PlainMember, call: PlainCall, response: urllib3.BaseHTTPResponse
+    ) -> None:
+        answered = response.headers.get(ATTEMPT_HEADER, call.attempt_id)
+        if answered != call.attempt_id:
+            raise UpstreamError(member.id, "an answer to another attempt", run=RunState.UNKNOWN)
+        if not _has_end(call.method, response):
+            raise UpstreamError(member.id, "an answer without its length", run=RunState.UNKNOWN)
+        # A bare 503 may come from any stage of the service's work. Only one that
+        # asks for the call again says that it did not act on this one.
+        if response.status == SERVICE_UNAVAILABLE and RETRY_AFTER in response.headers:
+            raise UpstreamError(member.id, "refused, not run", run=RunState.NOT_RUN)
+
+
+def _has_end(method: str, response: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether a cut of this answer would have shown."""
+    if method == "HEAD" or response.status in BODILESS_STATUSES:
+        return True
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    return chunked or "Content-Length" in response.headers
--- a/packages/redwingscale-standins/src/redwingscale_standins/plain/api.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/plain/api.py
@@ -14,7 +14,12 @@
 
 
 class PlainApi:
-    """Runs any path; ``/admin/record`` lists runs, ``/admin/faults`` sets switches."""
+    """Runs any path; ``/admin/record`` lists runs, ``/admin/faults`` sets switches.
+
+    ``refuse`` runs nothing, ``slow_seconds`` passes between the run and its answer,
+    ``lose_reply`` and ``crash_after_run`` take the answer away, ``padding_bytes``
+    makes it large, ``phase`` is what ``/state`` reports.
+    """
 
     def __init__(self, name: str) -> None:
         self._name = name
@@ -37,7 +42,9 @@
 
     def _run(self, path: str, body: bytes) -> bytes:
         if self._faults.get("refuse"):
-            raise cherrypy.HTTPError(503)
+            # Asking for the call again is how this service says that it ran nothing.
+            cherrypy.response.headers["Retry-After"] = "1"
+            return json_response({"refused": True}, 503)
         headers = cherrypy.request.headers
         run = {
             "key": headers.get("Idempotency-Key", ""),
@@ -54,4 +61,7 @@
         if self._faults.get("lose_reply"):
             drop_connection()
         cherrypy.response.headers["X-Attempt-Id"] = run["attempt"]
-        return json_response({"service": self._name, "number": number, "echo": run["body"]})
+        padding = "x" * self._faults.get("padding_bytes", 0)
+        return json_response(
+            {"service": self._name, "number": number, "echo": run["body"], "padding": padding}
+        )
