--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/accepted.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/accepted.py
@@ -14,6 +14,13 @@
     at: str
 
 
+class Versioned(NamedTuple):
+    """A version with its text, as the platform or a peer gave it."""
+
+    pointer: Pointer
+    text: str
+
+
 class Accepted(NamedTuple):
     """A version in force at this instance, with its text and typed form."""
 
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/board_versions.py
@@ -0,0 +1,52 @@
+"""Which version is in force at each instance, as the instances tell on the board."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.entry import Entry
+
+TOPIC = "configuration"
+KEY = ""
+
+
+class Told(NamedTuple):
+    """The payload of an instance's entry: 0 stands for no version yet.
+
+    Only the number is told: with the whole text in the entry, an apply at 860
+    models would cost each link hundreds of kilobytes for each instance.
+    """
+
+    failure_domain: str
+    version: int
+
+
+class BoardVersions:
+    """Publishes this instance's version and reads those of the others."""
+
+    def __init__(self, board: Board, failure_domain: str) -> None:
+        self._board = board
+        self._failure_domain = failure_domain
+
+    def publish(self, version: int) -> None:
+        """Tell all instances which version is in force here."""
+        self._board.publish(TOPIC, KEY, Told(self._failure_domain, version))
+
+    def by_instance(self) -> dict[str, Told]:
+        """Return what each instance told last; ill-formed entries are left out."""
+        told = {entry.origin: decode_told(entry) for entry in self._board.entries(TOPIC)}
+        return {origin: value for origin, value in told.items() if value is not None}
+
+    def versions(self, listed: list[str]) -> dict[str, int]:
+        """Return the version at each listed instance, 0 where none is known."""
+        told = self.by_instance()
+        return {i: told[i].version if i in told else 0 for i in sorted(listed)}
+
+
+def decode_told(entry: Entry) -> Told | None:
+    """Return the payload of ``entry``; None when it is not well-formed."""
+    try:
+        return msgspec.msgpack.decode(entry.payload, type=Told)
+    except msgspec.MsgspecError:
+        return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/current.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/current.py
@@ -3,65 +3,163 @@
 import threading
 from collections.abc import Callable
 
-import msgspec
 from redwingscale_common.configuration import load_text
+from redwingscale_common.exceptions import CheckFailed
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.configuration.accepted import Accepted, Pointer
+from redwingscale_daemon._internal.configuration.accepted import Accepted, Versioned
+from redwingscale_daemon._internal.configuration.board_versions import (
+    TOPIC,
+    BoardVersions,
+    decode_told,
+)
+from redwingscale_daemon._internal.configuration.peer_texts import PeerTexts
+from redwingscale_daemon._internal.configuration.quorum import Quorum
 from redwingscale_daemon._internal.configuration.store import ConfigurationStore
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable
 from redwingscale_daemon._internal.membership.board import Board
 from redwingscale_daemon._internal.membership.entry import Entry
 
-TOPIC = "configuration"
-KEY = "pointer"
-
 Listener = Callable[[Accepted], None]
 
 
 class CurrentConfiguration:
-    """Follows the pointer by polling and by what peers tell."""
+    """Follows the platform's pointer by polling, and the peers when they are ahead.
+
+    A peer that tells a higher version wakes the next poll. While the platform
+    does not answer, the text comes from a peer. An instance that has a version,
+    or has read the platform's pointer once, takes any higher one; one that has
+    neither waits for its `Quorum`.
+    """
 
-    def __init__(self, store: ConfigurationStore, board: Board) -> None:
+    def __init__(
+        self,
+        store: ConfigurationStore,
+        board: Board,
+        versions: BoardVersions,
+        texts: PeerTexts,
+        quorum: Quorum,
+    ) -> None:
         self._lock = threading.Lock()
         self._store = store
-        self._board = board
+        self._versions = versions
+        self._texts = texts
+        self._quorum = quorum
         self._listeners: list[Listener] = []
         self._accepted: Accepted | None = None
+        self._platform_read = False
+        self._platform_failing = False
+        self._wake: Callable[[], None] = lambda: None
+        texts.serve(self._held, self._wake_up)
+        quorum.rosters.on_answer(self._wake_up)
         board.subscribe(TOPIC, self._on_entry)
 
     def get(self) -> Accepted | None:
         """Return the version in force here; None before the first one."""
         return self._accepted
 
+    def waiting_for(self) -> str:
+        """Return why no version is in force here yet."""
+        if self._platform_read:
+            return "no configuration"
+        count = self._quorum.count()
+        return f"no configuration: heard {count.heard} of the {count.needed} peers needed"
+
     def on_change(self, listener: Listener) -> None:
         """Call ``listener`` with each version that comes into force here."""
         self._listeners.append(listener)
 
+    def on_wake(self, wake: Callable[[], None]) -> None:
+        """Call ``wake`` when the next `refresh` should not wait for its interval."""
+        self._wake = wake
+
     def refresh(self) -> None:
-        """Read the pointer once and put a newer version in force."""
+        """Put the newest version that can be had in force."""
+        for offer in self._texts.offers():
+            if self._may_take(offer.pointer.version):
+                self.take(offer)
+        if self._platform_failing:
+            # Its answer may take as long as the time-out; the peers need not wait for it.
+            self._ask_peers()
         try:
-            pointer = self._store.pointer()
-            if pointer is not None and self._is_newer(pointer):
-                self._enforce(pointer, self._store.text(pointer.digest))
+            self._read_platform()
         except PlatformUnavailable as error:
-            log_event("configuration_unavailable", level="WARNING", error=error)
+            if not self._platform_failing:
+                log_event("configuration_unavailable", level="WARNING", error=error)
+            self._platform_failing = True
+            self._ask_peers()
 
-    def _is_newer(self, pointer: Pointer) -> bool:
-        return self._accepted is None or pointer.version > self._accepted.pointer.version
-
-    def _enforce(self, pointer: Pointer, text: str) -> None:
-        accepted = Accepted(pointer, text, load_text("configuration", text))
+    def take(self, versioned: Versioned) -> None:
+        """Put an accepted version in force, unless a newer one already is."""
+        if not self._is_newer(versioned.pointer.version):
+            return
+        accepted = _load(versioned)
+        if accepted is None:
+            return
         with self._lock:
-            if not self._is_newer(pointer):
+            if not self._is_newer(versioned.pointer.version):
                 return
             self._accepted = accepted
+        pointer = versioned.pointer
         log_event("configuration_in_force", version=pointer.version, digest=pointer.digest[:12])
-        self._board.publish(TOPIC, KEY, (pointer, text))
+        self._versions.publish(pointer.version)
         for listener in self._listeners:
             listener(accepted)
 
+    def _read_platform(self) -> None:
+        pointer = self._store.pointer()
+        self._platform_read = True
+        self._platform_failing = False
+        if pointer is not None and self._is_newer(pointer.version):
+            self.take(Versioned(pointer, self._store.text(pointer.digest)))
+
+    def _ask_peers(self) -> None:
+        if not self._is_based():
+            self._quorum.rosters.ask()
+        told = self._versions.by_instance()
+        highest = max((value.version for value in told.values()), default=0)
+        if not self._is_newer(highest):
+            return
+        wanted = highest if self._is_based() else self._quorum.count().highest
+        ahead = {peer for peer, value in told.items() if value.version >= wanted}
+        if wanted and self._may_take(wanted):
+            self._texts.ask(ahead, wanted)
+
+    def _may_take(self, version: int) -> bool:
+        if self._is_based():
+            return self._is_newer(version)
+        count = self._quorum.count()
+        return count.enough and version >= count.highest
+
+    def _is_based(self) -> bool:
+        return self._platform_read or self._accepted is not None
+
+    def _is_newer(self, version: int) -> bool:
+        return version > (self._accepted.pointer.version if self._accepted else 0)
+
+    def _held(self) -> Versioned | None:
+        accepted = self._accepted
+        return Versioned(accepted.pointer, accepted.text) if accepted else None
+
     def _on_entry(self, entry: Entry) -> None:
-        pointer, text = msgspec.msgpack.decode(entry.payload, type=tuple[Pointer, str])
-        if self._is_newer(pointer):
-            self._enforce(pointer, text)
+        told = decode_told(entry)
+        if told is not None and self._is_newer(told.version):
+            self._wake_up()
+
+    def _wake_up(self) -> None:
+        self._wake()
+
+
+def _load(versioned: Versioned) -> Accepted | None:
+    """Return the typed form; None, with a log line, when this release cannot read it."""
+    try:
+        configuration = load_text("configuration", versioned.text)
+    except CheckFailed as failed:
+        log_event(
+            "configuration_not_readable",
+            level="ERROR",
+            version=versioned.pointer.version,
+            finding=failed.findings[0].render("configuration"),
+        )
+        return None
+    return Accepted(versioned.pointer, versioned.text, configuration)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/memory_fit.py
@@ -0,0 +1,63 @@
+"""Whether a configuration can fit the memory of the engines at all."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from redwingscale_common.configuration import Configuration, Unit
+
+from redwingscale_daemon._internal.upstreams.directory import EngineView
+
+
+class Group(NamedTuple):
+    """A model with its adapters, which stay together on one engine."""
+
+    model: str
+    size_bytes: int
+
+
+class MemoryFit(NamedTuple):
+    """What is needed and what there is, in bytes, the cache's share taken off.
+
+    ``unreported`` lists the engines whose memory is not known yet.
+    """
+
+    needed_bytes: int
+    available_bytes: int
+    largest: Group
+    largest_engine_bytes: int
+    unreported: tuple[str, ...]
+
+    def problem(self) -> str:
+        """Return what does not fit the reported engines; empty when all does."""
+        if self.needed_bytes > self.available_bytes:
+            return (
+                f"the listed models need {self.needed_bytes} bytes; the engines have"
+                f" {self.available_bytes} beside their cache"
+            )
+        if self.largest.size_bytes > self.largest_engine_bytes:
+            return (
+                f"model {self.largest.model!r} needs {self.largest.size_bytes} bytes on one"
+                f" engine; the largest has {self.largest_engine_bytes} beside its cache"
+            )
+        return ""
+
+
+def memory_fit(configuration: Configuration, engines: Mapping[str, EngineView]) -> MemoryFit:
+    """Return how ``configuration`` compares with what the engines have reported.
+
+    It is a necessary condition only: sums can fit where no placement does.
+    """
+    share = 1 - configuration.policy.cache_share
+    staying = {key: view for key, view in engines.items() if not view.leaving}
+    usable = [int(v.digest.capacity_bytes * share) for v in staying.values() if v.digest]
+    sizes: dict[Unit, int] = {}
+    for unit, size in configuration.serving_units().items():
+        sizes[unit.base] = sizes.get(unit.base, 0) + size
+    groups = [Group(str(unit), size) for unit, size in sizes.items()]
+    return MemoryFit(
+        needed_bytes=sum(sizes.values()),
+        available_bytes=sum(usable),
+        largest=max(groups, key=lambda g: g.size_bytes, default=Group("", 0)),
+        largest_engine_bytes=max(usable, default=0),
+        unreported=tuple(sorted(key for key, view in staying.items() if not view.digest)),
+    )
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/peer_rosters.py
@@ -0,0 +1,66 @@
+"""Which instances of the own failure domain the peers know of."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from redwingscale_daemon._internal.configuration.board_versions import BoardVersions
+from redwingscale_daemon._internal.membership.members import Members
+from redwingscale_daemon._internal.membership.mesh import Mesh
+from redwingscale_daemon._internal.settings.settings import InstanceSettings
+
+TOPIC = "roster"
+
+
+class PeerRosters:
+    """Asks the linked peers for their rosters, and answers such questions.
+
+    An instance that starts without the platform cannot tell a stale peer from
+    a majority until it knows how many peers there are. Entries trickle in one
+    by one, the first peer's own before those of others; a roster comes whole.
+    """
+
+    def __init__(
+        self, instance: InstanceSettings, mesh: Mesh, members: Members, versions: BoardVersions
+    ) -> None:
+        self._instance = instance
+        self._mesh = mesh
+        self._members = members
+        self._versions = versions
+        self._rosters_by_peer: dict[str, frozenset[str]] = {}
+        self._wake: Callable[[], None] = lambda: None
+        mesh.on_direct(TOPIC, self._on_direct)
+
+    def on_answer(self, wake: Callable[[], None]) -> None:
+        """Call ``wake`` when a roster came."""
+        self._wake = wake
+
+    def ask(self) -> None:
+        """Ask every linked peer that has not answered."""
+        for peer in self._mesh.linked():
+            if peer not in self._rosters_by_peer:
+                self._mesh.send_direct(peer, TOPIC, msgspec.msgpack.encode(None))
+
+    @property
+    def answered(self) -> bool:
+        """Whether any peer has answered."""
+        return bool(self._rosters_by_peer)
+
+    def peers(self) -> set[str]:
+        """Return all peers of the own failure domain that this instance has learned of."""
+        told = frozenset().union(*list(self._rosters_by_peer.values()))
+        return (self._known() | told) - {self._instance.id}
+
+    def _known(self) -> set[str]:
+        domain = self._instance.failure_domain
+        listed = {m.id for m in self._members.instances() if m.failure_domain == domain}
+        by_instance = self._versions.by_instance()
+        return listed | {p for p, told in by_instance.items() if told.failure_domain == domain}
+
+    def _on_direct(self, peer: str, payload: bytes) -> None:
+        roster = msgspec.msgpack.decode(payload, type=frozenset[str] | None)
+        if roster is None:
+            self._mesh.send_direct(peer, TOPIC, msgspec.msgpack.encode(self._known()))
+            return
+        self._rosters_by_peer[peer] = roster
+        self._wake()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/store.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/store.py
@@ -1,11 +1,12 @@
 """The operators' text in the platform: objects by digest, one pointer row."""
 
 import datetime
-from typing import NamedTuple
+from dataclasses import dataclass
 
 from redwingscale_common.utils.digests import sha256_hex
 
 from redwingscale_daemon._internal.configuration.accepted import Pointer
+from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
 from redwingscale_daemon._internal.platform.platform import Platform
 from redwingscale_daemon._internal.platform.row import (
     ABSENT,
@@ -19,12 +20,27 @@
 
 POINTER_KEY = "configuration"
 HISTORY_PREFIX = "configuration-history/"
+OBJECT_ATTEMPTS = 3
 
 
-class Lost(NamedTuple):
-    """Another operator's version came first; it is in force."""
+@dataclass(frozen=True)
+class Won:
+    """The text is accepted; ``repeated`` when an earlier apply had done it already."""
 
-    current: Pointer
+    pointer: Pointer
+    repeated: bool = False
+
+
+@dataclass(frozen=True)
+class Lost:
+    """Another version came first and is in force, None for no version at all.
+
+    ``superseded`` is the version that this very text had become before, when
+    a later one has replaced it since.
+    """
+
+    current: Pointer | None
+    superseded: Pointer | None = None
 
 
 class ConfigurationStore:
@@ -35,8 +51,7 @@
 
     def pointer(self) -> Pointer | None:
         """Return the pointer in the platform; raise `PlatformUnavailable`."""
-        row = self._platform.table.read([POINTER_KEY])[POINTER_KEY]
-        return _pointer(row) if row else None
+        return _pointer(self._row(POINTER_KEY))
 
     def text(self, digest: str) -> str:
         """Return the text of ``digest``; raise `PlatformUnavailable`."""
@@ -45,38 +60,74 @@
     def history(self) -> list[Pointer]:
         """Return every accepted version, the newest first."""
         rows = self._platform.table.scan(HISTORY_PREFIX)
-        pointers = [_pointer(row) for row in rows.values()]
+        pointers = [Pointer(**row.value) for row in rows.values()]
         return sorted(pointers, key=lambda p: p.version, reverse=True)
 
-    def apply(self, text: str, base_version: int, author: str) -> Pointer | Lost:
-        """Put ``text`` in force if ``base_version`` still is; raise `PlatformError`."""
+    def past(self, version: int) -> Pointer | None:
+        """Return accepted version ``version``; None when there is none."""
+        return _pointer(self._row(_history_key(version)))
+
+    def apply(self, text: str, base_version: int, author: str) -> Won | Lost:
+        """Put ``text`` in force if ``base_version`` still is.
+
+        Raises `PlatformUnavailable` when nothing was changed, and
+        `WriteUnknown` when that cannot be told; to apply the same text on the
+        same base again is then safe and tells the outcome.
+        """
         digest = sha256_hex(text.encode())
-        row = self._platform.table.read([POINTER_KEY])[POINTER_KEY]
-        current = _pointer(row) if row else None
-        if current is not None and current.version != base_version:
-            return Lost(current)
-        self._platform.objects.put(f"configuration/{digest}", text.encode())
+        row = self._row(POINTER_KEY)
+        current = _pointer(row)
+        if (current.version if current else 0) != base_version:
+            return self._late(digest, base_version, current)
+        # The object comes first: a pointer never names a text that is not there, and
+        # an outage between the two writes leaves the old version in force.
+        self._put_object(digest, text)
         now = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
-        pointer = Pointer(base_version + 1, digest, author, now)
-        return self._commit(pointer, row)
+        return self._commit(Pointer(base_version + 1, digest, author, now), row)
 
-    def _commit(self, pointer: Pointer, row: Row | None) -> Pointer | Lost:
+    def _row(self, key: str) -> Row | None:
+        return self._platform.table.read([key])[key]
+
+    def _put_object(self, digest: str, text: str) -> None:
+        """Store the text; it is named by its digest, so a lost reply is just repeated."""
+        for _ in range(OBJECT_ATTEMPTS):
+            try:
+                return self._platform.objects.put(f"configuration/{digest}", text.encode())
+            except WriteUnknown as error:
+                failure = error
+        raise PlatformUnavailable(f"the text could not be stored: {failure}")
+
+    def _commit(self, pointer: Pointer, row: Row | None) -> Won | Lost:
         value = pointer._asdict()
         outcome = self._platform.table.commit_surely(
             Transaction(
                 new_write_id(),
                 checks=[Check(POINTER_KEY, row.version if row else ABSENT)],
-                puts=[
-                    Put(POINTER_KEY, value),
-                    Put(f"{HISTORY_PREFIX}{pointer.version:012d}", value),
-                ],
+                puts=[Put(POINTER_KEY, value), Put(_history_key(pointer.version), value)],
             )
         )
         if isinstance(outcome, Committed):
-            return pointer
-        current = outcome.rows[POINTER_KEY]
-        return Lost(_pointer(current)) if current else Lost(pointer)
+            return Won(pointer)
+        return self._late(pointer.digest, pointer.version - 1, _pointer(outcome.rows[POINTER_KEY]))
+
+    def _late(self, digest: str, base_version: int, current: Pointer | None) -> Won | Lost:
+        """Tell a repeated apply, whose first answer was lost, from a lost race.
+
+        The version after the base bears this very text: the operator's wish is
+        done, and to refuse it would make them merge their text with itself.
+        """
+        if current is None or current.version <= base_version:
+            return Lost(current)
+        if current.version == base_version + 1:
+            return Won(current, repeated=True) if current.digest == digest else Lost(current)
+        next_one = self.past(base_version + 1)
+        superseded = next_one if next_one and next_one.digest == digest else None
+        return Lost(current, superseded)
+
+
+def _history_key(version: int) -> str:
+    return f"{HISTORY_PREFIX}{version:012d}"
 
 
-def _pointer(row: Row) -> Pointer:
-    return Pointer(**row.value)
+def _pointer(row: Row | None) -> Pointer | None:
+    return Pointer(**row.value) if row else None
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/control.py
@@ -0,0 +1,70 @@
+"""Wires membership and configuration, which every instance needs before it serves."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.configuration.board_versions import BoardVersions
+from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
+from redwingscale_daemon._internal.configuration.peer_rosters import PeerRosters
+from redwingscale_daemon._internal.configuration.peer_texts import PeerTexts
+from redwingscale_daemon._internal.configuration.quorum import Quorum
+from redwingscale_daemon._internal.configuration.store import ConfigurationStore
+from redwingscale_daemon._internal.membership.beat_clock import BeatClock
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.link import LinkTiming, Sender
+from redwingscale_daemon._internal.membership.listener import Listener
+from redwingscale_daemon._internal.membership.members import Members
+from redwingscale_daemon._internal.membership.mesh import Mesh
+from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
+from redwingscale_daemon._internal.membership.traffic import Traffic
+from redwingscale_daemon._internal.platform.platform import Platform
+from redwingscale_daemon._internal.settings.settings import Settings
+from redwingscale_daemon._internal.utils.periodic import Periodic
+
+
+class Control(NamedTuple):
+    """The parts, not started; ``tasks`` are the threads that drive them."""
+
+    board: Board
+    beats: PeerBeats
+    traffic: Traffic
+    listener: Listener
+    mesh: Mesh
+    members: Members
+    store: ConfigurationStore
+    versions: BoardVersions
+    current: CurrentConfiguration
+    tasks: list[Periodic]
+
+
+def build_control(settings: Settings, platform: Platform) -> Control:
+    """Return the parts that ``settings`` describe."""
+    me, peers, timing = settings.instance, settings.peers, settings.timing
+    board, beats, traffic = Board(me.id), PeerBeats(), Traffic()
+    sender = Sender(
+        instance=me.id,
+        failure_domain=me.failure_domain,
+        key=peers.key.encode(),
+        board=board,
+        beats=beats,
+        clock=BeatClock(),
+        traffic=traffic,
+        timing=LinkTiming(timing.heartbeat, timing.full_cycle),
+    )
+    mesh = Mesh(sender, peers.seeds, lambda: peers.url or listener.url)
+    listener = Listener(peers.host, peers.port, sender.key, mesh.take, traffic)
+    members = Members(platform.members)
+    members.on_change(mesh.update)
+
+    store = ConfigurationStore(platform)
+    versions = BoardVersions(board, me.failure_domain)
+    rosters = PeerRosters(me, mesh, members, versions)
+    quorum = Quorum(len(peers.seeds), rosters, versions, beats, timing.lease)
+    current = CurrentConfiguration(store, board, versions, PeerTexts(mesh), quorum)
+    poll = Periodic("configuration", timing.configuration_poll, current.refresh)
+    current.on_wake(poll.wake)
+    tasks = [
+        Periodic("members", timing.member_poll, members.refresh),
+        Periodic("mesh", timing.heartbeat, mesh.step),
+        poll,
+    ]
+    return Control(board, beats, traffic, listener, mesh, members, store, versions, current, tasks)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/readiness.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/readiness.py
@@ -18,7 +18,7 @@
         """Return why the instance is not ready; empty when it is."""
         if self._draining:
             return "draining"
-        return "" if self._current.get() else "no configuration"
+        return "" if self._current.get() else self._current.waiting_for()
 
     @property
     def draining(self) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/board.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/board.py
@@ -6,11 +6,15 @@
 from collections.abc import Callable
 
 import msgspec
+from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.membership.entry import Entry, EntryKey
+from redwingscale_daemon._internal.membership.known import Known, known_now
 
 Subscriber = Callable[[Entry], None]
-MILLISECONDS = 1000
+# Takes an entry and the peer that it came from, empty for this instance's own.
+Forward = Callable[[Entry, str], None]
+FORGOTTEN_ORIGINS = 4096
 
 
 class Board:
@@ -20,44 +24,103 @@
         self._lock = threading.Lock()
         self._instance = instance
         self._sequence = itertools.count(1)
-        self._entries: dict[EntryKey, Entry] = {}
+        self._known: dict[EntryKey, Known] = {}
+        self._forgotten_boots: dict[str, int] = {}
         self._subscribers: dict[str, list[Subscriber]] = {}
-        self._forward: list[Callable[[Entry], None]] = []
+        self._forward: list[Forward] = []
         self.boot = time.time_ns() // 1_000_000
 
     def subscribe(self, topic: str, subscriber: Subscriber) -> None:
         """Call ``subscriber`` with each new entry of ``topic``, also this instance's own."""
         self._subscribers.setdefault(topic, []).append(subscriber)
 
-    def on_forward(self, forward: Callable[[Entry], None]) -> None:
+    def on_forward(self, forward: Forward) -> None:
         """Call ``forward`` with each entry that the links have to carry on."""
         self._forward.append(forward)
 
     def publish(self, topic: str, key: str, value: object) -> None:
         """Tell all instances ``value`` (a MessagePack-able value) about ``key``."""
-        entry = Entry(
-            origin=self._instance,
-            topic=topic,
-            key=key,
-            boot=self.boot,
-            sequence=next(self._sequence),
-            payload=msgspec.msgpack.encode(value),
-        )
-        self.accept(entry)
-
-    def accept(self, entry: Entry) -> bool:
-        """Take ``entry`` if it is new; return whether it was."""
+        self._publish(topic, key, msgspec.msgpack.encode(value))
+
+    def accept(self, entry: Entry, source: str = "") -> bool:
+        """Take ``entry``, told by ``source``, if it is new; return whether it was."""
+        if source and entry.origin == self._instance:
+            self._outdo(entry)
+            return False
         with self._lock:
-            if not entry.is_newer_than(self._entries.get(entry.entry_key)):
+            known = self._known.get(entry.entry_key)
+            if not entry.is_newer_than(known.entry if known else None):
+                return False
+            if entry.boot <= self._forgotten_boots.get(entry.origin, -1):
                 return False
-            self._entries[entry.entry_key] = entry
+            self._known[entry.entry_key] = known_now(entry)
         for forward in self._forward:
-            forward(entry)
-        for subscriber in self._subscribers.get(entry.topic, []):
-            subscriber(entry)
+            forward(entry, source)
+        self._tell(entry)
         return True
 
-    def entries(self) -> list[Entry]:
-        """Return all entries known, for a full cycle to a peer."""
+    def entries(self, topic: str | None = None) -> list[Entry]:
+        """Return all entries known, or those of ``topic``."""
+        return [k.entry for k in self.known() if topic is None or k.entry.topic == topic]
+
+    def known(self) -> list[Known]:
+        """Return all entries with what is kept beside them."""
+        with self._lock:
+            return list(self._known.values())
+
+    def forget_origins(self, keep: set[str], seconds: float) -> None:
+        """Drop the entries of origins outside ``keep`` that told nothing for ``seconds``.
+
+        A peer that has not dropped them yet would bring them back, and so on
+        in a circle for ever; entries of the boot that was dropped are refused.
+        """
+        horizon = time.monotonic() - seconds
         with self._lock:
-            return list(self._entries.values())
+            newest: dict[str, float] = {}
+            for item in self._known.values():
+                origin = item.entry.origin
+                newest[origin] = max(newest.get(origin, 0.0), item.seen_at)
+            gone = {o for o, at in newest.items() if at < horizon and o not in keep}
+            gone.discard(self._instance)
+            for key in [k for k in self._known if k.origin in gone]:
+                boot = self._known.pop(key).entry.boot
+                forgotten = self._forgotten_boots.get(key.origin, -1)
+                self._forgotten_boots[key.origin] = max(boot, forgotten)
+            excess = len(self._forgotten_boots) - FORGOTTEN_ORIGINS
+            for origin in list(self._forgotten_boots)[: max(0, excess)]:
+                del self._forgotten_boots[origin]
+
+    def _publish(self, topic: str, key: str, payload: bytes) -> None:
+        sequence = next(self._sequence)
+        self.accept(Entry(self._instance, topic, key, self.boot, sequence, payload))
+
+    def _outdo(self, entry: Entry) -> None:
+        """Answer an own entry of a later boot, left over from before the clock was set back.
+
+        The peers would refuse everything that this process publishes as older
+        than that; so it goes on with a higher boot and tells all again.
+        """
+        with self._lock:
+            if entry.boot <= self.boot:
+                return
+            self.boot = entry.boot + 1
+            own = [k.entry for k in self._known.values() if k.entry.origin == self._instance]
+        log_event("boot_raised", level="WARNING", boot=self.boot)
+        for item in own:
+            self._publish(item.topic, item.key, item.payload)
+
+    def _tell(self, entry: Entry) -> None:
+        for subscriber in self._subscribers.get(entry.topic, []):
+            try:
+                subscriber(entry)
+            except Exception as error:
+                # A payload of another shape (an older release, a fault of a peer) must
+                # end neither the thread that hears all peers nor a publisher's.
+                log_event(
+                    "entry_rejected",
+                    level="WARNING",
+                    origin=entry.origin,
+                    topic=entry.topic,
+                    key=entry.key,
+                    error=repr(error),
+                )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/frame.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/frame.py
@@ -7,21 +7,33 @@
 import msgspec
 from redwingscale_common.exceptions import RedwingscaleError
 
-from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.membership.message import Message
 
 MAC_BYTES = 16
 
 
 class FrameRejected(RedwingscaleError):
-    """A frame from a stranger, or one that is not well-formed."""
+    """A frame from a stranger, one that is not well-formed, or a replayed one."""
 
 
 class Frame(NamedTuple):
-    """A heartbeat with any number of entries."""
+    """One heartbeat with what else there is to tell.
+
+    ``beat`` is the sender's own heartbeat, which only rises. ``heard`` is the
+    last beat of the receiver that reached the sender directly: it acknowledges
+    the link in the other direction. ``beats`` relays the heartbeats of other
+    instances of the sender's failure domain as (beat id, beat).
+    """
 
     sender: str
-    boot: int
-    entries: list[Entry]
+    failure_domain: str
+    beat: int
+    heard: int
+    beats: list[tuple[int, int]] = []
+    messages: list[Message] = []
+
+
+_DECODER = msgspec.msgpack.Decoder(Frame)
 
 
 def encode_frame(frame: Frame, key: bytes) -> bytes:
@@ -36,7 +48,7 @@
     if not hmac.compare_digest(code, _code(body, key)):
         raise FrameRejected("authentication failed")
     try:
-        return msgspec.msgpack.decode(body, type=Frame)
+        return _DECODER.decode(body)
     except msgspec.MsgspecError as error:
         raise FrameRejected(str(error)) from None
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/link.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/link.py
@@ -1,20 +1,30 @@
 """The sending side of one link to a peer: its own thread and socket."""
 
-import queue
+import threading
 import time
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import pynng
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.membership.beat_clock import BEATS_PER_SECOND, BeatClock
 from redwingscale_daemon._internal.membership.board import Board
-from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.membership.entry import Entry, EntryKey
 from redwingscale_daemon._internal.membership.frame import Frame, encode_frame
+from redwingscale_daemon._internal.membership.message import Entries, Hello, Message
+from redwingscale_daemon._internal.membership.peer_beats import PeerBeats, beat_id
+from redwingscale_daemon._internal.membership.summary import SETTLED_SECONDS, root_of
+from redwingscale_daemon._internal.membership.traffic import Traffic
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 SEND_TIMEOUT_MS = 500
-QUEUE_ENTRIES = 4096
 BATCH_ENTRIES = 128
+# Entries that come together go out together: a burst costs one frame, not one each.
+COALESCE_SECONDS = 0.02
+SILENT_HEARTBEATS = 4
+LONGEST_PATIENCE = 8
+RELAY_SECONDS = 2.5
 
 
 class LinkTiming(NamedTuple):
@@ -24,22 +34,50 @@
     full_cycle: float
 
 
+class Sender(NamedTuple):
+    """What all links of an instance share."""
+
+    instance: str
+    failure_domain: str
+    key: bytes
+    board: Board
+    beats: PeerBeats
+    clock: BeatClock
+    traffic: Traffic
+    timing: LinkTiming
+
+
 class Link:
-    """Pushes heartbeats and entries to one peer; a failed send redials."""
+    """Pushes heartbeats and messages to one peer, and redials when it is silent.
+
+    A ``Push0`` whose connection has gone silent takes every send and none
+    arrives. Only the peer can tell: its own frames acknowledge the last beat
+    that it heard from here. When no acknowledgement rises for a few heartbeats
+    the link is dropped with its socket and dialled anew, which also mends a
+    cut of one direction only.
+    """
 
     def __init__(
-        self, instance: str, peer: str, url: str, board: Board, key: bytes, timing: LinkTiming
+        self, sender: Sender, peer: str, url: str, own_url: str, *, inside: bool, chosen: bool
     ) -> None:
-        self._instance = instance
-        self._board = board
-        self._key = key
-        self._timing = timing
-        self._queue: queue.Queue[Entry] = queue.Queue(QUEUE_ENTRIES)
+        self._sender = sender
+        self._own_url = own_url
+        self._inside = inside
+        self._lock = threading.Lock()
+        self._pending: dict[EntryKey, Entry] = {}
+        self._messages: list[Message] = []
+        self._beats_shared: dict[int, int] = {}
         self._socket: pynng.Push0 | None = None
         self._full_cycle_at = 0.0
-        self._task = Periodic(f"link-{peer}", timing.heartbeat, self._step)
+        self._fresh = True
+        self._acknowledged = 0
+        self._acknowledged_at = time.monotonic()
+        self._patience = 1
+        self._failing = False
+        self._task = Periodic(f"link-{peer}", sender.timing.heartbeat, self._step)
         self.peer = peer
         self.url = url
+        self.chosen = chosen
 
     def start(self) -> None:
         self._task.start()
@@ -49,38 +87,112 @@
         self._close()
 
     def offer(self, entry: Entry) -> None:
-        """Send ``entry`` soon; when the queue is full the next full cycle carries it."""
-        try:
-            self._queue.put_nowait(entry)
-        except queue.Full:
-            return
+        """Send ``entry`` soon; it replaces an older one that still waits."""
+        with self._lock:
+            self._pending[entry.entry_key] = entry
         self._task.wake()
 
-    def redial(self) -> None:
-        """Drop the socket; the next step dials anew and begins with a full cycle."""
-        self._close()
-        self._full_cycle_at = 0.0
+    def send(self, message: Message) -> None:
+        """Send ``message`` soon; it is lost when the link breaks first."""
+        with self._lock:
+            self._messages.append(message)
+        self._task.wake()
+
+    def received(self, entries: Iterable[Entry]) -> None:
+        """Do not send back what the peer has just told."""
+        with self._lock:
+            for entry in entries:
+                waiting = self._pending.get(entry.entry_key)
+                if waiting is not None and not waiting.is_newer_than(entry):
+                    del self._pending[entry.entry_key]
+
+    def received_beats(self, beats: Iterable[tuple[int, int]]) -> None:
+        """Do not relay back beats that the peer has just relayed."""
+        for key, beat in beats:
+            self._beats_shared[key] = max(beat, self._beats_shared.get(key, 0))
+
+    def acknowledge(self, beat: int) -> None:
+        """Note that the peer has heard ``beat`` of this instance."""
+        if beat > self._acknowledged:
+            self._acknowledged = beat
+            self._acknowledged_at = time.monotonic()
+            self._patience = 1
 
     def _step(self) -> None:
-        entries = self._due_entries()
+        if self._pending:
+            time.sleep(COALESCE_SECONDS)
+        self._redial_if_silent()
+        messages = self._due_messages()
+        self._send(messages[0] if messages else [])
+        for more in messages[1:]:
+            self._send(more)
+
+    def _redial_if_silent(self) -> None:
+        limit = self._sender.timing.heartbeat * SILENT_HEARTBEATS * self._patience
+        if time.monotonic() - self._acknowledged_at < limit:
+            return
+        log_event("link_silent", level="WARNING", peer=self.peer, url=self.url)
+        self._sender.traffic.redialled()
+        # A dead peer is dialled less and less often, up to a bound.
+        self._patience = min(self._patience * 2, LONGEST_PATIENCE)
+        self._close()
+
+    def _due_messages(self) -> list[list[Message]]:
+        with self._lock:
+            entries = list(self._pending.values())
+            self._pending.clear()
+            first, self._messages = self._messages, []
+        first = self._cycle() + first
         chunks = [entries[i : i + BATCH_ENTRIES] for i in range(0, len(entries), BATCH_ENTRIES)]
-        for chunk in chunks or [[]]:
-            self._send(Frame(self._instance, self._board.boot, chunk))
+        batches: list[list[Message]] = [[Entries(chunk)] for chunk in chunks]
+        return [first, *batches] if first else batches
 
-    def _due_entries(self) -> list[Entry]:
-        queued = [self._queue.get_nowait() for _ in range(self._queue.qsize())]
+    def _cycle(self) -> list[Message]:
         now = time.monotonic()
         if now < self._full_cycle_at:
-            return queued
-        self._full_cycle_at = now + self._timing.full_cycle
-        return self._board.entries()
-
-    def _send(self, frame: Frame) -> None:
+            return []
+        self._full_cycle_at = now + self._sender.timing.full_cycle
+        settled = 0.0 if self._fresh else SETTLED_SECONDS
+        self._fresh = False
+        hello = Hello(self._own_url, self.chosen)
+        return [hello, root_of(self._sender.board.known(), settled)]
+
+    def _send(self, messages: list[Message]) -> None:
+        sender = self._sender
+        frame = Frame(
+            sender.instance,
+            sender.failure_domain,
+            sender.clock.now(),
+            sender.beats.heard(self.peer),
+            self._due_beats() if self._inside else [],
+            messages,
+        )
+        data = encode_frame(frame, sender.key)
         try:
-            self._open().send(encode_frame(frame, self._key))
+            self._open().send(data)
+            sender.traffic.sent(len(data))
+            self._failing = False
         except pynng.NNGException as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        if not self._failing:
             log_event("link_failed", level="WARNING", peer=self.peer, error=repr(error))
-            self.redial()
+        self._failing = True
+        self._close()
+
+    def _due_beats(self) -> list[tuple[int, int]]:
+        """Return the beats that rose enough since this link last carried them."""
+        step = int(min(RELAY_SECONDS, 2 * self._sender.timing.heartbeat) * BEATS_PER_SECOND)
+        own = (beat_id(self._sender.instance), beat_id(self.peer))
+        shared = self._beats_shared
+        due = [
+            (key, beat)
+            for key, beat in self._sender.beats.relayed()
+            if beat >= shared.get(key, 0) + step and key not in own
+        ]
+        shared.update(due)
+        return due
 
     def _open(self) -> pynng.Push0:
         if self._socket is None:
@@ -89,6 +201,11 @@
         return self._socket
 
     def _close(self) -> None:
+        """Drop the socket; the next one begins with a full cycle of everything."""
         if self._socket is not None:
             self._socket.close()
         self._socket = None
+        self._fresh = True
+        self._full_cycle_at = 0.0
+        self._beats_shared.clear()
+        self._acknowledged_at = time.monotonic()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/listener.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/listener.py
@@ -1,35 +1,47 @@
 """The receiving side of all links: one socket that takes many dialling peers."""
 
 import threading
+import time
+from collections.abc import Callable
 
 import pynng
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.membership.board import Board
-from redwingscale_daemon._internal.membership.frame import FrameRejected, decode_frame
-from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
+from redwingscale_daemon._internal.membership.frame import Frame, FrameRejected, decode_frame
+from redwingscale_daemon._internal.membership.traffic import Traffic
 
 RECEIVE_TIMEOUT_MS = 500
+FRAME_BYTES = 8 << 20
+REJECTED_LOG_SECONDS = 10.0
+WILDCARD_HOSTS = ("0.0.0.0", "[::]")
+
+Take = Callable[[Frame], None]
 
 
 class Listener:
-    """Receives frames, drops those of strangers, and feeds the board.
+    """Receives frames, drops those of strangers, and hands on the others.
 
     ``Pull0`` takes several links at once: a peer that redials after its old
     link has gone silent is heard, where ``Pair0`` would refuse it.
     """
 
-    def __init__(self, host: str, port: int, board: Board, beats: PeerBeats, key: bytes) -> None:
-        self._board = board
-        self._beats = beats
+    def __init__(self, host: str, port: int, key: bytes, take: Take, traffic: Traffic) -> None:
         self._key = key
-        self._socket = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS)
+        self._take = take
+        self._traffic = traffic
+        self._socket = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS, recv_max_size=FRAME_BYTES)
+        self._host = host
         self._address = f"tcp://{host}:{port}"
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
-        self.rejected = 0
+        self._rejected_logged_at = float("-inf")
         self.port = 0
 
+    @property
+    def url(self) -> str:
+        """Where peers reach this instance once it has started; empty when it cannot tell."""
+        return "" if self._host in WILDCARD_HOSTS else f"tcp://{self._host}:{self.port}"
+
     def start(self) -> None:
         """Bind and receive; raise `pynng.NNGException` when the address is taken."""
         listener = self._socket.listen(self._address)
@@ -49,15 +61,29 @@
                 continue
             except pynng.NNGException:
                 return
-            self._take(data)
+            except RuntimeError as error:
+                # pynng fails on a message without bytes. Anybody who can connect may
+                # send one; it must not end the thread and leave the instance deaf.
+                self._reject(error)
+                continue
+            self._receive(data)
 
-    def _take(self, data: bytes) -> None:
+    def _receive(self, data: bytes) -> None:
+        self._traffic.received(len(data))
         try:
-            frame = decode_frame(data, self._key)
-        except FrameRejected as error:
-            self.rejected += 1
-            log_event("frame_rejected", level="WARNING", error=error)
+            self._take(decode_frame(data, self._key))
+        except Exception as error:
+            # Whatever a stranger sends, and whatever goes wrong with one frame, must
+            # not end the only thread that hears the peers.
+            self._reject(error)
+
+    def _reject(self, error: Exception) -> None:
+        self._traffic.rejected()
+        now = time.monotonic()
+        # A stranger that sends without end must not fill the log.
+        if now - self._rejected_logged_at < REJECTED_LOG_SECONDS:
             return
-        self._beats.heard(frame.sender)
-        for entry in frame.entries:
-            self._board.accept(entry)
+        self._rejected_logged_at = now
+        count = self._traffic.frames_rejected
+        kind = "frame_rejected" if isinstance(error, FrameRejected) else "frame_failed"
+        log_event(kind, level="WARNING", error=repr(error), rejected=count)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/members.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/members.py
@@ -22,6 +22,7 @@
     def __init__(self, member_list: MemberList) -> None:
         self._list = member_list
         self._listeners: list[Listener] = []
+        self._failing = False
         self.by_id: dict[str, Member] = {}
 
     def on_change(self, listener: Listener) -> None:
@@ -33,8 +34,11 @@
         try:
             members = self._list.read()
         except PlatformUnavailable as error:
-            log_event("member_list_unavailable", level="WARNING", error=error)
+            if not self._failing:
+                log_event("member_list_unavailable", level="WARNING", error=error)
+            self._failing = True
             return
+        self._failing = False
         if members == self.by_id:
             return
         self.by_id = members
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/configuration_api.py
@@ -0,0 +1,144 @@
+"""The operators' calls that read and change the configuration."""
+
+from typing import Any
+
+import msgspec
+from redwingscale_common.configuration import check_text, load_text
+from redwingscale_common.configuration.diff import diff_texts
+from redwingscale_common.finding import Finding
+from redwingscale_common.network.exchange import json_response, read_json
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.configuration.accepted import Pointer, Versioned
+from redwingscale_daemon._internal.configuration.board_versions import BoardVersions
+from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
+from redwingscale_daemon._internal.configuration.memory_fit import MemoryFit, memory_fit
+from redwingscale_daemon._internal.configuration.store import ConfigurationStore, Lost, Won
+from redwingscale_daemon._internal.membership.members import Members
+from redwingscale_daemon._internal.upstreams.directory import Directory
+
+BODY_LIMIT = 16 << 20
+CONFLICT = 409
+FINDINGS = 422
+NOT_FOUND = 404
+
+
+class ApplyBody(msgspec.Struct):
+    """A text to put in force in place of ``base_version``."""
+
+    text: str
+    base_version: int
+    author: str = ""
+
+
+class RollbackBody(msgspec.Struct):
+    """An old ``version`` whose text is to become a new version."""
+
+    version: int
+    base_version: int
+    author: str = ""
+
+
+class ConfigurationApi:
+    """Answers everything under ``/configuration``."""
+
+    def __init__(
+        self,
+        store: ConfigurationStore,
+        current: CurrentConfiguration,
+        versions: BoardVersions,
+        members: Members,
+        directory: Directory,
+    ) -> None:
+        self._store = store
+        self._current = current
+        self._versions = versions
+        self._members = members
+        self._directory = directory
+
+    def dispatch(self, method: str, segments: tuple[str, ...]) -> bytes | None:
+        """Answer one call; None when there is no such address. Raise `PlatformError`."""
+        match method, segments:
+            case "GET", ():
+                return self._show()
+            case "GET", ("in-force",):
+                return json_response(self._in_force())
+            case "GET", ("history",):
+                return json_response([p._asdict() for p in self._store.history()])
+            case "GET", ("texts", digest):
+                return json_response({"text": self._store.text(digest)})
+            case "POST", ():
+                body = msgspec.convert(read_json(BODY_LIMIT), ApplyBody)
+                return self._apply(body.text, body.base_version, body.author)
+            case "POST", ("rollback",):
+                return self._roll_back(msgspec.convert(read_json(BODY_LIMIT), RollbackBody))
+        return None
+
+    def _show(self) -> bytes:
+        pointer = self._store.pointer()
+        if pointer is None:
+            return json_response({"version": 0, "text": ""})
+        return json_response(pointer._asdict() | {"text": self._store.text(pointer.digest)})
+
+    def _in_force(self) -> dict[str, int]:
+        return self._versions.versions([m.id for m in self._members.instances()])
+
+    def _roll_back(self, body: RollbackBody) -> bytes:
+        past = self._store.past(body.version)
+        if past is None:
+            return json_response({"error": f"there is no version {body.version}"}, NOT_FOUND)
+        return self._apply(self._store.text(past.digest), body.base_version, body.author)
+
+    def _apply(self, text: str, base_version: int, author: str) -> bytes:
+        findings = check_text("configuration", text)
+        if findings:
+            return _refused(findings)
+        fit = memory_fit(load_text("configuration", text), self._directory.engines())
+        problem = fit.problem()
+        if problem and not fit.unreported:
+            return _refused([Finding("$.models", problem)], fit)
+        match self._store.apply(text, base_version, author):
+            case Won(pointer=pointer, repeated=repeated):
+                self._current.take(Versioned(pointer, text))
+                log_event("configuration_accepted", version=pointer.version, author=author)
+                warnings = _warnings(problem, fit)
+                extra = {"repeated": repeated, "warnings": warnings}
+                return json_response(pointer._asdict() | extra)
+            case Lost() as lost:
+                log_event("configuration_conflict", base_version=base_version, author=author)
+                return json_response(self._conflict(text, base_version, lost), CONFLICT)
+
+    def _conflict(self, text: str, base_version: int, lost: Lost) -> dict[str, Any]:
+        """Return the version in force and both differences, so that nothing is lost.
+
+        ``difference`` leads from the version in force to the refused text,
+        ``theirs`` from the refused text's base to the version in force.
+        """
+        current = lost.current or Pointer(0, "", "", "")
+        in_force = self._text_of(lost.current)
+        base = self._text_of(self._store.past(base_version))
+        superseded = lost.superseded.version if lost.superseded else None
+        return current._asdict() | {
+            "error": f"version {current.version} is in force, not {base_version}",
+            "text": in_force,
+            "difference": [c._asdict() for c in diff_texts(in_force, text)],
+            "theirs": [c._asdict() for c in diff_texts(base, in_force)],
+            "superseded_version": superseded,
+        }
+
+    def _text_of(self, pointer: Pointer | None) -> str:
+        return self._store.text(pointer.digest) if pointer else ""
+
+
+def _refused(findings: list[Finding], fit: MemoryFit | None = None) -> bytes:
+    body: dict[str, Any] = {"findings": [f._asdict() for f in findings]}
+    if fit is not None:
+        body["memory"] = fit._asdict()
+    return json_response(body, FINDINGS)
+
+
+def _warnings(problem: str, fit: MemoryFit) -> list[str]:
+    if not problem:
+        return []
+    engines = ", ".join(fit.unreported)
+    return [f"{problem}; accepted because these engines have not reported theirs: {engines}"]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/operators_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/operators_app.py
@@ -4,14 +4,11 @@
 
 import cherrypy
 import msgspec
-from redwingscale_common.configuration import check_text
 from redwingscale_common.network.exchange import json_response, read_json
 from redwingscale_common.utils.digests import sha256_hex
 
-from redwingscale_daemon._internal.configuration.accepted import Pointer
-from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
-from redwingscale_daemon._internal.configuration.store import ConfigurationStore, Lost
-from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.exceptions import PlatformError, WriteUnknown
+from redwingscale_daemon._internal.operators.configuration_api import ConfigurationApi
 from redwingscale_daemon._internal.operators.drain_requests import DrainRequests
 from redwingscale_daemon._internal.operators.state_view import StateView
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
@@ -19,14 +16,6 @@
 BODY_LIMIT = 16 << 20
 
 
-class ApplyBody(msgspec.Struct):
-    """A text to put in force in place of ``base_version``."""
-
-    text: str
-    base_version: int
-    author: str = ""
-
-
 class DrainBody(msgspec.Struct):
     """The instance that is to end."""
 
@@ -39,15 +28,13 @@
     def __init__(
         self,
         token_sha256: str,
-        store: ConfigurationStore,
-        current: CurrentConfiguration,
+        configuration: ConfigurationApi,
         view: StateView,
         drains: DrainRequests,
         metrics: Metrics,
     ) -> None:
         self._token_sha256 = token_sha256
-        self._store = store
-        self._current = current
+        self._configuration = configuration
         self._view = view
         self._drains = drains
         self._metrics = metrics
@@ -60,8 +47,13 @@
         self._authenticate()
         try:
             return self._dispatch(segments)
+        except WriteUnknown as error:
+            hint = "apply the same text on the same base again: a repeat is recognised"
+            message = f"it is not known whether the write took effect: {error}; {hint}"
+            return json_response({"error": message, "changed": None}, 503)
         except PlatformError as error:
-            return json_response({"error": f"the platform did not answer: {error}"}, 503)
+            message = f"the platform did not answer, nothing was changed: {error}"
+            return json_response({"error": message, "changed": False}, 503)
 
     def _authenticate(self) -> None:
         value = cherrypy.request.headers.get("Authorization", "")
@@ -76,14 +68,10 @@
                 return json_response(self._view.models())
             case "GET", ("upstreams",):
                 return json_response(self._view.upstreams())
-            case "GET", ("configuration",):
-                return self._show()
-            case "GET", ("configuration", "history"):
-                return json_response([p._asdict() for p in self._store.history()])
-            case "GET", ("configuration", "texts", digest):
-                return json_response({"text": self._store.text(digest)})
-            case "POST", ("configuration",):
-                return self._apply()
+            case method, ("configuration", *rest):
+                answer = self._configuration.dispatch(method, tuple(rest))
+                if answer is not None:
+                    return answer
             case "POST", ("drain",):
                 return self._drain()
         raise cherrypy.NotFound()
@@ -92,23 +80,3 @@
         body = msgspec.convert(read_json(BODY_LIMIT), DrainBody)
         known = self._drains.send(body.instance)
         return json_response({"instance": body.instance, "known": known}, 202 if known else 404)
-
-    def _show(self) -> bytes:
-        pointer = self._store.pointer()
-        if pointer is None:
-            return json_response({"version": 0, "text": ""})
-        return json_response(pointer._asdict() | {"text": self._store.text(pointer.digest)})
-
-    def _apply(self) -> bytes:
-        body = msgspec.convert(read_json(BODY_LIMIT), ApplyBody)
-        findings = check_text("configuration", body.text)
-        if findings:
-            return json_response({"findings": [f._asdict() for f in findings]}, 422)
-        outcome = self._store.apply(body.text, body.base_version, body.author)
-        match outcome:
-            case Pointer():
-                self._current.refresh()
-                return json_response(outcome._asdict())
-            case Lost(current=current):
-                text = self._store.text(current.digest)
-                return json_response(current._asdict() | {"text": text}, 409)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/table.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/table.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
-from redwingscale_daemon._internal.exceptions import WriteUnknown
+from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
 from redwingscale_daemon._internal.platform.http import PlatformHttp
 from redwingscale_daemon._internal.platform.row import (
+    ABSENT,
     Check,
     Committed,
     Conflict,
@@ -16,6 +17,7 @@
 )
 
 CONFLICT_STATUS = 409
+RESOLVE_ATTEMPTS = 3
 
 
 class Table:
@@ -43,18 +45,18 @@
         return Committed(msgspec.json.decode(response.body, type=dict[str, Row]))
 
     def commit_surely(self, transaction: Transaction) -> Committed | Conflict:
-        """Commit; a lost reply is resolved by reading the write id back.
+        """Commit; a lost reply is resolved by the write id.
 
         The reply of a write can be lost after the write has taken effect; the
-        row then bears this transaction's write id. All puts of a transaction
+        rows then bear this transaction's write id. All puts of a transaction
         take effect together, so one row tells for all. Raises
         `PlatformUnavailable` when nothing was written, and `WriteUnknown` when
-        the row cannot be read back either.
+        it cannot be told.
         """
         try:
             return self.commit(transaction)
         except WriteUnknown:
-            return self._read_back(transaction)
+            return self._resolve(transaction)
 
     def put_if(self, key: str, value: object, version: int) -> Committed | Conflict:
         """Write one row if it still has ``version``; see `commit_surely`."""
@@ -62,16 +64,43 @@
             Transaction(new_write_id(), checks=[Check(key, version)], puts=[Put(key, value)])
         )
 
-    def _read_back(self, transaction: Transaction) -> Committed | Conflict:
+    def _resolve(self, transaction: Transaction) -> Committed | Conflict:
+        """Find out whether a write without a reply took effect.
+
+        Where the rows are as they were before, the write may be lost or may
+        still come: the same transaction is sent again, and its checks let only
+        one of the two take effect.
+        """
+        for _ in range(RESOLVE_ATTEMPTS):
+            rows = self._read_back(transaction)
+            if _bears(rows, transaction):
+                return Committed({key: row for key, row in rows.items() if row is not None})
+            if not transaction.checks or not _checks_hold(rows, transaction):
+                return Conflict(rows)
+            try:
+                outcome = self.commit(transaction)
+            except (PlatformUnavailable, WriteUnknown):
+                continue
+            if isinstance(outcome, Committed):
+                return outcome
+        raise WriteUnknown("the write could not be read back")
+
+    def _read_back(self, transaction: Transaction) -> dict[str, Row | None]:
+        keys = [check.key for check in transaction.checks]
+        keys += [put.key for put in transaction.puts if put.key not in keys]
         try:
-            rows = self.read([put.key for put in transaction.puts])
-        except Exception as error:
+            return self.read(keys)
+        except PlatformUnavailable as error:
             raise WriteUnknown(str(error)) from error
-        found = {key: row for key, row in rows.items() if row is not None}
-        ours = [row for row in found.values() if row.write_id == transaction.write_id]
-        if ours:
-            return Committed(found)
-        return Conflict(rows)
+
+
+def _bears(rows: dict[str, Row | None], transaction: Transaction) -> bool:
+    return any(row is not None and row.write_id == transaction.write_id for row in rows.values())
+
+
+def _checks_hold(rows: dict[str, Row | None], transaction: Transaction) -> bool:
+    versions = {key: row.version if row else ABSENT for key, row in rows.items()}
+    return all(versions[check.key] == check.version for check in transaction.checks)
 
 
 def new_write_id() -> str:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -4,19 +4,13 @@
 
 from redwingscale_common.network.server import HttpServer, ServerLimits
 
-from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
-from redwingscale_daemon._internal.configuration.store import ConfigurationStore
+from redwingscale_daemon._internal.control import build_control
 from redwingscale_daemon._internal.entry.callers_app import CallersApp
 from redwingscale_daemon._internal.leases.ownership import Ownership
 from redwingscale_daemon._internal.leases.session import Session
 from redwingscale_daemon._internal.lifecycle.instance import Instance, Parts
 from redwingscale_daemon._internal.lifecycle.readiness import Readiness
-from redwingscale_daemon._internal.membership.board import Board
-from redwingscale_daemon._internal.membership.link import LinkTiming
-from redwingscale_daemon._internal.membership.listener import Listener
-from redwingscale_daemon._internal.membership.members import Members
-from redwingscale_daemon._internal.membership.mesh import Mesh
-from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
+from redwingscale_daemon._internal.operators.configuration_api import ConfigurationApi
 from redwingscale_daemon._internal.operators.drain_requests import DrainRequests
 from redwingscale_daemon._internal.operators.operators_app import OperatorsApp
 from redwingscale_daemon._internal.operators.state_view import StateView
@@ -44,23 +38,22 @@
     """Return the instance that ``settings`` describe; nothing is started yet."""
     me = settings.instance
     timing = settings.timing
-    key = settings.peers.key.encode()
     tracing = Tracing(me.id, settings.telemetry.otlp_endpoint)
     metrics = Metrics(settings.telemetry.otlp_endpoint)
     platform = connect_platform(settings.platform, me.id)
 
-    board = Board(me.id)
-    beats = PeerBeats()
-    listener = Listener(settings.peers.host, settings.peers.port, board, beats, key)
-    link_timing = LinkTiming(timing.heartbeat, timing.full_cycle)
-    mesh = Mesh(me.id, me.failure_domain, board, key, link_timing)
-    members = Members(platform.members)
+    control = build_control(settings, platform)
+    board, beats, members, current = control.board, control.beats, control.members, control.current
+    metrics.observe(
+        {
+            "redwingscale_peer_frames_rejected": lambda: control.traffic.frames_rejected,
+            "redwingscale_peer_bytes_sent": lambda: control.traffic.bytes_sent,
+            "redwingscale_peer_redials": lambda: control.traffic.redials,
+        }
+    )
     directory = Directory(board)
-    members.on_change(mesh.update)
     members.on_change(directory.update_members)
 
-    store = ConfigurationStore(platform)
-    current = CurrentConfiguration(store, board)
     readiness = Readiness(current)
     session = Session(platform.table, me.id, board.boot, timing.lease)
     ownership = Ownership(platform.table, session, me.id, timing.lease)
@@ -81,8 +74,7 @@
     view = StateView(me, current, readiness, session, members, beats, directory, in_flight)
     operators_app = OperatorsApp(
         settings.operators.token_sha256,
-        store,
-        current,
+        ConfigurationApi(control.store, current, control.versions, members, directory),
         view,
         DrainRequests(me.id, board),
         metrics,
@@ -98,15 +90,14 @@
             settings.operators.port,
             ServerLimits(threads=OPERATORS_THREADS),
         ),
-        listener=listener,
-        mesh=mesh,
+        listener=control.listener,
+        mesh=control.mesh,
         owners=owners,
         readiness=readiness,
         tracing=tracing,
         metrics=metrics,
         tasks=[
-            Periodic("members", timing.member_poll, members.refresh),
-            Periodic("configuration", timing.configuration_poll, current.refresh),
+            *control.tasks,
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
             Periodic("planner", timing.planning, planner.step),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/load.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/load.py
@@ -54,11 +54,12 @@
 
 def _build(value: Mapping[str, Any]) -> Settings:
     platform = {"timeout_seconds": DEFAULT_PLATFORM_TIMEOUT_SECONDS} | value["platform"]
+    peers = value["peers"]
     return Settings(
         instance=InstanceSettings(**value["instance"]),
         callers=AddressSettings(**value["callers"]),
         operators=OperatorsSettings(**value["operators"]),
-        peers=PeersSettings(**value["peers"]),
+        peers=PeersSettings(**(peers | {"seeds": tuple(peers.get("seeds", ()))})),
         platform=PlatformSettings(**platform),
         limits=Limits(**(DEFAULT_LIMITS | value.get("limits", {}))),
         timing=Timing(**(DEFAULT_TIMING | value.get("timing", {}))),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/schema.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/schema.py
@@ -6,6 +6,7 @@
 _PORT: dict[str, Any] = {"type": "integer", "minimum": 0, "maximum": 65535}
 _SECONDS: dict[str, Any] = {"type": "number", "exclusiveMinimum": 0}
 _COUNT: dict[str, Any] = {"type": "integer", "minimum": 1}
+_PEER_URL: dict[str, Any] = {"type": "string", "pattern": "^tcp://.+:[0-9]+$"}
 _SHA256: dict[str, Any] = {"type": "string", "pattern": "^[0-9a-f]{64}$"}
 
 DEFAULT_LIMITS: dict[str, Any] = {
@@ -55,7 +56,13 @@
         ),
         "peers": _object(
             ["host", "port", "key"],
-            {"host": _TEXT, "port": _PORT, "key": {"type": "string", "minLength": 16}},
+            {
+                "host": _TEXT,
+                "port": _PORT,
+                "key": {"type": "string", "minLength": 16},
+                "seeds": {"type": "array", "items": _PEER_URL},
+                "url": _PEER_URL,
+            },
         ),
         "platform": _object(["url"], {"url": _TEXT, "timeout_seconds": _SECONDS}),
         "limits": _object(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/settings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/settings.py
@@ -27,11 +27,18 @@
 
 
 class PeersSettings(NamedTuple):
-    """The port for other instances and the key that all instances share."""
+    """The port for other instances and the key that all instances share.
+
+    ``seeds`` are ``tcp://HOST:PORT`` of peers of the own failure domain, for a
+    start while the platform cannot be reached. ``url`` is where peers reach
+    this instance, when it is not where it listens.
+    """
 
     host: str
     port: int
     key: str
+    seeds: tuple[str, ...] = ()
+    url: str = ""
 
 
 class PlatformSettings(NamedTuple):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/metrics.py
@@ -1,6 +1,9 @@
 """Metrics by OpenTelemetry: a Prometheus page, and OTLP when it is set."""
 
+from collections.abc import Callable, Mapping
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import MetricReader
 from prometheus_client import REGISTRY, generate_latest
@@ -14,7 +17,7 @@
         if otlp_endpoint:
             readers.append(_otlp_reader(otlp_endpoint))
         self._provider = MeterProvider(metric_readers=readers, shutdown_on_exit=False)
-        meter = self._provider.get_meter("redwingscale")
+        meter = self._meter = self._provider.get_meter("redwingscale")
         self.requests = meter.create_counter("redwingscale_requests", unit="1")
         self.refusals = meter.create_counter("redwingscale_refusals", unit="1")
         self.attempts = meter.create_counter("redwingscale_attempts", unit="1")
@@ -22,6 +25,11 @@
         self.orders = meter.create_counter("redwingscale_orders", unit="1")
         self.first_token = meter.create_histogram("redwingscale_first_token_seconds", unit="s")
 
+    def observe(self, counters: Mapping[str, Callable[[], int]]) -> None:
+        """Export counts that other parts keep themselves, read at each collection."""
+        for name, read in counters.items():
+            self._meter.create_observable_counter(name, [_observation(read)], unit="1")
+
     def prometheus_page(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
@@ -31,6 +39,10 @@
         self._provider.shutdown()
 
 
+def _observation(read: Callable[[], int]) -> Callable[[CallbackOptions], list[Observation]]:
+    return lambda _: [Observation(read())]
+
+
 def _otlp_reader(endpoint: str) -> MetricReader:
     # Imported here: the exporter costs memory that an instance without one keeps.
     from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/control/test_configuration_spread.py
@@ -0,0 +1,216 @@
+"""How versions come into force at instances, with and without the platform."""
+
+import pytest
+from redwingscale_daemon._internal.configuration.store import ConfigurationStore
+from redwingscale_daemon._internal.platform.platform import connect_platform
+from redwingscale_daemon._internal.settings.settings import PlatformSettings
+
+
+@pytest.fixture
+def apply(platform, text):
+    store = ConfigurationStore(connect_platform(PlatformSettings(platform.url, 2.0), "operator"))
+
+    def apply(version):
+        return store.apply(text(version), version - 1, "operator").pointer
+
+    return apply
+
+
+def version(node):
+    accepted = node.control.current.get()
+    return accepted.pointer.version if accepted else 0
+
+
+def rises(node):
+    return node.versions == sorted(set(node.versions))
+
+
+def test_versions_come_into_force_everywhere_and_only_rise(make_node, apply, wait_for):
+    nodes = [make_node(f"{domain}{n}", domain) for domain in "ab" for n in range(3)]
+    for node in nodes:
+        node.run()
+
+    for number in range(1, 6):
+        apply(number)
+        wait_for(lambda n=number: all(version(node) == n for node in nodes), f"version {number}")
+
+    assert all(rises(node) for node in nodes)
+    names = [node.name for node in nodes]
+    told = [node.control.versions.versions(names) for node in nodes]
+    wait_for(lambda: all(set(t.values()) == {5} for t in told) or told.clear(), "in force")
+
+
+def test_an_instance_restarted_in_an_outage_learns_from_its_peers(
+    make_node, platform, apply, wait_for
+):
+    """
+    The platform is down, and an instance is replaced. It knows no list and no
+    text; its seeds tell both, and it takes what its failure domain has.
+    """
+    peers = [make_node(f"i{n}") for n in range(3)]
+    for node in peers:
+        node.run()
+    apply(1)
+    wait_for(lambda: all(version(node) == 1 for node in peers), "version 1")
+    platform.faults.down = True
+    peers[0].stop()
+
+    fresh = make_node("i0", seeds=[p.url for p in peers[1:]], listed=False)
+    fresh.run()
+
+    wait_for(lambda: version(fresh) == 1, "the fresh instance has version 1")
+    assert fresh.control.current.get().text == peers[1].control.current.get().text
+
+
+def test_an_instance_that_hears_nobody_stays_unready(make_node, platform, wait_for):
+    platform.faults.down = True
+    fresh = make_node("i0", seeds=["tcp://127.0.0.1:1"], listed=False)
+    fresh.run()
+
+    wait_for(lambda: fresh.control.current._platform_failing, "the platform was tried")
+    reason = fresh.control.current.waiting_for()
+
+    assert reason == "no configuration: heard 0 of the 1 peers needed"
+    assert fresh.versions == []
+
+
+def test_a_single_stale_peer_does_not_bring_an_old_version_back(
+    make_node, platform, apply, wait_for
+):
+    """
+    One instance was cut from all others before version 2 came into force, and
+    still serves version 1. In an outage a fresh instance reaches first only
+    this one. To take version 1 would put back what operators replaced; it
+    waits until most of its failure domain is heard and then takes version 2.
+    """
+    stale, *others = [make_node(f"i{n}") for n in range(4)]
+    for node in (stale, *others):
+        node.run()
+    apply(1)
+    wait_for(lambda: version(stale) == 1 and len(stale.control.versions.by_instance()) == 4, "1")
+    for node in others:
+        node.stop()
+    platform.faults.down = True
+    fresh = make_node("fresh", seeds=[stale.url], listed=False)
+    fresh.run()
+
+    wait_for(lambda: fresh.hears("i0") and fresh.control.versions.by_instance(), "stale is heard")
+    wait_for(lambda: "of the 3" in fresh.control.current.waiting_for(), "it tells of the others")
+    for _ in range(5):
+        fresh.control.current.refresh()
+    assert fresh.versions == []
+    assert "heard 1 of the 3" in fresh.control.current.waiting_for()
+
+    platform.faults.down = False
+    apply(2)
+    back = [make_node(f"i{n}") for n in range(1, 4)]
+    for node in back:
+        node.run()
+    wait_for(lambda: all(version(node) == 2 for node in back), "the others have version 2")
+    wait_for(lambda: fresh.versions, "the fresh instance has a version")
+    assert fresh.versions == [2]
+
+
+def test_an_older_version_of_a_peer_is_ignored(make_node, platform, apply, text, wait_for):
+    """
+    A peer that missed version 2 offers version 1, by its entry and by its text,
+    to an instance that has version 2.
+    """
+    node, peer = make_node("a"), make_node("b")
+    old = apply(1)
+    apply(2)
+    node.run()
+    wait_for(lambda: node.versions == [2], "version 2")
+    held = node.control.current.get()
+
+    node.control.current.take(held._replace(pointer=old))
+    peer.control.versions.publish(1)
+    node.control.board.accept(peer.control.board.entries("configuration")[0], "b")
+    node.control.current.refresh()
+
+    assert node.control.current.get() is held
+    assert node.versions == [2]
+
+
+def test_a_failure_domain_cut_from_the_platform_hears_from_the_others(
+    make_node, platform, apply, wait_for
+):
+    """
+    Domain a cannot reach the platform while an operator applies version 2
+    elsewhere. Its instances hear of it from peers and get the text from them.
+    """
+    nodes = [make_node(f"{domain}{n}", domain) for domain in "ab" for n in range(3)]
+    for node in nodes:
+        node.run()
+    apply(1)
+    wait_for(lambda: all(version(node) == 1 for node in nodes), "version 1")
+    platform.faults.cut_instances = {n.name for n in nodes if n.domain == "a"}
+
+    apply(2)
+
+    wait_for(lambda: all(version(node) == 2 for node in nodes), "version 2")
+    assert all(rises(node) for node in nodes)
+
+
+def test_a_failure_domain_cut_from_all_keeps_its_version_and_rejoins(
+    make_node, make_relay, platform, apply, wait_for
+):
+    """
+    Domain a is cut from domain b and from the platform; b gets version 2. a
+    goes on with version 1. When the cut ends, a takes version 2; nobody goes
+    back, and entries of the time of the cut arrive on both sides.
+    """
+    relays = [make_relay() for _ in range(2)]
+    a, b = make_node("a", "a", relay=relays[0]), make_node("b", "b", relay=relays[1])
+    for node in (a, b):
+        node.run()
+    apply(1)
+    wait_for(lambda: version(a) == version(b) == 1 and a.hears("b") and b.hears("a"), "joined")
+    for relay in relays:
+        relay.cut()
+    platform.faults.cut_instances = {"a"}
+    wait_for(lambda: not a.hears("b") and not b.hears("a"), "cut")
+
+    apply(2)
+    a.control.board.publish("test", "of a", 1)
+    b.control.board.publish("test", "of b", 1)
+    wait_for(lambda: version(b) == 2, "b has version 2")
+    assert version(a) == 1
+    assert not b.knows("a", "of a")
+
+    for relay in relays:
+        relay.heal()
+    wait_for(lambda: a.versions == [1, 2], "a has version 2")
+    wait_for(lambda: b.knows("a", "of a") and a.knows("b", "of b"), "entries crossed")
+    assert b.versions == [1, 2]
+
+
+def test_a_text_missing_in_the_object_store_comes_from_a_peer(make_node, platform, apply, wait_for):
+    """
+    The pointer can be read and its text cannot: the object store is down by
+    itself. A peer that has the text gives it.
+    """
+    holder = make_node("a")
+    holder.run()
+    apply(1)
+    wait_for(lambda: version(holder) == 1, "version 1")
+
+    late = make_node("b")
+    real = late.control.store.text
+    late.control.store.text = lambda digest: real("missing")
+    late.run()
+
+    wait_for(lambda: version(late) == 1, "the text came from the peer")
+
+
+def test_a_text_that_this_release_cannot_read_leaves_the_old_one(make_node, apply, wait_for, text):
+    node = make_node("a")
+    node.run()
+    apply(1)
+    wait_for(lambda: version(node) == 1, "version 1")
+    held = node.control.current.get()
+    newer = held.pointer._replace(version=2)
+
+    node.control.current.take(held._replace(pointer=newer, text='{"of": "the future"}'))
+
+    assert node.control.current.get() is held
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/control/test_membership.py
@@ -0,0 +1,254 @@
+"""Links between instances: heartbeats, entries, silence, strangers."""
+
+import pynng
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from redwingscale_daemon._internal.membership.beat_clock import BeatClock
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.membership.frame import Frame, encode_frame
+from redwingscale_daemon._internal.membership.neighbourhood import build_neighbourhood
+from redwingscale_daemon._internal.membership.peer_beats import PeerBeats, beat_id
+from redwingscale_daemon._internal.models.member import InstanceMember
+
+INSTANCES = 9
+
+
+def instances(count, domains=1):
+    return [
+        InstanceMember(f"i{n}", f"d{n % domains}", "r", False, "", "", "") for n in range(count)
+    ]
+
+
+def choices(members, dead=frozenset()):
+    return {
+        m.id: build_neighbourhood(
+            m.id, m.failure_domain, [p for p in members if p.id != m.id]
+        ).choose(lambda peer: peer in dead)
+        for m in members
+    }
+
+
+def reached(links, start, avoid=frozenset()):
+    found, edge = {start}, {start}
+    while edge:
+        edge = {p for i in edge for p in links[i]} - found - avoid
+        found |= edge
+    return found
+
+
+@given(st.integers(1, 80))
+def test_links_inside_a_domain_are_mutual_bounded_and_connect_all(count):
+    links = choices(instances(count))
+
+    assert all(len(peers) <= 4 for peers in links.values())
+    assert all(i in links[peer] for i, peers in links.items() for peer in peers)
+    assert reached(links, "i0") == set(links)
+
+
+@given(st.integers(4, 60), st.integers(2, 6), st.data())
+def test_links_connect_the_living_whoever_is_dead(count, domains, data):
+    """
+    A rack fails and the list still names its instances. Each of them was a
+    link of its neighbours; without links around the dead, entries would stop
+    where several neighbours died together.
+    """
+    members = instances(count)
+    dead = data.draw(st.sets(st.sampled_from([m.id for m in members[1:]]), max_size=count - 1))
+    living = {m.id for m in members} - dead
+
+    assert reached(choices(members, dead), "i0", avoid=dead) == living
+
+
+def test_all_domains_are_connected():
+    links = choices(instances(60, domains=6))
+
+    assert reached(links, "i0") == set(links)
+
+
+def test_every_instance_hears_all_of_its_domain_and_notices_one_that_ends(make_node, wait_for):
+    """
+    Nine instances link to four each. One ends; those that have no link to it
+    must see its silence as well, since any of them may have to take over.
+    """
+    nodes = [make_node(f"i{n}") for n in range(INSTANCES)]
+    for node in nodes:
+        node.run()
+    pairs = [(a, b) for a in nodes for b in nodes if a is not b]
+    wait_for(lambda: all(a.hears(b.name) for a, b in pairs), "all hear all")
+
+    nodes[-1].stop()
+
+    rest = nodes[:-1]
+    wait_for(lambda: not any(a.hears(nodes[-1].name) for a in rest), "its silence is seen")
+    # Four as listed, and at most four more that close the rings around the dead one.
+    assert all(len(node.control.mesh.linked()) <= 8 for node in rest)
+
+
+def test_entries_reach_all_domains(make_node, wait_for):
+    nodes = [make_node(f"{domain}{n}", domain) for domain in "abc" for n in range(3)]
+    for node in nodes:
+        node.run()
+
+    nodes[0].control.board.publish("test", "k", 1)
+
+    wait_for(lambda: all(n.knows(nodes[0].name, "k") for n in nodes), "the entry is everywhere")
+
+
+def test_a_silent_link_is_redialled_and_catches_up(make_node, make_relay, wait_for):
+    """
+    A middlebox forgets the connection from a to b. Both ends stay connected
+    and every send of a succeeds, but b hears nothing more. a must notice that
+    its beats are no longer acknowledged, dial anew and tell what was lost.
+    """
+    relay = make_relay()
+    a, b = make_node("a"), make_node("b", relay=relay)
+    a.run()
+    b.run()
+    wait_for(lambda: b.hears("a") and a.hears("b"), "both hear each other")
+
+    relay.silence()
+    a.control.board.publish("test", "lost", 1)
+
+    wait_for(lambda: b.knows("a", "lost"), "the entry arrives over a new connection")
+    assert relay.accepted > 1
+    assert a.control.traffic.redials >= 1
+
+
+def test_a_cut_of_one_direction_ends_without_a_restart(make_node, make_relay, wait_for):
+    """
+    Frames from a to b vanish while those from b to a arrive. a hears b, so
+    only the missing acknowledgements tell it; when the cut ends b hears a again.
+    """
+    relay = make_relay()
+    a, b = make_node("a"), make_node("b", relay=relay)
+    a.run()
+    b.run()
+    wait_for(lambda: b.hears("a") and a.hears("b"), "both hear each other")
+
+    relay.cut()
+    wait_for(lambda: not b.hears("a") and a.hears("b"), "one direction is cut")
+    relay.heal()
+
+    wait_for(lambda: b.hears("a") and a.hears("b"), "both hear each other again")
+
+
+def test_a_restart_on_another_port_during_an_outage_is_linked(make_node, platform, wait_for):
+    """
+    The platform is down, so the list keeps the old address for long. The
+    restarted instance calls its seed and tells where it listens now.
+    """
+    a, b = make_node("a"), make_node("b")
+    a.run()
+    b.run()
+    wait_for(lambda: a.hears("b"), "a hears b")
+    platform.faults.down = True
+    b.stop()
+    wait_for(lambda: not a.hears("b"), "b is gone")
+
+    again = make_node("b", seeds=[a.url], listed=False)
+    again.run()
+    a.control.board.publish("test", "later", 1)
+
+    wait_for(lambda: a.hears("b") and again.hears("a"), "both hear each other")
+    wait_for(lambda: again.knows("a", "later"), "entries reach it")
+
+
+def test_frames_of_strangers_are_dropped_and_counted(make_node, names, wait_for):
+    """
+    Something else connects to the peers' port and sends rubbish, a frame under
+    another key, and a frame that is no frame. None changes anything, each is
+    counted, and the instance goes on hearing its peers.
+    """
+    node = make_node("a")
+    key = names.key.encode()
+    forged = Frame("b", "a", 1, 0, [(beat_id("c"), 10**6)])
+    bad = [b"", b"x" * 100, encode_frame(forged, b"another key"), encode_frame((1, 2), key)]
+    with pynng.Push0(dial=node.url, send_timeout=5000) as stranger:
+        for data in bad:
+            stranger.send(data)
+        stranger.send(encode_frame(Frame("b", "a", 7, 0), key))
+
+        wait_for(lambda: node.hears("b", 60.0), "the good frame is taken")
+
+    assert node.control.traffic.frames_rejected == len(bad)
+    assert not node.hears("c", 60.0)
+
+
+def test_an_entry_of_another_shape_is_dropped_alone(make_node, wait_for):
+    """
+    A peer of another release sends an entry that subscribers cannot read. The
+    thread that hears all peers must live on, else the instance would go deaf.
+    """
+    a, b = make_node("a"), make_node("b")
+    a.run()
+    b.run()
+    a.control.board.publish("configuration", "", "not what is expected")
+    b.control.board.subscribe("test", lambda entry: 1 / 0)
+    a.control.board.publish("test", "k", 1)
+    a.control.board.publish("test", "after", 1)
+
+    wait_for(lambda: b.knows("a", "after"), "later entries arrive")
+
+
+def test_a_replayed_beat_does_not_revive_a_dead_peer():
+    """
+    Somebody records frames of an instance and sends them again after it died.
+    Its peers would go on waiting for it in place of taking over.
+    """
+    beats = PeerBeats()
+    assert beats.hear("b", 5, inside=True)
+
+    assert not beats.hear("b", 4, inside=True)
+    beats.relay([(beat_id("b"), 5)])
+    heard = beats._heard_by_id[beat_id("b")]
+    beats.hear("b", 5, inside=True)
+
+    assert beats._heard_by_id[beat_id("b")] == heard
+
+
+def test_beats_rise_above_those_of_a_former_life_with_a_clock_ahead():
+    """
+    An instance restarts with its clock set back. Peers take its beats for old
+    ones and would hold it for dead until the clock catches up.
+    """
+    clock = BeatClock()
+    former = clock.now() + 36_000
+
+    clock.raise_above(former)
+
+    assert clock.now() > former
+
+
+def test_entries_rise_above_those_of_a_former_life_with_a_clock_ahead():
+    """
+    As above, for entries: what it publishes would be refused as older than
+    what its former life told, and the old word would stand.
+    """
+    board = Board("a")
+    board.publish("test", "k", "new")
+    former = Entry("a", "test", "k", board.boot + 10**6, 99, b"\xa3old")
+
+    board.accept(former, "b")
+
+    entry = board.entries("test")[0]
+    assert entry.payload == b"\xa3new"
+    assert entry.is_newer_than(former)
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_entries_of_origins_that_left_are_dropped_for_good(listed):
+    """
+    An instance left. Its entries must not stay in memory for ever, and a peer
+    that drops them later must not bring them back.
+    """
+    board = Board("a")
+    entry = Entry("gone", "test", "k", 5, 1, b"\x01")
+    board.accept(entry, "b")
+
+    board.forget_origins({"gone"} if listed else set(), seconds=-1.0)
+    board.accept(entry, "b")
+
+    assert board.entries("test") == ([entry] if listed else [])
+    assert board.accept(entry._replace(boot=6), "b")
--- a/packages/redwingscale-standins/src/redwingscale_standins/launcher/deployment.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/launcher/deployment.py
@@ -202,11 +202,24 @@
                 "port": 0,
                 "token_sha256": sha256_hex(OPERATORS_TOKEN.encode()),
             },
-            "peers": {"host": HOST, "port": 0, "key": PEERS_KEY},
+            "peers": {
+                "host": HOST,
+                "port": 0,
+                "key": PEERS_KEY,
+                "seeds": self._seeds(instance, failure_domain),
+            },
             "platform": {"url": self.platform_url},
             "timing": {"balancer_drain": 0.5},
         } | self._extra_settings
 
+    def _seeds(self, instance: str, failure_domain: str) -> list[str]:
+        """Return the peers of ``failure_domain`` that run already."""
+        return [
+            m.urls_by_name["peers_url"]
+            for m in list(self.members_by_id.values())
+            if m.kind == "instance" and m.failure_domain == failure_domain and m.id != instance
+        ]
+
     def _spawn(self, name: str, module: str, arguments: list[str]) -> ChildProcess:
         return ChildProcess(name, module, arguments, self._directory / "logs")
 
