--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/memory_fit.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/memory_fit.py
@@ -27,6 +27,11 @@
     largest_engine_bytes: int
     unreported: tuple[str, ...]
 
+    @property
+    def conclusive(self) -> bool:
+        """Whether every engine has reported; an empty list may just not be read yet."""
+        return self.largest_engine_bytes > 0 and not self.unreported
+
     def problem(self) -> str:
         """Return what does not fit the reported engines; empty when all does."""
         if self.needed_bytes > self.available_bytes:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/configuration_api.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/configuration_api.py
@@ -95,7 +95,7 @@
             return _refused(findings)
         fit = memory_fit(load_text("configuration", text), self._directory.engines())
         problem = fit.problem()
-        if problem and not fit.unreported:
+        if problem and fit.conclusive:
             return _refused([Finding("$.models", problem)], fit)
         match self._store.apply(text, base_version, author):
             case Won(pointer=pointer, repeated=repeated):
@@ -140,5 +140,5 @@
 def _warnings(problem: str, fit: MemoryFit) -> list[str]:
     if not problem:
         return []
-    engines = ", ".join(fit.unreported)
-    return [f"{problem}; accepted because these engines have not reported theirs: {engines}"]
+    engines = ", ".join(fit.unreported) or "none is known yet"
+    return [f"{problem}; accepted because not all engines have reported: {engines}"]
