Void what was owned before a lease lapsed

Cause: takers write the rows of what they take, never the session row. A holder that was frozen past its lease renewed its session when it woke and held its old grants again, beside the taker. A process that restarted under the same id overwrote the session row at once, so that others took over while the first process, frozen or cut off, still counted on its lease. A renewal whose reply and read-back were both lost looked like a takeover.

Change: each lapse begins a new epoch of the session, and a grant counts in its own epoch only. A renewal extends the epoch only if its reply came inside the old lease. A session row of another process has to stand still for a lease and a margin before it is adopted. A conflict with the own boot adopts the row's version. A planned stop ends the session, so that nobody waits. `last` gives a lapsed grant for reading and publishing; `check` ties other rows' writes to the newest grant; `raise_fence` replaces a held grant.

Ruled out: a taker that breaks the holder's session row (one engine's takeover would cost the holder all the others); deleting rows (versions could begin anew).

Not proved: the guard can't cover a freeze between the check and the system call that sends.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/ownership.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/ownership.py
@@ -1,13 +1,14 @@
 """Ownership of named things: rows that hang on the holder's session."""
 
-import time
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
 from redwingscale_daemon._internal.leases.grant import Grant
 from redwingscale_daemon._internal.leases.session import Session, session_key
+from redwingscale_daemon._internal.leases.sightings import Sightings
 from redwingscale_daemon._internal.platform.row import (
     ABSENT,
     Check,
@@ -19,82 +20,123 @@
 from redwingscale_daemon._internal.platform.table import Table, new_write_id
 
 OWNER_PREFIX = "owners/"
-TAKEOVER_MARGIN_SECONDS = 1.0
 
 
-class _Sighting(NamedTuple):
+class _Held(NamedTuple):
+    """A grant with the row version and the session epoch that it was taken in."""
+
+    grant: Grant
     version: int
-    seen_at: float
+    epoch: int
 
 
 class Ownership:
     """Takes, holds and releases ownership; at most one holder may act at a time."""
 
-    def __init__(self, table: Table, session: Session, instance: str, lease_seconds: float) -> None:
+    def __init__(
+        self,
+        table: Table,
+        session: Session,
+        instance: str,
+        lease_seconds: float,
+        clock: Clock = lease_clock,
+    ) -> None:
         self._table = table
         self._session = session
         self._instance = instance
-        self._wait_seconds = lease_seconds + TAKEOVER_MARGIN_SECONDS
-        self._grants_by_name: dict[str, Grant] = {}
-        self._sightings: dict[str, _Sighting] = {}
+        self._sightings = Sightings(lease_seconds, clock)
+        self._held_by_name: dict[str, _Held] = {}
 
     def held(self, name: str) -> Grant | None:
         """Return the grant of ``name`` if this instance may act on it now."""
-        grant = self._grants_by_name.get(name)
-        valid = grant is not None and self._session.is_valid()
-        return grant if valid else None
+        held = self._held_by_name.get(name)
+        if held is None or self.remaining_seconds(held.grant) <= 0:
+            return None
+        return held.grant
+
+    def last(self, name: str) -> Grant | None:
+        """Return the last grant of ``name``, lapsed or not, unless another is known to hold it.
+
+        Good for reading and publishing, and for orders that the receiver fences.
+        """
+        held = self._held_by_name.get(name)
+        return held.grant if held else None
+
+    def remaining_seconds(self, grant: Grant) -> float:
+        """Return for how long nobody else can hold what ``grant`` gives; 0 when it lapsed."""
+        held = self._held_by_name.get(grant.name)
+        if held is None or held.grant != grant:
+            return 0.0
+        return self._session.remaining_seconds(held.epoch)
+
+    def check(self, grant: Grant) -> Check:
+        """Return the condition that ``grant`` is still the newest of its name."""
+        held = self._held_by_name.get(grant.name)
+        version = held.version if held is not None and held.grant == grant else ABSENT
+        return Check(OWNER_PREFIX + grant.name, version)
 
     def try_acquire(self, name: str) -> Grant | None:
         """Take ``name`` if it is free or its holder's session has stopped; else None."""
-        if not self._session.is_valid():
-            return None
         if (grant := self.held(name)) is not None:
             return grant
-        try:
-            return self._acquire(name)
-        except PlatformError as error:
-            log_event("ownership_not_taken", level="WARNING", name=name, error=error)
+        return self._acquire_logged(name)
+
+    def raise_fence(self, name: str) -> Grant | None:
+        """Replace a held grant of ``name`` by one with a higher fence; None when not held."""
+        if self.held(name) is None:
             return None
+        return self._acquire_logged(name)
 
     def release(self, name: str) -> None:
         """Give ``name`` back, so that a successor need not wait for the lease."""
-        grant = self._grants_by_name.pop(name, None)
-        if grant is None:
+        held = self._held_by_name.pop(name, None)
+        if held is None:
             return
-        key = OWNER_PREFIX + name
+        value = {"holder": "", "boot": 0, "fence": held.grant.fence}
         try:
-            row = self._table.read([key])[key]
-            if row is not None and row.value["holder"] == self._instance:
-                value = {"holder": "", "boot": 0, "fence": grant.fence}
-                self._table.put_if(key, value, row.version)
+            self._table.put_if(OWNER_PREFIX + name, value, held.version)
         except PlatformError as error:
             log_event("ownership_not_released", level="WARNING", name=name, error=error)
 
-    def _acquire(self, name: str) -> Grant | None:
+    def end(self) -> None:
+        """Give everything back at the end of the instance."""
+        for name in list(self._held_by_name):
+            self.release(name)
+        self._session.end()
+
+    def _acquire_logged(self, name: str) -> Grant | None:
+        epoch = self._session.epoch
+        if self._session.remaining_seconds(epoch) <= 0:
+            return None
+        try:
+            return self._acquire(name, epoch)
+        except PlatformError as error:
+            log_event("ownership_not_taken", level="WARNING", name=name, error=error)
+            return None
+
+    def _acquire(self, name: str, epoch: int) -> Grant | None:
         key = OWNER_PREFIX + name
         row = self._table.read([key])[key]
         if row is None or not row.value["holder"]:
-            return self._write(name, row, [])
+            return self._write(name, row, [], epoch)
         holder, boot = row.value["holder"], row.value["boot"]
         if holder == self._instance and boot == self._session.boot:
-            return self._write(name, row, [])
+            return self._write(name, row, [], epoch)
+        self._held_by_name.pop(name, None)
         session = self._table.read([session_key(holder)])[session_key(holder)]
-        if session is None or session.value["boot"] != boot:
-            return self._write(name, row, [])
-        if not self._has_stopped(holder, session):
+        # Whoever adopts a session waits until the one before has lapsed, so another
+        # boot in the row tells that this holder's lease is over.
+        is_current = session is not None and session.value["boot"] == boot
+        if is_current and not self._has_stopped(holder, session):
             return None
         # The check on the session row makes a holder that renews right now win.
-        return self._write(name, row, [Check(session_key(holder), session.version)])
+        version = session.version if session else ABSENT
+        return self._write(name, row, [Check(session_key(holder), version)], epoch)
 
-    def _has_stopped(self, holder: str, session: Row) -> bool:
-        now = time.monotonic()
-        seen = self._sightings.get(holder)
-        if seen is None or seen.version != session.version:
-            self._sightings[holder] = _Sighting(session.version, now)
-            return False
-        return now - seen.seen_at > self._wait_seconds
+    def _has_stopped(self, holder: str, session: Row | None) -> bool:
+        return session is None or self._sightings.has_stopped(session_key(holder), session)
 
-    def _write(self, name: str, row: Row | None, checks: list[Check]) -> Grant | None:
+    def _write(self, name: str, row: Row | None, checks: list[Check], epoch: int) -> Grant | None:
         key = OWNER_PREFIX + name
         fence = row.value["fence"] + 1 if row else 1
         value = {"holder": self._instance, "boot": self._session.boot, "fence": fence}
@@ -107,6 +149,6 @@
         if not isinstance(outcome, Committed):
             return None
         grant = Grant(name, self._instance, self._session.boot, fence)
-        self._grants_by_name[name] = grant
+        self._held_by_name[name] = _Held(grant, outcome.rows[key].version, epoch)
         log_event("ownership_taken", name=name, fence=fence)
-        return grant
+        return self.held(name)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/session.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/session.py
@@ -1,14 +1,18 @@
 """The session of this instance: one lease row that all its ownerships hang on."""
 
-import time
+import math
+from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
+from redwingscale_daemon._internal.leases.sightings import Sightings
 from redwingscale_daemon._internal.platform.row import ABSENT, Committed, Row
 from redwingscale_daemon._internal.platform.table import Table
 
 SESSION_PREFIX = "sessions/"
+ENDED = 0
 
 
 def session_key(instance: str) -> str:
@@ -16,48 +20,125 @@
     return SESSION_PREFIX + instance
 
 
+class _Lease(NamedTuple):
+    epoch: int
+    valid_until: float
+
+
 class Session:
     """Renews ``sessions/<instance>``; valid until a time on this process's own clock.
 
     No clock is shared: the holder counts the lease from before it sent the
     renewal, a taker from when it saw the row stop changing. So the holder's
     lease always ends first, however slow the reply or the reader was.
+
+    Takers write the rows of what they take, never this one: a holder that was
+    frozen past its lease can renew it when it wakes. So each lapse begins a
+    new ``epoch``, and what was owned in an earlier epoch is owned no more.
     """
 
-    def __init__(self, table: Table, instance: str, boot: int, lease_seconds: float) -> None:
+    def __init__(
+        self,
+        table: Table,
+        instance: str,
+        boot: int,
+        lease_seconds: float,
+        clock: Clock = lease_clock,
+    ) -> None:
         self._table = table
         self._key = session_key(instance)
         self._boot = boot
         self._lease_seconds = lease_seconds
-        self._version = ABSENT
-        self._valid_until = 0.0
+        self._clock = clock
+        self._sightings = Sightings(lease_seconds, clock)
+        self._version: int | None = None
+        self._lease = _Lease(0, -math.inf)
+        self._ended = False
 
     @property
     def boot(self) -> int:
         """The id of this session; a restarted instance has another."""
         return self._boot
 
+    @property
+    def epoch(self) -> int:
+        """How often the session has begun anew."""
+        return self._lease.epoch
+
     def is_valid(self) -> bool:
         """Return whether nobody else may have taken over yet."""
-        return time.monotonic() < self._valid_until
+        return self.remaining_seconds(self.epoch) > 0
+
+    def remaining_seconds(self, epoch: int) -> float:
+        """Return for how long nobody can take over what is owned since ``epoch``."""
+        lease = self._lease
+        if lease.epoch != epoch:
+            return 0.0
+        return max(0.0, lease.valid_until - self._clock())
 
     def renew(self) -> None:
         """Write the row once; a conflict means that the session was taken over."""
-        sent_at = time.monotonic()
+        if self._ended:
+            return
+        sent_at = self._clock()
         try:
-            if self._version == ABSENT:
-                self._adopt(self._table.read([self._key])[self._key])
-            outcome = self._table.put_if(self._key, {"boot": self._boot}, self._version)
+            if self._version is None and not self._adopt():
+                return
+            outcome = self._table.put_if(self._key, {"boot": self._boot}, self._version or ABSENT)
         except PlatformError as error:
             log_event("session_not_renewed", level="WARNING", error=error)
             return
+        if self._ended:
+            return
         if isinstance(outcome, Committed):
             self._version = outcome.rows[self._key].version
-            self._valid_until = sent_at + self._lease_seconds
+            self._extend(sent_at)
+        else:
+            self._on_conflict(outcome.rows.get(self._key))
+
+    def end(self) -> None:
+        """Give the session up for good, so that nobody need wait for the lease."""
+        self._ended = True
+        self._begin_epoch()
+        if self._version is None:
+            return
+        try:
+            self._table.put_if(self._key, {"boot": ENDED}, self._version)
+        except PlatformError as error:
+            log_event("session_not_ended", level="WARNING", error=error)
+
+    def _extend(self, sent_at: float) -> None:
+        lease = self._lease
+        # The renewal proves no gap only if its reply came inside the old lease: after
+        # a pause the row may have stood still, and have been taken over, before it.
+        lapsed = self._clock() >= lease.valid_until
+        if lapsed:
+            log_event("session_begun", key=self._key, epoch=lease.epoch + 1)
+        self._lease = _Lease(lease.epoch + int(lapsed), sent_at + self._lease_seconds)
+
+    def _on_conflict(self, row: Row | None) -> None:
+        if row is not None and row.value["boot"] == self._boot:
+            # An earlier write of this session took effect although its reply and
+            # the read-back were lost. The lease stays as it is.
+            self._version = row.version
             return
-        self._valid_until = 0.0
-        self._version = ABSENT
+        self._begin_epoch()
+        self._version = None
         log_event("session_lost", level="WARNING", key=self._key)
 
-    def _adopt(self, row: Row | None) -> None:
+    def _begin_epoch(self) -> None:
+        self._lease = _Lease(self._lease.epoch + 1, -math.inf)
+
+    def _adopt(self) -> bool:
+        """Take the row over from an earlier process of the same id.
+
+        That process may be frozen, or cut off, and still count on its lease:
+        its row has to stand still for a lease, as with any other takeover.
+        """
+        row = self._table.read([self._key])[self._key]
+        if row is not None and row.value["boot"] not in (ENDED, self._boot):
+            if not self._sightings.has_stopped(self._key, row):
+                return False
+            log_event("session_adopted", key=self._key, boot=row.value["boot"])
         self._version = row.version if row else ABSENT
+        return True
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/sightings.py
@@ -0,0 +1,37 @@
+"""How long rows have stood still, on the reader's own clock."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.leases.clock import Clock
+from redwingscale_daemon._internal.platform.row import Row
+
+TAKEOVER_MARGIN_SECONDS = 1.0
+
+
+class _Sighting(NamedTuple):
+    version: int
+    write_id: str
+    seen_at: float
+
+
+class Sightings:
+    """Remembers when each row was first seen as it is.
+
+    A holder counts its lease from before it sent a renewal, a reader from when
+    it saw the renewal's row: so the holder's lease always ends first. The
+    margin covers clocks that run at slightly different rates.
+    """
+
+    def __init__(self, lease_seconds: float, clock: Clock) -> None:
+        self._wait_seconds = lease_seconds + TAKEOVER_MARGIN_SECONDS
+        self._clock = clock
+        self._sightings_by_key: dict[str, _Sighting] = {}
+
+    def has_stopped(self, key: str, row: Row) -> bool:
+        """Return whether ``row`` has stood still for longer than a lease."""
+        now = self._clock()
+        seen = self._sightings_by_key.get(key)
+        if seen is None or (seen.version, seen.write_id) != (row.version, row.write_id):
+            self._sightings_by_key[key] = _Sighting(row.version, row.write_id, now)
+            return False
+        return now - seen.seen_at > self._wait_seconds
