--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/models/report.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/models/report.py
@@ -16,6 +16,8 @@
 
     ``orders`` maps order ids to ``running``, ``done`` or ``failed``; an id that
     is missing tells nothing: the order may be lost or still on its way.
+    ``fence`` is the lowest fencing number that the engine still takes orders
+    of; 0 where its vendor has no fencing.
     """
 
     leaving: bool
@@ -25,13 +27,16 @@
     waiting: int
     slots: int
     orders: dict[str, str]
+    fence: int = 0
 
 
 class Digest(NamedTuple):
     """What the owner of an upstream tells all instances of it.
 
     ``fence`` is the owner's fencing number: of two owners' digests the higher
-    one holds.
+    one holds. No instance routes to a ``retiring`` unit, nor to any unit of an
+    engine that is ``set_aside`` (silent, or its report was nonsense).
+    ``retirement`` rises with each change of ``retiring``.
     """
 
     upstream: str
@@ -42,6 +47,9 @@
     running: int
     waiting: int
     slots: int
+    retiring: tuple[str, ...] = ()
+    retirement: int = 0
+    set_aside: bool = False
 
 
 class Heat(NamedTuple):
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/backoff.py
@@ -0,0 +1,35 @@
+"""Waits between loads that fail, so that a broken unit does not wear the weight store."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.leases.clock import Clock
+
+FIRST_SECONDS = 1.0
+LONGEST_SECONDS = 30.0
+
+
+class _Wait(NamedTuple):
+    until: float
+    seconds: float
+
+
+class Backoff:
+    """Doubles a unit's wait with each failure in a row."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._waits_by_unit: dict[str, _Wait] = {}
+
+    def note(self, unit: str, *, failed: bool) -> None:
+        """Take note of how an order on ``unit`` ended."""
+        if not failed:
+            self._waits_by_unit.pop(unit, None)
+            return
+        last = self._waits_by_unit.get(unit)
+        seconds = min(LONGEST_SECONDS, 2 * last.seconds) if last else FIRST_SECONDS
+        self._waits_by_unit[unit] = _Wait(self._clock() + seconds, seconds)
+
+    def is_over(self, unit: str) -> bool:
+        """Return whether ``unit`` may be loaded again."""
+        wait = self._waits_by_unit.get(unit)
+        return wait is None or self._clock() >= wait.until
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/choice.py
@@ -0,0 +1,71 @@
+"""Which loads and unloads bring an engine towards its part of the plan."""
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from redwingscale_common.configuration import Unit
+
+from redwingscale_daemon._internal.models.report import Report, ResidentUnit
+from redwingscale_daemon._internal.placement.ledger import Ledger
+from redwingscale_daemon._internal.placement.plan import PlannedUnit
+
+
+class Situation(NamedTuple):
+    """An engine as its owner sees it.
+
+    ``limit_bytes`` is what weights may take: the capacity less the share of
+    the running requests' cache.
+    """
+
+    report: Report
+    ledger: Ledger
+    planned: list[PlannedUnit]
+    limit_bytes: int
+
+
+def loads(situation: Situation, retiring: Iterable[str]) -> Iterator[PlannedUnit]:
+    """Yield planned units that fit beside everything that may be resident.
+
+    An adapter goes out only when its base answers requests. What does not fit
+    is passed over: smaller units need not wait for an unload.
+    """
+    reserved = situation.ledger.reserved_by_unit(situation.report)
+    bases = {r.unit for r in situation.report.residents if r.ready}.difference(retiring)
+    used = sum(reserved.values())
+    for planned in situation.planned:
+        base = base_of(planned.unit)
+        if planned.unit in reserved or (base != planned.unit and base not in bases):
+            continue
+        if used + planned.size_bytes <= situation.limit_bytes:
+            used += planned.size_bytes
+            yield planned
+
+
+def is_short(situation: Situation) -> bool:
+    """Return whether a planned unit waits for memory."""
+    reserved = situation.ledger.reserved_by_unit(situation.report)
+    missing = [p.size_bytes for p in situation.planned if p.unit not in reserved]
+    return sum(reserved.values()) + sum(missing) > situation.limit_bytes and bool(missing)
+
+
+def unplanned(situation: Situation) -> list[ResidentUnit]:
+    """Return the units that are ready, not in the plan, and not under an order."""
+    planned = {p.unit for p in situation.planned}
+    kept = planned | {base_of(unit) for unit in planned}
+    return [
+        r
+        for r in situation.report.residents
+        if r.ready and r.unit not in kept and not situation.ledger.is_open(r.unit)
+    ]
+
+
+def unloads(situation: Situation, drained: set[str]) -> list[ResidentUnit]:
+    """Return the drained units that may go now: a base only after its adapters."""
+    reserved = situation.ledger.reserved_by_unit(situation.report)
+    needed = {base_of(unit) for unit in reserved if base_of(unit) != unit}
+    return [r for r in unplanned(situation) if r.unit in drained and r.unit not in needed]
+
+
+def base_of(unit: str) -> str:
+    """Return the model version that ``unit`` needs, or is."""
+    return str(Unit.parse(unit).base)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/drain_acks.py
@@ -0,0 +1,57 @@
+"""The instances' words on retiring units, as this instance has heard them."""
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.membership.members import Members
+from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
+from redwingscale_daemon._internal.placement.drain_ack import TOPIC, DrainAck, RetirementMark
+
+# An instance that is alive but not linked is heard through others within seconds; one
+# that has said nothing for this many leases is cut off or dead.
+SILENT_LEASES = 2
+
+
+class DrainAcks:
+    """Newest `DrainAck` by instance and engine."""
+
+    def __init__(
+        self, instance: str, board: Board, members: Members, beats: PeerBeats, lease_seconds: float
+    ) -> None:
+        self._instance = instance
+        self._members = members
+        self._beats = beats
+        self._lease_seconds = lease_seconds
+        self._acks: dict[tuple[str, str], DrainAck] = {}
+        board.subscribe(TOPIC, self._on_entry)
+
+    def all_done(self, engine: str, unit: str, since: RetirementMark, waited: float) -> bool:
+        """Return whether no instance routes to or runs ``unit`` on ``engine`` any more.
+
+        ``since`` is the mark with which ``unit`` began to retire, ``waited``
+        seconds ago.
+        """
+        instances = {self._instance, *(m.id for m in self._members.instances())}
+        return all(
+            self._is_done(instance, engine, unit, since) or self._is_silent(instance, waited)
+            for instance in instances
+        )
+
+    def _is_done(self, instance: str, engine: str, unit: str, since: RetirementMark) -> bool:
+        ack = self._acks.get((instance, engine))
+        return ack is not None and ack.mark >= since and unit in ack.units
+
+    def _is_silent(self, instance: str, waited: float) -> bool:
+        if instance == self._instance or waited < SILENT_LEASES * self._lease_seconds:
+            return False
+        return self._beats.silent_seconds(instance) > self._lease_seconds
+
+    def _on_entry(self, entry: Entry) -> None:
+        try:
+            ack = msgspec.msgpack.decode(entry.payload, type=DrainAck)
+        except msgspec.MsgspecError as error:
+            log_event("drain_ack_invalid", level="WARNING", origin=entry.origin, error=error)
+            return
+        self._acks[(entry.origin, ack.upstream)] = ack
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/ledger.py
@@ -0,0 +1,98 @@
+"""The memory ledger of one engine: everything that may be resident."""
+
+from collections.abc import Iterable
+
+from redwingscale_daemon._internal.models.member import EngineMember
+from redwingscale_daemon._internal.models.report import Report
+from redwingscale_daemon._internal.placement.open_order import ClosedOrder, OpenOrder, Outcome
+
+LATENESS_MARGIN_SECONDS = 0.5
+
+
+class Ledger:
+    """Open orders by id; each keeps its unit's memory reserved until it is certain.
+
+    A unit has at most one open order. So a load that arrives late never meets
+    the memory taken by something else, and a late unload never meets its unit
+    loaded anew.
+    """
+
+    def __init__(self) -> None:
+        self._open_by_id: dict[str, OpenOrder] = {}
+        self._vanished: set[str] = set()
+
+    def open_orders(self) -> list[OpenOrder]:
+        """Return what may still take effect."""
+        return list(self._open_by_id.values())
+
+    def add(self, orders: Iterable[OpenOrder]) -> None:
+        """Reserve for ``orders``; a known one keeps its own time."""
+        for opened in orders:
+            self._open_by_id.setdefault(opened.order.order_id, opened)
+
+    def set_sent(self, order_id: str, at: float) -> None:
+        """Count the lateness of an order from ``at``."""
+        self._open_by_id[order_id] = self._open_by_id[order_id]._replace(sent_by=at)
+
+    def drop(self, order_id: str) -> None:
+        """Forget an order that certainly did not go out."""
+        self._open_by_id.pop(order_id, None)
+
+    def is_open(self, unit: str) -> bool:
+        """Return whether an order on ``unit`` may still take effect."""
+        return any(o.order.unit == unit for o in self._open_by_id.values())
+
+    def unloading(self) -> set[str]:
+        """Return the units that are being unloaded, or may be."""
+        return {o.order.unit for o in self._open_by_id.values() if not o.order.load}
+
+    def reserved_by_unit(self, report: Report) -> dict[str, int]:
+        """Return the bytes of every unit that is, or may be, in memory."""
+        reserved = {r.unit: r.size_bytes for r in report.residents}
+        for order, _, _ in self._open_by_id.values():
+            reserved[order.unit] = max(order.size_bytes, reserved.get(order.unit, 0))
+        return reserved
+
+    def settle(self, engine: EngineMember, report: Report, polled_at: float) -> list[ClosedOrder]:
+        """Close and return the orders on which ``report`` is certain.
+
+        ``polled_at`` is when the poll was sent, on the clock of ``sent_by``.
+        """
+        verdicts = [(o.order, _verdict(engine, report, polled_at, o)) for o in self.open_orders()]
+        ended = [ClosedOrder(order, outcome) for order, outcome in verdicts if outcome]
+        vanished = {e.order.order_id for e in ended if _has_vanished(e, report)}
+        # A load that is done, of a unit that is not there: gone again, or the engine read
+        # its memory before its orders. The next report cannot be torn at the same place.
+        closed = [e for e in ended if e.order.order_id not in vanished - self._vanished]
+        self._vanished = vanished
+        for order, _ in closed:
+            self.drop(order.order_id)
+        return closed
+
+
+def _verdict(
+    engine: EngineMember, report: Report, polled_at: float, opened: OpenOrder
+) -> Outcome | None:
+    order = opened.order
+    resident = any(r.unit == order.unit for r in report.residents)
+    if opened.url != engine.url:
+        # The process that was told is gone, and so is all it was told.
+        return Outcome.VOID
+    match report.orders.get(order.order_id):
+        case "running":
+            return None
+        case "failed":
+            return Outcome.FAILED
+        case "done":
+            return Outcome.DONE
+    if engine.checks_fencing:
+        return Outcome.VOID if report.fence > order.fence else None
+    if polled_at <= opened.sent_by + engine.late_order_seconds + LATENESS_MARGIN_SECONDS:
+        return None
+    return Outcome.DONE if resident == order.load else Outcome.VOID
+
+
+def _has_vanished(ended: ClosedOrder, report: Report) -> bool:
+    order, outcome = ended
+    resident = any(r.unit == order.unit for r in report.residents)
+    return order.load and outcome is Outcome.DONE and not resident
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/order_sender.py
@@ -0,0 +1,120 @@
+"""Sends orders to one engine: the intent first, the lease checked right before each."""
+
+import math
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import LeaseLost, PlatformError, UpstreamError
+from redwingscale_daemon._internal.leases.grant import Grant
+from redwingscale_daemon._internal.models.member import EngineMember
+from redwingscale_daemon._internal.models.order import Order
+from redwingscale_daemon._internal.models.run_state import RunState
+from redwingscale_daemon._internal.placement.intents import IntentStore
+from redwingscale_daemon._internal.placement.ledger import Ledger
+from redwingscale_daemon._internal.placement.open_order import OpenOrder
+from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
+from redwingscale_daemon._internal.upstreams.engine_control import Guard
+
+# The least that must be left of a lease for an order to an engine without fencing;
+# the call as a whole is bounded by what is left, so it ends inside the lease.
+ORDER_SECONDS = 0.25
+
+
+class OrderSender:
+    """The ledger of one engine together with its row of intents."""
+
+    def __init__(self, parts: OwnerParts) -> None:
+        self._parts = parts
+        self._intents: IntentStore = parts.intents
+        self._version: int | None = None
+        self._fence = 0
+        self._written: set[str] = set()
+        self.ledger = Ledger()
+
+    def take_over(self, engine: EngineMember, grant: Grant) -> None:
+        """Count the intents of earlier holders, once for each grant.
+
+        Raises `PlatformError` for an engine that ignores fencing: unread
+        intents may still take effect there. With fencing they cannot, once the
+        fence is raised: what the engine took before shows in its report.
+        """
+        if self._fence == grant.fence and (self._version is not None or engine.checks_fencing):
+            return
+        try:
+            self._read(engine)
+        except PlatformError:
+            if not engine.checks_fencing:
+                raise
+        self._fence = grant.fence
+
+    def send(self, engine: EngineMember, grant: Grant, orders: list[Order]) -> None:
+        """Write the open orders and ``orders`` as intents, then send ``orders``."""
+        opened = [OpenOrder(order, engine.url, self._parts.clock()) for order in orders]
+        ids = {o.order.order_id for o in (*self.ledger.open_orders(), *opened)}
+        if ids == self._written:
+            return
+        if not self._write(engine, grant, opened):
+            for order in orders:
+                self._parts.gate.leave(order.order_id)
+            return
+        self.ledger.add(opened)
+        for order in orders:
+            self._send_one(engine, grant, order)
+
+    def drop(self, order: Order) -> None:
+        """Take an order out that certainly did not go out."""
+        self.ledger.drop(order.order_id)
+        self._parts.gate.leave(order.order_id)
+
+    def _read(self, engine: EngineMember) -> None:
+        version, intents = self._intents.read(engine.id)
+        now = self._parts.clock()
+        self.ledger.add(OpenOrder(i.order, i.url, now) for i in intents)
+        self._version = version
+        self._written = {i.order.order_id for i in intents}
+
+    def _write(self, engine: EngineMember, grant: Grant, opened: list[OpenOrder]) -> bool:
+        orders = [*self.ledger.open_orders(), *opened]
+        version, self._version = self._version, None
+        try:
+            if version is None:
+                version = self._intents.read(engine.id).version
+            owner = self._parts.ownership.check(grant)
+            self._version = self._intents.write(engine.id, orders, version, owner)
+        except PlatformError as error:
+            log_event("intents_not_written", level="WARNING", upstream=engine.id, error=error)
+        if self._version is not None:
+            self._written = {o.order.order_id for o in orders}
+        # An engine with fencing takes no order of a holder that has been succeeded,
+        # and its report shows the successor what it took: it needs no intent.
+        return self._version is not None or engine.checks_fencing
+
+    def _send_one(self, engine: EngineMember, grant: Grant, order: Order) -> None:
+        fields = {"upstream": engine.id, "order": order.order_id, "unit": order.unit}
+        try:
+            self._parts.control.order(engine, order, self._guard(engine, grant))
+        except LeaseLost as error:
+            self.drop(order)
+            log_event("order_withheld", level="WARNING", **fields, error=error)
+            return
+        except UpstreamError as error:
+            self.ledger.set_sent(order.order_id, self._parts.clock())
+            log_event("order_unsure", level="WARNING", **fields, run=error.run, error=error)
+            if error.run is RunState.NOT_RUN:
+                self.drop(order)
+            return
+        self.ledger.set_sent(order.order_id, self._parts.clock())
+        action = "load" if order.load else "unload"
+        self._parts.metrics.orders.add(1, {"upstream": engine.id, "action": action})
+        log_event("order_sent", **fields, action=action, fence=order.fence)
+
+    def _guard(self, engine: EngineMember, grant: Grant) -> Guard:
+        if engine.checks_fencing:
+            return lambda: math.inf
+        return lambda: self._remaining(grant)
+
+    def _remaining(self, grant: Grant) -> float:
+        remaining = self._parts.ownership.remaining_seconds(grant)
+        if remaining < ORDER_SECONDS:
+            raise LeaseLost(f"{remaining:.3f} s left of the lease of {grant.name}")
+        return remaining
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
@@ -1,62 +1,224 @@
 """The owner of an engine: polls it, publishes its digest, sends it orders."""
 
+import threading
 import uuid
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import ReportInvalid, UpstreamError
+from redwingscale_daemon._internal.exceptions import (
+    PlatformError,
+    ReportInvalid,
+    UpstreamError,
+)
 from redwingscale_daemon._internal.leases.grant import Grant
-from redwingscale_daemon._internal.membership.board import Board
 from redwingscale_daemon._internal.models.member import EngineMember
 from redwingscale_daemon._internal.models.order import Order
 from redwingscale_daemon._internal.models.report import Digest, Report
-from redwingscale_daemon._internal.placement.plan_store import PlanStore
+from redwingscale_daemon._internal.placement import choice
+from redwingscale_daemon._internal.placement.backoff import Backoff
+from redwingscale_daemon._internal.placement.choice import Situation
+from redwingscale_daemon._internal.placement.open_order import Outcome
+from redwingscale_daemon._internal.placement.order_sender import OrderSender
+from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
+from redwingscale_daemon._internal.placement.plan import Plan
+from redwingscale_daemon._internal.placement.replacements import Replacements
+from redwingscale_daemon._internal.placement.retirements import Retirements
 from redwingscale_daemon._internal.upstreams.directory import TOPIC
-from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
+
+SILENT_POLLS = 3
+# An order that the engine's reports do not show for so long is lost, or late: a higher
+# fence makes sure that it is dead.
+UNSEEN_SECONDS = 2.0
+REPLACEMENT_PATIENCE_SECONDS = 30.0
 
 
 class EngineOwner:
-    """Work on one engine while the grant holds."""
+    """Work on one engine; everything runs on the thread that calls `step`."""
 
-    def __init__(self, client: EngineClient, board: Board, plans: PlanStore) -> None:
-        self._client = client
-        self._board = board
-        self._plans = plans
+    def __init__(self, engine: str, parts: OwnerParts) -> None:
+        self._lock = threading.Lock()
+        self._engine = engine
+        self._parts = parts
+        self._sender = OrderSender(parts)
+        self._retirements = Retirements(engine, parts.acks, parts.clock)
+        self._replacements = Replacements(parts.directory)
+        self._backoff = Backoff(parts.clock)
+        self._failed_polls = 0
+        self._blocked_since: float | None = None
 
     def step(self, engine: EngineMember, grant: Grant) -> None:
-        """Poll ``engine`` once, tell everyone, and order the next missing load."""
+        """Poll ``engine`` once, tell everyone, and order what is due.
+
+        With a ``grant`` past its lease it goes on reading and publishing.
+        """
+        with self._lock:
+            if self._is_superseded(grant):
+                return
+            polled_at = self._parts.clock()
+            report = self._poll(engine, grant)
+            if report is None:
+                return
+            self._publish(grant, report)
+            if self._may_order(engine, grant, report):
+                self._order(engine, grant, report, polled_at)
+
+    def close(self) -> None:
+        """Wait for a step that runs and give the permits of its loads back."""
+        with self._lock:
+            for opened in self._sender.ledger.open_orders():
+                self._parts.gate.leave(opened.order.order_id)
+
+    def _is_superseded(self, grant: Grant) -> bool:
+        view = self._parts.directory.engines().get(self._engine)
+        return view is not None and view.digest is not None and view.digest.fence > grant.fence
+
+    def _may_order(self, engine: EngineMember, grant: Grant, report: Report) -> bool:
+        if report.leaving or engine.leaving:
+            return False
+        # An engine with fencing is safe with any holder, also while the table is down.
+        return engine.checks_fencing or self._parts.ownership.held(self._engine) == grant
+
+    def _poll(self, engine: EngineMember, grant: Grant) -> Report | None:
         try:
-            report = self._client.report(engine)
-        except (UpstreamError, ReportInvalid) as error:
+            report = self._parts.control.report(engine)
+        except ReportInvalid as error:
+            log_event("report_invalid", level="WARNING", upstream=engine.id, error=error)
+            self._parts.metrics.invalid_reports.add(1, {"upstream": engine.id})
+            self._set_aside(grant)
+            return None
+        except UpstreamError as error:
             log_event("report_failed", level="WARNING", upstream=engine.id, error=error)
+            self._failed_polls += 1
+            if self._failed_polls >= SILENT_POLLS:
+                self._set_aside(grant)
+            return None
+        self._failed_polls = 0
+        return report
+
+    def _set_aside(self, grant: Grant) -> None:
+        """Stop new routing to the engine until its next sound report."""
+        view = self._parts.directory.engines().get(self._engine)
+        digest = view.digest if view else None
+        if digest is None or (digest.set_aside and digest.fence == grant.fence):
             return
-        self._board.publish(TOPIC, engine.id, _digest(engine, grant, report))
-        self._order_next(engine, grant, report)
+        log_event("upstream_set_aside", level="WARNING", upstream=self._engine)
+        aside = digest._replace(fence=grant.fence, set_aside=True)
+        self._parts.board.publish(TOPIC, self._engine, aside)
+
+    def _publish(self, grant: Grant, report: Report) -> None:
+        digest = Digest(
+            upstream=self._engine,
+            fence=grant.fence,
+            leaving=report.leaving,
+            capacity_bytes=report.capacity_bytes,
+            residents=report.residents,
+            running=report.running,
+            waiting=report.waiting,
+            slots=report.slots,
+            retiring=self._retirements.units,
+            retirement=self._retirements.number,
+        )
+        self._parts.board.publish(TOPIC, self._engine, digest)
 
-    def _order_next(self, engine: EngineMember, grant: Grant, report: Report) -> None:
-        plan = self._plans.read_or_last()
-        if plan is None:
+    def _order(self, engine: EngineMember, grant: Grant, report: Report, polled_at: float) -> None:
+        try:
+            self._sender.take_over(engine, grant)
+        except PlatformError as error:
+            log_event("intents_unread", level="WARNING", upstream=engine.id, error=error)
             return
-        held = {r.unit for r in report.residents}
-        used = sum(r.size_bytes for r in report.residents)
-        missing = [u for u in plan.units_by_engine.get(engine.id, []) if u.unit not in held]
-        for planned in missing:
-            used += planned.size_bytes
-            if used > report.capacity_bytes:
-                return
-            order = Order(uuid.uuid4().hex, True, planned.unit, planned.size_bytes, grant.fence)
-            self._client.order(engine, order)
-            log_event("order_sent", upstream=engine.id, order=order.order_id, unit=order.unit)
-
-
-def _digest(engine: EngineMember, grant: Grant, report: Report) -> Digest:
-    return Digest(
-        upstream=engine.id,
-        fence=grant.fence,
-        leaving=report.leaving,
-        capacity_bytes=report.capacity_bytes,
-        residents=report.residents,
-        running=report.running,
-        waiting=report.waiting,
-        slots=report.slots,
-    )
+        self._settle(engine, report, polled_at)
+        if not self._has_fence(engine, grant, report):
+            return
+        plan = self._parts.plans.read_or_last()
+        situation = self._situation(plan, report)
+        if plan is None or situation is None:
+            return
+        if self._retirements.update(self._to_retire(situation, plan), grant.fence):
+            self._publish(grant, report)
+        self._sender.send(engine, grant, self._orders(situation, grant))
+
+    def _settle(self, engine: EngineMember, report: Report, polled_at: float) -> None:
+        for order, outcome in self._sender.ledger.settle(engine, report, polled_at):
+            self._parts.gate.leave(order.order_id)
+            level = "INFO" if outcome is Outcome.DONE else "WARNING"
+            log_event(
+                "order_ended",
+                level=level,
+                upstream=engine.id,
+                order=order.order_id,
+                unit=order.unit,
+                outcome=outcome,
+            )
+            self._backoff.note(order.unit, failed=outcome is Outcome.FAILED)
+
+    def _has_fence(self, engine: EngineMember, grant: Grant, report: Report) -> bool:
+        """Return whether the engine refuses every earlier holder's orders, as ``report`` shows.
+
+        A report from before the fence was raised may miss an order that an
+        earlier holder's late message started after it.
+        """
+        if not engine.checks_fencing:
+            return True
+        if report.fence < grant.fence:
+            self._raise_fence(engine, grant)
+            return False
+        if self._has_unseen(report):
+            # Only a held grant can be replaced; past its lease the orders stay reserved.
+            self._parts.ownership.raise_fence(self._engine)
+            return False
+        return report.fence == grant.fence
+
+    def _raise_fence(self, engine: EngineMember, grant: Grant) -> None:
+        try:
+            self._parts.control.raise_fence(engine, grant.fence)
+        except UpstreamError as error:
+            log_event("fence_not_raised", level="WARNING", upstream=engine.id, error=error)
+
+    def _has_unseen(self, report: Report) -> bool:
+        now = self._parts.clock()
+        return any(
+            o.order.order_id not in report.orders and now - o.sent_by > UNSEEN_SECONDS
+            for o in self._sender.ledger.open_orders()
+        )
+
+    def _situation(self, plan: Plan | None, report: Report) -> Situation | None:
+        accepted = self._parts.current.get()
+        planned = plan.units_by_engine.get(self._engine) if plan else None
+        if accepted is None or planned is None:
+            return None
+        share = accepted.configuration.policy.cache_share
+        limit = int(report.capacity_bytes * (1 - share))
+        return Situation(report, self._sender.ledger, planned, limit)
+
+    def _to_retire(self, situation: Situation, plan: Plan) -> set[str]:
+        unplanned = [r.unit for r in choice.unplanned(situation)]
+        replaced = {u for u in unplanned if self._replacements.are_ready(u, plan)}
+        waiting = set(unplanned) - replaced
+        if not waiting or not choice.is_short(situation):
+            self._blocked_since = None
+            return replaced | situation.ledger.unloading()
+        now = self._parts.clock()
+        self._blocked_since = now if self._blocked_since is None else self._blocked_since
+        if now - self._blocked_since > REPLACEMENT_PATIENCE_SECONDS:
+            # What the plan wants here cannot come before something goes: better one
+            # model away for a load than the plan stuck for good.
+            log_event("retiring_unreplaced", level="WARNING", upstream=self._engine, units=waiting)
+            replaced |= waiting
+        return replaced | situation.ledger.unloading()
+
+    def _orders(self, situation: Situation, grant: Grant) -> list[Order]:
+        leaving = choice.unloads(situation, self._retirements.drained())
+        coming = choice.loads(situation, self._retirements.units)
+        unloads = [_new_order(False, r.unit, r.size_bytes, grant) for r in leaving]
+        wanted = [
+            _new_order(True, p.unit, p.size_bytes, grant)
+            for p in coming
+            if self._backoff.is_over(p.unit)
+        ]
+        gate = self._parts.gate
+        loads = [o for o in wanted if gate.try_enter(self._engine, o.order_id, o.size_bytes)]
+        return unloads + loads
+
+
+def _new_order(load: bool, unit: str, size_bytes: int, grant: Grant) -> Order:
+    return Order(uuid.uuid4().hex, load, unit, size_bytes, grant.fence)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner_parts.py
@@ -0,0 +1,31 @@
+"""What the owners of all engines share."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
+from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
+from redwingscale_daemon._internal.leases.ownership import Ownership
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.placement.drain_acks import DrainAcks
+from redwingscale_daemon._internal.placement.intents import IntentStore
+from redwingscale_daemon._internal.placement.load_gate import LoadGate, OpenGate
+from redwingscale_daemon._internal.placement.plan_store import PlanStore
+from redwingscale_daemon._internal.telemetry.metrics import Metrics
+from redwingscale_daemon._internal.upstreams.directory import Directory
+from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
+
+
+class OwnerParts(NamedTuple):
+    """Wired once by the composition root."""
+
+    control: EngineControl
+    board: Board
+    directory: Directory
+    plans: PlanStore
+    current: CurrentConfiguration
+    ownership: Ownership
+    intents: IntentStore
+    acks: DrainAcks
+    metrics: Metrics
+    gate: LoadGate = OpenGate()
+    clock: Clock = lease_clock
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owners.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owners.py
@@ -1,5 +1,8 @@
 """Which engines this instance owns, and a thread for each of them."""
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 from redwingscale_common.utils.digests import rendezvous_order
 
 from redwingscale_daemon._internal.leases.ownership import Ownership
@@ -11,6 +14,11 @@
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 
+class _Work(NamedTuple):
+    owner: EngineOwner
+    task: Periodic
+
+
 class Owners:
     """Takes the engines of the own failure domain that fall to this instance."""
 
@@ -21,42 +29,51 @@
         members: Members,
         beats: PeerBeats,
         ownership: Ownership,
-        owner: EngineOwner,
+        make_owner: Callable[[str], EngineOwner],
     ) -> None:
         self._instance = instance
         self._timing = timing
         self._members = members
         self._beats = beats
         self._ownership = ownership
-        self._owner = owner
-        self._tasks_by_engine: dict[str, Periodic] = {}
+        self._make_owner = make_owner
+        self._work_by_engine: dict[str, _Work] = {}
 
     def step(self) -> None:
         """Start work on engines that fall to this instance, end it on the others."""
         wanted = {e.id: e for e in self._members.engines() if self._falls_here(e)}
-        for engine in self._tasks_by_engine.keys() - wanted.keys():
-            self._tasks_by_engine.pop(engine).stop()
-            self._ownership.release(engine)
-        for engine in wanted.keys() - self._tasks_by_engine.keys():
+        for engine in self._work_by_engine.keys() - wanted.keys():
+            self._end(engine)
+        for engine in wanted.keys() - self._work_by_engine.keys():
             self._start(engine)
 
     def stop(self) -> None:
-        """End all work and give the ownerships back."""
-        for engine, task in list(self._tasks_by_engine.items()):
-            task.stop()
-            self._ownership.release(engine)
-        self._tasks_by_engine.clear()
+        """End all work and give the ownerships and the session back."""
+        for engine in list(self._work_by_engine):
+            self._end(engine)
+        self._ownership.end()
 
     def _start(self, engine: str) -> None:
-        task = Periodic(f"owner-{engine}", self._timing.report_poll, lambda: self._work(engine))
-        self._tasks_by_engine[engine] = task
+        owner = self._make_owner(engine)
+        task = Periodic(
+            f"owner-{engine}", self._timing.report_poll, lambda: self._work(engine, owner)
+        )
+        self._work_by_engine[engine] = _Work(owner, task)
         task.start()
 
-    def _work(self, engine: str) -> None:
+    def _end(self, engine: str) -> None:
+        owner, task = self._work_by_engine.pop(engine)
+        task.stop()
+        # Not released before the last step has ended: its orders would meet the
+        # successor's.
+        owner.close()
+        self._ownership.release(engine)
+
+    def _work(self, engine: str, owner: EngineOwner) -> None:
         member = self._members.by_id.get(engine)
-        grant = self._ownership.try_acquire(engine)
+        grant = self._ownership.try_acquire(engine) or self._ownership.last(engine)
         if grant is not None and isinstance(member, EngineMember):
-            self._owner.step(member, grant)
+            owner.step(member, grant)
 
     def _falls_here(self, engine: EngineMember) -> bool:
         if engine.failure_domain != self._instance.failure_domain:
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/replacements.py
@@ -0,0 +1,32 @@
+"""Whether a unit may leave an engine without its callers losing their model."""
+
+from redwingscale_common.configuration import Unit
+
+from redwingscale_daemon._internal.placement.plan import Plan
+from redwingscale_daemon._internal.upstreams.directory import Directory
+
+
+class Replacements:
+    """Looks for what the plan has in place of a unit: elsewhere, or a newer version."""
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+
+    def are_ready(self, unit: str, plan: Plan) -> bool:
+        """Return whether a planned replica of ``unit`` answers, or none is planned at all."""
+        wanted = Unit.parse(unit)
+        places = [
+            (engine, planned.unit)
+            for engine, units in plan.units_by_engine.items()
+            for planned in units
+            if _replaces(Unit.parse(planned.unit), wanted)
+        ]
+        return not places or any(self._answers(engine, other) for engine, other in places)
+
+    def _answers(self, engine: str, unit: str) -> bool:
+        view = self._directory.engines().get(engine)
+        return view is not None and not view.leaving and view.is_ready(unit)
+
+
+def _replaces(new: Unit, old: Unit) -> bool:
+    return (new.model, new.adapter) == (old.model, old.adapter)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -19,7 +19,11 @@
 from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
 from redwingscale_daemon._internal.operators.operators_app import OperatorsApp
 from redwingscale_daemon._internal.operators.state_view import StateView
+from redwingscale_daemon._internal.placement.drain_acks import DrainAcks
+from redwingscale_daemon._internal.placement.drain_reporter import DrainReporter
+from redwingscale_daemon._internal.placement.intents import IntentStore
 from redwingscale_daemon._internal.placement.owner import EngineOwner
+from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
 from redwingscale_daemon._internal.placement.owners import Owners
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
 from redwingscale_daemon._internal.placement.planner import Planner
@@ -32,6 +36,7 @@
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.upstreams.directory import Directory
 from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
+from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 from redwingscale_daemon._internal.upstreams.plain_client import PlainClient
 from redwingscale_daemon._internal.utils.periodic import Periodic
@@ -68,8 +73,21 @@
     engines = EngineClient(timing.connect, timing.silence)
     plans = PlanStore(platform)
     planner = Planner(ownership, plans, current, directory)
-    owner = EngineOwner(engines, board, plans)
-    owners = Owners(me, timing, members, beats, ownership, owner)
+    owner_parts = OwnerParts(
+        control=EngineControl(timing.connect),
+        board=board,
+        directory=directory,
+        plans=plans,
+        current=current,
+        ownership=ownership,
+        intents=IntentStore(platform.table),
+        acks=DrainAcks(me.id, board, members, beats, timing.lease),
+        metrics=metrics,
+    )
+    owners = Owners(
+        me, timing, members, beats, ownership, lambda engine: EngineOwner(engine, owner_parts)
+    )
+    drain_reporter = DrainReporter(board, directory, in_flight)
 
     router = Router(me.failure_domain, directory, members, in_flight, random.Random())
     generation = GenerationRelay(router, engines, in_flight, tracing, metrics)
@@ -101,6 +119,7 @@
             Periodic("configuration", timing.configuration_poll, current.refresh),
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
+            Periodic("drains", timing.heartbeat, drain_reporter.step),
             Periodic("planner", timing.planning, planner.step),
         ],
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/metrics.py
@@ -19,6 +19,7 @@
         self.refusals = meter.create_counter("redwingscale_refusals", unit="1")
         self.attempts = meter.create_counter("redwingscale_attempts", unit="1")
         self.tokens = meter.create_counter("redwingscale_tokens", unit="1")
+        self.invalid_reports = meter.create_counter("redwingscale_invalid_reports", unit="1")
         self.orders = meter.create_counter("redwingscale_orders", unit="1")
         self.first_token = meter.create_histogram("redwingscale_first_token_seconds", unit="s")
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/alder.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/alder.py
@@ -1,6 +1,6 @@
 """Dialect of vendor alder: nested state in bytes, orders with fencing numbers."""
 
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
@@ -28,7 +28,7 @@
 class _Resident(msgspec.Struct):
     unit: str
     size_bytes: int
-    phase: str
+    phase: Literal["loading", "ready", "unloading"]
 
 
 class _Memory(msgspec.Struct):
@@ -43,11 +43,11 @@
 
 
 class _State(msgspec.Struct):
-    phase: str
+    phase: Literal["serving", "leaving"]
     memory: _Memory
     load: _Load
     fence: int
-    orders: dict[str, str]
+    orders: dict[str, Literal["running", "done", "failed"]]
 
 
 _EVENT_DECODER = msgspec.json.Decoder(_Event)
@@ -100,7 +100,8 @@
         running=state.load.running,
         waiting=state.load.waiting,
         slots=state.load.slots,
-        orders=state.orders,
+        orders=dict(state.orders),
+        fence=state.fence,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/birch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/birch.py
@@ -1,5 +1,7 @@
 """Dialect of vendor birch: flat state in megabytes, tickets without fencing."""
 
+from typing import Literal
+
 import msgspec
 
 from redwingscale_daemon._internal.exceptions import ReportInvalid
@@ -33,17 +35,17 @@
 class _Slot(msgspec.Struct):
     slot: str
     mb: float
-    phase: str
+    phase: Literal["loading", "ready", "unloading"]
 
 
 class _Info(msgspec.Struct):
-    state: str
+    state: Literal["up", "draining"]
     gpu_mb: float
     slots: list[_Slot]
     active: int
     queued: int
     batch: int
-    tickets: dict[str, str]
+    tickets: dict[str, Literal["running", "done", "failed"]]
 
 
 _TOKEN_DECODER = msgspec.json.Decoder(_Token)
@@ -92,14 +94,12 @@
         raise ReportInvalid(str(error)) from None
     return Report(
         leaving=info.state != "up",
-        capacity_bytes=int(info.gpu_mb * MEGABYTE),
-        residents=tuple(
-            ResidentUnit(s.slot, int(s.mb * MEGABYTE), s.phase == "ready") for s in info.slots
-        ),
+        capacity_bytes=_bytes(info.gpu_mb),
+        residents=tuple(ResidentUnit(s.slot, _bytes(s.mb), s.phase == "ready") for s in info.slots),
         running=info.active,
         waiting=info.queued,
         slots=info.batch,
-        orders=info.tickets,
+        orders=dict(info.tickets),
     )
 
 
@@ -112,3 +112,11 @@
         "mb": order.size_bytes / MEGABYTE,
     }
     return Call("POST", "/slots", msgspec.json.encode(body))
+
+
+def _bytes(megabytes: float) -> int:
+    try:
+        # Rounded: cut off, 0.57 MB would come out a byte smaller than what was ordered.
+        return round(megabytes * MEGABYTE)
+    except (ValueError, OverflowError):
+        raise ReportInvalid(f"{megabytes} megabytes") from None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/directory.py
@@ -27,9 +27,15 @@
         return self.member.leaving or (self.digest is not None and self.digest.leaving)
 
     def is_ready(self, unit: str) -> bool:
-        """Return whether ``unit`` is resident and answers requests."""
-        residents = self.digest.residents if self.digest else ()
-        return any(r.ready and r.unit == unit for r in residents)
+        """Return whether ``unit`` is resident and new requests may go to it."""
+        return unit in self.ready_units()
+
+    def ready_units(self) -> list[str]:
+        """Return the units that new requests may go to."""
+        digest = self.digest
+        if digest is None or digest.set_aside:
+            return []
+        return [r.unit for r in digest.residents if r.ready and r.unit not in digest.retiring]
 
 
 class Directory:
@@ -72,9 +78,8 @@
         engines = {key: self._view(member) for key, member in self._members.items()}
         ready: dict[str, list[str]] = {}
         for view in engines.values():
-            for resident in view.digest.residents if view.digest else ():
-                if resident.ready:
-                    ready.setdefault(resident.unit, []).append(view.member.id)
+            for unit in view.ready_units():
+                ready.setdefault(unit, []).append(view.member.id)
         self._engines_by_id = engines
         self._ready_by_unit = ready
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_client.py
@@ -1,4 +1,4 @@
-"""Calls to one engine in its vendor's dialect."""
+"""Streams of one engine in its vendor's dialect."""
 
 from collections.abc import Iterator
 
@@ -6,11 +6,9 @@
 import urllib3
 from redwingscale_common.network.client import new_pool, timeout
 
-from redwingscale_daemon._internal.exceptions import ReportInvalid, StreamBroken, UpstreamError
+from redwingscale_daemon._internal.exceptions import StreamBroken, UpstreamError
 from redwingscale_daemon._internal.models.generation import Attempt, EndEvent, StreamEvent
 from redwingscale_daemon._internal.models.member import EngineMember
-from redwingscale_daemon._internal.models.order import Order
-from redwingscale_daemon._internal.models.report import Report
 from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.upstreams import dialect as dialects
 from redwingscale_daemon._internal.upstreams.call import Call
@@ -19,12 +17,11 @@
 
 OK = 200
 CONTROL_TIMEOUT_SECONDS = 2.0
-REPORT_LIMIT_BYTES = 4 << 20
 REFUSED_STATUSES = frozenset({404, 409, 410, 429, 503})
 
 
 class EngineClient:
-    """Streams, polls and orders; each call is sent exactly once."""
+    """Starts, resumes and ends streams; each call is sent exactly once."""
 
     def __init__(self, connect_seconds: float, silence_seconds: float) -> None:
         self._pool = new_pool()
@@ -52,24 +49,6 @@
         """End the work of an attempt; raise `UpstreamError`."""
         self._control(engine, dialects.cancel_call(DIALECTS_BY_VENDOR[engine.vendor], attempt_id))
 
-    def report(self, engine: EngineMember) -> Report:
-        """Poll ``engine``; raise `UpstreamError` or `ReportInvalid`."""
-        dialect = DIALECTS_BY_VENDOR[engine.vendor]
-        body = self._control(engine, dialects.state_call(dialect))
-        if len(body) > REPORT_LIMIT_BYTES:
-            raise ReportInvalid(f"{len(body)} bytes")
-        return dialects.parse_report(dialect, body)
-
-    def order(self, engine: EngineMember, order: Order) -> None:
-        """Send ``order`` once; raise `UpstreamError`, which tells if it may have arrived."""
-        self._control(engine, dialects.order_call(DIALECTS_BY_VENDOR[engine.vendor], order))
-
-    def raise_fence(self, engine: EngineMember, fence: int) -> None:
-        """Make the engine refuse orders below ``fence``, where its vendor can."""
-        call = dialects.fence_call(DIALECTS_BY_VENDOR[engine.vendor], fence)
-        if call is not None:
-            self._control(engine, call)
-
     def _control(self, engine: EngineMember, call: Call) -> bytes:
         response = self._send(engine, call, self._control_timeout, {}, preload=True)
         if response.status >= 300:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/in_flight.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/in_flight.py
@@ -1,27 +1,45 @@
-"""How many requests this instance has running at each upstream."""
+"""Which requests this instance has running at each upstream."""
 
+import itertools
 import threading
+import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from typing import NamedTuple
+
+
+class _Open(NamedTuple):
+    upstream: str
+    unit: str
+    since: float
 
 
 class InFlight:
-    """Counts by upstream id."""
+    """Counts by upstream id, and by unit for those that are to be unloaded."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
         self._lock = threading.Lock()
+        self._tickets = itertools.count()
+        self._open_by_ticket: dict[int, _Open] = {}
         self._counts: Counter[str] = Counter()
 
     @contextmanager
-    def at(self, upstream: str) -> Iterator[None]:
-        """Count one request at ``upstream`` for the time of the block."""
+    def at(self, upstream: str, unit: str = "") -> Iterator[None]:
+        """Count one request at ``upstream`` for the time of the block.
+
+        A request that names no ``unit`` counts as using each of them.
+        """
         with self._lock:
+            ticket = next(self._tickets)
+            self._open_by_ticket[ticket] = _Open(upstream, unit, self._clock())
             self._counts[upstream] += 1
         try:
             yield
         finally:
             with self._lock:
+                del self._open_by_ticket[ticket]
                 self._counts[upstream] -= 1
 
     def count(self, upstream: str) -> int:
@@ -32,3 +50,11 @@
         """Return how many run at all upstreams."""
         with self._lock:
             return sum(self._counts.values())
+
+    def uses(self, upstream: str, unit: str, before: float) -> bool:
+        """Return whether a request that began ``before`` may use ``unit`` there."""
+        with self._lock:
+            return any(
+                o.upstream == upstream and o.unit in ("", unit) and o.since < before
+                for o in self._open_by_ticket.values()
+            )
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/report_check.py
@@ -0,0 +1,68 @@
+"""Whether an engine's report can be true, whatever its vendor."""
+
+from collections.abc import Iterator
+
+from redwingscale_common.configuration import Unit
+
+from redwingscale_daemon._internal.exceptions import ReportInvalid
+from redwingscale_daemon._internal.models.report import Report
+
+CAPACITY_LIMIT_BYTES = 1 << 50
+RESIDENTS_LIMIT = 4096
+ORDERS_LIMIT = 65_536
+NAME_LIMIT = 512
+
+
+def check_report(report: Report) -> None:
+    """Raise `ReportInvalid` with every contradiction in ``report``.
+
+    Routing and the memory ledger reckon with these numbers: a negative size
+    would make room that is not there.
+    """
+    findings = [
+        *_capacity_findings(report),
+        *_resident_findings(report),
+        *_load_findings(report),
+    ]
+    if findings:
+        raise ReportInvalid("; ".join(findings))
+
+
+def _capacity_findings(report: Report) -> Iterator[str]:
+    if not 0 < report.capacity_bytes <= CAPACITY_LIMIT_BYTES:
+        yield f"capacity of {report.capacity_bytes} bytes"
+    used = sum(r.size_bytes for r in report.residents)
+    if used > report.capacity_bytes:
+        yield f"{used} bytes resident in {report.capacity_bytes}"
+
+
+def _resident_findings(report: Report) -> Iterator[str]:
+    if len(report.residents) > RESIDENTS_LIMIT:
+        yield f"{len(report.residents)} residents"
+        return
+    if len({r.unit for r in report.residents}) < len(report.residents):
+        yield "a unit stands twice"
+    for resident in report.residents:
+        if resident.size_bytes < 0:
+            yield f"{resident.unit[:NAME_LIMIT]!r} has {resident.size_bytes} bytes"
+        if not _is_unit(resident.unit):
+            yield f"{resident.unit[:NAME_LIMIT]!r} is no unit"
+
+
+def _load_findings(report: Report) -> Iterator[str]:
+    if report.running < 0 or report.waiting < 0:
+        yield f"{report.running} running and {report.waiting} waiting requests"
+    if report.slots < 1:
+        yield f"{report.slots} slots"
+    if report.fence < 0:
+        yield f"fence {report.fence}"
+    if len(report.orders) > ORDERS_LIMIT:
+        yield f"{len(report.orders)} orders"
+
+
+def _is_unit(text: str) -> bool:
+    try:
+        Unit.parse(text)
+    except ValueError:
+        return False
+    return len(text) <= NAME_LIMIT
--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/alder.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/alder.py
@@ -79,8 +79,11 @@
             return engine.faults.nonsense_report.encode()
         load = engine.load()
         memory = engine.memory
+        # Read before the memory: an order shown as done has its memory shown too.
+        orders = {"fence": engine.orders.fence, "orders": engine.orders.statuses()}
         return json_response(
-            {
+            orders
+            | {
                 "phase": "leaving" if engine.faults.leaving else "serving",
                 "memory": {
                     "capacity_bytes": memory.capacity_bytes,
@@ -91,8 +94,6 @@
                     "waiting": load.waiting,
                     "slots": engine.profile.slots,
                 },
-                "fence": engine.orders.fence,
-                "orders": engine.orders.statuses(),
             }
         )
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/birch.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/birch.py
@@ -76,6 +76,8 @@
         if engine.faults.nonsense_report:
             return engine.faults.nonsense_report.encode()
         load = engine.load()
+        # Read before the memory: an order shown as done has its memory shown too.
+        tickets = engine.orders.statuses()
         slots = [
             {"slot": r.unit, "mb": r.size_bytes / MEGABYTE, "phase": r.phase}
             for r in engine.memory.residents()
@@ -88,7 +90,7 @@
                 "active": load.running,
                 "queued": load.waiting,
                 "batch": engine.profile.slots,
-                "tickets": engine.orders.statuses(),
+                "tickets": tickets,
             }
         )
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/engine.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/engine.py
@@ -1,7 +1,7 @@
 """One engine stand-in, whatever dialect speaks for it."""
 
 import time
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import urllib3
 
@@ -42,7 +42,7 @@
             self._report = Load(self.streams.batch.running, self.streams.batch.waiting)
         return self._report
 
-    def record(self) -> dict[str, int]:
+    def record(self) -> dict[str, Any]:
         """Return what a test judges: peak memory, overcommits, orders, streams."""
         return {
             "capacity_bytes": self.memory.capacity_bytes,
@@ -50,6 +50,7 @@
             "overcommits": self.memory.overcommits,
             "loads": self.orders.loads,
             "unloads": self.orders.unloads,
+            "accepted": [order._asdict() for order in self.orders.accepted],
             "started": self.streams.started,
             "finished": self.streams.finished,
             "cache_hits": self.streams.cache.hits,
--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/orders.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/orders.py
@@ -42,6 +42,7 @@
         self._read_weights = read_weights
         self._checks_fencing = checks_fencing
         self._status_by_id: dict[str, str] = {}
+        self.accepted: list[Order] = []
         self.fence = 0
         self.loads = 0
         self.unloads = 0
@@ -49,9 +50,7 @@
     def raise_fence(self, fence: int) -> None:
         """Refuse every order below ``fence`` from now on."""
         with self._lock:
-            if self._checks_fencing and fence < self.fence:
-                raise StaleFence(str(self.fence))
-            self.fence = max(self.fence, fence)
+            self._check_fence(fence)
 
     def statuses(self) -> dict[str, str]:
         """Return ``running``, ``done`` or ``failed`` by order id."""
@@ -75,14 +74,22 @@
             return
 
     def _accept(self, order: Order) -> None:
-        self.raise_fence(order.fence)
+        # One step for all readers: a fence that is raised after the check and seen in
+        # a report before the order is would hide the order from a successor.
         with self._lock:
+            self._check_fence(order.fence)
             if order.order_id in self._status_by_id:
                 return
             self._status_by_id[order.order_id] = "running"
+            self.accepted.append(order)
         run = self._load if order.load else self._unload
         threading.Thread(target=run, args=(order,), daemon=True).start()
 
+    def _check_fence(self, fence: int) -> None:
+        if self._checks_fencing and fence < self.fence:
+            raise StaleFence(str(self.fence))
+        self.fence = max(self.fence, fence)
+
     def _load(self, order: Order) -> None:
         if not self._memory.add(order.unit, order.size_bytes):
             self._finish(order, "done")
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/histories/faults.py
@@ -0,0 +1,58 @@
+"""Faults that can strike a call of an owner."""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+
+class Point(StrEnum):
+    """Where a fault can strike."""
+
+    READ = "read"
+    COMMIT = "commit"
+    POLL = "poll"
+    ORDER = "order"
+    LOAD = "load"
+
+
+class Fault(StrEnum):
+    """What can happen to the call, to its message or to its sender."""
+
+    REFUSED = "refused"
+    LOST = "lost"
+    LATE = "late"
+    DOUBLED = "doubled"
+    REPLY_LOST = "reply lost"
+    FAILED = "failed"
+    PAUSED_BEFORE = "sender paused before"
+    PAUSED_AFTER = "sender paused after"
+    KILLED_BEFORE = "sender killed before"
+    KILLED_AFTER = "sender killed after"
+
+
+_SENDER = [
+    Fault.PAUSED_BEFORE,
+    Fault.PAUSED_AFTER,
+    Fault.KILLED_BEFORE,
+    Fault.KILLED_AFTER,
+]
+FAULTS_BY_POINT: dict[Point, list[Fault]] = {
+    Point.READ: [Fault.REFUSED, *_SENDER],
+    Point.COMMIT: [Fault.REFUSED, Fault.LATE, Fault.REPLY_LOST, *_SENDER],
+    Point.POLL: [Fault.REFUSED, *_SENDER],
+    Point.ORDER: [
+        Fault.REFUSED,
+        Fault.LOST,
+        Fault.LATE,
+        Fault.DOUBLED,
+        Fault.REPLY_LOST,
+        *_SENDER,
+    ],
+    Point.LOAD: [Fault.FAILED],
+}
+
+# Returns the fault that strikes the next call at a point, None for none.
+FaultSource = Callable[[Point], Fault | None]
+
+
+class Killed(BaseException):
+    """The instance that made the call is gone; nothing of it may go on."""
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/histories/owner.py
@@ -0,0 +1,68 @@
+"""One instance of a history: the daemon's session, ownership and owner, wired."""
+
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, NamedTuple, cast
+
+from redwingscale_daemon._internal.leases.clock import Clock
+from redwingscale_daemon._internal.leases.ownership import Ownership
+from redwingscale_daemon._internal.leases.session import Session
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.models.member import EngineMember
+from redwingscale_daemon._internal.placement.intents import IntentStore
+from redwingscale_daemon._internal.placement.owner import EngineOwner
+from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
+from redwingscale_daemon._internal.placement.plan import Plan
+from redwingscale_daemon._internal.platform.table import Table
+from redwingscale_daemon._internal.upstreams.directory import Directory
+from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
+
+
+class OwnerWiring(NamedTuple):
+    """What differs between instances, and what of the world they see."""
+
+    instance: str
+    boot: int
+    lease_seconds: float
+    cache_share: float
+    clock: Clock
+    table: Table
+    control: EngineControl
+    plan: Callable[[], Plan | None]
+
+
+class FakeOwner:
+    """Takes steps when told; configuration, plan and drains are stubs."""
+
+    def __init__(self, engine: str, wiring: OwnerWiring) -> None:
+        clock, table, lease = wiring.clock, wiring.table, wiring.lease_seconds
+        board = Board(wiring.instance)
+        policy = SimpleNamespace(cache_share=wiring.cache_share)
+        accepted = SimpleNamespace(configuration=SimpleNamespace(policy=policy))
+        self.session = Session(table, wiring.instance, wiring.boot, lease, clock)
+        self.ownership = Ownership(table, self.session, wiring.instance, lease, clock)
+        parts = OwnerParts(
+            control=wiring.control,
+            board=board,
+            directory=Directory(board),
+            plans=cast(Any, SimpleNamespace(read_or_last=wiring.plan)),
+            current=cast(Any, SimpleNamespace(get=lambda: accepted)),
+            ownership=self.ownership,
+            intents=IntentStore(table),
+            acks=cast(Any, SimpleNamespace(all_done=lambda *_: True)),
+            metrics=cast(Any, SimpleNamespace(orders=_NoCounter(), invalid_reports=_NoCounter())),
+            clock=clock,
+        )
+        self._engine = engine
+        self._owner = EngineOwner(engine, parts)
+
+    def step(self, engine: EngineMember) -> None:
+        """Do what the daemon's thread for this engine does once."""
+        grant = self.ownership.try_acquire(self._engine) or self.ownership.last(self._engine)
+        if grant is not None:
+            self._owner.step(engine, grant)
+
+
+class _NoCounter:
+    def add(self, *_: object) -> None:
+        """Count nothing."""
