Test owners in deployments: frozen, engines back, nonsense, unloads in use

Cause: the ledger and the leases were proved in one process only.

Change: functional tests over real processes and both vendors: an owner frozen past its lease, an engine that comes back empty or with other models, nonsense reports, an unload while a request of another instance runs. Engine stand-ins can start with residents. Order events carry action and fence.

Not proved: an unload under requests of an instance that is cut off from the owner; it is waited for two leases, then the unload goes out.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/order_sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/order_sender.py
@@ -90,7 +90,13 @@
         return self._version is not None or engine.checks_fencing
 
     def _send_one(self, engine: EngineMember, grant: Grant, order: Order) -> None:
-        fields = {"upstream": engine.id, "order": order.order_id, "unit": order.unit}
+        fields = {
+            "upstream": engine.id,
+            "order": order.order_id,
+            "action": "load" if order.load else "unload",
+            "unit": order.unit,
+            "fence": str(order.fence),
+        }
         try:
             self._parts.control.order(engine, order, self._guard(engine, grant))
         except LeaseLost as error:
@@ -104,9 +110,8 @@
                 self.drop(order)
             return
         self.ledger.set_sent(order.order_id, self._parts.clock())
-        action = "load" if order.load else "unload"
-        self._parts.metrics.orders.add(1, {"upstream": engine.id, "action": action})
-        log_event("order_sent", **fields, action=action, fence=order.fence)
+        self._parts.metrics.orders.add(1, {"upstream": engine.id, "action": fields["action"]})
+        log_event("order_sent", **fields)
 
     def _guard(self, engine: EngineMember, grant: Grant) -> Guard:
         if engine.checks_fencing:
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/functional/test_owners.py
@@ -0,0 +1,165 @@
+"""Owners of engines in a deployment of real processes: frozen, and with engines that err."""
+
+import itertools
+import json
+import re
+import signal
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+import urllib3
+from redwingscale_standins.engine.generation import answer_text
+from redwingscale_standins.launcher.client import Client
+from redwingscale_standins.launcher.shape import GIGABYTE, EngineShape, Shape
+
+UNITS = {"listing-vetter@v1", "notice-drafter@v1", "name-similarity@v1", "trademark-check@v1"}
+MODELS = [unit.partition("@")[0] for unit in sorted(UNITS)]
+FOREIGN = {"stranger@v9": 40 * GIGABYTE, "stranger@v9:x": GIGABYTE, "other@v2": 70 * GIGABYTE}
+
+
+class Scene:
+    """Two instances of one failure domain before one engine."""
+
+    def __init__(self, make_deployment, vendor, izmir_text):
+        engine = EngineShape("e1", "a", vendor, 2, 160 * GIGABYTE)
+        shape = Shape("small", "r", {"i1": "a", "i2": "a"}, (engine,), (), 7)
+        self.engine = engine
+        self.whole = json.loads(izmir_text)
+        self.deployment = make_deployment(shape)
+        self.client = Client(self.deployment)
+        self.version = 0
+        self.http = urllib3.PoolManager(retries=False)
+
+    def apply(self, instance, models):
+        """Put a text with just ``models`` in force."""
+        service = self.whole["services"]["listing-vetting"]
+        needs = [d for d in service["depends_on"] if d["model"] in models]
+        listed = {name: self.whole["models"][name] for name in models}
+        services = {"listing-vetting": service | {"depends_on": needs}}
+        text = json.dumps(self.whole | {"models": listed, "services": services})
+        answer = self.client.apply(instance, text, self.version)
+        assert answer.status == 200, answer.body
+        self.version += 1
+
+    def record(self):
+        url = self.deployment.members_by_id["e1"].admin_url
+        return self.http.request("GET", f"{url}/admin/record").json()
+
+    def owner(self):
+        """Return holder and fence of the engine as the table has them."""
+        url = f"{self.deployment.platform_url}/table/rows?key=owners/e1"
+        row = self.http.request("GET", url).json()["owners/e1"]
+        value = row["value"] if isinstance(row, dict) else row[1]
+        return value["holder"], value["fence"]
+
+    def fences_by_order(self):
+        """Return the fences of the orders that the instances logged as sent, or as unsure."""
+        logs = [self.deployment._directory / "logs" / f"{i}.log" for i in ("i1", "i2")]
+        found = [re.findall(r" order=(\w+) .*fence=(\d+)", log.read_text()) for log in logs]
+        return {order: int(fence) for order, fence in itertools.chain(*found)}
+
+    def routed(self, instance):
+        models = self.client.operate(instance, "GET", "/models").document
+        return {unit for unit, item in models.items() if item["engines"]}
+
+    def wait(self, condition, what):
+        self.client.wait_for(condition, what, 40)
+
+
+@pytest.fixture(params=["alder", "birch"])
+def scene(request, make_deployment, izmir_text):
+    return Scene(make_deployment, request.param, izmir_text)
+
+
+def test_owner_frozen_past_its_lease_sends_no_order(scene):
+    """Memory runs out, or a model is loaded twice, after an instance woke up.
+
+    The owner of an engine is frozen past its lease and succeeded. The text
+    changes, so that there is something to load; then the frozen one wakes. It
+    may take the engine back, under a fence of its own, but send nothing before.
+    """
+    scene.apply("i1", MODELS[:2])
+    scene.client.wait_until_resident("i1", {f"{m}@v1" for m in MODELS[:2]})
+    frozen, old_fence = scene.owner()
+    other = "i2" if frozen == "i1" else "i1"
+    process = scene.deployment.members_by_id[frozen].process
+    process.signal(signal.SIGSTOP)
+    try:
+        scene.wait(lambda: scene.owner()[0] == other, "a successor")
+        accepted_before = len(scene.record()["accepted"])
+        scene.apply(other, MODELS)
+    finally:
+        process.signal(signal.SIGCONT)
+    for instance in (other, frozen):
+        scene.client.wait_until_resident(instance, UNITS)
+
+    fences = scene.fences_by_order()
+    accepted = [a["order_id"] for a in scene.record()["accepted"]]
+    assert all(fences[order] > old_fence for order in accepted[accepted_before:])
+    assert accepted[accepted_before:]
+    assert len(accepted) == len(set(accepted)) == len(fences)
+    assert scene.record()["overcommits"] == 0
+
+
+@pytest.mark.parametrize("resident", [{}, FOREIGN], ids=["empty", "other models"])
+def test_engine_that_comes_back_is_filled_again(scene, resident):
+    """Callers lose their models for good after an engine's process was replaced.
+
+    It dies and comes back under its id at another address, empty or with
+    models that nobody planned there and that leave no room.
+    """
+    scene.apply("i1", MODELS)
+    scene.client.wait_until_resident("i2", UNITS)
+    scene.deployment.members_by_id["e1"].process.kill()
+    scene.wait(lambda: not scene.routed("i2"), "the dead engine set aside")
+    scene.deployment.start_engine(scene.engine, resident)
+
+    scene.client.wait_until_resident("i2", UNITS)
+
+    record = scene.record()
+    assert record["overcommits"] == 0
+    units = {a["unit"] for a in record["accepted"] if not a["load"]}
+    assert units == set(resident)
+
+
+def test_engine_with_nonsense_reports_is_set_aside(scene):
+    """One broken engine takes its instance down, or is filled until it breaks.
+
+    It answers polls with a page of its own and later with sound reports again.
+    """
+    scene.apply("i1", MODELS)
+    scene.client.wait_until_resident("i2", UNITS)
+    owner = scene.owner()[0]
+    before = scene.record()["accepted"]
+    scene.deployment.set_faults("e1", nonsense_report="<html>502</html>")
+    for instance in ("i1", "i2"):
+        scene.wait(lambda i=instance: not scene.routed(i), "no routing to it")
+    page = scene.client.operate(owner, "GET", "/metrics").body.decode()
+    assert re.search(r'redwingscale_invalid_reports_total\{.*upstream="e1"\} [1-9]', page)
+    assert scene.record()["accepted"] == before
+
+    scene.deployment.set_faults("e1", nonsense_report="")
+    scene.client.wait_until_resident("i2", UNITS)
+
+
+def test_unload_waits_for_the_last_request(scene):
+    """A caller's answer breaks off because its model was taken out of the text.
+
+    The request came in before the change, through an instance that does not
+    own the engine, and takes a while.
+    """
+    scene.apply("i1", MODELS)
+    scene.client.wait_until_resident("i2", UNITS)
+    other = "i2" if scene.owner()[0] == "i1" else "i1"
+    with ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(scene.client.complete, other, "clerks", MODELS[0], "lot 3", 1500)
+        scene.wait(lambda: scene.record()["started"], "the request at the engine")
+        scene.apply(other, MODELS[1:])
+        scene.wait(lambda: scene.record()["unloads"], "the unload")
+        assert scene.record()["finished"] == 1
+        answer = asked.result()
+
+    assert answer.text == answer_text(f"{MODELS[0]}@v1", "lot 3", 1500)
+    scene.wait(lambda: scene.record()["unloads"] == 5, "the base's unload")
+    unloaded = [a["unit"] for a in scene.record()["accepted"] if not a["load"]]
+    assert unloaded[-1] == f"{MODELS[0]}@v1"
--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/__main__.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/__main__.py
@@ -1,10 +1,13 @@
 """``python -m redwingscale_standins.engine``: one engine stand-in."""
 
+from typing import Annotated
+
 import typer
 
 from redwingscale_standins.engine.alder import AlderApi
 from redwingscale_standins.engine.birch import BirchApi
 from redwingscale_standins.engine.engine import Engine
+from redwingscale_standins.engine.memory import READY
 from redwingscale_standins.engine.profile import Profile
 from redwingscale_standins.serve import serve_until_signal
 
@@ -22,6 +25,7 @@
     report_lag_seconds: float = 0.5,
     weights_url: str = "",
     checks_fencing: bool = True,
+    resident: Annotated[list[str] | None, typer.Option(help="UNIT=BYTES, there already.")] = None,
 ) -> None:
     """Serve one engine on loopback until SIGTERM."""
     profile = Profile(
@@ -35,6 +39,10 @@
     )
     fencing = checks_fencing and vendor == "alder"
     engine = Engine(profile, weights_url, checks_fencing=fencing)
+    for item in resident or []:
+        unit, _, size_bytes = item.rpartition("=")
+        engine.memory.add(unit, int(size_bytes))
+        engine.memory.set_phase(unit, READY)
     api: AlderApi | BirchApi
     match vendor:
         case "alder":
--- a/packages/redwingscale-standins/src/redwingscale_standins/launcher/deployment.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/launcher/deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -104,8 +105,11 @@
         url = f"http://{HOST}:{process.read_ready_line()['port']}"
         self._add("platform", "platform", "", {"url": url}, url, process)
 
-    def start_engine(self, engine: EngineShape) -> None:
-        """Start an engine stand-in and list it; an old one of its id is replaced."""
+    def start_engine(self, engine: EngineShape, resident: Mapping[str, int] | None = None) -> None:
+        """Start an engine stand-in and list it; an old one of its id is replaced.
+
+        ``resident`` maps units that it holds from the start to their bytes.
+        """
         arguments = [
             f"--vendor={engine.vendor}",
             f"--memory-bytes={engine.memory_bytes}",
@@ -114,6 +118,7 @@
             f"--slots={self._speed.slots}",
             f"--batch-slowdown={self._speed.batch_slowdown}",
             f"--weights-url={self.platform_url}/weights",
+            *(f"--resident={unit}={size}" for unit, size in (resident or {}).items()),
         ]
         process = self._spawn(engine.id, "redwingscale_standins.engine", arguments)
         url = f"http://{HOST}:{process.read_ready_line()['port']}"
