Make plans that follow each other instead of packing anew

Cause: the planner packed all models from scratch at each change. A lost engine could move models that it never held, a new version took the place of the old one before it could answer, a restarted engine caused moves, all loads were released at once, and demand had no say. İzmir's two replicas of each model (697 of 720 GB) did not all fit: two models had one replica.

Change: `PlanMaker` goes on from the last plan. `assign` keeps what is placed, gives each model a replica, then a second one in another failure domain; room comes from spare replicas, from moves of small groups, or from swaps of unequal groups (`make_room`, `swap_room`). `follow_demand` adds, moves or exchanges replicas while the requests won over ten minutes exceed the price of the loads and unloads, set by `moves_weight`. `HandOver` keeps what is no longer wanted listed until its substitute is ready. `LoadGate` holds loads back in the plan itself. `EngineWatch` tells a restart, a cut-off failure domain and a lost engine apart, and counts silence only while this planner could have heard. Instances tell demand in bounded tables.

Ruled out: a coordination of loads between owners (one more thing to agree; the planner's lease already is a lock); packing all anew with a cost for moves (slow at 860 models, and never at rest); second replicas that give way to demand (a killed engine would then make a model unreachable).

Not proved: that owners unload only what the plan no longer lists (their own tests do); behaviour with real engines beyond the whole-path test.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/assign.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/assign.py
@@ -1,55 +1,107 @@
-"""Assigns units to engines: every listed model, with its adapters, somewhere."""
+"""First and second replicas: every listed model somewhere, two domains where memory allows."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
-from redwingscale_common.configuration import Configuration, Unit
+from redwingscale_common.finding import Finding
 
-from redwingscale_daemon._internal.placement.plan import Plan, PlannedUnit
+from redwingscale_daemon._internal.placement.engine_room import EngineRoom, Standing
+from redwingscale_daemon._internal.placement.group import Group
+from redwingscale_daemon._internal.placement.layout import Layout
+from redwingscale_daemon._internal.placement.make_room import make_room
+from redwingscale_daemon._internal.placement.swap_room import swap_room
 
-REPLICAS = 2
 
+class Assignment(NamedTuple):
+    """A layout, and what could not be placed once."""
 
-class Bin(NamedTuple):
-    """An engine that takes models; ``free_bytes`` excludes the cache's share."""
+    layout: Layout
+    findings: list[Finding]
 
-    engine: str
-    failure_domain: str
-    free_bytes: int
-    units: tuple[PlannedUnit, ...]
 
+def assign(
+    groups_by_key: Mapping[str, Group],
+    rooms_by_engine: Mapping[str, EngineRoom],
+    previous_by_engine: Mapping[str, Collection[str]],
+    load_by_key: Mapping[str, float],
+) -> Assignment:
+    """Return the previous layout with the fewest changes that make it whole.
 
-def assign(configuration: Configuration, bins: Iterable[Bin], sequence: int, version: int) -> Plan:
-    """Return a plan with one replica of each model, then a second where it fits."""
-    bins_by_engine = {b.engine: b for b in bins}
-    groups = sorted(_groups(configuration), key=_size, reverse=True)
-    domains: dict[str, set[str]] = {}
-    for _, group in [(r, g) for r in range(REPLICAS) for g in groups]:
-        model = Unit.parse(group[0].unit).model
-        _place(group, bins_by_engine, domains.setdefault(model, set()))
-    units = {engine: list(b.units) for engine, b in bins_by_engine.items()}
-    return Plan(sequence, version, units)
+    All first replicas go before any second one, and take the room of spare
+    replicas where there is no other. What does not fit is left out by demand:
+    the least wanted models are the ones that are missing.
+    """
+    layout = _kept(groups_by_key, rooms_by_engine, previous_by_engine)
+    groups = _in_order(groups_by_key, layout, load_by_key)
+    missing = [g for g in groups if not _is_reachable(layout, g)]
+    findings = [_finding(g) for g in missing if not _place(layout, g, 1, load_by_key)]
+    for group in groups:
+        if len(layout.domains(group.key)) == 1:
+            _place(layout, group, 2, load_by_key)
+    return Assignment(layout, findings)
 
 
-def _groups(configuration: Configuration) -> list[list[PlannedUnit]]:
-    groups: dict[Unit, list[PlannedUnit]] = {}
-    for unit, size in configuration.serving_units().items():
-        groups.setdefault(unit.base, []).append(PlannedUnit(str(unit), size))
-    return list(groups.values())
+def _is_reachable(layout: Layout, group: Group) -> bool:
+    rooms = layout.rooms_by_engine
+    return any(rooms[e].standing is not Standing.CUT for e in layout.replicas(group.key))
 
 
-def _size(group: list[PlannedUnit]) -> int:
-    return sum(unit.size_bytes for unit in group)
+def _kept(
+    groups_by_key: Mapping[str, Group],
+    rooms_by_engine: Mapping[str, EngineRoom],
+    previous_by_engine: Mapping[str, Collection[str]],
+) -> Layout:
+    layout = Layout(rooms_by_engine)
+    for engine in rooms_by_engine:
+        for key in previous_by_engine.get(engine, ()):
+            group = groups_by_key.get(key)
+            if group is not None and layout.free_bytes(engine) >= group.size_bytes:
+                layout.add(engine, group)
+    return layout
 
 
-def _place(group: list[PlannedUnit], bins: dict[str, Bin], domains: set[str]) -> None:
-    size = _size(group)
-    fitting = [b for b in bins.values() if b.free_bytes >= size and group[0] not in b.units]
-    apart = [b for b in fitting if b.failure_domain not in domains]
-    if not apart:
-        return
-    best = max(apart, key=lambda b: (b.free_bytes, b.engine))
-    domains.add(best.failure_domain)
-    bins[best.engine] = best._replace(
-        free_bytes=best.free_bytes - size, units=(*best.units, *group)
+def _in_order(
+    groups_by_key: Mapping[str, Group], layout: Layout, load_by_key: Mapping[str, float]
+) -> list[Group]:
+    capacity = sum(r.capacity_bytes for r in layout.rooms_by_engine.values() if r.is_open)
+    groups = groups_by_key.values()
+    if sum(g.size_bytes for g in groups) <= capacity:
+        # Everything fits once: large before small wastes the least memory.
+        return sorted(groups, key=lambda g: (-g.size_bytes, g.key))
+    return sorted(groups, key=lambda g: (-load_by_key.get(g.key, 0.0), g.size_bytes, g.key))
+
+
+def _finding(group: Group) -> Finding:
+    return Finding(
+        f"$.models.{group.model}",
+        f"{group.key} fits on no engine: it needs {group.size_bytes} bytes",
+        "add memory, or list fewer models",
     )
+
+
+def _place(layout: Layout, group: Group, replica: int, load_by_key: Mapping[str, float]) -> bool:
+    """Add replica number ``replica`` of ``group``; return whether there was room."""
+    taken = layout.domains(group.key)
+    engines = [
+        engine
+        for engine, room in layout.rooms_by_engine.items()
+        if layout.accepts(engine, group) and room.failure_domain not in taken
+    ]
+    fitting = [e for e in engines if layout.free_bytes(e) >= group.size_bytes]
+    if fitting:
+        layout.add(max(fitting, key=lambda e: _preference(layout, e, group)), group)
+        return True
+    engine = make_room(layout, group, engines, replica, load_by_key)
+    engine = engine or swap_room(layout, group, engines)
+    if engine is None:
+        return False
+    layout.add(engine, group)
+    return True
+
+
+def _preference(layout: Layout, engine: str, group: Group) -> tuple[bool, bool, int, str]:
+    """Rank where it is already resident, then where it fits beside all that is."""
+    room = layout.rooms_by_engine[engine]
+    resident_bytes = sum(r.size_bytes for r in room.residents)
+    beside = room.capacity_bytes - resident_bytes >= group.size_bytes
+    return room.holds(group.key), beside, layout.free_bytes(engine), engine
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/demand.py
@@ -0,0 +1,127 @@
+"""Demand for models: counted here, told to all, summed by the planner."""
+
+import math
+import threading
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import msgspec
+from redwingscale_common.utils.digests import rendezvous_order
+
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.placement.model_number import model_number
+
+TOPIC = "demand"
+KEY = "table"
+HALF_LIFE_SECONDS = 60.0
+LEAST_RATE = 1 / 64
+"""Requests a second that exponent 0 stands for; slower demand is not told."""
+MOST_MODELS_TOLD = 32
+MOST_REPORTERS = 24
+TELL_SECONDS = 10.0
+TELL_SECONDS_OF_MANY = 30.0
+
+
+class DemandTable(NamedTuple):
+    """``exponents`` by model number: a rate of ``LEAST_RATE * 2 ** exponent``."""
+
+    exponents: dict[int, int]
+
+
+class DemandTracker:
+    """Counts arrivals at this instance and tells the others of the largest rates.
+
+    What this costs is bounded: only `MOST_REPORTERS` instances tell, at most 32
+    models of 860, in powers of two, not more often than every 30 s; the planner
+    scales the sum up, as the balancer spreads callers over all instances alike.
+    """
+
+    def __init__(self, instance: str, board: Board, instances: Callable[[], Iterable[str]]) -> None:
+        self._lock = threading.Lock()
+        self._instance = instance
+        self._board = board
+        self._instances = instances
+        self._arrivals: Counter[str] = Counter()
+        self._rates: dict[str, float] = {}
+        self._told: dict[int, int] = {}
+        self._updated_at: float | None = None
+        self._told_at = float("-inf")
+
+    def arrived(self, model: str) -> None:
+        """Count one request for ``model``, refused ones too: they are demand."""
+        with self._lock:
+            self._arrivals[model] += 1
+
+    def step(self, now: float) -> None:
+        """Bring the rates up to ``now`` and tell them if they have changed enough."""
+        self._update(now)
+        instances = {*self._instances(), self._instance}
+        reporters = rendezvous_order(TOPIC, instances)[:MOST_REPORTERS]
+        many = len(instances) > MOST_REPORTERS
+        pause = TELL_SECONDS_OF_MANY if many else TELL_SECONDS
+        if self._instance not in reporters or now - self._told_at < pause:
+            return
+        table = self._table()
+        if table != self._told:
+            self._told, self._told_at = table, now
+            self._board.publish(TOPIC, KEY, DemandTable(table))
+
+    def _update(self, now: float) -> None:
+        with self._lock:
+            arrivals, self._arrivals = self._arrivals, Counter()
+        elapsed = 0.0 if self._updated_at is None else now - self._updated_at
+        self._updated_at = now
+        if elapsed <= 0.0:
+            return
+        kept = 0.5 ** (elapsed / HALF_LIFE_SECONDS)
+        for model in self._rates.keys() | arrivals.keys():
+            fresh = arrivals[model] / elapsed
+            self._rates[model] = kept * self._rates.get(model, 0.0) + (1 - kept) * fresh
+
+    def _table(self) -> dict[int, int]:
+        top = sorted(self._rates.items(), key=lambda item: (-item[1], item[0]))
+        table = {}
+        for model, rate in top[:MOST_MODELS_TOLD]:
+            number = model_number(model)
+            exponent = _exponent(rate, self._told.get(number))
+            if exponent is not None:
+                table[number] = exponent
+        return table
+
+
+class DemandTotals:
+    """The sum of what all instances tell, by model number."""
+
+    def __init__(self, board: Board, instances: Callable[[], Iterable[str]]) -> None:
+        self._tables_by_origin: dict[str, DemandTable] = {}
+        self._instances = instances
+        board.subscribe(TOPIC, self._on_entry)
+
+    def rates_by_number(self) -> dict[int, float]:
+        """Return requests a second; instances that are gone or tell nothing are scaled for."""
+        live = set(self._instances())
+        tables = [t for origin, t in list(self._tables_by_origin.items()) if origin in live]
+        reporters = min(len(live), MOST_REPORTERS)
+        scale = len(live) / reporters if reporters else 1.0
+        totals: dict[int, float] = {}
+        for table in tables:
+            for number, exponent in table.exponents.items():
+                rate = scale * LEAST_RATE * 2.0**exponent
+                totals[number] = totals.get(number, 0.0) + rate
+        return totals
+
+    def _on_entry(self, entry: Entry) -> None:
+        table = msgspec.msgpack.decode(entry.payload, type=DemandTable)
+        self._tables_by_origin[entry.origin] = table
+
+
+def _exponent(rate: float, told: int | None) -> int | None:
+    """Return the power of two of ``rate``; the one told before unless it is 40% off."""
+    if rate < LEAST_RATE / 2:
+        return None
+    exact = math.log2(rate / LEAST_RATE)
+    if told is not None and abs(exact - told) < 0.75:
+        return told
+    return max(0, round(exact))
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/engine_watch.py
@@ -0,0 +1,77 @@
+"""Which engines the planner may count on, and for how long after they went quiet."""
+
+from collections.abc import Mapping
+
+from redwingscale_daemon._internal.placement.engine_room import EngineRoom, Standing
+from redwingscale_daemon._internal.upstreams.directory import EngineView
+
+QUIET_SECONDS = 10.0
+ENGINE_GRACE_SECONDS = 30.0
+DOMAIN_GRACE_SECONDS = 900.0
+RESUME_GAP_SECONDS = 10.0
+SETTLE_SECONDS = 5.0
+UNKNOWN_CAPACITY = 1 << 62
+"""Of an engine that this planner never heard of: it keeps its part and gets nothing more."""
+
+
+class EngineWatch:
+    """Counts silence only while this planner could have heard.
+
+    After an outage of the platform every digest is old, because no owner held
+    its lease. A planner that took this for the loss of all engines would place
+    everything anew; so silence counts from when it began to listen again.
+    """
+
+    def __init__(self) -> None:
+        self._listening_since = 0.0
+        self._last_step_at = float("-inf")
+
+    def rooms(
+        self, views_by_engine: Mapping[str, EngineView], cache_share: float, now: float
+    ) -> dict[str, EngineRoom]:
+        """Return the engines that keep their part in the plan; the others are lost."""
+        if now - self._last_step_at > RESUME_GAP_SECONDS:
+            self._listening_since = now
+        self._last_step_at = now
+        usable = [v for v in views_by_engine.values() if not v.leaving]
+        heard = {v.member.failure_domain for v in usable if self._is_heard(v, now)}
+        rooms = [self._room(view, cache_share, now, heard) for view in usable]
+        return {room.engine: room for room in rooms if room is not None}
+
+    def is_settling(self, views_by_engine: Mapping[str, EngineView], now: float) -> bool:
+        """Return whether engines may still report for the first time.
+
+        A first plan made for the few engines that were quickest would fill them up.
+        """
+        unheard = any(v.digest is None and not v.leaving for v in views_by_engine.values())
+        return unheard and now - self._listening_since < SETTLE_SECONDS
+
+    def _is_heard(self, view: EngineView, now: float) -> bool:
+        return view.digest is not None and self._quiet(view, now) <= QUIET_SECONDS
+
+    def _quiet(self, view: EngineView, now: float) -> float:
+        return now - max(view.seen_at, self._listening_since)
+
+    def _room(
+        self, view: EngineView, cache_share: float, now: float, heard: set[str]
+    ) -> EngineRoom | None:
+        quiet = self._quiet(view, now)
+        domain = view.member.failure_domain
+        if self._is_heard(view, now):
+            standing = Standing.OPEN
+        elif quiet <= ENGINE_GRACE_SECONDS:
+            standing = Standing.SILENT
+        elif domain not in heard and quiet <= DOMAIN_GRACE_SECONDS:
+            standing = Standing.CUT
+        else:
+            return None
+        if (digest := view.digest) is None:
+            return EngineRoom(view.member.id, domain, UNKNOWN_CAPACITY, 1, Standing.SILENT)
+        return EngineRoom(
+            engine=view.member.id,
+            failure_domain=domain,
+            capacity_bytes=int(digest.capacity_bytes * (1 - cache_share)),
+            slots=digest.slots,
+            standing=standing,
+            residents=digest.residents,
+        )
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/hand_over.py
@@ -0,0 +1,93 @@
+"""What an engine keeps beyond its target, until its substitute is ready."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from redwingscale_daemon._internal.placement.engine_room import EngineRoom
+from redwingscale_daemon._internal.placement.group import Group
+from redwingscale_daemon._internal.placement.plan import PlannedUnit
+
+ENOUGH_SUBSTITUTES = 2
+
+Target = Mapping[str, Mapping[str, Group]]
+
+
+class HandOver:
+    """Decides, engine by engine, what is listed before new loads are let through.
+
+    Make before break: a group that is resident but no longer wanted stays until
+    its model is ready on enough of the engines where it is wanted. It goes
+    earlier only if its room is needed and another ready copy of its model
+    remains. ``groups_by_key`` has every listed version; what it lacks goes at once.
+    """
+
+    def __init__(
+        self,
+        groups_by_key: Mapping[str, Group],
+        target: Target,
+        rooms_by_engine: Mapping[str, EngineRoom],
+    ) -> None:
+        self._groups_by_key = groups_by_key
+        self._target = target
+        self._rooms_by_engine = rooms_by_engine
+        self._ready_by_engine = {e: self._ready(room) for e, room in rooms_by_engine.items()}
+        self._copies = Counter(
+            groups_by_key[key].model for keys in self._ready_by_engine.values() for key in keys
+        )
+        wanted = [(e, key, g.model) for e, groups in target.items() for key, g in groups.items()]
+        self._wanted = Counter(model for _, _, model in wanted)
+        self._staying = Counter(m for e, key, m in wanted if key in self._ready_by_engine[e])
+
+    def listed(
+        self, released_by_engine: Mapping[str, Iterable[PlannedUnit]]
+    ) -> dict[str, dict[str, PlannedUnit]]:
+        """Return the units by engine; ``released_by_engine`` is the last plan's."""
+        return {
+            engine: self._wanted_here(room, {p.unit for p in released_by_engine.get(engine, ())})
+            | self._kept(room)
+            for engine, room in self._rooms_by_engine.items()
+        }
+
+    def _wanted_here(self, room: EngineRoom, released: set[str]) -> dict[str, PlannedUnit]:
+        present = released | {r.unit for r in room.residents}
+        groups = self._target[room.engine].values()
+        return {p.unit: p for group in groups for p in group.units if p.unit in present}
+
+    def _kept(self, room: EngineRoom) -> dict[str, PlannedUnit]:
+        target = self._target[room.engine]
+        serving = [r.unit for r in room.residents if r.ready and r.unit not in target]
+        obsolete = [self._groups_by_key[key] for key in serving if key in self._groups_by_key]
+        present = {r.unit for r in room.residents}
+        return {
+            p.unit: p
+            for group in obsolete
+            if not self._may_go(room, group)
+            for p in group.units
+            if p.unit in present
+        }
+
+    def _may_go(self, room: EngineRoom, group: Group) -> bool:
+        counts = group.key in self._ready_by_engine[room.engine]
+        others = self._copies[group.model] - counts
+        enough = min(ENOUGH_SUBSTITUTES, self._wanted[group.model])
+        replaced = 0 < enough <= self._staying[group.model]
+        if not replaced and not (others > 0 and self._is_tight(room)):
+            return False
+        # Counted out at once, so that two engines never both give up the last two copies.
+        self._copies[group.model] -= counts
+        return True
+
+    def _ready(self, room: EngineRoom) -> set[str]:
+        """Return the keys of the groups that answer here with all their adapters."""
+        if not room.is_open:
+            return set()
+        units = {r.unit for r in room.residents if r.ready}
+        groups = [self._groups_by_key[u] for u in units if u in self._groups_by_key]
+        return {g.key for g in groups if all(p.unit in units for p in g.units)}
+
+    def _is_tight(self, room: EngineRoom) -> bool:
+        """Return whether what is wanted does not fit beside what is resident."""
+        groups = self._target[room.engine].values()
+        sizes = {r.unit: r.size_bytes for r in room.residents}
+        sizes |= {p.unit: p.size_bytes for group in groups for p in group.units}
+        return sum(sizes.values()) > room.capacity_bytes
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/load_gate.py
@@ -0,0 +1,110 @@
+"""The gate of the weight store: the plan lists a load only when it may start."""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from redwingscale_common.configuration import WeightStore
+
+from redwingscale_daemon._internal.placement.engine_room import EngineRoom
+from redwingscale_daemon._internal.placement.group import Group
+from redwingscale_daemon._internal.placement.plan import PlannedUnit
+
+
+class Wanted(NamedTuple):
+    """A load that waits: ``copy`` counts the replicas that are ahead of it."""
+
+    copy: int
+    is_adapter: bool
+    load: float
+    engine: str
+    planned: PlannedUnit
+
+
+class LoadGate:
+    """Lets loads through at the store's rate, so many at once over the deployment.
+
+    Owners load whatever the plan lists, so the plan itself is the gate and the
+    planner's lease its lock; nothing else has to be agreed. A new planner counts
+    what the last plan let through and is not ready yet, so the bound of loads at
+    once holds over a takeover too.
+    """
+
+    def __init__(self) -> None:
+        self._tokens = 1.0
+        self._refilled_at: float | None = None
+
+    def release(
+        self,
+        listed_by_engine: dict[str, dict[str, PlannedUnit]],
+        target_by_engine: Mapping[str, Mapping[str, Group]],
+        rooms_by_engine: Mapping[str, EngineRoom],
+        load_by_key: Mapping[str, float],
+        store: WeightStore,
+        now: float,
+    ) -> int:
+        """Add the loads that may start now to ``listed_by_engine``; return how many wait."""
+        self._refill(store, now)
+        running = sum(
+            len(units.keys() - _ready(rooms_by_engine[engine]))
+            for engine, units in listed_by_engine.items()
+            if engine in rooms_by_engine and rooms_by_engine[engine].is_open
+        )
+        waiting = _waiting(listed_by_engine, target_by_engine, rooms_by_engine, load_by_key)
+        free = {e: _free(rooms_by_engine[e], listed_by_engine[e]) for e in target_by_engine}
+        released = 0
+        for wanted in waiting:
+            if running >= store.concurrent_loads or self._tokens < 1.0:
+                break
+            if wanted.planned.size_bytes > free[wanted.engine]:
+                continue
+            listed_by_engine[wanted.engine][wanted.planned.unit] = wanted.planned
+            free[wanted.engine] -= wanted.planned.size_bytes
+            self._tokens -= 1.0
+            running += 1
+            released += 1
+        return len(waiting) - released
+
+    def _refill(self, store: WeightStore, now: float) -> None:
+        elapsed = 0.0 if self._refilled_at is None else now - self._refilled_at
+        self._refilled_at = now
+        # What was saved up is one load at most; the time of this interval counts whole.
+        saved = min(self._tokens, 1.0)
+        self._tokens = min(saved + elapsed * store.loads_per_second, store.concurrent_loads)
+
+
+def _waiting(
+    listed_by_engine: Mapping[str, Mapping[str, PlannedUnit]],
+    target_by_engine: Mapping[str, Mapping[str, Group]],
+    rooms_by_engine: Mapping[str, EngineRoom],
+    load_by_key: Mapping[str, float],
+) -> list[Wanted]:
+    """Return first replicas by demand, their adapters, second replicas, and so on."""
+    copies = Counter(unit for units in listed_by_engine.values() for unit in units)
+    waiting = []
+    for engine, groups in target_by_engine.items():
+        room, listed = rooms_by_engine[engine], listed_by_engine[engine]
+        if not room.is_open:
+            continue
+        ready = _ready(room)
+        for group in groups.values():
+            for planned in group.units:
+                is_adapter = planned.unit != group.key
+                # An adapter needs its base: until then its load would hold a place for nothing.
+                if planned.unit in listed or (is_adapter and group.key not in ready):
+                    continue
+                load = load_by_key.get(group.key, 0.0)
+                waiting.append(Wanted(copies[planned.unit], is_adapter, load, engine, planned))
+                copies[planned.unit] += 1
+    return sorted(waiting, key=lambda w: (w.copy, w.is_adapter, -w.load, w.planned, w.engine))
+
+
+def _ready(room: EngineRoom) -> set[str]:
+    return {r.unit for r in room.residents if r.ready}
+
+
+def _free(room: EngineRoom, listed: Mapping[str, PlannedUnit]) -> int:
+    """Return the memory beside all that is resident and all that is let through."""
+    sizes = {r.unit: r.size_bytes for r in room.residents}
+    sizes |= {unit: planned.size_bytes for unit, planned in listed.items()}
+    return room.capacity_bytes - sum(sizes.values())
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/planner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/planner.py
@@ -1,19 +1,26 @@
 """The planner: one instance among all makes the plan."""
 
+import time
+from collections.abc import Iterable
+
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
 from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.leases.ownership import Ownership
-from redwingscale_daemon._internal.placement.assign import Bin, assign
+from redwingscale_daemon._internal.placement.demand import DemandTotals
+from redwingscale_daemon._internal.placement.engine_watch import EngineWatch
+from redwingscale_daemon._internal.placement.plan import Plan
+from redwingscale_daemon._internal.placement.plan_maker import PlanMaker
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
-from redwingscale_daemon._internal.upstreams.directory import Directory
+from redwingscale_daemon._internal.upstreams.directory import Directory, EngineView
 
 LEASE_NAME = "planner"
+EMPTY_PLAN = Plan(0, 0, {}, {})
 
 
 class Planner:
-    """Makes a new plan when configuration or engines have changed."""
+    """Goes on from the last plan to the next one, if this instance holds the lease."""
 
     def __init__(
         self,
@@ -21,42 +28,47 @@
         store: PlanStore,
         current: CurrentConfiguration,
         directory: Directory,
+        demand: DemandTotals,
     ) -> None:
         self._ownership = ownership
         self._store = store
         self._current = current
         self._directory = directory
+        self._demand = demand
+        self._watch = EngineWatch()
+        self._maker = PlanMaker()
 
     def step(self) -> None:
         """Plan once, if this instance holds the planner's lease."""
         if self._ownership.try_acquire(LEASE_NAME) is None:
             return
         try:
-            self._plan()
+            self._plan(time.monotonic())
         except PlatformError as error:
             log_event("plan_not_written", level="WARNING", error=error)
 
-    def _plan(self) -> None:
+    def _plan(self, now: float) -> None:
         accepted = self._current.get()
-        bins = self._bins(accepted.configuration.policy.cache_share) if accepted else []
-        if accepted is None or not bins:
+        if accepted is None:
+            return
+        old = self._store.read() or EMPTY_PLAN
+        views = self._directory.engines()
+        rooms = self._watch.rooms(views, accepted.configuration.policy.cache_share, now)
+        if not rooms or (old is EMPTY_PLAN and self._watch.is_settling(views, now)):
             return
-        old = self._store.read()
-        sequence = old.sequence + 1 if old else 1
-        plan = assign(accepted.configuration, bins, sequence, accepted.pointer.version)
-        if old is not None and old._replace(sequence=sequence) == plan:
+        rates = self._demand.rates_by_number()
+        self._learn_service_time(views.values(), sum(rates.values()))
+        plan = self._maker.next_plan(old, accepted, rooms, rates, now)
+        # An engine that leaves or is lost keeps its lines until the list drops it:
+        # what runs there ends undisturbed, and if it comes back it need not reload.
+        absent = old.units_by_engine.keys() & (views.keys() - rooms.keys())
+        plan.units_by_engine.update({e: old.units_by_engine[e] for e in absent})
+        if old._replace(sequence=plan.sequence) == plan:
             return
         if self._store.write(plan):
-            log_event("plan_written", sequence=sequence, engines=len(plan.units_by_engine))
-
-    def _bins(self, cache_share: float) -> list[Bin]:
-        return [
-            Bin(
-                view.member.id,
-                view.member.failure_domain,
-                int(view.digest.capacity_bytes * (1 - cache_share)),
-                (),
-            )
-            for view in self._directory.engines().values()
-            if view.digest is not None and not view.leaving
-        ]
+            log_event("plan_written", sequence=plan.sequence, engines=len(plan.units_by_engine))
+
+    def _learn_service_time(self, views: Iterable[EngineView], rate: float) -> None:
+        digests = [view.digest for view in views if view.digest is not None]
+        running = sum(digest.running for digest in digests)
+        self._maker.service_time.update(running, sum(d.slots for d in digests), rate)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/swap_room.py
@@ -0,0 +1,89 @@
+"""Makes room where memory is nearly full: groups of unequal size change places."""
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.placement.group import Group
+from redwingscale_daemon._internal.placement.layout import Layout
+
+ENGINES_TRIED = 16
+PARTNERS_TRIED = 64
+MOST_SWAPS = 4
+
+
+class Swap(NamedTuple):
+    """``out`` leaves for ``partner``, whose ``back`` comes in its place."""
+
+    out: Group
+    partner: str
+    back: Group
+
+    @property
+    def gain_bytes(self) -> int:
+        return self.out.size_bytes - self.back.size_bytes
+
+
+def swap_room(layout: Layout, group: Group, engines: Iterable[str]) -> str | None:
+    """Gather the free rests of other engines on one of ``engines``; return it.
+
+    What is left over on each engine is too small for any model, but together it
+    is enough: without this, İzmir's memory holds two models less.
+    """
+    tried = sorted(engines, key=lambda e: (-layout.free_bytes(e), e))[:ENGINES_TRIED]
+    return next((e for e in tried if _gather(layout, group, e)), None)
+
+
+def _gather(layout: Layout, group: Group, engine: str) -> bool:
+    done: list[Swap] = []
+    while layout.free_bytes(engine) < group.size_bytes and len(done) < MOST_SWAPS:
+        lacking = group.size_bytes - layout.free_bytes(engine)
+        swap = max(
+            _swaps(layout, group, engine),
+            key=lambda s: (min(s.gain_bytes, lacking), -s.gain_bytes, s),
+            default=None,
+        )
+        if swap is None:
+            break
+        _apply(layout, engine, swap)
+        done.append(swap)
+    if layout.free_bytes(engine) >= group.size_bytes:
+        return True
+    for swap in reversed(done):
+        _apply(layout, engine, Swap(swap.back, swap.partner, swap.out))
+    return False
+
+
+def _swaps(layout: Layout, group: Group, engine: str) -> Iterator[Swap]:
+    partners = sorted(layout.rooms_by_engine, key=lambda e: (-layout.free_bytes(e), e))
+    for partner in partners[:PARTNERS_TRIED]:
+        if partner == engine or not layout.rooms_by_engine[partner].is_open:
+            continue
+        for out in layout.groups_by_engine[engine].values():
+            for back in layout.groups_by_engine[partner].values():
+                gain = out.size_bytes - back.size_bytes
+                if (
+                    0 < gain <= layout.free_bytes(partner)
+                    and back.key != group.key
+                    and _may_move(layout, out, engine, partner)
+                    and _may_move(layout, back, partner, engine)
+                ):
+                    yield Swap(out, partner, back)
+
+
+def _may_move(layout: Layout, group: Group, source: str, target: str) -> bool:
+    """Return whether two failure domains are kept, and a replica to serve meanwhile."""
+    serves_meanwhile = len(layout.replicas(group.key)) > 1
+    is_new = not layout.rooms_by_engine[source].holds(group.key)
+    domain = layout.rooms_by_engine[target].failure_domain
+    return (
+        (serves_meanwhile or is_new)
+        and layout.accepts(target, group)
+        and domain not in layout.domains(group.key, without=source)
+    )
+
+
+def _apply(layout: Layout, engine: str, swap: Swap) -> None:
+    layout.remove(engine, swap.out)
+    layout.remove(swap.partner, swap.back)
+    layout.add(swap.partner, swap.out)
+    layout.add(engine, swap.back)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -1,6 +1,7 @@
 """The composition root: the one place that wires the parts of an instance."""
 
 import random
+import time
 
 from redwingscale_common.network.server import HttpServer, ServerLimits
 
@@ -19,6 +20,7 @@
 from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
 from redwingscale_daemon._internal.operators.operators_app import OperatorsApp
 from redwingscale_daemon._internal.operators.state_view import StateView
+from redwingscale_daemon._internal.placement.demand import DemandTotals, DemandTracker
 from redwingscale_daemon._internal.placement.owner import EngineOwner
 from redwingscale_daemon._internal.placement.owners import Owners
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
@@ -67,7 +69,9 @@
     in_flight = InFlight()
     engines = EngineClient(timing.connect, timing.silence)
     plans = PlanStore(platform)
-    planner = Planner(ownership, plans, current, directory)
+    demand = DemandTracker(me.id, board, lambda: _live_instances(members))
+    totals = DemandTotals(board, lambda: _live_instances(members))
+    planner = Planner(ownership, plans, current, directory, totals)
     owner = EngineOwner(engines, board, plans)
     owners = Owners(me, timing, members, beats, ownership, owner)
 
@@ -102,11 +106,16 @@
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
             Periodic("planner", timing.planning, planner.step),
+            Periodic("demand", timing.planning, lambda: demand.step(time.monotonic())),
         ],
     )
     return Instance(parts, timing.balancer_drain)
 
 
+def _live_instances(members: Members) -> list[str]:
+    return [m.id for m in members.instances() if not m.leaving]
+
+
 def _callers_limits(settings: Settings) -> ServerLimits:
     return ServerLimits(
         threads=settings.limits.request_threads,
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/placement/test_demand.py
@@ -0,0 +1,66 @@
+"""Demand is counted, told in bounded tables and summed."""
+
+import msgspec
+import pytest
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.placement.demand import (
+    MOST_MODELS_TOLD,
+    MOST_REPORTERS,
+    DemandTotals,
+    DemandTracker,
+)
+from redwingscale_daemon._internal.placement.model_number import model_number
+
+PAYLOAD_LIMIT_BYTES = 256
+
+
+def _run(instances: int, rate: int, models: int = 1) -> tuple[Board, DemandTotals]:
+    """Let each instance see ``rate`` requests a second for each model for ten minutes."""
+    names = [f"i{n}" for n in range(instances)]
+    planner = Board("planner")
+    totals = DemandTotals(planner, lambda: names)
+    for name in names:
+        board = Board(name)
+        board.on_forward(planner.accept)
+        tracker = DemandTracker(name, board, lambda: names)
+        for second in range(0, 600, 10):
+            for _ in range(rate * 10 if second else 0):
+                for model in range(models):
+                    tracker.arrived(f"m{model}")
+            tracker.step(float(second))
+    return planner, totals
+
+
+def test_rates_of_all_instances_are_summed():
+    _, totals = _run(instances=6, rate=1)
+
+    assert totals.rates_by_number()[model_number("m0")] == pytest.approx(6.0)
+
+
+def test_few_of_many_instances_tell_and_stand_for_all():
+    planner, totals = _run(instances=48, rate=1)
+
+    assert len(planner.entries()) == MOST_REPORTERS
+    assert totals.rates_by_number()[model_number("m0")] == pytest.approx(48.0)
+
+
+def test_a_table_stays_small_however_many_models_are_asked_for():
+    planner, _ = _run(instances=1, rate=1, models=200)
+
+    (entry,) = planner.entries()
+    assert len(msgspec.msgpack.decode(entry.payload)[0]) == MOST_MODELS_TOLD
+    assert len(entry.payload) <= PAYLOAD_LIMIT_BYTES
+
+
+def test_steady_demand_is_told_once():
+    board = Board("i0")
+    told = []
+    board.subscribe("demand", told.append)
+    tracker = DemandTracker("i0", board, lambda: ["i0"])
+    for second in range(0, 1200, 10):
+        for _ in range(90 + second % 40):
+            tracker.arrived("m0")
+        tracker.step(float(second))
+
+    steady = [entry for entry in told if entry.sequence > 6]
+    assert steady == []
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/placement/test_engine_watch.py
@@ -0,0 +1,64 @@
+"""What the planner makes of engines that go quiet."""
+
+from typing import Any
+
+import pytest
+from redwingscale_daemon._internal.models.member import EngineMember
+from redwingscale_daemon._internal.models.report import Digest
+from redwingscale_daemon._internal.placement.engine_room import Standing
+from redwingscale_daemon._internal.placement.engine_watch import EngineWatch
+from redwingscale_daemon._internal.upstreams.directory import EngineView
+
+
+@pytest.fixture
+def make_view() -> Any:
+    def make(engine: str, domain: str, seen_at: float) -> EngineView:
+        member = EngineMember(engine, domain, False, "", "alder", 2, True, 5.0)
+        return EngineView(member, Digest(engine, 1, False, 100, (), 0, 0, 8), seen_at)
+
+    return make
+
+
+def _standings(watch, views, now):
+    views = {v.member.id: v for v in views}
+    return {e: r.standing for e, r in watch.rooms(views, 0.1, now).items()}
+
+
+def test_a_quiet_engine_is_lost_after_its_grace(make_view):
+    watch = EngineWatch()
+    for now in range(0, 40, 5):
+        views = [make_view("e0", "a", 0.0), make_view("e1", "a", float(now))]
+        standings = _standings(watch, views, float(now))
+        assert standings["e1"] is Standing.OPEN
+        if now == 20:
+            assert standings["e0"] is Standing.SILENT
+
+    assert "e0" not in standings
+
+
+def test_a_whole_domain_that_goes_quiet_is_cut_off_and_not_lost(make_view):
+    """Regions lose each other for minutes; the engines over there go on serving.
+
+    Taking them for lost would load every model anew on this side, and unload
+    it again when the cut ends.
+    """
+    watch = EngineWatch()
+    for now in range(0, 300, 5):
+        views = [make_view("e0", "a", 0.0), make_view("e1", "b", float(now))]
+        standings = _standings(watch, views, float(now))
+
+    assert standings == {"e0": Standing.CUT, "e1": Standing.OPEN}
+
+
+def test_no_engine_is_lost_by_an_outage_of_the_platform(make_view):
+    """The platform is down for an hour: owners cannot renew, so no digest is told.
+
+    When it comes back the planner must not act on how old the digests are.
+    """
+    watch = EngineWatch()
+    views = [make_view("e0", "a", 0.0), make_view("e1", "b", 0.0)]
+    _standings(watch, views, 0.0)
+
+    standings = _standings(watch, views, 3600.0)
+
+    assert set(standings.values()) == {Standing.OPEN}
