Route by prefix, by corrected load and to any listed version

Cause: the router compared two random engines by a report that is up to a second old plus its own requests, which the report already counted in part; it knew nothing of prefixes, used stale engines, and had no answer while a new version was loading.

Change: `Router.route` returns the engine with the unit that is ready there: the serving version, else another listed one. It also counts demand for the planner. Prefixes are followed by a bounded index of what this instance routed; a prefix not seen yet goes to one of two engines that all instances find by rendezvous hashing. Loads are reports brought forward by this instance's own change since, times its share of the whole, which it learns from the reports. The own failure domain goes first unless it is much busier. Cache events of owned engines correct the index; a gap or a restart makes it forget the engine. An engine is stale only against its neighbours, so that an outage of the platform, in which no digest is told, takes no engine away. The baselines are variants of the policy, matched in one place.

Not done: cache events are not told to other instances, only the owner's own index learns of evictions. Polls of 152 engines by each instance of a failure domain would cost more than control may. `relay` still calls `choose_engine`, so the fallback to another version and the count of demand come into force when it calls `route`.

--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/models/cache_event.py
@@ -0,0 +1,11 @@
+"""Changes of an engine's prefix cache, in one shape for every vendor."""
+
+from typing import NamedTuple
+
+
+class CacheEvent(NamedTuple):
+    """Block ``digest`` was stored or evicted; ``sequence`` rises by one each time."""
+
+    sequence: int
+    stored: bool
+    digest: str
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -28,7 +28,10 @@
 from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.relay.generation import GenerationRelay
 from redwingscale_daemon._internal.relay.plain import PlainRelay
-from redwingscale_daemon._internal.routing.router import Router
+from redwingscale_daemon._internal.routing.cache_feed import CacheFeed
+from redwingscale_daemon._internal.routing.cache_poller import CachePoller
+from redwingscale_daemon._internal.routing.prefix_index import PrefixIndex
+from redwingscale_daemon._internal.routing.router import Demand, Router
 from redwingscale_daemon._internal.settings.settings import Settings
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
@@ -75,7 +78,19 @@
     owner = EngineOwner(engines, board, plans)
     owners = Owners(me, timing, members, beats, ownership, owner)
 
-    router = Router(me.failure_domain, directory, members, in_flight, random.Random())
+    index = PrefixIndex()
+    router = Router(
+        me.failure_domain,
+        directory,
+        members,
+        in_flight,
+        random.Random(),
+        index=index,
+        demand=Demand(lambda model: _listed_versions(current, model), demand.arrived),
+    )
+    cache_poller = CachePoller(
+        members, lambda e: ownership.held(e) is not None, engines, CacheFeed(index)
+    )
     generation = GenerationRelay(router, engines, in_flight, tracing, metrics)
     plain = PlainRelay(router, PlainClient(timing.connect), in_flight, tracing, metrics)
     callers_app = CallersApp(
@@ -106,12 +121,19 @@
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
             Periodic("planner", timing.planning, planner.step),
+            Periodic("cache", timing.planning, cache_poller.step),
             Periodic("demand", timing.planning, lambda: demand.step(time.monotonic())),
         ],
     )
     return Instance(parts, timing.balancer_drain)
 
 
+def _listed_versions(current: CurrentConfiguration, model: str) -> list[str]:
+    accepted = current.get()
+    listed = accepted.configuration.models_by_name.get(model) if accepted else None
+    return list(reversed(listed.versions_by_name)) if listed else []
+
+
 def _live_instances(members: Members) -> list[str]:
     return [m.id for m in members.instances() if not m.leaving]
 
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routing/cache_feed.py
@@ -0,0 +1,57 @@
+"""Corrects the prefix index by engines' cache events, which come late and with gaps."""
+
+from collections.abc import Sequence
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.models.cache_event import CacheEvent
+from redwingscale_daemon._internal.routing.prefix_index import PrefixIndex
+
+LATENESS_SECONDS = 2.0
+"""How old an event may be when it is polled: a block routed since may be stored anew."""
+
+
+class CacheFeed:
+    """Takes the events of each engine in order of their sequence numbers.
+
+    A gap may hide any eviction, and a number that falls means that the engine
+    has restarted with an empty cache: both make all that was learned of the
+    engine before doubtful, so it is forgotten and learned anew.
+    """
+
+    def __init__(self, index: PrefixIndex) -> None:
+        self._index = index
+        self._last_by_engine: dict[str, int] = {}
+
+    def since(self, engine: str) -> int:
+        """Return the number after which to poll ``engine``: its last event is asked for again.
+
+        An engine that restarted has numbers below the last one and would answer
+        with nothing for hours; so an answer without the last event shows it.
+        """
+        return max(0, self._last_by_engine.get(engine, 0) - 1)
+
+    def take(self, engine: str, events: Sequence[CacheEvent], now: float) -> None:
+        """Apply ``events``, as polled at ``now`` on the monotonic clock."""
+        certain_before = now - LATENESS_SECONDS
+        ordered = sorted(events)
+        last = self._last_by_engine.pop(engine, 0)
+        if last and (not ordered or ordered[0].sequence != last):
+            self._forget(engine, certain_before, last, ordered[0].sequence if ordered else 0)
+            last = ordered[0].sequence - 1 if ordered else 0
+        for event in ordered:
+            if event.sequence == last:
+                continue
+            if last and event.sequence != last + 1:
+                self._forget(engine, certain_before, last, event.sequence)
+            last = event.sequence
+            if event.stored:
+                self._index.add(engine, [event.digest], now)
+            else:
+                self._index.discard(engine, event.digest, certain_before)
+        if last:
+            self._last_by_engine[engine] = last
+
+    def _forget(self, engine: str, before: float, last: int, following: int) -> None:
+        log_event("cache_events_gap", upstream=engine, last=last, next=following)
+        self._index.forget(engine, before)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routing/freshness.py
@@ -0,0 +1,42 @@
+"""Whether what is known of an engine is still worth anything."""
+
+from collections.abc import Callable, Mapping
+
+from redwingscale_daemon._internal.upstreams.directory import EngineView
+
+STALE_SECONDS = 30.0
+RENEW_SECONDS = 1.0
+
+
+class Freshness:
+    """Compares an engine's digest with the newest one of its failure domain.
+
+    Digests stop for all engines of a domain while its owners cannot renew their
+    leases (the platform is down) or the domain is cut off; its engines work on.
+    So an engine is stale only when its neighbours were heard of much later.
+    """
+
+    def __init__(
+        self, engines: Callable[[], Mapping[str, EngineView]], clock: Callable[[], float]
+    ) -> None:
+        self._engines = engines
+        self._clock = clock
+        self._newest_by_domain: dict[str, float] = {}
+        self._renew_at = float("-inf")
+
+    def is_stale(self, view: EngineView) -> bool:
+        """Return whether ``view`` must not be used."""
+        now = self._clock()
+        if now >= self._renew_at:
+            # All engines are looked at once a second, not for each request.
+            self._renew_at = now + RENEW_SECONDS
+            self._newest_by_domain = self._newest()
+        newest = self._newest_by_domain.get(view.member.failure_domain, view.seen_at)
+        return newest - view.seen_at > STALE_SECONDS
+
+    def _newest(self) -> dict[str, float]:
+        newest: dict[str, float] = {}
+        for view in self._engines().values():
+            domain = view.member.failure_domain
+            newest[domain] = max(newest.get(domain, view.seen_at), view.seen_at)
+        return newest
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routing/prefix_index.py
@@ -0,0 +1,67 @@
+"""Which engines have which prefix blocks, as far as this instance knows."""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Sequence
+
+CAPACITY_BLOCKS = 32_768
+MOST_ENGINES = 8
+"""Engines remembered for one block; a prefix that all share needs no more."""
+
+
+class PrefixIndex:
+    """A bounded map, least recently used first out, of blocks to engines.
+
+    Learned from what this instance routed, corrected by cache events. A wrong
+    entry costs a prefill, never an answer, so the index may forget at any time.
+    """
+
+    def __init__(self, capacity_blocks: int = CAPACITY_BLOCKS) -> None:
+        self._lock = threading.Lock()
+        self._capacity = capacity_blocks
+        self._seen_at_by_engine: OrderedDict[str, dict[str, float]] = OrderedDict()
+        self._forgotten_at: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._seen_at_by_engine)
+
+    def matches(self, digests: Sequence[str]) -> dict[str, int]:
+        """Return how many leading blocks each engine has; engines with none are left out."""
+        found: dict[str, int] = {}
+        with self._lock:
+            for count, digest in enumerate(digests, start=1):
+                engines = self._seen_at_by_engine.get(digest, {})
+                longer = [e for e, at in engines.items() if self._holds(e, at)]
+                longer = [e for e in longer if found.get(e, 0) == count - 1]
+                if not longer:
+                    break
+                found |= dict.fromkeys(longer, count)
+        return found
+
+    def add(self, engine: str, digests: Sequence[str], now: float) -> None:
+        """Remember that ``engine`` has these blocks since ``now``."""
+        with self._lock:
+            for digest in digests:
+                engines = self._seen_at_by_engine.setdefault(digest, {})
+                engines.pop(engine, None)
+                engines[engine] = now
+                if len(engines) > MOST_ENGINES:
+                    engines.pop(next(iter(engines)))
+                self._seen_at_by_engine.move_to_end(digest)
+            while len(self._seen_at_by_engine) > self._capacity:
+                self._seen_at_by_engine.popitem(last=False)
+
+    def discard(self, engine: str, digest: str, before: float) -> None:
+        """Forget a block of ``engine`` that was last routed there ``before`` this time."""
+        with self._lock:
+            engines = self._seen_at_by_engine.get(digest, {})
+            if engine in engines and engines[engine] < before:
+                del engines[engine]
+
+    def forget(self, engine: str, before: float) -> None:
+        """Forget all that was learned of ``engine`` before this time, in constant time."""
+        with self._lock:
+            self._forgotten_at[engine] = before
+
+    def _holds(self, engine: str, at: float) -> bool:
+        return at >= self._forgotten_at.get(engine, 0.0)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routing/router.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routing/router.py
@@ -1,21 +1,49 @@
 """Chooses the upstream of an attempt."""
 
+import itertools
 import random
-from collections.abc import Collection
+import time
+from collections.abc import Callable, Collection, Iterable, Sequence
+from typing import NamedTuple, assert_never
+
+from redwingscale_common.configuration import Unit
+from redwingscale_common.utils.digests import rendezvous_order
 
 from redwingscale_daemon._internal.membership.members import Members
 from redwingscale_daemon._internal.models.member import PlainMember
+from redwingscale_daemon._internal.routing.freshness import Freshness
+from redwingscale_daemon._internal.routing.load_estimate import LoadEstimate
+from redwingscale_daemon._internal.routing.policy import (
+    LeastInFlight,
+    PrefixAffinity,
+    RandomChoice,
+    RoundRobin,
+    RoutingPolicy,
+)
+from redwingscale_daemon._internal.routing.prefix import block_digests
+from redwingscale_daemon._internal.routing.prefix_index import PrefixIndex
+from redwingscale_daemon._internal.routing.route import Route
 from redwingscale_daemon._internal.upstreams.directory import Directory, EngineView
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 
 CHOICES = 2
 
 
+class Demand(NamedTuple):
+    """What routing needs of the deployment's text, and whom it tells of arrivals."""
+
+    listed_versions: Callable[[str], Iterable[str]]
+    arrived: Callable[[str], None]
+
+
+NO_DEMAND = Demand(lambda model: (), lambda model: None)
+
+
 class Router:
-    """Prefers the own failure domain and the lower load of two random choices.
+    """Routes by its policy among the engines where a unit is ready.
 
-    Two choices instead of the best one: instances that all follow the same
-    lagging report would herd on one engine.
+    Engines that leave or are stale are never chosen. What a request costs here
+    grows with the replicas of its model, not with the engines of the deployment.
     """
 
     def __init__(
@@ -25,25 +53,45 @@
         members: Members,
         in_flight: InFlight,
         rng: random.Random,
+        *,
+        policy: RoutingPolicy | None = None,
+        index: PrefixIndex | None = None,
+        demand: Demand = NO_DEMAND,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._failure_domain = failure_domain
         self._directory = directory
         self._members = members
         self._in_flight = in_flight
         self._rng = rng
+        self._policy = policy or PrefixAffinity()
+        self._index = index or PrefixIndex()
+        self._demand = demand
+        self._clock = clock
+        self._load = LoadEstimate(in_flight)
+        self._freshness = Freshness(directory.engines, clock)
+        self._turns = itertools.count()
+
+    def route(self, unit: Unit, prompt: str, excluded: Collection[str] = ()) -> Route | None:
+        """Return where an attempt at ``unit`` goes; None when it is ready nowhere.
+
+        While the version that now serves is ready nowhere, any other listed
+        version of the model that is ready answers in its place, so a change of
+        versions leaves no caller without an answer.
+        """
+        if not excluded:
+            self._demand.arrived(unit.model)
+        others = (v for v in self._demand.listed_versions(unit.model) if v != unit.version)
+        for version in (unit.version, *others):
+            candidate = unit._replace(version=version)
+            view = self._choose(str(candidate), prompt, excluded)
+            if view is not None:
+                return Route(view, candidate)
+        return None
 
     def choose_engine(self, unit: str, excluded: Collection[str]) -> EngineView | None:
-        """Return an engine where ``unit`` is resident, None when there is none."""
-        candidates = [
-            view
-            for view in self._directory.engines_with(unit)
-            if not view.leaving and view.member.id not in excluded
-        ]
-        near = [v for v in candidates if v.member.failure_domain == self._failure_domain]
-        pool = near or candidates
-        if not pool:
-            return None
-        return min(self._rng.sample(pool, min(CHOICES, len(pool))), key=self._load)
+        """Return an engine where exactly ``unit`` is ready, None when there is none."""
+        return self._choose(unit, "", excluded)
 
     def choose_plain(self, service: str, excluded: Collection[str]) -> PlainMember | None:
         """Return an upstream of plain ``service``, None when there is none."""
@@ -52,9 +100,75 @@
         ]
         near = [m for m in candidates if m.failure_domain == self._failure_domain]
         pool = near or candidates
-        return self._rng.choice(pool) if pool else None
+        if not pool:
+            return None
+        two = self._rng.sample(pool, min(CHOICES, len(pool)))
+        return min(two, key=lambda m: self._in_flight.count(m.id))
+
+    def _choose(self, unit: str, prompt: str, excluded: Collection[str]) -> EngineView | None:
+        candidates = [
+            view
+            for view in self._directory.engines_with(unit)
+            if not view.leaving
+            and view.member.id not in excluded
+            and not self._freshness.is_stale(view)
+        ]
+        if not candidates:
+            return None
+        return self._by_policy(candidates, unit, prompt)
+
+    def _by_policy(self, candidates: list[EngineView], unit: str, prompt: str) -> EngineView:
+        match self._policy:
+            case RoundRobin():
+                return candidates[next(self._turns) % len(candidates)]
+            case RandomChoice():
+                return self._rng.choice(candidates)
+            case LeastInFlight():
+                return min(candidates, key=lambda v: self._in_flight.count(v.member.id))
+            case PrefixAffinity() as policy:
+                return self._by_affinity(policy, candidates, block_digests(unit, prompt))
+            case _:
+                assert_never(self._policy)
 
-    def _load(self, view: EngineView) -> float:
-        digest = view.digest
-        reported = (digest.running + digest.waiting) / max(1, digest.slots) if digest else 0.0
-        return reported + self._in_flight.count(view.member.id)
+    def _by_affinity(
+        self, policy: PrefixAffinity, candidates: list[EngineView], digests: Sequence[str]
+    ) -> EngineView:
+        loads = self._load.loads(candidates)
+        pool = self._near(policy, candidates, loads)
+        least = min(loads[v.member.id] for v in pool)
+        idle = [v for v in pool if loads[v.member.id] <= least + policy.affinity_slack]
+        best = _longest(idle, self._index.matches(digests)) or _homes(idle, pool, digests)
+        if not best:
+            best = [v for v in pool if loads[v.member.id] <= least + policy.best_slack]
+        two = self._rng.sample(best, min(CHOICES, len(best)))
+        view = min(two, key=lambda v: loads[v.member.id])
+        self._index.add(view.member.id, digests, self._clock())
+        return view
+
+    def _near(
+        self, policy: PrefixAffinity, candidates: list[EngineView], loads: dict[str, float]
+    ) -> list[EngineView]:
+        """Return the own failure domain's engines, all when those are much busier."""
+        near = [v for v in candidates if v.member.failure_domain == self._failure_domain]
+        most = min(loads.values()) + policy.near_slack
+        return near if near and min(loads[v.member.id] for v in near) <= most else candidates
+
+
+def _longest(idle: list[EngineView], blocks: dict[str, int]) -> list[EngineView]:
+    """Return the engines that have the most of the prefix."""
+    longest = max((blocks.get(v.member.id, 0) for v in idle), default=0)
+    return [v for v in idle if longest and blocks.get(v.member.id, 0) == longest]
+
+
+def _homes(
+    idle: list[EngineView], pool: list[EngineView], digests: Sequence[str]
+) -> list[EngineView]:
+    """Return where a prefix that this instance has not seen yet belongs.
+
+    All instances come to the same two engines without a word, so that a prefix
+    is kept twice in a failure domain and not once for each instance.
+    """
+    if not digests:
+        return []
+    homes = rendezvous_order(digests[0], (v.member.id for v in pool))[:CHOICES]
+    return [v for v in idle if v.member.id in homes]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_client.py
@@ -7,12 +7,17 @@
 from redwingscale_common.network.client import new_pool, timeout
 
 from redwingscale_daemon._internal.exceptions import ReportInvalid, StreamBroken, UpstreamError
+from redwingscale_daemon._internal.models.cache_event import CacheEvent
 from redwingscale_daemon._internal.models.generation import Attempt, EndEvent, StreamEvent
 from redwingscale_daemon._internal.models.member import EngineMember
 from redwingscale_daemon._internal.models.order import Order
 from redwingscale_daemon._internal.models.report import Report
 from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.upstreams import dialect as dialects
+from redwingscale_daemon._internal.upstreams.cache_events import (
+    cache_events_call,
+    parse_cache_events,
+)
 from redwingscale_daemon._internal.upstreams.call import Call
 from redwingscale_daemon._internal.upstreams.dialect import DIALECTS_BY_VENDOR
 from redwingscale_daemon._internal.upstreams.sse import read_events
@@ -60,6 +65,12 @@
             raise ReportInvalid(f"{len(body)} bytes")
         return dialects.parse_report(dialect, body)
 
+    def cache_events(self, engine: EngineMember, since: int) -> list[CacheEvent]:
+        """Poll cache events after number ``since``; raise `UpstreamError` or `ReportInvalid`."""
+        dialect = DIALECTS_BY_VENDOR[engine.vendor]
+        body = self._control(engine, cache_events_call(dialect, since))
+        return parse_cache_events(dialect, body)
+
     def order(self, engine: EngineMember, order: Order) -> None:
         """Send ``order`` once; raise `UpstreamError`, which tells if it may have arrived."""
         self._control(engine, dialects.order_call(DIALECTS_BY_VENDOR[engine.vendor], order))
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/routing/test_router.py
@@ -0,0 +1,191 @@
+"""Which engine an attempt goes to."""
+
+from contextlib import ExitStack
+
+import pytest
+from redwingscale_common.configuration import Unit
+from redwingscale_daemon._internal.routing.cache_feed import CacheFeed
+from redwingscale_daemon._internal.routing.policy import (
+    LeastInFlight,
+    PrefixAffinity,
+    RandomChoice,
+    RoundRobin,
+)
+from redwingscale_daemon._internal.routing.prefix import block_digests
+from redwingscale_daemon._internal.routing.prefix_index import PrefixIndex
+from redwingscale_daemon._internal.routing.router import Demand
+from redwingscale_daemon._internal.upstreams.in_flight import InFlight
+from redwingscale_standins.engine.cache import prefix_digests
+
+V1, V2 = Unit("m", "v1"), Unit("m", "v2")
+PROMPT = "lot " * 100
+POLICIES = [RoundRobin(), RandomChoice(), LeastInFlight(), PrefixAffinity()]
+
+
+def _chosen(router, count=50, unit=V1, prompt=""):
+    routes = [router.route(unit, prompt) for _ in range(count)]
+    return {r.view.member.id for r in routes if r is not None}
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_leaving_stale_and_unready_engines_are_never_chosen(engines, make_router, policy):
+    """Engines on their way out, or gone unnoticed, still stand in the directory.
+
+    A request sent there is cut or waits for nothing, whatever the policy.
+    """
+    for engine in ("good", "listed-leaving", "says-leaving", "stale", "loading"):
+        engines.add(engine, "a", str(V1), leaving=engine == "listed-leaving")
+    engines.report("says-leaving", str(V1), leaving=True)
+    engines.report("loading", str(V1), ready=False)
+    engines.age("stale", 60.0)
+
+    assert _chosen(make_router(policy=policy)) == {"good"}
+
+
+def test_engines_stay_usable_when_no_digest_comes_any_more(engines, make_router):
+    """The platform is down: no owner may renew, so all digests of a domain grow old.
+
+    The engines answer as before. Taking them for stale would turn an outage of
+    the store into one of everything.
+    """
+    for engine in ("e0", "e1"):
+        engines.add(engine, "a", str(V1))
+    for engine in ("e0", "e1"):
+        engines.age(engine, 3600.0)
+
+    assert _chosen(make_router()) == {"e0", "e1"}
+
+
+def test_old_version_answers_until_the_new_one_is_ready(engines, make_router):
+    """Operators serve v2, which is still loading; callers must notice nothing.
+
+    The route names v1, since the engine would refuse an attempt at v2.
+    """
+    engines.add("e0", "a", str(V1))
+    router = make_router(demand=Demand(lambda model: ["v2", "v1"], lambda model: None))
+
+    before = router.route(V2._replace(adapter=""), "")
+    engines.report("e0", str(V1), str(V2))
+    after = router.route(V2, "")
+
+    assert (before.unit, after.unit) == (V1, V2)
+
+
+def test_a_version_that_is_no_longer_listed_does_not_answer(engines, make_router):
+    engines.add("e0", "a", str(V1))
+    router = make_router(demand=Demand(lambda model: ["v2"], lambda model: None))
+
+    assert router.route(V2, "") is None
+
+
+def test_own_failure_domain_goes_first_unless_it_is_overloaded(engines, make_router):
+    engines.add("near", "a", str(V1))
+    engines.add("far", "b", str(V1))
+    assert _chosen(make_router()) == {"near"}
+
+    engines.report("near", str(V1), running=40)
+
+    assert _chosen(make_router(), count=5) == {"far"}
+
+
+def test_same_prefix_goes_to_the_same_engine_unless_it_is_busier(engines, make_router):
+    in_flight = InFlight()
+    for engine in ("e0", "e1", "e2", "e3"):
+        engines.add(engine, "a", str(V1))
+    router = make_router(in_flight=in_flight)
+
+    (home,) = _chosen(router, count=5, prompt=PROMPT)
+    with ExitStack() as stack:
+        for _ in range(10):
+            stack.enter_context(in_flight.at(home))
+        elsewhere = _chosen(router, count=1, prompt=PROMPT)
+
+    assert home not in elsewhere
+
+
+def test_routers_with_the_same_report_do_not_herd(engines, make_router):
+    """Six instances see the same report, in which one engine is idle.
+
+    Were all to send there, it would be the busiest until the next report.
+    """
+    for n in range(8):
+        engines.add(f"e{n}", "a", str(V1))
+    for n in range(8):
+        engines.report(f"e{n}", str(V1), running=n % 2)
+    sent = []
+    with ExitStack() as stack:
+        for seed in range(6):
+            in_flight = InFlight()
+            router = make_router(seed=seed, in_flight=in_flight)
+            for _ in range(16):
+                sent.append(router.route(V1, "").view.member.id)
+                stack.enter_context(in_flight.at(sent[-1]))
+
+    assert max(sent.count(f"e{n}") for n in range(8)) <= 2 * len(sent) / 8
+
+
+def test_digests_are_those_of_the_engines():
+    assert block_digests(str(V1), PROMPT) == prefix_digests(str(V1), PROMPT)
+
+
+def test_index_is_bounded():
+    index = PrefixIndex(capacity_blocks=10)
+
+    index.add("e0", [str(n) for n in range(100)], 0.0)
+
+    assert len(index) == 10
+    assert index.matches(["99"]) == {"e0": 1}
+
+
+@pytest.fixture
+def learned():
+    """An index that learned three blocks of engine e0, and the feed that corrects it."""
+    index = PrefixIndex()
+    index.add("e0", ["x", "y", "z"], 10.0)
+    return index, CacheFeed(index)
+
+
+def test_evicted_blocks_are_forgotten(cache_event, learned):
+    index, feed = learned
+
+    feed.take("e0", [cache_event(1, "+x"), cache_event(2, "-y")], 20.0)
+
+    assert index.matches(["x", "y", "z"]) == {"e0": 1}
+
+
+def test_a_late_eviction_spares_what_was_routed_since(cache_event, learned):
+    index, feed = learned
+
+    feed.take("e0", [cache_event(1, "-y")], 11.0)
+
+    assert index.matches(["x", "y"]) == {"e0": 2}
+
+
+def test_a_gap_makes_all_that_was_learned_doubtful(cache_event, learned):
+    """An engine drops events; one of them may be the eviction of any block.
+
+    Following the index would send prompts to an engine that has to prefill.
+    """
+    index, feed = learned
+    feed.take("e0", [cache_event(1, "+x")], 20.0)
+
+    feed.take("e0", [cache_event(1, "+x"), cache_event(5, "+w")], 30.0)
+
+    assert index.matches(["x"]) == {}
+    assert index.matches(["w"]) == {"e0": 1}
+
+
+def test_a_restarted_engine_has_nothing(cache_event, learned):
+    """An engine restarts between two polls; its numbers begin anew below the last one.
+
+    Asked for later numbers only, it would answer with nothing for hours.
+    """
+    index, feed = learned
+    feed.take("e0", [cache_event(7, "+x"), cache_event(8, "+y")], 20.0)
+
+    feed.take("e0", [], 30.0)
+    assert index.matches(["x"]) == {}
+    assert feed.since("e0") == 0
+
+    feed.take("e0", [cache_event(1, "+x")], 40.0)
+    assert index.matches(["x"]) == {"e0": 1}
