Bound slow senders and oversized requests, each refused by a problem document

Cause: the server's timeout holds for one read of the socket, so a sender that trickles bytes held a thread without end (12 of them blocked 8 threads); a refused request with a huge declared body was read whole into memory; an unread chunked body was left in front of the next request; bytes that are no HTTP got plain text. Change: one deadline for head and body of a request, a bound for heads, no reuse of a connection with an unread rest, a lingering close so that the refusal is not lost by a reset, problem documents for all. Ruled out: a watchdog thread that shuts sockets (one more thread, same effect).

Not proved: idle connections still hold a thread until the timeout.

--- /dev/null
+++ b/packages/redwingscale-common/src/redwingscale_common/network/bounded.py
@@ -0,0 +1,125 @@
+"""CherryPy's connections with bounds that its server lacks.
+
+The server's own timeout holds for each read of the socket, so a sender that
+trickles one byte at a time holds a thread for hours; and what a refused request
+leaves unread is read whole into memory, or taken for the next request.
+"""
+
+import socket
+import time
+from contextlib import suppress
+from typing import Any
+
+import msgspec
+from cheroot.makefile import StreamReader, StreamWriter
+from cheroot.server import HTTPConnection, HTTPRequest
+
+PROBLEM_TYPE = "application/problem+json"
+MOST_DISCARDED_BYTES = 1 << 20
+LINGER_SECONDS = 1.0
+LINGER_READ_BYTES = 1 << 16
+
+
+class DeadlineIO(socket.SocketIO):
+    """Reads a socket up to a moment, however the bytes are spread until then."""
+
+    def __init__(self, sock: socket.socket, seconds: float) -> None:
+        super().__init__(sock, "rb")
+        self._socket = sock
+        self._seconds = seconds
+        self.expired = False
+        self.restart()
+
+    def restart(self) -> None:
+        """Count the time from now."""
+        self._deadline = time.monotonic() + self._seconds
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read what is there; raise TimeoutError past the deadline."""
+        remaining = self._deadline - time.monotonic()
+        self.expired = remaining <= 0
+        if self.expired:
+            raise TimeoutError("timed out")
+        self._socket.settimeout(remaining)
+        try:
+            return super().readinto(buffer)
+        except TimeoutError:
+            self.expired = True
+            raise
+        finally:
+            self._socket.settimeout(self._seconds)
+
+
+class BoundedReader(StreamReader):
+    """The server's reader over a `DeadlineIO`."""
+
+    def __init__(self, sock: socket.socket, seconds: float, buffer_bytes: int) -> None:
+        super(StreamReader, self).__init__(DeadlineIO(sock, seconds), buffer_bytes)
+        self.bytes_read = 0
+
+
+class BoundedRequest(HTTPRequest):
+    """Never keeps a connection that holds the rest of a body."""
+
+    def send_headers(self) -> None:
+        """Close after this answer if what is unread must not be taken for a request."""
+        if self._has_rest():
+            self.conn.has_rest = True
+            self.close_connection = True
+        super().send_headers()
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer what cannot be parsed by a problem document, and close."""
+        self.close_connection = True
+        self.conn.has_rest = True
+        code, _, title = str(status).partition(" ")
+        document = {"type": "about:blank", "title": title, "status": int(code), "run": "not_run"}
+        body = msgspec.json.encode(document | ({"detail": msg} if msg else {}))
+        head = (
+            f"{self.server.protocol} {status}\r\nContent-Type: {PROBLEM_TYPE}\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        with suppress(OSError):
+            self.conn.wfile.write(head.encode("latin-1") + body)
+
+    def _has_rest(self) -> bool:
+        if self.conn.rfile.raw.expired:
+            return True
+        if self.chunked_read:
+            return not getattr(self.rfile, "closed", False)
+        return bool(getattr(self.rfile, "remaining", 0) > MOST_DISCARDED_BYTES)
+
+
+class BoundedConnection(HTTPConnection):
+    """Bounds the time in which one request, head and body, must have been sent."""
+
+    RequestHandlerClass = BoundedRequest
+
+    def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
+        def make_file(raw: socket.socket, mode: str, size: int) -> Any:
+            if "r" in mode:
+                return BoundedReader(raw, server.timeout, size)
+            return StreamWriter(raw, mode, size)
+
+        super().__init__(server, sock, make_file)
+        self.has_rest = False
+
+    def communicate(self) -> bool:
+        """Serve one request; return whether the connection can serve another."""
+        self.rfile.raw.restart()
+        keep = bool(super().communicate())  # type: ignore[no-untyped-call]
+        if not keep and self.has_rest:
+            self._linger()
+        return keep
+
+    def _linger(self) -> None:
+        # Closing a socket with unread bytes resets it, and the reset may overtake
+        # the answer: the sender would see a broken connection in place of a
+        # refusal. So take its bytes for a moment, and throw them away.
+        deadline = time.monotonic() + LINGER_SECONDS
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            while (remaining := deadline - time.monotonic()) > 0:
+                self.socket.settimeout(remaining)
+                if not self.socket.recv(LINGER_READ_BYTES):
+                    return
--- a/packages/redwingscale-common/src/redwingscale_common/network/exchange.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/exchange.py
@@ -4,27 +4,64 @@
 
 import cherrypy
 import msgspec
+from cheroot.errors import MaxSizeExceeded
 
 JSON_TYPE = "application/json"
+TOO_LARGE = "Request Entity Too Large"
+CHUNK_HEADERS_BYTES = 64 << 10
 
 
 def read_body(limit: int) -> bytes:
-    """Return the request's body; raise `cherrypy.HTTPError` 413 past ``limit`` bytes."""
+    """Return the request's body.
+
+    Raises `cherrypy.HTTPError` 413 past ``limit`` bytes, 408 when the sender is
+    too slow, and 400 when the body is cut or not well-formed.
+    """
+    try:
+        return _read_body(limit)
+    except TimeoutError:
+        raise cherrypy.HTTPError(408, "the body did not arrive in time") from None
+    except (OSError, ValueError) as error:
+        raise cherrypy.HTTPError(400, f"the body cannot be read: {error}") from None
+
+
+def _read_body(limit: int) -> bytes:
     request = cherrypy.request
+    if "chunked" in request.headers.get("Transfer-Encoding", "").lower():
+        return _read_chunked(limit)
     length = int(request.headers.get("Content-Length") or 0)
-    chunked = "chunked" in request.headers.get("Transfer-Encoding", "").lower()
     if length > limit:
-        raise cherrypy.HTTPError(413)
-    if not length and not chunked:
-        return b""
-    body: bytes = request.rfile.read(limit + 1 if chunked else length)
+        raise _too_large(limit)
+    body: bytes = request.rfile.read(length) if length else b""
+    if len(body) < length:
+        raise cherrypy.HTTPError(400, "the body ended early")
+    return body
+
+
+def _read_chunked(limit: int) -> bytes:
+    reader = cherrypy.request.rfile
+    # The reader takes each chunk whole: unless it knows the limit, one chunk
+    # that claims to be huge would be read into memory.
+    reader.maxlen = limit + CHUNK_HEADERS_BYTES
+    try:
+        body: bytes = reader.read(limit + 1)
+    except MaxSizeExceeded:
+        raise _too_large(limit) from None
+    except OSError as error:
+        if TOO_LARGE in str(error):
+            raise _too_large(limit) from None
+        raise
     if len(body) > limit:
-        raise cherrypy.HTTPError(413)
-    if not chunked and len(body) < length:
+        raise _too_large(limit)
+    if not reader.closed:
         raise cherrypy.HTTPError(400, "the body ended early")
     return body
 
 
+def _too_large(limit: int) -> cherrypy.HTTPError:
+    return cherrypy.HTTPError(413, f"the body has more than {limit} bytes")
+
+
 def read_json(limit: int) -> Any:
     """Return the request's JSON body; raise `cherrypy.HTTPError` 400 when it is none."""
     try:
--- a/packages/redwingscale-common/src/redwingscale_common/network/server.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/server.py
@@ -6,11 +6,14 @@
 import cherrypy
 from cheroot import wsgi
 
+from redwingscale_common.network.bounded import BoundedConnection
+
 SHUTDOWN_SECONDS = 2
+LARGEST_HEAD_BYTES = 64 << 10
 
 
 class ServerLimits(NamedTuple):
-    """Bounds of one port: worker threads, queued connections, socket timeout."""
+    """Bounds of one port: worker threads, queued connections, time to send a request."""
 
     threads: int = 32
     backlog: int = 1024
@@ -41,6 +44,8 @@
             accepted_queue_timeout=1,
             shutdown_timeout=SHUTDOWN_SECONDS,
         )
+        self._server.max_request_header_size = LARGEST_HEAD_BYTES
+        self._server.ConnectionClass = BoundedConnection
         self._thread = threading.Thread(target=self._server.serve, name="http", daemon=True)
 
     def start(self) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
@@ -19,7 +19,7 @@
     whole_body,
 )
 from redwingscale_daemon._internal.entry.generation_request import build_request, parse_body
-from redwingscale_daemon._internal.entry.problem import problem_response
+from redwingscale_daemon._internal.entry.problem import body_refusal, problem_response
 from redwingscale_daemon._internal.entry.request_headers import (
     REQUEST_ID,
     new_request_id,
@@ -91,7 +91,7 @@
             return self._refused(refusal, request_id)
         except cherrypy.HTTPError as error:
             self._finish(span)
-            return self._refused(Refusal(error.code, "body_invalid", str(error)), request_id)
+            return self._refused(body_refusal(error), request_id)
         except BaseException:
             self._finish(span)
             raise
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/problem.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/problem.py
@@ -11,6 +11,15 @@
 TYPE_PREFIX = "urn:redwingscale:problem:"
 
 
+CODES_BY_STATUS = {408: "sender_too_slow", 413: "body_too_large"}
+
+
+def body_refusal(error: cherrypy.HTTPError) -> Refusal:
+    """Return the refusal of a request whose body could not be read."""
+    code = CODES_BY_STATUS.get(error.code, "body_invalid")
+    return Refusal(error.code, code, str(error.args[-1]))
+
+
 def problem_response(refusal: Refusal, request_id: str) -> bytes:
     """Set status and headers of the response and return the problem document."""
     response = cherrypy.response
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/request_headers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/request_headers.py
@@ -1,5 +1,6 @@
 """Headers of callers that steer a request."""
 
+import math
 import time
 import uuid
 from collections.abc import Mapping
@@ -63,6 +64,8 @@
         seconds = float(text)
     except ValueError:
         raise Refusal(400, "header_invalid", f"{DEADLINE} must be a number") from None
-    if not seconds > 0:
+    if math.isnan(seconds):
+        raise Refusal(400, "header_invalid", f"{DEADLINE} must be a number")
+    if seconds <= 0:
         raise Refusal(408, "deadline_past", "the deadline has already passed")
     return min(seconds, default)
