Admit by estimated room and time, in weighted fair order

Cause: every request went straight to an engine, whose queue grew until all were late; one caller's flood delayed all others. Change: a gate between parsing and relaying holds requests while engines are full, refuses at once what cannot be in time, orders the rest by start-time fair queueing over callers and priorities, and keeps threads free for refusals. Room comes from the last report corrected by what ran here since; each instance takes its part.

Not proved: uneven balancing; shares across instances.

--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/fair_queue.py
@@ -0,0 +1,77 @@
+"""Waiting requests in weighted fair order."""
+
+import itertools
+from bisect import insort
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.admission.arrival import Flow
+from redwingscale_daemon._internal.admission.ticket import Ticket
+
+
+class Place(NamedTuple):
+    """A ticket's place: the least ``finish`` goes first."""
+
+    finish: float
+    order: int
+    start: float
+    ticket: Ticket
+
+
+class FairQueue:
+    """Start-time fair queueing over flows.
+
+    Each flow's requests are spaced by the inverse of its weight in virtual time,
+    so a flood only delays its own flow. Virtual time follows the request that
+    was admitted last, so a flow that was idle gains no credit.
+    """
+
+    def __init__(self) -> None:
+        self._order = itertools.count()
+        self._virtual = 0.0
+        self._finish_by_flow: dict[Flow, float] = {}
+        self._places: list[Place] = []
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def __iter__(self) -> Iterator[Place]:
+        """Iterate over a copy, first to last."""
+        return iter(tuple(self._places))
+
+    def place(self, ticket: Ticket) -> Place:
+        """Return the place that ``ticket`` would take now."""
+        arrival = ticket.arrival
+        start = max(self._virtual, self._finish_by_flow.get(arrival.flow, 0.0))
+        return Place(start + 1.0 / arrival.weight, next(self._order), start, ticket)
+
+    def add(self, place: Place) -> None:
+        """Let the ticket of ``place`` wait."""
+        self._finish_by_flow[place.ticket.arrival.flow] = place.finish
+        insort(self._places, place)
+
+    def admit(self, place: Place) -> None:
+        """Take the ticket of ``place`` out, or past, the queue as the one that runs next."""
+        if place in self._places:
+            self._places.remove(place)
+        else:
+            self._finish_by_flow[place.ticket.arrival.flow] = place.finish
+        self._virtual = max(self._virtual, place.start)
+        self._forget_idle_flows()
+
+    def drop(self, place: Place) -> None:
+        """Take a ticket out that will not run; its flow gets the time back."""
+        self._places.remove(place)
+        arrival = place.ticket.arrival
+        if arrival.flow in self._finish_by_flow:
+            self._finish_by_flow[arrival.flow] -= 1.0 / arrival.weight
+
+    def last(self) -> Place:
+        """Return the place that comes last; the queue must not be empty."""
+        return self._places[-1]
+
+    def _forget_idle_flows(self) -> None:
+        # A flow whose time is past starts from the virtual time anyway.
+        past = [f for f, finish in self._finish_by_flow.items() if finish <= self._virtual]
+        for flow in past:
+            del self._finish_by_flow[flow]
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/gate.py
@@ -0,0 +1,217 @@
+"""Admits requests in fair order, or refuses those that cannot be in time."""
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import NamedTuple, Protocol
+
+from redwingscale_daemon._internal.admission.arrival import Arrival
+from redwingscale_daemon._internal.admission.capacity import Room
+from redwingscale_daemon._internal.admission.fair_queue import FairQueue, Place
+from redwingscale_daemon._internal.admission.service_rates import Served, ServiceRates
+from redwingscale_daemon._internal.admission.ticket import Ticket
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.models.generation import EndEvent, StreamEvent
+
+LOOK_SECONDS = 0.05
+# An admitted request counts at its engine from its attempt on; until then it is
+# held against the room, for this long at most.
+ON_ITS_WAY_SECONDS = 0.02
+LEAST_RETRY_AFTER_SECONDS = 0.5
+# A newcomer's estimated wait may take this part of the time that it has to spare.
+# With all of it the queue stays as long as can just be in time, and half of those
+# who wait are refused late, after all.
+WAIT_PART = 0.6
+RESERVED_PART = 10
+QUEUE_PART = 5
+
+
+class GateLimits(NamedTuple):
+    """How many requests may run and wait at once in this instance."""
+
+    running: int
+    waiting: int
+
+
+def gate_limits(threads: int) -> GateLimits:
+    """Split the request threads; what is left over answers refusals and probes."""
+    waiting = max(1, threads // QUEUE_PART)
+    reserved = max(2, threads // RESERVED_PART)
+    return GateLimits(max(1, threads - waiting - reserved), waiting)
+
+
+class RoomSource(Protocol):
+    """Where the gate learns how much the engines can take."""
+
+    def room(self, unit: str) -> Room | None: ...
+
+
+class Gate:
+    """One lock; callers' threads wait on their own tickets."""
+
+    def __init__(
+        self,
+        limits: GateLimits,
+        capacity: RoomSource,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._limits = limits
+        self._capacity = capacity
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._queue = FairQueue()
+        self._rates = ServiceRates()
+        self._running: Counter[str] = Counter()
+        self._on_their_way: list[Ticket] = []
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return len(self._queue)
+
+    @contextmanager
+    def hold(self, arrival: Arrival) -> Iterator[Ticket]:
+        """Run the block as an admitted request; raise `Refusal`."""
+        ticket = self.enter(arrival)
+        try:
+            yield ticket
+        finally:
+            self.leave(ticket)
+
+    def enter(self, arrival: Arrival) -> Ticket:
+        """Block until the request may run; raise `Refusal` as soon as it cannot be in time."""
+        ticket = self.offer(arrival)
+        while not ticket.is_decided(LOOK_SECONDS):
+            # Room also appears without anybody leaving here: by a newer report.
+            self.look()
+        if ticket.refusal is not None:
+            raise ticket.refusal
+        return ticket
+
+    def watch(self, ticket: Ticket, events: Iterator[StreamEvent]) -> Iterator[StreamEvent]:
+        """Yield ``events`` and end the request with them; the first has arrived already."""
+        first_at = self._clock()
+        try:
+            for event in events:
+                if isinstance(event, EndEvent):
+                    self._record(ticket, event.total, first_at)
+                yield event
+        finally:
+            self.leave(ticket)
+
+    def offer(self, arrival: Arrival) -> Ticket:
+        """Return a ticket that is admitted, refused or waits for `look` and `leave`."""
+        ticket = Ticket(arrival)
+        with self._lock:
+            # Room may have appeared unseen: those who wait go before the newcomer.
+            self._admit_waiting()
+            self._decide(ticket)
+        return ticket
+
+    def leave(self, ticket: Ticket) -> None:
+        """End an admitted request and admit who comes next."""
+        with self._lock:
+            self._running[ticket.arrival.unit] -= 1
+            self._admit_waiting()
+
+    def look(self) -> None:
+        """Admit who has got room, and refuse who can no longer be in time."""
+        with self._lock:
+            self._admit_waiting()
+
+    def _record(self, ticket: Ticket, tokens: int, first_at: float) -> None:
+        assert ticket.admitted_at is not None
+        served = Served(
+            max_tokens=ticket.arrival.max_tokens,
+            tokens=tokens,
+            first_token=first_at - ticket.admitted_at,
+            total=self._clock() - ticket.admitted_at,
+        )
+        with self._lock:
+            self._rates.record(ticket.arrival.unit, served)
+
+    def _decide(self, ticket: Ticket) -> None:
+        place = self._queue.place(ticket)
+        if self._has_room(ticket.arrival):
+            self._refuse_if_late(ticket, wait_seconds=0.0)
+            if ticket.refusal is None:
+                self._admit(place)
+            return
+        self._refuse_if_late(ticket, self._wait_seconds(place))
+        if ticket.refusal is None:
+            self._queue.add(place)
+            self._shed()
+
+    def _admit(self, place: Place) -> None:
+        now = self._clock()
+        self._queue.admit(place)
+        self._running[place.ticket.arrival.unit] += 1
+        self._on_their_way.append(place.ticket)
+        place.ticket.admit(now)
+
+    def _admit_waiting(self) -> None:
+        full_units: set[str] = set()
+        for place in self._queue:
+            unit = place.ticket.arrival.unit
+            self._refuse_if_late(place.ticket, wait_seconds=0.0)
+            if place.ticket.refusal is not None:
+                self._queue.drop(place)
+            elif unit not in full_units and self._has_room(place.ticket.arrival):
+                self._admit(place)
+            else:
+                full_units.add(unit)
+
+    def _shed(self) -> None:
+        """Refuse the last in fair order: the flow that is furthest above its part."""
+        if len(self._queue) <= self._limits.waiting:
+            return
+        last = self._queue.last()
+        self._queue.drop(last)
+        last.ticket.refuse(
+            Refusal(
+                429,
+                "overloaded",
+                "more requests wait than fit, and this caller is the furthest above its share",
+                retry_after_seconds=max(LEAST_RETRY_AFTER_SECONDS, self._wait_seconds(last)),
+            )
+        )
+
+    def _refuse_if_late(self, ticket: Ticket, wait_seconds: float) -> None:
+        arrival = ticket.arrival
+        expected = self._rates.expected_seconds(arrival.unit, arrival.max_tokens)
+        wait_needed = wait_seconds / WAIT_PART
+        late = self._clock() + wait_needed + expected - arrival.deadline_at
+        if late <= 0:
+            return
+        ticket.refuse(
+            Refusal(
+                503,
+                "deadline_unreachable",
+                f"it could take {wait_needed + expected:.2f} s, {late:.2f} s too long",
+                retry_after_seconds=max(LEAST_RETRY_AFTER_SECONDS, min(late, wait_needed)),
+            )
+        )
+
+    def _has_room(self, arrival: Arrival) -> bool:
+        if self._running.total() >= self._limits.running:
+            return False
+        room = self._capacity.room(arrival.unit) if arrival.unit else None
+        return room is None or room.free - self._count_on_their_way(arrival.unit) >= 1
+
+    def _count_on_their_way(self, unit: str) -> int:
+        horizon = self._clock() - ON_ITS_WAY_SECONDS
+        self._on_their_way = [
+            t for t in self._on_their_way if t.admitted_at is not None and t.admitted_at > horizon
+        ]
+        return sum(t.arrival.unit == unit for t in self._on_their_way)
+
+    def _wait_seconds(self, place: Place) -> float:
+        """Return how long the ticket of ``place`` would wait for its turn."""
+        arrival = place.ticket.arrival
+        expected = self._rates.expected_seconds(arrival.unit, arrival.max_tokens)
+        ahead = sum(p < place and p.ticket.arrival.unit == arrival.unit for p in self._queue)
+        room = self._capacity.room(arrival.unit) if arrival.unit else None
+        slots = room.slots if room else self._limits.running
+        return (ahead + 1) * expected / max(1.0, slots)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
@@ -9,6 +9,8 @@
 from redwingscale_common.network.exchange import json_response, read_body
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.admission.arrival import Arrival
+from redwingscale_daemon._internal.admission.gate import Gate
 from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
 from redwingscale_daemon._internal.entry.authentication import authenticate
 from redwingscale_daemon._internal.entry.chunks import (
@@ -47,6 +49,7 @@
         generation: GenerationRelay,
         plain: PlainRelay,
         once: Once,
+        gate: Gate,
         readiness: Readiness,
         tracing: Tracing,
         metrics: Metrics,
@@ -56,6 +59,7 @@
         self._generation = generation
         self._plain = plain
         self._once = once
+        self._gate = gate
         self._readiness = readiness
         self._tracing = tracing
         self._metrics = metrics
@@ -152,13 +156,24 @@
         raw = read_body(self._body_limit)
         body = parse_body(raw, chat=isinstance(shape, Chat))
         request = build_request(body, configuration, caller, headers, request_id)
-        events = self._events(request, raw, span)
+        events = self._admitted(_arrival(request, caller), request, raw, span)
         if body.stream:
             cherrypy.response.headers["Content-Type"] = "text/event-stream"
             return stream_body(shape, request, events)
         cherrypy.response.headers["Content-Type"] = "application/json"
         return self._whole(shape, request, events)
 
+    def _admitted(
+        self, arrival: Arrival, request: GenerationRequest, raw: bytes, span: Span
+    ) -> Iterator[StreamEvent]:
+        ticket = self._gate.enter(arrival)
+        try:
+            events = self._events(request, raw, span)
+        except BaseException:
+            self._gate.leave(ticket)
+            raise
+        return self._gate.watch(ticket, events)
+
     def _events(self, request: GenerationRequest, raw: bytes, span: Span) -> Iterator[StreamEvent]:
         if request.idempotent or not request.idempotency_key:
             return self._generation.run(request, span)
@@ -204,12 +219,25 @@
             idempotency_key=steering.idempotency_key,
             deadline_at=steering.deadline_at,
         )
-        answer = self._plain.run(request, span)
+        arrival = Arrival(caller.name, caller.share, service.priority, "", 1, request.deadline_at)
+        with self._gate.hold(arrival):
+            answer = self._plain.run(request, span)
         cherrypy.response.status = answer.status
         cherrypy.response.headers["Content-Type"] = answer.content_type
         return answer.body
 
 
+def _arrival(request: GenerationRequest, caller: Caller) -> Arrival:
+    return Arrival(
+        caller=caller.name,
+        share=caller.share,
+        priority=request.priority,
+        unit=str(request.unit),
+        max_tokens=request.max_tokens,
+        deadline_at=request.deadline_at,
+    )
+
+
 def _models(configuration: Configuration, caller: Caller) -> bytes:
     listed = [
         {"id": name, "object": "model", "owned_by": configuration.deployment}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -1,9 +1,12 @@
 """The composition root: the one place that wires the parts of an instance."""
 
 import random
+import time
 
 from redwingscale_common.network.server import HttpServer, ServerLimits
 
+from redwingscale_daemon._internal.admission.capacity import Capacity
+from redwingscale_daemon._internal.admission.gate import Gate, gate_limits
 from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
 from redwingscale_daemon._internal.configuration.store import ConfigurationStore
 from redwingscale_daemon._internal.entry.callers_app import CallersApp
@@ -45,6 +48,8 @@
 
 OPERATORS_THREADS = 4
 CLAIM_MARGIN_SECONDS = 0.5
+# How old the load in an engine's report is taken to be when it arrives.
+REPORT_LAG_SECONDS = 0.5
 
 
 def build_instance(settings: Settings) -> Instance:
@@ -91,10 +96,20 @@
         metrics,
     )
     once = Once(claims, settings.platform.timeout_seconds + CLAIM_MARGIN_SECONDS)
+    capacity = Capacity(me, directory, members, in_flight, REPORT_LAG_SECONDS, time.monotonic)
+    gate = Gate(gate_limits(settings.limits.request_threads), capacity)
     generation = GenerationRelay(router, engines, in_flight, tracing, metrics)
     plain = PlainRelay(router, PlainClient(timing.connect), in_flight, once, tracing, metrics)
     callers_app = CallersApp(
-        current, generation, plain, once, readiness, tracing, metrics, settings.limits.body_bytes
+        current,
+        generation,
+        plain,
+        once,
+        gate,
+        readiness,
+        tracing,
+        metrics,
+        settings.limits.body_bytes,
     )
     view = StateView(me, current, readiness, session, members, beats, directory, in_flight)
     operators_app = OperatorsApp(
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/test_admission.py
@@ -0,0 +1,234 @@
+"""Admission under a seeded model of arrivals, on the gate's own virtual clock."""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from typing import NamedTuple
+
+import pytest
+from redwingscale_daemon._internal.admission.arrival import Arrival
+from redwingscale_daemon._internal.admission.capacity import Capacity, Room
+from redwingscale_daemon._internal.admission.gate import Gate, GateLimits, gate_limits
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.membership.members import Members
+from redwingscale_daemon._internal.models.generation import EndEvent, TokenEvent
+from redwingscale_daemon._internal.models.member import EngineMember, InstanceMember
+from redwingscale_daemon._internal.models.report import Digest
+from redwingscale_daemon._internal.settings.settings import InstanceSettings
+from redwingscale_daemon._internal.upstreams.directory import EngineView
+from redwingscale_daemon._internal.upstreams.in_flight import InFlight
+
+SLOTS = 16
+FIRST, TOKENS, GAP = 0.1, 20, 0.02
+SERVICE_SECONDS = FIRST + (TOKENS - 1) * GAP
+CAPACITY = SLOTS / SERVICE_SECONDS
+SECONDS = 30.0
+LIMITS = GateLimits(running=112, waiting=32)
+
+
+class Demand(NamedTuple):
+    caller: str
+    share: int
+    priority: int
+    rate: float
+    deadline: float
+
+
+class Model:
+    """Engines with ``SLOTS`` slots and fixed service times behind a gate."""
+
+    def __init__(self, seed, demands, limits=LIMITS):
+        self.now = 0.0
+        self.busy = 0
+        self.offered, self.in_time, self.refused, self.late = Counter(), Counter(), Counter(), 0
+        self.retry_after = []
+        self._rng = random.Random(seed)
+        self._demands = demands
+        self._gate = Gate(limits, self, clock=lambda: self.now)
+        self._events = []
+        self._order = itertools.count()
+        self._open = {}
+
+    def room(self, unit):
+        return Room(SLOTS - self.busy, SLOTS)
+
+    def run(self):
+        for demand in self._demands:
+            for at in self._times(demand.rate):
+                self._at(at, self._arrive, demand, at)
+        while self._events:
+            self.now, _, act, arguments = heapq.heappop(self._events)
+            act(*arguments)
+            self._follow_decisions()
+        return self
+
+    def _times(self, rate):
+        at = self._rng.expovariate(rate)
+        while at < SECONDS:
+            yield at
+            at += self._rng.expovariate(rate)
+
+    def _at(self, when, act, *arguments):
+        heapq.heappush(self._events, (when, next(self._order), act, arguments))
+
+    def _arrive(self, demand, at):
+        self.offered[demand.caller] += 1
+        arrival = Arrival(
+            demand.caller, demand.share, demand.priority, "m@v1", TOKENS, at + demand.deadline
+        )
+        ticket = self._gate.offer(arrival)
+        self._open[id(ticket)] = ticket
+
+    def _follow_decisions(self):
+        for key, ticket in list(self._open.items()):
+            if not ticket.is_decided():
+                continue
+            del self._open[key]
+            if ticket.refusal:
+                self.refused[ticket.arrival.caller] += 1
+                self.retry_after.append(ticket.refusal.retry_after_seconds)
+                assert ticket.refusal.run == "not_run"
+            else:
+                self.busy += 1
+                self._at(self.now + FIRST, self._first_token, ticket)
+
+    def _first_token(self, ticket):
+        tokens = [TokenEvent(n, "t") for n in range(TOKENS)]
+        stream = self._gate.watch(ticket, iter([*tokens, EndEvent(TOKENS)]))
+        next(stream)
+        self._at(self.now + SERVICE_SECONDS - FIRST, self._end, ticket, stream)
+
+    def _end(self, ticket, stream):
+        self.busy -= 1
+        list(stream)
+        in_time = self.now <= ticket.arrival.deadline_at
+        self.in_time[ticket.arrival.caller] += in_time
+        self.late += not in_time
+
+
+def one_caller(rate, deadline=0.9):
+    return [Demand("clerks", 1, 5, rate, deadline)]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_twice_the_capacity_keeps_the_attainment(seed):
+    """Twice what the engines can serve arrives. Without refusals everybody
+    waits until nearly all are late; with them as many are in time as at
+    capacity, and nobody is given a time that has passed already."""
+    at_capacity = Model(seed, one_caller(CAPACITY)).run()
+    overloaded = Model(seed, one_caller(2 * CAPACITY)).run()
+
+    assert overloaded.in_time["clerks"] >= 0.95 * at_capacity.in_time["clerks"]
+    assert overloaded.in_time["clerks"] >= 0.9 * CAPACITY * SECONDS
+    assert overloaded.late <= 0.01 * overloaded.offered["clerks"]
+    assert min(overloaded.retry_after) > 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_flood_does_not_starve_lookups(seed):
+    """One caller sends ten times the capacity of low priority work in the
+    closing minutes: the registrars' lookups are still answered in time."""
+    demands = [
+        Demand("citizens", 4, 5, 10 * CAPACITY, 5.0),
+        Demand("registrars", 1, 1, 0.3 * CAPACITY, 1.5),
+    ]
+
+    model = Model(seed, demands).run()
+
+    assert model.in_time["registrars"] >= 0.99 * model.offered["registrars"]
+    assert sum(model.in_time.values()) >= 0.95 * CAPACITY * SECONDS
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_callers_of_one_priority_get_their_shares(seed):
+    demands = [Demand("small", 1, 5, 2 * CAPACITY, 3.0), Demand("large", 3, 5, 2 * CAPACITY, 3.0)]
+
+    model = Model(seed, demands).run()
+
+    assert model.in_time["large"] / model.in_time["small"] == pytest.approx(3, rel=0.15)
+
+
+def test_lowest_priority_is_not_starved_either():
+    demands = [Demand("a", 1, 0, 0.8 * CAPACITY, 2.0), Demand("b", 1, 9, CAPACITY, 2.0)]
+
+    model = Model(1, demands).run()
+
+    assert model.in_time["a"] >= 0.98 * model.offered["a"]
+    assert model.in_time["b"] >= 0.1 * model.offered["b"]
+
+
+def test_full_instance_refuses_at_once_with_a_time_to_come_back():
+    gate = Gate(GateLimits(1, 1), Model(0, []))
+    arrival = Arrival("clerks", 1, 5, "", 1, float("inf"))
+    gate.enter(arrival)
+    waiting = gate.offer(arrival)
+
+    with pytest.raises(Refusal) as caught:
+        gate.enter(arrival)
+
+    assert (caught.value.status, caught.value.code) == (429, "overloaded")
+    assert caught.value.retry_after_seconds
+    assert not waiting.is_decided()
+
+
+def test_request_that_holds_on_keeps_its_room_until_its_stream_ends():
+    gate = Gate(GateLimits(1, 1), Model(0, []))
+    ticket = gate.enter(Arrival("clerks", 1, 5, "", 1, float("inf")))
+    stream = gate.watch(ticket, iter([TokenEvent(0, "t"), EndEvent(1)]))
+    next(stream)
+    second = gate.offer(Arrival("clerks", 1, 5, "", 1, float("inf")))
+    assert not second.is_decided()
+
+    stream.close()
+
+    assert second.admitted_at is not None
+
+
+@pytest.mark.parametrize("threads", [1, 8, 160])
+def test_threads_are_left_over_for_refusals(threads):
+    limits = gate_limits(threads)
+    assert limits.running >= 1
+    assert threads < 8 or limits.running + limits.waiting + 2 <= threads
+
+
+class OneEngine:
+    """A directory and a member list with one engine and one instance."""
+
+    def __init__(self):
+        self.member = EngineMember("e", "a", False, "", "alder", 1, True, 0.0)
+        self.view = EngineView(self.member, None, 0.0)
+
+    def engines_with(self, unit):
+        return [self.view]
+
+    def report(self, running, seen_at):
+        digest = Digest("e", 1, False, 0, (), running, 0, SLOTS)
+        self.view = EngineView(self.member, digest, seen_at)
+
+
+def test_room_corrects_a_lagging_report_by_what_ran_here_since():
+    """The report is a second old. What this instance has sent since is not in
+    it, and what has ended since still is: a gate that believed the report
+    would overrun the engine, or leave it idle. Of what is free, each of the
+    eight instances takes its part, and never less than its even part."""
+    now = [10.0]
+    directory, in_flight = OneEngine(), InFlight()
+    members = Members(None)
+    members.by_id = {name: InstanceMember(name, "a", "r", False, "", "", "") for name in "abcdefgh"}
+    me = InstanceSettings("one", "a", "r")
+    capacity = Capacity(me, directory, members, in_flight, 1.0, lambda: now[0])
+    directory.report(running=4, seen_at=10.0)
+    assert capacity.room("m").free == SLOTS / 8
+    spans = [in_flight.at("e") for _ in range(6)]
+    for span in spans:
+        span.__enter__()
+    now[0] = 10.5
+    assert capacity.room("m").free == (SLOTS - 10) / 8
+    directory.report(running=10, seen_at=12.0)
+    now[0] = 12.0
+    assert capacity.room("m").free == (SLOTS - 10) / 8
+    for span in spans[:5]:
+        span.__exit__(None, None, None)
+    now[0] = 12.1
+    assert capacity.room("m").free == (SLOTS - 5) / 8
