--- a/benchmarks/configuration_spread.py
+++ b/benchmarks/configuration_spread.py
@@ -1,29 +1,40 @@
-"""Time from `apply` to in force everywhere; prints JSON.
+"""Time from `apply` to in force everywhere.
 
 Real processes that run board, mesh and configuration, one platform stand-in.
 Checks that no instance ever went back, by every instance's observed sequence.
 """
 
-import argparse
 import json
 import statistics
-import sys
 import tempfile
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
-from control_fleet import Fleet, machine
+import typer
 from redwingscale_daemon._internal.configuration.store import ConfigurationStore, Won
 from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.settings.settings import PlatformSettings
 
-POINTS = ((6, 3), (60, 6))
+from benchmarks.lib.control_fleet import Fleet
+from benchmarks.lib.points import write_points
+
+# Instances and failure domains.
+SIZES = ((6, 3), (60, 6))
 AIM_SECONDS = 3.0
 BOUND_SECONDS = 14.0
 SIZE_BYTES = 16_000_000_000
 
 
+class Options(NamedTuple):
+    """Waits in seconds, number of versions, size of the text."""
+
+    settle_seconds: float
+    pause_seconds: float
+    applies: int
+    models: int
+
+
 def text_of(models: int, change: int) -> str:
     """Return a text of ``models`` models; ``change`` tells one version from another."""
     listed = {
@@ -44,8 +55,9 @@
     return json.dumps(value, indent=2)
 
 
-def measure(count: int, domains: int, options: argparse.Namespace) -> dict[str, Any]:
+def measure(size: tuple[int, int], options: Options) -> dict[str, Any]:
     """Return one point: spread of each of ``--applies`` versions."""
+    count, domains = size
     with tempfile.TemporaryDirectory() as directory:
         fleet = Fleet(count, domains, Path(directory))
         try:
@@ -69,7 +81,7 @@
     }
 
 
-def apply_all(fleet: Fleet, options: argparse.Namespace) -> dict[int, float]:
+def apply_all(fleet: Fleet, options: Options) -> dict[int, float]:
     """Apply version after version; return when each apply was begun."""
     store = ConfigurationStore(connect_platform(PlatformSettings(fleet.platform_url, 5.0), "bench"))
     begun_at: dict[int, float] = {}
@@ -94,22 +106,22 @@
     return versions == sorted(set(versions))
 
 
-def main() -> None:
-    """Measure every point, print them, and exit 1 past the bound."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--settle-seconds", type=float, default=15.0)
-    parser.add_argument("--pause-seconds", type=float, default=4.3)
-    parser.add_argument("--applies", type=int, default=8)
-    parser.add_argument("--models", type=int, default=860)
-    parser.add_argument("--points", type=int, nargs="*", default=range(len(POINTS)))
-    options = parser.parse_args()
-    points = [measure(*POINTS[index], options) for index in options.points]
-    aims = {"aim_seconds": AIM_SECONDS, "bound_seconds": BOUND_SECONDS}
-    print(json.dumps(machine() | aims | {"points": points}, indent=2))
-    failed = any(
-        p["seconds_worst"] > BOUND_SECONDS or p["instances_that_went_back"] for p in points
-    )
-    sys.exit(1 if failed else 0)
-
-
-main()
+def main(
+    settle_seconds: float = 15.0,
+    pause_seconds: float = 4.3,
+    applies: int = 8,
+    models: int = 860,
+    largest: int = 60,
+) -> None:
+    """Measure every size up to ``largest``; exit 1 past the bound or when one went back."""
+    options = Options(settle_seconds, pause_seconds, applies, models)
+    points = [measure(size, options) for size in SIZES if size[0] <= largest]
+    parameters = options._asdict() | {"aim_seconds": AIM_SECONDS, "bound_seconds": BOUND_SECONDS}
+    write_points("configuration_spread", parameters, points)
+    worst = max(p["seconds_worst"] for p in points)
+    if worst > BOUND_SECONDS or any(p["instances_that_went_back"] for p in points):
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/benchmarks/control_fleet.py
+++ b/benchmarks/lib/control_fleet.py
@@ -1,7 +1,6 @@
 """Starts many control nodes against one platform stand-in, for the benchmarks."""
 
 import json
-import platform
 import subprocess
 import sys
 from pathlib import Path
@@ -116,15 +115,3 @@
             "peers_url": f"tcp://{HOST}:{port}",
         }
         self._pool.request("PUT", f"{self.platform_url}/admin/members", json=item)
-
-
-def machine() -> dict[str, Any]:
-    """Return what a reader needs to compare figures."""
-    commit = subprocess.run(
-        ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=False
-    )
-    cpus = Path("/proc/cpuinfo").read_text().count("processor\t")
-    return {
-        "machine": {"cpus": cpus, "system": platform.system(), "python": platform.python_version()},
-        "commit": commit.stdout.strip(),
-    }
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,22 +1,40 @@
-"""Cost of membership for each instance at several sizes; prints JSON points.
+"""Cost of membership for each instance at several sizes.
 
 Each point is the mean over all processes of one fleet: quiet, then with
 ``--entries-per-second`` entries in the whole fleet, so that slopes against
 instances, the size of a failure domain and entries can be fitted.
 """
 
-import argparse
-import json
 import statistics
 import tempfile
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
-from control_fleet import Fleet, machine
+import typer
 
-# Instances and failure domains; the last is one domain of the size to design for.
-POINTS = ((6, 3), (20, 3), (60, 6), (60, 1))
+from benchmarks.lib.control_fleet import Fleet
+from benchmarks.lib.points import write_points
+
+
+class Size(NamedTuple):
+    """One fleet."""
+
+    instances: int
+    failure_domains: int
+
+
+class Options(NamedTuple):
+    """How long to wait and measure, in seconds, and the entries of the busy phase."""
+
+    settle_seconds: float
+    quiet_seconds: float
+    busy_seconds: float
+    entries_per_second: float
+
+
+# The last has one failure domain of about the size to design for.
+SIZES = (Size(6, 3), Size(20, 3), Size(60, 6), Size(60, 1))
 COUNTERS = ("cpu_seconds", "bytes_sent", "bytes_received", "frames_sent", "frames_received")
 
 
@@ -54,40 +72,40 @@
     )
 
 
-def measure(count: int, domains: int, options: argparse.Namespace) -> dict[str, Any]:
-    """Return one point."""
+def measure(size: Size, options: Options) -> list[dict[str, Any]]:
+    """Return the quiet and the busy point of one size."""
+    where = size._asdict()
     with tempfile.TemporaryDirectory() as directory:
-        fleet = Fleet(count, domains, Path(directory))
+        fleet = Fleet(size.instances, size.failure_domains, Path(directory))
         try:
             time.sleep(options.settle_seconds)
             quiet = phase(fleet, options.quiet_seconds)
-            silence = longest_silence(fleet, domains)
+            silence = round(longest_silence(fleet, size.failure_domains), 2)
             for node in fleet.nodes:
-                node.command(f"rate {options.entries_per_second / count}")
+                node.command(f"rate {options.entries_per_second / size.instances}")
             time.sleep(options.settle_seconds / 2)
             busy = phase(fleet, options.busy_seconds)
         finally:
             fleet.stop()
-    return {
-        "instances": count,
-        "failure_domains": domains,
-        "longest_silence_seconds": round(silence, 2),
-        "quiet": quiet,
-        "busy": busy | {"entries_per_second": options.entries_per_second},
-    }
+    return [
+        where | {"entries_per_second": 0.0, "longest_silence_seconds": silence} | quiet,
+        where | {"entries_per_second": options.entries_per_second} | busy,
+    ]
 
 
-def main() -> None:
-    """Measure every point and print them."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--settle-seconds", type=float, default=40.0)
-    parser.add_argument("--quiet-seconds", type=float, default=30.0)
-    parser.add_argument("--busy-seconds", type=float, default=20.0)
-    parser.add_argument("--entries-per-second", type=float, default=20.0)
-    parser.add_argument("--points", type=int, nargs="*", default=range(len(POINTS)))
-    options = parser.parse_args()
-    points = [measure(*POINTS[index], options) for index in options.points]
-    print(json.dumps(machine() | {"benchmark": "membership", "points": points}, indent=2))
+def main(
+    settle_seconds: float = 40.0,
+    quiet_seconds: float = 30.0,
+    busy_seconds: float = 20.0,
+    entries_per_second: float = 20.0,
+    largest: int = 60,
+) -> None:
+    """Measure every size up to ``largest`` and record the points."""
+    options = Options(settle_seconds, quiet_seconds, busy_seconds, entries_per_second)
+    sizes = [size for size in SIZES if size.instances <= largest]
+    points = [point for size in sizes for point in measure(size, options)]
+    write_points("membership", options._asdict(), points)
 
 
-main()
+if __name__ == "__main__":
+    typer.run(main)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/mesh.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/mesh.py
@@ -156,7 +156,14 @@
             case Versions():
                 self._answer(peer, Entries(missing_from(known(), message)))
             case Direct(topic=topic, payload=payload):
-                self._direct[topic](peer, payload)
+                self._take_direct(peer, topic, payload)
+
+    def _take_direct(self, peer: str, topic: str, payload: bytes) -> None:
+        handler = self._direct.get(topic)
+        if handler is None:
+            log_event("direct_topic_unknown", level="WARNING", peer=peer, topic=topic)
+            return
+        handler(peer, payload)
 
     def _take_entries(self, peer: str, entries: list[Entry]) -> None:
         for entry in entries:
--- a/packages/redwingscale-standins/src/redwingscale_standins/launcher/deployment.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/launcher/deployment.py
@@ -3,7 +3,7 @@
 import json
 import signal
 from collections.abc import Mapping
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -59,6 +59,8 @@
         self._extra_settings = settings or {}
         self._pool = urllib3.PoolManager(retries=False)
         self.members_by_id: dict[str, RunningMember] = {}
+        # What peers are told in place of an instance's own address, by instance.
+        self.peers_urls: dict[str, str] = {}
 
     @property
     def platform_url(self) -> str:
@@ -71,7 +73,9 @@
         try:
             self.start_platform()
             with ThreadPoolExecutor(PARALLEL_STARTS) as pool:
-                starts = [pool.submit(self.start_engine, e) for e in self._shape.engines]
+                starts: list[Future[Any]] = [
+                    pool.submit(self.start_engine, e) for e in self._shape.engines
+                ]
                 starts += [pool.submit(self.start_plain, p) for p in self._shape.plain]
                 starts += [
                     pool.submit(self.start_instance, instance, domain)
@@ -153,8 +157,8 @@
             }
         )
 
-    def start_instance(self, instance: str, failure_domain: str) -> None:
-        """Start an instance and list it."""
+    def start_instance(self, instance: str, failure_domain: str) -> int:
+        """Start an instance and list it; return its port for peers."""
         settings = self._settings(instance, failure_domain)
         path = self._directory / f"{instance}.json"
         path.write_text(json.dumps(settings, indent=2))
@@ -163,7 +167,7 @@
         urls = {
             "callers_url": f"http://{HOST}:{ports['callers_port']}",
             "operators_url": f"http://{HOST}:{ports['operators_port']}",
-            "peers_url": f"tcp://{HOST}:{ports['peers_port']}",
+            "peers_url": self.peers_urls.get(instance, f"tcp://{HOST}:{ports['peers_port']}"),
         }
         self._add(instance, "instance", failure_domain, urls, "", process)
         item = {
@@ -174,6 +178,7 @@
             "state": "live",
         }
         self.list_member(item | urls)
+        return int(ports["peers_port"])
 
     def list_member(self, item: dict[str, Any]) -> None:
         """Put ``item`` into the platform's list."""
@@ -216,7 +221,8 @@
                 "port": 0,
                 "key": PEERS_KEY,
                 "seeds": self._seeds(instance, failure_domain),
-            },
+            }
+            | ({"url": self.peers_urls[instance]} if instance in self.peers_urls else {}),
             "platform": {"url": self.platform_url},
             "timing": {"balancer_drain": 0.5},
         } | self._extra_settings
