Wait for the settled owner and for adapters in the owners' tests

Cause: two of the tests' scenes were read too early, seen as 3 failures in one whole run on a busy machine: the engine was just changing hands after the start (no holder in the row), and adapters were still being loaded when the orders before the fault were counted.

Change: the scene waits until the engine is with the instance it falls to, and for every unit with its adapters. The claims are the same.

--- a/packages/redwingscale-daemon/tests/functional/test_owners.py
+++ b/packages/redwingscale-daemon/tests/functional/test_owners.py
@@ -8,12 +8,21 @@
 
 import pytest
 import urllib3
+from redwingscale_common.utils.digests import rendezvous_order
 from redwingscale_standins.engine.generation import answer_text
 from redwingscale_standins.launcher.client import Client
 from redwingscale_standins.launcher.shape import GIGABYTE, EngineShape, Shape
 
-UNITS = {"listing-vetter@v1", "notice-drafter@v1", "name-similarity@v1", "trademark-check@v1"}
-MODELS = [unit.partition("@")[0] for unit in sorted(UNITS)]
+MODELS = ["listing-vetter", "name-similarity", "notice-drafter", "trademark-check"]
+ADAPTERS = ["a1", "a2", "a3", "a4"]
+
+
+def units_of(models):
+    """Return the units of ``models`` with their adapters."""
+    return {f"{m}@v1" for m in models} | {f"{m}@v1:{a}" for m in models for a in ADAPTERS}
+
+
+UNITS = units_of(MODELS)
 FOREIGN = {"stranger@v9": 40 * GIGABYTE, "stranger@v9:x": GIGABYTE, "other@v2": 70 * GIGABYTE}
 
 
@@ -46,6 +55,12 @@
         return self.http.request("GET", f"{url}/admin/record").json()
 
     def owner(self):
+        """Return holder and fence once the engine is with the instance it falls to."""
+        first = rendezvous_order("e1", ["i1", "i2"])[0]
+        self.wait(lambda: self.holder()[0] == first, f"{first} the owner")
+        return self.holder()
+
+    def holder(self):
         """Return holder and fence of the engine as the table has them."""
         url = f"{self.deployment.platform_url}/table/rows?key=owners/e1"
         row = self.http.request("GET", url).json()["owners/e1"]
@@ -79,13 +94,13 @@
     may take the engine back, under a fence of its own, but send nothing before.
     """
     scene.apply("i1", MODELS[:2])
-    scene.client.wait_until_resident("i1", {f"{m}@v1" for m in MODELS[:2]})
+    scene.client.wait_until_resident("i1", units_of(MODELS[:2]))
     frozen, old_fence = scene.owner()
     other = "i2" if frozen == "i1" else "i1"
     process = scene.deployment.members_by_id[frozen].process
     process.signal(signal.SIGSTOP)
     try:
-        scene.wait(lambda: scene.owner()[0] == other, "a successor")
+        scene.wait(lambda: scene.holder()[0] == other, "a successor")
         accepted_before = len(scene.record()["accepted"])
         scene.apply(other, MODELS)
     finally:
