Resume and continue broken generation streams without a seam

Cause: an answer ended with the first fault of its engine or connection, and a stream queued at its engine for longer than 5 s was given up.

Change: each attempt's events are checked (id, contiguous position, total) and the first wrong one closes its connection, which is used once. The relay then resumes by position on the same engine over a new connection, else starts an attempt elsewhere with the text already delivered. Retries draw on a token bucket that whole answers fill (10%); a death under a running attempt may continue without it, twice a request. A first token has half of what is left of the deadline; later silence is bounded by 8 gaps of that stream, between `least_silence` and `silence`. A request that may not run twice is only resumed, or retried when surely not run. A caller that leaves cancels the engine's work, or lets it finish where it may not run twice.

Stand-in engine: a cancelled or taken-over run is cut in place of ending like a whole short answer; `disturbances` bounds how many runs the switches disturb.

Ruled out: pooled connections for streams (a dead idle one would hide whether the attempt started); a budget for every continuation (a third of 210 streams break at once when one of three engines dies).

Not proved: engines whose sampling is not repeatable from the text so far.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -43,6 +43,18 @@
     """A stream ended before its terminator, went silent or was not well-formed."""
 
 
+class StreamSilent(StreamBroken):
+    """No byte came within the bound; the upstream may be alive behind a lost connection."""
+
+
+class AttemptUnknown(UpstreamError):
+    """The upstream answers, but knows nothing of the attempt."""
+
+
+class UpstreamDied(UpstreamError):
+    """The upstream's process ended under a running attempt."""
+
+
 class ReportInvalid(RedwingscaleError):
     """An upstream's report is nonsense; the upstream is set aside."""
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/generation.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/generation.py
@@ -1,103 +1,63 @@
-"""Carries a generation request to an engine and its tokens back."""
+"""Carries a generation request to engines and its tokens back as one whole answer."""
 
-import uuid
-from collections.abc import Iterator
-from itertools import chain
+import threading
+from collections.abc import Generator, Iterator
 
 from opentelemetry.trace import Span
+from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import Refusal, StreamBroken, UpstreamError
-from redwingscale_daemon._internal.models.generation import (
-    Attempt,
-    EndEvent,
-    GenerationRequest,
-    StreamEvent,
-    TokenEvent,
-)
-from redwingscale_daemon._internal.models.member import EngineMember
-from redwingscale_daemon._internal.models.run_state import RunState
-from redwingscale_daemon._internal.routing.router import Router
-from redwingscale_daemon._internal.telemetry.metrics import Metrics
-from redwingscale_daemon._internal.telemetry.tracing import Tracing, trace_headers
-from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
-from redwingscale_daemon._internal.upstreams.in_flight import InFlight
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.models.generation import GenerationRequest, StreamEvent
+from redwingscale_daemon._internal.relay.run import GenerationRun
+from redwingscale_daemon._internal.relay.run_parts import RunParts
 
-RETRY_AFTER_NO_ENGINE_SECONDS = 1.0
+Events = Generator[StreamEvent, None, None]
 
 
 class GenerationRelay:
-    """Runs one request at one engine."""
+    """Starts a run for each request and takes care of callers that go away."""
 
-    def __init__(
-        self,
-        router: Router,
-        client: EngineClient,
-        in_flight: InFlight,
-        tracing: Tracing,
-        metrics: Metrics,
-    ) -> None:
-        self._router = router
-        self._client = client
-        self._in_flight = in_flight
-        self._tracing = tracing
-        self._metrics = metrics
+    def __init__(self, parts: RunParts) -> None:
+        self._parts = parts
 
     def run(self, request: GenerationRequest, span: Span) -> Iterator[StreamEvent]:
         """Return the tokens of ``request``; the first one has already arrived.
 
-        Raises `Refusal` before the first token, `StreamBroken` after it.
+        Raises `Refusal`, also from the iterator when nothing can continue the
+        answer. Closing the iterator says that the caller is gone: the engine's
+        work is cancelled, or let finish when it must not run a second time.
         """
-        events = self._attempt(request, span)
-        try:
-            first = next(events)
-        except UpstreamError as error:
-            raise Refusal(
-                503, "upstream_failed", str(error), run=error.run, retry_after_seconds=1.0
-            ) from error
-        return chain([first], events)
+        events = GenerationRun(request, span, self._parts).events()
+        return _until_left(request, next(events), events)
 
-    def _attempt(self, request: GenerationRequest, span: Span) -> Iterator[StreamEvent]:
-        view = self._router.choose_engine(str(request.unit), ())
-        if view is None:
-            raise Refusal(
-                503,
-                "not_resident",
-                f"{request.unit} is resident nowhere at the moment",
-                retry_after_seconds=RETRY_AFTER_NO_ENGINE_SECONDS,
-            )
-        attempt = _new_attempt(request)
-        engine = view.member
-        with (
-            self._in_flight.at(engine.id),
-            self._tracing.hop_span("attempt", span, upstream=engine.id) as hop,
-        ):
-            self._metrics.attempts.add(1, {"upstream": engine.id})
-            yield from self._checked(engine, attempt, trace_headers(hop))
 
-    def _checked(
-        self, engine: EngineMember, attempt: Attempt, headers: dict[str, str]
-    ) -> Iterator[StreamEvent]:
-        expected = attempt.skip
-        for event in self._client.stream(engine, attempt, headers):
-            match event:
-                case TokenEvent(position=position) if position != expected:
-                    detail = f"token {position} in place of {expected}"
-                    raise StreamBroken(engine.id, detail, run=RunState.UNKNOWN)
-                case TokenEvent():
-                    expected += 1
-                case EndEvent(total=total) if total != expected:
-                    detail = f"ended with {total} tokens, {expected} arrived"
-                    raise StreamBroken(engine.id, detail, run=RunState.UNKNOWN)
+def _until_left(request: GenerationRequest, first: StreamEvent, events: Events) -> Events:
+    # No `yield from`: closing this generator would close ``events`` with it, and a
+    # request that must not run twice has to be let finish.
+    try:
+        yield first
+        for event in events:  # noqa: UP028 - see above
             yield event
-
-
-def _new_attempt(request: GenerationRequest) -> Attempt:
-    return Attempt(
-        attempt_id=uuid.uuid4().hex,
-        unit=str(request.unit),
-        prompt=request.prompt,
-        max_tokens=request.max_tokens,
-        priority=request.priority,
-        skip=0,
-        delivered="",
-    )
+    except Refusal as refusal:
+        log_event("answer_cut", level="WARNING", request=request.request_id, code=refusal.code)
+        raise
+    except GeneratorExit:
+        log_event("caller_left", request=request.request_id, idempotent=request.idempotent)
+        _leave(request, events)
+        raise
+
+
+def _leave(request: GenerationRequest, events: Events) -> None:
+    if request.idempotent:
+        events.close()
+        return
+    # Not a daemon thread: a planned stop must not cut the work off either.
+    threading.Thread(target=_drain, args=(request, events), name="drain").start()
+
+
+def _drain(request: GenerationRequest, events: Events) -> None:
+    try:
+        for _ in events:
+            pass
+    except Refusal as refusal:
+        log_event("drain_failed", level="WARNING", request=request.request_id, code=refusal.code)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
@@ -0,0 +1,251 @@
+"""One generation request, from its first attempt to its last token."""
+
+import time
+import uuid
+from collections.abc import Callable, Generator
+from functools import partial
+
+from opentelemetry.trace import Span
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import (
+    AttemptUnknown,
+    Refusal,
+    ReportInvalid,
+    StreamBroken,
+    StreamSilent,
+    UpstreamDied,
+    UpstreamError,
+)
+from redwingscale_daemon._internal.models.generation import (
+    Attempt,
+    EndEvent,
+    GenerationRequest,
+    StreamEvent,
+)
+from redwingscale_daemon._internal.models.member import EngineMember
+from redwingscale_daemon._internal.models.run_state import RunState
+from redwingscale_daemon._internal.relay.progress import Progress
+from redwingscale_daemon._internal.relay.run_parts import RunParts
+from redwingscale_daemon._internal.telemetry.tracing import trace_headers
+from redwingscale_daemon._internal.upstreams.engine_client import is_refused
+from redwingscale_daemon._internal.upstreams.engine_stream import EngineStream
+
+Events = Generator[StreamEvent, None, None]
+
+RETRY_AFTER_SECONDS = 1.0
+MOST_ATTEMPTS = 8
+MOST_RESUMES = 32
+MOST_STALLED_RESUMES = 3
+DEATHS_WITHOUT_BUDGET = 2
+PAUSE_SECONDS = 0.05
+ENGINE_POLL_SECONDS = 0.1
+TOKENS_BETWEEN_TIMEOUTS = 16
+GAP_WEIGHT = 0.2
+
+
+class GenerationRun:
+    """Makes attempts until the answer is whole; used by one thread at a time."""
+
+    def __init__(self, request: GenerationRequest, span: Span, parts: RunParts) -> None:
+        self._request = request
+        self._span = span
+        self._parts = parts
+        self._progress = Progress()
+        self._attempts = 0
+        self._deaths = 0
+        self._failed: set[str] = set()
+        self._state = RunState.NOT_RUN
+
+    def events(self) -> Events:
+        """Yield the whole answer; raise `Refusal` when nothing can continue it."""
+        while True:
+            engine = self._choose_engine()
+            try:
+                yield from self._attempt(engine)
+            except UpstreamError as error:
+                self._after_failure(engine, error)
+            else:
+                self._parts.budget.succeeded()
+                return
+
+    def _choose_engine(self) -> EngineMember:
+        engine = self._candidate()
+        # A cut answer cannot be asked for again where it broke off, so one that
+        # has begun waits for an engine; one that has not is refused at once.
+        while engine is None and self._progress.position and not self._is_late():
+            time.sleep(ENGINE_POLL_SECONDS)
+            engine = self._candidate()
+        if engine is None:
+            raise self._refusal("not_resident", f"no engine can run {self._request.unit} now")
+        return engine
+
+    def _candidate(self) -> EngineMember | None:
+        router, unit = self._parts.router, str(self._request.unit)
+        shunned = self._parts.reachability.shunned()
+        view = router.choose_engine(unit, self._failed | shunned)
+        if view is None and self._failed:
+            view = router.choose_engine(unit, shunned)
+        return view.member if view else None
+
+    def _attempt(self, engine: EngineMember) -> Events:
+        parts = self._parts
+        attempt = self._new_attempt()
+        self._attempts += 1
+        with (
+            parts.in_flight.at(engine.id),
+            parts.tracing.hop_span("attempt", self._span, upstream=engine.id) as hop,
+        ):
+            parts.metrics.attempts.add(1, {"upstream": engine.id})
+            try:
+                yield from self._resumed(engine, attempt, trace_headers(hop))
+            except GeneratorExit:
+                self._cancel(engine, attempt)
+                raise
+
+    def _resumed(self, engine: EngineMember, attempt: Attempt, headers: dict[str, str]) -> Events:
+        """Yield the answer of one attempt over as many connections as it takes."""
+        connect: Callable[[], EngineStream] = partial(self._start, engine, attempt, headers)
+        stalled = 0
+        for _ in range(MOST_RESUMES):
+            before = self._progress.position
+            try:
+                yield from self._follow(connect())
+                return
+            except StreamBroken as broken:
+                error = broken
+            except AttemptUnknown as unknown:
+                raise self._death_or(unknown, engine) from unknown
+            stalled = 0 if self._progress.position > before else stalled + 1
+            self._check_resume(engine, error, stalled)
+            connect = partial(self._resume, engine, attempt.attempt_id, headers)
+        raise error
+
+    def _start(
+        self, engine: EngineMember, attempt: Attempt, headers: dict[str, str]
+    ) -> EngineStream:
+        return self._parts.client.start(engine, attempt, headers, self._first_token_wait())
+
+    def _resume(
+        self, engine: EngineMember, attempt_id: str, headers: dict[str, str]
+    ) -> EngineStream:
+        position = self._progress.position
+        wait = self._first_token_wait()
+        return self._parts.client.resume(engine, attempt_id, position, headers, wait)
+
+    def _follow(self, stream: EngineStream) -> Events:
+        """Yield what comes over one connection, with the silence bound kept up to date."""
+        progress, silence = self._progress, self._parts.silence
+        gap, untimed, last = 0.0, 1, 0.0
+        for event in stream.events(progress.position):
+            if isinstance(event, EndEvent):
+                yield event
+                return
+            progress.texts.append(event.text)
+            progress.position += 1
+            now = time.monotonic()
+            gap += GAP_WEIGHT * (now - last - gap) if last else 0.0
+            last = now
+            untimed -= 1
+            if not untimed:
+                untimed = TOKENS_BETWEEN_TIMEOUTS
+                stream.set_timeout(silence.between_tokens(gap) if gap else silence.most)
+            yield event
+
+    def _check_resume(self, engine: EngineMember, error: StreamBroken, stalled: int) -> None:
+        """Raise unless the attempt may be resumed on a new connection to ``engine``."""
+        parts = self._parts
+        log_event(
+            "stream_broken",
+            level="WARNING",
+            request=self._request.request_id,
+            upstream=engine.id,
+            position=self._progress.position,
+            error=error,
+        )
+        if self._is_late() or stalled > MOST_STALLED_RESUMES:
+            raise error
+        if stalled and not isinstance(error, StreamSilent):
+            if parts.client.refuses_connections(engine):
+                raise UpstreamDied(engine.id, error.detail, run=RunState.UNKNOWN)
+            if not parts.budget.take():
+                raise error
+            time.sleep(PAUSE_SECONDS)
+        parts.metrics.resumes.add(1, {"upstream": engine.id})
+
+    def _death_or(self, error: AttemptUnknown, engine: EngineMember) -> UpstreamError:
+        """Return the death of an engine that was started anew, else ``error``.
+
+        An engine that merely never heard of the attempt still holds its models;
+        one that has just started holds none yet.
+        """
+        try:
+            residents = self._parts.client.report(engine).residents
+        except (UpstreamError, ReportInvalid):
+            return error
+        if any(r.ready and r.unit == str(self._request.unit) for r in residents):
+            return error
+        return UpstreamDied(engine.id, "was started anew", run=RunState.UNKNOWN)
+
+    def _after_failure(self, engine: EngineMember, error: UpstreamError) -> None:
+        """Return when another attempt may be made, else raise the final `Refusal`."""
+        self._failed.add(engine.id)
+        if error.run is not RunState.NOT_RUN:
+            self._state = error.run
+        if isinstance(error, UpstreamDied) or is_refused(error):
+            self._parts.reachability.failed(engine.id)
+        again = self._may_go_on(error)
+        log_event(
+            "attempt_failed",
+            level="WARNING",
+            request=self._request.request_id,
+            upstream=engine.id,
+            position=self._progress.position,
+            again=again,
+            error=error,
+        )
+        if not again:
+            raise self._refusal("upstream_failed", str(error)) from error
+        self._parts.metrics.retries.add(1)
+
+    def _may_go_on(self, error: UpstreamError) -> bool:
+        if self._state is not RunState.NOT_RUN and not self._request.idempotent:
+            return False
+        if self._is_late() or self._attempts >= MOST_ATTEMPTS:
+            return False
+        # The death of one engine breaks many answers at once that had been going well;
+        # each may continue. It cannot make a storm: a dead engine is met once.
+        if isinstance(error, UpstreamDied) and self._deaths < DEATHS_WITHOUT_BUDGET:
+            self._deaths += 1
+            return True
+        if self._progress.position and error.run is RunState.NOT_RUN:
+            time.sleep(PAUSE_SECONDS * self._attempts)
+            return True
+        return self._parts.budget.take()
+
+    def _cancel(self, engine: EngineMember, attempt: Attempt) -> None:
+        try:
+            self._parts.client.cancel(engine, attempt.attempt_id)
+        except UpstreamError as error:
+            log_event("cancel_failed", level="WARNING", upstream=engine.id, error=error)
+
+    def _new_attempt(self) -> Attempt:
+        request, progress = self._request, self._progress
+        return Attempt(
+            attempt_id=uuid.uuid4().hex,
+            unit=str(request.unit),
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+            skip=progress.position,
+            delivered=progress.delivered,
+        )
+
+    def _first_token_wait(self) -> float:
+        return self._parts.silence.first_token(self._request.deadline_at)
+
+    def _is_late(self) -> bool:
+        return time.monotonic() >= self._request.deadline_at
+
+    def _refusal(self, code: str, detail: str) -> Refusal:
+        return Refusal(503, code, detail, run=self._state, retry_after_seconds=RETRY_AFTER_SECONDS)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/silence.py
@@ -0,0 +1,26 @@
+"""How long an upstream may send nothing before it is taken to be silent."""
+
+import time
+from typing import NamedTuple
+
+GAPS = 8.0
+FIRST_TOKEN_SHARE = 0.5
+
+
+class SilenceBounds(NamedTuple):
+    """Seconds: the least and the most that a stream may be silent."""
+
+    least: float
+    most: float
+
+    def first_token(self, deadline_at: float) -> float:
+        """Return the wait for a first token: it also covers queueing and prefill.
+
+        Half of what is left, so that there is time for another attempt.
+        """
+        left = (deadline_at - time.monotonic()) * FIRST_TOKEN_SHARE
+        return max(self.least, left)
+
+    def between_tokens(self, gap_seconds: float) -> float:
+        """Return the wait that a mean gap between tokens calls for."""
+        return min(self.most, max(self.least, GAPS * gap_seconds))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -26,6 +26,9 @@
 from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.relay.generation import GenerationRelay
 from redwingscale_daemon._internal.relay.plain import PlainRelay
+from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
+from redwingscale_daemon._internal.relay.run_parts import RunParts
+from redwingscale_daemon._internal.relay.silence import SilenceBounds
 from redwingscale_daemon._internal.routing.router import Router
 from redwingscale_daemon._internal.settings.settings import Settings
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
@@ -34,6 +37,7 @@
 from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 from redwingscale_daemon._internal.upstreams.plain_client import PlainClient
+from redwingscale_daemon._internal.upstreams.reachability import Reachability
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 OPERATORS_THREADS = 4
@@ -65,14 +69,25 @@
     ownership = Ownership(platform.table, session, me.id, timing.lease)
 
     in_flight = InFlight()
-    engines = EngineClient(timing.connect, timing.silence)
+    engines = EngineClient(timing.connect)
     plans = PlanStore(platform)
     planner = Planner(ownership, plans, current, directory)
     owner = EngineOwner(engines, board, plans)
     owners = Owners(me, timing, members, beats, ownership, owner)
 
     router = Router(me.failure_domain, directory, members, in_flight, random.Random())
-    generation = GenerationRelay(router, engines, in_flight, tracing, metrics)
+    generation = GenerationRelay(
+        RunParts(
+            router=router,
+            client=engines,
+            in_flight=in_flight,
+            reachability=Reachability(),
+            budget=RetryBudget(),
+            silence=SilenceBounds(timing.least_silence, timing.silence),
+            tracing=tracing,
+            metrics=metrics,
+        )
+    )
     plain = PlainRelay(router, PlainClient(timing.connect), in_flight, tracing, metrics)
     callers_app = CallersApp(
         current, generation, plain, readiness, tracing, metrics, settings.limits.body_bytes
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/schema.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/schema.py
@@ -25,6 +25,7 @@
     "lease_renewal": 2.5,
     "planning": 2.0,
     "silence": 5.0,
+    "least_silence": 0.5,
     "connect": 1.0,
     "balancer_drain": 3.0,
 }
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/settings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/settings.py
@@ -62,6 +62,7 @@
     lease_renewal: float
     planning: float
     silence: float
+    least_silence: float
     connect: float
     balancer_drain: float
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/metrics.py
@@ -18,6 +18,8 @@
         self.requests = meter.create_counter("redwingscale_requests", unit="1")
         self.refusals = meter.create_counter("redwingscale_refusals", unit="1")
         self.attempts = meter.create_counter("redwingscale_attempts", unit="1")
+        self.resumes = meter.create_counter("redwingscale_resumes", unit="1")
+        self.retries = meter.create_counter("redwingscale_retries", unit="1")
         self.tokens = meter.create_counter("redwingscale_tokens", unit="1")
         self.orders = meter.create_counter("redwingscale_orders", unit="1")
         self.first_token = meter.create_histogram("redwingscale_first_token_seconds", unit="s")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/tracing.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/tracing.py
@@ -6,7 +6,7 @@
 from opentelemetry import trace
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import TracerProvider
-from opentelemetry.trace import Span, SpanKind
+from opentelemetry.trace import Span, SpanKind, StatusCode
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 _PROPAGATOR = TraceContextTextMapPropagator()
@@ -36,10 +36,19 @@
     def hop_span(self, name: str, parent: Span, **attributes: str) -> Iterator[Span]:
         """Open the span of a call to an upstream or a peer, under ``parent``."""
         context = trace.set_span_in_context(parent)
-        with self._tracer.start_as_current_span(
+        # Not made current: a generator that holds the span open may end in another thread,
+        # where the context it was made current in cannot be restored.
+        span = self._tracer.start_span(
             name, context=context, kind=SpanKind.CLIENT, attributes=attributes
-        ) as span:
+        )
+        try:
             yield span
+        except Exception as error:
+            span.record_exception(error)
+            span.set_status(StatusCode.ERROR)
+            raise
+        finally:
+            span.end()
 
     def close(self) -> None:
         """Export what is left."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/dialect.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/dialect.py
@@ -1,5 +1,6 @@
 """The dialects: one data class for each vendor, one function for each call."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import assert_never
 
@@ -22,6 +23,9 @@
 
 Dialect = Alder | Birch
 
+# Takes an event and the attempt's id; None when the event bears another's.
+EventParser = Callable[[bytes, str], StreamEvent | None]
+
 DIALECTS_BY_VENDOR: dict[str, Dialect] = {"alder": Alder(), "birch": Birch()}
 
 
@@ -58,13 +62,16 @@
             assert_never(dialect)
 
 
-def parse_event(dialect: Dialect, event: bytes, attempt_id: str) -> StreamEvent | None:
-    """Return the event; None when it bears another attempt's id."""
+def event_parser(dialect: Dialect) -> EventParser:
+    """Return the function that types an event; see `EventParser`.
+
+    It is looked up once a stream: the parser runs for each token.
+    """
     match dialect:
         case Alder():
-            return alder.parse_event(event, attempt_id)
+            return alder.parse_event
         case Birch():
-            return birch.parse_event(event, attempt_id)
+            return birch.parse_event
         case _:
             assert_never(dialect)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_client.py
@@ -1,13 +1,17 @@
 """Calls to one engine in its vendor's dialect."""
 
-from collections.abc import Iterator
-
-import msgspec
 import urllib3
 from redwingscale_common.network.client import new_pool, timeout
 
-from redwingscale_daemon._internal.exceptions import ReportInvalid, StreamBroken, UpstreamError
-from redwingscale_daemon._internal.models.generation import Attempt, EndEvent, StreamEvent
+from redwingscale_daemon._internal.exceptions import (
+    AttemptUnknown,
+    ReportInvalid,
+    StreamBroken,
+    StreamSilent,
+    UpstreamDied,
+    UpstreamError,
+)
+from redwingscale_daemon._internal.models.generation import Attempt
 from redwingscale_daemon._internal.models.member import EngineMember
 from redwingscale_daemon._internal.models.order import Order
 from redwingscale_daemon._internal.models.report import Report
@@ -15,38 +19,76 @@
 from redwingscale_daemon._internal.upstreams import dialect as dialects
 from redwingscale_daemon._internal.upstreams.call import Call
 from redwingscale_daemon._internal.upstreams.dialect import DIALECTS_BY_VENDOR
-from redwingscale_daemon._internal.upstreams.sse import read_events
+from redwingscale_daemon._internal.upstreams.engine_stream import EngineStream
 
 OK = 200
 CONTROL_TIMEOUT_SECONDS = 2.0
 REPORT_LIMIT_BYTES = 4 << 20
 REFUSED_STATUSES = frozenset({404, 409, 410, 429, 503})
+UNKNOWN_ATTEMPT_STATUSES = frozenset({404, 410})
 
 
 class EngineClient:
     """Streams, polls and orders; each call is sent exactly once."""
 
-    def __init__(self, connect_seconds: float, silence_seconds: float) -> None:
+    def __init__(self, connect_seconds: float) -> None:
         self._pool = new_pool()
-        self._stream_timeout = timeout(connect_seconds, silence_seconds)
+        self._connect_seconds = connect_seconds
         self._control_timeout = timeout(connect_seconds, CONTROL_TIMEOUT_SECONDS)
 
-    def stream(
-        self, engine: EngineMember, attempt: Attempt, headers: dict[str, str]
-    ) -> Iterator[StreamEvent]:
-        """Start ``attempt`` and yield its events up to and with its terminator.
+    def start(
+        self, engine: EngineMember, attempt: Attempt, headers: dict[str, str], wait_seconds: float
+    ) -> EngineStream:
+        """Start ``attempt``; its first event may take ``wait_seconds``.
 
-        Raises `UpstreamError` when it did not start, `StreamBroken` later.
+        Raises `UpstreamError`, with ``not_run`` when it certainly did not start,
+        and `StreamBroken` when the connection ended before the answer.
         """
         call = dialects.start_call(DIALECTS_BY_VENDOR[engine.vendor], attempt)
-        return self._events(engine, attempt.attempt_id, call, headers)
+        response = self._open(engine, call, headers, wait_seconds)
+        if response.status == OK:
+            return EngineStream(engine, attempt.attempt_id, response)
+        response.close()
+        detail = f"start answered with status {response.status}"
+        if response.status in REFUSED_STATUSES:
+            raise UpstreamError(engine.id, detail, run=RunState.NOT_RUN)
+        raise UpstreamError(engine.id, detail, run=RunState.UNKNOWN)
 
     def resume(
-        self, engine: EngineMember, attempt_id: str, start: int, headers: dict[str, str]
-    ) -> Iterator[StreamEvent]:
-        """Yield the rest of an attempt from token ``start``; see `stream`."""
-        call = dialects.resume_call(DIALECTS_BY_VENDOR[engine.vendor], attempt_id, start)
-        return self._events(engine, attempt_id, call, headers)
+        self,
+        engine: EngineMember,
+        attempt_id: str,
+        position: int,
+        headers: dict[str, str],
+        wait_seconds: float,
+    ) -> EngineStream:
+        """Open the rest of an attempt from token ``position`` on a new connection.
+
+        Raises `UpstreamDied` when nothing listens there any more,
+        `AttemptUnknown`, and `StreamBroken` for every other failure.
+        """
+        call = dialects.resume_call(DIALECTS_BY_VENDOR[engine.vendor], attempt_id, position)
+        try:
+            response = self._open(engine, call, headers, wait_seconds)
+        except UpstreamError as error:
+            if is_refused(error):
+                raise UpstreamDied(engine.id, error.detail, run=RunState.UNKNOWN) from error
+            raise StreamBroken(engine.id, error.detail, run=RunState.UNKNOWN) from error
+        if response.status == OK:
+            return EngineStream(engine, attempt_id, response)
+        response.close()
+        detail = f"resume answered with status {response.status}"
+        kind = AttemptUnknown if response.status in UNKNOWN_ATTEMPT_STATUSES else StreamBroken
+        raise kind(engine.id, detail, run=RunState.UNKNOWN)
+
+    def refuses_connections(self, engine: EngineMember) -> bool:
+        """Return whether the engine's host answers that nothing listens there."""
+        call = dialects.state_call(DIALECTS_BY_VENDOR[engine.vendor])
+        try:
+            self._open(engine, call, {}, CONTROL_TIMEOUT_SECONDS).close()
+        except UpstreamError as error:
+            return is_refused(error)
+        return False
 
     def cancel(self, engine: EngineMember, attempt_id: str) -> None:
         """End the work of an attempt; raise `UpstreamError`."""
@@ -71,46 +113,23 @@
             self._control(engine, call)
 
     def _control(self, engine: EngineMember, call: Call) -> bytes:
-        response = self._send(engine, call, self._control_timeout, {}, preload=True)
+        response = self._send(self._pool, engine, call, self._control_timeout, {}, preload=True)
         if response.status >= 300:
             raise UpstreamError(engine.id, f"status {response.status}", run=RunState.NOT_RUN)
         return response.data
 
-    def _events(
-        self, engine: EngineMember, attempt_id: str, call: Call, headers: dict[str, str]
-    ) -> Iterator[StreamEvent]:
-        response = self._send(engine, call, self._stream_timeout, headers, preload=False)
-        try:
-            if response.status != OK:
-                refused = response.status in REFUSED_STATUSES
-                run = RunState.NOT_RUN if refused else RunState.UNKNOWN
-                raise UpstreamError(engine.id, f"status {response.status}", run=run)
-            yield from self._parsed(engine, attempt_id, response)
-        finally:
-            # Never back to the pool with unread bytes: the next request on this
-            # connection would read the rest of this answer as its own.
-            response.close()
-
-    def _parsed(
-        self, engine: EngineMember, attempt_id: str, response: urllib3.BaseHTTPResponse
-    ) -> Iterator[StreamEvent]:
-        dialect = DIALECTS_BY_VENDOR[engine.vendor]
-        try:
-            for raw in read_events(response):
-                event = dialects.parse_event(dialect, raw, attempt_id)
-                if event is None:
-                    raise StreamBroken(
-                        engine.id, "an event of another attempt", run=RunState.UNKNOWN
-                    )
-                yield event
-                if isinstance(event, EndEvent):
-                    return
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
-            raise StreamBroken(engine.id, repr(error), run=RunState.UNKNOWN) from error
-        raise StreamBroken(engine.id, "ended without terminator", run=RunState.UNKNOWN)
+    def _open(
+        self, engine: EngineMember, call: Call, headers: dict[str, str], wait_seconds: float
+    ) -> urllib3.BaseHTTPResponse:
+        bounds = timeout(self._connect_seconds, wait_seconds)
+        # A pool of its own, so that no connection is taken twice: an idle one may be dead,
+        # and its failure would not tell whether the attempt had started.
+        with new_pool(connections=1) as pool:
+            return self._send(pool, engine, call, bounds, headers, preload=False)
 
     def _send(
         self,
+        pool: urllib3.PoolManager,
         engine: EngineMember,
         call: Call,
         bounds: urllib3.Timeout,
@@ -119,7 +138,7 @@
         preload: bool,
     ) -> urllib3.BaseHTTPResponse:
         try:
-            return self._pool.request(
+            return pool.request(
                 call.method,
                 engine.url + call.path,
                 body=call.body or None,
@@ -129,5 +148,16 @@
             )
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
             raise UpstreamError(engine.id, repr(e), run=RunState.NOT_RUN) from e
+        except urllib3.exceptions.ReadTimeoutError as error:
+            raise StreamSilent(engine.id, repr(error), run=RunState.UNKNOWN) from error
         except urllib3.exceptions.HTTPError as error:
-            raise UpstreamError(engine.id, repr(error), run=RunState.UNKNOWN) from error
+            raise StreamBroken(engine.id, repr(error), run=RunState.UNKNOWN) from error
+
+
+def is_refused(error: UpstreamError) -> bool:
+    """Return whether the host itself said that nothing listens: its process has ended.
+
+    A connection that could not be made for another reason may only be cut off.
+    """
+    cause = error.__cause__
+    return cause is not None and isinstance(cause.__cause__, ConnectionRefusedError)
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/relay/conftest.py
@@ -0,0 +1,203 @@
+"""A relay of this process in front of engine stand-ins over real sockets."""
+
+import random
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+from opentelemetry.trace import INVALID_SPAN
+from redwingscale_common.configuration import Unit
+from redwingscale_common.network.server import HttpServer, ServerLimits
+from redwingscale_daemon._internal.models.generation import (
+    EndEvent,
+    GenerationRequest,
+    StreamEvent,
+    TokenEvent,
+)
+from redwingscale_daemon._internal.models.member import EngineMember
+from redwingscale_daemon._internal.models.order import Order
+from redwingscale_daemon._internal.relay.generation import GenerationRelay
+from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
+from redwingscale_daemon._internal.relay.run_parts import RunParts
+from redwingscale_daemon._internal.relay.silence import SilenceBounds
+from redwingscale_daemon._internal.telemetry.metrics import Metrics
+from redwingscale_daemon._internal.telemetry.tracing import Tracing
+from redwingscale_daemon._internal.upstreams.directory import EngineView
+from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
+from redwingscale_daemon._internal.upstreams.in_flight import InFlight
+from redwingscale_daemon._internal.upstreams.reachability import Reachability
+from redwingscale_standins.engine.alder import AlderApi
+from redwingscale_standins.engine.birch import BirchApi
+from redwingscale_standins.engine.engine import Engine
+from redwingscale_standins.engine.memory import READY
+from redwingscale_standins.engine.profile import Profile
+from redwingscale_standins.launcher.process import ChildProcess
+
+UNIT = Unit("reader", "v1", "")
+PROFILE = Profile(
+    memory_bytes=10,
+    slots=64,
+    token_gap_seconds=0.001,
+    batch_slowdown=0.0,
+    block_prefill_seconds=0.0,
+    cache_blocks=16,
+    report_lag_seconds=0.0,
+)
+LEAST_SILENCE = 0.3
+
+
+class RunningEngine(NamedTuple):
+    """An engine stand-in that listens in this process."""
+
+    member: EngineMember
+    engine: Engine
+    server: HttpServer
+
+
+class EngineProcess(NamedTuple):
+    """An engine stand-in that runs as a process of its own."""
+
+    member: EngineMember
+    process: ChildProcess
+
+
+class ShuffledRouter:
+    """Chooses at random among the engines not excluded."""
+
+    def __init__(self, members: list[EngineMember]) -> None:
+        self.members = members
+        self._rng = random.Random(7)
+
+    def choose_engine(self, unit: str, excluded: set[str]) -> EngineView | None:
+        left = [m for m in self.members if m.id not in excluded]
+        return EngineView(self._rng.choice(left), None, 0.0) if left else None
+
+
+def engine_member(number: int, vendor: str, port: int) -> EngineMember:
+    url = f"http://127.0.0.1:{port}"
+    return EngineMember(f"engine-{number}", "a", False, url, vendor, 2, True, 1.0)
+
+
+def new_request(prompt: str, tokens: int, **changes: object) -> GenerationRequest:
+    request = GenerationRequest(
+        request_id=prompt,
+        caller="clerks",
+        service="vetting",
+        unit=UNIT,
+        prompt=prompt,
+        max_tokens=tokens,
+        priority=5,
+        idempotent=True,
+        idempotency_key="",
+        deadline_at=time.monotonic() + 60.0,
+        fingerprint=prompt,
+    )
+    return request._replace(**changes)
+
+
+def text_of(events: Iterator[StreamEvent]) -> str:
+    """Read all events; fail on a gap, a repeat or a wrong end."""
+    texts: list[str] = []
+    ended = False
+    for event in events:
+        match event:
+            case TokenEvent(position=position, text=text):
+                assert position == len(texts)
+                texts.append(text)
+            case EndEvent(total=total):
+                assert total == len(texts)
+                ended = True
+    assert ended
+    return "".join(texts)
+
+
+@pytest.fixture
+def start_engines() -> Iterator[Callable[..., list[RunningEngine]]]:
+    """Start engine stand-ins of alternating vendors in this process."""
+    started: list[RunningEngine] = []
+
+    def start(count: int, **faults: object) -> list[RunningEngine]:
+        for number in range(count):
+            engine = Engine(PROFILE, "", checks_fencing=True)
+            engine.memory.add(str(UNIT), 1)
+            engine.memory.set_phase(str(UNIT), READY)
+            engine.faults.update(faults)
+            vendor = ("alder", "birch")[number % 2]
+            api = AlderApi(engine) if vendor == "alder" else BirchApi(engine)
+            server = HttpServer(api, "127.0.0.1", 0, ServerLimits(threads=12))
+            server.start()
+            member = engine_member(number, vendor, server.port)
+            started.append(RunningEngine(member, engine, server))
+        return started
+
+    yield start
+    for running in started:
+        running.engine.faults.update({"silent_after_tokens": -1})
+        running.server.stop()
+
+
+@pytest.fixture
+def start_processes(tmp_path: Path) -> Iterator[Callable[[int], dict[str, EngineProcess]]]:
+    """Start engine stand-ins as processes that a test may kill."""
+    started: dict[str, EngineProcess] = {}
+
+    def start(count: int) -> dict[str, EngineProcess]:
+        for number in range(count):
+            vendor = ("alder", "birch")[number % 2]
+            arguments = [f"--vendor={vendor}", "--slots=128", "--threads=150"]
+            arguments += ["--batch-slowdown=0", "--report-lag-seconds=0"]
+            process = ChildProcess(
+                f"engine-{number}", "redwingscale_standins.engine", arguments, tmp_path
+            )
+            member = engine_member(number, vendor, 0)
+            started[member.id] = EngineProcess(member, process)
+        client = EngineClient(1.0)
+        for engine_id, (member, process) in started.items():
+            url = f"http://127.0.0.1:{process.read_ready_line()['port']}"
+            started[engine_id] = EngineProcess(replace(member, url=url), process)
+            client.order(started[engine_id].member, Order("load", True, str(UNIT), 1, 1))
+        for member, _ in started.values():
+            while not any(r.ready for r in client.report(member).residents):
+                time.sleep(0.01)
+        return started
+
+    yield start
+    for running in started.values():
+        running.process.kill()
+
+
+@pytest.fixture
+def make_relay() -> Iterator[Callable[[list[EngineMember]], GenerationRelay]]:
+    """Build relays that reach the engines given."""
+    tracing, metrics = Tracing("test", ""), Metrics("")
+
+    def make(members: list[EngineMember]) -> GenerationRelay:
+        parts = RunParts(
+            router=ShuffledRouter(members),
+            client=EngineClient(1.0),
+            in_flight=InFlight(),
+            reachability=Reachability(),
+            budget=RetryBudget(),
+            silence=SilenceBounds(LEAST_SILENCE, 2.0),
+            tracing=tracing,
+            metrics=metrics,
+        )
+        return GenerationRelay(parts)
+
+    yield make
+    tracing.close()
+    metrics.close()
+
+
+@pytest.fixture
+def answer(make_relay) -> Callable[..., str]:
+    """Run one request over the engines given and return its whole text."""
+
+    def run(engines: list[RunningEngine], request: GenerationRequest) -> str:
+        relay = make_relay([e.member for e in engines])
+        return text_of(relay.run(request, INVALID_SPAN))
+
+    return run
--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/engine.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/engine.py
@@ -51,6 +51,8 @@
             "loads": self.orders.loads,
             "unloads": self.orders.unloads,
             "started": self.streams.started,
+            "resumed": self.streams.resumed,
+            "cancelled": self.streams.cancelled,
             "finished": self.streams.finished,
             "cache_hits": self.streams.cache.hits,
             "cache_misses": self.streams.cache.misses,
--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/profile.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/profile.py
@@ -18,7 +18,10 @@
 
 
 class EngineFaults:
-    """Switches set over the admin address while the engine runs."""
+    """Switches set over the admin address while the engine runs.
+
+    ``disturbances`` is how many runs the switches for streams still disturb, -1 for all.
+    """
 
     def __init__(self) -> None:
         self.refuse = False
@@ -29,6 +32,7 @@
         self.wrong_attempt = False
         self.double_token = -1
         self.swap_token = -1
+        self.disturbances = -1
         self.lose_orders = 0
         self.late_orders = 0
         self.late_seconds = 0.0
@@ -51,3 +55,7 @@
         if due:
             setattr(self, name, getattr(self, name) - 1)
         return bool(due)
+
+    def take_disturbance(self) -> bool:
+        """Return whether one more run is to be disturbed, and count it."""
+        return self.disturbances < 0 or self.take("disturbances")
