Quarantine requests that crash upstreams, after two at most

Cause: a request that crashes its engine was run again on the next one, and again for each time that it was sent.

Change: what ran on a dead engine is suspect. Suspects are told to the peers and run again one at a time on an engine, and one place at a time for the same request; the turns are agreed over the board. An engine that dies under a turn quarantines the request of the turn for an hour, everywhere; its sender gets 422 `quarantined` with run `run` and the time to the expiry. A cut connection or a lost attempt is no death.

Ruled out: counting deaths per fingerprint (two ordinary deaths condemn bystanders), group testing (log2 of the suspects in engines), locks in the table (wait for the platform).

Turns now end at the second token; an engine that dies by itself during a turn still condemns the request of that turn, as nothing tells the two apart.

Not proved: copies that run on several engines before the first death; crashes that do not come again at the same token; partitions during turns.

--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
@@ -0,0 +1,259 @@
+"""Finds requests that crash upstreams, and refuses them everywhere."""
+
+import itertools
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.models.run_state import RunState
+from redwingscale_daemon._internal.quarantine.record import (
+    CLAIM_PHASES,
+    OPEN_PHASES,
+    Phase,
+    Quarantined,
+    Record,
+    RecordKey,
+    SeenRecord,
+    Turn,
+)
+from redwingscale_daemon._internal.quarantine.store import QuarantineStore, StoredQuarantine
+
+TOPIC = "suspect"
+QUARANTINE_SECONDS = 3600.0
+SUSPICION_SECONDS = 300.0
+# A claim that is older is one of an instance that has ended.
+CLAIM_SECONDS = 15.0
+# Twice the time in which peers hear of an entry: of two claims at once, each side
+# has then heard of the other's before it decides.
+SETTLE_SECONDS = 0.1
+EXPLAINED_SECONDS = 10.0
+# What the dead engine may have generated that never arrived. Few: an engine that dies by
+# itself during a turn condemns an innocent request, so turns are short.
+CLEARING_TOKENS = 2
+RETRY_AFTER_SECONDS = 1.0
+
+
+class Quarantine:
+    """Lets each suspect run alone among suspects, so that no other is condemned.
+
+    When an engine dies, everything that ran on it is suspect. With one suspect
+    at a time on an engine, a second death has one possible cause.
+    """
+
+    def __init__(self, instance: str, board: Board, store: QuarantineStore) -> None:
+        self._changed = threading.Condition()
+        self._instance = instance
+        self._board = board
+        self._store = store
+        self._records: dict[RecordKey, SeenRecord] = {}
+        self._quarantined: dict[str, Quarantined] = {}
+        board.subscribe(TOPIC, self._on_entry)
+
+    def refresh(self) -> None:
+        """Take what the platform's table holds; raise `PlatformError`."""
+        for stored in self._store.load():
+            with self._changed:
+                if stored.fingerprint not in self._quarantined:
+                    self._keep(stored.fingerprint, stored.seconds, stored.died)
+
+    def check(self, fingerprint: str) -> None:
+        """Raise the final `Refusal` when ``fingerprint`` is quarantined."""
+        with self._changed:
+            quarantined = self._quarantined.get(fingerprint)
+            if quarantined is None:
+                return
+            left = quarantined.until - time.monotonic()
+            if left > 0:
+                raise _refusal(left)
+            del self._quarantined[fingerprint]
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether an engine died under ``fingerprint`` and nothing cleared it yet."""
+        with self._changed:
+            return bool(self._deaths_under(fingerprint))
+
+    def enter(
+        self, fingerprint: str, engine: str, position: int, deadline_at: float
+    ) -> Turn | None:
+        """Return None at once for a request that is no suspect, else wait for its turn.
+
+        Raises `Refusal` when it is quarantined or its deadline passes meanwhile.
+        """
+        with self._changed:
+            self.check(fingerprint)
+            died = self._deaths_under(fingerprint)
+            if not died:
+                return None
+            record = Record(fingerprint, Phase.WAITING, died, engine, position)
+            key = self._tell_new(record)
+            if not self._wait(key, record, deadline_at):
+                return None
+            record = record._replace(phase=Phase.RUNNING)
+            self._tell(key, record)
+            return Turn(key, record, position + CLEARING_TOKENS)
+
+    def clear(self, turn: Turn) -> None:
+        """End a turn: the request has run past the place where its engine died."""
+        with self._changed:
+            if turn.key in self._records:
+                self._tell(turn.key, turn.record._replace(phase=Phase.CLEARED))
+
+    def release(self, turn: Turn) -> None:
+        """End a turn that has shown nothing; the request stays suspect."""
+        with self._changed:
+            if turn.key in self._records:
+                self._tell(turn.key, turn.record._replace(phase=Phase.SUSPECT))
+
+    def engine_died(self, fingerprint: str, engine: str, turn: Turn | None) -> None:
+        """Take the death of ``engine`` under a request; raise `Refusal` if it is the cause.
+
+        Peers are told here, before the request can run again.
+        """
+        with self._changed:
+            self._forget_old()
+            others = self._other_turns(fingerprint, engine)
+            if turn is not None and turn.key in self._records:
+                self._end_turn(turn, engine, alone=not others)
+            elif not others and not self._is_explained(engine):
+                log_event("suspect", level="WARNING", fingerprint=fingerprint, upstream=engine)
+                self._tell_new(Record(fingerprint, Phase.SUSPECT, (engine,)))
+
+    def _end_turn(self, turn: Turn, engine: str, *, alone: bool) -> None:
+        fingerprint = turn.record.fingerprint
+        died = tuple(dict.fromkeys((*turn.record.died, engine)))
+        if not alone:
+            # Only across a partition: neither side had heard of the other's turn.
+            self._tell(turn.key, turn.record._replace(phase=Phase.SUSPECT, died=died))
+            return
+        log_event("quarantined", level="ERROR", fingerprint=fingerprint, died=",".join(died))
+        seconds = QUARANTINE_SECONDS
+        self._tell(turn.key, Record(fingerprint, Phase.QUARANTINED, died, seconds=seconds))
+        self._store.keep(StoredQuarantine(fingerprint, seconds, died))
+        raise _refusal(seconds)
+
+    def _wait(self, key: RecordKey, record: Record, deadline_at: float) -> bool:
+        """Return whether the turn came; False when the suspicion fell instead."""
+        settled_at = time.monotonic() + SETTLE_SECONDS
+        while key in self._records:
+            now = time.monotonic()
+            if now >= deadline_at:
+                self._tell(key, record._replace(phase=Phase.SUSPECT))
+                raise _late_refusal()
+            if now >= settled_at and self._may_run(key, record):
+                return True
+            self._changed.wait(min(SETTLE_SECONDS, deadline_at - now))
+        self.check(record.fingerprint)
+        return False
+
+    def _may_run(self, key: RecordKey, record: Record) -> bool:
+        rank = _rank(key, record)
+        return not any(
+            other.phase is Phase.RUNNING or _rank(other_key, other) < rank
+            for other_key, other in self._claims()
+            if other_key != key
+            and (other.target == record.target or other.fingerprint == record.fingerprint)
+        )
+
+    def _claims(self) -> Iterator[tuple[RecordKey, Record]]:
+        oldest = time.monotonic() - CLAIM_SECONDS
+        for key, seen in self._records.items():
+            if seen.record.phase in CLAIM_PHASES and seen.seen_at > oldest:
+                yield key, seen.record
+
+    def _other_turns(self, fingerprint: str, engine: str) -> list[Record]:
+        return [
+            record
+            for _, record in self._claims()
+            if record.phase is Phase.RUNNING
+            and record.target == engine
+            and record.fingerprint != fingerprint
+        ]
+
+    def _deaths_under(self, fingerprint: str) -> tuple[str, ...]:
+        oldest = time.monotonic() - SUSPICION_SECONDS
+        deaths = [
+            seen.record.died
+            for seen in self._records.values()
+            if seen.record.fingerprint == fingerprint
+            and seen.record.phase in OPEN_PHASES
+            and seen.seen_at > oldest
+        ]
+        return tuple(dict.fromkeys(itertools.chain.from_iterable(deaths)))
+
+    def _is_explained(self, engine: str) -> bool:
+        latest = time.monotonic() + QUARANTINE_SECONDS - EXPLAINED_SECONDS
+        return any(engine in q.died and q.until > latest for q in self._quarantined.values())
+
+    def _tell_new(self, record: Record) -> RecordKey:
+        slots = (RecordKey(self._instance, slot) for slot in itertools.count())
+        key = next(key for key in slots if key not in self._records)
+        self._tell(key, record)
+        return key
+
+    def _tell(self, key: RecordKey, record: Record) -> None:
+        # The board calls `_on_entry` also with what this instance publishes.
+        self._board.publish(TOPIC, str(key.slot), record)
+
+    def _on_entry(self, entry: Entry) -> None:
+        record = msgspec.msgpack.decode(entry.payload, type=Record)
+        key = RecordKey(entry.origin, int(entry.key))
+        with self._changed:
+            self._records.pop(key, None)
+            match record.phase:
+                case Phase.CLEARED:
+                    self._drop(lambda r: r.fingerprint == record.fingerprint)
+                case Phase.QUARANTINED:
+                    self._keep(record.fingerprint, record.seconds, record.died)
+                case Phase.SUSPECT | Phase.WAITING | Phase.RUNNING:
+                    self._records[key] = SeenRecord(record, time.monotonic())
+            self._changed.notify_all()
+
+    def _keep(self, fingerprint: str, seconds: float, died: tuple[str, ...]) -> None:
+        self._quarantined[fingerprint] = Quarantined(time.monotonic() + seconds, died)
+        # Whoever was suspect for these deaths alone is suspect no longer.
+        explained = set(died)
+        self._drop(lambda r: r.fingerprint == fingerprint or explained.issuperset(r.died))
+        self._changed.notify_all()
+
+    def _drop(self, is_settled: Callable[[Record], bool]) -> None:
+        self._records = {k: s for k, s in self._records.items() if not is_settled(s.record)}
+
+    def _forget_old(self) -> None:
+        now = time.monotonic()
+        self._records = {
+            key: seen
+            for key, seen in self._records.items()
+            if seen.record.phase in CLAIM_PHASES or seen.seen_at > now - SUSPICION_SECONDS
+        }
+        self._quarantined = {f: q for f, q in self._quarantined.items() if q.until > now}
+
+
+def _rank(key: RecordKey, record: Record) -> tuple[int, str, RecordKey]:
+    # Fewest tokens first: most crashes come at once, and one that is found frees the rest.
+    return record.position, record.fingerprint, key
+
+
+def _refusal(seconds: float) -> Refusal:
+    return Refusal(
+        422,
+        "quarantined",
+        "upstreams died each time that this request ran; it is refused until it expires",
+        run=RunState.RUN,
+        retry_after_seconds=seconds,
+    )
+
+
+def _late_refusal() -> Refusal:
+    return Refusal(
+        503,
+        "suspect",
+        "its upstream died, and the deadline passed before it could be run by itself",
+        run=RunState.UNKNOWN,
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/record.py
@@ -0,0 +1,68 @@
+"""What instances tell each other of requests under suspicion."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class Phase(IntEnum):
+    """How far a suspicion is; ``FREE`` only gives the slot of a record back."""
+
+    FREE = 0
+    SUSPECT = 1
+    WAITING = 2
+    RUNNING = 3
+    CLEARED = 4
+    QUARANTINED = 5
+
+
+OPEN_PHASES = frozenset({Phase.SUSPECT, Phase.WAITING, Phase.RUNNING})
+CLAIM_PHASES = frozenset({Phase.WAITING, Phase.RUNNING})
+
+
+class Record(NamedTuple):
+    """One run of the request ``fingerprint``.
+
+    ``died`` are the engines that ended under it, ``target`` the engine of its
+    turn, ``position`` how many tokens its caller has, and ``seconds`` how long
+    a quarantine holds from when it is told: instances share no clock.
+    """
+
+    fingerprint: str
+    phase: Phase
+    died: tuple[str, ...]
+    target: str = ""
+    position: int = 0
+    seconds: float = 0.0
+
+
+class RecordKey(NamedTuple):
+    """The place of a record; an origin uses its slots again, so few entries are kept."""
+
+    origin: str
+    slot: int
+
+
+class SeenRecord(NamedTuple):
+    """A record and when it was seen, on the monotonic clock."""
+
+    record: Record
+    seen_at: float
+
+
+class Turn(NamedTuple):
+    """The right of one suspect to run on an engine, alone among suspects.
+
+    It is cleared once its caller has ``clear_at`` tokens: a crash that comes
+    with the request comes again by the token at which its engine died.
+    """
+
+    key: RecordKey
+    record: Record
+    clear_at: int
+
+
+class Quarantined(NamedTuple):
+    """A request that is refused until ``until``, on the monotonic clock."""
+
+    until: float
+    died: tuple[str, ...]
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/store.py
@@ -0,0 +1,60 @@
+"""Quarantines in the platform's table, for instances that start later."""
+
+import threading
+import time
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.platform.row import Check, Put, Transaction
+from redwingscale_daemon._internal.platform.table import Table, new_write_id
+
+PREFIX = "quarantine/"
+
+
+class StoredQuarantine(NamedTuple):
+    """A row that still holds for ``seconds``."""
+
+    fingerprint: str
+    seconds: float
+    died: tuple[str, ...]
+
+
+class QuarantineStore:
+    """Best effort: peers tell each other without the table.
+
+    Rows bear the time of day at which they expire. Clocks that differ shift
+    that end and nothing else.
+    """
+
+    def __init__(self, table: Table) -> None:
+        self._table = table
+
+    def keep(self, quarantine: StoredQuarantine) -> None:
+        """Write a row in the background: no request waits for the platform."""
+        threading.Thread(target=self._keep, args=(quarantine,), daemon=True).start()
+
+    def load(self) -> Iterator[StoredQuarantine]:
+        """Yield the rows that hold and delete the others; raise `PlatformError`."""
+        now = time.time()
+        for key, row in self._table.scan(PREFIX).items():
+            seconds = float(row.value["expires_at"]) - now
+            if seconds > 0:
+                fingerprint = key.removeprefix(PREFIX)
+                yield StoredQuarantine(fingerprint, seconds, tuple(row.value["died"]))
+            else:
+                self._delete(key, row.version)
+
+    def _keep(self, quarantine: StoredQuarantine) -> None:
+        value = {"expires_at": time.time() + quarantine.seconds, "died": list(quarantine.died)}
+        put = Put(PREFIX + quarantine.fingerprint, value)
+        try:
+            self._table.commit(Transaction(new_write_id(), puts=[put]))
+        except PlatformError as error:
+            log_event("quarantine_not_stored", level="WARNING", error=error)
+
+    def _delete(self, key: str, version: int) -> None:
+        checks = [Check(key, version)]
+        self._table.commit(Transaction(new_write_id(), checks=checks, deletes=[key]))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
@@ -25,6 +25,7 @@
 )
 from redwingscale_daemon._internal.models.member import EngineMember
 from redwingscale_daemon._internal.models.run_state import RunState
+from redwingscale_daemon._internal.quarantine.record import Turn
 from redwingscale_daemon._internal.relay.progress import Progress
 from redwingscale_daemon._internal.relay.run_parts import RunParts
 from redwingscale_daemon._internal.telemetry.tracing import trace_headers
@@ -39,6 +40,7 @@
 MOST_STALLED_RESUMES = 3
 DEATHS_WITHOUT_BUDGET = 2
 PAUSE_SECONDS = 0.05
+FIRST_PRIORITY = 0
 ENGINE_POLL_SECONDS = 0.1
 TOKENS_BETWEEN_TIMEOUTS = 16
 GAP_WEIGHT = 0.2
@@ -56,11 +58,13 @@
         self._deaths = 0
         self._failed: set[str] = set()
         self._state = RunState.NOT_RUN
+        self._turn: Turn | None = None
 
     def events(self) -> Events:
         """Yield the whole answer; raise `Refusal` when nothing can continue it."""
+        self._parts.quarantine.check(self._request.fingerprint)
         while True:
-            engine = self._choose_engine()
+            engine = self._enter_engine()
             try:
                 yield from self._attempt(engine)
             except UpstreamError as error:
@@ -68,6 +72,31 @@
             else:
                 self._parts.budget.succeeded()
                 return
+            finally:
+                self._leave_turn()
+
+    def _enter_engine(self) -> EngineMember:
+        """Return the engine of the next attempt; a suspect has its turn there."""
+        request, parts = self._request, self._parts
+        while True:
+            engine = self._choose_engine()
+            self._turn = parts.quarantine.enter(
+                request.fingerprint, engine.id, self._progress.position, request.deadline_at
+            )
+            if self._turn is None or engine.id not in parts.reachability.shunned():
+                return engine
+            # It died while the turn was awaited.
+            self._leave_turn()
+
+    def _leave_turn(self) -> None:
+        turn, self._turn = self._turn, None
+        if turn is not None:
+            self._parts.quarantine.release(turn)
+
+    def _clear_turn(self) -> None:
+        turn, self._turn = self._turn, None
+        if turn is not None:
+            self._parts.quarantine.clear(turn)
 
     def _choose_engine(self) -> EngineMember:
         engine = self._candidate()
@@ -137,8 +166,10 @@
         """Yield what comes over one connection, with the silence bound kept up to date."""
         progress, silence = self._progress, self._parts.silence
         gap, untimed, last = 0.0, 1, 0.0
+        clear_at = self._turn.clear_at if self._turn else -1
         for event in stream.events(progress.position):
             if isinstance(event, EndEvent):
+                self._clear_turn()
                 yield event
                 return
             progress.texts.append(event.text)
@@ -150,6 +181,8 @@
             if not untimed:
                 untimed = TOKENS_BETWEEN_TIMEOUTS
                 stream.set_timeout(silence.between_tokens(gap) if gap else silence.most)
+            if progress.position == clear_at:
+                self._clear_turn()
             yield event
 
     def _check_resume(self, engine: EngineMember, error: StreamBroken, stalled: int) -> None:
@@ -194,6 +227,9 @@
             self._state = error.run
         if isinstance(error, UpstreamDied) or is_refused(error):
             self._parts.reachability.failed(engine.id)
+        if isinstance(error, UpstreamDied):
+            turn, self._turn = self._turn, None
+            self._parts.quarantine.engine_died(self._request.fingerprint, engine.id, turn)
         again = self._may_go_on(error)
         log_event(
             "attempt_failed",
@@ -236,7 +272,8 @@
             unit=str(request.unit),
             prompt=request.prompt,
             max_tokens=request.max_tokens,
-            priority=request.priority,
+            # A turn holds up other suspects, so it does not queue behind everything else.
+            priority=FIRST_PRIORITY if self._turn else request.priority,
             skip=progress.position,
             delivered=progress.delivered,
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run_parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run_parts.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.quarantine.quarantine import Quarantine
 from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
 from redwingscale_daemon._internal.relay.silence import SilenceBounds
 from redwingscale_daemon._internal.routing.router import Router
@@ -21,5 +22,6 @@
     reachability: Reachability
     budget: RetryBudget
     silence: SilenceBounds
+    quarantine: Quarantine
     tracing: Tracing
     metrics: Metrics
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -24,6 +24,8 @@
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
 from redwingscale_daemon._internal.placement.planner import Planner
 from redwingscale_daemon._internal.platform.platform import connect_platform
+from redwingscale_daemon._internal.quarantine.quarantine import Quarantine
+from redwingscale_daemon._internal.quarantine.store import QuarantineStore
 from redwingscale_daemon._internal.relay.generation import GenerationRelay
 from redwingscale_daemon._internal.relay.plain import PlainRelay
 from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
@@ -41,6 +43,7 @@
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 OPERATORS_THREADS = 4
+QUARANTINE_POLL_SECONDS = 30.0
 
 
 def build_instance(settings: Settings) -> Instance:
@@ -76,6 +79,7 @@
     owners = Owners(me, timing, members, beats, ownership, owner)
 
     router = Router(me.failure_domain, directory, members, in_flight, random.Random())
+    quarantine = Quarantine(me.id, board, QuarantineStore(platform.table))
     generation = GenerationRelay(
         RunParts(
             router=router,
@@ -84,6 +88,7 @@
             reachability=Reachability(),
             budget=RetryBudget(),
             silence=SilenceBounds(timing.least_silence, timing.silence),
+            quarantine=quarantine,
             tracing=tracing,
             metrics=metrics,
         )
@@ -116,6 +121,7 @@
             Periodic("configuration", timing.configuration_poll, current.refresh),
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
+            Periodic("quarantine", QUARANTINE_POLL_SECONDS, quarantine.refresh),
             Periodic("planner", timing.planning, planner.step),
         ],
     )
--- a/packages/redwingscale-daemon/tests/unit/relay/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/conftest.py
@@ -1,6 +1,8 @@
 """A relay of this process in front of engine stand-ins over real sockets."""
 
+import queue
 import random
+import threading
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import replace
@@ -11,6 +13,8 @@
 from opentelemetry.trace import INVALID_SPAN
 from redwingscale_common.configuration import Unit
 from redwingscale_common.network.server import HttpServer, ServerLimits
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.entry import Entry
 from redwingscale_daemon._internal.models.generation import (
     EndEvent,
     GenerationRequest,
@@ -19,6 +23,8 @@
 )
 from redwingscale_daemon._internal.models.member import EngineMember
 from redwingscale_daemon._internal.models.order import Order
+from redwingscale_daemon._internal.quarantine.quarantine import Quarantine
+from redwingscale_daemon._internal.quarantine.store import QuarantineStore, StoredQuarantine
 from redwingscale_daemon._internal.relay.generation import GenerationRelay
 from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
 from redwingscale_daemon._internal.relay.run_parts import RunParts
@@ -57,6 +63,16 @@
     server: HttpServer
 
 
+class NoStore(QuarantineStore):
+    """Keeps nothing, as while the platform is down."""
+
+    def __init__(self) -> None:
+        self.kept: list[str] = []
+
+    def keep(self, quarantine: StoredQuarantine) -> None:
+        self.kept.append(quarantine.fingerprint)
+
+
 class EngineProcess(NamedTuple):
     """An engine stand-in that runs as a process of its own."""
 
@@ -169,12 +185,36 @@
         running.process.kill()
 
 
+@pytest.fixture
+def make_quarantines() -> Iterator[Callable[[int], list[Quarantine]]]:
+    """Build the quarantines of instances that tell each other everything."""
+    entries: queue.Queue[Entry | None] = queue.Queue()
+    boards: list[Board] = []
+
+    def carry() -> None:
+        for entry in iter(entries.get, None):
+            for board in boards:
+                board.accept(entry)
+
+    def make(count: int) -> list[Quarantine]:
+        boards.extend(Board(f"instance-{number}") for number in range(count))
+        for board in boards:
+            board.on_forward(entries.put)
+        return [Quarantine(f"instance-{n}", b, NoStore()) for n, b in enumerate(boards)]
+
+    carrier = threading.Thread(target=carry, daemon=True)
+    carrier.start()
+    yield make
+    entries.put(None)
+    carrier.join()
+
+
 @pytest.fixture
 def make_relay() -> Iterator[Callable[[list[EngineMember]], GenerationRelay]]:
     """Build relays that reach the engines given."""
     tracing, metrics = Tracing("test", ""), Metrics("")
 
-    def make(members: list[EngineMember]) -> GenerationRelay:
+    def make(members: list[EngineMember], quarantine: Quarantine | None = None) -> GenerationRelay:
         parts = RunParts(
             router=ShuffledRouter(members),
             client=EngineClient(1.0),
@@ -182,6 +222,7 @@
             reachability=Reachability(),
             budget=RetryBudget(),
             silence=SilenceBounds(LEAST_SILENCE, 2.0),
+            quarantine=quarantine or Quarantine("test", Board("test"), NoStore()),
             tracing=tracing,
             metrics=metrics,
         )
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/relay/test_quarantine.py
@@ -0,0 +1,177 @@
+"""Requests that crash upstreams: two die at most, and nobody beside them suffers."""
+
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from opentelemetry.trace import INVALID_SPAN
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.models.run_state import RunState
+from redwingscale_standins.engine.generation import answer_text
+from redwingscale_standins.engine.streams import CRASH_MARK
+
+from .conftest import UNIT, new_request, text_of
+
+BYSTANDERS = 24
+TOKENS = 60
+
+
+def _living(engines):
+    return [e for e in engines.values() if e.process.running]
+
+
+def _later() -> float:
+    return time.monotonic() + 30.0
+
+
+def test_two_engines_die_at_most_and_no_bystander_suffers(
+    start_processes, make_relay, make_quarantines
+):
+    """A prompt that crashes its engine is sent again through every instance.
+
+    Streams of others run beside it on all engines. Two engines die; then the
+    sender gets its final answer at once everywhere, and every other stream is
+    byte for byte whole.
+    """
+    engines = start_processes(4)
+    members = [e.member for e in engines.values()]
+    relays = [make_relay(members, q) for q in make_quarantines(3)]
+    begun = threading.Semaphore(0)
+
+    def stand_by(number: int) -> str:
+        request = new_request(f"lot {number}", TOKENS)
+        events = relays[number % len(relays)].run(request, INVALID_SPAN)
+        begun.release()
+        return text_of(events)
+
+    with ThreadPoolExecutor(BYSTANDERS) as pool:
+        answers = pool.map(stand_by, range(BYSTANDERS))
+        for _ in range(BYSTANDERS):
+            assert begun.acquire(timeout=60.0)
+        codes = [_code_of(relay) for _ in range(2) for relay in relays]
+        assert list(answers) == [
+            answer_text(str(UNIT), f"lot {n}", TOKENS) for n in range(BYSTANDERS)
+        ]
+
+    assert codes == ["quarantined"] * len(codes)
+    assert len(_living(engines)) == 2
+
+
+def _code_of(relay) -> str:
+    with pytest.raises(Refusal) as caught:
+        relay.run(new_request(f"{CRASH_MARK}", 5), INVALID_SPAN)
+    assert caught.value.run is RunState.RUN
+    assert caught.value.retry_after_seconds > 60.0
+    return caught.value.code
+
+
+def test_engines_that_are_killed_condemn_nobody(start_processes, make_relay, make_quarantines):
+    """Two engines are killed one after the other under the same streams.
+
+    Every stream of the first is suspect until its turn has passed; the second
+    death comes later, so it condemns none of them. All are answered, also when
+    they are sent again.
+    """
+    engines = list(start_processes(3).values())
+    [quarantine] = make_quarantines(1)
+    relay = make_relay([e.member for e in engines], quarantine)
+    prompts = [f"lot {n}" for n in range(BYSTANDERS)]
+    expected = [answer_text(str(UNIT), prompt, 250) for prompt in prompts]
+
+    def ask(prompt: str) -> str:
+        return text_of(relay.run(new_request(prompt, 250), INVALID_SPAN))
+
+    def wait_until_suspects(found: bool) -> None:
+        while any(map(quarantine.is_suspect, prompts)) != found:
+            assert time.monotonic() < deadline
+            time.sleep(0.005)
+
+    deadline = _later()
+    with ThreadPoolExecutor(BYSTANDERS) as pool:
+        answers = pool.map(ask, prompts)
+        for engine in engines[:2]:
+            time.sleep(0.3)
+            engine.process.signal(signal.SIGKILL)
+            wait_until_suspects(found=True)
+            wait_until_suspects(found=False)
+        assert list(answers) == expected
+        assert list(pool.map(ask, prompts)) == expected
+
+
+def test_cut_connection_is_no_death(start_engines, make_relay, make_quarantines):
+    """A stream's connection is reset, but its engine lives: nobody becomes suspect."""
+    engines = start_engines(1, reset_after_tokens=2, disturbances=1)
+    [quarantine] = make_quarantines(1)
+    relay = make_relay([engines[0].member], quarantine)
+
+    text_of(relay.run(new_request("lot 1", 10), INVALID_SPAN))
+
+    assert quarantine.enter("lot 1", "engine-0", 0, _later()) is None
+
+
+def test_two_suspects_never_run_on_one_engine_at_once(make_quarantines):
+    """An engine dies under requests of two instances; both choose the same next one.
+
+    The second waits until the first has shown that it is not the cause.
+    """
+    first, second = make_quarantines(2)
+    first.engine_died("a", "engine-0", None)
+    second.engine_died("b", "engine-0", None)
+    turn = first.enter("a", "engine-1", 0, _later())
+
+    with ThreadPoolExecutor(1) as pool:
+        other = pool.submit(second.enter, "b", "engine-1", 0, _later())
+        elsewhere = second.enter("c", "engine-1", 0, _later())
+        assert elsewhere is None
+        assert not other.done()
+        first.clear(turn)
+        assert other.result(30.0) is not None
+
+
+def test_one_suspect_never_runs_on_two_engines_at_once(make_quarantines):
+    """A suspect is sent again through another instance while its turn lasts.
+
+    It may not run there as well: it could kill two engines at once.
+    """
+    first, second = make_quarantines(2)
+    first.engine_died("a", "engine-0", None)
+    turn = first.enter("a", "engine-1", 0, _later())
+
+    with ThreadPoolExecutor(1) as pool:
+        copy = pool.submit(second.enter, "a", "engine-2", 0, _later())
+        with pytest.raises(Refusal):
+            first.engine_died("a", "engine-1", turn)
+        with pytest.raises(Refusal) as caught:
+            copy.result(30.0)
+
+    assert caught.value.code == "quarantined"
+
+
+def test_cause_that_is_found_frees_the_others(make_quarantines):
+    """Once the request that killed both engines is known, the rest need no turns."""
+    first, second = make_quarantines(2)
+    second.engine_died("bystander", "engine-0", None)
+    first.engine_died("a", "engine-0", None)
+    turn = first.enter("a", "engine-1", 0, _later())
+    with pytest.raises(Refusal):
+        first.engine_died("a", "engine-1", turn)
+    while second.is_suspect("bystander"):
+        time.sleep(0.01)
+
+    second.engine_died("beside", "engine-1", None)
+
+    assert not second.is_suspect("beside")
+    assert second.enter("bystander", "engine-2", 0, _later()) is None
+
+
+def test_turn_that_does_not_come_by_the_deadline_is_refused(make_quarantines):
+    """A suspect whose deadline passes in the queue gets its answer at the deadline."""
+    [quarantine] = make_quarantines(1)
+    quarantine.engine_died("a", "engine-0", None)
+
+    with pytest.raises(Refusal) as caught:
+        quarantine.enter("a", "engine-1", 0, time.monotonic())
+
+    assert caught.value.code == "suspect"
