--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
@@ -213,7 +213,7 @@
         one that has just started holds none yet.
         """
         try:
-            residents = self._parts.client.report(engine).residents
+            residents = self._parts.control.report(engine).residents
         except (UpstreamError, ReportInvalid):
             return error
         if any(r.ready and r.unit == str(self._request.unit) for r in residents):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run_parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run_parts.py
@@ -9,6 +9,7 @@
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
+from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 from redwingscale_daemon._internal.upstreams.reachability import Reachability
 
@@ -18,6 +19,7 @@
 
     router: Router
     client: EngineClient
+    control: EngineControl
     in_flight: InFlight
     reachability: Reachability
     budget: RetryBudget
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -4,22 +4,27 @@
 
 from redwingscale_common.network.server import HttpServer, ServerLimits
 
-from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
-from redwingscale_daemon._internal.configuration.store import ConfigurationStore
+from redwingscale_daemon._internal.control import build_control
 from redwingscale_daemon._internal.entry.callers_app import CallersApp
+from redwingscale_daemon._internal.idempotency.claim import Claimant
+from redwingscale_daemon._internal.idempotency.claims import Claims
+from redwingscale_daemon._internal.idempotency.committer import Committer
+from redwingscale_daemon._internal.idempotency.once import Once
+from redwingscale_daemon._internal.idempotency.outcome import OutcomeStore
+from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.leases.ownership import Ownership
 from redwingscale_daemon._internal.leases.session import Session
 from redwingscale_daemon._internal.lifecycle.instance import Instance, Parts
 from redwingscale_daemon._internal.lifecycle.readiness import Readiness
-from redwingscale_daemon._internal.membership.board import Board
-from redwingscale_daemon._internal.membership.link import LinkTiming
-from redwingscale_daemon._internal.membership.listener import Listener
-from redwingscale_daemon._internal.membership.members import Members
-from redwingscale_daemon._internal.membership.mesh import Mesh
-from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
+from redwingscale_daemon._internal.operators.configuration_api import ConfigurationApi
+from redwingscale_daemon._internal.operators.drain_requests import DrainRequests
 from redwingscale_daemon._internal.operators.operators_app import OperatorsApp
 from redwingscale_daemon._internal.operators.state_view import StateView
+from redwingscale_daemon._internal.placement.drain_acks import DrainAcks
+from redwingscale_daemon._internal.placement.drain_reporter import DrainReporter
+from redwingscale_daemon._internal.placement.intents import IntentStore
 from redwingscale_daemon._internal.placement.owner import EngineOwner
+from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
 from redwingscale_daemon._internal.placement.owners import Owners
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
 from redwingscale_daemon._internal.placement.planner import Planner
@@ -37,6 +42,7 @@
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.upstreams.directory import Directory
 from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
+from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 from redwingscale_daemon._internal.upstreams.plain_client import PlainClient
 from redwingscale_daemon._internal.upstreams.reachability import Reachability
@@ -44,29 +50,29 @@
 
 OPERATORS_THREADS = 4
 QUARANTINE_POLL_SECONDS = 30.0
+CLAIM_MARGIN_SECONDS = 0.5
 
 
 def build_instance(settings: Settings) -> Instance:
     """Return the instance that ``settings`` describe; nothing is started yet."""
     me = settings.instance
     timing = settings.timing
-    key = settings.peers.key.encode()
     tracing = Tracing(me.id, settings.telemetry.otlp_endpoint)
     metrics = Metrics(settings.telemetry.otlp_endpoint)
     platform = connect_platform(settings.platform, me.id)
 
-    board = Board(me.id)
-    beats = PeerBeats()
-    listener = Listener(settings.peers.host, settings.peers.port, board, beats, key)
-    link_timing = LinkTiming(timing.heartbeat, timing.full_cycle)
-    mesh = Mesh(me.id, me.failure_domain, board, key, link_timing)
-    members = Members(platform.members)
+    control = build_control(settings, platform)
+    board, beats, members, current = control.board, control.beats, control.members, control.current
+    metrics.observe(
+        {
+            "redwingscale_peer_frames_rejected": lambda: control.traffic.frames_rejected,
+            "redwingscale_peer_bytes_sent": lambda: control.traffic.bytes_sent,
+            "redwingscale_peer_redials": lambda: control.traffic.redials,
+        }
+    )
     directory = Directory(board)
-    members.on_change(mesh.update)
     members.on_change(directory.update_members)
 
-    store = ConfigurationStore(platform)
-    current = CurrentConfiguration(store, board)
     readiness = Readiness(current)
     session = Session(platform.table, me.id, board.boot, timing.lease)
     ownership = Ownership(platform.table, session, me.id, timing.lease)
@@ -75,15 +81,41 @@
     engines = EngineClient(timing.connect)
     plans = PlanStore(platform)
     planner = Planner(ownership, plans, current, directory)
-    owner = EngineOwner(engines, board, plans)
-    owners = Owners(me, timing, members, beats, ownership, owner)
+    engine_control = EngineControl(timing.connect)
+    owner_parts = OwnerParts(
+        control=engine_control,
+        board=board,
+        directory=directory,
+        plans=plans,
+        current=current,
+        ownership=ownership,
+        intents=IntentStore(platform.table),
+        acks=DrainAcks(me.id, board, members, beats, timing.lease),
+        metrics=metrics,
+    )
+    owners = Owners(
+        me, timing, members, beats, ownership, lambda engine: EngineOwner(engine, owner_parts)
+    )
+    drain_reporter = DrainReporter(board, directory, in_flight)
 
     router = Router(me.failure_domain, directory, members, in_flight, random.Random())
+    committer = Committer(platform.table)
+    settler = Settler(committer, platform.table)
+    claims = Claims(
+        committer,
+        settler,
+        OutcomeStore(platform.objects),
+        Claimant(me.id, board.boot),
+        settings.limits.claim_retention_seconds,
+        metrics,
+    )
+    once = Once(claims, settings.platform.timeout_seconds + CLAIM_MARGIN_SECONDS)
     quarantine = Quarantine(me.id, board, QuarantineStore(platform.table))
     generation = GenerationRelay(
         RunParts(
             router=router,
             client=engines,
+            control=engine_control,
             in_flight=in_flight,
             reachability=Reachability(),
             budget=RetryBudget(),
@@ -93,12 +125,18 @@
             metrics=metrics,
         )
     )
-    plain = PlainRelay(router, PlainClient(timing.connect), in_flight, tracing, metrics)
+    plain = PlainRelay(router, PlainClient(timing.connect), in_flight, once, tracing, metrics)
     callers_app = CallersApp(
-        current, generation, plain, readiness, tracing, metrics, settings.limits.body_bytes
+        current, generation, plain, once, readiness, tracing, metrics, settings.limits.body_bytes
     )
     view = StateView(me, current, readiness, session, members, beats, directory, in_flight)
-    operators_app = OperatorsApp(settings.operators.token_sha256, store, current, view, metrics)
+    operators_app = OperatorsApp(
+        settings.operators.token_sha256,
+        ConfigurationApi(control.store, current, control.versions, members, directory),
+        view,
+        DrainRequests(me.id, board),
+        metrics,
+    )
 
     parts = Parts(
         callers=HttpServer(
@@ -110,18 +148,21 @@
             settings.operators.port,
             ServerLimits(threads=OPERATORS_THREADS),
         ),
-        listener=listener,
-        mesh=mesh,
+        listener=control.listener,
+        mesh=control.mesh,
         owners=owners,
+        committer=committer,
+        settler=settler,
+        once=once,
         readiness=readiness,
         tracing=tracing,
         metrics=metrics,
         tasks=[
-            Periodic("members", timing.member_poll, members.refresh),
-            Periodic("configuration", timing.configuration_poll, current.refresh),
+            *control.tasks,
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
             Periodic("quarantine", QUARANTINE_POLL_SECONDS, quarantine.refresh),
+            Periodic("drains", timing.heartbeat, drain_reporter.step),
             Periodic("planner", timing.planning, planner.step),
         ],
     )
--- a/packages/redwingscale-daemon/tests/unit/relay/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/conftest.py
@@ -33,6 +33,7 @@
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.upstreams.directory import EngineView
 from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
+from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 from redwingscale_daemon._internal.upstreams.reachability import Reachability
 from redwingscale_standins.engine.alder import AlderApi
@@ -53,6 +54,7 @@
     report_lag_seconds=0.0,
 )
 LEAST_SILENCE = 0.3
+CONTROL_SECONDS = 5.0
 
 
 class RunningEngine(NamedTuple):
@@ -170,13 +172,14 @@
             )
             member = engine_member(number, vendor, 0)
             started[member.id] = EngineProcess(member, process)
-        client = EngineClient(1.0)
+        control = EngineControl(1.0)
         for engine_id, (member, process) in started.items():
             url = f"http://127.0.0.1:{process.read_ready_line()['port']}"
             started[engine_id] = EngineProcess(replace(member, url=url), process)
-            client.order(started[engine_id].member, Order("load", True, str(UNIT), 1, 1))
+            order = Order("load", True, str(UNIT), 1, 1)
+            control.order(started[engine_id].member, order, lambda: CONTROL_SECONDS)
         for member, _ in started.values():
-            while not any(r.ready for r in client.report(member).residents):
+            while not any(r.ready for r in control.report(member).residents):
                 time.sleep(0.01)
         return started
 
@@ -199,7 +202,7 @@
     def make(count: int) -> list[Quarantine]:
         boards.extend(Board(f"instance-{number}") for number in range(count))
         for board in boards:
-            board.on_forward(entries.put)
+            board.on_forward(lambda entry, _: entries.put(entry))
         return [Quarantine(f"instance-{n}", b, NoStore()) for n, b in enumerate(boards)]
 
     carrier = threading.Thread(target=carry, daemon=True)
@@ -218,6 +221,7 @@
         parts = RunParts(
             router=ShuffledRouter(members),
             client=EngineClient(1.0),
+            control=EngineControl(1.0),
             in_flight=InFlight(),
             reachability=Reachability(),
             budget=RetryBudget(),
