--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
@@ -65,10 +65,9 @@
         return bool(self._sender.ledger.open_orders() or self._retirements.units)
 
     def close(self) -> None:
-        """Wait for a step that runs and give the permits of its loads back."""
+        """Wait for a step that runs."""
         with self._lock:
-            for opened in self._sender.ledger.open_orders():
-                self._parts.permits.leave(opened.order.order_id)
+            return
 
     def _work(self, engine: EngineMember, grant: Grant) -> bool:
         """Poll, publish and order; return False when a fresh report is needed."""
@@ -155,7 +154,6 @@
 
     def _settle(self, engine: EngineMember, report: Report, polled_at: float) -> None:
         for order, outcome in self._sender.ledger.settle(engine, report, polled_at):
-            self._parts.permits.leave(order.order_id)
             level = "INFO" if outcome is Outcome.DONE else "WARNING"
             log_event(
                 "order_ended",
@@ -219,13 +217,11 @@
         leaving = choice.unloads(situation, self._retirements.drained())
         coming = choice.loads(situation, self._retirements.units)
         unloads = [_new_order(False, r.unit, r.size_bytes, grant) for r in leaving]
-        wanted = [
+        loads = [
             _new_order(True, p.unit, p.size_bytes, grant)
             for p in coming
             if self._backoff.is_over(p.unit)
         ]
-        permits = self._parts.permits
-        loads = [o for o in wanted if permits.try_enter(self._engine, o.order_id, o.size_bytes)]
         return unloads + loads
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -1,9 +1,13 @@
 """The composition root: the one place that wires the parts of an instance."""
 
 import random
+import time
 
 from redwingscale_common.network.server import HttpServer, ServerLimits
 
+from redwingscale_daemon._internal.admission.capacity import Capacity
+from redwingscale_daemon._internal.admission.gate import Gate, gate_limits
+from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
 from redwingscale_daemon._internal.control import build_control
 from redwingscale_daemon._internal.entry.callers_app import CallersApp
 from redwingscale_daemon._internal.idempotency.claim import Claimant
@@ -16,10 +20,12 @@
 from redwingscale_daemon._internal.leases.session import Session
 from redwingscale_daemon._internal.lifecycle.instance import Instance, Parts
 from redwingscale_daemon._internal.lifecycle.readiness import Readiness
+from redwingscale_daemon._internal.membership.members import Members
 from redwingscale_daemon._internal.operators.configuration_api import ConfigurationApi
 from redwingscale_daemon._internal.operators.drain_requests import DrainRequests
 from redwingscale_daemon._internal.operators.operators_app import OperatorsApp
 from redwingscale_daemon._internal.operators.state_view import StateView
+from redwingscale_daemon._internal.placement.demand import DemandTotals, DemandTracker
 from redwingscale_daemon._internal.placement.drain_acks import DrainAcks
 from redwingscale_daemon._internal.placement.drain_reporter import STEP_SECONDS, DrainReporter
 from redwingscale_daemon._internal.placement.intents import IntentStore
@@ -31,7 +37,10 @@
 from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.relay.generation import GenerationRelay
 from redwingscale_daemon._internal.relay.plain import PlainRelay
-from redwingscale_daemon._internal.routing.router import Router
+from redwingscale_daemon._internal.routing.cache_feed import CacheFeed
+from redwingscale_daemon._internal.routing.cache_poller import CachePoller
+from redwingscale_daemon._internal.routing.prefix_index import PrefixIndex
+from redwingscale_daemon._internal.routing.router import Demand, Router
 from redwingscale_daemon._internal.settings.settings import Settings
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
@@ -44,6 +53,8 @@
 
 OPERATORS_THREADS = 4
 CLAIM_MARGIN_SECONDS = 0.5
+# How old the load in an engine's report is taken to be when it arrives.
+REPORT_LAG_SECONDS = 0.5
 
 
 def build_instance(settings: Settings) -> Instance:
@@ -73,9 +84,25 @@
     in_flight = InFlight()
     engines = EngineClient(timing.connect, timing.silence)
     plans = PlanStore(platform)
-    planner = Planner(ownership, plans, current, directory)
+    engine_control = EngineControl(timing.connect)
+    demand = DemandTracker(me.id, board, lambda: _live_instances(members))
+    totals = DemandTotals(board, lambda: _live_instances(members))
+    planner = Planner(ownership, plans, current, directory, totals)
+    index = PrefixIndex()
+    router = Router(
+        me.failure_domain,
+        directory,
+        members,
+        in_flight,
+        random.Random(),
+        index=index,
+        demand=Demand(lambda model: _listed_versions(current, model), demand.arrived),
+    )
+    cache_poller = CachePoller(
+        members, lambda e: ownership.held(e) is not None, engine_control, CacheFeed(index)
+    )
     owner_parts = OwnerParts(
-        control=EngineControl(timing.connect),
+        control=engine_control,
         board=board,
         directory=directory,
         plans=plans,
@@ -90,7 +117,6 @@
     )
     drain_reporter = DrainReporter(board, directory, in_flight)
 
-    router = Router(me.failure_domain, directory, members, in_flight, random.Random())
     committer = Committer(platform.table)
     settler = Settler(committer, platform.table)
     claims = Claims(
@@ -102,10 +128,20 @@
         metrics,
     )
     once = Once(claims, settings.platform.timeout_seconds + CLAIM_MARGIN_SECONDS)
+    capacity = Capacity(me, directory, members, in_flight, REPORT_LAG_SECONDS, time.monotonic)
+    gate = Gate(gate_limits(settings.limits.request_threads), capacity)
     generation = GenerationRelay(router, engines, in_flight, tracing, metrics)
     plain = PlainRelay(router, PlainClient(timing.connect), in_flight, once, tracing, metrics)
     callers_app = CallersApp(
-        current, generation, plain, once, readiness, tracing, metrics, settings.limits.body_bytes
+        current,
+        generation,
+        plain,
+        once,
+        gate,
+        readiness,
+        tracing,
+        metrics,
+        settings.limits.body_bytes,
     )
     view = StateView(me, current, readiness, session, members, beats, directory, in_flight)
     operators_app = OperatorsApp(
@@ -141,11 +177,23 @@
             Periodic("owners", timing.heartbeat, owners.step),
             Periodic("drains", STEP_SECONDS, drain_reporter.step),
             Periodic("planner", timing.planning, planner.step),
+            Periodic("cache", timing.planning, cache_poller.step),
+            Periodic("demand", timing.planning, lambda: demand.step(time.monotonic())),
         ],
     )
     return Instance(parts, timing.balancer_drain)
 
 
+def _listed_versions(current: CurrentConfiguration, model: str) -> list[str]:
+    accepted = current.get()
+    listed = accepted.configuration.models_by_name.get(model) if accepted else None
+    return list(reversed(listed.versions_by_name)) if listed else []
+
+
+def _live_instances(members: Members) -> list[str]:
+    return [m.id for m in members.instances() if not m.leaving]
+
+
 def _callers_limits(settings: Settings) -> ServerLimits:
     return ServerLimits(
         threads=settings.limits.request_threads,
--- a/packages/redwingscale-daemon/tests/functional/test_owners.py
+++ b/packages/redwingscale-daemon/tests/functional/test_owners.py
@@ -14,6 +14,7 @@
 from redwingscale_standins.launcher.shape import GIGABYTE, EngineShape, Shape
 
 MODELS = ["listing-vetter", "name-similarity", "notice-drafter", "trademark-check"]
+FAST_STORE = {"loads_per_second": 100, "concurrent_loads": 20}
 ADAPTERS = ["a1", "a2", "a3", "a4"]
 
 
@@ -45,7 +46,8 @@
         needs = [d for d in service["depends_on"] if d["model"] in models]
         listed = {name: self.whole["models"][name] for name in models}
         services = {"listing-vetting": service | {"depends_on": needs}}
-        text = json.dumps(self.whole | {"models": listed, "services": services})
+        parts = {"models": listed, "services": services, "weight_store": FAST_STORE}
+        text = json.dumps(self.whole | parts)
         answer = self.client.apply(instance, text, self.version)
         assert answer.status == 200, answer.body
         self.version += 1
