--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/directory.py
@@ -75,7 +75,8 @@
             self._rebuild()
 
     def _rebuild(self) -> None:
-        engines = {key: self._view(member) for key, member in self._members.items()}
+        # Sorted, so that operators and tests see one order whatever the list's.
+        engines = {key: self._view(self._members[key]) for key in sorted(self._members)}
         ready: dict[str, list[str]] = {}
         for view in engines.values():
             for unit in view.ready_units():
