--- a/packages/redwingscale-daemon/tests/functional/control/test_cut_off.py
+++ b/packages/redwingscale-daemon/tests/functional/control/test_cut_off.py
@@ -33,6 +33,11 @@
     return client.complete(instance, "clerks", "listing-vetter", f"lot {number}", 10)
 
 
+def engines_of(client, instance):
+    models = client.operate(instance, "GET", "/models").document
+    return sorted(models.get(UNIT, {}).get("engines", []))
+
+
 def orders(deployment):
     """Return every order that the engines have accepted."""
     urls = [deployment.members_by_id[e].admin_url for e in ("e-a", "e-b")]
@@ -55,10 +60,7 @@
     client.apply("b1", small_text(share=1))
     for instance in INSTANCES:
         client.wait_for(
-            lambda i=instance: (
-                client.operate(i, "GET", "/models").document.get(UNIT, {}).get("engines")
-                == ["e-a", "e-b"]
-            ),
+            lambda i=instance: engines_of(client, i) == ["e-a", "e-b"],
             "both replicas",
         )
     before = orders(deployment)
