--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/demand.py
@@ -18,6 +18,7 @@
 HALF_LIFE_SECONDS = 60.0
 LEAST_RATE = 1 / 64
 """Requests a second that exponent 0 stands for; slower demand is not told."""
+STEPS_A_DOUBLING = 2
 MOST_MODELS_TOLD = 32
 MOST_REPORTERS = 24
 TELL_SECONDS = 10.0
@@ -25,7 +26,7 @@
 
 
 class DemandTable(NamedTuple):
-    """``exponents`` by model number: a rate of ``LEAST_RATE * 2 ** exponent``."""
+    """``exponents`` by model number: a rate of ``LEAST_RATE * 2 ** (exponent / 2)``."""
 
     exponents: dict[int, int]
 
@@ -34,7 +35,7 @@
     """Counts arrivals at this instance and tells the others of the largest rates.
 
     What this costs is bounded: only `MOST_REPORTERS` instances tell, at most 32
-    models of 860, in powers of two, not more often than every 30 s; the planner
+    models of 860, in half powers of two, not more often than every 30 s; the planner
     scales the sum up, as the balancer spreads callers over all instances alike.
     """
 
@@ -108,7 +109,7 @@
         totals: dict[int, float] = {}
         for table in tables:
             for number, exponent in table.exponents.items():
-                rate = scale * LEAST_RATE * 2.0**exponent
+                rate = scale * LEAST_RATE * 2.0 ** (exponent / STEPS_A_DOUBLING)
                 totals[number] = totals.get(number, 0.0) + rate
         return totals
 
@@ -118,10 +119,10 @@
 
 
 def _exponent(rate: float, told: int | None) -> int | None:
-    """Return the power of two of ``rate``; the one told before unless it is 40% off."""
+    """Return the half power of two nearest to ``rate``; the one told unless it is 30% off."""
     if rate < LEAST_RATE / 2:
         return None
-    exact = math.log2(rate / LEAST_RATE)
+    exact = STEPS_A_DOUBLING * math.log2(rate / LEAST_RATE)
     if told is not None and abs(exact - told) < 0.75:
         return told
     return max(0, round(exact))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/growth.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/growth.py
@@ -8,8 +8,8 @@
 from redwingscale_daemon._internal.placement.group import Group
 from redwingscale_daemon._internal.placement.layout import Layout
 
-HORIZON_SECONDS = 600.0
-REQUESTS_PER_MOVE = 20.0
+HORIZON_SECONDS = 1800.0
+REQUESTS_PER_MOVE = 10.0
 MOST_STEPS = 4
 HOT_ENGINES = 4
 HOT_GROUPS = 3
@@ -40,7 +40,7 @@
         return cls(REQUESTS_PER_MOVE * moves_weight / (1.0 - moves_weight), service_seconds)
 
     def surplus(self, gained_work: float, moves: int) -> float:
-        """Return the requests won over the horizon, less the price of the moves."""
+        """Return the requests won over half an hour, less the price of the moves."""
         won = gained_work / self.service_seconds * HORIZON_SECONDS
         # One request a move even when moves are free: rounding must not cause any.
         return won - moves * max(1.0, self.move_price)
