Plan around engines that are set aside and units that retire

Cause: owners now tell that an engine is set aside, and which units they are retiring. The planner took both for sound: it planned loads for an engine that gets no orders, and could give up a copy because of one that nobody may use.

Change: an engine set aside counts as quiet, so it is lost after its grace; a retiring unit counts as memory but not as ready.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/engine_watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/engine_watch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from redwingscale_daemon._internal.models.report import Digest, ResidentUnit
 from redwingscale_daemon._internal.placement.engine_room import EngineRoom, Standing
 from redwingscale_daemon._internal.upstreams.directory import EngineView
 
@@ -47,7 +48,9 @@
         return unheard and now - self._listening_since < SETTLE_SECONDS
 
     def _is_heard(self, view: EngineView, now: float) -> bool:
-        return view.digest is not None and self._quiet(view, now) <= QUIET_SECONDS
+        """Return whether the engine told something sound lately."""
+        sound = view.digest is not None and not view.digest.set_aside
+        return sound and self._quiet(view, now) <= QUIET_SECONDS
 
     def _quiet(self, view: EngineView, now: float) -> float:
         return now - max(view.seen_at, self._listening_since)
@@ -73,5 +76,14 @@
             capacity_bytes=int(digest.capacity_bytes * (1 - cache_share)),
             slots=digest.slots,
             standing=standing,
-            residents=digest.residents,
+            residents=_usable(digest),
         )
+
+
+def _usable(digest: Digest) -> tuple[ResidentUnit, ...]:
+    """Return the residents; one that its owner is retiring counts as not ready.
+
+    It takes memory until it is gone, but nothing may rely on its answers.
+    """
+    retiring = set(digest.retiring)
+    return tuple(r._replace(ready=r.ready and r.unit not in retiring) for r in digest.residents)
--- a/packages/redwingscale-daemon/tests/unit/placement/test_engine_watch.py
+++ b/packages/redwingscale-daemon/tests/unit/placement/test_engine_watch.py
@@ -4,7 +4,7 @@
 
 import pytest
 from redwingscale_daemon._internal.models.member import EngineMember
-from redwingscale_daemon._internal.models.report import Digest
+from redwingscale_daemon._internal.models.report import Digest, ResidentUnit
 from redwingscale_daemon._internal.placement.engine_room import Standing
 from redwingscale_daemon._internal.placement.engine_watch import EngineWatch
 from redwingscale_daemon._internal.upstreams.directory import EngineView
@@ -62,3 +62,30 @@
     standings = _standings(watch, views, 3600.0)
 
     assert set(standings.values()) == {Standing.OPEN}
+
+
+def test_an_engine_set_aside_gets_nothing_and_is_lost_after_its_grace(make_view):
+    """An engine reports nonsense; its owner sets it aside and stops all orders.
+
+    Loads planned there would never be carried out, and its models stay one short.
+    """
+    watch = EngineWatch()
+    view = make_view("e0", "a", 0.0)
+    aside = view._replace(digest=view.digest._replace(set_aside=True))
+
+    seen = [
+        _standings(watch, [aside, make_view("e1", "a", float(now))], float(now))
+        for now in range(0, 40, 5)
+    ]
+
+    assert seen[0]["e0"] is Standing.SILENT
+    assert "e0" not in seen[-1]
+
+
+def test_a_retiring_unit_takes_memory_and_answers_nothing(make_view):
+    view = make_view("e0", "a", 0.0)
+    digest = view.digest._replace(residents=(ResidentUnit("m@v1", 5, True),), retiring=("m@v1",))
+
+    rooms = EngineWatch().rooms({"e0": view._replace(digest=digest)}, 0.1, 0.0)
+
+    assert rooms["e0"].residents == (ResidentUnit("m@v1", 5, False),)
