Heed leaving signs of plain services; answer all that was accepted before a stop

Cause: plain upstreams were taken out by the platform's list alone, which lags 10 s; a request accepted between the last idle moment and the closing of the port could be cut. Change: two instances of the upstream's failure domain poll /state and tell the others; calls skip who leaves. A stop waits for a quiet moment, closes kept connections, and waits again after the port is closed. Ruled out: asking before each call (a round trip each); every instance polling.

Not proved: signs in a failure domain without live instances; a sign in the time in which an engine's dead owner is replaced.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
@@ -75,6 +75,9 @@
         headers = cherrypy.request.headers
         request_id = new_request_id(headers)
         cherrypy.response.headers[REQUEST_ID] = request_id
+        if self._readiness.draining:
+            # A kept connection could carry a next request just when the port closes.
+            cherrypy.response.headers["Connection"] = "close"
         with self._tracing.entry_span("request", headers) as span:
             cherrypy.response.headers.update(trace_headers(span))
             self._metrics.requests.add(1)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/instance.py
@@ -19,11 +19,14 @@
 from redwingscale_daemon._internal.placement.owners import Owners
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
+from redwingscale_daemon._internal.upstreams.plain_watch import PlainWatch
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 # The longest that an end waits for calls that no caller waits for any more, and
 # for the platform to take their outcomes.
 UNATTENDED_SECONDS = 60.0
+# A balancer that polls may send a last request after its last probe.
+QUIET_SECONDS = 0.3
 SETTLING_SECONDS = 10.0
 
 
@@ -35,6 +38,7 @@
     listener: Listener
     mesh: Mesh
     owners: Owners
+    plain_watch: PlainWatch
     committer: Committer
     settler: Settler
     once: Once
@@ -86,7 +90,7 @@
         log_event("draining", open_requests=self._parts.readiness.open_requests)
         self._parts.readiness.drain()
         time.sleep(self._balancer_drain_seconds)
-        self._parts.readiness.wait_until_idle()
+        self._parts.readiness.wait_until_idle(QUIET_SECONDS)
         # Calls whose callers went away or were too late: sent, so let finish, and
         # their outcomes written for the repeats.
         self._parts.once.wait_until_idle(UNATTENDED_SECONDS)
@@ -96,9 +100,12 @@
     def _stop(self) -> None:
         parts = self._parts
         parts.callers.stop()
+        # What was accepted until the port was closed is still being answered.
+        parts.readiness.wait_until_idle()
         parts.owners.stop()
         for task in parts.tasks:
             task.stop()
+        parts.plain_watch.stop()
         parts.mesh.stop()
         parts.listener.stop()
         parts.operators.stop()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/readiness.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/readiness.py
@@ -32,6 +32,7 @@
         """Count a request in."""
         with self._condition:
             self._open += 1
+            self._condition.notify_all()
 
     def leave(self) -> None:
         """Count a request out."""
@@ -43,7 +44,9 @@
         """Be unready from now on; requests that still come are answered."""
         self._draining = True
 
-    def wait_until_idle(self) -> None:
-        """Block until no request is open."""
+    def wait_until_idle(self, quiet_seconds: float = 0.0) -> None:
+        """Block until no request is open, and none has come for ``quiet_seconds``."""
         with self._condition:
             self._condition.wait_for(lambda: self._open == 0)
+            while self._condition.wait_for(lambda: self._open > 0, quiet_seconds):
+                self._condition.wait_for(lambda: self._open == 0)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/plain.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/plain.py
@@ -21,6 +21,7 @@
     PlainCall,
     PlainClient,
 )
+from redwingscale_daemon._internal.upstreams.plain_state import PlainStates
 
 RETRY_AFTER_NO_UPSTREAM_SECONDS = 1.0
 RETRY_AFTER_FAILURE_SECONDS = 1.0
@@ -53,6 +54,7 @@
         router: Router,
         client: PlainClient,
         in_flight: InFlight,
+        states: PlainStates,
         once: Once,
         tracing: Tracing,
         metrics: Metrics,
@@ -60,6 +62,7 @@
         self._router = router
         self._client = client
         self._in_flight = in_flight
+        self._states = states
         self._once = once
         self._tracing = tracing
         self._metrics = metrics
@@ -69,7 +72,7 @@
         if request.idempotent or not request.idempotency_key:
             return self._send(request, span, grace_seconds=0.0)
         # Without an upstream no claim is made: it would only be released again.
-        if self._router.choose_plain(request.service, ()) is None:
+        if self._choose(request, []) is None:
             raise _no_upstream(request)
         key = ClaimKey(request.caller, request.service, request.idempotency_key)
         fingerprint = request_fingerprint(request.method, request.path, request.body)
@@ -98,7 +101,11 @@
         late = bool(failures) and time.monotonic() >= request.deadline_at
         if not repeatable or late or len(failures) >= MOST_ATTEMPTS:
             return None
-        return self._router.choose_plain(request.service, [e.upstream for e in failures])
+        return self._choose(request, failures)
+
+    def _choose(self, request: PlainRequest, failures: list[UpstreamError]) -> PlainMember | None:
+        excluded = {e.upstream for e in failures}.union(self._states.leaving(request.service))
+        return self._router.choose_plain(request.service, excluded)
 
     def _attempt(
         self, member: PlainMember, request: PlainRequest, span: Span, grace_seconds: float
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -43,6 +43,9 @@
 from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 from redwingscale_daemon._internal.upstreams.plain_client import PlainClient
+from redwingscale_daemon._internal.upstreams.plain_state import PlainStates
+from redwingscale_daemon._internal.upstreams.plain_watch import PlainWatch
+from redwingscale_daemon._internal.upstreams.watchers import Watchers
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 OPERATORS_THREADS = 4
@@ -110,7 +113,14 @@
     capacity = Capacity(me, directory, members, in_flight, REPORT_LAG_SECONDS, time.monotonic)
     gate = Gate(gate_limits(settings.limits.request_threads), capacity)
     generation = GenerationRelay(router, engines, in_flight, tracing, metrics)
-    plain = PlainRelay(router, PlainClient(timing.connect), in_flight, once, tracing, metrics)
+    states = PlainStates(board, members)
+    watchers = Watchers(me, members, beats, timing.lease)
+    plain_watch = PlainWatch(
+        members, board, watchers.include_me, timing.report_poll, timing.connect
+    )
+    plain = PlainRelay(
+        router, PlainClient(timing.connect), in_flight, states, once, tracing, metrics
+    )
     callers_app = CallersApp(
         current,
         generation,
@@ -144,6 +154,7 @@
         listener=control.listener,
         mesh=control.mesh,
         owners=owners,
+        plain_watch=plain_watch,
         committer=committer,
         settler=settler,
         once=once,
@@ -154,6 +165,7 @@
             *control.tasks,
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
+            Periodic("plain-watch", timing.heartbeat, plain_watch.step),
             Periodic("drains", timing.heartbeat, drain_reporter.step),
             Periodic("planner", timing.planning, planner.step),
         ],
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/plain_watch.py
@@ -0,0 +1,102 @@
+"""Asks plain upstreams of the own failure domain whether they leave."""
+
+import time
+from collections.abc import Callable
+
+import msgspec
+import urllib3
+from redwingscale_common.network.client import new_pool, timeout
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.members import Members
+from redwingscale_daemon._internal.models.member import PlainMember
+from redwingscale_daemon._internal.upstreams.plain_state import TOPIC, PlainState
+from redwingscale_daemon._internal.utils.periodic import Periodic
+
+STATE_PATH = "/state"
+SERVING = "serving"
+OK = 200
+READ_SECONDS = 1.0
+# The word of an owner before this one may have come late and stand in its place.
+REPEAT_SECONDS = 10.0
+
+
+class _StateBody(msgspec.Struct):
+    phase: str = SERVING
+
+
+class PlainWatch:
+    """One thread for each plain upstream that falls to this instance."""
+
+    def __init__(
+        self,
+        members: Members,
+        board: Board,
+        falls_here: Callable[[PlainMember], bool],
+        poll_seconds: float,
+        connect_seconds: float,
+    ) -> None:
+        self._members = members
+        self._board = board
+        self._falls_here = falls_here
+        self._poll_seconds = poll_seconds
+        self._timeout = timeout(connect_seconds, READ_SECONDS)
+        self._pool = new_pool(connections=1)
+        self._tasks_by_id: dict[str, Periodic] = {}
+        self._told_by_id: dict[str, tuple[PlainState, float]] = {}
+
+    def step(self) -> None:
+        """Start to watch the upstreams that fall here, and end it for the others."""
+        wanted = {
+            m.id
+            for m in self._members.by_id.values()
+            if isinstance(m, PlainMember) and self._falls_here(m)
+        }
+        for upstream in self._tasks_by_id.keys() - wanted:
+            self._tasks_by_id.pop(upstream).stop()
+        for upstream in wanted - self._tasks_by_id.keys():
+            self._start(upstream)
+
+    def stop(self) -> None:
+        """End all watching."""
+        for task in self._tasks_by_id.values():
+            task.stop()
+        self._tasks_by_id.clear()
+
+    def _start(self, upstream: str) -> None:
+        task = Periodic(f"plain-{upstream}", self._poll_seconds, lambda: self._ask(upstream))
+        self._tasks_by_id[upstream] = task
+        task.start()
+
+    def _ask(self, upstream: str) -> None:
+        member = self._members.by_id.get(upstream)
+        if not isinstance(member, PlainMember):
+            return
+        leaving = self._read_leaving(member)
+        if leaving is not None:
+            self._tell(PlainState(member.id, member.url, leaving))
+
+    def _read_leaving(self, member: PlainMember) -> bool | None:
+        """Return what the upstream says; None when it says nothing."""
+        try:
+            response = self._pool.request(
+                "GET", member.url + STATE_PATH, timeout=self._timeout, redirect=False
+            )
+            if response.status != OK:
+                return None
+            return msgspec.json.decode(response.data, type=_StateBody).phase != SERVING
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
+            # A service without such a path, or one that does not answer: neither
+            # is a sign that it leaves. A dead one shows by refused connections.
+            return None
+
+    def _tell(self, state: PlainState) -> None:
+        told, told_at = self._told_by_id.get(state.upstream, (None, 0.0))
+        now = time.monotonic()
+        if state == told and now - told_at < REPEAT_SECONDS:
+            return
+        if state.leaving and state != told:
+            log_event("upstream_leaving", upstream=state.upstream, sign="its own state")
+        self._told_by_id[state.upstream] = (state, now)
+        self._board.publish(TOPIC, state.upstream, state)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/watchers.py
@@ -0,0 +1,40 @@
+"""Which instances watch an upstream."""
+
+from redwingscale_common.utils.digests import rendezvous_order
+
+from redwingscale_daemon._internal.membership.members import Members
+from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
+from redwingscale_daemon._internal.models.member import PlainMember
+from redwingscale_daemon._internal.settings.settings import InstanceSettings
+
+# Two, so that a sign is not missed in the time in which a dead one is given up.
+WATCHERS = 2
+
+
+class Watchers:
+    """The best instances of the upstream's failure domain by rendezvous hash."""
+
+    def __init__(
+        self,
+        instance: InstanceSettings,
+        members: Members,
+        beats: PeerBeats,
+        silence_seconds: float,
+    ) -> None:
+        self._instance = instance
+        self._members = members
+        self._beats = beats
+        self._silence_seconds = silence_seconds
+
+    def include_me(self, upstream: PlainMember) -> bool:
+        """Return whether this instance watches ``upstream``."""
+        if upstream.failure_domain != self._instance.failure_domain:
+            return False
+        near = [
+            m
+            for m in self._members.instances()
+            if m.failure_domain == upstream.failure_domain and not m.leaving
+        ]
+        alive = {m.id for m in near if self._beats.silent_seconds(m.id) < self._silence_seconds}
+        order = rendezvous_order(upstream.id, {*alive, self._instance.id})
+        return self._instance.id in order[:WATCHERS]
--- a/packages/redwingscale-daemon/tests/unit/test_claims.py
+++ b/packages/redwingscale-daemon/tests/unit/test_claims.py
@@ -16,6 +16,8 @@
 from redwingscale_daemon._internal.idempotency.once import Once
 from redwingscale_daemon._internal.idempotency.outcome import Answer, OutcomeStore
 from redwingscale_daemon._internal.idempotency.settler import Settler
+from redwingscale_daemon._internal.membership.board import Board
+from redwingscale_daemon._internal.membership.members import Members
 from redwingscale_daemon._internal.models.generation import EndEvent, TokenEvent
 from redwingscale_daemon._internal.models.member import PlainMember
 from redwingscale_daemon._internal.platform.platform import connect_platform
@@ -25,6 +27,7 @@
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 from redwingscale_daemon._internal.upstreams.plain_client import PlainClient
+from redwingscale_daemon._internal.upstreams.plain_state import PlainStates
 
 PLATFORM_TIMEOUT = 0.3
 KEY = ClaimKey("portal", "register", "bid-1")
@@ -62,6 +65,7 @@
             OneUpstream(plain_url),
             PlainClient(1.0),
             InFlight(),
+            PlainStates(Board(name), Members(None)),
             self.once,
             Tracing(name, ""),
             metrics,
