--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_control.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_control.py
@@ -7,11 +7,16 @@
 from redwingscale_common.network.client import new_pool
 
 from redwingscale_daemon._internal.exceptions import ReportInvalid, UpstreamError
+from redwingscale_daemon._internal.models.cache_event import CacheEvent
 from redwingscale_daemon._internal.models.member import EngineMember
 from redwingscale_daemon._internal.models.order import Order
 from redwingscale_daemon._internal.models.report import Report
 from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.upstreams import dialect as dialects
+from redwingscale_daemon._internal.upstreams.cache_events import (
+    cache_events_call,
+    parse_cache_events,
+)
 from redwingscale_daemon._internal.upstreams.call import Call
 from redwingscale_daemon._internal.upstreams.dialect import DIALECTS_BY_VENDOR
 from redwingscale_daemon._internal.upstreams.report_check import check_report
@@ -44,6 +49,11 @@
         check_report(report)
         return report
 
+    def cache_events(self, engine: EngineMember, since: int) -> list[CacheEvent]:
+        """Poll cache events after number ``since``; raise `UpstreamError` or `ReportInvalid`."""
+        dialect = DIALECTS_BY_VENDOR[engine.vendor]
+        return parse_cache_events(dialect, self._control(engine, cache_events_call(dialect, since)))
+
     def order(self, engine: EngineMember, order: Order, guard: Guard) -> None:
         """Send ``order`` once, if ``guard`` lets it go out.
 
