--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -1,7 +1,7 @@
 """Attainment and refusals at the capacity of the engines and at twice that.
 
 Real processes: two failure domains, each with two instances before one engine. The
-capacity is measured first, by a closed loop that keeps every slot busy; then
+capacity is measured first, by a closed loop that keeps the slots busy; then
 seeded Poisson arrivals at that rate and at twice that rate, in one run.
 """
 
@@ -32,6 +32,7 @@
 DEADLINE_SECONDS = 1.5
 WARM_UP_SECONDS = 3.0
 SENDERS = 400
+CLOSED_LOOP = SLOTS * ENGINES * 3 // 2
 MODEL = "bench"
 INSTANCES = ("bench-a1", "bench-b1", "bench-a2", "bench-b2")
 TEXT = json.dumps(
@@ -132,7 +133,10 @@
 
 
 def closed_loop(caller: Caller, seconds: float) -> float:
-    """Keep one request in each slot; return how many are served a second."""
+    """Keep half as many requests again as there are slots; return the served a second.
+
+    With just one for each slot some slots idle while others have a queue.
+    """
     end_at = time.monotonic() + seconds
 
     def work(number: int) -> int:
@@ -141,8 +145,8 @@
             served += caller.send(INSTANCES[number % len(INSTANCES)], float(served)).whole
         return served
 
-    with ThreadPoolExecutor(SLOTS * ENGINES) as pool:
-        return round(sum(pool.map(work, range(SLOTS * ENGINES))) / seconds, 1)
+    with ThreadPoolExecutor(CLOSED_LOOP) as pool:
+        return round(sum(pool.map(work, range(CLOSED_LOOP))) / seconds, 1)
 
 
 def open_loop(caller: Caller, rate: float, seconds: float, rng: random.Random) -> list[Result]:
@@ -170,7 +174,10 @@
         "late": sum(r.whole for r in results) - len(in_time),
         "statuses": dict(Counter(str(r.status) for r in results)),
         "refused_after_50_ms": sum(ms > 50 for ms in refused),
-        "refused_ms_p50_p95_p99_max": [round(float(c), 1) for c in cuts],
+        "refused_p50_ms": round(float(cuts[0]), 1),
+        "refused_p95_ms": round(float(cuts[1]), 1),
+        "refused_p99_ms": round(float(cuts[2]), 1),
+        "refused_max_ms": round(float(cuts[3]), 1),
     }
 
 
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -1,11 +1,9 @@
 """Claims with and without batches: transactions for each claim, and latency.
 
 One instance's claims against a platform stand-in in its own process. Every
-worker opens a claim and keeps a small outcome, again and again. Prints one
-JSON line for each setting; run it with the packages on the path.
+worker opens a claim and keeps a small outcome, again and again.
 """
 
-import json
 import tempfile
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -17,12 +15,15 @@
 from redwingscale_daemon._internal.idempotency.claims import Claimed, Claims
 from redwingscale_daemon._internal.idempotency.committer import Committer
 from redwingscale_daemon._internal.idempotency.outcome import Answer, OutcomeStore
+from redwingscale_daemon._internal.idempotency.retention import Retention
 from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.settings.settings import PlatformSettings
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_standins.launcher.process import ChildProcess
 
+from benchmarks.lib.points import write_points
+
 WORKERS = 64
 CLAIMS = 2000
 BATCHES = (1, 64)
@@ -37,11 +38,10 @@
         try:
             url = f"http://127.0.0.1:{process.read_ready_line()['port']}"
             metrics = Metrics("")
-            for seconds in TABLE_SECONDS:
-                for batch in BATCHES:
-                    print(json.dumps(measure(url, metrics, batch, seconds)), flush=True)
+            points = [measure(url, metrics, b, s) for s in TABLE_SECONDS for b in BATCHES]
         finally:
             process.kill()
+    write_points("claims", {"workers": WORKERS, "claims": CLAIMS}, points)
 
 
 def measure(
@@ -52,9 +52,10 @@
     platform = connect_platform(PlatformSettings(url, 5.0), "bench")
     committer = Committer(platform.table, most_in_batch)
     settler = Settler(committer, platform.table)
-    claims = Claims(
-        committer, settler, OutcomeStore(platform.objects), Claimant("bench", 1), 60, metrics
-    )
+    claimant = Claimant("bench", 1)
+    retention = Retention(platform.table, claimant, lambda: False)
+    outcomes = OutcomeStore(platform.objects)
+    claims = Claims(committer, settler, outcomes, claimant, retention, 60, metrics)
     committer.start()
     settler.start()
     name = f"{most_in_batch}-{table_seconds}"
--- a/packages/redwingscale-common/src/redwingscale_common/network/server.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/server.py
@@ -4,11 +4,13 @@
 from typing import NamedTuple
 
 import cherrypy
+import msgspec
 from cheroot import wsgi
 
-from redwingscale_common.network.bounded import BoundedConnection
+from redwingscale_common.network.bounded import PROBLEM_TYPE, BoundedConnection
 
 SHUTDOWN_SECONDS = 2
+FIRST_SERVER_ERROR = 500
 LARGEST_HEAD_BYTES = 64 << 10
 
 
@@ -67,7 +69,28 @@
     """Write nothing; the project logs events of its own."""
 
 
+def _error_page(status: str, message: str, **_: str) -> bytes:
+    """Render what no handler has answered, as a problem document.
+
+    An exception that nobody expected may have come after the request was sent
+    on, so it says nothing of whether it was run.
+    """
+    code = int(status[:3])
+    cherrypy.response.headers["Content-Type"] = PROBLEM_TYPE
+    unexpected = code >= FIRST_SERVER_ERROR
+    return msgspec.json.encode(
+        {
+            "type": "about:blank",
+            "title": status[4:],
+            "status": code,
+            "detail": "" if unexpected else message,
+            "run": "unknown" if unexpected else "not_run",
+        }
+    )
+
+
 _APPLICATION_CONFIG = {
+    "error_page.default": _error_page,
     "request.show_tracebacks": False,
     "request.process_request_body": False,
     "tools.trailing_slash.on": False,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
@@ -66,7 +66,7 @@
         self._body_limit = body_limit
 
     @cherrypy.expose
-    def default(self, *segments: str, **query: Any) -> bytes | Iterator[bytes]:
+    def default(self, /, *segments: str, **query: Any) -> bytes | Iterator[bytes]:
         match segments:
             case ("healthz",):
                 return json_response({"status": "up"})
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/claims.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/claims.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+import msgspec
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import PlatformError, Refusal
@@ -20,6 +21,7 @@
 )
 from redwingscale_daemon._internal.idempotency.committer import Committer
 from redwingscale_daemon._internal.idempotency.outcome import Answer, OutcomeStore
+from redwingscale_daemon._internal.idempotency.retention import Retention
 from redwingscale_daemon._internal.idempotency.row_write import Beaten, Failed, RowWrite, Written
 from redwingscale_daemon._internal.idempotency.settler import Ending, Settler
 from redwingscale_daemon._internal.models.run_state import RunState
@@ -51,6 +53,7 @@
         settler: Settler,
         outcomes: OutcomeStore,
         claimant: Claimant,
+        retention: Retention,
         retention_seconds: int,
         metrics: Metrics,
     ) -> None:
@@ -58,6 +61,7 @@
         self._settler = settler
         self._outcomes = outcomes
         self._claimant = claimant
+        self._retention = retention
         self._retention_seconds = retention_seconds
         self._metrics = metrics
         self._lock = threading.Lock()
@@ -81,7 +85,7 @@
                 case Beaten(row=None):
                     version = ABSENT
                 case Beaten(row=Row() as row):
-                    claim = _same_request(parse_claim(row.value), fingerprint)
+                    claim = _same_request(self._parse(row), fingerprint)
                     if not isinstance(claim, Released):
                         return self._repeat(claim)
                     version = row.version
@@ -128,11 +132,18 @@
             claim = Released(write.value.fingerprint, self._claimant, self._expires_at())
             self._settler.withdraw(write, claim)
 
+    def _parse(self, row: Row) -> Claim:
+        try:
+            return parse_claim(row.value)
+        except msgspec.ValidationError as error:
+            raise self._refusal(409, "claim_unfinished", f"unreadable claim: {error}") from error
+
     def _claimed(self, claimed: Claimed) -> Claimed:
         with self._lock:
             self._remembered[claimed.row] = None
             if len(self._remembered) > MOST_REMEMBERED:
                 self._remembered.popitem(last=False)
+        self._retention.note(claimed.row, self._expires_at())
         self._metrics.claims.add(1, {"result": "claimed"})
         return claimed
 
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/retention.py
@@ -0,0 +1,123 @@
+"""Deletes claims whose time is past, by an index of when they expire."""
+
+import itertools
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Callable
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.idempotency.claim import Claimant
+from redwingscale_daemon._internal.platform.row import ABSENT, Check, Committed, Row, Transaction
+from redwingscale_daemon._internal.platform.table import Table, new_write_id
+
+INDEX_PREFIX = "claim-expiry/"
+PROGRESS_KEY = "claim-sweep"
+LEASE_NAME = "claim-sweep"
+BUCKET_SECONDS = 3600
+MOST_IN_INDEX_ROW = 200
+PAUSE_SECONDS = 1.0
+# The bucket that is running, and one for claims whose time started again when
+# their requests ended.
+GRACE_BUCKETS = 2
+
+
+class Retention:
+    """Notes claims made here; the holder of one lease sweeps those of everybody.
+
+    A scan over all claims would read millions of rows. So each instance writes,
+    now and then, which rows expire in which bucket of time, and the sweep reads
+    only the buckets that are past. What an instance noted but had not written
+    when it was killed stays in the table.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        claimant: Claimant,
+        may_sweep: Callable[[], bool],
+        pause_seconds: float = PAUSE_SECONDS,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._table = table
+        self._claimant = claimant
+        self._may_sweep = may_sweep
+        self._pause_seconds = pause_seconds
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._numbers = itertools.count()
+        self._rows_by_bucket: dict[int, list[str]] = defaultdict(list)
+
+    def note(self, row: str, expires_at: int) -> None:
+        """Remember that the claim in ``row`` expires at ``expires_at``, Unix seconds."""
+        with self._lock:
+            self._rows_by_bucket[expires_at // BUCKET_SECONDS].append(row)
+
+    def flush(self) -> None:
+        """Write what was noted; on an outage it stays noted."""
+        with self._lock:
+            noted, self._rows_by_bucket = self._rows_by_bucket, defaultdict(list)
+        for bucket, rows in noted.items():
+            for start in range(0, len(rows), MOST_IN_INDEX_ROW):
+                self._write_index(bucket, rows[start : start + MOST_IN_INDEX_ROW])
+
+    def sweep(self) -> None:
+        """Delete the claims of the oldest bucket that is past, if the lease is held."""
+        if not self._may_sweep():
+            return
+        due = int(self._clock()) // BUCKET_SECONDS - GRACE_BUCKETS
+        progress = self._table.read([PROGRESS_KEY])[PROGRESS_KEY]
+        bucket = progress.value["bucket"] + 1 if progress else due
+        if bucket > due:
+            return
+        deleted = sum(self._sweep_index(key) for key in self._index_keys(bucket))
+        version = progress.version if progress else ABSENT
+        self._table.put_if(PROGRESS_KEY, {"bucket": bucket}, version)
+        log_event("claims_swept", bucket=bucket, deleted=deleted)
+
+    def _write_index(self, bucket: int, rows: list[str]) -> None:
+        name = f"{self._claimant.instance}-{self._claimant.boot}-{next(self._numbers)}"
+        key = f"{INDEX_PREFIX}{bucket}/{name}"
+        try:
+            self._table.put_if(key, rows, ABSENT)
+        except PlatformError as error:
+            log_event("claim_index_not_written", level="WARNING", error=error)
+            with self._lock:
+                self._rows_by_bucket[bucket].extend(rows)
+
+    def _index_keys(self, bucket: int) -> list[str]:
+        return list(self._table.scan(f"{INDEX_PREFIX}{bucket}/"))
+
+    def _sweep_index(self, key: str) -> int:
+        index = self._table.read([key])[key]
+        if index is None:
+            return 0
+        claims = self._table.read(index.value)
+        now = self._clock()
+        past: dict[str, Row] = {}
+        for name, row in claims.items():
+            if row is None:
+                continue
+            if row.value["expires_at"] < now:
+                past[name] = row
+            else:
+                self.note(name, row.value["expires_at"])
+        self._delete(key, past)
+        time.sleep(self._pause_seconds)
+        return len(past)
+
+    def _delete(self, index: str, past: dict[str, Row]) -> None:
+        # The checks keep a claim that a repeat is taking just now. A lost reply
+        # ends this sweep; the next one finds what is left.
+        while True:
+            transaction = Transaction(
+                new_write_id(),
+                checks=[Check(name, row.version) for name, row in past.items()],
+                deletes=[index, *past],
+            )
+            outcome = self._table.commit(transaction)
+            if isinstance(outcome, Committed):
+                return
+            past = {name: row for name, row in past.items() if name not in outcome.rows}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/instance.py
@@ -12,6 +12,7 @@
 
 from redwingscale_daemon._internal.idempotency.committer import Committer
 from redwingscale_daemon._internal.idempotency.once import Once
+from redwingscale_daemon._internal.idempotency.retention import Retention
 from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.lifecycle.readiness import Readiness
 from redwingscale_daemon._internal.membership.listener import Listener
@@ -42,6 +43,7 @@
     committer: Committer
     settler: Settler
     once: Once
+    retention: Retention
     readiness: Readiness
     tracing: Tracing
     metrics: Metrics
@@ -96,6 +98,7 @@
         self._parts.once.wait_until_idle(UNATTENDED_SECONDS)
         self._parts.settler.stop(SETTLING_SECONDS)
         self._parts.committer.stop()
+        self._parts.retention.flush()
 
     def _stop(self) -> None:
         parts = self._parts
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -15,6 +15,8 @@
 from redwingscale_daemon._internal.idempotency.committer import Committer
 from redwingscale_daemon._internal.idempotency.once import Once
 from redwingscale_daemon._internal.idempotency.outcome import OutcomeStore
+from redwingscale_daemon._internal.idempotency.retention import LEASE_NAME as SWEEP_LEASE
+from redwingscale_daemon._internal.idempotency.retention import Retention
 from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.leases.ownership import Ownership
 from redwingscale_daemon._internal.leases.session import Session
@@ -56,6 +58,8 @@
 
 OPERATORS_THREADS = 4
 CLAIM_MARGIN_SECONDS = 0.5
+CLAIM_INDEX_SECONDS = 300.0
+CLAIM_SWEEP_SECONDS = 60.0
 # How old the load in an engine's report is taken to be when it arrives.
 REPORT_LAG_SECONDS = 0.5
 
@@ -122,11 +126,16 @@
 
     committer = Committer(platform.table)
     settler = Settler(committer, platform.table)
+    claimant = Claimant(me.id, board.boot)
+    retention = Retention(
+        platform.table, claimant, lambda: ownership.try_acquire(SWEEP_LEASE) is not None
+    )
     claims = Claims(
         committer,
         settler,
         OutcomeStore(platform.objects),
-        Claimant(me.id, board.boot),
+        claimant,
+        retention,
         settings.limits.claim_retention_seconds,
         metrics,
     )
@@ -179,6 +188,7 @@
         committer=committer,
         settler=settler,
         once=once,
+        retention=retention,
         readiness=readiness,
         tracing=tracing,
         metrics=metrics,
@@ -187,6 +197,8 @@
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
             Periodic("plain-watch", timing.heartbeat, plain_watch.step),
+            Periodic("claim-index", CLAIM_INDEX_SECONDS, retention.flush),
+            Periodic("claim-sweep", CLAIM_SWEEP_SECONDS, retention.sweep),
             Periodic("drains", STEP_SECONDS, drain_reporter.step),
             Periodic("planner", timing.planning, planner.step),
             Periodic("cache", timing.planning, cache_poller.step),
--- a/packages/redwingscale-daemon/tests/functional/test_bad_input.py
+++ b/packages/redwingscale-daemon/tests/functional/test_bad_input.py
@@ -81,6 +81,12 @@
     "a head that never ends": (408, (HEAD,)),
     "a head without end": (413, (HEAD, *("X-A: " + "a" * 9000 + "\r\n" for _ in range(12)))),
     "no HTTP": (400, ("hello\r\n\r\n",)),
+    "a query that is not UTF-8": (404, ("GET /v1/models?%ff=%ff HTTP/1.1\r\nHost: x\r\n\r\n",)),
+    "a query that names an argument": (
+        401,
+        ("GET /v1/models?self=1 HTTP/1.1\r\nHost: x\r\n\r\n",),
+    ),
+    "a negative length": (400, (HEAD, "Content-Length: -5\r\n\r\n")),
     "no token": (401, (f"POST {PATH} HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{{}}",)),
     "no token, huge body": (
         401,
--- a/packages/redwingscale-daemon/tests/unit/test_claims.py
+++ b/packages/redwingscale-daemon/tests/unit/test_claims.py
@@ -9,12 +9,13 @@
 import pytest
 import urllib3
 from opentelemetry import trace
-from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.exceptions import Refusal, WriteUnknown
 from redwingscale_daemon._internal.idempotency.claim import CLAIM_PREFIX, Claimant, ClaimKey
 from redwingscale_daemon._internal.idempotency.claims import Claims
 from redwingscale_daemon._internal.idempotency.committer import Committer
 from redwingscale_daemon._internal.idempotency.once import Once
 from redwingscale_daemon._internal.idempotency.outcome import Answer, OutcomeStore
+from redwingscale_daemon._internal.idempotency.retention import BUCKET_SECONDS, Retention
 from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.membership.board import Board
 from redwingscale_daemon._internal.membership.members import Members
@@ -52,11 +53,16 @@
         self.table = platform.table
         self.committer = Committer(platform.table, longest_pause_seconds=0.02)
         self.settler = Settler(self.committer, platform.table)
+        self.now = time.time()
+        self.retention = Retention(
+            platform.table, Claimant(name, 1), lambda: True, 0.0, lambda: self.now
+        )
         self.claims = Claims(
             self.committer,
             self.settler,
             OutcomeStore(platform.objects),
             Claimant(name, 1),
+            self.retention,
             3600,
             metrics,
         )
@@ -267,6 +273,15 @@
     assert nodes[1].call("bid-1") == answer
 
 
+def test_claim_of_a_newer_release_is_left_alone(nodes, plain_url):
+    """During an upgrade a newer instance has claimed the key in a shape that this
+    one cannot read: the repeat is told `unknown`, and nothing runs."""
+    nodes[0].table.put_if(KEY.row, {"state": "later"}, 0)
+
+    assert nodes[0].refusal("bid-1").run == "unknown"
+    assert runs_by_key(plain_url) == {}
+
+
 def test_one_key_at_once_through_both_instances_runs_once(nodes, plain_url):
     barrier = threading.Barrier(16)
 
@@ -324,6 +339,33 @@
     assert len(nodes[0].table.scan(CLAIM_PREFIX)) == 32
 
 
+def test_claims_are_deleted_when_their_time_is_past(nodes, platform_url):
+    """Claims are swept by the index of their expiry: those of the past go, a key
+    that was claimed later stays, and a sweep cut off by a lost reply goes on."""
+    sweeper = nodes[1]
+    old, new = (KEY._replace(idempotency_key=key).row for key in ("old", "new"))
+    nodes[0].call("old")
+    expires_at = sweeper.table.read([old])[old].value["expires_at"]
+    bucket = expires_at // BUCKET_SECONDS
+    nodes[0].retention.note(new, expires_at)
+    nodes[0].retention.flush()
+    sweeper.now = (bucket - 1) * BUCKET_SECONDS
+    sweeper.retention.sweep()
+    sweeper.claims._retention_seconds = 10 * BUCKET_SECONDS
+    sweeper.call("new")
+
+    sweeper.now = (bucket + 2) * BUCKET_SECONDS
+    sweeper.retention.sweep()
+    sweeper.retention.sweep()
+    assert sweeper.table.scan(CLAIM_PREFIX).keys() == {old, new}
+    set_faults(platform_url, lose_replies=1)
+    with pytest.raises(WriteUnknown):
+        sweeper.retention.sweep()
+    sweeper.retention.sweep()
+
+    assert sweeper.table.scan(CLAIM_PREFIX).keys() == {new}
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_history_under_table_faults_runs_no_key_twice(nodes, platform_url, plain_url, seed):
     """Callers repeat through both instances while the table loses replies, goes
