--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/plain.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/plain.py
@@ -12,6 +12,7 @@
 from redwingscale_daemon._internal.idempotency.outcome import Answer
 from redwingscale_daemon._internal.models.member import PlainMember
 from redwingscale_daemon._internal.models.run_state import RunState
+from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
 from redwingscale_daemon._internal.routing.router import Router
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing, trace_headers
@@ -56,6 +57,7 @@
         in_flight: InFlight,
         states: PlainStates,
         once: Once,
+        budget: RetryBudget,
         tracing: Tracing,
         metrics: Metrics,
     ) -> None:
@@ -64,6 +66,7 @@
         self._in_flight = in_flight
         self._states = states
         self._once = once
+        self._budget = budget
         self._tracing = tracing
         self._metrics = metrics
 
@@ -89,9 +92,12 @@
         failures: list[UpstreamError] = []
         while (member := self._next_member(request, failures)) is not None:
             try:
-                return self._attempt(member, request, span, grace_seconds)
+                answer = self._attempt(member, request, span, grace_seconds)
             except UpstreamError as error:
                 failures.append(error)
+                continue
+            self._budget.succeeded()
+            return answer
         raise _failed(request, failures) if failures else _no_upstream(request)
 
     def _next_member(
@@ -101,7 +107,11 @@
         late = bool(failures) and time.monotonic() >= request.deadline_at
         if not repeatable or late or len(failures) >= MOST_ATTEMPTS:
             return None
-        return self._choose(request, failures)
+        member = self._choose(request, failures)
+        # Taken last: what cannot be tried again must not use the budget up.
+        if member is None or (failures and not self._budget.take()):
+            return None
+        return member
 
     def _choose(self, request: PlainRequest, failures: list[UpstreamError]) -> PlainMember | None:
         excluded = {e.upstream for e in failures}.union(self._states.leaving(request.service))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -37,8 +37,13 @@
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
 from redwingscale_daemon._internal.placement.planner import Planner
 from redwingscale_daemon._internal.platform.platform import connect_platform
+from redwingscale_daemon._internal.quarantine.quarantine import Quarantine
+from redwingscale_daemon._internal.quarantine.store import QuarantineStore
 from redwingscale_daemon._internal.relay.generation import GenerationRelay
 from redwingscale_daemon._internal.relay.plain import PlainRelay
+from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
+from redwingscale_daemon._internal.relay.run_parts import RunParts
+from redwingscale_daemon._internal.relay.silence import SilenceBounds
 from redwingscale_daemon._internal.routing.cache_feed import CacheFeed
 from redwingscale_daemon._internal.routing.cache_poller import CachePoller
 from redwingscale_daemon._internal.routing.prefix_index import PrefixIndex
@@ -53,10 +58,12 @@
 from redwingscale_daemon._internal.upstreams.plain_client import PlainClient
 from redwingscale_daemon._internal.upstreams.plain_state import PlainStates
 from redwingscale_daemon._internal.upstreams.plain_watch import PlainWatch
+from redwingscale_daemon._internal.upstreams.reachability import Reachability
 from redwingscale_daemon._internal.upstreams.watchers import Watchers
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 OPERATORS_THREADS = 4
+QUARANTINE_POLL_SECONDS = 30.0
 CLAIM_MARGIN_SECONDS = 0.5
 CLAIM_INDEX_SECONDS = 300.0
 CLAIM_SWEEP_SECONDS = 60.0
@@ -89,7 +96,7 @@
     ownership = Ownership(platform.table, session, me.id, timing.lease)
 
     in_flight = InFlight()
-    engines = EngineClient(timing.connect, timing.silence)
+    engines = EngineClient(timing.connect)
     plans = PlanStore(platform)
     engine_control = EngineControl(timing.connect)
     demand = DemandTracker(me.id, board, lambda: _live_instances(members))
@@ -142,14 +149,35 @@
     once = Once(claims, settings.platform.timeout_seconds + CLAIM_MARGIN_SECONDS)
     capacity = Capacity(me, directory, members, in_flight, REPORT_LAG_SECONDS, time.monotonic)
     gate = Gate(gate_limits(settings.limits.request_threads), capacity)
-    generation = GenerationRelay(router, engines, in_flight, tracing, metrics)
+    quarantine = Quarantine(me.id, board, QuarantineStore(platform.table))
+    generation = GenerationRelay(
+        RunParts(
+            router=router,
+            client=engines,
+            control=engine_control,
+            in_flight=in_flight,
+            reachability=Reachability(),
+            budget=RetryBudget(),
+            silence=SilenceBounds(timing.least_silence, timing.silence),
+            quarantine=quarantine,
+            tracing=tracing,
+            metrics=metrics,
+        )
+    )
     states = PlainStates(board, members)
     watchers = Watchers(me, members, beats, timing.lease)
     plain_watch = PlainWatch(
         members, board, watchers.include_me, timing.report_poll, timing.connect
     )
     plain = PlainRelay(
-        router, PlainClient(timing.connect), in_flight, states, once, tracing, metrics
+        router,
+        PlainClient(timing.connect),
+        in_flight,
+        states,
+        once,
+        RetryBudget(),
+        tracing,
+        metrics,
     )
     callers_app = CallersApp(
         current,
@@ -200,6 +228,7 @@
             Periodic("claim-index", CLAIM_INDEX_SECONDS, retention.flush),
             Periodic("claim-sweep", CLAIM_SWEEP_SECONDS, retention.sweep),
             Periodic("drains", STEP_SECONDS, drain_reporter.step),
+            Periodic("quarantine", QUARANTINE_POLL_SECONDS, quarantine.refresh),
             Periodic("planner", timing.planning, planner.step),
             Periodic("cache", timing.planning, cache_poller.step),
             Periodic("demand", timing.planning, lambda: demand.step(time.monotonic())),
--- a/packages/redwingscale-daemon/tests/unit/test_claims.py
+++ b/packages/redwingscale-daemon/tests/unit/test_claims.py
@@ -23,6 +23,7 @@
 from redwingscale_daemon._internal.models.member import PlainMember
 from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.relay.plain import PlainRelay, PlainRequest
+from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
 from redwingscale_daemon._internal.settings.settings import PlatformSettings
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
@@ -73,6 +74,7 @@
             InFlight(),
             PlainStates(Board(name), Members(None)),
             self.once,
+            RetryBudget(),
             Tracing(name, ""),
             metrics,
         )
