--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/plain.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/plain.py
@@ -12,6 +12,7 @@
 from redwingscale_daemon._internal.idempotency.outcome import Answer
 from redwingscale_daemon._internal.models.member import PlainMember
 from redwingscale_daemon._internal.models.run_state import RunState
+from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
 from redwingscale_daemon._internal.routing.router import Router
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing, trace_headers
@@ -21,6 +22,7 @@
     PlainCall,
     PlainClient,
 )
+from redwingscale_daemon._internal.upstreams.plain_state import PlainStates
 
 RETRY_AFTER_NO_UPSTREAM_SECONDS = 1.0
 RETRY_AFTER_FAILURE_SECONDS = 1.0
@@ -53,14 +55,18 @@
         router: Router,
         client: PlainClient,
         in_flight: InFlight,
+        states: PlainStates,
         once: Once,
+        budget: RetryBudget,
         tracing: Tracing,
         metrics: Metrics,
     ) -> None:
         self._router = router
         self._client = client
         self._in_flight = in_flight
+        self._states = states
         self._once = once
+        self._budget = budget
         self._tracing = tracing
         self._metrics = metrics
 
@@ -69,7 +75,7 @@
         if request.idempotent or not request.idempotency_key:
             return self._send(request, span, grace_seconds=0.0)
         # Without an upstream no claim is made: it would only be released again.
-        if self._router.choose_plain(request.service, ()) is None:
+        if self._choose(request, []) is None:
             raise _no_upstream(request)
         key = ClaimKey(request.caller, request.service, request.idempotency_key)
         fingerprint = request_fingerprint(request.method, request.path, request.body)
@@ -86,9 +92,12 @@
         failures: list[UpstreamError] = []
         while (member := self._next_member(request, failures)) is not None:
             try:
-                return self._attempt(member, request, span, grace_seconds)
+                answer = self._attempt(member, request, span, grace_seconds)
             except UpstreamError as error:
                 failures.append(error)
+                continue
+            self._budget.succeeded()
+            return answer
         raise _failed(request, failures) if failures else _no_upstream(request)
 
     def _next_member(
@@ -98,7 +107,15 @@
         late = bool(failures) and time.monotonic() >= request.deadline_at
         if not repeatable or late or len(failures) >= MOST_ATTEMPTS:
             return None
-        return self._router.choose_plain(request.service, [e.upstream for e in failures])
+        member = self._choose(request, failures)
+        # Taken last: what cannot be tried again must not use the budget up.
+        if member is None or (failures and not self._budget.take()):
+            return None
+        return member
+
+    def _choose(self, request: PlainRequest, failures: list[UpstreamError]) -> PlainMember | None:
+        excluded = {e.upstream for e in failures}.union(self._states.leaving(request.service))
+        return self._router.choose_plain(request.service, excluded)
 
     def _attempt(
         self, member: PlainMember, request: PlainRequest, span: Span, grace_seconds: float
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -15,6 +15,8 @@
 from redwingscale_daemon._internal.idempotency.committer import Committer
 from redwingscale_daemon._internal.idempotency.once import Once
 from redwingscale_daemon._internal.idempotency.outcome import OutcomeStore
+from redwingscale_daemon._internal.idempotency.retention import LEASE_NAME as SWEEP_LEASE
+from redwingscale_daemon._internal.idempotency.retention import Retention
 from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.leases.ownership import Ownership
 from redwingscale_daemon._internal.leases.session import Session
@@ -54,12 +56,17 @@
 from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 from redwingscale_daemon._internal.upstreams.plain_client import PlainClient
+from redwingscale_daemon._internal.upstreams.plain_state import PlainStates
+from redwingscale_daemon._internal.upstreams.plain_watch import PlainWatch
 from redwingscale_daemon._internal.upstreams.reachability import Reachability
+from redwingscale_daemon._internal.upstreams.watchers import Watchers
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 OPERATORS_THREADS = 4
 QUARANTINE_POLL_SECONDS = 30.0
 CLAIM_MARGIN_SECONDS = 0.5
+CLAIM_INDEX_SECONDS = 300.0
+CLAIM_SWEEP_SECONDS = 60.0
 # How old the load in an engine's report is taken to be when it arrives.
 REPORT_LAG_SECONDS = 0.5
 
@@ -126,11 +133,16 @@
 
     committer = Committer(platform.table)
     settler = Settler(committer, platform.table)
+    claimant = Claimant(me.id, board.boot)
+    retention = Retention(
+        platform.table, claimant, lambda: ownership.try_acquire(SWEEP_LEASE) is not None
+    )
     claims = Claims(
         committer,
         settler,
         OutcomeStore(platform.objects),
-        Claimant(me.id, board.boot),
+        claimant,
+        retention,
         settings.limits.claim_retention_seconds,
         metrics,
     )
@@ -152,7 +164,21 @@
             metrics=metrics,
         )
     )
-    plain = PlainRelay(router, PlainClient(timing.connect), in_flight, once, tracing, metrics)
+    states = PlainStates(board, members)
+    watchers = Watchers(me, members, beats, timing.lease)
+    plain_watch = PlainWatch(
+        members, board, watchers.include_me, timing.report_poll, timing.connect
+    )
+    plain = PlainRelay(
+        router,
+        PlainClient(timing.connect),
+        in_flight,
+        states,
+        once,
+        RetryBudget(),
+        tracing,
+        metrics,
+    )
     callers_app = CallersApp(
         current,
         generation,
@@ -186,9 +212,11 @@
         listener=control.listener,
         mesh=control.mesh,
         owners=owners,
+        plain_watch=plain_watch,
         committer=committer,
         settler=settler,
         once=once,
+        retention=retention,
         readiness=readiness,
         tracing=tracing,
         metrics=metrics,
@@ -196,6 +224,9 @@
             *control.tasks,
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
+            Periodic("plain-watch", timing.heartbeat, plain_watch.step),
+            Periodic("claim-index", CLAIM_INDEX_SECONDS, retention.flush),
+            Periodic("claim-sweep", CLAIM_SWEEP_SECONDS, retention.sweep),
             Periodic("drains", STEP_SECONDS, drain_reporter.step),
             Periodic("quarantine", QUARANTINE_POLL_SECONDS, quarantine.refresh),
             Periodic("planner", timing.planning, planner.step),
