--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
@@ -63,10 +63,9 @@
                 self._order(engine, grant, report, polled_at)
 
     def close(self) -> None:
-        """Wait for a step that runs and give the permits of its loads back."""
+        """Wait for a step that runs."""
         with self._lock:
-            for opened in self._sender.ledger.open_orders():
-                self._parts.gate.leave(opened.order.order_id)
+            return
 
     def _is_superseded(self, grant: Grant) -> bool:
         view = self._parts.directory.engines().get(self._engine)
@@ -139,7 +138,6 @@
 
     def _settle(self, engine: EngineMember, report: Report, polled_at: float) -> None:
         for order, outcome in self._sender.ledger.settle(engine, report, polled_at):
-            self._parts.gate.leave(order.order_id)
             level = "INFO" if outcome is Outcome.DONE else "WARNING"
             log_event(
                 "order_ended",
@@ -210,13 +208,11 @@
         leaving = choice.unloads(situation, self._retirements.drained())
         coming = choice.loads(situation, self._retirements.units)
         unloads = [_new_order(False, r.unit, r.size_bytes, grant) for r in leaving]
-        wanted = [
+        loads = [
             _new_order(True, p.unit, p.size_bytes, grant)
             for p in coming
             if self._backoff.is_over(p.unit)
         ]
-        gate = self._parts.gate
-        loads = [o for o in wanted if gate.try_enter(self._engine, o.order_id, o.size_bytes)]
         return unloads + loads
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
@@ -56,6 +56,7 @@
         self._progress = Progress()
         self._attempts = 0
         self._deaths = 0
+        self._unit = request.unit
         self._failed: set[str] = set()
         self._state = RunState.NOT_RUN
         self._turn: Turn | None = None
@@ -110,12 +111,22 @@
         return engine
 
     def _candidate(self) -> EngineMember | None:
-        router, unit = self._parts.router, str(self._request.unit)
+        """Return the best engine; those that failed this request come last."""
         shunned = self._parts.reachability.shunned()
-        view = router.choose_engine(unit, self._failed | shunned)
-        if view is None and self._failed:
-            view = router.choose_engine(unit, shunned)
-        return view.member if view else None
+        engine = self._routed(self._failed | shunned)
+        return engine or (self._routed(shunned) if self._failed else None)
+
+    def _routed(self, excluded: set[str]) -> EngineMember | None:
+        router, request = self._parts.router, self._request
+        if self._progress.position:
+            # Only the version that began an answer can continue it.
+            view = router.choose_engine(str(self._unit), excluded)
+            return view.member if view else None
+        route = router.route(request.unit, request.prompt, excluded)
+        if route is None:
+            return None
+        self._unit = route.unit
+        return route.view.member
 
     def _attempt(self, engine: EngineMember) -> Events:
         parts = self._parts
@@ -216,7 +227,7 @@
             residents = self._parts.control.report(engine).residents
         except (UpstreamError, ReportInvalid):
             return error
-        if any(r.ready and r.unit == str(self._request.unit) for r in residents):
+        if any(r.ready and r.unit == str(self._unit) for r in residents):
             return error
         return UpstreamDied(engine.id, "was started anew", run=RunState.UNKNOWN)
 
@@ -269,7 +280,7 @@
         request, progress = self._request, self._progress
         return Attempt(
             attempt_id=uuid.uuid4().hex,
-            unit=str(request.unit),
+            unit=str(self._unit),
             prompt=request.prompt,
             max_tokens=request.max_tokens,
             # A turn holds up other suspects, so it does not queue behind everything else.
--- a/packages/redwingscale-daemon/tests/functional/test_owners.py
+++ b/packages/redwingscale-daemon/tests/functional/test_owners.py
@@ -14,6 +14,8 @@
 
 UNITS = {"listing-vetter@v1", "notice-drafter@v1", "name-similarity@v1", "trademark-check@v1"}
 MODELS = [unit.partition("@")[0] for unit in sorted(UNITS)]
+ADAPTERS = {f"{MODELS[0]}@v1:a{n}" for n in (1, 2, 3, 4)}
+FAST_STORE = {"loads_per_second": 100, "concurrent_loads": 20}
 FOREIGN = {"stranger@v9": 40 * GIGABYTE, "stranger@v9:x": GIGABYTE, "other@v2": 70 * GIGABYTE}
 
 
@@ -36,7 +38,8 @@
         needs = [d for d in service["depends_on"] if d["model"] in models]
         listed = {name: self.whole["models"][name] for name in models}
         services = {"listing-vetting": service | {"depends_on": needs}}
-        text = json.dumps(self.whole | {"models": listed, "services": services})
+        parts = {"models": listed, "services": services, "weight_store": FAST_STORE}
+        text = json.dumps(self.whole | parts)
         answer = self.client.apply(instance, text, self.version)
         assert answer.status == 200, answer.body
         self.version += 1
@@ -149,7 +152,7 @@
     own the engine, and takes a while.
     """
     scene.apply("i1", MODELS)
-    scene.client.wait_until_resident("i2", UNITS)
+    scene.client.wait_until_resident("i2", UNITS | ADAPTERS)
     other = "i2" if scene.owner()[0] == "i1" else "i1"
     with ThreadPoolExecutor(1) as pool:
         asked = pool.submit(scene.client.complete, other, "clerks", MODELS[0], "lot 3", 1500)
--- a/packages/redwingscale-daemon/tests/unit/relay/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/conftest.py
@@ -29,6 +29,7 @@
 from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
 from redwingscale_daemon._internal.relay.run_parts import RunParts
 from redwingscale_daemon._internal.relay.silence import SilenceBounds
+from redwingscale_daemon._internal.routing.route import Route
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.upstreams.directory import EngineView
@@ -89,6 +90,10 @@
         self.members = members
         self._rng = random.Random(7)
 
+    def route(self, unit: Unit, prompt: str, excluded: set[str]) -> Route | None:
+        view = self.choose_engine(str(unit), excluded)
+        return Route(view, unit) if view else None
+
     def choose_engine(self, unit: str, excluded: set[str]) -> EngineView | None:
         left = [m for m in self.members if m.id not in excluded]
         return EngineView(self._rng.choice(left), None, 0.0) if left else None
