--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/mesh.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/mesh.py
@@ -156,14 +156,22 @@
             case Versions():
                 self._answer(peer, Entries(missing_from(known(), message)))
             case Direct(topic=topic, payload=payload):
-                self._direct[topic](peer, payload)
+                self._take_direct(peer, topic, payload)
+
+    def _take_direct(self, peer: str, topic: str, payload: bytes) -> None:
+        handler = self._direct.get(topic)
+        if handler is None:
+            log_event("direct_topic_unknown", level="WARNING", peer=peer, topic=topic)
+            return
+        handler(peer, payload)
 
     def _take_entries(self, peer: str, entries: list[Entry]) -> None:
+        for entry in entries:
+            self._sender.board.accept(entry, peer)
+        # What the board has just offered to this link as well waits there a moment.
         link = self._links_by_peer.get(peer)
         if link is not None:
             link.received(entries)
-        for entry in entries:
-            self._sender.board.accept(entry, peer)
 
     def _take_buckets(self, peer: str, theirs: Buckets) -> None:
         versions = versions_of(self._sender.board.known(), theirs)
@@ -253,7 +261,6 @@
         link.start()
         return link
 
-    def _offer(self, entry: Entry, source: str) -> None:
-        for peer, link in list(self._links_by_peer.items()):
-            if peer != source:
-                link.offer(entry)
+    def _offer(self, entry: Entry) -> None:
+        for link in list(self._links_by_peer.values()):
+            link.offer(entry)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -5,6 +5,8 @@
 
 from redwingscale_common.network.server import HttpServer, ServerLimits
 
+from redwingscale_daemon._internal.admission.capacity import Capacity
+from redwingscale_daemon._internal.admission.gate import Gate, gate_limits
 from redwingscale_daemon._internal.configuration.current import CurrentConfiguration
 from redwingscale_daemon._internal.control import build_control
 from redwingscale_daemon._internal.entry.callers_app import CallersApp
@@ -25,7 +27,7 @@
 from redwingscale_daemon._internal.operators.state_view import StateView
 from redwingscale_daemon._internal.placement.demand import DemandTotals, DemandTracker
 from redwingscale_daemon._internal.placement.drain_acks import DrainAcks
-from redwingscale_daemon._internal.placement.drain_reporter import DrainReporter
+from redwingscale_daemon._internal.placement.drain_reporter import STEP_SECONDS, DrainReporter
 from redwingscale_daemon._internal.placement.intents import IntentStore
 from redwingscale_daemon._internal.placement.owner import EngineOwner
 from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
@@ -58,6 +60,8 @@
 OPERATORS_THREADS = 4
 QUARANTINE_POLL_SECONDS = 30.0
 CLAIM_MARGIN_SECONDS = 0.5
+# How old the load in an engine's report is taken to be when it arrives.
+REPORT_LAG_SECONDS = 0.5
 
 
 def build_instance(settings: Settings) -> Instance:
@@ -131,6 +135,8 @@
         metrics,
     )
     once = Once(claims, settings.platform.timeout_seconds + CLAIM_MARGIN_SECONDS)
+    capacity = Capacity(me, directory, members, in_flight, REPORT_LAG_SECONDS, time.monotonic)
+    gate = Gate(gate_limits(settings.limits.request_threads), capacity)
     quarantine = Quarantine(me.id, board, QuarantineStore(platform.table))
     generation = GenerationRelay(
         RunParts(
@@ -148,7 +154,15 @@
     )
     plain = PlainRelay(router, PlainClient(timing.connect), in_flight, once, tracing, metrics)
     callers_app = CallersApp(
-        current, generation, plain, once, readiness, tracing, metrics, settings.limits.body_bytes
+        current,
+        generation,
+        plain,
+        once,
+        gate,
+        readiness,
+        tracing,
+        metrics,
+        settings.limits.body_bytes,
     )
     view = StateView(me, current, readiness, session, members, beats, directory, in_flight)
     operators_app = OperatorsApp(
@@ -183,7 +197,7 @@
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
             Periodic("quarantine", QUARANTINE_POLL_SECONDS, quarantine.refresh),
-            Periodic("drains", timing.heartbeat, drain_reporter.step),
+            Periodic("drains", STEP_SECONDS, drain_reporter.step),
             Periodic("planner", timing.planning, planner.step),
             Periodic("cache", timing.planning, cache_poller.step),
             Periodic("demand", timing.planning, lambda: demand.step(time.monotonic())),
--- a/packages/redwingscale-daemon/tests/unit/relay/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/conftest.py
@@ -207,7 +207,7 @@
     def make(count: int) -> list[Quarantine]:
         boards.extend(Board(f"instance-{number}") for number in range(count))
         for board in boards:
-            board.on_forward(lambda entry, _: entries.put(entry))
+            board.on_forward(lambda entry, *_: entries.put(entry))
         return [Quarantine(f"instance-{n}", b, NoStore()) for n, b in enumerate(boards)]
 
     carrier = threading.Thread(target=carry, daemon=True)
