Probe silent engines, and tell quarantines by a key of their own

Cause: an engine out of reach (a cut domain, a lost host) was resumed three times, each time waiting up to half of the deadline, and its streams then drew on the retry budget. And a link holds entries back for up to 0.15 s and keeps the newest of a key: a quarantine could be replaced by the next suspect in its slot, and two claims could each settle before they had heard of the other.

Quarantines have their own topic, with the fingerprint as key. A claim waits 0.4 s (twice a link's 0.15 s and more).

Not proved: the wait of claims when entries take several hops.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -51,6 +51,10 @@
     """The upstream answers, but knows nothing of the attempt."""
 
 
+class UpstreamUnreachable(UpstreamError):
+    """New connections to the upstream are not answered either: cut off, or its host is gone."""
+
+
 class UpstreamDied(UpstreamError):
     """The upstream's process ended under a running attempt."""
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
@@ -25,13 +25,14 @@
 from redwingscale_daemon._internal.quarantine.store import QuarantineStore, StoredQuarantine
 
 TOPIC = "suspect"
+QUARANTINE_TOPIC = "quarantine"
 QUARANTINE_SECONDS = 3600.0
 SUSPICION_SECONDS = 300.0
 # A claim that is older is one of an instance that has ended.
 CLAIM_SECONDS = 15.0
-# Twice the time in which peers hear of an entry: of two claims at once, each side
-# has then heard of the other's before it decides.
-SETTLE_SECONDS = 0.1
+# Twice the time in which peers hear of an entry (a link holds it back for up to 0.15 s):
+# of two claims at once, each side has then heard of the other's before it decides.
+SETTLE_SECONDS = 0.4
 EXPLAINED_SECONDS = 10.0
 # What the dead engine may have generated that never arrived. Few: an engine that dies by
 # itself during a turn condemns an innocent request, so turns are short.
@@ -54,6 +55,7 @@
         self._records: dict[RecordKey, SeenRecord] = {}
         self._quarantined: dict[str, Quarantined] = {}
         board.subscribe(TOPIC, self._on_entry)
+        board.subscribe(QUARANTINE_TOPIC, self._on_quarantine)
 
     def refresh(self) -> None:
         """Take what the platform's table holds; raise `PlatformError`."""
@@ -132,10 +134,12 @@
             self._tell(turn.key, turn.record._replace(phase=Phase.SUSPECT, died=died))
             return
         log_event("quarantined", level="ERROR", fingerprint=fingerprint, died=",".join(died))
-        seconds = QUARANTINE_SECONDS
-        self._tell(turn.key, Record(fingerprint, Phase.QUARANTINED, died, seconds=seconds))
-        self._store.keep(StoredQuarantine(fingerprint, seconds, died))
-        raise _refusal(seconds)
+        quarantine = StoredQuarantine(fingerprint, QUARANTINE_SECONDS, died)
+        # By a key of its own: a slot that is used again at once would replace it
+        # while a link still holds it back.
+        self._board.publish(QUARANTINE_TOPIC, fingerprint, quarantine)
+        self._store.keep(quarantine)
+        raise _refusal(QUARANTINE_SECONDS)
 
     def _wait(self, key: RecordKey, record: Record, deadline_at: float) -> bool:
         """Return whether the turn came; False when the suspicion fell instead."""
@@ -208,12 +212,15 @@
             match record.phase:
                 case Phase.CLEARED:
                     self._drop(lambda r: r.fingerprint == record.fingerprint)
-                case Phase.QUARANTINED:
-                    self._keep(record.fingerprint, record.seconds, record.died)
                 case Phase.SUSPECT | Phase.WAITING | Phase.RUNNING:
                     self._records[key] = SeenRecord(record, time.monotonic())
             self._changed.notify_all()
 
+    def _on_quarantine(self, entry: Entry) -> None:
+        told = msgspec.msgpack.decode(entry.payload, type=StoredQuarantine)
+        with self._changed:
+            self._keep(told.fingerprint, told.seconds, told.died)
+
     def _keep(self, fingerprint: str, seconds: float, died: tuple[str, ...]) -> None:
         self._quarantined[fingerprint] = Quarantined(time.monotonic() + seconds, died)
         # Whoever was suspect for these deaths alone is suspect no longer.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/record.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/record.py
@@ -5,14 +5,12 @@
 
 
 class Phase(IntEnum):
-    """How far a suspicion is; ``FREE`` only gives the slot of a record back."""
+    """How far a suspicion is."""
 
-    FREE = 0
     SUSPECT = 1
     WAITING = 2
     RUNNING = 3
     CLEARED = 4
-    QUARANTINED = 5
 
 
 OPEN_PHASES = frozenset({Phase.SUSPECT, Phase.WAITING, Phase.RUNNING})
@@ -23,8 +21,7 @@
     """One run of the request ``fingerprint``.
 
     ``died`` are the engines that ended under it, ``target`` the engine of its
-    turn, ``position`` how many tokens its caller has, and ``seconds`` how long
-    a quarantine holds from when it is told: instances share no clock.
+    turn, and ``position`` how many tokens its caller has.
     """
 
     fingerprint: str
@@ -32,7 +29,6 @@
     died: tuple[str, ...]
     target: str = ""
     position: int = 0
-    seconds: float = 0.0
 
 
 class RecordKey(NamedTuple):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/store.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/store.py
@@ -15,7 +15,10 @@
 
 
 class StoredQuarantine(NamedTuple):
-    """A row that still holds for ``seconds``."""
+    """A quarantine as it is told and stored; it holds for ``seconds`` from then on.
+
+    Instances share no clock, so each counts from when it heard of it.
+    """
 
     fingerprint: str
     seconds: float
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
@@ -16,6 +16,7 @@
     StreamSilent,
     UpstreamDied,
     UpstreamError,
+    UpstreamUnreachable,
 )
 from redwingscale_daemon._internal.models.generation import (
     Attempt,
@@ -31,6 +32,7 @@
 from redwingscale_daemon._internal.telemetry.tracing import trace_headers
 from redwingscale_daemon._internal.upstreams.engine_client import is_refused
 from redwingscale_daemon._internal.upstreams.engine_stream import EngineStream
+from redwingscale_daemon._internal.upstreams.probe import Probe
 
 Events = Generator[StreamEvent, None, None]
 
@@ -38,7 +40,7 @@
 MOST_ATTEMPTS = 8
 MOST_RESUMES = 32
 MOST_STALLED_RESUMES = 3
-DEATHS_WITHOUT_BUDGET = 2
+LOSSES_WITHOUT_BUDGET = 2
 PAUSE_SECONDS = 0.05
 FIRST_PRIORITY = 0
 ENGINE_POLL_SECONDS = 0.1
@@ -55,7 +57,7 @@
         self._parts = parts
         self._progress = Progress()
         self._attempts = 0
-        self._deaths = 0
+        self._losses = 0
         self._unit = request.unit
         self._failed: set[str] = set()
         self._state = RunState.NOT_RUN
@@ -170,7 +172,7 @@
         self, engine: EngineMember, attempt_id: str, headers: dict[str, str]
     ) -> EngineStream:
         position = self._progress.position
-        wait = self._first_token_wait()
+        wait = self._parts.silence.most if position else self._first_token_wait()
         return self._parts.client.resume(engine, attempt_id, position, headers, wait)
 
     def _follow(self, stream: EngineStream) -> Events:
@@ -209,14 +211,23 @@
         )
         if self._is_late() or stalled > MOST_STALLED_RESUMES:
             raise error
-        if stalled and not isinstance(error, StreamSilent):
-            if parts.client.refuses_connections(engine):
-                raise UpstreamDied(engine.id, error.detail, run=RunState.UNKNOWN)
+        silent = isinstance(error, StreamSilent)
+        if stalled or silent:
+            self._probe(engine, error)
+        if stalled and not silent:
             if not parts.budget.take():
                 raise error
             time.sleep(PAUSE_SECONDS)
         parts.metrics.resumes.add(1, {"upstream": engine.id})
 
+    def _probe(self, engine: EngineMember, error: StreamBroken) -> None:
+        """Raise when a new connection shows that the engine is dead or out of reach."""
+        match self._parts.client.probe(engine):
+            case Probe.REFUSED:
+                raise UpstreamDied(engine.id, error.detail, run=RunState.UNKNOWN)
+            case Probe.NO_ANSWER:
+                raise UpstreamUnreachable(engine.id, error.detail, run=RunState.UNKNOWN)
+
     def _death_or(self, error: AttemptUnknown, engine: EngineMember) -> UpstreamError:
         """Return the death of an engine that was started anew, else ``error``.
 
@@ -236,7 +247,7 @@
         self._failed.add(engine.id)
         if error.run is not RunState.NOT_RUN:
             self._state = error.run
-        if isinstance(error, UpstreamDied) or is_refused(error):
+        if isinstance(error, UpstreamDied | UpstreamUnreachable) or is_refused(error):
             self._parts.reachability.failed(engine.id)
         if isinstance(error, UpstreamDied):
             turn, self._turn = self._turn, None
@@ -260,10 +271,11 @@
             return False
         if self._is_late() or self._attempts >= MOST_ATTEMPTS:
             return False
-        # The death of one engine breaks many answers at once that had been going well;
-        # each may continue. It cannot make a storm: a dead engine is met once.
-        if isinstance(error, UpstreamDied) and self._deaths < DEATHS_WITHOUT_BUDGET:
-            self._deaths += 1
+        # The loss of one engine breaks many answers at once that had been going well;
+        # each may continue. It cannot make a storm: a lost engine is met once.
+        lost = isinstance(error, UpstreamDied | UpstreamUnreachable)
+        if lost and self._losses < LOSSES_WITHOUT_BUDGET:
+            self._losses += 1
             return True
         if self._progress.position and error.run is RunState.NOT_RUN:
             time.sleep(PAUSE_SECONDS * self._attempts)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/engine_client.py
@@ -9,6 +9,7 @@
     StreamSilent,
     UpstreamDied,
     UpstreamError,
+    UpstreamUnreachable,
 )
 from redwingscale_daemon._internal.models.generation import Attempt
 from redwingscale_daemon._internal.models.member import EngineMember
@@ -17,6 +18,7 @@
 from redwingscale_daemon._internal.upstreams.call import Call
 from redwingscale_daemon._internal.upstreams.dialect import DIALECTS_BY_VENDOR
 from redwingscale_daemon._internal.upstreams.engine_stream import EngineStream
+from redwingscale_daemon._internal.upstreams.probe import Probe
 
 OK = 200
 CONTROL_TIMEOUT_SECONDS = 2.0
@@ -61,30 +63,36 @@
         """Open the rest of an attempt from token ``position`` on a new connection.
 
         Raises `UpstreamDied` when nothing listens there any more,
-        `AttemptUnknown`, and `StreamBroken` for every other failure.
+        `UpstreamUnreachable`, `AttemptUnknown`, and `StreamBroken` for the rest.
         """
         call = dialects.resume_call(DIALECTS_BY_VENDOR[engine.vendor], attempt_id, position)
         try:
             response = self._open(engine, call, headers, wait_seconds)
+        except StreamBroken:
+            raise
         except UpstreamError as error:
-            if is_refused(error):
-                raise UpstreamDied(engine.id, error.detail, run=RunState.UNKNOWN) from error
-            raise StreamBroken(engine.id, error.detail, run=RunState.UNKNOWN) from error
+            kind = UpstreamDied if is_refused(error) else UpstreamUnreachable
+            raise kind(engine.id, error.detail, run=RunState.UNKNOWN) from error
         if response.status == OK:
             return EngineStream(engine, attempt_id, response)
         response.close()
         detail = f"resume answered with status {response.status}"
-        kind = AttemptUnknown if response.status in UNKNOWN_ATTEMPT_STATUSES else StreamBroken
-        raise kind(engine.id, detail, run=RunState.UNKNOWN)
+        if response.status in UNKNOWN_ATTEMPT_STATUSES:
+            raise AttemptUnknown(engine.id, detail, run=RunState.UNKNOWN)
+        raise StreamBroken(engine.id, detail, run=RunState.UNKNOWN)
 
-    def refuses_connections(self, engine: EngineMember) -> bool:
-        """Return whether the engine's host answers that nothing listens there."""
+    def probe(self, engine: EngineMember) -> Probe:
+        """Ask ``engine`` for its state over a new connection."""
         call = dialects.state_call(DIALECTS_BY_VENDOR[engine.vendor])
         try:
             self._open(engine, call, {}, CONTROL_TIMEOUT_SECONDS).close()
+        except StreamSilent:
+            return Probe.NO_ANSWER
+        except StreamBroken:
+            return Probe.ANSWERED
         except UpstreamError as error:
-            return is_refused(error)
-        return False
+            return Probe.REFUSED if is_refused(error) else Probe.NO_ANSWER
+        return Probe.ANSWERED
 
     def cancel(self, engine: EngineMember, attempt_id: str) -> None:
         """End the work of an attempt; raise `UpstreamError`."""
--- a/packages/redwingscale-daemon/tests/unit/relay/test_continuity.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/test_continuity.py
@@ -1,16 +1,23 @@
 """Answers that outlive their engine, and the bounds of what is tried for them."""
 
+import http.client
 import signal
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
-from itertools import islice
+from dataclasses import replace
+from itertools import chain, islice
 
+import cherrypy
 import pytest
 from opentelemetry.trace import INVALID_SPAN
+from redwingscale_common.network.server import HttpServer, ServerLimits
+from redwingscale_daemon._internal.entry.chunks import Completion, stream_body
 from redwingscale_daemon._internal.exceptions import Refusal
 from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.relay.retry_budget import INITIAL_RETRIES
 from redwingscale_standins.engine.generation import answer_text
+from redwingscale_standins.silent_relay import SilentRelay
 
 from .conftest import UNIT, engine_member, new_request, text_of
 
@@ -113,3 +120,75 @@
 
     assert engines[0].engine.streams.cancelled == 0
     assert engines[0].engine.streams.finished == 1
+
+
+@pytest.fixture
+def behind_middlebox(start_engines):
+    """Put a relay that can lose track of connections before the first of two engines."""
+    engines = start_engines(2)
+    port = int(engines[0].member.url.rpartition(":")[2])
+    middlebox = SilentRelay(port)
+    url = middlebox.url.replace("tcp", "http")
+    yield engines, replace(engines[0].member, url=url), middlebox
+    middlebox.close()
+
+
+def test_connection_that_goes_silent_is_left_for_a_new_one(behind_middlebox, make_relay):
+    """A middlebox loses track of a stream's connection; new connections work.
+
+    Nothing is closed and nothing arrives. The stream goes on over a new
+    connection to the same engine, which runs the request once.
+    """
+    engines, member, middlebox = behind_middlebox
+    events = make_relay([member]).run(new_request("lot 1", 2000), INVALID_SPAN)
+    first = list(islice(events, 100))
+    middlebox.silence()
+
+    assert text_of(chain(first, events)) == answer_text(str(UNIT), "lot 1", 2000)
+    assert engines[0].engine.streams.started == 1
+    assert engines[0].engine.streams.resumed == 1
+
+
+def test_engine_that_is_cut_off_is_left_for_another(behind_middlebox, make_relay):
+    """A failure domain is cut off in mid-stream: new connections are silent as well.
+
+    The answer is continued in another domain, and nobody becomes suspect.
+    """
+    engines, member, middlebox = behind_middlebox
+    members = [member]
+    events = make_relay(members).run(new_request("lot 1", 2000), INVALID_SPAN)
+    first = list(islice(events, 100))
+    members.append(engines[1].member)
+    middlebox.cut()
+
+    assert text_of(chain(first, events)) == answer_text(str(UNIT), "lot 1", 2000)
+    assert engines[1].engine.streams.started == 1
+
+
+def test_answer_that_cannot_go_on_has_no_terminator(start_processes, make_relay):
+    """The only engine is killed in mid-stream; the caller sees a cut body.
+
+    A body with its chunked terminator would look like a whole, short answer.
+    """
+    [running] = start_processes(1).values()
+    relay = make_relay([running.member])
+    request = new_request("lot 1", 10_000, deadline_at=time.monotonic() + 2.0)
+
+    class Api:
+        @cherrypy.expose
+        def index(self):
+            cherrypy.response.stream = True
+            return stream_body(Completion(), request, relay.run(request, INVALID_SPAN))
+
+    server = HttpServer(Api(), "127.0.0.1", 0, ServerLimits(threads=2))
+    server.start()
+    connection = http.client.HTTPConnection("127.0.0.1", server.port, timeout=30.0)
+    connection.request("GET", "/")
+    response = connection.getresponse()
+    assert response.readline().startswith(b"id: 0")
+    running.process.signal(signal.SIGKILL)
+
+    with pytest.raises(http.client.IncompleteRead):
+        response.read()
+    connection.close()
+    server.stop()
