--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/birch.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/birch.py
@@ -60,16 +60,16 @@
             priority=body.get("urgency", 5),
             skip=body.get("skip", 0),
         )
-        return self._stream(work.attempt, self._engine.streams.start(work))
+        return self._stream(work.attempt, work.skip, self._engine.streams.start(work))
 
     def _resume(self, attempt: str, start: int) -> Iterator[bytes]:
         tokens = self._engine.streams.resume(attempt, start)
         if tokens is None:
             raise cherrypy.HTTPError(410, "gone")
-        return self._stream(attempt, tokens)
+        return self._stream(attempt, start, tokens)
 
-    def _stream(self, attempt: str, tokens: Iterator[Token]) -> Iterator[bytes]:
-        return event_stream(tokens, _render, lambda count: _end(attempt, count))
+    def _stream(self, attempt: str, start: int, tokens: Iterator[Token]) -> Iterator[bytes]:
+        return event_stream(tokens, start, _render, lambda count: _end(attempt, count))
 
     def _info(self) -> bytes:
         engine = self._engine
