Tell what decides at once and the rest every 4 s; read the plan once an instance

Cause: control_cost showed one read of the plan a second for every engine (2.0, 5.0, 8.4 reads/s for 1, 4, 8 engines), and membership's 20 entries a second cost each instance some 280 bytes for each entry: a digest for every poll of 910 engines would be about 255 KB/s for every instance, against 3 KB/s. Change: owners tell a digest when residents, leaving, fence or retirement change, when load moves by an eighth of the slots, else every 4 s; the owners of an instance share one read of the plan a second. Ruled out: a longer refresh, since the planner takes an engine for quiet after 10 s; sharing the planner's store, whose version owners' reads moved, so that a plan could have replaced one it had never seen (found by reading).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
@@ -17,6 +17,7 @@
 from redwingscale_daemon._internal.placement import choice
 from redwingscale_daemon._internal.placement.backoff import Backoff
 from redwingscale_daemon._internal.placement.choice import Situation
+from redwingscale_daemon._internal.placement.digest_news import DigestNews
 from redwingscale_daemon._internal.placement.open_order import Outcome
 from redwingscale_daemon._internal.placement.order_sender import OrderSender
 from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
@@ -43,6 +44,7 @@
         self._retirements = Retirements(engine, parts.acks, parts.clock)
         self._replacements = Replacements(parts.directory)
         self._backoff = Backoff(parts.clock)
+        self._news = DigestNews(parts.clock)
         self._failed_polls = 0
         self._blocked_since: float | None = None
 
@@ -115,6 +117,9 @@
             return
         log_event("upstream_set_aside", level="WARNING", upstream=self._engine)
         aside = digest._replace(fence=grant.fence, set_aside=True)
+        # Told through the news as well: the first sound report after it differs from
+        # it, so the engine is back at once and not only with the next refresh.
+        self._news.take(aside)
         self._parts.board.publish(TOPIC, self._engine, aside)
 
     def _publish(self, grant: Grant, report: Report) -> None:
@@ -130,7 +135,8 @@
             retiring=self._retirements.units,
             retirement=self._retirements.number,
         )
-        self._parts.board.publish(TOPIC, self._engine, digest)
+        if self._news.take(digest):
+            self._parts.board.publish(TOPIC, self._engine, digest)
 
     def _order(self, engine: EngineMember, grant: Grant, report: Report, polled_at: float) -> bool:
         try:
@@ -143,7 +149,7 @@
             return not self._raise_fence(engine, grant)
         if self._is_unsafe(engine, grant, report):
             return True
-        plan = self._parts.plans.read_or_last()
+        plan = self._parts.plans.latest()
         situation = self._situation(plan, report)
         if plan is None or situation is None:
             return True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner_parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner_parts.py
@@ -8,7 +8,7 @@
 from redwingscale_daemon._internal.membership.board import Board
 from redwingscale_daemon._internal.placement.drain_acks import DrainAcks
 from redwingscale_daemon._internal.placement.intents import IntentStore
-from redwingscale_daemon._internal.placement.plan_store import PlanStore
+from redwingscale_daemon._internal.placement.plan_follower import PlanFollower
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.upstreams.directory import Directory
 from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
@@ -20,7 +20,7 @@
     control: EngineControl
     board: Board
     directory: Directory
-    plans: PlanStore
+    plans: PlanFollower
     current: CurrentConfiguration
     ownership: Ownership
     intents: IntentStore
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/plan_store.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/plan_store.py
@@ -3,7 +3,6 @@
 import msgspec
 from redwingscale_common.utils.digests import sha256_hex
 
-from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.placement.plan import Plan
 from redwingscale_daemon._internal.platform.platform import Platform
 from redwingscale_daemon._internal.platform.row import ABSENT, Committed
@@ -42,10 +41,3 @@
         self._version = outcome.rows[POINTER_KEY].version
         self._plan = plan
         return True
-
-    def read_or_last(self) -> Plan | None:
-        """Return the newest plan, or the last one known while the store is down."""
-        try:
-            return self.read()
-        except PlatformError:
-            return self._plan
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -34,6 +34,7 @@
 from redwingscale_daemon._internal.placement.owner import EngineOwner
 from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
 from redwingscale_daemon._internal.placement.owners import Owners
+from redwingscale_daemon._internal.placement.plan_follower import PlanFollower
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
 from redwingscale_daemon._internal.placement.planner import Planner
 from redwingscale_daemon._internal.platform.platform import connect_platform
@@ -119,7 +120,7 @@
         control=engine_control,
         board=board,
         directory=directory,
-        plans=plans,
+        plans=PlanFollower(PlanStore(platform), time.monotonic),
         current=current,
         ownership=ownership,
         intents=IntentStore(platform.table),
--- a/packages/redwingscale-standins/src/redwingscale_standins/histories/owner.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/histories/owner.py
@@ -45,7 +45,7 @@
             control=wiring.control,
             board=board,
             directory=Directory(board),
-            plans=cast(Any, SimpleNamespace(read_or_last=wiring.plan)),
+            plans=cast(Any, SimpleNamespace(latest=wiring.plan)),
             current=cast(Any, SimpleNamespace(get=lambda: accepted)),
             ownership=self.ownership,
             intents=IntentStore(table),
