Take leave of a peer when a link ends

Cause: while a fleet starts, lists differ and links are chosen and dropped. The end that dropped one said nothing; the other kept it for three cycles, heard no acknowledgement and redialled in vain. Not proved: a farewell that is lost; the link then lapses as before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/link.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/link.py
@@ -67,6 +67,7 @@
     ) -> None:
         self._sender = sender
         self._own_url = own_url
+        self._chosen = chosen
         self._inside = inside
         self._lock = threading.Lock()
         self._pending: dict[EntryKey, Entry] = {}
@@ -84,15 +85,27 @@
         self._task = Periodic(f"link-{peer}", sender.timing.heartbeat, self._step)
         self.peer = peer
         self.url = url
-        self.chosen = chosen
 
     def start(self) -> None:
         self._task.start()
 
     def stop(self) -> None:
+        """Take leave of the peer and end.
+
+        A peer that links back would otherwise go on for some cycles, hear no
+        acknowledgement and redial in vain.
+        """
         self._task.stop()
+        if self._socket is not None:
+            self._send([Hello(self._own_url, False)])
         self._close()
 
+    def choose(self, chosen: bool) -> None:
+        """Tell the peer at once when this end begins or ceases to choose the link."""
+        if chosen != self._chosen:
+            self._chosen = chosen
+            self.send(Hello(self._own_url, chosen))
+
     def offer(self, entry: Entry) -> None:
         """Send ``entry`` soon; it replaces an older one that still waits."""
         with self._lock:
@@ -161,7 +174,7 @@
         self._full_cycle_at = now + self._sender.timing.full_cycle
         settled = 0.0 if self._fresh else SETTLED_SECONDS
         self._fresh = False
-        hello = Hello(self._own_url, self.chosen)
+        hello = Hello(self._own_url, self._chosen)
         return [hello, root_of(self._sender.board.known(), settled)]
 
     def _send(self, messages: list[Message]) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/mesh.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/mesh.py
@@ -185,6 +185,8 @@
                 self._told_urls[peer] = hello.url
             if hello.chosen or self._knows_no_list():
                 self._link_back(frame, hello)
+            else:
+                self._links_back.pop(frame.sender, None)
             self._link_to(self._wanted())
 
     def _link_back(self, frame: Frame, hello: Hello) -> None:
@@ -246,7 +248,7 @@
                 self._end(link)
         for peer, (url, inside, chosen) in wanted.items():
             link = self._links_by_peer.get(peer) or self._add(peer, url, inside, chosen)
-            link.chosen = chosen
+            link.choose(chosen)
 
     def _end(self, link: Link) -> None:
         """Stop ``link`` aside: its thread may be waiting in a send."""
--- a/packages/redwingscale-daemon/tests/unit/control/test_membership.py
+++ b/packages/redwingscale-daemon/tests/unit/control/test_membership.py
@@ -8,6 +8,7 @@
 from redwingscale_daemon._internal.membership.board import Board
 from redwingscale_daemon._internal.membership.entry import Entry
 from redwingscale_daemon._internal.membership.frame import Frame, encode_frame
+from redwingscale_daemon._internal.membership.message import Hello
 from redwingscale_daemon._internal.membership.neighbourhood import build_neighbourhood
 from redwingscale_daemon._internal.membership.peer_beats import PeerBeats, beat_id
 from redwingscale_daemon._internal.models.member import InstanceMember
@@ -155,6 +156,25 @@
     wait_for(lambda: again.knows("a", "later"), "entries reach it")
 
 
+def test_a_link_that_its_peer_gave_up_ends_here_too(make_node, wait_for):
+    """
+    While a fleet starts, lists differ and peers choose links that they soon
+    drop. Kept at the other end, such a link is never acknowledged, and it would
+    be redialled until it lapses.
+    """
+    make_node("b")
+    a = make_node("a")
+    a.run()
+    wait_for(lambda: a.control.mesh.linked() == ["b"], "a has read the list")
+    chose = Frame("z", "c", 1, 0, [], [Hello("tcp://127.0.0.1:1", True)])
+
+    a.control.mesh.take(chose)
+    assert a.control.mesh.linked() == ["b", "z"]
+    a.control.mesh.take(chose._replace(beat=2, messages=[Hello("tcp://127.0.0.1:1", False)]))
+
+    assert a.control.mesh.linked() == ["b"]
+
+
 def test_frames_of_strangers_are_dropped_and_counted(make_node, names, wait_for):
     """
     Something else connects to the peers' port and sends rubbish, a frame under
