--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/gate.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/gate.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from contextlib import contextmanager
 from typing import NamedTuple, Protocol
 
@@ -99,6 +99,9 @@
                     self._record(ticket, event.total, first_at)
                 yield event
         finally:
+            # Closing is how the relay hears that the caller has gone.
+            if isinstance(events, Generator):
+                events.close()
             self.leave(ticket)
 
     def offer(self, arrival: Arrival) -> Ticket:
--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/engine.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/engine.py
@@ -52,6 +52,8 @@
             "unloads": self.orders.unloads,
             "accepted": [order._asdict() for order in self.orders.accepted],
             "started": self.streams.started,
+            "resumed": self.streams.resumed,
+            "cancelled": self.streams.cancelled,
             "finished": self.streams.finished,
             "cache_hits": self.streams.cache.hits,
             "cache_misses": self.streams.cache.misses,
