--- a/packages/redwingscale-common/tests/unit/test_diff_texts.py
+++ b/packages/redwingscale-common/tests/unit/test_diff_texts.py
@@ -2,7 +2,7 @@
 
 import json
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 from redwingscale_common.configuration.diff import Change, diff_texts
 
@@ -37,7 +37,6 @@
     assert diff_texts("", '{"a": [1]}') == [Change("$.a", None, [1])]
 
 
-@settings(derandomize=True, deadline=None)
 @given(OBJECTS, OBJECTS)
 def test_equal_texts_and_only_they_have_no_difference(before, after):
     changes = diff_texts(json.dumps(before), json.dumps(after))
--- a/packages/redwingscale-daemon/tests/unit/control/test_membership.py
+++ b/packages/redwingscale-daemon/tests/unit/control/test_membership.py
@@ -2,7 +2,7 @@
 
 import pynng
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 from redwingscale_daemon._internal.membership.beat_clock import BeatClock
 from redwingscale_daemon._internal.membership.board import Board
@@ -14,8 +14,6 @@
 from redwingscale_daemon._internal.models.member import InstanceMember
 
 INSTANCES = 9
-# Seeded, and without hypothesis' bound on time: a busy machine is no fault.
-SEEDED = settings(derandomize=True, deadline=None)
 
 
 def instances(count, domains=1):
@@ -41,7 +39,6 @@
     return found
 
 
-@SEEDED
 @given(st.integers(1, 80))
 def test_links_inside_a_domain_are_mutual_bounded_and_connect_all(count):
     links = choices(instances(count))
@@ -51,7 +48,6 @@
     assert reached(links, "i0") == set(links)
 
 
-@SEEDED
 @given(st.integers(4, 60), st.integers(2, 6), st.data())
 def test_links_connect_the_living_whoever_is_dead(count, domains, data):
     """
