--- a/packages/redwingscale-daemon/tests/functional/test_leaving.py
+++ b/packages/redwingscale-daemon/tests/functional/test_leaving.py
@@ -134,3 +134,35 @@
     url = f"{client._deployment.platform_url}/table/scan?prefix=owners/"
     owners = urllib3.request("GET", url).json()
     assert "one" not in [value["holder"] for _, value, _ in owners.values()]
+
+
+def test_generation_that_may_run_once_is_let_finish(client):
+    """A caller of a non-idempotent generation goes away in mid-stream and sends
+    it again through the other instance: the engines have run it once, and the
+    repeat gets the whole text."""
+    member = client._deployment.members_by_id["one"]
+    headers = {
+        "Authorization": f"Bearer {demo_token(CALLER)}",
+        "Idempotency-Key": "notice-1",
+        "X-Idempotent": "false",
+    }
+    body = {"model": MODEL, "prompt": "notice", "max_tokens": 40, "stream": True}
+    url = member.urls_by_name["callers_url"] + "/v1/completions"
+    stream = urllib3.request("POST", url, json=body, headers=headers, preload_content=False)
+    next(stream.stream(64))
+    stream.close()
+    started = sum(record(client, e.id)["started"] for e in SHAPE.engines)
+
+    repeats = []
+
+    def is_kept():
+        repeats.append(client.post("two", "/v1/completions", CALLER, body, headers))
+        return repeats[-1].status == 200
+
+    client.wait_for(is_kept, "the kept text")
+
+    assert {r.document["run"] for r in repeats[:-1]} <= {"unknown"}
+    lines = [x[6:] for x in repeats[-1].body.decode().splitlines() if x.startswith("data: ")]
+    text = "".join(json.loads(x)["choices"][0]["text"] for x in lines[:-1])
+    assert (lines[-1], text) == ("[DONE]", answer_text(f"{MODEL}@v1", "notice", 40))
+    assert sum(record(client, e.id)["started"] for e in SHAPE.engines) == started
