--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/alder.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/alder.py
@@ -60,18 +60,18 @@
             priority=body.get("priority", 5),
             skip=body.get("offset", 0),
         )
-        return self._stream(work.attempt, self._engine.streams.start(work))
+        return self._stream(work.attempt, work.skip, self._engine.streams.start(work))
 
     def _resume(self, attempt: str, start: int) -> Iterator[bytes]:
         tokens = self._engine.streams.resume(attempt, start)
         if tokens is None:
             raise cherrypy.HTTPError(404, "unknown request")
-        return self._stream(attempt, tokens)
+        return self._stream(attempt, start, tokens)
 
-    def _stream(self, attempt: str, tokens: Iterator[Token]) -> Iterator[bytes]:
+    def _stream(self, attempt: str, start: int, tokens: Iterator[Token]) -> Iterator[bytes]:
         batch = self._engine.streams.batch
         cherrypy.response.headers["X-Alder-Load"] = f"{batch.running},{batch.waiting}"
-        return event_stream(tokens, _render, lambda count: _end(attempt, count))
+        return event_stream(tokens, start, _render, lambda count: _end(attempt, count))
 
     def _state(self) -> bytes:
         engine = self._engine
