--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/state_view.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/state_view.py
@@ -55,7 +55,7 @@
         return {
             str(unit): {
                 "size_bytes": size,
-                "engines": [v.member.id for v in self._directory.engines_with(str(unit))],
+                "engines": sorted(v.member.id for v in self._directory.engines_with(str(unit))),
             }
             for unit, size in units.items()
         }
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -15,6 +15,8 @@
 from redwingscale_daemon._internal.idempotency.committer import Committer
 from redwingscale_daemon._internal.idempotency.once import Once
 from redwingscale_daemon._internal.idempotency.outcome import OutcomeStore
+from redwingscale_daemon._internal.idempotency.retention import LEASE_NAME as SWEEP_LEASE
+from redwingscale_daemon._internal.idempotency.retention import Retention
 from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.leases.ownership import Ownership
 from redwingscale_daemon._internal.leases.session import Session
@@ -35,8 +37,13 @@
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
 from redwingscale_daemon._internal.placement.planner import Planner
 from redwingscale_daemon._internal.platform.platform import connect_platform
+from redwingscale_daemon._internal.quarantine.quarantine import Quarantine
+from redwingscale_daemon._internal.quarantine.store import QuarantineStore
 from redwingscale_daemon._internal.relay.generation import GenerationRelay
 from redwingscale_daemon._internal.relay.plain import PlainRelay
+from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
+from redwingscale_daemon._internal.relay.run_parts import RunParts
+from redwingscale_daemon._internal.relay.silence import SilenceBounds
 from redwingscale_daemon._internal.routing.cache_feed import CacheFeed
 from redwingscale_daemon._internal.routing.cache_poller import CachePoller
 from redwingscale_daemon._internal.routing.prefix_index import PrefixIndex
@@ -49,10 +56,17 @@
 from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
 from redwingscale_daemon._internal.upstreams.plain_client import PlainClient
+from redwingscale_daemon._internal.upstreams.plain_state import PlainStates
+from redwingscale_daemon._internal.upstreams.plain_watch import PlainWatch
+from redwingscale_daemon._internal.upstreams.reachability import Reachability
+from redwingscale_daemon._internal.upstreams.watchers import Watchers
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 OPERATORS_THREADS = 4
+QUARANTINE_POLL_SECONDS = 30.0
 CLAIM_MARGIN_SECONDS = 0.5
+CLAIM_INDEX_SECONDS = 300.0
+CLAIM_SWEEP_SECONDS = 60.0
 # How old the load in an engine's report is taken to be when it arrives.
 REPORT_LAG_SECONDS = 0.5
 
@@ -82,7 +96,7 @@
     ownership = Ownership(platform.table, session, me.id, timing.lease)
 
     in_flight = InFlight()
-    engines = EngineClient(timing.connect, timing.silence)
+    engines = EngineClient(timing.connect)
     plans = PlanStore(platform)
     engine_control = EngineControl(timing.connect)
     demand = DemandTracker(me.id, board, lambda: _live_instances(members))
@@ -119,19 +133,52 @@
 
     committer = Committer(platform.table)
     settler = Settler(committer, platform.table)
+    claimant = Claimant(me.id, board.boot)
+    retention = Retention(
+        platform.table, claimant, lambda: ownership.try_acquire(SWEEP_LEASE) is not None
+    )
     claims = Claims(
         committer,
         settler,
         OutcomeStore(platform.objects),
-        Claimant(me.id, board.boot),
+        claimant,
+        retention,
         settings.limits.claim_retention_seconds,
         metrics,
     )
     once = Once(claims, settings.platform.timeout_seconds + CLAIM_MARGIN_SECONDS)
     capacity = Capacity(me, directory, members, in_flight, REPORT_LAG_SECONDS, time.monotonic)
     gate = Gate(gate_limits(settings.limits.request_threads), capacity)
-    generation = GenerationRelay(router, engines, in_flight, tracing, metrics)
-    plain = PlainRelay(router, PlainClient(timing.connect), in_flight, once, tracing, metrics)
+    quarantine = Quarantine(me.id, board, QuarantineStore(platform.table))
+    generation = GenerationRelay(
+        RunParts(
+            router=router,
+            client=engines,
+            control=engine_control,
+            in_flight=in_flight,
+            reachability=Reachability(),
+            budget=RetryBudget(),
+            silence=SilenceBounds(timing.least_silence, timing.silence),
+            quarantine=quarantine,
+            tracing=tracing,
+            metrics=metrics,
+        )
+    )
+    states = PlainStates(board, members)
+    watchers = Watchers(me, members, beats, timing.lease)
+    plain_watch = PlainWatch(
+        members, board, watchers.include_me, timing.report_poll, timing.connect
+    )
+    plain = PlainRelay(
+        router,
+        PlainClient(timing.connect),
+        in_flight,
+        states,
+        once,
+        RetryBudget(),
+        tracing,
+        metrics,
+    )
     callers_app = CallersApp(
         current,
         generation,
@@ -165,9 +212,11 @@
         listener=control.listener,
         mesh=control.mesh,
         owners=owners,
+        plain_watch=plain_watch,
         committer=committer,
         settler=settler,
         once=once,
+        retention=retention,
         readiness=readiness,
         tracing=tracing,
         metrics=metrics,
@@ -175,7 +224,11 @@
             *control.tasks,
             Periodic("session", timing.lease_renewal, session.renew),
             Periodic("owners", timing.heartbeat, owners.step),
+            Periodic("plain-watch", timing.heartbeat, plain_watch.step),
+            Periodic("claim-index", CLAIM_INDEX_SECONDS, retention.flush),
+            Periodic("claim-sweep", CLAIM_SWEEP_SECONDS, retention.sweep),
             Periodic("drains", STEP_SECONDS, drain_reporter.step),
+            Periodic("quarantine", QUARANTINE_POLL_SECONDS, quarantine.refresh),
             Periodic("planner", timing.planning, planner.step),
             Periodic("cache", timing.planning, cache_poller.step),
             Periodic("demand", timing.planning, lambda: demand.step(time.monotonic())),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routing/router.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routing/router.py
@@ -79,8 +79,6 @@
         version of the model that is ready answers in its place, so a change of
         versions leaves no caller without an answer.
         """
-        if not excluded:
-            self._demand.arrived(unit.model)
         others = (v for v in self._demand.listed_versions(unit.model) if v != unit.version)
         for version in (unit.version, *others):
             candidate = unit._replace(version=version)
@@ -89,6 +87,10 @@
                 return Route(view, candidate)
         return None
 
+    def note_arrival(self, model: str) -> None:
+        """Count a request for ``model``, also one that will be refused: it is demand."""
+        self._demand.arrived(model)
+
     def choose_engine(self, unit: str, excluded: Collection[str]) -> EngineView | None:
         """Return an engine where exactly ``unit`` is ready, None when there is none."""
         return self._choose(unit, "", excluded)
