--- a/benchmarks/relay_cost.py
+++ b/benchmarks/relay_cost.py
@@ -24,7 +24,8 @@
 from benchmarks.lib.usage import usage_of
 
 ENGINES = 4
-TOKENS = 60
+# At the size to design for a request has 357 tokens on average.
+TOKENS = 180
 TOKEN_GAP_SECONDS = 0.068
 INSTANCE = "bench-a1"
 MODELS = tuple(f"bench-{number}" for number in range(ENGINES))
@@ -139,6 +140,10 @@
     if before is not None and after is not None:
         relayed = count * TOKENS / 1000
         cost = (after.cpu_seconds - before.cpu_seconds) / relayed
+        point |= {
+            "tokens_relayed": count * TOKENS,
+            "cpu_seconds": round(after.cpu_seconds - before.cpu_seconds, 3),
+        }
         point |= {"cpu_s_per_1000_tokens": round(cost, 4), "memory_mb": round(after.memory_mb, 1)}
     return point
 
