--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -34,6 +34,7 @@
 from redwingscale_daemon._internal.placement.owner import EngineOwner
 from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
 from redwingscale_daemon._internal.placement.owners import Owners
+from redwingscale_daemon._internal.placement.plan_follower import PlanFollower
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
 from redwingscale_daemon._internal.placement.planner import Planner
 from redwingscale_daemon._internal.platform.platform import connect_platform
@@ -119,7 +120,7 @@
         control=engine_control,
         board=board,
         directory=directory,
-        plans=plans,
+        plans=PlanFollower(PlanStore(platform), time.monotonic),
         current=current,
         ownership=ownership,
         intents=IntentStore(platform.table),
@@ -150,6 +151,8 @@
     capacity = Capacity(me, directory, members, in_flight, REPORT_LAG_SECONDS, time.monotonic)
     gate = Gate(gate_limits(settings.limits.request_threads), capacity)
     quarantine = Quarantine(me.id, board, QuarantineStore(platform.table))
+    # One budget for both relays: it bounds what this instance adds to a failing deployment.
+    budget = RetryBudget()
     generation = GenerationRelay(
         RunParts(
             router=router,
@@ -157,7 +160,7 @@
             control=engine_control,
             in_flight=in_flight,
             reachability=Reachability(),
-            budget=RetryBudget(),
+            budget=budget,
             silence=SilenceBounds(timing.least_silence, timing.silence),
             quarantine=quarantine,
             tracing=tracing,
@@ -175,7 +178,7 @@
         in_flight,
         states,
         once,
-        RetryBudget(),
+        budget,
         tracing,
         metrics,
     )
