--- a/conftest.py
+++ b/conftest.py
@@ -5,9 +5,14 @@
 from typing import Any
 
 import pytest
+from hypothesis import settings
 from redwingscale_standins.launcher.deployment import Deployment, Speed
 from redwingscale_standins.launcher.shape import Shape
 
+# The same verdict in every run: no random seeds, and no example fails for its time.
+settings.register_profile("repeatable", deadline=None, derandomize=True)
+settings.load_profile("repeatable")
+
 MakeDeployment = Callable[..., Deployment]
 FAST = Speed(weights_bytes_per_second=400e9, token_gap_seconds=0.002, report_lag_seconds=0.1)
 TEST_TIMING = {
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/entry/callers_app.py
@@ -66,7 +66,7 @@
         self._body_limit = body_limit
 
     @cherrypy.expose
-    def default(self, *segments: str, **query: Any) -> bytes | Iterator[bytes]:
+    def default(self, /, *segments: str, **query: Any) -> bytes | Iterator[bytes]:
         match segments:
             case ("healthz",):
                 return json_response({"status": "up"})
@@ -75,6 +75,9 @@
         headers = cherrypy.request.headers
         request_id = new_request_id(headers)
         cherrypy.response.headers[REQUEST_ID] = request_id
+        if self._readiness.draining:
+            # A kept connection could carry a next request just when the port closes.
+            cherrypy.response.headers["Connection"] = "close"
         with self._tracing.entry_span("request", headers) as span:
             cherrypy.response.headers.update(trace_headers(span))
             self._metrics.requests.add(1)
@@ -156,6 +159,7 @@
         raw = read_body(self._body_limit)
         body = parse_body(raw, chat=isinstance(shape, Chat))
         request = build_request(body, configuration, caller, headers, request_id)
+        self._generation.note_arrival(request)
         events = self._admitted(_arrival(request, caller), request, raw, span)
         if body.stream:
             cherrypy.response.headers["Content-Type"] = "text/event-stream"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/generation.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/generation.py
@@ -20,6 +20,10 @@
     def __init__(self, parts: RunParts) -> None:
         self._parts = parts
 
+    def note_arrival(self, request: GenerationRequest) -> None:
+        """Count ``request`` as demand, before admission takes or refuses it."""
+        self._parts.router.note_arrival(request.unit.model)
+
     def run(self, request: GenerationRequest, span: Span) -> Iterator[StreamEvent]:
         """Return the tokens of ``request``; the first one has already arrived.
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
@@ -62,6 +62,7 @@
         self._failed: set[str] = set()
         self._state = RunState.NOT_RUN
         self._turn: Turn | None = None
+        self._unit = request.unit
 
     def events(self) -> Events:
         """Yield the whole answer; raise `Refusal` when nothing can continue it."""
