--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -150,6 +150,8 @@
     capacity = Capacity(me, directory, members, in_flight, REPORT_LAG_SECONDS, time.monotonic)
     gate = Gate(gate_limits(settings.limits.request_threads), capacity)
     quarantine = Quarantine(me.id, board, QuarantineStore(platform.table))
+    # One budget for both relays: it bounds what this instance adds to a failing deployment.
+    budget = RetryBudget()
     generation = GenerationRelay(
         RunParts(
             router=router,
@@ -157,7 +159,7 @@
             control=engine_control,
             in_flight=in_flight,
             reachability=Reachability(),
-            budget=RetryBudget(),
+            budget=budget,
             silence=SilenceBounds(timing.least_silence, timing.silence),
             quarantine=quarantine,
             tracing=tracing,
@@ -175,7 +177,7 @@
         in_flight,
         states,
         once,
-        RetryBudget(),
+        budget,
         tracing,
         metrics,
     )
--- a/packages/redwingscale-daemon/tests/unit/relay/test_continuity.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/test_continuity.py
@@ -14,8 +14,10 @@
 from redwingscale_common.network.server import HttpServer, ServerLimits
 from redwingscale_daemon._internal.entry.chunks import Completion, stream_body
 from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.models.generation import Attempt, EndEvent
 from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.relay.retry_budget import INITIAL_RETRIES
+from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
 from redwingscale_standins.engine.generation import answer_text
 from redwingscale_standins.silent_relay import SilentRelay
 
@@ -192,3 +194,18 @@
         response.read()
     connection.close()
     server.stop()
+
+
+@pytest.mark.parametrize("number", [0, 1], ids=["alder", "birch"])
+def test_answer_that_lacks_only_its_end_is_ended_elsewhere(start_engines, number):
+    """An answer is refused in the end though its caller has every token.
+
+    The engine dies between the last token and the end; the engine that goes on
+    has no token left to send, and its end has to count all of them.
+    """
+    member = start_engines(2)[number].member
+    attempt = Attempt("a1", str(UNIT), "lot 1", 40, 5, 40, answer_text(str(UNIT), "lot 1", 40))
+
+    stream = EngineClient(1.0).start(member, attempt, {}, 10.0)
+
+    assert list(stream.events(40)) == [EndEvent(40)]
--- a/packages/redwingscale-standins/src/redwingscale_standins/engine/handler.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/engine/handler.py
@@ -25,18 +25,21 @@
 
 
 def event_stream(
-    tokens: Iterator[Token], render: Callable[[Token], bytes], end: Callable[[int], bytes]
+    tokens: Iterator[Token],
+    start: int,
+    render: Callable[[Token], bytes],
+    end: Callable[[int], bytes],
 ) -> Iterator[bytes]:
-    """Return the body of a stream: each token rendered, then its end."""
+    """Return the body of a stream from token ``start``: each rendered, then its end."""
     cherrypy.response.headers["Content-Type"] = "text/event-stream"
     cherrypy.response.stream = True
 
     def body() -> Iterator[bytes]:
-        last = -1
+        total = start
         for token in tokens:
-            last = token.position
+            total = token.position + 1
             yield render(token)
-        yield end(last + 1)
+        yield end(total)
 
     return body()
 
