--- a/packages/redwingscale-daemon/tests/unit/relay/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/conftest.py
@@ -90,10 +90,6 @@
         self.members = members
         self._rng = random.Random(7)
 
-    def route(self, unit: Unit, prompt: str, excluded: set[str]) -> Route | None:
-        view = self.choose_engine(str(unit), excluded)
-        return Route(view, unit) if view else None
-
     def choose_engine(self, unit: str, excluded: set[str]) -> EngineView | None:
         left = [m for m in self.members if m.id not in excluded]
         return EngineView(self._rng.choice(left), None, 0.0) if left else None
