--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/operators_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/operators_app.py
@@ -11,6 +11,7 @@
 from redwingscale_daemon._internal.operators.configuration_api import ConfigurationApi
 from redwingscale_daemon._internal.operators.drain_requests import DrainRequests
 from redwingscale_daemon._internal.operators.state_view import StateView
+from redwingscale_daemon._internal.placement.move_history import MoveHistory
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 
 BODY_LIMIT = 16 << 20
@@ -31,12 +32,14 @@
         configuration: ConfigurationApi,
         view: StateView,
         drains: DrainRequests,
+        moves: MoveHistory,
         metrics: Metrics,
     ) -> None:
         self._token_sha256 = token_sha256
         self._configuration = configuration
         self._view = view
         self._drains = drains
+        self._moves = moves
         self._metrics = metrics
 
     @cherrypy.expose
@@ -66,6 +69,8 @@
                 return json_response(self._view.status())
             case "GET", ("models",):
                 return json_response(self._view.models())
+            case "GET", ("moves",):
+                return json_response([move._asdict() for move in self._moves.recent()])
             case "GET", ("upstreams",):
                 return json_response(self._view.upstreams())
             case method, ("configuration", *rest):
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/move_history.py
@@ -0,0 +1,77 @@
+"""The moves of the deployment, kept in the platform for operators."""
+
+import datetime
+import threading
+from collections import defaultdict
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.models.order import Order
+from redwingscale_daemon._internal.platform.row import ABSENT, Committed
+from redwingscale_daemon._internal.platform.table import Table
+
+MOVES_PREFIX = "moves/"
+MOST_KEPT_PER_ENGINE = 50
+MOST_WAITING = 1000
+
+
+class Move(NamedTuple):
+    """An order that has ended; ``at`` is UTC in ISO 8601."""
+
+    at: str
+    upstream: str
+    action: str
+    unit: str
+    outcome: str
+
+
+class MoveHistory:
+    """Notes moves at once and writes them apart from the owners' threads.
+
+    An owner that waited for a slow table here would poll its engine late, and
+    the engine would count as quiet. What waits is bounded; the oldest goes.
+    """
+
+    def __init__(self, table: Table) -> None:
+        self._lock = threading.Lock()
+        self._table = table
+        self._waiting: list[Move] = []
+
+    def note(self, upstream: str, order: Order, outcome: str) -> None:
+        """Keep how ``order`` ended; never waits for the platform."""
+        at = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
+        action = "load" if order.load else "unload"
+        with self._lock:
+            self._waiting.append(Move(at, upstream, action, order.unit, outcome))
+            del self._waiting[:-MOST_WAITING]
+
+    def flush(self) -> None:
+        """Write what waits; raise `PlatformError`, and keep it for the next time."""
+        with self._lock:
+            waiting, self._waiting = self._waiting, []
+        moves_by_upstream: dict[str, list[Move]] = defaultdict(list)
+        for move in waiting:
+            moves_by_upstream[move.upstream].append(move)
+        try:
+            while moves_by_upstream:
+                upstream = next(iter(moves_by_upstream))
+                self._append(upstream, moves_by_upstream[upstream])
+                del moves_by_upstream[upstream]
+        finally:
+            left = [move for moves in moves_by_upstream.values() for move in moves]
+            with self._lock:
+                self._waiting = left + self._waiting
+
+    def recent(self) -> list[Move]:
+        """Return the moves that are kept, the newest first; raise `PlatformUnavailable`."""
+        rows = self._table.scan(MOVES_PREFIX).values()
+        moves = [Move(*item) for row in rows for item in row.value]
+        return sorted(moves, reverse=True)
+
+    def _append(self, upstream: str, moves: list[Move]) -> None:
+        key = MOVES_PREFIX + upstream
+        outcome = None
+        # A former owner may write its last moves at the same time: read again then.
+        while not isinstance(outcome, Committed):
+            row = self._table.read([key])[key]
+            kept = [*(row.value if row else []), *moves][-MOST_KEPT_PER_ENGINE:]
+            outcome = self._table.put_if(key, kept, row.version if row else ABSENT)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
@@ -169,6 +169,7 @@
                 unit=order.unit,
                 outcome=outcome,
             )
+            self._parts.moves.note(engine.id, order, outcome)
             self._backoff.note(order.unit, failed=outcome is Outcome.FAILED)
 
     def _is_unsafe(self, engine: EngineMember, grant: Grant, report: Report) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner_parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner_parts.py
@@ -8,6 +8,7 @@
 from redwingscale_daemon._internal.membership.board import Board
 from redwingscale_daemon._internal.placement.drain_acks import DrainAcks
 from redwingscale_daemon._internal.placement.intents import IntentStore
+from redwingscale_daemon._internal.placement.move_history import MoveHistory
 from redwingscale_daemon._internal.placement.plan_follower import PlanFollower
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.upstreams.directory import Directory
@@ -26,4 +27,5 @@
     intents: IntentStore
     acks: DrainAcks
     metrics: Metrics
+    moves: MoveHistory
     clock: Clock = lease_clock
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/root.py
@@ -31,6 +31,7 @@
 from redwingscale_daemon._internal.placement.drain_acks import DrainAcks
 from redwingscale_daemon._internal.placement.drain_reporter import STEP_SECONDS, DrainReporter
 from redwingscale_daemon._internal.placement.intents import IntentStore
+from redwingscale_daemon._internal.placement.move_history import MoveHistory
 from redwingscale_daemon._internal.placement.owner import EngineOwner
 from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
 from redwingscale_daemon._internal.placement.owners import Owners
@@ -68,6 +69,7 @@
 CLAIM_MARGIN_SECONDS = 0.5
 CLAIM_INDEX_SECONDS = 300.0
 CLAIM_SWEEP_SECONDS = 60.0
+MOVES_SECONDS = 2.0
 # How old the load in an engine's report is taken to be when it arrives.
 REPORT_LAG_SECONDS = 0.5
 
@@ -116,6 +118,7 @@
     cache_poller = CachePoller(
         members, lambda e: ownership.held(e) is not None, engine_control, CacheFeed(index)
     )
+    moves = MoveHistory(platform.table)
     owner_parts = OwnerParts(
         control=engine_control,
         board=board,
@@ -126,6 +129,7 @@
         intents=IntentStore(platform.table),
         acks=DrainAcks(me.id, board, members, beats, timing.lease),
         metrics=metrics,
+        moves=moves,
     )
     owners = Owners(
         me, timing, members, beats, ownership, lambda engine: EngineOwner(engine, owner_parts)
@@ -199,6 +203,7 @@
         ConfigurationApi(control.store, current, control.versions, members, directory),
         view,
         DrainRequests(me.id, board),
+        moves,
         metrics,
     )
 
@@ -232,6 +237,7 @@
             Periodic("claim-sweep", CLAIM_SWEEP_SECONDS, retention.sweep),
             Periodic("drains", STEP_SECONDS, drain_reporter.step),
             Periodic("quarantine", QUARANTINE_POLL_SECONDS, quarantine.refresh),
+            Periodic("moves", MOVES_SECONDS, moves.flush),
             Periodic("planner", timing.planning, planner.step),
             Periodic("cache", timing.planning, cache_poller.step),
             Periodic("demand", timing.planning, lambda: demand.step(time.monotonic())),
--- a/packages/redwingscale-standins/src/redwingscale_standins/histories/owner.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/histories/owner.py
@@ -10,6 +10,7 @@
 from redwingscale_daemon._internal.membership.board import Board
 from redwingscale_daemon._internal.models.member import EngineMember
 from redwingscale_daemon._internal.placement.intents import IntentStore
+from redwingscale_daemon._internal.placement.move_history import MoveHistory
 from redwingscale_daemon._internal.placement.owner import EngineOwner
 from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
 from redwingscale_daemon._internal.placement.plan import Plan
@@ -51,6 +52,7 @@
             intents=IntentStore(table),
             acks=cast(Any, SimpleNamespace(all_done=lambda *_: True)),
             metrics=cast(Any, SimpleNamespace(orders=_NoCounter(), invalid_reports=_NoCounter())),
+            moves=MoveHistory(table),
             clock=clock,
         )
         self._engine = engine
