--- a/packages/redwingscale-daemon/tests/unit/relay/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/conftest.py
@@ -94,6 +94,10 @@
         left = [m for m in self.members if m.id not in excluded]
         return EngineView(self._rng.choice(left), None, 0.0) if left else None
 
+    def route(self, unit: Unit, prompt: str, excluded: set[str]) -> Route | None:
+        view = self.choose_engine(str(unit), excluded)
+        return Route(view, unit) if view else None
+
 
 def engine_member(number: int, vendor: str, port: int) -> EngineMember:
     url = f"http://127.0.0.1:{port}"
