--- a/packages/redwingscale-cli/tests/functional/test_operators_session.py
+++ b/packages/redwingscale-cli/tests/functional/test_operators_session.py
@@ -109,6 +109,11 @@
 
 def test_a_drain_order_ends_only_the_named_instance(session):
     session.apply("one", moves_weight=0.3)
+    # An order goes to the process that is known now; before "one" has heard of
+    # "two", it rightly says that it knows no such instance.
+    session.client.wait_for(
+        lambda: session.read("one", "status")["version_by_instance"]["two"] == 1, "word of two"
+    )
 
     assert session.run("one", "drain", "two").exit_code == 0
 
