--- a/packages/redwingscale-daemon/tests/unit/relay/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/conftest.py
@@ -29,6 +29,7 @@
 from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
 from redwingscale_daemon._internal.relay.run_parts import RunParts
 from redwingscale_daemon._internal.relay.silence import SilenceBounds
+from redwingscale_daemon._internal.routing.route import Route
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.upstreams.directory import EngineView
