--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/models/report.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/models/report.py
@@ -50,10 +50,3 @@
     retiring: tuple[str, ...] = ()
     retirement: int = 0
     set_aside: bool = False
-
-
-class Heat(NamedTuple):
-    """Demand for a unit that one instance saw lately, in requests a second."""
-
-    unit: str
-    requests_per_second: float
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
@@ -208,16 +208,25 @@
         unplanned = [r.unit for r in choice.unplanned(situation)]
         replaced = {u for u in unplanned if self._replacements.are_ready(u, plan)}
         waiting = set(unplanned) - replaced
+        engine = self._engine
         if not waiting or not choice.is_short(situation):
             self._blocked_since = None
             return replaced | situation.ledger.unloading()
         now = self._parts.clock()
         self._blocked_since = now if self._blocked_since is None else self._blocked_since
         if now - self._blocked_since > REPLACEMENT_PATIENCE_SECONDS:
-            # What the plan wants here cannot come before something goes: better one
-            # model away for a load than the plan stuck for good.
-            log_event("retiring_unreplaced", level="WARNING", upstream=self._engine, units=waiting)
-            replaced |= waiting
+            # What the plan wants here cannot come before something goes. Only what
+            # answers at another engine goes: a plan that is stuck costs attainment, but
+            # a listed model that answers nowhere breaks a promise to its callers.
+            spare = {u for u in waiting if self._replacements.is_answered_elsewhere(u, engine)}
+            log_event(
+                "retiring_blocked",
+                level="WARNING",
+                upstream=engine,
+                going=sorted(spare),
+                staying=sorted(waiting - spare),
+            )
+            replaced |= spare
         return replaced | situation.ledger.unloading()
 
     def _orders(self, situation: Situation, grant: Grant) -> list[Order]:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/replacements.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/replacements.py
@@ -23,6 +23,11 @@
         ]
         return not places or any(self._answers(engine, other) for engine, other in places)
 
+    def is_answered_elsewhere(self, unit: str, engine: str) -> bool:
+        """Return whether ``unit`` answers at another engine than ``engine``, planned or not."""
+        views = self._directory.engines_with(unit)
+        return any(v.member.id != engine and not v.leaving for v in views)
+
     def _answers(self, engine: str, unit: str) -> bool:
         view = self._directory.engines().get(engine)
         return view is not None and not view.leaving and view.is_ready(unit)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/generation.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/generation.py
@@ -1,6 +1,7 @@
 """Carries a generation request to engines and its tokens back as one whole answer."""
 
 import threading
+import time
 from collections.abc import Generator, Iterator
 
 from opentelemetry.trace import Span
@@ -31,8 +32,11 @@
         answer. Closing the iterator says that the caller is gone: the engine's
         work is cancelled, or let finish when it must not run a second time.
         """
+        started = time.monotonic()
         events = GenerationRun(request, span, self._parts).events()
-        return _until_left(request, next(events), events)
+        first = next(events)
+        self._parts.metrics.first_token.record(time.monotonic() - started)
+        return _until_left(request, first, events)
 
 
 def _until_left(request: GenerationRequest, first: StreamEvent, events: Events) -> Events:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
@@ -75,6 +75,7 @@
                 self._after_failure(engine, error)
             else:
                 self._parts.budget.succeeded()
+                self._parts.metrics.tokens.add(self._progress.position)
                 return
             finally:
                 self._leave_turn()
