--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -57,6 +57,12 @@
         "writes": _term_table(writes, "writes/s", 2),
         "writes_verdict": _verdict(total(writes), BUDGET.writes_per_second, "writes/s"),
         "claims": f"{free_writes / WRITES_A_CLAIM:.0f}",
+        "directory_mb": f"{pick('request_cost', 'directory_mb', engines=910):.1f}",
+        "route_percent": _request_percent(fits["route_cpu"].line.at(DESIGN.engines)),
+        "spans_percent": _request_percent(pick("request_cost", "spans_us", engines=910)),
+        "owner_percent": f"{fits['owner_cpu'].line.slope * DESIGN.engines_per_node:.2f}",
+        "planner_percent": f"{pick('placement_time', 'unchanged_s', models=860) / 2 * 100:.1f}",
+        "member_percent": f"{sum(t.value for t in cpu if t.role.startswith('membership')):.2f}",
         "relay_cores": f"{relay.slope * DESIGN.tokens_per_node:.2f}",
         "relay_slope": f"{relay.slope * 1000:.4f}",
         "relay_streams": f"{DESIGN.streams_per_node:.0f}",
@@ -89,6 +95,11 @@
     return owner.at(DESIGN.engines_per_node) + models + members + directory
 
 
+def _request_percent(microseconds: float) -> str:
+    """Return what so much for each request is at a node's share, in percent of a core."""
+    return f"{microseconds * DESIGN.requests_per_node / 1e6 * 100:.2f}"
+
+
 def _verdict(value: float, budget: float, unit: str) -> str:
     if value <= budget:
         return f"**{value:,.2f} of {budget:,.1f} {unit}: within the budget.**"
