Let a version go whose successor waits for its room

Change: a unit may go unreplaced, after the patience, if it answers at another engine or if what replaces it is planned for this very engine.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owner.py
@@ -215,10 +215,10 @@
         now = self._parts.clock()
         self._blocked_since = now if self._blocked_since is None else self._blocked_since
         if now - self._blocked_since > REPLACEMENT_PATIENCE_SECONDS:
-            # What the plan wants here cannot come before something goes. Only what
-            # answers at another engine goes: a plan that is stuck costs attainment, but
-            # a listed model that answers nowhere breaks a promise to its callers.
-            spare = {u for u in waiting if self._replacements.is_answered_elsewhere(u, engine)}
+            # What the plan wants here cannot come before something goes. The last copy
+            # of a model that is to move elsewhere stays: a plan that is stuck costs
+            # attainment, a listed model that answers nowhere breaks a promise.
+            spare = {u for u in waiting if self._replacements.may_go_unreplaced(u, engine, plan)}
             log_event(
                 "retiring_blocked",
                 level="WARNING",
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/replacements.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/replacements.py
@@ -23,8 +23,17 @@
         ]
         return not places or any(self._answers(engine, other) for engine, other in places)
 
-    def is_answered_elsewhere(self, unit: str, engine: str) -> bool:
-        """Return whether ``unit`` answers at another engine than ``engine``, planned or not."""
+    def may_go_unreplaced(self, unit: str, engine: str, plan: Plan) -> bool:
+        """Return whether ``unit`` may leave ``engine`` though no planned replica answers.
+
+        It may if it answers at another engine, planned or not. It may also if what
+        replaces it is planned for this very engine: a new version for which there is
+        room only after the old one went would else never come into force.
+        """
+        wanted = Unit.parse(unit)
+        here = plan.units_by_engine.get(engine, [])
+        if any(_replaces(Unit.parse(planned.unit), wanted) for planned in here):
+            return True
         views = self._directory.engines_with(unit)
         return any(v.member.id != engine and not v.leaving for v in views)
 
--- a/packages/redwingscale-daemon/tests/unit/test_replacements.py
+++ b/packages/redwingscale-daemon/tests/unit/test_replacements.py
@@ -7,7 +7,7 @@
 from redwingscale_daemon._internal.placement.replacements import Replacements
 from redwingscale_daemon._internal.upstreams.directory import TOPIC, Directory
 
-UNITS_BY_ENGINE = {"e1": ("last@v1", "spare@v1"), "e2": ("spare@v1",), "e3": ()}
+UNITS_BY_ENGINE = {"e1": ("last@v1", "spare@v1", "old@v1"), "e2": ("spare@v1",), "e3": ()}
 
 
 def test_the_last_copy_of_a_model_is_never_spare():
@@ -15,7 +15,8 @@
     Callers of a listed model get `not_resident` while the plan is stuck.
 
     The plan wants e1's units at e3, where a load fails again and again; after
-    a while e1 gives up what it holds. Only the unit that e2 answers too may go.
+    a while e1 gives up what it holds. Only the unit that e2 answers too may go, and
+    the old version whose successor waits for its room.
     """
     board = Board("i1")
     directory = Directory(board)
@@ -26,11 +27,11 @@
         residents = tuple(ResidentUnit(unit, 1, True) for unit in units)
         board.publish(TOPIC, engine, Digest(engine, 1, False, 10, residents, 0, 0, 8))
     planned = [PlannedUnit("last@v1", 1), PlannedUnit("spare@v1", 1)]
-    plan = Plan(1, 1, {"e1": [], "e3": planned})
+    plan = Plan(1, 1, {"e1": [PlannedUnit("old@v2", 1)], "e3": planned})
     replacements = Replacements(directory)
 
     ready = [replacements.are_ready(unit, plan) for unit in UNITS_BY_ENGINE["e1"]]
-    spare = [replacements.is_answered_elsewhere(u, "e1") for u in UNITS_BY_ENGINE["e1"]]
+    spare = [replacements.may_go_unreplaced(u, "e1", plan) for u in UNITS_BY_ENGINE["e1"]]
 
-    assert ready == [False, False]
-    assert spare == [False, True]
+    assert ready == [False, False, False]
+    assert spare == [False, True, True]
