End the demo on SIGINT also when it was started in the background

Cause: a shell that starts it in the background leaves SIGINT ignored, and the demo then ignored Ctrl-C's signal: tried in a fresh clone, 20 processes went on. With the handler set for both signals the same trial ends and leaves none. Ruled out: the stop itself, which SIGTERM reached.

--- a/packages/redwingscale-standins/src/redwingscale_standins/launcher/__main__.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/launcher/__main__.py
@@ -25,6 +25,8 @@
             f"no deployment {deployment!r}; known: {', '.join(SHAPES_BY_NAME)}"
         )
     running = Deployment(SHAPES_BY_NAME[deployment], directory, Speed())
+    # Set for both: a shell that starts the demo in the background has SIGINT ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         running.start()
