Show the leases in `redwingscale status`

Cause: the command was to show instances, leases and versions; leases were missing. `GET /leases` reads the ownership rows; while the platform is down the rest is shown. It now waits for all 50 and asks that each is a load that was done.

--- a/packages/redwingscale-cli/src/redwingscale_cli/_internal/commands/status.py
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/commands/status.py
@@ -1,7 +1,10 @@
 """``redwingscale status``."""
 
+from typing import Any
+
 from redwingscale_cli._internal.cli.context import CommandContext
-from redwingscale_cli._internal.cli.output import print_json, print_table
+from redwingscale_cli._internal.cli.output import print_json, print_progress, print_table
+from redwingscale_cli._internal.network.operators_client import OperatorsClient
 
 
 def run(context: CommandContext) -> None:
@@ -9,8 +12,9 @@
     client = context.client()
     status = client.get("/status")
     versions = client.get("/configuration/in-force")
+    leases = _leases(client)
     if context.as_json:
-        print_json({"asked": status, "version_by_instance": versions})
+        print_json({"asked": status, "version_by_instance": versions, "lease_by_name": leases})
         return
     asked = status["instance"]["id"]
     rows = [
@@ -23,6 +27,20 @@
     print_table(
         ("ASKED", "STATE", "OPEN", "SESSION"), [(asked, state, status["open_requests"], session)]
     )
+    print_table(
+        ("LEASE", "HOLDER", "FENCE"),
+        [(name, row["holder"] or "-", row["fence"]) for name, row in sorted(leases.items())],
+    )
+
+
+def _leases(client: OperatorsClient) -> dict[str, Any]:
+    """Return the leases; none while the platform that keeps them does not answer."""
+    reply = client.call("GET", "/leases")
+    if not reply.ok:
+        print_progress("leases are not shown: the platform does not answer")
+        return {}
+    leases: dict[str, Any] = reply.value
+    return leases
 
 
 def _silence(instance: str, asked: str, peers: dict[str, float | None]) -> str:
--- a/packages/redwingscale-cli/tests/functional/test_operators_session.py
+++ b/packages/redwingscale-cli/tests/functional/test_operators_session.py
@@ -18,6 +18,7 @@
     full_speed_loads=100,
 )
 UNIT = "listing-vetter@v1"
+MOST_KEPT_PER_ENGINE = 50
 
 
 class Session:
@@ -62,13 +63,19 @@
     history = session.read("two", "config", "history")
     shown = json.loads(session.read("two", "config", "show")["text"])
     session.client.wait_for(
-        lambda: any(m["unit"] == UNIT for m in session.read("two", "moves")), "the noted load"
+        # The last 50 moves of an engine are kept, and this engine makes 77.
+        lambda: len(session.read("two", "moves")) == MOST_KEPT_PER_ENGINE,
+        "the last moves",
     )
 
     assert [item["version"] for item in history] == [3, 2, 1]
     assert history[1]["author"] == "meral"
     assert shown["policy"] == {"moves_weight": 0.3}
-    assert session.read("two", "status")["version_by_instance"].keys() == {"one", "two"}
+    assert {(m["action"], m["outcome"]) for m in session.read("one", "moves")} == {("load", "done")}
+    status = session.read("two", "status")
+    assert status["version_by_instance"].keys() == {"one", "two"}
+    assert status["lease_by_name"]["engine"]["holder"] in ("one", "two")
+    assert "planner" in status["lease_by_name"]
     assert session.read("one", "models")[UNIT]["engines"] == ["engine"]
     assert session.read("one", "upstreams")["engine"]["vendor"] == "alder"
     for command in ("status", "models", "upstreams", "moves"):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/root.py
@@ -86,6 +86,7 @@
         view,
         DrainRequests(me.id, control.board),
         engines.moves,
+        engines.ownership,
         metrics,
     )
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/ownership.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/ownership.py
@@ -47,6 +47,11 @@
         self._sightings = Sightings(lease_seconds, clock)
         self._held_by_name: dict[str, _Held] = {}
 
+    def rows(self) -> dict[str, dict[str, object]]:
+        """Return holder, boot and fence of everything owned; raise `PlatformUnavailable`."""
+        rows = self._table.scan(OWNER_PREFIX)
+        return {key.removeprefix(OWNER_PREFIX): row.value for key, row in rows.items()}
+
     def held(self, name: str) -> Grant | None:
         """Return the grant of ``name`` if this instance may act on it now."""
         held = self._held_by_name.get(name)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/operators_app.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/operators/operators_app.py
@@ -8,6 +8,7 @@
 from redwingscale_common.utils.digests import sha256_hex
 
 from redwingscale_daemon._internal.exceptions import PlatformError, WriteUnknown
+from redwingscale_daemon._internal.leases.ownership import Ownership
 from redwingscale_daemon._internal.operators.configuration_api import ConfigurationApi
 from redwingscale_daemon._internal.operators.drain_requests import DrainRequests
 from redwingscale_daemon._internal.operators.state_view import StateView
@@ -33,6 +34,7 @@
         view: StateView,
         drains: DrainRequests,
         moves: MoveHistory,
+        ownership: Ownership,
         metrics: Metrics,
     ) -> None:
         self._token_sha256 = token_sha256
@@ -40,6 +42,7 @@
         self._view = view
         self._drains = drains
         self._moves = moves
+        self._ownership = ownership
         self._metrics = metrics
 
     @cherrypy.expose
@@ -69,6 +72,8 @@
                 return json_response(self._view.status())
             case "GET", ("models",):
                 return json_response(self._view.models())
+            case "GET", ("leases",):
+                return json_response(self._ownership.rows())
             case "GET", ("moves",):
                 return json_response([move._asdict() for move in self._moves.recent()])
             case "GET", ("upstreams",):
--- a/packages/redwingscale-daemon/tests/unit/test_admission.py
+++ b/packages/redwingscale-daemon/tests/unit/test_admission.py
@@ -128,7 +128,7 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_flood_does_not_starve_lookups(seed):
     """One caller sends ten times the capacity of low priority work in the
-    closing minutes: the registrars' lookups are still answered in time."""
+    last minutes before a deadline: the registrars' lookups are still answered in time."""
     demands = [
         Demand("citizens", 4, 5, 10 * CAPACITY, 5.0),
         Demand("registrars", 1, 1, 0.3 * CAPACITY, 1.5),
