--- a/packages/redwingscale-common/src/redwingscale_common/utils/logs.py
+++ b/packages/redwingscale-common/src/redwingscale_common/utils/logs.py
@@ -5,6 +5,8 @@
 
 from loguru import logger
 
+from redwingscale_common.utils.line_writer import flusher, standard_output
+
 _FORMAT = (
     "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level.name} event={message}"
     "{extra[context]}{extra[fields]}"
@@ -18,6 +20,24 @@
     logger.add(sys.stderr, format=_FORMAT, level=level.upper(), backtrace=False, diagnose=False)
 
 
+def log_to_stdout(level: str, **context: str) -> None:
+    """Send events to standard output as `configure_logs` does to standard error, never blocking."""
+    logger.remove()
+    logger.configure(extra={"context": _pairs(context), "fields": ""})
+    writer = standard_output()
+    routine = logger.level("INFO").no
+
+    def sink(message: Any) -> None:
+        writer.put(str(message), routine=message.record["level"].no <= routine)
+
+    logger.add(sink, format=_FORMAT, level=level.upper(), backtrace=False, diagnose=False)
+
+
+def flush_logs(seconds: float = 1.0) -> None:
+    """Wait until what was logged to standard output is written."""
+    flusher()(seconds)
+
+
 def log_event(event: str, *, level: str = "INFO", **fields: object) -> None:
     """Write one line: the ``event`` name, then ``fields`` in the order given."""
     logger.bind(fields=_pairs(fields)).log(level, event)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/cli.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/cli.py
@@ -1,15 +1,23 @@
 """The command line of ``redwingscaled``."""
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import typer
 from redwingscale_common.exceptions import CheckFailed
-from redwingscale_common.utils.logs import configure_logs
+from redwingscale_common.utils.logs import configure_logs, log_event, log_to_stdout
 
+from redwingscale_daemon._internal.settings.ingress_settings import (
+    IngressSettings,
+    is_ingress,
+    load_ingress_settings,
+)
 from redwingscale_daemon._internal.settings.load import load_settings
 
+Loaded = TypeVar("Loaded")
+
 EXIT_SETTINGS = 2
 
 app = typer.Typer(add_completion=False)
@@ -21,12 +29,10 @@
     check: Annotated[bool, typer.Option(help="Only check the settings.")] = False,
 ) -> None:
     """Run one instance until SIGTERM; exit with 2 when the settings are not valid."""
-    try:
-        settings = load_settings(settings_file)
-    except CheckFailed as failed:
-        for finding in failed.findings:
-            print(finding.render(str(settings_file)), file=sys.stderr)
-        raise typer.Exit(EXIT_SETTINGS) from None
+    if _checked(is_ingress, settings_file):
+        _run_ingress(settings_file, check)
+        return
+    settings = _checked(load_settings, settings_file)
     if check:
         return
     configure_logs(settings.telemetry.log_level, instance=settings.instance.id)
@@ -34,3 +40,37 @@
     from redwingscale_daemon._internal.composition.root import build_instance
 
     build_instance(settings).run()
+
+
+def _run_ingress(settings_file: Path, check: bool) -> None:
+    settings = _checked(load_ingress_settings, settings_file)
+    if check:
+        return
+    log_to_stdout(settings.log_level, instance=settings.instance)
+    from redwingscale_daemon._internal.composition.ingress import build_ingress
+
+    build_ingress(settings, lambda: _reload(settings_file, settings)).run()
+
+
+def _reload(settings_file: Path, current: IngressSettings) -> None:
+    """Read the settings again; what needs a new process is only told, never done."""
+    try:
+        settings = load_ingress_settings(settings_file)
+    except CheckFailed as failed:
+        log_event("reload_failed", level="ERROR", findings=len(failed.findings))
+        return
+    changed = [
+        name
+        for name, old, new in zip(current._fields, current, settings, strict=True)
+        if old != new
+    ]
+    log_event("reloaded", changed=",".join(changed) or "nothing")
+
+
+def _checked(load: Callable[[Path], Loaded], settings_file: Path) -> Loaded:
+    try:
+        return load(settings_file)
+    except CheckFailed as failed:
+        for finding in failed.findings:
+            print(finding.render(str(settings_file)), file=sys.stderr)
+        raise typer.Exit(EXIT_SETTINGS) from None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/control.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/control.py
@@ -16,8 +16,8 @@
 from redwingscale_daemon._internal.membership.mesh import Mesh
 from redwingscale_daemon._internal.membership.peer_beats import PeerBeats
 from redwingscale_daemon._internal.membership.traffic import Traffic
-from redwingscale_daemon._internal.platform.platform import Platform
 from redwingscale_daemon._internal.settings.settings import Settings
+from redwingscale_daemon._internal.store.store import Platform
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/engines.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/engines.py
@@ -20,12 +20,12 @@
 from redwingscale_daemon._internal.placement.plan_follower import PlanFollower
 from redwingscale_daemon._internal.placement.plan_store import PlanStore
 from redwingscale_daemon._internal.placement.planner import Planner
-from redwingscale_daemon._internal.platform.platform import Platform
 from redwingscale_daemon._internal.routing.cache_feed import CacheFeed
 from redwingscale_daemon._internal.routing.cache_poller import CachePoller
 from redwingscale_daemon._internal.routing.prefix_index import PrefixIndex
 from redwingscale_daemon._internal.routing.router import Demand, Router
 from redwingscale_daemon._internal.settings.settings import Settings
+from redwingscale_daemon._internal.store.store import Platform
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.upstreams.directory import Directory
 from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -0,0 +1,167 @@
+"""Wires an instance whose requests are routed by host and path."""
+
+import uuid
+from collections.abc import Callable
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps
+from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.chooser import Chooser
+from redwingscale_daemon._internal.fleet.health import Health
+from redwingscale_daemon._internal.fleet.holdings import Holdings
+from redwingscale_daemon._internal.fleet.list_follower import ListFollower
+from redwingscale_daemon._internal.fleet.load_book import LoadBook
+from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
+from redwingscale_daemon._internal.forwarding.entry import Entry
+from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
+from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
+from redwingscale_daemon._internal.forwarding.repeat_budget import BudgetRule, RepeatBudget
+from redwingscale_daemon._internal.forwarding.sender import Sender
+from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
+from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
+from redwingscale_daemon._internal.lifecycle.ingress_instance import IngressInstance, IngressParts
+from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
+from redwingscale_daemon._internal.lifecycle.probe_app import MetricsApp, ReadinessApp
+from redwingscale_daemon._internal.platform import configuration, discovery, exchange, names
+from redwingscale_daemon._internal.platform.store_client import StoreClient
+from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.route_follower import RouteFollower
+from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings
+from redwingscale_daemon._internal.store.rows import RowKey
+from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
+from redwingscale_daemon._internal.utils.periodic import Periodic
+
+# New work must stay away from an upstream two seconds after the store knows that
+# it leaves: a read a second, and one lost read, are less.
+LIST_SECONDS = 0.9
+# Heads and bodies beyond what any configuration allows.
+LARGEST_HEAD_BYTES = 32 << 10
+LARGEST_BODY_BYTES = 8 << 20
+# Callers reuse a connection that was idle for up to twelve seconds.
+IDLE_SECONDS = 20
+PROBE_THREADS = 2
+PROBE_HEAD_BYTES = 8 << 10
+
+
+def build_ingress(settings: IngressSettings, reload: Callable[[], None]) -> IngressInstance:
+    """Return the instance that ``settings`` describe; nothing is started yet."""
+    store = StoreClient(settings.store.host, settings.store.port)
+    routes = CurrentRoutes()
+    changes, holdings = Changes(), Holdings()
+    directory = UpstreamDirectory(holdings, changes)
+    book, health, prefixes, pool = LoadBook(), Health(), PrefixMemory(), ConnectionPool()
+    for part in (book, health, prefixes, pool):
+        directory.on_gone(part.forget)
+    metrics = IngressMetrics()
+    open_requests = OpenRequests()
+    swaps = build_swaps(
+        settings, uuid.uuid4().hex, store, routes, directory, holdings, changes, book, metrics
+    )
+    entry = _entry(
+        settings,
+        swaps,
+        routes,
+        directory,
+        holdings,
+        changes,
+        book,
+        health,
+        prefixes,
+        pool,
+        open_requests,
+        metrics,
+    )
+    config_row = RowKey(configuration.TABLE, "", configuration.KEY)
+    followers = (
+        Periodic(
+            "configuration",
+            0.0,
+            RouteFollower(store, config_row, configuration.decode_configuration, routes).step,
+        ),
+        Periodic(
+            "upstreams",
+            LIST_SECONDS,
+            ListFollower(store, discovery.TABLE, discovery.decode_upstream, directory).step,
+        ),
+    )
+    parts = IngressParts(
+        callers=_callers(settings, entry),
+        probes=_probes(settings, routes, directory, open_requests, metrics),
+        tasks=(*followers, *swaps.tasks),
+        open_requests=open_requests,
+        release=swaps.release,
+    )
+    return IngressInstance(parts, settings.bounds.stop_grace, reload)
+
+
+def _entry(
+    settings: IngressSettings,
+    swaps: Swaps,
+    routes: CurrentRoutes,
+    directory: UpstreamDirectory,
+    holdings: Holdings,
+    changes: Changes,
+    book: LoadBook,
+    health: Health,
+    prefixes: PrefixMemory,
+    pool: ConnectionPool,
+    open_requests: OpenRequests,
+    metrics: IngressMetrics,
+) -> Entry:
+    bounds = settings.bounds
+    rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
+    budget = RepeatBudget(rule, swaps.instances)
+    chooser = Chooser(settings.failure_domain, directory, book, prefixes, health)
+    parts = RelayParts(exchange, Sender(pool, exchange), chooser, book, health, budget)
+    wait = HolderWait(chooser, changes, holdings, swaps.needs)
+    return Entry(
+        routes,
+        exchange,
+        PlainRelay(parts),
+        StreamRelay(parts, wait, prefixes),
+        swaps.needs,
+        budget,
+        open_requests,
+        metrics,
+    )
+
+
+def _callers(settings: IngressSettings, entry: Entry) -> IngressServer:
+    limits = PortLimits(
+        settings.request_threads, LARGEST_HEAD_BYTES, LARGEST_BODY_BYTES, IDLE_SECONDS
+    )
+    return IngressServer(entry.handle, *settings.callers, limits)
+
+
+def _probes(
+    settings: IngressSettings,
+    routes: CurrentRoutes,
+    directory: UpstreamDirectory,
+    open_requests: OpenRequests,
+    metrics: IngressMetrics,
+) -> tuple[IngressServer, ...]:
+    def not_ready() -> str:
+        if open_requests.draining:
+            return "draining"
+        if routes.get() is None:
+            return "no configuration is known"
+        return "" if directory.all() else "no upstream is known"
+
+    probes = PortLimits(PROBE_THREADS, PROBE_HEAD_BYTES, PROBE_HEAD_BYTES, IDLE_SECONDS)
+    readiness = ReadinessApp(names.READINESS_PATH, not_ready)
+    log_event(
+        "listening",
+        callers=f"{settings.callers.host}:{settings.callers.port}",
+        readiness=f"{settings.readiness.host}:{settings.readiness.port}",
+        metrics=settings.metrics_port,
+    )
+    return (
+        IngressServer(readiness.handle, *settings.readiness, probes),
+        IngressServer(
+            MetricsApp(metrics.page).handle, settings.host, settings.metrics_port, probes
+        ),
+    )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/requests.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/requests.py
@@ -17,7 +17,6 @@
 from redwingscale_daemon._internal.idempotency.retention import Retention
 from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.lifecycle.readiness import Readiness
-from redwingscale_daemon._internal.platform.platform import Platform
 from redwingscale_daemon._internal.quarantine.quarantine import Quarantine
 from redwingscale_daemon._internal.quarantine.store import QuarantineStore
 from redwingscale_daemon._internal.relay.generation import GenerationRelay
@@ -26,6 +25,7 @@
 from redwingscale_daemon._internal.relay.run_parts import RunParts
 from redwingscale_daemon._internal.relay.silence import SilenceBounds
 from redwingscale_daemon._internal.settings.settings import Settings
+from redwingscale_daemon._internal.store.store import Platform
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.upstreams.engine_client import EngineClient
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/root.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/root.py
@@ -10,8 +10,8 @@
 from redwingscale_daemon._internal.operators.drain_requests import DrainRequests
 from redwingscale_daemon._internal.operators.operators_app import OperatorsApp
 from redwingscale_daemon._internal.operators.state_view import StateView
-from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.settings.settings import Settings
+from redwingscale_daemon._internal.store.store import connect_platform
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -0,0 +1,136 @@
+"""Wires what gives orders to model workers, and what follows the instance that does."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.holdings import Holdings
+from redwingscale_daemon._internal.fleet.load_book import Load, LoadBook
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
+from redwingscale_daemon._internal.platform import engine
+from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings
+from redwingscale_daemon._internal.store.rows import RowStore
+from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
+from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord, LeaseTiming
+from redwingscale_daemon._internal.swaps.giver_link import GiverLink
+from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling
+from redwingscale_daemon._internal.swaps.messages import GiverNews, InstanceNews, LoadEntry
+from redwingscale_daemon._internal.swaps.needs import Needs
+from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
+from redwingscale_daemon._internal.swaps.order_giver import OrderGiver
+from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
+from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
+from redwingscale_daemon._internal.utils.periodic import Periodic
+
+# Three renewals in a lease: one lost answer does not cost it.
+LEASE_SECONDS = 2.0
+LEASE_STEP_SECONDS = 0.6
+# Before instances are heard of: a deployment of the usual size.
+USUAL_INSTANCES = 6
+
+
+class Swaps(NamedTuple):
+    """``instances`` tells how many instances share the deployment's budgets."""
+
+    needs: Needs
+    tasks: tuple[Task, ...]
+    release: Callable[[], None]
+    instances: Callable[[], int]
+
+
+def build_swaps(
+    settings: IngressSettings,
+    start: str,
+    store: RowStore,
+    routes: CurrentRoutes,
+    directory: UpstreamDirectory,
+    holdings: Holdings,
+    changes: Changes,
+    book: LoadBook,
+    metrics: IngressMetrics,
+) -> Swaps:
+    """Return the parts, not started; ``start`` is an id of this process."""
+    me = settings.instance
+    news_port, needs_port = settings.peer_ports[0], settings.peer_ports[0] + 1
+    lease = GiverLease(
+        store,
+        GiverRecord(me, settings.host, news_port, needs_port, start),
+        LeaseTiming(LEASE_SECONDS, settings.bounds.order_quiet),
+    )
+    needs = Needs()
+    seen: set[str] = set()
+
+    def on_giver_news(news: GiverNews) -> None:
+        _take_news(news, me, seen, holdings, changes, book)
+
+    def make_news() -> InstanceNews:
+        loads = [LoadEntry(key, *load) for key, load in book.own().items()]
+        return InstanceNews(me, needs.drain(), loads)
+
+    right = GiverRight(me, lease.fence)
+    calls = EngineCalls(
+        engine.REPORT_TARGET,
+        engine.ORDER_TARGET,
+        engine.decode_report,
+        engine.encode_order,
+        engine.order_headers,
+        engine.order_result,
+    )
+    bounds = settings.bounds
+    hub = GiverHub(settings.host, news_port, needs_port, lambda news: giver.heard(news))
+    giver = OrderGiver(
+        right,
+        routes,
+        directory,
+        OrderClient(calls),
+        hub,
+        LoadCeiling(0.0, bounds.load_window),
+    )
+    link = GiverLink(lease, me, make_news, on_giver_news, giver.heard)
+    needs.on_new_wait(link.wake)
+
+    def give() -> None:
+        news = giver.step()
+        if news is not None:
+            on_giver_news(news)
+
+    return Swaps(
+        needs=needs,
+        tasks=(
+            hub,
+            Periodic("giver-lease", LEASE_STEP_SECONDS, lease.step),
+            link,
+            Periodic("order-giver", 0.0, give),
+        ),
+        release=lease.release,
+        instances=lambda: max(USUAL_INSTANCES, len(seen)),
+    )
+
+
+def _take_news(
+    news: GiverNews,
+    me: str,
+    seen: set[str],
+    holdings: Holdings,
+    changes: Changes,
+    book: LoadBook,
+) -> None:
+    held = {
+        entry.upstream: {
+            name: frozenset(adapters) for name, adapters in entry.adapters_by_model.items()
+        }
+        for entry in news.held
+    }
+    holdings.replace(held, news.ready_in)
+    others: dict[str, Load] = {}
+    for instance, entries in news.loads.items():
+        seen.add(instance)
+        for entry in entries if instance != me else ():
+            before = others.get(entry.upstream, Load(0, 0))
+            others[entry.upstream] = Load(
+                before.requests + entry.requests, before.prompt_tokens + entry.prompt_tokens
+            )
+    book.set_others(others)
+    changes.notify()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/store.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/configuration/store.py
@@ -7,8 +7,7 @@
 
 from redwingscale_daemon._internal.configuration.accepted import Pointer
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
-from redwingscale_daemon._internal.platform.platform import Platform
-from redwingscale_daemon._internal.platform.row import (
+from redwingscale_daemon._internal.store.row import (
     ABSENT,
     Check,
     Committed,
@@ -16,7 +15,8 @@
     Row,
     Transaction,
 )
-from redwingscale_daemon._internal.platform.table import new_write_id
+from redwingscale_daemon._internal.store.store import Platform
+from redwingscale_daemon._internal.store.table import new_write_id
 
 POINTER_KEY = "configuration"
 HISTORY_PREFIX = "configuration-history/"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -1,5 +1,6 @@
 """Errors of the daemon."""
 
+import msgspec
 from redwingscale_common.exceptions import RedwingscaleError
 
 from redwingscale_daemon._internal.models.run_state import RunState
@@ -28,6 +29,18 @@
         self.run = run
         self.retry_after_seconds = retry_after_seconds
 
+    def document(self) -> bytes:
+        """Return the problem document (RFC 9457) that the caller gets."""
+        return msgspec.json.encode(
+            {
+                "type": "about:blank",
+                "title": self.code,
+                "status": self.status,
+                "detail": self.detail,
+                "run": self.run,
+            }
+        )
+
 
 class UpstreamError(RedwingscaleError):
     """An attempt failed; ``run`` tells whether the upstream can have acted on it."""
@@ -77,3 +90,19 @@
 
 class LeaseLost(RedwingscaleError):
     """The holder can no longer show that its lease is valid."""
+
+
+class HistoryGone(PlatformError):
+    """The changes since the version asked for are no longer kept: read everything."""
+
+
+class CallerLeft(RedwingscaleError):
+    """The caller has closed its connection; nobody waits for the answer."""
+
+
+class TimeLimitReached(RedwingscaleError):
+    """The caller's deadline or the route's time limit has come."""
+
+
+class UpstreamSilent(RedwingscaleError):
+    """An upstream sent nothing for longer than a sound one would."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -0,0 +1,127 @@
+"""Chooses the upstream for a request."""
+
+import random
+import zlib
+from collections.abc import Collection
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.health import Health
+from redwingscale_daemon._internal.fleet.load_book import LoadBook
+from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
+from redwingscale_daemon._internal.fleet.prompt import Prompt
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+
+# Prompt tokens that an engine reads in a millisecond, without other work; the
+# deployments' engines give 22 to 26.
+PROMPT_TOKENS_PER_MS = 24.0
+# What one more running request costs each of the others until its end: a step
+# takes 0.018 ms more for each, and its prompt is read between their tokens.
+RUNNING_REQUEST_MS = 2.0
+# A request beyond the batch waits for another one's end.
+BEYOND_BATCH_MS = 200.0
+# A hop to another failure domain and back takes 3 ms; its bytes are paid for as well.
+OTHER_DOMAIN_MS = 8.0
+# Instances see each other's load a quarter of a second late: without some noise
+# all of them would send to the same upstream until then.
+NOISE_MS = 6.0
+# An upstream that has just failed is chosen only where no other is left.
+AVOIDED_MS = 100_000.0
+# A plain service's request takes some 20 ms, and each upstream runs a few at once.
+PLAIN_REQUEST_MS = 10.0
+
+
+class Candidate(NamedTuple):
+    """An upstream and what a request there is expected to cost, in milliseconds."""
+
+    cost_ms: float
+    upstream: Upstream
+
+
+class Chooser:
+    """Weighs load, kept prompt parts, failure domain and recent failures."""
+
+    def __init__(
+        self,
+        failure_domain: str,
+        directory: UpstreamDirectory,
+        book: LoadBook,
+        prefixes: PrefixMemory,
+        health: Health,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._directory = directory
+        self._book = book
+        self._prefixes = prefixes
+        self._health = health
+        # Not for secrets: it only spreads requests.
+        self._random = random.Random()
+
+    def for_plain(self, service: str, tried: Collection[str]) -> Candidate | None:
+        """Return the cheapest upstream of a plain service that isn't in ``tried``."""
+        upstreams = [u for u in self._directory.usable(service) if u.id not in tried]
+        return self._cheapest([Candidate(self._plain_cost(u), u) for u in upstreams])
+
+    def for_prompt(self, service: str, prompt: Prompt, tried: Collection[str]) -> Candidate | None:
+        """Return the cheapest holder of the prompt's unit that isn't in ``tried``."""
+        holders = [u for u in self._directory.holders(service, prompt.unit) if u.id not in tried]
+        home = _home(prompt, holders)
+        return self._cheapest([Candidate(self._prompt_cost(u, prompt, home), u) for u in holders])
+
+    def holders(self, service: str, unit: Unit) -> int:
+        """Return how many usable upstreams hold ``unit``."""
+        return len(self._directory.holders(service, unit))
+
+    def _plain_cost(self, upstream: Upstream) -> float:
+        requests = self._book.total(upstream.id).requests
+        beyond = max(0, requests + 1 - upstream.slots)
+        return requests * PLAIN_REQUEST_MS / upstream.slots + beyond * PLAIN_REQUEST_MS
+
+    def _prompt_cost(self, upstream: Upstream, prompt: Prompt, home: str) -> float:
+        load = self._book.total(upstream.id)
+        kept = self._prefixes.kept_tokens(upstream.id, prompt)
+        if not kept and upstream.id == home:
+            kept = _shared_tokens(prompt) // 2
+        to_read = load.prompt_tokens + max(0, prompt.tokens_in - kept)
+        beyond = max(0, load.requests + 1 - upstream.slots)
+        return (
+            to_read / PROMPT_TOKENS_PER_MS
+            + load.requests * RUNNING_REQUEST_MS
+            + beyond * BEYOND_BATCH_MS
+        )
+
+    def _cheapest(self, candidates: list[Candidate]) -> Candidate | None:
+        priced = [
+            Candidate(candidate.cost_ms + self._extra_ms(candidate.upstream), candidate.upstream)
+            for candidate in candidates
+        ]
+        return min(priced, key=lambda candidate: candidate.cost_ms, default=None)
+
+    def _extra_ms(self, upstream: Upstream) -> float:
+        extra = self._random.random() * NOISE_MS
+        if upstream.failure_domain != self._failure_domain:
+            extra += OTHER_DOMAIN_MS
+        if self._health.avoided(upstream.id):
+            extra += AVOIDED_MS
+        return extra
+
+
+def _shared_tokens(prompt: Prompt) -> int:
+    # The last part is the request's own.
+    return sum(part.tokens for part in prompt.parts[:-1])
+
+
+def _home(prompt: Prompt, holders: list[Upstream]) -> str:
+    """Return the holder that all instances would send this chain of shared parts to.
+
+    Each instance knows only what it sent itself; the same hash everywhere brings
+    the requests of one chain to one upstream without a word between them.
+    """
+    shared = "/".join(part.id for part in prompt.parts[:-1])
+    if not shared or not holders:
+        return ""
+    return max(
+        (u.id for u in holders),
+        key=lambda key: zlib.crc32(f"{prompt.unit}/{shared}/{key}".encode()),
+    )
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/holdings.py
@@ -0,0 +1,50 @@
+"""Which models and adapters upstreams hold, as the order giver tells it."""
+
+import threading
+import time
+from typing import NamedTuple
+
+# The order giver tells its view four times a second; a view that has missed
+# several is older than the upstreams' own entries.
+FRESH_SECONDS = 1.5
+
+Held = dict[str, frozenset[str]]
+
+
+class HoldingsView(NamedTuple):
+    """Adapters by model by upstream id; ``ready_in`` is when a unit that loads will be there."""
+
+    held_by_upstream: dict[str, Held]
+    ready_in_by_unit: dict[str, float]
+    heard_at: float
+
+
+class Holdings:
+    """The newest view of the order giver."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._view = HoldingsView({}, {}, float("-inf"))
+
+    def replace(self, held: dict[str, Held], ready_in: dict[str, float]) -> None:
+        """Take the view that has just come."""
+        with self._lock:
+            self._view = HoldingsView(held, ready_in, time.monotonic())
+
+    @property
+    def fresh(self) -> bool:
+        """Whether an order giver was heard of lately."""
+        return time.monotonic() - self._view.heard_at < FRESH_SECONDS
+
+    def held(self, upstream_id: str) -> Held | None:
+        """Return what ``upstream_id`` holds, None where no fresh view tells."""
+        return self._view.held_by_upstream.get(upstream_id) if self.fresh else None
+
+    def ready_in(self, unit: str) -> float | None:
+        """Return the seconds until ``unit`` can be used somewhere, None if unknown."""
+        if not self.fresh:
+            return None
+        ready_in = self._view.ready_in_by_unit.get(unit)
+        if ready_in is None:
+            return None
+        return max(0.0, ready_in - (time.monotonic() - self._view.heard_at))
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -0,0 +1,57 @@
+"""Keeps the directory as the store lists the upstreams."""
+
+import time
+from collections.abc import Callable
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+from redwingscale_daemon._internal.store.link_state import LinkState
+from redwingscale_daemon._internal.store.rows import RowStore, StoredRow
+
+# Entries that lapse while the store is away are written again within two seconds
+# of its return: until then a missing one says nothing.
+LAPSED_BACK_SECONDS = 2.0
+
+Decode = Callable[[str, bytes], Upstream]
+
+
+class ListFollower:
+    """Reads the whole list; each step is one read."""
+
+    def __init__(
+        self, store: RowStore, table: str, decode: Decode, directory: UpstreamDirectory
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._decode = decode
+        self._directory = directory
+        self._state = LinkState("upstreams")
+
+    def step(self) -> None:
+        """Read the list once; what is known stays in use while the store is away."""
+        try:
+            rows = self._store.read(self._table, "").rows
+        except PlatformError as error:
+            self._state.failed(error)
+            return
+        self._state.answered()
+        listed = [upstream for row in rows if (upstream := self._upstream(row))]
+        self._directory.replace([*listed, *self._lapsed(listed)])
+
+    def _lapsed(self, listed: list[Upstream]) -> list[Upstream]:
+        """Return known upstreams whose entries may only have lapsed in an outage."""
+        if time.monotonic() - self._state.regained_at > LAPSED_BACK_SECONDS:
+            return []
+        ids = {upstream.id for upstream in listed}
+        return [upstream for upstream in self._directory.all() if upstream.id not in ids]
+
+    def _upstream(self, row: StoredRow) -> Upstream | None:
+        try:
+            return self._decode(row.key.key, row.value or b"")
+        except msgspec.DecodeError as error:
+            log_event("upstream_invalid", level="WARNING", upstream=row.key.key, error=error)
+            return None
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/prompt.py
@@ -0,0 +1,21 @@
+"""What a caller tells about the prompt of a generation."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.unit import Unit
+
+
+class PromptPart(NamedTuple):
+    """A part of the prompt that other requests may share."""
+
+    id: str
+    tokens: int
+
+
+class Prompt(NamedTuple):
+    """The unit that is asked for, its tokens in and at most out, and its parts in order."""
+
+    unit: Unit
+    tokens_in: int
+    most_tokens_out: int
+    parts: tuple[PromptPart, ...]
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -0,0 +1,107 @@
+"""The upstreams that requests can go to."""
+
+import threading
+from collections.abc import Callable, Iterable
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.holdings import Held, Holdings
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+
+GoneListener = Callable[[set[str]], None]
+
+
+class UpstreamDirectory:
+    """Upstreams by id, as last listed, with the holdings that are newer than the list.
+
+    An upstream that was seen leaving stays so: a list that is read from behind
+    would else bring back one that takes no more work.
+    """
+
+    def __init__(self, holdings: Holdings, changes: Changes) -> None:
+        self._lock = threading.Lock()
+        self._holdings = holdings
+        self._changes = changes
+        self._by_id: dict[str, Upstream] = {}
+        self._leaving: set[str] = set()
+        self._gone_listeners: list[GoneListener] = []
+
+    def on_gone(self, listener: GoneListener) -> None:
+        """Call ``listener`` with the ids of upstreams that are no longer listed."""
+        self._gone_listeners.append(listener)
+
+    def replace(self, upstreams: Iterable[Upstream]) -> None:
+        """Take a whole list."""
+        listed = {upstream.id: upstream for upstream in upstreams}
+        with self._lock:
+            before, self._by_id = self._by_id, listed
+            leaving = {key for key, upstream in listed.items() if upstream.leaving}
+            new_leaving = leaving - self._leaving
+            self._leaving = (self._leaving | leaving) & listed.keys()
+        _log_changes(before, listed, new_leaving)
+        gone = before.keys() - listed.keys()
+        if gone:
+            for listener in self._gone_listeners:
+                listener(gone)
+        if gone or new_leaving or listed.keys() - before.keys() or _held_differs(before, listed):
+            self._changes.notify()
+
+    def get(self, upstream_id: str) -> Upstream | None:
+        """Return one upstream, None if it isn't listed."""
+        return self._by_id.get(upstream_id)
+
+    def all(self) -> list[Upstream]:
+        """Return all that are listed, leaving or not."""
+        return list(self._by_id.values())
+
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of ``service`` that take new work."""
+        leaving = self._leaving
+        return [
+            upstream
+            for upstream in self._by_id.values()
+            if upstream.service == service and upstream.id not in leaving
+        ]
+
+    def holders(self, service: str, unit: Unit) -> list[Upstream]:
+        """Return the usable upstreams that hold ``unit``."""
+        return [u for u in self.usable(service) if _holds(self.held(u), unit)]
+
+    def held(self, upstream: Upstream) -> Held:
+        """Return the adapters by model of ``upstream``, from the newest source."""
+        told = self._holdings.held(upstream.id)
+        if told is not None:
+            return told
+        return {model.name: model.adapters for model in upstream.models_by_name.values()}
+
+
+def _holds(held: Held, unit: Unit) -> bool:
+    adapters = held.get(unit.model)
+    return adapters is not None and (not unit.adapter or unit.adapter in adapters)
+
+
+def _held_differs(before: dict[str, Upstream], after: dict[str, Upstream]) -> bool:
+    return any(
+        key in before and before[key].models_by_name != upstream.models_by_name
+        for key, upstream in after.items()
+    )
+
+
+def _log_changes(
+    before: dict[str, Upstream], after: dict[str, Upstream], leaving: set[str]
+) -> None:
+    for key in after.keys() - before.keys():
+        seen = after[key]
+        log_event(
+            "upstream_seen",
+            upstream=key,
+            service=seen.service,
+            address=f"{seen.host}:{seen.port}",
+            failure_domain=seen.failure_domain,
+        )
+    for key in leaving:
+        log_event("upstream_leaving", upstream=key, seconds_left=after[key].seconds_left)
+    for key in before.keys() - after.keys():
+        log_event("upstream_gone", upstream=key, was_leaving=before[key].leaving)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Sends a request to upstreams and brings the answer back."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -0,0 +1,63 @@
+"""The sendings of one request, and whether there may be one more."""
+
+from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
+from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
+from redwingscale_daemon._internal.routes.route import Route
+
+# Sendings that no upstream has run cost little, but each takes time from the deadline.
+MOST_SENDINGS = 4
+
+
+class Attempts:
+    """Counts upstreams that may have run the request, and all that were tried."""
+
+    def __init__(self, route: Route, service: str, budget: RepeatBudget) -> None:
+        self._route = route
+        self._service = service
+        self._budget = budget
+        self.tried: set[str] = set()
+        self.sendings = 0
+        self.may_have_run = 0
+        self.history: list[str] = []
+
+    def begin(self, upstream_id: str) -> None:
+        """Note a sending."""
+        if not self.sendings:
+            self._budget.note_request(self._service)
+        self.sendings += 1
+        self.tried.add(upstream_id)
+
+    def another_after(self, outcome: NotRun | Lost) -> bool:
+        """Return whether the request may be sent once more.
+
+        A request that may have run is sent again only where the route allows it,
+        to as many upstreams as the route allows.
+        """
+        self.history.append(f"{outcome.upstream.id}:{outcome.reason}")
+        if self.sendings >= MOST_SENDINGS:
+            return False
+        match outcome:
+            case NotRun(reached=False):
+                return True
+            case NotRun():
+                return self._budget.take(self._service)
+            case Lost():
+                return self._may_run_again()
+
+    def failed(self, upstream_id: str, reason: str) -> bool:
+        """Note an answer that is a failure; return whether to try another upstream."""
+        self.history.append(f"{upstream_id}:{reason}")
+        return self.sendings < MOST_SENDINGS and self._may_run_again()
+
+    @property
+    def ran_nowhere(self) -> bool:
+        """Whether no upstream can have run the request, nor will."""
+        return self.may_have_run == 0
+
+    def _may_run_again(self) -> bool:
+        self.may_have_run += 1
+        return (
+            self._route.repeatable
+            and self.may_have_run < self._route.most_upstreams
+            and self._budget.take(self._service)
+        )
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/call.py
@@ -0,0 +1,23 @@
+"""One request on its way, with everything that was decided before it is sent."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.forwarding.attempts import Attempts
+from redwingscale_daemon._internal.forwarding.terms import Terms
+from redwingscale_daemon._internal.forwarding.watch import Watch
+from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
+from redwingscale_daemon._internal.ingress.reply import Reply
+from redwingscale_daemon._internal.routes.route import Route
+
+
+class Call(NamedTuple):
+    """A caller's request, its route and service, and where the answer goes."""
+
+    request: IngressRequest
+    terms: Terms
+    route: Route
+    service: str
+    headers: Headers
+    watch: Watch
+    reply: Reply
+    attempts: Attempts
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
@@ -0,0 +1,45 @@
+"""How requests and answers are written on a platform."""
+
+from http.client import HTTPResponse
+from typing import Protocol
+
+from redwingscale_daemon._internal.forwarding.terms import Terms
+from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
+
+
+class Dialect(Protocol):
+    """Reads and writes headers; decides nothing."""
+
+    def read_terms(self, request: IngressRequest) -> Terms | str:
+        """Return what the caller's headers say, or what is wrong with them."""
+
+    def forwarded_headers(self, request: IngressRequest) -> Headers:
+        """Return the caller's headers that every upstream gets."""
+
+    def sending_headers(
+        self,
+        common: Headers,
+        upstream_id: str,
+        seconds_left: float,
+        priority: int,
+        last_event: int | None,
+    ) -> Headers:
+        """Return the headers of one sending to one upstream."""
+
+    def answer_headers(self, response: HTTPResponse) -> Headers:
+        """Return the headers of an answer that the caller gets."""
+
+    def answers(self, response: HTTPResponse, request_id: str) -> bool:
+        """Return whether an answer belongs to the request."""
+
+    def is_signed(self, response: HTTPResponse) -> bool:
+        """Return whether the answer is the upstream's own, in no encoding."""
+
+    def was_not_run(self, response: HTTPResponse) -> bool:
+        """Return whether the upstream says that it has not run the request."""
+
+    def is_misdirected(self, response: HTTPResponse) -> bool:
+        """Return whether the upstream is another one, or lacks the unit."""
+
+    def idle_seconds(self, response: HTTPResponse) -> float | None:
+        """Return how long the connection may be idle, 0 if it closes, None if unsaid."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
@@ -0,0 +1,168 @@
+"""Takes each request of a caller to its answer."""
+
+import random
+from typing import Protocol
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
+from redwingscale_daemon._internal.forwarding.attempts import Attempts
+from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.dialect import Dialect
+from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
+from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
+from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
+from redwingscale_daemon._internal.forwarding.terms import Terms
+from redwingscale_daemon._internal.forwarding.watch import Watch
+from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
+from redwingscale_daemon._internal.ingress.reply import Reply
+from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
+from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.route import Route
+from redwingscale_daemon._internal.routes.route_table import draw_service
+from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
+
+COME_BACK_SECONDS = 0.5
+
+
+class DemandSink(Protocol):
+    """Counts what callers ask for."""
+
+    def arrived(self, service: str, terms: Terms) -> None:
+        """Note a request."""
+
+
+class Entry:
+    """Routes, relays and refuses; each request gets exactly one final answer."""
+
+    def __init__(
+        self,
+        routes: CurrentRoutes,
+        dialect: Dialect,
+        plain: PlainRelay,
+        streams: StreamRelay,
+        demand: DemandSink,
+        budget: RepeatBudget,
+        open_requests: OpenRequests,
+        metrics: IngressMetrics,
+    ) -> None:
+        self._routes = routes
+        self._dialect = dialect
+        self._plain = plain
+        self._streams = streams
+        self._demand = demand
+        self._budget = budget
+        self._open_requests = open_requests
+        self._metrics = metrics
+        # Not for secrets: it only draws a service by weight.
+        self._random = random.Random()
+
+    def handle(self, request: IngressRequest, reply: Reply) -> None:
+        """Answer ``request``; raise `CallerLeft` when nobody waits any more."""
+        with self._open_requests.counted():
+            if self._open_requests.draining:
+                # A kept connection would carry a next request just when the port closes.
+                reply.close_after()
+            self._handle(request, reply)
+
+    def _handle(self, request: IngressRequest, reply: Reply) -> None:
+        terms = self._dialect.read_terms(request)
+        if isinstance(terms, str):
+            log_event("request_malformed", level="WARNING", place="headers", detail=terms)
+            self._refuse(Refusal(400, "malformed", terms), reply)
+            return
+        call: Call | None = None
+        try:
+            call = self._route(request, terms, reply)
+            self._relay(call)
+        except Refusal as refusal:
+            self._ended(request, terms, call, refusal)
+            self._refuse(refusal, reply)
+        except CallerLeft:
+            self._metrics.ended(request, "caller_left")
+            log_event("caller_left", request=terms.request_id, route=_name(call))
+            raise
+        else:
+            self._ended(request, terms, call, None, reply.status)
+
+    def _route(self, request: IngressRequest, terms: Terms, reply: Reply) -> Call:
+        table = self._routes.get()
+        if table is None:
+            raise Refusal(
+                503,
+                "no_configuration",
+                "no configuration is known yet",
+                retry_after_seconds=COME_BACK_SECONDS,
+            )
+        route = table.find(request.host, request.path)
+        if route is None:
+            raise Refusal(404, "route_unknown", f"{request.host}{request.path}")
+        service = draw_service(route, self._random)
+        log_event(
+            "routed",
+            request=terms.request_id,
+            route=route.name,
+            service=service,
+            configuration=table.version,
+            unit=terms.prompt.unit if terms.prompt else "-",
+        )
+        return Call(
+            request=request,
+            terms=terms,
+            route=route,
+            service=service,
+            headers=self._dialect.forwarded_headers(request),
+            watch=Watch(request.socket, _deadline(request, terms, route)),
+            reply=reply,
+            attempts=Attempts(route, service, self._budget),
+        )
+
+    def _relay(self, call: Call) -> None:
+        self._demand.arrived(call.service, call.terms)
+        if call.terms.prompt is None:
+            self._plain.run(call)
+        else:
+            self._streams.run(call, call.terms.prompt)
+
+    def _refuse(self, refusal: Refusal, reply: Reply) -> None:
+        if reply.started:
+            reply.cut()
+            return
+        headers = [("Content-Type", "application/problem+json")]
+        if refusal.retry_after_seconds is not None:
+            headers.append(("Retry-After", f"{refusal.retry_after_seconds:.2f}"))
+        reply.whole(refusal.status, headers, refusal.document())
+
+    def _ended(
+        self,
+        request: IngressRequest,
+        terms: Terms,
+        call: Call | None,
+        refusal: Refusal | None,
+        status: int = 0,
+    ) -> None:
+        attempts = call.attempts if call else None
+        seconds = self._metrics.ended(request, refusal.code if refusal else "answered")
+        log_event(
+            "request_ended",
+            request=terms.request_id,
+            route=_name(call),
+            status=refusal.status if refusal else status,
+            outcome=refusal.code if refusal else "answered",
+            run=refusal.run if refusal else "run",
+            detail=refusal.detail if refusal else "",
+            sendings=attempts.sendings if attempts else "-",
+            history=";".join(attempts.history) if attempts else "",
+            seconds=round(seconds, 4),
+        )
+
+
+def _deadline(request: IngressRequest, terms: Terms, route: Route) -> float:
+    limit = route.time_limit_seconds
+    if terms.deadline_seconds is not None:
+        limit = min(limit, terms.deadline_seconds)
+    return request.arrived_at + limit
+
+
+def _name(call: Call | None) -> str:
+    return call.route.name if call else "-"
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -0,0 +1,96 @@
+"""Waits until an upstream holds what a request asks for."""
+
+import time
+from typing import NamedTuple, Protocol
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.chooser import Candidate, Chooser
+from redwingscale_daemon._internal.fleet.holdings import Holdings
+from redwingscale_daemon._internal.fleet.prompt import Prompt
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.forwarding.call import Call
+
+# How often a waiting request looks whether its caller is still there.
+LOOK_SECONDS = 0.05
+# An order giver that is there answers a new need within some tens of milliseconds.
+UNTOLD_SECONDS = 0.6
+# A request that waits must leave its upstream time to read the prompt.
+SERVICE_SECONDS = 0.25
+# Part of the time limit after which a request without news is given up on.
+PATIENCE = 0.6
+COME_BACK_SECONDS = 0.5
+
+
+class Needs(Protocol):
+    """Takes what waiting requests need."""
+
+    def ask(self, service: str, unit: Unit, patience_seconds: float) -> None:
+        """Note that a request waits for ``unit``."""
+
+    def done(self, service: str, unit: Unit) -> None:
+        """Note that it waits no more."""
+
+
+class HolderWait(NamedTuple):
+    """What a wait looks at."""
+
+    chooser: Chooser
+    changes: Changes
+    holdings: Holdings
+    needs: Needs
+
+    def candidate(self, call: Call, prompt: Prompt) -> Candidate:
+        """Return the best holder, waiting for one; raise `Refusal` or `CallerLeft`.
+
+        A request that cannot be served in time is given up on at once, with when
+        to come back: holding it would keep the caller from trying elsewhere.
+        """
+        found = self.chooser.for_prompt(call.service, prompt, call.attempts.tried)
+        if found is not None:
+            return found
+        started = time.monotonic()
+        patience = call.watch.remaining() - SERVICE_SECONDS
+        self.needs.ask(call.service, prompt.unit, patience)
+        try:
+            return self._wait(call, prompt, started)
+        finally:
+            self.needs.done(call.service, prompt.unit)
+
+    def _wait(self, call: Call, prompt: Prompt, started: float) -> Candidate:
+        log_event(
+            "waits_for_holder",
+            request=call.terms.request_id,
+            unit=prompt.unit,
+            left=round(call.watch.remaining(), 3),
+            giver_heard=self.holdings.fresh,
+        )
+        while True:
+            seen = self.changes.count
+            found = self.chooser.for_prompt(call.service, prompt, call.attempts.tried)
+            if found is not None:
+                return found
+            self._give_up_if_hopeless(call, prompt, started)
+            self.changes.wait(seen, LOOK_SECONDS)
+            call.watch.check_caller()
+
+    def _give_up_if_hopeless(self, call: Call, prompt: Prompt, started: float) -> None:
+        waited = time.monotonic() - started
+        left = call.watch.remaining() - SERVICE_SECONDS
+        ready_in = self.holdings.ready_in(str(prompt.unit))
+        if ready_in is None:
+            hopeless = waited > max(UNTOLD_SECONDS, call.route.time_limit_seconds * PATIENCE)
+            untold = waited > UNTOLD_SECONDS and not self.holdings.fresh
+            if not (hopeless or untold or left <= 0):
+                return
+        elif ready_in < left:
+            return
+        raise Refusal(
+            503,
+            "no_holder",
+            f"{prompt.unit} is ready in {ready_in} s, {left:.3f} s are left; "
+            + "; ".join(call.attempts.history),
+            retry_after_seconds=COME_BACK_SECONDS if ready_in is None else ready_in,
+        )
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
@@ -0,0 +1,21 @@
+"""What both relays need, as one value for wiring."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.chooser import Chooser
+from redwingscale_daemon._internal.fleet.health import Health
+from redwingscale_daemon._internal.fleet.load_book import LoadBook
+from redwingscale_daemon._internal.forwarding.dialect import Dialect
+from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
+from redwingscale_daemon._internal.forwarding.sender import Sender
+
+
+class RelayParts(NamedTuple):
+    """The parts that send requests and know upstreams."""
+
+    dialect: Dialect
+    sender: Sender
+    chooser: Chooser
+    book: LoadBook
+    health: Health
+    budget: RepeatBudget
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -0,0 +1,139 @@
+"""Brings the answers of services that run no models."""
+
+from http.client import HTTPException
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import (
+    CallerLeft,
+    Refusal,
+    TimeLimitReached,
+    UpstreamSilent,
+)
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.forwarding.attempts import Attempts
+from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
+from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.whole_answer import read_whole
+from redwingscale_daemon._internal.models.run_state import RunState
+
+FIRST_SERVER_ERROR = 500
+FIRST_ERROR = 400
+# A full upstream has places again within a few requests' time.
+COME_BACK_SECONDS = 0.2
+PLAIN_PRIORITY = 5
+
+
+class PlainRelay:
+    """Passes a request on, and its whole answer back."""
+
+    def __init__(self, parts: RelayParts) -> None:
+        self._parts = parts
+
+    def run(self, call: Call) -> None:
+        """Answer ``call``; raise `Refusal`, `CallerLeft`."""
+        while True:
+            candidate = self._parts.chooser.for_plain(call.service, call.attempts.tried)
+            if candidate is None:
+                raise _nobody(call.attempts)
+            call.attempts.begin(candidate.upstream.id)
+            ticket = self._parts.book.enter(candidate.upstream.id, 0)
+            try:
+                if self._send(call, candidate.upstream):
+                    return
+            finally:
+                ticket.leave()
+
+    def _send(self, call: Call, upstream: Upstream) -> bool:
+        """Return whether the caller has its answer; raise when it can have none."""
+        parts = self._parts
+        headers = parts.dialect.sending_headers(
+            call.headers, upstream.id, call.watch.remaining(), PLAIN_PRIORITY, None
+        )
+        try:
+            outcome = parts.sender.send(
+                upstream, call.request, call.terms.request_id, headers, call.watch
+            )
+        except TimeLimitReached:
+            raise _too_late() from None
+        match outcome:
+            case Answering():
+                return self._answer(call, outcome)
+            case NotRun():
+                self._note_failure(call, outcome)
+                if not call.attempts.another_after(outcome):
+                    raise _nobody(call.attempts)
+                return False
+            case Lost():
+                self._note_failure(call, outcome)
+                if not call.attempts.another_after(outcome):
+                    raise _lost(outcome.reason)
+                return False
+
+    def _answer(self, call: Call, answering: Answering) -> bool:
+        response, upstream = answering.response, answering.upstream
+        try:
+            body = read_whole(response)
+        except (HTTPException, OSError, UpstreamSilent) as error:
+            answering.connection.discard()
+            lost = Lost(upstream, f"answer broke off: {error!r}")
+            self._note_failure(call, lost)
+            if not call.attempts.another_after(lost):
+                raise _lost(lost.reason) from error
+            return False
+        except TimeLimitReached:
+            answering.connection.discard()
+            raise _too_late() from None
+        except CallerLeft:
+            answering.connection.discard()
+            raise
+        self._parts.sender.keep(answering)
+        failed = response.status >= FIRST_SERVER_ERROR
+        unsigned = response.status < FIRST_ERROR and not self._parts.dialect.is_signed(response)
+        if (failed or unsigned) and call.attempts.failed(upstream.id, f"status {response.status}"):
+            log_event(
+                "retried",
+                request=call.terms.request_id,
+                upstream=upstream.id,
+                reason=f"status {response.status}",
+                sending=call.attempts.sendings,
+            )
+            return False
+        if unsigned:
+            raise _lost("the answer bears no signature")
+        self._parts.health.answered(upstream.id)
+        headers = self._parts.dialect.answer_headers(response)
+        call.reply.whole(response.status, headers, body)
+        return True
+
+    def _note_failure(self, call: Call, outcome: NotRun | Lost) -> None:
+        if isinstance(outcome, Lost) or not outcome.reached:
+            self._parts.health.failed(outcome.upstream.id)
+        log_event(
+            "sending_failed",
+            request=call.terms.request_id,
+            upstream=outcome.upstream.id,
+            outcome=type(outcome).__name__,
+            reason=outcome.reason,
+            sending=call.attempts.sendings,
+        )
+
+
+def _nobody(attempts: Attempts) -> Refusal:
+    if not attempts.ran_nowhere:
+        return _lost("no other upstream is left")
+    return Refusal(
+        503,
+        "no_upstream",
+        "; ".join(attempts.history) or "no upstream is known",
+        retry_after_seconds=COME_BACK_SECONDS,
+    )
+
+
+def _lost(reason: str) -> Refusal:
+    return Refusal(502, "upstream_failed", reason, run=RunState.UNKNOWN)
+
+
+def _too_late() -> Refusal:
+    return Refusal(504, "time_limit", "no answer within the time limit", run=RunState.UNKNOWN)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -0,0 +1,112 @@
+"""Sends a request once to one upstream."""
+
+import contextlib
+from http.client import HTTPException, HTTPResponse
+
+from urllib3.exceptions import HTTPError
+
+from redwingscale_daemon._internal.exceptions import (
+    CallerLeft,
+    TimeLimitReached,
+    UpstreamSilent,
+)
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
+from redwingscale_daemon._internal.forwarding.dialect import Dialect
+from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
+from redwingscale_daemon._internal.forwarding.upstream_connection import UpstreamConnection
+from redwingscale_daemon._internal.forwarding.watch import Watch
+from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
+
+# Refusals and answers to others are small; what is larger isn't worth reading.
+_DISCARDED_BYTES = 65536
+
+Outcome = Answering | NotRun | Lost
+
+
+class Sender:
+    """Uses a kept connection or a new one; never sends anything twice."""
+
+    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
+        self._pool = pool
+        self._dialect = dialect
+
+    def send(
+        self,
+        upstream: Upstream,
+        request: IngressRequest,
+        request_id: str,
+        headers: Headers,
+        watch: Watch,
+    ) -> Outcome:
+        """Send and await the answer's head; raise `CallerLeft` or `TimeLimitReached`.
+
+        However it ends, the connection is closed unless the caller of this
+        method gets it: an upstream drops what it runs for a closed connection.
+        """
+        try:
+            connection = self._pool.take_idle(upstream) or self._pool.open(upstream)
+        except (HTTPError, OSError) as error:
+            return NotRun(upstream, f"no connection: {error!r}", wrong_place=False, reached=False)
+        try:
+            connection.send_request(request.method, request.target, headers, request.body)
+            response = self._own_answer(connection, request, request_id, watch)
+        except (CallerLeft, TimeLimitReached):
+            connection.discard()
+            raise
+        except (HTTPException, HTTPError, OSError, UpstreamSilent) as error:
+            connection.discard()
+            return Lost(upstream, repr(error))
+        if response is None:
+            connection.discard()
+            return Lost(upstream, "answers of other requests")
+        if self._dialect.was_not_run(response):
+            return self._refused(upstream, connection, response)
+        return Answering(upstream, connection, response)
+
+    def keep(self, answering: Answering) -> None:
+        """Give the connection of a whole answer back."""
+        idle = self._dialect.idle_seconds(answering.response)
+        if idle == 0.0 or not answering.connection.is_quiet():
+            answering.connection.discard()
+            return
+        self._pool.give_back(answering.upstream, answering.connection, idle)
+
+    def _own_answer(
+        self,
+        connection: UpstreamConnection,
+        request: IngressRequest,
+        request_id: str,
+        watch: Watch,
+    ) -> HTTPResponse | None:
+        """Return the answer that bears ``request_id``, None when there is none.
+
+        An upstream may send a second answer to an earlier request just where
+        the answer to this one is due; its id tells. The own one follows it.
+        """
+        response = connection.receive(watch)
+        if self._dialect.answers(response, request_id):
+            return response
+        if response.will_close or connection.answers < 2:
+            return None
+        if len(response.read(_DISCARDED_BYTES)) == _DISCARDED_BYTES:
+            return None
+        response = connection.receive_next(request.method)
+        return response if self._dialect.answers(response, request_id) else None
+
+    def _refused(
+        self, upstream: Upstream, connection: UpstreamConnection, response: HTTPResponse
+    ) -> NotRun:
+        reason = f"status {response.status}"
+        answering = Answering(upstream, connection, response)
+        # A caller that leaves meanwhile is seen at the next wait.
+        with contextlib.suppress(
+            HTTPException, OSError, UpstreamSilent, TimeLimitReached, CallerLeft
+        ):
+            response.read(_DISCARDED_BYTES)
+        if response.isclosed():
+            self.keep(answering)
+        else:
+            connection.discard()
+        misdirected = self._dialect.is_misdirected(response)
+        return NotRun(upstream, reason, wrong_place=misdirected, reached=True)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -0,0 +1,211 @@
+"""Brings the streams of model services, across the loss of upstreams."""
+
+from http.client import HTTPException
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import (
+    CallerLeft,
+    Refusal,
+    TimeLimitReached,
+    UpstreamSilent,
+)
+from redwingscale_daemon._internal.fleet.load_book import LoadTicket
+from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
+from redwingscale_daemon._internal.fleet.prompt import Prompt
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.events import Event, read_events
+from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
+from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
+from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.whole_answer import read_whole
+from redwingscale_daemon._internal.models.run_state import RunState
+
+FIRST_ERROR = 400
+FIRST_SERVER_ERROR = 500
+# Urgencies on the wire run from 0 to 9; a route's rank leaves room between two
+# ranks for routes with the same rank and a later target.
+PRIORITY_STEP = 2
+LEAST_PRIORITY = 9
+LATE_TARGET_SECONDS = 2.0
+# An upstream that sends nothing for this long in mid-stream has lost the run: a
+# step takes some 10 ms, and a preempted run is back within a second.
+STREAM_SILENCE_SECONDS = 1.6
+# Before the first event a sound upstream may have a queue.
+FIRST_EVENT_SILENCE_SECONDS = 2.2
+COME_BACK_SECONDS = 0.3
+
+
+class _Progress:
+    """How far the caller's stream has come."""
+
+    def __init__(self, last_event: int | None) -> None:
+        self.last_event = last_event
+        self.events = 0
+
+    def wants(self, event: Event) -> bool:
+        """Return whether ``event`` is the next one; False for one that was delivered.
+
+        Raises HTTPException at a gap: the upstream's stream isn't the one asked for.
+        """
+        if event.number is None:
+            raise HTTPException("an event has no number")
+        if self.last_event is None or event.number == self.last_event + 1:
+            return True
+        if event.number <= self.last_event:
+            return False
+        raise HTTPException(f"event {event.number} follows {self.last_event}")
+
+    def delivered(self, event: Event) -> None:
+        """Note that the caller has ``event``."""
+        self.last_event = event.number
+        self.events += 1
+
+
+class StreamRelay:
+    """Passes events on one by one; continues a resumable run where another ended."""
+
+    def __init__(self, parts: RelayParts, wait: HolderWait, prefixes: PrefixMemory) -> None:
+        self._parts = parts
+        self._wait = wait
+        self._prefixes = prefixes
+
+    def run(self, call: Call, prompt: Prompt) -> None:
+        """Answer ``call``; raise `Refusal`, `CallerLeft`.
+
+        A stream that cannot be brought to its end is cut, never ended as if whole.
+        """
+        progress = _Progress(call.terms.last_event)
+        while True:
+            candidate = self._wait.candidate(call, prompt)
+            upstream = candidate.upstream
+            call.attempts.begin(upstream.id)
+            kept = self._prefixes.kept_tokens(upstream.id, prompt)
+            ticket = self._parts.book.enter(upstream.id, max(0, prompt.tokens_in - kept))
+            self._prefixes.sent(upstream.id, prompt)
+            try:
+                if self._send(call, upstream, progress, ticket):
+                    return
+            finally:
+                ticket.leave()
+
+    def _send(
+        self,
+        call: Call,
+        upstream: Upstream,
+        progress: _Progress,
+        ticket: LoadTicket,
+    ) -> bool:
+        """Return whether the caller has its answer; raise when it can have none."""
+        headers = self._parts.dialect.sending_headers(
+            call.headers,
+            upstream.id,
+            call.watch.remaining(),
+            _priority(call),
+            progress.last_event,
+        )
+        call.watch.silence_seconds = _first_silence(call)
+        try:
+            outcome = self._parts.sender.send(
+                upstream, call.request, call.terms.request_id, headers, call.watch
+            )
+        except TimeLimitReached:
+            raise _too_late() from None
+        match outcome:
+            case Answering():
+                return self._answer(call, outcome, progress, ticket)
+            case NotRun() | Lost():
+                return self._try_another(call, outcome)
+
+    def _answer(
+        self,
+        call: Call,
+        answering: Answering,
+        progress: _Progress,
+        ticket: LoadTicket,
+    ) -> bool:
+        response = answering.response
+        try:
+            if response.status >= FIRST_ERROR:
+                return self._pass_failure(call, answering)
+            if not self._parts.dialect.is_signed(response):
+                raise HTTPException("the answer bears no signature")
+            self._pass_events(call, answering, progress, ticket)
+        except (HTTPException, OSError, UpstreamSilent, ValueError) as error:
+            answering.connection.discard()
+            lost = Lost(answering.upstream, f"event {progress.last_event}: {error!r}")
+            return self._try_another(call, lost)
+        except TimeLimitReached:
+            answering.connection.discard()
+            raise _too_late() from None
+        except (CallerLeft, Refusal):
+            answering.connection.discard()
+            raise
+        self._parts.sender.keep(answering)
+        self._parts.health.answered(answering.upstream.id)
+        return True
+
+    def _pass_events(
+        self, call: Call, answering: Answering, progress: _Progress, ticket: LoadTicket
+    ) -> None:
+        headers = self._parts.dialect.answer_headers(answering.response)
+        for event in read_events(answering.response):
+            ticket.prompt_read()
+            call.watch.silence_seconds = STREAM_SILENCE_SECONDS if call.route.resumable else None
+            if not progress.wants(event):
+                continue
+            if not call.reply.started:
+                call.reply.begin(answering.response.status, headers)
+            call.reply.write(event.data)
+            progress.delivered(event)
+        if not call.reply.started:
+            call.reply.begin(answering.response.status, headers)
+
+    def _pass_failure(self, call: Call, answering: Answering) -> bool:
+        body = read_whole(answering.response)
+        self._parts.sender.keep(answering)
+        status = answering.response.status
+        failed = status >= FIRST_SERVER_ERROR
+        if failed and call.attempts.failed(answering.upstream.id, f"status {status}"):
+            self._parts.health.failed(answering.upstream.id)
+            return False
+        if call.reply.started:
+            raise Refusal(502, "stream_broken", f"status {status}", run=RunState.RUN)
+        call.reply.whole(status, self._parts.dialect.answer_headers(answering.response), body)
+        return True
+
+    def _try_another(self, call: Call, outcome: NotRun | Lost) -> bool:
+        """Return False to go on at another upstream; raise when there may be none."""
+        if isinstance(outcome, Lost) or not outcome.reached:
+            self._parts.health.failed(outcome.upstream.id)
+        log_event(
+            "sending_failed",
+            request=call.terms.request_id,
+            upstream=outcome.upstream.id,
+            outcome=type(outcome).__name__,
+            reason=outcome.reason,
+            sending=call.attempts.sendings,
+            answer_begun=call.reply.started,
+        )
+        if call.attempts.another_after(outcome):
+            call.watch.check_caller()
+            return False
+        if call.attempts.ran_nowhere:
+            raise Refusal(503, "refused", outcome.reason, retry_after_seconds=COME_BACK_SECONDS)
+        raise Refusal(502, "upstream_failed", outcome.reason, run=RunState.UNKNOWN)
+
+
+def _priority(call: Call) -> int:
+    late = call.route.latency_target_seconds > LATE_TARGET_SECONDS
+    return min(LEAST_PRIORITY, call.route.priority * PRIORITY_STEP + (1 if late else 0))
+
+
+def _first_silence(call: Call) -> float | None:
+    if not call.route.resumable:
+        return None
+    return max(FIRST_EVENT_SILENCE_SECONDS, call.route.latency_target_seconds * 2)
+
+
+def _too_late() -> Refusal:
+    return Refusal(504, "time_limit", "no answer within the time limit", run=RunState.UNKNOWN)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/terms.py
@@ -0,0 +1,18 @@
+"""What a caller asks for beside its request."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.prompt import Prompt
+
+
+class Terms(NamedTuple):
+    """``deadline_seconds`` count from the arrival, None where the caller waits for ever.
+
+    ``last_event`` is the last event that the caller has of an earlier answer to
+    this stream; ``prompt`` is None for a request that runs no model.
+    """
+
+    request_id: str
+    deadline_seconds: float | None
+    prompt: Prompt | None
+    last_event: int | None
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -0,0 +1,70 @@
+"""Waits for an upstream's bytes while looking after the caller and the clock."""
+
+import select
+import socket
+import time
+
+from redwingscale_daemon._internal.exceptions import CallerLeft, TimeLimitReached, UpstreamSilent
+
+_GONE = select.POLLHUP | select.POLLERR | select.POLLRDHUP
+_UPSTREAM_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
+_MILLISECONDS = 1000.0
+
+
+class Watch:
+    """Bounds every wait of one request.
+
+    A thread that only reads the upstream would not see that the caller has left:
+    the upstream would go on working for nobody. So each wait polls both sockets.
+    ``deadline`` is monotonic; ``silence_seconds`` is the longest wait for bytes.
+    """
+
+    def __init__(self, caller: socket.socket, deadline: float) -> None:
+        self._caller = caller
+        self._caller_events = select.POLLIN | select.POLLRDHUP
+        self.deadline = deadline
+        self.silence_seconds: float | None = None
+
+    def remaining(self) -> float:
+        """Return the seconds that are left, 0 when none are."""
+        return max(0.0, self.deadline - time.monotonic())
+
+    def check_caller(self) -> None:
+        """Raise `CallerLeft` if the caller has closed its connection."""
+        poller = select.poll()
+        poller.register(self._caller, self._caller_events)
+        for _, events in poller.poll(0):
+            self._see_caller(events)
+
+    def until_readable(self, upstream: socket.socket) -> None:
+        """Return when ``upstream`` has bytes or has closed.
+
+        Raises `CallerLeft`, `TimeLimitReached` at the deadline, and
+        `UpstreamSilent` after ``silence_seconds`` without a byte.
+        """
+        silent_at = time.monotonic() + (self.silence_seconds or float("inf"))
+        poller = select.poll()
+        poller.register(upstream, _UPSTREAM_EVENTS)
+        poller.register(self._caller, self._caller_events)
+        while True:
+            now = time.monotonic()
+            if now >= self.deadline:
+                raise TimeLimitReached("no time is left")
+            if now >= silent_at:
+                raise UpstreamSilent(f"no byte for {self.silence_seconds} s")
+            wait = min(self.deadline, silent_at) - now
+            ready = dict(poller.poll(wait * _MILLISECONDS + 1))
+            if (events := ready.get(self._caller.fileno())) is not None:
+                self._see_caller(events)
+                poller.modify(self._caller, self._caller_events)
+            if upstream.fileno() in ready:
+                return
+
+    def _see_caller(self, events: int) -> None:
+        if events & _GONE:
+            raise CallerLeft("the caller closed its connection")
+        if not self._caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+            raise CallerLeft("the caller closed its connection")
+        # The caller has sent its next request already: its bytes stay readable,
+        # so only its close is watched from here on.
+        self._caller_events = select.POLLRDHUP
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/claims.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/claims.py
@@ -25,7 +25,7 @@
 from redwingscale_daemon._internal.idempotency.row_write import Beaten, Failed, RowWrite, Written
 from redwingscale_daemon._internal.idempotency.settler import Ending, Settler
 from redwingscale_daemon._internal.models.run_state import RunState
-from redwingscale_daemon._internal.platform.row import ABSENT, Row
+from redwingscale_daemon._internal.store.row import ABSENT, Row
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 
 TAKING_TRIES = 4
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/committer.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/committer.py
@@ -16,7 +16,7 @@
     WriteResult,
     Written,
 )
-from redwingscale_daemon._internal.platform.row import (
+from redwingscale_daemon._internal.store.row import (
     Check,
     Committed,
     Conflict,
@@ -24,7 +24,7 @@
     Row,
     Transaction,
 )
-from redwingscale_daemon._internal.platform.table import Table, new_write_id
+from redwingscale_daemon._internal.store.table import Table, new_write_id
 
 MOST_IN_BATCH = 64
 MOST_WAITING = 2048
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/outcome.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/outcome.py
@@ -5,7 +5,7 @@
 import msgspec
 from redwingscale_common.utils.digests import sha256_hex
 
-from redwingscale_daemon._internal.platform.objects import Objects
+from redwingscale_daemon._internal.store.objects import Objects
 
 LARGEST_IN_ROW_BYTES = 2048
 OBJECT_PREFIX = "outcomes/"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/retention.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/retention.py
@@ -10,8 +10,8 @@
 
 from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.idempotency.claim import Claimant
-from redwingscale_daemon._internal.platform.row import ABSENT, Check, Committed, Row, Transaction
-from redwingscale_daemon._internal.platform.table import Table, new_write_id
+from redwingscale_daemon._internal.store.row import ABSENT, Check, Committed, Row, Transaction
+from redwingscale_daemon._internal.store.table import Table, new_write_id
 
 INDEX_PREFIX = "claim-expiry/"
 PROGRESS_KEY = "claim-sweep"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/row_write.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/row_write.py
@@ -3,7 +3,7 @@
 import threading
 from dataclasses import dataclass
 
-from redwingscale_daemon._internal.platform.row import Row
+from redwingscale_daemon._internal.store.row import Row
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/settler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/idempotency/settler.py
@@ -18,8 +18,8 @@
     WriteResult,
     Written,
 )
-from redwingscale_daemon._internal.platform.row import ABSENT
-from redwingscale_daemon._internal.platform.table import Table
+from redwingscale_daemon._internal.store.row import ABSENT
+from redwingscale_daemon._internal.store.table import Table
 
 MOST_ENDINGS = 4096
 PAUSE_SECONDS = 0.5
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -0,0 +1,139 @@
+"""The port for requests that are passed on byte for byte."""
+
+import threading
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any, NamedTuple
+
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import Gateway, HTTPRequest, HTTPServer
+from redwingscale_common.network.bounded import BoundedConnection, BoundedRequest
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import CallerLeft
+from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
+from redwingscale_daemon._internal.ingress.reply import Reply
+from redwingscale_daemon._internal.ingress.strict_chunks import read_chunks
+from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
+
+Handler = Callable[[IngressRequest, Reply], None]
+# The server keeps 10 idle connections by default and closes the rest at once: a
+# caller that sends on one at that moment would see its request cut.
+KEPT_CONNECTIONS = 2000
+SHUTDOWN_SECONDS = 1
+
+
+class PortLimits(NamedTuple):
+    """Bounds of the port; ``idle_seconds`` also bounds the time to send a request."""
+
+    threads: int
+    head_bytes: int
+    body_bytes: int
+    idle_seconds: int
+
+
+class _Request(BoundedRequest):
+    header_reader = StrictHeaderReader()
+
+
+class _Connection(BoundedConnection):
+    RequestHandlerClass = _Request
+
+
+class _Gateway(Gateway):
+    def __init__(self, handler: Handler, body_bytes: int, req: HTTPRequest) -> None:
+        super().__init__(req)
+        self._handler = handler
+        self._body_bytes = body_bytes
+
+    def respond(self) -> None:
+        arrived_at = time.monotonic()
+        server_request = self.req
+        try:
+            body = self._read_body()
+        except MaxSizeExceeded:
+            server_request.simple_response("413 Content Too Large")
+            server_request.sent_headers = True
+            return
+        except (ValueError, EOFError) as error:
+            log_event("request_malformed", level="WARNING", place="body", detail=error)
+            server_request.simple_response("400 Bad Request", str(error))
+            server_request.sent_headers = True
+            return
+        request = _ingress_request(server_request, body, arrived_at)
+        try:
+            self._handler(request, Reply(server_request))
+        except CallerLeft:
+            server_request.close_connection = True
+            server_request.chunked_write = False
+            server_request.sent_headers = True
+
+    def _read_body(self) -> bytes:
+        if self.req.chunked_read:
+            body = read_chunks(self.req.conn.rfile, self._body_bytes)
+            self.req.rfile.closed = True
+            return body
+        length = int(self.req.inheaders.get(b"Content-Length", 0))
+        if length > self._body_bytes:
+            raise MaxSizeExceeded
+        body = self.req.rfile.read(length) if length else b""
+        if len(body) != length:
+            raise EOFError("the body ended before its length")
+        return body
+
+
+class IngressServer:
+    """Serves ``handler`` on a TCP port; port 0 takes a free one."""
+
+    def __init__(self, handler: Handler, host: str, port: int, limits: PortLimits) -> None:
+        server: Any = HTTPServer((host, port), partial(_Gateway, handler, limits.body_bytes))
+        self._server = server
+        server.requests.min = server.requests.max = limits.threads
+        server.ConnectionClass = _Connection
+        server.keep_alive_conn_limit = KEPT_CONNECTIONS
+        server.max_request_header_size = limits.head_bytes
+        server.timeout = limits.idle_seconds
+        server.shutdown_timeout = SHUTDOWN_SECONDS
+        server.error_log = _log_server_error
+        self._thread = threading.Thread(target=server.serve, name="ingress", daemon=True)
+
+    def start(self) -> None:
+        """Bind and serve; raise OSError when the address is taken."""
+        self._server.prepare()
+        self._thread.start()
+
+    @property
+    def port(self) -> int:
+        """The port in use, also when 0 was asked for."""
+        return int(self._server.bind_addr[1])
+
+    def stop(self, most_seconds: float = SHUTDOWN_SECONDS) -> None:
+        """Stop accepting, close what is idle, and wait for requests at most ``most_seconds``.
+
+        Whatever was accepted is answered: a request that was read and then lost
+        would be one that its caller cannot know to be unrun.
+        """
+        self._server.shutdown_timeout = most_seconds
+        self._server.stop()
+
+
+def _ingress_request(server_request: HTTPRequest, body: bytes, arrived_at: float) -> IngressRequest:
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in server_request.inheaders.items()
+    )
+    host = server_request.inheaders.get(b"Host", b"").decode("latin-1")
+    return IngressRequest(
+        method=server_request.method.decode("latin-1"),
+        target=server_request.uri.decode("latin-1"),
+        host=host.rsplit(":", 1)[0].lower(),
+        headers=headers,
+        body=body,
+        arrived_at=arrived_at,
+        socket=server_request.conn.socket,
+    )
+
+
+def _log_server_error(msg: str = "", level: int = 0, traceback: bool = False) -> None:
+    log_event("server_error", level="WARNING", detail=msg)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
@@ -0,0 +1,76 @@
+"""The answer to one request of a caller."""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import Any
+
+from redwingscale_daemon._internal.exceptions import CallerLeft
+
+_CONTENT_LENGTH = b"Content-Length"
+
+
+class Reply:
+    """Writes one answer: either whole, or as a stream that ends or is cut."""
+
+    def __init__(self, server_request: Any) -> None:
+        self._request = server_request
+        self.status = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether the head has gone out; no other answer can follow."""
+        return bool(self._request.sent_headers)
+
+    def whole(self, status: int, headers: Iterable[tuple[str, str]], body: bytes) -> None:
+        """Answer with ``body``; raise `CallerLeft`."""
+        self._set_head(status, headers)
+        self._request.outheaders.append((_CONTENT_LENGTH, str(len(body)).encode()))
+        self._send_head()
+        if self._request.method != b"HEAD":
+            self._write(body)
+
+    def begin(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
+        """Begin a stream; raise `CallerLeft`."""
+        self._set_head(status, headers)
+        self._send_head()
+
+    def write(self, data: bytes) -> None:
+        """Pass on the next bytes of a stream; raise `CallerLeft`."""
+        self._write(data)
+
+    def cut(self) -> None:
+        """End a stream that is not whole: the caller sees no terminator, and the close."""
+        self._request.chunked_write = False
+        self._request.close_connection = True
+
+    def close_after(self) -> None:
+        """Close the connection after this answer."""
+        self._request.close_connection = True
+
+    def _set_head(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
+        self.status = status
+        self._request.status = f"{status} {_phrase(status)}".encode("latin-1")
+        self._request.outheaders = [
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
+        ]
+
+    def _send_head(self) -> None:
+        try:
+            self._request.ensure_headers_sent()
+        except OSError as error:
+            self._request.close_connection = True
+            raise CallerLeft(repr(error)) from error
+
+    def _write(self, data: bytes) -> None:
+        try:
+            self._request.write(data)
+        except OSError as error:
+            self.cut()
+            raise CallerLeft(repr(error)) from error
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/strict_headers.py
@@ -0,0 +1,71 @@
+"""Refuses request heads whose end two readers could place differently."""
+
+import re
+from typing import Any
+
+from cheroot.server import HeaderReader
+
+# RFC 9110, section 5.6.2.
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_DIGITS = re.compile(rb"[0-9]{1,15}")
+_CONTENT_LENGTH = b"Content-Length"
+_TRANSFER_ENCODING = b"Transfer-Encoding"
+# Two of these, or a pair that differs, would be read one way here and another
+# way by an upstream: the rest of one request would be run as a second one.
+_ONLY_ONCE = frozenset({_CONTENT_LENGTH, _TRANSFER_ENCODING, b"Host"})
+
+
+class _OnceOnly(dict[bytes, bytes]):
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name in _ONLY_ONCE and name in self:
+            raise ValueError(f"{name.decode()} is sent twice")
+        super().__setitem__(name, value)
+
+
+class _UnfoldedLines:
+    """Refuses continuation lines, which the server's reader takes for the whole value."""
+
+    def __init__(self, stream: Any) -> None:
+        self._stream = stream
+
+    def readline(self) -> bytes:
+        line: bytes = self._stream.readline()
+        if line[:1] in (b" ", b"\t"):
+            raise ValueError("a header is folded over two lines")
+        return line
+
+
+class StrictHeaderReader(HeaderReader):
+    """Raises ValueError, which the server answers with 400, for an ambiguous head.
+
+    The server's own reader takes a length beside chunks, a space before the
+    colon, and a length with a sign. Each lets a caller hide a request inside the
+    body of another one.
+    """
+
+    def __call__(
+        self, rfile: object, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        headers: dict[bytes, bytes] = _OnceOnly()
+        super().__call__(_UnfoldedLines(rfile), headers)
+        _check_framing(headers)
+        if hdict is None:
+            return headers
+        hdict.update(headers)
+        return hdict
+
+    def _transform_key(self, key_name: bytes) -> bytes:
+        if not _TOKEN.fullmatch(key_name):
+            raise ValueError(f"{key_name[:40]!r} is not a header name")
+        return bytes(key_name.title())
+
+
+def _check_framing(headers: dict[bytes, bytes]) -> None:
+    length = headers.get(_CONTENT_LENGTH)
+    encoding = headers.get(_TRANSFER_ENCODING)
+    if length is not None and encoding is not None:
+        raise ValueError("both Content-Length and Transfer-Encoding")
+    if length is not None and not _DIGITS.fullmatch(length):
+        raise ValueError("Content-Length is not a number")
+    if encoding is not None and encoding.lower() != b"chunked":
+        raise ValueError("Transfer-Encoding is not chunked")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/ownership.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/ownership.py
@@ -9,7 +9,7 @@
 from redwingscale_daemon._internal.leases.grant import Grant
 from redwingscale_daemon._internal.leases.session import Session, session_key
 from redwingscale_daemon._internal.leases.sightings import Sightings
-from redwingscale_daemon._internal.platform.row import (
+from redwingscale_daemon._internal.store.row import (
     ABSENT,
     Check,
     Committed,
@@ -17,7 +17,7 @@
     Row,
     Transaction,
 )
-from redwingscale_daemon._internal.platform.table import Table, new_write_id
+from redwingscale_daemon._internal.store.table import Table, new_write_id
 
 OWNER_PREFIX = "owners/"
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/session.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/session.py
@@ -8,8 +8,8 @@
 from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
 from redwingscale_daemon._internal.leases.sightings import Sightings
-from redwingscale_daemon._internal.platform.row import ABSENT, Committed, Row
-from redwingscale_daemon._internal.platform.table import Table
+from redwingscale_daemon._internal.store.row import ABSENT, Committed, Row
+from redwingscale_daemon._internal.store.table import Table
 
 SESSION_PREFIX = "sessions/"
 ENDED = 0
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/sightings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/leases/sightings.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.leases.clock import Clock
-from redwingscale_daemon._internal.platform.row import Row
+from redwingscale_daemon._internal.store.row import Row
 
 TAKEOVER_MARGIN_SECONDS = 1.0
 
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
@@ -0,0 +1,99 @@
+"""Starts and ends an instance whose requests are routed by host and path."""
+
+import signal
+import threading
+import time
+from collections.abc import Callable, Sequence
+from typing import NamedTuple, Protocol
+
+from redwingscale_common.utils.logs import flush_logs, log_event
+
+from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
+
+# The balancer asks once a second and takes an instance out after two misses. What
+# is accepted later than that could outlast the grace period.
+BALANCER_SECONDS = 2.4
+# What is left of the grace period for the process to end by itself.
+END_SECONDS = 0.6
+
+
+class Task(Protocol):
+    """Something with a thread of its own."""
+
+    def start(self) -> None:
+        """Begin."""
+
+    def stop(self) -> None:
+        """End."""
+
+
+class Server(Protocol):
+    """A port."""
+
+    def start(self) -> None:
+        """Bind and serve."""
+
+    def stop(self, most_seconds: float = 1.0) -> None:
+        """Stop accepting, and wait for what is open."""
+
+
+class IngressParts(NamedTuple):
+    """What the composition root has wired; ``callers`` stop first, ``probes`` last."""
+
+    callers: Server
+    probes: Sequence[Server]
+    tasks: Sequence[Task]
+    open_requests: OpenRequests
+    release: Callable[[], None]
+
+
+class IngressInstance:
+    """Runs until SIGTERM or SIGINT, then ends without cutting a request."""
+
+    def __init__(
+        self, parts: IngressParts, grace_seconds: float, reload: Callable[[], None]
+    ) -> None:
+        self._parts = parts
+        self._grace_seconds = grace_seconds
+        self._reload = reload
+        self._wake = threading.Event()
+        self._stopping = False
+        self._reloading = False
+
+    def run(self) -> None:
+        """Start everything and return after the last request."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        for part in (*self._parts.tasks, *self._parts.probes, self._parts.callers):
+            part.start()
+        log_event("started")
+        while not self._stopping:
+            self._wake.wait()
+            self._wake.clear()
+            if self._reloading:
+                self._reloading = False
+                self._reload()
+        self._drain(time.monotonic() + self._grace_seconds - END_SECONDS)
+
+    def _on_stop(self, *_: object) -> None:
+        self._stopping = True
+        self._wake.set()
+
+    def _on_reload(self, *_: object) -> None:
+        self._reloading = True
+        self._wake.set()
+
+    def _drain(self, end: float) -> None:
+        open_requests = self._parts.open_requests
+        log_event("draining", open_requests=open_requests.count)
+        open_requests.drain()
+        self._parts.release()
+        time.sleep(BALANCER_SECONDS)
+        log_event("port_closing", open_requests=open_requests.count)
+        self._parts.callers.stop(max(END_SECONDS, end - time.monotonic()))
+        log_event("drained", open_requests=open_requests.count)
+        for part in (*self._parts.probes, *self._parts.tasks):
+            part.stop()
+        log_event("stopped")
+        flush_logs()
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/open_requests.py
@@ -0,0 +1,39 @@
+"""How many requests are being answered, and whether the instance is stopping."""
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+
+class OpenRequests:
+    """Counts requests in and out."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._count = 0
+        self._draining = threading.Event()
+
+    @property
+    def draining(self) -> bool:
+        """Whether the instance takes leave."""
+        return self._draining.is_set()
+
+    def drain(self) -> None:
+        """Be unready from now on; requests that still come are answered."""
+        self._draining.set()
+
+    @property
+    def count(self) -> int:
+        """How many are open."""
+        return self._count
+
+    @contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count one request while the block runs."""
+        with self._lock:
+            self._count += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._count -= 1
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/probe_app.py
@@ -0,0 +1,35 @@
+"""Small pages: readiness for the balancer, metrics for the operators."""
+
+from collections.abc import Callable
+
+from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
+from redwingscale_daemon._internal.ingress.reply import Reply
+
+_TEXT = (("Content-Type", "text/plain; charset=utf-8"),)
+
+
+class ReadinessApp:
+    """Answers 200 on its path while the instance takes requests, else 503."""
+
+    def __init__(self, path: str, reason: Callable[[], str]) -> None:
+        self._path = path
+        self._reason = reason
+
+    def handle(self, request: IngressRequest, reply: Reply) -> None:
+        """Answer one probe; the body says why the instance is not ready."""
+        if request.path != self._path:
+            reply.whole(404, _TEXT, b"not found\n")
+            return
+        reason = self._reason()
+        reply.whole(503 if reason else 200, _TEXT, (reason or "ready").encode() + b"\n")
+
+
+class MetricsApp:
+    """Serves the metrics as text."""
+
+    def __init__(self, page: Callable[[], bytes]) -> None:
+        self._page = page
+
+    def handle(self, request: IngressRequest, reply: Reply) -> None:
+        """Answer with the page, whatever the path."""
+        reply.whole(200, _TEXT, self._page())
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/members.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/members.py
@@ -11,7 +11,7 @@
     Member,
     PlainMember,
 )
-from redwingscale_daemon._internal.platform.member_list import MemberList
+from redwingscale_daemon._internal.store.member_list import MemberList
 
 Listener = Callable[[dict[str, Member]], None]
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/intents.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/intents.py
@@ -6,14 +6,14 @@
 
 from redwingscale_daemon._internal.models.order import Order
 from redwingscale_daemon._internal.placement.open_order import OpenOrder
-from redwingscale_daemon._internal.platform.row import (
+from redwingscale_daemon._internal.store.row import (
     ABSENT,
     Check,
     Committed,
     Put,
     Transaction,
 )
-from redwingscale_daemon._internal.platform.table import Table, new_write_id
+from redwingscale_daemon._internal.store.table import Table, new_write_id
 
 INTENTS_PREFIX = "intents/"
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/move_history.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/move_history.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.models.order import Order
-from redwingscale_daemon._internal.platform.row import ABSENT, Committed
-from redwingscale_daemon._internal.platform.table import Table
+from redwingscale_daemon._internal.store.row import ABSENT, Committed
+from redwingscale_daemon._internal.store.table import Table
 
 MOVES_PREFIX = "moves/"
 MOST_KEPT_PER_ENGINE = 50
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/plan_store.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/plan_store.py
@@ -4,8 +4,8 @@
 from redwingscale_common.utils.digests import sha256_hex
 
 from redwingscale_daemon._internal.placement.plan import Plan
-from redwingscale_daemon._internal.platform.platform import Platform
-from redwingscale_daemon._internal.platform.row import ABSENT, Committed
+from redwingscale_daemon._internal.store.row import ABSENT, Committed
+from redwingscale_daemon._internal.store.store import Platform
 
 POINTER_KEY = "plan"
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/__init__.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client of the platform: table, object store, member list."""
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/configuration.py
@@ -0,0 +1,139 @@
+"""The operators' configuration as the platform's store keeps it."""
+
+import msgspec
+
+from redwingscale_daemon._internal.routes.idempotency import Idempotency
+from redwingscale_daemon._internal.routes.route import Route, WeightedService
+from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
+from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule, ServiceRule
+
+TABLE = "op"
+KEY = "config"
+_MILLISECONDS = 1000.0
+_IDEMPOTENCY_BY_KIND = {
+    "safe": Idempotency.IDEMPOTENT,
+    "unsafe": Idempotency.AT_MOST_ONCE,
+    "streaming": Idempotency.STREAM,
+}
+
+
+class _Model(msgspec.Struct, rename="pascal"):
+    name: str
+    weights_mb: float
+    load_s: float
+    adapters: int = 0
+    adapter_mb: float = 0.0
+    warm_s: float | None = None
+    disk_s: float | None = None
+
+
+class _Engine(msgspec.Struct, rename="pascal"):
+    slots: int
+    kv_capacity: int
+    models: list[_Model] = []
+    weights_mb: float = 0.0
+    adapter_slots: int = 0
+    # The rate of loads from the weight store over all upstreams, not of this one.
+    loads_per_s: float = 1.0
+
+
+class _Service(msgspec.Struct, rename="pascal"):
+    name: str
+    max_conns: int = 64
+    engine: _Engine | None = None
+
+
+class _Split(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="pascal"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Document(msgspec.Struct, rename="pascal"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode_configuration(document: bytes) -> RouteTable:
+    """Return the route table in ``document``; raise `msgspec.DecodeError`."""
+    decoded = msgspec.json.decode(document, type=_Document)
+    limits = decoded.limits
+    return RouteTable(
+        version=decoded.version,
+        routes=map(_route, decoded.routes),
+        services_by_name={service.name: _service(service) for service in decoded.services},
+        limits=IngressLimits(
+            head_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            head_seconds=limits.header_timeout_ms / _MILLISECONDS,
+            idle_seconds=limits.idle_timeout_ms / _MILLISECONDS,
+        ),
+    )
+
+
+def _route(route: _Route) -> Route:
+    split = tuple(WeightedService(part.service, part.weight) for part in route.traffic_split)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        idempotency=_IDEMPOTENCY_BY_KIND.get(route.kind, Idempotency.AT_MOST_ONCE),
+        time_limit_seconds=route.timeout_ms / _MILLISECONDS,
+        latency_target_seconds=route.target_latency_ms / _MILLISECONDS,
+        priority=route.priority,
+        services=split or (WeightedService(route.service, 1.0),),
+        most_upstreams=max(1, route.max_attempts),
+        resumable=route.resumable,
+        longest_gap_seconds=route.gap_target_ms / _MILLISECONDS,
+    )
+
+
+def _service(service: _Service) -> ServiceRule:
+    engine = service.engine
+    return ServiceRule(service.name, service.max_conns, _engine(engine) if engine else None)
+
+
+def _engine(engine: _Engine) -> EngineRule:
+    return EngineRule(
+        batch_slots=engine.slots,
+        cache_tokens=engine.kv_capacity,
+        weights_mb=engine.weights_mb,
+        adapter_slots=engine.adapter_slots,
+        cold_loads_per_second=engine.loads_per_s,
+        models_by_name={model.name: _model(model) for model in engine.models},
+    )
+
+
+def _model(model: _Model) -> ModelRule:
+    return ModelRule(
+        name=model.name,
+        weights_mb=model.weights_mb,
+        adapter_mb=model.adapter_mb,
+        adapters=model.adapters,
+        cold_seconds=model.load_s,
+        disk_seconds=model.load_s if model.disk_s is None else model.disk_s,
+        memory_seconds=model.load_s if model.warm_s is None else model.warm_s,
+    )
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/engine.py
@@ -0,0 +1,75 @@
+"""Reports of model workers and orders to them, as the users' platform writes them."""
+
+from typing import Any
+
+import msgspec
+
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.platform import names
+from redwingscale_daemon._internal.swaps.engine_report import EngineReport
+from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult
+
+_RESULTS_BY_STATUS = {
+    200: OrderResult.HOLDS,
+    202: OrderResult.ACCEPTED,
+    409: OrderResult.BUSY,
+    412: OrderResult.FENCED,
+    421: OrderResult.OTHER_UPSTREAM,
+}
+ORDER_TARGET = names.ORDER_PATH
+REPORT_TARGET = names.REPORT_PATH
+
+
+class _Model(msgspec.Struct, rename="pascal"):
+    name: str
+    version: int = 0
+    adapters: list[str] = []
+
+
+class _Report(msgspec.Struct, rename="pascal"):
+    models: list[_Model] = []
+    busy: bool = False
+    # The number of orders accepted since the start of the process.
+    seq: int = 0
+    # Adapters on their way, written MODEL/NAME@VERSION.
+    loading: list[str] = []
+
+
+def decode_report(document: bytes) -> EngineReport:
+    """Return the report in ``document``; raise `msgspec.DecodeError`."""
+    report = msgspec.json.decode(document, type=_Report)
+    return EngineReport(
+        held={model.name: frozenset(model.adapters) for model in report.models},
+        arriving=frozenset(map(_unit, report.loading)),
+        busy=report.busy,
+        orders_accepted=report.seq,
+    )
+
+
+def encode_order(order: Order) -> bytes:
+    """Return the body of ``order``."""
+    body: dict[str, Any] = {
+        "Op": "load" if isinstance(order.action, Load) else "unload",
+        "Model": order.action.unit.model,
+        "Expect": order.orders_accepted,
+        "Holder": order.giver,
+        "Fence": order.fence,
+    }
+    if order.action.unit.adapter:
+        body["Adapter"] = order.action.unit.adapter
+    return msgspec.json.encode(body)
+
+
+def order_headers(upstream_id: str) -> dict[str, str]:
+    """Return the headers that let only the process meant take the order."""
+    return {"Content-Type": "application/json", names.EXPECTED_UPSTREAM: upstream_id}
+
+
+def order_result(status: int) -> OrderResult:
+    """Return what the status of the answer to an order says."""
+    return _RESULTS_BY_STATUS.get(status, OrderResult.REFUSED)
+
+
+def _unit(text: str) -> Unit:
+    model, _, adapter = text.partition("@")[0].partition("/")
+    return Unit(model, adapter)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -0,0 +1,145 @@
+"""Callers' requests and upstreams' answers as the users' platform writes them."""
+
+from collections.abc import Iterable
+from http.client import HTTPResponse
+
+from redwingscale_daemon._internal.fleet.prompt import Prompt, PromptPart
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.forwarding.terms import Terms
+from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
+from redwingscale_daemon._internal.platform import names
+
+_MILLISECONDS = 1000.0
+# They concern one connection only (RFC 9110, section 7.6.1); the body is framed anew.
+_ONE_CONNECTION = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+_MISDIRECTED = 421
+
+
+def read_terms(request: IngressRequest) -> Terms | str:
+    """Return what the caller's headers say, or what is wrong with them."""
+    values = {name.lower(): value for name, value in request.headers}
+    request_id = values.get(names.REQUEST_ID.lower(), "")
+    if not request_id:
+        return f"{names.REQUEST_ID} is missing"
+    deadline = values.get(names.DEADLINE_MS.lower())
+    try:
+        deadline_seconds = None if deadline is None else float(deadline) / _MILLISECONDS
+        prompt = _prompt(values)
+    except ValueError as error:
+        return f"a header is malformed: {error}"
+    last_event = values.get(names.LAST_EVENT_ID.lower(), "")
+    return Terms(
+        request_id=request_id,
+        deadline_seconds=deadline_seconds,
+        prompt=prompt,
+        last_event=int(last_event) if last_event.isdigit() else None,
+    )
+
+
+def forwarded_headers(request: IngressRequest) -> Headers:
+    """Return the caller's headers that every upstream gets, in their order."""
+    connection = next((v for n, v in request.headers if n.lower() == "connection"), "")
+    named = {token.strip().lower() for token in connection.split(",")}
+    dropped = _ONE_CONNECTION | named | names.STEERING | {names.DEADLINE_MS.lower()}
+    return tuple((name, value) for name, value in request.headers if name.lower() not in dropped)
+
+
+def sending_headers(
+    common: Headers,
+    upstream_id: str,
+    seconds_left: float,
+    priority: int,
+    last_event: int | None,
+) -> Headers:
+    """Return the headers of one sending to the upstream ``upstream_id``."""
+    kept = common
+    if last_event is not None:
+        resumed = names.LAST_EVENT_ID.lower()
+        kept = tuple(header for header in common if header[0].lower() != resumed)
+        kept += ((names.LAST_EVENT_ID, str(last_event)),)
+    return (
+        *kept,
+        (names.DEADLINE_MS, str(max(1, int(seconds_left * _MILLISECONDS)))),
+        (names.EXPECTED_UPSTREAM, upstream_id),
+        (names.PRIORITY, str(priority)),
+    )
+
+
+def answer_headers(response: HTTPResponse) -> Headers:
+    """Return the headers of an upstream's answer that the caller gets."""
+    return tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in _ONE_CONNECTION
+    )
+
+
+def answers(response: HTTPResponse, request_id: str) -> bool:
+    """Return whether an answer belongs to the request."""
+    return bool(response.headers.get(names.REQUEST_ID) == request_id)
+
+
+def is_signed(response: HTTPResponse) -> bool:
+    """Return whether the answer is the upstream's own and in no encoding.
+
+    Callers ask for none; what is encoded is not the upstream's body.
+    """
+    headers = response.headers
+    return names.SIGNATURE in headers and "Content-Encoding" not in headers
+
+
+def was_not_run(response: HTTPResponse) -> bool:
+    """Return whether the upstream says that it has not run the request."""
+    return names.NOT_RUN in response.headers or response.status == _MISDIRECTED
+
+
+def is_misdirected(response: HTTPResponse) -> bool:
+    """Return whether the upstream is another one, or lacks the model or adapter."""
+    return response.status == _MISDIRECTED
+
+
+def idle_seconds(response: HTTPResponse) -> float | None:
+    """Return how long the connection may be idle, 0 if it closes, None if unsaid."""
+    if response.will_close:
+        return 0.0
+    for part in _tokens(response.headers.get_all("Keep-Alive", [])):
+        name, _, value = part.partition("=")
+        if name == "timeout" and value.isdigit():
+            return float(value)
+    return None
+
+
+def _tokens(values: Iterable[str]) -> list[str]:
+    return [token.strip().lower() for value in values for token in value.split(",")]
+
+
+def _prompt(values: dict[str, str]) -> Prompt | None:
+    model = values.get(names.MODEL.lower())
+    if model is None:
+        return None
+    name, _, adapter = model.partition("/")
+    tokens_in, _, tokens_out = values.get(names.TOKENS.lower(), "0,0").partition(",")
+    parts = values.get(names.PROMPT_PARTS.lower(), "")
+    return Prompt(
+        unit=Unit(name, adapter),
+        tokens_in=int(tokens_in),
+        most_tokens_out=int(tokens_out or 0),
+        parts=tuple(map(_part, filter(None, parts.split(",")))),
+    )
+
+
+def _part(text: str) -> PromptPart:
+    identity, _, tokens = text.strip().partition(":")
+    return PromptPart(identity, int(tokens))
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
@@ -0,0 +1,34 @@
+"""Header names and paths of the users' platform."""
+
+REQUEST_ID = "X-Redwingscale-Request-Id"
+DEADLINE_MS = "X-Redwingscale-Deadline-Ms"
+EXPECTED_UPSTREAM = "X-Redwingscale-Expect-Instance"
+MODEL = "X-Redwingscale-Model-Name"
+TOKENS = "X-Redwingscale-Token-Usage"
+PROMPT_PARTS = "X-Redwingscale-Prefix-Hash"
+# The upstream's signature of its answer; the caller checks it.
+SIGNATURE = "X-Redwingscale-Response-Seal"
+NOT_RUN = "X-Redwingscale-Not-Executed"
+PRIORITY = "X-Redwingscale-Request-Priority"
+LAST_EVENT_ID = "Last-Event-Id"
+
+READINESS_PATH = "/api/readyz"
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+
+# Headers by which the system steers an upstream; none is taken from a caller.
+STEERING = frozenset(
+    name.lower()
+    for name in (
+        EXPECTED_UPSTREAM,
+        PRIORITY,
+        "X-Redwingscale-Expect-Version",
+        "X-Redwingscale-Hold-Request",
+        "X-Redwingscale-Pin-Ms",
+        "X-Redwingscale-Kv-Backup",
+        "X-Redwingscale-Kv-From",
+        "X-Redwingscale-Kv-Fetch",
+        "Kv-From",
+        "Kv-Fetch",
+    )
+)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -0,0 +1,149 @@
+"""The platform's row store over HTTP."""
+
+import base64
+import binascii
+from urllib.parse import urlencode
+
+import msgspec
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from redwingscale_daemon._internal.exceptions import (
+    HistoryGone,
+    PlatformUnavailable,
+    WriteUnknown,
+)
+from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+
+_OK = 200
+_GONE = 410
+_PRECONDITION_FAILED = 412
+# Answers that say that nothing was done.
+_REFUSED = frozenset({403, 429, 503, 507})
+# An answer takes 4 to 9 ms; a connection that has gone silent is given up after this.
+ANSWER_SECONDS = 0.8
+CONNECT_SECONDS = 0.5
+# What a long poll may be late beyond the wait that it asked for.
+FEED_MARGIN_SECONDS = 0.5
+_MOST_PAGES = 20
+_TIMEOUT = urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS)
+
+
+class _Row(msgspec.Struct, rename="pascal"):
+    table: str = ""
+    # The only lower-case names among the row's fields.
+    part: str = msgspec.field(default="", name="part")
+    key: str = ""
+    value: str = ""
+    row_version: int = 0
+    deleted: bool = False
+
+
+class _Rows(msgspec.Struct, rename="pascal"):
+    rows: list[_Row] = []
+    truncated: bool = False
+    row_version: int = 0
+
+
+class StoreClient:
+    """Implements `RowStore`; connections are kept and never retried."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._pool = urllib3.HTTPConnectionPool(
+            host,
+            port,
+            maxsize=4,
+            retries=False,
+        )
+
+    def read(self, table: str, partition: str) -> Snapshot:
+        """See `RowStore.read`."""
+        found: list[StoredRow] = []
+        start = ""
+        for _ in range(_MOST_PAGES):
+            page = self._page(table, partition, start)
+            found.extend(map(_stored_row, page.rows))
+            if not page.truncated or not page.rows:
+                return Snapshot(tuple(found), page.row_version)
+            # The range begins with its first key: the next one after ours.
+            start = page.rows[-1].key + "\x00"
+        raise PlatformUnavailable(f"table {table!r} has more than {_MOST_PAGES} pages")
+
+    def changes(self, table: str, after: int, wait_seconds: float) -> Snapshot:
+        """See `RowStore.changes`."""
+        query = {"Table": table, "after": after, "WaitMs": int(wait_seconds * 1000)}
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=wait_seconds + FEED_MARGIN_SECONDS)
+        body = self._get(f"/api/rows-feed?{urlencode(query)}", timeout)
+        page = _decode(body)
+        return Snapshot(tuple(map(_stored_row, page.rows)), page.row_version)
+
+    def write(self, key: RowKey, value: bytes, expected_version: int) -> int | None:
+        """See `RowStore.write`."""
+        place = {"Table": key.table, "part": key.partition, "Key": key.key}
+        body = {
+            "Expect": [{**place, "RowVersion": expected_version}],
+            "Puts": [{**place, "Value": base64.b64encode(value).decode()}],
+            "Remove": [],
+        }
+        status, answer = self._send("POST", "/api/rows-tx", msgspec.json.encode(body), None)
+        if status == _PRECONDITION_FAILED:
+            return None
+        if status != _OK:
+            raise _failure(status, answer)
+        return _decode(answer).row_version
+
+    def _page(self, table: str, partition: str, start: str) -> _Rows:
+        query = {"Table": table, "part": partition} | ({"From": start} if start else {})
+        return _decode(self._get(f"/api/rows-get?{urlencode(query)}", None))
+
+    def _get(self, target: str, timeout: urllib3.Timeout | None) -> bytes:
+        try:
+            status, body = self._send("GET", target, b"", timeout)
+        except WriteUnknown as error:
+            raise PlatformUnavailable(str(error)) from error
+        if status == _GONE:
+            raise HistoryGone(target)
+        if status != _OK:
+            raise PlatformUnavailable(f"status {status}")
+        return body
+
+    def _send(
+        self, method: str, target: str, body: bytes, timeout: urllib3.Timeout | None
+    ) -> tuple[int, bytes]:
+        headers = {"Content-Type": "application/json"} if body else {}
+        try:
+            response = self._pool.request(
+                method,
+                target,
+                body=body or None,
+                headers=headers,
+                redirect=False,
+                timeout=timeout or _TIMEOUT,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise PlatformUnavailable(repr(error)) from error
+        except HTTPError as error:
+            raise WriteUnknown(repr(error)) from error
+        return response.status, response.data
+
+
+def _failure(status: int, answer: bytes) -> PlatformUnavailable | WriteUnknown:
+    detail = f"status {status}: {answer[:200]!r}"
+    return PlatformUnavailable(detail) if status in _REFUSED else WriteUnknown(detail)
+
+
+def _decode(body: bytes) -> _Rows:
+    try:
+        return msgspec.json.decode(body, type=_Rows)
+    except msgspec.DecodeError as error:
+        raise PlatformUnavailable(f"answer is not rows: {error}") from error
+
+
+def _stored_row(row: _Row) -> StoredRow:
+    key = RowKey(row.table, row.part, row.key)
+    if row.deleted:
+        return StoredRow(key, row.row_version, None)
+    try:
+        return StoredRow(key, row.row_version, base64.b64decode(row.value))
+    except binascii.Error as error:
+        raise PlatformUnavailable(f"row {key} is not base64: {error}") from error
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/store.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/store.py
@@ -8,8 +8,8 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import PlatformError
-from redwingscale_daemon._internal.platform.row import Check, Put, Transaction
-from redwingscale_daemon._internal.platform.table import Table, new_write_id
+from redwingscale_daemon._internal.store.row import Check, Put, Transaction
+from redwingscale_daemon._internal.store.table import Table, new_write_id
 
 PREFIX = "quarantine/"
 
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Which service a request goes to, and under which rules."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/current_routes.py
@@ -0,0 +1,33 @@
+"""The route table in force."""
+
+import threading
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.routes.route_table import RouteTable
+
+
+class CurrentRoutes:
+    """Holds the newest table seen; its version never falls in one process's life.
+
+    A read that was answered late, or by a connection opened before a newer one,
+    may bring an older version: taking it would undo what callers have seen.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._table: RouteTable | None = None
+
+    def get(self) -> RouteTable | None:
+        """Return the table in force, None while none is known."""
+        return self._table
+
+    def offer(self, table: RouteTable) -> bool:
+        """Take ``table`` if it is newer; return whether it is in force now."""
+        with self._lock:
+            if self._table is not None and table.version <= self._table.version:
+                return False
+            before = self._table.version if self._table else None
+            self._table = table
+        log_event("configuration_in_force", version=table.version, before=before, routes=len(table))
+        return True
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/idempotency.py
@@ -0,0 +1,11 @@
+"""What may be repeated on a route."""
+
+from enum import Enum
+
+
+class Idempotency(Enum):
+    """Whether a request may run at a second upstream after it may have run at the first."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at_most_once"
+    STREAM = "stream"
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route.py
@@ -0,0 +1,44 @@
+"""One route of the configuration."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.routes.idempotency import Idempotency
+
+
+class WeightedService(NamedTuple):
+    """A service and its part of a route's requests, relative to the other weights."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Requests of ``host`` whose path begins with ``prefix``.
+
+    ``priority`` 0 is the most urgent. ``resumable`` holds for streams: a run may
+    be continued at another upstream after the last event. ``longest_gap_seconds``
+    is the longest pause between two events that is still in time, 0 for none.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotency: Idempotency
+    time_limit_seconds: float
+    latency_target_seconds: float
+    priority: int
+    services: tuple[WeightedService, ...]
+    most_upstreams: int
+    resumable: bool
+    longest_gap_seconds: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may be sent again after it may have run."""
+        match self.idempotency:
+            case Idempotency.IDEMPOTENT:
+                return True
+            case Idempotency.STREAM:
+                return self.resumable
+            case _:
+                return False
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
@@ -0,0 +1,67 @@
+"""Keeps the route table as the operators write it to the store."""
+
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import HistoryGone, PlatformError
+from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.route_table import RouteTable
+from redwingscale_daemon._internal.store.link_state import LinkState
+from redwingscale_daemon._internal.store.rows import RowKey, RowStore, StoredRow
+
+# A change must be in force within two seconds, also when the connection of a
+# waiting read has gone silent just before it: one wait and its margin are less.
+WAIT_SECONDS = 1.2
+# Between tries while the store is away; each try is a call that it counts.
+PAUSE_SECONDS = 0.25
+
+Decode = Callable[[bytes], RouteTable]
+
+
+class RouteFollower:
+    """Waits for changes of one row; each step is one read."""
+
+    def __init__(
+        self, store: RowStore, row: RowKey, decode: Decode, current: CurrentRoutes
+    ) -> None:
+        self._store = store
+        self._row = row
+        self._decode = decode
+        self._current = current
+        self._state = LinkState("configuration")
+        self._version: int | None = None
+
+    def step(self) -> None:
+        """Read once: everything at first and after a gap, then what has changed."""
+        try:
+            self._take(self._changes())
+        except HistoryGone:
+            log_event("configuration_history_gone", version=self._version)
+            self._version = None
+        except PlatformError as error:
+            self._state.failed(error)
+            time.sleep(PAUSE_SECONDS)
+        else:
+            self._state.answered()
+
+    def _changes(self) -> Iterable[StoredRow]:
+        if self._version is None:
+            snapshot = self._store.read(self._row.table, self._row.partition)
+        else:
+            snapshot = self._store.changes(self._row.table, self._version, WAIT_SECONDS)
+        self._version = snapshot.version
+        return snapshot.rows
+
+    def _take(self, rows: Iterable[StoredRow]) -> None:
+        for row in rows:
+            if row.key != self._row or row.value is None:
+                continue
+            try:
+                table = self._decode(row.value)
+            except msgspec.DecodeError as error:
+                log_event("configuration_invalid", level="ERROR", row=row.version, error=error)
+                continue
+            self._current.offer(table)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_table.py
@@ -0,0 +1,62 @@
+"""The routes and services of one configuration version."""
+
+import random
+from collections.abc import Iterable
+from itertools import accumulate
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.routes.route import Route
+from redwingscale_daemon._internal.routes.service_rule import ServiceRule
+
+
+class IngressLimits(NamedTuple):
+    """What a caller may send, and how long it may stay idle."""
+
+    head_bytes: int
+    body_bytes: int
+    head_seconds: float
+    idle_seconds: float
+
+
+class RouteTable:
+    """One immutable version; routes are found by host and longest prefix."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[Route],
+        services_by_name: dict[str, ServiceRule],
+        limits: IngressLimits,
+    ) -> None:
+        self.version = version
+        self.services_by_name = services_by_name
+        self.limits = limits
+        self._routes_by_place = {(route.host, route.prefix): route for route in routes}
+
+    def __len__(self) -> int:
+        return len(self._routes_by_place)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of ``host`` with the longest prefix of ``path``.
+
+        Prefixes end at a slash, so only the slashes of the path are tried: a
+        table of hundreds of routes costs no more than one of ten.
+        """
+        ends = [index + 1 for index, letter in enumerate(path) if letter == "/"]
+        for end in reversed(ends):
+            route = self._routes_by_place.get((host, path[:end]))
+            if route is not None:
+                return route
+        return None
+
+
+def draw_service(route: Route, random_source: random.Random) -> str:
+    """Return one of the route's services, as often as its weight says."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    sums = list(accumulate(share.weight for share in route.services))
+    point = random_source.random() * sums[-1]
+    return next(
+        (share.service for share, end in zip(route.services, sums, strict=True) if point < end),
+        route.services[-1].service,
+    )
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/ingress_settings.py
@@ -0,0 +1,150 @@
+"""Settings of an instance whose requests are routed by host and path."""
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from redwingscale_common.exceptions import CheckFailed
+from redwingscale_common.utils.jsontext import read_json_file
+from redwingscale_common.utils.schemas import schema_findings
+
+MARK = "ingress"
+
+
+class Endpoint(NamedTuple):
+    """A TCP address."""
+
+    host: str
+    port: int
+
+
+class Bounds(NamedTuple):
+    """What the deployment asks of the system; seconds."""
+
+    repeat_ratio: float
+    repeat_slack: float
+    repeat_window: float
+    order_quiet: float
+    stop_grace: float
+    load_window: float
+    load_overshoot: float
+
+
+class IngressSettings(NamedTuple):
+    """Everything that such an instance reads at its start."""
+
+    instance: str
+    failure_domain: str
+    host: str
+    callers: Endpoint
+    readiness: Endpoint
+    peer_ports: tuple[int, int]
+    store: Endpoint
+    bounds: Bounds
+    metrics_port: int
+    request_threads: int
+    log_level: str
+
+
+_TEXT = {"type": "string", "minLength": 1}
+_ADDRESS = {"type": "string", "pattern": r"^[^\s:]+:[0-9]{1,5}$"}
+_PORT = {"type": "integer", "minimum": 0, "maximum": 65535}
+_POSITIVE = {"type": "number", "exclusiveMinimum": 0}
+_BOUNDS = (
+    "repeat_ratio",
+    "repeat_slack",
+    "repeat_window",
+    "order_quiet_ms",
+    "stop_grace",
+    "load_window",
+    "load_overshoot",
+)
+_REQUIRED = (
+    "instance",
+    "failure_domain",
+    "host",
+    "callers",
+    "readiness",
+    "peer_ports",
+    "store",
+    "bounds",
+)
+INGRESS_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "required": [MARK],
+    "properties": {
+        MARK: {
+            "type": "object",
+            "required": list(_REQUIRED),
+            "additionalProperties": False,
+            "properties": {
+                "instance": _TEXT,
+                "failure_domain": _TEXT,
+                "host": _TEXT,
+                "callers": _ADDRESS,
+                "readiness": _ADDRESS,
+                "peer_ports": {"type": "array", "items": _PORT, "minItems": 2, "maxItems": 2},
+                "store": _ADDRESS,
+                "metrics_port": _PORT,
+                "request_threads": {"type": "integer", "minimum": 8, "maximum": 1000},
+                "log_level": {"enum": ["debug", "info", "warning", "error"]},
+                "bounds": {
+                    "type": "object",
+                    "required": list(_BOUNDS),
+                    "additionalProperties": False,
+                    "properties": dict.fromkeys(_BOUNDS, _POSITIVE),
+                },
+            },
+        }
+    },
+}
+# Streams and waiting requests hold a thread each; an instance has some 20 of them,
+# three times that in a burst, and twice that again when its neighbour is lost.
+DEFAULT_REQUEST_THREADS = 160
+DEFAULT_METRICS_PORT = 9464
+_MILLISECONDS = 1000.0
+
+
+def is_ingress(path: Path) -> bool:
+    """Return whether ``path`` holds settings of this kind; raise `CheckFailed`."""
+    value = read_json_file(path)
+    return isinstance(value, dict) and MARK in value
+
+
+def load_ingress_settings(path: Path) -> IngressSettings:
+    """Return the settings in ``path``; raise `CheckFailed` with every finding."""
+    value = read_json_file(path)
+    findings = schema_findings(value, INGRESS_SCHEMA)
+    if findings:
+        raise CheckFailed.from_findings(str(path), findings)
+    return _build(value[MARK])
+
+
+def _build(value: dict[str, Any]) -> IngressSettings:
+    bounds = value["bounds"]
+    first, last = value["peer_ports"]
+    return IngressSettings(
+        instance=value["instance"],
+        failure_domain=value["failure_domain"],
+        host=value["host"],
+        callers=_endpoint(value["callers"]),
+        readiness=_endpoint(value["readiness"]),
+        peer_ports=(first, last),
+        store=_endpoint(value["store"]),
+        bounds=Bounds(
+            repeat_ratio=bounds["repeat_ratio"],
+            repeat_slack=bounds["repeat_slack"],
+            repeat_window=bounds["repeat_window"],
+            order_quiet=bounds["order_quiet_ms"] / _MILLISECONDS,
+            stop_grace=bounds["stop_grace"],
+            load_window=bounds["load_window"],
+            load_overshoot=bounds["load_overshoot"],
+        ),
+        metrics_port=value.get("metrics_port", DEFAULT_METRICS_PORT),
+        request_threads=value.get("request_threads", DEFAULT_REQUEST_THREADS),
+        log_level=value.get("log_level", "info"),
+    )
+
+
+def _endpoint(address: str) -> Endpoint:
+    host, _, port = address.rpartition(":")
+    return Endpoint(host, int(port))
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/link_state.py
@@ -0,0 +1,37 @@
+"""Whether the store answers, and since when."""
+
+import time
+
+from redwingscale_common.utils.logs import log_event
+
+
+class LinkState:
+    """Logs when one kind of read is lost and regained, with the age of what is known."""
+
+    def __init__(self, what: str) -> None:
+        self._what = what
+        self._lost_at: float | None = None
+        self._answered_at = float("-inf")
+        self._regained_at = float("-inf")
+
+    @property
+    def regained_at(self) -> float:
+        """The monotonic time of the first answer after the last outage."""
+        return self._regained_at
+
+    def answered(self) -> None:
+        """Note an answer."""
+        now = time.monotonic()
+        if self._lost_at is not None:
+            log_event("store_regained", what=self._what, lost_for=round(now - self._lost_at, 3))
+            self._lost_at = None
+            self._regained_at = now
+        self._answered_at = now
+
+    def failed(self, error: Exception) -> None:
+        """Note a call without a usable answer."""
+        now = time.monotonic()
+        if self._lost_at is None:
+            self._lost_at = now
+            age = round(now - self._answered_at, 3)
+            log_event("store_lost", level="WARNING", what=self._what, age=age, error=error)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/member_list.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/member_list.py
@@ -4,7 +4,7 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.models.member import Member, parse_member
-from redwingscale_daemon._internal.platform.http import PlatformHttp
+from redwingscale_daemon._internal.store.http import PlatformHttp
 
 
 class MemberList:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/objects.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/objects.py
@@ -1,7 +1,7 @@
 """The platform's object store; keys hold the digest of their content."""
 
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable
-from redwingscale_daemon._internal.platform.http import PlatformHttp
+from redwingscale_daemon._internal.store.http import PlatformHttp
 
 NOT_FOUND = 404
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/platform.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/store.py
@@ -2,11 +2,11 @@
 
 from typing import NamedTuple
 
-from redwingscale_daemon._internal.platform.http import PlatformHttp
-from redwingscale_daemon._internal.platform.member_list import MemberList
-from redwingscale_daemon._internal.platform.objects import Objects
-from redwingscale_daemon._internal.platform.table import Table
 from redwingscale_daemon._internal.settings.settings import PlatformSettings
+from redwingscale_daemon._internal.store.http import PlatformHttp
+from redwingscale_daemon._internal.store.member_list import MemberList
+from redwingscale_daemon._internal.store.objects import Objects
+from redwingscale_daemon._internal.store.table import Table
 
 
 class Platform(NamedTuple):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/table.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/table.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
-from redwingscale_daemon._internal.platform.http import PlatformHttp
-from redwingscale_daemon._internal.platform.row import (
+from redwingscale_daemon._internal.store.http import PlatformHttp
+from redwingscale_daemon._internal.store.row import (
     ABSENT,
     Check,
     Committed,
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/__init__.py
@@ -0,0 +1,1 @@
+"""Loads and unloads models by demand; one instance at a time gives the orders."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/engine_report.py
@@ -0,0 +1,20 @@
+"""What a model worker reports about itself."""
+
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.holdings import Held
+from redwingscale_daemon._internal.fleet.unit import Unit
+
+
+class EngineReport(NamedTuple):
+    """As of some hundred milliseconds ago.
+
+    ``orders_accepted`` rises by one with each order since the process began;
+    while ``busy`` one of them is being carried out. ``arriving`` adapters take
+    their place already.
+    """
+
+    held: Held
+    arriving: frozenset[Unit]
+    busy: bool
+    orders_accepted: int
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_hub.py
@@ -0,0 +1,76 @@
+"""The order giver's end of the links between instances."""
+
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+import pynng
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.swaps.messages import GiverNews, InstanceNews
+
+_RECEIVE_MS = 1000
+# News are four a second; an instance without any for this long is gone or cut off.
+HEARD_SECONDS = 2.0
+
+OnNews = Callable[[InstanceNews], None]
+
+
+class GiverHub:
+    """Listens on two ports: one takes the instances' news, one tells the giver's.
+
+    Every instance listens, so that one that becomes the order giver is reached
+    at once. ``Pull0`` and ``Pub0`` take several links each: one that has gone
+    silent does not keep its partner from dialling anew.
+    """
+
+    def __init__(self, host: str, news_port: int, needs_port: int, on_news: OnNews) -> None:
+        self._pub = pynng.Pub0()
+        self._pull = pynng.Pull0(recv_timeout=_RECEIVE_MS)
+        self._addresses = (f"tcp://{host}:{news_port}", f"tcp://{host}:{needs_port}")
+        self._on_news = on_news
+        self._encoder = msgspec.msgpack.Encoder()
+        self._heard_at: dict[str, float] = {}
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="giver-hub", daemon=True)
+
+    def start(self) -> None:
+        """Listen on both ports."""
+        self._pub.listen(self._addresses[0])
+        self._pull.listen(self._addresses[1])
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close both ports."""
+        self._stopped = True
+        self._thread.join(2 * _RECEIVE_MS / 1000)
+        self._pub.close()
+        self._pull.close()
+
+    def publish(self, news: GiverNews) -> None:
+        """Tell every instance that listens; never blocks."""
+        try:
+            self._pub.send(self._encoder.encode(news), block=False)
+        except pynng.NNGException as error:
+            log_event("giver_news_failed", level="WARNING", error=error)
+
+    def heard(self) -> int:
+        """Return how many other instances were heard of lately."""
+        since = time.monotonic() - HEARD_SECONDS
+        return sum(1 for heard_at in list(self._heard_at.values()) if heard_at > since)
+
+    def _run(self) -> None:
+        decoder = msgspec.msgpack.Decoder(InstanceNews)
+        while not self._stopped:
+            try:
+                news = decoder.decode(self._pull.recv())
+            except pynng.Timeout:
+                continue
+            except pynng.Closed:
+                return
+            except (msgspec.DecodeError, pynng.NNGException) as error:
+                log_event("instance_news_invalid", level="WARNING", error=error)
+                continue
+            self._heard_at[news.instance] = time.monotonic()
+            self._on_news(news)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_link.py
@@ -0,0 +1,143 @@
+"""An instance's end of its link to the order giver."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+import pynng
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord
+from redwingscale_daemon._internal.swaps.messages import GiverNews, InstanceNews
+
+NEWS_SECONDS = 0.25
+_RECEIVE_MS = 250
+# Six messages that did not come: the link, not a message, is lost.
+SILENT_SECONDS = 1.5
+
+MakeNews = Callable[[], InstanceNews]
+OnNews = Callable[[GiverNews], None]
+
+
+class _Sockets(NamedTuple):
+    sub: pynng.Sub0
+    push: pynng.Push0
+
+
+class GiverLink:
+    """Tells the order giver what is asked for here, and hears what is where.
+
+    A link can go silent without being closed: it is dropped, and dialled anew,
+    when the giver's news do not come.
+    """
+
+    def __init__(
+        self,
+        lease: GiverLease,
+        instance: str,
+        make: MakeNews,
+        on_news: OnNews,
+        to_self: Callable[[InstanceNews], None],
+    ) -> None:
+        self._lease = lease
+        self._instance = instance
+        self._make = make
+        self._on_news = on_news
+        self._to_self = to_self
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(GiverNews)
+        self._wake = threading.Event()
+        self._stopped = False
+        self._record: GiverRecord | None = None
+        self._sockets: _Sockets | None = None
+        self._heard_at = 0.0
+        self._threads = [
+            threading.Thread(target=self._receive, name="giver-news", daemon=True),
+            threading.Thread(target=self._send, name="giver-needs", daemon=True),
+        ]
+
+    def start(self) -> None:
+        """Begin to follow whoever gives orders."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Close the link."""
+        self._stopped = True
+        self._wake.set()
+        for thread in self._threads:
+            thread.join(1.0)
+        self._close()
+
+    def wake(self) -> None:
+        """Tell the giver at once."""
+        self._wake.set()
+
+    def _receive(self) -> None:
+        while not self._stopped:
+            self._follow()
+            sockets = self._sockets
+            if sockets is None:
+                time.sleep(_RECEIVE_MS / 1000)
+                continue
+            try:
+                news = self._decoder.decode(sockets.sub.recv())
+            except pynng.Timeout:
+                continue
+            except (pynng.NNGException, msgspec.DecodeError) as error:
+                log_event("giver_news_invalid", level="WARNING", error=repr(error))
+                self._close()
+                continue
+            self._heard_at = time.monotonic()
+            self._on_news(news)
+
+    def _follow(self) -> None:
+        record = self._lease.record
+        if record is None or record.released or record.instance == self._instance:
+            self._close()
+            return
+        silent = time.monotonic() - self._heard_at > SILENT_SECONDS
+        if self._sockets is not None and record == self._record and not silent:
+            return
+        if self._sockets is not None:
+            log_event("giver_link_dropped", giver=record.instance, silent=silent)
+        self._close()
+        self._sockets = _dial(record)
+        self._record = record
+        self._heard_at = time.monotonic()
+
+    def _close(self) -> None:
+        sockets, self._sockets = self._sockets, None
+        if sockets is not None:
+            sockets.sub.close()
+            sockets.push.close()
+
+    def _send(self) -> None:
+        while not self._stopped:
+            self._wake.wait(NEWS_SECONDS)
+            self._wake.clear()
+            news = self._make()
+            if self._lease.holds:
+                self._to_self(news)
+                continue
+            sockets = self._sockets
+            if sockets is None:
+                continue
+            try:
+                sockets.push.send(self._encoder.encode(news), block=False)
+            except pynng.TryAgain:
+                # Not connected: the next news hold what this one would have told,
+                # but for the arrivals, which are only counted.
+                continue
+            except pynng.NNGException as error:
+                log_event("giver_needs_failed", level="WARNING", error=repr(error))
+
+
+def _dial(record: GiverRecord) -> _Sockets:
+    sub = pynng.Sub0(recv_timeout=_RECEIVE_MS, topics=b"")
+    push = pynng.Push0()
+    sub.dial(f"tcp://{record.host}:{record.news_port}", block=False)
+    push.dial(f"tcp://{record.host}:{record.needs_port}", block=False)
+    return _Sockets(sub, push)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -0,0 +1,55 @@
+"""What instances and the order giver tell each other."""
+
+import msgspec
+
+
+class NeedEntry(msgspec.Struct, array_like=True):
+    """How much a unit is asked for at one instance since its last message.
+
+    ``waiting`` requests have no holder; the tightest of them can wait for
+    ``patience_seconds`` more.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    arrivals: int
+    waiting: int
+    patience_seconds: float
+
+
+class LoadEntry(msgspec.Struct, array_like=True):
+    """One instance's open requests at an upstream, and their prompt tokens not yet read."""
+
+    upstream: str
+    requests: int
+    prompt_tokens: int
+
+
+class InstanceNews(msgspec.Struct, array_like=True):
+    """From each instance to the order giver."""
+
+    instance: str
+    needs: list[NeedEntry]
+    loads: list[LoadEntry]
+
+
+class HeldEntry(msgspec.Struct, array_like=True):
+    """What an upstream holds: adapters by model."""
+
+    upstream: str
+    adapters_by_model: dict[str, list[str]]
+
+
+class GiverNews(msgspec.Struct, array_like=True):
+    """From the order giver to each instance.
+
+    ``ready_in`` gives seconds by unit that is being loaded. ``loads`` are those
+    of all instances, by instance, so that each can leave its own out.
+    """
+
+    giver: str
+    fence: int
+    held: list[HeldEntry]
+    ready_in: dict[str, float]
+    loads: dict[str, list[LoadEntry]]
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/needs.py
@@ -0,0 +1,69 @@
+"""What callers ask for at this instance."""
+
+import threading
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable
+
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.forwarding.terms import Terms
+from redwingscale_daemon._internal.swaps.messages import NeedEntry
+
+_Key = tuple[str, Unit]
+
+
+class Needs:
+    """Counts arrivals and waiting requests by unit; tells at once of a new wait."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._arrivals: Counter[_Key] = Counter()
+        self._waiting: Counter[_Key] = Counter()
+        self._give_up_at: dict[_Key, list[float]] = defaultdict(list)
+        self._wake: Callable[[], None] = lambda: None
+
+    def on_new_wait(self, wake: Callable[[], None]) -> None:
+        """Call ``wake`` when a request begins to wait for a unit that none waits for."""
+        self._wake = wake
+
+    def arrived(self, service: str, terms: Terms) -> None:
+        """Count a request."""
+        if terms.prompt is not None:
+            with self._lock:
+                self._arrivals[(service, terms.prompt.unit)] += 1
+
+    def ask(self, service: str, unit: Unit, patience_seconds: float) -> None:
+        """Note that a request waits for ``unit``."""
+        key = (service, unit)
+        with self._lock:
+            self._waiting[key] += 1
+            self._give_up_at[key].append(time.monotonic() + patience_seconds)
+        self._wake()
+
+    def done(self, service: str, unit: Unit) -> None:
+        """Note that it waits no more."""
+        key = (service, unit)
+        with self._lock:
+            self._waiting[key] -= 1
+            if self._waiting[key] <= 0:
+                del self._waiting[key]
+                self._give_up_at.pop(key, None)
+
+    def drain(self) -> list[NeedEntry]:
+        """Return what was asked for since the last call, and who waits now."""
+        now = time.monotonic()
+        with self._lock:
+            arrivals, self._arrivals = self._arrivals, Counter()
+            waiting = dict(self._waiting)
+            longest = {key: max(ends) - now for key, ends in self._give_up_at.items()}
+        return [
+            NeedEntry(
+                service,
+                unit.model,
+                unit.adapter,
+                arrivals[(service, unit)],
+                waiting.get((service, unit), 0),
+                longest.get((service, unit), 0.0),
+            )
+            for service, unit in arrivals.keys() | waiting.keys()
+        ]
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -0,0 +1,70 @@
+"""Calls to model workers: reports and orders."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.swaps.engine_report import EngineReport
+from redwingscale_daemon._internal.swaps.order import Order, OrderResult
+
+CONNECT_SECONDS = 0.5
+# A worker answers in a few milliseconds or, when it means to lose the answer, never.
+ANSWER_SECONDS = 0.6
+_OK = 200
+
+
+class EngineCalls(NamedTuple):
+    """How the calls are written on a platform."""
+
+    report_target: str
+    order_target: str
+    decode_report: Callable[[bytes], EngineReport]
+    encode_order: Callable[[Order], bytes]
+    order_headers: Callable[[str], dict[str, str]]
+    order_result: Callable[[int], OrderResult]
+
+
+class OrderClient:
+    """Each call is sent once, on a kept connection."""
+
+    def __init__(self, calls: EngineCalls) -> None:
+        self._calls = calls
+        self._pools = urllib3.PoolManager(
+            num_pools=64,
+            maxsize=1,
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS),
+        )
+
+    def report(self, upstream: Upstream) -> EngineReport | None:
+        """Return the worker's report, None where there is no sound answer."""
+        try:
+            response = self._pools.request("GET", _url(upstream, self._calls.report_target))
+            if response.status != _OK:
+                return None
+            return self._calls.decode_report(response.data)
+        except (HTTPError, msgspec.DecodeError):
+            return None
+
+    def order(self, upstream: Upstream, order: Order) -> OrderResult:
+        """Send ``order``; `OrderResult.UNKNOWN` when it may be carried out or not."""
+        try:
+            response = self._pools.request(
+                "POST",
+                _url(upstream, self._calls.order_target),
+                body=self._calls.encode_order(order),
+                headers=self._calls.order_headers(upstream.id),
+            )
+        except (NewConnectionError, ConnectTimeoutError):
+            return OrderResult.REFUSED
+        except HTTPError:
+            return OrderResult.UNKNOWN
+        return self._calls.order_result(response.status)
+
+
+def _url(upstream: Upstream, target: str) -> str:
+    return f"http://{upstream.host}:{upstream.port}{target}"
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -0,0 +1,234 @@
+"""Turns what callers wait for into orders to model workers."""
+
+import threading
+import time
+from collections import defaultdict
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.load_book import Load
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.service_rule import EngineRule
+from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
+from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
+from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling, LoadRate
+from redwingscale_daemon._internal.swaps.messages import (
+    GiverNews,
+    HeldEntry,
+    InstanceNews,
+    LoadEntry,
+)
+from redwingscale_daemon._internal.swaps.order_client import OrderClient
+from redwingscale_daemon._internal.swaps.planner import Planner, adapter_worker
+from redwingscale_daemon._internal.swaps.worker_orders import (
+    AdapterTask,
+    GiverRight,
+    SwapTask,
+    WorkerOrders,
+)
+from redwingscale_daemon._internal.swaps.worker_view import WorkerView
+
+# News go out when something changes, and at least this often.
+NEWS_SECONDS = 0.25
+LOADS_FRESH_SECONDS = 1.0
+
+
+class OrderGiver:
+    """Plans while this instance holds the right to give orders; else does nothing."""
+
+    def __init__(
+        self,
+        right: GiverRight,
+        routes: CurrentRoutes,
+        directory: UpstreamDirectory,
+        client: OrderClient,
+        hub: GiverHub,
+        window: LoadCeiling,
+    ) -> None:
+        self._right = right
+        self._routes = routes
+        self._directory = directory
+        self._client = client
+        self._hub = hub
+        self._window = window
+        self._demand = Demand()
+        self._rate = LoadRate()
+        self._wake = threading.Event()
+        self._workers: dict[str, WorkerOrders] = {}
+        self._loads: dict[str, tuple[float, list[LoadEntry]]] = {}
+        self._used_at: dict[tuple[str, Unit], float] = {}
+        self._news: GiverNews | None = None
+        self._gave_orders = False
+
+    def heard(self, news: InstanceNews) -> None:
+        """Take an instance's news; called by the threads that receive them."""
+        self._demand.heard(news)
+        self._loads[news.instance] = (time.monotonic(), news.loads)
+        if any(need.waiting for need in news.needs):
+            self._wake.set()
+
+    def step(self) -> GiverNews | None:
+        """Plan once and return what to tell, None without the right."""
+        self._wake.wait(NEWS_SECONDS)
+        self._wake.clear()
+        fence = self._right.fence()
+        if fence is None:
+            self._lay_down()
+            return None
+        if not self._gave_orders:
+            self._gave_orders = True
+            log_event("giver_begins", fence=fence)
+        self._follow_list()
+        self._plan()
+        news = self._tell(fence)
+        self._hub.publish(news)
+        return news
+
+    def _lay_down(self) -> None:
+        """Forget what only the order giver knows; another one may change it."""
+        if self._gave_orders:
+            self._gave_orders = False
+            log_event("giver_ends")
+        for worker in self._workers.values():
+            worker.stop()
+        self._workers = {}
+
+    def _follow_list(self) -> None:
+        listed = {u.id: u for u in self._directory.all() if self._engine(u.service)}
+        for key in self._workers.keys() - listed.keys():
+            self._workers.pop(key).stop()
+        for key, upstream in listed.items():
+            if key not in self._workers:
+                self._workers[key] = self._new_worker(upstream)
+            self._workers[key].upstream = upstream
+
+    def _new_worker(self, upstream: Upstream) -> WorkerOrders:
+        return WorkerOrders(
+            upstream,
+            lambda: self._engine(upstream.service),
+            self._client,
+            self._right,
+            self._wake.set,
+        )
+
+    def _engine(self, service: str) -> EngineRule | None:
+        table = self._routes.get()
+        rule = table.services_by_name.get(service) if table else None
+        return rule.engine if rule else None
+
+    def _plan(self) -> None:
+        for waiting in self._demand.waiting():
+            engine = self._engine(waiting.service)
+            if engine is None:
+                continue
+            views = self._views(waiting.service)
+            if any(_holds(view, waiting.unit) for view in views):
+                continue
+            if any(waiting.unit.model in view.held for view in views):
+                self._bring_adapter(waiting, engine, views)
+            else:
+                self._bring_model(waiting, engine, views)
+
+    def _bring_model(
+        self, waiting: WaitingUnit, engine: EngineRule, views: list[WorkerView]
+    ) -> None:
+        model = waiting.unit.model
+        if any(view.loading == model for view in views):
+            return
+        ceiling = self._window._replace(per_second=engine.cold_loads_per_second)
+        planner = Planner(waiting.service, engine, self._demand)
+        swap = planner.swap_for(model, views, cold_allowed=self._rate.free(ceiling))
+        if swap is None:
+            return
+        log_event(
+            "swap_planned",
+            upstream=swap.view.upstream.id,
+            model=model,
+            evicted=",".join(swap.evicted) or "-",
+            cold=swap.cold,
+            seconds=swap.load_seconds,
+            waiting=waiting.requests,
+            patience=round(waiting.patience_seconds, 2),
+        )
+        if swap.cold:
+            self._rate.begin()
+        worker = self._workers[swap.view.upstream.id]
+        worker.give(SwapTask(swap.evicted, model, swap.load_seconds))
+
+    def _bring_adapter(
+        self, waiting: WaitingUnit, engine: EngineRule, views: list[WorkerView]
+    ) -> None:
+        view = adapter_worker(waiting.unit, views, engine.adapter_slots)
+        if view is None:
+            return
+        units = [Unit(name, a) for name, adapters in view.held.items() for a in adapters]
+        excess = len(units) + 1 - engine.adapter_slots
+        evicted: tuple[Unit, ...] = ()
+        if excess > 0:
+            coldest = sorted(units, key=lambda unit: self._demand.rate(waiting.service, unit))
+            evicted = tuple(coldest[:excess])
+        log_event(
+            "adapter_planned",
+            upstream=view.upstream.id,
+            unit=waiting.unit,
+            evicted=",".join(map(str, evicted)) or "-",
+            waiting=waiting.requests,
+        )
+        self._workers[view.upstream.id].give(AdapterTask(waiting.unit, evicted))
+
+    def _views(self, service: str) -> list[WorkerView]:
+        loads = self._total_loads()
+        views = []
+        for upstream in self._directory.usable(service):
+            worker = self._workers.get(upstream.id)
+            if worker is None:
+                continue
+            held = worker.held()
+            if held is None:
+                held = {m.name: m.adapters for m in upstream.models_by_name.values()}
+            load = loads.get(upstream.id, Load(0, 0))
+            views.append(
+                WorkerView(
+                    upstream,
+                    held,
+                    worker.free,
+                    worker.loading,
+                    worker.settled_at,
+                    load.requests,
+                    load.prompt_tokens,
+                )
+            )
+        return views
+
+    def _total_loads(self) -> dict[str, Load]:
+        totals: dict[str, Load] = defaultdict(lambda: Load(0, 0))
+        for entries in self._fresh_loads().values():
+            for entry in entries:
+                total = totals[entry.upstream]
+                totals[entry.upstream] = Load(
+                    total.requests + entry.requests, total.prompt_tokens + entry.prompt_tokens
+                )
+        return totals
+
+    def _fresh_loads(self) -> dict[str, list[LoadEntry]]:
+        since = time.monotonic() - LOADS_FRESH_SECONDS
+        return {key: entries for key, (at, entries) in list(self._loads.items()) if at > since}
+
+    def _tell(self, fence: int) -> GiverNews:
+        held = [
+            HeldEntry(key, {name: sorted(adapters) for name, adapters in known.items()})
+            for key, worker in self._workers.items()
+            if (known := worker.held()) is not None
+        ]
+        ready_in = {
+            worker.loading: worker.ready_in for worker in self._workers.values() if worker.loading
+        }
+        return GiverNews(self._right.instance, fence, held, ready_in, self._fresh_loads())
+
+
+def _holds(view: WorkerView, unit: Unit) -> bool:
+    adapters = view.held.get(unit.model)
+    return adapters is not None and (not unit.adapter or unit.adapter in adapters)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -0,0 +1,270 @@
+"""Gives the orders to one model worker, one after the other."""
+
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.holdings import Held
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.routes.service_rule import EngineRule
+from redwingscale_daemon._internal.swaps.engine_report import EngineReport
+from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult, Unload
+from redwingscale_daemon._internal.swaps.order_client import OrderClient
+from redwingscale_daemon._internal.swaps.planner import used_mb
+
+# Instances hear within some milliseconds that a model goes; what is on its way
+# to it arrives meanwhile.
+ROUTE_AWAY_SECONDS = 0.12
+# Reports are a tenth of a second old; each is a call that costs.
+POLL_SECONDS = 0.15
+# An adapter is there after 5 to 14 ms, later while many come at once.
+ADAPTER_SECONDS = 0.02
+# An unload waits for its runs; streams last a few seconds.
+UNLOAD_LIMIT_SECONDS = 12.0
+# Loads take up to three times as long while many run at once.
+LOAD_LIMIT_FACTOR = 4.0
+# A worker whose report could not be had is left alone for a moment.
+UNREACHABLE_SECONDS = 0.5
+
+
+class SwapTask(NamedTuple):
+    """Drop ``evicted`` and load ``model``; ``load_seconds`` is what the load should take."""
+
+    evicted: tuple[str, ...]
+    model: str
+    load_seconds: float
+
+
+class AdapterTask(NamedTuple):
+    """Load the adapter of ``unit``, dropping ``evicted`` ones first."""
+
+    unit: Unit
+    evicted: tuple[Unit, ...]
+
+
+Task = SwapTask | AdapterTask
+
+
+class GiverRight(NamedTuple):
+    """Who gives the orders; ``fence`` returns the number to use now, None without the right."""
+
+    instance: str
+    fence: Callable[[], int | None]
+
+
+class WorkerOrders:
+    """The ledger of one worker and a thread that carries out one task at a time.
+
+    What the worker holds is known from its report, then kept by its answers. An
+    order without an answer leaves it unknown, and nothing more is loaded until
+    a report tells: two loads that both arrive would overfill the memory, and
+    the worker would crash under its running models.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        engine: Callable[[], EngineRule | None],
+        client: OrderClient,
+        right: GiverRight,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.upstream = upstream
+        self._engine = engine
+        self._client = client
+        self._right = right
+        self._on_change = on_change
+        self._tasks: queue.SimpleQueue[Task | None] = queue.SimpleQueue()
+        self._report: EngineReport | None = None
+        self._going: frozenset[str] = frozenset()
+        self._busy_with: Task | None = None
+        self._ready_at = 0.0
+        self._blocked_until = 0.0
+        self.settled_at: dict[str, float] = {}
+        threading.Thread(target=self._run, name=f"orders-{upstream.id}", daemon=True).start()
+
+    @property
+    def free(self) -> bool:
+        """Whether a task can be given."""
+        return self._busy_with is None and time.monotonic() >= self._blocked_until
+
+    @property
+    def loading(self) -> str:
+        """The model that is being loaded, empty for none."""
+        task = self._busy_with
+        return task.model if isinstance(task, SwapTask) else ""
+
+    @property
+    def ready_in(self) -> float:
+        """Seconds until the model that is being loaded should be there."""
+        return max(0.0, self._ready_at - time.monotonic())
+
+    def held(self) -> Held | None:
+        """Return what requests may be sent for, None while it isn't known."""
+        report = self._report
+        if report is None:
+            return None
+        return {name: adapters for name, adapters in report.held.items() if name not in self._going}
+
+    def give(self, task: Task) -> None:
+        """Carry out ``task``; only while `free`."""
+        self._busy_with = task
+        if isinstance(task, SwapTask):
+            self._ready_at = time.monotonic() + ROUTE_AWAY_SECONDS + task.load_seconds
+        self._tasks.put(task)
+
+    def refresh(self) -> None:
+        """Ask for a report at the next task, or now when there is none."""
+        if self._busy_with is None:
+            self._report = None
+
+    def stop(self) -> None:
+        """End the thread after its task."""
+        self._tasks.put(None)
+
+    def _run(self) -> None:
+        while (task := self._tasks.get()) is not None:
+            try:
+                self._carry_out(task)
+            except Exception as error:
+                # The thread must live on: without it the worker would never
+                # get another order.
+                log_event("order_task_failed", level="ERROR", error=repr(error))
+                self._report = None
+            finally:
+                self._going = frozenset()
+                self._busy_with = None
+                self._on_change()
+
+    def _carry_out(self, task: Task) -> None:
+        if self._report is None and not self._learn():
+            self._blocked_until = time.monotonic() + UNREACHABLE_SECONDS
+            return
+        match task:
+            case SwapTask():
+                done = self._swap(task)
+            case AdapterTask():
+                done = self._load_adapter(task)
+        if not done:
+            # Whatever went wrong, the next task begins with a report.
+            self._report = None
+
+    def _learn(self) -> bool:
+        report = self._client.report(self.upstream)
+        if report is None or report.busy:
+            log_event("report_unusable", upstream=self.upstream.id, busy=report is not None)
+            return False
+        self._report = report
+        return True
+
+    def _swap(self, task: SwapTask) -> bool:
+        if task.evicted:
+            self._going = frozenset(task.evicted)
+            self._on_change()
+            time.sleep(ROUTE_AWAY_SECONDS)
+        for name in task.evicted:
+            if not self._unload(name):
+                return False
+        if not self._has_room(task.model):
+            log_event("swap_has_no_room", upstream=self.upstream.id, model=task.model)
+            return False
+        unit = Unit(task.model)
+        if self._order(Load(unit)) not in (OrderResult.ACCEPTED, OrderResult.HOLDS):
+            return False
+        self._ready_at = time.monotonic() + task.load_seconds
+        limit = task.load_seconds * LOAD_LIMIT_FACTOR + 1.0
+        time.sleep(max(0.0, task.load_seconds - POLL_SECONDS))
+        if not self._until(lambda report: task.model in report.held, limit):
+            return False
+        self.settled_at[task.model] = time.monotonic()
+        log_event("model_loaded", upstream=self.upstream.id, model=task.model)
+        return True
+
+    def _unload(self, name: str) -> bool:
+        result = self._order(Unload(Unit(name)))
+        if result not in (OrderResult.ACCEPTED, OrderResult.HOLDS):
+            return False
+        if not self._until(lambda report: name not in report.held, UNLOAD_LIMIT_SECONDS):
+            return False
+        log_event("model_unloaded", upstream=self.upstream.id, model=name)
+        return True
+
+    def _load_adapter(self, task: AdapterTask) -> bool:
+        for unit in task.evicted:
+            result = self._order(Unload(unit))
+            if result is not OrderResult.HOLDS:
+                # A request still uses it: it goes later, and its place isn't free yet.
+                return False
+            self._note_adapter(unit, held=False)
+        engine = self._engine()
+        if engine is None or self._adapters() >= engine.adapter_slots:
+            return False
+        if self._order(Load(task.unit)) not in (OrderResult.ACCEPTED, OrderResult.HOLDS):
+            return False
+        time.sleep(ADAPTER_SECONDS)
+        self._note_adapter(task.unit, held=True)
+        return True
+
+    def _adapters(self) -> int:
+        report = self._report
+        return sum(map(len, report.held.values())) + len(report.arriving) if report else 0
+
+    def _note_adapter(self, unit: Unit, *, held: bool) -> None:
+        report = self._report
+        assert report is not None
+        adapters = report.held.get(unit.model, frozenset())
+        changed = adapters | {unit.adapter} if held else adapters - {unit.adapter}
+        arriving = frozenset(one for one in report.arriving if one != unit)
+        self._report = report._replace(held={**report.held, unit.model: changed}, arriving=arriving)
+
+    def _has_room(self, model: str) -> bool:
+        engine, report = self._engine(), self._report
+        if engine is None or report is None or model not in engine.models_by_name:
+            return False
+        arriving = sum(
+            engine.models_by_name[unit.model].adapter_mb
+            for unit in report.arriving
+            if unit.model in engine.models_by_name
+        )
+        needed = engine.models_by_name[model].weights_mb
+        return used_mb(engine, report.held) + arriving + needed <= engine.weights_mb
+
+    def _order(self, action: Load | Unload) -> OrderResult:
+        """Send one order, counted in the ledger if the worker has taken it."""
+        report = self._report
+        fence = self._right.fence()
+        if report is None or fence is None:
+            return OrderResult.REFUSED
+        order = Order(action, report.orders_accepted, self._right.instance, fence)
+        result = self._client.order(self.upstream, order)
+        log_event(
+            "order_sent",
+            upstream=self.upstream.id,
+            order=type(action).__name__,
+            unit=action.unit,
+            after=report.orders_accepted,
+            fence=fence,
+            result=result.value,
+        )
+        if result is OrderResult.ACCEPTED or (
+            result is OrderResult.HOLDS and action.unit.adapter and isinstance(action, Unload)
+        ):
+            self._report = report._replace(orders_accepted=report.orders_accepted + 1)
+        return result
+
+    def _until(self, holds: Callable[[EngineReport], bool], limit_seconds: float) -> bool:
+        """Poll reports until one that is not busy ``holds``; keep it as the ledger."""
+        expected = self._report.orders_accepted if self._report else 0
+        end = time.monotonic() + limit_seconds
+        while time.monotonic() < end:
+            report = self._client.report(self.upstream)
+            if report is not None and report.orders_accepted >= expected and not report.busy:
+                self._report = report
+                return holds(report)
+            time.sleep(POLL_SECONDS)
+        return False
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -0,0 +1,41 @@
+"""Counters and latencies of the requests that are passed on byte for byte."""
+
+import time
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import REGISTRY, generate_latest
+
+from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
+
+# Latency targets of the deployments lie between 0.1 and 5 seconds.
+LATENCY_BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0)
+
+
+class IngressMetrics:
+    """The instruments of one instance; labels take a handful of values each."""
+
+    def __init__(self) -> None:
+        view = View(
+            instrument_name="redwingscale_request_seconds",
+            aggregation=ExplicitBucketHistogramAggregation(LATENCY_BOUNDS),
+        )
+        self._provider = MeterProvider(
+            metric_readers=[PrometheusMetricReader()], views=[view], shutdown_on_exit=False
+        )
+        meter = self._provider.get_meter("redwingscale")
+        self._requests = meter.create_counter("redwingscale_ingress_requests", unit="1")
+        self._seconds = meter.create_histogram("redwingscale_request_seconds", unit="s")
+        self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
+
+    def ended(self, request: IngressRequest, outcome: str) -> float:
+        """Count an ended request; return how long it took, in seconds."""
+        seconds = time.monotonic() - request.arrived_at
+        self._requests.add(1, {"outcome": outcome})
+        self._seconds.record(seconds, {"outcome": outcome})
+        return seconds
+
+    def page(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return bytes(generate_latest(REGISTRY))
--- a/packages/redwingscale-daemon/tests/unit/control/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/control/conftest.py
@@ -7,8 +7,8 @@
 import pytest
 from redwingscale_common.network.server import HttpServer, ServerLimits
 from redwingscale_daemon._internal.composition.control import build_control
-from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.settings.load import load_settings
+from redwingscale_daemon._internal.store.store import connect_platform
 from redwingscale_standins.platform.api import PlatformApi
 from redwingscale_standins.platform.weights import WeightStore
 from redwingscale_standins.silent_relay import SilentRelay
--- a/packages/redwingscale-daemon/tests/unit/control/test_configuration_spread.py
+++ b/packages/redwingscale-daemon/tests/unit/control/test_configuration_spread.py
@@ -2,8 +2,8 @@
 
 import pytest
 from redwingscale_daemon._internal.configuration.store import ConfigurationStore
-from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.settings.settings import PlatformSettings
+from redwingscale_daemon._internal.store.store import connect_platform
 
 
 @pytest.fixture
--- a/packages/redwingscale-daemon/tests/unit/control/test_configuration_store.py
+++ b/packages/redwingscale-daemon/tests/unit/control/test_configuration_store.py
@@ -5,8 +5,8 @@
 import pytest
 from redwingscale_daemon._internal.configuration.store import ConfigurationStore, Lost, Won
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
-from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.settings.settings import PlatformSettings
+from redwingscale_daemon._internal.store.store import connect_platform
 
 
 @pytest.fixture
--- a/packages/redwingscale-daemon/tests/unit/control/test_request_path.py
+++ b/packages/redwingscale-daemon/tests/unit/control/test_request_path.py
@@ -7,7 +7,7 @@
 import redwingscale_daemon._internal as internal
 
 ROOT = Path(internal.__file__).parent
-PLATFORM = "redwingscale_daemon._internal.platform"
+PLATFORM = "redwingscale_daemon._internal.store"
 FOLDERS = ("entry", "admission", "routing", "relay", "upstreams")
 
 
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -0,0 +1,296 @@
+"""Scripted upstreams and callers on real sockets."""
+
+import contextlib
+import random
+import socket
+import threading
+import time
+from typing import NamedTuple
+
+import pytest
+from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.chooser import Chooser
+from redwingscale_daemon._internal.fleet.health import Health
+from redwingscale_daemon._internal.fleet.holdings import Holdings
+from redwingscale_daemon._internal.fleet.load_book import LoadBook
+from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
+from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
+from redwingscale_daemon._internal.forwarding.entry import Entry
+from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
+from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
+from redwingscale_daemon._internal.forwarding.repeat_budget import BudgetRule, RepeatBudget
+from redwingscale_daemon._internal.forwarding.sender import Sender
+from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
+from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
+from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
+from redwingscale_daemon._internal.platform import exchange
+from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.idempotency import Idempotency
+from redwingscale_daemon._internal.routes.route import Route, WeightedService
+from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
+from redwingscale_daemon._internal.swaps.needs import Needs
+
+HOST = "a.example"
+WAIT_SECONDS = 5.0
+
+
+class Received(NamedTuple):
+    """One request as an upstream got it."""
+
+    upstream: str
+    head: str
+    body: bytes
+
+    def header(self, name):
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(": ")
+            if key.lower() == name.lower():
+                return value
+        return None
+
+
+class ScriptedUpstream:
+    """Answers each request with the next script: a function of connection and request."""
+
+    def __init__(self, name, log, scripts):
+        self.name = name
+        self.log = log
+        self.scripts = list(scripts)
+        self.left = threading.Event()
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self.port = self._server.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._server.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection):
+        stream = connection.makefile("rb")
+        with connection:
+            while head := _read_head(stream):
+                length = int(Received("", head, b"").header("Content-Length") or 0)
+                received = Received(self.name, head, stream.read(length))
+                self.log.append(received)
+                script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+                # The other side may close in the middle of an answer.
+                with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+                    if script(connection, received) is not False:
+                        continue
+                return
+
+    def close(self):
+        self._server.close()
+
+
+def _read_head(stream):
+    lines = []
+    while (line := stream.readline()) not in (b"", b"\r\n"):
+        lines.append(line.decode().rstrip("\r\n"))
+    return "\r\n".join(lines)
+
+
+def head(received, status="200 OK", *lines, signed=True):
+    """The head of an answer to ``received``."""
+    answer = [
+        f"HTTP/1.1 {status}",
+        f"X-Redwingscale-Request-Id: {received.header('X-Redwingscale-Request-Id')}",
+    ]
+    if signed:
+        answer.append("X-Redwingscale-Response-Seal: seal")
+    return "\r\n".join([*answer, *lines, "", ""]).encode()
+
+
+def sized(body, status="200 OK", signed=True):
+    """A script: a whole answer with a length."""
+
+    def script(connection, received):
+        length = f"Content-Length: {len(body)}"
+        connection.sendall(head(received, status, length, signed=signed) + body)
+
+    return script
+
+
+def not_run(connection, received):
+    """A script: the upstream is full."""
+    connection.sendall(
+        head(
+            received,
+            "503 Full",
+            "X-Redwingscale-Not-Executed: 1",
+            "Content-Length: 0",
+            signed=False,
+        )
+    )
+
+
+def breaks(connection, received):
+    """A script: the upstream dies without an answer."""
+    return False
+
+
+def events(*numbers, then="end", gap=0.0):
+    """A script: a stream of events; ``then`` it ends, breaks off or says no more."""
+
+    def script(connection, received):
+        connection.sendall(
+            head(
+                received, "200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"
+            )
+        )
+        for number in numbers:
+            time.sleep(gap)
+            event = f"id: {number}\ndata: token{number}\n\n".encode()
+            connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        if then == "end":
+            connection.sendall(b"0\r\n\r\n")
+            return True
+        if then == "inside":
+            connection.sendall(b"20\r\nid: 99\ndata: hal")
+        if then == "silent":
+            connection.settimeout(WAIT_SECONDS)
+            connection.recv(1)
+        return False
+
+    return script
+
+
+def route(prefix, kind, **changes):
+    base = Route(
+        prefix, HOST, prefix, kind, 4.0, 0.5, 1, (WeightedService("llm", 1.0),), 2, False, 0.4
+    )
+    return base._replace(**changes)
+
+
+ROUTES = [
+    route("/safe/", Idempotency.IDEMPOTENT, services=(WeightedService("plain", 1.0),)),
+    route("/once/", Idempotency.AT_MOST_ONCE, services=(WeightedService("plain", 1.0),)),
+    route("/brief/", Idempotency.IDEMPOTENT, services=(WeightedService("plain", 1.0),), time_limit_seconds=0.3),
+    route("/stream/", Idempotency.STREAM, resumable=True),
+    route("/single/", Idempotency.STREAM, most_upstreams=1),
+]  # fmt: skip
+
+
+class _Outcomes:
+    """In place of metrics."""
+
+    def __init__(self, ended):
+        self._ended = ended
+
+    def ended(self, request, outcome):
+        self._ended.append(outcome)
+        return 0.0
+
+
+class World:
+    """One instance's request path in front of scripted upstreams."""
+
+    def __init__(self):
+        self.log = []
+        self.upstreams = []
+        self.routes = CurrentRoutes()
+        self.changes, self.holdings = Changes(), Holdings()
+        self.directory = UpstreamDirectory(self.holdings, self.changes)
+        self.pool = ConnectionPool()
+        self.open_requests = OpenRequests()
+        self.needs = Needs()
+        self.ended = []
+        book, health, prefixes = LoadBook(), Health(), PrefixMemory()
+        self.book = book
+        chooser = Chooser("z1", self.directory, book, prefixes, health)
+        chooser._random = random.Random(1)
+        budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
+        parts = RelayParts(exchange, Sender(self.pool, exchange), chooser, book, health, budget)
+        wait = HolderWait(chooser, self.changes, self.holdings, self.needs)
+        entry = Entry(
+            self.routes, exchange, PlainRelay(parts), StreamRelay(parts, wait, prefixes),
+            self.needs, budget, self.open_requests, _Outcomes(self.ended),
+        )  # fmt: skip
+        self.server = IngressServer(
+            entry.handle, "127.0.0.1", 0, PortLimits(16, 16384, 1 << 20, 10)
+        )
+
+    def start(self):
+        self.routes.offer(RouteTable(1, ROUTES, {}, IngressLimits(1, 1, 1.0, 1.0)))
+        self.server.start()
+
+    def add(self, service, *scripts, models=("m",)):
+        """Start an upstream; in a nearer failure domain than those added after it."""
+        name = f"u{len(self.upstreams)}"
+        scripted = ScriptedUpstream(name, self.log, scripts)
+        domain = "z1" if not self.upstreams else "z2"
+        held = {m: ResidentModel(m, 1, frozenset()) for m in models} if service == "llm" else {}
+        listed = Upstream(
+            name, service, "127.0.0.1", scripted.port, domain, 64, False, None, held,
+            frozenset(), frozenset(),
+        )  # fmt: skip
+        self.upstreams.append((scripted, listed))
+        self.directory.replace([upstream for _, upstream in self.upstreams])
+        return scripted
+
+    def connect(self):
+        caller = socket.create_connection(("127.0.0.1", self.server.port))
+        caller.settimeout(WAIT_SECONDS)
+        return caller
+
+    def send(self, path, body=b"", *, method="POST", model=None, caller=None, headers=()):
+        caller = caller or self.connect()
+        lines = [
+            f"{method} {path} HTTP/1.1", f"Host: {HOST}", "X-Redwingscale-Request-Id: r1",
+            f"Content-Length: {len(body)}", *headers,
+        ]  # fmt: skip
+        if model:
+            lines += [f"X-Redwingscale-Model-Name: {model}", "X-Redwingscale-Token-Usage: 100,10"]
+        caller.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+        return caller
+
+    def ask(self, path, body=b"", **options):
+        """Send a request and return its answer, read by the rules of the protocol."""
+        return read_answer(self.send(path, body, **options))
+
+    def stop(self):
+        self.server.stop()
+        for scripted, _ in self.upstreams:
+            scripted.close()
+
+
+class Answer(NamedTuple):
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+
+
+def read_answer(caller):
+    stream = caller.makefile("rb")
+    first, *lines = _read_head(stream).split("\r\n")
+    headers = dict(line.split(": ", 1) for line in lines)
+    status = int(first.split()[1])
+    if "Content-Length" in headers:
+        length = int(headers["Content-Length"])
+        body = stream.read(length)
+        return Answer(status, headers, body, len(body) == length)
+    body = b""
+    while size := stream.readline().strip():
+        if size == b"0":
+            stream.readline()
+            return Answer(status, headers, body, True)
+        body += stream.read(int(size, 16))
+        stream.readline()
+    return Answer(status, headers, body, False)
+
+
+@pytest.fixture
+def world():
+    """A request path; `World.ended` takes the outcomes that metrics would count."""
+    made = World()
+    made.start()
+    yield made
+    made.stop()
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
@@ -0,0 +1,173 @@
+"""Requests to plain services: byte for byte, at most once where that is asked for."""
+
+import time
+
+import pytest
+
+from .conftest import breaks, head, not_run, sized
+
+
+def test_request_and_answer_pass_byte_for_byte(world):
+    world.add("plain", sized(b"answer"))
+    answer = world.ask("/safe/a%2fb//c?x=%7e&x=1", b"\x00body", headers=("X-Own: 1",))
+    (received,) = world.log
+    assert received.head.startswith("POST /safe/a%2fb//c?x=%7e&x=1 HTTP/1.1")
+    assert received.body == b"\x00body"
+    assert received.header("X-Own") == "1"
+    assert received.header("X-Redwingscale-Expect-Instance") == "u0"
+    assert (answer.status, answer.body, answer.whole) == (200, b"answer", True)
+    assert answer.headers["X-Redwingscale-Response-Seal"] == "seal"
+
+
+def test_chunked_request_is_sent_with_its_length(world):
+    world.add("plain", sized(b"ok"))
+    caller = world.connect()
+    caller.sendall(
+        b"POST /safe/ HTTP/1.1\r\nHost: a.example\r\nX-Redwingscale-Request-Id: r1\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    assert b"200 OK" in caller.recv(1000)
+    assert world.log[0].body == b"abcde"
+
+
+def test_connections_to_upstreams_are_kept(world):
+    world.add("plain", sized(b"ok"))
+    for _ in range(3):
+        assert world.ask("/safe/").status == 200
+    assert world.pool.opened == 1
+
+
+@pytest.mark.parametrize("failure", [breaks, sized(b"", "500 Failed")])
+def test_idempotent_request_is_sent_to_another_upstream(world, failure):
+    world.add("plain", failure)
+    world.add("plain", sized(b"ok"))
+    assert world.ask("/safe/").body == b"ok"
+    assert [received.upstream for received in world.log] == ["u0", "u1"]
+
+
+def test_request_that_may_have_run_is_not_sent_again(world):
+    # The register's upstream dies after it has read an entry. Sent again, the
+    # entry could stand there twice; and nobody may say that it has not run.
+    world.add("plain", breaks)
+    world.add("plain", sized(b"ok"))
+    answer = world.ask("/once/")
+    assert answer.status == 502
+    assert "Retry-After" not in answer.headers
+    assert len(world.log) == 1
+
+
+def test_request_that_was_not_run_is_sent_to_another_upstream(world):
+    world.add("plain", not_run)
+    world.add("plain", sized(b"ok"))
+    assert world.ask("/once/").body == b"ok"
+
+
+def test_refusal_says_not_run_and_when_to_come_back(world):
+    world.add("plain", not_run)
+    answer = world.ask("/once/")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+
+
+def test_own_answer_follows_a_late_one(world):
+    # An upstream answers an earlier request a second time, just where the answer
+    # to the next one is due: the caller would get another caller's answer.
+    def twice(connection, received):
+        sized(b"first")(connection, received)
+        time.sleep(0.05)
+
+    def late(connection, received):
+        old = received._replace(head=received.head.replace("r1", "old"))
+        sized(b"first again")(connection, old)
+        sized(b"second")(connection, received)
+
+    world.add("plain", twice, late)
+    assert world.ask("/once/").body == b"first"
+    assert world.ask("/once/").body == b"second"
+
+
+def test_extra_bytes_end_the_connection(world):
+    def extra(connection, received):
+        sized(b"ok")(connection, received)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+
+    world.add("plain", extra, sized(b"own"))
+    assert world.ask("/once/").body == b"ok"
+    time.sleep(0.05)
+    assert world.ask("/once/").body == b"own"
+    assert world.pool.opened == 2
+
+
+def test_success_without_signature_is_no_answer(world):
+    world.add("plain", sized(b"forged", signed=False))
+    assert world.ask("/once/").status == 502
+
+
+def test_answer_that_breaks_off_is_no_answer(world):
+    def short(connection, received):
+        connection.sendall(head(received, "200 OK", "Content-Length: 10") + b"half")
+        return False
+
+    world.add("plain", short)
+    assert world.ask("/once/").status == 502
+
+
+def test_answer_without_a_length_ends_with_its_connection(world):
+    def unframed(connection, received):
+        connection.sendall(head(received) + b"all of it")
+        return False
+
+    world.add("plain", unframed)
+    assert world.ask("/once/").body == b"all of it"
+
+
+def test_time_limit_is_kept_while_the_upstream_is_silent(world):
+    world.add("plain", lambda connection, received: time.sleep(2.0))
+    started = time.monotonic()
+    assert world.ask("/brief/").status == 504
+    # Far below the upstream's two seconds, far above the limit of 0.3.
+    assert time.monotonic() - started < 1.5
+
+
+def test_work_ends_when_the_caller_leaves(world):
+    # A caller gives up while the upstream still works, and has sent nothing: a
+    # thread that only reads the upstream would let it work on for nobody.
+    seen = []
+
+    def waits(connection, received):
+        connection.settimeout(3.0)
+        seen.append(connection.recv(1))
+        return False
+
+    world.add("plain", waits)
+    world.send("/brief/").close()
+    deadline = time.monotonic() + 3.0
+    while not seen and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert seen == [b""]
+
+
+def test_unknown_route_and_missing_id(world):
+    assert world.ask("/nowhere/").status == 404
+    caller = world.connect()
+    caller.sendall(b"GET /safe/ HTTP/1.1\r\nHost: a.example\r\n\r\n")
+    assert b" 400 " in caller.recv(1000)
+    assert world.log == []
+
+
+def test_smuggled_request_is_refused(world):
+    world.add("plain", sized(b"ok"))
+    caller = world.connect()
+    caller.sendall(
+        b"POST /safe/ HTTP/1.1\r\nHost: a.example\r\nX-Redwingscale-Request-Id: r1\r\n"
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /safe/ HTTP/1.1\r\n\r\n"
+    )
+    assert b" 400 " in caller.recv(1000)
+    assert world.log == []
+
+
+def test_draining_instance_answers_and_closes(world):
+    world.add("plain", sized(b"ok"))
+    world.open_requests.drain()
+    answer = world.ask("/safe/")
+    assert (answer.status, answer.headers["Connection"]) == (200, "close")
