--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
@@ -0,0 +1,158 @@
+"""Documents of the users' platform become the product's types."""
+
+import msgspec
+import pytest
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
+from redwingscale_daemon._internal.platform import configuration, discovery, engine, exchange
+from redwingscale_daemon._internal.routes.idempotency import Idempotency
+from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult, Unload
+
+DOCUMENT = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1", "Host": "A.example", "Prefix": "/p/", "Kind": "streaming",
+            "TimeoutMs": 4000, "TargetLatencyMs": 600, "Priority": 1, "MaxAttempts": 2,
+            "TrafficSplit": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}],
+            "Resumable": True, "GapTargetMs": 400, "Unknown": 1,
+        },
+        {"Name": "r2", "Host": "a.example", "Prefix": "/q/", "Kind": "unsafe",
+         "TimeoutMs": 1000, "Service": "s2"},
+    ],
+    "Services": [
+        {"Name": "s1", "MaxConns": 360, "Engine": {
+            "Slots": 64, "KvCapacity": 1000, "WeightsMb": 200.0, "AdapterSlots": 5,
+            "LoadsPerS": 2.1, "Models": [
+                {"Name": "m", "WeightsMb": 65.0, "LoadS": 5.8, "Adapters": 3, "AdapterMb": 1.0,
+                 "WarmS": 0.5, "DiskS": 1.2}]}},
+        {"Name": "s2"},
+    ],
+}  # fmt: skip
+
+
+def test_configuration():
+    table = configuration.decode_configuration(msgspec.json.encode(DOCUMENT))
+    stream, once = table.find("a.example", "/p/x"), table.find("a.example", "/q/x")
+    assert table.version == 7
+    assert stream.idempotency is Idempotency.STREAM
+    assert [(s.service, s.weight) for s in stream.services] == [("s1", 90), ("s2", 10)]
+    assert (stream.time_limit_seconds, stream.longest_gap_seconds) == (4.0, 0.4)
+    assert once.idempotency is Idempotency.AT_MOST_ONCE
+    assert once.most_upstreams == 1
+    model = table.services_by_name["s1"].engine.models_by_name["m"]
+    assert (model.cold_seconds, model.disk_seconds, model.memory_seconds) == (5.8, 1.2, 0.5)
+
+
+@pytest.mark.parametrize("kind", ["keyed", "new-kind"])
+def test_unknown_kind_of_route_runs_at_most_once(kind):
+    # A kind that a later version brings: taking it as repeatable could run an
+    # entry of a register twice.
+    document = {**DOCUMENT, "Routes": [{**DOCUMENT["Routes"][1], "Kind": kind}]}
+    table = configuration.decode_configuration(msgspec.json.encode(document))
+    assert table.find("a.example", "/q/").idempotency is Idempotency.AT_MOST_ONCE
+
+
+def test_upstream_entry():
+    entry = {
+        "Service": "s1", "Address": "10.0.0.9:8080", "Zone": "z", "Version": "v1", "Slots": 64,
+        "State": "draining", "RemainingMs": 1500, "Seq": 4,
+        "Models": [{"Name": "m", "Version": 2, "Adapters": ["a1"]}],
+        "AtHand": {"InMemory": ["m"], "OnDisk": ["m", "n"]},
+    }  # fmt: skip
+    upstream = discovery.decode_upstream("i-1", msgspec.json.encode(entry))
+    assert upstream.address == ("10.0.0.9", 8080)
+    assert (upstream.leaving, upstream.seconds_left) == (True, 1.5)
+    assert upstream.models_by_name["m"].adapters == {"a1"}
+    assert upstream.on_disk == {"m", "n"}
+
+
+@pytest.mark.parametrize(
+    "document", [b"{", b'{"Service":"s"}', b'{"Service":"s","Address":"x","Zone":"z"}']
+)
+def test_bad_upstream_entry_is_refused(document):
+    with pytest.raises(msgspec.DecodeError):
+        discovery.decode_upstream("i-1", document)
+
+
+def test_report():
+    report = engine.decode_report(
+        b'{"Models":[{"Name":"m","Adapters":["a1"]}],"Busy":true,"Seq":3,"Loading":["m/a2@1"]}'
+    )
+    assert report.held == {"m": frozenset({"a1"})}
+    assert report.arriving == {Unit("m", "a2")}
+    assert (report.busy, report.orders_accepted) == (True, 3)
+
+
+def test_order():
+    load = Order(Load(Unit("m", "a3")), 2, "node-7", 41)
+    assert msgspec.json.decode(engine.encode_order(load)) == {
+        "Op": "load", "Model": "m", "Adapter": "a3", "Expect": 2, "Holder": "node-7", "Fence": 41,
+    }  # fmt: skip
+    unload = load._replace(action=Unload(Unit("m")))
+    assert msgspec.json.decode(engine.encode_order(unload))["Op"] == "unload"
+    assert engine.order_result(202) is OrderResult.ACCEPTED
+    assert engine.order_result(500) is OrderResult.REFUSED
+
+
+def request(*headers):
+    return IngressRequest("POST", "/p/x", "a.example", headers, b"", 0.0, None)
+
+
+def test_terms():
+    terms = exchange.read_terms(
+        request(
+            ("X-Redwingscale-Request-Id", "r"),
+            ("X-Redwingscale-Deadline-Ms", "4000"),
+            ("X-Redwingscale-Model-Name", "m/a1"),
+            ("X-Redwingscale-Token-Usage", "1460,80"),
+            ("X-Redwingscale-Prefix-Hash", "5c:800,91:410"),
+            ("Last-Event-Id", "12"),
+        )
+    )
+    assert (terms.request_id, terms.deadline_seconds, terms.last_event) == ("r", 4.0, 12)
+    assert terms.prompt.unit == Unit("m", "a1")
+    assert [(part.id, part.tokens) for part in terms.prompt.parts] == [("5c", 800), ("91", 410)]
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        (),
+        (("X-Redwingscale-Request-Id", "r"), ("X-Redwingscale-Deadline-Ms", "soon")),
+        (
+            ("X-Redwingscale-Request-Id", "r"),
+            ("X-Redwingscale-Model-Name", "m"),
+            ("X-Redwingscale-Token-Usage", "many"),
+        ),
+    ],
+)
+def test_malformed_headers_are_named(headers):
+    assert isinstance(exchange.read_terms(request(*headers)), str)
+
+
+def test_headers_that_steer_upstreams_are_not_taken_from_callers():
+    # A caller names a worker's reserved place or another run's memory; the
+    # upstream would take it as the system's word.
+    sent = request(
+        ("X-Redwingscale-Request-Id", "r"),
+        ("X-Redwingscale-Hold-Request", "h"),
+        ("X-Redwingscale-Pin-Ms", "9"),
+        ("Kv-From", "1.2.3.4:5/x"),
+        ("X-Redwingscale-Kv-Backup", "1.2.3.4:5"),
+        ("X-Redwingscale-Expect-Instance", "i"),
+        ("X-Redwingscale-Request-Priority", "0"),
+        ("Connection", "X-Hop, keep-alive"),
+        ("X-Hop", "1"),
+        ("X-Own", "2"),
+    )
+    assert exchange.forwarded_headers(sent) == (
+        ("X-Redwingscale-Request-Id", "r"),
+        ("X-Own", "2"),
+    )
+
+
+def test_a_continued_stream_names_its_last_event_once():
+    headers = exchange.sending_headers((("Last-Event-Id", "3"),), "i-1", 1.5, 2, 7)
+    assert [value for name, value in headers if name == "Last-Event-Id"] == ["7"]
+    assert ("X-Redwingscale-Deadline-Ms", "1500") in headers
--- a/packages/redwingscale-daemon/tests/unit/test_claims.py
+++ b/packages/redwingscale-daemon/tests/unit/test_claims.py
@@ -21,10 +21,10 @@
 from redwingscale_daemon._internal.membership.members import Members
 from redwingscale_daemon._internal.models.generation import EndEvent, TokenEvent
 from redwingscale_daemon._internal.models.member import PlainMember
-from redwingscale_daemon._internal.platform.platform import connect_platform
 from redwingscale_daemon._internal.relay.plain import PlainRelay, PlainRequest
 from redwingscale_daemon._internal.relay.retry_budget import RetryBudget
 from redwingscale_daemon._internal.settings.settings import PlatformSettings
+from redwingscale_daemon._internal.store.store import connect_platform
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_daemon._internal.telemetry.tracing import Tracing
 from redwingscale_daemon._internal.upstreams.in_flight import InFlight
--- a/packages/redwingscale-standins/src/redwingscale_standins/histories/owner.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/histories/owner.py
@@ -14,7 +14,7 @@
 from redwingscale_daemon._internal.placement.owner import EngineOwner
 from redwingscale_daemon._internal.placement.owner_parts import OwnerParts
 from redwingscale_daemon._internal.placement.plan import Plan
-from redwingscale_daemon._internal.platform.table import Table
+from redwingscale_daemon._internal.store.table import Table
 from redwingscale_daemon._internal.upstreams.directory import Directory
 from redwingscale_daemon._internal.upstreams.engine_control import EngineControl
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/histories/table.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/histories/table.py
@@ -5,8 +5,8 @@
 
 import msgspec
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
-from redwingscale_daemon._internal.platform.row import Committed, Conflict, Row, Transaction
-from redwingscale_daemon._internal.platform.table import Table
+from redwingscale_daemon._internal.store.row import Committed, Conflict, Row, Transaction
+from redwingscale_daemon._internal.store.table import Table
 
 from redwingscale_standins.histories.clock import FakeClock
 from redwingscale_standins.histories.faults import Fault, FaultSource, Point
