Swap a model in only where it serves more requests than it costs

Cause: the giver dropped the only copy of models that are asked for several times a second for one request of a rare model, because it took the cheapest worker of those that were free, however dear. Cold loads (5 to 6.4 s) also kept workers from the orders that mattered.

Now gains and losses are counted in requests; a load costs 0.8 requests a second; models that nobody has asked for yet are kept; spare copies make room for models that nobody holds.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -117,7 +117,7 @@
     budget = RepeatBudget(rule, swaps.instances)
     chooser = Chooser(settings.failure_domain, directory, book, prefixes, health)
     parts = RelayParts(exchange, Sender(pool, exchange), chooser, book, health, budget)
-    wait = HolderWait(chooser, changes, holdings, swaps.needs)
+    wait = HolderWait(chooser, changes, holdings, swaps.needs, open_requests)
     return Entry(
         routes,
         exchange,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -26,7 +26,9 @@
 
 # Three renewals in a lease: one lost answer does not cost it.
 LEASE_SECONDS = 2.0
-LEASE_STEP_SECONDS = 0.6
+LEASE_STEP_SECONDS = 0.5
+# Two renewals that get no answer end the orders.
+ORDER_SECONDS = 1.2
 # Before instances are heard of: a deployment of the usual size.
 USUAL_INSTANCES = 6
 
@@ -57,7 +59,7 @@
     lease = GiverLease(
         store,
         GiverRecord(me, settings.host, news_port, needs_port, start),
-        LeaseTiming(LEASE_SECONDS, settings.bounds.order_quiet),
+        LeaseTiming(LEASE_SECONDS, ORDER_SECONDS, settings.bounds.order_quiet),
     )
     needs = Needs()
     seen: set[str] = set()
@@ -91,6 +93,11 @@
     link = GiverLink(lease, me, make_news, on_giver_news, giver.heard)
     needs.on_new_wait(link.wake)
 
+    def follow_lease() -> None:
+        # The giver's news tell that it is there: its row is read only without them.
+        if lease.holds or not holdings.fresh or lease.record is None:
+            lease.step()
+
     def give() -> None:
         news = giver.step()
         if news is not None:
@@ -100,7 +107,7 @@
         needs=needs,
         tasks=(
             hub,
-            Periodic("giver-lease", LEASE_STEP_SECONDS, lease.step),
+            Periodic("giver-lease", LEASE_STEP_SECONDS, follow_lease),
             link,
             Periodic("order-giver", 0.0, give),
         ),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -12,6 +12,7 @@
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 
 # How often a waiting request looks whether its caller is still there.
 LOOK_SECONDS = 0.05
@@ -22,6 +23,10 @@
 # Part of the time limit after which a request without news is given up on.
 PATIENCE = 0.6
 COME_BACK_SECONDS = 0.5
+# Before the end of the process, for the answer to reach the caller.
+STOP_MARGIN_SECONDS = 0.8
+# Another instance takes the request at once.
+STOPPING_COME_BACK_SECONDS = 0.05
 
 
 class Needs(Protocol):
@@ -41,6 +46,7 @@
     changes: Changes
     holdings: Holdings
     needs: Needs
+    open_requests: OpenRequests
 
     def candidate(self, call: Call, prompt: Prompt) -> Candidate:
         """Return the best holder, waiting for one; raise `Refusal` or `CallerLeft`.
@@ -73,9 +79,21 @@
             if found is not None:
                 return found
             self._give_up_if_hopeless(call, prompt, started)
+            self._give_up_if_ending(call)
             self.changes.wait(seen, LOOK_SECONDS)
             call.watch.check_caller()
 
+    def _give_up_if_ending(self, call: Call) -> None:
+        # A planned stop must not cut a request that it has read: one that still
+        # waits when the process is about to end would be closed without an answer.
+        if self.open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS:
+            raise Refusal(
+                503,
+                "stopping",
+                "the instance stops",
+                retry_after_seconds=STOPPING_COME_BACK_SECONDS,
+            )
+
     def _give_up_if_hopeless(self, call: Call, prompt: Prompt, started: float) -> None:
         waited = time.monotonic() - started
         left = call.watch.remaining() - SERVICE_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
@@ -87,7 +87,7 @@
     def _drain(self, end: float) -> None:
         open_requests = self._parts.open_requests
         log_event("draining", open_requests=open_requests.count)
-        open_requests.drain()
+        open_requests.drain(end)
         self._parts.release()
         time.sleep(BALANCER_SECONDS)
         log_event("port_closing", open_requests=open_requests.count)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/open_requests.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/open_requests.py
@@ -1,5 +1,6 @@
 """How many requests are being answered, and whether the instance is stopping."""
 
+import math
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -12,16 +13,23 @@
         self._lock = threading.Lock()
         self._count = 0
         self._draining = threading.Event()
+        self._ends_at = math.inf
 
     @property
     def draining(self) -> bool:
         """Whether the instance takes leave."""
         return self._draining.is_set()
 
-    def drain(self) -> None:
-        """Be unready from now on; requests that still come are answered."""
+    def drain(self, ends_at: float) -> None:
+        """Be unready from now on; what still comes is answered until ``ends_at``, monotonic."""
+        self._ends_at = ends_at
         self._draining.set()
 
+    @property
+    def ends_at(self) -> float:
+        """The monotonic time at which the process ends, infinite while it isn't told to."""
+        return self._ends_at
+
     @property
     def count(self) -> int:
         """How many are open."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
@@ -1,5 +1,6 @@
 """How much each model is asked for, over all instances."""
 
+import math
 import threading
 import time
 from typing import NamedTuple
@@ -9,6 +10,15 @@
 
 # Demand moves from one model to another within five seconds.
 MEMORY_SECONDS = 4.0
+# Expected requests, in the same measure as a rate over some seconds.
+UNSEEN_REQUESTS = 3.0
+LEFT_REQUESTS = 0.6
+RARE_REQUESTS = 0.2
+BUSY_PER_SECOND = 1.0
+# Before anybody asks, the number of copies that the workers begin with tells how
+# much a model is asked for.
+FIRST_LOOK_SECONDS = 6.0
+KEPT_OF_FIRST_COPIES = 0.6
 # An instance's news replace its former ones; one that is silent needs nothing.
 NEWS_SECONDS = 1.5
 
@@ -36,13 +46,25 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._rates: dict[tuple[str, Unit], _Rate] = {}
+        self._model_rates: dict[tuple[str, str], _Rate] = {}
+        self._peaks: dict[tuple[str, str], float] = {}
         self._waiting: dict[str, tuple[float, list[NeedEntry]]] = {}
+        self._first_copies: dict[tuple[str, str], int] = {}
+        self._first_arrival_at: float | None = None
+
+    def begin_with(self, service: str, copies_by_model: dict[str, int]) -> None:
+        """Take what the workers of a service hold when this process first sees them."""
+        with self._lock:
+            for model, copies in copies_by_model.items():
+                self._first_copies.setdefault((service, model), copies)
 
     def heard(self, news: InstanceNews) -> None:
         """Take an instance's news."""
         now = time.monotonic()
         with self._lock:
             self._waiting[news.instance] = (now, [need for need in news.needs if need.waiting])
+            if news.needs and self._first_arrival_at is None:
+                self._first_arrival_at = now
             for need in news.needs:
                 self._count(need, now)
 
@@ -73,14 +95,29 @@
         return rate.now(time.monotonic()) if rate else 0.0
 
     def model_rate(self, service: str, model: str) -> float:
-        """Return the arrivals a second of ``model`` with all its adapters."""
-        now = time.monotonic()
-        with self._lock:
-            return sum(
-                rate.now(now)
-                for (of_service, unit), rate in self._rates.items()
-                if of_service == service and unit.model == model
-            )
+        """Return the arrivals a second of ``model`` with all its adapters, faded."""
+        rate = self._model_rates.get((service, model))
+        return rate.now(time.monotonic()) if rate else 0.0
+
+    def standing(self, service: str, model: str) -> float:
+        """Return how many requests to expect beyond the present rate, for a model at rest.
+
+        Demand moves on to models that nobody has asked for yet; those that it has
+        left, and those that are asked for now and then, are less likely next.
+        """
+        peak = self._peaks.get((service, model))
+        if peak is None:
+            return UNSEEN_REQUESTS
+        return LEFT_REQUESTS if peak >= BUSY_PER_SECOND else RARE_REQUESTS
+
+    def copies_to_keep(self, service: str, model: str) -> int:
+        """Return how many copies of ``model`` stay until its demand has been seen."""
+        copies = self._first_copies.get((service, model), 0)
+        return 1 if self._seen_enough() else math.ceil(copies * KEPT_OF_FIRST_COPIES)
+
+    def _seen_enough(self) -> bool:
+        first = self._first_arrival_at
+        return first is not None and time.monotonic() - first > FIRST_LOOK_SECONDS
 
     def _count(self, need: NeedEntry, now: float) -> None:
         key = (need.service, Unit(need.model, need.adapter))
@@ -88,3 +125,8 @@
         # Each arrival adds what makes a steady stream of one a second add up to one.
         added = need.arrivals * 0.693 / MEMORY_SECONDS
         self._rates[key] = _Rate(before.now(now) + added, now)
+        model = (need.service, need.model)
+        rate = self._model_rates.get(model, _Rate(0.0, now)).now(now) + added
+        self._model_rates[model] = _Rate(rate, now)
+        if need.arrivals:
+            self._peaks[model] = max(self._peaks.get(model, 0.0), rate)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
@@ -27,9 +27,15 @@
 
 
 class LeaseTiming(NamedTuple):
-    """``lease_seconds`` from the last renewal; ``quiet_seconds`` between two givers' orders."""
+    """``lease_seconds`` from the last renewal; ``quiet_seconds`` between two givers' orders.
+
+    Orders are given only for ``order_seconds`` after a renewal, less than the
+    lease: the next giver's quiet time counts from the end of these, and is
+    partly over when it takes the lease.
+    """
 
     lease_seconds: float
+    order_seconds: float
     quiet_seconds: float
 
 
@@ -78,7 +84,8 @@
         To be asked right before each order: a frozen process wakes up anywhere.
         """
         now = self._clock()
-        if now >= self._valid_until or now < self._orders_from:
+        orders_until = self._valid_until - self._timing.lease_seconds + self._timing.order_seconds
+        if now >= orders_until or now < self._orders_from:
             return None
         return self._fence
 
@@ -156,13 +163,15 @@
         if written is None:
             self._read()
             return
-        quiet = 0.0 if alone else self._timing.quiet_seconds
+        # The former giver's last order can have gone out this long after its renewal.
+        last_order = self._seen_at + self._timing.order_seconds
+        orders_from = self._clock() if alone else last_order + self._timing.quiet_seconds
         self._row_version = written
         self._record = self._me
         self._fence = written
-        self._orders_from = self._clock() + quiet
+        self._orders_from = orders_from
         self._valid_until = started + self._timing.lease_seconds
-        log_event("giver_taken", fence=written, orders_in=quiet)
+        log_event("giver_taken", fence=written, orders_in=round(orders_from - self._clock(), 3))
 
 
 def _record(row: StoredRow) -> GiverRecord | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -6,7 +6,7 @@
 class NeedEntry(msgspec.Struct, array_like=True):
     """How much a unit is asked for at one instance since its last message.
 
-    ``waiting`` requests have no holder; the tightest of them can wait for
+    ``waiting`` requests have no holder; the most patient of them can wait for
     ``patience_seconds`` more.
     """
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -2,7 +2,8 @@
 
 import threading
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
+from collections.abc import Iterable
 
 from redwingscale_common.utils.logs import log_event
 
@@ -22,7 +23,7 @@
     LoadEntry,
 )
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
-from redwingscale_daemon._internal.swaps.planner import Planner, adapter_worker
+from redwingscale_daemon._internal.swaps.planner import Planner, Swap, adapter_worker
 from redwingscale_daemon._internal.swaps.worker_orders import (
     AdapterTask,
     GiverRight,
@@ -98,6 +99,8 @@
 
     def _follow_list(self) -> None:
         listed = {u.id: u for u in self._directory.all() if self._engine(u.service)}
+        if not self._workers:
+            self._begin_with(listed.values())
         for key in self._workers.keys() - listed.keys():
             self._workers.pop(key).stop()
         for key, upstream in listed.items():
@@ -105,6 +108,13 @@
                 self._workers[key] = self._new_worker(upstream)
             self._workers[key].upstream = upstream
 
+    def _begin_with(self, upstreams: Iterable[Upstream]) -> None:
+        copies: dict[str, Counter[str]] = defaultdict(Counter)
+        for upstream in upstreams:
+            copies[upstream.service].update(upstream.models_by_name.keys())
+        for service, copies_by_model in copies.items():
+            self._demand.begin_with(service, copies_by_model)
+
     def _new_worker(self, upstream: Upstream) -> WorkerOrders:
         return WorkerOrders(
             upstream,
@@ -131,6 +141,20 @@
                 self._bring_adapter(waiting, engine, views)
             else:
                 self._bring_model(waiting, engine, views)
+        self._cover()
+
+    def _cover(self) -> None:
+        """Bring in what nobody holds yet, and copies of what too few hold, one at a time."""
+        table = self._routes.get()
+        for name, service in table.services_by_name.items() if table else ():
+            if service.engine is None:
+                continue
+            ceiling = self._window._replace(per_second=service.engine.cold_loads_per_second)
+            planner = Planner(name, service.engine, self._demand)
+            for choose in (planner.coverage_swap, planner.relief_swap):
+                swap = choose(self._views(name), cold_allowed=self._rate.free(ceiling))
+                if swap is not None:
+                    self._give(swap, waiting=0, patience=0.0)
 
     def _bring_model(
         self, waiting: WaitingUnit, engine: EngineRule, views: list[WorkerView]
@@ -140,23 +164,25 @@
             return
         ceiling = self._window._replace(per_second=engine.cold_loads_per_second)
         planner = Planner(waiting.service, engine, self._demand)
-        swap = planner.swap_for(model, views, cold_allowed=self._rate.free(ceiling))
-        if swap is None:
-            return
+        swap = planner.swap_for(waiting, views, cold_allowed=self._rate.free(ceiling))
+        if swap is not None:
+            self._give(swap, waiting.requests, waiting.patience_seconds)
+
+    def _give(self, swap: Swap, waiting: int, patience: float) -> None:
         log_event(
             "swap_planned",
             upstream=swap.view.upstream.id,
-            model=model,
+            model=swap.model.name,
             evicted=",".join(swap.evicted) or "-",
             cold=swap.cold,
             seconds=swap.load_seconds,
-            waiting=waiting.requests,
-            patience=round(waiting.patience_seconds, 2),
+            waiting=waiting,
+            patience=round(patience, 2),
         )
         if swap.cold:
             self._rate.begin()
         worker = self._workers[swap.view.upstream.id]
-        worker.give(SwapTask(swap.evicted, model, swap.load_seconds))
+        worker.give(SwapTask(swap.evicted, swap.model.name, swap.load_seconds))
 
     def _bring_adapter(
         self, waiting: WaitingUnit, engine: EngineRule, views: list[WorkerView]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
@@ -1,21 +1,42 @@
 """Decides which model to load where, and what makes room for it."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from itertools import combinations
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule
-from redwingscale_daemon._internal.swaps.demand import Demand
+from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
-# Adapters come and go beside the models; this many of the largest fit besides.
 # A model that has just come has requests on their way to it.
 LEAST_STAY_SECONDS = 1.5
-# What a second of waiting of one request weighs against a second of loading.
-LOST_HOLDER_WEIGHT = 6.0
-DUPLICATE_WEIGHT = 0.4
+# Gains and losses are counted in requests. A model that comes or goes is expected
+# to be asked for as it was lately for this long: demand moves within ten seconds.
+HORIZON_SECONDS = 8.0
+# What a second copy of a model that nobody asks for is worth.
+SECOND_COPY = 0.3
+# A load keeps a worker from other orders, and its weights take a place in the rate
+# of the weight store.
+LOAD_SECOND = 0.8
+# A model that is at hand at some worker comes back within about a second.
+AT_HAND_PART = 0.4
+# The part of the requests that come to a holder in place of another one which is
+# late for it, and of those that a further copy takes over which is in time for it.
+CROWDED_PART = 0.3
+RELIEF_PART = 0.5
+# Until demand is seen, as many copies stay as the workers begin with would suggest.
+UNSEEN_COPY = 5.0
+# Prompts of half a second and of a tenth wait to be read at such a worker.
+CROWDED_PROMPT_TOKENS = 12_000
+CALM_PROMPT_TOKENS = 2_500
+# A load keeps a worker from other orders, and its weights take a place in the rate
+# of the weight store.
+LOAD_SECOND = 0.8
+# What it is worth that a model which nobody asks for now is held somewhere: the
+# first request for it would wait for its load, and most cannot wait that long.
+COVERAGE = 1.2
 RUNNING_REQUEST_SECONDS = 0.03
 MOST_EVICTIONS = 3
 
@@ -31,7 +52,7 @@
 
 
 class Planner:
-    """Finds the cheapest swap: load time, and what the evicted models are asked for."""
+    """Finds the swap that gains most: requests that it serves against those it costs."""
 
     def __init__(self, service: str, engine: EngineRule, demand: Demand) -> None:
         self._service = service
@@ -39,21 +60,85 @@
         self._demand = demand
 
     def swap_for(
-        self, model: str, views: Sequence[WorkerView], *, cold_allowed: bool
+        self, waiting: WaitingUnit, views: Sequence[WorkerView], *, cold_allowed: bool
     ) -> Swap | None:
-        """Return the best way to bring ``model`` in, None when there is none now."""
-        rule = self._engine.models_by_name.get(model)
+        """Return the best way to bring in what requests wait for, None when none pays now.
+
+        A worker whose models are all in use is no choice, however long the
+        request has waited: another one is free soon, and what is dropped here
+        would be asked for again at once.
+        """
+        rule = self._engine.models_by_name.get(waiting.unit.model)
         if rule is None:
             return None
+        rate = self._demand.model_rate(self._service, rule.name)
+
+        def gain(swap: Swap) -> float:
+            in_time = waiting.patience_seconds > swap.load_seconds
+            return rate * HORIZON_SECONDS + (waiting.requests if in_time else 0)
+
+        return _best(self._all_options(rule, views), gain, cold_allowed=cold_allowed)
+
+    def coverage_swap(self, views: Sequence[WorkerView], *, cold_allowed: bool) -> Swap | None:
+        """Return a swap that brings in a model that nobody holds, where it pays.
+
+        Only copies that another worker holds as well make room: where not all
+        models fit, each would else drive another one out for ever.
+        """
+        holders = _holder_counts(views)
+        at_hand = frozenset().union(*(v.upstream.in_memory | v.upstream.on_disk for v in views))
+        options = [
+            option
+            for name, rule in self._engine.models_by_name.items()
+            if name not in holders
+            for option in self._all_options(rule, views)
+            if all(holders[evicted] > 1 for evicted in option[0].evicted)
+        ]
+
+        def gain(swap: Swap) -> float:
+            name = swap.model.name
+            value = self._demand.standing(self._service, name) + self._expected(name)
+            return value * (AT_HAND_PART if name in at_hand else 1.0)
+
+        return _best(options, gain, cold_allowed=cold_allowed)
+
+    def _expected(self, name: str) -> float:
+        return self._demand.model_rate(self._service, name) * HORIZON_SECONDS
+
+    def relief_swap(self, views: Sequence[WorkerView], *, cold_allowed: bool) -> Swap | None:
+        """Return a swap that adds a copy of a model whose holders are overloaded."""
         holders = _holder_counts(views)
+        calm = [view for view in views if view.prompt_tokens < CALM_PROMPT_TOKENS]
+        crowded = {
+            name
+            for name in holders
+            if all(v.prompt_tokens > CROWDED_PROMPT_TOKENS for v in views if name in v.held)
+            and not any(view.loading == name for view in views)
+        }
         options = [
-            (swap.load_seconds + cost, swap)
+            option
+            for name in crowded
+            if (rule := self._engine.models_by_name.get(name)) is not None
+            for option in self._all_options(rule, calm)
+        ]
+
+        def gain(swap: Swap) -> float:
+            name = swap.model.name
+            rate = self._demand.model_rate(self._service, name)
+            return rate * HORIZON_SECONDS / (holders[name] + 1) * RELIEF_PART
+
+        return _best(options, gain, cold_allowed=cold_allowed)
+
+    def _all_options(
+        self, rule: ModelRule, views: Sequence[WorkerView]
+    ) -> list[tuple[Swap, float]]:
+        holders = _holder_counts(views)
+        return [
+            option
             for view in views
-            if view.free and model not in view.held
-            for swap, cost in self._options(rule, view, holders)
-            if cold_allowed or not swap.cold
+            if view.free and rule.name not in view.held
+            for option in self._options(rule, view, holders)
         ]
-        return min(options, key=lambda option: option[0], default=(0.0, None))[1]
 
     def _options(
         self, rule: ModelRule, view: WorkerView, holders: dict[str, int]
@@ -61,22 +146,26 @@
         seconds, cold = load_time(rule, view)
         found = []
         for evicted in self._evictions(rule, view):
-            cost = sum(self._harm(name, view, holders) for name in evicted)
-            found.append((Swap(view, rule, evicted, seconds, cold), cost))
+            loss = sum(self._loss(name, holders) for name in evicted)
+            found.append((Swap(view, rule, evicted, seconds, cold), loss))
         return found
 
     def _evictions(self, rule: ModelRule, view: WorkerView) -> list[tuple[str, ...]]:
-        """Return the smallest sets of models whose room is enough."""
+        """Return the sets of models whose room is enough, without needless members.
+
+        Two copies that others hold as well may be a better choice than the only
+        copy of one model.
+        """
         names = [name for name in view.held if self._may_go(name, view)]
+        found: list[tuple[str, ...]] = []
         for count in range(min(len(names), MOST_EVICTIONS) + 1):
-            sets = [
-                names_out
-                for names_out in combinations(names, count)
-                if self._fits(rule, view, names_out)
+            found += [
+                out
+                for out in combinations(names, count)
+                if not any(set(smaller) <= set(out) for smaller in found)
+                and self._fits(rule, view, out)
             ]
-            if sets:
-                return sets
-        return []
+        return found
 
     def _may_go(self, name: str, view: WorkerView) -> bool:
         stayed = time.monotonic() - view.settled_at.get(name, float("-inf"))
@@ -86,14 +175,30 @@
         stay = {name: held for name, held in view.held.items() if name not in evicted}
         return used_mb(self._engine, stay) + rule.weights_mb <= self._engine.weights_mb
 
-    def _harm(self, name: str, view: WorkerView, holders: dict[str, int]) -> float:
+    def _loss(self, name: str, holders: dict[str, int]) -> float:
+        """Return how many requests are lost or late when a copy of ``name`` goes."""
         rate = self._demand.model_rate(self._service, name)
         others = holders.get(name, 1) - 1
         if others <= 0:
-            rule = self._engine.models_by_name.get(name)
-            back = load_time(rule, view)[0] if rule else 0.0
-            return rate * LOST_HOLDER_WEIGHT * (0.5 + back) + 0.2
-        return rate / others * DUPLICATE_WEIGHT
+            return self._demand.standing(self._service, name) + rate * HORIZON_SECONDS
+        if others < self._demand.copies_to_keep(self._service, name):
+            return UNSEEN_COPY
+        # Each holder's part of the requests grows from one in n to one in n - 1.
+        more = rate * HORIZON_SECONDS / (others * (others + 1))
+        return SECOND_COPY / others**2 + more * CROWDED_PART
+
+
+def _best(
+    options: Iterable[tuple[Swap, float]], gain: Callable[[Swap], float], *, cold_allowed: bool
+) -> Swap | None:
+    """Return the swap that gains most beyond its loss and its load, if any does."""
+    priced = [
+        (gain(swap) - loss - swap.load_seconds * LOAD_SECOND, swap)
+        for swap, loss in options
+        if cold_allowed or not swap.cold
+    ]
+    best = max(priced, key=lambda option: option[0], default=None)
+    return best[1] if best is not None and best[0] > 0 else None
 
 
 def used_mb(engine: EngineRule, held: dict[str, frozenset[str]]) -> float:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -208,7 +208,7 @@
         chooser._random = random.Random(1)
         budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
         parts = RelayParts(exchange, Sender(self.pool, exchange), chooser, book, health, budget)
-        wait = HolderWait(chooser, self.changes, self.holdings, self.needs)
+        wait = HolderWait(chooser, self.changes, self.holdings, self.needs, self.open_requests)
         entry = Entry(
             self.routes, exchange, PlainRelay(parts), StreamRelay(parts, wait, prefixes),
             self.needs, budget, self.open_requests, _Outcomes(self.ended),
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
@@ -168,6 +168,6 @@
 
 def test_draining_instance_answers_and_closes(world):
     world.add("plain", sized(b"ok"))
-    world.open_requests.drain()
+    world.open_requests.drain(time.monotonic() + 5.0)
     answer = world.ask("/safe/")
     assert (answer.status, answer.headers["Connection"]) == (200, "close")
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
@@ -118,3 +118,14 @@
     world.add("llm", events(1, then="break"))
     world.ask("/single/", model="m")
     assert world.book.own() == {}
+
+
+def test_waiting_request_is_refused_before_the_process_ends(world):
+    # An instance is told to stop while a request waits for a model. At the end of
+    # the grace period its connection would be closed without a word, and the
+    # caller could not know that the request has not run.
+    world.add("llm", events(1))
+    caller = world.send("/stream/", model="late")
+    world.open_requests.drain(time.monotonic() + 1.0)
+    answer = read_answer(caller)
+    assert (answer.status, "Retry-After" in answer.headers) == (503, True)
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
@@ -0,0 +1,134 @@
+"""A service of small workers, a store in memory, and a scripted model worker."""
+
+import time
+
+import pytest
+from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
+from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule
+from redwingscale_daemon._internal.store.rows import Snapshot, StoredRow
+from redwingscale_daemon._internal.swaps.engine_report import EngineReport
+from redwingscale_daemon._internal.swaps.messages import InstanceNews, NeedEntry
+from redwingscale_daemon._internal.swaps.order import Load, OrderResult
+from redwingscale_daemon._internal.swaps.worker_view import WorkerView
+
+SERVICE = "llm"
+COLD, DISK, MEMORY = 6.0, 1.2, 0.5
+
+
+def model(name, mb=70.0):
+    return ModelRule(name, mb, 1.0, 3, COLD, DISK, MEMORY)
+
+
+@pytest.fixture
+def engine():
+    """Two models fit into a worker."""
+    models = {name: model(name) for name in "abcdefgh"}
+    return EngineRule(64, 1000, 150.0, 2, 2.0, models)
+
+
+def upstream(name, *models, in_memory=(), on_disk=()):
+    held = {m: ResidentModel(m, 1, frozenset()) for m in models}
+    return Upstream(
+        name, SERVICE, "127.0.0.1", 1, "z1", 64, False, None, held,
+        frozenset(in_memory), frozenset(on_disk),
+    )  # fmt: skip
+
+
+def view(name, *models, free=True, loading="", prompt_tokens=0, **copies):
+    listed = upstream(name, *models, **copies)
+    held = {m: frozenset() for m in models}
+    return WorkerView(listed, held, free, loading, {}, 0, prompt_tokens)
+
+
+def news(instance="i1", **arrivals):
+    needs = [NeedEntry(SERVICE, name, "", count, 0, 0.0) for name, count in arrivals.items()]
+    return InstanceNews(instance, needs, [])
+
+
+class MemoryStore:
+    """One row, with the faults that a store can have."""
+
+    def __init__(self):
+        self.version = 0
+        self.row = None
+        self.fail = None
+        self.lose_answer = None
+
+    def read(self, table, partition):
+        if self.fail:
+            raise self.fail
+        return Snapshot((self.row,) if self.row else (), self.version)
+
+    def write(self, key, value, expected_version):
+        if self.fail:
+            raise self.fail
+        if expected_version != (self.row.version if self.row else 0):
+            return None
+        self.version += 1
+        self.row = StoredRow(key, self.version, value)
+        if self.lose_answer:
+            raise self.lose_answer
+        return self.version
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+class ScriptedWorker:
+    """An engine in place of `OrderClient`: carries orders out at once, unless told otherwise."""
+
+    def __init__(self, held=("a",)):
+        self.held = {name: frozenset() for name in held}
+        self.accepted = 0
+        self.orders = []
+        self.results = []
+        self.reachable = True
+
+    def report(self, upstream):
+        if not self.reachable:
+            return None
+        return EngineReport(dict(self.held), frozenset(), False, self.accepted)
+
+    def order(self, upstream, order):
+        self.orders.append(order)
+        result = self.results.pop(0) if self.results else self._apply(order)
+        if result is OrderResult.ACCEPTED:
+            self.accepted += 1
+        return result
+
+    def _apply(self, order):
+        if order.orders_accepted != self.accepted:
+            return OrderResult.BUSY
+        unit = order.action.unit
+        if unit.adapter:
+            return self._adapter(order.action, unit)
+        if isinstance(order.action, Load):
+            self.held[unit.model] = frozenset()
+        else:
+            self.held.pop(unit.model)
+        return OrderResult.ACCEPTED
+
+    def _adapter(self, action, unit):
+        here = self.held[unit.model]
+        if isinstance(action, Load):
+            self.held[unit.model] = here | {unit.adapter}
+            return OrderResult.ACCEPTED
+        self.held[unit.model] = here - {unit.adapter}
+        self.accepted += 1
+        return OrderResult.HOLDS
+
+
+@pytest.fixture
+def worker():
+    return ScriptedWorker()
+
+
+def until(condition, seconds=5.0):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.005)
+    return False
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_giver_lease.py
@@ -0,0 +1,155 @@
+"""One instance gives orders at any time, whatever happens to it or to the store."""
+
+import msgspec
+import pytest
+from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
+from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord, LeaseTiming
+
+TIMING = LeaseTiming(lease_seconds=2.0, order_seconds=1.2, quiet_seconds=3.0)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def make_lease(store, clock):
+    def make(name, start="1"):
+        record = GiverRecord(name, "127.0.0.1", 1, 2, f"{name}-{start}")
+        return GiverLease(store, record, TIMING, clock)
+
+    return make
+
+
+def test_first_instance_gives_orders_at_once(make_lease):
+    lease = make_lease("a")
+    lease.step()
+    assert lease.fence() == 1
+
+
+def test_second_instance_waits_for_the_end_of_the_lease(make_lease, clock):
+    first, second = make_lease("a"), make_lease("b")
+    first.step()
+    for _ in range(20):
+        clock.now += 0.5
+        first.step()
+        second.step()
+        assert first.fence() is not None
+        assert second.fence() is None
+
+
+def test_orders_of_two_givers_never_take_turns(make_lease, clock):
+    # The first giver is cut off from the store but not from the workers: its last
+    # order may go out just before it stops, and the second one's must come later
+    # by the whole quiet time.
+    first, second = make_lease("a"), make_lease("b")
+    first.step()
+    second.step()
+    last_of_first = first_of_second = None
+    for _ in range(100):
+        clock.now += 0.1
+        second.step()
+        if first.fence() is not None:
+            last_of_first = clock.now
+        if first_of_second is None and second.fence() is not None:
+            first_of_second = clock.now
+    assert first_of_second - last_of_first >= TIMING.quiet_seconds
+    assert second.fence() > 1
+
+
+def test_frozen_giver_sends_nothing_when_it_wakes(make_lease, clock):
+    # The process stands still past its lease and wakes right before an order: the
+    # clock also counts the freeze, and the right is asked for at each order.
+    lease = make_lease("a")
+    lease.step()
+    clock.now += TIMING.order_seconds
+    assert lease.fence() is None
+
+
+def test_giver_that_lost_its_row_stops(make_lease, clock):
+    first, second = make_lease("a"), make_lease("b")
+    first.step()
+    second.step()
+    clock.now += 3.0
+    second.step()
+    first.step()
+    assert first.fence() is None
+    assert not first.holds
+
+
+def test_lost_answer_to_a_renewal_keeps_the_lease(make_lease, clock, store):
+    lease = make_lease("a")
+    lease.step()
+    clock.now += 0.5
+    store.lose_answer = WriteUnknown("no answer")
+    with pytest.raises(WriteUnknown):
+        lease.step()
+    store.lose_answer = None
+    clock.now += 0.5
+    lease.step()
+    lease.step()
+    assert lease.holds
+    assert lease.fence() == 1
+
+
+def test_lost_answer_to_the_first_write_is_found_out(make_lease, clock, store):
+    lease = make_lease("a")
+    store.lose_answer = WriteUnknown("no answer")
+    with pytest.raises(WriteUnknown):
+        lease.step()
+    store.lose_answer = None
+    lease.step()
+    assert lease.fence() is not None
+
+
+def test_orders_end_while_the_store_is_away(make_lease, clock, store):
+    lease = make_lease("a")
+    lease.step()
+    store.fail = PlatformUnavailable("down")
+    clock.now += 1.3
+    with pytest.raises(PlatformUnavailable):
+        lease.step()
+    assert lease.fence() is None
+    store.fail = None
+    lease.step()
+    assert lease.fence() is not None
+
+
+def test_released_lease_is_taken_without_waiting_for_its_end(make_lease, clock):
+    first, second = make_lease("a"), make_lease("b")
+    first.step()
+    second.step()
+    first.release()
+    assert first.fence() is None
+    clock.now += 0.1
+    second.step()
+    assert second.holds
+    assert second.fence() is None
+
+
+def test_restarted_instance_is_another_holder(make_lease, clock):
+    # The giver's process is killed and comes back under the same name: orders of
+    # its former life may still be on their way.
+    make_lease("a", "1").step()
+    again = make_lease("a", "2")
+    again.step()
+    assert again.fence() is None
+    assert not again.holds
+
+
+def test_row_that_cannot_be_read_is_no_holder(make_lease, store):
+    lease = make_lease("a")
+    lease.step()
+    store.row = store.row._replace(value=msgspec.json.encode("nonsense"))
+    other = make_lease("b")
+    other.step()
+    assert other.holds
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_planner.py
@@ -0,0 +1,114 @@
+"""Which model comes in, and what goes for it."""
+
+import pytest
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
+from redwingscale_daemon._internal.swaps.planner import Planner, adapter_worker, load_time, used_mb
+
+from .conftest import SERVICE, news, view
+
+
+@pytest.fixture
+def demand():
+    return Demand()
+
+
+@pytest.fixture
+def planner(engine, demand):
+    return Planner(SERVICE, engine, demand)
+
+
+def waits(name, requests=1, patience=11.0):
+    return WaitingUnit(SERVICE, Unit(name), requests, patience)
+
+
+def test_free_room_is_used_first(planner):
+    swap = planner.swap_for(
+        waits("c", 9), [view("u0", "a", "b"), view("u1", "a")], cold_allowed=True
+    )
+    assert (swap.view.upstream.id, swap.evicted) == ("u1", ())
+
+
+def test_spare_copy_goes_before_the_only_one(planner, demand):
+    demand.heard(news(a=1, b=1))
+    views = [view("u0", "a", "b"), view("u1", "a", "d")]
+    swap = planner.swap_for(waits("c", 9), views, cold_allowed=True)
+    assert swap.evicted == ("a",)
+
+
+def test_copy_at_hand_is_loaded_before_one_from_the_store(planner):
+    views = [view("u0", "a"), view("u1", "a", on_disk=["c"]), view("u2", "a", in_memory=["c"])]
+    swap = planner.swap_for(waits("c", 3), views, cold_allowed=False)
+    assert (swap.view.upstream.id, swap.cold) == ("u2", False)
+
+
+def test_busy_model_is_never_dropped_for_a_rare_one(planner, demand):
+    # One request for a rare model would drive out a model that is asked for
+    # several times a second, and all its callers would wait for its load.
+    for _ in range(8):
+        demand.heard(news(a=10, b=10))
+    assert planner.swap_for(waits("c"), [view("u0", "a", "b")], cold_allowed=True) is None
+
+
+def test_rare_model_that_rests_makes_room(planner, demand):
+    demand.heard(news(a=1))
+    demand.heard(news(b=40))
+    swap = planner.swap_for(waits("c", 8), [view("u0", "a", "b")], cold_allowed=True)
+    assert swap.evicted == ("a",)
+
+
+def test_load_that_comes_too_late_counts_for_nothing(planner):
+    hopeless = waits("c", 2, patience=2.0)
+    assert planner.swap_for(hopeless, [view("u0", "a", "b")], cold_allowed=True) is None
+
+
+def test_worker_with_an_order_under_way_is_left_alone(planner):
+    assert planner.swap_for(waits("c", 9), [view("u0", "a", free=False)], cold_allowed=True) is None
+
+
+def test_ceiling_of_the_weight_store_holds(planner):
+    assert planner.swap_for(waits("c", 9), [view("u0", "a")], cold_allowed=False) is None
+
+
+def test_memory_is_never_overfilled(planner, engine):
+    swap = planner.swap_for(waits("c", 20), [view("u0", "a", "b")], cold_allowed=True)
+    stay = {name: frozenset() for name in ("a", "b") if name not in swap.evicted}
+    assert used_mb(engine, stay) + 70.0 <= engine.weights_mb
+
+
+def test_unknown_model_in_memory_counts_as_the_largest(engine):
+    assert used_mb(engine, {"from-elsewhere": frozenset()}) == 70.0
+
+
+def test_coverage_takes_spare_copies_only(planner):
+    spare = [view("u0", "a", "b"), view("u1", "a", "c"), view("u2", "a", "d", on_disk=["e"])]
+    assert planner.coverage_swap(spare, cold_allowed=True).evicted == ("a",)
+    single = [view("u0", "a", "b"), view("u1", "c", "d", on_disk=["e"])]
+    assert planner.coverage_swap(single, cold_allowed=True) is None
+
+
+def test_copies_that_workers_begin_with_stay_until_demand_is_seen(planner, demand):
+    demand.begin_with(SERVICE, {"a": 2, "b": 1, "c": 1})
+    views = [view("u0", "a", "b"), view("u1", "a", "c", on_disk=["e"])]
+    assert planner.coverage_swap(views, cold_allowed=True) is None
+
+
+def test_overloaded_model_gets_another_copy(planner, demand):
+    for _ in range(10):
+        demand.heard(news(a=10))
+    views = [view("u0", "a", "b", prompt_tokens=20_000), view("u1", "c")]
+    swap = planner.relief_swap(views, cold_allowed=True)
+    assert (swap.model.name, swap.view.upstream.id) == ("a", "u1")
+
+
+def test_load_time_depends_on_what_is_at_hand(engine):
+    rule = engine.models_by_name["a"]
+    assert load_time(rule, view("u", in_memory=["a"], on_disk=["a"])) == (0.5, False)
+    assert load_time(rule, view("u", on_disk=["a"])) == (1.2, False)
+    assert load_time(rule, view("u")) == (6.0, True)
+
+
+def test_adapter_goes_where_a_place_is_free(engine):
+    full = view("u0", "a")._replace(held={"a": frozenset({"x", "y"})})
+    chosen = adapter_worker(Unit("a", "z"), [full, view("u1", "a")], engine.adapter_slots)
+    assert chosen.upstream.id == "u1"
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_worker_orders.py
@@ -0,0 +1,129 @@
+"""Orders to one worker: one at a time, and never more than its memory holds."""
+
+import pytest
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.swaps import worker_orders
+from redwingscale_daemon._internal.swaps.order import Load, OrderResult, Unload
+from redwingscale_daemon._internal.swaps.worker_orders import (
+    AdapterTask,
+    GiverRight,
+    SwapTask,
+    WorkerOrders,
+)
+
+from .conftest import until, upstream
+
+
+@pytest.fixture(autouse=True)
+def short_waits(monkeypatch):
+    monkeypatch.setattr(worker_orders, "ROUTE_AWAY_SECONDS", 0.02)
+    monkeypatch.setattr(worker_orders, "POLL_SECONDS", 0.01)
+    monkeypatch.setattr(worker_orders, "UNREACHABLE_SECONDS", 0.02)
+
+
+@pytest.fixture
+def right():
+    """The fencing number to use, None without the right to give orders."""
+    return [7]
+
+
+@pytest.fixture
+def orders(worker, engine, right):
+    made = WorkerOrders(
+        upstream("u0", "a"),
+        lambda: engine,
+        worker,
+        GiverRight("i1", lambda: right[0]),
+        lambda: None,
+    )
+    yield made
+    made.stop()
+
+
+def carry_out(orders, task):
+    orders.give(task)
+    assert until(lambda: orders.free)
+
+
+def test_swap_unloads_then_loads(orders, worker):
+    worker.held["b"] = frozenset()
+    carry_out(orders, SwapTask(("b",), "c", 0.0))
+    assert [order.action for order in worker.orders] == [Unload(Unit("b")), Load(Unit("c"))]
+    assert [order.orders_accepted for order in worker.orders] == [0, 1]
+    assert orders.held() == {"a": frozenset(), "c": frozenset()}
+
+
+def test_model_that_goes_is_told_before_it_is_unloaded(worker, engine, right):
+    # Requests that are on their way to it must find it still there.
+    seen = []
+    orders = WorkerOrders(
+        upstream("u0", "a"), lambda: engine, worker, GiverRight("i1", lambda: right[0]),
+        lambda: seen.append((sorted(orders.held() or {}), len(worker.orders))),
+    )  # fmt: skip
+    carry_out(orders, SwapTask(("a",), "c", 0.0))
+    orders.stop()
+    assert seen[0] == ([], 0)
+
+
+def test_load_without_room_is_never_ordered(orders, worker):
+    # What the planner knew was old: the worker holds one model more. Loaded all
+    # the same, it would run out of memory under its running models.
+    worker.held["b"] = frozenset()
+    carry_out(orders, SwapTask((), "c", 0.0))
+    assert worker.orders == []
+
+
+def test_order_without_an_answer_is_followed_by_a_report(orders, worker):
+    # The answer to a load is lost: it may have been accepted. A second load on
+    # top of it could overfill the worker, so what it holds is asked for first.
+    worker.results = [OrderResult.UNKNOWN]
+    carry_out(orders, SwapTask((), "c", 0.0))
+    assert orders.held() is None
+    worker.held["c"] = frozenset()
+    worker.accepted = 1
+    carry_out(orders, SwapTask((), "d", 0.0))
+    assert [order.action for order in worker.orders] == [Load(Unit("c"))]
+
+
+def test_refused_order_ends_the_swap(orders, worker):
+    worker.held["b"] = frozenset()
+    worker.results = [OrderResult.BUSY]
+    carry_out(orders, SwapTask(("b",), "c", 0.0))
+    assert len(worker.orders) == 1
+
+
+def test_nothing_is_ordered_without_the_right(orders, worker, right):
+    right[0] = None
+    carry_out(orders, SwapTask((), "c", 0.0))
+    assert worker.orders == []
+
+
+def test_right_that_is_lost_in_mid_swap_stops_it(orders, worker, right):
+    worker.held["b"] = frozenset()
+    original = worker.order
+
+    def order_and_lose(upstream, order):
+        right[0] = None
+        return original(upstream, order)
+
+    worker.order = order_and_lose
+    carry_out(orders, SwapTask(("b",), "c", 0.0))
+    assert [order.action for order in worker.orders] == [Unload(Unit("b"))]
+
+
+def test_unreachable_worker_is_left_alone_for_a_moment(orders, worker):
+    worker.reachable = False
+    orders.give(SwapTask((), "c", 0.0))
+    assert until(lambda: orders.loading == "")
+    assert worker.orders == []
+    assert until(lambda: orders.free)
+
+
+def test_adapters_stay_within_their_places(orders, worker, engine):
+    for name in ("x", "y"):
+        carry_out(orders, AdapterTask(Unit("a", name), ()))
+    carry_out(orders, AdapterTask(Unit("a", "z"), ()))
+    assert worker.held["a"] == {"x", "y"}
+    carry_out(orders, AdapterTask(Unit("a", "z"), (Unit("a", "x"),)))
+    assert worker.held["a"] == {"y", "z"}
+    assert orders.held() == {"a": frozenset({"y", "z"})}
