Explain one request from the logs: redwingscale trace

Cause: a refused request has its lines at one instance, and what explains it (the swap that was planned, the order, the worker that left) at another one, whose clock may differ by seconds. The command joins them by unit and upstream and never orders lines of two clocks.

--- a/packages/redwingscale-cli/src/redwingscale_cli/_internal/cli/app.py
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/cli/app.py
@@ -190,6 +190,20 @@
     )
 
 
+@app.command()
+def trace(
+    context: typer.Context,
+    request: Annotated[str, typer.Argument(help="Id of the request.")],
+    files: Annotated[list[Path], typer.Argument(help="Log files of all instances.")],
+    as_json: AsJson = False,
+) -> None:
+    """Explain one request from the logs of the instances.
+
+    Example: redwingscale trace 9c41d07be2a35f68 logs/*.log
+    """
+    run_command("trace", _shared(context, as_json), request, files)
+
+
 @app.command()
 def version() -> None:
     """Print the version.
--- a/packages/redwingscale-cli/src/redwingscale_cli/_internal/cli/command_table.py
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/cli/command_table.py
@@ -14,5 +14,6 @@
     "upstreams": f"{_COMMANDS}.upstreams",
     "moves": f"{_COMMANDS}.moves",
     "drain": f"{_COMMANDS}.drain",
+    "trace": f"{_COMMANDS}.trace",
     "load": f"{_COMMANDS}.load",
 }
--- /dev/null
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/models/log_line.py
@@ -0,0 +1,39 @@
+"""One line of an instance's log."""
+
+import re
+from datetime import datetime
+from typing import NamedTuple
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_START = "time="
+
+
+class LogLine(NamedTuple):
+    """A parsed line; ``place`` is FILE:LINE, ``at`` the seconds on the instance's own clock."""
+
+    place: str
+    at: float
+    event: str
+    instance: str
+    fields: dict[str, str]
+
+    def render_fields(self) -> str:
+        """Return the fields as they stand in the log, without time and instance."""
+        shown = (f"{key}={value}" for key, value in self.fields.items() if key not in _HEAD)
+        return " ".join(shown)
+
+
+_HEAD = frozenset({"time", "level", "event", "instance", "request"})
+
+
+def parse_line(text: str, place: str) -> LogLine | None:
+    """Return the line, None for text that is no event; what precedes the time is skipped."""
+    start = text.find(_START)
+    if start < 0:
+        return None
+    fields = dict(_PAIR.findall(text[start:]))
+    try:
+        at = datetime.strptime(fields["time"], "%Y-%m-%dT%H:%M:%S.%f%z").timestamp()
+    except (KeyError, ValueError):
+        return None
+    return LogLine(place, at, fields.get("event", ""), fields.get("instance", ""), fields)
--- /dev/null
+++ b/packages/redwingscale-cli/tests/unit/test_trace.py
@@ -0,0 +1,57 @@
+"""The way from a request's id to its cause."""
+
+import pytest
+from redwingscale_cli._internal.exceptions import ClientError
+from redwingscale_cli._internal.models.log_line import parse_line
+from redwingscale_cli._internal.operations.trace import render, trace
+
+# The second instance's clock is five seconds ahead of the first one's.
+FIRST = """\
+time=2026-12-02T10:00:00.100+0000 level=INFO event=routed instance=a-1 request=r1 route=live service=llm configuration=4 unit=m7
+time=2026-12-02T10:00:00.101+0000 level=INFO event=waits_for_holder instance=a-1 request=r1 unit=m7 left=3.999 giver_heard=True
+time=2026-12-02T10:00:00.300+0000 level=INFO event=routed instance=a-1 request=r2 route=live service=llm configuration=4 unit=m1
+not an event
+time=2026-12-02T10:00:00.702+0000 level=INFO event=request_ended instance=a-1 request=r1 route=live status=503 outcome=no_holder run=not_run detail="m7 is ready in 5.8 s, 3.148 s are left; " sendings=0 history="" seconds=0.602
+"""
+SECOND = """\
+time=2026-12-02T10:00:05.104+0000 level=INFO event=swap_planned instance=b-1 upstream=u3 model=m7 evicted=m2 cold=True seconds=5.8 waiting=1 patience=3.7
+time=2026-12-02T10:00:05.230+0000 level=INFO event=order_sent instance=b-1 upstream=u3 order=Unload unit=m2 after=0 fence=1 result=accepted
+time=2026-12-02T10:00:11.400+0000 level=INFO event=model_loaded instance=b-1 upstream=u3 model=m7
+"""
+
+
+@pytest.fixture
+def logs(tmp_path):
+    files = [tmp_path / "a-1.log", tmp_path / "b-1.log"]
+    for file, text in zip(files, (FIRST, SECOND), strict=True):
+        file.write_text(text)
+    return files
+
+
+def test_trace_of_a_refused_request(logs, snapshot):
+    assert "\n".join(render(trace("r1", logs))) == snapshot
+
+
+def test_request_without_an_end(logs):
+    assert trace("r2", logs).end() is None
+    assert list(render(trace("r2", logs)))[-1] == "not ended in these logs"
+
+
+def test_unknown_request_is_an_error(logs):
+    with pytest.raises(ClientError, match="r9"):
+        trace("r9", logs)
+
+
+def test_missing_file_is_named(tmp_path):
+    with pytest.raises(ClientError, match="gone.log"):
+        trace("r1", [tmp_path / "gone.log"])
+
+
+@pytest.mark.parametrize("text", ["", "no event", "time=yesterday event=x", "time="])
+def test_text_that_is_no_event_is_passed_over(text):
+    assert parse_line(text, "f:1") is None
+
+
+def test_quoted_values_are_read():
+    line = parse_line('time=2026-12-02T10:00:00.100+0000 event=x detail="a b=c" n=1', "f:1")
+    assert (line.fields["detail"], line.fields["n"]) == ('"a b=c"', "1")
