Drop adapters only while no request uses them; leave waits that callers do not last

Instances now tell the giver their open requests by unit; only idle adapters and, before others, idle models make room.

Second: a request that waits for a holder was held for 0.6 of its time limit, nine seconds for a stream of fifteen, whose caller leaves after 3.2 seconds without an event. The wait ends with the caller's patience now, with when to come back.

Each sending is logged with what decided it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -16,7 +16,12 @@
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord, LeaseTiming
 from redwingscale_daemon._internal.swaps.giver_link import GiverLink
 from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling
-from redwingscale_daemon._internal.swaps.messages import GiverNews, InstanceNews, LoadEntry
+from redwingscale_daemon._internal.swaps.messages import (
+    GiverNews,
+    InstanceNews,
+    LoadEntry,
+    UseEntry,
+)
 from redwingscale_daemon._internal.swaps.needs import Needs
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.order_giver import OrderGiver
@@ -69,7 +74,11 @@
 
     def make_news() -> InstanceNews:
         loads = [LoadEntry(key, *load) for key, load in book.own().items()]
-        return InstanceNews(me, needs.drain(), loads)
+        uses = [
+            UseEntry(upstream, unit.model, unit.adapter, requests)
+            for (upstream, unit), requests in book.open_by_unit().items()
+        ]
+        return InstanceNews(me, needs.drain(), loads, uses)
 
     right = GiverRight(me, lease.fence)
     calls = EngineCalls(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -33,10 +33,11 @@
 
 
 class Candidate(NamedTuple):
-    """An upstream and what a request there is expected to cost, in milliseconds."""
+    """An upstream, what a request there is expected to cost, and among how many it was chosen."""
 
     cost_ms: float
     upstream: Upstream
+    among: int = 1
 
 
 class Chooser:
@@ -96,7 +97,8 @@
             Candidate(candidate.cost_ms + self._extra_ms(candidate.upstream), candidate.upstream)
             for candidate in candidates
         ]
-        return min(priced, key=lambda candidate: candidate.cost_ms, default=None)
+        best = min(priced, key=lambda candidate: candidate.cost_ms, default=None)
+        return best._replace(among=len(priced)) if best else None
 
     def _extra_ms(self, upstream: Upstream) -> float:
         extra = self._random.random() * NOISE_MS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/load_book.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/load_book.py
@@ -2,9 +2,11 @@
 
 import threading
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.fleet.unit import Unit
+
 # What other instances have sent is told four times a second; older figures
 # say nothing about requests that last half a second.
 OTHERS_FRESH_SECONDS = 1.5
@@ -23,9 +25,12 @@
 class LoadTicket:
     """One request at one upstream."""
 
-    def __init__(self, book: "LoadBook", upstream_id: str, prompt_tokens: int) -> None:
+    def __init__(
+        self, book: "LoadBook", upstream_id: str, unit: Unit | None, prompt_tokens: int
+    ) -> None:
         self._book = book
         self._upstream_id = upstream_id
+        self._unit = unit
         self._prompt_tokens = prompt_tokens
         self._open = True
 
@@ -39,7 +44,7 @@
         """Note the end; a second call does nothing."""
         if self._open:
             self._open = False
-            self._book.add(self._upstream_id, -1, -self._prompt_tokens)
+            self._book.add(self._upstream_id, -1, -self._prompt_tokens, self._unit)
 
 
 class LoadBook:
@@ -48,22 +53,33 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._own: dict[str, Load] = defaultdict(lambda: NO_LOAD)
+        self._open_by_unit: Counter[tuple[str, Unit]] = Counter()
         self._others: dict[str, Load] = {}
         self._others_at = float("-inf")
 
-    def enter(self, upstream_id: str, prompt_tokens: int) -> LoadTicket:
-        """Count a request in."""
-        self.add(upstream_id, 1, prompt_tokens)
-        return LoadTicket(self, upstream_id, prompt_tokens)
+    def enter(self, upstream_id: str, unit: Unit | None, prompt_tokens: int) -> LoadTicket:
+        """Count a request in; ``unit`` is what it runs on, None for a plain service."""
+        self.add(upstream_id, 1, prompt_tokens, unit)
+        return LoadTicket(self, upstream_id, unit, prompt_tokens)
 
-    def add(self, upstream_id: str, requests: int, prompt_tokens: int) -> None:
+    def add(
+        self, upstream_id: str, requests: int, prompt_tokens: int, unit: Unit | None = None
+    ) -> None:
         """Change the own load."""
         with self._lock:
+            if unit is not None:
+                self._open_by_unit[(upstream_id, unit)] += requests
             load = self._own[upstream_id]
             self._own[upstream_id] = Load(
                 load.requests + requests, load.prompt_tokens + prompt_tokens
             )
 
+    def open_by_unit(self) -> dict[tuple[str, Unit], int]:
+        """Return this instance's open requests by upstream and unit, where there are any."""
+        with self._lock:
+            self._open_by_unit = +self._open_by_unit
+            return dict(self._open_by_unit)
+
     def own(self) -> dict[str, Load]:
         """Return the own load where there is any."""
         with self._lock:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -1,5 +1,9 @@
 """The sendings of one request, and whether there may be one more."""
 
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.chooser import Candidate
+from redwingscale_daemon._internal.fleet.load_book import Load
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.routes.route import Route
@@ -20,8 +24,19 @@
         self.may_have_run = 0
         self.history: list[str] = []
 
-    def begin(self, upstream_id: str) -> None:
-        """Note a sending."""
+    def begin(self, request: str, chosen: Candidate, load: Load) -> None:
+        """Note a sending to ``chosen``, with what decided it."""
+        upstream_id = chosen.upstream.id
+        log_event(
+            "sent",
+            request=request,
+            upstream=upstream_id,
+            sending=self.sendings + 1,
+            among=chosen.among,
+            cost_ms=round(chosen.cost_ms),
+            open=load.requests,
+            unread_tokens=load.prompt_tokens,
+        )
         if not self.sendings:
             self._budget.note_request(self._service)
         self.sendings += 1
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -20,8 +20,6 @@
 UNTOLD_SECONDS = 0.6
 # A request that waits must leave its upstream time to read the prompt.
 SERVICE_SECONDS = 0.25
-# Part of the time limit after which a request without news is given up on.
-PATIENCE = 0.6
 COME_BACK_SECONDS = 0.5
 # Before the end of the process, for the answer to reach the caller.
 STOP_MARGIN_SECONDS = 0.8
@@ -57,20 +55,19 @@
         found = self.chooser.for_prompt(call.service, prompt, call.attempts.tried)
         if found is not None:
             return found
-        started = time.monotonic()
-        patience = call.watch.remaining() - SERVICE_SECONDS
-        self.needs.ask(call.service, prompt.unit, patience)
+        self.needs.ask(call.service, prompt.unit, _patience(call))
         try:
-            return self._wait(call, prompt, started)
+            return self._wait(call, prompt)
         finally:
             self.needs.done(call.service, prompt.unit)
 
-    def _wait(self, call: Call, prompt: Prompt, started: float) -> Candidate:
+    def _wait(self, call: Call, prompt: Prompt) -> Candidate:
+        started = time.monotonic()
         log_event(
             "waits_for_holder",
             request=call.terms.request_id,
             unit=prompt.unit,
-            left=round(call.watch.remaining(), 3),
+            patience=round(_patience(call), 3),
             giver_heard=self.holdings.fresh,
         )
         while True:
@@ -78,12 +75,12 @@
             found = self.chooser.for_prompt(call.service, prompt, call.attempts.tried)
             if found is not None:
                 return found
-            self._give_up_if_hopeless(call, prompt, started)
-            self._give_up_if_ending(call)
+            self._give_up_if_hopeless(call, prompt, time.monotonic() - started)
+            self._give_up_if_ending()
             self.changes.wait(seen, LOOK_SECONDS)
             call.watch.check_caller()
 
-    def _give_up_if_ending(self, call: Call) -> None:
+    def _give_up_if_ending(self) -> None:
         # A planned stop must not cut a request that it has read: one that still
         # waits when the process is about to end would be closed without an answer.
         if self.open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS:
@@ -94,16 +91,16 @@
                 retry_after_seconds=STOPPING_COME_BACK_SECONDS,
             )
 
-    def _give_up_if_hopeless(self, call: Call, prompt: Prompt, started: float) -> None:
-        waited = time.monotonic() - started
-        left = call.watch.remaining() - SERVICE_SECONDS
+    def _give_up_if_hopeless(self, call: Call, prompt: Prompt, waited: float) -> None:
+        left = _patience(call)
         ready_in = self.holdings.ready_in(str(prompt.unit))
-        if ready_in is None:
-            hopeless = waited > max(UNTOLD_SECONDS, call.route.time_limit_seconds * PATIENCE)
-            untold = waited > UNTOLD_SECONDS and not self.holdings.fresh
-            if not (hopeless or untold or left <= 0):
-                return
-        elif ready_in < left:
+        if ready_in is not None:
+            hopeless = ready_in > left
+        elif self.holdings.fresh:
+            hopeless = left <= 0
+        else:
+            hopeless = waited > UNTOLD_SECONDS
+        if not hopeless:
             return
         raise Refusal(
             503,
@@ -112,3 +109,12 @@
             + "; ".join(call.attempts.history),
             retry_after_seconds=COME_BACK_SECONDS if ready_in is None else ready_in,
         )
+
+
+def _patience(call: Call) -> float:
+    """Return the seconds that a wait may still last: the upstream must have time left.
+
+    Callers leave a stream long before their deadline when no event comes.
+    """
+    first_event = call.request.arrived_at + call.route.first_event_seconds - time.monotonic()
+    return min(call.watch.remaining(), first_event) - SERVICE_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -37,8 +37,9 @@
             candidate = self._parts.chooser.for_plain(call.service, call.attempts.tried)
             if candidate is None:
                 raise _nobody(call.attempts)
-            call.attempts.begin(candidate.upstream.id)
-            ticket = self._parts.book.enter(candidate.upstream.id, 0)
+            load = self._parts.book.total(candidate.upstream.id)
+            call.attempts.begin(call.terms.request_id, candidate, load)
+            ticket = self._parts.book.enter(candidate.upstream.id, None, 0)
             try:
                 if self._send(call, candidate.upstream):
                     return
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -80,9 +80,11 @@
         while True:
             candidate = self._wait.candidate(call, prompt)
             upstream = candidate.upstream
-            call.attempts.begin(upstream.id)
+            load = self._parts.book.total(upstream.id)
+            call.attempts.begin(call.terms.request_id, candidate, load)
             kept = self._prefixes.kept_tokens(upstream.id, prompt)
-            ticket = self._parts.book.enter(upstream.id, max(0, prompt.tokens_in - kept))
+            unread = max(0, prompt.tokens_in - kept)
+            ticket = self._parts.book.enter(upstream.id, prompt.unit, unread)
             self._prefixes.sent(upstream.id, prompt)
             try:
                 if self._send(call, upstream, progress, ticket):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route.py
@@ -4,6 +4,12 @@
 
 from redwingscale_daemon._internal.routes.idempotency import Idempotency
 
+# Callers leave a stream after a pause of two seconds, four times the latency target
+# or eight times the longest pause in time, whichever is longest.
+LEAST_PATIENCE_SECONDS = 2.0
+TARGETS_OF_PATIENCE = 4
+GAPS_OF_PATIENCE = 8
+
 
 class WeightedService(NamedTuple):
     """A service and its part of a route's requests, relative to the other weights."""
@@ -32,6 +38,16 @@
     resumable: bool
     longest_gap_seconds: float
 
+    @property
+    def first_event_seconds(self) -> float:
+        """How long callers of a stream wait for an event before they leave."""
+        patience = max(
+            LEAST_PATIENCE_SECONDS,
+            self.latency_target_seconds * TARGETS_OF_PATIENCE,
+            self.longest_gap_seconds * GAPS_OF_PATIENCE,
+        )
+        return min(patience, self.time_limit_seconds)
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may be sent again after it may have run."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -26,12 +26,22 @@
     prompt_tokens: int
 
 
+class UseEntry(msgspec.Struct, array_like=True):
+    """One instance's open requests for a unit at an upstream."""
+
+    upstream: str
+    model: str
+    adapter: str
+    requests: int
+
+
 class InstanceNews(msgspec.Struct, array_like=True):
     """From each instance to the order giver."""
 
     instance: str
     needs: list[NeedEntry]
     loads: list[LoadEntry]
+    uses: list[UseEntry]
 
 
 class HeldEntry(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -21,6 +21,7 @@
     HeldEntry,
     InstanceNews,
     LoadEntry,
+    UseEntry,
 )
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap, adapter_worker
@@ -60,14 +61,16 @@
         self._wake = threading.Event()
         self._workers: dict[str, WorkerOrders] = {}
         self._loads: dict[str, tuple[float, list[LoadEntry]]] = {}
-        self._used_at: dict[tuple[str, Unit], float] = {}
+        self._uses: dict[str, tuple[float, list[UseEntry]]] = {}
         self._news: GiverNews | None = None
         self._gave_orders = False
 
     def heard(self, news: InstanceNews) -> None:
         """Take an instance's news; called by the threads that receive them."""
         self._demand.heard(news)
-        self._loads[news.instance] = (time.monotonic(), news.loads)
+        now = time.monotonic()
+        self._loads[news.instance] = (now, news.loads)
+        self._uses[news.instance] = (now, news.uses)
         if any(need.waiting for need in news.needs):
             self._wake.set()
 
@@ -190,12 +193,11 @@
         view = adapter_worker(waiting.unit, views, engine.adapter_slots)
         if view is None:
             return
-        units = [Unit(name, a) for name, adapters in view.held.items() for a in adapters]
-        excess = len(units) + 1 - engine.adapter_slots
-        evicted: tuple[Unit, ...] = ()
-        if excess > 0:
-            coldest = sorted(units, key=lambda unit: self._demand.rate(waiting.service, unit))
-            evicted = tuple(coldest[:excess])
+        excess = len(view.adapters()) + 1 - engine.adapter_slots
+        coldest = sorted(
+            view.idle_adapters(), key=lambda unit: self._demand.rate(waiting.service, unit)
+        )
+        evicted = tuple(coldest[: max(0, excess)])
         log_event(
             "adapter_planned",
             upstream=view.upstream.id,
@@ -206,7 +208,7 @@
         self._workers[view.upstream.id].give(AdapterTask(waiting.unit, evicted))
 
     def _views(self, service: str) -> list[WorkerView]:
-        loads = self._total_loads()
+        loads, uses = self._total_loads(), self._total_uses()
         views = []
         for upstream in self._directory.usable(service):
             worker = self._workers.get(upstream.id)
@@ -225,10 +227,20 @@
                     worker.settled_at,
                     load.requests,
                     load.prompt_tokens,
+                    uses[upstream.id],
                 )
             )
         return views
 
+    def _total_uses(self) -> dict[str, dict[Unit, int]]:
+        totals: dict[str, dict[Unit, int]] = defaultdict(Counter)
+        since = time.monotonic() - LOADS_FRESH_SECONDS
+        for heard_at, entries in list(self._uses.values()):
+            for entry in entries if heard_at > since else ():
+                unit = Unit(entry.model, entry.adapter)
+                totals[entry.upstream][unit] += entry.requests
+        return totals
+
     def _total_loads(self) -> dict[str, Load]:
         totals: dict[str, Load] = defaultdict(lambda: Load(0, 0))
         for entries in self._fresh_loads().values():
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
@@ -37,7 +37,10 @@
 # What it is worth that a model which nobody asks for now is held somewhere: the
 # first request for it would wait for its load, and most cannot wait that long.
 COVERAGE = 1.2
-RUNNING_REQUEST_SECONDS = 0.03
+# An adapter that makes room may be asked for again, as if some requests more ran there.
+FULL_COST = 10
+# A request that runs on a model keeps it from going until it has ended.
+RUNNING_REQUEST = 0.3
 MOST_EVICTIONS = 3
 
 
@@ -146,7 +149,8 @@
         seconds, cold = load_time(rule, view)
         found = []
         for evicted in self._evictions(rule, view):
-            loss = sum(self._loss(name, holders) for name in evicted)
+            running = sum(map(view.open_for, evicted))
+            loss = running * RUNNING_REQUEST + sum(self._loss(n, holders) for n in evicted)
             found.append((Swap(view, rule, evicted, seconds, cold), loss))
         return found
 
@@ -221,20 +225,24 @@
 
 
 def adapter_worker(unit: Unit, views: Sequence[WorkerView], slots: int) -> WorkerView | None:
-    """Return the worker at which ``unit``'s adapter is best loaded: one with a place, little to do."""
-    holders = [view for view in views if view.free and unit.model in view.held]
-    return min(
-        holders,
-        key=lambda view: (
-            _adapters(view) >= slots,
-            view.requests * RUNNING_REQUEST_SECONDS + _adapters(view) * RUNNING_REQUEST_SECONDS,
-        ),
-        default=None,
-    )
-
-
-def _adapters(view: WorkerView) -> int:
-    return sum(len(adapters) for adapters in view.held.values())
+    """Return the worker at which ``unit``'s adapter is best loaded, None without a place.
+
+    Only an adapter that no request uses makes room: the order to drop another one
+    would keep the worker from all orders until its last request has ended.
+    """
+    holders = [
+        view
+        for view in views
+        if view.free
+        and unit.model in view.held
+        and len(view.adapters()) - len(view.idle_adapters()) < slots
+    ]
+    return min(holders, key=lambda view: _adapter_cost(view, slots), default=None)
+
+
+def _adapter_cost(view: WorkerView, slots: int) -> float:
+    full = len(view.adapters()) >= slots
+    return view.requests + len(view.adapters()) + (FULL_COST if full else 0)
 
 
 def _holder_counts(views: Sequence[WorkerView]) -> dict[str, int]:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -22,6 +22,8 @@
 ROUTE_AWAY_SECONDS = 0.12
 # Reports are a tenth of a second old; each is a call that costs.
 POLL_SECONDS = 0.15
+# The same for an adapter, whose load takes no longer than this.
+ADAPTER_AWAY_SECONDS = 0.02
 # An adapter is there after 5 to 14 ms, later while many come at once.
 ADAPTER_SECONDS = 0.02
 # An unload waits for its runs; streams last a few seconds.
@@ -82,6 +84,7 @@
         self._tasks: queue.SimpleQueue[Task | None] = queue.SimpleQueue()
         self._report: EngineReport | None = None
         self._going: frozenset[str] = frozenset()
+        self._going_adapters: frozenset[Unit] = frozenset()
         self._busy_with: Task | None = None
         self._ready_at = 0.0
         self._blocked_until = 0.0
@@ -109,7 +112,12 @@
         report = self._report
         if report is None:
             return None
-        return {name: adapters for name, adapters in report.held.items() if name not in self._going}
+        going = self._going_adapters
+        return {
+            name: frozenset(one for one in adapters if Unit(name, one) not in going)
+            for name, adapters in report.held.items()
+            if name not in self._going
+        }
 
     def give(self, task: Task) -> None:
         """Carry out ``task``; only while `free`."""
@@ -138,6 +146,7 @@
                 self._report = None
             finally:
                 self._going = frozenset()
+                self._going_adapters = frozenset()
                 self._busy_with = None
                 self._on_change()
 
@@ -195,6 +204,10 @@
         return True
 
     def _load_adapter(self, task: AdapterTask) -> bool:
+        if task.evicted:
+            self._going_adapters = frozenset(task.evicted)
+            self._on_change()
+            time.sleep(ADAPTER_AWAY_SECONDS)
         for unit in task.evicted:
             result = self._order(Unload(unit))
             if result is not OrderResult.HOLDS:
--- a/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
@@ -37,12 +37,12 @@
 def view(name, *models, free=True, loading="", prompt_tokens=0, **copies):
     listed = upstream(name, *models, **copies)
     held = {m: frozenset() for m in models}
-    return WorkerView(listed, held, free, loading, {}, 0, prompt_tokens)
+    return WorkerView(listed, held, free, loading, {}, 0, prompt_tokens, {})
 
 
 def news(instance="i1", **arrivals):
     needs = [NeedEntry(SERVICE, name, "", count, 0, 0.0) for name, count in arrivals.items()]
-    return InstanceNews(instance, needs, [])
+    return InstanceNews(instance, needs, [], [])
 
 
 class MemoryStore:
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_planner.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_planner.py
@@ -112,3 +112,19 @@
     full = view("u0", "a")._replace(held={"a": frozenset({"x", "y"})})
     chosen = adapter_worker(Unit("a", "z"), [full, view("u1", "a")], engine.adapter_slots)
     assert chosen.upstream.id == "u1"
+
+
+def test_adapter_in_use_never_makes_room(engine):
+    # The order to drop an adapter that requests use is taken, and waits for their
+    # end: for seconds the worker takes no other order, while new ones keep coming.
+    used = {Unit("a", "x"): 1, Unit("a", "y"): 2}
+    full = view("u0", "a")._replace(held={"a": frozenset({"x", "y"})}, open_by_unit=used)
+    assert adapter_worker(Unit("a", "z"), [full], engine.adapter_slots) is None
+    idle = full._replace(open_by_unit={Unit("a", "x"): 1})
+    assert adapter_worker(Unit("a", "z"), [idle], engine.adapter_slots) is idle
+    assert idle.idle_adapters() == [Unit("a", "y")]
+
+
+def test_model_that_runs_requests_is_dropped_last(planner):
+    views = [view("u0", "a", "b")._replace(open_by_unit={Unit("a", "x"): 20})]
+    assert planner.swap_for(waits("c", 12), views, cold_allowed=True).evicted == ("b",)
