Refuse streams that an overloaded holder would begin too late; learn each upstream's pace

First event against unread tokens at the sending, from the logs: 110 ms below 4,000, 600 ms at 12,000 to 16,000, a second at 20,000, two at 40,000: FIFO queues in which everybody was late. Beyond two latency targets a request is refused now with when to come back; the expected time is corrected by what each upstream showed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -12,6 +12,7 @@
 from redwingscale_daemon._internal.fleet.holdings import Holdings
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
 from redwingscale_daemon._internal.fleet.load_book import LoadBook
+from redwingscale_daemon._internal.fleet.pace import Pace
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
@@ -54,7 +55,8 @@
     changes, holdings = Changes(), Holdings()
     directory = UpstreamDirectory(holdings, changes)
     book, health, prefixes, pool = LoadBook(), Health(), PrefixMemory(), ConnectionPool()
-    for part in (book, health, prefixes, pool):
+    pace = Pace()
+    for part in (book, health, prefixes, pool, pace):
         directory.on_gone(part.forget)
     metrics = IngressMetrics()
     open_requests = OpenRequests()
@@ -70,6 +72,7 @@
         changes,
         book,
         health,
+        pace,
         prefixes,
         pool,
         open_requests,
@@ -107,6 +110,7 @@
     changes: Changes,
     book: LoadBook,
     health: Health,
+    pace: Pace,
     prefixes: PrefixMemory,
     pool: ConnectionPool,
     open_requests: OpenRequests,
@@ -115,8 +119,8 @@
     bounds = settings.bounds
     rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
     budget = RepeatBudget(rule, swaps.instances)
-    chooser = Chooser(settings.failure_domain, directory, book, prefixes, health)
-    parts = RelayParts(exchange, Sender(pool, exchange), chooser, book, health, budget)
+    chooser = Chooser(settings.failure_domain, directory, book, prefixes, health, pace)
+    parts = RelayParts(exchange, Sender(pool, exchange), chooser, book, health, pace, budget)
     wait = HolderWait(chooser, changes, holdings, swaps.needs, open_requests)
     return Entry(
         routes,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -7,6 +7,7 @@
 
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.load_book import LoadBook
+from redwingscale_daemon._internal.fleet.pace import Pace
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.fleet.unit import Unit
@@ -16,9 +17,9 @@
 # Prompt tokens that an engine reads in a millisecond, without other work; the
 # deployments' engines give 22 to 26.
 PROMPT_TOKENS_PER_MS = 24.0
-# What one more running request costs each of the others until its end: a step
-# takes 0.018 ms more for each, and its prompt is read between their tokens.
-RUNNING_REQUEST_MS = 2.0
+# What each running request adds to the time to a first event: 28 of them and
+# 20,000 unread tokens gave a second at the median, 11 and 4,000 a third of it.
+RUNNING_REQUEST_MS = 6.0
 # A request beyond the batch waits for another one's end.
 BEYOND_BATCH_MS = 200.0
 # A hop to another failure domain and back takes 3 ms; its bytes are paid for as well.
@@ -33,10 +34,17 @@
 
 
 class Candidate(NamedTuple):
-    """An upstream, what a request there is expected to cost, and among how many it was chosen."""
+    """An upstream and what a request there is expected to cost.
+
+    ``first_event_ms`` is the expected time to the first event without what the
+    upstream's pace adds; ``expected_ms`` is with it. ``among`` tells out of how
+    many it was chosen.
+    """
 
     cost_ms: float
     upstream: Upstream
+    first_event_ms: float = 0.0
+    expected_ms: float = 0.0
     among: int = 1
 
 
@@ -50,12 +58,14 @@
         book: LoadBook,
         prefixes: PrefixMemory,
         health: Health,
+        pace: Pace,
     ) -> None:
         self._failure_domain = failure_domain
         self._directory = directory
         self._book = book
         self._prefixes = prefixes
         self._health = health
+        self._pace = pace
         # Not for secrets: it only spreads requests.
         self._random = random.Random()
 
@@ -68,7 +78,7 @@
         """Return the cheapest holder of the prompt's unit that isn't in ``tried``."""
         holders = [u for u in self._directory.holders(service, prompt.unit) if u.id not in tried]
         home = _home(prompt, holders)
-        return self._cheapest([Candidate(self._prompt_cost(u, prompt, home), u) for u in holders])
+        return self._cheapest([self._prompt_candidate(u, prompt, home) for u in holders])
 
     def holders(self, service: str, unit: Unit) -> int:
         """Return how many usable upstreams hold ``unit``."""
@@ -79,22 +89,20 @@
         beyond = max(0, requests + 1 - upstream.slots)
         return requests * PLAIN_REQUEST_MS / upstream.slots + beyond * PLAIN_REQUEST_MS
 
-    def _prompt_cost(self, upstream: Upstream, prompt: Prompt, home: str) -> float:
+    def _prompt_candidate(self, upstream: Upstream, prompt: Prompt, home: str) -> Candidate:
         load = self._book.total(upstream.id)
         kept = self._prefixes.kept_tokens(upstream.id, prompt)
         if not kept and upstream.id == home:
             kept = _shared_tokens(prompt) // 2
         to_read = load.prompt_tokens + max(0, prompt.tokens_in - kept)
         beyond = max(0, load.requests + 1 - upstream.slots)
-        return (
-            to_read / PROMPT_TOKENS_PER_MS
-            + load.requests * RUNNING_REQUEST_MS
-            + beyond * BEYOND_BATCH_MS
-        )
+        first_event = to_read / PROMPT_TOKENS_PER_MS + load.requests * RUNNING_REQUEST_MS
+        expected = first_event * self._pace.factor(upstream.id) + beyond * BEYOND_BATCH_MS
+        return Candidate(expected, upstream, first_event, expected)
 
     def _cheapest(self, candidates: list[Candidate]) -> Candidate | None:
         priced = [
-            Candidate(candidate.cost_ms + self._extra_ms(candidate.upstream), candidate.upstream)
+            candidate._replace(cost_ms=candidate.cost_ms + self._extra_ms(candidate.upstream))
             for candidate in candidates
         ]
         best = min(priced, key=lambda candidate: candidate.cost_ms, default=None)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -1,5 +1,7 @@
 """The sendings of one request, and whether there may be one more."""
 
+import time
+
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.chooser import Candidate
@@ -23,6 +25,8 @@
         self.sendings = 0
         self.may_have_run = 0
         self.history: list[str] = []
+        self._sent_at = 0.0
+        self.first_event_seconds: float | None = None
 
     def begin(self, request: str, chosen: Candidate, load: Load) -> None:
         """Note a sending to ``chosen``, with what decided it."""
@@ -40,6 +44,7 @@
         if not self.sendings:
             self._budget.note_request(self._service)
         self.sendings += 1
+        self._sent_at = time.monotonic()
         self.tried.add(upstream_id)
 
     def another_after(self, outcome: NotRun | Lost) -> bool:
@@ -64,6 +69,13 @@
         self.history.append(f"{upstream_id}:{reason}")
         return self.sendings < MOST_SENDINGS and self._may_run_again()
 
+    def first_event(self) -> float:
+        """Note the first event of the newest sending; return the seconds that it took."""
+        seconds = time.monotonic() - self._sent_at
+        if self.first_event_seconds is None:
+            self.first_event_seconds = seconds
+        return seconds
+
     @property
     def ran_nowhere(self) -> bool:
         """Whether no upstream can have run the request, nor will."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
@@ -153,6 +153,7 @@
             detail=refusal.detail if refusal else "",
             sendings=attempts.sendings if attempts else "-",
             history=";".join(attempts.history) if attempts else "",
+            first_event=_rounded(attempts.first_event_seconds if attempts else None),
             seconds=round(seconds, 4),
         )
 
@@ -164,5 +165,9 @@
     return request.arrived_at + limit
 
 
+def _rounded(seconds: float | None) -> str:
+    return "-" if seconds is None else f"{seconds:.4f}"
+
+
 def _name(call: Call | None) -> str:
     return call.route.name if call else "-"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -21,6 +21,9 @@
 # A request that waits must leave its upstream time to read the prompt.
 SERVICE_SECONDS = 0.25
 COME_BACK_SECONDS = 0.5
+# A first event later than this many latency targets is refused: figures below.
+OVERLOAD_TARGETS = 2.0
+MILLISECONDS = 1000.0
 # Before the end of the process, for the answer to reach the caller.
 STOP_MARGIN_SECONDS = 0.8
 # Another instance takes the request at once.
@@ -54,6 +57,7 @@
         """
         found = self.chooser.for_prompt(call.service, prompt, call.attempts.tried)
         if found is not None:
+            _refuse_if_overloaded(call, found)
             return found
         self.needs.ask(call.service, prompt.unit, _patience(call))
         try:
@@ -111,6 +115,26 @@
         )
 
 
+def _refuse_if_overloaded(call: Call, found: Candidate) -> None:
+    """Raise `Refusal` where even the best holder would answer far too late.
+
+    A request that waits behind more than fits into its time takes the time of
+    those behind it as well, and all of them are late; refused, it costs nothing
+    and comes back when the queue is shorter.
+    """
+    longest = call.route.latency_target_seconds * OVERLOAD_TARGETS
+    expected = found.expected_ms / MILLISECONDS
+    limit = min(longest, _patience(call))
+    if expected <= limit or call.attempts.sendings:
+        return
+    raise Refusal(
+        503,
+        "overloaded",
+        f"{found.upstream.id} would begin in {expected:.2f} s, {limit:.2f} s are worth waiting",
+        retry_after_seconds=max(COME_BACK_SECONDS, expected - limit),
+    )
+
+
 def _patience(call: Call) -> float:
     """Return the seconds that a wait may still last: the upstream must have time left.
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
@@ -5,6 +5,7 @@
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.load_book import LoadBook
+from redwingscale_daemon._internal.fleet.pace import Pace
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.sender import Sender
@@ -18,4 +19,5 @@
     chooser: Chooser
     book: LoadBook
     health: Health
+    pace: Pace
     budget: RepeatBudget
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -10,10 +10,10 @@
     TimeLimitReached,
     UpstreamSilent,
 )
+from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.load_book import LoadTicket
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.prompt import Prompt
-from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.events import Event, read_events
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
@@ -35,6 +35,7 @@
 # Before the first event a sound upstream may have a queue.
 FIRST_EVENT_SILENCE_SECONDS = 2.2
 COME_BACK_SECONDS = 0.3
+MILLISECONDS = 1000.0
 
 
 class _Progress:
@@ -87,7 +88,7 @@
             ticket = self._parts.book.enter(upstream.id, prompt.unit, unread)
             self._prefixes.sent(upstream.id, prompt)
             try:
-                if self._send(call, upstream, progress, ticket):
+                if self._send(call, candidate, progress, ticket):
                     return
             finally:
                 ticket.leave()
@@ -95,11 +96,12 @@
     def _send(
         self,
         call: Call,
-        upstream: Upstream,
+        candidate: Candidate,
         progress: _Progress,
         ticket: LoadTicket,
     ) -> bool:
         """Return whether the caller has its answer; raise when it can have none."""
+        upstream = candidate.upstream
         headers = self._parts.dialect.sending_headers(
             call.headers,
             upstream.id,
@@ -116,14 +118,20 @@
             raise _too_late() from None
         match outcome:
             case Answering():
-                return self._answer(call, outcome, progress, ticket)
-            case NotRun() | Lost():
+                return self._answer(call, outcome, candidate, progress, ticket)
+            case Lost():
+                if not progress.events:
+                    waited = call.attempts.first_event() * MILLISECONDS
+                    self._parts.pace.observed(upstream.id, candidate.first_event_ms, waited)
+                return self._try_another(call, outcome)
+            case NotRun():
                 return self._try_another(call, outcome)
 
     def _answer(
         self,
         call: Call,
         answering: Answering,
+        candidate: Candidate,
         progress: _Progress,
         ticket: LoadTicket,
     ) -> bool:
@@ -133,7 +141,7 @@
                 return self._pass_failure(call, answering)
             if not self._parts.dialect.is_signed(response):
                 raise HTTPException("the answer bears no signature")
-            self._pass_events(call, answering, progress, ticket)
+            self._pass_events(call, answering, candidate, progress, ticket)
         except (HTTPException, OSError, UpstreamSilent, ValueError) as error:
             answering.connection.discard()
             lost = Lost(answering.upstream, f"event {progress.last_event}: {error!r}")
@@ -149,11 +157,21 @@
         return True
 
     def _pass_events(
-        self, call: Call, answering: Answering, progress: _Progress, ticket: LoadTicket
+        self,
+        call: Call,
+        answering: Answering,
+        candidate: Candidate,
+        progress: _Progress,
+        ticket: LoadTicket,
     ) -> None:
         headers = self._parts.dialect.answer_headers(answering.response)
+        begun = False
         for event in read_events(answering.response):
-            ticket.prompt_read()
+            if not begun:
+                begun = True
+                ticket.prompt_read()
+                real = call.attempts.first_event() * MILLISECONDS
+                self._parts.pace.observed(answering.upstream.id, candidate.first_event_ms, real)
             call.watch.silence_seconds = STREAM_SILENCE_SECONDS if call.route.resumable else None
             if not progress.wants(event):
                 continue
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -13,6 +13,7 @@
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.holdings import Holdings
 from redwingscale_daemon._internal.fleet.load_book import LoadBook
+from redwingscale_daemon._internal.fleet.pace import Pace
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
@@ -202,12 +203,14 @@
         self.open_requests = OpenRequests()
         self.needs = Needs()
         self.ended = []
-        book, health, prefixes = LoadBook(), Health(), PrefixMemory()
+        book, health, prefixes, pace = LoadBook(), Health(), PrefixMemory(), Pace()
         self.book = book
-        chooser = Chooser("z1", self.directory, book, prefixes, health)
+        chooser = Chooser("z1", self.directory, book, prefixes, health, pace)
         chooser._random = random.Random(1)
         budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
-        parts = RelayParts(exchange, Sender(self.pool, exchange), chooser, book, health, budget)
+        parts = RelayParts(
+            exchange, Sender(self.pool, exchange), chooser, book, health, pace, budget
+        )
         wait = HolderWait(chooser, self.changes, self.holdings, self.needs, self.open_requests)
         entry = Entry(
             self.routes, exchange, PlainRelay(parts), StreamRelay(parts, wait, prefixes),
