Leave out upstreams that take no connection or whose address another process has

A 421 that names another process takes the id out at once; instances tell the giver whom they cannot reach, and what more than half of them miss counts as not held. A new connection is given up after 0.35 s (it takes 1 to 4 ms) and another upstream tried. After a refused order the giver waits for a report that is newer than the refusal.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.holdings import Holdings
 from redwingscale_daemon._internal.fleet.load_book import Load, LoadBook
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
@@ -26,7 +27,6 @@
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.order_giver import OrderGiver
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
-from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 # Three renewals in a lease: one lost answer does not cost it.
@@ -56,7 +56,7 @@
     holdings: Holdings,
     changes: Changes,
     book: LoadBook,
-    metrics: IngressMetrics,
+    health: Health,
 ) -> Swaps:
     """Return the parts, not started; ``start`` is an id of this process."""
     me = settings.instance
@@ -78,7 +78,7 @@
             UseEntry(upstream, unit.model, unit.adapter, requests)
             for (upstream, unit), requests in book.open_by_unit().items()
         ]
-        return InstanceNews(me, needs.drain(), loads, uses)
+        return InstanceNews(me, needs.drain(), loads, uses, health.all_unreachable())
 
     right = GiverRight(me, lease.fence)
     calls = EngineCalls(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -71,12 +71,20 @@
 
     def for_plain(self, service: str, tried: Collection[str]) -> Candidate | None:
         """Return the cheapest upstream of a plain service that isn't in ``tried``."""
-        upstreams = [u for u in self._directory.usable(service) if u.id not in tried]
+        upstreams = [
+            u
+            for u in self._directory.usable(service)
+            if u.id not in tried and not self._health.is_gone(u.id)
+        ]
         return self._cheapest([Candidate(self._plain_cost(u), u) for u in upstreams])
 
     def for_prompt(self, service: str, prompt: Prompt, tried: Collection[str]) -> Candidate | None:
         """Return the cheapest holder of the prompt's unit that isn't in ``tried``."""
-        holders = [u for u in self._directory.holders(service, prompt.unit) if u.id not in tried]
+        holders = [
+            u
+            for u in self._directory.holders(service, prompt.unit)
+            if u.id not in tried and not self._health.unreachable(u.id)
+        ]
         home = _home(prompt, holders)
         return self._cheapest([self._prompt_candidate(u, prompt, home) for u in holders])
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
@@ -1,9 +1,12 @@
 """Upstreams that have failed lately."""
 
+import math
 import threading
 import time
 from typing import NamedTuple
 
+from redwingscale_common.utils.logs import log_event
+
 # After a failure an upstream is avoided for this long, doubled by each further
 # one: long enough to send a few requests elsewhere, short enough that a restarted
 # upstream is back within a second.
@@ -11,20 +14,30 @@
 LONGEST_AVOID_SECONDS = 4.0
 
 
+# An upstream that takes no connection is tried again by one request after this.
+UNREACHABLE_SECONDS = 0.8
+
+
 class _Suspicion(NamedTuple):
     failures: int
     until: float
 
 
 class Health:
-    """Avoids upstreams for a while after a failure; any sound answer clears them."""
+    """Avoids upstreams after a failure, and leaves out those that take no connection.
+
+    Any sound answer clears an upstream. One that takes no connection is as good
+    as gone until it does: its entry in the list may last for seconds, and after a
+    partition only some of the instances cannot reach it.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._suspicions: dict[str, _Suspicion] = {}
+        self._unreachable_until: dict[str, float] = {}
 
     def failed(self, upstream_id: str) -> None:
-        """Note a request that the upstream lost, or a connection that it didn't take."""
+        """Note a request that the upstream lost."""
         with self._lock:
             before = self._suspicions.get(upstream_id, _Suspicion(0, 0.0))
             avoid = min(LONGEST_AVOID_SECONDS, FIRST_AVOID_SECONDS * 2**before.failures)
@@ -32,19 +45,57 @@
                 before.failures + 1, time.monotonic() + avoid
             )
 
+    def not_reached(self, upstream_id: str) -> None:
+        """Note a connection that the upstream didn't take."""
+        self.failed(upstream_id)
+        with self._lock:
+            first = upstream_id not in self._unreachable_until
+            self._unreachable_until[upstream_id] = time.monotonic() + UNREACHABLE_SECONDS
+        if first:
+            log_event("upstream_unreachable", level="WARNING", upstream=upstream_id)
+
+    def gone(self, upstream_id: str) -> None:
+        """Note that another process has the upstream's address.
+
+        An upstream that has restarted is listed under its former id for some
+        seconds, and each request meant for that is refused.
+        """
+        with self._lock:
+            self._unreachable_until[upstream_id] = math.inf
+        log_event("upstream_replaced", level="WARNING", upstream=upstream_id)
+
     def answered(self, upstream_id: str) -> None:
         """Note a sound answer."""
-        if upstream_id in self._suspicions:
-            with self._lock:
-                self._suspicions.pop(upstream_id, None)
+        if upstream_id not in self._suspicions:
+            return
+        with self._lock:
+            self._suspicions.pop(upstream_id, None)
+            reached = self._unreachable_until.pop(upstream_id, None)
+        if reached is not None:
+            log_event("upstream_reached", upstream=upstream_id)
 
     def avoided(self, upstream_id: str) -> bool:
         """Return whether another upstream is better."""
         suspicion = self._suspicions.get(upstream_id)
         return suspicion is not None and time.monotonic() < suspicion.until
 
+    def is_gone(self, upstream_id: str) -> bool:
+        """Return whether another process is known to have the upstream's address."""
+        return self._unreachable_until.get(upstream_id) == math.inf
+
+    def unreachable(self, upstream_id: str) -> bool:
+        """Return whether ``upstream_id`` took no connection just now."""
+        until = self._unreachable_until.get(upstream_id)
+        return until is not None and time.monotonic() < until
+
+    def all_unreachable(self) -> list[str]:
+        """Return the upstreams that have taken no connection since the last answer."""
+        with self._lock:
+            return list(self._unreachable_until)
+
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are gone."""
         with self._lock:
             for key in upstream_ids:
                 self._suspicions.pop(key, None)
+                self._unreachable_until.pop(key, None)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -59,6 +59,8 @@
         match outcome:
             case NotRun(reached=False):
                 return True
+            case NotRun(gone=True):
+                return True
             case NotRun():
                 return self._budget.take(self._service)
             case Lost():
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -20,7 +20,10 @@
 UNTOLD_SECONDS = 0.6
 # A request that waits must leave its upstream time to read the prompt.
 SERVICE_SECONDS = 0.25
-COME_BACK_SECONDS = 0.5
+# Without news of a load there is none under way: coming back soon would only be
+# refused again.
+COME_BACK_SECONDS = 2.0
+OVERLOADED_COME_BACK_SECONDS = 1.0
 # A first event later than this many latency targets is refused: figures below.
 OVERLOAD_TARGETS = 2.0
 MILLISECONDS = 1000.0
@@ -131,7 +134,7 @@
         503,
         "overloaded",
         f"{found.upstream.id} would begin in {expected:.2f} s, {limit:.2f} s are worth waiting",
-        retry_after_seconds=max(COME_BACK_SECONDS, expected - limit),
+        retry_after_seconds=max(OVERLOADED_COME_BACK_SECONDS, expected - limit),
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
@@ -19,13 +19,15 @@
     """The upstream has not run the request and never will.
 
     ``wrong_place`` tells that it does not hold what the request asks for, or is
-    another process than the one meant; else it is full or cannot be reached.
+    another process than the one meant, which then is ``gone``; else it is full or
+    cannot be reached.
     """
 
     upstream: Upstream
     reason: str
     wrong_place: bool
     reached: bool
+    gone: bool = False
 
 
 class Lost(NamedTuple):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -109,8 +109,13 @@
         return True
 
     def _note_failure(self, call: Call, outcome: NotRun | Lost) -> None:
-        if isinstance(outcome, Lost) or not outcome.reached:
-            self._parts.health.failed(outcome.upstream.id)
+        match outcome:
+            case Lost():
+                self._parts.health.failed(outcome.upstream.id)
+            case NotRun(reached=False):
+                self._parts.health.not_reached(outcome.upstream.id)
+            case NotRun(gone=True):
+                self._parts.health.gone(outcome.upstream.id)
         log_event(
             "sending_failed",
             request=call.terms.request_id,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -109,4 +109,5 @@
         else:
             connection.discard()
         misdirected = self._dialect.is_misdirected(response)
-        return NotRun(upstream, reason, wrong_place=misdirected, reached=True)
+        gone = self._dialect.is_from_another(response, upstream.id)
+        return NotRun(upstream, reason, wrong_place=misdirected, reached=True, gone=gone)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -197,8 +197,13 @@
 
     def _try_another(self, call: Call, outcome: NotRun | Lost) -> bool:
         """Return False to go on at another upstream; raise when there may be none."""
-        if isinstance(outcome, Lost) or not outcome.reached:
-            self._parts.health.failed(outcome.upstream.id)
+        match outcome:
+            case Lost():
+                self._parts.health.failed(outcome.upstream.id)
+            case NotRun(reached=False):
+                self._parts.health.not_reached(outcome.upstream.id)
+            case NotRun(gone=True):
+                self._parts.health.gone(outcome.upstream.id)
         log_event(
             "sending_failed",
             request=call.terms.request_id,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -12,9 +12,9 @@
 
 from redwingscale_daemon._internal.forwarding.watch import Watch
 
-# A new connection takes about a millisecond, two across failure domains; packets
-# lost on the way cost a second each.
-CONNECT_SECONDS = 1.0
+# A new connection takes about a millisecond, four across failure domains. One that
+# takes longer has met a dead host or a lost packet, and another upstream is tried.
+CONNECT_SECONDS = 0.35
 # A host without power answers nothing: what is in flight is given up after this.
 USER_TIMEOUT_MS = 4000
 _READ_BYTES = 65536
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -110,6 +110,12 @@
     return response.status == _MISDIRECTED
 
 
+def is_from_another(response: HTTPResponse, upstream_id: str) -> bool:
+    """Return whether another process than ``upstream_id`` has its address now."""
+    answering = response.headers.get(names.ANSWERING_UPSTREAM)
+    return response.status == _MISDIRECTED and answering not in (None, upstream_id)
+
+
 def idle_seconds(response: HTTPResponse) -> float | None:
     """Return how long the connection may be idle, 0 if it closes, None if unsaid."""
     if response.will_close:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
@@ -8,6 +8,8 @@
 PROMPT_PARTS = "X-Redwingscale-Prefix-Hash"
 # The upstream's signature of its answer; the caller checks it.
 SIGNATURE = "X-Redwingscale-Response-Seal"
+# The id of the process that answers, on a refusal of a request meant for another one.
+ANSWERING_UPSTREAM = "X-Redwingscale-Instance-Id"
 NOT_RUN = "X-Redwingscale-Not-Executed"
 PRIORITY = "X-Redwingscale-Request-Priority"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -36,12 +36,16 @@
 
 
 class InstanceNews(msgspec.Struct, array_like=True):
-    """From each instance to the order giver."""
+    """From each instance to the order giver.
+
+    ``unreachable`` upstreams have taken no connection of this instance lately.
+    """
 
     instance: str
     needs: list[NeedEntry]
     loads: list[LoadEntry]
     uses: list[UseEntry]
+    unreachable: list[str]
 
 
 class HeldEntry(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -62,6 +62,7 @@
         self._workers: dict[str, WorkerOrders] = {}
         self._loads: dict[str, tuple[float, list[LoadEntry]]] = {}
         self._uses: dict[str, tuple[float, list[UseEntry]]] = {}
+        self._unreachable: dict[str, tuple[float, frozenset[str]]] = {}
         self._news: GiverNews | None = None
         self._gave_orders = False
 
@@ -71,6 +72,7 @@
         now = time.monotonic()
         self._loads[news.instance] = (now, news.loads)
         self._uses[news.instance] = (now, news.uses)
+        self._unreachable[news.instance] = (now, frozenset(news.unreachable))
         if any(need.waiting for need in news.needs):
             self._wake.set()
 
@@ -208,11 +210,11 @@
         self._workers[view.upstream.id].give(AdapterTask(waiting.unit, evicted))
 
     def _views(self, service: str) -> list[WorkerView]:
-        loads, uses = self._total_loads(), self._total_uses()
+        loads, uses, cut_off = self._total_loads(), self._total_uses(), self._cut_off()
         views = []
         for upstream in self._directory.usable(service):
             worker = self._workers.get(upstream.id)
-            if worker is None:
+            if worker is None or upstream.id in cut_off:
                 continue
             held = worker.held()
             if held is None:
@@ -232,6 +234,18 @@
             )
         return views
 
+    def _cut_off(self) -> set[str]:
+        """Return the upstreams that more than half of the instances cannot reach.
+
+        What they hold counts for nothing until they are back: after a partition
+        or a crash their entries in the list last for seconds, and what only they
+        hold would be missed by all.
+        """
+        since = time.monotonic() - LOADS_FRESH_SECONDS
+        fresh = [ids for at, ids in list(self._unreachable.values()) if at > since]
+        counts = Counter(key for ids in fresh for key in ids)
+        return {key for key, count in counts.items() if count * 2 > len(fresh)}
+
     def _total_uses(self) -> dict[str, dict[Unit, int]]:
         totals: dict[str, dict[Unit, int]] = defaultdict(Counter)
         since = time.monotonic() - LOADS_FRESH_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -160,8 +160,10 @@
             case AdapterTask():
                 done = self._load_adapter(task)
         if not done:
-            # Whatever went wrong, the next task begins with a report.
+            # Whatever went wrong, the next task begins with a report; one that is
+            # read at once would be from before what went wrong.
             self._report = None
+            self._blocked_until = time.monotonic() + POLL_SECONDS
 
     def _learn(self) -> bool:
         report = self._client.report(self.upstream)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -88,6 +88,9 @@
                 return
 
     def close(self):
+        # A close alone would let the thread that waits take one more connection.
+        with contextlib.suppress(OSError):
+            self._server.shutdown(socket.SHUT_RDWR)
         self._server.close()
 
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
@@ -171,3 +171,23 @@
     world.open_requests.drain(time.monotonic() + 5.0)
     answer = world.ask("/safe/")
     assert (answer.status, answer.headers["Connection"]) == (200, "close")
+
+
+def test_restarted_upstream_is_not_asked_under_its_former_id(world):
+    # An upstream crashes and is back at once under a new id; the list shows the
+    # former one for some seconds, and every request meant for it is refused.
+    def another(connection, received):
+        head_lines = ("X-Redwingscale-Instance-Id: u9", "Content-Length: 0")
+        connection.sendall(head(received, "421 Misdirected", *head_lines, signed=False))
+
+    world.add("plain", another)
+    world.add("plain", sized(b"ok"))
+    for _ in range(3):
+        assert world.ask("/once/").body == b"ok"
+    assert [received.upstream for received in world.log] == ["u0", "u1", "u1", "u1"]
+
+
+def test_unreachable_upstream_is_left_for_another(world):
+    world.add("plain", sized(b"never")).close()
+    world.add("plain", sized(b"ok"))
+    assert world.ask("/once/").body == b"ok"
--- a/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
@@ -42,7 +42,7 @@
 
 def news(instance="i1", **arrivals):
     needs = [NeedEntry(SERVICE, name, "", count, 0, 0.0) for name, count in arrivals.items()]
-    return InstanceNews(instance, needs, [], [])
+    return InstanceNews(instance, needs, [], [], [])
 
 
 class MemoryStore:
