Prove the ingress instance as a process; keep a ledger that a report has filled

Found by the new tests, each red first: a swap without room dropped what the report had just told, so the giver made the same plan from the old list every quarter of a second and the model was never loaded (another instance takes over the orders); models that nobody had asked for kept their places for ever (their expected demand halves every 12 s now); readiness was told before the callers' port was open (connection refused, once in three runs of the suite).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
@@ -65,7 +65,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
-        for part in (*self._parts.tasks, *self._parts.probes, self._parts.callers):
+        # The callers' port is open before the balancer can be told that it is.
+        for part in (*self._parts.tasks, self._parts.callers, *self._parts.probes):
             part.start()
         log_event("started")
         while not self._stopping:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
@@ -12,6 +12,7 @@
 MEMORY_SECONDS = 4.0
 # Expected requests, in the same measure as a rate over some seconds.
 UNSEEN_REQUESTS = 3.0
+UNSEEN_HALF_SECONDS = 12.0
 LEFT_REQUESTS = 0.6
 RARE_REQUESTS = 0.2
 BUSY_PER_SECOND = 1.0
@@ -107,9 +108,16 @@
         """
         peak = self._peaks.get((service, model))
         if peak is None:
-            return UNSEEN_REQUESTS
+            return max(RARE_REQUESTS, UNSEEN_REQUESTS * self._unseen_part())
         return LEFT_REQUESTS if peak >= BUSY_PER_SECOND else RARE_REQUESTS
 
+    def _unseen_part(self) -> float:
+        # What nobody has asked for in a while is no longer likely to be next: it
+        # would else keep its place for ever against what is asked for.
+        first = self._first_arrival_at
+        since = 0.0 if first is None else time.monotonic() - first
+        return 0.5 ** (since / UNSEEN_HALF_SECONDS)
+
     def copies_to_keep(self, service: str, model: str) -> int:
         """Return how many copies of ``model`` stay until its demand has been seen."""
         copies = self._first_copies.get((service, model), 0)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -174,6 +174,7 @@
         return True
 
     def _swap(self, task: SwapTask) -> bool:
+        """Return whether what the worker holds is still known for certain."""
         if task.evicted:
             self._going = frozenset(task.evicted)
             self._on_change()
@@ -182,8 +183,10 @@
             if not self._unload(name):
                 return False
         if not self._has_room(task.model):
+            # The plan was made from an older list; what the report has just told
+            # stays known, so that the next plan fits.
             log_event("swap_has_no_room", upstream=self.upstream.id, model=task.model)
-            return False
+            return True
         unit = Unit(task.model)
         if self._order(Load(unit)) not in (OrderResult.ACCEPTED, OrderResult.HOLDS):
             return False
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
@@ -0,0 +1,125 @@
+"""An instance as a process: start, reload, stop, loss of the store and of the order giver."""
+
+import os
+import signal
+from concurrent.futures import ThreadPoolExecutor
+
+from redwingscale_standins.hosted.model_worker import WorkerTiming
+
+from .conftest import document, until
+
+
+def test_stream_is_served_and_counted(deployment):
+    deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    assert one.ask("m1", 4) == (200, [1, 2, 3, 4])
+    counters = [
+        line
+        for line in one.metrics().splitlines()
+        if line.startswith("redwingscale_ingress_requests_total") and 'outcome="answered"' in line
+    ]
+    assert [line.rsplit(" ", 1)[1] for line in counters] == ["1.0"]
+
+
+def test_model_that_nobody_holds_is_loaded_for_a_request(deployment):
+    worker = deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    assert one.ask("m2")[0] == 200
+    assert [order["Op"] for order in worker.orders] == ["load"]
+    assert worker.orders[0]["Holder"] == "one"
+
+
+def test_adapter_is_loaded_for_a_request(deployment):
+    worker = deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    assert one.ask("m1/a2")[0] == 200
+    assert worker.orders[0]["Adapter"] == "a2"
+
+
+def test_reload_never_ends_the_process(deployment):
+    deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    for _ in range(3):
+        os.kill(one.process.pid, signal.SIGHUP)
+        assert one.ask("m1")[0] == 200
+    until(lambda: b"event=reloaded" in one.log.read_bytes(), "the reload's line")
+    assert one.process.poll() is None
+
+
+def test_planned_stop_finishes_open_streams(deployment):
+    # An instance is replaced while it carries streams; each of them must reach its
+    # end, and the process must end by itself within its grace period.
+    deployment.worker("w1", "m1", timing=WorkerTiming(gap=0.1))
+    one = deployment.instance("one")
+    with ThreadPoolExecutor(5) as pool:
+        streams = [pool.submit(one.ask, "m1", 30, request=f"r{n}") for n in range(5)]
+        until(lambda: len(deployment.workers["w1"].runs) == 5, "all runs")
+        os.kill(one.process.pid, signal.SIGTERM)
+        until(lambda: one.status() != 200, "unreadiness")
+        assert [stream.result() for stream in streams] == [(200, list(range(1, 31)))] * 5
+    assert one.process.wait(20) == 0
+
+
+def test_store_that_is_away_stops_no_request(deployment):
+    deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    deployment.rows.down = True
+    until(lambda: b"event=store_lost" in one.log.read_bytes(), "the loss of the store")
+    assert one.ask("m1")[0] == 200
+    assert one.status() == 200
+    deployment.rows.down = False
+    until(lambda: b"event=store_regained" in one.log.read_bytes(), "its return")
+
+
+def test_change_of_the_configuration_is_in_force(deployment):
+    deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    assert one.ask("m1", path="/new/x")[0] == 404
+    deployment.rows.put("op", "config", document(2, "/new/"))
+    until(lambda: one.ask("m1", path="/new/x")[0] == 200, "the new route")
+    assert one.ask("m1", path="/live/x")[0] == 404
+    deployment.rows.put("op", "config", document(1))
+    until(lambda: b"before=1" in one.log.read_bytes(), "the newer version's line")
+    assert one.ask("m1", path="/new/x")[0] == 200
+
+
+def test_another_instance_takes_over_the_orders(deployment):
+    # The order giver is killed. Another one must take its place, with a higher
+    # fencing number, and bring in what callers wait for.
+    worker = deployment.worker("w1", "m1")
+    first = deployment.instance("one")
+    until(lambda: deployment.giver() == "one", "the first order giver")
+    second = deployment.instance("two")
+    assert second.ask("m2")[0] == 200
+    first.end()
+    until(lambda: deployment.giver() == "two", "the second order giver")
+    until(lambda: second.ask("m3", request="r9")[0] == 200, "a model that is loaded anew")
+    fences = [order["Fence"] for order in worker.orders]
+    assert fences == sorted(fences)
+    assert [worker.orders[0]["Holder"], worker.orders[-1]["Holder"]] == ["one", "two"]
+    assert fences[-1] > fences[0]
+
+
+def test_leaving_upstream_gets_no_new_work(deployment):
+    leaving = deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    deployment.worker("w2", "m1")
+    deployment.rows.put("servers", "w1", deployment.entry(leaving, 1, "draining"))
+    until(lambda: b"event=upstream_leaving" in one.log.read_bytes(), "the leaving sign")
+    runs = len(leaving.runs)
+    assert all(one.ask("m1", request=f"r{n}")[0] == 200 for n in range(5))
+    assert len(leaving.runs) == runs
+
+
+def test_logs_that_nobody_reads_block_no_request(deployment):
+    # Whoever collects standard output hangs: the pipe is full after 64 KB, and a
+    # thread that wrote its line there would wait for ever, with its caller.
+    reader, writer = os.pipe()
+    deployment.worker("w1", "m1")
+    one = deployment.instance("one", stdout=writer)
+    try:
+        assert all(one.ask("m1", 1, request=f"r{n:04}")[0] == 200 for n in range(250))
+    finally:
+        one.end()
+        os.close(reader)
+        os.close(writer)
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_planner.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_planner.py
@@ -1,5 +1,7 @@
 """Which model comes in, and what goes for it."""
 
+import time
+
 import pytest
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
@@ -70,6 +72,18 @@
     assert planner.swap_for(waits("c", 9), [view("u0", "a")], cold_allowed=False) is None
 
 
+def test_model_that_nobody_asks_for_does_not_keep_its_place(planner, demand, monkeypatch):
+    # Two models fill the worker and nobody asks for them. A third one is asked for
+    # now and then: it would wait for ever if the others were always expected.
+    views = [view("u0", "a", "b")]
+    demand.heard(news(c=1))
+    assert planner.swap_for(waits("c", 3), views, cold_allowed=True) is None
+    real = time.monotonic
+    monkeypatch.setattr(time, "monotonic", lambda: real() + 60.0)
+    demand.heard(news(c=1))
+    assert planner.swap_for(waits("c", 5), views, cold_allowed=True) is not None
+
+
 def test_memory_is_never_overfilled(planner, engine):
     swap = planner.swap_for(waits("c", 20), [view("u0", "a", "b")], cold_allowed=True)
     stay = {name: frozenset() for name in ("a", "b") if name not in swap.evicted}
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_worker_orders.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_worker_orders.py
@@ -71,6 +71,8 @@
     worker.held["b"] = frozenset()
     carry_out(orders, SwapTask((), "c", 0.0))
     assert worker.orders == []
+    # The next plan must know what the report has told, or it is the same one again.
+    assert orders.held() == {"a": frozenset(), "b": frozenset()}
 
 
 def test_order_without_an_answer_is_followed_by_a_report(orders, worker):
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -0,0 +1,109 @@
+"""A model worker: streams of numbered events, reports, orders."""
+
+import threading
+import time
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+import cherrypy
+from redwingscale_common.network.exchange import json_response, read_body, read_json
+
+BODY_LIMIT = 1 << 20
+_ECHOED = ("X-Redwingscale-Request-Id",)
+
+
+class WorkerTiming(NamedTuple):
+    """Seconds between events, and of a load."""
+
+    gap: float = 0.005
+    load: float = 0.05
+
+
+class ModelWorker:
+    """Holds models that orders load; refuses what it does not hold or isn't meant for it."""
+
+    def __init__(
+        self, worker_id: str, models: dict[str, set[str]], timing: WorkerTiming | None = None
+    ) -> None:
+        self.id = worker_id
+        self.models = models
+        self.orders: list[dict[str, Any]] = []
+        self.runs: list[str] = []
+        self._timing = timing or WorkerTiming()
+        self._lock = threading.Lock()
+        self._busy = False
+
+    @cherrypy.expose
+    def default(self, *segments: str, **_: str) -> bytes | Iterator[bytes]:
+        """Dispatch one call."""
+        headers = cherrypy.request.headers
+        if headers.get("X-Redwingscale-Expect-Instance", self.id) != self.id:
+            return self._refuse(421)
+        match cherrypy.request.method, segments:
+            case "GET", ("api", "report"):
+                return json_response(self._report())
+            case "POST", ("api", "order"):
+                return self._order(read_json(BODY_LIMIT))
+        return self._run(headers)
+
+    def _run(self, headers: Any) -> bytes | Iterator[bytes]:
+        read_body(BODY_LIMIT)
+        name, _, adapter = headers["X-Redwingscale-Model-Name"].partition("/")
+        if name not in self.models or (adapter and adapter not in self.models[name]):
+            return self._refuse(421)
+        response = cherrypy.response
+        response.headers["Content-Type"] = "text/event-stream"
+        response.headers["X-Redwingscale-Response-Seal"] = "seal"
+        for header in _ECHOED:
+            response.headers[header] = headers[header]
+        response.stream = True
+        self.runs.append(headers["X-Redwingscale-Request-Id"])
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        most = int(headers["X-Redwingscale-Token-Usage"].partition(",")[2])
+        return self._events(first, most)
+
+    def _events(self, first: int, last: int) -> Iterator[bytes]:
+        for number in range(first, last + 1):
+            time.sleep(self._timing.gap)
+            yield f"id: {number}\ndata: token{number}\n\n".encode()
+
+    def _refuse(self, status: int) -> bytes:
+        cherrypy.response.status = status
+        cherrypy.response.headers["X-Redwingscale-Not-Executed"] = "1"
+        cherrypy.response.headers["X-Redwingscale-Instance-Id"] = self.id
+        for header in _ECHOED:
+            cherrypy.response.headers[header] = cherrypy.request.headers.get(header, "")
+        return b""
+
+    def _report(self) -> dict[str, Any]:
+        with self._lock:
+            models = [
+                {"Name": name, "Version": 1, "Adapters": sorted(adapters)}
+                for name, adapters in self.models.items()
+            ]
+            return {"Models": models, "Busy": self._busy, "Seq": len(self.orders)}
+
+    def _order(self, order: dict[str, Any]) -> bytes:
+        with self._lock:
+            if self._busy or order.get("Expect", len(self.orders)) != len(self.orders):
+                return self._status(409)
+            self.orders.append(order)
+            if "Adapter" in order:
+                adapters = self.models[order["Model"]]
+                (adapters.add if order["Op"] == "load" else adapters.discard)(order["Adapter"])
+                return self._status(202 if order["Op"] == "load" else 200)
+            self._busy = True
+        threading.Timer(self._timing.load, self._carry_out, [order]).start()
+        return self._status(202)
+
+    def _carry_out(self, order: dict[str, Any]) -> None:
+        with self._lock:
+            if order["Op"] == "load":
+                self.models[order["Model"]] = set()
+            else:
+                self.models.pop(order["Model"], None)
+            self._busy = False
+
+    def _status(self, status: int) -> bytes:
+        cherrypy.response.status = status
+        return b""
