--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/cli.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/cli.py
@@ -1,5 +1,6 @@
 """The command line of ``redwingscaled``."""
 
+import os
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -50,6 +51,9 @@
     from redwingscale_daemon._internal.composition.ingress import build_ingress
 
     build_ingress(settings, lambda: _reload(settings_file, settings)).run()
+    # Ends the threads that wait for the store or a peer without waiting for them; a
+    # usual end would take the native library away under those that still send.
+    os._exit(0)
 
 
 def _reload(settings_file: Path, current: IngressSettings) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
@@ -61,7 +61,12 @@
         self._reloading = False
 
     def run(self) -> None:
-        """Start everything and return after the last request."""
+        """Start everything and return after the last request.
+
+        The other threads are left as they are: each waits for the store or a peer,
+        and to join them one after the other takes seconds in which the machine
+        serves nobody. Nothing of theirs lasts, and the lease is released.
+        """
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
@@ -93,8 +98,5 @@
         time.sleep(BALANCER_SECONDS)
         log_event("port_closing", open_requests=open_requests.count)
         self._parts.callers.stop(max(END_SECONDS, end - time.monotonic()))
-        log_event("drained", open_requests=open_requests.count)
-        for part in (*self._parts.probes, *self._parts.tasks):
-            part.stop()
-        log_event("stopped")
+        log_event("stopped", open_requests=open_requests.count)
         flush_logs()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
@@ -65,7 +65,8 @@
         self._seen_at = clock()
         self._record: GiverRecord | None = None
         self._valid_until = -math.inf
-        self._orders_from = math.inf
+        self._silent_until = -math.inf
+        self._released = False
         self._fence = 0
 
     @property
@@ -85,7 +86,7 @@
         """
         now = self._clock()
         orders_until = self._valid_until - self._timing.lease_seconds + self._timing.order_seconds
-        if now >= orders_until or now < self._orders_from:
+        if now >= orders_until or now < self._silent_until:
             return None
         return self._fence
 
@@ -99,7 +100,8 @@
             self._take()
 
     def release(self) -> None:
-        """Let another instance take over without waiting for the lease to end."""
+        """Let another instance take over without waiting; take nothing any more."""
+        self._released = True
         if not self.holds:
             return
         self._valid_until = -math.inf
@@ -141,7 +143,7 @@
         self._record = record
 
     def _may_take(self) -> bool:
-        if self.holds:
+        if self.holds or self._released:
             return False
         if self._row_version == ABSENT or self._record is None or self._record.released:
             return True
@@ -155,23 +157,28 @@
         return record.start == self._me.start
 
     def _take(self) -> None:
-        alone = self._row_version == ABSENT or (
-            self._record is not None and self._mine(self._record)
-        )
+        # Before the write: when its answer is lost, the row is found to be the own one.
+        self._silent_until = max(self._silent_until, self._end_of_quiet())
         started = self._clock()
         written = self._store.write(LEASE_ROW, msgspec.json.encode(self._me), self._row_version)
         if written is None:
             self._read()
             return
-        # The former giver's last order can have gone out this long after its renewal.
-        last_order = self._seen_at + self._timing.order_seconds
-        orders_from = self._clock() if alone else last_order + self._timing.quiet_seconds
         self._row_version = written
         self._record = self._me
         self._fence = written
-        self._orders_from = orders_from
         self._valid_until = started + self._timing.lease_seconds
-        log_event("giver_taken", fence=written, orders_in=round(orders_from - self._clock(), 3))
+        orders_in = max(0.0, self._silent_until - self._clock())
+        log_event("giver_taken", fence=written, orders_in=round(orders_in, 3))
+
+    def _end_of_quiet(self) -> float:
+        """Return when the former giver's last order will be old enough."""
+        if self._row_version == ABSENT or self._record is None or self._mine(self._record):
+            return -math.inf
+        # One that has released the lease had sent its last order before.
+        after = 0.0 if self._record.released else self._timing.order_seconds
+        last_order = self._seen_at + after
+        return last_order + self._timing.quiet_seconds
 
 
 def _record(row: StoredRow) -> GiverRecord | None:
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_giver_lease.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_giver_lease.py
@@ -153,3 +153,41 @@
     other = make_lease("b")
     other.step()
     assert other.holds
+
+
+def test_giver_that_has_released_takes_nothing_again(make_lease, clock):
+    # A planned stop releases the lease, and the process goes on for some seconds to
+    # finish its requests: taking the free row again, it would give orders and end.
+    lease = make_lease("a")
+    lease.step()
+    lease.release()
+    for _ in range(10):
+        clock.now += 0.5
+        lease.step()
+        assert not lease.holds
+        assert lease.fence() is None
+
+
+def test_quiet_time_outlasts_a_lapse_of_the_own_lease(make_lease, clock, store):
+    # A giver has just taken over and must be silent yet; the store is away for a
+    # moment, its own lease lapses, and it takes its own row again. The former
+    # giver's last order is no older for that.
+    first, second = make_lease("a"), make_lease("b")
+    first.step()
+    second.step()
+    first.release()
+    clock.now += 0.1
+    second.step()
+    assert second.holds
+    store.fail = PlatformUnavailable("down")
+    clock.now += TIMING.lease_seconds + 0.1
+    with pytest.raises(PlatformUnavailable):
+        second.step()
+    store.fail = None
+    second.step()
+    assert second.holds
+    while second.fence() is None:
+        clock.now += 0.1
+        second.step()
+    since_release = clock.now - 100.0
+    assert TIMING.quiet_seconds <= since_release <= TIMING.quiet_seconds + 0.5
