Never promise 'not run' for a request that an upstream may have taken

Such a request ends with 502 now; a wait in mid-stream counts from the last event. An upstream's own failure is delivered when no later sending answers.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -1,6 +1,7 @@
 """The sendings of one request, and whether there may be one more."""
 
 import time
+from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
@@ -8,12 +9,21 @@
 from redwingscale_daemon._internal.fleet.load_book import Load
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
+from redwingscale_daemon._internal.ingress.ingress_request import Headers
 from redwingscale_daemon._internal.routes.route import Route
 
 # Sendings that no upstream has run cost little, but each takes time from the deadline.
 MOST_SENDINGS = 4
 
 
+class FailedAnswer(NamedTuple):
+    """An upstream's own answer that another sending was to better."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 class Attempts:
     """Counts upstreams that may have run the request, and all that were tried."""
 
@@ -25,6 +35,9 @@
         self.sendings = 0
         self.may_have_run = 0
         self.history: list[str] = []
+        self.failure: FailedAnswer | None = None
+        # When the caller got its last event, monotonic; None before the first one.
+        self.last_event_at: float | None = None
         self._sent_at = 0.0
         self.first_event_seconds: float | None = None
 
@@ -73,11 +86,15 @@
 
     def first_event(self) -> float:
         """Note the first event of the newest sending; return the seconds that it took."""
-        seconds = time.monotonic() - self._sent_at
+        seconds = self.waited()
         if self.first_event_seconds is None:
             self.first_event_seconds = seconds
         return seconds
 
+    def waited(self) -> float:
+        """Return the seconds since the newest sending."""
+        return time.monotonic() - self._sent_at
+
     @property
     def ran_nowhere(self) -> bool:
         """Whether no upstream can have run the request, nor will."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -13,6 +13,7 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
+from redwingscale_daemon._internal.models.run_state import RunState
 
 # How often a waiting request looks whether its caller is still there.
 LOOK_SECONDS = 0.05
@@ -83,20 +84,15 @@
             if found is not None:
                 return found
             self._give_up_if_hopeless(call, prompt, time.monotonic() - started)
-            self._give_up_if_ending()
+            self._give_up_if_ending(call)
             self.changes.wait(seen, LOOK_SECONDS)
             call.watch.check_caller()
 
-    def _give_up_if_ending(self) -> None:
+    def _give_up_if_ending(self, call: Call) -> None:
         # A planned stop must not cut a request that it has read: one that still
         # waits when the process is about to end would be closed without an answer.
         if self.open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS:
-            raise Refusal(
-                503,
-                "stopping",
-                "the instance stops",
-                retry_after_seconds=STOPPING_COME_BACK_SECONDS,
-            )
+            raise _given_up(call, "stopping", "the instance stops", STOPPING_COME_BACK_SECONDS)
 
     def _give_up_if_hopeless(self, call: Call, prompt: Prompt, waited: float) -> None:
         left = _patience(call)
@@ -109,13 +105,20 @@
             hopeless = waited > UNTOLD_SECONDS
         if not hopeless:
             return
-        raise Refusal(
-            503,
-            "no_holder",
-            f"{prompt.unit} is ready in {ready_in} s, {left:.3f} s are left; "
-            + "; ".join(call.attempts.history),
-            retry_after_seconds=COME_BACK_SECONDS if ready_in is None else ready_in,
-        )
+        detail = f"{prompt.unit} is ready in {ready_in} s, {left:.3f} s are left"
+        raise _given_up(call, "no_holder", detail, ready_in or COME_BACK_SECONDS)
+
+
+def _given_up(call: Call, code: str, detail: str, come_back_seconds: float) -> Refusal:
+    """Return the final answer: a refusal, or a failure where the request may have run.
+
+    A refusal promises that it has not: a request that an upstream has taken before
+    it was lost is none of that kind.
+    """
+    detail = "; ".join([detail, *call.attempts.history])
+    if call.attempts.ran_nowhere:
+        return Refusal(503, code, detail, retry_after_seconds=come_back_seconds)
+    return Refusal(502, "upstream_failed", detail, run=RunState.UNKNOWN)
 
 
 def _refuse_if_overloaded(call: Call, found: Candidate) -> None:
@@ -141,7 +144,9 @@
 def _patience(call: Call) -> float:
     """Return the seconds that a wait may still last: the upstream must have time left.
 
-    Callers leave a stream long before their deadline when no event comes.
+    Callers leave a stream long before their deadline when no event comes, counted
+    from their request or from the last event that they got.
     """
-    first_event = call.request.arrived_at + call.route.first_event_seconds - time.monotonic()
-    return min(call.watch.remaining(), first_event) - SERVICE_SECONDS
+    since = call.attempts.last_event_at or call.request.arrived_at
+    next_event = since + call.route.first_event_seconds - time.monotonic()
+    return min(call.watch.remaining(), next_event) - SERVICE_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -11,7 +11,7 @@
     UpstreamSilent,
 )
 from redwingscale_daemon._internal.fleet.upstream import Upstream
-from redwingscale_daemon._internal.forwarding.attempts import Attempts
+from redwingscale_daemon._internal.forwarding.attempts import Attempts, FailedAnswer
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
@@ -36,6 +36,8 @@
         while True:
             candidate = self._parts.chooser.for_plain(call.service, call.attempts.tried)
             if candidate is None:
+                if _deliver_failure(call):
+                    return
                 raise _nobody(call.attempts)
             load = self._parts.book.total(candidate.upstream.id)
             call.attempts.begin(call.terms.request_id, candidate, load)
@@ -64,11 +66,15 @@
             case NotRun():
                 self._note_failure(call, outcome)
                 if not call.attempts.another_after(outcome):
+                    if _deliver_failure(call):
+                        return True
                     raise _nobody(call.attempts)
                 return False
             case Lost():
                 self._note_failure(call, outcome)
                 if not call.attempts.another_after(outcome):
+                    if _deliver_failure(call):
+                        return True
                     raise _lost(outcome.reason)
                 return False
 
@@ -100,6 +106,9 @@
                 reason=f"status {response.status}",
                 sending=call.attempts.sendings,
             )
+            if failed and self._parts.dialect.is_signed(response):
+                headers = self._parts.dialect.answer_headers(response)
+                call.attempts.failure = FailedAnswer(response.status, headers, body)
             return False
         if unsigned:
             raise _lost("the answer bears no signature")
@@ -126,6 +135,18 @@
         )
 
 
+def _deliver_failure(call: Call) -> bool:
+    """Give the caller an upstream's own failure, if no later sending brought more.
+
+    It is an answer that is there: a failure of ours in its place would say less.
+    """
+    failure = call.attempts.failure
+    if failure is None:
+        return False
+    call.reply.whole(failure.status, failure.headers, failure.body)
+    return True
+
+
 def _nobody(attempts: Attempts) -> Refusal:
     if not attempts.ran_nowhere:
         return _lost("no other upstream is left")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -1,5 +1,6 @@
 """Brings the streams of model services, across the loss of upstreams."""
 
+import time
 from http.client import HTTPException
 
 from redwingscale_common.utils.logs import log_event
@@ -121,7 +122,7 @@
                 return self._answer(call, outcome, candidate, progress, ticket)
             case Lost():
                 if not progress.events:
-                    waited = call.attempts.first_event() * MILLISECONDS
+                    waited = call.attempts.waited() * MILLISECONDS
                     self._parts.pace.observed(upstream.id, candidate.first_event_ms, waited)
                 return self._try_another(call, outcome)
             case NotRun():
@@ -179,6 +180,7 @@
                 call.reply.begin(answering.response.status, headers)
             call.reply.write(event.data)
             progress.delivered(event)
+            call.attempts.last_event_at = time.monotonic()
         if not call.reply.started:
             call.reply.begin(answering.response.status, headers)
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
@@ -191,3 +191,13 @@
     world.add("plain", sized(b"never")).close()
     world.add("plain", sized(b"ok"))
     assert world.ask("/once/").body == b"ok"
+
+
+def test_failure_of_an_upstream_is_delivered_when_no_other_answers(world):
+    # The first upstream fails a lookup, the second one dies: the first one's own
+    # answer is there, and says more than a failure of ours.
+    world.add("plain", sized(b"why it failed", "500 Failed"))
+    world.add("plain", breaks)
+    answer = world.ask("/safe/")
+    assert (answer.status, answer.body) == (500, b"why it failed")
+    assert answer.headers["X-Redwingscale-Response-Seal"] == "seal"
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
@@ -129,3 +129,27 @@
     world.open_requests.drain(time.monotonic() + 1.0)
     answer = read_answer(caller)
     assert (answer.status, "Retry-After" in answer.headers) == (503, True)
+
+
+def test_request_that_may_have_run_is_never_refused_as_not_run(world):
+    # The only holder dies after it has taken the request, and no other one comes. A
+    # refusal would promise that the request has not run, which nobody can know.
+    world.add("llm", breaks)
+    answer = world.ask("/brief-stream/", model="m")
+    assert answer.status == 502
+    assert "Retry-After" not in answer.headers
+
+
+def test_wait_in_mid_stream_counts_from_the_last_event(world):
+    # A long stream loses its upstream after more time than callers wait for a first
+    # event: they have events, and wait for the next one as long again.
+    world.add("llm", events(*range(1, 6), then="break", gap=0.8))
+    caller = world.send("/stream/", model="m")
+    time.sleep(3.6)
+    world.holdings.replace({"u0": {}}, {})
+    time.sleep(0.8)
+    world.add("llm", events(6, 7), models=())
+    world.holdings.replace({"u1": {"m": frozenset()}}, {})
+    world.changes.notify()
+    answer = read_answer(caller)
+    assert (numbers(answer), answer.whole) == ([1, 2, 3, 4, 5, 6, 7], True)
