--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -179,6 +179,7 @@
     route("/brief/", Idempotency.IDEMPOTENT, services=(WeightedService("plain", 1.0),), time_limit_seconds=0.3),
     route("/stream/", Idempotency.STREAM, resumable=True),
     route("/single/", Idempotency.STREAM, most_upstreams=1),
+    route("/long/", Idempotency.STREAM, resumable=True, time_limit_seconds=10.0),
     route("/brief-stream/", Idempotency.STREAM, resumable=True, time_limit_seconds=0.5),
 ]  # fmt: skip
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
@@ -144,7 +144,7 @@
     # A long stream loses its upstream after more time than callers wait for a first
     # event: they have events, and wait for the next one as long again.
     world.add("llm", events(*range(1, 6), then="break", gap=0.8))
-    caller = world.send("/stream/", model="m")
+    caller = world.send("/long/", model="m")
     time.sleep(3.6)
     world.holdings.replace({"u0": {}}, {})
     time.sleep(0.8)
