--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -17,8 +17,8 @@
 from redwingscale_daemon._internal.idempotency.outcome import Answer, OutcomeStore
 from redwingscale_daemon._internal.idempotency.retention import Retention
 from redwingscale_daemon._internal.idempotency.settler import Settler
-from redwingscale_daemon._internal.store.store import connect_platform
 from redwingscale_daemon._internal.settings.settings import PlatformSettings
+from redwingscale_daemon._internal.store.store import connect_platform
 from redwingscale_daemon._internal.telemetry.metrics import Metrics
 from redwingscale_standins.launcher.process import ChildProcess
 
--- a/benchmarks/configuration_spread.py
+++ b/benchmarks/configuration_spread.py
@@ -13,8 +13,8 @@
 
 import typer
 from redwingscale_daemon._internal.configuration.store import ConfigurationStore, Won
-from redwingscale_daemon._internal.store.store import connect_platform
 from redwingscale_daemon._internal.settings.settings import PlatformSettings
+from redwingscale_daemon._internal.store.store import connect_platform
 
 from benchmarks.lib.control_fleet import Fleet
 from benchmarks.lib.points import write_points
--- a/benchmarks/lib/control_node.py
+++ b/benchmarks/lib/control_node.py
@@ -13,8 +13,8 @@
 
 from redwingscale_common.utils.logs import configure_logs
 from redwingscale_daemon._internal.composition.control import Control, build_control
-from redwingscale_daemon._internal.store.store import connect_platform
 from redwingscale_daemon._internal.settings.load import load_settings
+from redwingscale_daemon._internal.store.store import connect_platform
 
 PAYLOAD_BYTES = 60
 PAGE_BYTES = resource.getpagesize()
