Keep a second holder of busy models; let what nobody asks for fade in 40 s

A single holder counts as a need now, weighted 0.08 of its requests. And models that nobody had asked for lost their place too soon: they are the next ones when demand moves.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
@@ -12,7 +12,7 @@
 MEMORY_SECONDS = 4.0
 # Expected requests, in the same measure as a rate over some seconds.
 UNSEEN_REQUESTS = 3.0
-UNSEEN_HALF_SECONDS = 12.0
+UNSEEN_HALF_SECONDS = 40.0
 LEFT_REQUESTS = 0.6
 RARE_REQUESTS = 0.2
 BUSY_PER_SECOND = 1.0
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
@@ -26,6 +26,8 @@
 # late for it, and of those that a further copy takes over which is in time for it.
 CROWDED_PART = 0.3
 RELIEF_PART = 0.5
+# The part of a busy model's requests that a second holder saves in the long run.
+SINGLE_PART = 0.08
 # Until demand is seen, as many copies stay as the workers begin with would suggest.
 UNSEEN_COPY = 5.0
 # Prompts of half a second and of a tenth wait to be read at such a worker.
@@ -109,7 +111,11 @@
         return self._demand.model_rate(self._service, name) * HORIZON_SECONDS
 
     def relief_swap(self, views: Sequence[WorkerView], *, cold_allowed: bool) -> Swap | None:
-        """Return a swap that adds a copy of a model whose holders are overloaded."""
+        """Return a swap that adds a copy of a model that needs one.
+
+        Either its holders are overloaded, or a busy model has one holder only: a
+        crash of that one would cost all its requests for the time of a load.
+        """
         holders = _holder_counts(views)
         calm = [view for view in views if view.prompt_tokens < CALM_PROMPT_TOKENS]
         crowded = {
@@ -118,9 +124,14 @@
             if all(v.prompt_tokens > CROWDED_PROMPT_TOKENS for v in views if name in v.held)
             and not any(view.loading == name for view in views)
         }
+        single = {
+            name
+            for name, count in holders.items()
+            if count == 1 and not any(view.loading == name for view in views)
+        }
         options = [
             option
-            for name in crowded
+            for name in crowded | single
             if (rule := self._engine.models_by_name.get(name)) is not None
             for option in self._all_options(rule, calm)
         ]
@@ -128,7 +139,9 @@
         def gain(swap: Swap) -> float:
             name = swap.model.name
             rate = self._demand.model_rate(self._service, name)
-            return rate * HORIZON_SECONDS / (holders[name] + 1) * RELIEF_PART
+            if name in crowded:
+                return rate * HORIZON_SECONDS / (holders[name] + 1) * RELIEF_PART
+            return rate * HORIZON_SECONDS * SINGLE_PART
 
         return _best(options, gain, cold_allowed=cold_allowed)
 
