--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
@@ -49,6 +49,7 @@
         self._rates: dict[tuple[str, Unit], _Rate] = {}
         self._model_rates: dict[tuple[str, str], _Rate] = {}
         self._peaks: dict[tuple[str, str], float] = {}
+        self._missing_since: dict[tuple[str, str], float] = {}
         self._waiting: dict[str, tuple[float, list[NeedEntry]]] = {}
         self._first_copies: dict[tuple[str, str], int] = {}
         self._first_arrival_at: float | None = None
@@ -118,6 +119,16 @@
         since = 0.0 if first is None else time.monotonic() - first
         return 0.5 ** (since / UNSEEN_HALF_SECONDS)
 
+    def missing_seconds(self, service: str, model: str, *, held: bool) -> float:
+        """Return for how long requests have asked in vain for ``model``; 0 once it is held."""
+        key = (service, model)
+        now = time.monotonic()
+        with self._lock:
+            if held:
+                self._missing_since.pop(key, None)
+                return 0.0
+            return now - self._missing_since.setdefault(key, now)
+
     def copies_to_keep(self, service: str, model: str) -> int:
         """Return how many copies of ``model`` stay until its demand has been seen."""
         copies = self._first_copies.get((service, model), 0)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -140,9 +140,12 @@
             if engine is None:
                 continue
             views = self._views(waiting.service)
+            model = waiting.unit.model
+            if any(model in view.held for view in views):
+                self._demand.missing_seconds(waiting.service, model, held=True)
             if any(_holds(view, waiting.unit) for view in views):
                 continue
-            if any(waiting.unit.model in view.held for view in views):
+            if any(model in view.held for view in views):
                 self._bring_adapter(waiting, engine, views)
             else:
                 self._bring_model(waiting, engine, views)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
@@ -43,6 +43,11 @@
 FULL_COST = 10
 # A request that runs on a model keeps it from going until it has ended.
 RUNNING_REQUEST = 0.3
+# A model that is asked for now and then, and must come from the weight store, never
+# pays by its requests alone: each second that they ask in vain counts as part of
+# one. After some 15 seconds it comes in, at the cost of a model that rests.
+MISSING_SECOND = 0.2
+MOST_OVERDUE = 6.0
 MOST_EVICTIONS = 3
 
 
@@ -77,10 +82,13 @@
         if rule is None:
             return None
         rate = self._demand.model_rate(self._service, rule.name)
+        missing = self._demand.missing_seconds(self._service, rule.name, held=False)
+        overdue = min(MOST_OVERDUE, missing * MISSING_SECOND)
 
         def gain(swap: Swap) -> float:
             in_time = waiting.patience_seconds > swap.load_seconds
-            return rate * HORIZON_SECONDS + (waiting.requests if in_time else 0)
+            served = waiting.requests if in_time else 0
+            return rate * HORIZON_SECONDS + served + overdue
 
         return _best(self._all_options(rule, views), gain, cold_allowed=cold_allowed)
 
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_planner.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_planner.py
@@ -84,6 +84,18 @@
     assert planner.swap_for(waits("c", 5), views, cold_allowed=True) is not None
 
 
+def test_rare_model_is_not_starved(planner, demand, monkeypatch):
+    # A model is asked for once in ten seconds, and no worker has a copy at hand: by
+    # its requests alone its load never pays, and its callers would never be served.
+    views = [view("u0", "a", "b")]
+    demand.heard(news(a=1, b=1))
+    real = time.monotonic
+    for later, served in ((0.0, False), (10.0, False), (30.0, True)):
+        monkeypatch.setattr(time, "monotonic", lambda later=later: real() + later)
+        demand.heard(news(c=1))
+        assert (planner.swap_for(waits("c"), views, cold_allowed=True) is not None) is served
+
+
 def test_memory_is_never_overfilled(planner, engine):
     swap = planner.swap_for(waits("c", 20), [view("u0", "a", "b")], cold_allowed=True)
     stay = {name: frozenset() for name in ("a", "b") if name not in swap.evicted}
