Count the former giver's loads in a successor's window; count orders; drop what nothing uses

Cause, found by reading: a new order giver knew of no load under way and could have begun a full window on top of its predecessor's; its guard was written and never called. The successor now acts as if a full window had begun at the former giver's last order.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -61,7 +61,16 @@
     metrics = IngressMetrics()
     open_requests = OpenRequests()
     swaps = build_swaps(
-        settings, uuid.uuid4().hex, store, routes, directory, holdings, changes, book, health
+        settings,
+        uuid.uuid4().hex,
+        store,
+        routes,
+        directory,
+        holdings,
+        changes,
+        book,
+        health,
+        metrics,
     )
     entry = _entry(
         settings,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -27,6 +27,7 @@
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.order_giver import OrderGiver
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
+from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 # Three renewals in a lease: one lost answer does not cost it.
@@ -57,6 +58,7 @@
     changes: Changes,
     book: LoadBook,
     health: Health,
+    metrics: IngressMetrics,
 ) -> Swaps:
     """Return the parts, not started; ``start`` is an id of this process."""
     me = settings.instance
@@ -80,7 +82,7 @@
         ]
         return InstanceNews(me, needs.drain(), loads, uses, health.all_unreachable())
 
-    right = GiverRight(me, lease.fence)
+    right = GiverRight(me, lease.fence, lambda: lease.succeeds_another, settings.bounds.order_quiet)
     calls = EngineCalls(
         engine.REPORT_TARGET,
         engine.ORDER_TARGET,
@@ -95,7 +97,7 @@
         right,
         routes,
         directory,
-        OrderClient(calls),
+        OrderClient(calls, lambda result: metrics.orders.add(1, {"result": result.value})),
         hub,
         LoadCeiling(0.0, bounds.load_window),
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -10,7 +10,6 @@
 from redwingscale_daemon._internal.fleet.pace import Pace
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.prompt import Prompt
-from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
@@ -88,10 +87,6 @@
         home = _home(prompt, holders)
         return self._cheapest([self._prompt_candidate(u, prompt, home) for u in holders])
 
-    def holders(self, service: str, unit: Unit) -> int:
-        """Return how many usable upstreams hold ``unit``."""
-        return len(self._directory.holders(service, unit))
-
     def _plain_cost(self, upstream: Upstream) -> float:
         requests = self._book.total(upstream.id).requests
         beyond = max(0, requests + 1 - upstream.slots)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/ingress_settings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/ingress_settings.py
@@ -26,7 +26,6 @@
     order_quiet: float
     stop_grace: float
     load_window: float
-    load_overshoot: float
 
 
 class IngressSettings(NamedTuple):
@@ -56,7 +55,6 @@
     "order_quiet_ms",
     "stop_grace",
     "load_window",
-    "load_overshoot",
 )
 _REQUIRED = (
     "instance",
@@ -137,7 +135,6 @@
             order_quiet=bounds["order_quiet_ms"] / _MILLISECONDS,
             stop_grace=bounds["stop_grace"],
             load_window=bounds["load_window"],
-            load_overshoot=bounds["load_overshoot"],
         ),
         metrics_port=value.get("metrics_port", DEFAULT_METRICS_PORT),
         request_threads=value.get("request_threads", DEFAULT_REQUEST_THREADS),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
@@ -79,6 +79,11 @@
         """Whether this instance is the order giver now."""
         return self._clock() < self._valid_until
 
+    @property
+    def succeeds_another(self) -> bool:
+        """Whether another process gave the orders before."""
+        return self._silent_until > -math.inf
+
     def fence(self) -> int | None:
         """Return the fencing number if orders may be sent now, else None.
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/load_rate.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/load_rate.py
@@ -14,21 +14,21 @@
 
 
 class LoadRate:
-    """Counts the loads of a window; all loads pass one order giver.
-
-    A new giver doesn't know what the one before has begun: it starts with a
-    full window and grants loads only as these fade.
-    """
+    """Counts the loads of a window; all loads pass one order giver."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._begun: deque[float] = deque()
 
-    def fill(self, ceiling: LoadCeiling) -> None:
-        """Act as if a full window of loads had begun now."""
-        now = time.monotonic()
+    def succeed(self, ceiling: LoadCeiling, quiet_seconds: float) -> None:
+        """Act as if the giver before had begun a full window of loads at its end.
+
+        A new giver doesn't know what loads are under way: granting a window of
+        its own at once, the two would take twice what the weight store allows.
+        """
+        ended = time.monotonic() - quiet_seconds
         with self._lock:
-            self._begun.extend([now] * int(ceiling.per_second * ceiling.window_seconds))
+            self._begun.extend([ended] * int(ceiling.per_second * ceiling.window_seconds))
 
     def free(self, ceiling: LoadCeiling) -> bool:
         """Return whether one more load may begin now."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -31,8 +31,11 @@
 class OrderClient:
     """Each call is sent once, on a kept connection."""
 
-    def __init__(self, calls: EngineCalls) -> None:
+    def __init__(
+        self, calls: EngineCalls, on_result: Callable[[OrderResult], None] = lambda _: None
+    ) -> None:
         self._calls = calls
+        self._on_result = on_result
         self._pools = urllib3.PoolManager(
             num_pools=64,
             maxsize=1,
@@ -52,6 +55,11 @@
 
     def order(self, upstream: Upstream, order: Order) -> OrderResult:
         """Send ``order``; `OrderResult.UNKNOWN` when it may be carried out or not."""
+        result = self._send(upstream, order)
+        self._on_result(result)
+        return result
+
+    def _send(self, upstream: Upstream, order: Order) -> OrderResult:
         try:
             response = self._pools.request(
                 "POST",
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -86,13 +86,25 @@
             return None
         if not self._gave_orders:
             self._gave_orders = True
-            log_event("giver_begins", fence=fence)
+            self._begin(fence)
         self._follow_list()
         self._plan()
         news = self._tell(fence)
         self._hub.publish(news)
         return news
 
+    def _begin(self, fence: int) -> None:
+        log_event("giver_begins", fence=fence)
+        table = self._routes.get()
+        if not self._right.succeeds_another() or table is None:
+            return
+        for service in table.services_by_name.values():
+            if service.engine is not None:
+                self._rate.succeed(self._ceiling(service.engine), self._right.quiet_seconds)
+
+    def _ceiling(self, engine: EngineRule) -> LoadCeiling:
+        return self._window._replace(per_second=engine.cold_loads_per_second)
+
     def _lay_down(self) -> None:
         """Forget what only the order giver knows; another one may change it."""
         if self._gave_orders:
@@ -157,7 +169,7 @@
         for name, service in table.services_by_name.items() if table else ():
             if service.engine is None:
                 continue
-            ceiling = self._window._replace(per_second=service.engine.cold_loads_per_second)
+            ceiling = self._ceiling(service.engine)
             planner = Planner(name, service.engine, self._demand)
             for choose in (planner.coverage_swap, planner.relief_swap):
                 swap = choose(self._views(name), cold_allowed=self._rate.free(ceiling))
@@ -170,7 +182,7 @@
         model = waiting.unit.model
         if any(view.loading == model for view in views):
             return
-        ceiling = self._window._replace(per_second=engine.cold_loads_per_second)
+        ceiling = self._ceiling(engine)
         planner = Planner(waiting.service, engine, self._demand)
         swap = planner.swap_for(waiting, views, cold_allowed=self._rate.free(ceiling))
         if swap is not None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -53,10 +53,17 @@
 
 
 class GiverRight(NamedTuple):
-    """Who gives the orders; ``fence`` returns the number to use now, None without the right."""
+    """Who gives the orders.
+
+    ``fence`` returns the number to use now, None without the right. Where another
+    process gave the orders before, ``succeeds_another`` tells so, and its last
+    order is ``quiet_seconds`` old when the first one is given here.
+    """
 
     instance: str
     fence: Callable[[], int | None]
+    succeeds_another: Callable[[], bool] = lambda: False
+    quiet_seconds: float = 0.0
 
 
 class WorkerOrders:
--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -64,7 +64,7 @@
             "request_threads": 32,
             "bounds": {
                 "repeat_ratio": 0.2, "repeat_slack": 100, "repeat_window": 10,
-                "order_quiet_ms": 300, "stop_grace": 12, "load_window": 5, "load_overshoot": 1.1,
+                "order_quiet_ms": 300, "stop_grace": 12, "load_window": 5,
             },
         }  # fmt: skip
         self._file = directory / f"{name}.json"
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_load_rate.py
@@ -0,0 +1,42 @@
+"""Loads from the weight store stay under its rate, also across two order givers."""
+
+import time
+
+import pytest
+from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling, LoadRate
+
+CEILING = LoadCeiling(per_second=2.0, window_seconds=5.0)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(time, "monotonic", lambda: now[0])
+    return now
+
+
+def begin_all(rate):
+    begun = 0
+    while rate.free(CEILING):
+        rate.begin()
+        begun += 1
+    return begun
+
+
+def test_a_window_takes_no_more_than_its_rate(clock):
+    rate = LoadRate()
+    assert begin_all(rate) == 10
+    clock[0] += 4.9
+    assert begin_all(rate) == 0
+    clock[0] += 0.2
+    assert begin_all(rate) == 10
+
+
+def test_successor_counts_the_loads_of_the_giver_before(clock):
+    # The former giver may have begun a whole window of loads just before its end,
+    # three seconds ago: none may begin until these have left the window.
+    rate = LoadRate()
+    rate.succeed(CEILING, quiet_seconds=3.0)
+    assert begin_all(rate) == 0
+    clock[0] += 2.1
+    assert begin_all(rate) == 10
