--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owners.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/placement/owners.py
@@ -1,5 +1,6 @@
 """Which engines this instance owns, and a thread for each of them."""
 
+import threading
 import time
 from collections.abc import Callable
 from typing import NamedTuple
@@ -43,20 +44,35 @@
         self._ownership = ownership
         self._make_owner = make_owner
         self._work_by_engine: dict[str, _Work] = {}
+        self._lock = threading.Lock()
+        self._stopped = False
 
     def step(self) -> None:
         """Start work on engines that fall to this instance, end it on the others."""
-        wanted = {e.id: e for e in self._members.engines() if self._falls_here(e)}
-        for engine in self._work_by_engine.keys() - wanted.keys():
-            self._end(engine)
-        for engine in wanted.keys() - self._work_by_engine.keys():
-            self._start(engine)
+        with self._lock:
+            if self._stopped:
+                return
+            wanted = self._wanted()
+            for engine in self._work_by_engine.keys() - wanted:
+                self._end(engine)
+            for engine in wanted - self._work_by_engine.keys():
+                self._start(engine)
+
+    def _wanted(self) -> set[str]:
+        return {engine.id for engine in self._members.engines() if self._falls_here(engine)}
 
     def stop(self) -> None:
-        """End all work and give the ownerships and the session back."""
-        for engine in list(self._work_by_engine):
-            self._end(engine)
-        self._ownership.end()
+        """End all work and give the ownerships and the session back, for good.
+
+        The thread that looks for engines may have one more turn: it would take
+        them again, and the process would end as the owner of engines to which
+        nobody else may give orders until its lease has run out.
+        """
+        with self._lock:
+            self._stopped = True
+            for engine in list(self._work_by_engine):
+                self._end(engine)
+            self._ownership.end()
 
     def _start(self, engine: str) -> None:
         owner = self._make_owner(engine)
