Take free ports where 0 is asked for; tell a port that is taken in one line

Ports 0 are taken by the process itself now and told in its line 'started', and a port that is taken ends it with code 3 and one line, which has a test.

The failed sending is noted in one place for both relays.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/cli.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/cli.py
@@ -50,10 +50,10 @@
     log_to_stdout(settings.log_level, instance=settings.instance)
     from redwingscale_daemon._internal.composition.ingress import build_ingress
 
-    build_ingress(settings, lambda: _reload(settings_file, settings)).run()
+    code = build_ingress(settings, lambda: _reload(settings_file, settings)).run()
     # Ends the threads that wait for the store or a peer without waiting for them; a
     # usual end would take the native library away under those that still send.
-    os._exit(0)
+    os._exit(code)
 
 
 def _reload(settings_file: Path, current: IngressSettings) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -55,10 +55,12 @@
 ) -> Swaps:
     """Return the parts, not started; ``start`` is an id of this process."""
     me = settings.instance
-    news_port, needs_port = settings.peer_ports[0], settings.peer_ports[0] + 1
+    news_port = settings.peer_ports[0]
+    needs_port = news_port + 1 if news_port else 0
     lease = GiverLease(
         store,
-        GiverRecord(me, settings.host, news_port, needs_port, start),
+        start,
+        lambda: GiverRecord(me, settings.host, hub.news_port, hub.needs_port, start),
         LeaseTiming(LEASE_SECONDS, ORDER_SECONDS, settings.bounds.order_quiet),
     )
     needs = Needs()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.sending_failure import note_failure
 from redwingscale_daemon._internal.forwarding.whole_answer import read_whole
 from redwingscale_daemon._internal.models.run_state import RunState
 
@@ -64,14 +65,14 @@
             case Answering():
                 return self._answer(call, outcome)
             case NotRun():
-                self._note_failure(call, outcome)
+                note_failure(self._parts, call, outcome)
                 if not call.attempts.another_after(outcome):
                     if _deliver_failure(call):
                         return True
                     raise _nobody(call.attempts)
                 return False
             case Lost():
-                self._note_failure(call, outcome)
+                note_failure(self._parts, call, outcome)
                 if not call.attempts.another_after(outcome):
                     if _deliver_failure(call):
                         return True
@@ -85,7 +86,7 @@
         except (HTTPException, OSError, UpstreamSilent) as error:
             answering.connection.discard()
             lost = Lost(upstream, f"answer broke off: {error!r}")
-            self._note_failure(call, lost)
+            note_failure(self._parts, call, lost)
             if not call.attempts.another_after(lost):
                 raise _lost(lost.reason) from error
             return False
@@ -117,23 +118,6 @@
         call.reply.whole(response.status, headers, body)
         return True
 
-    def _note_failure(self, call: Call, outcome: NotRun | Lost) -> None:
-        match outcome:
-            case Lost():
-                self._parts.health.failed(outcome.upstream.id)
-            case NotRun(reached=False):
-                self._parts.health.not_reached(outcome.upstream.id)
-            case NotRun(gone=True):
-                self._parts.health.gone(outcome.upstream.id)
-        log_event(
-            "sending_failed",
-            request=call.terms.request_id,
-            upstream=outcome.upstream.id,
-            outcome=type(outcome).__name__,
-            reason=outcome.reason,
-            sending=call.attempts.sendings,
-        )
-
 
 def _deliver_failure(call: Call) -> bool:
     """Give the caller an upstream's own failure, if no later sending brought more.
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sending_failure.py
@@ -0,0 +1,27 @@
+"""What a sending without an answer says about its upstream."""
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
+from redwingscale_daemon._internal.forwarding.parts import RelayParts
+
+
+def note_failure(parts: RelayParts, call: Call, outcome: NotRun | Lost) -> None:
+    """Log the failed sending, and let the health of its upstream count it."""
+    match outcome:
+        case Lost():
+            parts.health.failed(outcome.upstream.id)
+        case NotRun(reached=False):
+            parts.health.not_reached(outcome.upstream.id)
+        case NotRun(gone=True):
+            parts.health.gone(outcome.upstream.id)
+    log_event(
+        "sending_failed",
+        request=call.terms.request_id,
+        upstream=outcome.upstream.id,
+        outcome=type(outcome).__name__,
+        reason=outcome.reason,
+        sending=call.attempts.sendings,
+        answer_begun=call.reply.started,
+    )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -3,8 +3,6 @@
 import time
 from http.client import HTTPException
 
-from redwingscale_common.utils.logs import log_event
-
 from redwingscale_daemon._internal.exceptions import (
     CallerLeft,
     Refusal,
@@ -20,6 +18,7 @@
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.sending_failure import note_failure
 from redwingscale_daemon._internal.forwarding.whole_answer import read_whole
 from redwingscale_daemon._internal.models.run_state import RunState
 
@@ -199,22 +198,7 @@
 
     def _try_another(self, call: Call, outcome: NotRun | Lost) -> bool:
         """Return False to go on at another upstream; raise when there may be none."""
-        match outcome:
-            case Lost():
-                self._parts.health.failed(outcome.upstream.id)
-            case NotRun(reached=False):
-                self._parts.health.not_reached(outcome.upstream.id)
-            case NotRun(gone=True):
-                self._parts.health.gone(outcome.upstream.id)
-        log_event(
-            "sending_failed",
-            request=call.terms.request_id,
-            upstream=outcome.upstream.id,
-            outcome=type(outcome).__name__,
-            reason=outcome.reason,
-            sending=call.attempts.sendings,
-            answer_begun=call.reply.started,
-        )
+        note_failure(self._parts, call, outcome)
         if call.attempts.another_after(outcome):
             call.watch.check_caller()
             return False
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
@@ -15,6 +15,7 @@
 BALANCER_SECONDS = 2.4
 # What is left of the grace period for the process to end by itself.
 END_SECONDS = 0.6
+EXIT_START = 3
 
 
 class Task(Protocol):
@@ -30,6 +31,10 @@
 class Server(Protocol):
     """A port."""
 
+    @property
+    def port(self) -> int:
+        """The port in use."""
+
     def start(self) -> None:
         """Bind and serve."""
 
@@ -60,8 +65,8 @@
         self._stopping = False
         self._reloading = False
 
-    def run(self) -> None:
-        """Start everything and return after the last request.
+    def run(self) -> int:
+        """Start everything, and return the exit code after the last request.
 
         The other threads are left as they are: each waits for the store or a peer,
         and to join them one after the other takes seconds in which the machine
@@ -71,9 +76,15 @@
             signal.signal(number, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
         # The callers' port is open before the balancer can be told that it is.
-        for part in (*self._parts.tasks, self._parts.callers, *self._parts.probes):
-            part.start()
-        log_event("started")
+        try:
+            for part in (*self._parts.tasks, self._parts.callers, *self._parts.probes):
+                part.start()
+        except OSError as error:
+            log_event("start_failed", level="ERROR", error=error)
+            flush_logs()
+            return EXIT_START
+        ports = ",".join(str(probe.port) for probe in self._parts.probes)
+        log_event("started", callers_port=self._parts.callers.port, probe_ports=ports)
         while not self._stopping:
             self._wake.wait()
             self._wake.clear()
@@ -81,6 +92,7 @@
                 self._reloading = False
                 self._reload()
         self._drain(time.monotonic() + self._grace_seconds - END_SECONDS)
+        return 0
 
     def _on_stop(self, *_: object) -> None:
         self._stopping = True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_hub.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_hub.py
@@ -32,13 +32,16 @@
         self._on_news = on_news
         self._encoder = msgspec.msgpack.Encoder()
         self._heard_at: dict[str, float] = {}
+        # The ports in use, also where 0 was asked for; known after the start.
+        self.news_port = news_port
+        self.needs_port = needs_port
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="giver-hub", daemon=True)
 
     def start(self) -> None:
-        """Listen on both ports."""
-        self._pub.listen(self._addresses[0])
-        self._pull.listen(self._addresses[1])
+        """Listen on both ports; raise OSError when one is taken."""
+        self.news_port = _open(self._pub, self._addresses[0])
+        self.needs_port = _open(self._pull, self._addresses[1])
         self._thread.start()
 
     def stop(self) -> None:
@@ -74,3 +77,11 @@
                 continue
             self._heard_at[news.instance] = time.monotonic()
             self._on_news(news)
+
+
+def _open(sock: pynng.Socket, address: str) -> int:
+    try:
+        listener = sock.listen(address)
+    except pynng.NNGException as error:
+        raise OSError(f"{address}: {error}") from error
+    return int(str(listener.local_address).rsplit(":", 1)[1])
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
@@ -2,6 +2,7 @@
 
 import math
 import threading
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -47,17 +48,22 @@
     first. The clock also counts while the machine is suspended: a holder that
     wakes sees at once that its lease has ended. A new holder is silent for
     ``quiet_seconds``, so that orders of two givers never take turns.
+
+    ``start`` is an id of this process; ``describe`` returns its record, whose
+    ports are known once they are open.
     """
 
     def __init__(
         self,
         store: RowStore,
-        me: GiverRecord,
+        start: str,
+        describe: Callable[[], GiverRecord],
         timing: LeaseTiming,
         clock: Clock = lease_clock,
     ) -> None:
         self._store = store
-        self._me = me
+        self._start = start
+        self._describe = describe
         self._timing = timing
         self._clock = clock
         self._lock = threading.Lock()
@@ -110,17 +116,20 @@
         if not self.holds:
             return
         self._valid_until = -math.inf
-        ended = msgspec.structs.replace(self._me, released=True)
+        ended = msgspec.structs.replace(self._describe(), released=True)
         try:
-            self._store.write(LEASE_ROW, msgspec.json.encode(ended), self._row_version)
+            self._write(ended)
         except PlatformError as error:
             log_event("giver_release_failed", level="WARNING", error=error)
         else:
             log_event("giver_released", fence=self._fence)
 
+    def _write(self, record: GiverRecord) -> int | None:
+        return self._store.write(LEASE_ROW, msgspec.json.encode(record), self._row_version)
+
     def _renew(self) -> None:
         started = self._clock()
-        written = self._store.write(LEASE_ROW, msgspec.json.encode(self._me), self._row_version)
+        written = self._write(self._describe())
         if written is not None:
             self._row_version = written
             self._valid_until = started + self._timing.lease_seconds
@@ -159,18 +168,18 @@
         return unchanged > self._timing.lease_seconds + self._timing.lease_seconds / 4
 
     def _mine(self, record: GiverRecord) -> bool:
-        return record.start == self._me.start
+        return record.start == self._start
 
     def _take(self) -> None:
         # Before the write: when its answer is lost, the row is found to be the own one.
         self._silent_until = max(self._silent_until, self._end_of_quiet())
         started = self._clock()
-        written = self._store.write(LEASE_ROW, msgspec.json.encode(self._me), self._row_version)
+        written = self._write(self._describe())
         if written is None:
             self._read()
             return
         self._row_version = written
-        self._record = self._me
+        self._record = self._describe()
         self._fence = written
         self._valid_until = started + self._timing.lease_seconds
         orders_in = max(0.0, self._silent_until - self._clock())
--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -2,8 +2,8 @@
 
 import json
 import os
+import re
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -37,30 +37,20 @@
     return {"Version": version, "Routes": [route], "Services": services}
 
 
-def free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 class Instance:
     """One ``redwingscaled`` process."""
 
-    def __init__(self, name, store_port, directory, stdout=None):
+    def __init__(self, name, store_port, directory, pipe=None):
         self.name = name
-        self.ports = free_ports(5)
-        callers, ready, metrics, news, needs = self.ports
         self.settings = {
             "instance": name,
             "failure_domain": "z1",
             "host": "127.0.0.1",
-            "callers": f"127.0.0.1:{callers}",
-            "readiness": f"127.0.0.1:{ready}",
-            "peer_ports": [news, needs],
+            "callers": "127.0.0.1:0",
+            "readiness": "127.0.0.1:0",
+            "peer_ports": [0, 0],
             "store": f"127.0.0.1:{store_port}",
-            "metrics_port": metrics,
+            "metrics_port": 0,
             "request_threads": 32,
             "bounds": {
                 "repeat_ratio": 0.2, "repeat_slack": 100, "repeat_window": 10,
@@ -70,7 +60,9 @@
         self._file = directory / f"{name}.json"
         self._file.write_text(json.dumps({"ingress": self.settings}))
         self.log = directory / f"{name}.log"
-        self._stdout = stdout if stdout is not None else self.log.open("wb")
+        self._pipe = pipe
+        self._stdout = pipe[1] if pipe else self.log.open("wb")
+        self.ports = None
         self.start()
 
     def start(self):
@@ -79,6 +71,17 @@
             stdout=self._stdout,
             stderr=subprocess.STDOUT,
         )
+        until(self._has_started, f"the start of {self.name}")
+
+    def _has_started(self):
+        """Learn the ports from the line of the start; the process takes free ones."""
+        text = os.read(self._pipe[0], 65536) if self._pipe else self.log.read_bytes()
+        line = re.search(rb"event=started .*callers_port=(\d+) probe_ports=(\d+),(\d+)", text)
+        if line is None:
+            assert self.process.poll() is None, f"{self.name} ended: {text[-500:]!r}"
+            return False
+        self.ports = [int(port) for port in line.groups()]
+        return True
 
     def status(self):
         try:
@@ -151,8 +154,8 @@
             "State": state, "Models": models,
         }  # fmt: skip
 
-    def instance(self, name, stdout=None):
-        made = Instance(name, self.store_port, self._directory, stdout)
+    def instance(self, name, pipe=None):
+        made = Instance(name, self.store_port, self._directory, pipe)
         self.instances.append(made)
         until(lambda: made.status() == 200, f"readiness of {name}")
         return made
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
@@ -1,7 +1,10 @@
 """An instance as a process: start, reload, stop, loss of the store and of the order giver."""
 
+import json
 import os
 import signal
+import subprocess
+import sys
 from concurrent.futures import ThreadPoolExecutor
 
 from redwingscale_standins.hosted.model_worker import WorkerTiming
@@ -116,10 +119,23 @@
     # thread that wrote its line there would wait for ever, with its caller.
     reader, writer = os.pipe()
     deployment.worker("w1", "m1")
-    one = deployment.instance("one", stdout=writer)
+    one = deployment.instance("one", pipe=(reader, writer))
     try:
         assert all(one.ask("m1", 1, request=f"r{n:04}")[0] == 200 for n in range(250))
     finally:
         one.end()
         os.close(reader)
         os.close(writer)
+
+
+def test_port_that_is_taken_is_told_in_one_line(deployment, tmp_path):
+    deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    settings = {**one.settings, "callers": f"127.0.0.1:{one.ports[0]}"}
+    file = tmp_path / "taken.json"
+    file.write_text(json.dumps({"ingress": settings}))
+    command = [sys.executable, "-m", "redwingscale_daemon", "--settings", str(file)]
+    ended = subprocess.run(command, capture_output=True, timeout=30)
+    assert ended.returncode == 3
+    assert b"event=start_failed" in ended.stdout
+    assert b"Traceback" not in ended.stdout + ended.stderr
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_giver_lease.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_giver_lease.py
@@ -25,7 +25,7 @@
 def make_lease(store, clock):
     def make(name, start="1"):
         record = GiverRecord(name, "127.0.0.1", 1, 2, f"{name}-{start}")
-        return GiverLease(store, record, TIMING, clock)
+        return GiverLease(store, record.start, lambda: record, TIMING, clock)
 
     return make
 
