--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -32,14 +32,15 @@
     """An upstream and what a request there is expected to cost.
 
     ``first_event_ms`` is the expected time to the first event without what the
-    upstream's pace adds; ``expected_ms`` is with it. ``among`` tells out of how
-    many it was chosen.
+    upstream's pace adds; ``expected_ms`` is with it, and ``queue_ms`` the part of
+    it that is others' work. ``among`` tells out of how many it was chosen.
     """
 
     cost_ms: float
     upstream: Upstream
     first_event_ms: float = 0.0
     expected_ms: float = 0.0
+    queue_ms: float = 0.0
     among: int = 1
 
 
@@ -89,11 +90,13 @@
         kept = self._prefixes.kept_tokens(upstream.id, prompt)
         if not kept and upstream.id == home:
             kept = _shared_tokens(prompt) // 2
-        to_read = load.prompt_tokens + max(0, prompt.tokens_in - kept)
-        beyond = max(0, load.requests + 1 - upstream.slots)
-        first_event = to_read / PROMPT_TOKENS_PER_MS + load.requests * RUNNING_REQUEST_MS
-        expected = first_event * self._pace.factor(upstream.id) + beyond * BEYOND_BATCH_MS
-        return Candidate(expected, upstream, first_event, expected)
+        own = max(0, prompt.tokens_in - kept) / PROMPT_TOKENS_PER_MS
+        others = load.prompt_tokens / PROMPT_TOKENS_PER_MS + load.requests * RUNNING_REQUEST_MS
+        beyond = max(0, load.requests + 1 - upstream.slots) * BEYOND_BATCH_MS
+        factor = self._pace.factor(upstream.id)
+        queue = others * factor + beyond
+        expected = queue + own * factor
+        return Candidate(expected, upstream, own + others, expected, queue)
 
     def _cheapest(self, candidates: list[Candidate]) -> Candidate | None:
         priced = [
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -126,18 +126,21 @@
 
     A request that waits behind more than fits into its time takes the time of
     those behind it as well, and all of them are late; refused, it costs nothing
-    and comes back when the queue is shorter.
+    and comes back when the queue is shorter. The time to read its own prompt is
+    no queue: counted, it would have the largest requests refused most often.
     """
     longest = call.route.latency_target_seconds * OVERLOAD_TARGETS
-    expected = found.expected_ms / MILLISECONDS
-    limit = min(longest, _patience(call))
-    if expected <= limit or call.attempts.sendings:
+    queue, expected = found.queue_ms / MILLISECONDS, found.expected_ms / MILLISECONDS
+    patience = _patience(call)
+    excess = max(queue - longest, expected - patience)
+    if excess <= 0 or call.attempts.sendings:
         return
     raise Refusal(
         503,
         "overloaded",
-        f"{found.upstream.id} would begin in {expected:.2f} s, {limit:.2f} s are worth waiting",
-        retry_after_seconds=max(OVERLOADED_COME_BACK_SECONDS, expected - limit),
+        f"{found.upstream.id} would begin in {expected:.2f} s behind {queue:.2f} s of others; "
+        f"{longest:.2f} s of them and {patience:.2f} s in all are worth waiting",
+        retry_after_seconds=max(OVERLOADED_COME_BACK_SECONDS, excess),
     )
 
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
@@ -153,3 +153,15 @@
     world.changes.notify()
     answer = read_answer(caller)
     assert (numbers(answer), answer.whole) == ([1, 2, 3, 4, 5, 6, 7], True)
+
+
+def test_large_request_is_not_refused_for_its_own_size(world):
+    # Under load the largest prompts were refused more often than the others of
+    # their kind: the time to read their own prompt counted as a queue, though no
+    # other moment and no other upstream would make it shorter.
+    world.add("llm", events(1))
+    assert world.ask("/stream/", model="m", tokens="40000,10").status == 200
+    ticket = world.book.enter("u0", None, 40_000)
+    small = world.ask("/stream/", model="m")
+    assert (small.status, b"overloaded" in small.body) == (503, True)
+    ticket.leave()
