Weigh all swaps together, count missed requests as demand, follow demand that leaves

The limit of 12,000 unread tokens was never reached, as requests are refused before. Now the best swap goes first, refused and late requests count as demand of their model, and a rate falls as soon as arrivals end.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
@@ -105,6 +105,9 @@
             service=service,
             configuration=table.version,
             unit=terms.prompt.unit if terms.prompt else "-",
+            tokens=f"{terms.prompt.tokens_in}+{terms.prompt.most_tokens_out}"
+            if terms.prompt
+            else "-",
         )
         return Call(
             request=request,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -43,6 +43,9 @@
     def done(self, service: str, unit: Unit) -> None:
         """Note that it waits no more."""
 
+    def missed(self, service: str, unit: Unit) -> None:
+        """Note a request whose holders were too busy for it."""
+
 
 class HolderWait(NamedTuple):
     """What a wait looks at."""
@@ -61,7 +64,9 @@
         """
         found = self.chooser.for_prompt(call.service, prompt, call.attempts.tried)
         if found is not None:
-            _refuse_if_overloaded(call, found)
+            if refusal := _overloaded(call, found):
+                self.needs.missed(call.service, prompt.unit)
+                raise refusal
             return found
         self.needs.ask(call.service, prompt.unit, _patience(call))
         try:
@@ -121,8 +126,8 @@
     return Refusal(502, "upstream_failed", detail, run=RunState.UNKNOWN)
 
 
-def _refuse_if_overloaded(call: Call, found: Candidate) -> None:
-    """Raise `Refusal` where even the best holder would answer far too late.
+def _overloaded(call: Call, found: Candidate) -> Refusal | None:
+    """Return the refusal where even the best holder would answer far too late.
 
     A request that waits behind more than fits into its time takes the time of
     those behind it as well, and all of them are late; refused, it costs nothing
@@ -134,8 +139,8 @@
     patience = _patience(call)
     excess = max(queue - longest, expected - patience)
     if excess <= 0 or call.attempts.sendings:
-        return
-    raise Refusal(
+        return None
+    return Refusal(
         503,
         "overloaded",
         f"{found.upstream.id} would begin in {expected:.2f} s behind {queue:.2f} s of others; "
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -172,6 +172,8 @@
                 ticket.prompt_read()
                 real = call.attempts.first_event() * MILLISECONDS
                 self._parts.pace.observed(answering.upstream.id, candidate.first_event_ms, real)
+                if real / MILLISECONDS > call.route.latency_target_seconds:
+                    self._note_late(call)
             call.watch.silence_seconds = STREAM_SILENCE_SECONDS if call.route.resumable else None
             if not progress.wants(event):
                 continue
@@ -183,6 +185,10 @@
         if not call.reply.started:
             call.reply.begin(answering.response.status, headers)
 
+    def _note_late(self, call: Call) -> None:
+        if call.terms.prompt is not None:
+            self._wait.needs.missed(call.service, call.terms.prompt.unit)
+
     def _pass_failure(self, call: Call, answering: Answering) -> bool:
         body = read_whole(answering.response)
         self._parts.sender.keep(answering)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
@@ -8,8 +8,12 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.swaps.messages import InstanceNews, NeedEntry
 
-# Demand moves from one model to another within five seconds.
+# Demand moves from one model to another within five seconds: a rate fades to half
+# in this time.
 MEMORY_SECONDS = 4.0
+# Where a shorter memory says less, demand is leaving: a load that begins now would
+# come for requests that are no longer sent.
+LEAVING_MEMORY_SECONDS = 2.0
 # Expected requests, in the same measure as a rate over some seconds.
 UNSEEN_REQUESTS = 3.0
 UNSEEN_HALF_SECONDS = 40.0
@@ -33,12 +37,27 @@
     patience_seconds: float
 
 
+# A steady stream of one a second adds up to one in a rate with a half-life of one.
+_PER_HALF_LIFE = math.log(2)
+
+
 class _Rate(NamedTuple):
-    per_second: float
-    at: float
+    """Events a second, each counted less the longer ago it was."""
+
+    half_seconds: float
+    per_second: float = 0.0
+    at: float = 0.0
 
     def now(self, now: float) -> float:
-        return self.per_second * 0.5 ** ((now - self.at) / MEMORY_SECONDS)
+        return self.per_second * 0.5 ** ((now - self.at) / self.half_seconds)
+
+    def plus(self, events: int, now: float) -> "_Rate":
+        added = events * _PER_HALF_LIFE / self.half_seconds
+        return _Rate(self.half_seconds, self.now(now) + added, now)
+
+
+_STEADY = _Rate(MEMORY_SECONDS)
+_LEAVING = _Rate(LEAVING_MEMORY_SECONDS)
 
 
 class Demand:
@@ -48,6 +67,8 @@
         self._lock = threading.Lock()
         self._rates: dict[tuple[str, Unit], _Rate] = {}
         self._model_rates: dict[tuple[str, str], _Rate] = {}
+        self._recent_rates: dict[tuple[str, str], _Rate] = {}
+        self._missed_rates: dict[tuple[str, str], _Rate] = {}
         self._peaks: dict[tuple[str, str], float] = {}
         self._missing_since: dict[tuple[str, str], float] = {}
         self._waiting: dict[str, tuple[float, list[NeedEntry]]] = {}
@@ -97,9 +118,17 @@
         return rate.now(time.monotonic()) if rate else 0.0
 
     def model_rate(self, service: str, model: str) -> float:
-        """Return the arrivals a second of ``model`` with all its adapters, faded."""
-        rate = self._model_rates.get((service, model))
-        return rate.now(time.monotonic()) if rate else 0.0
+        """Return the arrivals a second of ``model`` with all its adapters.
+
+        It rises as arrivals have lasted, and falls as soon as they end.
+        """
+        key, now = (service, model), time.monotonic()
+        steady = self._model_rates.get(key, _STEADY).now(now)
+        return min(steady, self._recent_rates.get(key, _LEAVING).now(now))
+
+    def missed_rate(self, service: str, model: str) -> float:
+        """Return the requests a second whose holders of ``model`` were too busy."""
+        return self._missed_rates.get((service, model), _LEAVING).now(time.monotonic())
 
     def standing(self, service: str, model: str) -> float:
         """Return how many requests to expect beyond the present rate, for a model at rest.
@@ -140,12 +169,13 @@
 
     def _count(self, need: NeedEntry, now: float) -> None:
         key = (need.service, Unit(need.model, need.adapter))
-        before = self._rates.get(key, _Rate(0.0, now))
-        # Each arrival adds what makes a steady stream of one a second add up to one.
-        added = need.arrivals * 0.693 / MEMORY_SECONDS
-        self._rates[key] = _Rate(before.now(now) + added, now)
+        self._rates[key] = self._rates.get(key, _STEADY).plus(need.arrivals, now)
         model = (need.service, need.model)
-        rate = self._model_rates.get(model, _Rate(0.0, now)).now(now) + added
-        self._model_rates[model] = _Rate(rate, now)
+        steady = self._model_rates.get(model, _STEADY).plus(need.arrivals, now)
+        recent = self._recent_rates.get(model, _LEAVING).plus(need.arrivals, now)
+        missed = self._missed_rates.get(model, _LEAVING).plus(need.missed, now)
+        self._model_rates[model] = steady
+        self._recent_rates[model] = recent
+        self._missed_rates[model] = missed
         if need.arrivals:
-            self._peaks[model] = max(self._peaks.get(model, 0.0), rate)
+            self._peaks[model] = max(self._peaks.get(model, 0.0), steady.per_second)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -7,7 +7,8 @@
     """How much a unit is asked for at one instance since its last message.
 
     ``waiting`` requests have no holder; the most patient of them can wait for
-    ``patience_seconds`` more.
+    ``patience_seconds`` more. ``missed`` had holders that were too busy: they were
+    refused for it, or had their first event after their latency target.
     """
 
     service: str
@@ -16,6 +17,7 @@
     arrivals: int
     waiting: int
     patience_seconds: float
+    missed: int = 0
 
 
 class LoadEntry(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/needs.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/needs.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._arrivals: Counter[_Key] = Counter()
+        self._missed: Counter[_Key] = Counter()
         self._waiting: Counter[_Key] = Counter()
         self._give_up_at: dict[_Key, list[float]] = defaultdict(list)
         self._wake: Callable[[], None] = lambda: None
@@ -32,6 +33,11 @@
             with self._lock:
                 self._arrivals[(service, terms.prompt.unit)] += 1
 
+    def missed(self, service: str, unit: Unit) -> None:
+        """Count a request that another copy of ``unit``'s model would have served in time."""
+        with self._lock:
+            self._missed[(service, unit)] += 1
+
     def ask(self, service: str, unit: Unit, patience_seconds: float) -> None:
         """Note that a request waits for ``unit``."""
         key = (service, unit)
@@ -54,6 +60,7 @@
         now = time.monotonic()
         with self._lock:
             arrivals, self._arrivals = self._arrivals, Counter()
+            missed, self._missed = self._missed, Counter()
             waiting = dict(self._waiting)
             longest = {key: max(ends) - now for key, ends in self._give_up_at.items()}
         return [
@@ -64,6 +71,7 @@
                 arrivals[(service, unit)],
                 waiting.get((service, unit), 0),
                 longest.get((service, unit), 0.0),
+                missed[(service, unit)],
             )
-            for service, unit in arrivals.keys() | waiting.keys()
+            for service, unit in arrivals.keys() | waiting.keys() | missed.keys()
         ]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -37,6 +37,9 @@
 # News go out when something changes, and at least this often.
 NEWS_SECONDS = 0.25
 LOADS_FRESH_SECONDS = 1.0
+# Each plan weighs every model at every worker again; what is left waits a quarter
+# of a second.
+MOST_SWAPS_A_STEP = 4
 
 
 class OrderGiver:
@@ -160,36 +163,30 @@
                 continue
             if any(model in view.held for view in views):
                 self._bring_adapter(waiting, engine, views)
-            else:
-                self._bring_model(waiting, engine, views)
-        self._cover()
-
-    def _cover(self) -> None:
-        """Bring in what nobody holds yet, and copies of what too few hold, one at a time."""
         table = self._routes.get()
         for name, service in table.services_by_name.items() if table else ():
-            if service.engine is None:
-                continue
-            ceiling = self._ceiling(service.engine)
-            planner = Planner(name, service.engine, self._demand)
-            for choose in (planner.coverage_swap, planner.relief_swap):
-                swap = choose(self._views(name), cold_allowed=self._rate.free(ceiling))
-                if swap is not None:
-                    self._give(swap, waiting=0, patience=0.0)
+            if service.engine is not None:
+                self._swap_models(name, service.engine)
 
-    def _bring_model(
-        self, waiting: WaitingUnit, engine: EngineRule, views: list[WorkerView]
-    ) -> None:
-        model = waiting.unit.model
-        if any(view.loading == model for view in views):
-            return
-        ceiling = self._ceiling(engine)
-        planner = Planner(waiting.service, engine, self._demand)
-        swap = planner.swap_for(waiting, views, cold_allowed=self._rate.free(ceiling))
-        if swap is not None:
-            self._give(swap, waiting.requests, waiting.patience_seconds)
+    def _swap_models(self, service: str, engine: EngineRule) -> None:
+        """Give the swaps that pay, the best one first; each changes what the next one finds."""
+        planner = Planner(service, engine, self._demand)
+        for _ in range(MOST_SWAPS_A_STEP):
+            views = self._views(service)
+            present = {name for view in views for name in [*view.held, view.loading]}
+            waiting = [
+                one
+                for one in self._demand.waiting()
+                if one.service == service and one.unit.model not in present
+            ]
+            cold_allowed = self._rate.free(self._ceiling(engine))
+            swap = planner.best_swap(waiting, views, cold_allowed=cold_allowed)
+            if swap is None:
+                return
+            self._give(swap, waiting)
 
-    def _give(self, swap: Swap, waiting: int, patience: float) -> None:
+    def _give(self, swap: Swap, waiting: Iterable[WaitingUnit]) -> None:
+        asking = [one for one in waiting if one.unit.model == swap.model.name]
         log_event(
             "swap_planned",
             upstream=swap.view.upstream.id,
@@ -197,8 +194,9 @@
             evicted=",".join(swap.evicted) or "-",
             cold=swap.cold,
             seconds=swap.load_seconds,
-            waiting=waiting,
-            patience=round(patience, 2),
+            gain=round(swap.net_gain, 1),
+            waiting=sum(one.requests for one in asking),
+            patience=round(max((one.patience_seconds for one in asking), default=0.0), 2),
         )
         if swap.cold:
             self._rate.begin()
--- a/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
@@ -45,6 +45,12 @@
     return InstanceNews(instance, needs, [], [], [])
 
 
+def missed_news(model, arrivals, missed):
+    """News of requests that a model's holders were too busy for."""
+    need = NeedEntry(SERVICE, model, "", arrivals, 0, 0.0, missed)
+    return InstanceNews("i1", [need], [], [], [])
+
+
 class MemoryStore:
     """One row, with the faults that a store can have."""
 
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_planner.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_planner.py
@@ -9,7 +9,7 @@
 from redwingscale_daemon._internal.swaps.planner import Planner
 from redwingscale_daemon._internal.swaps.room import load_time, used_mb
 
-from .conftest import SERVICE, news, view
+from .conftest import SERVICE, missed_news, news, view
 
 
 @pytest.fixture
@@ -156,3 +156,35 @@
 def test_model_that_runs_requests_is_dropped_last(planner):
     views = [view("u0", "a", "b")._replace(open_by_unit={Unit("a", "x"): 20})]
     assert planner.swap_for(waits("c", 12), views, cold_allowed=True).evicted == ("b",)
+
+
+def test_further_copy_of_a_busy_model_goes_before_a_rare_one(planner, demand):
+    # A model is asked for twenty times a second and most are refused, as its one
+    # holder is full. Each time a worker is free, one request for a rare model takes
+    # its next seconds: the busy model stays with one holder for as long as that lasts.
+    for _ in range(10):
+        demand.heard(missed_news("a", arrivals=5, missed=4))
+    views = [view("u0", "a", "b", free=False), view("u1", "c", "d")]
+    swap = planner.best_swap([waits("e")], views, cold_allowed=True)
+    assert swap.model.name == "a"
+    assert planner.best_swap([waits("e", 9)], views[:1], cold_allowed=True) is None
+
+
+def test_model_whose_requests_are_in_time_gets_no_further_copy(planner, demand):
+    for _ in range(10):
+        demand.heard(news(a=2, b=2))
+    views = [view("u0", "a", "b"), view("u1", "a", "b"), view("u2", "c", "d")]
+    assert planner.best_swap([], views, cold_allowed=True) is None
+
+
+def test_rate_falls_as_soon_as_requests_end(demand, monkeypatch):
+    # Demand has moved on. A load that is begun for what was asked for until now takes
+    # six seconds, and nobody is left to be served.
+    for _ in range(10):
+        demand.heard(news(a=10))
+    busy = demand.model_rate(SERVICE, "a")
+    real = time.monotonic
+    monkeypatch.setattr(time, "monotonic", lambda: real() + 4.0)
+    assert demand.model_rate(SERVICE, "a") < busy / 2
+    demand.heard(news(a=10))
+    assert demand.model_rate(SERVICE, "b") == 0.0
