Let the order giver read the list and the configuration for all; count its lease from its news

Now the giver's news hold what its reads changed, with their age; an instance reads itself when they are older than 1.2 s, after each change of giver, and each 20 s. The news also hold the version of the newest renewal: a lease counts from when that was first told.

Ruled out: waits of 20 s on the configuration by every instance (a connection that goes silent would keep a change away for as long); a count of the list's version with an own read on each change (as many reads as now where workers come and go).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -1,11 +1,12 @@
 """Wires an instance whose requests are routed by host and path."""
 
+import time
 import uuid
 from collections.abc import Callable
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps
+from redwingscale_daemon._internal.composition.swaps import StoreReads, Swaps, build_swaps
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
@@ -27,13 +28,16 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_follower import RouteFollower
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings
+from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 # New work must stay away from an upstream two seconds after the store knows that
-# it leaves: a read a second, and one lost read, are less.
-LIST_SECONDS = 0.9
+# it leaves: a read, one lost read and the way to the other instances are less.
+LIST_SECONDS = 0.45
+# An instance that reads for itself alone has no further way.
+OWN_LIST_SECONDS = 0.85
 # Heads and bodies beyond what any configuration allows.
 LARGEST_HEAD_BYTES = 32 << 10
 LARGEST_BODY_BYTES = 8 << 20
@@ -51,21 +55,10 @@
     fleet.directory.on_gone(pool.forget)
     metrics = IngressMetrics()
     open_requests = OpenRequests()
-    swaps = build_swaps(settings, uuid.uuid4().hex, store, routes, fleet, metrics)
+    reads = StoreReads(LinkState("upstreams"), LinkState("configuration"))
+    swaps = build_swaps(settings, uuid.uuid4().hex, store, routes, fleet, metrics, reads)
     entry = _entry(settings, swaps, routes, fleet, pool, open_requests, metrics)
-    config_row = RowKey(configuration.TABLE, "", configuration.KEY)
-    followers = (
-        Periodic(
-            "configuration",
-            0.0,
-            RouteFollower(store, config_row, configuration.decode_configuration, routes).step,
-        ),
-        Periodic(
-            "upstreams",
-            LIST_SECONDS,
-            ListFollower(store, discovery.TABLE, discovery.decode_upstream, fleet.directory).step,
-        ),
-    )
+    followers = _followers(store, routes, fleet, swaps, reads)
     parts = IngressParts(
         callers=_callers(settings, entry),
         probes=_probes(settings, routes, fleet.directory, open_requests, metrics),
@@ -76,6 +69,38 @@
     return IngressInstance(parts, settings.bounds.stop_grace, reload)
 
 
+def _followers(
+    store: StoreClient, routes: CurrentRoutes, fleet: Fleet, swaps: Swaps, reads: StoreReads
+) -> tuple[Periodic, ...]:
+    def needless(last_read_at: float) -> bool:
+        if swaps.gives():
+            return False
+        soon = time.monotonic() - last_read_at < OWN_LIST_SECONDS
+        return soon or swaps.list_news.stands_in(last_read_at)
+
+    route_follower = RouteFollower(
+        store,
+        RowKey(configuration.TABLE, "", configuration.KEY),
+        configuration.decode_configuration,
+        routes,
+        reads.configuration,
+        swaps.route_news,
+        swaps.gives,
+    )
+    list_follower = ListFollower(
+        store,
+        discovery.TABLE,
+        discovery.decode_upstream,
+        fleet.directory,
+        reads.upstreams,
+        needless,
+    )
+    return (
+        Periodic("configuration", 0.0, route_follower.step),
+        Periodic("upstreams", LIST_SECONDS, list_follower.step),
+    )
+
+
 def _entry(
     settings: IngressSettings,
     swaps: Swaps,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -4,11 +4,15 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.fleet import Fleet
+from redwingscale_daemon._internal.fleet.list_news import ListNews
 from redwingscale_daemon._internal.fleet.load_book import Load
+from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.platform import engine
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.route_news import RouteNews
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings
+from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowStore
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord, LeaseTiming
@@ -18,6 +22,7 @@
     GiverNews,
     InstanceNews,
     LoadEntry,
+    StoreNews,
     UseEntry,
 )
 from redwingscale_daemon._internal.swaps.needs import Needs
@@ -36,13 +41,27 @@
 USUAL_INSTANCES = 6
 
 
+class StoreReads(NamedTuple):
+    """Whether the list and the configuration can be read, and since when they are known."""
+
+    upstreams: LinkState
+    configuration: LinkState
+
+
 class Swaps(NamedTuple):
-    """``instances`` tells how many instances share the deployment's budgets."""
+    """``instances`` tells how many instances share the deployment's budgets.
+
+    ``gives`` tells whether this instance is the order giver, which reads the store
+    for all; ``list_news`` and ``route_news`` stand in for the reads of the others.
+    """
 
     needs: Needs
     tasks: tuple[Task, ...]
     release: Callable[[], None]
     instances: Callable[[], int]
+    gives: Callable[[], bool]
+    list_news: ListNews
+    route_news: RouteNews
 
 
 def build_swaps(
@@ -52,6 +71,7 @@
     routes: CurrentRoutes,
     fleet: Fleet,
     metrics: IngressMetrics,
+    reads: StoreReads,
 ) -> Swaps:
     """Return the parts, not started; ``start`` is an id of this process."""
     me = settings.instance
@@ -64,6 +84,7 @@
         LeaseTiming(LEASE_SECONDS, ORDER_SECONDS, settings.bounds.order_quiet),
     )
     needs = Needs()
+    list_news, route_news = ListNews(fleet.directory), RouteNews()
     # What this instance has told last: the giver's sums hold it.
     told_loads: list[LoadEntry] = []
     most_instances = USUAL_INSTANCES
@@ -72,6 +93,21 @@
         nonlocal most_instances
         most_instances = max(most_instances, news.instances)
         _take_news(news, told_loads, fleet)
+        if not lease.holds:
+            lease.heard(news.store.lease_version)
+            list_news.take(news.fence, news.store.changed, news.store.gone, news.store.list_age)
+            route_news.take(news.store.configuration, news.store.configuration_age)
+
+    def read_for_all(changed: list[Upstream], gone: list[str]) -> StoreNews:
+        table = routes.get()
+        return StoreNews(
+            lease.row_version,
+            changed,
+            gone,
+            reads.upstreams.age,
+            table.version if table else 0,
+            reads.configuration.age,
+        )
 
     def make_news() -> InstanceNews:
         nonlocal told_loads
@@ -101,6 +137,7 @@
         OrderClient(calls, lambda result: metrics.orders.add(1, {"result": result.value})),
         hub,
         LoadCeiling(0.0, bounds.load_window),
+        read_for_all,
     )
     link = GiverLink(lease, me, make_news, on_giver_news, giver.heard)
     needs.on_new_wait(link.wake)
@@ -125,6 +162,9 @@
         ),
         release=lease.release,
         instances=lambda: most_instances,
+        gives=lambda: lease.holds,
+        list_news=list_news,
+        route_news=route_news,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -23,16 +23,29 @@
     """Reads the whole list; each step is one read."""
 
     def __init__(
-        self, store: RowStore, table: str, decode: Decode, directory: UpstreamDirectory
+        self,
+        store: RowStore,
+        table: str,
+        decode: Decode,
+        directory: UpstreamDirectory,
+        state: LinkState,
+        needless: Callable[[float], bool] = lambda _: False,
     ) -> None:
         self._store = store
         self._table = table
         self._decode = decode
         self._directory = directory
-        self._state = LinkState("upstreams")
+        self._state = state
+        # Whether the giver's news stand in for a read, by the time of the last one.
+        self._needless = needless
 
     def step(self) -> None:
-        """Read the list once; what is known stays in use while the store is away."""
+        """Read the list once, unless the order giver tells it.
+
+        What is known stays in use while the store is away.
+        """
+        if self._needless(self._state.answered_at):
+            return
         try:
             rows = self._store.read(self._table, "").rows
         except PlatformError as error:
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_news.py
@@ -0,0 +1,48 @@
+"""The list of upstreams as the order giver reads and tells it."""
+
+import time
+
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+
+# An upstream that leaves gets no new work two seconds after the store knows it. The
+# giver reads twice a second and tells within a quarter of one: what is older than
+# this comes from a giver that no longer reads.
+CURRENT_SECONDS = 1.2
+# However current the news are, the list is read in full this often: a change that
+# got lost on the way would else stay unknown.
+FULL_READ_SECONDS = 20.0
+
+
+class ListNews:
+    """Applies the giver's changes, and tells whether they can stand in for own reads.
+
+    Each instance's own read of the list in each second is most of what a large
+    deployment asks of the store. News stand in only for an instance that has read
+    the whole list since this giver began: the giver tells changes, and knows
+    nothing of what had gone before.
+    """
+
+    def __init__(self, directory: UpstreamDirectory) -> None:
+        self._directory = directory
+        self._fence: int | None = None
+        self._fence_at = float("inf")
+        self._read_at = float("-inf")
+
+    def take(self, fence: int, changed: list[Upstream], gone: list[str], age: float) -> None:
+        """Take what the giver with ``fence`` has read ``age`` seconds ago."""
+        now = time.monotonic()
+        if fence != self._fence:
+            self._fence, self._fence_at = fence, now
+        self._read_at = now - age
+        if changed or gone:
+            self._directory.update(changed, gone)
+
+    def stands_in(self, last_read_at: float) -> bool:
+        """Return whether an instance that has read the list at ``last_read_at`` need not now."""
+        now = time.monotonic()
+        return (
+            now - self._read_at < CURRENT_SECONDS
+            and last_read_at > self._fence_at
+            and now - last_read_at < FULL_READ_SECONDS
+        )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -48,6 +48,13 @@
         if gone or new_leaving or listed.keys() - before.keys() or _held_differs(before, listed):
             self._changes.notify()
 
+    def update(self, changed: Iterable[Upstream], gone: Iterable[str]) -> None:
+        """Take changes to the list: upstreams that have come or changed, ids of those gone."""
+        changed_by_id = {upstream.id: upstream for upstream in changed}
+        dropped = set(gone)
+        kept = {key: known for key, known in self._by_id.items() if key not in dropped}
+        self.replace([*{**kept, **changed_by_id}.values()])
+
     def get(self, upstream_id: str) -> Upstream | None:
         """Return one upstream, None if it isn't listed."""
         return self._by_id.get(upstream_id)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
@@ -8,6 +8,7 @@
 
 from redwingscale_daemon._internal.exceptions import HistoryGone, PlatformError
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.route_news import RouteNews
 from redwingscale_daemon._internal.routes.route_table import RouteTable
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey, RowStore, StoredRow
@@ -15,6 +16,8 @@
 # A change must be in force within two seconds, also when the connection of a
 # waiting read has gone silent just before it: one wait and its margin are less.
 WAIT_SECONDS = 1.2
+# How often an instance that relies on the order giver's news looks whether they come.
+LOOK_SECONDS = 0.25
 # Between tries while the store is away; each try is a call that it counts.
 PAUSE_SECONDS = 0.25
 
@@ -25,17 +28,32 @@
     """Waits for changes of one row; each step is one read."""
 
     def __init__(
-        self, store: RowStore, row: RowKey, decode: Decode, current: CurrentRoutes
+        self,
+        store: RowStore,
+        row: RowKey,
+        decode: Decode,
+        current: CurrentRoutes,
+        state: LinkState,
+        news: RouteNews,
+        reads_for_all: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
         self._row = row
         self._decode = decode
         self._current = current
-        self._state = LinkState("configuration")
+        self._state = state
+        self._news = news
+        # Whether this instance is the one that tells the others.
+        self._reads_for_all = reads_for_all
         self._version: int | None = None
 
     def step(self) -> None:
-        """Read once: everything at first and after a gap, then what has changed."""
+        """Read once: everything at first and after a gap, then what has changed.
+
+        While the order giver tells of new versions, only those are read.
+        """
+        if self._stands_in() and not self._newer_told():
+            return
         try:
             self._take(self._changes())
         except HistoryGone:
@@ -47,6 +65,18 @@
         else:
             self._state.answered()
 
+    def _stands_in(self) -> bool:
+        known = self._current.get() is not None
+        return known and self._news.current and not self._reads_for_all()
+
+    def _newer_told(self) -> bool:
+        table = self._current.get()
+        if table is None or not self._news.wait_for_newer(table.version, LOOK_SECONDS):
+            return False
+        # The whole row: a waiting read could be answered by a connection gone silent.
+        self._version = None
+        return True
+
     def _changes(self) -> Iterable[StoredRow]:
         if self._version is None:
             snapshot = self._store.read(self._row.table, self._row.partition)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_news.py
@@ -0,0 +1,40 @@
+"""The version of the configuration as the order giver reads and tells it."""
+
+import threading
+import time
+from typing import NamedTuple
+
+# A change must be in force within two seconds. The giver's waiting reads end after
+# 1.2 s at the latest: what is older comes from one that no longer reads.
+CURRENT_SECONDS = 1.6
+
+
+class _Told(NamedTuple):
+    version: int
+    read_at: float
+
+
+class RouteNews:
+    """Stands in for an instance's own waiting reads, which cost a call each second."""
+
+    def __init__(self) -> None:
+        self._condition = threading.Condition()
+        self._told = _Told(0, float("-inf"))
+
+    def take(self, version: int, age: float) -> None:
+        """Take the version that the giver has seen confirmed ``age`` seconds ago."""
+        with self._condition:
+            newer = version > self._told.version
+            self._told = _Told(version, time.monotonic() - age)
+            if newer:
+                self._condition.notify_all()
+
+    @property
+    def current(self) -> bool:
+        """Whether a newer version would have been told."""
+        return time.monotonic() - self._told.read_at < CURRENT_SECONDS
+
+    def wait_for_newer(self, version: int, seconds: float) -> bool:
+        """Return whether a version above ``version`` is told within ``seconds``."""
+        with self._condition:
+            return self._condition.wait_for(lambda: self._told.version > version, seconds)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/link_state.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/link_state.py
@@ -19,6 +19,16 @@
         """The monotonic time of the first answer after the last outage."""
         return self._regained_at
 
+    @property
+    def answered_at(self) -> float:
+        """The monotonic time of the last answer."""
+        return self._answered_at
+
+    @property
+    def age(self) -> float:
+        """Seconds since the last answer."""
+        return time.monotonic() - self._answered_at
+
     def answered(self) -> None:
         """Note an answer."""
         now = time.monotonic()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
@@ -69,6 +69,8 @@
         self._lock = threading.Lock()
         self._row_version = ABSENT
         self._seen_at = clock()
+        # The newest version that the holder's news have told, and when first.
+        self._heard = (ABSENT, -math.inf)
         self._record: GiverRecord | None = None
         self._valid_until = -math.inf
         self._silent_until = -math.inf
@@ -101,6 +103,21 @@
             return None
         return self._fence
 
+    @property
+    def row_version(self) -> int:
+        """The row's version as last read or written here."""
+        return self._row_version
+
+    def heard(self, row_version: int) -> None:
+        """Note the version of its newest renewal, as the holder's news tell it.
+
+        While news come the row is not read. When they end, the lease counts from the
+        moment at which its version was first told: counted from the first read after
+        that, the orders of the next giver would begin two seconds later.
+        """
+        if row_version > self._heard[0]:
+            self._heard = (row_version, self._clock())
+
     def step(self) -> None:
         """Renew the lease, or read the row and take it when it is due; raise `PlatformError`."""
         if self.holds:
@@ -151,7 +168,8 @@
     def _see(self, version: int, record: GiverRecord | None) -> None:
         if version != self._row_version:
             self._row_version = version
-            self._seen_at = self._clock()
+            heard_version, heard_at = self._heard
+            self._seen_at = heard_at if version == heard_version else self._clock()
         if record != self._record:
             log_event("giver_seen", giver=record.instance if record else None, row_version=version)
         self._record = record
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/list_changes.py
@@ -0,0 +1,64 @@
+"""Which upstreams the list has changed lately."""
+
+import time
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+
+# A message may be lost and the next one come a second later; an instance that hears
+# nothing for longer reads the list itself.
+TOLD_SECONDS = 3.0
+
+
+class _Known(NamedTuple):
+    """An upstream as listed last, None once it is gone, and when that changed."""
+
+    upstream: Upstream | None
+    changed_at: float
+
+
+class ListChanges:
+    """Compares one list with the next; each change is told for some seconds.
+
+    What upstreams hold changes often and is told elsewhere: only who they are,
+    where, and whether they leave counts as a change.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+
+    def of(self, listed: Iterable[Upstream]) -> tuple[list[Upstream], list[str]]:
+        """Return the upstreams that have come or changed lately, and the ids of those gone."""
+        now = time.monotonic()
+        by_id = {upstream.id: upstream for upstream in listed}
+        for key, upstream in by_id.items():
+            known = self._known.get(key)
+            if known is None or known.upstream is None or _differ(known.upstream, upstream):
+                self._known[key] = _Known(upstream, now)
+        for key in self._known.keys() - by_id.keys():
+            if self._known[key].upstream is not None:
+                self._known[key] = _Known(None, now)
+        recent = {
+            key: known
+            for key, known in self._known.items()
+            if now - known.changed_at < TOLD_SECONDS
+        }
+        for key in self._known.keys() - recent.keys() - by_id.keys():
+            del self._known[key]
+        changed = [known.upstream for known in recent.values() if known.upstream is not None]
+        return changed, [key for key, known in recent.items() if known.upstream is None]
+
+
+def _differ(one: Upstream, other: Upstream) -> bool:
+    return _place(one) != _place(other)
+
+
+def _place(upstream: Upstream) -> tuple[str, tuple[str, int], str, int, bool]:
+    return (
+        upstream.service,
+        upstream.address,
+        upstream.failure_domain,
+        upstream.slots,
+        upstream.leaving,
+    )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+
 
 class NeedEntry(msgspec.Struct, array_like=True):
     """How much a unit is asked for at one instance since its last message.
@@ -57,6 +59,23 @@
     adapters_by_model: dict[str, list[str]]
 
 
+class StoreNews(msgspec.Struct, array_like=True):
+    """What the order giver has read from the store, so that the others need not.
+
+    ``lease_version`` is the row version of its newest renewal. Of the list of
+    upstreams it tells what has ``changed`` or ``gone`` in the last seconds, read
+    ``list_age`` seconds ago; of the configuration the version in force, confirmed
+    ``configuration_age`` seconds ago.
+    """
+
+    lease_version: int
+    changed: list[Upstream]
+    gone: list[str]
+    list_age: float
+    configuration: int
+    configuration_age: float
+
+
 class GiverNews(msgspec.Struct, array_like=True):
     """From the order giver to each instance.
 
@@ -72,3 +91,4 @@
     ready_in: dict[str, float]
     loads: list[LoadEntry]
     instances: int
+    store: StoreNews
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
@@ -17,12 +17,14 @@
 from redwingscale_daemon._internal.swaps.adapter_choice import adapter_worker
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
+from redwingscale_daemon._internal.swaps.list_changes import ListChanges
 from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling, LoadRate
 from redwingscale_daemon._internal.swaps.messages import (
     GiverNews,
     HeldEntry,
     InstanceNews,
     LoadEntry,
+    StoreNews,
     UseEntry,
 )
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
@@ -69,6 +71,7 @@
     held: list[HeldEntry]
     loading: frozenset[str]
     all_held_at: float
+    store: StoreNews
 
 
 class OrderGiver:
@@ -82,6 +85,7 @@
         client: OrderClient,
         hub: GiverHub,
         window: LoadCeiling,
+        read: Callable[[list[Upstream], list[str]], StoreNews],
     ) -> None:
         self._right = right
         self._routes = routes
@@ -89,6 +93,9 @@
         self._client = client
         self._hub = hub
         self._window = window
+        # Adds what this instance has read besides to the changes of the list.
+        self._read = read
+        self._changes = ListChanges()
         self._demand = Demand()
         self._rate = LoadRate()
         self._wake = threading.Event()
@@ -155,6 +162,7 @@
         if self._gave_orders:
             self._gave_orders = False
             self._told = None
+            self._changes = ListChanges()
             log_event("giver_ends")
         for worker in self._workers.values():
             worker.stop()
@@ -336,14 +344,21 @@
         ready_in = {
             worker.loading: worker.ready_in for worker in self._workers.values() if worker.loading
         }
+        store = self._read(*self._changes.of(self._directory.all()))
         told = self._told
         newcomer, self._newcomer = self._newcomer, False
-        changed = newcomer or told is None or held != told.held or ready_in.keys() != told.loading
+        held_changed = newcomer or told is None or held != told.held
+        changed = (
+            held_changed
+            or told is None
+            or ready_in.keys() != told.loading
+            or _tell_apart(store) != _tell_apart(told.store)
+        )
         if told is not None and not changed and now - told.at < NEWS_SECONDS:
             return None
-        all_held = changed or told is None or now - told.all_held_at > ALL_HELD_SECONDS
+        all_held = held_changed or told is None or now - told.all_held_at > ALL_HELD_SECONDS
         all_held_at = now if all_held or told is None else told.all_held_at
-        self._told = _Told(now, held, frozenset(ready_in), all_held_at)
+        self._told = _Told(now, held, frozenset(ready_in), all_held_at, store)
         loads = [LoadEntry(key, *load) for key, load in self._totals.loads.items()]
         return GiverNews(
             self._right.instance,
@@ -352,9 +367,14 @@
             ready_in,
             loads,
             len(self._loads),
+            store,
         )
 
 
+def _tell_apart(store: StoreNews) -> tuple[list[Upstream], list[str], int]:
+    return store.changed, store.gone, store.configuration
+
+
 def _holds(view: WorkerView, unit: Unit) -> bool:
     adapters = view.held.get(unit.model)
     return adapters is not None and (not unit.adapter or unit.adapter in adapters)
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_news.py
@@ -0,0 +1,104 @@
+"""The order giver reads the list for all: what the others may rely on."""
+
+import time
+
+import pytest
+from redwingscale_daemon._internal.fleet.fleet import new_fleet
+from redwingscale_daemon._internal.fleet.list_news import ListNews
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.swaps.list_changes import ListChanges
+
+
+def upstream(name, *, leaving=False, port=1):
+    return Upstream(
+        name, "llm", "127.0.0.1", port, "z1", 64, leaving, None, {}, frozenset(), frozenset()
+    )
+
+
+@pytest.fixture
+def directory():
+    made = new_fleet().directory
+    made.replace([upstream("u0"), upstream("u1")])
+    return made
+
+
+@pytest.fixture
+def news(directory):
+    return ListNews(directory)
+
+
+@pytest.fixture
+def later(monkeypatch):
+    """Move the clock on by some seconds."""
+    real, offset = time.monotonic, [0.0]
+    monkeypatch.setattr(time, "monotonic", lambda: real() + offset[0])
+
+    def move(seconds):
+        offset[0] += seconds
+
+    return move
+
+
+def ids(directory):
+    return {one.id for one in directory.usable("llm")}
+
+
+def test_upstream_that_the_giver_saw_leaving_gets_no_new_work(news, directory):
+    news.take(1, [upstream("u0", leaving=True)], [], 0.1)
+    assert ids(directory) == {"u1"}
+
+
+def test_upstream_that_the_giver_saw_go_is_forgotten(news, directory):
+    news.take(1, [upstream("u2")], ["u0"], 0.1)
+    assert ids(directory) == {"u1", "u2"}
+
+
+def test_news_stand_in_only_after_an_own_read_under_this_giver(news, later):
+    # The giver before knew an upstream that has gone in between. The new giver never
+    # saw it and tells nothing of it: without an own read it would be used for ever.
+    read_at = time.monotonic()
+    later(0.1)
+    news.take(1, [], [], 0.1)
+    assert not news.stands_in(read_at)
+    later(0.1)
+    assert news.stands_in(time.monotonic())
+    read_at = time.monotonic()
+    later(0.1)
+    news.take(2, [], [], 0.1)
+    assert not news.stands_in(read_at)
+
+
+def test_giver_that_no_longer_reads_does_not_stand_in(news, later):
+    # The giver is cut off from the store and still tells its news: an upstream that
+    # leaves now would get new work until somebody else reads the list.
+    news.take(1, [], [], 0.1)
+    later(0.1)
+    read_at = time.monotonic()
+    assert news.stands_in(read_at)
+    later(0.5)
+    news.take(1, [], [], 1.3)
+    assert not news.stands_in(read_at)
+
+
+def test_whole_list_is_read_now_and_then(news, later):
+    news.take(1, [], [], 0.1)
+    later(0.1)
+    read_at = time.monotonic()
+    later(21.0)
+    news.take(1, [], [], 0.1)
+    assert not news.stands_in(read_at)
+
+
+def test_changes_are_told_for_some_seconds(later):
+    changes = ListChanges()
+    first = [upstream("u0"), upstream("u1")]
+    assert changes.of(first) == (first, [])
+    later(4.0)
+    assert changes.of(first) == ([], [])
+    left = upstream("u0", leaving=True)
+    assert changes.of([left]) == ([left], ["u1"])
+    later(2.0)
+    assert changes.of([left]) == ([left], ["u1"])
+    later(2.0)
+    assert changes.of([left]) == ([], [])
+    assert changes.of([left, upstream("u1", port=2)]) == ([upstream("u1", port=2)], [])
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_route_follower.py
@@ -0,0 +1,94 @@
+"""Who reads the configuration, and when."""
+
+import pytest
+from redwingscale_daemon._internal.exceptions import PlatformUnavailable
+from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.route_follower import RouteFollower
+from redwingscale_daemon._internal.routes.route_news import RouteNews
+from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
+from redwingscale_daemon._internal.store.link_state import LinkState
+from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+
+ROW = RowKey("op", "", "config")
+
+
+class Store:
+    """One row whose value is its version; counts the reads."""
+
+    def __init__(self):
+        self.value = 1
+        self.reads = []
+        self.fail = False
+
+    def read(self, table, partition):
+        return self._answer("read")
+
+    def changes(self, table, after, wait):
+        return self._answer("changes")
+
+    def _answer(self, what):
+        self.reads.append(what)
+        if self.fail:
+            raise PlatformUnavailable("down")
+        row = StoredRow(ROW, self.value, str(self.value).encode())
+        return Snapshot((row,), self.value)
+
+
+def decode(value):
+    return RouteTable(int(value), (), {}, IngressLimits(1000, 1000, 1.0, 1.0))
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+@pytest.fixture
+def news():
+    return RouteNews()
+
+
+@pytest.fixture
+def routes():
+    return CurrentRoutes()
+
+
+@pytest.fixture
+def follower(store, news, routes):
+    state = LinkState("configuration")
+    return RouteFollower(store, ROW, decode, routes, state, news, lambda: False)
+
+
+def test_nothing_is_read_while_the_giver_tells(follower, store, news):
+    follower.step()
+    news.take(1, 0.0)
+    follower.step()
+    assert store.reads == ["read"]
+
+
+def test_newer_version_that_the_giver_tells_is_read_at_once(follower, store, news, routes):
+    follower.step()
+    store.value = 2
+    news.take(2, 0.0)
+    follower.step()
+    assert routes.get().version == 2
+    assert store.reads == ["read", "read"]
+
+
+def test_giver_that_no_longer_reads_is_not_relied_on(follower, store, news):
+    # The giver is cut off from the store and goes on telling the version that it
+    # knows: an operator's change would be in force only when it is replaced.
+    follower.step()
+    news.take(1, 2.0)
+    follower.step()
+    assert store.reads == ["read", "changes"]
+
+
+def test_newer_version_that_cannot_be_read_is_asked_for_again(follower, store, news, routes):
+    follower.step()
+    store.value, store.fail = 2, True
+    news.take(2, 0.0)
+    follower.step()
+    store.fail = False
+    follower.step()
+    assert routes.get().version == 2
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_giver_lease.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_giver_lease.py
@@ -191,3 +191,42 @@
         second.step()
     since_release = clock.now - 100.0
     assert TIMING.quiet_seconds <= since_release <= TIMING.quiet_seconds + 0.5
+
+
+def test_lease_counts_from_the_holders_last_news(make_lease, clock):
+    # The giver's news come, so nobody reads its row. It dies; the others first read
+    # the row when the news have been missing for a while. The version there is the
+    # one that the news told: the lease is as old as that, not as that first read.
+    first, second = make_lease("a"), make_lease("b")
+    first.step()
+    second.step()
+    clock.now += 0.5
+    first.step()
+    second.heard(first.row_version)
+    heard_at = clock.now
+    clock.now += 2.4
+    second.step()
+    assert not second.holds
+    clock.now += 0.2
+    second.step()
+    assert second.holds
+    while second.fence() is None:
+        clock.now += 0.1
+        second.step()
+    longest = TIMING.order_seconds + TIMING.quiet_seconds
+    assert longest <= clock.now - heard_at <= longest + 0.2
+
+
+def test_renewal_after_the_last_news_starts_the_count_anew(make_lease, clock):
+    # Only the link between the two has gone silent: the giver goes on renewing.
+    first, second = make_lease("a"), make_lease("b")
+    first.step()
+    second.step()
+    second.heard(first.row_version)
+    for _ in range(12):
+        clock.now += 0.5
+        first.step()
+        if clock.now > 102.0:
+            second.step()
+        assert first.fence() is not None
+        assert second.fence() is None
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_giver_news.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_giver_news.py
@@ -15,12 +15,15 @@
     HeldEntry,
     InstanceNews,
     LoadEntry,
+    StoreNews,
 )
 from redwingscale_daemon._internal.swaps.order_giver import OrderGiver
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
 
 from .conftest import SERVICE, upstream
 
+NOTHING_READ = StoreNews(1, [], [], 0.0, 1, 0.0)
+
 
 class Hub:
     def __init__(self):
@@ -38,7 +41,12 @@
     fleet = new_fleet()
     fleet.directory.replace([upstream("u0", "a", "b")])
     right = GiverRight("i0", lambda: 7)
-    return OrderGiver(right, routes, fleet.directory, worker, Hub(), LoadCeiling(0.0, 5.0))
+    ceiling = LoadCeiling(0.0, 5.0)
+
+    def read(changed, gone):
+        return StoreNews(1, changed, gone, 0.1, 1, 0.1)
+
+    return OrderGiver(right, routes, fleet.directory, worker, Hub(), ceiling, read)
 
 
 def loads(instance, requests):
@@ -76,7 +84,7 @@
     fleet = new_fleet()
     own = [LoadEntry("u0", 3, 200)]
     fleet.book.enter("u0", None, 0)
-    _take_news(GiverNews("g", 1, [], {}, [LoadEntry("u0", 5, 900)], 2), own, fleet)
+    _take_news(GiverNews("g", 1, [], {}, [LoadEntry("u0", 5, 900)], 2, NOTHING_READ), own, fleet)
     assert fleet.book.total("u0") == Load(3, 700)
 
 
@@ -85,10 +93,10 @@
     # giver's view, and models have moved since.
     fleet = new_fleet()
     held = [HeldEntry("u0", {"a": []})]
-    _take_news(GiverNews("g", 1, held, {}, [], 1), [], fleet)
+    _take_news(GiverNews("g", 1, held, {}, [], 1, NOTHING_READ), [], fleet)
     before = fleet.holdings._view
-    _take_news(GiverNews("h", 2, None, {}, [], 1), [], fleet)
+    _take_news(GiverNews("h", 2, None, {}, [], 1, NOTHING_READ), [], fleet)
     assert fleet.holdings._view is before
-    _take_news(GiverNews("g", 1, None, {}, [], 1), [], fleet)
+    _take_news(GiverNews("g", 1, None, {}, [], 1, NOTHING_READ), [], fleet)
     assert fleet.holdings.held("u0") == {"a": frozenset()}
     assert fleet.holdings._view is not before
