Tell holdings by change, loads in regular news only; leave the lease to large machines

What 45 workers hold changes some 30 times a second, and was told whole to 69 instances each time; a small machine that gives the orders has no link left for requests. The log of that machine was not kept; that its link was full is worked out from the sizes of the news (some 3 KB x 69 x up to 20 a second), not seen.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -11,7 +11,7 @@
 from redwingscale_daemon._internal.platform import engine
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_news import RouteNews
-from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings
+from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings, Machine
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowStore
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
@@ -37,6 +37,12 @@
 LEASE_STEP_SECONDS = 0.5
 # Two renewals that get no answer end the orders.
 ORDER_SECONDS = 1.2
+# The order giver tells its news to all instances and plans for all workers: among 69
+# instances that takes a fifth of a core and 4 Mbit/s. A machine with less than this
+# leaves the lease to others for a while, as its own requests would wait.
+GIVER_CORES = 1.0
+GIVER_LINK_MBPS = 100.0
+STANDBY_SECONDS = 0.75
 # Before instances are heard of: a deployment of the usual size.
 USUAL_INSTANCES = 6
 
@@ -81,7 +87,12 @@
         store,
         start,
         lambda: GiverRecord(me, settings.host, hub.news_port, hub.needs_port, start),
-        LeaseTiming(LEASE_SECONDS, ORDER_SECONDS, settings.bounds.order_quiet),
+        LeaseTiming(
+            LEASE_SECONDS,
+            ORDER_SECONDS,
+            settings.bounds.order_quiet,
+            _standby_seconds(settings.machine),
+        ),
     )
     needs = Needs()
     list_news, route_news = ListNews(fleet.directory), RouteNews()
@@ -169,23 +180,27 @@
 
 
 def _take_news(news: GiverNews, own_loads: list[LoadEntry], fleet: Fleet) -> None:
-    if news.held is None:
-        fleet.holdings.unchanged(news.ready_in, news.fence)
-    else:
-        held = {
-            entry.upstream: {
-                name: frozenset(adapters) for name, adapters in entry.adapters_by_model.items()
-            }
-            for entry in news.held
+    held = {
+        entry.upstream: {
+            name: frozenset(adapters) for name, adapters in entry.adapters_by_model.items()
         }
-        fleet.holdings.replace(held, news.ready_in, news.fence)
-    own = {entry.upstream: entry for entry in own_loads}
-    fleet.book.set_others(
-        {entry.upstream: _without(entry, own.get(entry.upstream)) for entry in news.loads}
-    )
+        for entry in news.held
+    }
+    take = fleet.holdings.replace if news.all_held else fleet.holdings.update
+    take(held, news.ready_in, news.fence)
+    if news.loads is not None:
+        own = {entry.upstream: entry for entry in own_loads}
+        fleet.book.set_others(
+            {entry.upstream: _without(entry, own.get(entry.upstream)) for entry in news.loads}
+        )
     fleet.changes.notify()
 
 
+def _standby_seconds(machine: Machine) -> float:
+    small = machine.cores < GIVER_CORES or machine.link_mbps < GIVER_LINK_MBPS
+    return STANDBY_SECONDS if small else 0.0
+
+
 def _without(total: LoadEntry, own: LoadEntry | None) -> Load:
     # The sum may be older than what this instance has told since.
     if own is None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/holdings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/holdings.py
@@ -33,15 +33,15 @@
             self._fence = fence
             self._view = HoldingsView(held, ready_in, time.monotonic())
 
-    def unchanged(self, ready_in: dict[str, float], fence: int) -> None:
-        """Note that the order giver with ``fence`` is there and what is held is as before.
+    def update(self, held: dict[str, Held], ready_in: dict[str, float], fence: int) -> None:
+        """Take what has changed since the view of the same order giver.
 
-        Of another giver than the one that told it, nothing is known yet.
+        Of another giver than the one that told the view, nothing is known yet.
         """
         with self._lock:
             if fence == self._fence:
-                held = self._view.held_by_upstream
-                self._view = HoldingsView(held, ready_in, time.monotonic())
+                known = {**self._view.held_by_upstream, **held}
+                self._view = HoldingsView(known, ready_in, time.monotonic())
 
     @property
     def fresh(self) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/ingress_settings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/ingress_settings.py
@@ -28,6 +28,13 @@
     load_window: float
 
 
+class Machine(NamedTuple):
+    """What the instance may use: cores of the usual speed, and megabits a second."""
+
+    cores: float
+    link_mbps: float
+
+
 class IngressSettings(NamedTuple):
     """Everything that such an instance reads at its start."""
 
@@ -39,6 +46,7 @@
     peer_ports: tuple[int, int]
     store: Endpoint
     bounds: Bounds
+    machine: Machine
     metrics_port: int
     request_threads: int
     log_level: str
@@ -56,6 +64,7 @@
     "stop_grace",
     "load_window",
 )
+_MACHINE = ("processor_share", "processor_speed", "link_mbps")
 _REQUIRED = (
     "instance",
     "failure_domain",
@@ -84,6 +93,12 @@
                 "store": _ADDRESS,
                 "metrics_port": _PORT,
                 "request_threads": {"type": "integer", "minimum": 8, "maximum": 1000},
+                "machine": {
+                    "type": "object",
+                    "required": list(_MACHINE),
+                    "additionalProperties": False,
+                    "properties": dict.fromkeys(_MACHINE, _POSITIVE),
+                },
                 "log_level": {"enum": ["debug", "info", "warning", "error"]},
                 "bounds": {
                     "type": "object",
@@ -99,6 +114,8 @@
 # three times that in a burst, and twice that again when its neighbour is lost.
 DEFAULT_REQUEST_THREADS = 160
 DEFAULT_METRICS_PORT = 9464
+# Without a word, as good as any other.
+UNKNOWN_MACHINE = Machine(cores=1.0, link_mbps=1000.0)
 _MILLISECONDS = 1000.0
 
 
@@ -136,12 +153,19 @@
             stop_grace=bounds["stop_grace"],
             load_window=bounds["load_window"],
         ),
+        machine=_machine(value.get("machine")),
         metrics_port=value.get("metrics_port", DEFAULT_METRICS_PORT),
         request_threads=value.get("request_threads", DEFAULT_REQUEST_THREADS),
         log_level=value.get("log_level", "info"),
     )
 
 
+def _machine(value: dict[str, float] | None) -> Machine:
+    if value is None:
+        return UNKNOWN_MACHINE
+    return Machine(value["processor_share"] * value["processor_speed"], value["link_mbps"])
+
+
 def _endpoint(address: str) -> Endpoint:
     host, _, port = address.rpartition(":")
     return Endpoint(host, int(port))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
@@ -33,11 +33,15 @@
     Orders are given only for ``order_seconds`` after a renewal, less than the
     lease: the next giver's quiet time counts from the end of these, and is
     partly over when it takes the lease.
+
+    ``standby_seconds`` is what this instance leaves to others before it takes a lease
+    that is free.
     """
 
     lease_seconds: float
     order_seconds: float
     quiet_seconds: float
+    standby_seconds: float = 0.0
 
 
 class GiverLease:
@@ -177,13 +181,14 @@
     def _may_take(self) -> bool:
         if self.holds or self._released:
             return False
+        unchanged = self._clock() - self._seen_at
         if self._row_version == ABSENT or self._record is None or self._record.released:
-            return True
+            return unchanged >= self._timing.standby_seconds
         if self._mine(self._record):
             # The lease ended while the store could not be reached, and nobody took it.
             return True
-        unchanged = self._clock() - self._seen_at
-        return unchanged > self._timing.lease_seconds + self._timing.lease_seconds / 4
+        lease, standby = self._timing.lease_seconds, self._timing.standby_seconds
+        return unchanged > lease + lease / 4 + standby
 
     def _mine(self, record: GiverRecord) -> bool:
         return record.start == self._start
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -79,16 +79,19 @@
 class GiverNews(msgspec.Struct, array_like=True):
     """From the order giver to each instance.
 
-    ``held`` is None where it is as in the message before; ``ready_in`` gives seconds
-    by unit that is being loaded. ``loads`` are the sums over all instances, each of
-    which takes off what it has told itself: one entry an upstream for each instance
-    would grow with the square of the deployment. ``instances`` were heard of lately.
+    ``held`` tells all upstreams where ``all_held``, else those whose holdings have
+    changed in the last second; ``ready_in`` gives seconds by unit that is being
+    loaded. ``loads`` are the sums over all instances, each of which takes off what it
+    has told itself: one entry an upstream for each instance would grow with the
+    square of the deployment. They are None in news between the regular ones.
+    ``instances`` were heard of lately.
     """
 
     giver: str
     fence: int
-    held: list[HeldEntry] | None
+    held: list[HeldEntry]
+    all_held: bool
     ready_in: dict[str, float]
-    loads: list[LoadEntry]
+    loads: list[LoadEntry] | None
     instances: int
     store: StoreNews
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/news_due.py
@@ -0,0 +1,85 @@
+"""What the order giver's next news must tell."""
+
+import time
+from collections.abc import Iterable, Mapping
+
+from redwingscale_daemon._internal.fleet.holdings import Held
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.swaps.messages import HeldEntry, StoreNews
+
+# News go out when something changes, and at least this often.
+NEWS_SECONDS = 0.25
+# All that is held is told this often, for instances whose link was lost for a while.
+ALL_HELD_SECONDS = 2.0
+# A change is told again for this long: a message may be lost.
+CHANGE_SECONDS = 1.0
+
+_Apart = tuple[frozenset[str], list[Upstream], list[str], int]
+
+
+class NewsDue:
+    """Remembers what was told, so that news between the regular ones hold changes only.
+
+    What 45 workers hold takes 3 KB and changes thirty times a second, mostly by one
+    adapter: told whole each time to 69 instances, it filled a link of 10 Mbit/s, and
+    requests on that machine waited for seconds.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, HeldEntry] = {}
+        self._changed_at: dict[str, float] = {}
+        self._all_held_at = float("-inf")
+        self._regular_at = float("-inf")
+        self._newcomer = False
+        self._apart: _Apart | None = None
+        self._fresh_change = False
+
+    def newcomer(self) -> None:
+        """Note an instance that knows nothing yet: all that is held is told next."""
+        self._newcomer = True
+
+    def held(self, held_by_upstream: Mapping[str, Held | None]) -> tuple[list[HeldEntry], bool]:
+        """Return the entries to tell, and whether they are all there are."""
+        now = time.monotonic()
+        self._note_changes(held_by_upstream, now)
+        if self._newcomer or now - self._all_held_at > ALL_HELD_SECONDS:
+            self._fresh_change = self._fresh_change or self._newcomer
+            self._newcomer, self._all_held_at = False, now
+            return list(self._entries.values()), True
+        recent = [
+            self._entries[key]
+            for key, at in self._changed_at.items()
+            if now - at < CHANGE_SECONDS and key in self._entries
+        ]
+        return recent, False
+
+    def differ(self, held: list[HeldEntry], loading: Iterable[str], store: StoreNews) -> bool:
+        """Return whether the news tell something that no earlier ones have told."""
+        apart = (frozenset(loading), store.changed, store.gone, store.configuration)
+        changed = self._fresh_change or apart != self._apart
+        self._apart, self._fresh_change = apart, False
+        return changed
+
+    def regular_due(self) -> bool:
+        """Return whether news are due without a change; they hold the loads then."""
+        now = time.monotonic()
+        due = now - self._regular_at >= NEWS_SECONDS
+        if due:
+            self._regular_at = now
+        return due
+
+    def _note_changes(self, held_by_upstream: Mapping[str, Held | None], now: float) -> None:
+        entries = {
+            key: HeldEntry(key, {name: sorted(adapters) for name, adapters in held.items()})
+            for key, held in held_by_upstream.items()
+            if held is not None
+        }
+        changed = [key for key, entry in entries.items() if self._entries.get(key) != entry]
+        if self._entries.keys() - entries.keys():
+            # One whose holdings are unknown now, or that is gone: only all can tell that.
+            self._newcomer = True
+        self._entries = entries
+        self._changed_at = {
+            key: at for key, at in self._changed_at.items() if now - at < CHANGE_SECONDS
+        } | dict.fromkeys(changed, now)
+        self._fresh_change = self._fresh_change or bool(changed)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -21,12 +21,12 @@
 from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling, LoadRate
 from redwingscale_daemon._internal.swaps.messages import (
     GiverNews,
-    HeldEntry,
     InstanceNews,
     LoadEntry,
     StoreNews,
     UseEntry,
 )
+from redwingscale_daemon._internal.swaps.news_due import NEWS_SECONDS, NewsDue
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
 from redwingscale_daemon._internal.swaps.worker_orders import (
@@ -37,15 +37,14 @@
 )
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
-# News go out when something changes, and at least this often.
-NEWS_SECONDS = 0.25
-# What is held is told again this often, for instances that have just come.
-ALL_HELD_SECONDS = 1.0
 # Each plan is followed by a rest of four times its length: callers' requests ask for
 # plans at any rate, and on a machine with half a core the plans of 45 workers had
 # taken all of it from the requests that pass through it.
 REST_FACTOR = 4.0
 LEAST_REST_SECONDS = 0.02
+# News go to every instance: among many, fewer plans send them. Seventy instances
+# with a message each 20 ms are more than a link of 10 Mbit/s carries.
+REST_SECONDS_EACH = 0.0005
 LOADS_FRESH_SECONDS = 1.0
 # Each plan weighs every model at every worker again; what is left waits a quarter
 # of a second.
@@ -64,16 +63,6 @@
     cut_off: set[str]
 
 
-class _Told(NamedTuple):
-    """The news that were sent last, and when all that is held was last in them."""
-
-    at: float
-    held: list[HeldEntry]
-    loading: frozenset[str]
-    all_held_at: float
-    store: StoreNews
-
-
 class OrderGiver:
     """Plans while this instance holds the right to give orders; else does nothing."""
 
@@ -104,8 +93,7 @@
         self._uses: dict[str, tuple[float, list[UseEntry]]] = {}
         self._unreachable: dict[str, tuple[float, frozenset[str]]] = {}
         self._totals = _Totals({}, {}, set())
-        self._told: _Told | None = None
-        self._newcomer = False
+        self._news = NewsDue()
         self._gave_orders = False
 
     def heard(self, news: InstanceNews) -> None:
@@ -115,7 +103,7 @@
         heard_at, _ = self._loads.get(news.instance, (float("-inf"), []))
         if now - heard_at > LOADS_FRESH_SECONDS:
             # One that has just come, or is back, knows nothing of what is held.
-            self._newcomer = True
+            self._news.newcomer()
             self._wake.set()
         self._loads[news.instance] = (now, news.loads)
         self._uses[news.instance] = (now, news.uses)
@@ -142,7 +130,8 @@
         if news is not None:
             self._hub.publish(news)
         took = time.monotonic() - started
-        time.sleep(min(NEWS_SECONDS, max(LEAST_REST_SECONDS, took * REST_FACTOR)))
+        least = LEAST_REST_SECONDS + len(self._loads) * REST_SECONDS_EACH
+        time.sleep(min(NEWS_SECONDS, max(least, took * REST_FACTOR)))
         return news
 
     def _begin(self, fence: int) -> None:
@@ -161,7 +150,7 @@
         """Forget what only the order giver knows; another one may change it."""
         if self._gave_orders:
             self._gave_orders = False
-            self._told = None
+            self._news = NewsDue()
             self._changes = ListChanges()
             log_event("giver_ends")
         for worker in self._workers.values():
@@ -335,46 +324,29 @@
 
     def _tell(self, fence: int) -> GiverNews | None:
         """Return the news, None where they would tell nothing and none are due."""
-        now = time.monotonic()
-        held = [
-            HeldEntry(key, {name: sorted(adapters) for name, adapters in known.items()})
-            for key, worker in self._workers.items()
-            if (known := worker.held()) is not None
-        ]
+        held, all_held = self._news.held(
+            {key: worker.held() for key, worker in self._workers.items()}
+        )
         ready_in = {
             worker.loading: worker.ready_in for worker in self._workers.values() if worker.loading
         }
         store = self._read(*self._changes.of(self._directory.all()))
-        told = self._told
-        newcomer, self._newcomer = self._newcomer, False
-        held_changed = newcomer or told is None or held != told.held
-        changed = (
-            held_changed
-            or told is None
-            or ready_in.keys() != told.loading
-            or _tell_apart(store) != _tell_apart(told.store)
-        )
-        if told is not None and not changed and now - told.at < NEWS_SECONDS:
+        regular = self._news.regular_due()
+        if not self._news.differ(held, ready_in.keys(), store) and not regular:
             return None
-        all_held = held_changed or told is None or now - told.all_held_at > ALL_HELD_SECONDS
-        all_held_at = now if all_held or told is None else told.all_held_at
-        self._told = _Told(now, held, frozenset(ready_in), all_held_at, store)
         loads = [LoadEntry(key, *load) for key, load in self._totals.loads.items()]
         return GiverNews(
             self._right.instance,
             fence,
-            held if all_held else None,
+            held,
+            all_held,
             ready_in,
-            loads,
+            loads if regular else None,
             len(self._loads),
             store,
         )
 
 
-def _tell_apart(store: StoreNews) -> tuple[list[Upstream], list[str], int]:
-    return store.changed, store.gone, store.configuration
-
-
 def _holds(view: WorkerView, unit: Unit) -> bool:
     adapters = view.held.get(unit.model)
     return adapters is not None and (not unit.adapter or unit.adapter in adapters)
