--- a/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
@@ -7,9 +7,9 @@
 import sys
 from concurrent.futures import ThreadPoolExecutor
 
+from redwingscale_standins.hosted.documents import document
 from redwingscale_standins.hosted.model_worker import WorkerTiming
-
-from .conftest import document, until
+from redwingscale_standins.hosted.waiting import until
 
 
 def test_stream_is_served_and_counted(deployment):
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/documents.py
@@ -0,0 +1,48 @@
+"""The operators' configuration as the platform keeps it."""
+
+from typing import Any
+
+HOST = "a.example"
+MODELS = [
+    {
+        "Name": name,
+        "WeightsMb": 70.0,
+        "LoadS": 0.2,
+        "WarmS": 0.1,
+        "DiskS": 0.1,
+        "Adapters": 2,
+        "AdapterMb": 1.0,
+    }
+    for name in ("m1", "m2", "m3", "m4")
+]
+
+
+def document(version: int, prefix: str = "/live/") -> dict[str, Any]:
+    """Return one version: a route of streams, and a service with four models."""
+    engine = {
+        "Slots": 64,
+        "KvCapacity": 100000,
+        "WeightsMb": 150.0,
+        "AdapterSlots": 2,
+        "LoadsPerS": 10.0,
+        "Models": MODELS,
+    }
+    services = [{"Name": "llm", "MaxConns": 100, "Engine": engine}]
+    return {"Version": version, "Routes": [stream_route("live", prefix)], "Services": services}
+
+
+def stream_route(name: str, prefix: str) -> dict[str, Any]:
+    """Return a route of streams that may be resumed."""
+    return {
+        "Name": name,
+        "Host": HOST,
+        "Prefix": prefix,
+        "Kind": "streaming",
+        "TimeoutMs": 20000,
+        "TargetLatencyMs": 3000,
+        "Priority": 1,
+        "Service": "llm",
+        "MaxAttempts": 3,
+        "Resumable": True,
+        "GapTargetMs": 1000,
+    }
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
@@ -0,0 +1,116 @@
+"""One ``redwingscaled`` that is routed by host and path, as a process on loopback."""
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from redwingscale_standins.hosted.documents import HOST
+from redwingscale_standins.hosted.waiting import WAIT_SECONDS, until
+
+
+class InstanceProcess:
+    """Starts at once; ``ports`` are those of callers, readiness and metrics."""
+
+    def __init__(
+        self, name: str, store_port: int, directory: Path, pipe: tuple[int, int] | None = None
+    ) -> None:
+        self.name = name
+        self.settings: dict[str, Any] = {
+            "instance": name,
+            "failure_domain": "z1",
+            "host": "127.0.0.1",
+            "callers": "127.0.0.1:0",
+            "readiness": "127.0.0.1:0",
+            "peer_ports": [0, 0],
+            "store": f"127.0.0.1:{store_port}",
+            "metrics_port": 0,
+            "request_threads": 32,
+            "bounds": {
+                "repeat_ratio": 0.2,
+                "repeat_slack": 100,
+                "repeat_window": 10,
+                "order_quiet_ms": 300,
+                "stop_grace": 12,
+                "load_window": 5,
+            },
+        }
+        self._file = directory / f"{name}.json"
+        self._file.write_text(json.dumps({"ingress": self.settings}))
+        self.log = directory / f"{name}.log"
+        self._pipe = pipe
+        self._stdout: Any = pipe[1] if pipe else self.log.open("ab")
+        self._log_start = 0
+        self.ports: list[int] = []
+        self.start()
+
+    def start(self) -> None:
+        """Start the process, also anew after its end, and wait until its ports are known."""
+        self.ports = []
+        self._log_start = self.log.stat().st_size if self._pipe is None else 0
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "redwingscale_daemon", "--settings", str(self._file)],
+            stdout=self._stdout,
+            stderr=subprocess.STDOUT,
+        )
+        until(self._has_started, f"the start of {self.name}")
+
+    def _has_started(self) -> bool:
+        """Learn the ports from the line of the start; the process takes free ones."""
+        if self._pipe:
+            text = os.read(self._pipe[0], 65536)
+        else:
+            text = self.log.read_bytes()[self._log_start :]
+        line = re.search(rb"event=started .*callers_port=(\d+) probe_ports=(\d+),(\d+)", text)
+        if line is None:
+            assert self.process.poll() is None, f"{self.name} ended: {text[-500:]!r}"
+            return False
+        self.ports = [int(port) for port in line.groups()]
+        return True
+
+    def status(self) -> int | None:
+        """Return the readiness port's status, None without an answer."""
+        try:
+            url = f"http://127.0.0.1:{self.ports[1]}/api/readyz"
+            return urllib3.request("GET", url, retries=False, timeout=2.0).status
+        except (urllib3.exceptions.HTTPError, IndexError):
+            return None
+
+    def metrics(self) -> str:
+        """Return the metrics page."""
+        url = f"http://127.0.0.1:{self.ports[2]}/metrics"
+        return urllib3.request("GET", url, retries=False, timeout=5.0).data.decode()
+
+    def ask(
+        self,
+        model: str = "m1",
+        events: int = 3,
+        path: str = "/live/x",
+        request: str = "r1",
+        timeout: float = 25.0,
+    ) -> tuple[int, list[int]]:
+        """Return status and the numbers of the events of one stream."""
+        headers = {
+            "Host": HOST,
+            "X-Redwingscale-Request-Id": request,
+            "X-Redwingscale-Model-Name": model,
+            "X-Redwingscale-Token-Usage": f"10,{events}",
+        }
+        url = f"http://127.0.0.1:{self.ports[0]}{path}"
+        answer = urllib3.request(
+            "POST", url, body=b"{}", headers=headers, retries=False, timeout=timeout
+        )
+        lines = answer.data.decode().splitlines()
+        return answer.status, [int(one[4:]) for one in lines if one.startswith("id: ")]
+
+    def end(self, number: int = signal.SIGKILL) -> int:
+        """Signal the process if it runs, and return its exit code."""
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+        return self.process.wait(WAIT_SECONDS)
