Add the fault soak: real instances, faults from outside by links and signals, promises checked

Processes of the system run on loopback behind relays that delay, hold, reset, refuse and silence (store and workers), and are stopped, killed, paused and reloaded by signals; the store goes down, workers die, fail, lose answers and leave, configurations change; faults come in series that overlap. Checked: whole own answers, events in order, at most once, 'not run' true, nothing unasked, no answer past its limit, configuration in force and never back, nothing cut by planned work, one order giver, memory, no new work for who leaves, recovery.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -38,6 +38,7 @@
         self.failure: FailedAnswer | None = None
         # When the caller got its last event, monotonic; None before the first one.
         self.last_event_at: float | None = None
+        self.longest_gap_seconds = 0.0
         self._sent_at = 0.0
         self.first_event_seconds: float | None = None
 
@@ -91,6 +92,13 @@
             self.first_event_seconds = seconds
         return seconds
 
+    def delivered(self) -> None:
+        """Note an event that the caller has got, and the pause before it."""
+        now = time.monotonic()
+        if self.last_event_at is not None:
+            self.longest_gap_seconds = max(self.longest_gap_seconds, now - self.last_event_at)
+        self.last_event_at = now
+
     def waited(self) -> float:
         """Return the seconds since the newest sending."""
         return time.monotonic() - self._sent_at
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
@@ -157,6 +157,7 @@
             sendings=attempts.sendings if attempts else "-",
             history=";".join(attempts.history) if attempts else "",
             first_event=_rounded(attempts.first_event_seconds if attempts else None),
+            longest_gap=_rounded(attempts.longest_gap_seconds if attempts else None),
             seconds=round(seconds, 4),
         )
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -1,6 +1,5 @@
 """Brings the streams of model services, across the loss of upstreams."""
 
-import time
 from http.client import HTTPException
 
 from redwingscale_daemon._internal.exceptions import (
@@ -181,7 +180,7 @@
                 call.reply.begin(answering.response.status, headers)
             call.reply.write(event.data)
             progress.delivered(event)
-            call.attempts.last_event_at = time.monotonic()
+            call.attempts.delivered()
         if not call.reply.started:
             call.reply.begin(answering.response.status, headers)
 
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real instances, faults from outside, and checks while it runs."""
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
@@ -0,0 +1,176 @@
+"""A caller of the soak: sends requests on kept connections and judges each answer."""
+
+import contextlib
+import http.client
+import random
+import threading
+import time
+from typing import NamedTuple
+
+from redwingscale_standins.hosted.documents import HOST
+from redwingscale_standins.soak.ledger import Told
+from redwingscale_standins.soak.world import PLAIN_LIMIT_SECONDS, Node, World
+
+STREAM_LIMIT_SECONDS = 8.0
+# Beyond the limit: half a second is promised; the rest is for a busy machine.
+LATE_SECONDS = 3.0
+# A change is in force within two seconds, of instances that nothing disturbs.
+IN_FORCE_SECONDS = 2.5
+LEAVE_SECONDS = 0.15
+LEAVING_PART = 0.05
+PAUSE_SECONDS = 0.03
+_PROMISES = frozenset({408, 421, 429, 503})
+
+
+class _Ask(NamedTuple):
+    """A request, the longest that its answer may take, and whether its caller leaves."""
+
+    id: str
+    kind: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+    limit_seconds: float
+    leaves: bool
+
+
+class Caller(threading.Thread):
+    """Keeps its connection until it is closed, then takes an instance that is ready."""
+
+    def __init__(self, world: World, number: int, seed: int) -> None:
+        super().__init__(name=f"caller-{number}", daemon=True)
+        self._world = world
+        self._number = number
+        self._random = random.Random(seed * 1000 + number)
+        self._connection: http.client.HTTPConnection | None = None
+        self._node = world.nodes[number % len(world.nodes)]
+        self._sent = 0
+        self.stopped = False
+
+    def run(self) -> None:
+        """Send until stopped."""
+        while not self.stopped:
+            self._send(self._next())
+            time.sleep(self._random.random() * PAUSE_SECONDS)
+
+    def _next(self) -> _Ask:
+        self._sent += 1
+        request = f"{self._number:04x}{self._sent:08x}"
+        kind = self._random.choices(["stream", "once", "safe", "newest"], [5, 3, 3, 1])[0]
+        headers = {"Host": HOST, "X-Redwingscale-Request-Id": request}
+        body = self._random.randbytes(self._random.choice([0, 40, 3000]))
+        leaves = self._random.random() < LEAVING_PART
+        if kind == "stream":
+            model = self._random.choices(["m1", "m2", "m3", "m4"], [6, 3, 1, 1])[0]
+            headers["X-Redwingscale-Model-Name"] = model
+            headers["X-Redwingscale-Token-Usage"] = f"10,{self._random.randint(1, 25)}"
+            headers["X-Redwingscale-Deadline-Ms"] = str(int(STREAM_LIMIT_SECONDS * 1000))
+            path, limit = "/live/x", STREAM_LIMIT_SECONDS
+        else:
+            version = self._world.version
+            path = f"/v{version}/x" if kind == "newest" else f"/{kind}/{request}?a=%2F"
+            limit = PLAIN_LIMIT_SECONDS
+        return _Ask(request, kind, path, body, headers, limit, leaves)
+
+    def _send(self, ask: _Ask) -> None:
+        connection = self._connect()
+        if connection is None:
+            time.sleep(0.05)
+            return
+        node, process, sent_at = self._node, self._node.process.process, time.monotonic()
+        status: int | None = None
+        body = b""
+        whole = False
+        try:
+            connection.request("POST", ask.path, body=ask.body, headers=ask.headers)
+            if ask.leaves:
+                time.sleep(LEAVE_SECONDS)
+                self._close()
+            else:
+                response = connection.getresponse()
+                status = response.status
+                body = response.read()
+                whole = True
+                self._check(ask, node, response, body, process.pid)
+        except (OSError, http.client.HTTPException):
+            # A connection that ends is judged by what the workers ran.
+            self._close()
+        ended_at = time.monotonic()
+        if status is not None and not whole and status >= 300:
+            status = None
+        self._check_time(ask, node, ended_at - sent_at)
+        self._world.ledger.ended(
+            Told(
+                ask.id,
+                ask.kind,
+                ask.path,
+                ask.body,
+                node.name,
+                status,
+                sent_at,
+                ended_at,
+                ask.leaves,
+            )
+        )
+
+    def _connect(self) -> http.client.HTTPConnection | None:
+        if self._connection is not None:
+            return self._connection
+        ready = [node for node in self._world.nodes if node.process.ports and not node.stopping]
+        if not ready:
+            return None
+        self._node = self._random.choice(ready)
+        with contextlib.suppress(IndexError):
+            self._connection = http.client.HTTPConnection(
+                "127.0.0.1", self._node.process.ports[0], timeout=STREAM_LIMIT_SECONDS + 8.0
+            )
+        return self._connection
+
+    def _close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _check(
+        self, ask: _Ask, node: Node, response: http.client.HTTPResponse, body: bytes, pid: int
+    ) -> None:
+        if response.will_close:
+            self._close()
+        findings = self._world.ledger.finding
+        place = f"request {ask.id} ({ask.kind}) at {node.name}, pid {pid}"
+        if response.status < 300:
+            seal = response.headers.get("X-Redwingscale-Response-Seal")
+            echoed = response.headers.get("X-Redwingscale-Request-Id")
+            if seal is None or echoed != ask.id:
+                findings("mixed", f"{place}: signature {seal}, id {echoed}")
+            if ask.kind == "stream":
+                self._check_events(ask, body, place)
+            elif body != ask.id.encode() + b":" + ask.body:
+                findings("mixed", f"{place}: {len(body)} bytes that are not its answer")
+        elif response.status == 404 and self._should_know(ask, node):
+            findings("configuration", f"{place}: 404 for {ask.path}")
+        elif response.status in (401, 403) or response.status == 400:
+            findings("denied", f"{place}: {response.status}")
+        if response.status in _PROMISES and not response.headers.get("Retry-After"):
+            findings("refused", f"{place}: {response.status} without Retry-After")
+
+    def _check_events(self, ask: _Ask, body: bytes, place: str) -> None:
+        numbers = [int(line[4:]) for line in body.decode().splitlines() if line[:4] == "id: "]
+        expected = int(ask.headers["X-Redwingscale-Token-Usage"].partition(",")[2])
+        if numbers != list(range(1, expected + 1)):
+            self._world.ledger.finding("order", f"{place}: {numbers} of {expected} events")
+
+    def _should_know(self, ask: _Ask, node: Node) -> bool:
+        now = time.monotonic()
+        if ask.kind != "newest":
+            return True
+        known_for = now - self._world.version_at
+        newest = ask.path == f"/v{self._world.version}/x"
+        calm = now - max(node.disturbed_at, self._world.disturbed_at) > 2 * IN_FORCE_SECONDS
+        return newest and calm and known_for > IN_FORCE_SECONDS
+
+    def _check_time(self, ask: _Ask, node: Node, seconds: float) -> None:
+        calm = time.monotonic() - node.disturbed_at > seconds + 1.0
+        if seconds > ask.limit_seconds + LATE_SECONDS and calm and not ask.leaves:
+            place = f"request {ask.id} ({ask.kind}) at {node.name}"
+            self._world.ledger.finding("time", f"{place}: {seconds:.2f} s")
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/checks.py
@@ -0,0 +1,78 @@
+"""What must hold of all that workers ran and callers were told."""
+
+from collections.abc import Iterator
+from itertools import pairwise
+
+from redwingscale_standins.soak.ledger import Ledger, Run, Told
+from redwingscale_standins.soak.world import Place, World
+
+PROMISES = frozenset({408, 421, 429, 503})
+# New work reaches a leaving worker for two seconds; the rest is for a busy machine.
+LEAVING_SECONDS = 3.0
+# Work ends half a second after its caller has left; a repeat may be under way.
+LEFT_SECONDS = 2.0
+MOST_AFTER_LEAVING = 3
+MOST_CUT = 3
+
+
+def check_requests(world: World) -> None:
+    """Add a finding for each promise to a caller that was broken."""
+    ledger = world.ledger
+    known = ledger.probes | {told.request for told in ledger.told}
+    for request in ledger.runs.keys() - known:
+        if request:
+            ledger.finding("unasked", f"{request} was run and never sent")
+    after_leaving = 0
+    for told in ledger.told:
+        runs = ledger.runs.get(told.request, [])
+        _check_runs(ledger, told, runs)
+        if told.left:
+            after_leaving += sum(run.at > told.ended_at + LEFT_SECONDS for run in runs)
+    if after_leaving > MOST_AFTER_LEAVING:
+        ledger.finding("left", f"{after_leaving} runs began long after their callers had left")
+
+
+def _check_runs(ledger: Ledger, told: Told, runs: list[Run]) -> None:
+    place = f"request {told.request} ({told.kind}) at {told.instance}, status {told.status}"
+    workers = [run.worker for run in runs]
+    if told.kind == "once" and len(runs) > 1:
+        ledger.finding("twice", f"{place} ran at {workers}")
+    if told.status in PROMISES and runs and told.kind == "once":
+        ledger.finding("refused", f"{place} ran at {workers}")
+    for run in runs:
+        if told.kind != "stream" and (run.body != told.body or run.path not in told.path):
+            ledger.finding("unasked", f"{place}: {run.worker} ran {run.path}")
+
+
+def check_cuts(world: World, *, planned_only: bool) -> None:
+    """Add a finding for requests that ended without an answer and may not have."""
+    cut = [
+        told
+        for told in world.ledger.told
+        if told.status is None and not told.left and world.ledger.runs.get(told.request)
+    ]
+    if planned_only and cut:
+        world.ledger.finding("cut", f"by planned work: {[told.request for told in cut]}")
+
+
+def check_orders(world: World, quiet_seconds: float) -> None:
+    """Add a finding where two holders gave orders by turns, or with a lower number."""
+    for orders in world.ledger.orders.values():
+        for before, after in pairwise(orders):
+            place = f"{after.worker}: {before} then {after}"
+            if after.fence < before.fence:
+                world.ledger.finding("order givers", place)
+            if after.holder != before.holder and after.at - before.at < quiet_seconds:
+                world.ledger.finding("order givers", place)
+
+
+def check_leaving(world: World, left: list[Place]) -> None:
+    """Add a finding for each run that a worker began long after it said that it leaves."""
+    for place in left:
+        for run in _runs_of(world, place.worker.id):
+            if run.at > place.left_at + LEAVING_SECONDS:
+                world.ledger.finding("leaving", f"{place.worker.id} began {run.path}")
+
+
+def _runs_of(world: World, worker: str) -> Iterator[Run]:
+    return (run for runs in world.ledger.runs.values() for run in runs if run.worker == worker)
