Reset connections to workers that are given up, so that a cut delivers nothing late

The call was given up and its connection closed; the order stayed in the sender's buffer and reached the worker at 39.88 s, a second after the cut had ended, between two orders of the next giver. A close lets the network deliver what is unsent; a reset drops it. The same holds for requests whose callers have left.

The test was red before, through a relay that holds bytes up and drops them when their sender resets. The test of a caller that leaves takes a reset for the end that it waits for as well.

Ruled out: the lease (both givers were silent for their quiet time).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -1,5 +1,6 @@
 """One connection to an upstream."""
 
+import contextlib
 import io
 import socket
 import time
@@ -11,6 +12,7 @@
 from urllib3.connection import HTTPConnection
 
 from redwingscale_daemon._internal.forwarding.watch import Watch
+from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
 
 # A new connection takes about a millisecond, four across failure domains. One that
 # takes longer has met a dead host or a lost packet, and another upstream is tried.
@@ -172,7 +174,14 @@
         self.idle_since = time.monotonic()
 
     def discard(self) -> None:
-        """Close it; an upstream drops what it runs for it."""
+        """Reset it; an upstream drops what it runs for it.
+
+        Ended in place of reset, a request that a cut holds up would reach the
+        upstream when the cut is over, long after its caller has left.
+        """
+        if self.sock is not None:
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(*RESET_ON_CLOSE)
         if self._watched is not None:
             self._watched.really_close()
         elif self.sock is not None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -5,11 +5,13 @@
 
 import msgspec
 import urllib3
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Order, OrderResult
+from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
 
 CONNECT_SECONDS = 0.5
 # A worker answers in a few milliseconds or, when it means to lose the answer, never.
@@ -29,7 +31,12 @@
 
 
 class OrderClient:
-    """Each call is sent once, on a kept connection."""
+    """Each call is sent once, on a kept connection.
+
+    A connection without an answer is reset, not ended: an order that a cut holds up
+    would else be delivered when the cut ends, seconds after another giver's first
+    one. With a reset the sender's buffer is dropped.
+    """
 
     def __init__(
         self, calls: EngineCalls, on_result: Callable[[OrderResult], None] = lambda _: None
@@ -41,6 +48,7 @@
             maxsize=1,
             retries=False,
             timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS),
+            socket_options=[*HTTPConnection.default_socket_options, RESET_ON_CLOSE],
         )
 
     def report(self, upstream: Upstream) -> EngineReport | None:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
@@ -136,7 +136,10 @@
 
     def waits(connection, received):
         connection.settimeout(3.0)
-        seen.append(connection.recv(1))
+        try:
+            seen.append(connection.recv(1))
+        except ConnectionResetError:
+            seen.append(b"")
         return False
 
     world.add("plain", waits)
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_order_client.py
@@ -0,0 +1,59 @@
+"""Orders over links that hold up what passes them."""
+
+import time
+
+import pytest
+from redwingscale_common.network.server import HttpServer, ServerLimits
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.platform import engine
+from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult
+from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
+from redwingscale_standins.hosted.model_worker import ModelWorker
+from redwingscale_standins.soak.faulty_link import FaultyLink
+
+from .conftest import until, upstream
+
+
+@pytest.fixture
+def stand_in():
+    return ModelWorker("u0", {"a": set()})
+
+
+@pytest.fixture
+def link(stand_in):
+    server = HttpServer(stand_in, "127.0.0.1", 0, ServerLimits(threads=4))
+    server.start()
+    made = FaultyLink(server.port)
+    yield made
+    made.close()
+    server.stop()
+
+
+@pytest.fixture
+def client():
+    return OrderClient(
+        EngineCalls(
+            engine.REPORT_TARGET,
+            engine.ORDER_TARGET,
+            engine.decode_report,
+            engine.encode_order,
+            engine.order_headers,
+            engine.order_result,
+        )
+    )
+
+
+def test_order_that_a_cut_holds_up_is_never_delivered(stand_in, link, client):
+    # The order giver's failure domain is cut off just as it sends an order. Another
+    # instance takes over. When the cut ends, seconds later, the network delivers
+    # what is still in the sender's buffer: an order of the former giver would come
+    # between those of the new one.
+    worker = upstream("u0", "a")._replace(port=link.port)
+    assert client.report(worker) is not None
+    link.hold_to = True
+    order = Order(Load(Unit("b")), 0, "i0", 7)
+    assert client.order(worker, order) is OrderResult.UNKNOWN
+    link.heal()
+    assert until(lambda: client.report(worker) is not None)
+    time.sleep(0.2)
+    assert stand_in.orders == []
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
@@ -90,7 +90,8 @@
     ) -> None:
         try:
             while data := source.recv(CHUNK_BYTES):
-                self._wait(held)
+                if self._wait(held):
+                    _raise_if_reset(source)
                 if generation == self._generation:
                     sink.sendall(data)
             self._wait(held)
@@ -103,11 +104,21 @@
             _reset(source)
             _reset(sink)
 
-    def _wait(self, held: Callable[[], bool]) -> None:
+    def _wait(self, held: Callable[[], bool]) -> bool:
+        """Wait as the faults tell; return whether bytes were held up."""
         if self.delay_seconds:
             time.sleep(self.delay_seconds)
+        was_held = held()
         while held() and not self._closed:
             time.sleep(HOLD_LOOK_SECONDS)
+        return was_held
+
+
+def _raise_if_reset(source: socket.socket) -> None:
+    # Bytes that are held up are in the sender's buffer: a reset there drops them. Here
+    # some may have been read and others not, so the socket's error tells it.
+    if source.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        raise ConnectionResetError("reset while its bytes were held up")
 
 
 def _reset(end: socket.socket) -> None:
