--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -14,7 +14,6 @@
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings, Machine
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowStore
-from redwingscale_daemon._internal.swaps.giver_clock import GiverClock
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord, LeaseTiming
 from redwingscale_daemon._internal.swaps.giver_link import GiverLink
@@ -29,7 +28,6 @@
 from redwingscale_daemon._internal.swaps.needs import Needs
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.order_giver import OrderGiver
-from redwingscale_daemon._internal.swaps.pledges import Pledges
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
@@ -83,7 +81,6 @@
 ) -> Swaps:
     """Return the parts, not started; ``start`` is an id of this process."""
     me = settings.instance
-    pledges = Pledges()
     news_port = settings.peer_ports[0]
     needs_port = news_port + 1 if news_port else 0
     lease = GiverLease(
@@ -96,10 +93,8 @@
             settings.bounds.order_quiet,
             _standby_seconds(settings.machine),
         ),
-        pledged=pledges.complete,
     )
     needs = Needs()
-    giver_clock = GiverClock()
     list_news, route_news = ListNews(fleet.directory), RouteNews()
     # What this instance has told last: the giver's sums hold it.
     told_loads: list[LoadEntry] = []
@@ -109,8 +104,7 @@
         nonlocal most_instances
         most_instances = max(most_instances, news.instances)
         _take_news(news, told_loads, fleet)
-        if news.giver != me:
-            giver_clock.heard(news.clock)
+        if not lease.holds:
             lease.heard(news.store.lease_version)
             list_news.take(news.fence, news.store.changed, news.store.gone, news.store.list_age)
             route_news.take(news.store.configuration, news.store.configuration_age)
@@ -134,31 +128,9 @@
             UseEntry(upstream, unit.model, unit.adapter, requests)
             for (upstream, unit), requests in fleet.book.open_by_unit().items()
         ]
-        store_lost, answered = reads.upstreams.lost, giver_clock.newest()
-        if store_lost and answered is not None:
-            lease.pledge(answered.heard_at)
-        return InstanceNews(
-            me,
-            needs.drain(),
-            loads,
-            uses,
-            fleet.health.all_unreachable(),
-            store_lost,
-            answered.clock if answered else 0.0,
-        )
+        return InstanceNews(me, needs.drain(), loads, uses, fleet.health.all_unreachable())
 
-    def on_instance_news(news: InstanceNews) -> None:
-        if news.instance != me:
-            pledges.heard(news.instance, news.answers, news.store_lost)
-        giver.heard(news)
-
-    right = GiverRight(
-        me,
-        lease.fence,
-        lambda: lease.succeeds_another,
-        settings.bounds.order_quiet,
-        lambda: lease.lingers,
-    )
+    right = GiverRight(me, lease.fence, lambda: lease.succeeds_another, settings.bounds.order_quiet)
     calls = EngineCalls(
         engine.REPORT_TARGET,
         engine.ORDER_TARGET,
@@ -168,7 +140,7 @@
         engine.order_result,
     )
     bounds = settings.bounds
-    hub = GiverHub(settings.host, news_port, needs_port, on_instance_news)
+    hub = GiverHub(settings.host, news_port, needs_port, lambda news: giver.heard(news))
     giver = OrderGiver(
         right,
         routes,
@@ -183,7 +155,7 @@
 
     def follow_lease() -> None:
         # The giver's news tell that it is there: its row is read only without them.
-        if lease.gives or lease.stale or not fleet.holdings.fresh or lease.record is None:
+        if lease.holds or not fleet.holdings.fresh or lease.record is None:
             lease.step()
 
     def give() -> None:
@@ -201,7 +173,7 @@
         ),
         release=lease.release,
         instances=lambda: most_instances,
-        gives=lambda: lease.gives,
+        gives=lambda: lease.holds,
         list_news=list_news,
         route_news=route_news,
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_lease.py
@@ -1,6 +1,7 @@
 """Which instance gives orders."""
 
 import math
+import threading
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -10,17 +11,9 @@
 from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
 from redwingscale_daemon._internal.store.rows import RowKey, RowStore, StoredRow
-from redwingscale_daemon._internal.swaps.pledges import PLEDGE_SECONDS
 
 LEASE_ROW = RowKey("redwingscale", "", "order-giver")
 ABSENT = 0
-# Outages of the store last up to some ten seconds; after longer ones what was known
-# of the workers is read anew.
-LINGER_SECONDS = 15.0
-# When the store is back, whoever asks first would take the lease of a giver that goes
-# on by pledges, and nobody would give orders for the quiet time. Its next renewal
-# comes within half a second, or one that gets no answer later.
-RENEWAL_SECONDS = 1.5
 
 
 class GiverRecord(msgspec.Struct):
@@ -71,19 +64,13 @@
         describe: Callable[[], GiverRecord],
         timing: LeaseTiming,
         clock: Clock = lease_clock,
-        pledged: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._start = start
         self._describe = describe
         self._timing = timing
         self._clock = clock
-        # Whether all other instances have pledged to leave the lease alone.
-        self._pledged = pledged
-        # Whether this process has held the lease and not seen another one take it.
-        self._held = False
-        # Until when the holder may send orders by a pledge of this instance.
-        self._pledged_until = -math.inf
+        self._lock = threading.Lock()
         self._row_version = ABSENT
         self._seen_at = clock()
         # The newest version that the holder's news have told, and when first.
@@ -104,25 +91,6 @@
         """Whether this instance is the order giver now."""
         return self._clock() < self._valid_until
 
-    @property
-    def gives(self) -> bool:
-        """Whether this instance is the order giver, by its lease or by pledges."""
-        return self.holds or self._extended()
-
-    @property
-    def lingers(self) -> bool:
-        """Whether this process was the order giver until lately, as far as it knows.
-
-        It gives no orders, but what it knows of the workers is still the newest:
-        told on, it lets the others answer, and pledge, until the store is back.
-        """
-        return self._held and self._clock() < self._valid_until + LINGER_SECONDS
-
-    @property
-    def stale(self) -> bool:
-        """Whether the holder's news have told no renewal for longer than it gives orders."""
-        return self._clock() - self._heard[1] > self._timing.order_seconds
-
     @property
     def succeeds_another(self) -> bool:
         """Whether another process gave the orders before."""
@@ -134,32 +102,16 @@
         To be asked right before each order: a frozen process wakes up anywhere.
         """
         now = self._clock()
-        if now < self._silent_until:
+        orders_until = self._valid_until - self._timing.lease_seconds + self._timing.order_seconds
+        if now >= orders_until or now < self._silent_until:
             return None
-        return self._fence if self._within_lease(now) or self._extended() else None
+        return self._fence
 
     @property
     def row_version(self) -> int:
         """The row's version as last read or written here."""
         return self._row_version
 
-    def _within_lease(self, now: float) -> bool:
-        started = self._valid_until - self._timing.lease_seconds
-        return now < started + self._timing.order_seconds
-
-    def _extended(self) -> bool:
-        # Only for a holder whose renewals got no answer: one that was replaced, or
-        # has released the lease, has no right that pledges could extend.
-        return self._held and not self._released and self._pledged()
-
-    def pledge(self, answered_at: float) -> None:
-        """Let the holder go on for a while after its news that came at ``answered_at``.
-
-        It counts from when it sent them, which was before: its last order is gone by
-        the end of the time that is noted here.
-        """
-        self._pledged_until = answered_at + PLEDGE_SECONDS
-
     def heard(self, row_version: int) -> None:
         """Note the version of its newest renewal, as the holder's news tell it.
 
@@ -182,7 +134,6 @@
     def release(self) -> None:
         """Let another instance take over without waiting; take nothing any more."""
         self._released = True
-        self._held = False
         if not self.holds:
             return
         self._valid_until = -math.inf
@@ -208,7 +159,6 @@
         self._read()
         if self._record is None or not self._mine(self._record):
             self._valid_until = -math.inf
-            self._held = False
             log_event("giver_lost", level="WARNING", fence=self._fence, reason="row was taken")
 
     def _read(self) -> None:
@@ -227,8 +177,6 @@
         if record != self._record:
             log_event("giver_seen", giver=record.instance if record else None, row_version=version)
         self._record = record
-        if record is None or not self._mine(record):
-            self._held = False
 
     def _may_take(self) -> bool:
         if self.holds or self._released:
@@ -239,8 +187,6 @@
         if self._mine(self._record):
             # The lease ended while the store could not be reached, and nobody took it.
             return True
-        if self._clock() < self._pledged_until + RENEWAL_SECONDS:
-            return False
         lease, standby = self._timing.lease_seconds, self._timing.standby_seconds
         return unchanged > lease + lease / 4 + standby
 
@@ -258,7 +204,6 @@
         self._row_version = written
         self._record = self._describe()
         self._fence = written
-        self._held = True
         self._valid_until = started + self._timing.lease_seconds
         orders_in = max(0.0, self._silent_until - self._clock())
         log_event("giver_taken", fence=written, orders_in=round(orders_in, 3))
@@ -269,7 +214,7 @@
             return -math.inf
         # One that has released the lease had sent its last order before.
         after = 0.0 if self._record.released else self._timing.order_seconds
-        last_order = max(self._seen_at + after, self._pledged_until)
+        last_order = self._seen_at + after
         return last_order + self._timing.quiet_seconds
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_link.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_link.py
@@ -119,7 +119,7 @@
             self._wake.wait(NEWS_SECONDS)
             self._wake.clear()
             news = self._make()
-            if self._lease.gives or self._lease.lingers:
+            if self._lease.holds:
                 self._to_self(news)
                 continue
             sockets = self._sockets
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -43,8 +43,6 @@
     """From each instance to the order giver.
 
     ``unreachable`` upstreams have taken no connection of this instance lately.
-    ``store_lost`` tells that the store does not answer it; ``answers`` is the
-    ``clock`` of the newest news that it has from the giver, 0 for none lately.
     """
 
     instance: str
@@ -52,8 +50,6 @@
     loads: list[LoadEntry]
     uses: list[UseEntry]
     unreachable: list[str]
-    store_lost: bool = False
-    answers: float = 0.0
 
 
 class HeldEntry(msgspec.Struct, array_like=True):
@@ -66,7 +62,8 @@
 class StoreNews(msgspec.Struct, array_like=True):
     """What the order giver has read from the store, so that the others need not.
 
-    ``lease_version`` is the row version of its newest renewal. Of the list of upstreams it tells what has ``changed`` or ``gone`` in the last seconds, read
+    ``lease_version`` is the row version of its newest renewal. Of the list of
+    upstreams it tells what has ``changed`` or ``gone`` in the last seconds, read
     ``list_age`` seconds ago; of the configuration the version in force, confirmed
     ``configuration_age`` seconds ago.
     """
@@ -87,7 +84,7 @@
     loaded. ``loads`` are the sums over all instances, each of which takes off what it
     has told itself: one entry an upstream for each instance would grow with the
     square of the deployment. They are None in news between the regular ones.
-    ``instances`` were heard of lately. ``clock`` is the giver's own, to be sent back.
+    ``instances`` were heard of lately.
     """
 
     giver: str
@@ -98,4 +95,3 @@
     loads: list[LoadEntry] | None
     instances: int
     store: StoreNews
-    clock: float
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -12,7 +12,6 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
-from redwingscale_daemon._internal.leases.clock import lease_clock
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
 from redwingscale_daemon._internal.swaps.adapter_choice import adapter_worker
@@ -96,7 +95,6 @@
         self._totals = _Totals({}, {}, set())
         self._news = NewsDue()
         self._gave_orders = False
-        self._fence = 0
 
     def heard(self, news: InstanceNews) -> None:
         """Take an instance's news; called by the threads that receive them."""
@@ -118,13 +116,17 @@
         self._wake.wait(NEWS_SECONDS)
         self._wake.clear()
         fence = self._right.fence()
-        if fence is None and not (self._gave_orders and self._right.lingers()):
+        if fence is None:
             self._lay_down()
             return None
+        if not self._gave_orders:
+            self._gave_orders = True
+            self._begin(fence)
         started = time.monotonic()
-        if fence is not None:
-            self._plan_with(fence)
-        news = self._tell(self._fence)
+        self._totals = _Totals(self._total_loads(), self._total_uses(), self._cut_off())
+        self._follow_list()
+        self._plan()
+        news = self._tell(fence)
         if news is not None:
             self._hub.publish(news)
         took = time.monotonic() - started
@@ -132,15 +134,6 @@
         time.sleep(min(NEWS_SECONDS, max(least, took * REST_FACTOR)))
         return news
 
-    def _plan_with(self, fence: int) -> None:
-        self._fence = fence
-        if not self._gave_orders:
-            self._gave_orders = True
-            self._begin(fence)
-        self._totals = _Totals(self._total_loads(), self._total_uses(), self._cut_off())
-        self._follow_list()
-        self._plan()
-
     def _begin(self, fence: int) -> None:
         log_event("giver_begins", fence=fence)
         table = self._routes.get()
@@ -351,7 +344,6 @@
             loads if regular else None,
             len(self._loads),
             store,
-            lease_clock(),
         )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -57,15 +57,13 @@
 
     ``fence`` returns the number to use now, None without the right. Where another
     process gave the orders before, ``succeeds_another`` tells so, and its last
-    order is ``quiet_seconds`` old when the first one is given here. ``lingers`` tells
-    that the right has only lapsed, and may come back.
+    order is ``quiet_seconds`` old when the first one is given here.
     """
 
     instance: str
     fence: Callable[[], int | None]
     succeeds_another: Callable[[], bool] = lambda: False
     quiet_seconds: float = 0.0
-    lingers: Callable[[], bool] = lambda: False
 
 
 class WorkerOrders:
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_giver_lease.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_giver_lease.py
@@ -4,7 +4,6 @@
 import pytest
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord, LeaseTiming
-from redwingscale_daemon._internal.swaps.pledges import PLEDGE_SECONDS, Pledges
 
 TIMING = LeaseTiming(lease_seconds=2.0, order_seconds=1.2, quiet_seconds=3.0)
 
@@ -24,9 +23,9 @@
 
 @pytest.fixture
 def make_lease(store, clock):
-    def make(name, start="1", timing=TIMING, pledged=lambda: False):
+    def make(name, start="1", timing=TIMING):
         record = GiverRecord(name, "127.0.0.1", 1, 2, f"{name}-{start}")
-        return GiverLease(store, record.start, lambda: record, timing, clock, pledged)
+        return GiverLease(store, record.start, lambda: record, timing, clock)
 
     return make
 
@@ -250,120 +249,3 @@
     clock.now += 0.8
     small.step()
     assert small.holds
-
-
-def step_without_store(lease):
-    with pytest.raises(PlatformUnavailable):
-        lease.step()
-
-
-def test_giver_goes_on_while_all_others_have_lost_the_store(make_lease, clock, store):
-    # The store is away for eight seconds, and demand moves meanwhile: without orders
-    # the models that are asked for now would be nowhere until it is back.
-    pledged = [True]
-    lease = make_lease("a", pledged=lambda: pledged[0])
-    lease.step()
-    store.fail = PlatformUnavailable("down")
-    for _ in range(16):
-        clock.now += 0.5
-        step_without_store(lease)
-        assert lease.fence() == 1
-    pledged[0] = False
-    assert lease.fence() is None
-    assert not lease.gives
-
-
-def test_pledges_are_no_right_for_an_instance_that_never_gave_orders(make_lease, store):
-    other = make_lease("b", pledged=lambda: True)
-    store.fail = PlatformUnavailable("down")
-    step_without_store(other)
-    assert other.fence() is None
-
-
-def test_pledges_do_not_outlast_the_loss_of_the_row(make_lease, clock):
-    # The giver was cut off from the store and another instance took the lease; then
-    # the store goes away for all. Pledges for the new giver are none for the old one.
-    first, second = make_lease("a", pledged=lambda: True), make_lease("b")
-    first.step()
-    second.step()
-    clock.now += 3.0
-    second.step()
-    first.step()
-    assert second.holds
-    assert first.fence() is None
-
-
-def test_who_has_pledged_gives_no_order_close_to_the_last_one_of_the_giver(
-    make_lease, clock, store
-):
-    # The store is back for one instance only, and its link to the giver has gone
-    # silent just before: the giver may send orders until its pledge is too old.
-    first, second = make_lease("a"), make_lease("b")
-    first.step()
-    second.step()
-    store.fail = PlatformUnavailable("down")
-    clock.now += 6.0
-    step_without_store(second)
-    second.pledge(clock.now)
-    last_order_of_first = clock.now + PLEDGE_SECONDS
-    store.fail = None
-    while second.fence() is None:
-        clock.now += 0.1
-        second.step()
-    assert clock.now - last_order_of_first >= TIMING.quiet_seconds - 0.001
-
-
-@pytest.fixture
-def pledges(clock):
-    return Pledges(clock)
-
-
-def test_all_that_are_known_must_have_pledged(pledges, clock):
-    assert not pledges.complete()
-    pledges.heard("b", clock.now, True)
-    pledges.heard("c", clock.now, True)
-    assert pledges.complete()
-    pledges.heard("c", clock.now, False)
-    assert not pledges.complete()
-
-
-def test_instance_that_is_silent_ends_the_right(pledges, clock):
-    pledges.heard("b", clock.now, True)
-    pledges.heard("c", clock.now, True)
-    for _ in range(10):
-        clock.now += 0.25
-        pledges.heard("b", clock.now, True)
-    assert not pledges.complete()
-
-
-def test_word_that_waited_while_the_giver_stood_still_is_as_old_as_it_is(pledges, clock):
-    # The giver's machine is frozen for five seconds, and another instance takes over.
-    # When it wakes it first reads what had come before: pledges that were true then.
-    answers = clock.now
-    clock.now += 5.0
-    pledges.heard("b", answers, True)
-    assert not pledges.complete()
-
-
-def test_giver_renews_first_when_the_store_is_back(make_lease, clock, store):
-    # The giver has gone on by pledges for eight seconds. The others' first read after
-    # the outage finds a row that nobody has renewed for as long: taken then, nobody
-    # would give orders for the quiet time.
-    first, second = make_lease("a", pledged=lambda: True), make_lease("b")
-    first.step()
-    second.step()
-    store.fail = PlatformUnavailable("down")
-    clock.now += 8.0
-    second.pledge(clock.now)
-    store.fail = None
-    second.step()
-    assert not second.holds
-    clock.now += 0.5
-    first.step()
-    assert first.holds
-    assert first.fence() is not None
-    clock.now += 3.5
-    second.step()
-    clock.now += 2.6
-    second.step()
-    assert second.holds
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_giver_news.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_giver_news.py
@@ -87,7 +87,7 @@
     own = [LoadEntry("u0", 3, 200)]
     fleet.book.enter("u0", None, 0)
     _take_news(
-        GiverNews("g", 1, [], True, {}, [LoadEntry("u0", 5, 900)], 2, NOTHING_READ, 0.0), own, fleet
+        GiverNews("g", 1, [], True, {}, [LoadEntry("u0", 5, 900)], 2, NOTHING_READ), own, fleet
     )
     assert fleet.book.total("u0") == Load(3, 700)
 
@@ -97,11 +97,11 @@
     # giver's view, and models have moved since.
     fleet = new_fleet()
     held = [HeldEntry("u0", {"a": []})]
-    _take_news(GiverNews("g", 1, held, True, {}, [], 1, NOTHING_READ, 0.0), [], fleet)
+    _take_news(GiverNews("g", 1, held, True, {}, [], 1, NOTHING_READ), [], fleet)
     before = fleet.holdings._view
-    _take_news(GiverNews("h", 2, [], False, {}, None, 1, NOTHING_READ, 0.0), [], fleet)
+    _take_news(GiverNews("h", 2, [], False, {}, None, 1, NOTHING_READ), [], fleet)
     assert fleet.holdings._view is before
-    _take_news(GiverNews("g", 1, [], False, {}, None, 1, NOTHING_READ, 0.0), [], fleet)
+    _take_news(GiverNews("g", 1, [], False, {}, None, 1, NOTHING_READ), [], fleet)
     assert fleet.holdings.held("u0") == {"a": frozenset()}
     assert fleet.holdings._view is not before
 
@@ -136,8 +136,8 @@
 def test_changes_are_merged_into_the_view():
     fleet = new_fleet()
     both = [HeldEntry("u0", {"a": []}), HeldEntry("u1", {"b": []})]
-    _take_news(GiverNews("g", 1, both, True, {}, [], 1, NOTHING_READ, 0.0), [], fleet)
+    _take_news(GiverNews("g", 1, both, True, {}, [], 1, NOTHING_READ), [], fleet)
     one = [HeldEntry("u1", {"b": ["x"]})]
-    _take_news(GiverNews("g", 1, one, False, {}, None, 1, NOTHING_READ, 0.0), [], fleet)
+    _take_news(GiverNews("g", 1, one, False, {}, None, 1, NOTHING_READ), [], fleet)
     assert fleet.holdings.held("u0") == {"a": frozenset()}
     assert fleet.holdings.held("u1") == {"b": frozenset({"x"})}
