--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -61,7 +61,15 @@
 
     def _begin(self, what: str, fault: Callable[[], None]) -> None:
         self.log.append(f"{time.monotonic():.2f} {what}")
-        thread = threading.Thread(target=fault, name=what, daemon=True)
+
+        def guarded() -> None:
+            try:
+                fault()
+            except Exception as error:
+                # An instance that does not stop or start is a finding, not the soak's end.
+                self._world.ledger.finding("fault", f"{what}: {error!r}")
+
+        thread = threading.Thread(target=guarded, name=what, daemon=True)
         self._threads.append(thread)
         thread.start()
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -87,9 +87,17 @@
             self.add_worker(MODEL_SERVICE, held)
         for _ in range(PLAIN_WORKERS):
             self.add_worker(PLAIN_SERVICE, set())
-        self.nodes = [
-            Node(f"n{number}", self._store.port, directory) for number in range(instances)
-        ]
+        self.nodes: list[Node] = []
+        try:
+            self._start_nodes(instances)
+        except BaseException:
+            # What has started must not be left behind.
+            self.stop()
+            raise
+
+    def _start_nodes(self, instances: int) -> None:
+        for number in range(instances):
+            self.nodes.append(Node(f"n{number}", self._store.port, self._directory))
         for node in self.nodes:
             node.until_ready()
 
