--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
@@ -1,6 +1,7 @@
 """Decides which model to load where, and what makes room for it."""
 
 from collections.abc import Callable, Iterable, Sequence
+from heapq import nlargest
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule
@@ -29,6 +30,8 @@
 # one. After some 15 seconds it comes in, at the cost of a model that rests.
 MISSING_SECOND = 0.2
 MOST_OVERDUE = 6.0
+# Each plan weighs each wish at each worker; one of the best is enough for one swap.
+MOST_COVERAGE_WISHES = 24
 
 
 class Swap(NamedTuple):
@@ -142,23 +145,25 @@
             value *= AT_HAND_PART if name in at_hand else 1.0
             return _Wish(rule, lambda _: value, spare_only=True)
 
-        return [
+        wishes = [
             wish(name, rule)
             for name, rule in self._engine.models_by_name.items()
             if name not in evictions.holders
         ]
+        return nlargest(MOST_COVERAGE_WISHES, wishes, key=lambda one: one.gain(0.0))
 
     def _relief_wishes(self, evictions: Evictions, views: Sequence[WorkerView]) -> list[_Wish]:
         def wish(name: str) -> _Wish:
             value = self._relief_gain(name, evictions.holders[name], views)
             return _Wish(self._engine.models_by_name[name], lambda _: value, calm_only=True)
 
-        return [
+        loading = {view.loading for view in views}
+        wishes = [
             wish(name)
             for name in evictions.holders
-            if name in self._engine.models_by_name
-            and not any(view.loading == name for view in views)
+            if name in self._engine.models_by_name and name not in loading
         ]
+        return [one for one in wishes if one.gain(0.0) > 0]
 
     def _relief_gain(self, name: str, holders: int, views: Sequence[WorkerView]) -> float:
         expected = self._expected(name)
