--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
@@ -0,0 +1,84 @@
+"""What all instances have told the order giver of upstreams, summed up."""
+
+import time
+from collections import Counter, defaultdict
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.load_book import NO_LOAD, Load
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.swaps.messages import InstanceNews
+
+# Instances tell four times a second; one that has been silent for longer counts for
+# nothing until it is heard of again.
+FRESH_SECONDS = 1.0
+
+
+class Totals(NamedTuple):
+    """Loads and open requests by unit, by upstream id, over all instances.
+
+    ``cut_off`` upstreams cannot be reached by most instances.
+    """
+
+    loads: dict[str, Load]
+    uses: dict[str, dict[Unit, int]]
+    cut_off: set[str]
+
+
+NO_TOTALS = Totals({}, {}, set())
+
+
+class _Told(NamedTuple):
+    at: float
+    news: InstanceNews
+
+
+class InstanceTotals:
+    """Keeps each instance's newest news."""
+
+    def __init__(self) -> None:
+        self._told_by_instance: dict[str, _Told] = {}
+
+    def __len__(self) -> int:
+        return len(self._told_by_instance)
+
+    def heard(self, news: InstanceNews) -> bool:
+        """Take an instance's news; return whether it has just come, or come back."""
+        now = time.monotonic()
+        before = self._told_by_instance.get(news.instance)
+        self._told_by_instance[news.instance] = _Told(now, news)
+        return before is None or now - before.at > FRESH_SECONDS
+
+    def sum(self) -> Totals:
+        """Return the totals of the instances that were heard of lately."""
+        since = time.monotonic() - FRESH_SECONDS
+        told = list(self._told_by_instance.values())
+        fresh = [one.news for one in told if one.at > since]
+        return Totals(_loads(fresh), _uses(fresh), _cut_off(fresh))
+
+
+def _loads(fresh: list[InstanceNews]) -> dict[str, Load]:
+    totals: dict[str, Load] = defaultdict(lambda: NO_LOAD)
+    for entry in (entry for news in fresh for entry in news.loads):
+        total = totals[entry.upstream]
+        totals[entry.upstream] = Load(
+            total.requests + entry.requests, total.prompt_tokens + entry.prompt_tokens
+        )
+    return totals
+
+
+def _uses(fresh: list[InstanceNews]) -> dict[str, dict[Unit, int]]:
+    totals: dict[str, dict[Unit, int]] = defaultdict(Counter)
+    for entry in (entry for news in fresh for entry in news.uses):
+        totals[entry.upstream][Unit(entry.model, entry.adapter)] += entry.requests
+    return totals
+
+
+def _cut_off(fresh: list[InstanceNews]) -> set[str]:
+    """Return the upstreams that more than half of the instances cannot reach.
+
+    What they hold counts for nothing until they are back: after a partition or a
+    crash their entries in the list last for seconds, and what only they hold would
+    be missed by all.
+    """
+    counts = Counter(key for news in fresh for key in set(news.unreachable))
+    return {key for key, count in counts.items() if count * 2 > len(fresh)}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -4,7 +4,6 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
@@ -17,6 +16,7 @@
 from redwingscale_daemon._internal.swaps.adapter_choice import adapter_worker
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
+from redwingscale_daemon._internal.swaps.instance_totals import NO_TOTALS, InstanceTotals
 from redwingscale_daemon._internal.swaps.list_changes import ListChanges
 from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling, LoadRate
 from redwingscale_daemon._internal.swaps.messages import (
@@ -24,7 +24,6 @@
     InstanceNews,
     LoadEntry,
     StoreNews,
-    UseEntry,
 )
 from redwingscale_daemon._internal.swaps.news_due import NEWS_SECONDS, NewsDue
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
@@ -45,24 +44,11 @@
 # News go to every instance: among many, fewer plans send them. Seventy instances
 # with a message each 20 ms are more than a link of 10 Mbit/s carries.
 REST_SECONDS_EACH = 0.0005
-LOADS_FRESH_SECONDS = 1.0
 # Each plan weighs every model at every worker again; what is left waits a quarter
 # of a second.
 MOST_SWAPS_A_STEP = 4
 
 
-class _Totals(NamedTuple):
-    """What all instances have told of upstreams, summed up once for each plan.
-
-    ``loads`` and ``uses`` (open requests by unit) are by upstream id; ``cut_off``
-    upstreams cannot be reached by most instances.
-    """
-
-    loads: dict[str, Load]
-    uses: dict[str, dict[Unit, int]]
-    cut_off: set[str]
-
-
 class OrderGiver:
     """Plans while this instance holds the right to give orders; else does nothing."""
 
@@ -89,25 +75,18 @@
         self._rate = LoadRate()
         self._wake = threading.Event()
         self._workers: dict[str, WorkerOrders] = {}
-        self._loads: dict[str, tuple[float, list[LoadEntry]]] = {}
-        self._uses: dict[str, tuple[float, list[UseEntry]]] = {}
-        self._unreachable: dict[str, tuple[float, frozenset[str]]] = {}
-        self._totals = _Totals({}, {}, set())
+        self._instances = InstanceTotals()
+        self._totals = NO_TOTALS
         self._news = NewsDue()
         self._gave_orders = False
 
     def heard(self, news: InstanceNews) -> None:
         """Take an instance's news; called by the threads that receive them."""
         self._demand.heard(news)
-        now = time.monotonic()
-        heard_at, _ = self._loads.get(news.instance, (float("-inf"), []))
-        if now - heard_at > LOADS_FRESH_SECONDS:
-            # One that has just come, or is back, knows nothing of what is held.
+        if self._instances.heard(news):
+            # It knows nothing of what is held.
             self._news.newcomer()
             self._wake.set()
-        self._loads[news.instance] = (now, news.loads)
-        self._uses[news.instance] = (now, news.uses)
-        self._unreachable[news.instance] = (now, frozenset(news.unreachable))
         if any(need.waiting for need in news.needs):
             self._wake.set()
 
@@ -123,14 +102,14 @@
             self._gave_orders = True
             self._begin(fence)
         started = time.monotonic()
-        self._totals = _Totals(self._total_loads(), self._total_uses(), self._cut_off())
+        self._totals = self._instances.sum()
         self._follow_list()
         self._plan()
         news = self._tell(fence)
         if news is not None:
             self._hub.publish(news)
         took = time.monotonic() - started
-        least = LEAST_REST_SECONDS + len(self._loads) * REST_SECONDS_EACH
+        least = LEAST_REST_SECONDS + len(self._instances) * REST_SECONDS_EACH
         time.sleep(min(NEWS_SECONDS, max(least, took * REST_FACTOR)))
         return news
 
@@ -287,41 +266,6 @@
             )
         return views
 
-    def _cut_off(self) -> set[str]:
-        """Return the upstreams that more than half of the instances cannot reach.
-
-        What they hold counts for nothing until they are back: after a partition
-        or a crash their entries in the list last for seconds, and what only they
-        hold would be missed by all.
-        """
-        since = time.monotonic() - LOADS_FRESH_SECONDS
-        fresh = [ids for at, ids in list(self._unreachable.values()) if at > since]
-        counts = Counter(key for ids in fresh for key in ids)
-        return {key for key, count in counts.items() if count * 2 > len(fresh)}
-
-    def _total_uses(self) -> dict[str, dict[Unit, int]]:
-        totals: dict[str, dict[Unit, int]] = defaultdict(Counter)
-        since = time.monotonic() - LOADS_FRESH_SECONDS
-        for heard_at, entries in list(self._uses.values()):
-            for entry in entries if heard_at > since else ():
-                unit = Unit(entry.model, entry.adapter)
-                totals[entry.upstream][unit] += entry.requests
-        return totals
-
-    def _total_loads(self) -> dict[str, Load]:
-        totals: dict[str, Load] = defaultdict(lambda: Load(0, 0))
-        for entries in self._fresh_loads().values():
-            for entry in entries:
-                total = totals[entry.upstream]
-                totals[entry.upstream] = Load(
-                    total.requests + entry.requests, total.prompt_tokens + entry.prompt_tokens
-                )
-        return totals
-
-    def _fresh_loads(self) -> dict[str, list[LoadEntry]]:
-        since = time.monotonic() - LOADS_FRESH_SECONDS
-        return {key: entries for key, (at, entries) in list(self._loads.items()) if at > since}
-
     def _tell(self, fence: int) -> GiverNews | None:
         """Return the news, None where they would tell nothing and none are due."""
         held, all_held = self._news.held(
@@ -342,7 +286,7 @@
             all_held,
             ready_in,
             loads if regular else None,
-            len(self._loads),
+            len(self._instances),
             store,
         )
 
