A start of a worker is an upstream of its own; entries of other writers name none

An unknown state counted as ready, one entry that was not base64 made the whole list unreadable, and the ledger, the kept prompts, failures, pace and connections were keyed by that id.

Change: the id inside is the platform's name with the start, made in one place (platform/discovery.py), so that all that is kept by it goes with the former start. Of two entries of one name the one with the higher row version counts: lists may be read from behind, and clocks jump. A report of another start voids the ledger until the list tells. A load without an answer keeps its room across a rebirth until its number has passed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -1,7 +1,7 @@
 """Keeps the directory as the store lists the upstreams."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from redwingscale_common.utils.logs import log_event
@@ -16,7 +16,8 @@
 # of its return: until then a missing one says nothing.
 LAPSED_BACK_SECONDS = 2.0
 
-Decode = Callable[[str, bytes], Upstream]
+# From the name of the entry, its row version and its value.
+Decode = Callable[[str, int, bytes], Upstream]
 
 
 class ListFollower:
@@ -38,6 +39,8 @@
         self._state = state
         # Whether the giver's news stand in for a read, by the time of the last one.
         self._needless = needless
+        # What was wrong with entries that name no upstream, by their name.
+        self._faults_by_name: dict[str, str] = {}
 
     def step(self) -> None:
         """Read the list once, unless the order giver tells it.
@@ -53,6 +56,7 @@
             return
         self._state.answered()
         listed = [upstream for row in rows if (upstream := self._upstream(row))]
+        self._forget_faults(row.key.key for row in rows)
         self._directory.replace([*listed, *self._lapsed(listed)])
 
     def _lapsed(self, listed: list[Upstream]) -> list[Upstream]:
@@ -63,8 +67,23 @@
         return [upstream for upstream in self._directory.all() if upstream.id not in ids]
 
     def _upstream(self, row: StoredRow) -> Upstream | None:
+        """Return the upstream that an entry names, None where it names none to use.
+
+        Anybody may write to the list: one entry that can't be read says nothing about
+        the others. It is logged once, not at each read.
+        """
+        name = row.key.key
         try:
-            return self._decode(row.key.key, row.value or b"")
+            upstream = self._decode(name, row.version, row.value or b"")
         except msgspec.DecodeError as error:
-            log_event("upstream_invalid", level="WARNING", upstream=row.key.key, error=error)
+            if self._faults_by_name.get(name) != str(error):
+                self._faults_by_name[name] = str(error)
+                log_event("upstream_invalid", level="WARNING", upstream=name, error=error)
             return None
+        if self._faults_by_name.pop(name, None) is not None:
+            log_event("upstream_valid", upstream=name)
+        return upstream
+
+    def _forget_faults(self, names: Iterable[str]) -> None:
+        for name in self._faults_by_name.keys() - set(names):
+            del self._faults_by_name[name]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -33,8 +33,8 @@
         self._gone_listeners.append(listener)
 
     def replace(self, upstreams: Iterable[Upstream]) -> None:
-        """Take a whole list."""
-        listed = {upstream.id: upstream for upstream in upstreams}
+        """Take a whole list; of two starts under one name the newer one counts."""
+        listed = _newest_starts(upstreams, self._by_id.values())
         with self._lock:
             before, self._by_id = self._by_id, listed
             leaving = {key for key, upstream in listed.items() if upstream.leaving}
@@ -84,6 +84,22 @@
         return {model.name: model.adapters for model in upstream.models_by_name.values()}
 
 
+def _newest_starts(upstreams: Iterable[Upstream], known: Iterable[Upstream]) -> dict[str, Upstream]:
+    """Return ``upstreams`` by id, each name once, never from an older entry than is known.
+
+    A list that is read from behind, or news of an order giver that reads from behind,
+    name a start that has ended: work would go to a process as if it still held what
+    the former one did. Versions of rows only rise, so the older entry gives way.
+    """
+    newest = {one.platform_name: one for one in known}
+    listed: dict[str, Upstream] = {}
+    for upstream in upstreams:
+        other = listed.get(upstream.platform_name) or newest.get(upstream.platform_name)
+        older = other is not None and upstream.row_version < other.row_version
+        listed[upstream.platform_name] = other if other is not None and older else upstream
+    return {upstream.id: upstream for upstream in listed.values()}
+
+
 def _holds(held: Held, unit: Unit) -> bool:
     adapters = held.get(unit.model)
     return adapters is not None and (not unit.adapter or unit.adapter in adapters)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
@@ -19,7 +19,7 @@
     def sending_headers(
         self,
         common: Headers,
-        upstream_id: str,
+        upstream_name: str,
         seconds_left: float,
         priority: int,
         last_event: int | None,
@@ -41,8 +41,8 @@
     def is_misdirected(self, response: HTTPResponse) -> bool:
         """Return whether the upstream is another one, or lacks the unit."""
 
-    def is_from_another(self, response: HTTPResponse, upstream_id: str) -> bool:
-        """Return whether another process than ``upstream_id`` has its address now."""
+    def is_from_another(self, response: HTTPResponse, upstream_name: str) -> bool:
+        """Return whether another process than ``upstream_name`` has its address now."""
 
     def idle_seconds(self, response: HTTPResponse) -> float | None:
         """Return how long the connection may be idle, 0 if it closes, None if unsaid."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -53,7 +53,7 @@
         """Return whether the caller has its answer; raise when it can have none."""
         parts = self._parts
         headers = parts.dialect.sending_headers(
-            call.headers, upstream.id, call.watch.remaining(), PLAIN_PRIORITY, None
+            call.headers, upstream.platform_name, call.watch.remaining(), PLAIN_PRIORITY, None
         )
         try:
             outcome = parts.sender.send(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -109,5 +109,5 @@
         else:
             connection.discard()
         misdirected = self._dialect.is_misdirected(response)
-        gone = self._dialect.is_from_another(response, upstream.id)
+        gone = self._dialect.is_from_another(response, upstream.platform_name)
         return NotRun(upstream, reason, wrong_place=misdirected, reached=True, gone=gone)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -103,7 +103,7 @@
         upstream = candidate.upstream
         headers = self._parts.dialect.sending_headers(
             call.headers,
-            upstream.id,
+            upstream.platform_name,
             call.watch.remaining(),
             _priority(call),
             progress.last_event,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
@@ -1,5 +1,8 @@
 """Entries that upstreams write about themselves in the platform's store."""
 
+import ipaddress
+from typing import Annotated, Literal
+
 import msgspec
 
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
@@ -7,6 +10,9 @@
 TABLE = "servers"
 _DRAINING = "draining"
 _MILLISECONDS = 1000.0
+_LAST_PORT = 65535
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _Model(msgspec.Struct, rename="pascal"):
@@ -21,28 +27,39 @@
 
 
 class _Entry(msgspec.Struct, rename="pascal"):
-    service: str
+    """Every field without a default is in each entry that an upstream writes.
+
+    Others may write to the same table: an entry that lacks one, or has another type or
+    an unknown state, names no upstream.
+    """
+
+    service: _Text
     address: str
-    zone: str
-    # The entry's own `Version` is that of the upstream's software; no decision needs it.
-    slots: int = 1
-    state: str = "ready"
+    zone: _Text
+    # The version of the upstream's software; no decision needs it.
+    version: _Text
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    # How much longer it is slow after its start; no decision needs it.
+    cold_left_ms: float
+    # How many orders it has accepted; the ledger takes that from its reports.
+    seq: _Count
+    # When the process started, in Unix milliseconds; the only lower-case field.
+    born: int | None = msgspec.field(default=None, name="born")
     models: list[_Model] = []
     at_hand: _AtHand = msgspec.field(default_factory=_AtHand)
     remaining_ms: float | None = None
 
 
-def decode_upstream(upstream_id: str, document: bytes) -> Upstream:
+def decode_upstream(name: str, row_version: int, document: bytes) -> Upstream:
     """Return the upstream that ``document`` describes; raise `msgspec.DecodeError`."""
     entry = msgspec.json.decode(document, type=_Entry)
-    host, _, port = entry.address.rpartition(":")
-    if not port.isdigit():
-        raise msgspec.ValidationError(f"no port in address {entry.address!r}")
+    host, port = _address(entry.address)
     return Upstream(
-        id=upstream_id,
+        id=start_id(name, entry.born),
         service=entry.service,
         host=host,
-        port=int(port),
+        port=port,
         failure_domain=entry.zone,
         slots=entry.slots,
         leaving=entry.state == _DRAINING,
@@ -50,9 +67,32 @@
         models_by_name=resident_models(entry.models),
         in_memory=frozenset(entry.at_hand.in_memory),
         on_disk=frozenset(entry.at_hand.on_disk),
+        named=name,
+        born=entry.born,
+        row_version=row_version,
     )
 
 
+def start_id(name: str, born: int | None) -> str:
+    """Return the id of one start of the process ``name``."""
+    return name if born is None else f"{name}@{born}"
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    try:
+        return str(ipaddress.IPv4Address(host)), _port(port)
+    except ValueError as error:
+        raise msgspec.ValidationError(f"address {text!r}: {error}") from error
+
+
+def _port(text: str) -> int:
+    port = int(text)
+    if not 0 < port <= _LAST_PORT:
+        raise ValueError(f"port {port} is out of range")
+    return port
+
+
 def resident_models(models: list[_Model]) -> dict[str, ResidentModel]:
     """Return the models of an entry or a report by name."""
     return {
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/engine.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/engine.py
@@ -31,6 +31,8 @@
     busy: bool = False
     # The number of orders accepted since the start of the process.
     seq: int = 0
+    # When the process started, in Unix milliseconds; the only lower-case field.
+    born: int | None = msgspec.field(default=None, name="born")
     # Adapters on their way, written MODEL/NAME@VERSION.
     loading: list[str] = []
 
@@ -43,6 +45,7 @@
         arriving=frozenset(map(_unit, report.loading)),
         busy=report.busy,
         orders_accepted=report.seq,
+        born=report.born,
     )
 
 
@@ -60,9 +63,9 @@
     return msgspec.json.encode(body)
 
 
-def order_headers(upstream_id: str) -> dict[str, str]:
+def order_headers(upstream_name: str) -> dict[str, str]:
     """Return the headers that let only the process meant take the order."""
-    return {"Content-Type": "application/json", names.EXPECTED_UPSTREAM: upstream_id}
+    return {"Content-Type": "application/json", names.EXPECTED_UPSTREAM: upstream_name}
 
 
 def order_result(status: int) -> OrderResult:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -58,12 +58,12 @@
 
 def sending_headers(
     common: Headers,
-    upstream_id: str,
+    upstream_name: str,
     seconds_left: float,
     priority: int,
     last_event: int | None,
 ) -> Headers:
-    """Return the headers of one sending to the upstream ``upstream_id``."""
+    """Return the headers of one sending to the upstream ``upstream_name``."""
     kept = common
     if last_event is not None:
         resumed = names.LAST_EVENT_ID.lower()
@@ -72,7 +72,7 @@
     return (
         *kept,
         (names.DEADLINE_MS, str(max(1, int(seconds_left * _MILLISECONDS)))),
-        (names.EXPECTED_UPSTREAM, upstream_id),
+        (names.EXPECTED_UPSTREAM, upstream_name),
         (names.PRIORITY, str(priority)),
     )
 
@@ -110,10 +110,10 @@
     return response.status == _MISDIRECTED
 
 
-def is_from_another(response: HTTPResponse, upstream_id: str) -> bool:
-    """Return whether another process than ``upstream_id`` has its address now."""
+def is_from_another(response: HTTPResponse, upstream_name: str) -> bool:
+    """Return whether another process than ``upstream_name`` has its address now."""
     answering = response.headers.get(names.ANSWERING_UPSTREAM)
-    return response.status == _MISDIRECTED and answering not in (None, upstream_id)
+    return response.status == _MISDIRECTED and answering not in (None, upstream_name)
 
 
 def idle_seconds(response: HTTPResponse) -> float | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -144,6 +144,7 @@
     if row.deleted:
         return StoredRow(key, row.row_version, None)
     try:
-        return StoredRow(key, row.row_version, base64.b64decode(row.value))
-    except binascii.Error as error:
-        raise PlatformUnavailable(f"row {key} is not base64: {error}") from error
+        return StoredRow(key, row.row_version, base64.b64decode(row.value, validate=True))
+    except binascii.Error:
+        # Whoever decodes the value finds nothing there and says so; the other rows hold.
+        return StoredRow(key, row.row_version, b"")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/engine_report.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/engine_report.py
@@ -11,10 +11,12 @@
 
     ``orders_accepted`` rises by one with each order since the process began;
     while ``busy`` one of them is being carried out. ``arriving`` adapters take
-    their place already.
+    their place already. ``born`` tells one start of the process from the next, None
+    where the platform doesn't tell.
     """
 
     held: Held
     arriving: frozenset[Unit]
     busy: bool
     orders_accepted: int
+    born: int | None = None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -73,7 +73,7 @@
                 "POST",
                 _url(upstream, self._calls.order_target),
                 body=self._calls.encode_order(order),
-                headers=self._calls.order_headers(upstream.id),
+                headers=self._calls.order_headers(upstream.platform_name),
             )
         except (NewConnectionError, ConnectTimeoutError):
             return OrderResult.REFUSED
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -28,6 +28,7 @@
 from redwingscale_daemon._internal.swaps.news_due import NEWS_SECONDS, NewsDue
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
+from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad
 from redwingscale_daemon._internal.swaps.worker_orders import (
     AdapterTask,
     GiverRight,
@@ -75,6 +76,8 @@
         self._rate = LoadRate()
         self._wake = threading.Event()
         self._workers: dict[str, WorkerOrders] = {}
+        # Of workers that have gone: the same process may start again under its name.
+        self._unanswered_by_name: dict[str, list[UnansweredLoad]] = {}
         self._instances = InstanceTotals()
         self._totals = NO_TOTALS
         self._news = NewsDue()
@@ -141,7 +144,9 @@
         if not self._workers:
             self._begin_with(listed.values())
         for key in self._workers.keys() - listed.keys():
-            self._workers.pop(key).stop()
+            former = self._workers.pop(key)
+            former.stop()
+            self._unanswered_by_name[former.upstream.platform_name] = former.unanswered
         for key, upstream in listed.items():
             if key not in self._workers:
                 self._workers[key] = self._new_worker(upstream)
@@ -161,6 +166,7 @@
             self._client,
             self._right,
             self._wake.set,
+            self._unanswered_by_name.pop(upstream.platform_name, ()),
         )
 
     def _engine(self, service: str) -> EngineRule | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -3,7 +3,7 @@
 import queue
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
@@ -16,6 +16,7 @@
 from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult, Unload
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.swaps.room import used_mb
+from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad, late_mb
 
 # Instances hear within some milliseconds that a model goes; what is on its way
 # to it arrives meanwhile.
@@ -73,6 +74,10 @@
     order without an answer leaves it unknown, and nothing more is loaded until
     a report tells: two loads that both arrive would overfill the memory, and
     the worker would crash under its running models.
+
+    A report of another start of the process says that all this is void: the worker
+    holds nothing and gets no order until the list names the new start, which has a
+    ledger of its own.
     """
 
     def __init__(
@@ -82,8 +87,12 @@
         client: OrderClient,
         right: GiverRight,
         on_change: Callable[[], None],
+        unanswered: Iterable[UnansweredLoad] = (),
     ) -> None:
         self.upstream = upstream
+        # Of this start of the process and of former ones under its name.
+        self.unanswered = list(unanswered)
+        self._superseded = False
         self._engine = engine
         self._client = client
         self._right = right
@@ -101,6 +110,8 @@
     @property
     def free(self) -> bool:
         """Whether a task can be given."""
+        if self._superseded:
+            return False
         return self._busy_with is None and time.monotonic() >= self._blocked_until
 
     @property
@@ -116,6 +127,8 @@
 
     def held(self) -> Held | None:
         """Return what requests may be sent for, None while it isn't known."""
+        if self._superseded:
+            return {}
         report = self._report
         if report is None:
             return None
@@ -173,13 +186,29 @@
             self._blocked_until = time.monotonic() + POLL_SECONDS
 
     def _learn(self) -> bool:
-        report = self._client.report(self.upstream)
+        report = self._own_report()
         if report is None or report.busy:
             log_event("report_unusable", upstream=self.upstream.id, busy=report is not None)
             return False
         self._report = report
         return True
 
+    def _own_report(self) -> EngineReport | None:
+        """Return the worker's report, None without one or from another start of it."""
+        report = self._client.report(self.upstream)
+        if report is None or report.born == self.upstream.born:
+            return report
+        self._superseded = True
+        log_event(
+            "upstream_reborn",
+            level="WARNING",
+            upstream=self.upstream.id,
+            known_start=self.upstream.born,
+            reported_start=report.born,
+        )
+        self._on_change()
+        return None
+
     def _swap(self, task: SwapTask) -> bool:
         """Return whether what the worker holds is still known for certain."""
         if task.evicted:
@@ -257,7 +286,8 @@
             if unit.model in engine.models_by_name
         )
         needed = engine.models_by_name[model].weights_mb
-        return used_mb(engine, report.held) + arriving + needed <= engine.weights_mb
+        late = late_mb(self.unanswered, report.orders_accepted)
+        return used_mb(engine, report.held) + arriving + needed + late <= engine.weights_mb
 
     def _order(self, action: Load | Unload) -> OrderResult:
         """Send one order, counted in the ledger if the worker has taken it."""
@@ -276,18 +306,31 @@
             fence=fence,
             result=result.value,
         )
+        self._note_unanswered(action, report.orders_accepted, result)
         if result is OrderResult.ACCEPTED or (
             result is OrderResult.HOLDS and action.unit.adapter and isinstance(action, Unload)
         ):
             self._report = report._replace(orders_accepted=report.orders_accepted + 1)
         return result
 
+    def _note_unanswered(
+        self, action: Load | Unload, orders_accepted: int, result: OrderResult
+    ) -> None:
+        engine = self._engine()
+        rule = engine.models_by_name.get(action.unit.model) if engine else None
+        if result is not OrderResult.UNKNOWN or rule is None or isinstance(action, Unload):
+            return
+        weights = rule.adapter_mb if action.unit.adapter else rule.weights_mb
+        self.unanswered.append(UnansweredLoad(orders_accepted, weights, time.monotonic()))
+
     def _until(self, holds: Callable[[EngineReport], bool], limit_seconds: float) -> bool:
         """Poll reports until one that is not busy ``holds``; keep it as the ledger."""
         expected = self._report.orders_accepted if self._report else 0
         end = time.monotonic() + limit_seconds
         while time.monotonic() < end:
-            report = self._client.report(self.upstream)
+            report = self._own_report()
+            if self._superseded:
+                return False
             if report is not None and report.orders_accepted >= expected and not report.busy:
                 self._report = report
                 return holds(report)
--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -38,7 +38,7 @@
         models = [{"Name": name, "Version": 1, "Adapters": []} for name in worker.models]
         return {
             "Service": "llm", "Address": f"127.0.0.1:{port}", "Zone": "z1", "Slots": 64,
-            "State": state, "Models": models,
+            "State": state, "Version": "v1", "ColdLeftMs": 0, "Seq": 1, "Models": models,
         }  # fmt: skip
 
     def instance(self, name, pipe=None):
--- a/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
@@ -56,11 +56,12 @@
 def test_upstream_entry():
     entry = {
         "Service": "s1", "Address": "10.0.0.9:8080", "Zone": "z", "Version": "v1", "Slots": 64,
-        "State": "draining", "RemainingMs": 1500, "Seq": 4,
+        "State": "draining", "RemainingMs": 1500, "Seq": 4, "ColdLeftMs": 0, "born": 1700000000123,
         "Models": [{"Name": "m", "Version": 2, "Adapters": ["a1"]}],
         "AtHand": {"InMemory": ["m"], "OnDisk": ["m", "n"]},
     }  # fmt: skip
-    upstream = discovery.decode_upstream("i-1", msgspec.json.encode(entry))
+    upstream = discovery.decode_upstream("i-1", 9, msgspec.json.encode(entry))
+    assert upstream.id != upstream.platform_name == "i-1"
     assert upstream.address == ("10.0.0.9", 8080)
     assert (upstream.leaving, upstream.seconds_left) == (True, 1.5)
     assert upstream.models_by_name["m"].adapters == {"a1"}
@@ -68,20 +69,60 @@
 
 
 @pytest.mark.parametrize(
-    "document", [b"{", b'{"Service":"s"}', b'{"Service":"s","Address":"x","Zone":"z"}']
+    "document",
+    [b"{", b"\xff\xfe", b"[]", b'{"Service":"s"}', b'{"Service":"s","Address":"x","Zone":"z"}'],
 )
 def test_bad_upstream_entry_is_refused(document):
     with pytest.raises(msgspec.DecodeError):
-        discovery.decode_upstream("i-1", document)
+        discovery.decode_upstream("i-1", 1, document)
+
+
+ENTRY = {
+    "Service": "s1", "Address": "10.0.0.9:8080", "Zone": "z", "Version": "v1", "Slots": 64,
+    "State": "ready", "ColdLeftMs": 0, "Seq": 4,
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("field", sorted(ENTRY))
+def test_entry_that_lacks_a_field_names_no_upstream(field):
+    # Another writer's entry would get requests: an unknown address, or a process that
+    # takes no new work because its state was never told.
+    lacking = {name: value for name, value in ENTRY.items() if name != field}
+    with pytest.raises(msgspec.DecodeError):
+        discovery.decode_upstream("i-1", 1, msgspec.json.encode(lacking))
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("State", "warming"), ("State", None), ("Service", ""), ("Service", 3), ("Slots", 0),
+        ("Slots", "64"), ("Slots", True), ("Seq", -1), ("Seq", "4"), ("Zone", []),
+        ("ColdLeftMs", "soon"), ("Version", 1), ("Models", {}), ("AtHand", []),
+        ("born", "1700000000123"), ("born", 1.5), ("Address", "10.0.0.9"), ("Address", ":80"),
+        ("Address", "10.0.0.9:0"), ("Address", "10.0.0.9:70000"), ("Address", "10.0.0:80"),
+    ],
+)  # fmt: skip
+def test_entry_with_a_wrong_value_names_no_upstream(field, value):
+    with pytest.raises(msgspec.DecodeError):
+        discovery.decode_upstream("i-1", 1, msgspec.json.encode({**ENTRY, field: value}))
+
+
+def test_starts_of_one_process_are_two_upstreams():
+    starts = [
+        discovery.decode_upstream("i-1", version, msgspec.json.encode({**ENTRY, "born": born}))
+        for version, born in ((1, 1700000000000), (2, 1700000005000))
+    ]
+    assert starts[0].id != starts[1].id
+    assert {one.platform_name for one in starts} == {"i-1"}
 
 
 def test_report():
     report = engine.decode_report(
-        b'{"Models":[{"Name":"m","Adapters":["a1"]}],"Busy":true,"Seq":3,"Loading":["m/a2@1"]}'
+        b'{"Models":[{"Name":"m","Adapters":["a1"]}],"Busy":true,"Seq":3,"Loading":["m/a2@1"],"born":7}'
     )
     assert report.held == {"m": frozenset({"a1"})}
     assert report.arriving == {Unit("m", "a2")}
-    assert (report.busy, report.orders_accepted) == (True, 3)
+    assert (report.busy, report.orders_accepted, report.born) == (True, 3, 7)
 
 
 def test_order():
--- a/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
@@ -91,11 +91,12 @@
         self.orders = []
         self.results = []
         self.reachable = True
+        self.born = None
 
     def report(self, upstream):
         if not self.reachable:
             return None
-        return EngineReport(dict(self.held), frozenset(), False, self.accepted)
+        return EngineReport(dict(self.held), frozenset(), False, self.accepted, self.born)
 
     def order(self, upstream, order):
         self.orders.append(order)
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_reborn_workers.py
@@ -0,0 +1,83 @@
+"""Orders to a worker that starts again under the name that it had."""
+
+import pytest
+from redwingscale_daemon._internal.swaps.order import Load, OrderResult
+from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad, late_mb
+from redwingscale_daemon._internal.swaps.worker_orders import GiverRight, SwapTask, WorkerOrders
+
+from .conftest import until, upstream
+
+
+@pytest.fixture
+def orders(engine, worker):
+    made = []
+
+    def make(listed, unanswered=()):
+        right = GiverRight("i1", lambda: 5)
+        one = WorkerOrders(listed, lambda: engine, worker, right, lambda: None, unanswered)
+        made.append(one)
+        return one
+
+    yield make
+    for one in made:
+        one.stop()
+
+
+def idle(one):
+    return until(lambda: one._busy_with is None)
+
+
+def test_report_of_another_start_voids_the_ledger(orders, worker):
+    # The worker crashes and is back, empty, before the list tells. The ledger has it at
+    # two models: requests were sent for them, and orders were counted from the old number.
+    one = orders(upstream("w")._replace(born=1))
+    worker.born = 1
+    one.give(SwapTask((), "b", 0.01))
+    assert idle(one)
+    assert set(one.held()) == {"a", "b"}
+    worker.born, worker.held, worker.accepted = 2, {}, 0
+    one._report = None
+    sent = len(worker.orders)
+    one.give(SwapTask((), "c", 0.01))
+    assert idle(one)
+    assert one.held() == {}
+    assert not one.free
+    assert len(worker.orders) == sent
+
+
+def test_load_meant_for_the_former_start_keeps_its_room(orders, worker, engine):
+    # A load got no answer and the worker crashed. It comes back under its name and is
+    # given two models, which fill it; then the old load arrives with the number that it
+    # was sent with, is accepted as the third, and the worker crashes once more.
+    late = UnansweredLoad(2, 70.0, float("inf"))
+    worker.held = {}
+    one = orders(upstream("w"), [late])
+    for model in ("b", "c"):
+        one.give(SwapTask((), model, 0.01))
+        assert idle(one)
+    assert set(worker.held) == {"b"}
+
+
+def test_both_models_come_once_the_late_load_is_void(orders, worker):
+    worker.held = {}
+    one = orders(upstream("w"), [UnansweredLoad(0, 70.0, float("inf"))])
+    for model in ("b", "c"):
+        one.give(SwapTask((), model, 0.01))
+        assert idle(one)
+    assert set(worker.held) == {"b", "c"}
+
+
+def test_load_without_an_answer_is_remembered(orders, worker):
+    worker.results = [OrderResult.UNKNOWN]
+    one = orders(upstream("w"))
+    one.give(SwapTask((), "b", 0.01))
+    assert idle(one)
+    assert [load.orders_accepted for load in one.unanswered] == [0]
+    assert isinstance(worker.orders[0].action, Load)
+
+
+def test_late_loads_count_until_they_can_no_longer_come():
+    soon = UnansweredLoad(2, 70.0, float("inf"))
+    long_ago = UnansweredLoad(2, 70.0, float("-inf"))
+    assert late_mb([soon, long_ago], 1) == 70.0
+    assert late_mb([soon], 2) == 0.0
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -44,8 +44,11 @@
             "Service": self.service,
             "Address": f"127.0.0.1:{self.link.port}",
             "Zone": "z1",
+            "Version": "v1",
             "Slots": 16,
             "State": self.state,
+            "ColdLeftMs": 0,
+            "Seq": 1,
             "Models": models if self.service == MODEL_SERVICE else [],
         }
 
