Keep the giver's last view of holdings until something newer is known

Cause: an instance that hears the order giver's news does not read the list, so its own copy of it may be 20 s old.

Ruled out: missing orders alone; the upstreams held the models asked for.

Change: the last view counts until the list was read after it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/holdings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/holdings.py
@@ -1,5 +1,6 @@
 """Which models and adapters upstreams hold, as the order giver tells it."""
 
+import math
 import threading
 import time
 from typing import NamedTuple
@@ -48,9 +49,16 @@
         """Whether an order giver was heard of lately."""
         return time.monotonic() - self._view.heard_at < FRESH_SECONDS
 
-    def held(self, upstream_id: str) -> Held | None:
-        """Return what ``upstream_id`` holds, None where no fresh view tells."""
-        return self._view.held_by_upstream.get(upstream_id) if self.fresh else None
+    def held(self, upstream_id: str, known_at: float = math.inf) -> Held | None:
+        """Return what ``upstream_id`` holds, None without a fresh view or one from after ``known_at``.
+
+        An instance that hears the order giver does not read the list: what it last read
+        there may be 20 s old. When the giver falls silent, its last view is the better
+        one until the list, or the upstreams themselves, could be read again.
+        """
+        if not self.fresh and self._view.heard_at < known_at:
+            return None
+        return self._view.held_by_upstream.get(upstream_id)
 
     def ready_in(self, unit: str) -> float | None:
         """Return the seconds until ``unit`` can be used somewhere, None if unknown."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -1,6 +1,7 @@
 """The upstreams that requests can go to."""
 
 import threading
+import time
 from collections.abc import Callable, Iterable
 
 from redwingscale_common.utils.logs import log_event
@@ -25,6 +26,7 @@
         self._holdings = holdings
         self._changes = changes
         self._by_id: dict[str, Upstream] = {}
+        self._read_at = float("-inf")
         self._leaving: set[str] = set()
         self._gone_listeners: list[GoneListener] = []
 
@@ -33,7 +35,12 @@
         self._gone_listeners.append(listener)
 
     def replace(self, upstreams: Iterable[Upstream]) -> None:
-        """Take a whole list; of two starts under one name the newer one counts."""
+        """Take a whole list that was just read."""
+        self._read_at = time.monotonic()
+        self._take(upstreams)
+
+    def _take(self, upstreams: Iterable[Upstream]) -> None:
+        """Take all upstreams; of two starts under one name the newer one counts."""
         listed = _newest_starts(upstreams, self._by_id.values())
         with self._lock:
             before, self._by_id = self._by_id, listed
@@ -53,7 +60,7 @@
         changed_by_id = {upstream.id: upstream for upstream in changed}
         dropped = set(gone)
         kept = {key: known for key, known in self._by_id.items() if key not in dropped}
-        self.replace([*{**kept, **changed_by_id}.values()])
+        self._take([*{**kept, **changed_by_id}.values()])
 
     def get(self, upstream_id: str) -> Upstream | None:
         """Return one upstream, None if it isn't listed."""
@@ -78,7 +85,7 @@
 
     def held(self, upstream: Upstream) -> Held:
         """Return the adapters by model of ``upstream``, from the newest source."""
-        told = self._holdings.held(upstream.id)
+        told = self._holdings.held(upstream.id, self._read_at)
         if told is not None:
             return told
         return {model.name: model.adapters for model in upstream.models_by_name.values()}
