Tell each new order giver what was asked for before its time

Cause: arrivals were counted only by the instance that gave the orders at the time.

Ruled out: the hand-over's length alone; the new giver had the right for ten seconds.

Change: each instance counts its own arrivals with the same half-lives, and tells them once over each new link (messages.DemandSoFar); a giver takes each instance's only once a term.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -14,6 +14,7 @@
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings, Machine
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowStore
+from redwingscale_daemon._internal.swaps.demand import Demand
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord, LeaseTiming
 from redwingscale_daemon._internal.swaps.giver_link import GiverLink
@@ -96,6 +97,8 @@
         ),
     )
     needs = Needs()
+    # What callers ask for here, for order givers that take over later.
+    own_demand = Demand()
     list_news, route_news = ListNews(fleet.directory), RouteNews()
     # What this instance has told last: the giver's sums hold it.
     told_loads: list[LoadEntry] = []
@@ -121,7 +124,7 @@
             reads.configuration.age,
         )
 
-    def make_news() -> InstanceNews:
+    def make_news(introduce: bool) -> InstanceNews:
         nonlocal told_loads
         loads = [LoadEntry(key, *load) for key, load in fleet.book.own().items()]
         told_loads = loads
@@ -129,7 +132,10 @@
             UseEntry(upstream, unit.model, unit.adapter, requests)
             for (upstream, unit), requests in fleet.book.open_by_unit().items()
         ]
-        return InstanceNews(me, needs.drain(), loads, uses, fleet.health.all_unreachable())
+        so_far = own_demand.so_far() if introduce else None
+        news = InstanceNews(me, needs.drain(), loads, uses, fleet.health.all_unreachable(), so_far)
+        own_demand.heard(news)
+        return news
 
     right = GiverRight(me, lease.fence, lambda: lease.succeeds_another, settings.bounds.order_quiet)
     calls = EngineCalls(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
@@ -6,7 +6,13 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.unit import Unit
-from redwingscale_daemon._internal.swaps.messages import InstanceNews, NeedEntry
+from redwingscale_daemon._internal.swaps.messages import (
+    DemandSoFar,
+    InstanceNews,
+    ModelRates,
+    NeedEntry,
+    UnitRate,
+)
 
 # Demand moves from one model to another within five seconds: a rate fades to half
 # in this time.
@@ -24,6 +30,8 @@
 # much a model is asked for.
 FIRST_LOOK_SECONDS = 6.0
 KEPT_OF_FIRST_COPIES = 0.6
+# What is asked for less often says nothing about what comes next.
+LEAST_TOLD_PER_SECOND = 0.02
 # An instance's news replace its former ones; one that is silent needs nothing.
 NEWS_SECONDS = 1.5
 
@@ -53,7 +61,10 @@
 
     def plus(self, events: int, now: float) -> "_Rate":
         added = events * _PER_HALF_LIFE / self.half_seconds
-        return _Rate(self.half_seconds, self.now(now) + added, now)
+        return self.raised(added, now)
+
+    def raised(self, per_second: float, now: float) -> "_Rate":
+        return _Rate(self.half_seconds, self.now(now) + per_second, now)
 
 
 _STEADY = _Rate(MEMORY_SECONDS)
@@ -74,6 +85,7 @@
         self._waiting: dict[str, tuple[float, list[NeedEntry]]] = {}
         self._first_copies: dict[tuple[str, str], int] = {}
         self._first_arrival_at: float | None = None
+        self._introduced: set[str] = set()
 
     def begin_with(self, service: str, copies_by_model: dict[str, int]) -> None:
         """Take what the workers of a service hold when this process first sees them."""
@@ -85,12 +97,42 @@
         """Take an instance's news."""
         now = time.monotonic()
         with self._lock:
+            if news.so_far is not None and news.instance not in self._introduced:
+                self._introduced.add(news.instance)
+                self._adopt(news.so_far, now)
             self._waiting[news.instance] = (now, [need for need in news.needs if need.waiting])
             if news.needs and self._first_arrival_at is None:
                 self._first_arrival_at = now
             for need in news.needs:
                 self._count(need, now)
 
+    def forget_introductions(self) -> None:
+        """Take what instances have been asked for so far once more; for a new term."""
+        with self._lock:
+            self._introduced.clear()
+
+    def so_far(self) -> DemandSoFar:
+        """Return what was counted here, for an order giver that knows nothing of it."""
+        now = time.monotonic()
+        with self._lock:
+            first = now if self._first_arrival_at is None else self._first_arrival_at
+            models = [
+                ModelRates(
+                    *key,
+                    rate.now(now),
+                    self._recent_rates[key].now(now),
+                    self._missed_rates[key].now(now),
+                    self._peaks.get(key, 0.0),
+                )
+                for key, rate in self._model_rates.items()
+            ]
+            units = [
+                UnitRate(service, unit.model, unit.adapter, rate.now(now))
+                for (service, unit), rate in self._rates.items()
+                if rate.now(now) > LEAST_TOLD_PER_SECOND
+            ]
+        return DemandSoFar(now - first, models, units)
+
     def waiting(self) -> list[WaitingUnit]:
         """Return what requests wait for, the least patient first."""
         now = time.monotonic()
@@ -167,6 +209,27 @@
         first = self._first_arrival_at
         return first is not None and time.monotonic() - first > FIRST_LOOK_SECONDS
 
+    def _adopt(self, so_far: DemandSoFar, now: float) -> None:
+        """Add what an instance was asked for before this order giver heard of it.
+
+        An order giver that takes over while demand moves would else see each model's
+        demand begin at nothing, and give the rare ones that requests wait for the place
+        of further copies of the busy one.
+        """
+        first = now - so_far.seconds
+        known = self._first_arrival_at
+        self._first_arrival_at = first if known is None else min(known, first)
+        for told in so_far.models:
+            key = (told.service, told.model)
+            self._model_rates[key] = self._model_rates.get(key, _STEADY).raised(told.steady, now)
+            self._recent_rates[key] = self._recent_rates.get(key, _LEAVING).raised(told.recent, now)
+            self._missed_rates[key] = self._missed_rates.get(key, _LEAVING).raised(told.missed, now)
+            if told.peak:
+                self._peaks[key] = self._peaks.get(key, 0.0) + told.peak
+        for entry in so_far.units:
+            unit = (entry.service, Unit(entry.model, entry.adapter))
+            self._rates[unit] = self._rates.get(unit, _STEADY).raised(entry.steady, now)
+
     def _count(self, need: NeedEntry, now: float) -> None:
         key = (need.service, Unit(need.model, need.adapter))
         self._rates[key] = self._rates.get(key, _STEADY).plus(need.arrivals, now)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_link.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_link.py
@@ -17,7 +17,8 @@
 # Six messages that did not come: the link, not a message, is lost.
 SILENT_SECONDS = 1.5
 
-MakeNews = Callable[[], InstanceNews]
+# With what was asked for so far, or without.
+MakeNews = Callable[[bool], InstanceNews]
 OnNews = Callable[[GiverNews], None]
 
 
@@ -53,6 +54,10 @@
         self._record: GiverRecord | None = None
         self._sockets: _Sockets | None = None
         self._heard_at = 0.0
+        # The link over which, and whether this instance itself as the order giver, has
+        # been told what was asked for before its time.
+        self._introduced_over: _Sockets | None = None
+        self._introduced_to_self = False
         self._threads = [
             threading.Thread(target=self._receive, name="giver-news", daemon=True),
             threading.Thread(target=self._send, name="giver-needs", daemon=True),
@@ -118,21 +123,26 @@
         while not self._stopped:
             self._wake.wait(NEWS_SECONDS)
             self._wake.clear()
-            news = self._make()
             if self._lease.holds:
-                self._to_self(news)
+                self._to_self(self._make(not self._introduced_to_self))
+                self._introduced_to_self = True
                 continue
+            self._introduced_to_self = False
             sockets = self._sockets
-            if sockets is None:
-                continue
-            try:
-                sockets.push.send(self._encoder.encode(news), block=False)
-            except pynng.TryAgain:
-                # Not connected: the next news hold what this one would have told,
-                # but for the arrivals, which are only counted.
-                continue
-            except pynng.NNGException as error:
-                log_event("giver_needs_failed", level="WARNING", error=repr(error))
+            news = self._make(sockets is not None and sockets is not self._introduced_over)
+            if sockets is not None:
+                self._tell(sockets, news)
+
+    def _tell(self, sockets: _Sockets, news: InstanceNews) -> None:
+        try:
+            sockets.push.send(self._encoder.encode(news), block=False)
+        except pynng.TryAgain:
+            # Not connected: what was asked for so far is told when it is.
+            return
+        except pynng.NNGException as error:
+            log_event("giver_needs_failed", level="WARNING", error=repr(error))
+            return
+        self._introduced_over = sockets
 
 
 def _dial(record: GiverRecord) -> _Sockets:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -39,10 +39,43 @@
     requests: int
 
 
+class ModelRates(msgspec.Struct, array_like=True):
+    """What one instance has been asked for of a model, adapters included, a second.
+
+    ``steady`` and ``recent`` arrivals and ``missed`` ones fade with the half-lives of
+    the demand that they come from; ``peak`` is the highest steady rate so far.
+    """
+
+    service: str
+    model: str
+    steady: float
+    recent: float
+    missed: float
+    peak: float
+
+
+class UnitRate(msgspec.Struct, array_like=True):
+    """How often one instance has been asked for a unit, a second, faded."""
+
+    service: str
+    model: str
+    adapter: str
+    steady: float
+
+
+class DemandSoFar(msgspec.Struct, array_like=True):
+    """What one instance has been asked for; its first request is ``seconds`` old."""
+
+    seconds: float
+    models: list[ModelRates]
+    units: list[UnitRate]
+
+
 class InstanceNews(msgspec.Struct, array_like=True):
     """From each instance to the order giver.
 
     ``unreachable`` upstreams have taken no connection of this instance lately.
+    ``so_far`` is told once to each order giver, which has heard nothing before.
     """
 
     instance: str
@@ -50,6 +83,7 @@
     loads: list[LoadEntry]
     uses: list[UseEntry]
     unreachable: list[str]
+    so_far: DemandSoFar | None = None
 
 
 class HeldEntry(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -134,6 +134,7 @@
             self._gave_orders = False
             self._news = NewsDue()
             self._changes = ListChanges()
+            self._demand.forget_introductions()
             log_event("giver_ends")
         for worker in self._workers.values():
             worker.stop()
