Ask upstreams what they hold while nobody tells; leave rotation with a domain that is cut off

Cause: an instance that was cut off from the order giver and the store for up to twelve seconds went on with what it knew at the cut, held each request for 0.6 s in vain and sent its caller away for two seconds. In a cut failure domain callers could come back only to its own instances, which had told the balancer that they were ready.

Change: rounds of reports while the giver is silent for 0.8 s and the list is older than 1.2 s (fleet/own_reports.py); a request without a holder is refused at once with when to come back; an instance whose only reachable upstreams are those of its own failure domain is not ready, and closes kept connections after their answers. An outage of the store alone is none: upstreams elsewhere answer then. Besides: an adapter is ordered only where it fits into the memory beside the models.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -6,10 +6,16 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.composition.swaps import StoreReads, Swaps, build_swaps
+from redwingscale_daemon._internal.composition.swaps import (
+    StoreReads,
+    Swaps,
+    build_swaps,
+    engine_calls,
+)
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
+from redwingscale_daemon._internal.fleet.own_reports import OwnReports
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.entry import Entry
@@ -19,6 +25,7 @@
 from redwingscale_daemon._internal.forwarding.repeat_budget import BudgetRule, RepeatBudget
 from redwingscale_daemon._internal.forwarding.sender import Sender
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
+from redwingscale_daemon._internal.forwarding.upstream_connection import CONNECT_SECONDS
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
 from redwingscale_daemon._internal.lifecycle.ingress_instance import IngressInstance, IngressParts
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
@@ -30,6 +37,7 @@
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey
+from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
@@ -43,6 +51,8 @@
 LARGEST_BODY_BYTES = 8 << 20
 # Callers reuse a connection that was idle for up to twelve seconds.
 IDLE_SECONDS = 20
+# Each round asks each upstream once, while nobody tells what they hold.
+OWN_REPORTS_SECONDS = 0.4
 PROBE_THREADS = 2
 PROBE_HEAD_BYTES = 8 << 10
 
@@ -57,12 +67,17 @@
     open_requests = OpenRequests()
     reads = StoreReads(LinkState("upstreams"), LinkState("configuration"))
     swaps = build_swaps(settings, uuid.uuid4().hex, store, routes, fleet, metrics, reads)
-    entry = _entry(settings, swaps, routes, fleet, pool, open_requests, metrics)
+    own_reports = _own_reports(settings, routes, fleet, reads)
+    entry = _entry(settings, swaps, routes, fleet, pool, open_requests, metrics, own_reports)
     followers = _followers(store, routes, fleet, swaps, reads)
     parts = IngressParts(
         callers=_callers(settings, entry),
-        probes=_probes(settings, routes, fleet.directory, open_requests, metrics),
-        tasks=(*followers, *swaps.tasks),
+        probes=_probes(settings, routes, fleet.directory, open_requests, metrics, own_reports),
+        tasks=(
+            *followers,
+            *swaps.tasks,
+            Periodic("own-reports", OWN_REPORTS_SECONDS, own_reports.step),
+        ),
         open_requests=open_requests,
         release=swaps.release,
     )
@@ -109,6 +124,7 @@
     pool: ConnectionPool,
     open_requests: OpenRequests,
     metrics: IngressMetrics,
+    own_reports: OwnReports,
 ) -> Entry:
     bounds = settings.bounds
     rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
@@ -116,7 +132,14 @@
     chooser = Chooser(settings.failure_domain, fleet)
     sender = Sender(pool, exchange)
     parts = RelayParts(exchange, sender, chooser, fleet.book, fleet.health, fleet.pace, budget)
-    wait = HolderWait(chooser, fleet.changes, fleet.holdings, swaps.needs, open_requests)
+    wait = HolderWait(
+        chooser,
+        fleet.changes,
+        fleet.holdings,
+        swaps.needs,
+        open_requests,
+        lambda: own_reports.come_back_seconds,
+    )
     return Entry(
         routes,
         exchange,
@@ -126,6 +149,28 @@
         budget,
         open_requests,
         metrics,
+        lambda: own_reports.domain_cut,
+    )
+
+
+def _own_reports(
+    settings: IngressSettings, routes: CurrentRoutes, fleet: Fleet, reads: StoreReads
+) -> OwnReports:
+    def runs_models(service: str) -> bool:
+        table = routes.get()
+        rule = table.services_by_name.get(service) if table else None
+        return rule is not None and rule.engine is not None
+
+    client = OrderClient(
+        engine_calls(), connect_seconds=CONNECT_SECONDS, answer_seconds=CONNECT_SECONDS
+    )
+    return OwnReports(
+        settings.failure_domain,
+        fleet.directory,
+        fleet.holdings,
+        lambda: reads.upstreams.age,
+        runs_models,
+        client.report,
     )
 
 
@@ -142,8 +187,11 @@
     directory: UpstreamDirectory,
     open_requests: OpenRequests,
     metrics: IngressMetrics,
+    own_reports: OwnReports,
 ) -> tuple[IngressServer, ...]:
     def not_ready() -> str:
+        if own_reports.domain_cut:
+            return "the failure domain is cut off"
         if open_requests.draining:
             return "draining"
         if routes.get() is None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -72,6 +72,18 @@
     route_news: RouteNews
 
 
+def engine_calls() -> EngineCalls:
+    """Return how reports and orders are written on the platform."""
+    return EngineCalls(
+        engine.REPORT_TARGET,
+        engine.ORDER_TARGET,
+        engine.decode_report,
+        engine.encode_order,
+        engine.order_headers,
+        engine.order_result,
+    )
+
+
 def build_swaps(
     settings: IngressSettings,
     start: str,
@@ -138,21 +150,13 @@
         return news
 
     right = GiverRight(me, lease.fence, lambda: lease.succeeds_another, settings.bounds.order_quiet)
-    calls = EngineCalls(
-        engine.REPORT_TARGET,
-        engine.ORDER_TARGET,
-        engine.decode_report,
-        engine.encode_order,
-        engine.order_headers,
-        engine.order_result,
-    )
     bounds = settings.bounds
     hub = GiverHub(settings.host, news_port, needs_port, lambda news: giver.heard(news))
     giver = OrderGiver(
         right,
         routes,
         fleet.directory,
-        OrderClient(calls, lambda result: metrics.orders.add(1, {"result": result.value})),
+        OrderClient(engine_calls(), lambda result: metrics.orders.add(1, {"result": result.value})),
         hub,
         LoadCeiling(0.0, bounds.load_window),
         read_for_all,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -28,6 +28,6 @@
     changes, holdings = Changes(), Holdings()
     directory = UpstreamDirectory(holdings, changes)
     book, health, pace, prefixes = LoadBook(), Health(), Pace(), PrefixMemory()
-    for part in (book, health, pace, prefixes):
+    for part in (book, health, pace, prefixes, holdings):
         directory.on_gone(part.forget)
     return Fleet(directory, holdings, changes, book, health, pace, prefixes)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/holdings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/holdings.py
@@ -26,6 +26,8 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._view = HoldingsView({}, {}, float("-inf"))
+        # What upstreams have said themselves, and when.
+        self._reported: dict[str, tuple[Held, float]] = {}
         self._fence: int | None = None
 
     def replace(self, held: dict[str, Held], ready_in: dict[str, float], fence: int = 0) -> None:
@@ -44,10 +46,26 @@
                 known = {**self._view.held_by_upstream, **held}
                 self._view = HoldingsView(known, ready_in, time.monotonic())
 
+    def reported(self, upstream_id: str, held: Held, at: float) -> None:
+        """Take what an upstream has said of itself."""
+        with self._lock:
+            self._reported[upstream_id] = (held, at)
+
+    def forget(self, upstream_ids: set[str]) -> None:
+        """Drop what upstreams that are gone have said."""
+        with self._lock:
+            for key in upstream_ids:
+                self._reported.pop(key, None)
+
+    @property
+    def age(self) -> float:
+        """Seconds since the order giver was last heard."""
+        return time.monotonic() - self._view.heard_at
+
     @property
     def fresh(self) -> bool:
         """Whether an order giver was heard of lately."""
-        return time.monotonic() - self._view.heard_at < FRESH_SECONDS
+        return self.age < FRESH_SECONDS
 
     def held(self, upstream_id: str, known_at: float = math.inf) -> Held | None:
         """Return what ``upstream_id`` holds, None without a fresh view or one from after ``known_at``.
@@ -56,7 +74,11 @@
         there may be 20 s old. When the giver falls silent, its last view is the better
         one until the list, or the upstreams themselves, could be read again.
         """
-        if not self.fresh and self._view.heard_at < known_at:
+        heard_at = self._view.heard_at
+        held, reported_at = self._reported.get(upstream_id, (None, -math.inf))
+        if reported_at > max(heard_at, -math.inf if known_at == math.inf else known_at):
+            return held
+        if not self.fresh and heard_at < known_at:
             return None
         return self._view.held_by_upstream.get(upstream_id)
 
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_reports.py
@@ -0,0 +1,135 @@
+"""What upstreams hold, asked from themselves while nobody else tells."""
+
+import itertools
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple, Protocol
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.holdings import Held, Holdings
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+
+# The order giver tells four times a second: after this it has fallen silent, or the
+# link to it has.
+SILENT_SECONDS = 0.8
+# A list that was read within this time says enough.
+LIST_SECONDS = 1.2
+# Callers of an instance that is cut off come back through another one at once.
+COME_BACK_SECONDS = 0.05
+# Those of a whole failure domain reach another one only when the balancer has found
+# this one's instances not ready: it asks once a second, and counts two misses.
+OUT_OF_ROTATION_SECONDS = 2.2
+# Among many upstreams a round asks some, the next round the next ones.
+MOST_EACH_ROUND = 12
+
+
+class Report(Protocol):
+    """What is used of an upstream's report."""
+
+    @property
+    def held(self) -> Held:
+        """Adapters by model."""
+
+    @property
+    def born(self) -> int | None:
+        """Which start of the process says it."""
+
+
+class _Answer(NamedTuple):
+    """What an upstream holds by its own word, None without an answer."""
+
+    upstream: Upstream
+    held: Held | None
+
+
+class OwnReports:
+    """Asks the upstreams in rounds while neither the order giver nor the list tells.
+
+    An instance that is cut off from both still reaches upstreams, for as long as the cut
+    lasts. Models move meanwhile: it sent requests to upstreams that no longer held them,
+    and refused those for models that had come. Who answers also tells what is cut: an
+    instance that reaches upstreams of its own failure domain only shares the domain's
+    fate.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        directory: UpstreamDirectory,
+        holdings: Holdings,
+        list_age: Callable[[], float],
+        runs_models: Callable[[str], bool],
+        ask: Callable[[Upstream], Report | None],
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._directory = directory
+        self._holdings = holdings
+        self._list_age = list_age
+        self._runs_models = runs_models
+        self._ask = ask
+        self._pool = ThreadPoolExecutor(MOST_EACH_ROUND, thread_name_prefix="own-reports")
+        self._offset = itertools.count(step=MOST_EACH_ROUND)
+        self._domain_cut = False
+        self._domain_cut_at = 0.0
+
+    @property
+    def come_back_seconds(self) -> float | None:
+        """When callers refused here had better come back, None while not cut off."""
+        if not self.cut_off:
+            return None
+        if not self.domain_cut:
+            return COME_BACK_SECONDS
+        left = self._domain_cut_at + OUT_OF_ROTATION_SECONDS - time.monotonic()
+        return max(COME_BACK_SECONDS, left)
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether neither the order giver nor the list has told anything lately."""
+        return self._holdings.age > SILENT_SECONDS and self._list_age() > LIST_SECONDS
+
+    @property
+    def domain_cut(self) -> bool:
+        """Whether the whole failure domain is cut off from the others."""
+        return self._domain_cut and self.cut_off
+
+    def step(self) -> None:
+        """Ask a round of upstreams, unless somebody tells what they hold."""
+        if not self.cut_off:
+            self._see_domain_cut(False)
+            return
+        asked = self._round()
+        answers = [*map(_Answer, asked, self._pool.map(self._held, asked))]
+        now = time.monotonic()
+        for upstream, held in answers:
+            if held is not None:
+                self._holdings.reported(upstream.id, held, now)
+        self._see_domain_cut(self._only_own_domain(answers))
+
+    def _round(self) -> list[Upstream]:
+        known = [u for u in self._directory.all() if self._runs_models(u.service)]
+        if len(known) <= MOST_EACH_ROUND:
+            return known
+        start = next(self._offset) % len(known)
+        return [*known[start:], *known[:start]][:MOST_EACH_ROUND]
+
+    def _held(self, upstream: Upstream) -> Held | None:
+        report = self._ask(upstream)
+        if report is None or report.born != upstream.born:
+            return None
+        return report.held
+
+    def _only_own_domain(self, answers: list[_Answer]) -> bool:
+        own: list[bool] = []
+        others: list[bool] = []
+        for upstream, held in answers:
+            same = upstream.failure_domain == self._failure_domain
+            (own if same else others).append(held is not None)
+        return any(own) and bool(others) and not any(others)
+
+    def _see_domain_cut(self, cut: bool) -> None:
+        if cut != self._domain_cut:
+            self._domain_cut, self._domain_cut_at = cut, time.monotonic()
+            log_event("failure_domain_cut" if cut else "failure_domain_joined", level="WARNING")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
@@ -1,6 +1,7 @@
 """Takes each request of a caller to its answer."""
 
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from redwingscale_common.utils.logs import log_event
@@ -45,7 +46,10 @@
         budget: RepeatBudget,
         open_requests: OpenRequests,
         metrics: IngressMetrics,
+        leaves_rotation: Callable[[], bool] = lambda: False,
     ) -> None:
+        # Whether callers had better come through another instance from now on.
+        self._leaves_rotation = leaves_rotation
         self._routes = routes
         self._dialect = dialect
         self._plain = plain
@@ -60,7 +64,7 @@
     def handle(self, request: IngressRequest, reply: Reply) -> None:
         """Answer ``request``; raise `CallerLeft` when nobody waits any more."""
         with self._open_requests.counted():
-            if self._open_requests.draining:
+            if self._open_requests.draining or self._leaves_rotation():
                 # A kept connection would carry a next request just when the port closes.
                 reply.close_after()
             self._handle(request, reply)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -1,6 +1,7 @@
 """Waits until an upstream holds what a request asks for."""
 
 import time
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from redwingscale_common.utils.logs import log_event
@@ -56,6 +57,9 @@
     holdings: Holdings
     needs: Needs
     open_requests: OpenRequests
+    # When to come back if this instance hears neither the order giver nor the list, None
+    # while it hears one of them.
+    cut_off: Callable[[], float | None] = lambda: None
 
     def candidate(self, call: Call, prompt: Prompt) -> Candidate:
         """Return the best holder, waiting for one; raise `Refusal` or `CallerLeft`.
@@ -101,6 +105,9 @@
             raise _given_up(call, "stopping", "the instance stops", STOPPING_COME_BACK_SECONDS)
 
     def _give_up_if_hopeless(self, call: Call, prompt: Prompt, waited: float) -> None:
+        if (come_back := self.cut_off()) is not None:
+            # Nobody hears of the need from here: another instance may be better off.
+            raise _given_up(call, "cut_off", f"no news of {prompt.unit}", come_back)
         left = _patience(call)
         ready_in = self.holdings.ready_in(str(prompt.unit))
         if ready_in is not None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -39,7 +39,12 @@
     """
 
     def __init__(
-        self, calls: EngineCalls, on_result: Callable[[OrderResult], None] = lambda _: None
+        self,
+        calls: EngineCalls,
+        on_result: Callable[[OrderResult], None] = lambda _: None,
+        *,
+        connect_seconds: float = CONNECT_SECONDS,
+        answer_seconds: float = ANSWER_SECONDS,
     ) -> None:
         self._calls = calls
         self._on_result = on_result
@@ -47,7 +52,7 @@
             num_pools=64,
             maxsize=1,
             retries=False,
-            timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS),
+            timeout=urllib3.Timeout(connect=connect_seconds, read=answer_seconds),
             socket_options=[*HTTPConnection.default_socket_options, RESET_ON_CLOSE],
         )
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -258,6 +258,9 @@
         engine = self._engine()
         if engine is None or self._adapters() >= engine.adapter_slots:
             return False
+        if not self._has_room_for_adapter(task.unit, engine):
+            log_event("adapter_has_no_room", upstream=self.upstream.id, unit=task.unit)
+            return False
         if self._order(Load(task.unit)) not in (OrderResult.ACCEPTED, OrderResult.HOLDS):
             return False
         time.sleep(ADAPTER_SECONDS)
@@ -276,6 +279,13 @@
         arriving = frozenset(one for one in report.arriving if one != unit)
         self._report = report._replace(held={**report.held, unit.model: changed}, arriving=arriving)
 
+    def _has_room_for_adapter(self, unit: Unit, engine: EngineRule) -> bool:
+        report, rule = self._report, engine.models_by_name.get(unit.model)
+        if report is None or rule is None:
+            return False
+        late = late_mb(self.unanswered, report.orders_accepted)
+        return used_mb(engine, report.held) + rule.adapter_mb + late <= engine.weights_mb
+
     def _has_room(self, model: str) -> bool:
         engine, report = self._engine(), self._report
         if engine is None or report is None or model not in engine.models_by_name:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -217,7 +217,15 @@
             fleet.pace,
             budget,
         )
-        wait = HolderWait(chooser, self.changes, self.holdings, self.needs, self.open_requests)
+        self.cut_off = None
+        wait = HolderWait(
+            chooser,
+            self.changes,
+            self.holdings,
+            self.needs,
+            self.open_requests,
+            lambda: self.cut_off,
+        )
         entry = Entry(
             self.routes, exchange, PlainRelay(parts), StreamRelay(parts, wait, fleet.prefixes),
             self.needs, budget, self.open_requests, _Outcomes(self.ended),
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_worker_orders.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_worker_orders.py
@@ -129,3 +129,16 @@
     carry_out(orders, AdapterTask(Unit("a", "z"), (Unit("a", "x"),)))
     assert worker.held["a"] == {"y", "z"}
     assert orders.held() == {"a": frozenset({"y", "z"})}
+
+
+def test_adapter_without_room_beside_the_models_is_never_ordered(worker, engine, right):
+    # Two models fill the worker's memory to the last megabyte. The adapter that a request
+    # waits for has a free place by its number: ordered, it crashes the worker.
+    worker.held["b"] = frozenset()
+    tight = engine._replace(weights_mb=140.0)
+    orders = WorkerOrders(
+        upstream("u0", "a"), lambda: tight, worker, GiverRight("i1", lambda: right[0]), lambda: None
+    )
+    carry_out(orders, AdapterTask(Unit("a", "a1"), ()))
+    assert worker.orders == []
+    orders.stop()
