--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -147,7 +147,7 @@
         for key in self._workers.keys() - listed.keys():
             former = self._workers.pop(key)
             former.stop()
-            self._unanswered_by_name[former.upstream.platform_name] = former.unanswered
+            self._unanswered_by_name[former.upstream.platform_name] = former.ledger.unanswered
         for key, upstream in listed.items():
             if key not in self._workers:
                 self._workers[key] = self._new_worker(upstream)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_ledger.py
@@ -0,0 +1,116 @@
+"""What one worker holds, as its reports and its answers to orders tell it."""
+
+import time
+from collections.abc import Callable, Iterable
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.holdings import Held
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.routes.service_rule import EngineRule
+from redwingscale_daemon._internal.swaps.engine_report import EngineReport
+from redwingscale_daemon._internal.swaps.order import Load, OrderResult, Unload
+from redwingscale_daemon._internal.swaps.room import used_mb
+from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad, late_mb
+
+
+class WorkerLedger:
+    """Known from a report, then kept by the answers; unknown after what is no clear answer.
+
+    A report of another start of the process says that all of it is void: the worker
+    holds nothing and gets no order until the list names the new start, which has a
+    ledger of its own.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        engine: Callable[[], EngineRule | None],
+        unanswered: Iterable[UnansweredLoad] = (),
+    ) -> None:
+        self._upstream = upstream
+        self._engine = engine
+        self.report: EngineReport | None = None
+        # Of this start of the process and of former ones under its name.
+        self.unanswered = list(unanswered)
+        self.superseded = False
+
+    @property
+    def orders_accepted(self) -> int:
+        """The number that the next order must name; 0 while it isn't known."""
+        return self.report.orders_accepted if self.report else 0
+
+    def forget(self) -> None:
+        """Hold nothing for known until the next report."""
+        self.report = None
+
+    def is_own(self, report: EngineReport) -> bool:
+        """Return whether ``report`` is of this start of the process; else void the ledger."""
+        if report.born == self._upstream.born:
+            return True
+        self.superseded = True
+        log_event(
+            "upstream_reborn",
+            level="WARNING",
+            upstream=self._upstream.id,
+            known_start=self._upstream.born,
+            reported_start=report.born,
+        )
+        return False
+
+    def held(self, going: frozenset[str], going_adapters: frozenset[Unit]) -> Held | None:
+        """Return what requests may be sent for, None while it isn't known."""
+        if self.superseded:
+            return {}
+        if self.report is None:
+            return None
+        return {
+            name: frozenset(one for one in adapters if Unit(name, one) not in going_adapters)
+            for name, adapters in self.report.held.items()
+            if name not in going
+        }
+
+    def note_order(self, action: Load | Unload, result: OrderResult) -> None:
+        """Count an order that the worker has taken, or may take later."""
+        report = self.report
+        assert report is not None
+        idle_adapter = bool(action.unit.adapter) and isinstance(action, Unload)
+        if result is OrderResult.UNKNOWN and isinstance(action, Load):
+            late = UnansweredLoad(
+                report.orders_accepted, self._needed_mb(action.unit), time.monotonic()
+            )
+            self.unanswered.append(late)
+        if result is OrderResult.ACCEPTED or (result is OrderResult.HOLDS and idle_adapter):
+            self.report = report._replace(orders_accepted=report.orders_accepted + 1)
+
+    def note_adapter(self, unit: Unit, *, held: bool) -> None:
+        """Note an adapter that has come or gone."""
+        report = self.report
+        assert report is not None
+        adapters = report.held.get(unit.model, frozenset())
+        changed = adapters | {unit.adapter} if held else adapters - {unit.adapter}
+        arriving = frozenset(one for one in report.arriving if one != unit)
+        self.report = report._replace(held={**report.held, unit.model: changed}, arriving=arriving)
+
+    def has_room(self, unit: Unit) -> bool:
+        """Return whether ``unit`` fits beside all that is there or may still arrive."""
+        engine, report = self._engine(), self.report
+        if engine is None or report is None or unit.model not in engine.models_by_name:
+            return False
+        if unit.adapter and self._adapters(report) >= engine.adapter_slots:
+            return False
+        arriving = sum(map(self._needed_mb, report.arriving))
+        late = late_mb(self.unanswered, report.orders_accepted)
+        taken = used_mb(engine, report.held) + arriving + late
+        return taken + self._needed_mb(unit) <= engine.weights_mb
+
+    def _adapters(self, report: EngineReport) -> int:
+        return sum(map(len, report.held.values())) + len(report.arriving)
+
+    def _needed_mb(self, unit: Unit) -> float:
+        engine = self._engine()
+        rule = engine.models_by_name.get(unit.model) if engine else None
+        if rule is None:
+            return 0.0
+        return rule.adapter_mb if unit.adapter else rule.weights_mb
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -15,8 +15,8 @@
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult, Unload
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
-from redwingscale_daemon._internal.swaps.room import used_mb
-from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad, late_mb
+from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad
+from redwingscale_daemon._internal.swaps.worker_ledger import WorkerLedger
 
 # Instances hear within some milliseconds that a model goes; what is on its way
 # to it arrives meanwhile.
@@ -74,10 +74,6 @@
     order without an answer leaves it unknown, and nothing more is loaded until
     a report tells: two loads that both arrive would overfill the memory, and
     the worker would crash under its running models.
-
-    A report of another start of the process says that all this is void: the worker
-    holds nothing and gets no order until the list names the new start, which has a
-    ledger of its own.
     """
 
     def __init__(
@@ -90,15 +86,11 @@
         unanswered: Iterable[UnansweredLoad] = (),
     ) -> None:
         self.upstream = upstream
-        # Of this start of the process and of former ones under its name.
-        self.unanswered = list(unanswered)
-        self._superseded = False
-        self._engine = engine
+        self.ledger = WorkerLedger(upstream, engine, unanswered)
         self._client = client
         self._right = right
         self._on_change = on_change
         self._tasks: queue.SimpleQueue[Task | None] = queue.SimpleQueue()
-        self._report: EngineReport | None = None
         self._going: frozenset[str] = frozenset()
         self._going_adapters: frozenset[Unit] = frozenset()
         self._busy_with: Task | None = None
@@ -110,7 +102,7 @@
     @property
     def free(self) -> bool:
         """Whether a task can be given."""
-        if self._superseded:
+        if self.ledger.superseded:
             return False
         return self._busy_with is None and time.monotonic() >= self._blocked_until
 
@@ -127,17 +119,7 @@
 
     def held(self) -> Held | None:
         """Return what requests may be sent for, None while it isn't known."""
-        if self._superseded:
-            return {}
-        report = self._report
-        if report is None:
-            return None
-        going = self._going_adapters
-        return {
-            name: frozenset(one for one in adapters if Unit(name, one) not in going)
-            for name, adapters in report.held.items()
-            if name not in self._going
-        }
+        return self.ledger.held(self._going, self._going_adapters)
 
     def give(self, task: Task) -> None:
         """Carry out ``task``; only while `free`."""
@@ -149,7 +131,7 @@
     def refresh(self) -> None:
         """Ask for a report at the next task, or now when there is none."""
         if self._busy_with is None:
-            self._report = None
+            self.ledger.forget()
 
     def stop(self) -> None:
         """End the thread after its task."""
@@ -163,7 +145,7 @@
                 # The thread must live on: without it the worker would never
                 # get another order.
                 log_event("order_task_failed", level="ERROR", error=repr(error))
-                self._report = None
+                self.ledger.forget()
             finally:
                 self._going = frozenset()
                 self._going_adapters = frozenset()
@@ -171,7 +153,7 @@
                 self._on_change()
 
     def _carry_out(self, task: Task) -> None:
-        if self._report is None and not self._learn():
+        if self.ledger.report is None and not self._learn():
             self._blocked_until = time.monotonic() + UNREACHABLE_SECONDS
             return
         match task:
@@ -182,7 +164,7 @@
         if not done:
             # Whatever went wrong, the next task begins with a report; one that is
             # read at once would be from before what went wrong.
-            self._report = None
+            self.ledger.forget()
             self._blocked_until = time.monotonic() + POLL_SECONDS
 
     def _learn(self) -> bool:
@@ -190,22 +172,14 @@
         if report is None or report.busy:
             log_event("report_unusable", upstream=self.upstream.id, busy=report is not None)
             return False
-        self._report = report
+        self.ledger.report = report
         return True
 
     def _own_report(self) -> EngineReport | None:
         """Return the worker's report, None without one or from another start of it."""
         report = self._client.report(self.upstream)
-        if report is None or report.born == self.upstream.born:
+        if report is None or self.ledger.is_own(report):
             return report
-        self._superseded = True
-        log_event(
-            "upstream_reborn",
-            level="WARNING",
-            upstream=self.upstream.id,
-            known_start=self.upstream.born,
-            reported_start=report.born,
-        )
         self._on_change()
         return None
 
@@ -218,7 +192,7 @@
         for name in task.evicted:
             if not self._unload(name):
                 return False
-        if not self._has_room(task.model):
+        if not self.ledger.has_room(Unit(task.model)):
             # The plan was made from an older list; what the report has just told
             # stays known, so that the next plan fits.
             log_event("swap_has_no_room", upstream=self.upstream.id, model=task.model)
@@ -254,95 +228,46 @@
             if result is not OrderResult.HOLDS:
                 # A request still uses it: it goes later, and its place isn't free yet.
                 return False
-            self._note_adapter(unit, held=False)
-        engine = self._engine()
-        if engine is None or self._adapters() >= engine.adapter_slots:
-            return False
-        if not self._has_room_for_adapter(task.unit, engine):
+            self.ledger.note_adapter(unit, held=False)
+        if not self.ledger.has_room(task.unit):
             log_event("adapter_has_no_room", upstream=self.upstream.id, unit=task.unit)
             return False
         if self._order(Load(task.unit)) not in (OrderResult.ACCEPTED, OrderResult.HOLDS):
             return False
         time.sleep(ADAPTER_SECONDS)
-        self._note_adapter(task.unit, held=True)
+        self.ledger.note_adapter(task.unit, held=True)
         return True
 
-    def _adapters(self) -> int:
-        report = self._report
-        return sum(map(len, report.held.values())) + len(report.arriving) if report else 0
-
-    def _note_adapter(self, unit: Unit, *, held: bool) -> None:
-        report = self._report
-        assert report is not None
-        adapters = report.held.get(unit.model, frozenset())
-        changed = adapters | {unit.adapter} if held else adapters - {unit.adapter}
-        arriving = frozenset(one for one in report.arriving if one != unit)
-        self._report = report._replace(held={**report.held, unit.model: changed}, arriving=arriving)
-
-    def _has_room_for_adapter(self, unit: Unit, engine: EngineRule) -> bool:
-        report, rule = self._report, engine.models_by_name.get(unit.model)
-        if report is None or rule is None:
-            return False
-        late = late_mb(self.unanswered, report.orders_accepted)
-        return used_mb(engine, report.held) + rule.adapter_mb + late <= engine.weights_mb
-
-    def _has_room(self, model: str) -> bool:
-        engine, report = self._engine(), self._report
-        if engine is None or report is None or model not in engine.models_by_name:
-            return False
-        arriving = sum(
-            engine.models_by_name[unit.model].adapter_mb
-            for unit in report.arriving
-            if unit.model in engine.models_by_name
-        )
-        needed = engine.models_by_name[model].weights_mb
-        late = late_mb(self.unanswered, report.orders_accepted)
-        return used_mb(engine, report.held) + arriving + needed + late <= engine.weights_mb
-
     def _order(self, action: Load | Unload) -> OrderResult:
         """Send one order, counted in the ledger if the worker has taken it."""
-        report = self._report
         fence = self._right.fence()
-        if report is None or fence is None:
+        if self.ledger.report is None or fence is None:
             return OrderResult.REFUSED
-        order = Order(action, report.orders_accepted, self._right.instance, fence)
+        accepted = self.ledger.orders_accepted
+        order = Order(action, accepted, self._right.instance, fence)
         result = self._client.order(self.upstream, order)
         log_event(
             "order_sent",
             upstream=self.upstream.id,
             order=type(action).__name__,
             unit=action.unit,
-            after=report.orders_accepted,
+            after=accepted,
             fence=fence,
             result=result.value,
         )
-        self._note_unanswered(action, report.orders_accepted, result)
-        if result is OrderResult.ACCEPTED or (
-            result is OrderResult.HOLDS and action.unit.adapter and isinstance(action, Unload)
-        ):
-            self._report = report._replace(orders_accepted=report.orders_accepted + 1)
+        self.ledger.note_order(action, result)
         return result
 
-    def _note_unanswered(
-        self, action: Load | Unload, orders_accepted: int, result: OrderResult
-    ) -> None:
-        engine = self._engine()
-        rule = engine.models_by_name.get(action.unit.model) if engine else None
-        if result is not OrderResult.UNKNOWN or rule is None or isinstance(action, Unload):
-            return
-        weights = rule.adapter_mb if action.unit.adapter else rule.weights_mb
-        self.unanswered.append(UnansweredLoad(orders_accepted, weights, time.monotonic()))
-
     def _until(self, holds: Callable[[EngineReport], bool], limit_seconds: float) -> bool:
         """Poll reports until one that is not busy ``holds``; keep it as the ledger."""
-        expected = self._report.orders_accepted if self._report else 0
+        expected = self.ledger.orders_accepted
         end = time.monotonic() + limit_seconds
         while time.monotonic() < end:
             report = self._own_report()
-            if self._superseded:
+            if self.ledger.superseded:
                 return False
             if report is not None and report.orders_accepted >= expected and not report.busy:
-                self._report = report
+                self.ledger.report = report
                 return holds(report)
             time.sleep(POLL_SECONDS)
         return False
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_reborn_workers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_reborn_workers.py
@@ -36,7 +36,7 @@
     assert idle(one)
     assert set(one.held()) == {"a", "b"}
     worker.born, worker.held, worker.accepted = 2, {}, 0
-    one._report = None
+    one.ledger.forget()
     sent = len(worker.orders)
     one.give(SwapTask((), "c", 0.01))
     assert idle(one)
@@ -72,7 +72,7 @@
     one = orders(upstream("w"))
     one.give(SwapTask((), "b", 0.01))
     assert idle(one)
-    assert [load.orders_accepted for load in one.unanswered] == [0]
+    assert [load.orders_accepted for load in one.ledger.unanswered] == [0]
     assert isinstance(worker.orders[0].action, Load)
 
 
