Log which upstreams are kept though unlisted, and who the list is read by

Cause: the record of the late sends shows that the instance read the list again and dropped nothing, but not why, nor when its own reads ended. Both are decisions that change what it believes, and neither had a line.

Change: upstream_kept (once for each upstream, with the row version of the list) and list_source (own_reads or order_giver, with the ages of both). No logic is changed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -41,6 +41,8 @@
         self._needless = needless
         # What was wrong with entries that name no upstream, by their name.
         self._faults_by_name: dict[str, str] = {}
+        # Upstreams that are missing from the list and are kept for now.
+        self._kept: set[str] = set()
 
     def step(self) -> None:
         """Read the list once, unless the order giver tells it.
@@ -50,14 +52,17 @@
         if self._needless(self._state.answered_at):
             return
         try:
-            rows = self._store.read(self._table, "").rows
+            snapshot = self._store.read(self._table, "")
         except PlatformError as error:
             self._state.failed(error)
             return
         self._state.answered()
+        rows = snapshot.rows
         listed = [upstream for row in rows if (upstream := self._upstream(row))]
         self._forget_faults(row.key.key for row in rows)
-        self._directory.replace([*listed, *self._lapsed(listed)])
+        lapsed = self._lapsed(listed)
+        self._log_kept(lapsed, snapshot.version)
+        self._directory.replace([*listed, *lapsed])
 
     def _lapsed(self, listed: list[Upstream]) -> list[Upstream]:
         """Return known upstreams whose entries may only have lapsed in an outage."""
@@ -66,6 +71,15 @@
         ids = {upstream.id for upstream in listed}
         return [upstream for upstream in self._directory.all() if upstream.id not in ids]
 
+    def _log_kept(self, lapsed: list[Upstream], version: int) -> None:
+        ids = {upstream.id for upstream in lapsed}
+        regained_for = round(time.monotonic() - self._state.regained_at, 3)
+        for key in ids - self._kept:
+            log_event(
+                "upstream_kept", upstream=key, list_version=version, regained_for=regained_for
+            )
+        self._kept = ids
+
     def _upstream(self, row: StoredRow) -> Upstream | None:
         """Return the upstream that an entry names, None where it names none to use.
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_news.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_news.py
@@ -2,6 +2,8 @@
 
 import time
 
+from redwingscale_common.utils.logs import log_event
+
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
@@ -28,6 +30,7 @@
         self._fence: int | None = None
         self._fence_at = float("inf")
         self._read_at = float("-inf")
+        self._stood_in = False
 
     def take(self, fence: int, changed: list[Upstream], gone: list[str], age: float) -> None:
         """Take what the giver with ``fence`` has read ``age`` seconds ago."""
@@ -41,8 +44,23 @@
     def stands_in(self, last_read_at: float) -> bool:
         """Return whether an instance that has read the list at ``last_read_at`` need not now."""
         now = time.monotonic()
-        return (
+        stands_in = (
             now - self._read_at < CURRENT_SECONDS
             and last_read_at > self._fence_at
             and now - last_read_at < FULL_READ_SECONDS
         )
+        self._log_source(stands_in, last_read_at)
+        return stands_in
+
+    def _log_source(self, stands_in: bool, last_read_at: float) -> None:
+        if stands_in == self._stood_in:
+            return
+        self._stood_in = stands_in
+        now = time.monotonic()
+        log_event(
+            "list_source",
+            source="order_giver" if stands_in else "own_reads",
+            fence=self._fence,
+            news_age=round(now - self._read_at, 3),
+            read_age=round(now - last_read_at, 3),
+        )
