Tell the list of upstreams in a message of its own

Cause: a test of the late sends must pass the order giver's news through the code that makes and takes them; their three fields were spread over two functions and a message.

Change: ListTold holds them, made by ListChanges.tell, taken by ListNews.take. The bytes on the wire move by one array; no logic is changed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -6,7 +6,6 @@
 from redwingscale_daemon._internal.fleet.fleet import Fleet
 from redwingscale_daemon._internal.fleet.list_news import ListNews
 from redwingscale_daemon._internal.fleet.load_book import Load
-from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.platform import engine
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
@@ -18,6 +17,7 @@
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord, LeaseTiming
 from redwingscale_daemon._internal.swaps.giver_link import GiverLink
+from redwingscale_daemon._internal.swaps.list_changes import ListChanges
 from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling
 from redwingscale_daemon._internal.swaps.messages import (
     GiverNews,
@@ -122,16 +122,14 @@
         _take_news(news, told_loads, fleet)
         if not lease.holds:
             lease.heard(news.store.lease_version)
-            list_news.take(news.fence, news.store.changed, news.store.gone, news.store.list_age)
+            list_news.take(news.fence, news.store.upstreams)
             route_news.take(news.store.configuration, news.store.configuration_age)
 
-    def read_for_all(changed: list[Upstream], gone: list[str]) -> StoreNews:
+    def read_for_all(changes: ListChanges) -> StoreNews:
         table = routes.get()
         return StoreNews(
             lease.row_version,
-            changed,
-            gone,
-            reads.upstreams.age,
+            changes.tell(fleet.directory, reads.upstreams.age),
             table.version if table else 0,
             reads.configuration.age,
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_news.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_news.py
@@ -4,7 +4,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.list_told import ListTold
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
 # An upstream that leaves gets no new work two seconds after the store knows it. The
@@ -32,14 +32,14 @@
         self._read_at = float("-inf")
         self._stood_in = False
 
-    def take(self, fence: int, changed: list[Upstream], gone: list[str], age: float) -> None:
-        """Take what the giver with ``fence`` has read ``age`` seconds ago."""
+    def take(self, fence: int, told: ListTold) -> None:
+        """Take what the giver with ``fence`` tells."""
         now = time.monotonic()
         if fence != self._fence:
             self._fence, self._fence_at = fence, now
-        self._read_at = now - age
-        if changed or gone:
-            self._directory.update(changed, gone)
+        self._read_at = now - told.age
+        if told.changed or told.gone:
+            self._directory.update(told.changed, told.gone)
 
     def stands_in(self, last_read_at: float) -> bool:
         """Return whether an instance that has read the list at ``last_read_at`` need not now."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/list_changes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/list_changes.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.fleet.list_told import ListTold
 from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
 # A message may be lost and the next one come a second later; an instance that hears
 # nothing for longer reads the list itself.
@@ -28,6 +30,10 @@
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
 
+    def tell(self, directory: UpstreamDirectory, age: float) -> ListTold:
+        """Return what to tell of ``directory``, whose list was read ``age`` seconds ago."""
+        return ListTold(*self.of(directory.all()), age)
+
     def of(self, listed: Iterable[Upstream]) -> tuple[list[Upstream], list[str]]:
         """Return the upstreams that have come or changed lately, and the ids of those gone."""
         now = time.monotonic()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.list_told import ListTold
 
 
 class NeedEntry(msgspec.Struct, array_like=True):
@@ -96,16 +96,12 @@
 class StoreNews(msgspec.Struct, array_like=True):
     """What the order giver has read from the store, so that the others need not.
 
-    ``lease_version`` is the row version of its newest renewal. Of the list of
-    upstreams it tells what has ``changed`` or ``gone`` in the last seconds, read
-    ``list_age`` seconds ago; of the configuration the version in force, confirmed
-    ``configuration_age`` seconds ago.
+    ``lease_version`` is the row version of its newest renewal. Of the configuration it
+    tells the version in force, confirmed ``configuration_age`` seconds ago.
     """
 
     lease_version: int
-    changed: list[Upstream]
-    gone: list[str]
-    list_age: float
+    upstreams: ListTold
     configuration: int
     configuration_age: float
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/news_due.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/news_due.py
@@ -60,7 +60,8 @@
 
     def differ(self, loading: Iterable[str], store: StoreNews) -> bool:
         """Return whether the news tell something that no earlier ones have told."""
-        apart = (frozenset(loading), store.changed, store.gone, store.configuration)
+        told = store.upstreams
+        apart = (frozenset(loading), told.changed, told.gone, store.configuration)
         changed = self._fresh_change or apart != self._apart
         self._apart, self._fresh_change = apart, False
         return changed
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -61,7 +61,7 @@
         client: OrderClient,
         hub: GiverHub,
         window: LoadCeiling,
-        read: Callable[[list[Upstream], list[str]], StoreNews],
+        read: Callable[[ListChanges], StoreNews],
     ) -> None:
         self._right = right
         self._routes = routes
@@ -69,7 +69,7 @@
         self._client = client
         self._hub = hub
         self._window = window
-        # Adds what this instance has read besides to the changes of the list.
+        # What this instance has read, with the changes of the list.
         self._read = read
         self._changes = ListChanges()
         self._demand = Demand()
@@ -282,7 +282,7 @@
         ready_in = {
             worker.loading: worker.ready_in for worker in self._workers.values() if worker.loading
         }
-        store = self._read(*self._changes.of(self._directory.all()))
+        store = self._read(self._changes)
         if not self._news.differ(ready_in.keys(), store) and not regular:
             return None
         loads = [LoadEntry(key, *load) for key, load in self._totals.loads.items()]
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_news.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_news.py
@@ -5,6 +5,7 @@
 import pytest
 from redwingscale_daemon._internal.fleet.fleet import new_fleet
 from redwingscale_daemon._internal.fleet.list_news import ListNews
+from redwingscale_daemon._internal.fleet.list_told import ListTold
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.swaps.list_changes import ListChanges
 
@@ -44,12 +45,12 @@
 
 
 def test_upstream_that_the_giver_saw_leaving_gets_no_new_work(news, directory):
-    news.take(1, [upstream("u0", leaving=True)], [], 0.1)
+    news.take(1, ListTold([upstream("u0", leaving=True)], [], 0.1))
     assert ids(directory) == {"u1"}
 
 
 def test_upstream_that_the_giver_saw_go_is_forgotten(news, directory):
-    news.take(1, [upstream("u2")], ["u0"], 0.1)
+    news.take(1, ListTold([upstream("u2")], ["u0"], 0.1))
     assert ids(directory) == {"u1", "u2"}
 
 
@@ -58,34 +59,34 @@
     # saw it and tells nothing of it: without an own read it would be used for ever.
     read_at = time.monotonic()
     later(0.1)
-    news.take(1, [], [], 0.1)
+    news.take(1, ListTold([], [], 0.1))
     assert not news.stands_in(read_at)
     later(0.1)
     assert news.stands_in(time.monotonic())
     read_at = time.monotonic()
     later(0.1)
-    news.take(2, [], [], 0.1)
+    news.take(2, ListTold([], [], 0.1))
     assert not news.stands_in(read_at)
 
 
 def test_giver_that_no_longer_reads_does_not_stand_in(news, later):
     # The giver is cut off from the store and still tells its news: an upstream that
     # leaves now would get new work until somebody else reads the list.
-    news.take(1, [], [], 0.1)
+    news.take(1, ListTold([], [], 0.1))
     later(0.1)
     read_at = time.monotonic()
     assert news.stands_in(read_at)
     later(0.5)
-    news.take(1, [], [], 1.3)
+    news.take(1, ListTold([], [], 1.3))
     assert not news.stands_in(read_at)
 
 
 def test_whole_list_is_read_now_and_then(news, later):
-    news.take(1, [], [], 0.1)
+    news.take(1, ListTold([], [], 0.1))
     later(0.1)
     read_at = time.monotonic()
     later(21.0)
-    news.take(1, [], [], 0.1)
+    news.take(1, ListTold([], [], 0.1))
     assert not news.stands_in(read_at)
 
 
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_giver_news.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_giver_news.py
@@ -5,6 +5,7 @@
 import pytest
 from redwingscale_daemon._internal.composition.swaps import _take_news
 from redwingscale_daemon._internal.fleet.fleet import new_fleet
+from redwingscale_daemon._internal.fleet.list_told import ListTold
 from redwingscale_daemon._internal.fleet.load_book import Load
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
@@ -23,7 +24,7 @@
 
 from .conftest import SERVICE, upstream
 
-NOTHING_READ = StoreNews(1, [], [], 0.0, 1, 0.0)
+NOTHING_READ = StoreNews(1, ListTold([], [], 0.0), 1, 0.0)
 
 
 class Hub:
@@ -44,8 +45,8 @@
     right = GiverRight("i0", lambda: 7)
     ceiling = LoadCeiling(0.0, 5.0)
 
-    def read(changed, gone):
-        return StoreNews(1, changed, gone, 0.1, 1, 0.1)
+    def read(changes):
+        return StoreNews(1, changes.tell(fleet.directory, 0.1), 1, 0.1)
 
     return OrderGiver(right, routes, fleet.directory, worker, Hub(), ceiling, read)
 
