--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -41,8 +41,8 @@
             "State": state, "Version": "v1", "ColdLeftMs": 0, "Seq": 1, "Models": models,
         }  # fmt: skip
 
-    def instance(self, name, pipe=None):
-        made = InstanceProcess(name, self.store_port, self._directory, pipe)
+    def instance(self, name, pipe=None, store_port=None):
+        made = InstanceProcess(name, store_port or self.store_port, self._directory, pipe)
         self.instances.append(made)
         until(lambda: made.status() == 200, f"readiness of {name}")
         return made
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_cut_from_the_store.py
@@ -0,0 +1,44 @@
+"""An instance that is cut off from the store while the list changes."""
+
+import signal
+import time
+
+import pytest
+from redwingscale_standins.hosted.waiting import until
+from redwingscale_standins.soak.faulty_link import FaultyLink
+
+# A change of the list is told to the others for three seconds.
+NO_LONGER_TOLD_SECONDS = 3.5
+# Two seconds for entries that may have lapsed, one for the next read, the rest for a
+# busy machine. Unless it knows that it missed something it reads again after 20 s.
+DROPPED_SECONDS = 10.0
+
+
+@pytest.fixture
+def store_link(deployment):
+    made = FaultyLink(deployment.store_port)
+    yield made
+    made.close()
+
+
+def test_upstream_that_left_during_a_cut_is_dropped_after_it(deployment, store_link):
+    # Requests were sent to an upstream 18 s after it had left, by an instance that had
+    # been cut off from the store meanwhile. Back, it read a list without the entry, kept
+    # it as one that may have lapsed, and then took the news of a new order giver for its
+    # own reads; these told nothing of what had gone before.
+    deployment.worker("w1", "m1")
+    deployment.worker("w2", "m2")
+    one, two = deployment.instance("one"), deployment.instance("two", store_port=store_link.port)
+    three = deployment.instance("three")
+    until(lambda: deployment.giver() == "one", "the first order giver")
+    store_link.refuse = True
+    store_link.reset()
+    until(lambda: b"what=upstreams" in two.log.read_bytes(), "the loss of the store")
+    one.end(signal.SIGTERM)
+    until(lambda: deployment.giver() == "three", "the next order giver")
+    deployment.rows.remove("servers", "w2")
+    until(lambda: b"event=upstream_gone" in three.log.read_bytes(), "the end at the others")
+    time.sleep(NO_LONGER_TOLD_SECONDS)
+    assert b"event=upstream_gone" not in two.log.read_bytes()
+    store_link.heal()
+    until(lambda: b"event=upstream_gone" in two.log.read_bytes(), "the end", DROPPED_SECONDS)
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
@@ -0,0 +1,158 @@
+"""What an instance believes of the list after it was cut off from those who know it."""
+
+import time
+
+import msgspec
+import pytest
+from redwingscale_daemon._internal.exceptions import PlatformUnavailable
+from redwingscale_daemon._internal.fleet.fleet import new_fleet
+from redwingscale_daemon._internal.fleet.list_follower import ListFollower
+from redwingscale_daemon._internal.fleet.list_news import ListNews
+from redwingscale_daemon._internal.fleet.list_told import ListTold
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.store.link_state import LinkState
+from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+from redwingscale_daemon._internal.swaps.list_changes import ListChanges
+
+STEP_SECONDS = 0.25
+# Lapsed entries are back within two seconds of the store's return, and new work stays
+# away from an upstream two seconds after the store knows that it leaves.
+SETTLED_SECONDS = 4.0
+
+
+class Clock:
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+class Store:
+    """The list, as rows whose versions share one counter."""
+
+    def __init__(self):
+        self.version = 0
+        self.rows = {}
+
+    def put(self, name, state="ready"):
+        self.version += 1
+        self.rows[name] = (self.version, state)
+
+    def remove(self, name):
+        self.version += 1
+        self.rows.pop(name, None)
+
+    def read(self, table, partition):
+        rows = tuple(
+            StoredRow(RowKey(table, partition, name), version, state.encode())
+            for name, (version, state) in self.rows.items()
+        )
+        return Snapshot(rows, self.version)
+
+
+def decode(name, row_version, value):
+    return Upstream(
+        name, "llm", "127.0.0.1", 1, "z1", 64, value == b"draining", None, {},
+        frozenset(), frozenset(), row_version=row_version,
+    )  # fmt: skip
+
+
+class Reader:
+    """An instance that reads the list; ``cut`` from the store it gets no answer."""
+
+    def __init__(self, store):
+        self._store = store
+        self.cut = False
+        self.directory = new_fleet().directory
+        self.state = LinkState("upstreams")
+        self.news = ListNews(self.directory)
+        self.follower = ListFollower(
+            self, "servers", decode, self.directory, self.state, self.needless
+        )
+
+    def needless(self, last_read_at):
+        return self.news.stands_in(last_read_at)
+
+    def read(self, table, partition):
+        if self.cut:
+            raise PlatformUnavailable("no answer")
+        return self._store.read(table, partition)
+
+    def known(self):
+        return {one.id for one in self.directory.usable("llm")}
+
+
+class Giver(Reader):
+    """The order giver reads for all, and tells what has changed."""
+
+    def __init__(self, store, fence):
+        super().__init__(store)
+        self.fence = fence
+        self._changes = ListChanges()
+        self._decoder = msgspec.msgpack.Decoder(ListTold)
+
+    def needless(self, last_read_at):
+        return False
+
+    def tell(self):
+        told = self._changes.tell(self.directory, self.state.age)
+        return self._decoder.decode(msgspec.msgpack.encode(told))
+
+
+class Deployment:
+    """A store, an order giver, and an instance that may hear it."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.store = Store()
+        for name in ("u0", "u1", "u2"):
+            self.store.put(name)
+        self.giver = Giver(self.store, 1)
+        self.instance = Reader(self.store)
+        self.hears_giver = True
+        self.run(2.0)
+
+    def new_giver(self):
+        self.giver = Giver(self.store, self.giver.fence + 1)
+
+    def run(self, seconds):
+        for _ in range(int(seconds / STEP_SECONDS)):
+            self._clock.now += STEP_SECONDS
+            self.giver.follower.step()
+            self.instance.follower.step()
+            told = self.giver.tell()
+            if self.hears_giver:
+                self.instance.news.take(self.giver.fence, told)
+
+    def listed(self):
+        return {name for name, (_, state) in self.store.rows.items() if state == "ready"}
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    made = Clock()
+    monkeypatch.setattr(time, "monotonic", made)
+    return made
+
+
+@pytest.fixture
+def deployment(clock):
+    return Deployment(clock)
+
+
+def test_upstream_that_left_during_a_cut_gets_no_new_work_after_it(deployment):
+    # Requests were sent to an upstream 18 s after it had left: two instances were cut
+    # off from the store, one of them the order giver; the entry went and another giver
+    # began. Back, the list was read without the entry, which was kept as one that might
+    # only have lapsed; then the giver's news, which told nothing of it any more, took
+    # the place of reads for 20 s. Evidence: upstream_kept, then list_source=order_giver
+    # within the second, and upstream_gone only 20 s later.
+    deployment.instance.cut, deployment.hears_giver = True, False
+    deployment.run(2.0)
+    deployment.store.remove("u1")
+    deployment.new_giver()
+    deployment.run(9.0)
+    deployment.instance.cut, deployment.hears_giver = False, True
+    deployment.run(SETTLED_SECONDS)
+    assert deployment.instance.known() == {"u0", "u2"}
