Compare the lists themselves before news stand in for reads

Cause: an instance took the order giver's news, which tell changes for 3 s each, for its own reads whenever it had read the list under this giver. It never asked whether its copy was the giver's: one that had kept an upstream as lapsed, or had missed a change in a cut, went on with it until the next whole read, up to 20 s.

Change: the news carry a digest of the giver's list; they stand in only where the own copy has the same one. ListCopy holds list and digest together, so that what is told and its digest are of one moment.

Ruled out: telling changes for longer, which only moves the bound.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_news.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_news.py
@@ -20,9 +20,11 @@
     """Applies the giver's changes, and tells whether they can stand in for own reads.
 
     Each instance's own read of the list in each second is most of what a large
-    deployment asks of the store. News stand in only for an instance that has read
-    the whole list since this giver began: the giver tells changes, and knows
-    nothing of what had gone before.
+    deployment asks of the store. The giver tells changes, for a few seconds each: an
+    instance that was cut off, or keeps what the list lacks, has another copy than the
+    giver and hears nothing of it. An upstream that had left was sent requests for 20 s,
+    until the next whole read. So the copies themselves are compared, by their digests,
+    not how each has come about; one that differs is read anew within a second.
     """
 
     def __init__(self, directory: UpstreamDirectory) -> None:
@@ -30,6 +32,7 @@
         self._fence: int | None = None
         self._fence_at = float("inf")
         self._read_at = float("-inf")
+        self._digest: int | None = None
         self._stood_in = False
 
     def take(self, fence: int, told: ListTold) -> None:
@@ -38,6 +41,7 @@
         if fence != self._fence:
             self._fence, self._fence_at = fence, now
         self._read_at = now - told.age
+        self._digest = told.digest
         if told.changed or told.gone:
             self._directory.update(told.changed, told.gone)
 
@@ -46,6 +50,7 @@
         now = time.monotonic()
         stands_in = (
             now - self._read_at < CURRENT_SECONDS
+            and self._digest == self._directory.copy.digest
             and last_read_at > self._fence_at
             and now - last_read_at < FULL_READ_SECONDS
         )
@@ -61,6 +66,7 @@
             "list_source",
             source="order_giver" if stands_in else "own_reads",
             fence=self._fence,
+            same_list=self._digest == self._directory.copy.digest,
             news_age=round(now - self._read_at, 3),
             read_age=round(now - last_read_at, 3),
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -3,17 +3,26 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.changes import Changes
 from redwingscale_daemon._internal.fleet.holdings import Held, Holdings
+from redwingscale_daemon._internal.fleet.list_digest import list_digest
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 
 GoneListener = Callable[[set[str]], None]
 
 
+class ListCopy(NamedTuple):
+    """The list as this instance knows it, and its `list_digest`."""
+
+    by_id: dict[str, Upstream]
+    digest: int
+
+
 class UpstreamDirectory:
     """Upstreams by id, as last listed, with the holdings that are newer than the list.
 
@@ -25,7 +34,7 @@
         self._lock = threading.Lock()
         self._holdings = holdings
         self._changes = changes
-        self._by_id: dict[str, Upstream] = {}
+        self._copy = ListCopy({}, list_digest(()))
         self._read_at = float("-inf")
         self._leaving: set[str] = set()
         self._gone_listeners: list[GoneListener] = []
@@ -41,9 +50,10 @@
 
     def _take(self, upstreams: Iterable[Upstream]) -> None:
         """Take all upstreams; of two starts under one name the newer one counts."""
-        listed = _newest_starts(upstreams, self._by_id.values())
+        listed = _newest_starts(upstreams, self._copy.by_id.values())
         with self._lock:
-            before, self._by_id = self._by_id, listed
+            before = self._copy.by_id
+            self._copy = ListCopy(listed, list_digest(listed.values()))
             leaving = {key for key, upstream in listed.items() if upstream.leaving}
             new_leaving = leaving - self._leaving
             self._leaving = (self._leaving | leaving) & listed.keys()
@@ -59,23 +69,28 @@
         """Take changes to the list: upstreams that have come or changed, ids of those gone."""
         changed_by_id = {upstream.id: upstream for upstream in changed}
         dropped = set(gone)
-        kept = {key: known for key, known in self._by_id.items() if key not in dropped}
+        kept = {key: known for key, known in self._copy.by_id.items() if key not in dropped}
         self._take([*{**kept, **changed_by_id}.values()])
 
+    @property
+    def copy(self) -> ListCopy:
+        """All that are listed, with their digest."""
+        return self._copy
+
     def get(self, upstream_id: str) -> Upstream | None:
         """Return one upstream, None if it isn't listed."""
-        return self._by_id.get(upstream_id)
+        return self._copy.by_id.get(upstream_id)
 
     def all(self) -> list[Upstream]:
         """Return all that are listed, leaving or not."""
-        return list(self._by_id.values())
+        return list(self._copy.by_id.values())
 
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of ``service`` that take new work."""
         leaving = self._leaving
         return [
             upstream
-            for upstream in self._by_id.values()
+            for upstream in self._copy.by_id.values()
             if upstream.service == service and upstream.id not in leaving
         ]
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/list_changes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/list_changes.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.fleet.list_digest import place_in_list
 from redwingscale_daemon._internal.fleet.list_told import ListTold
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
@@ -21,18 +22,15 @@
 
 
 class ListChanges:
-    """Compares one list with the next; each change is told for some seconds.
-
-    What upstreams hold changes often and is told elsewhere: only who they are,
-    where, and whether they leave counts as a change.
-    """
+    """Compares one list with the next; each change is told for some seconds."""
 
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
 
     def tell(self, directory: UpstreamDirectory, age: float) -> ListTold:
         """Return what to tell of ``directory``, whose list was read ``age`` seconds ago."""
-        return ListTold(*self.of(directory.all()), age)
+        copy = directory.copy
+        return ListTold(*self.of(copy.by_id.values()), age, copy.digest)
 
     def of(self, listed: Iterable[Upstream]) -> tuple[list[Upstream], list[str]]:
         """Return the upstreams that have come or changed lately, and the ids of those gone."""
@@ -57,14 +55,4 @@
 
 
 def _differ(one: Upstream, other: Upstream) -> bool:
-    return _place(one) != _place(other)
-
-
-def _place(upstream: Upstream) -> tuple[str, tuple[str, int], str, int, bool]:
-    return (
-        upstream.service,
-        upstream.address,
-        upstream.failure_domain,
-        upstream.slots,
-        upstream.leaving,
-    )
+    return place_in_list(one) != place_in_list(other)
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
@@ -4,6 +4,8 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable
 from redwingscale_daemon._internal.fleet.fleet import new_fleet
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
@@ -156,3 +158,60 @@
     deployment.instance.cut, deployment.hears_giver = False, True
     deployment.run(SETTLED_SECONDS)
     assert deployment.instance.known() == {"u0", "u2"}
+
+
+def test_news_of_the_same_giver_do_not_bridge_a_cut(deployment):
+    # An instance is cut off from all for some seconds, the giver goes on. An upstream
+    # leaves meanwhile; its leaving was told for 3 s, into the cut. The giver is heard a
+    # moment before the store is reached: its news are fresh, and it is the one under
+    # which the whole list was read. So it isn't read again.
+    deployment.instance.cut, deployment.hears_giver = True, False
+    deployment.run(1.0)
+    deployment.store.put("u1", "draining")
+    deployment.run(6.0)
+    deployment.hears_giver = True
+    deployment.run(0.5)
+    deployment.instance.cut = False
+    deployment.run(SETTLED_SECONDS)
+    assert deployment.instance.known() == {"u0", "u2"}
+
+
+CUTS = st.tuples(
+    st.booleans(),
+    st.booleans(),
+    st.sampled_from(["", "new giver", "giver cut"]),
+    st.sampled_from(["", "put u1", "remove u1", "drain u2", "remove u2", "put u3", "remove u3"]),
+    st.sampled_from([0.25, 0.5, 1.0, 2.5, 4.0]),
+)
+
+
+@given(stretches=st.lists(CUTS, max_size=8))
+def test_every_instance_agrees_with_the_list_once_it_is_calm(stretches):
+    # Whatever was cut off from whom, and whatever changed meanwhile: an instance that
+    # reaches store and giver again for four seconds uses what the store lists.
+    with pytest.MonkeyPatch.context() as patch:
+        clock = Clock()
+        patch.setattr(time, "monotonic", clock)
+        deployment = Deployment(clock)
+        for cut, hears, giver, change, seconds in stretches:
+            deployment.instance.cut, deployment.hears_giver = cut, hears
+            if giver == "new giver":
+                deployment.new_giver()
+            deployment.giver.cut = giver == "giver cut"
+            _change(deployment.store, change)
+            deployment.run(seconds)
+        deployment.instance.cut = deployment.giver.cut = False
+        deployment.hears_giver = True
+        deployment.run(SETTLED_SECONDS)
+        assert deployment.instance.known() == deployment.listed()
+
+
+def _change(store, change):
+    what, _, name = change.partition(" ")
+    match what:
+        case "put":
+            store.put(name)
+        case "drain" if name in store.rows:
+            store.put(name, "draining")
+        case "remove":
+            store.remove(name)
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_news.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_news.py
@@ -4,6 +4,7 @@
 
 import pytest
 from redwingscale_daemon._internal.fleet.fleet import new_fleet
+from redwingscale_daemon._internal.fleet.list_digest import list_digest
 from redwingscale_daemon._internal.fleet.list_news import ListNews
 from redwingscale_daemon._internal.fleet.list_told import ListTold
 from redwingscale_daemon._internal.fleet.upstream import Upstream
@@ -40,53 +41,86 @@
     return move
 
 
+def unchanged(directory, age):
+    """News of a giver that knows the same list."""
+    return ListTold([], [], age, directory.copy.digest)
+
+
 def ids(directory):
     return {one.id for one in directory.usable("llm")}
 
 
 def test_upstream_that_the_giver_saw_leaving_gets_no_new_work(news, directory):
-    news.take(1, ListTold([upstream("u0", leaving=True)], [], 0.1))
+    news.take(1, ListTold([upstream("u0", leaving=True)], [], 0.1, 0))
     assert ids(directory) == {"u1"}
 
 
 def test_upstream_that_the_giver_saw_go_is_forgotten(news, directory):
-    news.take(1, ListTold([upstream("u2")], ["u0"], 0.1))
+    news.take(1, ListTold([upstream("u2")], ["u0"], 0.1, 0))
     assert ids(directory) == {"u1", "u2"}
 
 
-def test_news_stand_in_only_after_an_own_read_under_this_giver(news, later):
+def test_news_stand_in_only_after_an_own_read_under_this_giver(news, directory, later):
     # The giver before knew an upstream that has gone in between. The new giver never
     # saw it and tells nothing of it: without an own read it would be used for ever.
     read_at = time.monotonic()
     later(0.1)
-    news.take(1, ListTold([], [], 0.1))
+    news.take(1, unchanged(directory, 0.1))
     assert not news.stands_in(read_at)
     later(0.1)
     assert news.stands_in(time.monotonic())
     read_at = time.monotonic()
     later(0.1)
-    news.take(2, ListTold([], [], 0.1))
+    news.take(2, unchanged(directory, 0.1))
     assert not news.stands_in(read_at)
 
 
-def test_giver_that_no_longer_reads_does_not_stand_in(news, later):
+def test_news_stand_in_only_for_a_copy_that_is_the_givers(news, directory, later):
+    # The instance knows an upstream that the giver doesn't, from whatever cause: told
+    # of changes only, it would use that one until its next whole read.
+    news.take(1, unchanged(directory, 0.1))
+    later(0.1)
+    read_at = time.monotonic()
+    assert news.stands_in(read_at)
+    directory.replace([*directory.all(), upstream("u3")])
+    assert not news.stands_in(read_at)
+    news.take(1, ListTold([], ["u3"], 0.1, list_digest([upstream("u0"), upstream("u1")])))
+    assert news.stands_in(read_at)
+
+
+def test_digest_tells_lists_apart_and_knows_no_order():
+    first, other = upstream("u0"), upstream("u1")
+    assert list_digest([first, other]) == list_digest([other, first])
+    changed = [
+        upstream("u0", leaving=True),
+        upstream("u0", port=2),
+        first._replace(slots=1),
+        first._replace(service="other"),
+        first._replace(failure_domain="z2"),
+        first._replace(host="127.0.0.2"),
+    ]
+    digests = {list_digest([one, other]) for one in (first, *changed)}
+    assert len(digests | {list_digest([first])}) == len(changed) + 2
+
+
+def test_giver_that_no_longer_reads_does_not_stand_in(news, directory, later):
     # The giver is cut off from the store and still tells its news: an upstream that
     # leaves now would get new work until somebody else reads the list.
-    news.take(1, ListTold([], [], 0.1))
+    news.take(1, unchanged(directory, 0.1))
     later(0.1)
     read_at = time.monotonic()
     assert news.stands_in(read_at)
     later(0.5)
-    news.take(1, ListTold([], [], 1.3))
+    news.take(1, unchanged(directory, 1.3))
     assert not news.stands_in(read_at)
 
 
-def test_whole_list_is_read_now_and_then(news, later):
-    news.take(1, ListTold([], [], 0.1))
+def test_whole_list_is_read_now_and_then(news, directory, later):
+    news.take(1, unchanged(directory, 0.1))
     later(0.1)
     read_at = time.monotonic()
     later(21.0)
-    news.take(1, ListTold([], [], 0.1))
+    news.take(1, unchanged(directory, 0.1))
     assert not news.stands_in(read_at)
 
 
