Take the first page's version for a table that is read in pages

Cause, looked for after the late sends: a read of several pages gave the version of its last page. A row that was dropped meanwhile on the first page is in the result, and the version says that its drop is known; waiting reads would go on after it.

Change: the version of the first page. What is read twice so does no harm.

Not run on a deployment: none has more than 500 rows.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -60,11 +60,14 @@
         """See `RowStore.read`."""
         found: list[StoredRow] = []
         start = ""
+        # That of the first page: what is written between pages may be missing.
+        version: int | None = None
         for _ in range(_MOST_PAGES):
             page = self._page(table, partition, start)
             found.extend(map(_stored_row, page.rows))
+            version = page.row_version if version is None else version
             if not page.truncated or not page.rows:
-                return Snapshot(tuple(found), page.row_version)
+                return Snapshot(tuple(found), version)
             # The range begins with its first key: the next one after ours.
             start = page.rows[-1].key + "\x00"
         raise PlatformUnavailable(f"table {table!r} has more than {_MOST_PAGES} pages")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/rows.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/rows.py
@@ -20,7 +20,10 @@
 
 
 class Snapshot(NamedTuple):
-    """Rows as of one moment of the store; ``version`` is the newest of the whole store."""
+    """Rows as of one moment of the store; ``version`` was the newest of the whole store then.
+
+    Rows of a table that is read in pages may be newer, never older.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
