--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream.py
@@ -11,18 +11,6 @@
     adapters: frozenset[str]
 
 
-class Place(NamedTuple):
-    """Who an upstream is, where, and whether it leaves."""
-
-    id: str
-    service: str
-    host: str
-    port: int
-    failure_domain: str
-    slots: int
-    leaving: bool
-
-
 class Upstream(NamedTuple):
     """One start of a process behind the system, known by ``id`` everywhere in the system.
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/list_changes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/list_changes.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from redwingscale_daemon._internal.fleet.list_digest import place_in_list
+from redwingscale_daemon._internal.fleet.list_digest import listing
 from redwingscale_daemon._internal.fleet.list_told import ListTold
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
@@ -56,4 +56,4 @@
 
 
 def _differ(one: Upstream, other: Upstream) -> bool:
-    return place_in_list(one) != place_in_list(other)
+    return listing(one) != listing(other)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -7,7 +7,6 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.fleet.load_book import Load
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
@@ -28,13 +27,8 @@
 from redwingscale_daemon._internal.swaps.news_due import NEWS_SECONDS, NewsDue
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
-from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad
-from redwingscale_daemon._internal.swaps.worker_orders import (
-    AdapterTask,
-    GiverRight,
-    SwapTask,
-    WorkerOrders,
-)
+from redwingscale_daemon._internal.swaps.worker_orders import AdapterTask, GiverRight, SwapTask
+from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
 # Each plan is followed by a rest of four times its length: callers' requests ask for
@@ -66,7 +60,6 @@
         self._right = right
         self._routes = routes
         self._directory = directory
-        self._client = client
         self._hub = hub
         self._window = window
         # What this instance has read, with the changes of the list.
@@ -75,9 +68,7 @@
         self._demand = Demand()
         self._rate = LoadRate()
         self._wake = threading.Event()
-        self._workers: dict[str, WorkerOrders] = {}
-        # Of workers that have gone: the same process may start again under its name.
-        self._unanswered_by_name: dict[str, list[UnansweredLoad]] = {}
+        self._workers = WorkerPool(self._engine, client, right, self._wake.set)
         self._instances = InstanceTotals()
         self._totals = NO_TOTALS
         self._news = NewsDue()
@@ -136,22 +127,13 @@
             self._changes = ListChanges()
             self._demand.forget_introductions()
             log_event("giver_ends")
-        for worker in self._workers.values():
-            worker.stop()
-        self._workers = {}
+        self._workers.stop()
 
     def _follow_list(self) -> None:
-        listed = {u.id: u for u in self._directory.all() if self._engine(u.service)}
+        listed = [one for one in self._directory.all() if self._engine(one.service)]
         if not self._workers:
-            self._begin_with(listed.values())
-        for key in self._workers.keys() - listed.keys():
-            former = self._workers.pop(key)
-            former.stop()
-            self._unanswered_by_name[former.upstream.platform_name] = former.ledger.unanswered
-        for key, upstream in listed.items():
-            if key not in self._workers:
-                self._workers[key] = self._new_worker(upstream)
-            self._workers[key].upstream = upstream
+            self._begin_with(listed)
+        self._workers.follow(listed)
 
     def _begin_with(self, upstreams: Iterable[Upstream]) -> None:
         copies: dict[str, Counter[str]] = defaultdict(Counter)
@@ -160,16 +142,6 @@
         for service, copies_by_model in copies.items():
             self._demand.begin_with(service, copies_by_model)
 
-    def _new_worker(self, upstream: Upstream) -> WorkerOrders:
-        return WorkerOrders(
-            upstream,
-            lambda: self._engine(upstream.service),
-            self._client,
-            self._right,
-            self._wake.set,
-            self._unanswered_by_name.pop(upstream.platform_name, ()),
-        )
-
     def _engine(self, service: str) -> EngineRule | None:
         table = self._routes.get()
         rule = table.services_by_name.get(service) if table else None
@@ -225,8 +197,8 @@
         )
         if swap.cold:
             self._rate.begin()
-        worker = self._workers[swap.view.upstream.id]
-        worker.give(SwapTask(swap.evicted, swap.model.name, swap.load_seconds))
+        task = SwapTask(swap.evicted, swap.model.name, swap.load_seconds)
+        self._workers.give(swap.view.upstream.id, task)
 
     def _bring_adapter(
         self, waiting: WaitingUnit, engine: EngineRule, views: list[WorkerView]
@@ -246,42 +218,16 @@
             evicted=",".join(map(str, evicted)) or "-",
             waiting=waiting.requests,
         )
-        self._workers[view.upstream.id].give(AdapterTask(waiting.unit, evicted))
+        self._workers.give(view.upstream.id, AdapterTask(waiting.unit, evicted))
 
     def _views(self, service: str) -> list[WorkerView]:
-        loads, uses, cut_off = self._totals
-        views = []
-        for upstream in self._directory.usable(service):
-            worker = self._workers.get(upstream.id)
-            if worker is None or upstream.id in cut_off:
-                continue
-            held = worker.held()
-            if held is None:
-                held = {m.name: m.adapters for m in upstream.models_by_name.values()}
-            load = loads.get(upstream.id, Load(0, 0))
-            views.append(
-                WorkerView(
-                    upstream,
-                    held,
-                    worker.free,
-                    worker.loading,
-                    worker.settled_at,
-                    load.requests,
-                    load.prompt_tokens,
-                    uses.get(upstream.id, {}),
-                )
-            )
-        return views
+        return self._workers.views(self._directory.usable(service), self._totals)
 
     def _tell(self, fence: int) -> GiverNews | None:
         """Return the news, None where they would tell nothing and none are due."""
         regular = self._news.regular_due()
-        held, all_held = self._news.held(
-            {key: worker.held() for key, worker in self._workers.items()}, regular=regular
-        )
-        ready_in = {
-            worker.loading: worker.ready_in for worker in self._workers.values() if worker.loading
-        }
+        held, all_held = self._news.held(self._workers.held_by_id(), regular=regular)
+        ready_in = self._workers.ready_in_by_model()
         store = self._read(self._changes)
         if not self._news.differ(ready_in.keys(), store) and not regular:
             return None
