--- a/packages/redwingscale-daemon/tests/functional/hosted/test_soak.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_soak.py
@@ -1,7 +1,12 @@
 """Seeds of the fault soak: real instances, faults from outside, promises checked throughout."""
 
+import threading
+
 import pytest
+from redwingscale_standins.soak import soak
+from redwingscale_standins.soak.faults import Faults
 from redwingscale_standins.soak.soak import play
+from redwingscale_standins.soak.world import World
 
 SECONDS = 5.0
 INSTANCES = 3
@@ -24,3 +29,31 @@
     outcome = play(seed, seconds, instances, directory)
     assert outcome.findings == []
     assert outcome.answered > outcome.requests / 2
+
+
+def test_soak_that_fails_in_a_fault_leaves_no_process(tmp_path, monkeypatch):
+    # The machine had no room for one more thread: the soak ended in an error while it
+    # was killing an instance, cleaned up, and the kill started the instance again. The
+    # process was found at the end of the session.
+    worlds = []
+
+    class Watched(World):
+        def __init__(self, *arguments):
+            super().__init__(*arguments)
+            worlds.append(self)
+
+    def run(self, seconds):
+        self._kill_instance()
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(soak, "World", Watched)
+    monkeypatch.setattr(Faults, "run", run)
+    with pytest.raises(RuntimeError, match="new thread"):
+        soak.play(1, SECONDS, 2, tmp_path)
+    # Threads that the soak has left may still start what it has ended.
+    for thread in [one for one in threading.enumerate() if one.name.startswith("kill ")]:
+        thread.join(30.0)
+    left = [node.name for node in worlds[0].nodes if node.process.process.poll() is None]
+    for node in worlds[0].nodes:
+        node.process.end()
+    assert left == []
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -64,6 +64,10 @@
             self._random.choice(self._menu)()
             pause = self._random.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
             time.sleep(min(pause, max(0.0, end - time.monotonic())))
+        self.wait()
+
+    def wait(self) -> None:
+        """Return when every fault that has begun has ended."""
         for thread in self._threads:
             thread.join()
 
@@ -78,8 +82,8 @@
                 self._world.ledger.finding("fault", f"{what}: {error!r}")
 
         thread = threading.Thread(target=guarded, name=what, daemon=True)
-        self._threads.append(thread)
         thread.start()
+        self._threads.append(thread)
 
     def _duration(self) -> float:
         return self._random.uniform(0.3, LONGEST_FAULT_SECONDS)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -63,8 +63,11 @@
         check_orders(world, ORDER_QUIET_SECONDS / 2)
         check_leaving(world, places.left(), planned_only=planned_only)
     finally:
+        for caller in callers:
+            caller.stopped = True
         ended.set()
-        heartbeats.join()
+        # A fault under way would start an instance again after the end of all.
+        faults.wait()
         world.stop()
         (directory / "faults.log").write_text("\n".join(faults.log) + "\n")
     told = world.ledger.told
