Wait for signals at a pipe, not at a lock that their handler releases

Cause, of the hole: Python runs a handler in the main thread at its next step; that slept on a lock without a limit, which only the handler would have released. A signal that the kernel hands to another thread wakes nobody.

Change: the interpreter writes each signal into a pipe in whichever thread it comes, and the main thread reads that. Both kinds of instance use it.

Test: a signal sent to another thread of a real instance.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
@@ -1,7 +1,6 @@
 """Starts and ends an instance whose requests are routed by host and path."""
 
 import signal
-import threading
 import time
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
@@ -9,6 +8,7 @@
 from redwingscale_common.utils.logs import flush_logs, log_event
 
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
+from redwingscale_daemon._internal.lifecycle.signals import SignalQueue
 
 # The balancer asks once a second and takes an instance out after two misses. What
 # is accepted later than that could outlast the grace period.
@@ -61,9 +61,6 @@
         self._parts = parts
         self._grace_seconds = grace_seconds
         self._reload = reload
-        self._wake = threading.Event()
-        self._stopping = False
-        self._reloading = False
 
     def run(self) -> int:
         """Start everything, and return the exit code after the last request.
@@ -72,9 +69,7 @@
         and to join them one after the other takes seconds in which the machine
         serves nobody. Nothing of theirs lasts, and the lease is released.
         """
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._on_stop)
-        signal.signal(signal.SIGHUP, self._on_reload)
+        signals = SignalQueue((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
         # The callers' port is open before the balancer can be told that it is.
         try:
             for part in (*self._parts.tasks, self._parts.callers, *self._parts.probes):
@@ -85,23 +80,11 @@
             return EXIT_START
         ports = ",".join(str(probe.port) for probe in self._parts.probes)
         log_event("started", callers_port=self._parts.callers.port, probe_ports=ports)
-        while not self._stopping:
-            self._wake.wait()
-            self._wake.clear()
-            if self._reloading:
-                self._reloading = False
-                self._reload()
+        while signals.next() == signal.SIGHUP:
+            self._reload()
         self._drain(time.monotonic() + self._grace_seconds - END_SECONDS)
         return 0
 
-    def _on_stop(self, *_: object) -> None:
-        self._stopping = True
-        self._wake.set()
-
-    def _on_reload(self, *_: object) -> None:
-        self._reloading = True
-        self._wake.set()
-
     def _drain(self, end: float) -> None:
         open_requests = self._parts.open_requests
         log_event("draining", open_requests=open_requests.count)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/instance.py
@@ -2,7 +2,6 @@
 
 import json
 import signal
-import threading
 import time
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -15,6 +14,7 @@
 from redwingscale_daemon._internal.idempotency.retention import Retention
 from redwingscale_daemon._internal.idempotency.settler import Settler
 from redwingscale_daemon._internal.lifecycle.readiness import Readiness
+from redwingscale_daemon._internal.lifecycle.signals import SignalQueue
 from redwingscale_daemon._internal.membership.listener import Listener
 from redwingscale_daemon._internal.membership.mesh import Mesh
 from redwingscale_daemon._internal.placement.owners import Owners
@@ -56,20 +56,15 @@
     def __init__(self, parts: Parts, balancer_drain_seconds: float) -> None:
         self._parts = parts
         self._balancer_drain_seconds = balancer_drain_seconds
-        self._signalled = threading.Event()
 
     def run(self) -> None:
         """Start, print the addresses as one JSON line, and return after the drain."""
-        signal.signal(signal.SIGTERM, self._on_signal)
-        signal.signal(signal.SIGINT, self._on_signal)
+        signals = SignalQueue((signal.SIGTERM, signal.SIGINT))
         self._start()
-        self._signalled.wait()
+        signals.next()
         self._drain()
         self._stop()
 
-    def _on_signal(self, *_: object) -> None:
-        self._signalled.set()
-
     def _start(self) -> None:
         parts = self._parts
         parts.listener.start()
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
@@ -1,11 +1,13 @@
 """An instance as a process: start, reload, stop, loss of the store and of the order giver."""
 
+import ctypes
 import json
 import os
 import signal
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 from redwingscale_standins.hosted.documents import document
 from redwingscale_standins.hosted.model_worker import WorkerTiming
@@ -65,6 +67,22 @@
     assert one.process.wait(20) == 0
 
 
+def test_stop_that_another_thread_receives_is_carried_out(deployment):
+    # An instance went on serving for 30 s after it was told to stop, until it was
+    # killed. The kernel may hand a signal to any thread; the handler runs in the main
+    # one, which slept on a lock that only the handler would have released.
+    deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    pid = one.process.pid
+    tasks = [int(task.name) for task in Path(f"/proc/{pid}/task").iterdir()]
+    other = next(task for task in tasks if task != pid)
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        assert ctypes.CDLL(None).tgkill(pid, other, number) == 0
+        done = {signal.SIGHUP: b"event=reloaded", signal.SIGTERM: b"event=draining"}[number]
+        until(lambda line=done: line in one.log.read_bytes(), "what the signal asks for")
+    assert one.process.wait(20) == 0
+
+
 def test_store_that_is_away_stops_no_request(deployment):
     deployment.worker("w1", "m1")
     one = deployment.instance("one")
