--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -79,8 +79,8 @@
         dropped = set(gone)
 
         def changed_list(known: dict[str, Upstream]) -> Iterable[Upstream]:
-            kept = {key: one for key, one in known.items() if key not in dropped}
-            return {**kept, **changed_by_id}.values()
+            others = {key: one for key, one in known.items() if key not in dropped}
+            return {**others, **changed_by_id}.values()
 
         return self._take(changed_list, version)
 
@@ -101,10 +101,10 @@
             leaving = {key for key, upstream in after.items() if upstream.leaving}
             new_leaving = leaving - self._leaving
             self._leaving = (self._leaving | leaving) & after.keys()
-        self._tell(before.by_id, after, new_leaving)
+        self._announce(before.by_id, after, new_leaving)
         return True
 
-    def _tell(
+    def _announce(
         self, before: dict[str, Upstream], after: dict[str, Upstream], leaving: set[str]
     ) -> None:
         _log_changes(before, after, leaving)
