--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -247,21 +247,13 @@
         self._begin(f"{place.worker.id} dies", fault)
 
     def _worker_leaves(self) -> None:
-        place = self._place()
-        if not self._replaceable(place):
-            return
-        models = set(place.worker.models)
-
-        def fault() -> None:
-            self._world.add_worker(place.service, models)
-            self._world.list(place, "draining")
-            place.left_at = time.monotonic()
-            time.sleep(LEAVING_SECONDS)
-            self._world.drop(place)
-
-        self._begin(f"{place.worker.id} leaves", fault)
+        self._leave("leaves", LEAVING_SECONDS, lambda place: self._world.list(place, "draining"))
 
     def _worker_leaves_unsaid(self) -> None:
+        self._leave("leaves and doesn't say so", UNSAID_LEAVING_SECONDS, self._world.unlist)
+
+    def _leave(self, how: str, seconds: float, begin: Callable[[Place], None]) -> None:
+        """Replace a worker that serves on for ``seconds`` after ``begin``."""
         place = self._place()
         if not self._replaceable(place):
             return
@@ -269,12 +261,12 @@
 
         def fault() -> None:
             self._world.add_worker(place.service, models)
-            self._world.unlist(place)
+            begin(place)
             place.left_at = time.monotonic()
-            time.sleep(UNSAID_LEAVING_SECONDS)
+            time.sleep(seconds)
             self._world.drop(place)
 
-        self._begin(f"{place.worker.id} leaves and doesn't say so", fault)
+        self._begin(f"{place.worker.id} {how}", fault)
 
     def _replaceable(self, place: Place) -> bool:
         """Return whether ``place`` may be replaced, which it is only once."""
