Soak: a link that gets no thread for a connection goes on with the next one

Cause, suspected: 28,000 to 29,500 of 32,768 threads were in use. A link that could not start a thread for a connection lost its accepting thread to the error; connections were taken by the kernel and answered by nobody. The test shows that, not that it was so then.

Test: red before (no answer within 5 s after one refused thread), green after. The soak's own sight: link_without_thread.

--- a/packages/redwingscale-daemon/tests/functional/hosted/test_soak.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_soak.py
@@ -3,8 +3,10 @@
 import threading
 
 import pytest
+import urllib3
 from redwingscale_standins.soak import soak
 from redwingscale_standins.soak.faults import Faults
+from redwingscale_standins.soak.faulty_link import FaultyLink
 from redwingscale_standins.soak.soak import play
 from redwingscale_standins.soak.world import World
 
@@ -31,6 +33,28 @@
     assert outcome.answered > outcome.requests / 2
 
 
+def test_link_without_room_for_a_thread_goes_on_with_the_next_connection(deployment, monkeypatch):
+    # A soak found that no model was served by anybody for 30 s: a worker took every
+    # connection and sent nothing. The machine had no room for one more thread; the
+    # link's own accepting thread ended with the error, which nobody saw.
+    link = FaultyLink(deployment.store_port)
+    start, refused = threading.Thread.start, []
+
+    def start_but_once(thread):
+        if not refused and thread._target == link._pump:
+            refused.append(thread)
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", start_but_once)
+    url = f"http://127.0.0.1:{link.port}/api/rows-get?Table=servers&part="
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        urllib3.request("GET", url, retries=False, timeout=5.0)
+    assert refused
+    assert urllib3.request("GET", url, retries=False, timeout=5.0).status == 200
+    link.close()
+
+
 def test_soak_that_fails_in_a_fault_leaves_no_process(tmp_path, monkeypatch):
     # The machine had no room for one more thread: the soak ended in an error while it
     # was killing an instance, cleaned up, and the kill started the instance again. The
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Callable
 
+from redwingscale_common.utils.logs import log_event
+
 CHUNK_BYTES = 65536
 HOLD_LOOK_SECONDS = 0.02
 # Closing with this set sends a reset in place of an end.
@@ -72,14 +74,23 @@
             far.settimeout(None)
             with self._lock:
                 self._open |= {near, far}
-            generation = self._generation
-            for source, sink, held in (
-                (near, far, lambda: self.hold_to),
-                (far, near, lambda: self.hold_from),
-            ):
-                threading.Thread(
-                    target=self._pump, args=(source, sink, held, generation), daemon=True
-                ).start()
+            try:
+                self._pump_both(near, far)
+            except RuntimeError as error:
+                # No room for one more thread: this connection is lost, not the link.
+                log_event("link_without_thread", level="ERROR", port=self.port, error=error)
+                _reset(near)
+                _reset(far)
+
+    def _pump_both(self, near: socket.socket, far: socket.socket) -> None:
+        generation = self._generation
+        for source, sink, held in (
+            (near, far, lambda: self.hold_to),
+            (far, near, lambda: self.hold_from),
+        ):
+            threading.Thread(
+                target=self._pump, args=(source, sink, held, generation), daemon=True
+            ).start()
 
     def _pump(
         self,
