List a store that answers the giver from behind for long as known red

Cause: what the giver reads rises in version although it is three seconds old, so neither version nor digest tells.

--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
@@ -363,6 +363,21 @@
     assert {one.id for one in directory.all()} == {"u0", "u2"}
 
 
+def test_giver_that_the_store_answers_from_behind_for_long_is_not_trusted(deployment):
+    # The store answers the giver, and only it, as of three seconds ago, for longer than
+    # that. What it reads rises in version, its renewals are accepted, and an instance
+    # that has not read the list itself meanwhile uses an upstream three seconds too long.
+    deployment.instance.cut = True
+    deployment.giver.behind = True
+    deployment.run(4.0)
+    deployment.instance.cut = False
+    deployment.run(0.5)
+    deployment.store.remove("u1")
+    for _ in range(int(SETTLED_SECONDS / STEP_SECONDS)):
+        deployment.run(STEP_SECONDS)
+        deployment.check_instance()
+
+
 STRETCHES = st.tuples(
     st.booleans(),
     st.booleans(),
