--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -156,8 +156,10 @@
     rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
     budget = RepeatBudget(rule, swaps.instances)
     chooser = Chooser(settings.failure_domain, fleet, swaps.instances)
-    sender = Sender(pool, exchange)
-    parts = RelayParts(exchange, sender, chooser, fleet.book, fleet.health, fleet.pace, budget)
+    sender = Sender(pool, exchange, fleet.rates)
+    parts = RelayParts(
+        exchange, sender, chooser, fleet.book, fleet.health, fleet.pace, budget, fleet.rates
+    )
     wait = HolderWait(
         chooser,
         fleet.changes,
@@ -190,7 +192,10 @@
         return rule is not None and rule.engine is not None
 
     client = OrderClient(
-        engine_calls(), connect_seconds=CONNECT_SECONDS, answer_seconds=CONNECT_SECONDS
+        engine_calls(),
+        on_rate=lambda upstream, per_second: fleet.rates.named(upstream, per_second, "own report"),
+        connect_seconds=CONNECT_SECONDS,
+        answer_seconds=CONNECT_SECONDS,
     )
     return OwnReports(
         settings.failure_domain,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -11,7 +11,7 @@
 from redwingscale_daemon._internal.fleet.list_news import ListNews
 from redwingscale_daemon._internal.fleet.load_book import Load
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
-from redwingscale_daemon._internal.platform import engine
+from redwingscale_daemon._internal.platform import engine, exchange
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_news import RouteNews
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings, Machine
@@ -85,6 +85,7 @@
         engine.encode_order,
         engine.order_headers,
         engine.order_result,
+        exchange.named_rate,
     )
 
 
@@ -183,7 +184,11 @@
         right,
         routes,
         fleet.directory,
-        OrderClient(engine_calls(), lambda result: metrics.orders.add(1, {"result": result.value})),
+        OrderClient(
+            engine_calls(),
+            lambda result: metrics.orders.add(1, {"result": result.value}),
+            lambda upstream, per_second: fleet.rates.named(upstream, per_second, "order giver"),
+        ),
         hub,
         LoadCeiling(0.0, bounds.load_window),
         read_for_all,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -6,6 +6,7 @@
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.holdings import Holdings
 from redwingscale_daemon._internal.fleet.load_book import LoadBook
+from redwingscale_daemon._internal.fleet.named_rates import NamedRates
 from redwingscale_daemon._internal.fleet.outcomes import Outcomes
 from redwingscale_daemon._internal.fleet.pace import Pace
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
@@ -23,6 +24,7 @@
     pace: Pace
     prefixes: PrefixMemory
     outcomes: Outcomes
+    rates: NamedRates
 
 
 def new_fleet() -> Fleet:
@@ -30,6 +32,7 @@
     changes, holdings, outcomes = Changes(), Holdings(), Outcomes()
     directory = UpstreamDirectory(holdings, changes)
     book, health, pace, prefixes = LoadBook(), Health(outcomes), Pace(), PrefixMemory()
-    for part in (book, health, pace, prefixes, holdings):
+    rates = NamedRates()
+    for part in (book, health, pace, prefixes, holdings, rates):
         directory.on_gone(part.forget)
-    return Fleet(directory, holdings, changes, book, health, pace, prefixes, outcomes)
+    return Fleet(directory, holdings, changes, book, health, pace, prefixes, outcomes, rates)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
@@ -7,6 +7,13 @@
 from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
 
 
+class HeaderValues(Protocol):
+    """The headers of an answer, whatever client has read them."""
+
+    def get(self, name: str, /) -> str | None:
+        """Return the value of a header, None where it is missing."""
+
+
 class Dialect(Protocol):
     """Reads and writes headers; decides nothing."""
 
@@ -46,5 +53,8 @@
     def is_from_another(self, response: HTTPResponse, upstream_name: str) -> bool:
         """Return whether another process than ``upstream_name`` has its address now."""
 
+    def named_rate(self, headers: HeaderValues) -> float | None:
+        """Return the requests a second that the upstream takes of all, None for any."""
+
     def idle_seconds(self, response: HTTPResponse) -> float | None:
         """Return how long the connection may be idle, 0 if it closes, None if unsaid."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -41,7 +41,8 @@
                     return
                 raise _nobody(call.attempts)
             load = self._parts.book.total(candidate.upstream.id)
-            call.attempts.begin(call.terms.request_id, candidate, load)
+            rate = self._parts.rates.get(candidate.upstream.id)
+            call.attempts.begin(call.terms.request_id, candidate, load, rate)
             ticket = self._parts.book.enter(candidate.upstream.id, None, 0)
             try:
                 if self._send(call, candidate.upstream):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -1,6 +1,7 @@
 """Sends a request once to one upstream."""
 
 import contextlib
+import time
 from http.client import HTTPException, HTTPResponse
 
 from urllib3.exceptions import HTTPError
@@ -10,6 +11,7 @@
     TimeLimitReached,
     UpstreamSilent,
 )
+from redwingscale_daemon._internal.fleet.named_rates import NamedRates
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
@@ -27,9 +29,10 @@
 class Sender:
     """Uses a kept connection or a new one; never sends anything twice."""
 
-    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
+    def __init__(self, pool: ConnectionPool, dialect: Dialect, rates: NamedRates) -> None:
         self._pool = pool
         self._dialect = dialect
+        self._rates = rates
 
     def send(
         self,
@@ -48,6 +51,7 @@
             connection = self._pool.take_idle(upstream) or self._pool.open(upstream)
         except (HTTPError, OSError) as error:
             return NotRun(upstream, f"no connection: {error!r}", wrong_place=False, reached=False)
+        sent_at = time.monotonic()
         try:
             connection.send_request(request.method, request.target, headers, request.body)
             response = self._own_answer(connection, request, request_id, watch)
@@ -60,6 +64,7 @@
         if response is None:
             connection.discard()
             return Lost(upstream, "answers of other requests")
+        self._note_rate(upstream, response, sent_at)
         if self._dialect.was_not_run(response):
             return self._refused(upstream, connection, response)
         return Answering(upstream, connection, response)
@@ -94,6 +99,14 @@
         response = connection.receive_next(request.method)
         return response if self._dialect.answers(response, request_id) else None
 
+    def _note_rate(self, upstream: Upstream, response: HTTPResponse, sent_at: float) -> None:
+        per_second = self._dialect.named_rate(response.headers)
+        if per_second is not None:
+            self._rates.named(upstream.id, per_second, "answer")
+        elif self._dialect.is_signed(response):
+            # What answers without a signature may be another process, or be garbled.
+            self._rates.unnamed(upstream.id, sent_at, "answer")
+
     def _refused(
         self, upstream: Upstream, connection: UpstreamConnection, response: HTTPResponse
     ) -> NotRun:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -81,7 +81,8 @@
                 call.permit.check()
             upstream = candidate.upstream
             load = self._parts.book.total(upstream.id)
-            call.attempts.begin(call.terms.request_id, candidate, load)
+            rate = self._parts.rates.get(upstream.id)
+            call.attempts.begin(call.terms.request_id, candidate, load, rate)
             kept = self._prefixes.kept_tokens(upstream.id, prompt)
             unread = max(0, prompt.tokens_in - kept)
             ticket = self._parts.book.enter(upstream.id, prompt.unit, unread)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -1,10 +1,14 @@
 """Callers' requests and upstreams' answers as the users' platform writes them."""
 
+import math
 from collections.abc import Iterable
 from http.client import HTTPResponse
 
+from redwingscale_common.utils.logs import log_event
+
 from redwingscale_daemon._internal.fleet.prompt import Prompt, PromptPart
 from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.forwarding.dialect import HeaderValues
 from redwingscale_daemon._internal.forwarding.terms import Terms
 from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
 from redwingscale_daemon._internal.platform import names
@@ -128,6 +132,21 @@
     return response.status == _MISDIRECTED and answering not in (None, upstream_name)
 
 
+def named_rate(headers: HeaderValues) -> float | None:
+    """Return the requests a second that the upstream takes of all, None where it names none."""
+    named = headers.get(names.NAMED_RATE)
+    if named is None:
+        return None
+    try:
+        per_second = float(named)
+    except ValueError:
+        per_second = math.nan
+    if math.isfinite(per_second) and per_second >= 0:
+        return per_second
+    log_event("header_malformed", level="WARNING", header=names.NAMED_RATE, value=named)
+    return None
+
+
 def idle_seconds(response: HTTPResponse) -> float | None:
     """Return how long the connection may be idle, 0 if it closes, None if unsaid."""
     if response.will_close:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -5,10 +5,12 @@
 
 import msgspec
 import urllib3
+from urllib3 import BaseHTTPResponse
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.forwarding.dialect import HeaderValues
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Order, OrderResult
 from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
@@ -28,6 +30,7 @@
     encode_order: Callable[[Order], bytes]
     order_headers: Callable[[str], dict[str, str]]
     order_result: Callable[[int], OrderResult]
+    named_rate: Callable[[HeaderValues], float | None] = lambda _: None
 
 
 class OrderClient:
@@ -42,12 +45,15 @@
         self,
         calls: EngineCalls,
         on_result: Callable[[OrderResult], None] = lambda _: None,
+        on_rate: Callable[[str, float], None] = lambda *_: None,
         *,
         connect_seconds: float = CONNECT_SECONDS,
         answer_seconds: float = ANSWER_SECONDS,
     ) -> None:
         self._calls = calls
         self._on_result = on_result
+        # Takes an upstream id and the rate that an answer names.
+        self._on_rate = on_rate
         self._pools = urllib3.PoolManager(
             num_pools=64,
             maxsize=1,
@@ -60,6 +66,7 @@
         """Return the worker's report, None where there is no sound answer."""
         try:
             response = self._pools.request("GET", _url(upstream, self._calls.report_target))
+            self._note_rate(upstream, response)
             if response.status != _OK:
                 return None
             return self._calls.decode_report(response.data)
@@ -84,8 +91,14 @@
             return OrderResult.REFUSED
         except HTTPError:
             return OrderResult.UNKNOWN
+        self._note_rate(upstream, response)
         return self._calls.order_result(response.status)
 
+    def _note_rate(self, upstream: Upstream, response: BaseHTTPResponse) -> None:
+        per_second = self._calls.named_rate(response.headers)
+        if per_second is not None:
+            self._on_rate(upstream.id, per_second)
+
 
 def _url(upstream: Upstream, target: str) -> str:
     return f"http://{upstream.host}:{upstream.port}{target}"
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -208,17 +208,19 @@
         self.ended = []
         self.limiter = UseLimiter(lambda: 1)
         self.book = fleet.book
+        self.rates = fleet.rates
         chooser = Chooser("z1", fleet)
         chooser._random = random.Random(1)
         budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
         parts = RelayParts(
             exchange,
-            Sender(self.pool, exchange),
+            Sender(self.pool, exchange, fleet.rates),
             chooser,
             fleet.book,
             fleet.health,
             fleet.pace,
             budget,
+            fleet.rates,
         )
         self.cut_off = None
         wait = HolderWait(
