--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -29,6 +29,10 @@
         self.models = models
         self.orders: list[dict[str, Any]] = []
         self.runs: list[str] = []
+        # Requests a second that it says it takes of all instances, None while in no need.
+        self.named_rate: float | None = None
+        # Of every call, monotonic.
+        self.called_at: list[float] = []
         self._timing = timing or WorkerTiming()
         self._lock = threading.Lock()
         self._busy = False
@@ -37,6 +41,9 @@
     def default(self, *segments: str, **_: str) -> bytes | Iterator[bytes]:
         """Dispatch one call."""
         headers = cherrypy.request.headers
+        self.called_at.append(time.monotonic())
+        if self.named_rate is not None:
+            cherrypy.response.headers["Server-Limit"] = str(self.named_rate)
         if headers.get("X-Redwingscale-Expect-Instance", self.id) != self.id:
             return self._refuse(421)
         match cherrypy.request.method, segments:
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/rate_rule.py
@@ -0,0 +1,28 @@
+"""What an upstream that names a rate may get at most."""
+
+from bisect import bisect_right
+from collections.abc import Iterable
+
+WINDOW_SECONDS = 4.0
+# All instances must keep to a rate this long after it was first named.
+NOTICE_SECONDS = 3.0
+EXCESS_FACTOR = 1.5
+EXCESS_CALLS = 5
+
+
+def most_allowed(per_second: float) -> float:
+    """Return how many calls may come in one window."""
+    return per_second * WINDOW_SECONDS * EXCESS_FACTOR + EXCESS_CALLS
+
+
+def most_in_window(called_at: Iterable[float], named_at: float) -> int:
+    """Return the most calls in a window that ends when the rate must be kept, or later."""
+    times = sorted(called_at)
+    return max(
+        (
+            bisect_right(times, end) - bisect_right(times, end - WINDOW_SECONDS)
+            for end in times
+            if end >= named_at + NOTICE_SECONDS
+        ),
+        default=0,
+    )
