Keep the rate that an upstream names over all instances together

What callers saw: an upstream in need that names 1 request a second got 18 and 12 in 4 s where 11 are allowed, and 21 in the worst window of its logs.

Cause: the header went on to the caller and no decision read it. Choice, waiting, plan, orders and reports took the upstream for one with all its room. Class of fault: a bound over all instances that no one place keeps.

Fix: what an answer names is kept by upstream and start; an instance sends to such an upstream only what the order giver has lent it, one bucket an upstream. What is lent is void after a second. A request without another upstream waits for a sending where its turn comes in time, and is refused at once with a true time otherwise. The plan treats the upstream as leaving; orders and reports draw from the same bucket. Without an order giver each instance uses its part of half the rate where that is within the excess. Only an answer to a request that was sent after the rate was last named ends it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -62,7 +62,8 @@
     """Return the instance that ``settings`` describe; nothing is started yet."""
     store = StoreClient(settings.store.host, settings.store.port)
     routes = CurrentRoutes()
-    fleet, pool = new_fleet(), ConnectionPool()
+    fleet = new_fleet(settings.instance, lambda: swaps.instances())
+    pool = ConnectionPool()
     fleet.directory.on_gone(pool.forget)
     metrics = IngressMetrics()
     open_requests = OpenRequests()
@@ -166,12 +167,13 @@
         fleet.holdings,
         swaps.needs,
         open_requests,
+        fleet.rates,
         lambda: own_reports.come_back_seconds,
     )
     return Entry(
         routes,
         exchange,
-        PlainRelay(parts),
+        PlainRelay(parts, fleet.changes),
         StreamRelay(parts, wait, fleet.prefixes),
         swaps.needs,
         budget,
@@ -205,6 +207,7 @@
         runs_models,
         client.report,
         settings.bounds.leave,
+        fleet.rates.draw,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -35,6 +35,7 @@
 from redwingscale_daemon._internal.swaps.needs import Needs
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.order_giver import OrderGiver
+from redwingscale_daemon._internal.swaps.rate_lender import RateLender
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
@@ -174,11 +175,20 @@
             outcomes,
             limiter.tell(all_of_it=introduce),
             peers.desk.address,
+            fleet.rates.tell(),
         )
         own_demand.heard(news)
         return news
 
-    right = GiverRight(me, lease.fence, lambda: lease.succeeds_another, settings.bounds.order_quiet)
+    lender = RateLender(fleet.rates.in_need)
+    fleet.directory.on_gone(lender.forget)
+    right = GiverRight(
+        me,
+        lease.fence,
+        lambda: lease.succeeds_another,
+        settings.bounds.order_quiet,
+        lender.draw,
+    )
     hub = GiverHub(settings.host, news_port, needs_port, lambda news: giver.heard(news))
     giver = OrderGiver(
         right,
@@ -194,11 +204,14 @@
         read_for_all,
         settings.machine.link_mbps,
         bounds.use_slack,
+        lender,
         instances,
+        fleet.rates.in_need,
     )
     peers = build_peers(settings, routes, reads, route_news, lease)
     link = GiverLink(lease, me, make_news, on_giver_news, giver.heard)
     needs.on_new_wait(link.wake)
+    fleet.rates.on_wait(link.wake)
 
     def follow_lease() -> None:
         # The giver's news tell that it is there: its row is read only without them.
@@ -244,6 +257,7 @@
     }
     take = fleet.holdings.replace if news.all_held else fleet.holdings.update
     take(held, news.ready_in, news.fence)
+    fleet.rates.hear(news.rates)
     if news.loads is not None:
         fleet.outcomes.set_failing(news.failing)
         own = {entry.upstream: entry for entry in own_loads}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -69,16 +69,13 @@
         self._prefixes = fleet.prefixes
         self._health = fleet.health
         self._pace = fleet.pace
+        self._rates = fleet.rates
         # Not for secrets: it only spreads requests.
         self._random = random.Random()
 
     def for_plain(self, service: str, tried: Collection[str]) -> Candidate | None:
         """Return the cheapest upstream of a plain service that isn't in ``tried``."""
-        upstreams = [
-            u
-            for u in self._directory.usable(service)
-            if u.id not in tried and not self._health.is_gone(u.id)
-        ]
+        upstreams = self._ready(self._of_plain(service, tried))
         return self._cheapest([Candidate(self._plain_cost(u), u) for u in upstreams])
 
     def for_prompt(
@@ -93,15 +90,34 @@
 
         Among many instances some holders are compared, with ``compare_all`` every one.
         """
-        holders = [
-            u
-            for u in self._directory.holders(service, prompt.unit)
-            if u.id not in tried and not self._health.unreachable(u.id)
-        ]
+        holders = self._ready(self._holders(service, prompt, tried))
         home = _home(prompt, holders)
         candidates = [self._prompt_candidate(u, prompt, home) for u in holders]
         return self._cheapest(candidates, compare_all=compare_all)
 
+    def plain_in_need(self, service: str, tried: Collection[str]) -> list[str]:
+        """Return the ids of those that `for_plain` leaves out for the rates they name."""
+        return self._in_need(self._of_plain(service, tried))
+
+    def holders_in_need(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
+        """Return the ids of those that `for_prompt` leaves out for the rates they name."""
+        return self._in_need(self._holders(service, prompt, tried))
+
+    def _of_plain(self, service: str, tried: Collection[str]) -> list[Upstream]:
+        usable = self._directory.usable(service)
+        return [u for u in usable if u.id not in tried and not self._health.is_gone(u.id)]
+
+    def _holders(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[Upstream]:
+        holders = self._directory.holders(service, prompt.unit)
+        return [u for u in holders if u.id not in tried and not self._health.unreachable(u.id)]
+
+    def _ready(self, upstreams: list[Upstream]) -> list[Upstream]:
+        """Return those that take a request now, by the rates that they name."""
+        return [u for u in upstreams if self._rates.may_send(u.id)]
+
+    def _in_need(self, upstreams: list[Upstream]) -> list[str]:
+        return [u.id for u in upstreams if not self._rates.may_send(u.id)]
+
     def _plain_cost(self, upstream: Upstream) -> float:
         requests = self._book.total(upstream.id).requests
         beyond = max(0, requests + 1 - upstream.slots)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -1,5 +1,6 @@
 """What an instance knows about upstreams, as one value for wiring."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.changes import Changes
@@ -27,12 +28,12 @@
     rates: NamedRates
 
 
-def new_fleet() -> Fleet:
-    """Return parts that know nothing yet, and forget what is no longer listed."""
+def new_fleet(instance: str = "", instances: Callable[[], int] = lambda: 1) -> Fleet:
+    """Return parts of ``instance`` that know nothing yet, and forget what is no longer listed."""
     changes, holdings, outcomes = Changes(), Holdings(), Outcomes()
     directory = UpstreamDirectory(holdings, changes)
     book, health, pace, prefixes = LoadBook(), Health(outcomes), Pace(), PrefixMemory()
-    rates = NamedRates()
+    rates = NamedRates(instance, instances)
     for part in (book, health, pace, prefixes, holdings, rates):
         directory.on_gone(part.forget)
     return Fleet(directory, holdings, changes, book, health, pace, prefixes, outcomes, rates)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/named_rates.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/named_rates.py
@@ -1,39 +1,118 @@
-"""The request rates that upstreams in need have named."""
+"""The request rates that upstreams in need have named, and what may be sent to them."""
 
 import threading
 import time
-from collections.abc import Callable
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.lent_sendings import LentSendings
+from redwingscale_daemon._internal.fleet.rate_messages import LentEntry, RateEntry
+from redwingscale_daemon._internal.utils.fading_rate import FadingRate
+
+# The end of a need is told for this long; who has not heard it learns it by an answer.
+ENDED_SECONDS = 30.0
+# Requests that could use an upstream are told for this long after they came.
+WANTED_SECONDS = 1.0
+USED_HALF_SECONDS = 1.0
+# An upstream that names less is asked this often all the same: only answers tell that
+# its need has ended.
+LEAST_PER_SECOND = 0.25
+
 
 class NamedRate(NamedTuple):
-    """``per_second`` requests, from all instances together, as of ``seen_at``, monotonic."""
+    """``per_second`` requests, from all instances together, as of ``seen_at``, monotonic.
 
-    per_second: float
+    None where the upstream takes any rate again.
+    """
+
+    per_second: float | None
     seen_at: float
 
 
 class NamedRates:
-    """Keeps, by upstream id, the rate that an upstream takes for as long as it names it."""
+    """Keeps, by upstream id, the rate that an upstream takes for as long as it names it.
+
+    The rate is for all instances together: none sends to such an upstream by what it
+    alone has sent, but only what the order giver has lent it.
+    """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        instance: str = "",
+        instances: Callable[[], int] = lambda: 1,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._instance = instance
         self._clock = clock
         self._lock = threading.Lock()
         self._by_id: dict[str, NamedRate] = {}
+        self._wake: Callable[[], None] = lambda: None
+        self._lent = LentSendings(instances, clock)
+        self._wanted_at: dict[str, float] = {}
+        self._waiting: Counter[str] = Counter()
+        self._used: dict[str, FadingRate] = defaultdict(lambda: FadingRate(USED_HALF_SECONDS))
+        # Over all instances, as told by the order giver.
+        self._all_waiting: dict[str, int] = {}
+
+    def on_wait(self, wake: Callable[[], None]) -> None:
+        """Call ``wake`` when a request begins to wait for a sending."""
+        self._wake = wake
 
-    def get(self, upstream_id: str) -> NamedRate | None:
+    def per_second(self, upstream_id: str) -> float | None:
         """Return the rate that ``upstream_id`` has named, None where it takes any."""
-        return self._by_id.get(upstream_id)
+        rate = self._by_id.get(upstream_id)
+        return rate.per_second if rate else None
+
+    def in_need(self) -> set[str]:
+        """Return the upstreams that name a rate."""
+        return {key for key, rate in list(self._by_id.items()) if rate.per_second is not None}
+
+    def may_send(self, upstream_id: str) -> bool:
+        """Return whether a sending is at hand, and note that it could be used."""
+        per_second = self.per_second(upstream_id)
+        if per_second is None:
+            return True
+        with self._lock:
+            self._wanted_at[upstream_id] = self._clock()
+            return self._lent.left(upstream_id, per_second) >= 1
+
+    def draw(self, upstream_id: str) -> bool:
+        """Use up one sending; return whether there was one."""
+        per_second = self.per_second(upstream_id)
+        if per_second is None:
+            return True
+        with self._lock:
+            drawn = self._lent.draw(upstream_id, per_second)
+            if drawn:
+                self._used[upstream_id] = self._used[upstream_id].plus(1.0, self._clock())
+            return drawn
+
+    @contextmanager
+    def waiting(self, upstream_ids: Iterable[str]) -> Iterator[None]:
+        """Count a request that waits for a sending to one of ``upstream_ids``."""
+        ids = tuple(upstream_ids)
+        with self._lock:
+            self._waiting.update(ids)
+        if ids:
+            self._wake()
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._waiting.subtract(ids)
+
+    def wait_seconds(self, upstream_ids: Iterable[str]) -> float:
+        """Return how long those that wait already keep one of ``upstream_ids`` busy."""
+        with self._lock:
+            return min(map(self._wait_seconds, upstream_ids), default=0.0)
 
     def named(self, upstream_id: str, per_second: float, source: str) -> None:
         """Take the rate that an answer of ``upstream_id`` names."""
-        with self._lock:
-            before = self._by_id.get(upstream_id)
-            self._by_id[upstream_id] = NamedRate(per_second, self._clock())
-        if before is None or before.per_second != per_second:
-            self._log(upstream_id, before, per_second, source)
+        self._take(upstream_id, NamedRate(per_second, self._clock()), source)
 
     def unnamed(self, upstream_id: str, sent_at: float, source: str) -> None:
         """Take an answer without a rate, to a request that was sent at ``sent_at``.
@@ -41,27 +120,72 @@
         An answer may have been on its way while the upstream began to name its rate: only
         one to a request that was sent afterwards tells that the need has ended.
         """
+        before = self._by_id.get(upstream_id)
+        if before is not None and before.per_second is not None and sent_at > before.seen_at:
+            self._take(upstream_id, NamedRate(None, self._clock()), source)
+
+    def tell(self) -> list[RateEntry]:
+        """Return what the order giver is told."""
+        now = self._clock()
         with self._lock:
-            before = self._by_id.get(upstream_id)
-            if before is None or sent_at <= before.seen_at:
-                return
-            del self._by_id[upstream_id]
-        self._log(upstream_id, before, None, source)
+            return [
+                RateEntry(
+                    key,
+                    rate.per_second,
+                    round(now - rate.seen_at, 3),
+                    now - self._wanted_at.get(key, float("-inf")) < WANTED_SECONDS,
+                    self._waiting[key],
+                    round(self._used[key].now(now), 2),
+                )
+                for key, rate in self._by_id.items()
+                if rate.per_second is not None or now - rate.seen_at < ENDED_SECONDS
+            ]
+
+    def hear(self, entries: Iterable[LentEntry]) -> None:
+        """Take what the order giver tells and lends."""
+        now = self._clock()
+        for entry in entries:
+            told = NamedRate(entry.per_second, now - entry.age)
+            before = self._by_id.get(entry.upstream)
+            if before is None or told.seen_at > before.seen_at:
+                self._take(entry.upstream, told, "order giver")
+            with self._lock:
+                self._all_waiting[entry.upstream] = entry.waiting
+                sendings = entry.sendings_by_instance.get(self._instance, 0)
+                self._lent.take(entry.upstream, sendings)
 
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are gone."""
         with self._lock:
             for key in upstream_ids:
                 self._by_id.pop(key, None)
+                self._wanted_at.pop(key, None)
+                self._all_waiting.pop(key, None)
+                self._used.pop(key, None)
+                self._lent.forget(key)
 
-    def _log(
-        self, upstream_id: str, before: NamedRate | None, per_second: float | None, source: str
-    ) -> None:
+    def _wait_seconds(self, upstream_id: str) -> float:
+        per_second = self.per_second(upstream_id) or LEAST_PER_SECOND
+        ahead = max(self._all_waiting.get(upstream_id, 0), self._waiting[upstream_id])
+        return ahead / max(per_second, LEAST_PER_SECOND)
+
+    def _take(self, upstream_id: str, after: NamedRate, source: str) -> None:
+        with self._lock:
+            before = self._by_id.get(upstream_id)
+            if before is None and after.per_second is None:
+                return
+            self._by_id[upstream_id] = after
+        if before is not None and before.per_second == after.per_second:
+            return
         log_event(
             "upstream_rate_named",
             upstream=upstream_id,
-            per_second="-" if per_second is None else per_second,
-            before=before.per_second if before else "-",
-            age=round(self._clock() - before.seen_at, 3) if before else "-",
+            per_second=_named(after.per_second),
+            before=_named(before.per_second if before else None),
+            age=round(after.seen_at - before.seen_at, 3) if before else "-",
             source=source,
         )
+
+
+def _named(per_second: float | None) -> float | str:
+    return "-" if per_second is None else per_second
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_reports.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_reports.py
@@ -77,6 +77,7 @@
         runs_models: Callable[[str], bool],
         ask: Callable[[Upstream], Report | None],
         leave_seconds: float = 2.0,
+        may_ask: Callable[[str], bool] = lambda _: True,
     ) -> None:
         self._failure_domain = failure_domain
         self._directory = directory
@@ -84,6 +85,8 @@
         self._list = list_state
         self._runs_models = runs_models
         self._ask = ask
+        # Whether an upstream, by its id, takes one more call.
+        self._may_ask = may_ask
         self._list_seconds = leave_seconds * LIST_PART
         # Only while it asks: its threads would rest for hours between two cuts.
         self._pool: ThreadPoolExecutor | None = None
@@ -131,7 +134,7 @@
             return
         if self._pool is None:
             self._pool = ThreadPoolExecutor(MOST_EACH_ROUND, thread_name_prefix="own-reports")
-        asked = self._round()
+        asked = [one for one in self._round() if self._may_ask(one.id)]
         answers = [*map(_Answer, asked, self._pool.map(self._ask, asked))]
         now = time.monotonic()
         for upstream, report in answers:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -7,7 +7,6 @@
 
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.load_book import Load
-from redwingscale_daemon._internal.fleet.named_rates import NamedRate
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.ingress.ingress_request import Headers
@@ -43,7 +42,7 @@
         self._sent_at = 0.0
         self.first_event_seconds: float | None = None
 
-    def begin(self, request: str, chosen: Candidate, load: Load, rate: NamedRate | None) -> None:
+    def begin(self, request: str, chosen: Candidate, load: Load, rate: float | None) -> None:
         """Note a sending to ``chosen``, with what decided it, and the rate that it has named."""
         upstream_id = chosen.upstream.id
         log_event(
@@ -55,7 +54,7 @@
             cost_ms=round(chosen.cost_ms),
             open=load.requests,
             unread_tokens=load.prompt_tokens,
-            rate=rate.per_second if rate else "-",
+            rate="-" if rate is None else rate,
         )
         if not self.sendings:
             self._budget.note_request(self._service)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -10,11 +10,13 @@
 from redwingscale_daemon._internal.fleet.changes import Changes
 from redwingscale_daemon._internal.fleet.chooser import Candidate, Chooser
 from redwingscale_daemon._internal.fleet.holdings import Holdings
+from redwingscale_daemon._internal.fleet.named_rates import NamedRates
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.giving_up import given_up
+from redwingscale_daemon._internal.forwarding.rate_wait import RateWait
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
-from redwingscale_daemon._internal.models.run_state import RunState
 
 # How often a waiting request looks whether its caller is still there.
 LOOK_SECONDS = 0.05
@@ -56,6 +58,7 @@
     holdings: Holdings
     needs: Needs
     open_requests: OpenRequests
+    rates: NamedRates
     # When to come back if this instance hears neither the order giver nor the list, None
     # while it hears one of them.
     cut_off: Callable[[], float | None] = lambda: None
@@ -69,11 +72,26 @@
         found = self.chooser.for_prompt(call.service, prompt, call.attempts.tried)
         if found is not None:
             return self._in_time(call, prompt, found)
-        self.needs.ask(call.service, prompt.unit, _patience(call))
+        in_need = self.chooser.holders_in_need(call.service, prompt, call.attempts.tried)
+        if in_need:
+            self._check_queue(call, prompt, in_need)
+        with self.rates.waiting(in_need):
+            self.needs.ask(call.service, prompt.unit, _patience(call))
+            try:
+                return self._wait(call, prompt)
+            finally:
+                self.needs.done(call.service, prompt.unit)
+
+    def _check_queue(self, call: Call, prompt: Prompt, in_need: list[str]) -> None:
+        """Raise `Refusal` where neither the holders in need nor a load serve it in time."""
+        ready_in = self.holdings.ready_in(str(prompt.unit))
+        if ready_in is not None and ready_in <= _patience(call):
+            return
         try:
-            return self._wait(call, prompt)
-        finally:
-            self.needs.done(call.service, prompt.unit)
+            RateWait(self.rates, self.changes).check_queue(call, in_need, _patience(call))
+        except Refusal:
+            self.needs.missed(call.service, prompt.unit)
+            raise
 
     def _in_time(self, call: Call, prompt: Prompt, found: Candidate) -> Candidate:
         """Return a holder that answers in time, ``found`` if it does; raise `Refusal`.
@@ -113,15 +131,16 @@
         # A planned stop must not cut a request that it has read: one that still
         # waits when the process is about to end would be closed without an answer.
         if self.open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS:
-            raise _given_up(call, "stopping", "the instance stops", STOPPING_COME_BACK_SECONDS)
+            raise given_up(call, "stopping", "the instance stops", STOPPING_COME_BACK_SECONDS)
 
     def _give_up_if_hopeless(self, call: Call, prompt: Prompt, waited: float) -> None:
         if (come_back := self.cut_off()) is not None:
             # Nobody hears of the need from here: another instance may be better off.
-            raise _given_up(call, "cut_off", f"no news of {prompt.unit}", come_back)
+            raise given_up(call, "cut_off", f"no news of {prompt.unit}", come_back)
         left = _patience(call)
         ready_in = self.holdings.ready_in(str(prompt.unit))
-        if ready_in is not None:
+        held = self.chooser.holders_in_need(call.service, prompt, call.attempts.tried)
+        if ready_in is not None and not held:
             hopeless = ready_in > left
         elif self.holdings.fresh:
             hopeless = left <= 0
@@ -130,19 +149,7 @@
         if not hopeless:
             return
         detail = f"{prompt.unit} is ready in {ready_in} s, {left:.3f} s are left"
-        raise _given_up(call, "no_holder", detail, ready_in or COME_BACK_SECONDS)
-
-
-def _given_up(call: Call, code: str, detail: str, come_back_seconds: float) -> Refusal:
-    """Return the final answer: a refusal, or a failure where the request may have run.
-
-    A refusal promises that it has not: a request that an upstream has taken before
-    it was lost is none of that kind.
-    """
-    detail = "; ".join([detail, *call.attempts.history])
-    if call.attempts.ran_nowhere:
-        return Refusal(503, code, detail, retry_after_seconds=come_back_seconds)
-    return Refusal(502, "upstream_failed", detail, run=RunState.UNKNOWN)
+        raise given_up(call, "no_holder", detail, ready_in or COME_BACK_SECONDS)
 
 
 def _overloaded(call: Call, found: Candidate) -> Refusal | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -10,11 +10,14 @@
     TimeLimitReached,
     UpstreamSilent,
 )
+from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.attempts import Attempts, FailedAnswer
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.rate_wait import RateWait
 from redwingscale_daemon._internal.forwarding.sending_failure import OWN_FAILURES, note_failure
 from redwingscale_daemon._internal.forwarding.whole_answer import read_whole
 from redwingscale_daemon._internal.models.run_state import RunState
@@ -24,24 +27,30 @@
 # A full upstream has places again within a few requests' time.
 COME_BACK_SECONDS = 0.2
 PLAIN_PRIORITY = 5
+# A request that waits must leave its upstream time to run it.
+SERVICE_SECONDS = 0.25
 
 
 class PlainRelay:
     """Passes a request on, and its whole answer back."""
 
-    def __init__(self, parts: RelayParts) -> None:
+    def __init__(self, parts: RelayParts, changes: Changes) -> None:
         self._parts = parts
+        self._rate_wait = RateWait(parts.rates, changes)
 
     def run(self, call: Call) -> None:
         """Answer ``call``; raise `Refusal`, `CallerLeft`."""
         while True:
-            candidate = self._parts.chooser.for_plain(call.service, call.attempts.tried)
+            candidate = self._candidate(call)
             if candidate is None:
                 if _deliver_failure(call):
                     return
                 raise _nobody(call.attempts)
+            if not self._parts.rates.draw(candidate.upstream.id):
+                # Another request has used what was lent.
+                continue
             load = self._parts.book.total(candidate.upstream.id)
-            rate = self._parts.rates.get(candidate.upstream.id)
+            rate = self._parts.rates.per_second(candidate.upstream.id)
             call.attempts.begin(call.terms.request_id, candidate, load, rate)
             ticket = self._parts.book.enter(candidate.upstream.id, None, 0)
             try:
@@ -50,6 +59,20 @@
             finally:
                 ticket.leave()
 
+    def _candidate(self, call: Call) -> Candidate | None:
+        """Return the best upstream, waiting for one that has named a rate; None without any."""
+
+        def choose() -> Candidate | None:
+            return self._parts.chooser.for_plain(call.service, call.attempts.tried)
+
+        found = choose()
+        in_need = self._parts.chooser.plain_in_need(call.service, call.attempts.tried)
+        if found is not None or not in_need or call.attempts.failure is not None:
+            return found
+        return self._rate_wait.candidate(
+            call, in_need, lambda: call.watch.remaining() - SERVICE_SECONDS, choose
+        )
+
     def _send(self, call: Call, upstream: Upstream) -> bool:
         """Return whether the caller has its answer; raise when it can have none."""
         parts = self._parts
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -77,11 +77,14 @@
         progress = _Progress(call.terms.last_event)
         while True:
             candidate = self._wait.candidate(call, prompt)
+            if not self._parts.rates.draw(candidate.upstream.id):
+                # Another request has used what was lent.
+                continue
             if not call.attempts.sendings:
                 call.permit.check()
             upstream = candidate.upstream
             load = self._parts.book.total(upstream.id)
-            rate = self._parts.rates.get(upstream.id)
+            rate = self._parts.rates.per_second(upstream.id)
             call.attempts.begin(call.terms.request_id, candidate, load, rate)
             kept = self._prefixes.kept_tokens(upstream.id, prompt)
             unread = max(0, prompt.tokens_in - kept)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -30,6 +30,7 @@
 from redwingscale_daemon._internal.swaps.news_due import NEWS_SECONDS, NewsDue
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
+from redwingscale_daemon._internal.swaps.rate_lender import RateLender
 from redwingscale_daemon._internal.swaps.tasks import SwapTask
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
 from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
@@ -72,7 +73,9 @@
         read: Callable[[ListChanges], StoreNews],
         link_mbps: float = math.inf,
         use_slack: float = 0.0,
+        lender: RateLender | None = None,
         known_instances: Callable[[], int] = lambda: 0,
+        in_need: Callable[[], set[str]] = set,
     ) -> None:
         self._right = right
         self._routes = routes
@@ -88,11 +91,13 @@
         self._demand = Demand()
         self._rate = LoadRate()
         self._wake = threading.Event()
-        self._workers = WorkerPool(self._engine, client, right, self._wake.set)
+        self._workers = WorkerPool(self._engine, client, right, self._wake.set, in_need)
         self._adapters = AdapterOrders(self._demand, self._workers)
         self._instances = InstanceTotals()
         self._failing = FailingUpstreams()
         self._use = UseTotals(use_slack)
+        # What upstreams in need take, lent to all instances.
+        self._lender = lender or RateLender()
         self._totals = NO_TOTALS
         self._news = NewsDue()
         self._gave_orders = False
@@ -104,6 +109,8 @@
         self._demand.heard(news)
         self._failing.heard(news.outcomes)
         self._use.heard(news.instance, news.drawn)
+        if self._lender.heard(news.instance, news.rates):
+            self._wake.set()
         if self._instances.heard(news):
             # It knows nothing of what is held.
             self._news.newcomer()
@@ -142,6 +149,7 @@
     def _begin(self, fence: int) -> None:
         log_event("giver_begins", fence=fence)
         self._use.begin(self._known_instances())
+        self._lender.begin()
         self._changes.begin_with(self._directory.all())
         table = self._routes.get()
         if not self._right.succeeds_another() or table is None:
@@ -246,7 +254,8 @@
         )
         ready_in = self._workers.ready_in_by_model()
         store = self._read(self._changes)
-        if not self._news.differ(ready_in.keys(), store) and not regular:
+        rates = self._lender.lend(all_rates=regular)
+        if not self._news.differ(ready_in.keys(), store) and not regular and not rates:
             return None
         loads = [LoadEntry(key, *load) for key, load in self._totals.loads.items()]
         return GiverNews(
@@ -261,6 +270,7 @@
             self._failing.parts() if regular else {},
             self._use.grants(self._limits_by_name()) if regular else None,
             self._some_peers() if all_held else [],
+            rates,
         )
 
     def _some_peers(self) -> list[str]:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -29,6 +29,8 @@
 ADAPTER_SECONDS = 0.02
 # An unload waits for its runs; streams last a few seconds.
 UNLOAD_LIMIT_SECONDS = 12.0
+# An upstream that has named a rate may take a call later than this.
+TURN_SECONDS = 4.0
 # Loads take up to three times as long while many run at once.
 LOAD_LIMIT_FACTOR = 4.0
 # A worker whose report could not be had is left alone for a moment.
@@ -40,13 +42,15 @@
 
     ``fence`` returns the number to use now, None without the right. Where another
     process gave the orders before, ``succeeds_another`` tells so, and its last
-    order is ``quiet_seconds`` old when the first one is given here.
+    order is ``quiet_seconds`` old when the first one is given here. ``may_call`` tells
+    whether an upstream that has named a rate takes one more call now.
     """
 
     instance: str
     fence: Callable[[], int | None]
     succeeds_another: Callable[[], bool] = lambda: False
     quiet_seconds: float = 0.0
+    may_call: Callable[[str], bool] = lambda _: True
 
 
 class WorkerOrders:
@@ -165,6 +169,8 @@
 
     def _own_report(self) -> EngineReport | None:
         """Return the worker's report, None without one or from another start of it."""
+        if not self._right.may_call(self.upstream.id):
+            return None
         report = self._client.report(self.upstream)
         if report is None or self.ledger.is_own(report):
             return report
@@ -228,6 +234,8 @@
 
     def _order(self, action: Load | Unload) -> OrderResult:
         """Send one order, counted in the ledger if the worker has taken it."""
+        if not self._awaits_turn():
+            return OrderResult.REFUSED
         fence = self._right.fence()
         if self.ledger.report is None or fence is None:
             return OrderResult.REFUSED
@@ -246,6 +254,15 @@
         self.ledger.note_order(action, result)
         return result
 
+    def _awaits_turn(self) -> bool:
+        """Wait until the worker takes a call; return whether it does."""
+        end = time.monotonic() + TURN_SECONDS
+        while not self._right.may_call(self.upstream.id):
+            if time.monotonic() > end:
+                return False
+            time.sleep(POLL_SECONDS)
+        return True
+
     def _until(self, holds: Callable[[EngineReport], bool], limit_seconds: float) -> bool:
         """Poll reports until one that is not busy ``holds``; keep it as the ledger."""
         expected = self.ledger.orders_accepted
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_named_rates.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_named_rates.py
@@ -4,7 +4,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from redwingscale_standins.hosted.rate_rule import (
+from redwingscale_standins.named_rates.rule import (
     NOTICE_SECONDS,
     WINDOW_SECONDS,
     most_allowed,
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -229,10 +229,11 @@
             self.holdings,
             self.needs,
             self.open_requests,
+            fleet.rates,
             lambda: self.cut_off,
         )
         entry = Entry(
-            self.routes, exchange, PlainRelay(parts), StreamRelay(parts, wait, fleet.prefixes),
+            self.routes, exchange, PlainRelay(parts, self.changes), StreamRelay(parts, wait, fleet.prefixes),
             self.needs, budget, self.open_requests, _Outcomes(self.ended),
             self.limiter,
         )  # fmt: skip
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_overload.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_overload.py
@@ -40,7 +40,7 @@
 
 
 def candidate(call, drawn, best, needs):
-    wait = HolderWait(Holders(drawn, best), None, None, needs, None)
+    wait = HolderWait(Holders(drawn, best), None, None, needs, None, None)
     return wait.candidate(call, PROMPT)
 
 
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/named_rates/model.py
@@ -0,0 +1,146 @@
+"""Instances in simulated time in front of one upstream that names a rate for a while."""
+
+import random
+from collections import defaultdict, deque
+from contextlib import AbstractContextManager
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.named_rates import NamedRates
+from redwingscale_daemon._internal.swaps.rate_lender import RateLender
+
+from redwingscale_standins.named_rates.rule import NOTICE_SECONDS, WINDOW_SECONDS, most_allowed
+
+STEP_SECONDS = 0.05
+NEWS_STEPS = 5
+ANSWER_STEPS = 2
+UPSTREAM = "u"
+PATIENCE_SECONDS = 2.0
+# An instance is told by an answer that it has passed on this long ago.
+TOLD_SECONDS = 0.5
+
+
+class History(NamedTuple):
+    """What happens: ``asked`` requests a second in all, news that are lost, givers that end.
+
+    Before the upstream names its rate ``asked_before`` come.
+    """
+
+    instances: int
+    rate: float
+    asked: float
+    asked_before: float = 1.0
+    lost_part: float = 0.0
+    giver_ends_at: float = float("inf")
+    next_giver_after: float = 3.0
+    named_at: float = 2.0
+    ends_at: float = 14.0
+    until: float = 16.0
+    seed: int = 1
+
+
+class Sent(NamedTuple):
+    """One request that has come to the upstream."""
+
+    at: float
+    instance: int
+
+
+class _Waiting(NamedTuple):
+    """A request that waits, and what counts it meanwhile."""
+
+    since: float
+    counted: AbstractContextManager[None]
+
+
+class RateModel:
+    """Plays one history; what was sent is in ``sent``."""
+
+    def __init__(self, history: History) -> None:
+        self.history = history
+        self.now = 0.0
+        # Not for secrets.
+        self.random = random.Random(history.seed)
+        self.rates = [
+            NamedRates(f"i{n}", lambda: history.instances, lambda: self.now)
+            for n in range(history.instances)
+        ]
+        self.lender = RateLender(clock=lambda: self.now)
+        self._waiting: dict[int, deque[_Waiting]] = defaultdict(deque)
+        self.sent: list[Sent] = []
+        self.told_at: dict[int, float] = {}
+        # The step at which each comes, the instance, and when its request was sent.
+        self._answers: list[tuple[int, int, float]] = []
+
+    def run(self) -> "RateModel":
+        """Play it to its end."""
+        for step in range(round(self.history.until / STEP_SECONDS)):
+            self.now = step * STEP_SECONDS
+            self._answer(step)
+            self._ask(step)
+            if step % NEWS_STEPS == 0:
+                self._tell()
+        return self
+
+    def _ask(self, step: int) -> None:
+        calm = self.now < self.history.named_at
+        asked = (self.history.asked_before if calm else self.history.asked) * STEP_SECONDS
+        for _ in range(int(asked) + (self.random.random() < asked % 1)):
+            instance = self.random.randrange(self.history.instances)
+            waiting = self.rates[instance].waiting([UPSTREAM])
+            waiting.__enter__()
+            self._waiting[instance].append(_Waiting(self.now, waiting))
+        for instance, queue in self._waiting.items():
+            while queue and self._leaves_queue(instance, queue[0], step):
+                queue.popleft().counted.__exit__(None, None, None)
+
+    def _leaves_queue(self, instance: int, first: "_Waiting", step: int) -> bool:
+        rates = self.rates[instance]
+        if rates.may_send(UPSTREAM) and rates.draw(UPSTREAM):
+            self.sent.append(Sent(self.now, instance))
+            self._answers.append((step + ANSWER_STEPS, instance, self.now))
+            return True
+        return self.now - first.since > PATIENCE_SECONDS
+
+    def _answer(self, step: int) -> None:
+        due = [one for one in self._answers if one[0] == step]
+        for _, instance, sent_at in due:
+            if self.history.named_at <= self.now < self.history.ends_at:
+                self.told_at.setdefault(instance, self.now)
+                self.rates[instance].named(UPSTREAM, self.history.rate, "answer")
+            else:
+                self.rates[instance].unnamed(UPSTREAM, sent_at, "answer")
+
+    def _tell(self) -> None:
+        ended = self.history.giver_ends_at
+        if ended <= self.now < ended + self.history.next_giver_after:
+            self.lender.begin()
+            return
+        for number, rates in enumerate(self.rates):
+            if self.random.random() >= self.history.lost_part:
+                self.lender.heard(f"i{number}", rates.tell())
+        lent = self.lender.lend(all_rates=True)
+        for rates in self.rates:
+            if self.random.random() >= self.history.lost_part:
+                rates.hear(lent)
+
+    def most_in_window(self) -> int:
+        """Return the most that came in one window from instances that had been told by its end."""
+        ends = [
+            one.at
+            for one in self.sent
+            if self.history.named_at + NOTICE_SECONDS <= one.at <= self.history.ends_at
+        ]
+        return max(map(self._told_in_window, ends), default=0)
+
+    def _told_in_window(self, end: float) -> int:
+        told = {key for key, at in self.told_at.items() if at <= end - TOLD_SECONDS}
+        window = [one for one in self.sent if end - WINDOW_SECONDS < one.at <= end]
+        return sum(one.instance in told for one in window)
+
+    def allowed(self) -> float:
+        """Return how many the rule lets come in a window."""
+        return most_allowed(self.history.rate)
+
+    def sent_between(self, begin: float, end: float) -> int:
+        """Return how many came in a span."""
+        return sum(begin <= one.at < end for one in self.sent)
