Leave rare models to upstreams in need, and lend first to who waits longest

Cause, from the code: the plan took an upstream that names a rate for one that leaves, so that its models pressed on the others' memory, also those that its rate covers; and requests that could go elsewhere used up what others waited for.

Change: of the models that only an upstream in need holds it keeps the least asked ones, up to 0.7 of its rate; the others count as missing. What it takes is lent to whoever has waited longest; those that have another upstream get what nobody waits for.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/named_rates.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/named_rates.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from typing import NamedTuple
@@ -53,7 +53,8 @@
         self._wake: Callable[[], None] = lambda: None
         self._lent = LentSendings(instances, clock)
         self._wanted_at: dict[str, float] = {}
-        self._waiting: Counter[str] = Counter()
+        # When each began to wait, by upstream.
+        self._waiting_since: dict[str, list[float]] = defaultdict(list)
         self._used: dict[str, FadingRate] = defaultdict(lambda: FadingRate(USED_HALF_SECONDS))
         # Over all instances, as told by the order giver.
         self._all_waiting: dict[str, int] = {}
@@ -67,9 +68,13 @@
         rate = self._by_id.get(upstream_id)
         return rate.per_second if rate else None
 
-    def in_need(self) -> set[str]:
-        """Return the upstreams that name a rate."""
-        return {key for key, rate in list(self._by_id.items()) if rate.per_second is not None}
+    def in_need(self) -> dict[str, float]:
+        """Return the rates that are named, by upstream id."""
+        return {
+            key: rate.per_second
+            for key, rate in list(self._by_id.items())
+            if rate.per_second is not None
+        }
 
     def may_send(self, upstream_id: str) -> bool:
         """Return whether a sending is at hand, and note that it could be used."""
@@ -95,15 +100,18 @@
     def waiting(self, upstream_ids: Iterable[str]) -> Iterator[None]:
         """Count a request that waits for a sending to one of ``upstream_ids``."""
         ids = tuple(upstream_ids)
+        since = self._clock()
         with self._lock:
-            self._waiting.update(ids)
+            for key in ids:
+                self._waiting_since[key].append(since)
         if ids:
             self._wake()
         try:
             yield
         finally:
             with self._lock:
-                self._waiting.subtract(ids)
+                for key in ids:
+                    self._waiting_since[key].remove(since)
 
     def wait_seconds(self, upstream_ids: Iterable[str]) -> float:
         """Return how long those that wait already keep one of ``upstream_ids`` busy."""
@@ -134,8 +142,9 @@
                     rate.per_second,
                     round(now - rate.seen_at, 3),
                     now - self._wanted_at.get(key, float("-inf")) < WANTED_SECONDS,
-                    self._waiting[key],
+                    len(self._waiting_since[key]),
                     round(self._used[key].now(now), 2),
+                    round(now - min(self._waiting_since[key], default=now), 3),
                 )
                 for key, rate in self._by_id.items()
                 if rate.per_second is not None or now - rate.seen_at < ENDED_SECONDS
@@ -166,7 +175,7 @@
 
     def _wait_seconds(self, upstream_id: str) -> float:
         per_second = self.per_second(upstream_id) or LEAST_PER_SECOND
-        ahead = max(self._all_waiting.get(upstream_id, 0), self._waiting[upstream_id])
+        ahead = max(self._all_waiting.get(upstream_id, 0), len(self._waiting_since[upstream_id]))
         return ahead / max(per_second, LEAST_PER_SECOND)
 
     def _take(self, upstream_id: str, after: NamedRate, source: str) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_messages.py
@@ -8,7 +8,8 @@
 
     ``per_second`` is None where the upstream named a rate and no longer does. ``wanted``
     tells whether requests here could use the upstream, ``waiting`` how many have no
-    other, and ``used`` how many a second were sent lately.
+    other, the first of them for ``longest_wait`` seconds, and ``used`` how many a second
+    were sent lately.
     """
 
     upstream: str
@@ -17,6 +18,7 @@
     wanted: bool
     waiting: int
     used: float
+    longest_wait: float = 0.0
 
 
 class LentEntry(msgspec.Struct, array_like=True):
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/carried_models.py
@@ -0,0 +1,61 @@
+"""What upstreams in need still serve, as the planner sees it."""
+
+from collections.abc import Callable, Collection, Mapping, Sequence
+
+from redwingscale_daemon._internal.fleet.holdings import Held
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.swaps.worker_view import WorkerView
+
+# Of the rate that an upstream names, what its models may be asked for on average:
+# requests come unevenly.
+CARRIED_PART = 0.7
+
+
+def with_carried_models(
+    views: Sequence[WorkerView],
+    rates_by_id: Mapping[str, float],
+    asked: Callable[[str], float],
+    waiting: Collection[Unit],
+) -> list[WorkerView]:
+    """Return ``views`` in which upstreams in need hold only what they can serve.
+
+    Of the models that no other upstream holds, an upstream in need keeps those that
+    are ``asked`` for least a second, up to the rate that it names; the others count as
+    missing, so that they are loaded elsewhere. It gets no orders: they would take the
+    place of requests. Where all are in need, they are planned for as they are.
+    """
+    sound = [view for view in views if view.upstream.id not in rates_by_id]
+    if not sound:
+        return list(views)
+    elsewhere = {name for view in sound for name in [*view.held, view.loading]}
+    missing = {unit.model for unit in waiting if unit.adapter and not _held(unit, views)}
+    in_need = [view for view in views if view.upstream.id in rates_by_id]
+    return sound + [
+        view._replace(
+            free=False,
+            held=_carried(
+                {name: held for name, held in view.held.items() if name not in missing},
+                elsewhere,
+                asked,
+                rates_by_id[view.upstream.id],
+            ),
+        )
+        for view in in_need
+    ]
+
+
+def _carried(
+    held: Held, elsewhere: Collection[str], asked: Callable[[str], float], per_second: float
+) -> Held:
+    left = per_second * CARRIED_PART
+    carried = {}
+    for name in sorted(held.keys() - elsewhere, key=asked):
+        left -= asked(name)
+        if left < 0:
+            break
+        carried[name] = held[name]
+    return carried
+
+
+def _held(unit: Unit, views: Sequence[WorkerView]) -> bool:
+    return any(unit.adapter in view.held.get(unit.model, ()) for view in views)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from redwingscale_common.utils.logs import log_event
 
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
 from redwingscale_daemon._internal.swaps.adapter_orders import AdapterOrders
+from redwingscale_daemon._internal.swaps.carried_models import with_carried_models
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.failing_upstreams import FailingUpstreams
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
@@ -75,7 +76,7 @@
         use_slack: float = 0.0,
         lender: RateLender | None = None,
         known_instances: Callable[[], int] = lambda: 0,
-        in_need: Callable[[], set[str]] = set,
+        rates_by_id: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self._right = right
         self._routes = routes
@@ -85,13 +86,15 @@
         self._link_mbps = link_mbps
         # How many instances there were, as far as this one has been told.
         self._known_instances = known_instances
+        # The rates that upstreams in need have named.
+        self._rates_by_id = rates_by_id
         # What this instance has read, with the changes of the list.
         self._read = read
         self._changes = ListChanges()
         self._demand = Demand()
         self._rate = LoadRate()
         self._wake = threading.Event()
-        self._workers = WorkerPool(self._engine, client, right, self._wake.set, in_need)
+        self._workers = WorkerPool(self._engine, client, right, self._wake.set)
         self._adapters = AdapterOrders(self._demand, self._workers)
         self._instances = InstanceTotals()
         self._failing = FailingUpstreams()
@@ -244,7 +247,16 @@
         self._workers.give(swap.view.upstream.id, task)
 
     def _views(self, service: str) -> list[WorkerView]:
-        return self._workers.views(self._directory.usable(service), self._totals)
+        views = self._workers.views(self._directory.usable(service), self._totals)
+        rates_by_id = self._rates_by_id()
+        if not rates_by_id:
+            return views
+        return with_carried_models(
+            views,
+            rates_by_id,
+            lambda model: self._demand.model_rate(service, model),
+            [one.unit for one in self._demand.waiting() if one.service == service],
+        )
 
     def _tell(self, fence: int) -> GiverNews | None:
         """Return the news, None where they would tell nothing and none are due."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/rate_lender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/rate_lender.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
@@ -48,7 +48,7 @@
 
     def __init__(
         self,
-        in_need: Callable[[], set[str]] = set,
+        in_need: Callable[[], Collection[str]] = tuple,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         # What this instance knows by itself, until it has heard of the others.
@@ -126,15 +126,22 @@
         return LentEntry(upstream_id, lent.per_second, age, waiting, sendings)
 
     def _share(self, lent: _Lent, told: dict[str, RateEntry], now: float) -> dict[str, int]:
-        """Lend to those where requests wait, then to those that could use a sending.
+        """Lend to where requests have waited longest, for want of another upstream.
 
-        Of each kind those come first that were lent to least recently.
+        Those that could use this one beside others get only what nobody has waited for:
+        their answers tell that a need has ended.
         """
+        left = int(self._refill(lent))
         asking = sorted(
-            (name for name, entry in told.items() if entry.wanted or entry.waiting),
-            key=lambda name: (not told[name].waiting, lent.lent_at_by_instance.get(name, 0.0)),
+            (name for name, entry in told.items() if entry.waiting),
+            key=lambda name: told[name].longest_wait,
+            reverse=True,
         )
-        left = int(self._refill(lent))
+        if not asking and lent.level >= MOST_SAVED:
+            asking = sorted(
+                (name for name, entry in told.items() if entry.wanted),
+                key=lambda name: lent.lent_at_by_instance.get(name, 0.0),
+            )
         shares: dict[str, int] = {}
         for name in asking:
             if not left:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
@@ -26,10 +26,7 @@
         client: OrderClient,
         right: GiverRight,
         on_change: Callable[[], None],
-        in_need: Callable[[], set[str]] = set,
     ) -> None:
-        # Upstreams that take few requests of all: planned as if they were leaving.
-        self._in_need = in_need
         self._engine_of = engine_of
         self._client = client
         self._right = right
@@ -71,15 +68,9 @@
         }
 
     def views(self, usable: Iterable[Upstream], totals: Totals) -> list[WorkerView]:
-        """Return those of ``usable`` that most instances reach, as the planner sees them.
-
-        One in need is left out while there are others: its models are brought in
-        elsewhere, and orders would take the place of requests.
-        """
-        in_need = self._in_need()
-        reached = [one for one in usable if one.id not in totals.cut_off and one.id in self._by_id]
-        sound = [one for one in reached if one.id not in in_need]
-        return [self._view(one, totals) for one in sound or reached]
+        """Return those of ``usable`` that most instances reach, as the planner sees them."""
+        reached = [one for one in usable if one.id not in totals.cut_off]
+        return [self._view(one, totals) for one in reached if one.id in self._by_id]
 
     def _view(self, upstream: Upstream, totals: Totals) -> WorkerView:
         worker = self._by_id[upstream.id]
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_named_rates.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_named_rates.py
@@ -4,6 +4,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.named_rates.rule import (
     NOTICE_SECONDS,
     WINDOW_SECONDS,
@@ -14,6 +15,8 @@
 RATE = 1.0
 LOAD_SECONDS = NOTICE_SECONDS + WINDOW_SECONDS
 CALLERS_EACH = 2
+BUSY_REQUESTS = 150
+RARE_EVERY = 50
 
 
 def ask_until(instance, end, ids):
@@ -34,3 +37,38 @@
         for instance in instances * CALLERS_EACH:
             pool.submit(ask_until, instance, named_at + LOAD_SECONDS, ids)
     assert most_in_window(worker.called_at, named_at) <= most_allowed(RATE)
+
+
+def test_models_of_an_upstream_in_need_are_served(deployment):
+    # Guards against callers that lose all models of an upstream that takes few requests.
+    in_need = deployment.worker("w1", "m1", "m2")
+    deployment.worker("w2", "m3")
+    instances = [deployment.instance(name) for name in ("one", "two")]
+    in_need.named_rate = RATE
+    for instance in instances:
+        assert instance.ask("m1", request=f"{instance.name}-first")[0] == 200
+    named_at = time.monotonic()
+    busy, rare = [], []
+    for number in range(BUSY_REQUESTS):
+        instance = instances[number % len(instances)]
+        busy.append(instance.ask("m1", request=f"busy-{number}")[0])
+        if number % RARE_EVERY == 0:
+            rare.append(instance.ask("m2", request=f"rare-{number}")[0])
+    assert set(busy) == {200}
+    assert set(rare) == {200}
+    assert "m1" in deployment.workers["w2"].models
+    assert "m2" in in_need.models
+    assert most_in_window(in_need.called_at, named_at) <= most_allowed(RATE)
+
+
+def test_end_of_a_need_is_found_out(deployment):
+    # Guards against an upstream that nobody asks any more when it could take all again.
+    worker = deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    worker.named_rate = RATE
+    assert one.ask("m1", request="first")[0] == 200
+    worker.named_rate = None
+    assert one.ask("m1", request="second")[0] == 200
+    until(lambda: b"upstream_rate_named" in one.log.read_bytes(), "the rate's line")
+    until(lambda: b"per_second=- before=1.0" in one.log.read_bytes(), "the end of the need")
+    assert all(one.ask("m1", request=f"r{n}")[0] == 200 for n in range(20))
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_carried_models.py
@@ -0,0 +1,46 @@
+"""What the plan leaves to upstreams in need."""
+
+import pytest
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.swaps.carried_models import with_carried_models
+from redwingscale_daemon._internal.swaps.worker_view import WorkerView
+
+ASKED = {"busy": 4.0, "calm": 0.5, "rare": 0.1, "shared": 2.0}
+
+
+def view(name, **held):
+    upstream = Upstream(
+        name, "llm", "127.0.0.1", 1, "z1", 64, False, None, {}, frozenset(), frozenset()
+    )
+    return WorkerView(upstream, held, True, "", {}, 0, 0, {})
+
+
+@pytest.fixture
+def views():
+    none = frozenset()
+    return [view("sound", shared=none), view("w", busy=none, calm=none, rare=none, shared=none)]
+
+
+def planned(views, rates_by_id, waiting=()):
+    made = with_carried_models(views, rates_by_id, ASKED.__getitem__, waiting)
+    return {one.upstream.id: (sorted(one.held), one.free) for one in made}
+
+
+def test_busy_models_of_an_upstream_in_need_count_as_missing(views):
+    # Guards against a busy model that stays behind a rate that a rare one would fit into.
+    assert planned(views, {"w": 1.0}) == {
+        "sound": (["shared"], True),
+        "w": (["calm", "rare"], False),
+    }
+
+
+def test_model_whose_adapter_is_waited_for_counts_as_missing(views):
+    # Guards against an adapter that is never loaded, as its model's holder takes no orders.
+    assert planned(views, {"w": 1.0}, [Unit("rare", "a1")])["w"] == (["calm"], False)
+
+
+def test_upstreams_that_are_all_in_need_are_planned_as_they_are(views):
+    # Guards against a service without a plan while all its upstreams are in need.
+    rates = {"w": 1.0, "sound": 1.0}
+    assert planned(views, rates)["w"] == (["busy", "calm", "rare", "shared"], True)
