Pass rates on from instance to instance while nobody gives orders

What callers saw: nothing yet; the drawn histories did.

Change: what an instance learns while it hears no order giver, or up to a second before it notices, it tells four peers, which tell others. Nothing is sent while an order giver is heard.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
+from redwingscale_daemon._internal.fleet.fleet import Fleet
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_news import RouteNews
@@ -11,6 +12,7 @@
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease
 from redwingscale_daemon._internal.swaps.peer_desk import KnownLease, PeerDesk
 from redwingscale_daemon._internal.swaps.peer_questions import PeerQuestions
+from redwingscale_daemon._internal.swaps.rate_gossip import RateGossip
 from redwingscale_daemon._internal.utils.lasting import Lasting
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
@@ -20,6 +22,8 @@
 QUESTION_SECONDS = 0.4
 # A version that was told is read from the store first.
 BEHIND_SECONDS = 0.3
+# An order giver that has been silent for longer may not tell in time of a rate.
+GIVER_SILENT_SECONDS = 0.5
 
 
 class Peers(NamedTuple):
@@ -37,6 +41,7 @@
     reads: StoreReads,
     route_news: RouteNews,
     lease: GiverLease,
+    fleet: Fleet,
 ) -> Peers:
     """Return the parts, not started."""
     first_port = settings.peer_ports[0]
@@ -46,6 +51,7 @@
         routes,
         lambda: min(reads.configuration.age, route_news.age),
         lambda: KnownLease(lease.row_version, lease.record),
+        fleet.rates.hear_peer,
     )
     behind = Lasting(BEHIND_SECONDS)
 
@@ -65,4 +71,10 @@
 
     questions = PeerQuestions(routes, untold, lease.told, lambda: desk.address)
     asking = Periodic("peer-questions", QUESTION_SECONDS, questions.step)
-    return Peers(desk, questions, (desk, asking), fetch_told)
+    gossip = RateGossip(
+        fleet.rates,
+        questions.known,
+        lambda: not lease.holds and fleet.holdings.age > GIVER_SILENT_SECONDS,
+        questions.tell,
+    )
+    return Peers(desk, questions, (desk, asking, gossip), fetch_told)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -208,7 +208,7 @@
         instances,
         fleet.rates.in_need,
     )
-    peers = build_peers(settings, routes, reads, route_news, lease)
+    peers = build_peers(settings, routes, reads, route_news, lease, fleet)
     link = GiverLink(lease, me, make_news, on_giver_news, giver.heard)
     needs.on_new_wait(link.wake)
     fleet.rates.on_wait(link.wake)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/named_rates.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/named_rates.py
@@ -51,6 +51,9 @@
         self._lock = threading.Lock()
         self._by_id: dict[str, NamedRate] = {}
         self._wake: Callable[[], None] = lambda: None
+        # Upstreams whose rates have changed since `drain_changed`.
+        self._changed: set[str] = set()
+        self._notify: Callable[[], None] = lambda: None
         self._lent = LentSendings(instances, clock)
         self._wanted_at: dict[str, float] = {}
         # When each began to wait, by upstream.
@@ -63,6 +66,10 @@
         """Call ``wake`` when a request begins to wait for a sending."""
         self._wake = wake
 
+    def on_change(self, notify: Callable[[], None]) -> None:
+        """Call ``notify`` when a rate has changed, by whatever source."""
+        self._notify = notify
+
     def per_second(self, upstream_id: str) -> float | None:
         """Return the rate that ``upstream_id`` has named, None where it takes any."""
         rate = self._by_id.get(upstream_id)
@@ -137,27 +144,30 @@
         now = self._clock()
         with self._lock:
             return [
-                RateEntry(
-                    key,
-                    rate.per_second,
-                    round(now - rate.seen_at, 3),
-                    now - self._wanted_at.get(key, float("-inf")) < WANTED_SECONDS,
-                    len(self._waiting_since[key]),
-                    round(self._used[key].now(now), 2),
-                    round(now - min(self._waiting_since[key], default=now), 3),
-                )
+                self._entry(key, rate, now)
                 for key, rate in self._by_id.items()
                 if rate.per_second is not None or now - rate.seen_at < ENDED_SECONDS
             ]
 
+    def drain_changed(self) -> list[RateEntry]:
+        """Return what has changed since the last call."""
+        now = self._clock()
+        with self._lock:
+            changed, self._changed = self._changed, set()
+            return [self._entry(key, self._by_id[key], now) for key in changed & self._by_id.keys()]
+
+    def hear_peer(self, entries: Iterable[RateEntry]) -> None:
+        """Take what another instance knows, where it is newer."""
+        now = self._clock()
+        for entry in entries:
+            self._take_told(entry.upstream, NamedRate(entry.per_second, now - entry.age), "peer")
+
     def hear(self, entries: Iterable[LentEntry]) -> None:
         """Take what the order giver tells and lends."""
         now = self._clock()
         for entry in entries:
             told = NamedRate(entry.per_second, now - entry.age)
-            before = self._by_id.get(entry.upstream)
-            if before is None or told.seen_at > before.seen_at:
-                self._take(entry.upstream, told, "order giver")
+            self._take_told(entry.upstream, told, "order giver")
             with self._lock:
                 self._all_waiting[entry.upstream] = entry.waiting
                 sendings = entry.sendings_by_instance.get(self._instance, 0)
@@ -178,14 +188,35 @@
         ahead = max(self._all_waiting.get(upstream_id, 0), len(self._waiting_since[upstream_id]))
         return ahead / max(per_second, LEAST_PER_SECOND)
 
+    def _entry(self, upstream_id: str, rate: NamedRate, now: float) -> RateEntry:
+        waiting_since = self._waiting_since[upstream_id]
+        return RateEntry(
+            upstream_id,
+            rate.per_second,
+            round(now - rate.seen_at, 3),
+            now - self._wanted_at.get(upstream_id, float("-inf")) < WANTED_SECONDS,
+            len(waiting_since),
+            round(self._used[upstream_id].now(now), 2),
+            round(now - min(waiting_since, default=now), 3),
+        )
+
+    def _take_told(self, upstream_id: str, told: NamedRate, source: str) -> None:
+        before = self._by_id.get(upstream_id)
+        if before is None or told.seen_at > before.seen_at:
+            self._take(upstream_id, told, source)
+
     def _take(self, upstream_id: str, after: NamedRate, source: str) -> None:
         with self._lock:
             before = self._by_id.get(upstream_id)
             if before is None and after.per_second is None:
                 return
             self._by_id[upstream_id] = after
-        if before is not None and before.per_second == after.per_second:
+            unchanged = before is not None and before.per_second == after.per_second
+            if not unchanged:
+                self._changed.add(upstream_id)
+        if unchanged:
             return
+        self._notify()
         log_event(
             "upstream_rate_named",
             upstream=upstream_id,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_desk.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_desk.py
@@ -9,6 +9,7 @@
 import pynng
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.rate_messages import RateEntry
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.table_record import encode_table
 from redwingscale_daemon._internal.swaps.giver_hub import open_port
@@ -18,9 +19,10 @@
 
 
 class PeerQuestion(msgspec.Struct, array_like=True):
-    """What an instance knows: the version of its configuration."""
+    """What an instance knows: the version of its configuration, rates that have changed."""
 
     configuration: int
+    rates: list[RateEntry] = []
 
 
 class PeerAnswer(msgspec.Struct, array_like=True):
@@ -54,6 +56,7 @@
         routes: CurrentRoutes,
         configuration_age: Callable[[], float],
         lease: Callable[[], KnownLease],
+        take_rates: Callable[[list[RateEntry]], None] = lambda _: None,
     ) -> None:
         self._socket = pynng.Rep0(recv_timeout=_RECEIVE_MS, send_timeout=_RECEIVE_MS)
         self._host = host
@@ -61,6 +64,7 @@
         self._routes = routes
         self._age = configuration_age
         self._lease = lease
+        self._take_rates = take_rates
         self._packed: tuple[int, bytes] = (0, b"")
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="peer-desk", daemon=True)
@@ -85,6 +89,7 @@
         while not self._stopped:
             try:
                 question = msgspec.msgpack.decode(self._socket.recv(), type=PeerQuestion)
+                self._take_rates(question.rates)
                 self._socket.send(msgspec.msgpack.encode(self._answer(question)))
             except pynng.Timeout:
                 continue
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_questions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_questions.py
@@ -3,12 +3,13 @@
 import random
 import time
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 import pynng
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.rate_messages import RateEntry
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.table_record import decode_table
 from redwingscale_daemon._internal.swaps.giver_lease import GiverRecord
@@ -50,11 +51,21 @@
         newest = sorted(known, key=known.__getitem__, reverse=True)[:MOST_PEERS]
         self._named_at = {address: known[address] for address in newest}
 
+    def known(self) -> list[str]:
+        """Return the addresses of the peers that are remembered."""
+        return list(self._named_at)
+
+    def tell(self, address: str, rates: list[RateEntry]) -> None:
+        """Tell one peer of rates that have changed, and take its answer."""
+        answer = self._ask(address, rates)
+        if answer is not None:
+            self._take(address, answer)
+
     def step(self) -> None:
         """Ask until a peer answers that knows what is in force now, if that is needed."""
         if not self._needed():
             return
-        known = list(self._named_at)
+        known = self.known()
         for address in self._random.sample(known, min(MOST_ASKED, len(known))):
             answer = self._ask(address)
             if answer is None:
@@ -71,9 +82,9 @@
         table = self._routes.get()
         return table is not None and table.version >= version
 
-    def _ask(self, address: str) -> PeerAnswer | None:
+    def _ask(self, address: str, rates: Sequence[RateEntry] = ()) -> PeerAnswer | None:
         table = self._routes.get()
-        question = PeerQuestion(table.version if table else 0)
+        question = PeerQuestion(table.version if table else 0, list(rates))
         # Without a resend time it would ask again by itself.
         options = {"send_timeout": ANSWER_MS, "recv_timeout": ANSWER_MS, "resend_time": -1}
         try:
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/rate_gossip.py
@@ -0,0 +1,95 @@
+"""Tells other instances of rates that upstreams name while nobody gives orders."""
+
+import random
+import threading
+import time
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.named_rates import NamedRates
+from redwingscale_daemon._internal.fleet.rate_messages import RateEntry
+
+# Peers that each instance tells of what it has just learned; they tell others.
+FANOUT = 4
+# A change is kept for so long, in case the order giver has just been lost.
+KEPT_SECONDS = 1.0
+LOOK_SECONDS = 0.1
+
+Tell = Callable[[str, list[RateEntry]], None]
+
+
+class _Kept(NamedTuple):
+    entry: RateEntry
+    since: float
+
+    def as_of(self, now: float) -> RateEntry:
+        """Return the entry with its age at ``now``."""
+        return msgspec.structs.replace(self.entry, age=self.entry.age + now - self.since)
+
+
+class RateGossip:
+    """Passes changes on from instance to instance.
+
+    The order giver tells all within a quarter of a second. Without one, each of a hundred
+    instances would learn of a rate by a request of its own, and those alone are more than
+    the rate.
+    """
+
+    def __init__(
+        self,
+        rates: NamedRates,
+        peers: Callable[[], Sequence[str]],
+        giver_silent: Callable[[], bool],
+        tell: Tell,
+    ) -> None:
+        self._rates = rates
+        self._peers = peers
+        self._giver_silent = giver_silent
+        self._tell = tell
+        self._wake = threading.Event()
+        self._stopped = False
+        # What has changed and was not passed on yet, by upstream.
+        self._kept_by_id: dict[str, _Kept] = {}
+        # Not for secrets: it only spreads messages.
+        self._random = random.Random()
+        self._thread = threading.Thread(target=self._run, name="rate-gossip", daemon=True)
+        rates.on_change(self._wake.set)
+
+    def start(self) -> None:
+        """Begin to wait for changes."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End it."""
+        self._stopped = True
+        self._wake.set()
+        self._thread.join(1.0)
+
+    def _run(self) -> None:
+        while not self._stopped:
+            self._wake.wait(LOOK_SECONDS if self._kept_by_id else None)
+            self._wake.clear()
+            self.look(time.monotonic())
+
+    def look(self, now: float) -> None:
+        """Pass on what has changed lately, if no order giver is heard."""
+        changed = {entry.upstream: _Kept(entry, now) for entry in self._rates.drain_changed()}
+        kept = self._kept_by_id | changed
+        self._kept_by_id = {key: one for key, one in kept.items() if now - one.since < KEPT_SECONDS}
+        if self._kept_by_id and self._giver_silent():
+            self._pass_on([one.as_of(now) for one in self._kept_by_id.values()])
+            self._kept_by_id = {}
+
+    def _pass_on(self, changed: list[RateEntry]) -> None:
+        known = self._peers()
+        told = self._random.sample(known, min(FANOUT, len(known)))
+        log_event(
+            "rates_passed_on",
+            upstreams=",".join(entry.upstream for entry in changed),
+            peers=len(told),
+        )
+        for address in told:
+            self._tell(address, changed)
--- a/packages/redwingscale-standins/src/redwingscale_standins/named_rates/model.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/named_rates/model.py
@@ -6,12 +6,15 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.named_rates import NamedRates
+from redwingscale_daemon._internal.swaps.rate_gossip import FANOUT
 from redwingscale_daemon._internal.swaps.rate_lender import RateLender
 
 from redwingscale_standins.named_rates.rule import NOTICE_SECONDS, WINDOW_SECONDS, most_allowed
 
 STEP_SECONDS = 0.05
 NEWS_STEPS = 5
+# After which instances take an order giver for lost.
+SILENT_SECONDS = 0.5
 ANSWER_STEPS = 2
 UPSTREAM = "u"
 PATIENCE_SECONDS = 2.0
@@ -77,6 +80,7 @@
             self.now = step * STEP_SECONDS
             self._answer(step)
             self._ask(step)
+            self._pass_on()
             if step % NEWS_STEPS == 0:
                 self._tell()
         return self
@@ -110,6 +114,17 @@
             else:
                 self.rates[instance].unnamed(UPSTREAM, sent_at, "answer")
 
+    def _pass_on(self) -> None:
+        """Let instances tell their peers what they have learned, while nobody gives orders."""
+        ended = self.history.giver_ends_at
+        if self.now < ended + SILENT_SECONDS or self.now >= ended + self.history.next_giver_after:
+            return
+        changed = [rates.drain_changed() for rates in self.rates]
+        for entries in filter(None, changed):
+            for peer in self.random.sample(self.rates, min(FANOUT, len(self.rates))):
+                if self.random.random() >= self.history.lost_part:
+                    peer.hear_peer(entries)
+
     def _tell(self) -> None:
         ended = self.history.giver_ends_at
         if ended <= self.now < ended + self.history.next_giver_after:
