Take no rate of an upstream that is not listed; ask for those in need only without another

Cause, found by reading the diff: news of an upstream that had gone brought its rate back at instances that had just dropped it, which told it to the order giver again, for as long as the deployment lived. Besides, each plain request looked at all upstreams twice.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -180,7 +180,7 @@
         own_demand.heard(news)
         return news
 
-    lender = RateLender(fleet.rates.in_need)
+    lender = RateLender(fleet.rates.in_need, fleet.directory.lists)
     fleet.directory.on_gone(lender.forget)
     right = GiverRight(
         me,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -33,7 +33,7 @@
     changes, holdings, outcomes = Changes(), Holdings(), Outcomes()
     directory = UpstreamDirectory(holdings, changes)
     book, health, pace, prefixes = LoadBook(), Health(outcomes), Pace(), PrefixMemory()
-    rates = NamedRates(instance, instances)
+    rates = NamedRates(instance, instances, directory.lists)
     for part in (book, health, pace, prefixes, holdings, rates):
         directory.on_gone(part.forget)
     return Fleet(directory, holdings, changes, book, health, pace, prefixes, outcomes, rates)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/named_rates.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/named_rates.py
@@ -44,9 +44,12 @@
         self,
         instance: str = "",
         instances: Callable[[], int] = lambda: 1,
+        listed: Callable[[str], bool] = lambda _: True,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._instance = instance
+        # What is told of an upstream that has gone would never be dropped again.
+        self._listed = listed
         self._clock = clock
         self._lock = threading.Lock()
         self._by_id: dict[str, NamedRate] = {}
@@ -165,7 +168,7 @@
     def hear(self, entries: Iterable[LentEntry]) -> None:
         """Take what the order giver tells and lends."""
         now = self._clock()
-        for entry in entries:
+        for entry in filter(lambda one: self._listed(one.upstream), entries):
             told = NamedRate(entry.per_second, now - entry.age)
             self._take_told(entry.upstream, told, "order giver")
             with self._lock:
@@ -208,7 +211,7 @@
     def _take(self, upstream_id: str, after: NamedRate, source: str) -> None:
         with self._lock:
             before = self._by_id.get(upstream_id)
-            if before is None and after.per_second is None:
+            if not self._listed(upstream_id) or (before is None and after.per_second is None):
                 return
             self._by_id[upstream_id] = after
             unchanged = before is not None and before.per_second == after.per_second
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -124,6 +124,10 @@
         """Return one upstream, None if it isn't listed."""
         return self._copy.by_id.get(upstream_id)
 
+    def lists(self, upstream_id: str) -> bool:
+        """Return whether an upstream is listed."""
+        return upstream_id in self._copy.by_id
+
     def all(self) -> list[Upstream]:
         """Return all that are listed, leaving or not."""
         return list(self._copy.by_id.values())
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -66,9 +66,11 @@
             return self._parts.chooser.for_plain(call.service, call.attempts.tried)
 
         found = choose()
-        in_need = self._parts.chooser.plain_in_need(call.service, call.attempts.tried)
-        if found is not None or not in_need or call.attempts.failure is not None:
+        if found is not None or call.attempts.failure is not None:
             return found
+        in_need = self._parts.chooser.plain_in_need(call.service, call.attempts.tried)
+        if not in_need:
+            return None
         return self._rate_wait.candidate(
             call, in_need, lambda: call.watch.remaining() - SERVICE_SECONDS, choose
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/rate_lender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/rate_lender.py
@@ -49,10 +49,12 @@
     def __init__(
         self,
         in_need: Callable[[], Collection[str]] = tuple,
+        listed: Callable[[str], bool] = lambda _: True,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         # What this instance knows by itself, until it has heard of the others.
         self._in_need = in_need
+        self._listed = listed
         self._clock = clock
         self._lock = threading.Lock()
         self._by_id: dict[str, _Lent] = {}
@@ -70,6 +72,8 @@
         waiting = 0
         with self._lock:
             for entry in entries:
+                if not self._listed(entry.upstream):
+                    continue
                 lent = self._by_id.get(entry.upstream)
                 if lent is None:
                     lent = self._by_id[entry.upstream] = _Lent(now)
