--- a/packages/redwingscale-standins/src/redwingscale_standins/named_rates/model.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/named_rates/model.py
@@ -64,7 +64,7 @@
         # Not for secrets.
         self.random = random.Random(history.seed)
         self.rates = [
-            NamedRates(f"i{n}", lambda: history.instances, lambda: self.now)
+            NamedRates(f"i{n}", lambda: history.instances, clock=lambda: self.now)
             for n in range(history.instances)
         ]
         self.lender = RateLender(clock=lambda: self.now)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -14,6 +14,7 @@
     check_cuts,
     check_leaving,
     check_limit,
+    check_needs,
     check_orders,
     check_requests,
 )
@@ -63,6 +64,7 @@
         check_cuts(world, planned_only=planned_only)
         check_orders(world, ORDER_QUIET_SECONDS / 2)
         check_limit(world)
+        check_needs(world)
         check_leaving(world, places.left(), planned_only=planned_only)
     finally:
         for caller in callers:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from redwingscale_common.network.server import HttpServer, ServerLimits
 
@@ -61,6 +61,16 @@
         }
 
 
+class Need(NamedTuple):
+    """A worker that named a rate; ``calm`` where nothing unplanned held up what it got."""
+
+    worker: SoakWorker
+    per_second: float
+    named_at: float
+    ended_at: float
+    calm: bool
+
+
 class Node:
     """An instance, its link to the store, and whether it is disturbed."""
 
@@ -86,6 +96,7 @@
         self._numbers = iter(range(1000))
         self.rows = RowsApi()
         self.places: dict[str, Place] = {}
+        self.needs: list[Need] = []
         # Anything unplanned, and the whole store.
         self.disturbance = Disturbance()
         self.store_disturbance = Disturbance()
