Load models elsewhere whose requests are refused behind a named rate

Cause, found by reading: behind the queue of an upstream in need most requests are refused at once. They wait nowhere, and the plan loads what requests wait for; a model that only such an upstream held was loaded elsewhere by chance, when one of its requests had a place in the queue. Now refused requests of models that no other upstream has count as missing. Without a named rate the plan is what it was.

Test: test_model_whose_requests_are_refused_at_once_is_missed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -15,7 +15,6 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
 from redwingscale_daemon._internal.swaps.adapter_orders import AdapterOrders
-from redwingscale_daemon._internal.swaps.carried_models import with_carried_models
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.failing_upstreams import FailingUpstreams
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
@@ -32,6 +31,7 @@
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
 from redwingscale_daemon._internal.swaps.rate_lender import RateLender
+from redwingscale_daemon._internal.swaps.service_views import ServiceViews
 from redwingscale_daemon._internal.swaps.tasks import SwapTask
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
 from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
@@ -86,8 +86,6 @@
         self._link_mbps = link_mbps
         # How many instances there were, as far as this one has been told.
         self._known_instances = known_instances
-        # The rates that upstreams in need have named.
-        self._rates_by_id = rates_by_id
         # What this instance has read, with the changes of the list.
         self._read = read
         self._changes = ListChanges()
@@ -95,6 +93,7 @@
         self._rate = LoadRate()
         self._wake = threading.Event()
         self._workers = WorkerPool(self._engine, client, right, self._wake.set)
+        self._service_views = ServiceViews(directory, self._workers, self._demand, rates_by_id)
         self._adapters = AdapterOrders(self._demand, self._workers)
         self._instances = InstanceTotals()
         self._failing = FailingUpstreams()
@@ -216,12 +215,7 @@
         planner = Planner(service, engine, self._demand)
         for _ in range(MOST_SWAPS_A_STEP):
             views = self._views(service)
-            present = {name for view in views for name in [*view.held, view.loading]}
-            waiting = [
-                one
-                for one in self._demand.waiting()
-                if one.service == service and one.unit.model not in present
-            ]
+            waiting = self._service_views.missing(service, engine, views)
             cold_allowed = self._rate.free(self._ceiling(engine))
             swap = planner.best_swap(waiting, views, cold_allowed=cold_allowed)
             if swap is None:
@@ -247,16 +241,7 @@
         self._workers.give(swap.view.upstream.id, task)
 
     def _views(self, service: str) -> list[WorkerView]:
-        views = self._workers.views(self._directory.usable(service), self._totals)
-        rates_by_id = self._rates_by_id()
-        if not rates_by_id:
-            return views
-        return with_carried_models(
-            views,
-            rates_by_id,
-            lambda model: self._demand.model_rate(service, model),
-            [one.unit for one in self._demand.waiting() if one.service == service],
-        )
+        return self._service_views.views(service, self._totals)
 
     def _tell(self, fence: int) -> GiverNews | None:
         """Return the news, None where they would tell nothing and none are due."""
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/service_views.py
@@ -0,0 +1,68 @@
+"""What the planner sees of a service's workers, and of what requests miss there."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+from redwingscale_daemon._internal.routes.service_rule import EngineRule
+from redwingscale_daemon._internal.swaps.carried_models import with_carried_models
+from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
+from redwingscale_daemon._internal.swaps.instance_totals import Totals
+from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
+from redwingscale_daemon._internal.swaps.worker_view import WorkerView
+
+# One refused request in some seconds is no reason for a load.
+LEAST_REFUSED_PER_SECOND = 0.2
+
+
+class ServiceViews:
+    """Joins the list, the workers' ledgers and the rates that upstreams in need name."""
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        workers: WorkerPool,
+        demand: Demand,
+        rates_by_id: Callable[[], Mapping[str, float]],
+    ) -> None:
+        self._directory = directory
+        self._workers = workers
+        self._demand = demand
+        self._rates_by_id = rates_by_id
+
+    def views(self, service: str, totals: Totals) -> list[WorkerView]:
+        """Return the workers of ``service`` that take new work and that most instances reach."""
+        views = self._workers.views(self._directory.usable(service), totals)
+        rates_by_id = self._rates_by_id()
+        if not rates_by_id:
+            return views
+        return with_carried_models(
+            views,
+            rates_by_id,
+            lambda model: self._demand.model_rate(service, model),
+            [one.unit for one in self._demand.waiting() if one.service == service],
+        )
+
+    def missing(
+        self, service: str, engine: EngineRule, views: Sequence[WorkerView]
+    ) -> list[WaitingUnit]:
+        """Return what requests miss that is at none of ``views`` and on no way there.
+
+        Behind the queue of an upstream in need most requests are refused at once, and
+        wait nowhere: their models are missing all the same.
+        """
+        present = {name for view in views for name in [*view.held, view.loading]}
+        waiting = [
+            one
+            for one in self._demand.waiting()
+            if one.service == service and one.unit.model not in present
+        ]
+        if not self._rates_by_id():
+            return waiting
+        known = present | {one.unit.model for one in waiting}
+        refused = [
+            WaitingUnit(service, Unit(name), rate, 0.0)
+            for name in engine.models_by_name.keys() - known
+            if (rate := self._demand.missed_rate(service, name)) >= LEAST_REFUSED_PER_SECOND
+        ]
+        return waiting + refused
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_carried_models.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_carried_models.py
@@ -3,7 +3,11 @@
 import pytest
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.routes.service_rule import EngineRule
 from redwingscale_daemon._internal.swaps.carried_models import with_carried_models
+from redwingscale_daemon._internal.swaps.demand import Demand
+from redwingscale_daemon._internal.swaps.messages import InstanceNews, NeedEntry
+from redwingscale_daemon._internal.swaps.service_views import ServiceViews
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
 ASKED = {"busy": 4.0, "calm": 0.5, "rare": 0.1, "shared": 2.0}
@@ -44,3 +48,19 @@
     # Guards against a service without a plan while all its upstreams are in need.
     rates = {"w": 1.0, "sound": 1.0}
     assert planned(views, rates)["w"] == (["busy", "calm", "rare", "shared"], True)
+
+
+def missing(rates_by_id, views):
+    demand = Demand()
+    refused = NeedEntry("llm", "busy", "", 8, 0, 0.0, missed=8)
+    demand.heard(InstanceNews("i0", [refused], [], [], []))
+    engine = EngineRule(64, 100_000, 200.0, 8, 1.0, dict.fromkeys(ASKED))
+    found = ServiceViews(None, None, demand, lambda: rates_by_id).missing("llm", engine, views)
+    return [one.unit.model for one in found]
+
+
+def test_model_whose_requests_are_refused_at_once_is_missed(views):
+    # Guards against a model that is loaded nowhere, as none of its requests wait.
+    in_need = with_carried_models(views, {"w": 1.0}, ASKED.__getitem__, ())
+    assert missing({"w": 1.0}, in_need) == ["busy"]
+    assert missing({}, views) == []
