Begin to lend later: what came just before a rate was named counts in its first window

Cause: the drawn histories had let 1 request a second come before the rate was named. A test of the lender found that a level below zero lent a negative number; mended here.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/rate_lender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/rate_lender.py
@@ -16,6 +16,8 @@
 # Sendings that are saved up while nobody asks.
 MOST_SAVED = 2.0
 SAVED_SECONDS = 0.5
+# What came just before a rate was named counts in its first window as well.
+FIRST_LEVEL = -1.5
 # Another order giver may have lent until a moment before this one begins.
 QUIET_SECONDS = LENT_SECONDS + 0.5
 
@@ -31,7 +33,7 @@
     def __init__(self, now: float) -> None:
         self.per_second: float | None = None
         self.seen_at = float("-inf")
-        self.level = 0.0
+        self.level = FIRST_LEVEL
         self.at = now
         self.told_by_instance: dict[str, _Told] = {}
         # Whoever was lent to least recently is next.
@@ -135,7 +137,7 @@
         Those that could use this one beside others get only what nobody has waited for:
         their answers tell that a need has ended.
         """
-        left = int(self._refill(lent))
+        left = max(0, int(self._refill(lent)))
         asking = sorted(
             (name for name, entry in told.items() if entry.waiting),
             key=lambda name: told[name].longest_wait,
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_rate_lender.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_rate_lender.py
@@ -2,9 +2,11 @@
 
 import pytest
 from redwingscale_daemon._internal.fleet.rate_messages import RateEntry
-from redwingscale_daemon._internal.swaps.rate_lender import QUIET_SECONDS, RateLender
+from redwingscale_daemon._internal.swaps.rate_lender import FIRST_LEVEL, QUIET_SECONDS, RateLender
 
 U = "u"
+# At a rate of one a second.
+FIRST_SENDING_SECONDS = QUIET_SECONDS - FIRST_LEVEL + 1.0
 
 
 @pytest.fixture
@@ -28,7 +30,7 @@
 def test_whoever_has_waited_longest_is_lent_to_first(lender, clock):
     # Guards against requests that time out behind later ones of a busier instance.
     lender.heard("late", told(waiting=1, longest=0.2))
-    clock[0] = QUIET_SECONDS + 1.0
+    clock[0] = FIRST_SENDING_SECONDS
     lender.heard("late", told(waiting=1, longest=0.2))
     lender.heard("early", told(waiting=1, longest=1.5))
     assert lent(lender) == {U: {"early": 1}}
@@ -39,7 +41,7 @@
     # Guards against a need whose end nobody finds out, and against a bucket that is
     # empty when a request has no other upstream.
     lender.heard("one", told())
-    clock[0] = QUIET_SECONDS + 1.0
+    clock[0] = FIRST_SENDING_SECONDS
     lender.heard("one", told())
     assert lent(lender) == {U: {}}
     clock[0] += 1.0
@@ -60,7 +62,7 @@
     # Guards against orders and reports beside the requests that use up a rate.
     assert not lender.draw(U)
     lender.heard("one", told(waiting=1))
-    clock[0] = QUIET_SECONDS + 1.0
+    clock[0] = FIRST_SENDING_SECONDS
     assert lender.draw(U)
     lender.heard("one", told(waiting=1))
     assert lent(lender) == {U: {}}
--- a/packages/redwingscale-standins/src/redwingscale_standins/named_rates/model.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/named_rates/model.py
@@ -31,7 +31,7 @@
     instances: int
     rate: float
     asked: float
-    asked_before: float = 1.0
+    asked_before: float = 8.0
     lost_part: float = 0.0
     giver_ends_at: float = float("inf")
     next_giver_after: float = 3.0
