Known red: a load that rises at the moment at which a rate is named

The model's case that goes beyond the rule stands as a test: 14 in 4 s where 11 are allowed, of 67 instances. It is listed, as its check stays strict.

--- a/packages/redwingscale-daemon/tests/unit/fleet/test_named_rates.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_named_rates.py
@@ -57,6 +57,11 @@
     assert exceeded(drawn_histories([24, 67], [1.0, 2.1])) == []
 
 
+def test_many_instances_keep_a_named_rate_when_the_load_rises_as_it_is_named():
+    # Guards against an excess that is there before the instances learn of a rate.
+    assert exceeded([History(67, 1.0, asked=30.0)]) == []
+
+
 @pytest.mark.parametrize("instances", [1, 6, 67, 372])
 @pytest.mark.parametrize("rate", [1.0, 4.0])
 def test_a_named_rate_is_used_by_whoever_asks(instances, rate):
