--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -195,7 +195,9 @@
 
     client = OrderClient(
         engine_calls(),
-        on_rate=lambda upstream, per_second: fleet.rates.named(upstream, per_second, "own report"),
+        on_rate=lambda upstream, per_second: fleet.rates.advertised(
+            upstream, per_second, "own report"
+        ),
         connect_seconds=CONNECT_SECONDS,
         answer_seconds=CONNECT_SECONDS,
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -12,7 +12,7 @@
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease
 from redwingscale_daemon._internal.swaps.peer_desk import KnownLease, PeerDesk
 from redwingscale_daemon._internal.swaps.peer_questions import PeerQuestions
-from redwingscale_daemon._internal.swaps.rate_gossip import RateGossip
+from redwingscale_daemon._internal.swaps.rate_limit_gossip import RateLimitGossip
 from redwingscale_daemon._internal.utils.lasting import Lasting
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
@@ -22,8 +22,8 @@
 QUESTION_SECONDS = 0.4
 # A version that was told is read from the store first.
 BEHIND_SECONDS = 0.3
-# An order giver that has been silent for longer may not tell in time of a rate.
-GIVER_SILENT_SECONDS = 0.5
+# An order giver that has been silent for longer may not tell in time of a rate limit.
+GIVER_SIPERMIT_SECONDS = 0.5
 
 
 class Peers(NamedTuple):
@@ -71,10 +71,10 @@
 
     questions = PeerQuestions(routes, untold, lease.told, lambda: desk.address)
     asking = Periodic("peer-questions", QUESTION_SECONDS, questions.step)
-    gossip = RateGossip(
+    gossip = RateLimitGossip(
         fleet.rates,
         questions.known,
-        lambda: not lease.holds and fleet.holdings.age > GIVER_SILENT_SECONDS,
+        lambda: not lease.holds and fleet.holdings.age > GIVER_SIPERMIT_SECONDS,
         questions.tell,
     )
     return Peers(desk, questions, (desk, asking, gossip), fetch_told)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -35,7 +35,7 @@
 from redwingscale_daemon._internal.swaps.needs import Needs
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.order_giver import OrderGiver
-from redwingscale_daemon._internal.swaps.rate_lender import RateLender
+from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
@@ -86,7 +86,7 @@
         engine.encode_order,
         engine.order_headers,
         engine.order_result,
-        exchange.named_rate,
+        exchange.rate_limit,
     )
 
 
@@ -180,14 +180,14 @@
         own_demand.heard(news)
         return news
 
-    lender = RateLender(fleet.rates.in_need, fleet.directory.lists)
-    fleet.directory.on_gone(lender.forget)
+    issuer = PermitIssuer(fleet.rates.limited, fleet.directory.lists)
+    fleet.directory.on_gone(issuer.forget)
     right = GiverRight(
         me,
         lease.fence,
         lambda: lease.succeeds_another,
         settings.bounds.order_quiet,
-        lender.draw,
+        issuer.draw,
     )
     hub = GiverHub(settings.host, news_port, needs_port, lambda news: giver.heard(news))
     giver = OrderGiver(
@@ -197,16 +197,18 @@
         OrderClient(
             engine_calls(),
             lambda result: metrics.orders.add(1, {"result": result.value}),
-            lambda upstream, per_second: fleet.rates.named(upstream, per_second, "order giver"),
+            lambda upstream, per_second: fleet.rates.advertised(
+                upstream, per_second, "order giver"
+            ),
         ),
         hub,
         LoadCeiling(0.0, bounds.load_window),
         read_for_all,
         settings.machine.link_mbps,
         bounds.use_slack,
-        lender,
+        issuer,
         instances,
-        fleet.rates.in_need,
+        fleet.rates.limited,
     )
     peers = build_peers(settings, routes, reads, route_news, lease, fleet)
     link = GiverLink(lease, me, make_news, on_giver_news, giver.heard)
@@ -257,7 +259,7 @@
     }
     take = fleet.holdings.replace if news.all_held else fleet.holdings.update
     take(held, news.ready_in, news.fence)
-    fleet.rates.hear(news.rates)
+    fleet.rates.hear(news.rate_limits)
     if news.loads is not None:
         fleet.outcomes.set_failing(news.failing)
         own = {entry.upstream: entry for entry in own_loads}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -95,13 +95,13 @@
         candidates = [self._prompt_candidate(u, prompt, home) for u in holders]
         return self._cheapest(candidates, compare_all=compare_all)
 
-    def plain_in_need(self, service: str, tried: Collection[str]) -> list[str]:
-        """Return the ids of those that `for_plain` leaves out for the rates they name."""
-        return self._in_need(self._of_plain(service, tried))
+    def limited_plain(self, service: str, tried: Collection[str]) -> list[str]:
+        """Return the ids of those that `for_plain` leaves out for their rate limits."""
+        return self._limited(self._of_plain(service, tried))
 
-    def holders_in_need(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
-        """Return the ids of those that `for_prompt` leaves out for the rates they name."""
-        return self._in_need(self._holders(service, prompt, tried))
+    def limited_holders(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
+        """Return the ids of those that `for_prompt` leaves out for their rate limits."""
+        return self._limited(self._holders(service, prompt, tried))
 
     def _of_plain(self, service: str, tried: Collection[str]) -> list[Upstream]:
         usable = self._directory.usable(service)
@@ -112,10 +112,10 @@
         return [u for u in holders if u.id not in tried and not self._health.unreachable(u.id)]
 
     def _ready(self, upstreams: list[Upstream]) -> list[Upstream]:
-        """Return those that take a request now, by the rates that they name."""
+        """Return those that take a request now, by their rate limits."""
         return [u for u in upstreams if self._rates.may_send(u.id)]
 
-    def _in_need(self, upstreams: list[Upstream]) -> list[str]:
+    def _limited(self, upstreams: list[Upstream]) -> list[str]:
         return [u.id for u in upstreams if not self._rates.may_send(u.id)]
 
     def _plain_cost(self, upstream: Upstream) -> float:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -7,10 +7,10 @@
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.holdings import Holdings
 from redwingscale_daemon._internal.fleet.load_book import LoadBook
-from redwingscale_daemon._internal.fleet.named_rates import NamedRates
 from redwingscale_daemon._internal.fleet.outcomes import Outcomes
 from redwingscale_daemon._internal.fleet.pace import Pace
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
+from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
 
@@ -25,7 +25,7 @@
     pace: Pace
     prefixes: PrefixMemory
     outcomes: Outcomes
-    rates: NamedRates
+    rates: RateLimits
 
 
 def new_fleet(instance: str = "", instances: Callable[[], int] = lambda: 1) -> Fleet:
@@ -33,7 +33,7 @@
     changes, holdings, outcomes = Changes(), Holdings(), Outcomes()
     directory = UpstreamDirectory(holdings, changes)
     book, health, pace, prefixes = LoadBook(), Health(outcomes), Pace(), PrefixMemory()
-    rates = NamedRates(instance, instances, directory.lists)
+    rates = RateLimits(instance, instances, directory.lists)
     for part in (book, health, pace, prefixes, holdings, rates):
         directory.on_gone(part.forget)
     return Fleet(directory, holdings, changes, book, health, pace, prefixes, outcomes, rates)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_limit_messages.py
@@ -1,12 +1,12 @@
-"""What instances and the order giver tell each other of the rates that upstreams name."""
+"""What instances and the order giver tell each other of the rate limits of upstreams."""
 
 import msgspec
 
 
-class RateEntry(msgspec.Struct, array_like=True):
-    """What one instance knows of an upstream's rate, ``age`` seconds old.
+class RateLimitEntry(msgspec.Struct, array_like=True):
+    """What one instance knows of an upstream's limit, ``age`` seconds old.
 
-    ``per_second`` is None where the upstream named a rate and no longer does. ``wanted``
+    ``per_second`` is None where the upstream had a limit and has none any more. ``wanted``
     tells whether requests here could use the upstream, ``waiting`` how many have no
     other, the first of them for ``longest_wait`` seconds, and ``used`` how many a second
     were sent lately.
@@ -21,8 +21,8 @@
     longest_wait: float = 0.0
 
 
-class LentEntry(msgspec.Struct, array_like=True):
-    """What the order giver knows of an upstream's rate, and whom it lends sendings.
+class PermitEntry(msgspec.Struct, array_like=True):
+    """What the order giver knows of an upstream's limit, and whom it issues permits.
 
     ``waiting`` requests over all instances have no other upstream.
     """
@@ -31,4 +31,4 @@
     per_second: float | None
     age: float
     waiting: int
-    sendings_by_instance: dict[str, int]
+    permits_by_instance: dict[str, int]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/named_rates.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_limits.py
@@ -1,4 +1,4 @@
-"""The request rates that upstreams in need have named, and what may be sent to them."""
+"""The rate limits that upstreams advertise, and what may be sent to them."""
 
 import threading
 import time
@@ -9,23 +9,23 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.fleet.lent_sendings import LentSendings
-from redwingscale_daemon._internal.fleet.rate_messages import LentEntry, RateEntry
+from redwingscale_daemon._internal.fleet.rate_limit_messages import PermitEntry, RateLimitEntry
+from redwingscale_daemon._internal.fleet.send_permits import SendPermits
 from redwingscale_daemon._internal.utils.fading_rate import FadingRate
 
-# The end of a need is told for this long; who has not heard it learns it by an answer.
+# The end of a limit is told for this long; who has not heard it learns it by an answer.
 ENDED_SECONDS = 30.0
 # Requests that could use an upstream are told for this long after they came.
 WANTED_SECONDS = 1.0
 USED_HALF_SECONDS = 1.0
 # What an answer says is told for this long: a message may be lost.
 NEWS_SECONDS = 2.0
-# An upstream that names less is asked this often all the same: only answers tell that
-# its need has ended.
+# An upstream that takes less is asked this often all the same: only answers tell that
+# its limit has ended.
 LEAST_PER_SECOND = 0.25
 
 
-class NamedRate(NamedTuple):
+class RateLimit(NamedTuple):
     """``per_second`` requests, from all instances together, as of ``seen_at``, monotonic.
 
     None where the upstream takes any rate again. ``observed`` tells that an answer to
@@ -37,11 +37,11 @@
     observed: bool = False
 
 
-class NamedRates:
-    """Keeps, by upstream id, the rate that an upstream takes for as long as it names it.
+class RateLimits:
+    """Keeps, by upstream id, the limit that an upstream advertises, for as long as it does.
 
-    The rate is for all instances together: none sends to such an upstream by what it
-    alone has sent, but only what the order giver has lent it.
+    The limit is for all instances together: an instance sends to such an upstream only by
+    permits that the order giver has issued to it.
     """
 
     def __init__(
@@ -56,12 +56,12 @@
         self._listed = listed
         self._clock = clock
         self._lock = threading.Lock()
-        self._by_id: dict[str, NamedRate] = {}
+        self._by_id: dict[str, RateLimit] = {}
         self._wake: Callable[[], None] = lambda: None
-        # Upstreams whose rates have changed since `drain_changed`.
+        # Upstreams whose limits have changed since `drain_changed`.
         self._changed: set[str] = set()
         self._notify: Callable[[], None] = lambda: None
-        self._lent = LentSendings(instances, clock)
+        self._permits = SendPermits(instances, clock)
         self._wanted_at: dict[str, float] = {}
         # When each began to wait, by upstream.
         self._waiting_since: dict[str, list[float]] = defaultdict(list)
@@ -70,20 +70,20 @@
         self._all_waiting: dict[str, int] = {}
 
     def on_wait(self, wake: Callable[[], None]) -> None:
-        """Call ``wake`` when a request begins to wait for a sending."""
+        """Call ``wake`` when a request begins to wait for a permit."""
         self._wake = wake
 
     def on_change(self, notify: Callable[[], None]) -> None:
-        """Call ``notify`` when a rate has changed, by whatever source."""
+        """Call ``notify`` when a limit has changed, by whatever source."""
         self._notify = notify
 
     def per_second(self, upstream_id: str) -> float | None:
-        """Return the rate that ``upstream_id`` has named, None where it takes any."""
+        """Return the limit of ``upstream_id``, None where it has none."""
         rate = self._by_id.get(upstream_id)
         return rate.per_second if rate else None
 
-    def in_need(self) -> dict[str, float]:
-        """Return the rates that are named, by upstream id."""
+    def limited(self) -> dict[str, float]:
+        """Return the limits in force, by upstream id."""
         return {
             key: rate.per_second
             for key, rate in list(self._by_id.items())
@@ -91,28 +91,28 @@
         }
 
     def may_send(self, upstream_id: str) -> bool:
-        """Return whether a sending is at hand, and note that it could be used."""
+        """Return whether a permit is at hand, and note that it could be used."""
         per_second = self.per_second(upstream_id)
         if per_second is None:
             return True
         with self._lock:
             self._wanted_at[upstream_id] = self._clock()
-            return self._lent.left(upstream_id, per_second) >= 1
+            return self._permits.left(upstream_id, per_second) >= 1
 
     def draw(self, upstream_id: str) -> bool:
-        """Use up one sending; return whether there was one."""
+        """Use up one permit; return whether there was one."""
         per_second = self.per_second(upstream_id)
         if per_second is None:
             return True
         with self._lock:
-            drawn = self._lent.draw(upstream_id, per_second)
+            drawn = self._permits.draw(upstream_id, per_second)
             if drawn:
                 self._used[upstream_id] = self._used[upstream_id].plus(1.0, self._clock())
             return drawn
 
     @contextmanager
     def waiting(self, upstream_ids: Iterable[str]) -> Iterator[None]:
-        """Count a request that waits for a sending to one of ``upstream_ids``."""
+        """Count a request that waits for a permit for one of ``upstream_ids``."""
         ids = tuple(upstream_ids)
         since = self._clock()
         with self._lock:
@@ -128,25 +128,25 @@
                     self._waiting_since[key].remove(since)
 
     def wait_seconds(self, upstream_ids: Iterable[str]) -> float:
-        """Return how long those that wait already keep one of ``upstream_ids`` busy."""
+        """Return how long those that wait already use up one of the limits."""
         with self._lock:
             return min(map(self._wait_seconds, upstream_ids), default=0.0)
 
-    def named(self, upstream_id: str, per_second: float, source: str) -> None:
-        """Take the rate that an answer of ``upstream_id`` names."""
-        self._take(upstream_id, NamedRate(per_second, self._clock(), observed=True), source)
+    def advertised(self, upstream_id: str, per_second: float, source: str) -> None:
+        """Take the limit that an answer of ``upstream_id`` advertises."""
+        self._take(upstream_id, RateLimit(per_second, self._clock(), observed=True), source)
 
-    def unnamed(self, upstream_id: str, sent_at: float, source: str) -> None:
-        """Take an answer without a rate, to a request that was sent at ``sent_at``.
+    def lifted(self, upstream_id: str, sent_at: float, source: str) -> None:
+        """Take an answer without a limit, to a request that was sent at ``sent_at``.
 
-        An answer may have been on its way while the upstream began to name its rate: only
-        one to a request that was sent afterwards tells that the need has ended.
+        An answer may have been on its way while the upstream began to advertise: only one
+        to a request that was sent afterwards tells that the limit has ended.
         """
         before = self._by_id.get(upstream_id)
         if before is not None and before.per_second is not None and sent_at > before.seen_at:
-            self._take(upstream_id, NamedRate(None, self._clock(), observed=True), source)
+            self._take(upstream_id, RateLimit(None, self._clock(), observed=True), source)
 
-    def tell(self, *, all_of_it: bool = False) -> list[RateEntry]:
+    def tell(self, *, all_of_it: bool = False) -> list[RateLimitEntry]:
         """Return what the order giver is told: what is new here, and what is asked for here.
 
         With ``all_of_it`` all that is known: hundreds of instances that each told it
@@ -165,29 +165,29 @@
             if all_of_it or entry.wanted or entry.waiting or _is_news(rate, now)
         ]
 
-    def drain_changed(self) -> list[RateEntry]:
+    def drain_changed(self) -> list[RateLimitEntry]:
         """Return what has changed since the last call."""
         now = self._clock()
         with self._lock:
             changed, self._changed = self._changed, set()
             return [self._entry(key, self._by_id[key], now) for key in changed & self._by_id.keys()]
 
-    def hear_peer(self, entries: Iterable[RateEntry]) -> None:
+    def hear_peer(self, entries: Iterable[RateLimitEntry]) -> None:
         """Take what another instance knows, where it is newer."""
         now = self._clock()
         for entry in entries:
-            self._take_told(entry.upstream, NamedRate(entry.per_second, now - entry.age), "peer")
+            self._take_told(entry.upstream, RateLimit(entry.per_second, now - entry.age), "peer")
 
-    def hear(self, entries: Iterable[LentEntry]) -> None:
-        """Take what the order giver tells and lends."""
+    def hear(self, entries: Iterable[PermitEntry]) -> None:
+        """Take what the order giver tells and issues."""
         now = self._clock()
         for entry in filter(lambda one: self._listed(one.upstream), entries):
-            told = NamedRate(entry.per_second, now - entry.age)
+            told = RateLimit(entry.per_second, now - entry.age)
             self._take_told(entry.upstream, told, "order giver")
             with self._lock:
                 self._all_waiting[entry.upstream] = entry.waiting
-                sendings = entry.sendings_by_instance.get(self._instance, 0)
-                self._lent.take(entry.upstream, sendings)
+                permits = entry.permits_by_instance.get(self._instance, 0)
+                self._permits.take(entry.upstream, permits)
 
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are gone."""
@@ -197,16 +197,16 @@
                 self._wanted_at.pop(key, None)
                 self._all_waiting.pop(key, None)
                 self._used.pop(key, None)
-                self._lent.forget(key)
+                self._permits.forget(key)
 
     def _wait_seconds(self, upstream_id: str) -> float:
         per_second = self.per_second(upstream_id) or LEAST_PER_SECOND
         ahead = max(self._all_waiting.get(upstream_id, 0), len(self._waiting_since[upstream_id]))
         return ahead / max(per_second, LEAST_PER_SECOND)
 
-    def _entry(self, upstream_id: str, rate: NamedRate, now: float) -> RateEntry:
+    def _entry(self, upstream_id: str, rate: RateLimit, now: float) -> RateLimitEntry:
         waiting_since = self._waiting_since[upstream_id]
-        return RateEntry(
+        return RateLimitEntry(
             upstream_id,
             rate.per_second,
             round(now - rate.seen_at, 3),
@@ -216,12 +216,12 @@
             round(now - min(waiting_since, default=now), 3),
         )
 
-    def _take_told(self, upstream_id: str, told: NamedRate, source: str) -> None:
+    def _take_told(self, upstream_id: str, told: RateLimit, source: str) -> None:
         before = self._by_id.get(upstream_id)
         if before is None or told.seen_at > before.seen_at:
             self._take(upstream_id, told, source)
 
-    def _take(self, upstream_id: str, after: NamedRate, source: str) -> None:
+    def _take(self, upstream_id: str, after: RateLimit, source: str) -> None:
         with self._lock:
             before = self._by_id.get(upstream_id)
             if not self._listed(upstream_id) or (before is None and after.per_second is None):
@@ -234,7 +234,7 @@
             return
         self._notify()
         log_event(
-            "upstream_rate_named",
+            "upstream_rate_limit",
             upstream=upstream_id,
             per_second=_named(after.per_second),
             before=_named(before.per_second if before else None),
@@ -243,7 +243,7 @@
         )
 
 
-def _is_news(rate: NamedRate, now: float) -> bool:
+def _is_news(rate: RateLimit, now: float) -> bool:
     return rate.observed and now - rate.seen_at < NEWS_SECONDS
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/lent_sendings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/send_permits.py
@@ -1,15 +1,14 @@
-"""What one instance may send to upstreams that have named a rate."""
+"""Permits of one instance to send to upstreams with a rate limit."""
 
 from collections.abc import Callable
 from typing import NamedTuple
 
-# The order giver lends anew four times a second; what it has lent counts there for as
-# long, so that two order givers do not lend the same.
-LENT_SECONDS = 1.0
-# Without news of an upstream's rate for this long, the order giver has gone or is not
-# heard.
+# Permits that are not used by then are void, so that two order givers never issue the
+# same ones.
+PERMIT_SECONDS = 1.0
+# Without news of a limit for this long, the order giver has gone or is not heard.
 FRESH_SECONDS = 1.5
-# Of the rate, what all instances use that hear no order giver.
+# Of a limit, what all instances use that hear no order giver.
 UNTOLD_PART = 0.5
 # Instances that use a part of their own may each send once at the same moment. So many
 # of them, and so many for each request a second, are within the excess that upstreams
@@ -19,14 +18,14 @@
 
 
 class _Account(NamedTuple):
-    """``level`` sendings at ``at``, lent ones, or refilled by a part of this instance's own."""
+    """``level`` permits at ``at``, issued ones, or refilled by this instance's own part."""
 
     level: float
     at: float
     heard_at: float
 
 
-class LentSendings:
+class SendPermits:
     """Counts by upstream id; not to be used by two threads at once."""
 
     def __init__(self, instances: Callable[[], int], clock: Callable[[], float]) -> None:
@@ -34,12 +33,12 @@
         self._clock = clock
         self._by_id: dict[str, _Account] = {}
 
-    def take(self, upstream_id: str, sendings: int) -> None:
-        """Take what the order giver has lent, also where it is nothing."""
+    def take(self, upstream_id: str, permits: int) -> None:
+        """Take what the order giver has issued, also where it is nothing."""
         now = self._clock()
         before = self._by_id.get(upstream_id)
-        if sendings or before is None:
-            self._by_id[upstream_id] = _Account(float(sendings), now, now)
+        if permits or before is None:
+            self._by_id[upstream_id] = _Account(float(permits), now, now)
         else:
             self._by_id[upstream_id] = before._replace(heard_at=now)
 
@@ -48,10 +47,10 @@
         now = self._clock()
         account = self._by_id.get(upstream_id)
         if account is None:
-            # Nothing is lent yet, and the order giver may not have heard of the rate.
+            # No permit has been issued yet: the order giver may not have heard of the limit.
             account = self._by_id[upstream_id] = _Account(0.0, now, now)
         if now - account.heard_at <= FRESH_SECONDS:
-            return account.level if now - account.at < LENT_SECONDS else 0.0
+            return account.level if now - account.at < PERMIT_SECONDS else 0.0
         begun_at = account.heard_at + FRESH_SECONDS
         if account.at < begun_at:
             account = account._replace(level=0.0, at=begun_at)
@@ -73,7 +72,7 @@
         self._by_id.pop(upstream_id, None)
 
     def _own_part(self, per_second: float) -> float:
-        """Return this instance's part of a rate without an order giver."""
+        """Return this instance's part of a limit without an order giver."""
         instances = max(1, self._instances())
         if instances > UNTOLD_INSTANCES + UNTOLD_INSTANCES_PER_RATE * per_second:
             return 0.0
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -43,7 +43,7 @@
         self.first_event_seconds: float | None = None
 
     def begin(self, request: str, chosen: Candidate, load: Load, rate: float | None) -> None:
-        """Note a sending to ``chosen``, with what decided it, and the rate that it has named."""
+        """Note a sending to ``chosen``, with what decided it, and its rate limit."""
         upstream_id = chosen.upstream.id
         log_event(
             "sent",
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
@@ -53,7 +53,7 @@
     def is_from_another(self, response: HTTPResponse, upstream_name: str) -> bool:
         """Return whether another process than ``upstream_name`` has its address now."""
 
-    def named_rate(self, headers: HeaderValues) -> float | None:
+    def rate_limit(self, headers: HeaderValues) -> float | None:
         """Return the requests a second that the upstream takes of all, None for any."""
 
     def idle_seconds(self, response: HTTPResponse) -> float | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -10,12 +10,12 @@
 from redwingscale_daemon._internal.fleet.changes import Changes
 from redwingscale_daemon._internal.fleet.chooser import Candidate, Chooser
 from redwingscale_daemon._internal.fleet.holdings import Holdings
-from redwingscale_daemon._internal.fleet.named_rates import NamedRates
 from redwingscale_daemon._internal.fleet.prompt import Prompt
+from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.giving_up import given_up
-from redwingscale_daemon._internal.forwarding.rate_wait import RateWait
+from redwingscale_daemon._internal.forwarding.rate_limit_wait import RateLimitWait
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 
 # How often a waiting request looks whether its caller is still there.
@@ -58,7 +58,7 @@
     holdings: Holdings
     needs: Needs
     open_requests: OpenRequests
-    rates: NamedRates
+    rates: RateLimits
     # When to come back if this instance hears neither the order giver nor the list, None
     # while it hears one of them.
     cut_off: Callable[[], float | None] = lambda: None
@@ -72,23 +72,23 @@
         found = self.chooser.for_prompt(call.service, prompt, call.attempts.tried)
         if found is not None:
             return self._in_time(call, prompt, found)
-        in_need = self.chooser.holders_in_need(call.service, prompt, call.attempts.tried)
-        if in_need:
-            self._check_queue(call, prompt, in_need)
-        with self.rates.waiting(in_need):
+        limited = self.chooser.limited_holders(call.service, prompt, call.attempts.tried)
+        if limited:
+            self._check_queue(call, prompt, limited)
+        with self.rates.waiting(limited):
             self.needs.ask(call.service, prompt.unit, _patience(call))
             try:
                 return self._wait(call, prompt)
             finally:
                 self.needs.done(call.service, prompt.unit)
 
-    def _check_queue(self, call: Call, prompt: Prompt, in_need: list[str]) -> None:
-        """Raise `Refusal` where neither the holders in need nor a load serve it in time."""
+    def _check_queue(self, call: Call, prompt: Prompt, limited: list[str]) -> None:
+        """Raise `Refusal` where neither the holders with a limit nor a load serve it in time."""
         ready_in = self.holdings.ready_in(str(prompt.unit))
         if ready_in is not None and ready_in <= _patience(call):
             return
         try:
-            RateWait(self.rates, self.changes).check_queue(call, in_need, _patience(call))
+            RateLimitWait(self.rates, self.changes).check_queue(call, limited, _patience(call))
         except Refusal:
             self.needs.missed(call.service, prompt.unit)
             raise
@@ -139,7 +139,7 @@
             raise given_up(call, "cut_off", f"no news of {prompt.unit}", come_back)
         left = _patience(call)
         ready_in = self.holdings.ready_in(str(prompt.unit))
-        held = self.chooser.holders_in_need(call.service, prompt, call.attempts.tried)
+        held = self.chooser.limited_holders(call.service, prompt, call.attempts.tried)
         if ready_in is not None and not held:
             hopeless = ready_in > left
         elif self.holdings.fresh:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
@@ -5,8 +5,8 @@
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.load_book import LoadBook
-from redwingscale_daemon._internal.fleet.named_rates import NamedRates
 from redwingscale_daemon._internal.fleet.pace import Pace
+from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.sender import Sender
@@ -22,4 +22,4 @@
     health: Health
     pace: Pace
     budget: RepeatBudget
-    rates: NamedRates
+    rates: RateLimits
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -17,7 +17,7 @@
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
-from redwingscale_daemon._internal.forwarding.rate_wait import RateWait
+from redwingscale_daemon._internal.forwarding.rate_limit_wait import RateLimitWait
 from redwingscale_daemon._internal.forwarding.sending_failure import OWN_FAILURES, note_failure
 from redwingscale_daemon._internal.forwarding.whole_answer import read_whole
 from redwingscale_daemon._internal.models.run_state import RunState
@@ -36,7 +36,7 @@
 
     def __init__(self, parts: RelayParts, changes: Changes) -> None:
         self._parts = parts
-        self._rate_wait = RateWait(parts.rates, changes)
+        self._rate_wait = RateLimitWait(parts.rates, changes)
 
     def run(self, call: Call) -> None:
         """Answer ``call``; raise `Refusal`, `CallerLeft`."""
@@ -47,7 +47,7 @@
                     return
                 raise _nobody(call.attempts)
             if not self._parts.rates.draw(candidate.upstream.id):
-                # Another request has used what was lent.
+                # Another request has used the permit.
                 continue
             load = self._parts.book.total(candidate.upstream.id)
             rate = self._parts.rates.per_second(candidate.upstream.id)
@@ -60,7 +60,7 @@
                 ticket.leave()
 
     def _candidate(self, call: Call) -> Candidate | None:
-        """Return the best upstream, waiting for one that has named a rate; None without any."""
+        """Return the best upstream, waiting for one with a rate limit; None without any."""
 
         def choose() -> Candidate | None:
             return self._parts.chooser.for_plain(call.service, call.attempts.tried)
@@ -68,11 +68,11 @@
         found = choose()
         if found is not None or call.attempts.failure is not None:
             return found
-        in_need = self._parts.chooser.plain_in_need(call.service, call.attempts.tried)
-        if not in_need:
+        limited = self._parts.chooser.limited_plain(call.service, call.attempts.tried)
+        if not limited:
             return None
         return self._rate_wait.candidate(
-            call, in_need, lambda: call.watch.remaining() - SERVICE_SECONDS, choose
+            call, limited, lambda: call.watch.remaining() - SERVICE_SECONDS, choose
         )
 
     def _send(self, call: Call, upstream: Upstream) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -78,7 +78,7 @@
         while True:
             candidate = self._wait.candidate(call, prompt)
             if not self._parts.rates.draw(candidate.upstream.id):
-                # Another request has used what was lent.
+                # Another request has used the permit.
                 continue
             if not call.attempts.sendings:
                 call.permit.check()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -132,9 +132,9 @@
     return response.status == _MISDIRECTED and answering not in (None, upstream_name)
 
 
-def named_rate(headers: HeaderValues) -> float | None:
-    """Return the requests a second that the upstream takes of all, None where it names none."""
-    named = headers.get(names.NAMED_RATE)
+def rate_limit(headers: HeaderValues) -> float | None:
+    """Return the requests a second that the upstream takes of all, None without a limit."""
+    named = headers.get(names.RATE_LIMIT)
     if named is None:
         return None
     try:
@@ -143,7 +143,7 @@
         per_second = math.nan
     if math.isfinite(per_second) and per_second >= 0:
         return per_second
-    log_event("header_malformed", level="WARNING", header=names.NAMED_RATE, value=named)
+    log_event("header_malformed", level="WARNING", header=names.RATE_LIMIT, value=named)
     return None
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
@@ -13,8 +13,8 @@
 NOT_RUN = "X-Redwingscale-Not-Executed"
 PRIORITY = "X-Redwingscale-Request-Priority"
 LAST_EVENT_ID = "Last-Event-Id"
-# Requests a second that an upstream in need takes from all instances together.
-NAMED_RATE = "Server-Limit"
+# Requests a second that an upstream takes from all instances together, while it has a limit.
+RATE_LIMIT = "Server-Limit"
 # The name of the workspace, told to upstreams; a caller's own value counts for nothing.
 WORKSPACE = "X-Redwingscale-Tenant-Id"
 AUTHORIZATION = "Authorization"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/carried_models.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/carried_models.py
@@ -1,4 +1,4 @@
-"""What upstreams in need still serve, as the planner sees it."""
+"""What upstreams with a rate limit still serve, as the planner sees it."""
 
 from collections.abc import Callable, Collection, Mapping, Sequence
 
@@ -6,30 +6,30 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
-# Of the rate that an upstream names, what its models may be asked for on average:
+# Of the limit of an upstream, what its models may be asked for on average:
 # requests come unevenly.
 CARRIED_PART = 0.7
 
 
 def with_carried_models(
     views: Sequence[WorkerView],
-    rates_by_id: Mapping[str, float],
+    limits_by_id: Mapping[str, float],
     asked: Callable[[str], float],
     waiting: Collection[Unit],
 ) -> list[WorkerView]:
-    """Return ``views`` in which upstreams in need hold only what they can serve.
+    """Return ``views`` in which upstreams with a limit hold only what they can serve.
 
-    Of the models that no other upstream holds, an upstream in need keeps those that
-    are ``asked`` for least a second, up to the rate that it names; the others count as
+    Of the models that no other upstream holds, one with a limit keeps those that
+    are ``asked`` for least a second, up to its limit; the others count as
     missing, so that they are loaded elsewhere. It gets no orders: they would take the
-    place of requests. Where all are in need, they are planned for as they are.
+    place of requests. Where all have limits, they are planned for as they are.
     """
-    sound = [view for view in views if view.upstream.id not in rates_by_id]
+    sound = [view for view in views if view.upstream.id not in limits_by_id]
     if not sound:
         return list(views)
     elsewhere = {name for view in sound for name in [*view.held, view.loading]}
     missing = {unit.model for unit in waiting if unit.adapter and not _held(unit, views)}
-    in_need = [view for view in views if view.upstream.id in rates_by_id]
+    limited = [view for view in views if view.upstream.id in limits_by_id]
     return sound + [
         view._replace(
             free=False,
@@ -37,10 +37,10 @@
                 {name: held for name, held in view.held.items() if name not in missing},
                 elsewhere,
                 asked,
-                rates_by_id[view.upstream.id],
+                limits_by_id[view.upstream.id],
             ),
         )
-        for view in in_need
+        for view in limited
     ]
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from redwingscale_daemon._internal.fleet.list_told import ListTold
-from redwingscale_daemon._internal.fleet.rate_messages import LentEntry, RateEntry
+from redwingscale_daemon._internal.fleet.rate_limit_messages import PermitEntry, RateLimitEntry
 from redwingscale_daemon._internal.workspaces.use_messages import DrawnEntry, GrantEntry
 
 
@@ -100,7 +100,7 @@
     outcomes: list[OutcomeEntry] = []
     drawn: list[DrawnEntry] = []
     address: str = ""
-    rates: list[RateEntry] = []
+    rate_limits: list[RateLimitEntry] = []
 
 
 class HeldEntry(msgspec.Struct, array_like=True):
@@ -133,8 +133,8 @@
     square of the deployment. They are None in news between the regular ones.
     ``instances`` were heard of lately. ``failing`` are the parts of their requests that
     upstreams fail over all instances, told with the regular news as ``grants`` are.
-    ``peers`` are addresses of some instances, told with all that is held. ``rates`` are
-    those that upstreams have named: all in regular news, else what is lent anew.
+    ``peers`` are addresses of some instances, told with all that is held. ``rate_limits``
+    are those of upstreams: all in regular news, else those with new permits.
     """
 
     giver: str
@@ -148,4 +148,4 @@
     failing: dict[str, float] = {}
     grants: list[GrantEntry] | None = None
     peers: list[str] = []
-    rates: list[LentEntry] = []
+    rate_limits: list[PermitEntry] = []
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -30,7 +30,7 @@
     encode_order: Callable[[Order], bytes]
     order_headers: Callable[[str], dict[str, str]]
     order_result: Callable[[int], OrderResult]
-    named_rate: Callable[[HeaderValues], float | None] = lambda _: None
+    rate_limit: Callable[[HeaderValues], float | None] = lambda _: None
 
 
 class OrderClient:
@@ -66,7 +66,7 @@
         """Return the worker's report, None where there is no sound answer."""
         try:
             response = self._pools.request("GET", _url(upstream, self._calls.report_target))
-            self._note_rate(upstream, response)
+            self._note_rate_limit(upstream, response)
             if response.status != _OK:
                 return None
             return self._calls.decode_report(response.data)
@@ -91,11 +91,11 @@
             return OrderResult.REFUSED
         except HTTPError:
             return OrderResult.UNKNOWN
-        self._note_rate(upstream, response)
+        self._note_rate_limit(upstream, response)
         return self._calls.order_result(response.status)
 
-    def _note_rate(self, upstream: Upstream, response: BaseHTTPResponse) -> None:
-        per_second = self._calls.named_rate(response.headers)
+    def _note_rate_limit(self, upstream: Upstream, response: BaseHTTPResponse) -> None:
+        per_second = self._calls.rate_limit(response.headers)
         if per_second is not None:
             self._on_rate(upstream.id, per_second)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -29,8 +29,8 @@
 )
 from redwingscale_daemon._internal.swaps.news_due import NEWS_SECONDS, NewsDue
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
+from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
-from redwingscale_daemon._internal.swaps.rate_lender import RateLender
 from redwingscale_daemon._internal.swaps.service_views import ServiceViews
 from redwingscale_daemon._internal.swaps.tasks import SwapTask
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
@@ -74,9 +74,9 @@
         read: Callable[[ListChanges], StoreNews],
         link_mbps: float = math.inf,
         use_slack: float = 0.0,
-        lender: RateLender | None = None,
+        issuer: PermitIssuer | None = None,
         known_instances: Callable[[], int] = lambda: 0,
-        rates_by_id: Callable[[], Mapping[str, float]] = dict,
+        limits_by_id: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self._right = right
         self._routes = routes
@@ -93,13 +93,13 @@
         self._rate = LoadRate()
         self._wake = threading.Event()
         self._workers = WorkerPool(self._engine, client, right, self._wake.set)
-        self._service_views = ServiceViews(directory, self._workers, self._demand, rates_by_id)
+        self._service_views = ServiceViews(directory, self._workers, self._demand, limits_by_id)
         self._adapters = AdapterOrders(self._demand, self._workers)
         self._instances = InstanceTotals()
         self._failing = FailingUpstreams()
         self._use = UseTotals(use_slack)
-        # What upstreams in need take, lent to all instances.
-        self._lender = lender or RateLender()
+        # For upstreams with a rate limit.
+        self._issuer = issuer or PermitIssuer()
         self._totals = NO_TOTALS
         self._news = NewsDue()
         self._gave_orders = False
@@ -111,7 +111,7 @@
         self._demand.heard(news)
         self._failing.heard(news.outcomes)
         self._use.heard(news.instance, news.drawn)
-        if self._lender.heard(news.instance, news.rates):
+        if self._issuer.heard(news.instance, news.rate_limits):
             self._wake.set()
         if self._instances.heard(news):
             # It knows nothing of what is held.
@@ -151,7 +151,7 @@
     def _begin(self, fence: int) -> None:
         log_event("giver_begins", fence=fence)
         self._use.begin(self._known_instances())
-        self._lender.begin()
+        self._issuer.begin()
         self._changes.begin_with(self._directory.all())
         table = self._routes.get()
         if not self._right.succeeds_another() or table is None:
@@ -251,8 +251,8 @@
         )
         ready_in = self._workers.ready_in_by_model()
         store = self._read(self._changes)
-        rates = self._lender.lend(all_rates=regular)
-        if not self._news.differ(ready_in.keys(), store) and not regular and not rates:
+        limits = self._issuer.issue(all_limits=regular)
+        if not self._news.differ(ready_in.keys(), store) and not regular and not limits:
             return None
         loads = [LoadEntry(key, *load) for key, load in self._totals.loads.items()]
         return GiverNews(
@@ -267,7 +267,7 @@
             self._failing.parts() if regular else {},
             self._use.grants(self._limits_by_name()) if regular else None,
             self._some_peers() if all_held else [],
-            rates,
+            limits,
         )
 
     def _some_peers(self) -> list[str]:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_desk.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_desk.py
@@ -9,7 +9,7 @@
 import pynng
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.fleet.rate_messages import RateEntry
+from redwingscale_daemon._internal.fleet.rate_limit_messages import RateLimitEntry
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.table_record import encode_table
 from redwingscale_daemon._internal.swaps.giver_hub import open_port
@@ -22,7 +22,7 @@
     """What an instance knows: the version of its configuration, rates that have changed."""
 
     configuration: int
-    rates: list[RateEntry] = []
+    rates: list[RateLimitEntry] = []
 
 
 class PeerAnswer(msgspec.Struct, array_like=True):
@@ -56,7 +56,7 @@
         routes: CurrentRoutes,
         configuration_age: Callable[[], float],
         lease: Callable[[], KnownLease],
-        take_rates: Callable[[list[RateEntry]], None] = lambda _: None,
+        take_rates: Callable[[list[RateLimitEntry]], None] = lambda _: None,
     ) -> None:
         self._socket = pynng.Rep0(recv_timeout=_RECEIVE_MS, send_timeout=_RECEIVE_MS)
         self._host = host
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_questions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_questions.py
@@ -9,7 +9,7 @@
 import pynng
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.fleet.rate_messages import RateEntry
+from redwingscale_daemon._internal.fleet.rate_limit_messages import RateLimitEntry
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.table_record import decode_table
 from redwingscale_daemon._internal.swaps.giver_lease import GiverRecord
@@ -55,7 +55,7 @@
         """Return the addresses of the peers that are remembered."""
         return list(self._named_at)
 
-    def tell(self, address: str, rates: list[RateEntry]) -> None:
+    def tell(self, address: str, rates: list[RateLimitEntry]) -> None:
         """Tell one peer of rates that have changed, and take its answer."""
         answer = self._ask(address, rates)
         if answer is not None:
@@ -82,7 +82,7 @@
         table = self._routes.get()
         return table is not None and table.version >= version
 
-    def _ask(self, address: str, rates: Sequence[RateEntry] = ()) -> PeerAnswer | None:
+    def _ask(self, address: str, rates: Sequence[RateLimitEntry] = ()) -> PeerAnswer | None:
         table = self._routes.get()
         question = PeerQuestion(table.version if table else 0, list(rates))
         # Without a resend time it would ask again by itself.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/rate_gossip.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/rate_limit_gossip.py
@@ -1,4 +1,4 @@
-"""Tells other instances of rates that upstreams name while nobody gives orders."""
+"""Tells other instances of rate limits while nobody gives orders."""
 
 import random
 import threading
@@ -9,8 +9,8 @@
 import msgspec
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.fleet.named_rates import NamedRates
-from redwingscale_daemon._internal.fleet.rate_messages import RateEntry
+from redwingscale_daemon._internal.fleet.rate_limit_messages import RateLimitEntry
+from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 
 # Peers that each instance tells of what it has just learned; they tell others.
 FANOUT = 4
@@ -18,29 +18,29 @@
 KEPT_SECONDS = 1.0
 LOOK_SECONDS = 0.1
 
-Tell = Callable[[str, list[RateEntry]], None]
+Tell = Callable[[str, list[RateLimitEntry]], None]
 
 
 class _Kept(NamedTuple):
-    entry: RateEntry
+    entry: RateLimitEntry
     since: float
 
-    def as_of(self, now: float) -> RateEntry:
+    def as_of(self, now: float) -> RateLimitEntry:
         """Return the entry with its age at ``now``."""
         return msgspec.structs.replace(self.entry, age=self.entry.age + now - self.since)
 
 
-class RateGossip:
+class RateLimitGossip:
     """Passes changes on from instance to instance.
 
     The order giver tells all within a quarter of a second. Without one, each of a hundred
-    instances would learn of a rate by a request of its own, and those alone are more than
-    the rate.
+    instances would learn of a limit by a request of its own, and those alone are more than
+    the limit.
     """
 
     def __init__(
         self,
-        rates: NamedRates,
+        rates: RateLimits,
         peers: Callable[[], Sequence[str]],
         giver_silent: Callable[[], bool],
         tell: Tell,
@@ -83,11 +83,11 @@
             self._pass_on([one.as_of(now) for one in self._kept_by_id.values()])
             self._kept_by_id = {}
 
-    def _pass_on(self, changed: list[RateEntry]) -> None:
+    def _pass_on(self, changed: list[RateLimitEntry]) -> None:
         known = self._peers()
         told = self._random.sample(known, min(FANOUT, len(known)))
         log_event(
-            "rates_passed_on",
+            "rate_limits_passed_on",
             upstreams=",".join(entry.upstream for entry in changed),
             peers=len(told),
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/service_views.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/service_views.py
@@ -16,29 +16,29 @@
 
 
 class ServiceViews:
-    """Joins the list, the workers' ledgers and the rates that upstreams in need name."""
+    """Joins the list, the workers' ledgers and the rate limits of upstreams."""
 
     def __init__(
         self,
         directory: UpstreamDirectory,
         workers: WorkerPool,
         demand: Demand,
-        rates_by_id: Callable[[], Mapping[str, float]],
+        limits_by_id: Callable[[], Mapping[str, float]],
     ) -> None:
         self._directory = directory
         self._workers = workers
         self._demand = demand
-        self._rates_by_id = rates_by_id
+        self._limits_by_id = limits_by_id
 
     def views(self, service: str, totals: Totals) -> list[WorkerView]:
         """Return the workers of ``service`` that take new work and that most instances reach."""
         views = self._workers.views(self._directory.usable(service), totals)
-        rates_by_id = self._rates_by_id()
-        if not rates_by_id:
+        limits_by_id = self._limits_by_id()
+        if not limits_by_id:
             return views
         return with_carried_models(
             views,
-            rates_by_id,
+            limits_by_id,
             lambda model: self._demand.model_rate(service, model),
             [one.unit for one in self._demand.waiting() if one.service == service],
         )
@@ -48,7 +48,7 @@
     ) -> list[WaitingUnit]:
         """Return what requests miss that is at none of ``views`` and on no way there.
 
-        Behind the queue of an upstream in need most requests are refused at once, and
+        Behind the queue of an upstream with a limit most requests are refused at once, and
         wait nowhere: their models are missing all the same.
         """
         present = {name for view in views for name in [*view.held, view.loading]}
@@ -57,7 +57,7 @@
             for one in self._demand.waiting()
             if one.service == service and one.unit.model not in present
         ]
-        if not self._rates_by_id():
+        if not self._limits_by_id():
             return waiting
         known = present | {one.unit.model for one in waiting}
         refused = [
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_named_rates.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_rate_limits.py
@@ -1,11 +1,11 @@
-"""Upstreams in need that name how many requests they take of all instances together."""
+"""Upstreams that advertise how many requests they take of all instances together."""
 
 import itertools
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 from redwingscale_standins.hosted.waiting import until
-from redwingscale_standins.named_rates.rule import (
+from redwingscale_standins.rate_limits.rule import (
     NOTICE_SECONDS,
     WINDOW_SECONDS,
     most_allowed,
@@ -24,11 +24,11 @@
         instance.ask("m1", request=f"{instance.name}-{next(ids)}")
 
 
-def test_all_instances_together_keep_the_rate_that_an_upstream_names(deployment):
-    # Guards against instances that each send an upstream in need as much as before.
+def test_all_instances_together_keep_the_rate_limit_of_an_upstream(deployment):
+    # Guards against instances that each send an upstream with a limit as much as before.
     worker = deployment.worker("w1", "m1")
     instances = [deployment.instance(name) for name in ("one", "two", "three")]
-    worker.named_rate = RATE
+    worker.rate_limit = RATE
     for instance in instances:
         assert instance.ask("m1", request=f"{instance.name}-first")[0] == 200
     named_at = time.monotonic()
@@ -39,12 +39,12 @@
     assert most_in_window(worker.called_at, named_at) <= most_allowed(RATE)
 
 
-def test_models_of_an_upstream_in_need_are_served(deployment):
+def test_models_of_an_upstream_with_a_limit_are_served(deployment):
     # Guards against callers that lose all models of an upstream that takes few requests.
-    in_need = deployment.worker("w1", "m1", "m2")
+    limited = deployment.worker("w1", "m1", "m2")
     deployment.worker("w2", "m3")
     instances = [deployment.instance(name) for name in ("one", "two")]
-    in_need.named_rate = RATE
+    limited.rate_limit = RATE
     for instance in instances:
         assert instance.ask("m1", request=f"{instance.name}-first")[0] == 200
     named_at = time.monotonic()
@@ -57,18 +57,18 @@
     assert set(busy) == {200}
     assert set(rare) == {200}
     assert "m1" in deployment.workers["w2"].models
-    assert "m2" in in_need.models
-    assert most_in_window(in_need.called_at, named_at) <= most_allowed(RATE)
+    assert "m2" in limited.models
+    assert most_in_window(limited.called_at, named_at) <= most_allowed(RATE)
 
 
-def test_end_of_a_need_is_found_out(deployment):
+def test_end_of_a_limit_is_found_out(deployment):
     # Guards against an upstream that nobody asks any more when it could take all again.
     worker = deployment.worker("w1", "m1")
     one = deployment.instance("one")
-    worker.named_rate = RATE
+    worker.rate_limit = RATE
     assert one.ask("m1", request="first")[0] == 200
-    worker.named_rate = None
+    worker.rate_limit = None
     assert one.ask("m1", request="second")[0] == 200
-    until(lambda: b"upstream_rate_named" in one.log.read_bytes(), "the rate's line")
+    until(lambda: b"upstream_rate_limit" in one.log.read_bytes(), "the rate's line")
     until(lambda: b"per_second=- before=1.0" in one.log.read_bytes(), "the end of the need")
     assert all(one.ask("m1", request=f"r{n}")[0] == 200 for n in range(20))
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_named_rates.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_rate_limits.py
@@ -1,13 +1,13 @@
-"""Rates that upstreams in need name for all instances together."""
+"""Rate limits that upstreams advertise for all instances together."""
 
 import math
 import random
 
 import pytest
 from loguru import logger
-from redwingscale_daemon._internal.fleet.named_rates import NamedRates
-from redwingscale_daemon._internal.fleet.rate_messages import LentEntry
-from redwingscale_standins.named_rates.model import UPSTREAM, History, RateModel
+from redwingscale_daemon._internal.fleet.rate_limit_messages import PermitEntry
+from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
+from redwingscale_standins.rate_limits.model import UPSTREAM, History, RateModel
 
 # How many histories each test draws.
 DRAWN = 150
@@ -41,39 +41,39 @@
     logger.enable("redwingscale_common")
 
 
-def test_few_instances_keep_a_named_rate_whatever_becomes_of_the_order_giver():
-    # Guards against instances that keep a rate each by itself, or two order givers that lend it.
+def test_few_instances_keep_a_rate_limit_whatever_becomes_of_the_order_giver():
+    # Guards against instances that keep a limit each by itself, or two order givers that issue for it.
     histories = drawn_histories([1, 2, 6], [1.0, 2.1, 5.0, 8.0, math.inf], (0.0, 0.2, 0.6))
     assert exceeded(histories) == []
 
 
-def test_many_instances_keep_a_named_rate_when_the_order_giver_is_lost_later():
-    # Guards against parts of a rate that a hundred instances use at the same moment.
+def test_many_instances_keep_a_rate_limit_when_the_order_giver_is_lost_later():
+    # Guards against parts of a limit that a hundred instances use at the same moment.
     assert exceeded(drawn_histories([24, 67], [3.5, 5.0, 8.0, math.inf])) == []
 
 
-def test_many_instances_keep_a_named_rate_when_the_order_giver_is_lost_as_a_need_begins():
-    # Guards against instances that each learn of a rate by a request of their own.
+def test_many_instances_keep_a_rate_limit_when_the_order_giver_is_lost_as_a_limit_begins():
+    # Guards against instances that each learn of a limit by a request of their own.
     assert exceeded(drawn_histories([24, 67], [1.0, 2.1])) == []
 
 
-def test_many_instances_keep_a_named_rate_when_the_load_rises_as_it_is_named():
-    # Guards against an excess that is there before the instances learn of a rate.
+def test_many_instances_keep_a_rate_limit_when_the_load_rises_as_it_is_advertised():
+    # Guards against an excess that is there before the instances learn of a limit.
     assert exceeded([History(67, 1.0, asked=30.0)]) == []
 
 
 @pytest.mark.parametrize("instances", [1, 6, 67, 372])
 @pytest.mark.parametrize("rate", [1.0, 4.0])
-def test_a_named_rate_is_used_by_whoever_asks(instances, rate):
-    # Guards against rates that are divided evenly while few instances are asked.
+def test_a_rate_limit_is_used_by_whoever_asks(instances, rate):
+    # Guards against limits that are divided evenly while few instances are asked.
     model = RateModel(History(instances, rate, asked=30.0, ends_at=30.0, until=30.0)).run()
     used = model.sent_between(10.0, 30.0) / 20.0
     assert 0.7 * rate <= used <= 1.05 * rate
 
 
 @pytest.mark.parametrize("instances", [1, 6, 67])
-def test_upstream_gets_all_requests_when_its_need_has_ended(instances):
-    # Guards against a rate that nobody finds out to have ended.
+def test_upstream_gets_all_requests_when_its_limit_has_ended(instances):
+    # Guards against a limit that nobody finds out to have ended.
     model = RateModel(History(instances, 1.0, asked=8.0, until=24.0)).run()
     assert model.sent_between(18.0, 24.0) >= 8.0 * 6 * 0.8
 
@@ -81,50 +81,50 @@
 @pytest.fixture
 def rates():
     clock = [100.0]
-    made = NamedRates("one", clock=lambda: clock[0])
+    made = RateLimits("one", clock=lambda: clock[0])
     made.clock = clock
     return made
 
 
-def test_answer_that_was_on_its_way_does_not_end_a_need(rates):
-    # Guards against an older answer without a rate that lets all requests through again.
+def test_answer_that_was_on_its_way_does_not_end_a_limit(rates):
+    # Guards against an older answer without a limit that lets all requests through again.
     sent_at = rates.clock[0]
     rates.clock[0] += 0.1
-    rates.named(UPSTREAM, 2.0, "answer")
-    rates.unnamed(UPSTREAM, sent_at, "answer")
+    rates.advertised(UPSTREAM, 2.0, "answer")
+    rates.lifted(UPSTREAM, sent_at, "answer")
     assert rates.per_second(UPSTREAM) == 2.0
-    rates.unnamed(UPSTREAM, rates.clock[0] + 0.1, "answer")
+    rates.lifted(UPSTREAM, rates.clock[0] + 0.1, "answer")
     assert rates.per_second(UPSTREAM) is None
 
 
 def test_older_news_do_not_replace_what_an_answer_has_told(rates):
-    # Guards against an order giver that is behind and brings an ended need back.
-    rates.named(UPSTREAM, 2.0, "answer")
+    # Guards against an order giver that is behind and brings an ended limit back.
+    rates.advertised(UPSTREAM, 2.0, "answer")
     rates.clock[0] += 1.0
-    rates.unnamed(UPSTREAM, rates.clock[0], "answer")
-    rates.hear([LentEntry(UPSTREAM, 2.0, 0.5, 0, {})])
+    rates.lifted(UPSTREAM, rates.clock[0], "answer")
+    rates.hear([PermitEntry(UPSTREAM, 2.0, 0.5, 0, {})])
     assert rates.per_second(UPSTREAM) is None
-    rates.hear([LentEntry(UPSTREAM, 3.0, 0.0, 0, {"one": 1})])
+    rates.hear([PermitEntry(UPSTREAM, 3.0, 0.0, 0, {"one": 1})])
     assert rates.per_second(UPSTREAM) is None
     rates.clock[0] += 0.1
-    rates.hear([LentEntry(UPSTREAM, 3.0, 0.0, 0, {"one": 1})])
+    rates.hear([PermitEntry(UPSTREAM, 3.0, 0.0, 0, {"one": 1})])
     assert rates.per_second(UPSTREAM) == 3.0
     assert rates.draw(UPSTREAM)
     assert not rates.draw(UPSTREAM)
 
 
-def test_what_was_lent_is_void_after_a_while(rates):
-    # Guards against sendings that are saved up and come all at once.
-    rates.named(UPSTREAM, 2.0, "answer")
-    rates.hear([LentEntry(UPSTREAM, 2.0, 0.0, 0, {"one": 2})])
+def test_unused_permits_are_void_after_a_while(rates):
+    # Guards against permits that are saved up and come all at once.
+    rates.advertised(UPSTREAM, 2.0, "answer")
+    rates.hear([PermitEntry(UPSTREAM, 2.0, 0.0, 0, {"one": 2})])
     rates.clock[0] += 1.1
     assert not rates.draw(UPSTREAM)
 
 
 def test_wait_counts_the_requests_of_all_instances(rates):
     # Guards against requests that are held although those before them take longer.
-    rates.named(UPSTREAM, 2.0, "answer")
-    rates.hear([LentEntry(UPSTREAM, 2.0, 0.0, 6, {})])
+    rates.advertised(UPSTREAM, 2.0, "answer")
+    rates.hear([PermitEntry(UPSTREAM, 2.0, 0.0, 6, {})])
     assert rates.wait_seconds([UPSTREAM]) == 3.0
     with rates.waiting([UPSTREAM]):
         assert [entry.waiting for entry in rates.tell()] == [1]
@@ -132,31 +132,31 @@
 
 
 def test_upstream_that_is_gone_is_forgotten(rates):
-    rates.named(UPSTREAM, 0.0, "answer")
+    rates.advertised(UPSTREAM, 0.0, "answer")
     rates.forget({UPSTREAM})
     assert rates.may_send(UPSTREAM)
     assert not rates.tell()
 
 
-def test_rate_of_an_upstream_that_has_left_is_not_taken():
-    # Guards against rates of upstreams that are gone and are told from instance to instance for ever.
+def test_limit_of_an_upstream_that_has_left_is_not_taken():
+    # Guards against limits of upstreams that are gone and are told from instance to instance for ever.
     listed = {UPSTREAM}
-    rates = NamedRates("one", listed=listed.__contains__)
-    rates.named(UPSTREAM, 1.0, "answer")
+    rates = RateLimits("one", listed=listed.__contains__)
+    rates.advertised(UPSTREAM, 1.0, "answer")
     listed.clear()
     rates.forget({UPSTREAM})
-    rates.named(UPSTREAM, 1.0, "answer")
-    rates.hear([LentEntry(UPSTREAM, 1.0, 0.0, 0, {})])
-    assert not rates.in_need()
+    rates.advertised(UPSTREAM, 1.0, "answer")
+    rates.hear([PermitEntry(UPSTREAM, 1.0, 0.0, 0, {})])
+    assert not rates.limited()
 
 
-def test_rate_that_nobody_asks_for_is_told_once(rates):
+def test_limit_that_nobody_asks_for_is_told_once(rates):
     # Guards against hundreds of instances that each tell the order giver always what it knows.
-    rates.hear([LentEntry(UPSTREAM, 1.0, 0.0, 0, {})])
+    rates.hear([PermitEntry(UPSTREAM, 1.0, 0.0, 0, {})])
     assert rates.tell() == []
     assert [entry.upstream for entry in rates.tell(all_of_it=True)] == [UPSTREAM]
     rates.clock[0] += 0.1
-    rates.named(UPSTREAM, 2.0, "answer")
+    rates.advertised(UPSTREAM, 2.0, "answer")
     assert [entry.per_second for entry in rates.tell()] == [2.0]
     rates.clock[0] += 3.0
     assert rates.tell() == []
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_carried_models.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_carried_models.py
@@ -1,4 +1,4 @@
-"""What the plan leaves to upstreams in need."""
+"""What the plan leaves to upstreams with a rate limit."""
 
 import pytest
 from redwingscale_daemon._internal.fleet.unit import Unit
@@ -31,8 +31,8 @@
     return {one.upstream.id: (sorted(one.held), one.free) for one in made}
 
 
-def test_busy_models_of_an_upstream_in_need_count_as_missing(views):
-    # Guards against a busy model that stays behind a rate that a rare one would fit into.
+def test_busy_models_of_an_upstream_rate_limited_count_as_missing(views):
+    # Guards against a busy model that stays behind a limit that a rare one would fit into.
     assert planned(views, {"w": 1.0}) == {
         "sound": (["shared"], True),
         "w": (["calm", "rare"], False),
@@ -44,8 +44,8 @@
     assert planned(views, {"w": 1.0}, [Unit("rare", "a1")])["w"] == (["calm"], False)
 
 
-def test_upstreams_that_are_all_in_need_are_planned_as_they_are(views):
-    # Guards against a service without a plan while all its upstreams are in need.
+def test_upstreams_that_are_all_limited_are_planned_as_they_are(views):
+    # Guards against a service without a plan while all its upstreams have limits.
     rates = {"w": 1.0, "sound": 1.0}
     assert planned(views, rates)["w"] == (["busy", "calm", "rare", "shared"], True)
 
@@ -61,6 +61,6 @@
 
 def test_model_whose_requests_are_refused_at_once_is_missed(views):
     # Guards against a model that is loaded nowhere, as none of its requests wait.
-    in_need = with_carried_models(views, {"w": 1.0}, ASKED.__getitem__, ())
-    assert missing({"w": 1.0}, in_need) == ["busy"]
+    limited = with_carried_models(views, {"w": 1.0}, ASKED.__getitem__, ())
+    assert missing({"w": 1.0}, limited) == ["busy"]
     assert missing({}, views) == []
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
@@ -5,14 +5,14 @@
 import msgspec
 import pynng
 import pytest
-from redwingscale_daemon._internal.fleet.named_rates import NamedRates
+from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 from redwingscale_daemon._internal.platform.configuration import decode_configuration
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.table_record import decode_table, encode_table
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord, LeaseTiming
 from redwingscale_daemon._internal.swaps.peer_desk import KnownLease, PeerDesk
 from redwingscale_daemon._internal.swaps.peer_questions import PeerQuestions
-from redwingscale_daemon._internal.swaps.rate_gossip import RateGossip
+from redwingscale_daemon._internal.swaps.rate_limit_gossip import RateLimitGossip
 from redwingscale_daemon._internal.workspaces.keys import key_digest
 from redwingscale_standins.hosted.documents import document
 from redwingscale_standins.hosted.waiting import until
@@ -157,7 +157,7 @@
 
 def test_rate_that_an_upstream_names_is_passed_on_without_an_order_giver():
     # Guards against instances that each learn of a rate by a request of their own.
-    here, there = NamedRates(), NamedRates()
+    here, there = RateLimits(), RateLimits()
     routes = CurrentRoutes()
     desk = PeerDesk(
         "127.0.0.1", 0, routes, lambda: 0.1, lambda: KnownLease(7, None), there.hear_peer
@@ -165,9 +165,9 @@
     desk.start()
     questions = PeerQuestions(routes, lambda: False, lambda *_: None, lambda: "")
     questions.hear([desk.address])
-    gossip = RateGossip(here, questions.known, lambda: True, questions.tell)
+    gossip = RateLimitGossip(here, questions.known, lambda: True, questions.tell)
     gossip.start()
-    here.named("u", 2.0, "answer")
+    here.advertised("u", 2.0, "answer")
     until(lambda: there.per_second("u") == 2.0, "the peer's knowledge")
     gossip.stop()
     desk.stop()
@@ -175,18 +175,18 @@
 
 def test_rate_is_passed_on_only_while_no_order_giver_is_heard():
     # Guards against messages between all instances beside the order giver's own.
-    rates, told, silent = NamedRates(), [], []
-    gossip = RateGossip(
+    rates, told, silent = RateLimits(), [], []
+    gossip = RateLimitGossip(
         rates, lambda: ["peer"], lambda: bool(silent), lambda *message: told.append(message)
     )
-    rates.named("u", 2.0, "answer")
+    rates.advertised("u", 2.0, "answer")
     gossip.look(0.0)
     gossip.look(1.1)
     silent.append(True)
     gossip.look(1.2)
     assert told == []
     silent.clear()
-    rates.named("u", 3.0, "answer")
+    rates.advertised("u", 3.0, "answer")
     gossip.look(2.0)
     silent.append(True)
     gossip.look(2.6)
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -30,7 +30,7 @@
         self.orders: list[dict[str, Any]] = []
         self.runs: list[str] = []
         # Requests a second that it says it takes of all instances, None while in no need.
-        self.named_rate: float | None = None
+        self.rate_limit: float | None = None
         # Of every call, monotonic.
         self.called_at: list[float] = []
         self._timing = timing or WorkerTiming()
@@ -42,8 +42,8 @@
         """Dispatch one call."""
         headers = cherrypy.request.headers
         self.called_at.append(time.monotonic())
-        if self.named_rate is not None:
-            cherrypy.response.headers["Server-Limit"] = str(self.named_rate)
+        if self.rate_limit is not None:
+            cherrypy.response.headers["Server-Limit"] = str(self.rate_limit)
         if headers.get("X-Redwingscale-Expect-Instance", self.id) != self.id:
             return self._refuse(421)
         match cherrypy.request.method, segments:
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/rate_limits/__init__.py
@@ -0,0 +1,1 @@
+"""An upstream with a rate limit, and instances in simulated time."""
--- a/packages/redwingscale-standins/src/redwingscale_standins/named_rates/model.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/rate_limits/model.py
@@ -1,20 +1,20 @@
-"""Instances in simulated time in front of one upstream that names a rate for a while."""
+"""Instances in simulated time in front of one upstream that has a rate limit for a while."""
 
 import random
 from collections import defaultdict, deque
 from contextlib import AbstractContextManager
 from typing import NamedTuple
 
-from redwingscale_daemon._internal.fleet.named_rates import NamedRates
-from redwingscale_daemon._internal.swaps.rate_gossip import FANOUT
-from redwingscale_daemon._internal.swaps.rate_lender import RateLender
+from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
+from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
+from redwingscale_daemon._internal.swaps.rate_limit_gossip import FANOUT
 
-from redwingscale_standins.named_rates.rule import NOTICE_SECONDS, WINDOW_SECONDS, most_allowed
+from redwingscale_standins.rate_limits.rule import NOTICE_SECONDS, WINDOW_SECONDS, most_allowed
 
 STEP_SECONDS = 0.05
 NEWS_STEPS = 5
 # After which instances take an order giver for lost.
-SILENT_SECONDS = 0.5
+SIPERMIT_SECONDS = 0.5
 ANSWER_STEPS = 2
 UPSTREAM = "u"
 PATIENCE_SECONDS = 2.0
@@ -64,10 +64,10 @@
         # Not for secrets.
         self.random = random.Random(history.seed)
         self.rates = [
-            NamedRates(f"i{n}", lambda: history.instances, clock=lambda: self.now)
+            RateLimits(f"i{n}", lambda: history.instances, clock=lambda: self.now)
             for n in range(history.instances)
         ]
-        self.lender = RateLender(clock=lambda: self.now)
+        self.issuer = PermitIssuer(clock=lambda: self.now)
         self._waiting: dict[int, deque[_Waiting]] = defaultdict(deque)
         self.sent: list[Sent] = []
         # Instances that have told the order giver all that they know.
@@ -112,14 +112,14 @@
         for _, instance, sent_at in due:
             if self.history.named_at <= self.now < self.history.ends_at:
                 self.told_at.setdefault(instance, self.now)
-                self.rates[instance].named(UPSTREAM, self.history.rate, "answer")
+                self.rates[instance].advertised(UPSTREAM, self.history.rate, "answer")
             else:
-                self.rates[instance].unnamed(UPSTREAM, sent_at, "answer")
+                self.rates[instance].lifted(UPSTREAM, sent_at, "answer")
 
     def _pass_on(self) -> None:
         """Let instances tell their peers what they have learned, while nobody gives orders."""
         ended = self.history.giver_ends_at
-        if self.now < ended + SILENT_SECONDS or self.now >= ended + self.history.next_giver_after:
+        if self.now < ended + SIPERMIT_SECONDS or self.now >= ended + self.history.next_giver_after:
             return
         changed = [rates.drain_changed() for rates in self.rates]
         for entries in filter(None, changed):
@@ -130,18 +130,18 @@
     def _tell(self) -> None:
         ended = self.history.giver_ends_at
         if ended <= self.now < ended + self.history.next_giver_after:
-            self.lender.begin()
+            self.issuer.begin()
             self._introduced = set()
             return
         for number, rates in enumerate(self.rates):
             if self.random.random() >= self.history.lost_part:
                 introduce = number not in self._introduced
-                self.lender.heard(f"i{number}", rates.tell(all_of_it=introduce))
+                self.issuer.heard(f"i{number}", rates.tell(all_of_it=introduce))
                 self._introduced.add(number)
-        lent = self.lender.lend(all_rates=True)
+        issued = self.issuer.issue(all_limits=True)
         for rates in self.rates:
             if self.random.random() >= self.history.lost_part:
-                rates.hear(lent)
+                rates.hear(issued)
 
     def most_in_window(self) -> int:
         """Return the most that came in one window from instances that had been told by its end."""
--- a/packages/redwingscale-standins/src/redwingscale_standins/named_rates/rule.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/rate_limits/rule.py
@@ -1,4 +1,4 @@
-"""What an upstream that names a rate may get at most."""
+"""What an upstream with a rate limit may get at most."""
 
 from bisect import bisect_right
 from collections.abc import Iterable
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/checks.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/checks.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from itertools import pairwise
 
-from redwingscale_standins.named_rates.rule import most_allowed, most_in_window
+from redwingscale_standins.rate_limits.rule import most_allowed, most_in_window
 from redwingscale_standins.soak.ledger import Ledger, Run, Told
 from redwingscale_standins.soak.world import MOST_AT_ONCE, MOST_PER_SECOND, Place, World
 
@@ -17,7 +17,7 @@
 LEFT_SECONDS = 2.0
 MOST_AFTER_LEAVING = 3
 MOST_CUT = 3
-# Of a rate that a worker has named all instances have heard after this.
+# Of a rate limit all instances have heard after this.
 TOLD_SECONDS = 1.0
 # The limit counts in windows of this length; a tenth and some requests may go beyond it.
 LIMIT_WINDOW_SECONDS = 8.0
@@ -81,15 +81,15 @@
             return
 
 
-def check_needs(world: World) -> None:
-    """Add a finding for each worker that got more than the rate that it named allows."""
-    for need in world.needs:
-        told_at = need.named_at + TOLD_SECONDS
-        called_at = [at for at in need.worker.called_at if told_at <= at <= need.ended_at]
-        most = most_in_window(called_at, need.named_at)
-        if need.calm and most > most_allowed(need.per_second):
-            place = f"{need.worker.id} named {need.per_second} a second"
-            world.ledger.finding("named rate", f"{place} and got {most} calls in 4 s")
+def check_rate_limits(world: World) -> None:
+    """Add a finding for each worker that got more than its rate limit allows."""
+    for limited in world.limited:
+        told_at = limited.named_at + TOLD_SECONDS
+        called_at = [at for at in limited.worker.called_at if told_at <= at <= limited.ended_at]
+        most = most_in_window(called_at, limited.named_at)
+        if limited.calm and most > most_allowed(limited.per_second):
+            place = f"{limited.worker.id} took {limited.per_second} a second"
+            world.ledger.finding("rate limit", f"{place} and got {most} calls in 4 s")
 
 
 def check_orders(world: World, quiet_seconds: float) -> None:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -8,7 +8,7 @@
 
 from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.soak.faulty_link import FaultyLink
-from redwingscale_standins.soak.world import Need, Node, Place, World
+from redwingscale_standins.soak.world import Limited, Node, Place, World
 
 # Between the beginnings of two faults of a series.
 SHORTEST_PAUSE_SECONDS = 0.2
@@ -23,10 +23,10 @@
 SHORTEST_CUT_SECONDS = 4.0
 LONGEST_CUT_SECONDS = 8.0
 MOST_DOWN_PART = 0.5
-# All instances keep to a named rate after three seconds.
-SHORTEST_NEED_SECONDS = 4.0
-LONGEST_NEED_SECONDS = 8.0
-NAMED_RATES = (0.5, 1.0, 4.0)
+# All instances keep to a rate limit after three seconds.
+SHORTEST_LIMIT_SECONDS = 4.0
+LONGEST_LIMIT_SECONDS = 8.0
+RATE_LIMITS = (0.5, 1.0, 4.0)
 # What is held up on a link comes when it heals.
 CALM_SECONDS = 4.0
 LINK_FAULTS = ("delay", "hold_to", "hold_from", "refuse", "silence", "reset")
@@ -44,7 +44,7 @@
             self._change_configuration,
             self._worker_leaves,
             self._worker_leaves_unsaid,
-            self._worker_in_need,
+            self._limit_worker,
         ]
         unplanned: list[Callable[[], None]] = [
             self._kill_instance,
@@ -241,24 +241,24 @@
 
         self._begin(f"{place.worker.id} {what} {seconds:.2f}", fault)
 
-    def _worker_in_need(self) -> None:
+    def _limit_worker(self) -> None:
         place = self._place()
-        if place.worker.named_rate is not None:
+        if place.worker.rate_limit is not None:
             return
-        seconds = self._random.uniform(SHORTEST_NEED_SECONDS, LONGEST_NEED_SECONDS)
-        rate = self._random.choice(NAMED_RATES)
+        seconds = self._random.uniform(SHORTEST_LIMIT_SECONDS, LONGEST_LIMIT_SECONDS)
+        rate = self._random.choice(RATE_LIMITS)
 
         def fault() -> None:
             named_at = time.monotonic()
-            place.worker.named_rate = rate
+            place.worker.rate_limit = rate
             time.sleep(seconds)
-            place.worker.named_rate = None
+            place.worker.rate_limit = None
             calm = self._world.disturbance.at < named_at - CALM_SECONDS
-            need = Need(place.worker, rate, named_at, time.monotonic(), calm)
-            self._world.needs.append(need)
+            limited = Limited(place.worker, rate, named_at, time.monotonic(), calm)
+            self._world.limited.append(limited)
 
-        place.worker.named_rate = rate
-        self._begin(f"{place.worker.id} names {rate} a second {seconds:.2f}", fault)
+        place.worker.rate_limit = rate
+        self._begin(f"{place.worker.id} takes {rate} a second {seconds:.2f}", fault)
 
     def _worker_dies(self) -> None:
         place = self._place()
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -14,8 +14,8 @@
     check_cuts,
     check_leaving,
     check_limit,
-    check_needs,
     check_orders,
+    check_rate_limits,
     check_requests,
 )
 from redwingscale_standins.soak.faults import Faults
@@ -64,7 +64,7 @@
         check_cuts(world, planned_only=planned_only)
         check_orders(world, ORDER_QUIET_SECONDS / 2)
         check_limit(world)
-        check_needs(world)
+        check_rate_limits(world)
         check_leaving(world, places.left(), planned_only=planned_only)
     finally:
         for caller in callers:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -61,8 +61,8 @@
         }
 
 
-class Need(NamedTuple):
-    """A worker that named a rate; ``calm`` where nothing unplanned held up what it got."""
+class Limited(NamedTuple):
+    """A worker that advertised a rate limit; ``calm`` where nothing unplanned held up what it got."""
 
     worker: SoakWorker
     per_second: float
@@ -96,7 +96,7 @@
         self._numbers = iter(range(1000))
         self.rows = RowsApi()
         self.places: dict[str, Place] = {}
-        self.needs: list[Need] = []
+        self.limited: list[Limited] = []
         # Anything unplanned, and the whole store.
         self.disturbance = Disturbance()
         self.store_disturbance = Disturbance()
