--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -15,7 +15,6 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
 from redwingscale_daemon._internal.swaps.adapter_orders import AdapterOrders
-from redwingscale_daemon._internal.swaps.carried_models import with_carried_models
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.failing_upstreams import FailingUpstreams
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
@@ -30,8 +29,9 @@
 )
 from redwingscale_daemon._internal.swaps.news_due import NEWS_SECONDS, NewsDue
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
+from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
-from redwingscale_daemon._internal.swaps.rate_lender import RateLender
+from redwingscale_daemon._internal.swaps.service_views import ServiceViews
 from redwingscale_daemon._internal.swaps.tasks import SwapTask
 from redwingscale_daemon._internal.swaps.worker_orders import GiverRight
 from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
@@ -74,9 +74,9 @@
         read: Callable[[ListChanges], StoreNews],
         link_mbps: float = math.inf,
         use_slack: float = 0.0,
-        lender: RateLender | None = None,
+        issuer: PermitIssuer | None = None,
         known_instances: Callable[[], int] = lambda: 0,
-        rates_by_id: Callable[[], Mapping[str, float]] = dict,
+        limits_by_id: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self._right = right
         self._routes = routes
@@ -86,8 +86,6 @@
         self._link_mbps = link_mbps
         # How many instances there were, as far as this one has been told.
         self._known_instances = known_instances
-        # The rates that upstreams in need have named.
-        self._rates_by_id = rates_by_id
         # What this instance has read, with the changes of the list.
         self._read = read
         self._changes = ListChanges()
@@ -95,12 +93,13 @@
         self._rate = LoadRate()
         self._wake = threading.Event()
         self._workers = WorkerPool(self._engine, client, right, self._wake.set)
+        self._service_views = ServiceViews(directory, self._workers, self._demand, limits_by_id)
         self._adapters = AdapterOrders(self._demand, self._workers)
         self._instances = InstanceTotals()
         self._failing = FailingUpstreams()
         self._use = UseTotals(use_slack)
-        # What upstreams in need take, lent to all instances.
-        self._lender = lender or RateLender()
+        # For upstreams with a rate limit.
+        self._issuer = issuer or PermitIssuer()
         self._totals = NO_TOTALS
         self._news = NewsDue()
         self._gave_orders = False
@@ -112,7 +111,7 @@
         self._demand.heard(news)
         self._failing.heard(news.outcomes)
         self._use.heard(news.instance, news.drawn)
-        if self._lender.heard(news.instance, news.rates):
+        if self._issuer.heard(news.instance, news.rate_limits):
             self._wake.set()
         if self._instances.heard(news):
             # It knows nothing of what is held.
@@ -152,7 +151,7 @@
     def _begin(self, fence: int) -> None:
         log_event("giver_begins", fence=fence)
         self._use.begin(self._known_instances())
-        self._lender.begin()
+        self._issuer.begin()
         self._changes.begin_with(self._directory.all())
         table = self._routes.get()
         if not self._right.succeeds_another() or table is None:
@@ -216,12 +215,7 @@
         planner = Planner(service, engine, self._demand)
         for _ in range(MOST_SWAPS_A_STEP):
             views = self._views(service)
-            present = {name for view in views for name in [*view.held, view.loading]}
-            waiting = [
-                one
-                for one in self._demand.waiting()
-                if one.service == service and one.unit.model not in present
-            ]
+            waiting = self._service_views.missing(service, engine, views)
             cold_allowed = self._rate.free(self._ceiling(engine))
             swap = planner.best_swap(waiting, views, cold_allowed=cold_allowed)
             if swap is None:
@@ -247,16 +241,7 @@
         self._workers.give(swap.view.upstream.id, task)
 
     def _views(self, service: str) -> list[WorkerView]:
-        views = self._workers.views(self._directory.usable(service), self._totals)
-        rates_by_id = self._rates_by_id()
-        if not rates_by_id:
-            return views
-        return with_carried_models(
-            views,
-            rates_by_id,
-            lambda model: self._demand.model_rate(service, model),
-            [one.unit for one in self._demand.waiting() if one.service == service],
-        )
+        return self._service_views.views(service, self._totals)
 
     def _tell(self, fence: int) -> GiverNews | None:
         """Return the news, None where they would tell nothing and none are due."""
@@ -266,8 +251,8 @@
         )
         ready_in = self._workers.ready_in_by_model()
         store = self._read(self._changes)
-        rates = self._lender.lend(all_rates=regular)
-        if not self._news.differ(ready_in.keys(), store) and not regular and not rates:
+        limits = self._issuer.issue(all_limits=regular)
+        if not self._news.differ(ready_in.keys(), store) and not regular and not limits:
             return None
         loads = [LoadEntry(key, *load) for key, load in self._totals.loads.items()]
         return GiverNews(
@@ -282,7 +267,7 @@
             self._failing.parts() if regular else {},
             self._use.grants(self._limits_by_name()) if regular else None,
             self._some_peers() if all_held else [],
-            rates,
+            limits,
         )
 
     def _some_peers(self) -> list[str]:
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_carried_models.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_carried_models.py
@@ -1,9 +1,13 @@
-"""What the plan leaves to upstreams in need."""
+"""What the plan leaves to upstreams with a rate limit."""
 
 import pytest
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.routes.service_rule import EngineRule
 from redwingscale_daemon._internal.swaps.carried_models import with_carried_models
+from redwingscale_daemon._internal.swaps.demand import Demand
+from redwingscale_daemon._internal.swaps.messages import InstanceNews, NeedEntry
+from redwingscale_daemon._internal.swaps.service_views import ServiceViews
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
 ASKED = {"busy": 4.0, "calm": 0.5, "rare": 0.1, "shared": 2.0}
@@ -27,8 +31,8 @@
     return {one.upstream.id: (sorted(one.held), one.free) for one in made}
 
 
-def test_busy_models_of_an_upstream_in_need_count_as_missing(views):
-    # Guards against a busy model that stays behind a rate that a rare one would fit into.
+def test_busy_models_of_an_upstream_rate_limited_count_as_missing(views):
+    # Guards against a busy model that stays behind a limit that a rare one would fit into.
     assert planned(views, {"w": 1.0}) == {
         "sound": (["shared"], True),
         "w": (["calm", "rare"], False),
@@ -40,7 +44,23 @@
     assert planned(views, {"w": 1.0}, [Unit("rare", "a1")])["w"] == (["calm"], False)
 
 
-def test_upstreams_that_are_all_in_need_are_planned_as_they_are(views):
-    # Guards against a service without a plan while all its upstreams are in need.
+def test_upstreams_that_are_all_limited_are_planned_as_they_are(views):
+    # Guards against a service without a plan while all its upstreams have limits.
     rates = {"w": 1.0, "sound": 1.0}
     assert planned(views, rates)["w"] == (["busy", "calm", "rare", "shared"], True)
+
+
+def missing(rates_by_id, views):
+    demand = Demand()
+    refused = NeedEntry("llm", "busy", "", 8, 0, 0.0, missed=8)
+    demand.heard(InstanceNews("i0", [refused], [], [], []))
+    engine = EngineRule(64, 100_000, 200.0, 8, 1.0, dict.fromkeys(ASKED))
+    found = ServiceViews(None, None, demand, lambda: rates_by_id).missing("llm", engine, views)
+    return [one.unit.model for one in found]
+
+
+def test_model_whose_requests_are_refused_at_once_is_missed(views):
+    # Guards against a model that is loaded nowhere, as none of its requests wait.
+    limited = with_carried_models(views, {"w": 1.0}, ASKED.__getitem__, ())
+    assert missing({"w": 1.0}, limited) == ["busy"]
+    assert missing({}, views) == []
