--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -97,11 +97,11 @@
 
     def limited_plain(self, service: str, tried: Collection[str]) -> list[str]:
         """Return the ids of those that `for_plain` leaves out for their rate limits."""
-        return self._limited(self._of_plain(service, tried))
+        return self._limited(self._of_plain(service, tried)) if self._rates.known else []
 
     def limited_holders(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
         """Return the ids of those that `for_prompt` leaves out for their rate limits."""
-        return self._limited(self._holders(service, prompt, tried))
+        return self._limited(self._holders(service, prompt, tried)) if self._rates.known else []
 
     def _of_plain(self, service: str, tried: Collection[str]) -> list[Upstream]:
         usable = self._directory.usable(service)
@@ -113,6 +113,8 @@
 
     def _ready(self, upstreams: list[Upstream]) -> list[Upstream]:
         """Return those that take a request now, by their rate limits."""
+        if not self._rates.known:
+            return upstreams
         return [u for u in upstreams if self._rates.may_send(u.id)]
 
     def _limited(self, upstreams: list[Upstream]) -> list[str]:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_limits.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_limits.py
@@ -77,6 +77,11 @@
         """Call ``notify`` when a limit has changed, by whatever source."""
         self._notify = notify
 
+    @property
+    def known(self) -> bool:
+        """Whether any limit is or was known: requests look no further without one."""
+        return bool(self._by_id)
+
     def per_second(self, upstream_id: str) -> float | None:
         """Return the limit of ``upstream_id``, None where it has none."""
         rate = self._by_id.get(upstream_id)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -139,8 +139,9 @@
             raise given_up(call, "cut_off", f"no news of {prompt.unit}", come_back)
         left = _patience(call)
         ready_in = self.holdings.ready_in(str(prompt.unit))
-        held = self.chooser.limited_holders(call.service, prompt, call.attempts.tried)
-        if ready_in is not None and not held:
+        if ready_in is not None and not self.chooser.limited_holders(
+            call.service, prompt, call.attempts.tried
+        ):
             hopeless = ready_in > left
         elif self.holdings.fresh:
             hopeless = left <= 0
