Log who tells the configuration, how old that is, and by which version a request is unknown

The logs could not tell a word of the order giver that was old, late or not followed: configuration_told, configuration_source, and the version in the detail of route_unknown. No decision changes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/entry.py
@@ -135,7 +135,8 @@
             )
         route = table.find(request.host, request.path)
         if route is None:
-            raise Refusal(404, "route_unknown", f"{request.host}{request.path}")
+            place = f"{request.host}{request.path} in version {table.version}"
+            raise Refusal(404, "route_unknown", place)
         permit = Permit(self._routes, table, route, terms.key_digest, self._limiter)
         workspace = permit.workspace
         if self._crowded():
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
@@ -51,6 +51,7 @@
         self._wait_seconds = in_force_seconds * WAIT_PART
         self._version: int | None = None
         self._retry = Backoff()
+        self._stood_in = False
 
     def step(self) -> None:
         """Read once: everything at first and after a gap, then what has changed.
@@ -74,7 +75,21 @@
 
     def _stands_in(self) -> bool:
         known = self._current.get() is not None
-        return known and self._news.current and not self._reads_for_all()
+        stands_in = known and self._news.current and not self._reads_for_all()
+        self._log_source(stands_in)
+        return stands_in
+
+    def _log_source(self, stands_in: bool) -> None:
+        if stands_in == self._stood_in:
+            return
+        self._stood_in = stands_in
+        log_event(
+            "configuration_source",
+            source="order_giver" if stands_in else "own_reads",
+            told=self._news.version,
+            news_age=round(self._news.age, 3),
+            read_age=round(self._state.age, 3),
+        )
 
     def _newer_told(self) -> bool:
         table = self._current.get()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_news.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_news.py
@@ -4,6 +4,8 @@
 import time
 from typing import NamedTuple
 
+from redwingscale_common.utils.logs import log_event
+
 # Of the time in which a change must be in force. The giver's waiting reads end earlier:
 # what is older comes from one that no longer reads.
 CURRENT_PART = 0.8
@@ -29,6 +31,8 @@
             self._told = _Told(version, time.monotonic() - age)
             if newer:
                 self._condition.notify_all()
+        if newer:
+            log_event("configuration_told", version=version, age=round(age, 3))
 
     @property
     def current(self) -> bool:
