Decode what an answer says of its upstream in one place, and log it

A leaving upstream and a rejection's retry time stood in no line: the logs could not tell whether they were unread or read and lost again. read_notice decodes both beside the rate limit, for answers to callers' requests, own reports and orders alike; AnswerNotices keeps them by the upstream's start. Logged: upstream_leaving with its source, upstream_retry_after, and in each sent line since when the upstream leaves and until when it wants nothing. No choice reads them yet.

The notice of another process at the upstream's address is not taken.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -157,9 +157,17 @@
     rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
     budget = RepeatBudget(rule, swaps.instances)
     chooser = Chooser(settings.failure_domain, fleet, swaps.instances)
-    sender = Sender(pool, exchange, fleet.rates)
+    sender = Sender(pool, exchange, fleet.notices)
     parts = RelayParts(
-        exchange, sender, chooser, fleet.book, fleet.health, fleet.pace, budget, fleet.rates
+        exchange,
+        sender,
+        chooser,
+        fleet.book,
+        fleet.health,
+        fleet.pace,
+        budget,
+        fleet.rates,
+        fleet.notices,
     )
     wait = HolderWait(
         chooser,
@@ -195,9 +203,7 @@
 
     client = OrderClient(
         engine_calls(),
-        on_rate=lambda upstream, per_second: fleet.rates.advertised(
-            upstream, per_second, "own report"
-        ),
+        on_notice=lambda upstream, notice: fleet.notices.take(upstream, notice, "own report"),
         connect_seconds=CONNECT_SECONDS,
         answer_seconds=CONNECT_SECONDS,
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -86,7 +86,7 @@
         engine.encode_order,
         engine.order_headers,
         engine.order_result,
-        exchange.rate_limit,
+        exchange.read_notice,
     )
 
 
@@ -197,9 +197,7 @@
         OrderClient(
             engine_calls(),
             lambda result: metrics.orders.add(1, {"result": result.value}),
-            lambda upstream, per_second: fleet.rates.advertised(
-                upstream, per_second, "order giver"
-            ),
+            lambda upstream, notice: fleet.notices.take(upstream, notice, "order giver"),
         ),
         hub,
         LoadCeiling(0.0, bounds.load_window),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.fleet.answer_notices import AnswerNotices
 from redwingscale_daemon._internal.fleet.changes import Changes
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.holdings import Holdings
@@ -11,6 +12,7 @@
 from redwingscale_daemon._internal.fleet.pace import Pace
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
+from redwingscale_daemon._internal.fleet.retry_times import RetryTimes
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
 
@@ -26,6 +28,8 @@
     prefixes: PrefixMemory
     outcomes: Outcomes
     rates: RateLimits
+    retry_times: RetryTimes
+    notices: AnswerNotices
 
 
 def new_fleet(instance: str = "", instances: Callable[[], int] = lambda: 1) -> Fleet:
@@ -34,6 +38,20 @@
     directory = UpstreamDirectory(holdings, changes)
     book, health, pace, prefixes = LoadBook(), Health(outcomes), Pace(), PrefixMemory()
     rates = RateLimits(instance, instances, directory.lists)
-    for part in (book, health, pace, prefixes, holdings, rates):
+    retry_times = RetryTimes()
+    notices = AnswerNotices(directory, rates, retry_times)
+    for part in (book, health, pace, prefixes, holdings, rates, retry_times, notices):
         directory.on_gone(part.forget)
-    return Fleet(directory, holdings, changes, book, health, pace, prefixes, outcomes, rates)
+    return Fleet(
+        directory,
+        holdings,
+        changes,
+        book,
+        health,
+        pace,
+        prefixes,
+        outcomes,
+        rates,
+        retry_times,
+        notices,
+    )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -194,6 +194,7 @@
             failure_domain=seen.failure_domain,
         )
     for key in leaving:
-        log_event("upstream_leaving", upstream=key, seconds_left=after[key].seconds_left)
+        seconds_left = after[key].seconds_left
+        log_event("upstream_leaving", upstream=key, seconds_left=seconds_left, source="list")
     for key in before.keys() - after.keys():
         log_event("upstream_gone", upstream=key, was_leaving=before[key].leaving)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -5,6 +5,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.answer_notices import KnownNotices
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.load_book import Load
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
@@ -42,8 +43,8 @@
         self._sent_at = 0.0
         self.first_event_seconds: float | None = None
 
-    def begin(self, request: str, chosen: Candidate, load: Load, rate: float | None) -> None:
-        """Note a sending to ``chosen``, with what decided it, and its rate limit."""
+    def begin(self, request: str, chosen: Candidate, load: Load, notices: KnownNotices) -> None:
+        """Note a sending to ``chosen``, with what decided it and what its answers have said."""
         upstream_id = chosen.upstream.id
         log_event(
             "sent",
@@ -54,7 +55,9 @@
             cost_ms=round(chosen.cost_ms),
             open=load.requests,
             unread_tokens=load.prompt_tokens,
-            rate="-" if rate is None else rate,
+            rate=_or_dash(notices.per_second),
+            leaving=_or_dash(notices.leaving_seconds),
+            retry_in=round(notices.retry_in, 3),
         )
         if not self.sendings:
             self._budget.note_request(self._service)
@@ -116,3 +119,7 @@
             and self.may_have_run < self._route.most_upstreams
             and self._budget.take(self._service)
         )
+
+
+def _or_dash(value: float | None) -> float | str:
+    return "-" if value is None else round(value, 3)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
@@ -3,6 +3,7 @@
 from http.client import HTTPResponse
 from typing import Protocol
 
+from redwingscale_daemon._internal.fleet.answer_notice import AnswerNotice
 from redwingscale_daemon._internal.forwarding.terms import Terms
 from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
 
@@ -53,8 +54,8 @@
     def is_from_another(self, response: HTTPResponse, upstream_name: str) -> bool:
         """Return whether another process than ``upstream_name`` has its address now."""
 
-    def rate_limit(self, headers: HeaderValues) -> float | None:
-        """Return the requests a second that the upstream takes of all, None for any."""
+    def read_notice(self, status: int, headers: HeaderValues) -> AnswerNotice:
+        """Return what an answer says of its upstream."""
 
     def idle_seconds(self, response: HTTPResponse) -> float | None:
         """Return how long the connection may be idle, 0 if it closes, None if unsaid."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.fleet.answer_notices import AnswerNotices
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.load_book import LoadBook
@@ -23,3 +24,4 @@
     pace: Pace
     budget: RepeatBudget
     rates: RateLimits
+    notices: AnswerNotices
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -50,8 +50,8 @@
                 # Another request has used the permit.
                 continue
             load = self._parts.book.total(candidate.upstream.id)
-            rate = self._parts.rates.per_second(candidate.upstream.id)
-            call.attempts.begin(call.terms.request_id, candidate, load, rate)
+            notices = self._parts.notices.known(candidate.upstream.id)
+            call.attempts.begin(call.terms.request_id, candidate, load, notices)
             ticket = self._parts.book.enter(candidate.upstream.id, None, 0)
             try:
                 if self._send(call, candidate.upstream):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -11,7 +11,7 @@
     TimeLimitReached,
     UpstreamSilent,
 )
-from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
+from redwingscale_daemon._internal.fleet.answer_notices import AnswerNotices
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
@@ -29,10 +29,10 @@
 class Sender:
     """Uses a kept connection or a new one; never sends anything twice."""
 
-    def __init__(self, pool: ConnectionPool, dialect: Dialect, rates: RateLimits) -> None:
+    def __init__(self, pool: ConnectionPool, dialect: Dialect, notices: AnswerNotices) -> None:
         self._pool = pool
         self._dialect = dialect
-        self._rates = rates
+        self._notices = notices
 
     def send(
         self,
@@ -64,7 +64,7 @@
         if response is None:
             connection.discard()
             return Lost(upstream, "answers of other requests")
-        self._note_rate_limit(upstream, response, sent_at)
+        self._note(upstream, response, sent_at)
         if self._dialect.was_not_run(response):
             return self._refused(upstream, connection, response)
         return Answering(upstream, connection, response)
@@ -99,13 +99,13 @@
         response = connection.receive_next(request.method)
         return response if self._dialect.answers(response, request_id) else None
 
-    def _note_rate_limit(self, upstream: Upstream, response: HTTPResponse, sent_at: float) -> None:
-        per_second = self._dialect.rate_limit(response.headers)
-        if per_second is not None:
-            self._rates.advertised(upstream.id, per_second, "answer")
-        elif self._dialect.is_signed(response):
-            # What answers without a signature may be another process, or be garbled.
-            self._rates.lifted(upstream.id, sent_at, "answer")
+    def _note(self, upstream: Upstream, response: HTTPResponse, sent_at: float) -> None:
+        if self._dialect.is_from_another(response, upstream.platform_name):
+            return
+        notice = self._dialect.read_notice(response.status, response.headers)
+        # What answers without a signature may be garbled.
+        signed_at = sent_at if self._dialect.is_signed(response) else None
+        self._notices.take(upstream.id, notice, "answer", signed_at)
 
     def _refused(
         self, upstream: Upstream, connection: UpstreamConnection, response: HTTPResponse
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -84,8 +84,8 @@
                 call.permit.check()
             upstream = candidate.upstream
             load = self._parts.book.total(upstream.id)
-            rate = self._parts.rates.per_second(upstream.id)
-            call.attempts.begin(call.terms.request_id, candidate, load, rate)
+            notices = self._parts.notices.known(upstream.id)
+            call.attempts.begin(call.terms.request_id, candidate, load, notices)
             kept = self._prefixes.kept_tokens(upstream.id, prompt)
             unread = max(0, prompt.tokens_in - kept)
             ticket = self._parts.book.enter(upstream.id, prompt.unit, unread)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -6,6 +6,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.answer_notice import AnswerNotice
 from redwingscale_daemon._internal.fleet.prompt import Prompt, PromptPart
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.dialect import HeaderValues
@@ -30,6 +31,8 @@
     }
 )
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+_LEAVING_VALUES = {"1": True, "0": False}
 
 
 def read_terms(request: IngressRequest) -> Terms | str:
@@ -132,19 +135,13 @@
     return response.status == _MISDIRECTED and answering not in (None, upstream_name)
 
 
-def rate_limit(headers: HeaderValues) -> float | None:
-    """Return the requests a second that the upstream takes of all, None without a limit."""
-    named = headers.get(names.RATE_LIMIT)
-    if named is None:
-        return None
-    try:
-        per_second = float(named)
-    except ValueError:
-        per_second = math.nan
-    if math.isfinite(per_second) and per_second >= 0:
-        return per_second
-    log_event("header_malformed", level="WARNING", header=names.RATE_LIMIT, value=named)
-    return None
+def read_notice(status: int, headers: HeaderValues) -> AnswerNotice:
+    """Return what an answer says of its upstream; what is malformed says nothing.
+
+    An answer of another process at the upstream's address must not be passed in.
+    """
+    retry_after = _number(headers, "Retry-After") if status == _UNAVAILABLE else None
+    return AnswerNotice(_number(headers, names.RATE_LIMIT), _leaving(headers), retry_after)
 
 
 def idle_seconds(response: HTTPResponse) -> float | None:
@@ -158,6 +155,31 @@
     return None
 
 
+def _number(headers: HeaderValues, name: str) -> float | None:
+    """Return a number from 0 up, None where there is none."""
+    named = headers.get(name)
+    if named is None:
+        return None
+    try:
+        number = float(named)
+    except ValueError:
+        number = math.nan
+    if math.isfinite(number) and number >= 0:
+        return number
+    log_event("header_malformed", level="WARNING", header=name, value=named)
+    return None
+
+
+def _leaving(headers: HeaderValues) -> bool:
+    named = headers.get(names.LEAVING)
+    if named is None:
+        return False
+    leaving = _LEAVING_VALUES.get(named.strip())
+    if leaving is None:
+        log_event("header_malformed", level="WARNING", header=names.LEAVING, value=named)
+    return bool(leaving)
+
+
 def _tokens(values: Iterable[str]) -> list[str]:
     return [token.strip().lower() for value in values for token in value.split(",")]
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
@@ -15,6 +15,8 @@
 LAST_EVENT_ID = "Last-Event-Id"
 # Requests a second that an upstream takes from all instances together, while it has a limit.
 RATE_LIMIT = "Server-Limit"
+# "1" in each answer of an upstream that takes no new work.
+LEAVING = "Server-Leaving"
 # The name of the workspace, told to upstreams; a caller's own value counts for nothing.
 WORKSPACE = "X-Redwingscale-Tenant-Id"
 AUTHORIZATION = "Authorization"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -9,6 +9,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from redwingscale_daemon._internal.fleet.answer_notice import AnswerNotice
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.dialect import HeaderValues
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
@@ -30,7 +31,7 @@
     encode_order: Callable[[Order], bytes]
     order_headers: Callable[[str], dict[str, str]]
     order_result: Callable[[int], OrderResult]
-    rate_limit: Callable[[HeaderValues], float | None] = lambda _: None
+    read_notice: Callable[[int, HeaderValues], AnswerNotice] = lambda *_: AnswerNotice()
 
 
 class OrderClient:
@@ -45,15 +46,15 @@
         self,
         calls: EngineCalls,
         on_result: Callable[[OrderResult], None] = lambda _: None,
-        on_rate: Callable[[str, float], None] = lambda *_: None,
+        on_notice: Callable[[str, AnswerNotice], None] = lambda *_: None,
         *,
         connect_seconds: float = CONNECT_SECONDS,
         answer_seconds: float = ANSWER_SECONDS,
     ) -> None:
         self._calls = calls
         self._on_result = on_result
-        # Takes an upstream id and the rate that an answer names.
-        self._on_rate = on_rate
+        # Takes an upstream id and what an answer says of the upstream.
+        self._on_notice = on_notice
         self._pools = urllib3.PoolManager(
             num_pools=64,
             maxsize=1,
@@ -66,7 +67,7 @@
         """Return the worker's report, None where there is no sound answer."""
         try:
             response = self._pools.request("GET", _url(upstream, self._calls.report_target))
-            self._note_rate_limit(upstream, response)
+            self._note(upstream, response)
             if response.status != _OK:
                 return None
             return self._calls.decode_report(response.data)
@@ -91,13 +92,12 @@
             return OrderResult.REFUSED
         except HTTPError:
             return OrderResult.UNKNOWN
-        self._note_rate_limit(upstream, response)
+        self._note(upstream, response)
         return self._calls.order_result(response.status)
 
-    def _note_rate_limit(self, upstream: Upstream, response: BaseHTTPResponse) -> None:
-        per_second = self._calls.rate_limit(response.headers)
-        if per_second is not None:
-            self._on_rate(upstream.id, per_second)
+    def _note(self, upstream: Upstream, response: BaseHTTPResponse) -> None:
+        notice = self._calls.read_notice(response.status, response.headers)
+        self._on_notice(upstream.id, notice)
 
 
 def _url(upstream: Upstream, target: str) -> str:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -214,13 +214,14 @@
         budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
         parts = RelayParts(
             exchange,
-            Sender(self.pool, exchange, fleet.rates),
+            Sender(self.pool, exchange, fleet.notices),
             chooser,
             fleet.book,
             fleet.health,
             fleet.pace,
             budget,
             fleet.rates,
+            fleet.notices,
         )
         self.cut_off = None
         wait = HolderWait(
