--- /dev/null
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_answer_notices.py
@@ -0,0 +1,66 @@
+"""Upstreams that say in their answers that they leave, or when they may be asked again."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from redwingscale_standins.hosted.waiting import until
+
+INSTANCES = ("one", "two", "three")
+CALLERS_EACH = 2
+LEAVE_SECONDS = 2.0
+RETRY_AFTER_SECONDS = 3.0
+# Requests that were on their way at the rejection.
+SENT_BEFORE_SECONDS = 0.5
+MOST_WITHIN_RETRY_TIME = 2
+
+
+def ask_until(instance, end, caller):
+    answered = []
+    while time.monotonic() < end:
+        answered.append(instance.ask("m1", request=f"{instance.name}-{caller}-{len(answered)}")[0])
+    return answered
+
+
+def ask_all(instances, seconds):
+    """Return the statuses of requests that several callers of each instance send."""
+    end = time.monotonic() + seconds
+    with ThreadPoolExecutor(len(instances) * CALLERS_EACH) as pool:
+        sent = [
+            pool.submit(ask_until, instance, end, caller)
+            for instance in instances
+            for caller in range(CALLERS_EACH)
+        ]
+        return [status for one in sent for status in one.result()]
+
+
+def test_upstream_that_leaves_while_the_store_is_away_gets_no_more_requests(deployment):
+    # Guards against requests that are lost with an upstream whose leaving the list can't tell.
+    leaving = deployment.worker("w1", "m1")
+    deployment.worker("w2", "m1")
+    instances = [deployment.instance(name) for name in INSTANCES]
+    deployment.rows.down = True
+    until(lambda: b"event=store_lost" in instances[0].log.read_bytes(), "the loss of the store")
+    leaving.leaving = True
+    ask_all(instances, LEAVE_SECONDS)
+    begun = len(leaving.runs)
+    statuses = ask_all(instances, LEAVE_SECONDS)
+    assert set(statuses) == {200}
+    assert len(leaving.runs) == begun
+
+
+def test_instance_sends_nothing_to_an_upstream_before_its_retry_time(deployment):
+    # Guards against repeats that pile up at an upstream that has asked for a pause.
+    rejecting = deployment.worker("w1", "m1")
+    deployment.worker("w2", "m1")
+    one = deployment.instance("one")
+    rejecting.retry_after = RETRY_AFTER_SECONDS
+    statuses = ask_all([one], 2 * RETRY_AFTER_SECONDS)
+    assert set(statuses) == {200}
+    assert rejecting.rejected_at
+    for rejected in rejecting.rejected_at:
+        within = [
+            at
+            for at in rejecting.called_at
+            if rejected + SENT_BEFORE_SECONDS < at < rejected + RETRY_AFTER_SECONDS
+        ]
+        assert len(within) <= MOST_WITHIN_RETRY_TIME
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -209,6 +209,7 @@
         self.limiter = UseLimiter(lambda: 1)
         self.book = fleet.book
         self.rates = fleet.rates
+        self.notices = fleet.notices
         chooser = Chooser("z1", fleet)
         chooser._random = random.Random(1)
         budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -31,6 +31,12 @@
         self.runs: list[str] = []
         # Requests a second that it says it takes of all instances, None while in no need.
         self.rate_limit: float | None = None
+        # Whether all its answers say that it leaves.
+        self.leaving = False
+        # It rejects requests and names this time while it isn't None.
+        self.retry_after: float | None = None
+        # Of every rejection that named a time, monotonic.
+        self.rejected_at: list[float] = []
         # Of every call, monotonic.
         self.called_at: list[float] = []
         self._timing = timing or WorkerTiming()
@@ -44,6 +50,8 @@
         self.called_at.append(time.monotonic())
         if self.rate_limit is not None:
             cherrypy.response.headers["Server-Limit"] = str(self.rate_limit)
+        if self.leaving:
+            cherrypy.response.headers["Server-Leaving"] = "1"
         if headers.get("X-Redwingscale-Expect-Instance", self.id) != self.id:
             return self._refuse(421)
         match cherrypy.request.method, segments:
@@ -58,6 +66,8 @@
         name, _, adapter = headers["X-Redwingscale-Model-Name"].partition("/")
         if name not in self.models or (adapter and adapter not in self.models[name]):
             return self._refuse(421)
+        if self.retry_after is not None:
+            return self._reject(self.retry_after)
         response = cherrypy.response
         response.headers["Content-Type"] = "text/event-stream"
         response.headers["X-Redwingscale-Response-Seal"] = "seal"
@@ -82,6 +92,11 @@
             cherrypy.response.headers[header] = cherrypy.request.headers.get(header, "")
         return b""
 
+    def _reject(self, retry_after: float) -> bytes:
+        self.rejected_at.append(time.monotonic())
+        cherrypy.response.headers["Retry-After"] = str(retry_after)
+        return self._refuse(503)
+
     def _report(self) -> dict[str, Any]:
         with self._lock:
             models = [
