Send no requests to an upstream whose answers say that it leaves

Cause: only the list made an upstream leave.

Fix: what an answer, an own report or an answer to an order says reaches the directory, where all decisions look: choice, repeats, waiting and plan. Instances tell the order giver, which tells all, so that models of such an upstream are loaded elsewhere also where the giver itself sends it nothing. A start never takes its leaving back: it is remembered beyond a lapse of its entry.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -176,6 +176,7 @@
             limiter.tell(all_of_it=introduce),
             peers.desk.address,
             fleet.rates.tell(all_of_it=introduce),
+            fleet.directory.leaving_unlisted(),
         )
         own_demand.heard(news)
         return news
@@ -258,6 +259,7 @@
     take = fleet.holdings.replace if news.all_held else fleet.holdings.update
     take(held, news.ready_in, news.fence)
     fleet.rates.hear(news.rate_limits)
+    fleet.directory.note_leaving(news.leaving, "order giver")
     if news.loads is not None:
         fleet.outcomes.set_failing(news.failing)
         own = {entry.upstream: entry for entry in own_loads}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/answer_notices.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/answer_notices.py
@@ -1,6 +1,5 @@
 """Takes what answers say of their upstreams to where decisions look for it."""
 
-import time
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
@@ -12,10 +11,11 @@
 
 
 class KnownNotices(NamedTuple):
-    """What the answers of one upstream have said so far.
+    """What one upstream has said of itself so far.
 
-    ``per_second`` is its rate limit, ``leaving_seconds`` the time since one said that it
-    leaves, both None where none did; ``retry_in`` the seconds until it may be asked again.
+    ``per_second`` is its rate limit, ``leaving_seconds`` the time since an answer or the
+    list said that it leaves, both None where none did; ``retry_in`` the seconds until it
+    may be asked again.
     """
 
     per_second: float | None
@@ -36,7 +36,6 @@
         self._directory = directory
         self._rates = rates
         self._retry_times = retry_times
-        self._leaving_since: dict[str, float] = {}
 
     def take(
         self, upstream_id: str, notice: AnswerNotice, source: str, sent_at: float | None = None
@@ -50,24 +49,18 @@
             return
         self._take_limit(upstream_id, notice.per_second, source, sent_at)
         if notice.leaving:
-            self._take_leaving(upstream_id, source)
+            self._directory.note_leaving([upstream_id], source)
         if notice.retry_after_seconds is not None:
             self._take_retry_after(upstream_id, notice.retry_after_seconds, source)
 
     def known(self, upstream_id: str) -> KnownNotices:
         """Return what is known of ``upstream_id``."""
-        since = self._leaving_since.get(upstream_id)
         return KnownNotices(
             self._rates.per_second(upstream_id),
-            None if since is None else time.monotonic() - since,
+            self._directory.leaving_seconds(upstream_id),
             self._retry_times.remaining(upstream_id),
         )
 
-    def forget(self, upstream_ids: set[str]) -> None:
-        """Drop upstreams that are gone."""
-        for key in upstream_ids:
-            self._leaving_since.pop(key, None)
-
     def _take_limit(
         self, upstream_id: str, per_second: float | None, source: str, sent_at: float | None
     ) -> None:
@@ -76,11 +69,6 @@
         elif sent_at is not None:
             self._rates.lifted(upstream_id, sent_at, source)
 
-    def _take_leaving(self, upstream_id: str, source: str) -> None:
-        now = time.monotonic()
-        if self._leaving_since.setdefault(upstream_id, now) == now:
-            log_event("upstream_leaving", upstream=upstream_id, seconds_left=None, source=source)
-
     def _take_retry_after(self, upstream_id: str, seconds: float, source: str) -> None:
         before = self._retry_times.remaining(upstream_id)
         self._retry_times.note(upstream_id, seconds)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -40,7 +40,7 @@
     rates = RateLimits(instance, instances, directory.lists)
     retry_times = RetryTimes()
     notices = AnswerNotices(directory, rates, retry_times)
-    for part in (book, health, pace, prefixes, holdings, rates, retry_times, notices):
+    for part in (book, health, pace, prefixes, holdings, rates, retry_times):
         directory.on_gone(part.forget)
     return Fleet(
         directory,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -9,6 +9,7 @@
 
 from redwingscale_daemon._internal.fleet.changes import Changes
 from redwingscale_daemon._internal.fleet.holdings import Held, Holdings
+from redwingscale_daemon._internal.fleet.leaving_upstreams import LeavingUpstreams
 from redwingscale_daemon._internal.fleet.list_digest import list_digest
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
@@ -42,8 +43,8 @@
 
     Lists come from two threads, as read here and as the order giver tells it, and in any
     order. Versions of rows only rise: what is older than the copy is not taken, else it
-    would bring back an upstream that has left. An upstream that was seen leaving stays
-    so while it is listed.
+    would bring back an upstream that has left. An upstream that leaves by any source,
+    the list or its own answers, takes no new work whatever the others say.
     """
 
     def __init__(self, holdings: Holdings, changes: Changes) -> None:
@@ -52,7 +53,7 @@
         self._changes = changes
         self._copy = ListCopy({}, list_digest(()), 0)
         self._read_at = float("-inf")
-        self._leaving: set[str] = set()
+        self._leaving = LeavingUpstreams()
         self._gone_listeners: list[GoneListener] = []
 
     def on_gone(self, listener: GoneListener) -> None:
@@ -98,9 +99,8 @@
             after = _newest_starts(make(before.by_id), before.by_id.values())
             kept = before.kept if kept is None else kept
             self._copy = ListCopy(after, list_digest(after.values()), version, kept)
-            leaving = {key for key, upstream in after.items() if upstream.leaving}
-            new_leaving = leaving - self._leaving
-            self._leaving = (self._leaving | leaving) & after.keys()
+            new_leaving = self._leaving.note([k for k, one in after.items() if one.leaving])
+            self._leaving.follow(after.keys())
         self._announce(before.by_id, after, new_leaving)
         return True
 
@@ -115,6 +115,27 @@
         if gone or leaving or after.keys() - before.keys() or _held_differs(before, after):
             self._changes.notify()
 
+    def note_leaving(self, upstream_ids: Iterable[str], source: str) -> None:
+        """Take from another ``source`` than the list that upstreams leave.
+
+        The entry of one that cannot reach the store says for long that it takes work.
+        """
+        with self._lock:
+            new = self._leaving.note([key for key in upstream_ids if self.lists(key)])
+        for key in new:
+            log_event("upstream_leaving", upstream=key, seconds_left=None, source=source)
+        if new:
+            self._changes.notify()
+
+    def leaving_seconds(self, upstream_id: str) -> float | None:
+        """Return how long it is known that ``upstream_id`` leaves, None if it does not."""
+        return self._leaving.seconds(upstream_id)
+
+    def leaving_unlisted(self) -> list[str]:
+        """Return the ids of those that leave while their entries say that they take work."""
+        listed = self._copy.by_id
+        return [key for key, one in listed.items() if not one.leaving and key in self._leaving]
+
     @property
     def copy(self) -> ListCopy:
         """All that are listed, with their digest."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -88,7 +88,8 @@
 
     ``unreachable`` upstreams have taken no connection of this instance lately.
     ``so_far`` is told once to each order giver, which has heard nothing before. At its
-    ``address`` it answers questions of others.
+    ``address`` it answers questions of others. ``leaving`` upstreams have said so in their
+    answers, and the list does not yet.
     """
 
     instance: str
@@ -101,6 +102,7 @@
     drawn: list[DrawnEntry] = []
     address: str = ""
     rate_limits: list[RateLimitEntry] = []
+    leaving: list[str] = []
 
 
 class HeldEntry(msgspec.Struct, array_like=True):
@@ -134,7 +136,8 @@
     ``instances`` were heard of lately. ``failing`` are the parts of their requests that
     upstreams fail over all instances, told with the regular news as ``grants`` are.
     ``peers`` are addresses of some instances, told with all that is held. ``rate_limits``
-    are those of upstreams: all in regular news, else those with new permits.
+    are those of upstreams: all in regular news, else those with new permits. ``leaving``
+    upstreams have said so to any instance, and the list does not yet.
     """
 
     giver: str
@@ -149,3 +152,4 @@
     grants: list[GrantEntry] | None = None
     peers: list[str] = []
     rate_limits: list[PermitEntry] = []
+    leaving: list[str] = []
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -111,6 +111,7 @@
         self._demand.heard(news)
         self._failing.heard(news.outcomes)
         self._use.heard(news.instance, news.drawn)
+        self._directory.note_leaving(news.leaving, "instance")
         if self._issuer.heard(news.instance, news.rate_limits):
             self._wake.set()
         if self._instances.heard(news):
@@ -268,6 +269,7 @@
             self._use.grants(self._limits_by_name()) if regular else None,
             self._some_peers() if all_held else [],
             limits,
+            self._directory.leaving_unlisted(),
         )
 
     def _some_peers(self) -> list[str]:
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_answer_notices.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_answer_notices.py
@@ -64,3 +64,16 @@
             if rejected + SENT_BEFORE_SECONDS < at < rejected + RETRY_AFTER_SECONDS
         ]
         assert len(within) <= MOST_WITHIN_RETRY_TIME
+
+
+def test_leaving_that_one_instance_is_told_is_known_to_all(deployment):
+    # Guards against instances that each learn it by a request of their own.
+    leaving = deployment.worker("w1", "m1")
+    deployment.worker("w2", "m2")
+    instances = [deployment.instance(name) for name in INSTANCES]
+    leaving.leaving = True
+    assert instances[0].ask("m1")[0] == 200
+    for instance in instances:
+        until(lambda log=instance.log: b"event=upstream_leaving" in log.read_bytes(), "the news")
+    assert instances[2].ask("m1", request="later")[0] == 200
+    assert leaving.runs == ["r1"]
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_leaving.py
@@ -0,0 +1,83 @@
+"""Upstreams that say that they leave where the list does not yet."""
+
+import pytest
+from redwingscale_daemon._internal.fleet.answer_notice import AnswerNotice
+from redwingscale_daemon._internal.fleet.fleet import new_fleet
+from redwingscale_daemon._internal.fleet.leaving_upstreams import (
+    REMEMBERED_SECONDS,
+    LeavingUpstreams,
+)
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+
+LEAVING = AnswerNotice(leaving=True)
+
+
+def upstream(key, *, born=None):
+    name = key if born is None else f"{key}@{born}"
+    return Upstream(
+        name, "llm", "127.0.0.1", 1, "z", 8, False, None, {}, frozenset(), frozenset(),
+        named=key, born=born,
+    )  # fmt: skip
+
+
+@pytest.fixture
+def fleet():
+    made = new_fleet()
+    made.directory.replace([upstream("a"), upstream("b")], 1)
+    return made
+
+
+def usable(fleet):
+    return {one.id for one in fleet.directory.usable("llm")}
+
+
+def test_list_that_says_otherwise_does_not_end_the_leaving_that_an_answer_tells(fleet):
+    # Guards against an upstream that is used again because its entry is older than its answer.
+    fleet.notices.take("a", LEAVING, "answer")
+    fleet.directory.replace([upstream("a"), upstream("b")], 2)
+    fleet.directory.update([upstream("a")], [], 3)
+    assert usable(fleet) == {"b"}
+
+
+def test_entry_that_lapsed_and_returned_does_not_end_the_leaving(fleet):
+    # Guards against an upstream that is used again after an outage of the store.
+    fleet.notices.take("a", LEAVING, "answer")
+    fleet.directory.replace([upstream("b")], 2)
+    fleet.directory.replace([upstream("a"), upstream("b")], 3)
+    assert usable(fleet) == {"b"}
+
+
+def test_next_start_under_the_name_does_not_leave(fleet):
+    # Guards against a restarted upstream that is never used.
+    fleet.directory.replace([upstream("a", born=1)], 2)
+    fleet.notices.take("a@1", LEAVING, "answer")
+    fleet.directory.replace([upstream("a", born=2)._replace(row_version=2)], 3)
+    assert usable(fleet) == {"a@2"}
+
+
+def test_notice_of_an_upstream_that_is_not_listed_is_dropped(fleet):
+    # Guards against a memory that grows with each upstream that has gone.
+    fleet.notices.take("c", LEAVING, "answer")
+    assert fleet.directory.leaving_seconds("c") is None
+
+
+def test_waiting_requests_hear_of_a_leaving_upstream(fleet):
+    # Guards against requests that wait on for an upstream that takes none.
+    seen = fleet.changes.count
+    fleet.notices.take("a", LEAVING, "answer")
+    assert fleet.changes.count > seen
+
+
+def test_upstream_that_has_long_been_gone_is_forgotten():
+    # Guards against a memory that grows with each upstream that has left.
+    now = [0.0]
+    leaving = LeavingUpstreams(lambda: now[0])
+    assert leaving.note(["a"]) == {"a"}
+    now[0] = REMEMBERED_SECONDS - 1
+    leaving.follow(["a"])
+    now[0] += REMEMBERED_SECONDS - 1
+    leaving.follow([])
+    assert "a" in leaving
+    now[0] += 1
+    leaving.follow([])
+    assert "a" not in leaving
