Send nothing to an upstream before the time that its rejection names

A rejection made the upstream look idle, so that it was chosen again.

Fix: RetryTimes keeps the latest time by the start of the upstream, SendGate joins it with the rate limits, and whatever calls an upstream asks the gate: choice and last check before the sending, own reports, reports and orders of the order giver. A request that was rejected may go to the same upstream again when its time has come; one that cannot wait for it is refused at once, with the time. Where the order giver may load the model elsewhere, it first waits 0.3 s for word of that, and the time to come back is no longer than a load. An upstream that rejects more instances than it serves counts as absent in the plan, so that its models are loaded elsewhere.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -166,7 +166,7 @@
         fleet.health,
         fleet.pace,
         budget,
-        fleet.rates,
+        fleet.gate,
         fleet.notices,
     )
     wait = HolderWait(
@@ -175,7 +175,7 @@
         fleet.holdings,
         swaps.needs,
         open_requests,
-        fleet.rates,
+        fleet.gate,
         lambda: own_reports.come_back_seconds,
     )
     return Entry(
@@ -215,7 +215,7 @@
         runs_models,
         client.report,
         settings.bounds.leave,
-        fleet.rates.draw,
+        fleet.gate.draw,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -177,6 +177,7 @@
             peers.desk.address,
             fleet.rates.tell(all_of_it=introduce),
             fleet.directory.leaving_unlisted(),
+            fleet.retry_times.pending(),
         )
         own_demand.heard(news)
         return news
@@ -188,7 +189,7 @@
         lease.fence,
         lambda: lease.succeeds_another,
         settings.bounds.order_quiet,
-        issuer.draw,
+        lambda upstream: not fleet.retry_times.remaining(upstream) and issuer.draw(upstream),
     )
     hub = GiverHub(settings.host, news_port, needs_port, lambda news: giver.heard(news))
     giver = OrderGiver(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -69,7 +69,7 @@
         self._prefixes = fleet.prefixes
         self._health = fleet.health
         self._pace = fleet.pace
-        self._rates = fleet.rates
+        self._gate = fleet.gate
         # Not for secrets: it only spreads requests.
         self._random = random.Random()
 
@@ -95,13 +95,13 @@
         candidates = [self._prompt_candidate(u, prompt, home) for u in holders]
         return self._cheapest(candidates, compare_all=compare_all)
 
-    def limited_plain(self, service: str, tried: Collection[str]) -> list[str]:
-        """Return the ids of those that `for_plain` leaves out for their rate limits."""
-        return self._limited(self._of_plain(service, tried)) if self._rates.known else []
+    def held_back_plain(self, service: str, tried: Collection[str]) -> list[str]:
+        """Return the ids of those that `for_plain` leaves out as they take no request now."""
+        return self._held_back(self._of_plain(service, tried)) if self._gate.known else []
 
-    def limited_holders(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
-        """Return the ids of those that `for_prompt` leaves out for their rate limits."""
-        return self._limited(self._holders(service, prompt, tried)) if self._rates.known else []
+    def held_back_holders(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
+        """Return the ids of those that `for_prompt` leaves out as they take no request now."""
+        return self._held_back(self._holders(service, prompt, tried)) if self._gate.known else []
 
     def _of_plain(self, service: str, tried: Collection[str]) -> list[Upstream]:
         usable = self._directory.usable(service)
@@ -112,13 +112,13 @@
         return [u for u in holders if u.id not in tried and not self._health.unreachable(u.id)]
 
     def _ready(self, upstreams: list[Upstream]) -> list[Upstream]:
-        """Return those that take a request now, by their rate limits."""
-        if not self._rates.known:
+        """Return those that take a request now, by their rate limits and retry times."""
+        if not self._gate.known:
             return upstreams
-        return [u for u in upstreams if self._rates.may_send(u.id)]
+        return [u for u in upstreams if self._gate.may_send(u.id)]
 
-    def _limited(self, upstreams: list[Upstream]) -> list[str]:
-        return [u.id for u in upstreams if not self._rates.may_send(u.id)]
+    def _held_back(self, upstreams: list[Upstream]) -> list[str]:
+        return [u.id for u in upstreams if not self._gate.may_send(u.id)]
 
     def _plain_cost(self, upstream: Upstream) -> float:
         requests = self._book.total(upstream.id).requests
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -13,6 +13,7 @@
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 from redwingscale_daemon._internal.fleet.retry_times import RetryTimes
+from redwingscale_daemon._internal.fleet.send_gate import SendGate
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
 
@@ -29,6 +30,7 @@
     outcomes: Outcomes
     rates: RateLimits
     retry_times: RetryTimes
+    gate: SendGate
     notices: AnswerNotices
 
 
@@ -53,5 +55,6 @@
         outcomes,
         rates,
         retry_times,
+        SendGate(rates, retry_times),
         notices,
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/retry_times.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/retry_times.py
@@ -23,6 +23,11 @@
             known = self._retry_at_by_id.get(upstream_id, float("-inf"))
             self._retry_at_by_id[upstream_id] = max(known, self._clock() + seconds)
 
+    @property
+    def known(self) -> bool:
+        """Whether any upstream has named a time."""
+        return bool(self._retry_at_by_id)
+
     def remaining(self, upstream_id: str) -> float:
         """Return the seconds until ``upstream_id`` may be asked again, 0 for now."""
         retry_at = self._retry_at_by_id.get(upstream_id)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/send_gate.py
@@ -0,0 +1,51 @@
+"""Whether an upstream takes a request of this instance now, by what it has said of itself."""
+
+from collections.abc import Iterable
+from contextlib import AbstractContextManager
+
+from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
+from redwingscale_daemon._internal.fleet.retry_times import RetryTimes
+
+
+class SendGate:
+    """Joins rate limits, which count for all instances, and retry times, for this one."""
+
+    def __init__(self, rates: RateLimits, retry_times: RetryTimes) -> None:
+        self._rates = rates
+        self._retry_times = retry_times
+
+    @property
+    def known(self) -> bool:
+        """Whether any upstream has said anything: requests look no further otherwise."""
+        return self._rates.known or self._retry_times.known
+
+    def may_send(self, upstream_id: str) -> bool:
+        """Return whether a request may be sent now, and note that one could be."""
+        return not self._retry_times.remaining(upstream_id) and self._rates.may_send(upstream_id)
+
+    def draw(self, upstream_id: str) -> bool:
+        """Use up the permit for one request or call; return whether it may be sent."""
+        return not self._retry_times.remaining(upstream_id) and self._rates.draw(upstream_id)
+
+    def wait_seconds(self, upstream_ids: Iterable[str]) -> float:
+        """Return how long it takes until one of the upstreams takes a further request."""
+        return min(map(self._wait_seconds, upstream_ids), default=0.0)
+
+    def retry_seconds(self, upstream_ids: Iterable[str]) -> float:
+        """Return how long it takes until one of the upstreams may be asked again."""
+        return min(map(self._retry_times.remaining, upstream_ids), default=0.0)
+
+    def waiting(self, upstream_ids: Iterable[str]) -> AbstractContextManager[None]:
+        """Count a request that waits for a permit for one of the upstreams."""
+        return self._rates.waiting(key for key in upstream_ids if self._limited(key))
+
+    def rate_limited(self, upstream_ids: Iterable[str]) -> bool:
+        """Return whether a rate limit holds requests back from one of the upstreams."""
+        return any(map(self._limited, upstream_ids))
+
+    def _limited(self, upstream_id: str) -> bool:
+        return self._rates.per_second(upstream_id) is not None
+
+    def _wait_seconds(self, upstream_id: str) -> float:
+        queue = self._rates.wait_seconds([upstream_id]) if self._limited(upstream_id) else 0.0
+        return max(self._retry_times.remaining(upstream_id), queue)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -72,6 +72,9 @@
         to as many upstreams as the route allows.
         """
         self.history.append(f"{outcome.upstream.id}:{outcome.reason}")
+        if isinstance(outcome, NotRun) and outcome.retry_later:
+            # It is chosen only when its time has come.
+            self.tried.discard(outcome.upstream.id)
         if self.sendings >= MOST_SENDINGS:
             return False
         match outcome:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -11,17 +11,19 @@
 from redwingscale_daemon._internal.fleet.chooser import Candidate, Chooser
 from redwingscale_daemon._internal.fleet.holdings import Holdings
 from redwingscale_daemon._internal.fleet.prompt import Prompt
-from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
+from redwingscale_daemon._internal.fleet.send_gate import SendGate
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.giving_up import given_up
-from redwingscale_daemon._internal.forwarding.rate_limit_wait import RateLimitWait
+from redwingscale_daemon._internal.forwarding.send_wait import SendWait
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 
 # How often a waiting request looks whether its caller is still there.
 LOOK_SECONDS = 0.05
 # An order giver that is there answers a new need within some tens of milliseconds.
 UNTOLD_SECONDS = 0.6
+# A load for a request whose holders reject it is told within this time, if there is one.
+TOLD_LOAD_SECONDS = 0.3
 # A request that waits must leave its upstream time to read the prompt.
 SERVICE_SECONDS = 0.25
 # Without news of a load there is none under way: coming back soon would only be
@@ -58,7 +60,7 @@
     holdings: Holdings
     needs: Needs
     open_requests: OpenRequests
-    rates: RateLimits
+    gate: SendGate
     # When to come back if this instance hears neither the order giver nor the list, None
     # while it hears one of them.
     cut_off: Callable[[], float | None] = lambda: None
@@ -72,23 +74,26 @@
         found = self.chooser.for_prompt(call.service, prompt, call.attempts.tried)
         if found is not None:
             return self._in_time(call, prompt, found)
-        limited = self.chooser.limited_holders(call.service, prompt, call.attempts.tried)
-        if limited:
-            self._check_queue(call, prompt, limited)
-        with self.rates.waiting(limited):
+        held_back = self.chooser.held_back_holders(call.service, prompt, call.attempts.tried)
+        if held_back:
+            self._check_queue(call, prompt, held_back)
+        with self.gate.waiting(held_back):
             self.needs.ask(call.service, prompt.unit, _patience(call))
             try:
                 return self._wait(call, prompt)
             finally:
                 self.needs.done(call.service, prompt.unit)
 
-    def _check_queue(self, call: Call, prompt: Prompt, limited: list[str]) -> None:
-        """Raise `Refusal` where neither the holders with a limit nor a load serve it in time."""
+    def _check_queue(self, call: Call, prompt: Prompt, held_back: list[str]) -> None:
+        """Raise `Refusal` where neither the holders that take none now nor a load serve it in time."""
         ready_in = self.holdings.ready_in(str(prompt.unit))
         if ready_in is not None and ready_in <= _patience(call):
             return
+        if not self.gate.rate_limited(held_back):
+            # The order giver may bring the unit to another upstream for this request.
+            return
         try:
-            RateLimitWait(self.rates, self.changes).check_queue(call, limited, _patience(call))
+            SendWait(self.gate, self.changes).check_queue(call, held_back, _patience(call))
         except Refusal:
             self.needs.missed(call.service, prompt.unit)
             raise
@@ -133,15 +138,28 @@
         if self.open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS:
             raise given_up(call, "stopping", "the instance stops", STOPPING_COME_BACK_SECONDS)
 
+    def _check_retry_times(
+        self, call: Call, prompt: Prompt, held_back: list[str], ready_in: float | None
+    ) -> None:
+        """Raise `Refusal` where rejections name later times than the request can wait for."""
+        retry_in = self.gate.retry_seconds(held_back)
+        if not held_back or retry_in <= max(0.0, _patience(call)):
+            return
+        self.needs.missed(call.service, prompt.unit)
+        detail = f"{','.join(held_back)} may be asked again in {retry_in:.2f} s"
+        come_back = min(retry_in, ready_in or COME_BACK_SECONDS)
+        raise given_up(call, "upstream_rejects", detail, come_back)
+
     def _give_up_if_hopeless(self, call: Call, prompt: Prompt, waited: float) -> None:
         if (come_back := self.cut_off()) is not None:
             # Nobody hears of the need from here: another instance may be better off.
             raise given_up(call, "cut_off", f"no news of {prompt.unit}", come_back)
         left = _patience(call)
         ready_in = self.holdings.ready_in(str(prompt.unit))
-        if ready_in is not None and not self.chooser.limited_holders(
-            call.service, prompt, call.attempts.tried
-        ):
+        held_back = self.chooser.held_back_holders(call.service, prompt, call.attempts.tried)
+        if waited > TOLD_LOAD_SECONDS and (ready_in is None or ready_in > left):
+            self._check_retry_times(call, prompt, held_back, ready_in)
+        if ready_in is not None and not held_back:
             hopeless = ready_in > left
         elif self.holdings.fresh:
             hopeless = left <= 0
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
@@ -20,7 +20,8 @@
 
     ``wrong_place`` tells that it does not hold what the request asks for, or is
     another process than the one meant, which then is ``gone``; else it is full or
-    cannot be reached.
+    cannot be reached. ``retry_later`` tells that it has named the time from which it
+    takes requests again.
     """
 
     upstream: Upstream
@@ -28,6 +29,7 @@
     wrong_place: bool
     reached: bool
     gone: bool = False
+    retry_later: bool = False
 
 
 class Lost(NamedTuple):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
@@ -7,7 +7,7 @@
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.load_book import LoadBook
 from redwingscale_daemon._internal.fleet.pace import Pace
-from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
+from redwingscale_daemon._internal.fleet.send_gate import SendGate
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.sender import Sender
@@ -23,5 +23,5 @@
     health: Health
     pace: Pace
     budget: RepeatBudget
-    rates: RateLimits
+    gate: SendGate
     notices: AnswerNotices
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -17,7 +17,7 @@
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
-from redwingscale_daemon._internal.forwarding.rate_limit_wait import RateLimitWait
+from redwingscale_daemon._internal.forwarding.send_wait import SendWait
 from redwingscale_daemon._internal.forwarding.sending_failure import OWN_FAILURES, note_failure
 from redwingscale_daemon._internal.forwarding.whole_answer import read_whole
 from redwingscale_daemon._internal.models.run_state import RunState
@@ -36,7 +36,7 @@
 
     def __init__(self, parts: RelayParts, changes: Changes) -> None:
         self._parts = parts
-        self._rate_wait = RateLimitWait(parts.rates, changes)
+        self._send_wait = SendWait(parts.gate, changes)
 
     def run(self, call: Call) -> None:
         """Answer ``call``; raise `Refusal`, `CallerLeft`."""
@@ -46,8 +46,8 @@
                 if _deliver_failure(call):
                     return
                 raise _nobody(call.attempts)
-            if not self._parts.rates.draw(candidate.upstream.id):
-                # Another request has used the permit.
+            if not self._parts.gate.draw(candidate.upstream.id):
+                # Another request has used the permit, or was rejected.
                 continue
             load = self._parts.book.total(candidate.upstream.id)
             notices = self._parts.notices.known(candidate.upstream.id)
@@ -60,7 +60,7 @@
                 ticket.leave()
 
     def _candidate(self, call: Call) -> Candidate | None:
-        """Return the best upstream, waiting for one with a rate limit; None without any."""
+        """Return the best upstream, waiting for one that takes no request yet; None without any."""
 
         def choose() -> Candidate | None:
             return self._parts.chooser.for_plain(call.service, call.attempts.tried)
@@ -68,11 +68,11 @@
         found = choose()
         if found is not None or call.attempts.failure is not None:
             return found
-        limited = self._parts.chooser.limited_plain(call.service, call.attempts.tried)
-        if not limited:
+        held_back = self._parts.chooser.held_back_plain(call.service, call.attempts.tried)
+        if not held_back:
             return None
-        return self._rate_wait.candidate(
-            call, limited, lambda: call.watch.remaining() - SERVICE_SECONDS, choose
+        return self._send_wait.candidate(
+            call, held_back, lambda: call.watch.remaining() - SERVICE_SECONDS, choose
         )
 
     def _send(self, call: Call, upstream: Upstream) -> bool:
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/send_wait.py
@@ -0,0 +1,58 @@
+"""Waits until upstreams that hold requests back take one."""
+
+from collections.abc import Callable, Collection
+
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.chooser import Candidate
+from redwingscale_daemon._internal.fleet.send_gate import SendGate
+from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.giving_up import given_up
+
+# How often a waiting request looks whether its caller is still there.
+LOOK_SECONDS = 0.05
+LEAST_COME_BACK_SECONDS = 0.3
+
+
+class SendWait:
+    """Holds a request while its turn comes in time, and refuses it at once where it does not."""
+
+    def __init__(self, gate: SendGate, changes: Changes) -> None:
+        self._gate = gate
+        self._changes = changes
+
+    def check_queue(self, call: Call, held_back: Collection[str], patience_seconds: float) -> None:
+        """Raise `Refusal` where no upstream takes the request as long as it can wait."""
+        if self._gate.wait_seconds(held_back) > patience_seconds:
+            raise self._refusal(call, held_back, patience_seconds)
+
+    def candidate(
+        self,
+        call: Call,
+        held_back: Collection[str],
+        patience_seconds: Callable[[], float],
+        choose: Callable[[], Candidate | None],
+    ) -> Candidate:
+        """Return what ``choose`` finds before patience ends; raise `Refusal`, `CallerLeft`."""
+        self.check_queue(call, held_back, patience_seconds())
+        with self._gate.waiting(held_back):
+            while True:
+                seen = self._changes.count
+                if (found := choose()) is not None:
+                    return found
+                # A rejection may have come meanwhile that names a later time.
+                patience = max(0.0, patience_seconds())
+                if not patience or self._gate.retry_seconds(held_back) > patience:
+                    raise self._refusal(call, held_back, patience)
+                self._changes.wait(seen, LOOK_SECONDS)
+                call.watch.check_caller()
+
+    def _refusal(self, call: Call, held_back: Collection[str], patience_seconds: float) -> Refusal:
+        wait = self._gate.wait_seconds(held_back)
+        limited = self._gate.rate_limited(held_back)
+        return given_up(
+            call,
+            "upstream_rate_limited" if limited else "upstream_rejects",
+            f"{','.join(held_back)} would take it in {wait:.2f} s, {patience_seconds:.2f} s are left",
+            max(LEAST_COME_BACK_SECONDS, wait),
+        )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -11,6 +11,7 @@
     TimeLimitReached,
     UpstreamSilent,
 )
+from redwingscale_daemon._internal.fleet.answer_notice import AnswerNotice
 from redwingscale_daemon._internal.fleet.answer_notices import AnswerNotices
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
@@ -64,9 +65,10 @@
         if response is None:
             connection.discard()
             return Lost(upstream, "answers of other requests")
-        self._note(upstream, response, sent_at)
+        notice = self._note(upstream, response, sent_at)
         if self._dialect.was_not_run(response):
-            return self._refused(upstream, connection, response)
+            refused = self._refused(upstream, connection, response)
+            return refused._replace(retry_later=notice.retry_after_seconds is not None)
         return Answering(upstream, connection, response)
 
     def keep(self, answering: Answering) -> None:
@@ -99,13 +101,14 @@
         response = connection.receive_next(request.method)
         return response if self._dialect.answers(response, request_id) else None
 
-    def _note(self, upstream: Upstream, response: HTTPResponse, sent_at: float) -> None:
+    def _note(self, upstream: Upstream, response: HTTPResponse, sent_at: float) -> AnswerNotice:
         if self._dialect.is_from_another(response, upstream.platform_name):
-            return
+            return AnswerNotice()
         notice = self._dialect.read_notice(response.status, response.headers)
         # What answers without a signature may be garbled.
         signed_at = sent_at if self._dialect.is_signed(response) else None
         self._notices.take(upstream.id, notice, "answer", signed_at)
+        return notice
 
     def _refused(
         self, upstream: Upstream, connection: UpstreamConnection, response: HTTPResponse
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -77,8 +77,8 @@
         progress = _Progress(call.terms.last_event)
         while True:
             candidate = self._wait.candidate(call, prompt)
-            if not self._parts.rates.draw(candidate.upstream.id):
-                # Another request has used the permit.
+            if not self._parts.gate.draw(candidate.upstream.id):
+                # Another request has used the permit, or was rejected.
                 continue
             if not call.attempts.sendings:
                 call.permit.check()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
@@ -16,15 +16,17 @@
 class Totals(NamedTuple):
     """Loads and open requests by unit, by upstream id, over all instances.
 
-    ``cut_off`` upstreams cannot be reached by most instances.
+    ``cut_off`` upstreams cannot be reached by most instances. ``rejecting`` ones have
+    turned more instances away than they serve.
     """
 
     loads: dict[str, Load]
     uses: dict[str, dict[Unit, int]]
     cut_off: set[str]
+    rejecting: set[str]
 
 
-NO_TOTALS = Totals({}, {}, set())
+NO_TOTALS = Totals({}, {}, set(), set())
 
 
 class _Told(NamedTuple):
@@ -62,7 +64,7 @@
         since = time.monotonic() - FRESH_SECONDS
         told = list(self._told_by_instance.values())
         fresh = [one.news for one in told if one.at > since]
-        return Totals(_loads(fresh), _uses(fresh), _cut_off(fresh))
+        return Totals(_loads(fresh), _uses(fresh), _cut_off(fresh), _rejecting(fresh))
 
 
 def _loads(fresh: list[InstanceNews]) -> dict[str, Load]:
@@ -91,3 +93,15 @@
     """
     counts = Counter(key for news in fresh for key in set(news.unreachable))
     return {key for key, count in counts.items() if count * 2 > len(fresh)}
+
+
+def _rejecting(fresh: list[InstanceNews]) -> set[str]:
+    """Return the upstreams that reject more instances than they serve.
+
+    What they hold is missed by the callers whom they turn away, and a model that is
+    brought there could not be used. Among hundreds of instances most send such an
+    upstream nothing at all, so those that it serves are counted, not all there are.
+    """
+    rejected = Counter(key for news in fresh for key in set(news.rejecting))
+    served = Counter(entry.upstream for news in fresh for entry in news.loads if entry.requests)
+    return {key for key, count in rejected.items() if count > served[key]}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -89,7 +89,8 @@
     ``unreachable`` upstreams have taken no connection of this instance lately.
     ``so_far`` is told once to each order giver, which has heard nothing before. At its
     ``address`` it answers questions of others. ``leaving`` upstreams have said so in their
-    answers, and the list does not yet.
+    answers, and the list does not yet. ``rejecting`` ones have named times before which they
+    want nothing from the instance.
     """
 
     instance: str
@@ -103,6 +104,7 @@
     address: str = ""
     rate_limits: list[RateLimitEntry] = []
     leaving: list[str] = []
+    rejecting: list[str] = []
 
 
 class HeldEntry(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/service_views.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/service_views.py
@@ -31,7 +31,7 @@
         self._limits_by_id = limits_by_id
 
     def views(self, service: str, totals: Totals) -> list[WorkerView]:
-        """Return the workers of ``service`` that take new work and that most instances reach."""
+        """Return the workers of ``service`` that take new work of most instances."""
         views = self._workers.views(self._directory.usable(service), totals)
         limits_by_id = self._limits_by_id()
         if not limits_by_id:
@@ -44,12 +44,13 @@
         )
 
     def missing(
-        self, service: str, engine: EngineRule, views: Sequence[WorkerView]
+        self, service: str, engine: EngineRule, views: Sequence[WorkerView], totals: Totals
     ) -> list[WaitingUnit]:
         """Return what requests miss that is at none of ``views`` and on no way there.
 
-        Behind the queue of an upstream with a limit most requests are refused at once, and
-        wait nowhere: their models are missing all the same.
+        Behind the queue of an upstream with a limit, or before the retry time of one that
+        rejects, most requests are refused at once, and wait nowhere: their models are missing
+        all the same.
         """
         present = {name for view in views for name in [*view.held, view.loading]}
         waiting = [
@@ -57,7 +58,7 @@
             for one in self._demand.waiting()
             if one.service == service and one.unit.model not in present
         ]
-        if not self._limits_by_id():
+        if not self._limits_by_id() and not totals.rejecting:
             return waiting
         known = present | {one.unit.model for one in waiting}
         refused = [
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -29,7 +29,7 @@
 ADAPTER_SECONDS = 0.02
 # An unload waits for its runs; streams last a few seconds.
 UNLOAD_LIMIT_SECONDS = 12.0
-# An upstream with a rate limit may take a call later than this.
+# An upstream with a rate limit or a retry time may take a call later than this.
 TURN_SECONDS = 4.0
 # Loads take up to three times as long while many run at once.
 LOAD_LIMIT_FACTOR = 4.0
@@ -43,7 +43,7 @@
     ``fence`` returns the number to use now, None without the right. Where another
     process gave the orders before, ``succeeds_another`` tells so, and its last
     order is ``quiet_seconds`` old when the first one is given here. ``may_call`` tells
-    whether the rate limit of an upstream lets one more call through now.
+    whether the rate limit and the retry time of an upstream let one more call through now.
     """
 
     instance: str
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
@@ -68,8 +68,9 @@
         }
 
     def views(self, usable: Iterable[Upstream], totals: Totals) -> list[WorkerView]:
-        """Return those of ``usable`` that most instances reach, as the planner sees them."""
-        reached = [one for one in usable if one.id not in totals.cut_off]
+        """Return those of ``usable`` that take most instances' requests, as the planner sees them."""
+        without = totals.cut_off | totals.rejecting
+        reached = [one for one in usable if one.id not in without]
         return [self._view(one, totals) for one in reached if one.id in self._by_id]
 
     def _view(self, upstream: Upstream, totals: Totals) -> WorkerView:
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_answer_notices.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_answer_notices.py
@@ -9,6 +9,8 @@
 CALLERS_EACH = 2
 LEAVE_SECONDS = 2.0
 RETRY_AFTER_SECONDS = 3.0
+# Longer than any request of the tests can wait.
+LONG_RETRY_AFTER_SECONDS = 60.0
 # Requests that were on their way at the rejection.
 SENT_BEFORE_SECONDS = 0.5
 MOST_WITHIN_RETRY_TIME = 2
@@ -77,3 +79,14 @@
         until(lambda log=instance.log: b"event=upstream_leaving" in log.read_bytes(), "the news")
     assert instances[2].ask("m1", request="later")[0] == 200
     assert leaving.runs == ["r1"]
+
+
+def test_models_of_a_rejecting_upstream_are_served_by_another(deployment):
+    # Guards against callers that are refused for as long as the only holder rejects.
+    rejecting = deployment.worker("w1", "m1")
+    others = [deployment.worker("w2", "m2"), deployment.worker("w3", "m3", "m4")]
+    one = deployment.instance("one")
+    rejecting.retry_after = LONG_RETRY_AFTER_SECONDS
+    assert one.ask("m1")[0] == 200
+    assert any("m1" in other.models for other in others)
+    assert not rejecting.runs
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_instance_totals.py
@@ -0,0 +1,27 @@
+"""What instances tell of upstreams that turn requests away."""
+
+from redwingscale_daemon._internal.swaps.instance_totals import InstanceTotals
+from redwingscale_daemon._internal.swaps.messages import InstanceNews, LoadEntry
+
+
+def news(instance, *, rejecting=(), serving=()):
+    loads = [LoadEntry(key, 1, 0) for key in serving]
+    return InstanceNews(instance, [], loads, [], [], rejecting=list(rejecting))
+
+
+def rejecting(*told):
+    totals = InstanceTotals()
+    for one in told:
+        totals.heard(one)
+    return totals.sum().rejecting
+
+
+def test_upstream_that_rejects_the_few_that_ask_it_counts_as_rejecting():
+    # Guards against models that stay where nobody is served, as most of many instances never ask.
+    others = [news(f"i{number}") for number in range(60)]
+    assert rejecting(news("a", rejecting=["w"]), *others) == {"w"}
+
+
+def test_upstream_that_serves_more_instances_than_it_rejects_does_not_count():
+    # Guards against loads elsewhere for one rejection of an upstream that is full for a moment.
+    assert rejecting(news("a", rejecting=["w"]), news("b", serving=["w"])) == set()
