--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_change_in_time.py
@@ -0,0 +1,108 @@
+"""When a change is in force at an instance that relies on the order giver's word."""
+
+import time
+
+import pytest
+from redwingscale_daemon._internal.exceptions import PlatformUnavailable
+from redwingscale_daemon._internal.platform.store_client import (
+    ANSWER_SECONDS,
+    FEED_MARGIN_SECONDS,
+)
+from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.route_follower import RouteFollower
+from redwingscale_daemon._internal.routes.route_news import RouteNews
+from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
+from redwingscale_daemon._internal.store.link_state import LinkState
+from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+
+ROW = RowKey("op", "", "config")
+READ_SECONDS = 0.02
+
+
+class Clock:
+    """Simulated time: what waits moves it on."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def sleep(self, seconds):
+        self.now += seconds
+
+
+class Store:
+    """Answers with the newest version; some calls get no answer."""
+
+    def __init__(self, clock):
+        self.version = 1
+        self.lost = 0
+        self._clock = clock
+
+    def read(self, table, partition):
+        return self._answer(ANSWER_SECONDS)
+
+    def changes(self, table, after, wait_seconds):
+        return self._answer(wait_seconds + FEED_MARGIN_SECONDS)
+
+    def _answer(self, limit_seconds):
+        if self.lost:
+            self.lost -= 1
+            self._clock.sleep(limit_seconds)
+            raise PlatformUnavailable("no answer")
+        self._clock.sleep(READ_SECONDS)
+        row = StoredRow(ROW, self.version, str(self.version).encode())
+        return Snapshot((row,), self.version)
+
+
+def decode(value):
+    return RouteTable(int(value), (), {}, IngressLimits(1000, 1000, 1.0, 1.0))
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    made = Clock()
+    monkeypatch.setattr(time, "monotonic", lambda: made.now)
+    monkeypatch.setattr(time, "sleep", made.sleep)
+    return made
+
+
+@pytest.fixture
+def store(clock):
+    return Store(clock)
+
+
+def in_force_after(clock, store, news, in_force_seconds):
+    """Return how long version 2 takes that is confirmed just after the giver's last word."""
+    routes = CurrentRoutes()
+    follower = RouteFollower(
+        store,
+        ROW,
+        decode,
+        routes,
+        LinkState("configuration"),
+        news,
+        lambda: False,
+        in_force_seconds,
+    )
+    follower.step()
+    news.take(1, 0.0)
+    follower.step()
+    news.take(1, 0.0)
+    confirmed_at, store.version, store.lost = clock.now, 2, 1
+    while routes.get().version == 1:
+        follower.step()
+    return clock.now - confirmed_at
+
+
+@pytest.mark.parametrize("in_force_seconds", [2.0, 3.0])
+def test_change_is_in_time_though_the_giver_falls_silent_and_one_read_is_lost(
+    clock, store, in_force_seconds
+):
+    # Guards against requests that are refused as unknown after their route was confirmed.
+    news = RouteNews(in_force_seconds)
+
+    def wait_for_newer(version, seconds):
+        clock.sleep(seconds)
+        return news.version > version
+
+    news.wait_for_newer = wait_for_newer
+    assert in_force_after(clock, store, news, in_force_seconds) <= in_force_seconds
