Count the time that the order giver's news spend on their way

What callers saw: 404 for a route 3.04 s after its version had been confirmed, at two of 69 instances.

Fix: each message bears the giver's clock; what it takes longer than the quickest one was spent on its way and is added to every age in it. No clock is shared, and drift is allowed for. The same cause elsewhere: the list of upstreams told by the giver, the ages of rate limits, and permits, which are void when they come late, as another giver waits only so long.

SILENT_SECONDS gets its name back, which a replacement had garbled.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -23,7 +23,7 @@
 # A version that was told is read from the store first.
 BEHIND_SECONDS = 0.3
 # An order giver that has been silent for longer may not tell in time of a rate limit.
-GIVER_SIPERMIT_SECONDS = 0.5
+GIVER_SILENT_SECONDS = 0.5
 
 
 class Peers(NamedTuple):
@@ -74,7 +74,7 @@
     gossip = RateLimitGossip(
         fleet.rates,
         questions.known,
-        lambda: not lease.holds and fleet.holdings.age > GIVER_SIPERMIT_SECONDS,
+        lambda: not lease.holds and fleet.holdings.age > GIVER_SILENT_SECONDS,
         questions.tell,
     )
     return Peers(desk, questions, (desk, asking, gossip), fetch_told)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_reports.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_reports.py
@@ -14,7 +14,7 @@
 
 # The order giver tells four times a second: after this it has fallen silent, or the
 # link to it has.
-SIPERMIT_SECONDS = 0.8
+SILENT_SECONDS = 0.8
 # A list that was read within this part of the time in which an upstream that leaves must
 # get no more work says enough; own reads come more often.
 LIST_PART = 0.6
@@ -113,13 +113,13 @@
         # every upstream in each pause of the giver; a failed read tells as soon.
         return self.giver_silent and (
             self._list.age > self._list_seconds
-            or (self._list.lost and self._list.age > SIPERMIT_SECONDS)
+            or (self._list.lost and self._list.age > SILENT_SECONDS)
         )
 
     @property
     def giver_silent(self) -> bool:
         """Whether the order giver has told nothing lately."""
-        return self._holdings.age > SIPERMIT_SECONDS
+        return self._holdings.age > SILENT_SECONDS
 
     @property
     def domain_cut(self) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_limit_messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_limit_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from redwingscale_daemon._internal.fleet.send_permits import MOST_DELAY_SECONDS
+
 
 class RateLimitEntry(msgspec.Struct, array_like=True):
     """What one instance knows of an upstream's limit, ``age`` seconds old.
@@ -32,3 +34,8 @@
     age: float
     waiting: int
     permits_by_instance: dict[str, int]
+
+    def delayed(self, seconds: float) -> "PermitEntry":
+        """Return the entry as it is after ``seconds`` on its way."""
+        permits = self.permits_by_instance if seconds <= MOST_DELAY_SECONDS else {}
+        return msgspec.structs.replace(self, age=self.age + seconds, permits_by_instance=permits)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_hub.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_hub.py
@@ -53,7 +53,8 @@
 
     def publish(self, news: GiverNews) -> int:
         """Tell every instance that listens; never blocks. Return the bytes for each of them."""
-        message = self._encoder.encode(news)
+        sent = msgspec.structs.replace(news, sent_at=time.monotonic())
+        message = self._encoder.encode(sent)
         try:
             self._pub.send(message, block=False)
         except pynng.NNGException as error:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_link.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/giver_link.py
@@ -11,11 +11,14 @@
 
 from redwingscale_daemon._internal.swaps.giver_lease import GiverLease, GiverRecord
 from redwingscale_daemon._internal.swaps.messages import GiverNews, InstanceNews
+from redwingscale_daemon._internal.swaps.news_delay import NewsDelay
 
 NEWS_SECONDS = 0.25
 _RECEIVE_MS = 250
 # Six messages that did not come: the link, not a message, is lost.
 SILENT_SECONDS = 1.5
+# News that are later than this are logged, once until they come in time again.
+LATE_SECONDS = 0.5
 
 # With what was asked for so far, or without.
 MakeNews = Callable[[bool], InstanceNews]
@@ -54,6 +57,8 @@
         self._record: GiverRecord | None = None
         self._sockets: _Sockets | None = None
         self._heard_at = 0.0
+        self._delay = NewsDelay()
+        self._news_late = False
         # The link over which, and whether this instance itself as the order giver, has
         # been told what was asked for before its time.
         self._introduced_over: _Sockets | None = None
@@ -96,7 +101,16 @@
                 self._close()
                 continue
             self._heard_at = time.monotonic()
-            self._on_news(news)
+            self._on_news(news.delayed(self._late_by(news)))
+
+    def _late_by(self, news: GiverNews) -> float:
+        start = self._record.start if self._record else ""
+        seconds = self._delay.seconds(start, news.sent_at)
+        late = seconds > LATE_SECONDS
+        if late != self._news_late:
+            self._news_late = late
+            log_event("giver_news_late", giver=news.giver, late=late, seconds=round(seconds, 3))
+        return seconds
 
     def _follow(self) -> None:
         record = self._lease.record
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -139,7 +139,8 @@
     upstreams fail over all instances, told with the regular news as ``grants`` are.
     ``peers`` are addresses of some instances, told with all that is held. ``rate_limits``
     are those of upstreams: all in regular news, else those with new permits. ``leaving``
-    upstreams have said so to any instance, and the list does not yet.
+    upstreams have said so to any instance, and the list does not yet. It was sent at
+    ``sent_at`` by the giver's monotonic clock.
     """
 
     giver: str
@@ -155,3 +156,17 @@
     peers: list[str] = []
     rate_limits: list[PermitEntry] = []
     leaving: list[str] = []
+    sent_at: float = 0.0
+
+    def delayed(self, seconds: float) -> "GiverNews":
+        """Return the news as they are after ``seconds`` on their way."""
+        upstreams = msgspec.structs.replace(
+            self.store.upstreams, age=self.store.upstreams.age + seconds
+        )
+        store = msgspec.structs.replace(
+            self.store,
+            upstreams=upstreams,
+            configuration_age=self.store.configuration_age + seconds,
+        )
+        limits = [entry.delayed(seconds) for entry in self.rate_limits]
+        return msgspec.structs.replace(self, store=store, rate_limits=limits)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/permit_issuer.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/permit_issuer.py
@@ -9,7 +9,7 @@
 
 from redwingscale_daemon._internal.fleet.rate_limit_messages import PermitEntry, RateLimitEntry
 from redwingscale_daemon._internal.fleet.rate_limits import LEAST_PER_SECOND
-from redwingscale_daemon._internal.fleet.send_permits import PERMIT_SECONDS
+from redwingscale_daemon._internal.fleet.send_permits import MOST_DELAY_SECONDS, PERMIT_SECONDS
 
 # What an instance has told counts for this long without further news of it.
 TOLD_SECONDS = 1.0
@@ -18,8 +18,8 @@
 SAVED_SECONDS = 0.5
 # Requests just before a limit was advertised count in its first window as well.
 FIRST_LEVEL = -1.5
-# Another order giver may have bucket until a moment before this one begins.
-QUIET_SECONDS = PERMIT_SECONDS + 0.5
+# Another order giver may have issued permits until a moment before this one begins.
+QUIET_SECONDS = PERMIT_SECONDS + MOST_DELAY_SECONDS
 
 
 class _Told(NamedTuple):
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_late_news.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_late_news.py
@@ -2,12 +2,15 @@
 
 import time
 
+import msgspec
 import pytest
 from redwingscale_daemon._internal.fleet.list_told import ListTold
+from redwingscale_daemon._internal.fleet.rate_limit_messages import PermitEntry
 from redwingscale_daemon._internal.swaps.giver_hub import GiverHub
 from redwingscale_daemon._internal.swaps.giver_lease import GiverRecord
 from redwingscale_daemon._internal.swaps.giver_link import GiverLink
 from redwingscale_daemon._internal.swaps.messages import GiverNews, InstanceNews, StoreNews
+from redwingscale_daemon._internal.swaps.news_delay import NewsDelay
 from redwingscale_standins.soak.faulty_link import FaultyLink
 
 from .conftest import until
@@ -72,3 +75,47 @@
     store = heard[before].store
     assert store.configuration_age >= HELD_SECONDS - UNSEEN_SECONDS
     assert store.upstreams.age >= HELD_SECONDS - UNSEEN_SECONDS
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    now = [1000.0]
+    monkeypatch.setattr(time, "monotonic", lambda: now[0])
+    return now
+
+
+def test_difference_of_two_clocks_is_no_delay(clock):
+    # Guards against instances that trust no news as the giver's clock shows another time.
+    delay = NewsDelay()
+    assert delay.seconds("a", clock[0] - 500.0) == 0.0
+    assert delay.seconds("a", clock[0] - 501.5) == pytest.approx(1.5)
+    assert delay.seconds("b", clock[0] + 500.0) == 0.0
+
+
+def test_clocks_that_run_at_different_rates_are_no_delay(clock):
+    # Guards against news that seem late after days of uptime.
+    delay = NewsDelay()
+    late = []
+    for second in range(0, 100_000, 100):
+        clock[0] = 1000.0 + second
+        late.append(delay.seconds("a", second * 0.9999))
+    assert max(late) < 0.1
+
+
+def test_news_that_wait_behind_each_other_stay_late(clock):
+    # Guards against a full link whose delay is taken for the normal one.
+    delay = NewsDelay()
+    delay.seconds("a", clock[0])
+    for _ in range(1000):
+        clock[0] += 0.25
+        late = delay.seconds("a", clock[0] - 3.0)
+    assert late > 2.5
+
+
+@pytest.mark.parametrize(("seconds", "permits"), [(0.1, 3), (2.0, 0)])
+def test_permits_that_come_late_are_void(seconds, permits):
+    # Guards against permits of two order givers that are used at the same time.
+    entry = PermitEntry("u", 1.0, 0.2, 0, {"one": 3})
+    news = msgspec.structs.replace(NEWS, rate_limits=[entry]).delayed(seconds)
+    assert news.rate_limits[0].permits_by_instance.get("one", 0) == permits
+    assert news.rate_limits[0].age == pytest.approx(0.2 + seconds)
