Soak: workers that say in their answers that they leave, or reject with a retry time

Both faults are in the planned menu and overlap with all others; check_notices judges each process by what it had passed on itself, where nothing unplanned held up what the worker got.

--- a/packages/redwingscale-daemon/tests/functional/hosted/test_answer_notices.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_answer_notices.py
@@ -58,8 +58,8 @@
     rejecting.retry_after = RETRY_AFTER_SECONDS
     statuses = ask_all([one], 2 * RETRY_AFTER_SECONDS)
     assert set(statuses) == {200}
-    assert rejecting.rejected_at
-    for rejected in rejecting.rejected_at:
+    assert rejecting.rejections
+    for rejected in (one.at for one in rejecting.rejections):
         within = [
             at
             for at in rejecting.called_at
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -19,6 +19,13 @@
     load: float = 0.05
 
 
+class Rejection(NamedTuple):
+    """A request that was rejected, and when, monotonic."""
+
+    request: str
+    at: float
+
+
 class ModelWorker:
     """Holds models that orders load; refuses what it does not hold or isn't meant for it."""
 
@@ -35,8 +42,8 @@
         self.leaving = False
         # It rejects requests and names this time while it isn't None.
         self.retry_after: float | None = None
-        # Of every rejection that named a time, monotonic.
-        self.rejected_at: list[float] = []
+        # Of every request that was rejected with a time.
+        self.rejections: list[Rejection] = []
         # Of every call, monotonic.
         self.called_at: list[float] = []
         self._timing = timing or WorkerTiming()
@@ -93,7 +100,8 @@
         return b""
 
     def _reject(self, retry_after: float) -> bytes:
-        self.rejected_at.append(time.monotonic())
+        request = cherrypy.request.headers.get("X-Redwingscale-Request-Id", "")
+        self.rejections.append(Rejection(request, time.monotonic()))
         cherrypy.response.headers["Retry-After"] = str(retry_after)
         return self._refuse(503)
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/rate_limits/model.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/rate_limits/model.py
@@ -14,7 +14,7 @@
 STEP_SECONDS = 0.05
 NEWS_STEPS = 5
 # After which instances take an order giver for lost.
-SIPERMIT_SECONDS = 0.5
+SILENT_SECONDS = 0.5
 ANSWER_STEPS = 2
 UPSTREAM = "u"
 PATIENCE_SECONDS = 2.0
@@ -119,7 +119,7 @@
     def _pass_on(self) -> None:
         """Let instances tell their peers what they have learned, while nobody gives orders."""
         ended = self.history.giver_ends_at
-        if self.now < ended + SIPERMIT_SECONDS or self.now >= ended + self.history.next_giver_after:
+        if self.now < ended + SILENT_SECONDS or self.now >= ended + self.history.next_giver_after:
             return
         changed = [rates.drain_changed() for rates in self.rates]
         for entries in filter(None, changed):
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
@@ -131,6 +131,7 @@
                 ended_at,
                 ask.leaves,
                 max(node.disturbance.at, self._world.store_disturbance.at),
+                process.pid,
             )
         )
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -8,6 +8,7 @@
 
 from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.soak.faulty_link import FaultyLink
+from redwingscale_standins.soak.notices import reject, say_leaving
 from redwingscale_standins.soak.world import Limited, Node, Place, World
 
 # Between the beginnings of two faults of a series.
@@ -45,6 +46,8 @@
             self._worker_leaves,
             self._worker_leaves_unsaid,
             self._limit_worker,
+            self._worker_leaves_in_answers,
+            self._worker_rejects,
         ]
         unplanned: list[Callable[[], None]] = [
             self._kill_instance,
@@ -275,6 +278,20 @@
     def _worker_leaves(self) -> None:
         self._leave("leaves", LEAVING_SECONDS, lambda place: self._world.list(place, "draining"))
 
+    def _worker_leaves_in_answers(self) -> None:
+        def begin(place: Place) -> None:
+            say_leaving(self._world, place, self._random)
+            self._world.list(place, "draining")
+
+        self._leave("leaves and first says so in its answers", LEAVING_SECONDS, begin)
+
+    def _worker_rejects(self) -> None:
+        place = self._place()
+        if place.worker.retry_after is None:
+            self._begin(
+                f"{place.worker.id} rejects", lambda: reject(self._world, place, self._random)
+            )
+
     def _worker_leaves_unsaid(self) -> None:
         self._leave("leaves and doesn't say so", UNSAID_LEAVING_SECONDS, self._world.unlist)
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/ledger.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/ledger.py
@@ -27,7 +27,8 @@
 class Told(NamedTuple):
     """A caller's view of one request; ``status`` is None for a connection that ended.
 
-    Nothing has disturbed its instance, or the store, since ``calm_since``.
+    Nothing has disturbed its instance, or the store, since ``calm_since``. ``process`` is
+    the id of the instance's process that took it.
     """
 
     request: str
@@ -40,6 +41,7 @@
     ended_at: float
     left: bool
     calm_since: float
+    process: int
 
 
 class Ledger:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -19,6 +19,7 @@
     check_requests,
 )
 from redwingscale_standins.soak.faults import Faults
+from redwingscale_standins.soak.notices import check_notices
 from redwingscale_standins.soak.world import STEADY_KEY, Place, World
 
 CALLERS_EACH = 4
@@ -65,6 +66,7 @@
         check_orders(world, ORDER_QUIET_SECONDS / 2)
         check_limit(world)
         check_rate_limits(world)
+        check_notices(world)
         check_leaving(world, places.left(), planned_only=planned_only)
     finally:
         for caller in callers:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak_worker.py
@@ -31,6 +31,9 @@
         if self.dead:
             drop_connection()
         request = headers.get("X-Redwingscale-Request-Id", "")
+        if self.retry_after is not None:
+            read_body(BODY_LIMIT)
+            return self._reject(self.retry_after)
         path = cherrypy.request.path_info
         model = headers.get("X-Redwingscale-Model-Name")
         if model is not None:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -71,6 +71,20 @@
     calm: bool
 
 
+class Noticed(NamedTuple):
+    """A time in which a worker's answers said something of it.
+
+    ``calm`` where nothing unplanned held up what it got. It rejects where it names
+    ``retry_seconds``, else it leaves.
+    """
+
+    worker: SoakWorker
+    begun_at: float
+    ended_at: float
+    calm: bool
+    retry_seconds: float | None = None
+
+
 class Node:
     """An instance, its link to the store, and whether it is disturbed."""
 
@@ -97,6 +111,7 @@
         self.rows = RowsApi()
         self.places: dict[str, Place] = {}
         self.limited: list[Limited] = []
+        self.noticed: list[Noticed] = []
         # Anything unplanned, and the whole store.
         self.disturbance = Disturbance()
         self.store_disturbance = Disturbance()
