Tell the order giver of a new rate limit at once, and all instances by it

Cause: an instance told a new limit with its regular news and the giver told it with its own, up to half a second in all, in which each of many instances sends.

Fix: a limit that an answer changes wakes the link to the giver, and a changed limit wakes the giver, whose next news tell all limits.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -213,7 +213,7 @@
     peers = build_peers(settings, routes, reads, route_news, lease, fleet)
     link = GiverLink(lease, me, make_news, on_giver_news, giver.heard)
     needs.on_new_wait(link.wake)
-    fleet.rates.on_wait(link.wake)
+    fleet.rates.on_news(link.wake)
 
     def follow_lease() -> None:
         # The giver's news tell that it is there: its row is read only without them.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_limits.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/rate_limits.py
@@ -69,8 +69,8 @@
         # Over all instances, as told by the order giver.
         self._all_waiting: dict[str, int] = {}
 
-    def on_wait(self, wake: Callable[[], None]) -> None:
-        """Call ``wake`` when a request begins to wait for a permit."""
+    def on_news(self, wake: Callable[[], None]) -> None:
+        """Call ``wake`` when the order giver has to hear at once of a request or a limit."""
         self._wake = wake
 
     def on_change(self, notify: Callable[[], None]) -> None:
@@ -238,6 +238,8 @@
         if unchanged:
             return
         self._notify()
+        if after.observed:
+            self._wake()
         log_event(
             "upstream_rate_limit",
             upstream=upstream_id,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/permit_issuer.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/permit_issuer.py
@@ -60,6 +60,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._by_id: dict[str, _Bucket] = {}
+        # Whether a limit has changed since the last issue.
+        self._changed = False
         self._begun_at = clock()
 
     def begin(self) -> None:
@@ -69,9 +71,9 @@
             self._begun_at = self._clock()
 
     def heard(self, instance: str, entries: Iterable[RateLimitEntry]) -> bool:
-        """Take what ``instance`` tells; return whether requests wait there."""
+        """Take what ``instance`` tells; return whether requests wait there, or a limit is new."""
         now = self._clock()
-        waiting = 0
+        waiting, changed = 0, False
         with self._lock:
             for entry in entries:
                 if not self._listed(entry.upstream):
@@ -80,10 +82,12 @@
                 if bucket is None:
                     bucket = self._by_id[entry.upstream] = _Bucket(now)
                 if now - entry.age > bucket.seen_at:
+                    changed = changed or bucket.per_second != entry.per_second
                     bucket.per_second, bucket.seen_at = entry.per_second, now - entry.age
                 bucket.told_by_instance[instance] = _Told(now, entry)
                 waiting += entry.waiting
-        return waiting > 0
+            self._changed = self._changed or changed
+        return changed or waiting > 0
 
     def draw(self, upstream_id: str) -> bool:
         """Use up one permit for a call of the order giver itself."""
@@ -99,8 +103,12 @@
             return True
 
     def issue(self, *, all_limits: bool) -> list[PermitEntry]:
-        """Return the limits with the permits issued now; with ``all_limits`` also without any."""
+        """Return the limits with the permits issued now.
+
+        With ``all_limits``, and where one has changed, also those without any.
+        """
         with self._lock:
+            all_limits, self._changed = all_limits or self._changed, False
             entries = [self._entry(key, bucket) for key, bucket in self._by_id.items()]
         return [entry for entry in entries if all_limits or entry.permits_by_instance]
 
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_rate_limits.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_rate_limits.py
@@ -60,6 +60,8 @@
 def test_many_instances_keep_a_rate_limit_when_the_load_rises_as_it_is_advertised():
     # Guards against an excess that is there before the instances learn of a limit.
     assert exceeded([History(67, 1.0, asked=30.0)]) == []
+    drawn = [History(n, 1.0, asked=30.0, seed=seed) for n in (24, 67) for seed in range(2, 12)]
+    assert exceeded(drawn) == []
 
 
 @pytest.mark.parametrize("instances", [1, 6, 67, 372])
--- a/packages/redwingscale-standins/src/redwingscale_standins/rate_limits/model.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/rate_limits/model.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import defaultdict, deque
+from collections.abc import Iterable
 from contextlib import AbstractContextManager
 from typing import NamedTuple
 
@@ -72,6 +73,8 @@
         self.sent: list[Sent] = []
         # Instances that have told the order giver all that they know.
         self._introduced: set[int] = set()
+        # Instances that an answer has told of another limit: the order giver hears at once.
+        self._learned: set[int] = set()
         self.told_at: dict[int, float] = {}
         # The step at which each comes, the instance, and when its request was sent.
         self._answers: list[tuple[int, int, float]] = []
@@ -80,11 +83,14 @@
         """Play it to its end."""
         for step in range(round(self.history.until / STEP_SECONDS)):
             self.now = step * STEP_SECONDS
-            self._answer(step)
             self._ask(step)
             self._pass_on()
             if step % NEWS_STEPS == 0:
-                self._tell()
+                self._tell(range(self.history.instances), regular=True)
+            elif self._learned:
+                self._tell(self._learned, regular=False)
+            self._learned = set()
+            self._answer(step)
         return self
 
     def _ask(self, step: int) -> None:
@@ -110,11 +116,14 @@
     def _answer(self, step: int) -> None:
         due = [one for one in self._answers if one[0] == step]
         for _, instance, sent_at in due:
+            before = self.rates[instance].per_second(UPSTREAM)
             if self.history.named_at <= self.now < self.history.ends_at:
                 self.told_at.setdefault(instance, self.now)
                 self.rates[instance].advertised(UPSTREAM, self.history.rate, "answer")
             else:
                 self.rates[instance].lifted(UPSTREAM, sent_at, "answer")
+            if self.rates[instance].per_second(UPSTREAM) != before:
+                self._learned.add(instance)
 
     def _pass_on(self) -> None:
         """Let instances tell their peers what they have learned, while nobody gives orders."""
@@ -127,18 +136,20 @@
                 if self.random.random() >= self.history.lost_part:
                     peer.hear_peer(entries)
 
-    def _tell(self) -> None:
+    def _tell(self, instances: Iterable[int], *, regular: bool) -> None:
+        """Let ``instances`` tell the order giver, and the order giver all."""
         ended = self.history.giver_ends_at
         if ended <= self.now < ended + self.history.next_giver_after:
             self.issuer.begin()
             self._introduced = set()
             return
-        for number, rates in enumerate(self.rates):
+        for number in instances:
+            rates = self.rates[number]
             if self.random.random() >= self.history.lost_part:
                 introduce = number not in self._introduced
                 self.issuer.heard(f"i{number}", rates.tell(all_of_it=introduce))
                 self._introduced.add(number)
-        issued = self.issuer.issue(all_limits=True)
+        issued = self.issuer.issue(all_limits=regular)
         for rates in self.rates:
             if self.random.random() >= self.history.lost_part:
                 rates.hear(issued)
