Count an upstream as serving the instances that it has just served

A retry time lasts for seconds and a request for less: an upstream that serves several instances and has rejected one counted as rejecting between two requests, and its models were missed by the plan each time. Whom it has served within 3 s counts now, but for those that it rejects.

A retry time of nothing no longer brings a request back to the same upstream at once.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -210,6 +210,7 @@
         instances,
         fleet.rates.limited,
     )
+    fleet.directory.on_gone(giver.forget)
     peers = build_peers(settings, routes, reads, route_news, lease, fleet)
     link = GiverLink(lease, me, make_news, on_giver_news, giver.heard)
     needs.on_new_wait(link.wake)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -68,7 +68,7 @@
         notice = self._note(upstream, response, sent_at)
         if self._dialect.was_not_run(response):
             refused = self._refused(upstream, connection, response)
-            return refused._replace(retry_later=notice.retry_after_seconds is not None)
+            return refused._replace(retry_later=bool(notice.retry_after_seconds))
         return Answering(upstream, connection, response)
 
     def keep(self, answering: Answering) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
@@ -11,6 +11,8 @@
 # Instances tell four times a second; one that has been silent for longer counts for
 # nothing until it is heard of again.
 FRESH_SECONDS = 1.0
+# An instance that an upstream has served within this time counts as served by it.
+SERVED_SECONDS = 3.0
 
 
 class Totals(NamedTuple):
@@ -39,6 +41,8 @@
 
     def __init__(self) -> None:
         self._told_by_instance: dict[str, _Told] = {}
+        # When each instance was served last, by upstream.
+        self._served_at: dict[str, dict[str, float]] = defaultdict(dict)
 
     def __len__(self) -> int:
         return len(self._told_by_instance)
@@ -48,8 +52,17 @@
         now = time.monotonic()
         before = self._told_by_instance.get(news.instance)
         self._told_by_instance[news.instance] = _Told(now, news)
+        served = {entry.upstream for entry in news.loads if entry.requests}
+        served.update(entry.upstream for entry in news.outcomes if entry.answered)
+        for upstream in served - set(news.rejecting):
+            self._served_at[upstream][news.instance] = now
         return before is None or now - before.at > FRESH_SECONDS
 
+    def forget(self, upstream_ids: set[str]) -> None:
+        """Drop upstreams that are gone."""
+        for key in upstream_ids:
+            self._served_at.pop(key, None)
+
     def addresses(self) -> list[str]:
         """Return where the instances that were heard of lately answer questions."""
         since = time.monotonic() - FRESH_SECONDS
@@ -64,7 +77,29 @@
         since = time.monotonic() - FRESH_SECONDS
         told = list(self._told_by_instance.values())
         fresh = [one.news for one in told if one.at > since]
-        return Totals(_loads(fresh), _uses(fresh), _cut_off(fresh), _rejecting(fresh))
+        return Totals(_loads(fresh), _uses(fresh), _cut_off(fresh), self._rejecting(fresh))
+
+    def _rejecting(self, fresh: list[InstanceNews]) -> set[str]:
+        """Return the upstreams that reject more instances than they serve.
+
+        What they hold is missed by the callers whom they turn away, and a model that is
+        brought there could not be used. Among hundreds of instances most send such an
+        upstream nothing at all, so those that it serves are counted, not all there are.
+        """
+        since = time.monotonic() - SERVED_SECONDS
+        rejected_by_id: dict[str, set[str]] = defaultdict(set)
+        for news in fresh:
+            for key in news.rejecting:
+                rejected_by_id[key].add(news.instance)
+        return {
+            key
+            for key, rejected in rejected_by_id.items()
+            if len(rejected) > len(self._served_since(key, since) - rejected)
+        }
+
+    def _served_since(self, upstream_id: str, since: float) -> set[str]:
+        served = self._served_at.get(upstream_id, {})
+        return {instance for instance, at in list(served.items()) if at > since}
 
 
 def _loads(fresh: list[InstanceNews]) -> dict[str, Load]:
@@ -93,15 +128,3 @@
     """
     counts = Counter(key for news in fresh for key in set(news.unreachable))
     return {key for key, count in counts.items() if count * 2 > len(fresh)}
-
-
-def _rejecting(fresh: list[InstanceNews]) -> set[str]:
-    """Return the upstreams that reject more instances than they serve.
-
-    What they hold is missed by the callers whom they turn away, and a model that is
-    brought there could not be used. Among hundreds of instances most send such an
-    upstream nothing at all, so those that it serves are counted, not all there are.
-    """
-    rejected = Counter(key for news in fresh for key in set(news.rejecting))
-    served = Counter(entry.upstream for news in fresh for entry in news.loads if entry.requests)
-    return {key for key, count in rejected.items() if count > served[key]}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_giver.py
@@ -121,6 +121,10 @@
         if any(need.waiting for need in news.needs):
             self._wake.set()
 
+    def forget(self, upstream_ids: set[str]) -> None:
+        """Drop upstreams that are gone."""
+        self._instances.forget(upstream_ids)
+
     def step(self) -> GiverNews | None:
         """Plan once and return what was told, None for nothing new or without the right."""
         self._wake.wait(NEWS_SECONDS)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_answer_notices.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_answer_notices.py
@@ -124,6 +124,13 @@
     assert float(answer.headers["Retry-After"]) > LONG_RETRY_SECONDS / 2
 
 
+def test_retry_time_of_nothing_sends_the_request_no_second_time_to_the_upstream(world):
+    # Guards against a full upstream that gets each request as often as an instance may send it.
+    world.add("plain", rejecting(0))
+    assert world.ask("/safe/").status == 503
+    assert reached(world) == ["u0"]
+
+
 @pytest.mark.parametrize("value", ["soon", "-1", "nan", "inf"])
 def test_malformed_retry_time_is_none(world, value):
     # Guards against a header that takes an upstream out of use for ever.
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_instance_totals.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_instance_totals.py
@@ -22,6 +22,17 @@
     assert rejecting(news("a", rejecting=["w"]), *others) == {"w"}
 
 
+def test_upstream_that_has_just_served_others_does_not_count_between_their_requests():
+    # Guards against a plan that changes its mind with each request of a rare model.
+    assert rejecting(news("b", serving=["w"]), news("b"), news("a", rejecting=["w"])) == set()
+
+
+def test_upstream_that_now_rejects_all_that_it_served_counts():
+    # Guards against models that stay at an upstream which has just begun to reject.
+    served = news("a", serving=["w"])
+    assert rejecting(served, news("a", rejecting=["w"])) == {"w"}
+
+
 def test_upstream_that_serves_more_instances_than_it_rejects_does_not_count():
     # Guards against loads elsewhere for one rejection of an upstream that is full for a moment.
     assert rejecting(news("a", rejecting=["w"]), news("b", serving=["w"])) == set()
