--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -1,6 +1,5 @@
 """Wires an instance whose requests are routed by host and path."""
 
-import time
 import uuid
 from collections.abc import Callable
 
@@ -11,6 +10,7 @@
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
+from redwingscale_daemon._internal.fleet.list_reads import ListReads
 from redwingscale_daemon._internal.fleet.own_reports import OwnReports
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
@@ -41,9 +41,6 @@
 # The order giver reads the list for all: a read, one lost read and the way to the other
 # instances are less than the time after which an upstream that leaves gets no new work.
 LIST_SECONDS = 0.45
-# An instance that reads for itself alone has no further way. Of that time; two reads, the
-# first of which is lost, are less.
-OWN_LIST_PART = 0.42
 # Heads and bodies beyond what any configuration allows.
 LARGEST_HEAD_BYTES = 32 << 10
 LARGEST_BODY_BYTES = 8 << 20
@@ -108,14 +105,9 @@
     reads: StoreReads,
     own_reports: OwnReports,
 ) -> tuple[Periodic, ...]:
-    def needless(last_read_at: float) -> bool:
-        if swaps.gives():
-            return False
-        soon = time.monotonic() - last_read_at < bounds.leave * OWN_LIST_PART
-        # A giver that falls silent is asked about at once, by a read: that it fails too
-        # is how an instance learns that it is cut off.
-        return soon or (swaps.list_news.stands_in(last_read_at) and not own_reports.giver_silent)
-
+    list_reads = ListReads(
+        swaps.gives, swaps.list_news.stands_in, lambda: own_reports.giver_silent, bounds.leave
+    )
     route_follower = RouteFollower(
         store,
         RowKey(configuration.TABLE, "", configuration.KEY),
@@ -133,7 +125,7 @@
         discovery.decode_upstream,
         fleet.directory,
         reads.upstreams,
-        needless,
+        list_reads.needless,
     )
     return (
         Periodic("configuration", 0.0, route_follower.step),
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_reads.py
@@ -0,0 +1,37 @@
+"""When an instance reads the list of upstreams itself."""
+
+import time
+from collections.abc import Callable
+
+# An instance that reads for itself alone has no further way than to itself. Of the time
+# after which an upstream that leaves gets no new work; two reads, the first of which is
+# lost, are less.
+OWN_LIST_PART = 0.42
+
+
+class ListReads:
+    """The order giver reads for all; the others only where its news do not stand in.
+
+    A giver that falls silent is asked about at once, by a read: that it fails too is how
+    an instance learns that it is cut off.
+    """
+
+    def __init__(
+        self,
+        gives: Callable[[], bool],
+        stands_in: Callable[[float], bool],
+        giver_silent: Callable[[], bool],
+        leave_seconds: float = 2.0,
+    ) -> None:
+        self._gives = gives
+        # Whether the giver's news stand in for a read, by the time of the last one.
+        self._stands_in = stands_in
+        self._giver_silent = giver_silent
+        self._least_seconds = leave_seconds * OWN_LIST_PART
+
+    def needless(self, last_read_at: float) -> bool:
+        """Return whether no read is due, by the monotonic time of the last one."""
+        if self._gives():
+            return False
+        soon = time.monotonic() - last_read_at < self._least_seconds
+        return soon or (self._stands_in(last_read_at) and not self._giver_silent())
