Known red: leaving that is known late at an instance which relies on the order giver's list

The cause of the late configuration, looked for elsewhere: the giver falls silent just before an upstream leaves, one own read is lost, and the parts of the time add up to 2.6 s of 2 s. Seen in simulated time only.

--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_leaving_in_time.py
@@ -0,0 +1,98 @@
+"""When an upstream's leaving is known at an instance that relies on the order giver's list."""
+
+import time
+
+import pytest
+from redwingscale_daemon._internal.composition.ingress import LIST_SECONDS
+from redwingscale_daemon._internal.exceptions import PlatformUnavailable
+from redwingscale_daemon._internal.fleet.fleet import new_fleet
+from redwingscale_daemon._internal.fleet.list_follower import ListFollower
+from redwingscale_daemon._internal.fleet.list_news import ListNews
+from redwingscale_daemon._internal.fleet.list_reads import ListReads
+from redwingscale_daemon._internal.fleet.list_told import ListTold
+from redwingscale_daemon._internal.fleet.own_reports import SILENT_SECONDS
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.platform.store_client import ANSWER_SECONDS
+from redwingscale_daemon._internal.store.link_state import LinkState
+from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+
+READ_SECONDS = 0.02
+STEPS = 60
+
+
+class Clock:
+    """Simulated time: what waits moves it on."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def sleep(self, seconds):
+        self.now += seconds
+
+
+class Store:
+    """Lists one upstream; some calls get no answer."""
+
+    def __init__(self, clock):
+        self.leaving = False
+        self.lost = 0
+        self._clock = clock
+
+    def read(self, table, partition):
+        if self.lost:
+            self.lost -= 1
+            self._clock.sleep(ANSWER_SECONDS)
+            raise PlatformUnavailable("no answer")
+        self._clock.sleep(READ_SECONDS)
+        version = 2 if self.leaving else 1
+        row = StoredRow(RowKey(table, partition, "a"), version, b"leaving" * self.leaving)
+        return Snapshot((row,), version)
+
+
+def decode(name, row_version, value):
+    return Upstream(
+        name, "llm", "127.0.0.1", 1, "z", 8, bool(value), None, {}, frozenset(), frozenset()
+    )
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    made = Clock()
+    monkeypatch.setattr(time, "monotonic", lambda: made.now)
+    monkeypatch.setattr(time, "sleep", made.sleep)
+    return made
+
+
+@pytest.mark.parametrize("leave_seconds", [2.0, 3.0])
+@pytest.mark.parametrize("phase", [0.0, 0.25, 0.5, 0.75])
+def test_leaving_is_known_in_time_though_the_giver_falls_silent_and_one_read_is_lost(
+    clock, leave_seconds, phase
+):
+    # Guards against requests that are lost with an upstream whose leaving was confirmed.
+    store, directory, state = Store(clock), new_fleet().directory, LinkState("upstreams")
+    news = ListNews(directory, leave_seconds)
+    heard_at = [clock.now]
+    reads = ListReads(
+        lambda: False,
+        news.stands_in,
+        lambda: clock.now - heard_at[0] > SILENT_SECONDS,
+        leave_seconds,
+    )
+    follower = ListFollower(store, "servers", decode, directory, state, reads.needless)
+
+    def hear():
+        heard_at[0] = clock.now
+        news.take(1, ListTold([], [], 0.0, directory.copy.digest, directory.copy.version))
+
+    for _ in range(STEPS):
+        follower.step()
+        hear()
+        clock.sleep(LIST_SECONDS)
+    clock.sleep(LIST_SECONDS * phase)
+    hear()
+    clock.sleep(LIST_SECONDS * (1 - phase))
+    confirmed_at, store.leaving, store.lost = heard_at[0], True, 1
+    while directory.usable("llm"):
+        follower.step()
+        clock.sleep(LIST_SECONDS)
+    assert clock.now - LIST_SECONDS - confirmed_at <= leave_seconds
