Leave time for a lost read of the list of upstreams, too

What callers would see: requests that are lost with an upstream whose leaving had been confirmed more than 2 s before.

A silent giver (0.8 s), a look (0.45 s), a read without an answer (0.8 s), a pause, another look: 2.6 s of 2 s in the failing test.

Fix: whether a read is due is looked at every 0.1 s, the giver reads as often as before, and the first lost read of the list or of the configuration is followed by the next one at once: most often a kept connection has gone silent, and a new one is answered.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -10,7 +10,7 @@
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
-from redwingscale_daemon._internal.fleet.list_reads import ListReads
+from redwingscale_daemon._internal.fleet.list_reads import LOOK_SECONDS, ListReads
 from redwingscale_daemon._internal.fleet.own_reports import OwnReports
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
@@ -38,9 +38,6 @@
 from redwingscale_daemon._internal.utils.periodic import Periodic
 from redwingscale_daemon._internal.workspaces.use_limiter import UseLimiter
 
-# The order giver reads the list for all: a read, one lost read and the way to the other
-# instances are less than the time after which an upstream that leaves gets no new work.
-LIST_SECONDS = 0.45
 # Heads and bodies beyond what any configuration allows.
 LARGEST_HEAD_BYTES = 32 << 10
 LARGEST_BODY_BYTES = 8 << 20
@@ -129,7 +126,7 @@
     )
     return (
         Periodic("configuration", 0.0, route_follower.step),
-        Periodic("upstreams", LIST_SECONDS, list_follower.step),
+        Periodic("upstreams", LOOK_SECONDS, list_follower.step),
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -40,7 +40,7 @@
         self._state = state
         # Whether the giver's news stand in for a read, by the time of the last one.
         self._needless = needless
-        self._retry = Backoff()
+        self._retry = Backoff(first_at_once=True)
         # What was wrong with entries that name no upstream, by their name.
         self._faults_by_name: dict[str, str] = {}
         # When the store was back, and since when upstreams that are kept are missing.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_reads.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_reads.py
@@ -3,6 +3,11 @@
 import time
 from collections.abc import Callable
 
+# How often it is looked whether a read is due.
+LOOK_SECONDS = 0.1
+# A read for all, one lost read and the way to the other instances are less than the time
+# after which an upstream that leaves gets no new work.
+READ_FOR_ALL_SECONDS = 0.4
 # An instance that reads for itself alone has no further way than to itself. Of the time
 # after which an upstream that leaves gets no new work; two reads, the first of which is
 # lost, are less.
@@ -23,6 +28,7 @@
         giver_silent: Callable[[], bool],
         leave_seconds: float = 2.0,
     ) -> None:
+        # Whether this instance reads for all.
         self._gives = gives
         # Whether the giver's news stand in for a read, by the time of the last one.
         self._stands_in = stands_in
@@ -31,7 +37,8 @@
 
     def needless(self, last_read_at: float) -> bool:
         """Return whether no read is due, by the monotonic time of the last one."""
+        since = time.monotonic() - last_read_at
         if self._gives():
-            return False
-        soon = time.monotonic() - last_read_at < self._least_seconds
+            return since < READ_FOR_ALL_SECONDS
+        soon = since < self._least_seconds
         return soon or (self._stands_in(last_read_at) and not self._giver_silent())
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
@@ -52,7 +52,7 @@
         self._reads_for_all = reads_for_all
         self._in_force_seconds = in_force_seconds
         self._version: int | None = None
-        self._retry = Backoff()
+        self._retry = Backoff(first_at_once=True)
         self._stood_in = False
         # Whether the next read is the first one since the giver's word was relied on.
         self._reads_at_once = False
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_leaving_in_time.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_leaving_in_time.py
@@ -3,12 +3,11 @@
 import time
 
 import pytest
-from redwingscale_daemon._internal.composition.ingress import LIST_SECONDS
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable
 from redwingscale_daemon._internal.fleet.fleet import new_fleet
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
 from redwingscale_daemon._internal.fleet.list_news import ListNews
-from redwingscale_daemon._internal.fleet.list_reads import ListReads
+from redwingscale_daemon._internal.fleet.list_reads import LOOK_SECONDS, ListReads
 from redwingscale_daemon._internal.fleet.list_told import ListTold
 from redwingscale_daemon._internal.fleet.own_reports import SILENT_SECONDS
 from redwingscale_daemon._internal.fleet.upstream import Upstream
@@ -87,12 +86,12 @@
     for _ in range(STEPS):
         follower.step()
         hear()
-        clock.sleep(LIST_SECONDS)
-    clock.sleep(LIST_SECONDS * phase)
+        clock.sleep(LOOK_SECONDS)
+    clock.sleep(LOOK_SECONDS * phase)
     hear()
-    clock.sleep(LIST_SECONDS * (1 - phase))
+    clock.sleep(LOOK_SECONDS * (1 - phase))
     confirmed_at, store.leaving, store.lost = heard_at[0], True, 1
     while directory.usable("llm"):
         follower.step()
-        clock.sleep(LIST_SECONDS)
-    assert clock.now - LIST_SECONDS - confirmed_at <= leave_seconds
+        clock.sleep(LOOK_SECONDS)
+    assert clock.now - LOOK_SECONDS - confirmed_at <= leave_seconds
