--- a/packages/redwingscale-daemon/tests/unit/swaps/test_worker_orders.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_worker_orders.py
@@ -137,3 +137,19 @@
     )
     carry_out(orders, AdapterTask(Unit("a", "a1"), ()))
     assert worker.orders == []
+
+
+def test_place_is_kept_for_an_adapter_whose_late_order_may_still_be_accepted(orders, worker):
+    # Guards against an adapter beyond the places, at which the worker crashes.
+    worker.held["a"] = frozenset({"x"})
+    # The adapter to drop had gone already: the worker counts no order, the ledger does, and the
+    # load after it, which gets no answer, may be accepted after the next order.
+    worker.results = [OrderResult.HOLDS, OrderResult.UNKNOWN]
+    carry_out(orders, AdapterTask(Unit("a", "y"), (Unit("a", "z"),)))
+    carry_out(orders, AdapterTask(Unit("a", "w"), ()))
+    assert [order.action for order in worker.orders] == [
+        Unload(Unit("a", "z")),
+        Load(Unit("a", "y")),
+    ]
+    carry_out(orders, AdapterTask(Unit("a", "w"), (Unit("a", "x"),)))
+    assert worker.held["a"] == {"w"}
