Keep the place of an adapter whose load got no answer and may still come

Cause: an unload that finds its adapter gone is counted by the ledger and not by the worker. The next load names a number that the worker has not come to, gets no answer, and is carried out after a later one. The ledger kept the memory of such a load, not its place.

Fix: late adapters count in the places, one for each number that is still to come.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/unanswered.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/unanswered.py
@@ -14,6 +14,7 @@
     orders_accepted: int
     weights_mb: float
     sent_at: float
+    adapter: bool = False
 
 
 def late_mb(loads: Iterable[UnansweredLoad], orders_accepted: int) -> float:
@@ -25,9 +26,20 @@
     worker crashes under its running models. Loads with that number or a lower one can't
     follow the order about to be sent: only one of the two is accepted.
     """
+    return sum(load.weights_mb for load in _that_may_follow(loads, orders_accepted))
+
+
+def late_adapters(loads: Iterable[UnansweredLoad], orders_accepted: int) -> int:
+    """Return the places that adapters may take after the order number ``orders_accepted``.
+
+    Only one of the orders with one number is accepted.
+    """
+    following = _that_may_follow(loads, orders_accepted)
+    return len({load.orders_accepted for load in following if load.adapter})
+
+
+def _that_may_follow(loads: Iterable[UnansweredLoad], orders_accepted: int) -> list[UnansweredLoad]:
     since = time.monotonic() - LATEST_SECONDS
-    return sum(
-        load.weights_mb
-        for load in loads
-        if load.sent_at > since and load.orders_accepted > orders_accepted
-    )
+    return [
+        load for load in loads if load.sent_at > since and load.orders_accepted > orders_accepted
+    ]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_ledger.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_ledger.py
@@ -12,7 +12,7 @@
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Load, OrderResult, Unload
 from redwingscale_daemon._internal.swaps.room import used_mb
-from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad, late_mb
+from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad, late_adapters, late_mb
 
 
 class WorkerLedger:
@@ -78,7 +78,10 @@
         idle_adapter = bool(action.unit.adapter) and isinstance(action, Unload)
         if result is OrderResult.UNKNOWN and isinstance(action, Load):
             late = UnansweredLoad(
-                report.orders_accepted, self._needed_mb(action.unit), time.monotonic()
+                report.orders_accepted,
+                self._needed_mb(action.unit),
+                time.monotonic(),
+                bool(action.unit.adapter),
             )
             self.unanswered.append(late)
         if result is OrderResult.ACCEPTED or (result is OrderResult.HOLDS and idle_adapter):
@@ -106,7 +109,8 @@
         return taken + self._needed_mb(unit) <= engine.weights_mb
 
     def _adapters(self, report: EngineReport) -> int:
-        return sum(map(len, report.held.values())) + len(report.arriving)
+        late = late_adapters(self.unanswered, report.orders_accepted)
+        return sum(map(len, report.held.values())) + len(report.arriving) + late
 
     def _needed_mb(self, unit: Unit) -> float:
         engine = self._engine()
