--- a/packages/redwingscale-daemon/tests/unit/swaps/test_worker_orders.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_worker_orders.py
@@ -141,15 +141,29 @@
 
 def test_place_is_kept_for_an_adapter_whose_late_order_may_still_be_accepted(orders, worker):
     # Guards against an adapter beyond the places, at which the worker crashes.
-    worker.held["a"] = frozenset({"x"})
-    # The adapter to drop had gone already: the worker counts no order, the ledger does, and the
+    worker.held["a"] = frozenset({"x", "z"})
+    # The adapter to drop has just gone: the worker counts no order, the ledger does, and the
     # load after it, which gets no answer, may be accepted after the next order.
     worker.results = [OrderResult.HOLDS, OrderResult.UNKNOWN]
     carry_out(orders, AdapterTask(Unit("a", "y"), (Unit("a", "z"),)))
+    worker.held["a"] = frozenset({"x"})
     carry_out(orders, AdapterTask(Unit("a", "w"), ()))
     assert [order.action for order in worker.orders] == [
         Unload(Unit("a", "z")),
         Load(Unit("a", "y")),
     ]
     carry_out(orders, AdapterTask(Unit("a", "w"), (Unit("a", "x"),)))
+    carry_out(orders, AdapterTask(Unit("a", "w"), (Unit("a", "x"),)))
     assert worker.held["a"] == {"w"}
+
+
+def test_unload_of_an_adapter_that_may_have_gone_is_not_counted(orders, worker):
+    # Guards against orders that name a number which the worker has not come to yet.
+    worker.held["a"] = frozenset({"x", "z"})
+    worker.results = [OrderResult.UNKNOWN, OrderResult.HOLDS]
+    for _ in range(2):
+        carry_out(orders, AdapterTask(Unit("a", "w"), (Unit("a", "z"),)))
+    worker.held["a"] = frozenset({"x"})
+    carry_out(orders, AdapterTask(Unit("a", "w"), (Unit("a", "z"),)))
+    assert worker.held["a"] == {"w", "x"}
+    assert {order.orders_accepted for order in worker.orders} == {0}
