Count no unload of an adapter that may have gone

Cause: the worker answers 200 to an unload that finds its adapter gone, and counts no order. The ledger counted one, so that the next order named a number to which the worker had not come: without an answer it was carried out after a later one, beside what had been loaded in its place.

Without unanswered orders nothing changes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_ledger.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_ledger.py
@@ -12,7 +12,12 @@
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Load, OrderResult, Unload
 from redwingscale_daemon._internal.swaps.room import used_mb
-from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad, late_adapters, late_mb
+from redwingscale_daemon._internal.swaps.unanswered import (
+    LATEST_SECONDS,
+    UnansweredLoad,
+    late_adapters,
+    late_mb,
+)
 
 
 class WorkerLedger:
@@ -21,6 +26,11 @@
     A report of another start of the process says that all of it is void: the worker
     holds nothing and gets no order until the list names the new start, which has a
     ledger of its own.
+
+    An unload of an adapter that has gone is answered like one that is carried out, and only
+    the latter is counted by the worker. After an order without an answer, which may have
+    dropped it, a report has to tell the number: an order with too high a number may be
+    carried out seconds later, beside what was loaded in its place.
     """
 
     def __init__(
@@ -35,6 +45,7 @@
         # Of this start of the process and of former ones under its name.
         self.unanswered = list(unanswered)
         self.superseded = False
+        self._unanswered_until = float("-inf")
 
     @property
     def orders_accepted(self) -> int:
@@ -75,7 +86,12 @@
         """Count an order that the worker has taken, or may take later."""
         report = self.report
         assert report is not None
+        if result is OrderResult.UNKNOWN:
+            self._unanswered_until = time.monotonic() + LATEST_SECONDS
         idle_adapter = bool(action.unit.adapter) and isinstance(action, Unload)
+        if idle_adapter and result is OrderResult.HOLDS and self._may_have_gone():
+            self.forget()
+            return
         if result is OrderResult.UNKNOWN and isinstance(action, Load):
             late = UnansweredLoad(
                 report.orders_accepted,
@@ -87,6 +103,13 @@
         if result is OrderResult.ACCEPTED or (result is OrderResult.HOLDS and idle_adapter):
             self.report = report._replace(orders_accepted=report.orders_accepted + 1)
 
+    def _may_have_gone(self) -> bool:
+        return time.monotonic() < self._unanswered_until
+
+    def holds_adapter(self, unit: Unit) -> bool:
+        """Return whether the adapter of ``unit`` is there, as far as it is known."""
+        return self.report is not None and unit.adapter in self.report.held.get(unit.model, ())
+
     def note_adapter(self, unit: Unit, *, held: bool) -> None:
         """Note an adapter that has come or gone."""
         report = self.report
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -213,15 +213,19 @@
         return True
 
     def _load_adapter(self, task: AdapterTask) -> bool:
-        if task.evicted:
-            self._going_adapters = frozenset(task.evicted)
+        # The plan may have been made from an older list.
+        evicted = [unit for unit in task.evicted if self.ledger.holds_adapter(unit)]
+        if evicted:
+            self._going_adapters = frozenset(evicted)
             self._on_change()
             time.sleep(ADAPTER_AWAY_SECONDS)
-        for unit in task.evicted:
+        for unit in evicted:
             result = self._order(Unload(unit))
             if result is not OrderResult.HOLDS:
                 # A request still uses it: it goes later, and its place isn't free yet.
                 return False
+            if self.ledger.report is None:
+                return False
             self.ledger.note_adapter(unit, held=False)
         if not self.ledger.has_room(task.unit):
             log_event("adapter_has_no_room", upstream=self.upstream.id, unit=task.unit)
