--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/configuration.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/configuration.py
@@ -38,6 +38,10 @@
     adapter_slots: int = 0
     # Loads a second from the weight store over all upstreams, not for one upstream.
     loads_per_s: float = 1.0
+    host_mb: float | None = None
+    disk_mb: float | None = None
+    # Tokens in an event of a stream.
+    stride: int = 1
 
 
 class _Service(msgspec.Struct, rename="pascal"):
@@ -165,6 +169,9 @@
         adapter_slots=engine.adapter_slots,
         cold_loads_per_second=engine.loads_per_s,
         models_by_name={model.name: _model(model) for model in engine.models},
+        memory_copies_mb=engine.host_mb,
+        disk_copies_mb=engine.disk_mb,
+        tokens_per_event=engine.stride,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/ingress_settings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/ingress_settings.py
@@ -7,6 +7,8 @@
 from redwingscale_common.utils.jsontext import read_json_file
 from redwingscale_common.utils.schemas import schema_findings
 
+from redwingscale_daemon._internal.settings.scheduling import Mode, Scheduling
+
 # The key of these settings in the settings file.
 SECTION = "ingress"
 
@@ -42,10 +44,14 @@
 
 
 class Machine(NamedTuple):
-    """What the instance may use: cores of standard speed, and megabits a second."""
+    """What the instance may use: cores of standard speed, megabits a second, megabytes.
+
+    ``memory_mb`` is None if it is not limited.
+    """
 
     cores: float
     link_mbps: float
+    memory_mb: float | None = None
 
 
 class IngressSettings(NamedTuple):
@@ -63,6 +69,7 @@
     metrics_port: int
     request_threads: int
     log_level: str
+    scheduling: Scheduling
 
 
 _TEXT = {"type": "string", "minLength": 1}
@@ -79,6 +86,8 @@
 )
 _OPTIONAL_BOUNDS = ("leave_ms", "configuration_ms", "use_slack")
 _MACHINE = ("processor_share", "processor_speed", "link_mbps")
+_OPTIONAL_MACHINE = ("memory_mb",)
+_MODE = {"enum": [mode.value for mode in Mode]}
 _REQUIRED = (
     "instance",
     "failure_domain",
@@ -111,7 +120,12 @@
                     "type": "object",
                     "required": list(_MACHINE),
                     "additionalProperties": False,
-                    "properties": dict.fromkeys(_MACHINE, _POSITIVE),
+                    "properties": dict.fromkeys((*_MACHINE, *_OPTIONAL_MACHINE), _POSITIVE),
+                },
+                "scheduling": {
+                    "type": "object",
+                    "additionalProperties": False,
+                    "properties": dict.fromkeys(Scheduling._fields, _MODE),
                 },
                 "log_level": {"enum": ["debug", "info", "warning", "error"]},
                 "bounds": {
@@ -176,13 +190,18 @@
         metrics_port=value.get("metrics_port", DEFAULT_METRICS_PORT),
         request_threads=value.get("request_threads", DEFAULT_REQUEST_THREADS),
         log_level=value.get("log_level", "info"),
+        scheduling=Scheduling(**{k: Mode(v) for k, v in value.get("scheduling", {}).items()}),
     )
 
 
 def _machine(value: dict[str, float] | None) -> Machine:
     if value is None:
         return DEFAULT_MACHINE
-    return Machine(value["processor_share"] * value["processor_speed"], value["link_mbps"])
+    return Machine(
+        value["processor_share"] * value["processor_speed"],
+        value["link_mbps"],
+        value.get("memory_mb"),
+    )
 
 
 def _endpoint(address: str) -> Endpoint:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
@@ -5,16 +5,15 @@
 from itertools import combinations
 from typing import NamedTuple
 
-from redwingscale_daemon._internal.routes.service_rule import EngineRule
+from redwingscale_daemon._internal.routes.service_rule import DEMAND_SHIFT_SECONDS, EngineRule
 from redwingscale_daemon._internal.swaps.demand import Demand
 from redwingscale_daemon._internal.swaps.room import used_mb
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
 # A model that has just been loaded has requests on their way to it.
 MIN_RESIDENT_SECONDS = 1.5
-# A model that is loaded or evicted is expected to keep its recent request rate for this long:
-# demand moves within ten seconds.
-DEMAND_HORIZON_SECONDS = 8.0
+# A model that is loaded or evicted is expected to keep its recent request rate for this long.
+DEMAND_HORIZON_SECONDS = DEMAND_SHIFT_SECONDS
 # Value of a second copy of a model without requests, in requests.
 IDLE_SECOND_COPY_REQUESTS = 0.3
 # Fraction of the requests moved from an evicted copy to another holder that are late there.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -27,11 +27,35 @@
 
 
 class LoadEntry(msgspec.Struct, array_like=True):
-    """The open requests at an upstream, and their prompt tokens that it has yet to read."""
+    """The open requests at an upstream, and their prompt tokens that it has yet to read.
+
+    ``generating`` requests have received their first event.
+    """
 
     upstream: str
     requests: int
     prompt_tokens: int
+    generating: int = 0
+
+
+class FirstEventEntry(msgspec.Struct, array_like=True):
+    """A first event that came after ``real_ms``; ``expected_ms`` were expected at speed 1."""
+
+    upstream: str
+    model: str
+    expected_ms: float
+    real_ms: float
+
+
+class ReturnEntry(msgspec.Struct, array_like=True):
+    """A refused request that may return in ``seconds``; ``request`` identifies it anywhere."""
+
+    service: str
+    model: str
+    adapter: str
+    request: str
+    seconds: float
+    tokens: int
 
 
 class UseEntry(msgspec.Struct, array_like=True):
@@ -91,7 +115,8 @@
     ``demand_snapshot`` is sent once to each new leader, which has received nothing before.
     ``address`` is that of the instance's peer server. ``leaving`` upstreams have announced it
     in their responses, and are not yet marked so in the list. ``rejecting`` upstreams have
-    named a time before which the instance must not send them requests.
+    named a time before which the instance must not send them requests. ``first_events``
+    were observed and ``returns`` were announced to callers since the previous update.
     """
 
     instance: str
@@ -106,6 +131,8 @@
     rate_limits: list[RateLimitEntry] = []
     leaving: list[str] = []
     rejecting: list[str] = []
+    first_events: list[FirstEventEntry] = []
+    returns: list[ReturnEntry] = []
 
 
 class ResidencyEntry(msgspec.Struct, array_like=True):
@@ -145,6 +172,10 @@
     upstreams in periodic updates, else of those with new permits. ``leaving`` upstreams have
     announced it to any instance, and are not yet marked so in the list. ``sent_at`` is the
     send time by the leader's monotonic clock.
+
+    ``slowness`` has the time to a first event relative to the expected one, by upstream id
+    and by model name. For the ``unplanned`` units, requests wait and no load is planned.
+    ``returns`` are the refused requests of all instances that are expected to return.
     """
 
     leader: str
@@ -161,6 +192,9 @@
     rate_limits: list[PermitEntry] = []
     leaving: list[str] = []
     sent_at: float = 0.0
+    slowness: dict[str, float] = {}
+    unplanned: list[str] = []
+    returns: list[ReturnEntry] = []
 
     def delayed(self, seconds: float) -> "LeaderUpdate":
         """Return the update with ``seconds`` of delay added to its ages; late permits are void."""
--- a/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
@@ -25,7 +25,7 @@
     "Services": [
         {"Name": "s1", "MaxConns": 360, "Engine": {
             "Slots": 64, "KvCapacity": 1000, "WeightsMb": 200.0, "AdapterSlots": 5,
-            "LoadsPerS": 2.1, "Models": [
+            "LoadsPerS": 2.1, "HostMb": 140.0, "DiskMb": 400.0, "Stride": 2, "Models": [
                 {"Name": "m", "WeightsMb": 65.0, "LoadS": 5.8, "Adapters": 3, "AdapterMb": 1.0,
                  "WarmS": 0.5, "DiskS": 1.2}]}},
         {"Name": "s2"},
@@ -42,7 +42,10 @@
     assert (stream.time_limit_seconds, stream.longest_gap_seconds) == (4.0, 0.4)
     assert once.idempotency is Idempotency.AT_MOST_ONCE
     assert once.most_upstreams == 1
-    model = table.services_by_name["s1"].engine.models_by_name["m"]
+    engine_rule = table.services_by_name["s1"].engine
+    copies = (engine_rule.memory_copies_mb, engine_rule.disk_copies_mb)
+    assert (copies, engine_rule.tokens_per_event) == ((140.0, 400.0), 2)
+    model = engine_rule.models_by_name["m"]
     assert (model.cold_seconds, model.disk_seconds, model.memory_seconds) == (5.8, 1.2, 0.5)
 
 
