Refuse at once what cannot be served, and let refused requests return in order

A request without a holder waited until its limit although the leader knew that it planned no load, and refused callers returned at constant times and competed with new ones.

Instances book the returns that they announce, the leader passes them on, and a returning request claims its booking. Off, decisions are as before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -5,6 +5,11 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.composition.ordered_return import (
+    ReturnUpdates,
+    build_ordered_return,
+    new_return_updates,
+)
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps, engine_calls
 from redwingscale_daemon._internal.fleet.chooser import Chooser
@@ -65,7 +70,10 @@
     open_requests = OpenRequests()
     reads = StoreReads(LinkState("upstreams"), LinkState("configuration"))
     limiter = UseLimiter(lambda: swaps.instances(), settings.bounds.use_slack)
-    swaps = build_swaps(settings, uuid.uuid4().hex, store, routes, fleet, metrics, reads, limiter)
+    returns = new_return_updates()
+    swaps = build_swaps(
+        settings, uuid.uuid4().hex, store, routes, fleet, metrics, reads, limiter, returns
+    )
     own_reports = _own_reports(settings, routes, fleet, reads)
     handler = _request_handler(
         settings,
@@ -77,6 +85,7 @@
         metrics,
         own_reports,
         limiter,
+        returns,
         lambda: callers.crowded,
     )
     callers = _callers(settings, handler)
@@ -145,6 +154,7 @@
     metrics: IngressMetrics,
     own_reports: OwnReports,
     limiter: UseLimiter,
+    returns: ReturnUpdates,
     crowded: Callable[[], bool],
 ) -> RequestHandler:
     bounds = settings.bounds
@@ -171,6 +181,14 @@
         open_requests,
         fleet.gate,
         lambda: own_reports.caller_retry_seconds,
+        build_ordered_return(
+            settings.scheduling.ordered_return,
+            returns,
+            routes,
+            fleet,
+            swaps.local_demand,
+            lambda result: metrics.returns.add(1, {"result": result}),
+        ),
     )
     return RequestHandler(
         routes,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.composition.ordered_return import ReturnUpdates
 from redwingscale_daemon._internal.composition.peers import build_peers
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.exceptions import PlatformError
@@ -15,6 +16,7 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_version_tracker import RouteVersionTracker
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings, Machine
+from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.rows import RowStore
 from redwingscale_daemon._internal.swaps.demand import Demand
@@ -101,6 +103,7 @@
     metrics: IngressMetrics,
     reads: StoreReads,
     limiter: UseLimiter,
+    returns: ReturnUpdates,
 ) -> Swaps:
     """Return the parts, not started; ``start`` identifies this process."""
     me = settings.instance
@@ -138,6 +141,7 @@
 
     def on_leader_update(update: LeaderUpdate) -> None:
         instances.receive(update.instances)
+        returns.receive(update)
         _take_update(update, sent_loads, fleet)
         if update.grants is not None:
             limiter.receive(update.grants)
@@ -180,6 +184,7 @@
             fleet.rates.updates(full=initial),
             fleet.directory.leaving_unlisted(),
             fleet.retry_times.pending(),
+            returns=returns.entries(),
         )
         own_demand.receive(update)
         return update
@@ -215,6 +220,7 @@
         issuer,
         instances,
         fleet.rates.limited,
+        lambda engine: is_on(settings.scheduling.ordered_return, engine),
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -42,6 +42,8 @@
         self.longest_gap_seconds = 0.0
         self._sent_at = 0.0
         self.first_event_seconds: float | None = None
+        # Whether the request was refused before and has returned as announced to its caller.
+        self.returning = False
 
     def begin(
         self, request: str, chosen: Candidate, load: Load, backpressure: BackpressureState
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.final_refusal import final_refusal
+from redwingscale_daemon._internal.forwarding.return_order import UNORDERED, ReturnOrder
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 
@@ -67,6 +68,7 @@
     # it reaches neither the leader nor the list, or only its own failure domain. None
     # while it is not isolated.
     caller_retry_seconds: Callable[[], float | None] = lambda: None
+    order: ReturnOrder = UNORDERED
 
     def choose_holder(self, call: Call, prompt: Prompt) -> Candidate:
         """Return the best holder, waiting for one; raises `Refusal`, `CallerLeft`.
@@ -74,6 +76,18 @@
         A request that cannot be served in time is refused at once, with a retry time:
         a longer wait would keep the caller from trying another instance.
         """
+        self.order.note_arrival(call, prompt)
+        try:
+            return self._choose_holder(call, prompt)
+        except Refusal as refusal:
+            self.note_refusal(call, prompt, refusal)
+            raise
+
+    def note_refusal(self, call: Call, prompt: Prompt, refusal: Refusal) -> None:
+        """Set the time at which the caller of a refused request should return."""
+        self.order.note_refusal(call, prompt, refusal, _max_wait_seconds(call))
+
+    def _choose_holder(self, call: Call, prompt: Prompt) -> Candidate:
         found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
         if found is not None:
             return self._choose_in_time(call, prompt, found)
@@ -110,12 +124,12 @@
         The chooser compares only a sample of the holders, so a long queue at ``found``
         says nothing about the rest. Raises `Refusal` only if the best one is too late.
         """
-        if _overload_refusal(call, found) is None:
+        if self.order.overload_refusal(call, prompt, found, _overload_refusal) is None:
             return found
         best = self.chooser.choose_holder(
             call.service, prompt, call.attempts.tried, compare_all=True
         )
-        refusal = _overload_refusal(call, best or found)
+        refusal = self.order.overload_refusal(call, prompt, best or found, _overload_refusal)
         if refusal is None:
             return best or found
         self.demand.note_overload(call.service, prompt.unit)
@@ -164,14 +178,16 @@
             # another instance.
             raise final_refusal(call, "cut_off", f"no news of {prompt.unit}", retry_seconds)
         left = _max_wait_seconds(call)
-        ready_in = self.residency.ready_in(str(prompt.unit))
+        ready_in = self.order.ready_in(call, prompt, self.residency.ready_in(str(prompt.unit)))
         throttled = self.chooser.throttled_holders(call.service, prompt, call.attempts.tried)
         if waited_seconds > LOAD_ANNOUNCED_SECONDS and (ready_in is None or ready_in > left):
             self._check_retry_times(call, prompt, throttled, ready_in)
         if ready_in is not None and not throttled:
             too_late = ready_in > left
         elif self.residency.fresh:
-            too_late = left <= 0
+            too_late = left <= 0 or (
+                not throttled and self.order.is_unplanned(call, prompt, waited_seconds)
+            )
         else:
             too_late = waited_seconds > NO_UPDATES_WAIT_SECONDS
         if not too_late:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -219,7 +219,12 @@
             call.watch.check_caller()
             return False
         if call.attempts.certainly_not_run:
-            raise Refusal(503, "refused", outcome.reason, retry_after_seconds=REFUSED_RETRY_SECONDS)
+            refusal = Refusal(
+                503, "refused", outcome.reason, retry_after_seconds=REFUSED_RETRY_SECONDS
+            )
+            if call.terms.prompt is not None:
+                self._wait.note_refusal(call, call.terms.prompt, refusal)
+            raise refusal
         raise Refusal(502, "upstream_failed", outcome.reason, run=RunState.UNKNOWN)
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/urgency.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/urgency.py
@@ -28,6 +28,11 @@
         of_route = WEIGHT_STEP ** (DEFAULT_PRIORITY - min(self.route, LOWEST_PRIORITY))
         return float(of_route / WORKSPACE_WEIGHT_STEP**self.workspace)
 
+    @property
+    def rank(self) -> int:
+        """Rank among all requests, 0 the most urgent; a workspace's takes precedence."""
+        return self.workspace * (LOWEST_PRIORITY + 1) + min(self.route, LOWEST_PRIORITY)
+
     def level(self, levels: int, *, late: bool) -> int:
         """Return which of ``levels`` the request has; level 0 is served first.
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
@@ -3,6 +3,7 @@
 import math
 import threading
 import time
+from collections.abc import Collection
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.unit import Unit
@@ -13,6 +14,7 @@
     ModelRates,
     UnitRate,
 )
+from redwingscale_daemon._internal.swaps.refused_demand import RefusedDemand
 from redwingscale_daemon._internal.utils.decaying_rate import DecayingRate
 
 # Demand moves from one model to another within five seconds: a steady rate fades to half in this
@@ -69,6 +71,7 @@
         self._peaks: dict[tuple[str, str], float] = {}
         self._missing_since: dict[tuple[str, str], float] = {}
         self._waiting: dict[str, tuple[float, list[DemandEntry]]] = {}
+        self._refused = RefusedDemand()
         self._initial_copies: dict[tuple[str, str], int] = {}
         self._first_arrival_at: float | None = None
         self._snapshot_senders: set[str] = set()
@@ -97,6 +100,7 @@
                 self._first_arrival_at = now
             for entry in update.demand:
                 self._count(entry, now)
+                self._refused.note(entry)
 
     def forget_snapshot_senders(self) -> None:
         """Accept one more snapshot from each instance, for a new term as leader."""
@@ -146,6 +150,29 @@
             )
         return sorted(by_unit.values(), key=lambda waiting: waiting.max_wait_seconds)
 
+    def wanted(self) -> list[WaitingUnit]:
+        """Return the units that requests wait for, or were refused for lately.
+
+        Refused requests count as if they still waited: they return, and can wait then.
+        """
+        waiting = {(one.service, one.unit): one for one in self.waiting()}
+        with self._lock:
+            refused = self._refused.units()
+        for one in refused:
+            key = (one.service, one.unit)
+            current = waiting.get(key, WaitingUnit(*key, 0, 0.0))
+            waiting[key] = current._replace(
+                requests=current.requests + one.requests,
+                max_wait_seconds=max(current.max_wait_seconds, one.max_wait_seconds),
+            )
+        return sorted(waiting.values(), key=lambda one: one.max_wait_seconds)
+
+    def note_resident(self, service: str, models: Collection[str]) -> None:
+        """Note which models are resident: requests do not wait for them in vain any more."""
+        with self._lock:
+            for model in models:
+                self._missing_since.pop((service, model), None)
+
     def rate(self, service: str, unit: Unit) -> float:
         """Return the arrivals per second for ``unit`` alone, faded."""
         rate = self._rates.get((service, unit))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
 from redwingscale_daemon._internal.swaps.adapter_orders import AdapterOrders
+from redwingscale_daemon._internal.swaps.announced_returns import AnnouncedReturns
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.failing_upstreams import FailingUpstreams
 from redwingscale_daemon._internal.swaps.instance_totals import NO_TOTALS, InstanceTotals
@@ -32,6 +33,7 @@
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
 from redwingscale_daemon._internal.swaps.service_views import ServiceViews
 from redwingscale_daemon._internal.swaps.tasks import SwapTask
+from redwingscale_daemon._internal.swaps.unserved_units import UnservedUnits
 from redwingscale_daemon._internal.swaps.update_schedule import UPDATE_SECONDS, UpdateSchedule
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
@@ -76,6 +78,7 @@
         issuer: PermitIssuer | None = None,
         known_instances: Callable[[], int] = lambda: 0,
         limits_by_id: Callable[[], Mapping[str, float]] = dict,
+        ordered_return: Callable[[EngineRule], bool] = lambda _: False,
     ) -> None:
         self._authority = authority
         self._routes = routes
@@ -95,6 +98,10 @@
         self._workers = WorkerPool(self._engine, client, authority, self._wake.set)
         self._service_views = ServiceViews(directory, self._workers, self._demand, limits_by_id)
         self._adapters = AdapterOrders(self._demand, self._workers)
+        # Whether requests for a service's models are refused at once if no load is planned.
+        self._ordered_return = ordered_return
+        self._unserved = UnservedUnits()
+        self._returns = AnnouncedReturns()
         self._instances = InstanceTotals()
         self._failing = FailingUpstreams()
         self._use = UseTotals(use_slack)
@@ -118,7 +125,8 @@
             # A new instance has no residency yet.
             self._schedule.request_full()
             self._wake.set()
-        if any(entry.waiting for entry in update.demand):
+        self._returns.receive(update.returns)
+        if any(entry.waiting or entry.refused for entry in update.demand):
             self._wake.set()
 
     def forget(self, upstream_ids: set[str]) -> None:
@@ -180,6 +188,8 @@
             self._schedule = UpdateSchedule()
             self._changes = ListChanges()
             self._demand.forget_snapshot_senders()
+            self._unserved.clear()
+            self._returns.clear()
             log_event("giver_ends")
         self._workers.stop()
 
@@ -202,7 +212,8 @@
         return rule.engine if rule else None
 
     def _plan(self) -> None:
-        for waiting in self._demand.waiting():
+        wanted = self._demand.wanted()
+        for waiting in wanted:
             engine = self._engine(waiting.service)
             if engine is None:
                 continue
@@ -218,10 +229,20 @@
         for name, service in table.services_by_name.items() if table else ():
             if service.engine is not None:
                 self._adapters.load_extra_copies(name, service.engine, self._views)
-                self._swap_models(name, service.engine)
+                complete = self._swap_models(name, service.engine)
+                if self._ordered_return(service.engine):
+                    self._note_plan(name, [one for one in wanted if one.service == name], complete)
 
-    def _swap_models(self, service: str, engine: EngineRule) -> None:
-        """Start the swaps that pay off, the best one first; each affects the next choice."""
+    def _note_plan(self, service: str, wanted: list[WaitingUnit], complete: bool) -> None:
+        views = self._views(service)
+        self._demand.note_resident(service, {name for view in views for name in view.resident})
+        self._unserved.note_plan(wanted, views, complete=complete)
+
+    def _swap_models(self, service: str, engine: EngineRule) -> bool:
+        """Start the swaps that pay off, the best one first; each affects the next choice.
+
+        Returns whether no further one pays off now.
+        """
         planner = Planner(service, engine, self._demand)
         for _ in range(MAX_SWAPS_PER_STEP):
             views = self._views(service)
@@ -229,8 +250,9 @@
             cold_allowed = self._rate.allows_load(self._ceiling(engine))
             swap = planner.best_swap(waiting, views, cold_allowed=cold_allowed)
             if swap is None:
-                return
+                return True
             self._start_swap(swap, waiting)
+        return False
 
     def _start_swap(self, swap: Swap, waiting: Iterable[WaitingUnit]) -> None:
         served = [one for one in waiting if one.unit.model == swap.model.name]
@@ -259,10 +281,14 @@
         residency, residency_complete = self._schedule.residency(
             self._workers.resident_by_id(), periodic=periodic, instances=len(self._instances)
         )
-        ready_in = self._workers.ready_in_by_model()
+        ready_in = self._workers.ready_in_by_model() | self._workers.ready_in_by_unit(
+            self._announces_units
+        )
+        unplanned = self._unserved.listed(periodic=periodic)
         store = self._read(self._changes)
         limits = self._issuer.issue(all_limits=periodic)
-        if not self._schedule.has_changes(ready_in.keys(), store) and not periodic and not limits:
+        changed = self._schedule.has_changes(ready_in.keys(), store)
+        if not changed and not periodic and not limits and not unplanned:
             return None
         loads = [LoadEntry(key, *load) for key, load in self._totals.loads.items()]
         return LeaderUpdate(
@@ -279,8 +305,15 @@
             self._sample_peers() if residency_complete else [],
             limits,
             self._directory.leaving_unlisted(),
+            unplanned=unplanned,
+            returns=self._returns.next_entries() if periodic else [],
         )
 
+    def _announces_units(self, service: str) -> bool:
+        """Return whether requests are refused if no load of their unit is announced."""
+        engine = self._engine(service)
+        return engine is not None and self._ordered_return(engine)
+
     def _sample_peers(self) -> list[str]:
         addresses = self._instances.addresses()
         return self._random.sample(addresses, min(MAX_PEERS_PER_UPDATE, len(addresses)))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/local_demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/local_demand.py
@@ -22,6 +22,8 @@
         self._lock = threading.Lock()
         self._arrivals: Counter[_Key] = Counter()
         self._overloads: Counter[_Key] = Counter()
+        self._refused: Counter[_Key] = Counter()
+        self._refused_waits: dict[_Key, float] = {}
         self._waiting: Counter[_Key] = Counter()
         # Mean weight of the requests for each unit.
         self._weights: dict[_Key, float] = {}
@@ -46,6 +48,14 @@
         with self._lock:
             self._overloads[(service, unit)] += 1
 
+    def note_refused(self, service: str, unit: Unit, max_wait_seconds: float) -> None:
+        """Count a request refused for want of a holder, which could have waited so long."""
+        key = (service, unit)
+        with self._lock:
+            self._refused[key] += 1
+            self._refused_waits[key] = max(max_wait_seconds, self._refused_waits.get(key, 0.0))
+        self._wake()
+
     def begin_wait(self, service: str, unit: Unit, max_wait_seconds: float) -> None:
         """Note that a request waits for ``unit``, for at most ``max_wait_seconds``."""
         key = (service, unit)
@@ -69,6 +79,8 @@
         with self._lock:
             arrivals, self._arrivals = self._arrivals, Counter()
             overloads, self._overloads = self._overloads, Counter()
+            refused, self._refused = self._refused, Counter()
+            refused_waits, self._refused_waits = self._refused_waits, {}
             waiting = dict(self._waiting)
             weights = dict(self._weights)
             longest = {key: max(ends) - now for key, ends in self._wait_ends_at.items()}
@@ -82,6 +94,10 @@
                 longest.get((service, unit), 0.0),
                 overloads[(service, unit)],
                 round(weights.get((service, unit), 1.0), 2),
+                refused[(service, unit)],
+                refused_waits.get((service, unit), 0.0),
+            )
+            for service, unit in (
+                arrivals.keys() | waiting.keys() | overloads.keys() | refused.keys()
             )
-            for service, unit in arrivals.keys() | waiting.keys() | overloads.keys()
         ]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -14,6 +14,8 @@
     ``max_wait_seconds``, and none longer. ``overloads`` counts requests whose holders were
     too busy: they were refused for that reason, or had their first event after their
     latency target. Each waiting request counts ``weight`` times, by its urgency.
+    ``refused`` counts requests that were refused for want of a holder; at least one of them
+    could have waited for ``refused_wait_seconds``, and none longer.
     """
 
     service: str
@@ -24,6 +26,8 @@
     max_wait_seconds: float
     overloads: int = 0
     weight: float = 1.0
+    refused: int = 0
+    refused_wait_seconds: float = 0.0
 
 
 class LoadEntry(msgspec.Struct, array_like=True):
@@ -48,7 +52,10 @@
 
 
 class ReturnEntry(msgspec.Struct, array_like=True):
-    """A refused request that may return in ``seconds``; ``request`` identifies it anywhere."""
+    """A refused request that may return in ``seconds``; ``request`` identifies it anywhere.
+
+    The lower its ``rank``, the more urgent it is.
+    """
 
     service: str
     model: str
@@ -56,6 +63,11 @@
     request: str
     seconds: float
     tokens: int
+    rank: int = 0
+
+    def delayed(self, seconds: float) -> "ReturnEntry":
+        """Return the entry as of ``seconds`` later."""
+        return msgspec.structs.replace(self, seconds=self.seconds - seconds)
 
 
 class UseEntry(msgspec.Struct, array_like=True):
@@ -207,4 +219,5 @@
             configuration_age=self.store.configuration_age + seconds,
         )
         limits = [entry.delayed(seconds) for entry in self.rate_limits]
-        return msgspec.structs.replace(self, store=store, rate_limits=limits)
+        returns = [entry.delayed(seconds) for entry in self.returns]
+        return msgspec.structs.replace(self, store=store, rate_limits=limits, returns=returns)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/service_views.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/service_views.py
@@ -55,7 +55,7 @@
         present = {name for view in views for name in [*view.resident, view.loading]}
         waiting = [
             one
-            for one in self._demand.waiting()
+            for one in self._demand.wanted()
             if one.service == service and one.unit.model not in present
         ]
         if not self._limits_by_id() and not totals.rejecting:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -99,6 +99,12 @@
         task = self._task
         return task.model if isinstance(task, SwapTask) else ""
 
+    @property
+    def loading_adapter(self) -> Unit | None:
+        """The adapter that is being loaded, None for none."""
+        task = self._task
+        return task.unit if isinstance(task, AdapterTask) else None
+
     @property
     def ready_in(self) -> float:
         """Seconds until the model that is being loaded is expected to be resident."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
@@ -10,7 +10,11 @@
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.swaps.tasks import Task
 from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad
-from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority, WorkerOrders
+from redwingscale_daemon._internal.swaps.worker_orders import (
+    ADAPTER_LOAD_SECONDS,
+    OrderAuthority,
+    WorkerOrders,
+)
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
 # Returns the rule of a service's engines, None for a service without model workers.
@@ -68,6 +72,20 @@
             worker.loading: worker.ready_in for worker in self._by_id.values() if worker.loading
         }
 
+    def ready_in_by_unit(self, announced: Callable[[str], bool]) -> dict[str, float]:
+        """Return the seconds until each unit of the ``announced`` services is resident.
+
+        Adapters included, and the soonest of several loads of a model.
+        """
+        workers = [one for one in self._by_id.values() if announced(one.upstream.service)]
+        adapters = {
+            str(unit): ADAPTER_LOAD_SECONDS
+            for worker in workers
+            if (unit := worker.loading_adapter) is not None
+        }
+        loads = sorted((one.ready_in, one.loading) for one in workers if one.loading)
+        return {model: ready_in for ready_in, model in reversed(loads)} | adapters
+
     def views(self, usable: Iterable[Upstream], totals: Totals) -> list[WorkerView]:
         """Return the planner's views of those ``usable`` workers that serve most instances."""
         without = totals.cut_off | totals.rejecting
