--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/return_time.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/return_time.py
@@ -1,6 +1,7 @@
 """When a refused caller should return."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 # Callers wait at most this fraction of the time that they have left.
 WAITED_FRACTION = 1 / 3
@@ -11,11 +12,6 @@
 SPREAD_SECONDS = 0.3
 
 
-def longest_return_seconds(remaining_seconds: float) -> float:
-    """Return how long a caller with ``remaining_seconds`` until its deadline waits."""
-    return remaining_seconds * WAITED_FRACTION
-
-
 def place_seconds(work_seconds: Iterable[float], booked_seconds: float) -> float:
     """Return when a place is free behind the holders' work and the booked returns.
 
@@ -33,13 +29,26 @@
     return level + left
 
 
-def return_seconds(place_in: float, remaining_seconds: float, spread: float) -> float:
+class ReturnTime(NamedTuple):
+    """Seconds until a refused caller should return, and whether it waits so long."""
+
+    seconds: float
+    in_reach: bool
+
+
+def return_time(
+    place_in: float, remaining_seconds: float, queue_seconds: float, spread: float
+) -> ReturnTime:
     """Return the time to announce to a refused caller whose place is free in ``place_in``.
 
-    ``spread`` is from 0 to 1 and differs between callers. Within the time that the caller
-    waits, the announced time is no later than that. A place that is free only afterwards
-    is announced as it is, so that the caller can tell that waiting is of no use.
+    Made for callers that compete for too few holders and wait at most a third of the
+    ``remaining_seconds`` until their deadline. A caller may return before its place is free
+    and spend up to ``queue_seconds`` in the queue of a holder. If it would have to wait for
+    longer, the true time is announced: the caller can tell that waiting is of no use.
+    ``spread`` is from 0 to 1 and differs between callers.
     """
-    longest = longest_return_seconds(remaining_seconds)
+    longest = remaining_seconds * WAITED_FRACTION
     spread_in = max(MIN_RETURN_SECONDS, place_in) + spread * SPREAD_SECONDS
-    return min(spread_in, max(longest, MIN_RETURN_SECONDS)) if place_in <= longest else spread_in
+    if longest >= MIN_RETURN_SECONDS and place_in <= longest + queue_seconds:
+        return ReturnTime(min(spread_in, longest), in_reach=True)
+    return ReturnTime(spread_in, in_reach=False)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ordered_return.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ordered_return.py
@@ -54,7 +54,7 @@
 
     def engine_of(service: str) -> EngineRule | None:
         table = routes.get()
-        rule = table.services_by_name.get(service) if table else None
+        rule = table.services_by_name.get(service) if table is not None else None
         return rule.engine if rule else None
 
     # Not used for secrets, only to spread the returns.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
@@ -8,10 +8,7 @@
 
 from redwingscale_daemon._internal.admission.booked_return import BookedReturn, return_digest
 from redwingscale_daemon._internal.admission.return_book import ReturnBook
-from redwingscale_daemon._internal.admission.return_time import (
-    longest_return_seconds,
-    return_seconds,
-)
+from redwingscale_daemon._internal.admission.return_time import return_time
 from redwingscale_daemon._internal.exceptions import Refusal
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.prompt import Prompt
@@ -135,10 +132,11 @@
             self.demand.note_refused(call.service, prompt.unit, max(0.0, max_wait_seconds))
         place_in = self._place_seconds(call, prompt, refusal)
         remaining = call.watch.remaining()
-        seconds = return_seconds(place_in, remaining, self.spread())
+        target = call.route.latency_target_seconds
+        seconds, in_reach = return_time(place_in, remaining, target, self.spread())
         refusal.retry_after_seconds = seconds
-        # A caller returns once, and not after a longer wait.
-        booked = not call.attempts.returning and seconds <= longest_return_seconds(remaining)
+        # A caller returns once.
+        booked = in_reach and not call.attempts.returning
         if booked:
             self.book.book(_booked_return(call, prompt, self.clock() + seconds))
         self.record(_result(call, booked=booked))
