--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/booked_return.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/booked_return.py
@@ -1,12 +1,13 @@
 """A refused request that is expected to return, and how it is recognised."""
 
 import hashlib
+from base64 import urlsafe_b64encode
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.fleet.unit import Unit
 
-# 48 bits in hexadecimal: two of some hundred open returns share a digest once in 10^10.
+# Eight characters in base 64: two of some hundred open returns share a digest once in 10^10.
 DIGEST_BYTES = 6
 
 
@@ -32,4 +33,4 @@
     own = prompt.parts[-1].id if prompt.parts else f"{prompt.tokens_in},{prompt.most_tokens_out}"
     text = "\n".join((service, str(prompt.unit), own)).encode()
     digest = hashlib.blake2b(text + (key_digest or b""), digest_size=DIGEST_BYTES)
-    return digest.hexdigest()
+    return urlsafe_b64encode(digest.digest()).decode()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
@@ -23,6 +23,10 @@
 from redwingscale_daemon._internal.models.run_state import RunState
 
 MILLISECONDS_PER_SECOND = 1000.0
+# How many latency targets a returning request may spend in the queue of a holder. In the
+# simulated bursts (docs/design/99-ordered-return.md), fewer leave holders idle after a burst,
+# and with more, most of the returning requests are late.
+QUEUE_TARGETS = 1.5
 # Refusals of an instance that stops or is cut off: another instance can serve the request
 # at once, and the leader would not learn of a booking.
 _NOT_BOOKED = frozenset({"stopping", "cut_off"})
@@ -105,7 +109,7 @@
     ) -> Refusal | None:
         """Return a refusal if the holders have room only for the returns that are due.
 
-        The room of a holder is what it reads within the latency target. Returns are due if
+        The room of a holder is what it reads within `QUEUE_TARGETS`. Returns are due if
         their time comes before the new request would begin.
         """
         begins_in = found.queue_ms / MILLISECONDS_PER_SECOND
@@ -113,7 +117,7 @@
         if call.attempts.count or prompt.unit not in due:
             return None
         place_in = self.work.place_seconds(call.service, prompt.unit, due)
-        if place_in is None or place_in <= call.route.latency_target_seconds:
+        if place_in is None or place_in <= _queue_seconds(call):
             return None
         detail = (
             f"{due[prompt.unit]} tokens of returns are due, a place is free in {place_in:.2f} s"
@@ -132,8 +136,7 @@
             self.demand.note_refused(call.service, prompt.unit, max(0.0, max_wait_seconds))
         place_in = self._place_seconds(call, prompt, refusal)
         remaining = call.watch.remaining()
-        target = call.route.latency_target_seconds
-        seconds, in_reach = return_time(place_in, remaining, target, self.spread())
+        seconds, in_reach = return_time(place_in, remaining, _queue_seconds(call), self.spread())
         refusal.retry_after_seconds = seconds
         # A caller returns once.
         booked = in_reach and not call.attempts.returning
@@ -167,6 +170,10 @@
         return max(place_in, refusal.retry_after_seconds or 0.0)
 
 
+def _queue_seconds(call: Call) -> float:
+    return call.route.latency_target_seconds * QUEUE_TARGETS
+
+
 def _digest(call: Call, prompt: Prompt) -> str:
     return return_digest(call.service, prompt, call.terms.key_digest)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/announced_returns.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/announced_returns.py
@@ -8,9 +8,9 @@
 from redwingscale_daemon._internal.admission.return_book import EXPIRY_SECONDS
 from redwingscale_daemon._internal.swaps.messages import ReturnEntry
 
-# An update of the leader takes at most 4 KB; residency and loads need a quarter of it.
+# An update of the leader takes at most 4 KB; loads and unplanned units need a third of it.
 MAX_ENTRIES = 60
-MAX_BYTES = 3000
+MAX_BYTES = 2600
 # Returns that are due later follow in later updates.
 HORIZON_SECONDS = 5.0
 # An update may be lost, and the next one too.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/unserved_units.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/unserved_units.py
@@ -9,8 +9,8 @@
 
 # An update may be lost, and between two of them a unit's requests come from other instances.
 LISTED_SECONDS = 1.0
-# Names of models and adapters have some 20 bytes: all together stay under 1 KB of an update.
-MAX_LISTED = 40
+# Names of models and adapters have some 20 bytes: all together take half a KB of an update.
+MAX_LISTED = 24
 
 
 class UnservedUnits:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/return_simulation.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/return_simulation.py
@@ -25,7 +25,6 @@
 from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
 from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule, ServiceRule
 from redwingscale_daemon._internal.routes.urgency import Urgency
-from redwingscale_daemon._internal.settings.scheduling import Mode
 from redwingscale_daemon._internal.swaps.announced_returns import AnnouncedReturns
 from redwingscale_daemon._internal.swaps.local_demand import LocalDemand
 
