--- a/packages/redwingscale-daemon/tests/unit/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures: in-process stand-ins on real sockets."""
 
+import time
+
 import pytest
 from redwingscale_common.network.server import HttpServer, ServerLimits
 from redwingscale_standins.plain.api import PlainApi
@@ -33,3 +35,21 @@
 def plain_url(serve):
     """The URL of a plain service that records the requests that it runs."""
     return serve(PlainApi("register"))
+
+
+class Clock:
+    """Replaces `time.monotonic`."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """The clock of the process, which stands still unless a test moves it."""
+    made = Clock()
+    monkeypatch.setattr(time, "monotonic", made)
+    return made
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation of refused callers that return through other instances."""
