--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/refused_demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/refused_demand.py
@@ -48,15 +48,17 @@
         if not entry.refused:
             return
         now = self._clock()
-        refused = _Refused(now, entry.refused * entry.weight, now + entry.refused_wait_seconds)
-        self._refused[(entry.service, Unit(entry.model, entry.adapter))].append(refused)
+        refused = self._refused[(entry.service, Unit(entry.model, entry.adapter))]
+        _drop_old(refused, now)
+        refused.append(
+            _Refused(now, entry.refused * entry.weight, now + entry.refused_wait_seconds)
+        )
 
     def units(self) -> list[RefusedUnit]:
         """Return the units whose requests were refused lately."""
         now = self._clock()
         for key, refused in list(self._refused.items()):
-            while refused and now - refused[0].at > REMEMBERED_SECONDS:
-                refused.popleft()
+            _drop_old(refused, now)
             if not refused:
                 del self._refused[key]
         return [
@@ -68,3 +70,8 @@
             )
             for (service, unit), refused in self._refused.items()
         ]
+
+
+def _drop_old(refused: deque[_Refused], now: float) -> None:
+    while refused and now - refused[0].at > REMEMBERED_SECONDS:
+        refused.popleft()
