Place prompts by the pauses that they cause in running streams

Cause: a prompt that is read beside running streams pauses them, and the choice of a holder took no account of it: on one deployment more than half of the long streams had a pause over their route's limit.

Generating streams are counted, pauses are observed, and a prompt that would break streams is held while its latency target leaves room.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -5,6 +5,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.composition.pauses import PauseRules
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps, engine_calls
 from redwingscale_daemon._internal.fleet.chooser import Chooser
@@ -12,6 +13,7 @@
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
 from redwingscale_daemon._internal.fleet.list_reads import READ_CHECK_SECONDS, ListReads
 from redwingscale_daemon._internal.fleet.own_reports import OwnReports
+from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
@@ -150,7 +152,13 @@
     bounds = settings.bounds
     rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
     budget = RepeatBudget(rule, swaps.instances)
-    chooser = Chooser(settings.failure_domain, fleet, swaps.instances)
+    pauses = StreamPauses(
+        PauseRules(routes, settings.scheduling.stream_pauses).rule_of,
+        fleet.load_tracker,
+        lambda: metrics.long_pauses.add(1),
+    )
+    fleet.directory.on_gone(pauses.forget)
+    chooser = Chooser(settings.failure_domain, fleet, swaps.instances, pauses)
     sender = Sender(pool, exchange, fleet.backpressure)
     parts = RelayParts(
         exchange,
@@ -162,6 +170,7 @@
         budget,
         fleet.gate,
         fleet.backpressure,
+        pauses,
     )
     wait = HolderWait(
         chooser,
@@ -171,6 +180,7 @@
         open_requests,
         fleet.gate,
         lambda: own_reports.caller_retry_seconds,
+        lambda: metrics.held_prompts.add(1),
     )
     return RequestHandler(
         routes,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -290,7 +290,9 @@
 def _load_of_others(total: LoadEntry, own: LoadEntry | None) -> Load:
     # The total may be older than the loads that this instance has sent since.
     if own is None:
-        return Load(total.requests, total.prompt_tokens)
+        return Load(total.requests, total.prompt_tokens, total.generating)
     return Load(
-        max(0, total.requests - own.requests), max(0, total.prompt_tokens - own.prompt_tokens)
+        max(0, total.requests - own.requests),
+        max(0, total.prompt_tokens - own.prompt_tokens),
+        max(0, total.generating - own.generating),
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -6,7 +6,9 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.fleet import Fleet
+from redwingscale_daemon._internal.fleet.pause_cost import PauseCost
 from redwingscale_daemon._internal.fleet.prompt import Prompt
+from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 
 # Prompt tokens that an engine processes in a millisecond, without other work.
@@ -43,6 +45,7 @@
     ``expected_ms`` the same with the upstream's latency factor, and ``queue_ms`` the part
     of it that is spent on other requests. ``cached_tokens`` tokens of the prompt are cached
     at the upstream. ``among`` is the number of candidates that it was chosen from.
+    ``pauses`` is the part of the cost for pauses of streams, None where it does not apply.
     """
 
     cost_ms: float
@@ -52,6 +55,7 @@
     queue_ms: float = 0.0
     cached_tokens: int = 0
     among: int = 1
+    pauses: PauseCost | None = None
 
 
 class Chooser:
@@ -62,7 +66,9 @@
         failure_domain: str,
         fleet: Fleet,
         instances: Callable[[], int] = lambda: COMPARE_ALL_INSTANCES,
+        pauses: StreamPauses | None = None,
     ) -> None:
+        self._pauses = pauses
         self._failure_domain = failure_domain
         self._instances = instances
         self._directory = fleet.directory
@@ -95,6 +101,9 @@
         holders = self._sendable(self._holders(service, prompt, tried))
         home = _home_id(prompt, holders)
         candidates = [self._prompt_candidate(u, prompt, home) for u in holders]
+        if self._pauses is not None and not compare_all:
+            # With ``compare_all``, a holder that is in time is needed, whatever else it costs.
+            candidates = _with_pauses(candidates, self._pauses, service, prompt)
         return self._cheapest(candidates, compare_all=compare_all)
 
     def throttled_plain(self, service: str, tried: Collection[str]) -> list[str]:
@@ -162,6 +171,9 @@
         if count >= len(among):
             return among
         sample = self._random.sample(among, count)
+        if among[0].pauses is not None:
+            # Instances that compare different holders would not separate their streams.
+            sample.append(min(among, key=_place_ms))
         most_cached = max(among, key=lambda one: one.cached_tokens)
         return [*sample, most_cached] if most_cached.cached_tokens else sample
 
@@ -175,6 +187,25 @@
         return extra
 
 
+def _with_pauses(
+    candidates: list[Candidate], pauses: StreamPauses, service: str, prompt: Prompt
+) -> list[Candidate]:
+    cached_by_id = {one.upstream.id: one.cached_tokens for one in candidates}
+    costs = pauses.costs(service, prompt, cached_by_id)
+    if not costs:
+        return candidates
+    return [
+        one._replace(
+            cost_ms=one.cost_ms + costs[one.upstream.id].cost_ms, pauses=costs[one.upstream.id]
+        )
+        for one in candidates
+    ]
+
+
+def _place_ms(candidate: Candidate) -> float:
+    return candidate.pauses.place_ms if candidate.pauses else 0.0
+
+
 def _shared_tokens(prompt: Prompt) -> int:
     # The last part belongs to this request alone.
     return sum(part.tokens for part in prompt.parts[:-1])
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/load_tracker.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/load_tracker.py
@@ -13,10 +13,22 @@
 
 
 class Load(NamedTuple):
-    """Open requests at an upstream, and prompt tokens that it has yet to process."""
+    """Open requests at an upstream, and prompt tokens that it has yet to process.
+
+    ``generating`` of the requests are streams that have begun and whose pauses are limited.
+    """
 
     requests: int
     prompt_tokens: int
+    generating: int = 0
+
+    def plus(self, other: "Load") -> "Load":
+        """Return the sum of both loads."""
+        return Load(
+            self.requests + other.requests,
+            self.prompt_tokens + other.prompt_tokens,
+            self.generating + other.generating,
+        )
 
 
 NO_LOAD = Load(0, 0)
@@ -33,6 +45,7 @@
         self._unit = unit
         self._prompt_tokens = prompt_tokens
         self._open = True
+        self._generating = 0
 
     def note_prompt_read(self) -> None:
         """Note the first event, which means that the prompt has been processed."""
@@ -40,11 +53,19 @@
             self._load_tracker.add(self._upstream_id, 0, -self._prompt_tokens)
             self._prompt_tokens = 0
 
+    def note_generating(self) -> None:
+        """Count the request as a stream whose pauses are limited; a second call does nothing."""
+        if self._open and not self._generating:
+            self._generating = 1
+            self._load_tracker.add(self._upstream_id, 0, 0, generating=1)
+
     def close(self) -> None:
         """Note the end of the request; a second call does nothing."""
         if self._open:
             self._open = False
-            self._load_tracker.add(self._upstream_id, -1, -self._prompt_tokens, self._unit)
+            self._load_tracker.add(
+                self._upstream_id, -1, -self._prompt_tokens, self._unit, -self._generating
+            )
 
 
 class LoadTracker:
@@ -63,16 +84,19 @@
         return LoadTicket(self, upstream_id, unit, prompt_tokens)
 
     def add(
-        self, upstream_id: str, requests: int, prompt_tokens: int, unit: Unit | None = None
+        self,
+        upstream_id: str,
+        requests: int,
+        prompt_tokens: int,
+        unit: Unit | None = None,
+        generating: int = 0,
     ) -> None:
         """Add to this instance's load of an upstream."""
         with self._lock:
             if unit is not None:
                 self._open_by_unit[(upstream_id, unit)] += requests
-            load = self._own[upstream_id]
-            self._own[upstream_id] = Load(
-                load.requests + requests, load.prompt_tokens + prompt_tokens
-            )
+            added = Load(requests, prompt_tokens, generating)
+            self._own[upstream_id] = self._own[upstream_id].plus(added)
 
     def open_by_unit(self) -> dict[tuple[str, Unit], int]:
         """Return this instance's open requests by upstream and unit, without zero counts."""
@@ -85,6 +109,10 @@
         with self._lock:
             return {key: load for key, load in self._own.items() if load.requests}
 
+    def own_at(self, upstream_id: str) -> Load:
+        """Return this instance's load of an upstream."""
+        return self._own.get(upstream_id, NO_LOAD)
+
     def set_others(self, others: dict[str, Load]) -> None:
         """Set the summed load from the other instances."""
         with self._lock:
@@ -96,8 +124,7 @@
         own = self._own.get(upstream_id, NO_LOAD)
         if time.monotonic() - self._others_at > OTHERS_FRESH_SECONDS:
             return own
-        others = self._others.get(upstream_id, NO_LOAD)
-        return Load(own.requests + others.requests, own.prompt_tokens + others.prompt_tokens)
+        return own.plus(self._others.get(upstream_id, NO_LOAD))
 
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop entries without open requests of upstreams that are gone."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -1,7 +1,7 @@
 """The attempts to send one request, and whether another one is allowed."""
 
 import time
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
@@ -60,6 +60,7 @@
             rate=_or_dash(backpressure.per_second),
             leaving=_or_dash(backpressure.leaving_seconds),
             retry_in=round(backpressure.retry_in, 3),
+            **_pause_fields(chosen),
         )
         if not self.count:
             self._budget.note_request(self._service)
@@ -127,5 +128,14 @@
         )
 
 
+def _pause_fields(chosen: Candidate) -> dict[str, Any]:
+    if chosen.pauses is None:
+        return {}
+    return {
+        "broken": round(chosen.pauses.broken, 2),
+        "place_ms": round(chosen.pauses.place_ms),
+    }
+
+
 def _or_dash(value: float | None) -> float | str:
     return "-" if value is None else round(value, 3)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.final_refusal import final_refusal
+from redwingscale_daemon._internal.forwarding.prompt_pacing import hold
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 
@@ -67,6 +68,8 @@
     # it reaches neither the leader nor the list, or only its own failure domain. None
     # while it is not isolated.
     caller_retry_seconds: Callable[[], float | None] = lambda: None
+    # Counts a prompt that was held because it would have broken streams.
+    on_held: Callable[[], None] = lambda: None
 
     def choose_holder(self, call: Call, prompt: Prompt) -> Candidate:
         """Return the best holder, waiting for one; raises `Refusal`, `CallerLeft`.
@@ -76,7 +79,7 @@
         """
         found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
         if found is not None:
-            return self._choose_in_time(call, prompt, found)
+            return self._hold(call, prompt, self._choose_in_time(call, prompt, found))
         throttled = self.chooser.throttled_holders(call.service, prompt, call.attempts.tried)
         if throttled:
             self._check_queue(call, prompt, throttled)
@@ -87,6 +90,17 @@
             finally:
                 self.demand.end_wait(call.service, prompt.unit)
 
+    def _hold(self, call: Call, prompt: Prompt, found: Candidate) -> Candidate:
+        if found.pauses is None:
+            return found
+        return hold(
+            call,
+            found,
+            lambda: self.chooser.choose_holder(call.service, prompt, call.attempts.tried),
+            lambda: self.open_requests.draining,
+            self.on_held,
+        )
+
     def _check_queue(self, call: Call, prompt: Prompt, throttled: list[str]) -> None:
         """Raise `Refusal` if neither the throttled holders nor a load can serve it in time."""
         ready_in = self.residency.ready_in(str(prompt.unit))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
@@ -8,6 +8,7 @@
 from redwingscale_daemon._internal.fleet.latency_factors import LatencyFactors
 from redwingscale_daemon._internal.fleet.load_tracker import LoadTracker
 from redwingscale_daemon._internal.fleet.send_gate import SendGate
+from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.sender import Sender
@@ -25,3 +26,4 @@
     budget: RepeatBudget
     gate: SendGate
     backpressure: BackpressureTracker
+    pauses: StreamPauses | None = None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -18,6 +18,7 @@
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.pause_watch import PauseWatch
 from redwingscale_daemon._internal.forwarding.response_body import read_response_body
 from redwingscale_daemon._internal.models.run_state import RunState
 
@@ -90,8 +91,11 @@
             unread = max(0, prompt.tokens_in - kept)
             ticket = self._parts.load_tracker.open_ticket(upstream.id, prompt.unit, unread)
             self._prefixes.sent(upstream.id, prompt)
+            if self._parts.pauses is not None:
+                self._parts.pauses.note_sent(call.service, prompt)
+            pauses = PauseWatch(self._parts.pauses, call, upstream.id, load, unread)
             try:
-                if self._send(call, candidate, progress, ticket):
+                if self._send(call, candidate, progress, ticket, pauses):
                     return
             finally:
                 ticket.close()
@@ -102,6 +106,7 @@
         candidate: Candidate,
         progress: _Progress,
         ticket: LoadTicket,
+        pauses: PauseWatch,
     ) -> bool:
         """Return whether the reply is complete, False to retry; raises if neither is possible."""
         upstream = candidate.upstream
@@ -121,7 +126,7 @@
             raise _time_limit_refusal() from None
         match outcome:
             case Answering():
-                return self._relay_response(call, outcome, candidate, progress, ticket)
+                return self._relay_response(call, outcome, candidate, progress, ticket, pauses)
             case Lost():
                 if not progress.events:
                     waited_ms = call.attempts.seconds_since_send() * MILLISECONDS_PER_SECOND
@@ -139,6 +144,7 @@
         candidate: Candidate,
         progress: _Progress,
         ticket: LoadTicket,
+        pauses: PauseWatch,
     ) -> bool:
         response = answering.response
         try:
@@ -146,7 +152,7 @@
                 return self._relay_failure(call, answering)
             if not self._parts.dialect.is_signed(response):
                 raise HTTPException("the answer bears no signature")
-            self._relay_events(call, answering, candidate, progress, ticket)
+            self._relay_events(call, answering, candidate, progress, ticket, pauses)
         except (HTTPException, OSError, UpstreamSilent, ValueError) as error:
             answering.connection.discard()
             lost = Lost(answering.upstream, f"event {progress.last_event}: {error!r}")
@@ -168,14 +174,17 @@
         candidate: Candidate,
         progress: _Progress,
         ticket: LoadTicket,
+        pauses: PauseWatch,
     ) -> None:
         headers = self._parts.dialect.response_headers(answering.response)
         begun = False
         for event in read_events(answering.response):
+            pauses.note_read()
             if not begun:
                 begun = True
                 ticket.note_prompt_read()
                 real_ms = call.attempts.note_first_event() * MILLISECONDS_PER_SECOND
+                pauses.note_first_event(ticket, real_ms / MILLISECONDS_PER_SECOND)
                 self._parts.latency_factors.observe(
                     answering.upstream.id, candidate.first_event_ms, real_ms
                 )
@@ -189,6 +198,7 @@
             call.reply.write(event.data)
             progress.note_delivered(event)
             call.attempts.note_delivery()
+            pauses.note_written()
         if not call.reply.started:
             call.reply.begin(answering.response.status, headers)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
@@ -18,8 +18,8 @@
 class Totals(NamedTuple):
     """Sums over all instances, by upstream id.
 
-    ``loads`` has the open requests and their unread prompt tokens, ``uses`` the open
-    requests by unit. Most instances cannot reach the ``cut_off`` upstreams. The
+    ``loads`` has the open requests, their unread prompt tokens and the generating streams,
+    ``uses`` the open requests by unit. Most instances cannot reach the ``cut_off`` upstreams. The
     ``rejecting`` ones reject more instances than they serve.
     """
 
@@ -106,10 +106,8 @@
 def _loads(fresh: list[InstanceUpdate]) -> dict[str, Load]:
     totals: dict[str, Load] = defaultdict(lambda: NO_LOAD)
     for entry in (entry for update in fresh for entry in update.loads):
-        total = totals[entry.upstream]
-        totals[entry.upstream] = Load(
-            total.requests + entry.requests, total.prompt_tokens + entry.prompt_tokens
-        )
+        load = Load(entry.requests, entry.prompt_tokens, entry.generating)
+        totals[entry.upstream] = totals[entry.upstream].plus(load)
     return totals
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -29,6 +29,8 @@
         self._requests = meter.create_counter("redwingscale_ingress_requests", unit="1")
         self._seconds = meter.create_histogram("redwingscale_request_seconds", unit="s")
         meter.create_observable_gauge("redwingscale_threads", callbacks=[observe_threads])
+        self.long_pauses = meter.create_counter("redwingscale_long_pauses", unit="1")
+        self.held_prompts = meter.create_counter("redwingscale_held_prompts", unit="1")
         self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
 
     def record_request(self, request: IngressRequest, outcome: str) -> float:
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_stream_pauses.py
@@ -0,0 +1,257 @@
+"""Prompts beside long streams: streams that a pause breaks, with and without their cost.
+
+Engines are simulated in process, in steps that read one chunk of the waiting prompts. The
+instances choose with the real chooser and learn of each other's load 0.25 s late or more.
+"""
+
+import heapq
+import itertools
+import random
+import time
+from collections import defaultdict
+from typing import NamedTuple
+
+import pytest
+from redwingscale_daemon._internal.fleet.chooser import Chooser
+from redwingscale_daemon._internal.fleet.fleet import new_fleet
+from redwingscale_daemon._internal.fleet.load_tracker import NO_LOAD, Load
+from redwingscale_daemon._internal.fleet.pause_cost import PauseRule
+from redwingscale_daemon._internal.fleet.prompt import Prompt
+from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
+from redwingscale_daemon._internal.forwarding.prompt_pacing import RECHECK_SECONDS, holds
+
+UNIT = Unit("m")
+UPDATE_SECONDS, TRANSIT_SECONDS = 0.25, 0.03
+STEP_MS, TOKENS_PER_MS, TOKENS_PER_EVENT = 10.5, 19.2, 2
+
+
+class Kind(NamedTuple):
+    """A route: requests per second at three holders, prompt, events, target."""
+
+    name: str
+    per_second: float
+    shared: int
+    median_own: int
+    events: int
+    most_out: int
+    target_seconds: float
+
+
+KINDS = [
+    Kind("summary", 8.8, 568, 1500, 11, 90, 1.211),
+    Kind("bulk", 1.9, 568, 1500, 11, 90, 10.011),
+    Kind("plan", 2.6, 350, 1000, 86, 412, 1.009),
+]
+
+
+class Stream:
+    def __init__(self, kind, tokens, sent_at):
+        self.kind, self.tokens, self.sent_at = kind, tokens, sent_at
+        self.unread = tokens
+        self.generated = 0
+        self.first_event = None
+        self.last_event = None
+        self.longest_gap = 0.0
+
+
+class Engine:
+    """Reads one chunk of the waiting prompts in each step, and then one token per stream."""
+
+    def __init__(self, simulation, chunk, speed):
+        self.simulation, self.chunk, self.speed = simulation, chunk, speed
+        self.waiting, self.running = [], []
+        self.stepping = False
+
+    def add(self, stream):
+        self.waiting.append(stream)
+        if not self.stepping:
+            self.stepping = True
+            self.step()
+
+    def step(self):
+        if not self.waiting and not self.running:
+            self.stepping = False
+            return
+        left = self.chunk
+        while self.waiting and left:
+            part = min(left, self.waiting[0].unread)
+            left -= part
+            self.waiting[0].unread -= part
+            if not self.waiting[0].unread:
+                self.running.append(self.waiting.pop(0))
+        ms = STEP_MS + (self.chunk - left) / TOKENS_PER_MS + 0.03 * len(self.running)
+        self.simulation.at(self.simulation.clock[0] + ms / self.speed / 1000, self.end_step)
+
+    def end_step(self):
+        for stream in self.running:
+            stream.generated += 1
+            if stream.generated % TOKENS_PER_EVENT == 0:
+                self.simulation.on_event(stream)
+        self.running = [
+            one for one in self.running if one.generated < one.kind.events * TOKENS_PER_EVENT
+        ]
+        self.step()
+
+
+class Simulation:
+    """Simulation that runs events in order of time on a clock of its own."""
+
+    def __init__(
+        self,
+        clock,
+        *,
+        on,
+        pacing=True,
+        holders=3,
+        instances=20,
+        chunk=4096,
+        gap_ms=400,
+        load=1.0,
+        seed=1,
+        speeds=(1.0,),
+        kinds=KINDS,
+        models=1,
+    ):
+        self.clock, self.load, self.pacing = clock, load, pacing
+        self.gap_ms, self.kinds = gap_ms, kinds
+        self.random = random.Random(seed)
+        self.numbers = itertools.count()
+        self.events = []
+        self.engines, listed = {}, []
+        for n in range(holders):
+            resident = {"m": ResidentModel("m", 1, frozenset())}
+            listed.append(
+                Upstream(
+                    f"u{n}",
+                    "llm",
+                    "h",
+                    1,
+                    f"z{n % 3}",
+                    64,
+                    False,
+                    None,
+                    resident,
+                    frozenset(),
+                    frozenset(),
+                )
+            )
+            self.engines[f"u{n}"] = Engine(self, chunk, speeds[n % len(speeds)])
+        rule = PauseRule(gap_ms, 1009, TOKENS_PER_EVENT)
+        self.fleets, self.choosers, self.pauses = [], [], []
+        for number in range(instances):
+            fleet = new_fleet()
+            fleet.directory.replace(listed)
+            pauses = StreamPauses(lambda service: rule, fleet.load_tracker) if on else None
+            chooser = Chooser(f"z{number % 3}", fleet, lambda: instances, pauses)
+            chooser._random = random.Random(seed * 1000 + number)
+            self.fleets.append(fleet)
+            self.choosers.append(chooser)
+            self.pauses.append(pauses)
+        self.streams = []
+        self.held = 0
+        self.sent_to = defaultdict(list)
+
+    def at(self, moment, action):
+        heapq.heappush(self.events, (moment, next(self.numbers), action))
+
+    def run(self, seconds):
+        start = self.clock[0]
+        self.at(start + UPDATE_SECONDS, self.collect_loads)
+        for kind in self.kinds:
+            self.at(start, lambda kind=kind: self.arrive(kind))
+        while self.events[0][0] < start + seconds:
+            self.clock[0], _, action = heapq.heappop(self.events)
+            action()
+        return self
+
+    def arrive(self, kind):
+        now = self.clock[0]
+        wait = self.random.expovariate(kind.per_second * self.load)
+        self.at(now + wait, lambda: self.arrive(kind))
+        tokens = kind.shared + int(
+            min(6870 - kind.shared, self.random.lognormvariate(0, 0.6) * kind.median_own)
+        )
+        stream = Stream(kind, tokens, now)
+        self.streams.append(stream)
+        self.choose(stream, self.random.randrange(len(self.fleets)), now)
+
+    def choose(self, stream, number, since):
+        now = self.clock[0]
+        prompt = Prompt(UNIT, stream.tokens, stream.kind.most_out, ())
+        chosen = self.choosers[number].choose_holder("llm", prompt, ())
+        if self.pacing and holds(chosen, now - since, stream.kind.target_seconds):
+            self.held += 1
+            self.at(now + RECHECK_SECONDS, lambda: self.choose(stream, number, since))
+            return
+        fleet = self.fleets[number]
+        if self.pauses[number]:
+            self.pauses[number].note_sent("llm", prompt)
+        stream.number, stream.chosen, stream.attempt_at = number, chosen, now
+        stream.upstream = chosen.upstream.id
+        stream.load = fleet.load_tracker.total(stream.upstream)
+        stream.ticket = fleet.load_tracker.open_ticket(stream.upstream, UNIT, stream.tokens)
+        self.sent_to[stream.kind.name].append(stream.upstream)
+        self.engines[stream.upstream].add(stream)
+
+    def on_event(self, stream):
+        now = self.clock[0]
+        pauses = self.pauses[stream.number]
+        if stream.first_event is None:
+            stream.first_event = now
+            stream.ticket.note_prompt_read()
+            real_ms = (now - stream.attempt_at) * 1000
+            self.fleets[stream.number].latency_factors.observe(
+                stream.upstream, stream.chosen.first_event_ms, real_ms
+            )
+            if pauses:
+                stream.ticket.note_generating()
+                pauses.note_prompt_read(
+                    "llm", stream.upstream, stream.load, stream.tokens, now - stream.attempt_at
+                )
+        else:
+            stream.longest_gap = max(stream.longest_gap, now - stream.last_event)
+            if pauses:
+                pauses.note_pause("llm", stream.upstream, now - stream.last_event)
+        stream.last_event = now
+        if stream.generated == stream.kind.events * TOKENS_PER_EVENT:
+            stream.ticket.close()
+
+    def collect_loads(self):
+        self.at(self.clock[0] + UPDATE_SECONDS, self.collect_loads)
+        own = [fleet.load_tracker.own() for fleet in self.fleets]
+        total = dict.fromkeys(self.engines, NO_LOAD)
+        for key, load in itertools.chain.from_iterable(one.items() for one in own):
+            total[key] = total[key].plus(load)
+        others = [
+            {
+                key: load.plus(Load(*(-n for n in mine.get(key, NO_LOAD))))
+                for key, load in total.items()
+            }
+            for mine in own
+        ]
+        self.at(self.clock[0] + TRANSIT_SECONDS, lambda: self.announce_loads(others))
+
+    def announce_loads(self, others):
+        for fleet, loads in zip(self.fleets, others, strict=True):
+            fleet.load_tracker.set_others(loads)
+
+    def broken(self, *names):
+        ended = [one for one in self.streams if one.first_event and one.kind.name in names]
+        return sum(1 for one in ended if one.longest_gap * 1000 > self.gap_ms) / len(ended)
+
+    def in_time(self):
+        due = [one for one in self.streams if one.sent_at + one.kind.target_seconds < self.clock[0]]
+        return sum(
+            1
+            for one in due
+            if one.first_event and one.first_event - one.sent_at <= one.kind.target_seconds
+        ) / len(due)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    now = [1000.0]
+    monkeypatch.setattr(time, "monotonic", lambda: now[0])
+    return now
