Remove the race in the test of a single stale peer

Cause: the test ended the outage before it applied version 2. The new instance could read the store in between, where version 1 was still in force, and accepted it rightly. Change: the store drops the calls of the new instance from before its start until version 2 is in force there. What is checked stays the same: it accepts nothing from the stale peer, and version 2 as its only version.

--- a/packages/redwingscale-daemon/tests/unit/control/test_configuration_spread.py
+++ b/packages/redwingscale-daemon/tests/unit/control/test_configuration_spread.py
@@ -91,6 +91,9 @@
     for node in others:
         node.stop()
     platform.faults.down = True
+    # The new instance reaches the store only once version 2 is in force there: after the outage
+    # and before `apply`, it would rightly accept version 1 from the store.
+    platform.faults.cut_instances = {"fresh"}
     new_instance = make_node("fresh", seeds=[stale.url], listed=False)
     new_instance.run()
 
@@ -109,6 +112,7 @@
 
     platform.faults.down = False
     apply(2)
+    platform.faults.cut_instances = set()
     back = [make_node(f"i{n}") for n in range(1, 4)]
     for node in back:
         node.run()
