Send no request whose deadline passed while the instance was suspended

Cause: deadlines were monotonic, and that clock stands still while the machine is suspended. A thread that was suspended between its choice of an upstream and the send went on and sent the request. A test shows it: with 60 s passed on CLOCK_BOOTTIME only, requests to plain and model services reached the upstream (two of two). Change: Watch counts deadlines on lease_clock (CLOCK_BOOTTIME) from the arrival of the request, so the time announced to upstreams is right too. Sender reads the clock and polls the caller right before each send; a request that is too late is refused as not run (503, time_limit) if no earlier attempt may have run, else 504 as before. test_upstream_connection_ends_when_the_caller_disconnects closed its caller before the request was sent, which now reaches no upstream; it waits until the upstream has the request, as its text says.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -104,5 +104,9 @@
     """The caller's deadline or the route's time limit has passed."""
 
 
+class NotSentInTime(TimeLimitReached):
+    """The time limit was reached before the request was sent to the chosen upstream."""
+
+
 class UpstreamSilent(RedwingscaleError):
     """An upstream sent nothing for longer than a healthy one would."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -16,6 +16,7 @@
 from redwingscale_daemon._internal.forwarding.attempt_failure import FAILURE_STATUSES, note_failure
 from redwingscale_daemon._internal.forwarding.attempts import Attempts, FailedResponse
 from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.response_body import read_response_body
@@ -85,8 +86,8 @@
             outcome = parts.sender.send(
                 upstream, call.request, call.terms.request_id, headers, call.watch
             )
-        except TimeLimitReached:
-            raise _time_limit_refusal() from None
+        except TimeLimitReached as error:
+            raise time_limit_refusal(call, error) from None
         match outcome:
             case Answering():
                 return self._relay_response(call, outcome)
@@ -116,9 +117,9 @@
             if not call.attempts.take_retry(lost):
                 raise _failure_refusal(lost.reason) from error
             return False
-        except TimeLimitReached:
+        except TimeLimitReached as error:
             answering.connection.discard()
-            raise _time_limit_refusal() from None
+            raise time_limit_refusal(call, error) from None
         except CallerLeft:
             answering.connection.discard()
             raise
@@ -177,7 +178,3 @@
 
 def _failure_refusal(reason: str) -> Refusal:
     return Refusal(502, "upstream_failed", reason, run=RunState.UNKNOWN)
-
-
-def _time_limit_refusal() -> Refusal:
-    return Refusal(504, "time_limit", "no answer within the time limit", run=RunState.UNKNOWN)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -231,10 +231,11 @@
 
 
 def _deadline(request: IngressRequest, terms: Terms, route: Route) -> float:
+    """Return the deadline on `lease_clock`."""
     limit = route.time_limit_seconds
     if terms.deadline_seconds is not None:
         limit = min(limit, terms.deadline_seconds)
-    return request.arrived_at + limit
+    return request.arrived_on_lease_clock + limit
 
 
 def _format_seconds(seconds: float | None) -> str:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -48,9 +48,9 @@
     ) -> Outcome:
         """Send and wait for the head of the response.
 
-        Raises `CallerLeft` or `TimeLimitReached`. The connection is closed unless it
-        is returned in an `Answering` or can be reused after a refusal: an upstream
-        aborts what it runs for a closed connection.
+        Raises `CallerLeft` or `TimeLimitReached`, which is a `NotSentInTime` if nothing
+        was sent. The connection is closed unless it is returned in an `Answering` or can
+        be reused after a refusal: an upstream aborts what it runs for a closed connection.
         """
         try:
             connection = self._pool.take_idle(upstream) or self._pool.open(upstream)
@@ -58,6 +58,7 @@
             return NotRun(upstream, f"no connection: {error!r}", misdirected=False, reached=False)
         sent_at = time.monotonic()
         try:
+            watch.check_before_sending()
             connection.send_request(request.method, request.target, headers, request.body)
             response = self._matching_response(connection, request, request_id, watch)
         except (CallerLeft, TimeLimitReached):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.forwarding.attempt_failure import FAILURE_STATUSES, note_failure
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.events import Event, read_events
+from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
@@ -117,8 +118,8 @@
             outcome = self._parts.sender.send(
                 upstream, call.request, call.terms.request_id, headers, call.watch
             )
-        except TimeLimitReached:
-            raise _time_limit_refusal() from None
+        except TimeLimitReached as error:
+            raise time_limit_refusal(call, error) from None
         match outcome:
             case Answering():
                 return self._relay_response(call, outcome, candidate, progress, ticket)
@@ -151,9 +152,9 @@
             answering.connection.discard()
             lost = Lost(answering.upstream, f"event {progress.last_event}: {error!r}")
             return self._prepare_retry(call, lost)
-        except TimeLimitReached:
+        except TimeLimitReached as error:
             answering.connection.discard()
-            raise _time_limit_refusal() from None
+            raise time_limit_refusal(call, error) from None
         except (CallerLeft, Refusal):
             answering.connection.discard()
             raise
@@ -232,7 +233,3 @@
     if not call.route.resumable:
         return None
     return max(FIRST_EVENT_SILENCE_SECONDS, call.route.latency_target_seconds * 2)
-
-
-def _time_limit_refusal() -> Refusal:
-    return Refusal(504, "time_limit", "no answer within the time limit", run=RunState.UNKNOWN)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -4,7 +4,13 @@
 import socket
 import time
 
-from redwingscale_daemon._internal.exceptions import CallerLeft, TimeLimitReached, UpstreamSilent
+from redwingscale_daemon._internal.exceptions import (
+    CallerLeft,
+    NotSentInTime,
+    TimeLimitReached,
+    UpstreamSilent,
+)
+from redwingscale_daemon._internal.leases.clock import lease_clock
 
 _CLOSED_EVENTS = select.POLLHUP | select.POLLERR | select.POLLRDHUP
 _UPSTREAM_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
@@ -16,8 +22,9 @@
 
     Each wait polls both sockets: a thread that only reads the upstream would not notice
     that the caller has disconnected, and the upstream would go on working for nobody.
-    ``deadline`` is monotonic; ``silence_seconds`` is the longest wait for a byte, None
-    for no bound.
+    ``deadline`` is on `lease_clock`: an instance that was suspended must not serve a
+    request whose caller gave up meanwhile. ``silence_seconds`` is the longest wait for a
+    byte, None for no bound; it does not include suspended time, in which nothing is read.
     """
 
     def __init__(self, caller: socket.socket, deadline: float) -> None:
@@ -28,7 +35,7 @@
 
     def remaining(self) -> float:
         """Return the seconds until the deadline, at least 0."""
-        return max(0.0, self.deadline - time.monotonic())
+        return max(0.0, self.deadline - lease_clock())
 
     def check_caller(self) -> None:
         """Raise `CallerLeft` if the caller has closed its connection."""
@@ -37,6 +44,16 @@
         for _, events in poller.poll(0):
             self._check_caller_events(events)
 
+    def check_before_sending(self) -> None:
+        """Raise `CallerLeft` or `NotSentInTime` if the request must not be sent any more.
+
+        Called right before each send: the instance may have been suspended since the
+        upstream was chosen.
+        """
+        if lease_clock() >= self.deadline:
+            raise NotSentInTime("no time is left")
+        self.check_caller()
+
     def wait_until_readable(self, upstream: socket.socket) -> None:
         """Block until ``upstream`` has bytes or is closed.
 
@@ -48,12 +65,13 @@
         poller.register(upstream, _UPSTREAM_EVENTS)
         poller.register(self._caller, self._caller_events)
         while True:
-            now = time.monotonic()
-            if now >= self.deadline:
+            time_left = self.deadline - lease_clock()
+            silence_left = silent_at - time.monotonic()
+            if time_left <= 0:
                 raise TimeLimitReached("no time is left")
-            if now >= silent_at:
+            if silence_left <= 0:
                 raise UpstreamSilent(f"no byte for {self.silence_seconds} s")
-            wait = min(self.deadline, silent_at) - now
+            wait = min(time_left, silence_left)
             ready = dict(poller.poll(wait * _MILLISECONDS_PER_SECOND + 1))
             if (events := ready.get(self._caller.fileno())) is not None:
                 self._check_caller_events(events)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_request.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_request.py
@@ -9,7 +9,8 @@
 class IngressRequest(NamedTuple):
     """A request; ``target`` is kept byte for byte and ``body`` is complete.
 
-    ``arrived_at`` is the monotonic time after the head was read. ``socket`` is the
+    ``arrived_at`` is the monotonic time after the head was read, ``arrived_on_lease_clock``
+    the same time by `lease_clock`, which deadlines are counted by. ``socket`` is the
     caller's connection, on which a disconnect of the caller is seen.
     """
 
@@ -20,6 +21,7 @@
     body: bytes
     arrived_at: float
     socket: socket.socket
+    arrived_on_lease_clock: float = 0.0
 
     @property
     def path(self) -> str:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -17,6 +17,7 @@
 from redwingscale_daemon._internal.ingress.request_threads import RequestThreads
 from redwingscale_daemon._internal.ingress.strict_chunks import read_chunks
 from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
+from redwingscale_daemon._internal.leases.clock import lease_clock
 
 Handler = Callable[[IngressRequest, Reply], None]
 # Answers a request by its head alone, or returns False to let the server read its body.
@@ -60,10 +61,9 @@
         self._body_bytes = body_bytes
 
     def respond(self) -> None:
-        arrived_at = time.monotonic()
         server_request = self.req
         try:
-            head = _ingress_request(server_request, b"", arrived_at)
+            head = _ingress_request(server_request, b"")
             if self._screen(head, Reply(server_request)):
                 return
             body = self._read_body()
@@ -157,7 +157,7 @@
         self._server.stop()
 
 
-def _ingress_request(server_request: HTTPRequest, body: bytes, arrived_at: float) -> IngressRequest:
+def _ingress_request(server_request: HTTPRequest, body: bytes) -> IngressRequest:
     headers = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in server_request.inheaders.items()
@@ -169,8 +169,9 @@
         host=host.rsplit(":", 1)[0].lower(),
         headers=headers,
         body=body,
-        arrived_at=arrived_at,
+        arrived_at=time.monotonic(),
         socket=server_request.conn.socket,
+        arrived_on_lease_clock=lease_clock(),
     )
 
 
