Give up swaps at workers that the leader cannot reach

Cause: a swap at a worker that was just cut off, or whose unload waited for a long stream, counted as a load for 6 to 12 s: its model was planned nowhere else and requests were told its end. A new leader planned from the list before it knew what was resident. Change: with lost_swaps on, a worker is lost after two calls without an answer, or one if instances or a lost neighbour in its failure domain are further evidence. Its swap no longer counts, and it gets no order before its report is read. A load that was accepted counts again if the worker answers; after an unload that took over 2 s the next plan decides what is loaded. Reports of unknown workers are read at once, also by a new leader, and instances name the workers that refused a request with 421. The planner knows the memory that loads without an answer may still take.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_version_tracker import RouteVersionTracker
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings, Machine
+from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.rows import RowStore
 from redwingscale_daemon._internal.swaps.demand import Demand
@@ -156,6 +157,11 @@
             reads.configuration.age,
         )
 
+    def gives_up(upstream_id: str) -> bool:
+        upstream, table = fleet.directory.get(upstream_id), routes.get()
+        rule = table.services_by_name.get(upstream.service) if upstream and table else None
+        return rule is not None and is_on(settings.scheduling.lost_swaps, rule.engine)
+
     def make_update(initial: bool) -> InstanceUpdate:
         nonlocal sent_loads
         loads = [LoadEntry(key, *load) for key, load in fleet.load_tracker.own().items()]
@@ -180,6 +186,7 @@
             fleet.rates.updates(full=initial),
             fleet.directory.leaving_unlisted(),
             fleet.retry_times.pending(),
+            misdirected=[key for key in fleet.outcomes.drain_misdirected() if gives_up(key)],
         )
         own_demand.receive(update)
         return update
@@ -215,6 +222,8 @@
         issuer,
         instances,
         fleet.rates.limited,
+        settings.scheduling.lost_swaps,
+        lambda reason: metrics.swaps_given_up.add(1, {"reason": reason}),
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
@@ -69,6 +69,10 @@
             self._unreachable_until[upstream_id] = math.inf
         log_event("upstream_replaced", level="WARNING", upstream=upstream_id)
 
+    def note_misdirected(self, upstream_id: str) -> None:
+        """Note a request that the upstream refused for a unit that it lacks."""
+        self._outcomes.note_misdirected(upstream_id)
+
     def note_answer(self, upstream_id: str) -> None:
         """Note a valid answer."""
         self._outcomes.count_answer(upstream_id)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/outcomes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/outcomes.py
@@ -22,6 +22,7 @@
         self._lock = threading.Lock()
         self._answered: Counter[str] = Counter()
         self._failed: Counter[str] = Counter()
+        self._misdirected: set[str] = set()
         self._failure_ratios: dict[str, float] = {}
         self._received_at = float("-inf")
 
@@ -35,6 +36,17 @@
         with self._lock:
             self._failed[upstream_id] += 1
 
+    def note_misdirected(self, upstream_id: str) -> None:
+        """Note a request that the upstream refused for a unit that it lacks."""
+        with self._lock:
+            self._misdirected.add(upstream_id)
+
+    def drain_misdirected(self) -> list[str]:
+        """Return the upstreams noted as misdirected since the last call."""
+        with self._lock:
+            misdirected, self._misdirected = self._misdirected, set()
+        return sorted(misdirected)
+
     def drain(self) -> list[tuple[str, int, int]]:
         """Return the id, answered and failed requests of each upstream since the last call."""
         with self._lock:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -20,6 +20,9 @@
             parts.health.note_unreachable(outcome.upstream.id)
         case NotRun(gone=True):
             parts.health.note_replaced(outcome.upstream.id)
+        case NotRun(misdirected=True):
+            # The answer is newer than what the leader believes is resident there.
+            parts.health.note_misdirected(outcome.upstream.id)
     log_event(
         "sending_failed",
         request=call.terms.request_id,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
@@ -88,7 +88,7 @@
 
     def _room_mb(self, view: WorkerView, evicted: tuple[str, ...]) -> float:
         kept = {name: adapters for name, adapters in view.resident.items() if name not in evicted}
-        return self._engine.weights_mb - used_mb(self._engine, kept)
+        return self._engine.weights_mb - view.reserved_mb - used_mb(self._engine, kept)
 
     def _loss(self, name: str, view: WorkerView) -> float:
         """Return how many requests are lost or late if the copy of ``name`` is evicted."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
@@ -20,13 +20,15 @@
 
     ``loads`` has the open requests and their unread prompt tokens, ``uses`` the open
     requests by unit. Most instances cannot reach the ``cut_off`` upstreams. The
-    ``rejecting`` ones reject more instances than they serve.
+    ``rejecting`` ones reject more instances than they serve. At least one instance cannot
+    reach the ``unreachable`` ones.
     """
 
     loads: dict[str, Load]
     uses: dict[str, dict[Unit, int]]
     cut_off: set[str]
     rejecting: set[str]
+    unreachable: frozenset[str] = frozenset()
 
 
 NO_TOTALS = Totals({}, {}, set(), set())
@@ -78,7 +80,10 @@
         since = time.monotonic() - FRESH_SECONDS
         latest = list(self._latest_by_instance.values())
         fresh = [one.update for one in latest if one.received_at > since]
-        return Totals(_loads(fresh), _uses(fresh), _cut_off(fresh), self._rejecting(fresh))
+        unreachable = frozenset(key for update in fresh for key in update.unreachable)
+        return Totals(
+            _loads(fresh), _uses(fresh), _cut_off(fresh), self._rejecting(fresh), unreachable
+        )
 
     def _rejecting(self, fresh: list[InstanceUpdate]) -> set[str]:
         """Return the upstreams that reject more instances than they serve.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -14,6 +14,7 @@
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
+from redwingscale_daemon._internal.settings.scheduling import Mode
 from redwingscale_daemon._internal.swaps.adapter_orders import AdapterOrders
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.failing_upstreams import FailingUpstreams
@@ -53,6 +54,9 @@
 # Instances treat a leader that is silent for longer as lost.
 MAX_PLAN_PAUSE_SECONDS = 0.7
 BITS_PER_MEGABIT = 1e6
+# Where lost swaps are given up: how long the first update of a new leader waits for the reports of
+# the workers. Without it, instances would use the residency of the list, which may lag.
+FIRST_UPDATE_SECONDS = 0.3
 # Each swap evaluates every model at every worker again; further swaps wait a quarter of a second.
 MAX_SWAPS_PER_STEP = 4
 # Other addresses follow in later updates; instances remember them.
@@ -76,6 +80,8 @@
         issuer: PermitIssuer | None = None,
         known_instances: Callable[[], int] = lambda: 0,
         limits_by_id: Callable[[], Mapping[str, float]] = dict,
+        lost_swaps: Mode = Mode.OFF,
+        on_given_up: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._authority = authority
         self._routes = routes
@@ -92,7 +98,9 @@
         self._demand = Demand()
         self._rate = LoadRate()
         self._wake = threading.Event()
-        self._workers = WorkerPool(self._engine, client, authority, self._wake.set)
+        self._workers = WorkerPool(
+            self._engine, client, authority, self._wake.set, lost_swaps, on_given_up
+        )
         self._service_views = ServiceViews(directory, self._workers, self._demand, limits_by_id)
         self._adapters = AdapterOrders(self._demand, self._workers)
         self._instances = InstanceTotals()
@@ -103,6 +111,7 @@
         self._totals = NO_TOTALS
         self._schedule = UpdateSchedule()
         self._leading = False
+        self._term_began_at = 0.0
         # Not for secrets: it only spreads peer requests over the instances.
         self._random = random.Random()
 
@@ -112,6 +121,8 @@
         self._failing.receive(update.outcomes)
         self._use.receive(update.instance, update.drawn)
         self._directory.note_leaving(update.leaving, "instance")
+        for key in update.misdirected:
+            self._workers.request_report(key)
         if self._issuer.receive(update.instance, update.rate_limits):
             self._wake.set()
         if self._instances.receive(update):
@@ -140,7 +151,8 @@
         self._totals = self._instances.sum()
         self._follow_upstreams()
         self._plan()
-        update = self._make_update(fence)
+        reading = self._workers.unread and started - self._term_began_at < FIRST_UPDATE_SECONDS
+        update = None if reading else self._make_update(fence)
         message_bytes = 0 if update is None else self._server.publish(update)
         elapsed = time.monotonic() - started
         min_pause = MIN_PLAN_PAUSE_SECONDS + len(self._instances) * PLAN_PAUSE_SECONDS_PER_INSTANCE
@@ -158,6 +170,7 @@
 
     def _begin_term(self, fence: int) -> None:
         log_event("giver_begins", fence=fence)
+        self._term_began_at = time.monotonic()
         self._use.begin(self._known_instances())
         self._issuer.begin()
         self._changes.begin_with(self._directory.all())
@@ -188,6 +201,7 @@
         if not self._workers:
             self._note_initial_copies(listed)
         self._workers.follow(listed)
+        self._workers.read_reports(self._totals.unreachable)
 
     def _note_initial_copies(self, upstreams: Iterable[Upstream]) -> None:
         copies: dict[str, Counter[str]] = defaultdict(Counter)
@@ -259,7 +273,7 @@
         residency, residency_complete = self._schedule.residency(
             self._workers.resident_by_id(), periodic=periodic, instances=len(self._instances)
         )
-        ready_in = self._workers.ready_in_by_model()
+        ready_in = self._workers.ready_in_by_model(self._totals.cut_off)
         store = self._read(self._changes)
         limits = self._issuer.issue(all_limits=periodic)
         if not self._schedule.has_changes(ready_in.keys(), store) and not periodic and not limits:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -117,6 +117,7 @@
     in their responses, and are not yet marked so in the list. ``rejecting`` upstreams have
     named a time before which the instance must not send them requests. ``first_events``
     were observed and ``returns`` were announced to callers since the previous update.
+    ``misdirected`` upstreams have refused a request since then for a unit that they lack.
     """
 
     instance: str
@@ -133,6 +134,7 @@
     rejecting: list[str] = []
     first_events: list[FirstEventEntry] = []
     returns: list[ReturnEntry] = []
+    misdirected: list[str] = []
 
 
 class ResidencyEntry(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/tasks.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/tasks.py
@@ -20,4 +20,8 @@
     evicted: tuple[Unit, ...]
 
 
-Task = SwapTask | AdapterTask
+class ReportTask(NamedTuple):
+    """Read the worker's report; no order is sent."""
+
+
+Task = SwapTask | AdapterTask | ReportTask
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_ledger.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_ledger.py
@@ -1,7 +1,7 @@
 """Tracks what is resident at one worker, by its reports and its answers to orders."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from redwingscale_common.utils.logs import log_event
 
@@ -48,6 +48,8 @@
         self.unanswered = list(unanswered)
         self.superseded = False
         self._unanswered_until = float("-inf")
+        # The number of orders that the worker has certainly accepted.
+        self._least_accepted = 0
 
     @property
     def orders_accepted(self) -> int:
@@ -58,6 +60,13 @@
         """Treat the worker's state as unknown until the next report."""
         self.report = None
 
+    def is_outdated(self, report: EngineReport) -> bool:
+        """Return whether ``report`` is from before an order that the worker has accepted.
+
+        Without a start time the number may have begun again at 0, and tells nothing.
+        """
+        return report.started_at_ms is not None and report.orders_accepted < self._least_accepted
+
     def check_start(self, report: EngineReport) -> bool:
         """Return whether ``report`` is of this start of the process; else supersede the ledger."""
         if report.started_at_ms == self._upstream.started_at_ms:
@@ -104,12 +113,19 @@
                 bool(action.unit.adapter),
             )
             self.unanswered.append(pending)
+        if result is OrderResult.ACCEPTED:
+            self._least_accepted = report.orders_accepted + 1
         if result is OrderResult.ACCEPTED or (result is OrderResult.IN_EFFECT and unloads_adapter):
             self.report = report._replace(orders_accepted=report.orders_accepted + 1)
 
     def _may_be_unloaded(self) -> bool:
         return time.monotonic() < self._unanswered_until
 
+    def models_among(self, names: Iterable[str]) -> tuple[str, ...]:
+        """Return those of ``names`` that are known to be resident models."""
+        report = self.report
+        return tuple(name for name in names if report is not None and name in report.resident)
+
     def has_adapter(self, unit: Unit) -> bool:
         """Return whether the adapter of ``unit`` is known to be resident."""
         return self.report is not None and unit.adapter in self.report.resident.get(unit.model, ())
@@ -125,16 +141,26 @@
             resident={**report.resident, unit.model: changed}, arriving=arriving
         )
 
-    def has_room(self, unit: Unit) -> bool:
-        """Return whether ``unit`` fits beside all that is resident or may still be loaded."""
+    @property
+    def reserved_mb(self) -> float:
+        """The memory that loads take which are not resident yet, 0 while it is unknown."""
+        if self.report is None:
+            return 0.0
+        arriving = sum(map(self._needed_mb, self.report.arriving))
+        return arriving + pending_mb(self.unanswered, self.report.orders_accepted)
+
+    def has_room(self, unit: Unit, without: Collection[str] = ()) -> bool:
+        """Return whether ``unit`` fits beside all that is resident or may still be loaded.
+
+        The models ``without`` do not count as resident.
+        """
         engine, report = self._engine(), self.report
         if engine is None or report is None or unit.model not in engine.models_by_name:
             return False
         if unit.adapter and self._adapters(report) >= engine.adapter_slots:
             return False
-        arriving = sum(map(self._needed_mb, report.arriving))
-        pending = pending_mb(self.unanswered, report.orders_accepted)
-        taken = used_mb(engine, report.resident) + arriving + pending
+        kept = {name: one for name, one in report.resident.items() if name not in without}
+        taken = used_mb(engine, kept) + self.reserved_mb
         return taken + self._needed_mb(unit) <= engine.weights_mb
 
     def _adapters(self, report: EngineReport) -> int:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -1,5 +1,6 @@
 """Sends orders to one model worker, one after the other."""
 
+import math
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -12,9 +13,10 @@
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
+from redwingscale_daemon._internal.swaps.lost_swaps import SLOW_UNLOAD, LostSwapRule, SwapWatch
 from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult, Unload
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
-from redwingscale_daemon._internal.swaps.tasks import AdapterTask, SwapTask, Task
+from redwingscale_daemon._internal.swaps.tasks import AdapterTask, ReportTask, SwapTask, Task
 from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad
 from redwingscale_daemon._internal.swaps.worker_ledger import WorkerLedger
 
@@ -36,6 +38,11 @@
 LOAD_TIMEOUT_FACTOR = 4.0
 # Pause before the next task for a worker whose report could not be read.
 UNREACHABLE_PAUSE_SECONDS = 0.5
+# With lost swaps given up: how often a worker that loads a model is asked whether it is there.
+LOAD_CHECK_SECONDS = 0.5
+# With lost swaps given up: after this time, the model that an unload makes room for may be loaded
+# elsewhere. Most streams have ended by then.
+SLOW_UNLOAD_SECONDS = 2.0
 
 
 class OrderAuthority(NamedTuple):
@@ -73,9 +80,11 @@
         authority: OrderAuthority,
         on_change: Callable[[], None],
         unanswered: Iterable[UnansweredLoad] = (),
+        lost_swaps: LostSwapRule | None = None,
     ) -> None:
         self.upstream = upstream
         self.ledger = WorkerLedger(upstream, engine, unanswered)
+        self.watch = SwapWatch(upstream.id, lost_swaps or LostSwapRule())
         self._client = client
         self._authority = authority
         self._on_change = on_change
@@ -89,15 +98,36 @@
     @property
     def free(self) -> bool:
         """Whether a task can be started."""
+        if not self._may_start:
+            return False
+        return not self.watch.is_on or not self.needs_report
+
+    @property
+    def _may_start(self) -> bool:
         if self.ledger.superseded:
             return False
         return self._task is None and time.monotonic() >= self._blocked_until
 
+    @property
+    def needs_report(self) -> bool:
+        """Whether the state is unknown or in doubt."""
+        return self.ledger.report is None or self.watch.in_doubt
+
+    @property
+    def may_read_report(self) -> bool:
+        """Whether a `ReportTask` can be started."""
+        return self.watch.is_on and self._may_start and self.needs_report
+
+    @property
+    def reading(self) -> bool:
+        """Whether a `ReportTask` runs."""
+        return isinstance(self._task, ReportTask)
+
     @property
     def loading(self) -> str:
-        """The model that is being loaded, empty for none."""
+        """The model that is being loaded, empty for none, or if its swap is given up."""
         task = self._task
-        return task.model if isinstance(task, SwapTask) else ""
+        return task.model if isinstance(task, SwapTask) and not self.watch.given_up else ""
 
     @property
     def ready_in(self) -> float:
@@ -111,6 +141,7 @@
     def start(self, task: Task) -> None:
         """Run ``task`` in a new thread; only while `free`."""
         self._task = task
+        self.watch.begin(task.model if isinstance(task, SwapTask) else "")
         if isinstance(task, SwapTask):
             self._ready_at = time.monotonic() + ROUTE_AWAY_SECONDS + task.load_seconds
         thread = threading.Thread(target=self._run, args=(task,), name="orders", daemon=True)
@@ -141,14 +172,18 @@
     def _finish_task(self) -> None:
         self._evicting_models = frozenset()
         self._evicting_adapters = frozenset()
-        self._task = None
-        self._on_change()
+        reading, self._task = self.reading, None
+        if not reading or not self.needs_report:
+            self._on_change()
 
     def _carry_out(self, task: Task) -> None:
-        if self.ledger.report is None and not self._fetch_report():
-            self._blocked_until = time.monotonic() + UNREACHABLE_PAUSE_SECONDS
+        unread = self.needs_report or isinstance(task, ReportTask)
+        if unread and not self._fetch_report():
+            self._blocked_until = time.monotonic() + self._retry_seconds()
             return
         match task:
+            case ReportTask():
+                done = True
             case SwapTask():
                 done = self._swap(task)
             case AdapterTask():
@@ -159,33 +194,69 @@
             self.ledger.invalidate()
             self._blocked_until = time.monotonic() + POLL_SECONDS
 
+    def _retry_seconds(self) -> float:
+        # The second call decides whether the worker is lost.
+        first = self.watch.reach.doubtful and not self.watch.reach.lost
+        return POLL_SECONDS if first else UNREACHABLE_PAUSE_SECONDS
+
     def _fetch_report(self) -> bool:
         report = self._query_report()
         if report is None or report.busy:
             log_event("report_unusable", upstream=self.upstream.id, busy=report is not None)
             return False
-        self.ledger.report = report
+        if self.watch.is_on and self._is_behind(report):
+            # The worker answers, and the ledger is newer than its report.
+            self.watch.note_report()
+            return self.ledger.report is not None
+        self._take(report)
         return True
 
+    def _is_behind(self, report: EngineReport) -> bool:
+        known = self.ledger.report
+        if known is None:
+            return self.ledger.is_outdated(report)
+        return report.orders_accepted < known.orders_accepted or bool(report.arriving)
+
+    def _take(self, report: EngineReport) -> None:
+        self.ledger.report = report
+        self.watch.note_report()
+
     def _query_report(self) -> EngineReport | None:
         """Return the worker's report, None without one or with one of another start."""
         if not self._authority.may_call(self.upstream.id):
             return None
         report = self._client.report(self.upstream)
+        self._note_call(answered=report is not None)
         if report is None or self.ledger.check_start(report):
             return report
         self._on_change()
         return None
 
+    def _note_call(self, *, answered: bool) -> None:
+        given_up = self.watch.given_up
+        self.watch.note_call(answered=answered)
+        if self.watch.given_up != given_up:
+            self._on_change()
+
     def _swap(self, task: SwapTask) -> bool:
         """Return whether the worker's state is still known for certain."""
+        if self.watch.is_on:
+            if not self.ledger.has_room(Unit(task.model), without=task.evicted):
+                # Nothing is unloaded for a load that would not fit all the same.
+                log_event("swap_has_no_room", upstream=self.upstream.id, model=task.model)
+                return True
+            task = task._replace(evicted=self.ledger.models_among(task.evicted))
         if task.evicted:
             self._evicting_models = frozenset(task.evicted)
             self._on_change()
             time.sleep(ROUTE_AWAY_SECONDS)
+        slow_at = time.monotonic() + SLOW_UNLOAD_SECONDS if self.watch.is_on else math.inf
         for name in task.evicted:
-            if not self._unload(name):
+            if not self._unload(name, slow_at):
                 return False
+        if self.watch.given_up:
+            # The model may be loading elsewhere by now; the next plan decides what is loaded here.
+            return True
         if not self.ledger.has_room(Unit(task.model)):
             # The plan was made from an older list; the state that was just reported is kept, so
             # that the next plan fits.
@@ -196,18 +267,38 @@
             return False
         self._ready_at = time.monotonic() + task.load_seconds
         timeout = task.load_seconds * LOAD_TIMEOUT_FACTOR + 1.0
-        time.sleep(max(0.0, task.load_seconds - POLL_SECONDS))
-        if not self._poll_until(lambda report: task.model in report.resident, timeout):
+        self._wait_for_load(max(0.0, task.load_seconds - POLL_SECONDS))
+        if not self._poll_until(
+            lambda report: task.model in report.resident, timeout, on_answer=self._resume_load
+        ):
             return False
         self.settled_at[task.model] = time.monotonic()
         log_event("model_loaded", upstream=self.upstream.id, model=task.model)
         return True
 
-    def _unload(self, name: str) -> bool:
+    def _wait_for_load(self, seconds: float) -> None:
+        """Wait until a load is nearly done; meanwhile notice that the worker is lost."""
+        if not self.watch.is_on:
+            time.sleep(seconds)
+            return
+        end = time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0 and not self.ledger.superseded:
+            check = self._retry_seconds() if self.watch.reach.doubtful else LOAD_CHECK_SECONDS
+            self.watch.pause(min(left, check))
+            if self._query_report() is not None:
+                self._resume_load()
+
+    def _resume_load(self) -> None:
+        if self.watch.resume_load():
+            self._on_change()
+
+    def _unload(self, name: str, slow_at: float) -> bool:
         result = self._order(Unload(Unit(name)))
         if result not in (OrderResult.ACCEPTED, OrderResult.IN_EFFECT):
             return False
-        if not self._poll_until(lambda report: name not in report.resident, UNLOAD_TIMEOUT_SECONDS):
+        if not self._poll_until(
+            lambda report: name not in report.resident, UNLOAD_TIMEOUT_SECONDS, slow_at
+        ):
             return False
         log_event("model_unloaded", upstream=self.upstream.id, model=name)
         return True
@@ -257,6 +348,8 @@
             result=result.value,
         )
         self.ledger.note_order(action, result)
+        if result is OrderResult.UNKNOWN:
+            self._note_call(answered=False)
         return result
 
     def _wait_until_call_allowed(self) -> bool:
@@ -269,12 +362,16 @@
         return True
 
     def _poll_until(
-        self, condition: Callable[[EngineReport], bool], timeout_seconds: float
+        self,
+        condition: Callable[[EngineReport], bool],
+        timeout_seconds: float,
+        slow_at: float = math.inf,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> bool:
         """Poll for a report that is not busy and up to date; return whether ``condition`` applies.
 
         A report is up to date if it counts all orders that the worker has accepted. It becomes the
-        state in the ledger.
+        state in the ledger. A swap that still waits at ``slow_at`` is given up.
         """
         expected = self.ledger.orders_accepted
         end = time.monotonic() + timeout_seconds
@@ -282,8 +379,13 @@
             report = self._query_report()
             if self.ledger.superseded:
                 return False
-            if report is not None and report.orders_accepted >= expected and not report.busy:
-                self.ledger.report = report
-                return condition(report)
+            if report is not None:
+                on_answer()
+                if report.orders_accepted >= expected and not report.busy:
+                    self._take(report)
+                    return condition(report)
+            if time.monotonic() >= slow_at and not self.watch.given_up:
+                self.watch.give_up(SLOW_UNLOAD)
+                self._on_change()
             time.sleep(POLL_SECONDS)
         return False
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
@@ -1,20 +1,25 @@
 """The model workers that the leader sends orders to."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.fleet.residency import AdaptersByModel
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
+from redwingscale_daemon._internal.settings.scheduling import Mode, is_on
 from redwingscale_daemon._internal.swaps.instance_totals import Totals
+from redwingscale_daemon._internal.swaps.lost_swaps import LostSwapRule
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
-from redwingscale_daemon._internal.swaps.tasks import Task
+from redwingscale_daemon._internal.swaps.tasks import ReportTask, Task
 from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority, WorkerOrders
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
 # Returns the rule of a service's engines, None for a service without model workers.
 EngineOf = Callable[[str], EngineRule | None]
+# Reports that are read at the same time: those of a new leader's 45 workers take some rounds, and
+# those of a failure domain that is cut off do not hold up the others.
+MAX_REPORTS_READ_AT_ONCE = 16
 
 
 class WorkerPool:
@@ -26,11 +31,18 @@
         client: OrderClient,
         authority: OrderAuthority,
         on_change: Callable[[], None],
+        lost_swaps: Mode = Mode.OFF,
+        on_given_up: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._engine_of = engine_of
         self._client = client
         self._authority = authority
         self._on_change = on_change
+        self._lost_swaps = lost_swaps
+        # Called with the reason for each swap that is given up.
+        self._on_given_up = on_given_up
+        # Whether swaps are given up, and the rule that it was decided by.
+        self._gives_up_by_service: dict[str, tuple[EngineRule | None, bool]] = {}
         self._by_id: dict[str, WorkerOrders] = {}
         # Loads sent to workers that are no longer listed: a process may restart under the same
         # name.
@@ -58,21 +70,66 @@
         """Start ``task`` at a worker that is free."""
         self._by_id[upstream_id].start(task)
 
+    def read_reports(self, unreachable: Collection[str]) -> None:
+        """Read the reports of workers whose state is unknown or in doubt, without waiting.
+
+        In doubt are those that some instance reports as ``unreachable``, and those in a failure
+        domain with a lost worker. No effect where swaps are not given up.
+        """
+        workers = list(self._by_id.items())
+        lost_domains = {one.upstream.failure_domain for _, one in workers if one.watch.reach.lost}
+        for key, worker in workers:
+            if key in unreachable or worker.upstream.failure_domain in lost_domains:
+                worker.watch.suspect()
+        due = [worker for _, worker in workers if worker.may_read_report]
+        due.sort(key=lambda worker: worker.watch.reach.lost)
+        reading = sum(worker.reading for _, worker in workers)
+        for worker in due[: max(0, MAX_REPORTS_READ_AT_ONCE - reading)]:
+            worker.start(ReportTask())
+
+    @property
+    def unread(self) -> bool:
+        """Whether a report is still awaited from a worker that may answer."""
+        return any(
+            one.watch.is_on and one.ledger.report is None and not one.watch.reach.doubtful
+            for one in list(self._by_id.values())
+        )
+
+    def request_report(self, upstream_id: str) -> None:
+        """Read the report of a worker that has contradicted what is known of it."""
+        worker = self._by_id.get(upstream_id)
+        if worker is not None:
+            worker.watch.request_report()
+
     def resident_by_id(self) -> dict[str, AdaptersByModel | None]:
         """Return what is resident at each worker, None where it is unknown."""
         return {key: worker.resident() for key, worker in self._by_id.items()}
 
-    def ready_in_by_model(self) -> dict[str, float]:
-        """Return the expected seconds until each model that is being loaded is resident."""
-        return {
-            worker.loading: worker.ready_in for worker in self._by_id.values() if worker.loading
-        }
+    def ready_in_by_model(self, cut_off: Collection[str] = ()) -> dict[str, float]:
+        """Return the expected seconds until each model that is being loaded is resident.
+
+        Where swaps are given up, loads at ``cut_off`` workers do not count.
+        """
+        ready_in: dict[str, float] = {}
+        for key, worker in self._by_id.items():
+            # Read once: the task may end meanwhile.
+            model, seconds = worker.loading, worker.ready_in
+            if worker.watch.is_on:
+                if key in cut_off:
+                    continue
+                seconds = min(seconds, ready_in.get(model, seconds))
+            if model:
+                ready_in[model] = seconds
+        return ready_in
 
     def views(self, usable: Iterable[Upstream], totals: Totals) -> list[WorkerView]:
         """Return the planner's views of those ``usable`` workers that serve most instances."""
         without = totals.cut_off | totals.rejecting
         reached = [one for one in usable if one.id not in without]
-        return [self._view(one, totals) for one in reached if one.id in self._by_id]
+        known = [one for one in reached if one.id in self._by_id]
+        return [
+            self._view(one, totals) for one in known if not self._by_id[one.id].watch.reach.lost
+        ]
 
     def _view(self, upstream: Upstream, totals: Totals) -> WorkerView:
         worker = self._by_id[upstream.id]
@@ -89,6 +146,7 @@
             load.requests,
             load.prompt_tokens,
             totals.uses.get(upstream.id, {}),
+            worker.ledger.reserved_mb if worker.watch.is_on else 0.0,
         )
 
     def _new(self, upstream: Upstream) -> WorkerOrders:
@@ -99,4 +157,14 @@
             self._authority,
             self._on_change,
             self._unanswered_by_name.pop(upstream.platform_name, ()),
+            LostSwapRule(lambda: self._gives_up(upstream.service), self._on_given_up),
         )
+
+    def _gives_up(self, service: str) -> bool:
+        # Each plan asks several times for each worker, and the answer takes a look at all models.
+        engine = self._engine_of(service)
+        known = self._gives_up_by_service.get(service)
+        if known is None or known[0] is not engine:
+            known = (engine, is_on(self._lost_swaps, engine))
+            self._gives_up_by_service[service] = known
+        return known[1]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_view.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_view.py
@@ -13,7 +13,7 @@
     ``free`` workers have no order in flight and accept new work. ``loading`` is the model that is
     being loaded, empty for none; ``settled_at`` gives the monotonic time at which each model was
     loaded, by model. ``prompt_tokens`` are not read yet; ``open_by_unit`` counts the requests that
-    run, by unit.
+    run, by unit. ``reserved_mb`` are taken by loads that may still be carried out.
     """
 
     upstream: Upstream
@@ -24,6 +24,7 @@
     requests: int
     prompt_tokens: int
     open_by_unit: dict[Unit, int]
+    reserved_mb: float = 0.0
 
     def open_for(self, model: str) -> int:
         """Return how many requests for ``model`` and its adapters run here."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -30,6 +30,7 @@
         self._seconds = meter.create_histogram("redwingscale_request_seconds", unit="s")
         meter.create_observable_gauge("redwingscale_threads", callbacks=[observe_threads])
         self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
+        self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
 
     def record_request(self, request: IngressRequest, outcome: str) -> float:
         """Count an ended request; return its duration in seconds."""
