--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -159,7 +159,9 @@
 
     def gives_up(upstream_id: str) -> bool:
         upstream, table = fleet.directory.get(upstream_id), routes.get()
-        rule = table.services_by_name.get(upstream.service) if upstream and table else None
+        if upstream is None or table is None:
+            return False
+        rule = table.services_by_name.get(upstream.service)
         return rule is not None and is_on(settings.scheduling.lost_swaps, rule.engine)
 
     def make_update(initial: bool) -> InstanceUpdate:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -267,7 +267,7 @@
             return False
         self._ready_at = time.monotonic() + task.load_seconds
         timeout = task.load_seconds * LOAD_TIMEOUT_FACTOR + 1.0
-        self._wait_for_load(max(0.0, task.load_seconds - POLL_SECONDS))
+        self._wait_for_load(task.model, max(0.0, task.load_seconds - POLL_SECONDS))
         if not self._poll_until(
             lambda report: task.model in report.resident, timeout, on_answer=self._resume_load
         ):
@@ -276,8 +276,8 @@
         log_event("model_loaded", upstream=self.upstream.id, model=task.model)
         return True
 
-    def _wait_for_load(self, seconds: float) -> None:
-        """Wait until a load is nearly done; meanwhile notice that the worker is lost."""
+    def _wait_for_load(self, model: str, seconds: float) -> None:
+        """Wait until a load is nearly or already done; notice that the worker is lost."""
         if not self.watch.is_on:
             time.sleep(seconds)
             return
@@ -285,8 +285,11 @@
         while (left := end - time.monotonic()) > 0 and not self.ledger.superseded:
             check = self._retry_seconds() if self.watch.reach.doubtful else LOAD_CHECK_SECONDS
             self.watch.pause(min(left, check))
-            if self._query_report() is not None:
+            report = self._query_report()
+            if report is not None:
                 self._resume_load()
+                if model in report.resident:
+                    return
 
     def _resume_load(self) -> None:
         if self.watch.resume_load():
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
@@ -5,7 +5,7 @@
 
 from redwingscale_daemon._internal.forwarding import stream_relay
 
-from .conftest import breaks, events, not_run, read_response, sized
+from .conftest import breaks, events, head, not_run, read_response, sized
 
 
 def numbers(response):
@@ -165,3 +165,14 @@
     small = world.request("/stream/", model="m")
     assert (small.status, b"overloaded" in small.body) == (503, True)
     ticket.close()
+
+
+def test_upstream_that_lacks_the_model_is_reported_to_the_leader(world):
+    # The leader believes that the model is resident there, and would plan no load for it.
+    def misdirected(connection, received):
+        connection.sendall(head(received, "421 Misdirected", "Content-Length: 0", signed=False))
+
+    world.add("llm", misdirected)
+    world.add("llm", events(1))
+    assert numbers(world.request("/stream/", model="m")) == [1]
+    assert world.outcomes.drain_misdirected() == ["u0"]
--- a/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
@@ -146,6 +146,19 @@
         return OrderResult.IN_EFFECT
 
 
+class Workers:
+    """The calls to several workers, by upstream id."""
+
+    def __init__(self, by_id):
+        self.by_id = by_id
+
+    def report(self, upstream):
+        return self.by_id[upstream.id].report(upstream)
+
+    def order(self, upstream, order):
+        return self.by_id[upstream.id].order(upstream, order)
+
+
 @pytest.fixture
 def worker():
     return ScriptedWorker()
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_lost_swaps.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_lost_swaps.py
@@ -12,7 +12,7 @@
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
 
-from .conftest import ScriptedWorker, until, upstream
+from .conftest import ScriptedWorker, Workers, until, upstream
 
 
 class SlowWorker(ScriptedWorker):
@@ -46,19 +46,6 @@
         self.accepted += 1
 
 
-class Workers:
-    """The calls to several workers, by upstream id."""
-
-    def __init__(self, **by_id):
-        self.by_id = by_id
-
-    def report(self, upstream):
-        return self.by_id[upstream.id].report(upstream)
-
-    def order(self, upstream, order):
-        return self.by_id[upstream.id].order(upstream, order)
-
-
 @pytest.fixture(autouse=True)
 def short_waits(monkeypatch):
     for name, seconds in {
@@ -81,7 +68,7 @@
 def make_pool(engine, given_up):
     def make(mode=Mode.ON, **workers):
         pool = WorkerPool(
-            lambda _: engine, Workers(**workers), OrderAuthority("i1", lambda: 7),
+            lambda _: engine, Workers(workers), OrderAuthority("i1", lambda: 7),
             lambda: None, mode, given_up.append,
         )  # fmt: skip
         pool.listed = [upstream(key, *one.resident) for key, one in workers.items()]
