--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -160,6 +160,13 @@
             reads.configuration.age,
         )
 
+    def gives_up(upstream_id: str) -> bool:
+        upstream, table = fleet.directory.get(upstream_id), routes.get()
+        if upstream is None or table is None:
+            return False
+        rule = table.services_by_name.get(upstream.service)
+        return rule is not None and is_on(settings.scheduling.lost_swaps, rule.engine)
+
     def make_update(initial: bool) -> InstanceUpdate:
         nonlocal sent_loads
         loads = [LoadEntry(key, *load) for key, load in fleet.load_tracker.own().items()]
@@ -185,6 +192,7 @@
             fleet.directory.leaving_unlisted(),
             fleet.retry_times.pending(),
             returns=returns.entries(),
+            misdirected=[key for key in fleet.outcomes.drain_misdirected() if gives_up(key)],
         )
         own_demand.receive(update)
         return update
@@ -220,7 +228,9 @@
         issuer,
         instances,
         fleet.rates.limited,
-        lambda engine: is_on(settings.scheduling.ordered_return, engine),
+        ordered_return=lambda engine: is_on(settings.scheduling.ordered_return, engine),
+        lost_swaps=settings.scheduling.lost_swaps,
+        on_given_up=lambda reason: metrics.swaps_given_up.add(1, {"reason": reason}),
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -33,6 +33,7 @@
         self.held_prompts = meter.create_counter("redwingscale_held_prompts", unit="1")
         self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
         self.returns = meter.create_counter("redwingscale_returns", unit="1")
+        self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
 
     def record_request(self, request: IngressRequest, outcome: str) -> float:
         """Count an ended request; return its duration in seconds."""
