Sum all fields of a load in the return simulation

Cause: part of scheduling under hard load, see docs/design/95-hard-load.md. Change: as the subject says. Result: unit tests of the part pass.

--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
@@ -138,8 +138,7 @@
 
 
 def _sum(loads: Iterable[Load]) -> Load:
-    requests, tokens = zip(*loads, strict=True)
-    return Load(sum(requests), sum(tokens))
+    return Load(*map(sum, zip(*loads, strict=True)))
 
 
 def _without(total: Load, own: Load) -> Load:
