Stage copies of models that are at no worker

Cause: seven of ten swaps during traffic load from the weight store, which takes longer than most callers wait, while the disks of the workers have room for a copy of every model. Change: the leader loads models that are nowhere before traffic starts and at idle workers, chooses workers where no last copy is driven out, and counts requested models without a holder as missing.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -17,6 +17,7 @@
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings, Machine
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.rows import RowStore
+from redwingscale_daemon._internal.swaps.copy_plans import CopySettings
 from redwingscale_daemon._internal.swaps.demand import Demand
 from redwingscale_daemon._internal.swaps.instance_count import InstanceCount
 from redwingscale_daemon._internal.swaps.leader import Leader
@@ -215,6 +216,11 @@
         issuer,
         instances,
         fleet.rates.limited,
+        CopySettings(
+            settings.scheduling.staged_copies,
+            lambda purpose: metrics.staged_loads.add(1, {"purpose": purpose}),
+            lambda service, models: metrics.without_copy.set(models, {"service": service}),
+        ),
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
@@ -3,6 +3,7 @@
 import math
 import threading
 import time
+from collections.abc import Collection
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.unit import Unit
@@ -35,6 +36,9 @@
 MIN_SENT_PER_SECOND = 0.02
 # One late request in some seconds does not justify an extra copy of its adapter.
 MIN_OVERLOADS_PER_SECOND = 0.5
+# A model with this many requests per second is missing if it has no holder, although each of its
+# requests is refused at once and none waits: more than two requests in the time of a cold load.
+MISSING_PER_SECOND = 0.3
 # Each update of an instance replaces its previous one; the waiting requests of an instance that is
 # silent for longer are ignored.
 UPDATE_FRESH_SECONDS = 1.5
@@ -71,6 +75,8 @@
         self._waiting: dict[str, tuple[float, list[DemandEntry]]] = {}
         self._initial_copies: dict[tuple[str, str], int] = {}
         self._first_arrival_at: float | None = None
+        # When the first update with a request was received.
+        self._traffic_began_at: float | None = None
         self._snapshot_senders: set[str] = set()
 
     def note_initial_copies(self, service: str, copies_by_model: dict[str, int]) -> None:
@@ -95,9 +101,20 @@
             )
             if update.demand and self._first_arrival_at is None:
                 self._first_arrival_at = now
+            if any(entry.arrivals or entry.waiting for entry in update.demand):
+                self._note_request(now)
             for entry in update.demand:
                 self._count(entry, now)
 
+    def _note_request(self, now: float) -> None:
+        if self._traffic_began_at is None:
+            self._traffic_began_at = now
+
+    def traffic_seconds(self) -> float | None:
+        """Return how long ago the first request arrived, None before it."""
+        began_at = self._traffic_began_at
+        return None if began_at is None else time.monotonic() - began_at
+
     def forget_snapshot_senders(self) -> None:
         """Accept one more snapshot from each instance, for a new term as leader."""
         with self._lock:
@@ -225,6 +242,23 @@
                 return 0.0
             return now - self._missing_since.setdefault(key, now)
 
+    def note_resident(self, service: str, models: Collection[str]) -> None:
+        """Note that requests for ``models`` do not wait in vain."""
+        with self._lock:
+            for model in models:
+                self._missing_since.pop((service, model), None)
+
+    def initial_copies(self, service: str, model: str) -> int:
+        """Return how many copies of ``model`` the workers had resident at the start."""
+        return self._initial_copies.get((service, model), 0)
+
+    def requested_models(self, service: str) -> dict[str, float]:
+        """Return the arrivals per second of the models that count as missing without a holder."""
+        with self._lock:
+            names = [model for name, model in self._recent_rates if name == service]
+        rates = {model: self.model_rate(service, model) for model in names}
+        return {model: rate for model, rate in rates.items() if rate >= MISSING_PER_SECOND}
+
     def copies_to_keep(self, service: str, model: str) -> int:
         """Return how many copies of ``model`` to keep.
 
@@ -246,6 +280,8 @@
         zero, and load rare models that requests wait for in place of extra copies of the busy one.
         """
         first = now - snapshot.seconds
+        if snapshot.models:
+            self._note_request(now)
         current = self._first_arrival_at
         self._first_arrival_at = first if current is None else min(current, first)
         for received in snapshot.models:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.routes.service_rule import DEMAND_SHIFT_SECONDS, EngineRule
+from redwingscale_daemon._internal.swaps.copy_guard import CopyGuard
 from redwingscale_daemon._internal.swaps.demand import Demand
 from redwingscale_daemon._internal.swaps.room import used_mb
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
@@ -47,10 +48,13 @@
         engine: EngineRule,
         demand: Demand,
         views: Sequence[WorkerView],
+        guard: CopyGuard | None = None,
     ) -> None:
         self._service = service
         self._engine = engine
         self._demand = demand
+        # None where copies at hand decide nothing.
+        self.guard = guard
         self.holder_counts = _holder_counts(views)
         self._by_upstream: dict[str, list[Eviction]] = {}
 
@@ -73,7 +77,7 @@
         return min(sufficient, key=lambda choice: choice.loss, default=None)
 
     def _choices(self, view: WorkerView) -> list[Eviction]:
-        names = [name for name in view.resident if _is_evictable(name, view)]
+        names = [name for name in view.resident if self._may_evict(name, view)]
         losses = {name: self._loss(name, view) for name in names}
         return [
             Eviction(
@@ -86,6 +90,11 @@
             for evicted in combinations(names, count)
         ]
 
+    def _may_evict(self, name: str, view: WorkerView) -> bool:
+        if not _is_evictable(name, view):
+            return False
+        return self.guard is None or self.guard.may_evict(name, view)
+
     def _room_mb(self, view: WorkerView, evicted: tuple[str, ...]) -> float:
         kept = {name: adapters for name, adapters in view.resident.items() if name not in evicted}
         return self._engine.weights_mb - used_mb(self._engine, kept)
@@ -96,11 +105,12 @@
         rate = self._demand.model_rate(self._service, name)
         others = self.holder_counts.get(name, 1) - 1
         if others <= 0:
-            return (
-                running
-                + self._demand.baseline_requests(self._service, name)
-                + rate * DEMAND_HORIZON_SECONDS
-            )
+            later = self._demand.baseline_requests(self._service, name)
+            now = rate * DEMAND_HORIZON_SECONDS
+            if self.guard is not None:
+                later = self.guard.idle_loss(name, later)
+                now = self.guard.only_holder_loss(name, now)
+            return running + later + now
         if others < self._demand.copies_to_keep(self._service, name):
             return running + INITIAL_COPY_REQUESTS
         # Each holder's fraction of the requests grows from 1/n to 1/(n - 1).
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
 from redwingscale_daemon._internal.swaps.adapter_orders import AdapterOrders
+from redwingscale_daemon._internal.swaps.copy_plans import CopyPlans, CopySettings
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.failing_upstreams import FailingUpstreams
 from redwingscale_daemon._internal.swaps.instance_totals import NO_TOTALS, InstanceTotals
@@ -31,7 +32,7 @@
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
 from redwingscale_daemon._internal.swaps.service_views import ServiceViews
-from redwingscale_daemon._internal.swaps.tasks import SwapTask
+from redwingscale_daemon._internal.swaps.tasks import ReportTask, SwapTask
 from redwingscale_daemon._internal.swaps.update_schedule import UPDATE_SECONDS, UpdateSchedule
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
@@ -76,6 +77,7 @@
         issuer: PermitIssuer | None = None,
         known_instances: Callable[[], int] = lambda: 0,
         limits_by_id: Callable[[], Mapping[str, float]] = dict,
+        copies: CopySettings | None = None,
     ) -> None:
         self._authority = authority
         self._routes = routes
@@ -90,6 +92,9 @@
         self._read = read
         self._changes = ListChanges()
         self._demand = Demand()
+        self._copies = CopyPlans(copies or CopySettings(), self._demand)
+        # Services with staged copies whose initial copies are noted; later ones may be staged.
+        self._noted: set[str] = set()
         self._rate = LoadRate()
         self._wake = threading.Event()
         self._workers = WorkerPool(self._engine, client, authority, self._wake.set)
@@ -132,6 +137,7 @@
         fence = self._authority.fence()
         if fence is None:
             self._end_term()
+            self._note_copies_before_term()
             return None
         if not self._leading:
             self._leading = True
@@ -158,6 +164,7 @@
 
     def _begin_term(self, fence: int) -> None:
         log_event("giver_begins", fence=fence)
+        self._copies.begin_term(succeeds_another=self._authority.succeeds_another())
         self._use.begin(self._known_instances())
         self._issuer.begin()
         self._changes.begin_with(self._directory.all())
@@ -194,8 +201,20 @@
         for upstream in upstreams:
             copies[upstream.service].update(upstream.models_by_name.keys())
         for service, copies_by_model in copies.items():
+            if service in self._noted:
+                continue
+            if self._copies.is_on(self._engine(service)):
+                self._noted.add(service)
             self._demand.note_initial_copies(service, copies_by_model)
 
+    def _note_copies_before_term(self) -> None:
+        """Note the initial copies that staging restores, in case this instance leads later."""
+        self._note_initial_copies(
+            one
+            for one in self._directory.all()
+            if one.service not in self._noted and self._copies.is_on(self._engine(one.service))
+        )
+
     def _engine(self, service: str) -> EngineRule | None:
         table = self._routes.get()
         rule = table.services_by_name.get(service) if table else None
@@ -222,15 +241,42 @@
 
     def _swap_models(self, service: str, engine: EngineRule) -> None:
         """Start the swaps that pay off, the best one first; each affects the next choice."""
-        planner = Planner(service, engine, self._demand)
+        staged = self._copies.is_on(engine)
+        planner = Planner(
+            service,
+            engine,
+            self._demand,
+            lambda views: self._copies.guard(service, engine, views) if staged else None,
+        )
+        if staged:
+            resident = frozenset().union(*(view.resident for view in self._views(service)))
+            self._demand.note_resident(service, resident)
         for _ in range(MAX_SWAPS_PER_STEP):
             views = self._views(service)
-            waiting = self._service_views.missing_models(service, engine, views, self._totals)
+            waiting = self._service_views.missing_models(
+                service, engine, views, self._totals, by_arrivals=staged
+            )
             cold_allowed = self._rate.allows_load(self._ceiling(engine))
             swap = planner.best_swap(waiting, views, cold_allowed=cold_allowed)
-            if swap is None:
+            if swap is not None:
+                self._start_swap(swap, waiting)
+            elif not staged or waiting or not self._stage(service, engine, cold_allowed):
                 return
-            self._start_swap(swap, waiting)
+
+    def _stage(self, service: str, engine: EngineRule, cold_allowed: bool) -> bool:
+        """Start the next staged load, if any; return whether there was one."""
+        views = self._views(service)
+        for key in self._copies.reports_to_read(engine, views):
+            self._workers.start_task(key, ReportTask())
+        load = self._copies.next_load(service, engine, views, cold_allowed=cold_allowed)
+        if load is None:
+            return False
+        if load.cold:
+            self._rate.count_load()
+        self._copies.note_evictions(service, load.evicted)
+        task = SwapTask(load.evicted, load.model, load.load_seconds)
+        self._workers.start_task(load.view.upstream.id, task)
+        return True
 
     def _start_swap(self, swap: Swap, waiting: Iterable[WaitingUnit]) -> None:
         served = [one for one in waiting if one.unit.model == swap.model.name]
@@ -247,6 +293,7 @@
         )
         if swap.cold:
             self._rate.count_load()
+        self._copies.note_evictions(swap.view.upstream.service, swap.evicted)
         task = SwapTask(swap.evicted, swap.model.name, swap.load_seconds)
         self._workers.start_task(swap.view.upstream.id, task)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule
+from redwingscale_daemon._internal.swaps.copy_guard import CopyGuard
 from redwingscale_daemon._internal.swaps.demand import (
     RECENT_HALF_LIFE_SECONDS,
     Demand,
@@ -33,6 +34,9 @@
 # of a second of reading.
 OVERLOADED_PROMPT_TOKENS = 12_000
 LIGHT_LOAD_PROMPT_TOKENS = 2_500
+# Requests per second that one holder serves in time at least: prompts of some 2,400 tokens at 19
+# tokens per ms, for half of the engine's time.
+SERVED_PER_HOLDER = 4.0
 # Cost of a load, in requests: it blocks other orders of the worker, and its weights count against
 # the rate of the weight store.
 LOAD_COST_PER_SECOND = 0.8
@@ -63,22 +67,33 @@
     """A copy of ``model`` to load; ``gain`` returns the requests that it serves by load seconds.
 
     A ``spare_only`` proposal evicts only copies of models that are resident elsewhere as well; a
-    ``lightly_loaded_only`` one is for workers with few unread prompt tokens.
+    ``lightly_loaded_only`` one is for workers with few unread prompt tokens. A ``free_room_only``
+    one evicts nothing. An ``awaited`` one is for requests without a holder.
     """
 
     model: ModelRule
     gain: Callable[[float], float]
     spare_only: bool = False
     lightly_loaded_only: bool = False
+    free_room_only: bool = False
+    awaited: bool = False
 
 
 class Planner:
     """Finds the swap with the highest net gain: requests that it serves minus those it costs."""
 
-    def __init__(self, service: str, engine: EngineRule, demand: Demand) -> None:
+    def __init__(
+        self,
+        service: str,
+        engine: EngineRule,
+        demand: Demand,
+        guard_for: Callable[[Sequence[WorkerView]], CopyGuard | None] = lambda _: None,
+    ) -> None:
         self._service = service
         self._engine = engine
         self._demand = demand
+        # Returns the guard of the copies at hand, None where they decide nothing.
+        self._guard_for = guard_for
 
     def best_swap(
         self, waiting: Iterable[WaitingUnit], views: Sequence[WorkerView], *, cold_allowed: bool
@@ -131,7 +146,8 @@
         return _choose_best(proposals, evictions, views, cold_allowed=cold_allowed)
 
     def _evictions(self, views: Sequence[WorkerView]) -> Evictions:
-        return Evictions(self._service, self._engine, self._demand, views)
+        guard = self._guard_for(views)
+        return Evictions(self._service, self._engine, self._demand, views, guard)
 
     def _waiting_proposal(self, waiting: WaitingUnit) -> _Proposal | None:
         rule = self._engine.models_by_name.get(waiting.unit.model)
@@ -145,7 +161,7 @@
             in_time = waiting.max_wait_seconds > load_seconds
             return expected + overdue + (waiting.requests if in_time else 0)
 
-        return _Proposal(rule, gain)
+        return _Proposal(rule, gain, awaited=True)
 
     def _coverage_proposals(
         self, evictions: Evictions, views: Sequence[WorkerView]
@@ -155,7 +171,16 @@
         def proposal(name: str, rule: ModelRule) -> _Proposal:
             value = self._demand.baseline_requests(self._service, name) + self._expected(name)
             value *= LOCAL_COPY_FRACTION if name in local else 1.0
-            return _Proposal(rule, lambda _: value, spare_only=True)
+            return _Proposal(
+                rule,
+                lambda _: value,
+                spare_only=True,
+                free_room_only=evictions.guard is not None,
+            )
+
+        if evictions.guard is not None and evictions.guard.copies.missing():
+            # Staging makes copies of these first.
+            return []
 
         proposals = [
             proposal(name, rule)
@@ -171,6 +196,8 @@
             value = self._extra_copy_gain(
                 name, evictions.holder_counts[name], arriving.get(name, 0.0), views
             )
+            if evictions.guard is not None:
+                value = max(value, self._sudden_gain(name, evictions.holder_counts[name], views))
             return _Proposal(
                 self._engine.models_by_name[name], lambda _: value, lightly_loaded_only=True
             )
@@ -205,6 +232,19 @@
         single_holder_gain = expected * SINGLE_HOLDER_RISK_FRACTION if holders == 1 else 0.0
         return max(overload_gain, shared_gain, single_holder_gain)
 
+    def _sudden_gain(self, name: str, holders: int, views: Sequence[WorkerView]) -> float:
+        """Return the gain of one more copy of a model that is loading and resident nowhere.
+
+        Nothing tells its overload before the first load ends. If its arrivals exceed what the
+        loading copies will serve, more of them are loaded at the same time.
+        """
+        if any(name in view.resident for view in views):
+            return 0.0
+        rates = self._demand.requested_models(self._service)
+        served = max(SERVED_PER_HOLDER, sum(rates.values()) / max(1, len(views)))
+        unserved = max(0.0, rates.get(name, 0.0) - holders * served)
+        return unserved * DEMAND_HORIZON_SECONDS * EXTRA_COPY_IN_TIME_FRACTION
+
     def _expected(self, name: str) -> float:
         return self._demand.model_rate(self._service, name) * DEMAND_HORIZON_SECONDS
 
@@ -233,27 +273,44 @@
     *,
     cold_allowed: bool,
 ) -> Swap | None:
-    """Return the swap that gains most beyond its loss and its load, None if none pays off."""
+    """Return the swap that gains most beyond its loss and its load, None if none pays off.
+
+    Swaps are compared by their costs in copies at hand as well. These prevent a swap altogether
+    only if nobody waits for its model: for an awaited one they decide about the worker.
+    """
     priced = [
-        (
-            proposal.gain(seconds) - eviction.loss - seconds * LOAD_COST_PER_SECOND,
-            proposal,
-            view,
-            eviction,
-        )
+        (net_gain - copies_loss, net_gain, proposal, view, eviction)
         for proposal in proposals
         for view in views
         if (eviction := _choose_eviction(proposal, view, evictions)) is not None
         for seconds, cold in [load_time(proposal.model, view)]
         if cold_allowed or not cold
+        if (net_gain := proposal.gain(seconds) - eviction.loss - seconds * LOAD_COST_PER_SECOND) > 0
+        for copies_loss in [_copies_loss(proposal, view, eviction, evictions.guard)]
+        if proposal.awaited or net_gain > copies_loss
+        if not cold or not _is_sooner_from_copy(proposal, evictions.guard, views)
     ]
     best = max(priced, key=lambda option: option[0], default=None)
-    if best is None or best[0] <= 0:
+    if best is None:
         return None
-    net_gain, proposal, view, eviction = best
+    _, net_gain, proposal, view, eviction = best
     return Swap(view, proposal.model, eviction.models, *load_time(proposal.model, view), net_gain)
 
 
+def _copies_loss(
+    proposal: _Proposal, view: WorkerView, eviction: Eviction, guard: CopyGuard | None
+) -> float:
+    if guard is None:
+        return 0.0
+    return guard.copies_loss(view, proposal.model.name, eviction.models)
+
+
+def _is_sooner_from_copy(
+    proposal: _Proposal, guard: CopyGuard | None, views: Sequence[WorkerView]
+) -> bool:
+    return guard is not None and guard.sooner_from_copy(proposal.model, views)
+
+
 def _choose_eviction(
     proposal: _Proposal, view: WorkerView, evictions: Evictions
 ) -> Eviction | None:
@@ -261,4 +318,7 @@
         return None
     if proposal.lightly_loaded_only and view.prompt_tokens >= LIGHT_LOAD_PROMPT_TOKENS:
         return None
-    return evictions.cheapest(view, proposal.model.weights_mb, spare_only=proposal.spare_only)
+    eviction = evictions.cheapest(view, proposal.model.weights_mb, spare_only=proposal.spare_only)
+    if eviction is not None and proposal.free_room_only and eviction.models:
+        return None
+    return eviction
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/service_views.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/service_views.py
@@ -44,13 +44,20 @@
         )
 
     def missing_models(
-        self, service: str, engine: EngineRule, views: Sequence[WorkerView], totals: Totals
+        self,
+        service: str,
+        engine: EngineRule,
+        views: Sequence[WorkerView],
+        totals: Totals,
+        *,
+        by_arrivals: bool = False,
     ) -> list[WaitingUnit]:
         """Return the requested models that are neither resident nor being loaded at ``views``.
 
         Behind the queue of an upstream with a rate limit, or before the retry time of one that
         rejects requests, most requests are refused at once and wait nowhere. Their models count as
-        missing all the same.
+        missing all the same. With ``by_arrivals``, so do all models that are requested now: their
+        requests are refused at once while no load is planned.
         """
         present = {name for view in views for name in [*view.resident, view.loading]}
         waiting = [
@@ -58,6 +65,8 @@
             for one in self._demand.waiting()
             if one.service == service and one.unit.model not in present
         ]
+        if by_arrivals:
+            waiting += self._requested(service, engine, present, waiting)
         if not self._limits_by_id() and not totals.rejecting:
             return waiting
         counted = present | {one.unit.model for one in waiting}
@@ -67,3 +76,17 @@
             if (rate := self._demand.overload_rate(service, name)) >= MIN_REFUSED_PER_SECOND
         ]
         return waiting + refused
+
+    def _requested(
+        self,
+        service: str,
+        engine: EngineRule,
+        present: set[str],
+        waiting: Sequence[WaitingUnit],
+    ) -> list[WaitingUnit]:
+        counted = present | {one.unit.model for one in waiting}
+        return [
+            WaitingUnit(service, Unit(name), rate, 0.0)
+            for name, rate in self._demand.requested_models(service).items()
+            if name in engine.models_by_name and name not in counted
+        ]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/tasks.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/tasks.py
@@ -20,4 +20,8 @@
     evicted: tuple[Unit, ...]
 
 
-Task = SwapTask | AdapterTask
+class ReportTask(NamedTuple):
+    """Read the report, which shows whether the worker carries out an order of another leader."""
+
+
+Task = SwapTask | AdapterTask | ReportTask
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -14,7 +14,7 @@
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult, Unload
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
-from redwingscale_daemon._internal.swaps.tasks import AdapterTask, SwapTask, Task
+from redwingscale_daemon._internal.swaps.tasks import AdapterTask, ReportTask, SwapTask, Task
 from redwingscale_daemon._internal.swaps.unanswered import UnansweredLoad
 from redwingscale_daemon._internal.swaps.worker_ledger import WorkerLedger
 
@@ -93,6 +93,11 @@
             return False
         return self._task is None and time.monotonic() >= self._blocked_until
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the state is known from a report, or changed by the task that runs."""
+        return self.ledger.report is not None or isinstance(self._task, SwapTask)
+
     @property
     def loading(self) -> str:
         """The model that is being loaded, empty for none."""
@@ -153,6 +158,8 @@
                 done = self._swap(task)
             case AdapterTask():
                 done = self._load_adapter(task)
+            case ReportTask():
+                done = True
         if not done:
             # Whatever failed, the next task starts with a report; a report that is read at once
             # would be from before the failure.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
@@ -89,6 +89,8 @@
             load.requests,
             load.prompt_tokens,
             totals.uses.get(upstream.id, {}),
+            worker.ready_in,
+            worker.confirmed,
         )
 
     def _new(self, upstream: Upstream) -> WorkerOrders:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_view.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_view.py
@@ -13,7 +13,8 @@
     ``free`` workers have no order in flight and accept new work. ``loading`` is the model that is
     being loaded, empty for none; ``settled_at`` gives the monotonic time at which each model was
     loaded, by model. ``prompt_tokens`` are not read yet; ``open_by_unit`` counts the requests that
-    run, by unit.
+    run, by unit. The loading model is expected to be resident in ``ready_in`` seconds. The state of
+    a worker is ``confirmed`` once its report has been read in this term of the leader.
     """
 
     upstream: Upstream
@@ -24,6 +25,8 @@
     requests: int
     prompt_tokens: int
     open_by_unit: dict[Unit, int]
+    ready_in: float = 0.0
+    confirmed: bool = True
 
     def open_for(self, model: str) -> int:
         """Return how many requests for ``model`` and its adapters run here."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -30,6 +30,8 @@
         self._seconds = meter.create_histogram("redwingscale_request_seconds", unit="s")
         meter.create_observable_gauge("redwingscale_threads", callbacks=[observe_threads])
         self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
+        self.staged_loads = meter.create_counter("redwingscale_staged_loads", unit="1")
+        self.without_copy = meter.create_gauge("redwingscale_models_without_copy", unit="1")
 
     def record_request(self, request: IngressRequest, outcome: str) -> float:
         """Count an ended request; return its duration in seconds."""
