Protect last copies, and test staging on a simulated deployment

Cause: a load drives the least recently used copies out, and their order is unknown at first; two loads in flight could drive out both copies of a model. Unit tests of swaps pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/copy_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/copy_guard.py
@@ -54,7 +54,7 @@
             return True
         rule = self._engine.models_by_name.get(name)
         load_seconds = rule.cold_seconds if rule else 0.0
-        if self._recent.returned(self._service, name, settled_at - load_seconds):
+        if self._recent.returned(self._service, name, settled_at, load_seconds):
             return False
         return self._demand.recent_rate(self._service, name) < MISSING_PER_SECOND
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/copy_map.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/copy_map.py
@@ -31,6 +31,8 @@
     def __init__(self, engine: EngineRule, views: Sequence[WorkerView], now: float) -> None:
         self._engine = engine
         self._now = now
+        sizes = (rule.weights_mb for rule in engine.models_by_name.values())
+        self._largest_mb = max(sizes, default=0.0)
         self._lists_resident = any(
             view.resident.keys() & (view.upstream.in_memory | view.upstream.on_disk)
             for view in views
@@ -40,7 +42,13 @@
         self._disk = {view.upstream.id: self._disk_of(view) for view in views}
         self._resident_ids: dict[str, set[str]] = defaultdict(set)
         self._copy_ids: dict[str, set[str]] = defaultdict(set)
+        self._driven_out: dict[tuple[str, str], dict[str, float]] = {}
+        # Workers whose load in flight may drive out the model's copy.
+        self._uncertain_ids: dict[str, set[str]] = defaultdict(set)
         for view in views:
+            if view.loading:
+                for name in self.driven_out(view, view.loading).keys() - view.resident.keys():
+                    self._uncertain_ids[name].add(view.upstream.id)
             for name in self.local(view):
                 self._copy_ids[name].add(view.upstream.id)
             for name in [*view.resident, *([view.loading] if view.loading else [])]:
@@ -54,6 +62,11 @@
         """Return the ids of the workers where ``name`` is resident, loading or at hand."""
         return self._resident_ids.get(name, set()) | self._copy_ids.get(name, set())
 
+    def kept_elsewhere(self, name: str, view: WorkerView) -> bool:
+        """Return whether ``name`` is at another worker, whatever its load in flight drives out."""
+        uncertain = self._uncertain_ids.get(name, set())
+        return bool(self.places(name) - uncertain - {view.upstream.id})
+
     def at_hand(self, name: str) -> bool:
         """Return whether any worker has a copy of ``name`` in memory or on disk."""
         return bool(self._copy_ids.get(name))
@@ -84,6 +97,12 @@
         known only for models that this leader has loaded, so that any other copy may be the next.
         """
         key = view.upstream.id
+        known = self._driven_out.get((key, name))
+        if known is None:
+            known = self._driven_out[(key, name)] = self._find_driven_out(key, name)
+        return known
+
+    def _find_driven_out(self, key: str, name: str) -> dict[str, float]:
         memory, disk = self._memory[key], self._disk[key]
         from_memory = self._evicted(memory, name, key)
         from_disk = self._evicted(disk, name, key)
@@ -104,13 +123,12 @@
         dropped = set(evicted)
         local = self.local(view)
         chances = self.driven_out(view, name) | dict.fromkeys(dropped - local, 1.0)
-        only_here = {view.upstream.id}
         return {
             one: chance
             for one, chance in chances.items()
             if one in self._engine.models_by_name
-            and self.places(one) <= only_here
             and (one in dropped or one not in view.resident)
+            and not self.kept_elsewhere(one, view)
         }
 
     def _evicted(self, cache: _Cache, name: str, key: str) -> dict[str, float]:
@@ -149,5 +167,4 @@
 
     def _size(self, names: Iterable[str]) -> float:
         models = self._engine.models_by_name
-        largest = max((rule.weights_mb for rule in models.values()), default=0.0)
-        return sum(models[one].weights_mb if one in models else largest for one in names)
+        return sum(models[one].weights_mb if one in models else self._largest_mb for one in names)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/copy_plans.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/copy_plans.py
@@ -2,7 +2,7 @@
 
 import math
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
@@ -13,7 +13,8 @@
 from redwingscale_daemon._internal.swaps.copy_map import CopyMap
 from redwingscale_daemon._internal.swaps.demand import Demand
 from redwingscale_daemon._internal.swaps.recent_evictions import RecentEvictions
-from redwingscale_daemon._internal.swaps.staging import StagedLoad, Staging
+from redwingscale_daemon._internal.swaps.staging import Staging
+from redwingscale_daemon._internal.swaps.staging_options import StagedLoad
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
 # The reports that a successor reads before it stages anything, for each of its plans.
@@ -85,15 +86,19 @@
         views: Sequence[WorkerView],
         *,
         cold_allowed: bool,
+        awaited: Collection[str] = (),
     ) -> StagedLoad | None:
-        """Return the next load to stage, None if none is useful; only while no request waits."""
+        """Return the next load to stage, None if none is useful.
+
+        Requests wait for the ``awaited`` models, but a swap for them does not pay off now.
+        """
         guard = self.guard(service, engine, views)
         self._note_missing(service, len(guard.copies.missing()))
         if self._is_taking_over(engine) and not self._is_informed(views):
             return None
         usable = [view._replace(free=view.free and not self._has_failed(view)) for view in views]
         staging = Staging(service, engine, self._demand, guard, usable)
-        load = staging.next_load(cold_allowed=cold_allowed)
+        load = staging.next_load(cold_allowed=cold_allowed, awaited=awaited)
         if load is not None:
             self._staged_by_id[load.view.upstream.id] = (load.model, time.monotonic())
             self._settings.on_staged(load.purpose)
@@ -128,7 +133,10 @@
         return view.settled_at.get(model, -math.inf) < began_at
 
     def _note_missing(self, service: str, count: int) -> None:
-        if self._missing_by_service.get(service) != count:
-            self._missing_by_service[service] = count
+        before = self._missing_by_service.get(service, 0)
+        self._missing_by_service[service] = count
+        if count != before:
             self._settings.on_missing(service, count)
+        if count > before or (before and not count):
+            # Each staged load tells how many are left.
             log_event("models_without_copy", service=service, models=count)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -260,15 +260,20 @@
             swap = planner.best_swap(waiting, views, cold_allowed=cold_allowed)
             if swap is not None:
                 self._start_swap(swap, waiting)
-            elif not staged or waiting or not self._stage(service, engine, cold_allowed):
+            elif not staged or not self._stage(service, engine, waiting, cold_allowed):
                 return
 
-    def _stage(self, service: str, engine: EngineRule, cold_allowed: bool) -> bool:
+    def _stage(
+        self, service: str, engine: EngineRule, waiting: Iterable[WaitingUnit], cold_allowed: bool
+    ) -> bool:
         """Start the next staged load, if any; return whether there was one."""
+        awaited = {one.unit.model for one in waiting}
         views = self._views(service)
         for key in self._copies.reports_to_read(engine, views):
             self._workers.start_task(key, ReportTask())
-        load = self._copies.next_load(service, engine, views, cold_allowed=cold_allowed)
+        load = self._copies.next_load(
+            service, engine, views, cold_allowed=cold_allowed, awaited=awaited
+        )
         if load is None:
             return False
         if load.cold:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/recent_evictions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/recent_evictions.py
@@ -1,5 +1,6 @@
 """The models that were evicted lately."""
 
+import math
 import time
 from collections.abc import Callable, Iterable
 
@@ -21,7 +22,12 @@
         now = self._clock()
         self._evicted_at |= {(service, name): now for name in models}
 
-    def returned(self, service: str, model: str, load_began_at: float) -> bool:
-        """Return whether ``model`` was evicted shortly before its load that began then."""
-        evicted_at = self._evicted_at.get((service, model))
-        return evicted_at is not None and 0 <= load_began_at - evicted_at < RETURN_SECONDS
+    def returned(
+        self, service: str, model: str, settled_at: float, max_load_seconds: float
+    ) -> bool:
+        """Return whether ``model`` was evicted shortly before a load that ended at ``settled_at``.
+
+        How long the load took is not known, at most ``max_load_seconds``.
+        """
+        evicted_at = self._evicted_at.get((service, model), -math.inf)
+        return 0 <= settled_at - evicted_at < RETURN_SECONDS + max_load_seconds
--- a/packages/redwingscale-daemon/tests/unit/swaps/copies_world.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/copies_world.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 from types import SimpleNamespace
+from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
@@ -24,9 +25,10 @@
 MB = 1000.0
 
 
-def engine_of(models=104):
-    """Return models of 42.7 to 72.7 GB; the largest load in 8.6 s, 1.7 s and 1.3 s."""
-    sizes = [42.7 + 30.0 * (n * 37 % models) / (models - 1) for n in range(models)]
+def engine_of(models=104, smallest=42.7):
+    """Return models of up to 72.7 GB; the largest load in 8.6 s, 1.7 s and 1.3 s."""
+    spread = 72.7 - smallest
+    sizes = [smallest + spread * (n * 37 % models) / (models - 1) for n in range(models)]
     rules = {
         f"m{n}": ModelRule(f"m{n}", mb * MB, 100.0, 3, mb / 8.45, mb / 42.7, mb / 56.0)
         for n, mb in enumerate(sizes)
@@ -34,6 +36,17 @@
     return EngineRule(64, 100_000, 200 * MB, 8, CEILING.per_second, rules, 140 * MB, 400 * MB)
 
 
+class Started(NamedTuple):
+    """A load; ``source`` is where the worker's weights really come from."""
+
+    at: float
+    worker: str
+    model: str
+    evicted: tuple[str, ...]
+    source: str
+    purpose: str
+
+
 class Worker:
     """Copies are ordered by their last use, the least recently used first."""
 
@@ -42,6 +55,7 @@
         self.resident, self.disk = list(resident), list(disk)
         self.memory = []
         self.settled_at, self.task, self.listed = {}, None, None
+        self.confirmed = False
 
     def entry(self):
         models = {name: ResidentModel(name, 1, frozenset()) for name in self.resident}
@@ -52,9 +66,11 @@
 class World:
     """``workers`` with five copies on each disk, and ``absent`` models that are nowhere."""
 
-    def __init__(self, clock, workers=30, models=104, absent=26, seed=3, mode=Mode.ON):
+    def __init__(
+        self, clock, workers=30, models=104, absent=26, seed=3, mode=Mode.ON, smallest=42.7
+    ):
         rng = random.Random(seed)
-        self.clock, self.engine, self.mode = clock, engine_of(models), mode
+        self.clock, self.engine, self.mode = clock, engine_of(models, smallest), mode
         names = [*self.engine.models_by_name]
         rng.shuffle(names)
         present = names[absent:]
@@ -66,36 +82,44 @@
         for n in range(workers):
             key = f"w{n}"
             own = resident[n::workers]
-            disk = list(dict.fromkeys([*places[n::workers][:3], *own]))
+            disk = list(dict.fromkeys([*places[n::workers], *own]))[-5:]
             self.workers[key] = Worker(key, f"z{n % 3}", own, disk)
         self.began, self.requests, self.cold_at = clock[0], {}, []
-        self.swaps, self.starts = [], Counter()
+        self.swaps = []
+        self.initial = Counter(name for w in self.workers.values() for name in w.resident)
         self.new_leader(first=True)
 
     def new_leader(self, first=False):
-        former = None if first else self.demand
+        """Begin a term; each instance has noted the first list that it has read."""
         self.demand, self.rate = Demand(), LoadRate()
-        initial = Counter(name for w in self.workers.values() for name in w.resident)
-        self.demand.note_initial_copies(SERVICE, initial if first else former._copies_noted)
-        self.demand._copies_noted = initial if first else former._copies_noted
+        self.demand.note_initial_copies(SERVICE, self.initial)
         self.plans = CopyPlans(CopySettings(self.mode), self.demand)
         self.plans.begin_term(succeeds_another=not first)
         for worker in self.workers.values():
-            worker.settled_at, worker.confirmed = {}, first
+            worker.settled_at, worker.confirmed = {}, False
             if worker.task:
                 worker.task.foreign = True
 
     def seconds(self):
         return self.clock[0] - self.began
 
-    def run(self, until, stop=lambda: False):
-        while self.seconds() < until and not stop():
+    def run(self, until):
+        while self.seconds() < until:
             self.step()
 
-    def step(self):
+    def leaderless(self, seconds):
+        """Let the workers go on without plans."""
+        end = self.seconds() + seconds
+        while self.seconds() < end:
+            self._tick()
+
+    def _tick(self):
         self.clock[0] += STEP_SECONDS
         for worker in self.workers.values():
             self._advance(worker)
+
+    def step(self):
+        self._tick()
         entries = [
             DemandEntry(SERVICE, name, "", rate * STEP_SECONDS, 0, 0.0)
             for name, rate in self.requests.items()
@@ -138,10 +162,14 @@
         )  # fmt: skip
 
     def waiting(self, views):
+        return self.waiting_units(self.requests, views)
+
+    @staticmethod
+    def waiting_units(requests, views):
         present = {name for view in views for name in [*view.resident, view.loading]}
         return [
             WaitingUnit(SERVICE, Unit(name), rate, 5.0)
-            for name, rate in self.requests.items()
+            for name, rate in requests.items()
             if name not in present and rate > 0
         ]
 
@@ -160,8 +188,11 @@
                 self._start(swap.view, swap.model.name, swap.evicted, swap.cold, "swap")
                 continue
             load = None
-            if on and not waiting:
-                load = self.plans.next_load(SERVICE, self.engine, views, cold_allowed=cold_allowed)
+            if on:
+                load = self.plans.next_load(
+                    SERVICE, self.engine, views, cold_allowed=cold_allowed,
+                    awaited={one.unit.model for one in waiting},
+                )  # fmt: skip
             if load is None:
                 return
             self._start(load.view, load.model, load.evicted, load.cold, load.purpose)
@@ -183,9 +214,8 @@
         self.plans.note_evictions(SERVICE, evicted)
         ends_at = self.clock[0] + seconds + POLL_SECONDS + UNLOAD_SECONDS * len(evicted)
         worker.task = SimpleNamespace(model=name, ends_at=ends_at, foreign=False)
-        self.swaps.append(
-            (round(self.seconds(), 1), view.upstream.id, name, evicted, local, purpose)
-        )
+        started = Started(self.seconds(), view.upstream.id, name, evicted, local, purpose)
+        self.swaps.append(started)
 
     def nowhere(self):
         """Return the models that are in no worker's memory and on no disk."""
