--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -19,6 +19,7 @@
 from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.rows import RowStore
+from redwingscale_daemon._internal.swaps.copy_plans import CopySettings
 from redwingscale_daemon._internal.swaps.demand import Demand
 from redwingscale_daemon._internal.swaps.instance_count import InstanceCount
 from redwingscale_daemon._internal.swaps.leader import Leader
@@ -231,6 +232,11 @@
         ordered_return=lambda engine: is_on(settings.scheduling.ordered_return, engine),
         lost_swaps=settings.scheduling.lost_swaps,
         on_given_up=lambda reason: metrics.swaps_given_up.add(1, {"reason": reason}),
+        copies=CopySettings(
+            settings.scheduling.staged_copies,
+            lambda purpose: metrics.staged_loads.add(1, {"purpose": purpose}),
+            lambda service, models: metrics.without_copy.set(models, {"service": service}),
+        ),
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/tasks.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/tasks.py
@@ -21,7 +21,7 @@
 
 
 class ReportTask(NamedTuple):
-    """Read the worker's report; no order is sent."""
+    """Read the report, which shows whether the worker carries out an order of another leader."""
 
 
 Task = SwapTask | AdapterTask | ReportTask
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -123,6 +123,11 @@
         """Whether a `ReportTask` runs."""
         return isinstance(self._task, ReportTask)
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the state is known from a report, or changed by the task that runs."""
+        return self.ledger.report is not None or isinstance(self._task, SwapTask)
+
     @property
     def loading(self) -> str:
         """The model that is being loaded, empty for none, or if its swap is given up."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
@@ -163,6 +163,8 @@
             load.prompt_tokens,
             totals.uses.get(upstream.id, {}),
             worker.ledger.reserved_mb if worker.watch.is_on else 0.0,
+            worker.ready_in,
+            worker.confirmed,
         )
 
     def _new(self, upstream: Upstream) -> WorkerOrders:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_view.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_view.py
@@ -13,7 +13,9 @@
     ``free`` workers have no order in flight and accept new work. ``loading`` is the model that is
     being loaded, empty for none; ``settled_at`` gives the monotonic time at which each model was
     loaded, by model. ``prompt_tokens`` are not read yet; ``open_by_unit`` counts the requests that
-    run, by unit. ``reserved_mb`` are taken by loads that may still be carried out.
+    run, by unit. ``reserved_mb`` are taken by loads that may still be carried out. The loading
+    model is expected to be resident in ``ready_in`` seconds. The state of a worker is
+    ``confirmed`` once its report has been read in this term of the leader.
     """
 
     upstream: Upstream
@@ -25,6 +27,8 @@
     prompt_tokens: int
     open_by_unit: dict[Unit, int]
     reserved_mb: float = 0.0
+    ready_in: float = 0.0
+    confirmed: bool = True
 
     def open_for(self, model: str) -> int:
         """Return how many requests for ``model`` and its adapters run here."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -34,6 +34,8 @@
         self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
         self.returns = meter.create_counter("redwingscale_returns", unit="1")
         self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
+        self.staged_loads = meter.create_counter("redwingscale_staged_loads", unit="1")
+        self.without_copy = meter.create_gauge("redwingscale_models_without_copy", unit="1")
 
     def record_request(self, request: IngressRequest, outcome: str) -> float:
         """Count an ended request; return its duration in seconds."""
