Pass view fields by name in the staging tests

Cause: part of scheduling under hard load, see docs/design/95-hard-load.md. Change: as the subject says. Result: unit tests of the part pass.

--- a/packages/redwingscale-daemon/tests/unit/swaps/copies_world.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/copies_world.py
@@ -158,7 +158,7 @@
         resident = {name: frozenset() for name in worker.resident}
         return WorkerView(
             worker.listed[1], resident, worker.task is None, task.model if task else "",
-            dict(worker.settled_at), 0, 0, {}, ready_in, worker.confirmed,
+            dict(worker.settled_at), 0, 0, {}, ready_in=ready_in, confirmed=worker.confirmed,
         )  # fmt: skip
 
     def waiting(self, views):
