Estimate first events from aged load and slowness learned by all instances

Over 2 s were expected where the median was 0.3 to 0.5 s: each instance learned one factor per worker from a twentieth of the streams. The leader now learns slowness by worker and model from all first events; instances discount unread tokens of others by their age and refuse by probability. Off, the choice and refusal are as before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -31,6 +31,7 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_follower import RouteFollower
 from redwingscale_daemon._internal.settings.ingress_settings import Bounds, IngressSettings
+from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
@@ -150,7 +151,14 @@
     bounds = settings.bounds
     rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
     budget = RepeatBudget(rule, swaps.instances)
-    chooser = Chooser(settings.failure_domain, fleet, swaps.instances)
+    mode = settings.scheduling.first_event_estimates
+    chooser = Chooser(
+        settings.failure_domain,
+        fleet,
+        swaps.instances,
+        lambda service: is_on(mode, routes.engine(service)),
+    )
+    fleet.first_events.on_observed = metrics.record_first_event
     sender = Sender(pool, exchange, fleet.backpressure)
     parts = RelayParts(
         exchange,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -27,6 +27,7 @@
 from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling
 from redwingscale_daemon._internal.swaps.local_demand import LocalDemand
 from redwingscale_daemon._internal.swaps.messages import (
+    FirstEventEntry,
     InstanceUpdate,
     LeaderUpdate,
     LoadEntry,
@@ -180,6 +181,7 @@
             fleet.rates.updates(full=initial),
             fleet.directory.leaving_unlisted(),
             fleet.retry_times.pending(),
+            [FirstEventEntry(*event) for event in fleet.first_events.drain()],
         )
         own_demand.receive(update)
         return update
@@ -215,6 +217,7 @@
         issuer,
         instances,
         fleet.rates.limited,
+        fleet.first_events.slowness.values,
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet)
@@ -270,13 +273,14 @@
     fleet.directory.note_leaving(update.leaving, "order giver")
     if update.loads is not None:
         fleet.outcomes.set_failure_ratios(update.failure_ratios)
+        fleet.first_events.receive_slowness(update.slowness)
         own = {entry.upstream: entry for entry in own_loads}
-        fleet.load_tracker.set_others(
-            {
-                entry.upstream: _load_of_others(entry, own.get(entry.upstream))
-                for entry in update.loads
-            }
-        )
+        others = {
+            entry.upstream: _load_of_others(entry, own.get(entry.upstream))
+            for entry in update.loads
+        }
+        fleet.load_tracker.set_others(others)
+        fleet.first_events.receive_others(others)
     fleet.changes.notify()
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.fleet.first_event_estimate import FirstEventEstimate
 from redwingscale_daemon._internal.fleet.fleet import Fleet
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.weighted_sample import weighted_sample
 
 # Prompt tokens that an engine processes in a millisecond, without other work.
 PROMPT_TOKENS_PER_MS = 24.0
@@ -43,6 +45,7 @@
     ``expected_ms`` the same with the upstream's latency factor, and ``queue_ms`` the part
     of it that is spent on other requests. ``cached_tokens`` tokens of the prompt are cached
     at the upstream. ``among`` is the number of candidates that it was chosen from.
+    ``estimate`` is what the times come from, None if they come from latency factors.
     """
 
     cost_ms: float
@@ -52,6 +55,7 @@
     queue_ms: float = 0.0
     cached_tokens: int = 0
     among: int = 1
+    estimate: FirstEventEstimate | None = None
 
 
 class Chooser:
@@ -62,6 +66,7 @@
         failure_domain: str,
         fleet: Fleet,
         instances: Callable[[], int] = lambda: COMPARE_ALL_INSTANCES,
+        estimates_on: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self._failure_domain = failure_domain
         self._instances = instances
@@ -70,6 +75,9 @@
         self._prefixes = fleet.prefixes
         self._health = fleet.health
         self._latency_factors = fleet.latency_factors
+        self._first_events = fleet.first_events
+        # Whether a service's times come from first event estimates, not latency factors.
+        self._estimates_on = estimates_on
         self._gate = fleet.gate
         # Not for secrets, only to spread requests.
         self._random = random.Random()
@@ -97,6 +105,22 @@
         candidates = [self._prompt_candidate(u, prompt, home) for u in holders]
         return self._cheapest(candidates, compare_all=compare_all)
 
+    def note_first_event(self, chosen: Candidate, real_ms: float) -> None:
+        """Take the time to the first event of a request that was sent to ``chosen``."""
+        match chosen.estimate:
+            case None:
+                self._latency_factors.observe(chosen.upstream.id, chosen.first_event_ms, real_ms)
+            case estimate:
+                self._first_events.observe(estimate, real_ms)
+
+    def note_lost(self, chosen: Candidate, waited_ms: float) -> None:
+        """Take a request to ``chosen`` that was lost after ``waited_ms`` without an event."""
+        match chosen.estimate:
+            case None:
+                self._latency_factors.observe(chosen.upstream.id, chosen.first_event_ms, waited_ms)
+            case estimate:
+                self._first_events.observe_lost(estimate, waited_ms)
+
     def throttled_plain(self, service: str, tried: Collection[str]) -> list[str]:
         """Return the ids that `choose_plain` skips because of rate limits or retry times."""
         return self._throttled(self._plain_upstreams(service, tried)) if self._gate.known else []
@@ -128,11 +152,14 @@
         return requests * PLAIN_REQUEST_MS / upstream.slots + beyond * PLAIN_REQUEST_MS
 
     def _prompt_candidate(self, upstream: Upstream, prompt: Prompt, home: str) -> Candidate:
-        load = self._load_tracker.total(upstream.id)
         cached = self._prefixes.cached_tokens(upstream.id, prompt)
         if not cached and upstream.id == home:
             cached = _shared_tokens(prompt) // 2
-        own = max(0, prompt.tokens_in - cached) / PROMPT_TOKENS_PER_MS
+        unread = max(0, prompt.tokens_in - cached)
+        if self._estimates_on(upstream.service):
+            return self._estimated(upstream, prompt, unread, cached)
+        load = self._load_tracker.total(upstream.id)
+        own = unread / PROMPT_TOKENS_PER_MS
         others = load.prompt_tokens / PROMPT_TOKENS_PER_MS + load.requests * RUNNING_REQUEST_MS
         beyond = max(0, load.requests + 1 - upstream.slots) * BATCH_FULL_COST_MS
         factor = self._latency_factors.factor(upstream.id)
@@ -140,6 +167,18 @@
         expected = queue + own * factor
         return Candidate(expected, upstream, own + others, expected, queue, cached)
 
+    def _estimated(self, upstream: Upstream, prompt: Prompt, unread: int, cached: int) -> Candidate:
+        estimate = self._first_events.estimate(upstream, prompt.unit, unread)
+        return Candidate(
+            estimate.cost_ms,
+            upstream,
+            estimate.base_ms,
+            estimate.expected_ms,
+            estimate.queue_ms,
+            cached,
+            estimate=estimate,
+        )
+
     def _cheapest(
         self, candidates: list[Candidate], *, compare_all: bool = False
     ) -> Candidate | None:
@@ -161,10 +200,17 @@
         count = max(MIN_COMPARED, round(len(among) * COMPARE_ALL_INSTANCES / self._instances()))
         if count >= len(among):
             return among
-        sample = self._random.sample(among, count)
+        sample = self._sample(among, count)
         most_cached = max(among, key=lambda one: one.cached_tokens)
         return [*sample, most_cached] if most_cached.cached_tokens else sample
 
+    def _sample(self, among: list[Candidate], count: int) -> list[Candidate]:
+        """Return a random sample; with estimates, fast upstreams are more likely in it."""
+        speeds = [1.0 / one.estimate.slowness for one in among if one.estimate]
+        if len(speeds) == len(among):
+            return weighted_sample(among, speeds, count, self._random)
+        return self._random.sample(among, count)
+
     def _extra_ms(self, upstream: Upstream) -> float:
         extra = self._random.random() * NOISE_MS
         if upstream.failure_domain != self._failure_domain:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -5,6 +5,7 @@
 
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureTracker
 from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.first_event_estimates import FirstEventEstimates
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.latency_factors import LatencyFactors
 from redwingscale_daemon._internal.fleet.load_tracker import LoadTracker
@@ -32,6 +33,7 @@
     retry_times: RetryTimes
     gate: SendGate
     backpressure: BackpressureTracker
+    first_events: FirstEventEstimates
 
 
 def new_fleet(instance: str = "", instances: Callable[[], int] = lambda: 1) -> Fleet:
@@ -44,10 +46,12 @@
         LatencyFactors(),
         PrefixMemory(),
     )
+    first_events = FirstEventEstimates(load_tracker)
     rates = RateLimits(instance, instances, directory.lists)
     retry_times = RetryTimes()
     backpressure = BackpressureTracker(directory, rates, retry_times)
-    for part in (load_tracker, health, latency_factors, prefixes, residency, rates, retry_times):
+    by_upstream = (load_tracker, health, latency_factors, prefixes, residency, rates, retry_times)
+    for part in (*by_upstream, first_events):
         directory.on_gone(part.forget)
     return Fleet(
         directory,
@@ -62,4 +66,5 @@
         retry_times,
         SendGate(rates, retry_times),
         backpressure,
+        first_events,
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/load_tracker.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/load_tracker.py
@@ -99,6 +99,15 @@
         others = self._others.get(upstream_id, NO_LOAD)
         return Load(own.requests + others.requests, own.prompt_tokens + others.prompt_tokens)
 
+    def parts(self, upstream_id: str) -> tuple[Load, Load, float]:
+        """Return this instance's load, the others', and the milliseconds since its announcement.
+
+        The others' load is returned however old it is, zero if none was announced.
+        """
+        own = self._own.get(upstream_id, NO_LOAD)
+        age_ms = (time.monotonic() - self._others_at) * 1000.0
+        return own, self._others.get(upstream_id, NO_LOAD), age_ms
+
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop entries without open requests of upstreams that are gone."""
         with self._lock:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -1,12 +1,13 @@
 """The attempts to send one request, and whether another one is allowed."""
 
 import time
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureState
 from redwingscale_daemon._internal.fleet.chooser import Candidate
+from redwingscale_daemon._internal.fleet.first_event_estimate import FirstEventEstimate
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
@@ -60,6 +61,7 @@
             rate=_or_dash(backpressure.per_second),
             leaving=_or_dash(backpressure.leaving_seconds),
             retry_in=round(backpressure.retry_in, 3),
+            **_estimate_fields(chosen.estimate),
         )
         if not self.count:
             self._budget.note_request(self._service)
@@ -127,5 +129,15 @@
         )
 
 
+def _estimate_fields(estimate: FirstEventEstimate | None) -> dict[str, Any]:
+    if estimate is None:
+        return {}
+    return {
+        "expected_ms": round(estimate.expected_ms),
+        "spread_ms": round(estimate.spread_ms),
+        "slowness": round(estimate.slowness, 2),
+    }
+
+
 def _or_dash(value: float | None) -> float | str:
     return "-" if value is None else round(value, 3)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.final_refusal import final_refusal
+from redwingscale_daemon._internal.forwarding.late_refusal import late_refusal
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 
@@ -195,6 +196,8 @@
         found.expected_ms / MILLISECONDS_PER_SECOND,
     )
     max_wait = _max_wait_seconds(call)
+    if found.estimate is not None and not call.attempts.count:
+        return late_refusal(found.estimate, max_wait, longest, OVERLOADED_RETRY_SECONDS)
     excess = max(queue - longest, expected - max_wait)
     if excess <= 0 or call.attempts.count:
         return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -125,9 +125,7 @@
             case Lost():
                 if not progress.events:
                     waited_ms = call.attempts.seconds_since_send() * MILLISECONDS_PER_SECOND
-                    self._parts.latency_factors.observe(
-                        upstream.id, candidate.first_event_ms, waited_ms
-                    )
+                    self._parts.chooser.note_lost(candidate, waited_ms)
                 return self._prepare_retry(call, outcome)
             case NotRun():
                 return self._prepare_retry(call, outcome)
@@ -176,9 +174,7 @@
                 begun = True
                 ticket.note_prompt_read()
                 real_ms = call.attempts.note_first_event() * MILLISECONDS_PER_SECOND
-                self._parts.latency_factors.observe(
-                    answering.upstream.id, candidate.first_event_ms, real_ms
-                )
+                self._parts.chooser.note_first_event(candidate, real_ms)
                 if real_ms / MILLISECONDS_PER_SECOND > call.route.latency_target_seconds:
                     self._note_late_first_event(call)
             call.watch.silence_seconds = STREAM_SILENCE_SECONDS if call.route.resumable else None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/current_routes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/current_routes.py
@@ -5,6 +5,7 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.routes.route_table import RouteTable
+from redwingscale_daemon._internal.routes.service_rule import EngineRule
 
 
 class CurrentRoutes:
@@ -22,6 +23,12 @@
         """Return the table in force, None before the first one."""
         return self._table
 
+    def engine(self, service: str) -> EngineRule | None:
+        """Return the engine of a service, None if it runs no models or is not known."""
+        table = self._table
+        rule = table.services_by_name.get(service) if table else None
+        return rule.engine if rule else None
+
     def offer(self, table: RouteTable) -> bool:
         """Put ``table`` in force if it is newer; return whether it was."""
         with self._lock:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -31,6 +31,7 @@
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
 from redwingscale_daemon._internal.swaps.service_views import ServiceViews
+from redwingscale_daemon._internal.swaps.slowness import Slowness
 from redwingscale_daemon._internal.swaps.tasks import SwapTask
 from redwingscale_daemon._internal.swaps.update_schedule import UPDATE_SECONDS, UpdateSchedule
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
@@ -76,6 +77,7 @@
         issuer: PermitIssuer | None = None,
         known_instances: Callable[[], int] = lambda: 0,
         limits_by_id: Callable[[], Mapping[str, float]] = dict,
+        former_slowness: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self._authority = authority
         self._routes = routes
@@ -97,6 +99,9 @@
         self._adapters = AdapterOrders(self._demand, self._workers)
         self._instances = InstanceTotals()
         self._failing = FailingUpstreams()
+        self._slowness = Slowness()
+        # Returns the slowness that the former leader has sent.
+        self._former_slowness = former_slowness
         self._use = UseTotals(use_slack)
         # Issues permits for upstreams with a rate limit.
         self._issuer = issuer or PermitIssuer()
@@ -110,6 +115,7 @@
         """Process an instance's update; called by the threads that receive updates."""
         self._demand.receive(update)
         self._failing.receive(update.outcomes)
+        self._slowness.receive(update.first_events)
         self._use.receive(update.instance, update.drawn)
         self._directory.note_leaving(update.leaving, "instance")
         if self._issuer.receive(update.instance, update.rate_limits):
@@ -124,6 +130,7 @@
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are no longer listed."""
         self._instances.forget(upstream_ids)
+        self._slowness.forget(upstream_ids)
 
     def step(self) -> LeaderUpdate | None:
         """Plan once and return the update sent, None without changes or the leader lease."""
@@ -158,6 +165,7 @@
 
     def _begin_term(self, fence: int) -> None:
         log_event("giver_begins", fence=fence)
+        self._slowness.begin(self._former_slowness(), [one.id for one in self._directory.all()])
         self._use.begin(self._known_instances())
         self._issuer.begin()
         self._changes.begin_with(self._directory.all())
@@ -279,6 +287,7 @@
             self._sample_peers() if residency_complete else [],
             limits,
             self._directory.leaving_unlisted(),
+            slowness=self._slowness.changes() if periodic else {},
         )
 
     def _sample_peers(self) -> list[str]:
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/slowness.py
@@ -0,0 +1,126 @@
+"""What the leader knows and sends about the speed of upstreams and models."""
+
+import itertools
+import math
+import threading
+import time
+from collections.abc import Iterable, Mapping
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.slowness_fit import HALF_WEIGHT_MS, SlownessFit
+from redwingscale_daemon._internal.fleet.slowness_view import MEAN_KEY
+from redwingscale_daemon._internal.swaps.messages import FirstEventEntry
+from redwingscale_daemon._internal.swaps.slow_spells import SlowSpells
+
+# A value is sent at once if it differs by more than this fraction from the one sent last.
+CHANGED_FRACTION = 0.1
+# All values are sent again within this time, a part of them with each periodic update, for
+# instances that were disconnected.
+REPEAT_SECONDS = 2.0
+# A value takes some 23 bytes. This many keep the field under 1 KB; the largest changes go
+# first, the others with the next update.
+MAX_ENTRIES = 40
+SIGNIFICANT_DIGITS = 3
+
+
+class Slowness:
+    """Slowness of upstreams and models over the first events of all instances.
+
+    Answers a load in which one instance sees one or two streams a second and all of them
+    together over a hundred: only the sum shows within a quarter of a second that an upstream
+    is slow for a moment.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._fit = SlownessFit()
+        self._spells = SlowSpells()
+        self._sent: dict[str, float] = {}
+        self._repeated: list[str] = []
+        self._sent_at = time.monotonic()
+        self._logged_at = float("-inf")
+
+    def receive(self, first_events: Iterable[FirstEventEntry]) -> None:
+        """Take the first events of an instance."""
+        with self._lock:
+            for entry in first_events:
+                known = self._spells.excess_log(entry.upstream)
+                deviation = self._fit.observe(
+                    entry.upstream, entry.model, entry.expected_ms, entry.real_ms, known
+                )
+                weight = entry.expected_ms / (entry.expected_ms + HALF_WEIGHT_MS)
+                self._spells.observe(entry.upstream, deviation, weight)
+
+    def begin(self, values: Mapping[str, float], upstream_ids: Iterable[str]) -> None:
+        """Continue from the ``values`` that the former leader sent, at the start of a term."""
+        with self._lock:
+            self._fit, self._spells, self._sent = SlownessFit(), SlowSpells(), {}
+            by_key = {key: value for key, value in values.items() if key != MEAN_KEY}
+            self._fit.seed(values.get(MEAN_KEY), by_key, set(upstream_ids))
+
+    def changes(self) -> dict[str, float]:
+        """Return the values for the next periodic update, by upstream id and model name."""
+        now = time.monotonic()
+        with self._lock:
+            values = self._values()
+            changed = sorted(
+                (key for key in values if self._change(key, values[key]) > CHANGED_FRACTION),
+                key=lambda key: -self._change(key, values[key]),
+            )
+            repeated = self._due_again(values, now - self._sent_at)
+            self._sent_at = now
+            keys = list(dict.fromkeys([*changed, *repeated]))[:MAX_ENTRIES]
+            sent = {key: _rounded(values[key]) for key in keys}
+            self._sent |= sent
+        self._log(values, len(sent), now)
+        return sent
+
+    def forget(self, upstream_ids: set[str]) -> None:
+        """Drop upstreams that are gone."""
+        with self._lock:
+            self._fit.forget(upstream_ids)
+            self._spells.forget(upstream_ids)
+            for key in upstream_ids:
+                self._sent.pop(key, None)
+
+    def _values(self) -> dict[str, float]:
+        upstreams = {
+            key: math.exp(self._fit.upstream_log(key) + self._spells.excess_log(key))
+            for key in self._fit.upstream_ids()
+        }
+        if not upstreams:
+            return {}
+        models = {key: math.exp(self._fit.model_log(key)) for key in self._fit.models()}
+        return {MEAN_KEY: math.exp(self._fit.level.log)} | models | upstreams
+
+    def _change(self, key: str, value: float) -> float:
+        sent = self._sent.get(key)
+        return math.inf if sent is None else abs(value / sent - 1.0)
+
+    def _due_again(self, values: Mapping[str, float], seconds: float) -> list[str]:
+        """Return the values whose turn it is; each has one within `REPEAT_SECONDS`."""
+        count = math.ceil(len(values) * min(1.0, seconds / REPEAT_SECONDS))
+        known = [key for key in self._repeated if key in values]
+        added = values.keys() - set(known)
+        order = [*known, *sorted(added)]
+        self._repeated = [*order[count:], *order[:count]]
+        return list(itertools.islice(order, count))
+
+    def _log(self, values: Mapping[str, float], sent: int, now: float) -> None:
+        if not values or now - self._logged_at < REPEAT_SECONDS:
+            return
+        self._logged_at = now
+        slowest = max(self._fit.upstream_ids(), key=lambda key: values.get(key, 0.0), default="-")
+        log_event(
+            "slowness",
+            mean=_rounded(values[MEAN_KEY]),
+            slowest=slowest,
+            slowest_value=_rounded(values.get(slowest, 0.0)),
+            values=len(values),
+            sent=sent,
+        )
+
+
+def _rounded(value: float) -> float:
+    return float(f"{value:.{SIGNIFICANT_DIGITS}g}")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -13,6 +13,9 @@
 # Latency targets of deployments are between 0.1 and 5 seconds.
 LATENCY_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0)
 
+# A first event within this factor of its expected time counts as expected.
+FIRST_EVENT_NEAR_FACTOR = 2.0
+
 
 class IngressMetrics:
     """The metrics of one instance; each label has only a few values."""
@@ -29,6 +32,7 @@
         self._requests = meter.create_counter("redwingscale_ingress_requests", unit="1")
         self._seconds = meter.create_histogram("redwingscale_request_seconds", unit="s")
         meter.create_observable_gauge("redwingscale_threads", callbacks=[observe_threads])
+        self._first_events = meter.create_counter("redwingscale_first_events", unit="1")
         self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
 
     def record_request(self, request: IngressRequest, outcome: str) -> float:
@@ -38,6 +42,12 @@
         self._seconds.record(seconds, {"outcome": outcome})
         return seconds
 
+    def record_first_event(self, ratio: float) -> None:
+        """Count a first event by the ``ratio`` of its real to its expected time."""
+        near = 1.0 / FIRST_EVENT_NEAR_FACTOR <= ratio <= FIRST_EVENT_NEAR_FACTOR
+        came = "as_expected" if near else ("late" if ratio > 1.0 else "early")
+        self._first_events.add(1, {"came": came})
+
     def prometheus_page(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return bytes(generate_latest(REGISTRY))
