--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -27,7 +27,6 @@
 from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling
 from redwingscale_daemon._internal.swaps.local_demand import LocalDemand
 from redwingscale_daemon._internal.swaps.messages import (
-    FirstEventEntry,
     InstanceUpdate,
     LeaderUpdate,
     LoadEntry,
@@ -37,6 +36,7 @@
 )
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
+from redwingscale_daemon._internal.swaps.slowness import first_event_entry
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
@@ -181,7 +181,7 @@
             fleet.rates.updates(full=initial),
             fleet.directory.leaving_unlisted(),
             fleet.retry_times.pending(),
-            [FirstEventEntry(*event) for event in fleet.first_events.drain()],
+            [first_event_entry(*event) for event in fleet.first_events.drain()],
         )
         own_demand.receive(update)
         return update
@@ -273,7 +273,7 @@
     fleet.directory.note_leaving(update.leaving, "order giver")
     if update.loads is not None:
         fleet.outcomes.set_failure_ratios(update.failure_ratios)
-        fleet.first_events.receive_slowness(update.slowness)
+        fleet.first_events.slowness.receive(update.slowness)
         own = {entry.upstream: entry for entry in own_loads}
         others = {
             entry.upstream: _load_of_others(entry, own.get(entry.upstream))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -9,7 +9,6 @@
 from redwingscale_daemon._internal.fleet.fleet import Fleet
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.fleet.upstream import Upstream
-from redwingscale_daemon._internal.fleet.weighted_sample import weighted_sample
 
 # Prompt tokens that an engine processes in a millisecond, without other work.
 PROMPT_TOKENS_PER_MS = 24.0
@@ -168,7 +167,7 @@
         return Candidate(expected, upstream, own + others, expected, queue, cached)
 
     def _estimated(self, upstream: Upstream, prompt: Prompt, unread: int, cached: int) -> Candidate:
-        estimate = self._first_events.estimate(upstream, prompt.unit, unread)
+        estimate = self._first_events.estimate(upstream, prompt, unread)
         return Candidate(
             estimate.cost_ms,
             upstream,
@@ -200,17 +199,10 @@
         count = max(MIN_COMPARED, round(len(among) * COMPARE_ALL_INSTANCES / self._instances()))
         if count >= len(among):
             return among
-        sample = self._sample(among, count)
+        sample = self._random.sample(among, count)
         most_cached = max(among, key=lambda one: one.cached_tokens)
         return [*sample, most_cached] if most_cached.cached_tokens else sample
 
-    def _sample(self, among: list[Candidate], count: int) -> list[Candidate]:
-        """Return a random sample; with estimates, fast upstreams are more likely in it."""
-        speeds = [1.0 / one.estimate.slowness for one in among if one.estimate]
-        if len(speeds) == len(among):
-            return weighted_sample(among, speeds, count, self._random)
-        return self._random.sample(among, count)
-
     def _extra_ms(self, upstream: Upstream) -> float:
         extra = self._random.random() * NOISE_MS
         if upstream.failure_domain != self._failure_domain:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/first_event_estimate.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/first_event_estimate.py
@@ -3,29 +3,20 @@
 import math
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.fleet.read_times import Ahead
 from redwingscale_daemon._internal.fleet.residual_quantiles import ResidualQuantiles
 
 # Standard deviation of the logarithm of real over expected time if the load is known:
 # slow spells, batch steps, cached prompts.
 LOG_DEVIATION = 0.35
-# Part of the spread that counts as cost: of two holders with the same expected time, the
-# one that is less certain is more often late.
-SPREAD_SHARE = 0.3
 LEAST_MS = 1.0
 
 
-class Ahead(NamedTuple):
-    """What an estimate is based on: unread tokens including the own prompt, open requests."""
-
-    tokens: float
-    requests: float
-
-
 class FirstEventEstimate(NamedTuple):
     """When the first event of a request would come from one holder, in milliseconds.
 
     ``base_ms`` is expected at slowness 1, ``expected_ms`` at the holder's, of which
-    ``queue_ms`` are spent on other requests. ``spread_ms`` is the standard deviation due to
+    ``queue_ms`` are spent on other requests. ``cost_ms`` compares holders. ``spread_ms`` is the standard deviation due to
     load that is not known exactly.
     """
 
@@ -36,14 +27,10 @@
     base_ms: float
     expected_ms: float
     queue_ms: float
+    cost_ms: float
     spread_ms: float
     quantiles: ResidualQuantiles
 
-    @property
-    def cost_ms(self) -> float:
-        """Expected time plus a part of the spread, to compare holders by their lateness."""
-        return self.expected_ms + SPREAD_SHARE * self.spread_ms
-
     def chance_by(self, seconds: float) -> float:
         """Return the probability that the first event comes within ``seconds``."""
         return self._chance(self.expected_ms, seconds)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/others_load.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/others_load.py
@@ -8,15 +8,16 @@
 
 # Weight of the newest announcement in the means: two seconds of them.
 NEWEST_FRACTION = 0.12
-# Tokens of a usual prompt, weighted by tokens: the variance of what arrives in a given time.
-PROMPT_TOKENS = 2500.0
 # Instances report four times a second and the leader announces four times a second, so an
 # announced load is this old on arrival in the mean.
-REPORT_AGE_MS = 150.0
-# After this, the spread of what has arrived since is that of any moment.
-MAX_SPREAD_AGE_MS = 1000.0
+REPORT_AGE_MS = 180.0
+# Least standard deviation of the unread tokens: one usual prompt.
+LEAST_SPREAD_TOKENS = 1800.0
 # Half-life of the means without announcements.
 FORGET_MS = 10_000.0
+# Time in which half of what deviates from the usual queue has been read, at slowness 1: a
+# worker reads some 5,000 tokens in 0.25 s while as many arrive.
+HALF_LIFE_MS = 800.0
 
 
 class Unread(NamedTuple):
@@ -27,10 +28,10 @@
 
 
 class _Usual(NamedTuple):
-    """Means over the announcements: unread tokens, and the fraction with any."""
+    """Means over the announcements of the unread tokens and of their square."""
 
     tokens: float = 0.0
-    busy: float = 0.0
+    square: float = 0.0
 
 
 class OthersLoad:
@@ -38,8 +39,8 @@
 
     Answers a load that is announced 0.25 to 0.75 s late, while a worker reads some 5,000
     tokens in 0.25 s: a long queue has mostly been read since, and an empty one has not
-    stayed empty. A queue moves to its mean at the rate at which the upstream reads, less
-    the rate at which others add to it.
+    stayed empty. With its age, an announced queue moves to the usual one, and its spread
+    to that of the usual one.
     """
 
     def __init__(self) -> None:
@@ -52,22 +53,22 @@
             usual = self._usual[key]
             self._usual[key] = _Usual(
                 usual.tokens + (tokens - usual.tokens) * NEWEST_FRACTION,
-                usual.busy + ((1.0 if tokens else 0.0) - usual.busy) * NEWEST_FRACTION,
+                usual.square + (tokens * tokens - usual.square) * NEWEST_FRACTION,
             )
 
-    def now(self, upstream_id: str, announced: Load, age_ms: float, tokens_per_ms: float) -> Unread:
-        """Return the others' unread tokens now; ``age_ms`` is the time since the announcement."""
+    def now(self, upstream_id: str, announced: Load, age_ms: float, speed: float) -> Unread:
+        """Return the others' unread tokens now; ``age_ms`` is the time since the announcement.
+
+        ``speed`` is the inverse of the upstream's slowness.
+        """
         usual = self._usual.get(upstream_id, _Usual())
-        age = min(age_ms + REPORT_AGE_MS, FORGET_MS)
-        reported = float(announced.prompt_tokens)
-        arriving = usual.busy * tokens_per_ms
         mean = usual.tokens * 0.5 ** (age_ms / FORGET_MS)
-        if reported > mean:
-            tokens = max(mean, reported - (tokens_per_ms - arriving) * age)
-        else:
-            tokens = min(mean, reported + arriving * age)
-        added = arriving * min(age, MAX_SPREAD_AGE_MS) * PROMPT_TOKENS
-        return Unread(tokens, math.sqrt(added))
+        kept = 0.5 ** ((age_ms + REPORT_AGE_MS) * speed / HALF_LIFE_MS)
+        variance = max(0.0, usual.square - usual.tokens**2) * (1.0 - kept * kept)
+        return Unread(
+            mean + (announced.prompt_tokens - mean) * kept,
+            math.hypot(math.sqrt(variance), LEAST_SPREAD_TOKENS),
+        )
 
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are gone."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/prompt.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/prompt.py
@@ -13,9 +13,13 @@
 
 
 class Prompt(NamedTuple):
-    """The requested unit, the input tokens, the output limit and the parts in order."""
+    """The requested unit, the input tokens, the output limit and the parts in order.
+
+    Upstreams first take requests of the lowest ``priority``.
+    """
 
     unit: Unit
     tokens_in: int
     most_tokens_out: int
     parts: tuple[PromptPart, ...]
+    priority: int = 0
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/slowness_view.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/slowness_view.py
@@ -5,9 +5,11 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from redwingscale_daemon._internal.fleet.slowness_fit import SlownessFit
+from redwingscale_daemon._internal.fleet.first_event_fit import FirstEventFit
+from redwingscale_daemon._internal.fleet.read_times import ReadShape, shape_of
 
-# Key of the mean slowness of all upstreams, used for an upstream without a value.
+# Key of the mean slowness of all upstreams, used for an upstream without a value. Keys of
+# `ReadTimes.values` begin with it as well.
 MEAN_KEY = "*"
 # The leader repeats each value every 2 s. Older ones fade with this half-life.
 FRESH_SECONDS = 3.0
@@ -20,14 +22,14 @@
 
 
 class SlownessView:
-    """Slowness by upstream and model.
+    """Slowness by upstream and model, and how times depend on what is ahead.
 
     The leader's values are used as long as it repeats them. Afterwards they fade to what
     this instance has observed itself, which is 1 without observations.
     """
 
     def __init__(self) -> None:
-        self.own = SlownessFit()
+        self.own = FirstEventFit()
         self._received: dict[str, _Received] = {}
 
     def receive(self, values: Mapping[str, float]) -> None:
@@ -42,11 +44,20 @@
     def upstream(self, upstream_id: str) -> float:
         """Return the slowness of an upstream, that of the mean for an unknown one."""
         key = upstream_id if upstream_id in self._received else MEAN_KEY
-        return math.exp(self._log(key, self.own.upstream_log(upstream_id)))
+        return math.exp(self._log(key, self.own.slowness.upstream_log(upstream_id)))
 
     def model(self, name: str) -> float:
         """Return the slowness of a model relative to the mean of all models."""
-        return math.exp(self._log(name, self.own.model_log(name)))
+        return math.exp(self._log(name, self.own.slowness.model_log(name)))
+
+    def shape(self, priority: int) -> ReadShape:
+        """Return how the time to a first event depends on what is ahead."""
+        own = self.own.read_times.values()
+
+        def value(key: str, default: float) -> float:
+            return math.exp(self._log(key, math.log(own.get(key, default))))
+
+        return shape_of(priority, value)
 
     def values(self) -> dict[str, float]:
         """Return the leader's values that have not faded, by upstream id and model name."""
@@ -56,7 +67,7 @@
 
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are gone."""
-        self.own.forget(upstream_ids)
+        self.own.slowness.forget(upstream_ids)
         for key in upstream_ids:
             self._received.pop(key, None)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -75,6 +75,7 @@
         A stream that cannot be completed is cut, so that it never looks complete.
         """
         progress = _Progress(call.terms.last_event)
+        prompt = prompt._replace(priority=_priority(call))
         while True:
             candidate = self._wait.choose_holder(call, prompt)
             if not self._parts.gate.draw(candidate.upstream.id):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -39,12 +39,20 @@
 
 
 class FirstEventEntry(msgspec.Struct, array_like=True):
-    """A first event that came after ``real_ms``; ``expected_ms`` were expected at speed 1."""
+    """A first event that came after ``real_ms``; ``expected_ms`` were expected at speed 1.
+
+    At the time of the request, ``queue_ms`` at speed 1 were ahead of it, and its own prompt
+    takes ``own_ms``; the upstream had ``requests`` open. ``priority`` 0 is the most urgent.
+    """
 
     upstream: str
     model: str
     expected_ms: float
     real_ms: float
+    own_ms: float = 0.0
+    queue_ms: float = 0.0
+    requests: int = 0
+    priority: int = 0
 
 
 class ReturnEntry(msgspec.Struct, array_like=True):
@@ -174,7 +182,7 @@
     send time by the leader's monotonic clock.
 
     ``slowness`` has the time to a first event relative to the expected one, by upstream id
-    and by model name. For the ``unplanned`` units, requests wait and no load is planned.
+    and by model name; keys that begin with "*" are those of `SlownessView`. For the ``unplanned`` units, requests wait and no load is planned.
     ``returns`` are the refused requests of all instances that are expected to return.
     """
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/slowness.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/slowness.py
@@ -8,7 +8,9 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.fleet.slowness_fit import HALF_WEIGHT_MS, SlownessFit
+from redwingscale_daemon._internal.fleet.first_event_fit import FirstEvent, FirstEventFit
+from redwingscale_daemon._internal.fleet.read_times import Ahead
+from redwingscale_daemon._internal.fleet.slowness_fit import HALF_WEIGHT_MS
 from redwingscale_daemon._internal.fleet.slowness_view import MEAN_KEY
 from redwingscale_daemon._internal.swaps.messages import FirstEventEntry
 from redwingscale_daemon._internal.swaps.slow_spells import SlowSpells
@@ -34,7 +36,7 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._fit = SlownessFit()
+        self._fit = FirstEventFit()
         self._spells = SlowSpells()
         self._sent: dict[str, float] = {}
         self._repeated: list[str] = []
@@ -46,18 +48,17 @@
         with self._lock:
             for entry in first_events:
                 known = self._spells.excess_log(entry.upstream)
-                deviation = self._fit.observe(
-                    entry.upstream, entry.model, entry.expected_ms, entry.real_ms, known
-                )
+                deviation = self._fit.observe(_event(entry), known)
                 weight = entry.expected_ms / (entry.expected_ms + HALF_WEIGHT_MS)
                 self._spells.observe(entry.upstream, deviation, weight)
 
     def begin(self, values: Mapping[str, float], upstream_ids: Iterable[str]) -> None:
         """Continue from the ``values`` that the former leader sent, at the start of a term."""
         with self._lock:
-            self._fit, self._spells, self._sent = SlownessFit(), SlowSpells(), {}
-            by_key = {key: value for key, value in values.items() if key != MEAN_KEY}
-            self._fit.seed(values.get(MEAN_KEY), by_key, set(upstream_ids))
+            self._fit, self._spells, self._sent = FirstEventFit(), SlowSpells(), {}
+            by_key = {key: one for key, one in values.items() if not key.startswith(MEAN_KEY)}
+            self._fit.slowness.seed(values.get(MEAN_KEY), by_key, set(upstream_ids))
+            self._fit.read_times.seed(values)
 
     def changes(self) -> dict[str, float]:
         """Return the values for the next periodic update, by upstream id and model name."""
@@ -79,20 +80,22 @@
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are gone."""
         with self._lock:
-            self._fit.forget(upstream_ids)
+            self._fit.slowness.forget(upstream_ids)
             self._spells.forget(upstream_ids)
             for key in upstream_ids:
                 self._sent.pop(key, None)
 
     def _values(self) -> dict[str, float]:
+        fit = self._fit.slowness
         upstreams = {
-            key: math.exp(self._fit.upstream_log(key) + self._spells.excess_log(key))
-            for key in self._fit.upstream_ids()
+            key: math.exp(fit.upstream_log(key) + self._spells.excess_log(key))
+            for key in fit.upstream_ids()
         }
         if not upstreams:
             return {}
-        models = {key: math.exp(self._fit.model_log(key)) for key in self._fit.models()}
-        return {MEAN_KEY: math.exp(self._fit.level.log)} | models | upstreams
+        models = {key: math.exp(fit.model_log(key)) for key in fit.models()}
+        shared = {MEAN_KEY: math.exp(fit.level.log)} | self._fit.read_times.values()
+        return shared | models | upstreams
 
     def _change(self, key: str, value: float) -> float:
         sent = self._sent.get(key)
@@ -111,7 +114,8 @@
         if not values or now - self._logged_at < REPEAT_SECONDS:
             return
         self._logged_at = now
-        slowest = max(self._fit.upstream_ids(), key=lambda key: values.get(key, 0.0), default="-")
+        upstream_ids = self._fit.slowness.upstream_ids()
+        slowest = max(upstream_ids, key=lambda key: values.get(key, 0.0), default="-")
         log_event(
             "slowness",
             mean=_rounded(values[MEAN_KEY]),
@@ -122,5 +126,25 @@
         )
 
 
+def first_event_entry(event: FirstEvent, expected_ms: float) -> FirstEventEntry:
+    """Return the entry for an instance's update; times in whole ms take fewer bytes."""
+    ahead = event.ahead
+    return FirstEventEntry(
+        event.upstream_id,
+        event.model,
+        round(expected_ms),
+        round(event.real_ms),
+        round(ahead.own_ms),
+        round(ahead.queue_ms),
+        ahead.requests,
+        ahead.priority,
+    )
+
+
+def _event(entry: FirstEventEntry) -> FirstEvent:
+    ahead = Ahead(entry.own_ms, entry.queue_ms, entry.requests, entry.priority)
+    return FirstEvent(entry.upstream, entry.model, ahead, entry.real_ms)
+
+
 def _rounded(value: float) -> float:
     return float(f"{value:.{SIGNIFICANT_DIGITS}g}")
