Merge first event estimates

Cause: the expected time to a first event said little, and refusals rested on it. Change: the leader learns slowness from the first events of all instances, and instances estimate with it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -39,6 +39,7 @@
 )
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
+from redwingscale_daemon._internal.swaps.slowness import first_event_entry
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
@@ -194,6 +195,7 @@
             fleet.retry_times.pending(),
             returns=returns.entries(),
             misdirected=[key for key in fleet.outcomes.drain_misdirected() if gives_up(key)],
+            first_events=[first_event_entry(*event) for event in fleet.first_events.drain()],
         )
         own_demand.receive(update)
         return update
@@ -237,6 +239,7 @@
             lambda purpose: metrics.staged_loads.add(1, {"purpose": purpose}),
             lambda service, models: metrics.without_copy.set(models, {"service": service}),
         ),
+        former_slowness=fleet.first_events.slowness.values,
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet)
@@ -292,13 +295,14 @@
     fleet.directory.note_leaving(update.leaving, "order giver")
     if update.loads is not None:
         fleet.outcomes.set_failure_ratios(update.failure_ratios)
+        fleet.first_events.slowness.receive(update.slowness)
         own = {entry.upstream: entry for entry in own_loads}
-        fleet.load_tracker.set_others(
-            {
-                entry.upstream: _load_of_others(entry, own.get(entry.upstream))
-                for entry in update.loads
-            }
-        )
+        others = {
+            entry.upstream: _load_of_others(entry, own.get(entry.upstream))
+            for entry in update.loads
+        }
+        fleet.load_tracker.set_others(others)
+        fleet.first_events.receive_others(others)
     fleet.changes.notify()
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.fleet.first_event_estimate import FirstEventEstimate
 from redwingscale_daemon._internal.fleet.fleet import Fleet
 from redwingscale_daemon._internal.fleet.pause_cost import PauseCost
 from redwingscale_daemon._internal.fleet.prompt import Prompt
@@ -46,6 +47,7 @@
     of it that is spent on other requests. ``cached_tokens`` tokens of the prompt are cached
     at the upstream. ``among`` is the number of candidates that it was chosen from.
     ``pauses`` is the part of the cost for pauses of streams, None where it does not apply.
+    ``estimate`` is what the times come from, None if they come from latency factors.
     """
 
     cost_ms: float
@@ -56,6 +58,7 @@
     cached_tokens: int = 0
     among: int = 1
     pauses: PauseCost | None = None
+    estimate: FirstEventEstimate | None = None
 
 
 class Chooser:
@@ -67,6 +70,7 @@
         fleet: Fleet,
         instances: Callable[[], int] = lambda: COMPARE_ALL_INSTANCES,
         pauses: StreamPauses | None = None,
+        estimates_on: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self._pauses = pauses
         self._failure_domain = failure_domain
@@ -76,6 +80,9 @@
         self._prefixes = fleet.prefixes
         self._health = fleet.health
         self._latency_factors = fleet.latency_factors
+        self._first_events = fleet.first_events
+        # Whether a service's times come from first event estimates, not latency factors.
+        self._estimates_on = estimates_on
         self._gate = fleet.gate
         # Not for secrets, only to spread requests.
         self._random = random.Random()
@@ -106,6 +113,22 @@
             candidates = _with_pauses(candidates, self._pauses, service, prompt)
         return self._cheapest(candidates, compare_all=compare_all)
 
+    def note_first_event(self, chosen: Candidate, real_ms: float) -> None:
+        """Take the time to the first event of a request that was sent to ``chosen``."""
+        match chosen.estimate:
+            case None:
+                self._latency_factors.observe(chosen.upstream.id, chosen.first_event_ms, real_ms)
+            case estimate:
+                self._first_events.observe(estimate, real_ms)
+
+    def note_lost(self, chosen: Candidate, waited_ms: float) -> None:
+        """Take a request to ``chosen`` that was lost after ``waited_ms`` without an event."""
+        match chosen.estimate:
+            case None:
+                self._latency_factors.observe(chosen.upstream.id, chosen.first_event_ms, waited_ms)
+            case estimate:
+                self._first_events.observe_lost(estimate, waited_ms)
+
     def throttled_plain(self, service: str, tried: Collection[str]) -> list[str]:
         """Return the ids that `choose_plain` skips because of rate limits or retry times."""
         return self._throttled(self._plain_upstreams(service, tried)) if self._gate.known else []
@@ -137,11 +160,14 @@
         return requests * PLAIN_REQUEST_MS / upstream.slots + beyond * PLAIN_REQUEST_MS
 
     def _prompt_candidate(self, upstream: Upstream, prompt: Prompt, home: str) -> Candidate:
-        load = self._load_tracker.total(upstream.id)
         cached = self._prefixes.cached_tokens(upstream.id, prompt)
         if not cached and upstream.id == home:
             cached = _shared_tokens(prompt) // 2
-        own = max(0, prompt.tokens_in - cached) / PROMPT_TOKENS_PER_MS
+        unread = max(0, prompt.tokens_in - cached)
+        if self._estimates_on(upstream.service):
+            return self._estimated(upstream, prompt, unread, cached)
+        load = self._load_tracker.total(upstream.id)
+        own = unread / PROMPT_TOKENS_PER_MS
         others = load.prompt_tokens / PROMPT_TOKENS_PER_MS + load.requests * RUNNING_REQUEST_MS
         beyond = max(0, load.requests + 1 - upstream.slots) * BATCH_FULL_COST_MS
         factor = self._latency_factors.factor(upstream.id)
@@ -149,6 +175,18 @@
         expected = queue + own * factor
         return Candidate(expected, upstream, own + others, expected, queue, cached)
 
+    def _estimated(self, upstream: Upstream, prompt: Prompt, unread: int, cached: int) -> Candidate:
+        estimate = self._first_events.estimate(upstream, prompt, unread)
+        return Candidate(
+            estimate.cost_ms,
+            upstream,
+            estimate.base_ms,
+            estimate.expected_ms,
+            estimate.queue_ms,
+            cached,
+            estimate=estimate,
+        )
+
     def _cheapest(
         self, candidates: list[Candidate], *, compare_all: bool = False
     ) -> Candidate | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -7,6 +7,7 @@
 
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureState
 from redwingscale_daemon._internal.fleet.chooser import Candidate
+from redwingscale_daemon._internal.fleet.first_event_estimate import FirstEventEstimate
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
@@ -63,6 +64,7 @@
             leaving=_or_dash(backpressure.leaving_seconds),
             retry_in=round(backpressure.retry_in, 3),
             **_pause_fields(chosen),
+            **_estimate_fields(chosen.estimate),
         )
         if not self.count:
             self._budget.note_request(self._service)
@@ -139,5 +141,15 @@
     }
 
 
+def _estimate_fields(estimate: FirstEventEstimate | None) -> dict[str, Any]:
+    if estimate is None:
+        return {}
+    return {
+        "expected_ms": round(estimate.expected_ms),
+        "spread_ms": round(estimate.spread_ms),
+        "slowness": round(estimate.slowness, 2),
+    }
+
+
 def _or_dash(value: float | None) -> float | str:
     return "-" if value is None else round(value, 3)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -77,6 +77,7 @@
         A stream that cannot be completed is cut, so that it never looks complete.
         """
         progress = _Progress(call.terms.last_event)
+        prompt = prompt._replace(priority=_priority(call))
         while True:
             candidate = self._wait.choose_holder(call, prompt)
             if not self._parts.gate.draw(candidate.upstream.id):
@@ -131,9 +132,7 @@
             case Lost():
                 if not progress.events:
                     waited_ms = call.attempts.seconds_since_send() * MILLISECONDS_PER_SECOND
-                    self._parts.latency_factors.observe(
-                        upstream.id, candidate.first_event_ms, waited_ms
-                    )
+                    self._parts.chooser.note_lost(candidate, waited_ms)
                 return self._prepare_retry(call, outcome)
             case NotRun():
                 return self._prepare_retry(call, outcome)
@@ -186,9 +185,7 @@
                 ticket.note_prompt_read()
                 real_ms = call.attempts.note_first_event() * MILLISECONDS_PER_SECOND
                 pauses.note_first_event(ticket, real_ms / MILLISECONDS_PER_SECOND)
-                self._parts.latency_factors.observe(
-                    answering.upstream.id, candidate.first_event_ms, real_ms
-                )
+                self._parts.chooser.note_first_event(candidate, real_ms)
                 if real_ms / MILLISECONDS_PER_SECOND > call.route.latency_target_seconds:
                     self._note_late_first_event(call)
             call.watch.silence_seconds = STREAM_SILENCE_SECONDS if call.route.resumable else None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -34,6 +34,7 @@
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
 from redwingscale_daemon._internal.swaps.service_views import ServiceViews
+from redwingscale_daemon._internal.swaps.slowness import Slowness
 from redwingscale_daemon._internal.swaps.tasks import ReportTask, SwapTask
 from redwingscale_daemon._internal.swaps.unserved_units import UnservedUnits
 from redwingscale_daemon._internal.swaps.update_schedule import UPDATE_SECONDS, UpdateSchedule
@@ -88,6 +89,7 @@
         lost_swaps: Mode = Mode.OFF,
         on_given_up: Callable[[str], None] = lambda _: None,
         copies: CopySettings | None = None,
+        former_slowness: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self._authority = authority
         self._routes = routes
@@ -118,6 +120,9 @@
         self._returns = AnnouncedReturns()
         self._instances = InstanceTotals()
         self._failing = FailingUpstreams()
+        self._slowness = Slowness()
+        # Returns the slowness that the former leader has sent.
+        self._former_slowness = former_slowness
         self._use = UseTotals(use_slack)
         # Issues permits for upstreams with a rate limit.
         self._issuer = issuer or PermitIssuer()
@@ -132,6 +137,7 @@
         """Process an instance's update; called by the threads that receive updates."""
         self._demand.receive(update)
         self._failing.receive(update.outcomes)
+        self._slowness.receive(update.first_events)
         self._use.receive(update.instance, update.drawn)
         self._directory.note_leaving(update.leaving, "instance")
         for key in update.misdirected:
@@ -149,6 +155,7 @@
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are no longer listed."""
         self._instances.forget(upstream_ids)
+        self._slowness.forget(upstream_ids)
 
     def step(self) -> LeaderUpdate | None:
         """Plan once and return the update sent, None without changes or the leader lease."""
@@ -187,6 +194,7 @@
         log_event("giver_begins", fence=fence)
         self._term_began_at = time.monotonic()
         self._copies.begin_term(succeeds_another=self._authority.succeeds_another())
+        self._slowness.begin(self._former_slowness(), [one.id for one in self._directory.all()])
         self._use.begin(self._known_instances())
         self._issuer.begin()
         self._changes.begin_with(self._directory.all())
@@ -374,6 +382,7 @@
             self._directory.leaving_unlisted(),
             unplanned=unplanned,
             returns=self._returns.next_entries() if periodic else [],
+            slowness=self._slowness.changes() if periodic else {},
         )
 
     def _announces_units(self, service: str) -> bool:
