--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lost_swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lost_swaps.py
@@ -72,8 +72,11 @@
             if self.reach.note_answer():
                 log_event("worker_reached", upstream=self._upstream_id)
         elif self.reach.note_no_answer():
-            log_event("worker_lost", level="WARNING", upstream=self._upstream_id)
-            self.give_up(NO_ANSWER)
+            self._note_lost()
+
+    def _note_lost(self) -> None:
+        log_event("worker_lost", level="WARNING", upstream=self._upstream_id)
+        self.give_up(NO_ANSWER)
 
     def give_up(self, reason: str) -> None:
         """Let the model of the running swap be loaded elsewhere; no effect the second time."""
@@ -100,9 +103,14 @@
 
     def suspect(self) -> None:
         """Check at once that the worker answers: others do not reach it or its neighbours."""
-        if self.is_on and self.reach.suspect():
+        if not self.is_on:
+            return
+        was_lost = self.reach.lost
+        if self.reach.suspect():
             self.recheck = True
             self._hurry.set()
+            if self.reach.lost and not was_lost:
+                self._note_lost()
 
     def request_report(self) -> None:
         """Read a report before the next order: the worker has contradicted the ledger."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_pool.py
@@ -1,5 +1,6 @@
 """The model workers that the leader sends orders to."""
 
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable
 
 from redwingscale_daemon._internal.fleet.load_tracker import Load
@@ -74,12 +75,14 @@
         """Read the reports of workers whose state is unknown or in doubt, without waiting.
 
         In doubt are those that some instance reports as ``unreachable``, and those in a failure
-        domain with a lost worker. No effect where swaps are not given up.
+        domain where another worker has just stopped answering. No effect where swaps are not
+        given up.
         """
         workers = list(self._by_id.items())
-        lost_domains = {one.upstream.failure_domain for _, one in workers if one.watch.reach.lost}
+        doubtful = {key for key, one in workers if one.watch.reach.newly_doubtful}
+        domains = Counter(self._by_id[key].upstream.failure_domain for key in doubtful)
         for key, worker in workers:
-            if key in unreachable or worker.upstream.failure_domain in lost_domains:
+            if key in unreachable or domains[worker.upstream.failure_domain] > (key in doubtful):
                 worker.watch.suspect()
         due = [worker for _, worker in workers if worker.may_read_report]
         due.sort(key=lambda worker: worker.watch.reach.lost)
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_lost_swaps.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_lost_swaps.py
@@ -236,3 +236,8 @@
     assert reach.note_answer()
     reach.suspect()
     assert reach.note_no_answer()
+    reach.note_answer()
+    now[0] += 60.0
+    assert not reach.note_no_answer()
+    reach.suspect()
+    assert reach.lost
