Plan copies by how busy the workers are with prompts

Cause: four of five long streams run on models with one holder, and some workers get more prompt tokens than they read while others get a tenth of it; the planner sees no overload, since first events are in time while the streams beside them break.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -291,6 +291,7 @@
             engine,
             self._demand,
             lambda views: self._copies.guard(service, engine, views) if staged else None,
+            self._slowness.token_ms,
         )
         if staged:
             resident = frozenset().union(*(view.resident for view in self._views(service)))
