--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/slowness_view.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/slowness_view.py
@@ -11,8 +11,9 @@
 # Key of the mean slowness of all upstreams, used for an upstream without a value. Keys of
 # `ReadTimes.values` begin with it as well.
 MEAN_KEY = "*"
-# The leader repeats each value every 2 s. Older ones fade with this half-life.
-FRESH_SECONDS = 3.0
+# The leader repeats each value every 2 s, with hundreds of models somewhat less often. Older
+# ones fade with this half-life.
+FRESH_SECONDS = 4.0
 FADE_HALF_LIFE_SECONDS = 4.0
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -197,7 +197,8 @@
     )
     max_wait = _max_wait_seconds(call)
     if found.estimate is not None and not call.attempts.count:
-        return late_refusal(found.estimate, max_wait, longest, OVERLOADED_RETRY_SECONDS)
+        target = call.route.latency_target_seconds
+        return late_refusal(found.estimate, max_wait, target, OVERLOADED_RETRY_SECONDS)
     excess = max(queue - longest, expected - max_wait)
     if excess <= 0 or call.attempts.count:
         return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/slowness.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/slowness.py
@@ -20,9 +20,11 @@
 # All values are sent again within this time, a part of them with each periodic update, for
 # instances that were disconnected.
 REPEAT_SECONDS = 2.0
-# A value takes some 23 bytes. This many keep the field under 1 KB; the largest changes go
+# A value takes 20 to 35 bytes. This many keep the field at about 1 KB; the largest changes go
 # first, the others with the next update.
-MAX_ENTRIES = 40
+MAX_ENTRIES = 32
+# Of these, changes need some: with hundreds of models, a repetition takes longer.
+MAX_REPEATED = 24
 SIGNIFICANT_DIGITS = 3
 
 
@@ -71,7 +73,7 @@
             )
             repeated = self._due_again(values, now - self._sent_at)
             self._sent_at = now
-            keys = list(dict.fromkeys([*changed, *repeated]))[:MAX_ENTRIES]
+            keys = list(dict.fromkeys([*repeated, *changed]))[:MAX_ENTRIES]
             sent = {key: _rounded(values[key]) for key in keys}
             self._sent |= sent
         self._log(values, len(sent), now)
@@ -103,7 +105,8 @@
 
     def _due_again(self, values: Mapping[str, float], seconds: float) -> list[str]:
         """Return the values whose turn it is; each has one within `REPEAT_SECONDS`."""
-        count = math.ceil(len(values) * min(1.0, seconds / REPEAT_SECONDS))
+        due = math.ceil(len(values) * min(1.0, seconds / REPEAT_SECONDS))
+        count = min(MAX_REPEATED, due)
         known = [key for key in self._repeated if key in values]
         added = values.keys() - set(known)
         order = [*known, *sorted(added)]
