--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/others_load.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/others_load.py
@@ -55,6 +55,8 @@
                 usual.tokens + (tokens - usual.tokens) * NEWEST_FRACTION,
                 usual.square + (tokens * tokens - usual.square) * NEWEST_FRACTION,
             )
+            if self._usual[key].tokens < 1.0:
+                del self._usual[key]
 
     def now(self, upstream_id: str, announced: Load, age_ms: float, speed: float) -> Unread:
         """Return the others' unread tokens now; ``age_ms`` is the time since the announcement.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/residual_quantiles.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/residual_quantiles.py
@@ -8,7 +8,7 @@
 # Those of a normal distribution, with a longer tail of late ones.
 INITIAL_QUANTILES = (-1.6, -1.25, -0.65, 0.0, 0.75, 1.5, 2.1)
 # By how much an observation moves a quantile, in standard deviations.
-STEP = 0.06
+STEP = 0.12
 # Decay of the tails beyond the table.
 TAIL = 0.7
 
