Keep a request in a long queue, and a returning one before new ones

A rule by probability did not know returning requests. Change: the silence timeout before the first event follows the expected time; the queue limit does not apply to returning requests.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -1,5 +1,6 @@
 """Waits until the model or adapter of a request is resident at an upstream."""
 
+import math
 import time
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -227,7 +228,8 @@
     )
     max_wait = _max_wait_seconds(call)
     if found.estimate is not None and not call.attempts.count:
-        target = call.route.latency_target_seconds
+        # A returning request has waited already, and is refused only if its caller would leave.
+        target = math.inf if call.attempts.returning else call.route.latency_target_seconds
         return late_refusal(found.estimate, max_wait, target, OVERLOADED_RETRY_SECONDS)
     excess = max(queue - longest, expected - max_wait)
     if excess <= 0 or call.attempts.count:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -33,6 +33,8 @@
 STREAM_SILENCE_SECONDS = 1.6
 # Before the first event, the request may be queued at a healthy upstream.
 FIRST_EVENT_SILENCE_SECONDS = 2.2
+# An upstream that was expected to send the first event long ago is silent.
+SILENT_EXPECTED_TIMES = 3.0
 REFUSED_RETRY_SECONDS = 0.3
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -119,7 +121,7 @@
             _priority(call),
             progress.last_event,
         )
-        call.watch.silence_seconds = _first_event_silence_seconds(call)
+        call.watch.silence_seconds = _first_event_silence_seconds(call, candidate)
         try:
             outcome = self._parts.sender.send(
                 upstream, call.request, call.terms.request_id, headers, call.watch
@@ -241,7 +243,12 @@
     return call.urgency.level(PRIORITY_LEVELS, late=late)
 
 
-def _first_event_silence_seconds(call: Call) -> float | None:
+def _first_event_silence_seconds(call: Call, candidate: Candidate) -> float | None:
     if not call.route.resumable:
         return None
-    return max(FIRST_EVENT_SILENCE_SECONDS, call.route.latency_target_seconds * 2)
+    usual = max(FIRST_EVENT_SILENCE_SECONDS, call.route.latency_target_seconds * 2)
+    if candidate.estimate is None:
+        return usual
+    # A request in a long queue is given up no sooner than its caller would.
+    expected = candidate.estimate.expected_ms / MILLISECONDS_PER_SECOND
+    return max(usual, min(call.route.first_event_seconds, expected * SILENT_EXPECTED_TIMES))
--- a/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
@@ -103,7 +103,9 @@
         self.choosers = []
         for number, fleet in enumerate(self.fleets):
             fleet.directory.replace(listed)
-            chooser = Chooser(f"z{number % 3}", fleet, lambda: shape.instances, lambda _: estimates)
+            chooser = Chooser(
+                f"z{number % 3}", fleet, lambda: shape.instances, estimates_on=lambda _: estimates
+            )
             chooser._random = random.Random(seed * 1000 + number)
             self.choosers.append(chooser)
         self.slowness, self.leader = Slowness(), leader
