Pass on 503 and 429 only if no attempt may have run the request

Cause: a 503 or 429 of the second upstream without the header for a request that was not run reached the caller unchanged after the first upstream had crashed with the request, and a 503 that was kept was delivered after a later upstream crashed. A stream whose fourth and last attempt was lost after three refusals was refused with 503. The statuses promise that the request has not run, so callers send it again. Change: Attempts counts the last attempt too, and tells whether a status is true of all attempts; otherwise the caller gets a 502.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -15,6 +15,8 @@
 
 # An attempt that no upstream has run costs little, but uses up time until the deadline.
 MAX_ATTEMPTS = 4
+# Statuses that promise a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({429, 503})
 
 
 class FailedResponse(NamedTuple):
@@ -78,6 +80,7 @@
         if isinstance(outcome, NotRun) and outcome.retry_later:
             # The chooser leaves the upstream out until its retry time has passed.
             self.tried.discard(outcome.upstream.id)
+        self.possible_runs += isinstance(outcome, Lost)
         if self.count >= MAX_ATTEMPTS:
             return False
         match outcome:
@@ -88,12 +91,20 @@
             case NotRun():
                 return self._budget.take(self._service)
             case Lost():
-                return self._take_repeat()
+                return self._may_repeat()
 
     def take_retry_after_error(self, upstream_id: str, reason: str) -> bool:
         """Record a failed or unsigned response; return whether to try another upstream."""
         self.history.append(f"{upstream_id}:{reason}")
-        return self.count < MAX_ATTEMPTS and self._take_repeat()
+        self.possible_runs += 1
+        return self.count < MAX_ATTEMPTS and self._may_repeat()
+
+    def may_pass_on(self, status: int, *, counted: bool) -> bool:
+        """Return whether a response with ``status`` is true of all attempts.
+
+        ``counted`` tells whether the attempt that received it counts in `possible_runs`.
+        """
+        return status not in NOT_RUN_STATUSES or self.possible_runs == int(counted)
 
     def note_first_event(self) -> float:
         """Record the first event of the latest attempt; return the seconds since it was sent."""
@@ -118,8 +129,7 @@
         """Whether no upstream has run the request or will run it."""
         return self.possible_runs == 0
 
-    def _take_repeat(self) -> bool:
-        self.possible_runs += 1
+    def _may_repeat(self) -> bool:
         return (
             self._route.repeatable
             and self.possible_runs < self._route.most_upstreams
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -148,6 +148,8 @@
             return False
         if unsigned:
             raise _failure_refusal("the answer bears no signature")
+        if not call.attempts.may_pass_on(response.status, counted=failed):
+            raise _failure_refusal(f"status {response.status}")
         headers = self._parts.dialect.response_headers(response)
         call.reply.send(response.status, headers, body)
         return True
@@ -159,7 +161,7 @@
     It tells the caller more than a refusal by this instance would.
     """
     failure = call.attempts.failure
-    if failure is None:
+    if failure is None or not call.attempts.may_pass_on(failure.status, counted=True):
         return False
     call.reply.send(failure.status, failure.headers, failure.body)
     return True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -210,6 +210,8 @@
             return False
         if call.reply.started:
             raise Refusal(502, "stream_broken", f"status {status}", run=RunState.RUN)
+        if not call.attempts.may_pass_on(status, counted=failed):
+            raise Refusal(502, "upstream_failed", f"status {status}", run=RunState.UNKNOWN)
         call.reply.send(status, self._parts.dialect.response_headers(answering.response), body)
         return True
 
