Ignore 421 answers that an order explains, and reports older than the ledger

Cause: requests in flight to a unit that was just unloaded are refused with 421; the report that was read for it could be from before the order, or busy, and blocked the worker for 0.5 s. Change: no report is read for a 421 within 0.5 s after an order, and a busy report replaces no known state.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lost_swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lost_swaps.py
@@ -9,8 +9,8 @@
 
 from redwingscale_daemon._internal.swaps.reach import Reach
 
-# A report that was read after a request's 421 answer is not read again for this long: further such
-# answers are from before it.
+# For this long after an order or a repeated report, a request's 421 answer causes no report: the
+# request was sent before, and reports are some hundred milliseconds old.
 REREAD_SECONDS = 0.5
 NO_ANSWER = "no_answer"
 SLOW_UNLOAD = "slow_unload"
@@ -119,6 +119,10 @@
             self._reread_at = now
             self.recheck = True
 
+    def note_order(self) -> None:
+        """Note that an order was sent: requests in flight may be refused because of it."""
+        self._reread_at = time.monotonic()
+
     def pause(self, seconds: float) -> None:
         """Wait for ``seconds``, or until the worker is suspected."""
         self._hurry.wait(seconds)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -202,7 +202,8 @@
 
     def _fetch_report(self) -> bool:
         report = self._query_report()
-        if report is None or report.busy:
+        known = self.watch.is_on and self.ledger.report is not None
+        if report is None or (report.busy and not known):
             log_event("report_unusable", upstream=self.upstream.id, busy=report is not None)
             return False
         if self.watch.is_on and self._is_behind(report):
@@ -216,7 +217,8 @@
         known = self.ledger.report
         if known is None:
             return self.ledger.is_outdated(report)
-        return report.orders_accepted < known.orders_accepted or bool(report.arriving)
+        outdated = report.orders_accepted < known.orders_accepted
+        return outdated or report.busy or bool(report.arriving)
 
     def _take(self, report: EngineReport) -> None:
         self.ledger.report = report
@@ -342,6 +344,7 @@
         accepted = self.ledger.orders_accepted
         order = Order(action, accepted, self._authority.instance, fence)
         result = self._client.order(self.upstream, order)
+        self.watch.note_order()
         log_event(
             "order_sent",
             upstream=self.upstream.id,
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_lost_swaps.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_lost_swaps.py
@@ -241,3 +241,19 @@
     assert not reach.note_no_answer()
     reach.suspect()
     assert reach.lost
+
+
+def test_report_from_before_an_order_does_not_replace_the_ledger(make_pool):
+    # A request in flight to a model that was just unloaded is refused with 421, and the worker's
+    # report is older than the unload. Guards against orders with a former number.
+    worker = ScriptedWorker("ab")
+    worker.started_at_ms = 1
+    pool = make_pool(u0=worker)
+    pool.start_task("u0", SwapTask(("b",), "c", 0.01))
+    assert reads_until(pool, lambda: "c" in views(pool)[0].resident and views(pool)[0].free)
+    report = worker.report(None)
+    worker.report = lambda _: report._replace(orders_accepted=1, resident={"a": frozenset()})
+    pool.request_report("u0")
+    assert not views(pool)[0].free
+    assert reads_until(pool, lambda: views(pool)[0].free)
+    assert set(views(pool)[0].resident) == {"a", "c"}
