--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -367,7 +367,8 @@
         )
         self.ledger.note_order(action, result)
         if result is OrderResult.UNKNOWN:
-            self._note_call(answered=False)
+            # Workers that are reached may leave orders unanswered: only a report can tell.
+            self.watch.recheck = True
         return result
 
     def _wait_until_call_allowed(self) -> bool:
--- a/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
@@ -160,7 +160,7 @@
                 latency_target_seconds=self.shape.target_seconds,
                 first_event_seconds=min(self.shape.limit_seconds, 4 * self.shape.target_seconds),
             ),
-            attempts=SimpleNamespace(count=0, last_event_at=None),
+            attempts=SimpleNamespace(count=0, last_event_at=None, returning=False),
             request=SimpleNamespace(arrived_at=now),
             watch=SimpleNamespace(remaining=lambda: self.shape.limit_seconds),
         )
