--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/first_event_estimate.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/first_event_estimate.py
@@ -8,7 +8,7 @@
 
 # Standard deviation of the logarithm of real over expected time if the load is known:
 # slow spells, batch steps, cached prompts.
-LOG_DEVIATION = 0.35
+LOG_DEVIATION = 0.45
 LEAST_MS = 1.0
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/read_times.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/read_times.py
@@ -53,7 +53,7 @@
 
 INITIAL_SHAPE = ReadShape()
 _READ, _FIXED, _REQUEST = "*read", "*fixed", "*request"
-_LIMITS = {_READ: (0.2, 5.0), _FIXED: (0.0, 40.0), _REQUEST: (0.0, 12.0)}
+_LIMITS = {_READ: (0.2, 5.0), _FIXED: (0.0, 40.0), _REQUEST: (0.0, 6.0)}
 QUEUE_PREFIX = "*queue"
 # Values below are sent as this one, since they are kept as logarithms.
 LEAST_VALUE = 0.01
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/slowness_fit.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/slowness_fit.py
@@ -6,9 +6,10 @@
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
-# Least fractions of an observation's error by which each estimate is corrected. Four first
-# events a second at an upstream show a change of its speed within two seconds.
-LEAST_LEVEL_GAIN, LEAST_UPSTREAM_GAIN, LEAST_MODEL_GAIN = 0.02, 0.12, 0.06
+# Least fractions of an observation's error by which each estimate is corrected. With four
+# first events a second at an upstream, a change of its speed is learned in six seconds. If
+# it is learned faster, queues that others build up for a moment look like slowness.
+LEAST_LEVEL_GAIN, LEAST_UPSTREAM_GAIN, LEAST_MODEL_GAIN = 0.02, 0.04, 0.04
 # The first observations count for as much as this many others of the initial value.
 LEVEL_PRIOR, UPSTREAM_PRIOR, MODEL_PRIOR = 2.0, 4.0, 6.0
 # Deviations decay by this fraction with each observation, so that a common factor of all
