Let a slow unload hold its model for 5 s

Cause: with 2 s, 17 of 27 swaps that evicted a model with six open requests or more were given up, and the evicted model was gone all the same; most such unloads end within 3 s. Change: the limit is 5 s, in which most streams end.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/worker_orders.py
@@ -42,7 +42,7 @@
 LOAD_CHECK_SECONDS = 0.5
 # With lost swaps given up: after this time, the model that an unload makes room for may be loaded
 # elsewhere. Most streams have ended by then.
-SLOW_UNLOAD_SECONDS = 2.0
+SLOW_UNLOAD_SECONDS = 5.0
 
 
 class OrderAuthority(NamedTuple):
