Wait for a plan while a load could still come in time

Cause: a request without a holder was refused after 0.2 s without a planned load, also bulk work that can wait for 14 s and would have been served in time by any load; callers return only once. Change: refused at once where no load could end in time; else a new request waits for a quarter of the time in which a load could still be planned, one that has returned for all of it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -202,7 +202,7 @@
             too_late = ready_in > left
         elif self.residency.fresh:
             too_late = left <= 0 or (
-                not throttled and self.order.is_unplanned(call, prompt, waited_seconds)
+                not throttled and self.order.is_unplanned(call, prompt, waited_seconds, left)
             )
         else:
             too_late = waited_seconds > NO_UPDATES_WAIT_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
@@ -27,6 +27,10 @@
 # simulated bursts (docs/design/99-ordered-return.md), fewer leave holders idle after a burst,
 # and with more, most of the returning requests are late.
 QUEUE_TARGETS = 1.5
+# Fraction of the time in which a load could still be planned for a waiting request that a new
+# request waits for the plan. It returns later than one that is refused at once, but finds its
+# model resident more often: workers are busy with a swap for some seconds.
+PLANNING_FRACTION = 0.25
 # Refusals of an instance that stops or is cut off: another instance can serve the request
 # at once, and the leader would not learn of a booking.
 _NOT_BOOKED = frozenset({"stopping", "cut_off"})
@@ -77,17 +81,26 @@
             return announced
         return self.outlook.ready_in(call.service, prompt.unit)
 
-    def is_unplanned(self, call: Call, prompt: Prompt, waited_seconds: float) -> bool:
-        """Return whether no load is planned for a request that waits.
+    def is_unplanned(
+        self, call: Call, prompt: Prompt, waited_seconds: float, left_seconds: float
+    ) -> bool:
+        """Return whether a request waits for a load that will probably not come in time.
 
-        A request that may have run, such as a stream to resume, cannot return: it waits as
-        long as it can.
+        It is refused as soon as no load that is planned from now on would end within the
+        ``left_seconds`` that it can wait, and before that once no load has been planned for
+        a part of this time: workers become free for another load meanwhile. A request that
+        has returned, or may have run such as a stream to resume, does not return again: it
+        waits as long as it can.
         """
-        return (
-            self.is_on(call.service)
-            and call.attempts.certainly_not_run
-            and self.outlook.is_unplanned(prompt.unit, waited_seconds)
-        )
+        if not self.is_on(call.service) or not call.attempts.certainly_not_run:
+            return False
+        if not self.outlook.is_unplanned(prompt.unit, waited_seconds):
+            return False
+        spare = left_seconds - self.outlook.earliest_seconds(call.service, prompt.unit)
+        if spare <= 0:
+            return True
+        longest = (waited_seconds + spare) * PLANNING_FRACTION
+        return not call.attempts.returning and waited_seconds > longest
 
     def overload_refusal(
         self, call: Call, prompt: Prompt, found: Candidate, rule: OverloadRule
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/return_order.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/return_order.py
@@ -21,8 +21,10 @@
     def ready_in(self, call: Call, prompt: Prompt, announced: float | None) -> float | None:
         """Return the seconds until the unit is resident; the leader ``announced`` them."""
 
-    def is_unplanned(self, call: Call, prompt: Prompt, waited_seconds: float) -> bool:
-        """Return whether the leader has planned no load for a request that waits."""
+    def is_unplanned(
+        self, call: Call, prompt: Prompt, waited_seconds: float, left_seconds: float
+    ) -> bool:
+        """Return whether a request that can wait for ``left_seconds`` waits in vain."""
 
     def overload_refusal(
         self, call: Call, prompt: Prompt, found: Candidate, rule: OverloadRule
@@ -45,7 +47,9 @@
         """Return what the leader announced."""
         return announced
 
-    def is_unplanned(self, call: Call, prompt: Prompt, waited_seconds: float) -> bool:
+    def is_unplanned(
+        self, call: Call, prompt: Prompt, waited_seconds: float, left_seconds: float
+    ) -> bool:
         """Return False."""
         return False
 
