Stage copies only where settings ask for it, and drop plans by utilization

Change: copy_aware_swaps (auto) plans swaps by the copies at hand and counts missing models by their arrivals; staged_copies is off unless settings say otherwise. The utilization is removed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -235,6 +235,7 @@
         lost_swaps=settings.scheduling.lost_swaps,
         on_given_up=lambda reason: metrics.swaps_given_up.add(1, {"reason": reason}),
         copies=CopySettings(
+            settings.scheduling.copy_aware_swaps,
             settings.scheduling.staged_copies,
             lambda purpose: metrics.staged_loads.add(1, {"purpose": purpose}),
             lambda service, models: metrics.without_copy.set(models, {"service": service}),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/scheduling.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/scheduling.py
@@ -18,15 +18,16 @@
     """The mode of each scheduling feature.
 
     ``stream_pauses`` places prompts by the pauses that they cause in other streams.
-    ``staged_copies`` keeps a copy of each model's weights in the memory or on the disk of
-    some upstream. ``first_event_estimates`` learns the time to a first event from all
+    ``copy_aware_swaps`` plans swaps by the copies of weights that upstreams have in memory
+    and on disk; ``staged_copies`` makes copies that nobody has asked for yet. ``first_event_estimates`` learns the time to a first event from all
     instances. ``ordered_return`` gives refused callers a time to return and serves them
     before new ones. ``fair_places`` queues requests that compete for a holder.
     ``lost_swaps`` gives up swaps at upstreams that the leader cannot reach.
     """
 
     stream_pauses: Mode = Mode.AUTO
-    staged_copies: Mode = Mode.AUTO
+    copy_aware_swaps: Mode = Mode.AUTO
+    staged_copies: Mode = Mode.OFF
     first_event_estimates: Mode = Mode.AUTO
     ordered_return: Mode = Mode.AUTO
     fair_places: Mode = Mode.AUTO
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/copy_plans.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/copy_plans.py
@@ -26,13 +26,14 @@
 
 
 class CopySettings(NamedTuple):
-    """When copies at hand decide, and what counts them.
+    """When copies at hand decide and when they are staged, and what counts them.
 
     ``on_staged`` is called with the purpose of each staged load, ``on_missing`` with the service
     and how many of its models are at no reachable worker.
     """
 
     mode: Mode = Mode.OFF
+    staging: Mode = Mode.OFF
     on_staged: Callable[[str], None] = lambda _: None
     on_missing: Callable[[str, int], None] = lambda _, __: None
 
@@ -59,6 +60,10 @@
         """Return whether copies at hand decide for a service with ``engine``."""
         return is_on(self._settings.mode, engine)
 
+    def stages(self, engine: EngineRule | None) -> bool:
+        """Return whether copies are staged for a service with ``engine``."""
+        return self.is_on(engine) and is_on(self._settings.staging, engine)
+
     def begin_term(self, *, succeeds_another: bool) -> None:
         """Note the start of a term as leader."""
         self._succeeded_at = time.monotonic() if succeeds_another else None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/demand.py
@@ -40,9 +40,6 @@
 # A model with this many requests per second is missing if it has no holder, although each of its
 # requests is refused at once and none waits: more than two requests in the time of a cold load.
 MISSING_PER_SECOND = 0.3
-# Prompt tokens of a request for a model without known ones, and the weight of a new one.
-USUAL_PROMPT_TOKENS = 2000.0
-NEWEST_PROMPT_FRACTION = 0.1
 # Each update of an instance replaces its previous one; the waiting requests of an instance that is
 # silent for longer are ignored.
 UPDATE_FRESH_SECONDS = 1.5
@@ -75,8 +72,6 @@
         self._overload_rates: dict[tuple[str, str], DecayingRate] = {}
         self._adapter_overload_rates: dict[tuple[str, Unit], DecayingRate] = {}
         self._peaks: dict[tuple[str, str], float] = {}
-        # Mean prompt tokens of a request, by model.
-        self._prompt_tokens: dict[tuple[str, str], float] = {}
         self._missing_since: dict[tuple[str, str], float] = {}
         self._waiting: dict[str, tuple[float, list[DemandEntry]]] = {}
         self._refused = RefusedDemand()
@@ -213,10 +208,6 @@
         """Return the arrivals per second for ``model``, with the half-life of `overload_rate`."""
         return self._recent_rates.get((service, model), _ZERO_RECENT).now(time.monotonic())
 
-    def prompt_tokens(self, service: str, model: str) -> float:
-        """Return the mean prompt tokens of the requests for ``model``."""
-        return self._prompt_tokens.get((service, model), USUAL_PROMPT_TOKENS)
-
     def overload_rate(self, service: str, model: str) -> float:
         """Return the requests per second for ``model`` whose holders were too busy."""
         return self._overload_rates.get((service, model), _ZERO_RECENT).now(time.monotonic())
@@ -344,10 +335,5 @@
             unit = (entry.service, Unit(entry.model, entry.adapter))
             before = self._adapter_overload_rates.get(unit, _ZERO_RECENT)
             self._adapter_overload_rates[unit] = before.with_events(entry.overloads, now)
-        if entry.arrivals and entry.tokens:
-            before_tokens = self._prompt_tokens.get(model, USUAL_PROMPT_TOKENS)
-            weight = min(1.0, entry.arrivals * NEWEST_PROMPT_FRACTION)
-            mean = entry.tokens / entry.arrivals
-            self._prompt_tokens[model] = before_tokens + (mean - before_tokens) * weight
         if entry.arrivals:
             self._peaks[model] = max(self._peaks.get(model, 0.0), steady.per_second)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
@@ -9,7 +9,6 @@
 from redwingscale_daemon._internal.swaps.copy_guard import CopyGuard
 from redwingscale_daemon._internal.swaps.demand import Demand
 from redwingscale_daemon._internal.swaps.room import used_mb
-from redwingscale_daemon._internal.swaps.utilization import Utilization
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
 # A model that has just been loaded has requests on their way to it.
@@ -50,14 +49,12 @@
         demand: Demand,
         views: Sequence[WorkerView],
         guard: CopyGuard | None = None,
-        utilization: Utilization | None = None,
     ) -> None:
         self._service = service
         self._engine = engine
         self._demand = demand
         # None where copies at hand decide nothing.
         self.guard = guard
-        self.utilization = utilization
         self.holder_counts = _holder_counts(views)
         self._by_upstream: dict[str, list[Eviction]] = {}
 
@@ -116,9 +113,6 @@
             return running + later + now
         if others < self._demand.copies_to_keep(self._service, name):
             return running + INITIAL_COPY_REQUESTS
-        if self.utilization is not None:
-            harmed = self.utilization.loss(name, view) * DEMAND_HORIZON_SECONDS
-            return running + IDLE_SECOND_COPY_REQUESTS / others**2 + harmed
         # Each holder's fraction of the requests grows from 1/n to 1/(n - 1).
         more = rate * DEMAND_HORIZON_SECONDS / (others * (others + 1))
         return running + IDLE_SECOND_COPY_REQUESTS / others**2 + more * LATE_REQUESTS_FRACTION
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -291,7 +291,6 @@
             engine,
             self._demand,
             lambda views: self._copies.guard(service, engine, views) if staged else None,
-            self._slowness.token_ms,
         )
         if staged:
             resident = frozenset().union(*(view.resident for view in self._views(service)))
@@ -305,7 +304,9 @@
             swap = planner.best_swap(waiting, views, cold_allowed=cold_allowed)
             if swap is not None:
                 self._start_swap(swap, waiting)
-            elif not staged or not self._stage(service, engine, waiting, cold_allowed):
+            elif not self._copies.stages(engine) or not self._stage(
+                service, engine, waiting, cold_allowed
+            ):
                 return True
         return False
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/local_demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/local_demand.py
@@ -21,7 +21,6 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._arrivals: Counter[_Key] = Counter()
-        self._tokens: Counter[_Key] = Counter()
         self._overloads: Counter[_Key] = Counter()
         self._refused: Counter[_Key] = Counter()
         self._refused_waits: dict[_Key, float] = {}
@@ -41,7 +40,6 @@
             key = (service, terms.prompt.unit)
             with self._lock:
                 self._arrivals[key] += 1
-                self._tokens[key] += terms.prompt.tokens_in
                 before = self._weights.get(key, weight)
                 self._weights[key] = before + (weight - before) * NEWEST_FRACTION
 
@@ -80,7 +78,6 @@
         now = time.monotonic()
         with self._lock:
             arrivals, self._arrivals = self._arrivals, Counter()
-            tokens, self._tokens = self._tokens, Counter()
             overloads, self._overloads = self._overloads, Counter()
             refused, self._refused = self._refused, Counter()
             refused_waits, self._refused_waits = self._refused_waits, {}
@@ -99,7 +96,6 @@
                 round(weights.get((service, unit), 1.0), 2),
                 refused[(service, unit)],
                 refused_waits.get((service, unit), 0.0),
-                tokens[(service, unit)],
             )
             for service, unit in (
                 arrivals.keys() | waiting.keys() | overloads.keys() | refused.keys()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -15,8 +15,7 @@
     too busy: they were refused for that reason, or had their first event after their
     latency target. Each waiting request counts ``weight`` times, by its urgency.
     ``refused`` counts requests that were refused for want of a holder; at least one of them
-    could have waited for ``refused_wait_seconds``, and none longer. The prompts of the arrivals
-    have ``tokens`` in all.
+    could have waited for ``refused_wait_seconds``, and none longer.
     """
 
     service: str
@@ -29,7 +28,6 @@
     weight: float = 1.0
     refused: int = 0
     refused_wait_seconds: float = 0.0
-    tokens: int = 0
 
 
 class LoadEntry(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/planner.py
@@ -3,7 +3,6 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
-from functools import partial
 from heapq import nlargest
 from typing import NamedTuple
 
@@ -20,7 +19,6 @@
     Evictions,
 )
 from redwingscale_daemon._internal.swaps.room import load_time
-from redwingscale_daemon._internal.swaps.utilization import TokenTime, Utilization
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
 # A model that some worker has cached in memory or on disk can be loaded within about a second when
@@ -49,8 +47,6 @@
 MAX_OVERDUE_REQUESTS = 6.0
 # An unload waits for the streams that run on the model.
 BUSY_UNLOAD_SECONDS = 2.0
-# A worker that reads prompts for a smaller fraction of its time needs no relief.
-BUSY_FRACTION = 0.4
 # Each plan evaluates each proposal at each worker; one of the best is enough for one swap.
 MAX_COVERAGE_PROPOSALS = 24
 
@@ -74,8 +70,7 @@
 
     A ``spare_only`` proposal evicts only copies of models that are resident elsewhere as well; a
     ``lightly_loaded_only`` one is for workers with few unread prompt tokens. A ``free_room_only``
-    one evicts nothing. An ``awaited`` one is for requests without a holder. ``gain_at`` returns
-    the gain at a worker if it depends on how busy the worker is.
+    one evicts nothing. An ``awaited`` one is for requests without a holder.
     """
 
     model: ModelRule
@@ -84,14 +79,10 @@
     lightly_loaded_only: bool = False
     free_room_only: bool = False
     awaited: bool = False
-    gain_at: Callable[[WorkerView, float], float] | None = None
 
-    def net_gain(self, view: WorkerView, eviction: Eviction, load_seconds: float) -> float:
-        """Return the gain of a load at ``view`` after its costs."""
-        gain = self.gain(load_seconds)
-        if self.gain_at is not None:
-            gain = self.gain_at(view, gain)
-        return gain - eviction.loss - load_seconds * LOAD_COST_PER_SECOND
+    def net_gain(self, eviction: Eviction, load_seconds: float) -> float:
+        """Return the gain of a load after its costs."""
+        return self.gain(load_seconds) - eviction.loss - load_seconds * LOAD_COST_PER_SECOND
 
 
 class Planner:
@@ -103,9 +94,7 @@
         engine: EngineRule,
         demand: Demand,
         guard_for: Callable[[Sequence[WorkerView]], CopyGuard | None] = lambda _: None,
-        token_time: TokenTime | None = None,
     ) -> None:
-        self._token_time = token_time
         self._service = service
         self._engine = engine
         self._demand = demand
@@ -123,11 +112,7 @@
         """
         evictions = self._evictions(views)
         current = [
-            *(
-                proposal
-                for one in waiting
-                if (proposal := self._waiting_proposal(one, evictions.utilization)) is not None
-            ),
+            *(proposal for one in waiting if (proposal := self._waiting_proposal(one)) is not None),
             *self._extra_copy_proposals(evictions, views),
         ]
         return _choose_best(current, evictions, views, cold_allowed=cold_allowed) or _choose_best(
@@ -142,10 +127,9 @@
         A worker whose models are all in use is not chosen, however long the request has waited:
         another worker is free soon, and the evicted model would be requested again at once.
         """
-        evictions = self._evictions(views)
-        proposal = self._waiting_proposal(waiting, evictions.utilization)
+        proposal = self._waiting_proposal(waiting)
         proposals = [proposal] if proposal else []
-        return _choose_best(proposals, evictions, views, cold_allowed=cold_allowed)
+        return _choose_best(proposals, self._evictions(views), views, cold_allowed=cold_allowed)
 
     def coverage_swap(self, views: Sequence[WorkerView], *, cold_allowed: bool) -> Swap | None:
         """Return a swap that loads a model without a holder, None if none pays off.
@@ -169,14 +153,9 @@
 
     def _evictions(self, views: Sequence[WorkerView]) -> Evictions:
         guard = self._guard_for(views)
-        utilization = None
-        if guard is not None and self._token_time is not None:
-            utilization = Utilization(self._service, self._demand, views, self._token_time)
-        return Evictions(self._service, self._engine, self._demand, views, guard, utilization)
-
-    def _waiting_proposal(
-        self, waiting: WaitingUnit, utilization: Utilization | None
-    ) -> _Proposal | None:
+        return Evictions(self._service, self._engine, self._demand, views, guard)
+
+    def _waiting_proposal(self, waiting: WaitingUnit) -> _Proposal | None:
         rule = self._engine.models_by_name.get(waiting.unit.model)
         if rule is None:
             return None
@@ -188,12 +167,7 @@
             in_time = waiting.max_wait_seconds > load_seconds
             return expected + overdue + (waiting.requests if in_time else 0)
 
-        def gain_at(view: WorkerView, gain: float) -> float:
-            if utilization is None:
-                return gain
-            return gain - utilization.cost(rule.name, view) * DEMAND_HORIZON_SECONDS
-
-        return _Proposal(rule, gain, awaited=True, gain_at=gain_at)
+        return _Proposal(rule, gain, awaited=True)
 
     def _coverage_proposals(
         self, evictions: Evictions, views: Sequence[WorkerView]
@@ -230,19 +204,9 @@
             )
             if evictions.guard is not None:
                 value = max(value, self._sudden_gain(name, evictions.holder_counts[name], views))
-            rule = self._engine.models_by_name[name]
-            if utilization is None:
-                return _Proposal(rule, lambda _: value, lightly_loaded_only=True)
-            return _Proposal(rule, lambda _: value, gain_at=partial(relief, name))
-
-        def relief(name: str, view: WorkerView, gain: float) -> float:
-            assert utilization is not None
-            light = view.prompt_tokens < LIGHT_LOAD_PROMPT_TOKENS
-            relieved = utilization.gain(name, view) * DEMAND_HORIZON_SECONDS
-            return max(gain if light else 0.0, relieved)
-
-        utilization = evictions.utilization
-        busy = set(utilization.busy_models(BUSY_FRACTION)) if utilization else set()
+            return _Proposal(
+                self._engine.models_by_name[name], lambda _: value, lightly_loaded_only=True
+            )
 
         arriving = _arriving_copies(views)
         proposals = [
@@ -250,7 +214,7 @@
             for name in evictions.holder_counts
             if name in self._engine.models_by_name
         ]
-        return [one for one in proposals if one.gain(0.0) > 0 or one.model.name in busy]
+        return [one for one in proposals if one.gain(0.0) > 0]
 
     def _extra_copy_gain(
         self, name: str, holders: int, arriving: float, views: Sequence[WorkerView]
@@ -328,7 +292,7 @@
         for seconds, cold in [load_time(proposal.model, view)]
         if cold_allowed or not cold
         for wait in [_unload_seconds(view, eviction, evictions.guard)]
-        if (net_gain := proposal.net_gain(view, eviction, wait + seconds)) > 0
+        if (net_gain := proposal.net_gain(eviction, wait + seconds)) > 0
         for copies_loss in [_copies_loss(proposal, view, eviction, evictions.guard)]
         if proposal.awaited or net_gain > copies_loss
         if not cold or not _is_sooner_from_copy(proposal, evictions.guard, views)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/slowness.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/slowness.py
@@ -9,7 +9,7 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.first_event_fit import FirstEvent, FirstEventFit
-from redwingscale_daemon._internal.fleet.read_times import TOKENS_PER_MS, Ahead
+from redwingscale_daemon._internal.fleet.read_times import Ahead
 from redwingscale_daemon._internal.fleet.slowness_fit import HALF_WEIGHT_MS
 from redwingscale_daemon._internal.fleet.slowness_view import MEAN_KEY
 from redwingscale_daemon._internal.swaps.messages import FirstEventEntry
@@ -26,8 +26,6 @@
 # Of these, changes need some: with hundreds of models, a repetition takes longer.
 MAX_REPEATED = 24
 SIGNIFICANT_DIGITS = 3
-# Plans count on slowness within these limits, whatever single late events suggest.
-LEAST_SLOWNESS, MOST_SLOWNESS = 0.4, 2.5
 
 
 class Slowness:
@@ -81,12 +79,6 @@
         self._log(values, len(sent), now)
         return sent
 
-    def token_ms(self, upstream_id: str, model: str) -> float:
-        """Return the milliseconds that ``upstream_id`` takes to read a token for ``model``."""
-        fit = self._fit.slowness
-        slowness = math.exp(fit.upstream_log(upstream_id) + fit.model_log(model))
-        return min(MOST_SLOWNESS, max(LEAST_SLOWNESS, slowness)) / TOKENS_PER_MS
-
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are gone."""
         with self._lock:
--- a/packages/redwingscale-daemon/tests/unit/swaps/copies_world.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/copies_world.py
@@ -93,7 +93,7 @@
         """Begin a term; each instance has noted the first list that it has read."""
         self.demand, self.rate = Demand(), LoadRate()
         self.demand.note_initial_copies(SERVICE, self.initial)
-        self.plans = CopyPlans(CopySettings(self.mode), self.demand)
+        self.plans = CopyPlans(CopySettings(self.mode, self.mode), self.demand)
         self.plans.begin_term(succeeds_another=not first)
         for worker in self.workers.values():
             worker.settled_at, worker.confirmed = {}, False
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_staged_orders.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_staged_orders.py
@@ -56,7 +56,7 @@
         Server(),
         LoadCeiling(0.0, 5.0),
         lambda changes: StoreUpdate(1, changes.make_update(fleet.directory, 0.1), 1, 0.1),
-        copies=CopySettings(mode, staged.append),
+        copies=CopySettings(mode, mode, staged.append),
     )
 
 
