Bound the bytes held for callers and upstreams, and end the streams of slow callers

Nothing limited what an instance holds: bodies were read at any size up to 8 MB, plain answers were held whole, and a caller that did not read blocked the thread that reads its upstream for 20 s per send.

Bodies and unwritten answers now count against a budget derived from the instance's memory; a write to a caller waits 2.5 s in all between two reads of the upstream, then both connections are reset; plain answers over 64 KB are passed on in pieces; the open request bytes at each upstream are limited.

tests/unit/forwarding and tests/unit/ingress pass, except for one failure of test_requests_beyond_the_bound_are_refused_at_once, which 12 repetitions with and without this change did not show again.

--- a/packages/redwingscale-cli/src/redwingscale_cli/_internal/operations/trace.py
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/operations/trace.py
@@ -9,7 +9,7 @@
 from redwingscale_cli._internal.models.log_line import LogLine, parse_line
 
 # Events that end a request; their fields state why it ended.
-ENDS = frozenset({"request_ended", "caller_left", "request_malformed"})
+ENDS = frozenset({"request_ended", "caller_left", "caller_too_slow", "request_malformed"})
 # Events at any instance that concern the request's unit or upstream, or the whole deployment.
 CONTEXT = frozenset(
     {
--- a/packages/redwingscale-common/src/redwingscale_common/network/bounded.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/bounded.py
@@ -100,14 +100,15 @@
     RequestHandlerClass = BoundedRequest
 
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
-        def make_file(raw: socket.socket, mode: str, size: int) -> Any:
-            if "r" in mode:
-                return BoundedReader(raw, server.timeout, size)
-            return StreamWriter(raw, mode, size)
-
-        super().__init__(server, sock, make_file)
+        super().__init__(server, sock, self.make_file)
         self.has_unread_input = False
 
+    def make_file(self, raw: socket.socket, mode: str, size: int) -> Any:
+        """Return the reader or the writer of the connection."""
+        if "r" in mode:
+            return BoundedReader(raw, self.server.timeout, size)
+        return StreamWriter(raw, mode, size)
+
     def communicate(self) -> bool:
         """Handle one request; return whether the connection can be used for another."""
         self.rfile.raw.restart_deadline()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -28,7 +28,9 @@
 from redwingscale_daemon._internal.forwarding.request_handler import RequestHandler
 from redwingscale_daemon._internal.forwarding.sender import Sender
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
+from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 from redwingscale_daemon._internal.forwarding.upstream_connection import CONNECT_SECONDS
+from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget, limits_of
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
 from redwingscale_daemon._internal.lifecycle.ingress_instance import IngressInstance, IngressParts
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
@@ -91,7 +93,9 @@
         returns,
         lambda: callers.crowded,
     )
-    callers = _callers(settings, handler)
+    budget = ByteBudget(limits_of(settings.machine.memory_mb))
+    metrics.observe_bytes_held(lambda: budget.held)
+    callers = _callers(settings, handler, budget)
     followers = _followers(settings.bounds, store, routes, fleet, swaps, reads, own_reports)
     parts = IngressParts(
         callers=callers,
@@ -178,7 +182,9 @@
         estimates_on=lambda service: is_on(mode, routes.engine(service)),
     )
     fleet.first_events.on_observed = metrics.record_first_event
-    sender = Sender(pool, exchange, fleet.backpressure)
+    limits = limits_of(settings.machine.memory_mb)
+    open_bytes = UpstreamBytes(limits.upstream if limits else None)
+    sender = Sender(pool, exchange, fleet.backpressure, open_bytes)
     parts = RelayParts(
         exchange,
         sender,
@@ -252,7 +258,9 @@
     )
 
 
-def _callers(settings: IngressSettings, handler: RequestHandler) -> IngressServer:
+def _callers(
+    settings: IngressSettings, handler: RequestHandler, budget: ByteBudget
+) -> IngressServer:
     limits = PortLimits(
         settings.request_threads,
         MAX_HEAD_BYTES,
@@ -261,7 +269,14 @@
         max(MIN_REFUSING_THREADS, round(settings.request_threads * REFUSING_FRACTION)),
         "callers",
     )
-    return IngressServer(handler.handle, *settings.callers, limits, handler.screen)
+    return IngressServer(
+        handler.handle,
+        *settings.callers,
+        limits,
+        handler.screen,
+        handler.refuse_unread,
+        budget,
+    )
 
 
 def _probes(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/call.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/call.py
@@ -29,3 +29,11 @@
     attempts: Attempts
     permit: Permit
     urgency: Urgency
+
+    def note_read(self, pending_bytes: int) -> None:
+        """Count the bytes read from an upstream; the caller may now be waited for again.
+
+        Raises `Refusal` if the instance holds too many bytes.
+        """
+        self.request.held.set_answer(pending_bytes)
+        self.reply.restart_write_limit()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
@@ -51,6 +51,7 @@
 
         ``idle_seconds`` is the upstream's idle timeout, None if it announced none.
         """
+        connection.end_request()
         allowed = DEFAULT_IDLE_SECONDS if idle_seconds is None else idle_seconds
         connection.expires_at = time.monotonic() + allowed - IDLE_MARGIN_SECONDS
         with self._lock:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/events.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/events.py
@@ -1,6 +1,6 @@
 """Splits a response stream into server-sent events, byte for byte."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from http.client import HTTPException, HTTPResponse
 from typing import NamedTuple
 
@@ -19,9 +19,12 @@
     data: bytes
 
 
-def read_events(response: HTTPResponse) -> Iterator[Event]:
+def read_events(
+    response: HTTPResponse, on_read: Callable[[int], None] = lambda pending: None
+) -> Iterator[Event]:
     """Yield complete events as they arrive.
 
+    ``on_read`` is called after each read with the number of bytes that were not yielded yet.
     Bytes after the last complete event are dropped, since an upstream may stop in
     the middle of an event. Raises `HTTPException` or `OSError` if the response breaks
     off; the iterator ends normally only at the end of the response.
@@ -29,6 +32,7 @@
     pending = bytearray()
     while data := response.read1(_READ_BYTES):
         pending += data
+        on_read(len(pending))
         yield from _whole_events(pending)
         if len(pending) > MAX_EVENT_BYTES:
             raise HTTPException("an event has no end")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -19,7 +19,12 @@
 from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
-from redwingscale_daemon._internal.forwarding.response_body import read_response_body
+from redwingscale_daemon._internal.forwarding.response_body import (
+    BodyStart,
+    read_body_piece,
+    read_body_start,
+    read_response_body,
+)
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
 from redwingscale_daemon._internal.models.run_state import RunState
 
@@ -33,7 +38,7 @@
 
 
 class PlainRelay:
-    """Forwards a request and returns the response once it is complete."""
+    """Forwards a request and returns the response, a short one once it is complete."""
 
     def __init__(self, parts: RelayParts, changes: Changes) -> None:
         self._parts = parts
@@ -108,8 +113,17 @@
 
     def _relay_response(self, call: Call, answering: Answering) -> bool:
         response, upstream = answering.response, answering.upstream
+        failed = response.status >= FIRST_SERVER_ERROR_STATUS
+        unsigned = response.status < FIRST_ERROR_STATUS and not self._parts.dialect.is_signed(
+            response
+        )
+        length = response.length
+        held = call.request.held
         try:
-            body = read_response_body(response)
+            if failed or unsigned:
+                start = BodyStart(read_response_body(response, held), whole=True)
+            else:
+                start = read_body_start(response, held)
         except (HTTPException, OSError, UpstreamSilent) as error:
             answering.connection.discard()
             lost = Lost(upstream, f"answer broke off: {error!r}")
@@ -120,18 +134,17 @@
         except TimeLimitReached as error:
             answering.connection.discard()
             raise time_limit_refusal(call, error) from None
-        except CallerLeft:
+        except (CallerLeft, Refusal):
             answering.connection.discard()
             raise
+        if not start.whole:
+            self._pass_on(call, answering, length, start.data)
+            return True
         self._parts.sender.release(answering)
-        failed = response.status >= FIRST_SERVER_ERROR_STATUS
         if response.status in FAILURE_STATUSES:
             self._parts.health.note_failure(upstream.id)
         elif not failed:
             self._parts.health.note_answer(upstream.id)
-        unsigned = response.status < FIRST_ERROR_STATUS and not self._parts.dialect.is_signed(
-            response
-        )
         if (failed or unsigned) and call.attempts.take_retry_after_error(
             upstream.id, f"status {response.status}"
         ):
@@ -144,14 +157,41 @@
             )
             if failed and self._parts.dialect.is_signed(response):
                 headers = self._parts.dialect.response_headers(response)
-                call.attempts.failure = FailedResponse(response.status, headers, body)
+                call.attempts.failure = FailedResponse(response.status, headers, start.data)
             return False
         if unsigned:
             raise _failure_refusal("the answer bears no signature")
         headers = self._parts.dialect.response_headers(response)
-        call.reply.send(response.status, headers, body)
+        call.reply.send(response.status, headers, start.data)
         return True
 
+    def _pass_on(self, call: Call, answering: Answering, length: int | None, piece: bytes) -> None:
+        """Reply with ``piece`` and the rest of the body as it arrives; raises `Refusal`.
+
+        If the body breaks off, the reply is cut: it lacks bytes of its length, or its end.
+        """
+        response = answering.response
+        headers = self._parts.dialect.response_headers(response)
+        try:
+            call.reply.begin(response.status, headers, length)
+            while piece:
+                call.reply.restart_write_limit()
+                call.reply.write(piece)
+                piece = read_body_piece(response, call.request.held)
+        except (HTTPException, OSError, UpstreamSilent) as error:
+            answering.connection.discard()
+            lost = Lost(answering.upstream, f"answer broke off: {error!r}")
+            note_failure(self._parts, call, lost)
+            raise _failure_refusal(lost.reason) from error
+        except TimeLimitReached as error:
+            answering.connection.discard()
+            raise time_limit_refusal(call, error) from None
+        except (CallerLeft, Refusal):
+            answering.connection.discard()
+            raise
+        self._parts.sender.release(answering)
+        self._parts.health.note_answer(answering.upstream.id)
+
 
 def _deliver_failure(call: Call) -> bool:
     """Reply with the failure that an upstream sent earlier; return whether there is one.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -7,7 +7,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
+from redwingscale_daemon._internal.exceptions import CallerLeft, CallerTooSlow, Refusal
 from redwingscale_daemon._internal.forwarding.attempts import Attempts
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
@@ -103,6 +103,13 @@
             return True
         return False
 
+    def refuse_unread(self, head: IngressRequest, reply: Reply, refusal: Refusal) -> None:
+        """Refuse a request whose body was not read whole; raises `CallerLeft`."""
+        terms = self._dialect.read_terms(head)
+        if not isinstance(terms, str):
+            self._log_end(head, terms, None, refusal)
+        self._refuse(refusal, reply)
+
     def _handle(self, request: IngressRequest, reply: Reply) -> None:
         terms = self._dialect.read_terms(request)
         if isinstance(terms, str):
@@ -118,6 +125,17 @@
                 call.permit.refund()
             self._log_end(request, terms, call, refusal)
             self._refuse(refusal, reply)
+        except CallerTooSlow as error:
+            self._metrics.record_request(request, "caller_too_slow")
+            log_event(
+                "caller_too_slow",
+                level="WARNING",
+                request=terms.request_id,
+                route=_route_name(call),
+                begun=reply.started,
+                detail=error,
+            )
+            raise
         except CallerLeft:
             if call is not None and not call.attempts.count:
                 call.permit.refund()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from functools import partial
 from http.client import HTTPException, HTTPResponse
 
 from urllib3.exceptions import HTTPError
@@ -17,6 +18,7 @@
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
+from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 from redwingscale_daemon._internal.forwarding.upstream_connection import UpstreamConnection
 from redwingscale_daemon._internal.forwarding.watch import Watch
 from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
@@ -32,11 +34,16 @@
     """Sends on an idle connection or a new one, and never sends a request twice."""
 
     def __init__(
-        self, pool: ConnectionPool, dialect: Dialect, backpressure: BackpressureTracker
+        self,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        backpressure: BackpressureTracker,
+        open_bytes: UpstreamBytes | None = None,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
         self._backpressure = backpressure
+        self._open_bytes = open_bytes or UpstreamBytes()
 
     def send(
         self,
@@ -52,10 +59,15 @@
         was sent. The connection is closed unless it is returned in an `Answering` or can
         be reused after a refusal: an upstream aborts what it runs for a closed connection.
         """
+        size = len(request.body)
+        if not self._open_bytes.take(upstream.id, size):
+            return NotRun(upstream, "too many bytes open", misdirected=False, reached=True)
         try:
             connection = self._pool.take_idle(upstream) or self._pool.open(upstream)
         except (HTTPError, OSError) as error:
+            self._open_bytes.give(upstream.id, size)
             return NotRun(upstream, f"no connection: {error!r}", misdirected=False, reached=False)
+        connection.on_request_end = partial(self._open_bytes.give, upstream.id, size)
         sent_at = time.monotonic()
         try:
             watch.check_before_sending()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -178,7 +178,7 @@
     ) -> None:
         headers = self._parts.dialect.response_headers(answering.response)
         begun = False
-        for event in read_events(answering.response):
+        for event in read_events(answering.response, call.note_read):
             pauses.note_read()
             if not begun:
                 begun = True
@@ -205,7 +205,7 @@
             self._wait.demand.note_overload(call.service, call.terms.prompt.unit)
 
     def _relay_failure(self, call: Call, answering: Answering) -> bool:
-        body = read_response_body(answering.response)
+        body = read_response_body(answering.response, call.request.held)
         self._parts.sender.release(answering)
         status = answering.response.status
         if status in FAILURE_STATUSES:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -4,7 +4,7 @@
 import io
 import socket
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from http.client import HTTPResponse
 from typing import Any
@@ -117,6 +117,8 @@
         self.idle_since = 0.0
         # Monotonic time from which the upstream may close this connection while it is idle.
         self.expires_at = float("inf")
+        # Called once when the request on this connection is answered or given up.
+        self.on_request_end: Callable[[], None] | None = None
 
     def connect(self) -> None:
         """Connect; raises `HTTPError` or `OSError`, in which case nothing was sent."""
@@ -176,6 +178,12 @@
         """Record that the connection is idle from now on."""
         self.idle_since = time.monotonic()
 
+    def end_request(self) -> None:
+        """Note that the request is answered or given up; a second call does nothing."""
+        ended, self.on_request_end = self.on_request_end, None
+        if ended is not None:
+            ended()
+
     def discard(self) -> None:
         """Reset the connection; the upstream aborts what it runs for it.
 
@@ -183,6 +191,7 @@
         still reach the upstream once the partition ends, long after its caller has
         disconnected.
         """
+        self.end_request()
         if self.sock is not None:
             with contextlib.suppress(OSError):
                 self.sock.setsockopt(*RESET_ON_CLOSE)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_request.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_request.py
@@ -3,6 +3,9 @@
 import socket
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
+from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -11,7 +14,8 @@
 
     ``arrived_at`` is the monotonic time after the head was read, ``arrived_on_lease_clock``
     the same time by `lease_clock`, which deadlines are counted by. ``socket`` is the
-    caller's connection, on which a disconnect of the caller is seen.
+    caller's connection, on which a disconnect of the caller is seen. ``held`` counts the
+    bytes that the instance holds for the request.
     """
 
     method: str
@@ -22,6 +26,7 @@
     arrived_at: float
     socket: socket.socket
     arrived_on_lease_clock: float = 0.0
+    held: HeldBytes = HeldBytes(ByteBudget())
 
     @property
     def path(self) -> str:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -1,8 +1,10 @@
 """HTTP server for requests that are forwarded byte for byte."""
 
+import socket
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -11,17 +13,29 @@
 from redwingscale_common.network.bounded import BoundedConnection, BoundedRequest
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import CallerLeft
+from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
+from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
+from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
+from redwingscale_daemon._internal.ingress.limited_writer import (
+    CALLER_WRITE_SECONDS,
+    LimitedWriter,
+)
 from redwingscale_daemon._internal.ingress.reply import Reply
 from redwingscale_daemon._internal.ingress.request_threads import RequestThreads
 from redwingscale_daemon._internal.ingress.strict_chunks import read_chunks
 from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
 from redwingscale_daemon._internal.leases.clock import lease_clock
+from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
 
 Handler = Callable[[IngressRequest, Reply], None]
 # Answers a request by its head alone, or returns False to let the server read its body.
 Screen = Callable[[IngressRequest, Reply], bool]
+# Answers a request that is refused before its body was read whole.
+RefuseUnread = Callable[[IngressRequest, Reply, Refusal], None]
+# What the kernel holds for a caller that does not read. It would otherwise grow to some
+# MB for each connection. A link of 100 Mbit/s with delays of some ms needs less.
+SEND_BUFFER_BYTES = 64 << 10
 # The server's default keeps 10 idle connections and closes the others at once: a caller
 # that sends a request at that moment would see its connection closed.
 MAX_IDLE_CONNECTIONS = 2000
@@ -34,7 +48,8 @@
     """Bounds of a port; ``idle_seconds`` also bounds the time to send a request.
 
     ``refusing_threads`` of the ``threads`` are reserved to refuse requests while all
-    others are busy.
+    others are busy. A caller may make the port wait ``write_seconds`` before its
+    connection is cut.
     """
 
     threads: int
@@ -43,6 +58,7 @@
     idle_seconds: int
     refusing_threads: int = 0
     name: str = "port"
+    write_seconds: float = CALLER_WRITE_SECONDS
 
 
 class _Request(BoundedRequest):
@@ -52,21 +68,57 @@
 class _Connection(BoundedConnection):
     RequestHandlerClass = _Request
 
+    def make_file(self, raw: socket.socket, mode: str, size: int) -> Any:
+        """Return the reader or the writer of the connection."""
+        if "r" in mode:
+            return super().make_file(raw, mode, size)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        return LimitedWriter(raw, self.server.write_seconds, size)
+
+    def close(self) -> None:
+        """Close the connection; reset it if the caller did not read its answer.
+
+        After an orderly close, the kernel would keep the unread bytes for some minutes.
+        """
+        if self.wfile.expired:
+            with suppress(OSError):
+                self.socket.setsockopt(*RESET_ON_CLOSE)
+        super().close()
+
+
+def _send_refusal(head: IngressRequest, reply: Reply, refusal: Refusal) -> None:
+    reply.send(refusal.status, (), refusal.document())
+
+
+class _Apps(NamedTuple):
+    handler: Handler
+    screen: Screen
+    refuse_unread: RefuseUnread
+
 
 class _Gateway(Gateway):
-    def __init__(self, handler: Handler, screen: Screen, body_bytes: int, req: HTTPRequest) -> None:
+    def __init__(self, apps: _Apps, body_bytes: int, budget: ByteBudget, req: HTTPRequest) -> None:
         super().__init__(req)
-        self._handler = handler
-        self._screen = screen
+        self._apps = apps
         self._body_bytes = body_bytes
+        self._held = HeldBytes(budget)
 
     def respond(self) -> None:
+        try:
+            self._respond()
+        finally:
+            self._held.close()
+
+    def _respond(self) -> None:
         server_request = self.req
         try:
-            head = _ingress_request(server_request, b"")
-            if self._screen(head, Reply(server_request)):
+            head = _ingress_request(server_request, self._held)
+            if self._apps.screen(head, Reply(server_request)):
                 return
             body = self._read_body()
+        except Refusal as refusal:
+            self._refuse_unread(head, refusal)
+            return
         except MaxSizeExceeded:
             server_request.simple_response("413 Content Too Large")
             server_request.sent_headers = True
@@ -80,7 +132,15 @@
             self._close_without_answer()
             return
         try:
-            self._handler(head._replace(body=body), Reply(server_request))
+            self._apps.handler(head._replace(body=body), Reply(server_request))
+        except CallerLeft:
+            self._close_without_answer()
+
+    def _refuse_unread(self, head: IngressRequest, refusal: Refusal) -> None:
+        reply = Reply(self.req)
+        reply.leave_body_unread()
+        try:
+            self._apps.refuse_unread(head, reply, refusal)
         except CallerLeft:
             self._close_without_answer()
 
@@ -91,12 +151,13 @@
 
     def _read_body(self) -> bytes:
         if self.req.chunked_read:
-            body = read_chunks(self.req.conn.rfile, self._body_bytes)
+            body = read_chunks(self.req.conn.rfile, self._body_bytes, self._held.add_body)
             self.req.rfile.closed = True
             return body
         length = int(self.req.inheaders.get(b"Content-Length", 0))
         if length > self._body_bytes:
             raise MaxSizeExceeded
+        self._held.add_body(length)
         body = self.req.rfile.read(length) if length else b""
         if len(body) != length:
             raise EOFError("the body ended before its length")
@@ -113,8 +174,11 @@
         port: int,
         limits: PortLimits,
         screen: Screen = lambda head, reply: False,
+        refuse_unread: RefuseUnread = _send_refusal,
+        budget: ByteBudget | None = None,
     ) -> None:
-        gateway = partial(_Gateway, handler, screen, limits.body_bytes)
+        apps = _Apps(handler, screen, refuse_unread)
+        gateway = partial(_Gateway, apps, limits.body_bytes, budget or ByteBudget())
         server: Any = HTTPServer((host, port), gateway)
         self._server = server
         self._threads = RequestThreads(
@@ -126,6 +190,7 @@
         server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
         server.max_request_header_size = limits.head_bytes
         server.timeout = limits.idle_seconds
+        server.write_seconds = limits.write_seconds
         server.shutdown_timeout = SHUTDOWN_SECONDS
         server.error_log = _log_server_error
         self._thread = threading.Thread(
@@ -157,7 +222,8 @@
         self._server.stop()
 
 
-def _ingress_request(server_request: HTTPRequest, body: bytes) -> IngressRequest:
+def _ingress_request(server_request: HTTPRequest, held: HeldBytes) -> IngressRequest:
+    """Return the request without its body."""
     headers = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in server_request.inheaders.items()
@@ -168,10 +234,11 @@
         target=server_request.uri.decode("latin-1"),
         host=host.rsplit(":", 1)[0].lower(),
         headers=headers,
-        body=body,
+        body=b"",
         arrived_at=time.monotonic(),
         socket=server_request.conn.socket,
         arrived_on_lease_clock=lease_clock(),
+        held=held,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
@@ -4,9 +4,12 @@
 from http import HTTPStatus
 from typing import Any
 
-from redwingscale_daemon._internal.exceptions import CallerLeft
+from redwingscale_daemon._internal.exceptions import CallerLeft, CallerTooSlow
 
 _CONTENT_LENGTH = b"Content-Length"
+# The writer copies what it writes. A caller on a slow link has the whole limit of a write
+# for each piece of a large answer.
+_PIECE_BYTES = 64 << 10
 
 
 class Reply:
@@ -15,6 +18,7 @@
     def __init__(self, server_request: Any) -> None:
         self._request = server_request
         self.status = 0
+        self.restart_write_limit()
 
     @property
     def started(self) -> bool:
@@ -27,17 +31,27 @@
         self._request.outheaders.append((_CONTENT_LENGTH, str(len(body)).encode()))
         self._send_head()
         if self._request.method != b"HEAD":
-            self._write(body)
-
-    def begin(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
-        """Begin a stream; raise `CallerLeft`."""
+            for start in range(0, len(body), _PIECE_BYTES):
+                self.restart_write_limit()
+                self._write(body[start : start + _PIECE_BYTES])
+
+    def begin(
+        self, status: int, headers: Iterable[tuple[str, str]], length: int | None = None
+    ) -> None:
+        """Begin a stream, of ``length`` bytes if they are known; raise `CallerLeft`."""
         self._set_head(status, headers)
+        if length is not None:
+            self._request.outheaders.append((_CONTENT_LENGTH, str(length).encode()))
         self._send_head()
 
     def write(self, data: bytes) -> None:
         """Send the next bytes of a stream; raise `CallerLeft`."""
         self._write(data)
 
+    def restart_write_limit(self) -> None:
+        """Start the limit on waiting for the caller anew, since the upstream was read."""
+        self._request.conn.wfile.restart()
+
     def abort(self) -> None:
         """End an incomplete stream: the connection closes without the last chunk."""
         self._request.chunked_write = False
@@ -65,15 +79,20 @@
         try:
             self._request.ensure_headers_sent()
         except OSError as error:
-            self._request.close_connection = True
-            raise CallerLeft(repr(error)) from error
+            self.abort()
+            raise _lost_caller(error) from error
 
     def _write(self, data: bytes) -> None:
         try:
             self._request.write(data)
         except OSError as error:
             self.abort()
-            raise CallerLeft(repr(error)) from error
+            raise _lost_caller(error) from error
+
+
+def _lost_caller(error: OSError) -> CallerLeft:
+    kind = CallerTooSlow if isinstance(error, TimeoutError) else CallerLeft
+    return kind(repr(error))
 
 
 def _phrase(status: int) -> str:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/strict_chunks.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/strict_chunks.py
@@ -1,6 +1,7 @@
 """Reads chunked request bodies and rejects ambiguous framing."""
 
 import re
+from collections.abc import Callable
 from typing import Any
 
 from cheroot.errors import MaxSizeExceeded
@@ -10,9 +11,12 @@
 _MAX_LINE_BYTES = 4096
 
 
-def read_chunks(stream: Any, max_bytes: int) -> bytes:
+def read_chunks(
+    stream: Any, max_bytes: int, reserve: Callable[[int], None] = lambda count: None
+) -> bytes:
     """Return the body that begins at ``stream``, and consume its trailer.
 
+    ``reserve`` is called with the size of each chunk before it is read, and may raise.
     Raises ValueError for a size that is not plain hexadecimal digits or a chunk that does
     not end after its size, and `MaxSizeExceeded` beyond ``max_bytes``. The server's own
     reader accepts ``0x5``, ``+5`` and ``1_0`` as sizes.
@@ -21,6 +25,7 @@
     while size := _parse_size(_read_line(stream)):
         if len(body) + size > max_bytes:
             raise MaxSizeExceeded
+        reserve(size)
         body += _read_exactly(stream, size)
         if stream.read(len(_CRLF)) != _CRLF:
             raise ValueError("a chunk does not end where its size says")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -1,8 +1,10 @@
 """Counters and latencies of the requests that are forwarded byte for byte."""
 
 import time
+from collections.abc import Callable, Iterable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
@@ -29,6 +31,7 @@
             metric_readers=[PrometheusMetricReader()], views=[view], shutdown_on_exit=False
         )
         meter = self._provider.get_meter("redwingscale")
+        self._meter = meter
         self._requests = meter.create_counter("redwingscale_ingress_requests", unit="1")
         self._seconds = meter.create_histogram("redwingscale_request_seconds", unit="s")
         meter.create_observable_gauge("redwingscale_threads", callbacks=[observe_threads])
@@ -48,6 +51,16 @@
         self._seconds.record(seconds, {"outcome": outcome})
         return seconds
 
+    def observe_bytes_held(self, read: Callable[[], int]) -> None:
+        """Report ``read()``, the bytes held for callers and upstreams, as a gauge."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(
+            "redwingscale_bytes_held", callbacks=[observe], unit="By"
+        )
+
     def record_first_event(self, ratio: float) -> None:
         """Count a first event by the ``ratio`` of its real to its expected time."""
         near = 1.0 / FIRST_EVENT_NEAR_FACTOR <= ratio <= FIRST_EVENT_NEAR_FACTOR
