--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -188,6 +188,9 @@
 ]  # fmt: skip
 
 
+LIMITS = PortLimits(16, 16384, 1 << 20, 10)
+
+
 class _OutcomeLog:
     """Replaces the metrics; collects the outcomes of requests."""
 
@@ -202,7 +205,7 @@
 class World:
     """One instance's request path in front of scripted upstreams."""
 
-    def __init__(self):
+    def __init__(self, limits=LIMITS, held=None, open_bytes=None):
         self.log = []
         self.upstreams = []
         self.routes = CurrentRoutes()
@@ -223,7 +226,7 @@
         budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
         parts = RelayParts(
             exchange,
-            Sender(self.pool, exchange, fleet.backpressure),
+            Sender(self.pool, exchange, fleet.backpressure, open_bytes),
             chooser,
             fleet.load_tracker,
             fleet.health,
@@ -248,7 +251,7 @@
             self.limiter,
         )  # fmt: skip
         self.server = IngressServer(
-            handler.handle, "127.0.0.1", 0, PortLimits(16, 16384, 1 << 20, 10), handler.screen
+            handler.handle, "127.0.0.1", 0, limits, handler.screen, handler.refuse_unread, held
         )
 
     def start(self):
