--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -79,6 +79,10 @@
         except (HTTPException, HTTPError, OSError, UpstreamSilent) as error:
             connection.discard()
             return Lost(upstream, repr(error))
+        except Exception:
+            # The bytes of the request would count forever.
+            connection.discard()
+            raise
         if response is None:
             connection.discard()
             return Lost(upstream, "answers of other requests")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -58,7 +58,7 @@
             return [Observation(read())]
 
         self._meter.create_observable_gauge(
-            "redwingscale_bytes_held", callbacks=[observe], unit="By"
+            "redwingscale_bytes_held", callbacks=[observe], unit="1"
         )
 
     def record_first_event(self, ratio: float) -> None:
