Hold 16 KB of a stream instead of three copies of 64 KB

A stream whose caller does not read held its last read twice, and the reader's buffer of its upstream connection besides.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/events.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/events.py
@@ -6,7 +6,8 @@
 
 from redwingscale_daemon._internal.forwarding.response_body import finish_response
 
-_READ_BYTES = 65536
+# What a stream holds at most while its caller does not read, beside an incomplete event.
+_READ_BYTES = 16 << 10
 _ID_FIELD = b"id:"
 # Events have some hundred bytes; a longer run of bytes without an end is malformed.
 MAX_EVENT_BYTES = 1 << 20
@@ -32,6 +33,8 @@
     pending = bytearray()
     while data := response.read1(_READ_BYTES):
         pending += data
+        # The events are yielded while the caller may not read: only one copy is held.
+        del data
         on_read(len(pending))
         yield from _whole_events(pending)
         if len(pending) > MAX_EVENT_BYTES:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -19,7 +19,8 @@
 CONNECT_SECONDS = 0.35
 # A host that lost power acknowledges nothing: data in flight is abandoned after this time.
 USER_TIMEOUT_MS = 4000
-_READ_BYTES = 65536
+# Each connection has a buffer of this size.
+_READ_BYTES = 16 << 10
 # Methods whose requests need no Content-Length if they have no body.
 _BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
