--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_bytes_held.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_bytes_held.py
@@ -114,8 +114,9 @@
     An upstream cuts off a response that stays unread meanwhile.
     """
     ours, caller = socket.socketpair()
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     caller.settimeout(WAIT_SECONDS)
-    writer = LimitedWriter(ours, WRITE_SECONDS / 2, 8192)
+    writer = LimitedWriter(ours, WRITE_SECONDS, 8192)
 
     def trickle():
         with contextlib.suppress(OSError):
@@ -124,7 +125,7 @@
 
     threading.Thread(target=trickle, daemon=True).start()
     with pytest.raises(TimeoutError):
-        writer.write(LONG)
+        writer.write(LONG[:200_000])
     writer.restart()
     with pytest.raises(TimeoutError):
         writer.write(b"more")
@@ -262,20 +263,25 @@
     assert world.request("/once/", b"x" * 9000).status == 200
 
 
-def test_upstream_that_holds_many_bytes_gets_no_more(make_world):
+@pytest.mark.parametrize(
+    ("service", "path", "model", "answer"),
+    [("plain", "/once/", None, sized(b"ok")), ("llm", "/stream/", "m", events(1))],
+)
+def test_upstream_that_holds_many_bytes_gets_no_more(make_world, service, path, model, answer):
     """Guards against an upstream that crashes because of the requests that it holds."""
     world, release = make_world(open_bytes=UpstreamBytes(10_000)), threading.Event()
 
     def script(connection, received):
         release.wait(WAIT_SECONDS)
-        return sized(b"ok")(connection, received)
+        return answer(connection, received)
 
-    world.add("plain", script)
-    open_ = [world.send("/once/", b"x" * 9000)]
+    world.add(service, script)
+    first = world.send(path, b"x" * 9000, model=model)
     wait_until(lambda: len(world.log) == 1)
-    refused = world.request("/once/", b"x" * 9000)
+    refused = world.request(path, b"x" * 9000, model=model)
     assert (refused.status, "Retry-After" in refused.headers, len(world.log)) == (503, True, 1)
-    world.add("plain", sized(b"ok"))
-    assert world.request("/once/", b"x" * 9000).status == 200
+    world.add(service, answer)
+    assert world.request(path, b"x" * 9000, model=model).status == 200
+    assert [received.upstream for received in world.log] == ["u0", "u1"]
     release.set()
-    assert [read_response(one).status for one in open_] == [200]
+    assert read_response(first).status == 200
