Give places at holders by urgency, spare time and workspace

A request joined the queue of its holder up to two of its own latency targets, so that a burst of bulk work with a target of 10 s queued before requests that must begin within a second. Requests now join a queue only as long as the more urgent ones can bear, wait in a fair queue while they have time, and those of a workspace beyond its share come last.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/gate.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/gate.py
@@ -61,7 +61,7 @@
         self._capacity = capacity
         self._clock = clock
         self._lock = threading.Lock()
-        self._queue = FairQueue()
+        self._queue: FairQueue[Ticket] = FairQueue()
         self._rates = ServiceRates()
         self._running: Counter[str] = Counter()
         self._dispatching: list[Ticket] = []
@@ -147,7 +147,7 @@
             self._queue.add(place)
             self._shed()
 
-    def _admit(self, place: Place) -> None:
+    def _admit(self, place: Place[Ticket]) -> None:
         now = self._clock()
         self._queue.admit(place)
         self._running[place.ticket.arrival.unit] += 1
@@ -210,7 +210,7 @@
         ]
         return sum(t.arrival.unit == unit for t in self._dispatching)
 
-    def _expected_wait_seconds(self, place: Place) -> float:
+    def _expected_wait_seconds(self, place: Place[Ticket]) -> float:
         """Return how long the ticket of ``place`` is expected to wait."""
         arrival = place.ticket.arrival
         expected = self._rates.expected_seconds(arrival.unit, arrival.max_tokens)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -11,6 +11,7 @@
     new_return_updates,
 )
 from redwingscale_daemon._internal.composition.pauses import PauseRules
+from redwingscale_daemon._internal.composition.places import build_fair_places
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps, engine_calls
 from redwingscale_daemon._internal.fleet.chooser import Chooser
@@ -44,6 +45,7 @@
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
+from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
 from redwingscale_daemon._internal.workspaces.use_limiter import UseLimiter
 
 # Larger than any configuration allows.
@@ -74,8 +76,18 @@
     reads = StoreReads(LinkState("upstreams"), LinkState("configuration"))
     limiter = UseLimiter(lambda: swaps.instances(), settings.bounds.use_slack)
     returns = new_return_updates()
+    place_uses = PlaceUses()
     swaps = build_swaps(
-        settings, uuid.uuid4().hex, store, routes, fleet, metrics, reads, limiter, returns
+        settings,
+        uuid.uuid4().hex,
+        store,
+        routes,
+        fleet,
+        metrics,
+        reads,
+        limiter,
+        returns,
+        place_uses,
     )
     own_reports = _own_reports(settings, routes, fleet, reads)
     handler = _request_handler(
@@ -89,6 +101,7 @@
         own_reports,
         limiter,
         returns,
+        place_uses,
         lambda: callers.crowded,
     )
     callers = _callers(settings, handler)
@@ -158,6 +171,7 @@
     own_reports: OwnReports,
     limiter: UseLimiter,
     returns: ReturnUpdates,
+    place_uses: PlaceUses,
     crowded: Callable[[], bool],
 ) -> RequestHandler:
     bounds = settings.bounds
@@ -208,6 +222,13 @@
             lambda result: metrics.returns.add(1, {"result": result}),
         ),
         lambda: metrics.held_prompts.add(1),
+        build_fair_places(
+            settings.scheduling.fair_places,
+            routes,
+            fleet,
+            place_uses,
+            lambda rank, result: metrics.places.add(1, {"rank": str(rank), "result": result}),
+        ),
     )
     return RequestHandler(
         routes,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -43,6 +43,7 @@
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
+from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
 from redwingscale_daemon._internal.workspaces.use_limiter import UseLimiter
 
 # Three renewals fit into a lease: one lost answer does not end it.
@@ -106,6 +107,7 @@
     reads: StoreReads,
     limiter: UseLimiter,
     returns: ReturnUpdates,
+    place_uses: PlaceUses,
 ) -> Swaps:
     """Return the parts, not started; ``start`` identifies this process."""
     me = settings.instance
@@ -144,6 +146,7 @@
     def on_leader_update(update: LeaderUpdate) -> None:
         instances.receive(update.instances)
         returns.receive(update)
+        place_uses.receive(update.shares)
         _take_update(update, sent_loads, fleet)
         if update.grants is not None:
             limiter.receive(update.grants)
@@ -194,6 +197,7 @@
             fleet.directory.leaving_unlisted(),
             fleet.retry_times.pending(),
             returns=returns.entries(),
+            places=place_uses.drain(),
             misdirected=[key for key in fleet.outcomes.drain_misdirected() if gives_up(key)],
             first_events=[first_event_entry(*event) for event in fleet.first_events.drain()],
         )
@@ -316,9 +320,10 @@
 def _load_of_others(total: LoadEntry, own: LoadEntry | None) -> Load:
     # The total may be older than the loads that this instance has sent since.
     if own is None:
-        return Load(total.requests, total.prompt_tokens, total.generating)
+        return Load(total.requests, total.prompt_tokens, total.generating, total.waiting)
     return Load(
         max(0, total.requests - own.requests),
         max(0, total.prompt_tokens - own.prompt_tokens),
         max(0, total.generating - own.generating),
+        max(0, total.waiting - own.waiting),
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/load_tracker.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/load_tracker.py
@@ -10,17 +10,20 @@
 # The load from other instances is announced four times a second. Since requests last half
 # a second, older figures are not used.
 OTHERS_FRESH_SECONDS = 1.5
+ANNOUNCEMENT_SECONDS = 0.25
 
 
 class Load(NamedTuple):
     """Open requests at an upstream, and prompt tokens that it has yet to process.
 
     ``generating`` of the requests are streams that have begun and whose pauses are limited.
+    ``waiting`` prompt tokens are those of requests that wait for a place there.
     """
 
     requests: int
     prompt_tokens: int
     generating: int = 0
+    waiting: int = 0
 
     def plus(self, other: "Load") -> "Load":
         """Return the sum of both loads."""
@@ -28,6 +31,7 @@
             self.requests + other.requests,
             self.prompt_tokens + other.prompt_tokens,
             self.generating + other.generating,
+            self.waiting + other.waiting,
         )
 
 
@@ -98,6 +102,11 @@
             added = Load(requests, prompt_tokens, generating)
             self._own[upstream_id] = self._own[upstream_id].plus(added)
 
+    def add_waiting(self, upstream_id: str, tokens: int) -> None:
+        """Add to the prompt tokens of requests that wait for a place at an upstream."""
+        with self._lock:
+            self._own[upstream_id] = self._own[upstream_id].plus(Load(0, 0, waiting=tokens))
+
     def open_by_unit(self) -> dict[tuple[str, Unit], int]:
         """Return this instance's open requests by upstream and unit, without zero counts."""
         with self._lock:
@@ -105,9 +114,9 @@
             return dict(self._open_by_unit)
 
     def own(self) -> dict[str, Load]:
-        """Return this instance's load of the upstreams that have open requests."""
+        """Return this instance's load of the upstreams with open or waiting requests."""
         with self._lock:
-            return {key: load for key, load in self._own.items() if load.requests}
+            return {key: load for key, load in self._own.items() if load.requests or load.waiting}
 
     def own_at(self, upstream_id: str) -> Load:
         """Return this instance's load of an upstream."""
@@ -119,6 +128,16 @@
             self._others = others
             self._others_at = time.monotonic()
 
+    def announcement(self) -> float:
+        """Return what changes whenever the load from the other instances is announced.
+
+        Without announcements it changes as often as they usually come.
+        """
+        now = time.monotonic()
+        if now - self._others_at > OTHERS_FRESH_SECONDS:
+            return now // ANNOUNCEMENT_SECONDS
+        return self._others_at
+
     def total(self, upstream_id: str) -> Load:
         """Return the load of an upstream from all instances."""
         own = self._own.get(upstream_id, NO_LOAD)
@@ -139,5 +158,5 @@
         """Drop entries without open requests of upstreams that are gone."""
         with self._lock:
             for key in upstream_ids:
-                if key in self._own and not self._own[key].requests:
+                if key in self._own and not (self._own[key].requests or self._own[key].waiting):
                     del self._own[key]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -16,6 +16,11 @@
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.final_refusal import final_refusal
 from redwingscale_daemon._internal.forwarding.late_refusal import late_refusal
+from redwingscale_daemon._internal.forwarding.place_rule import (
+    FIRST_COME_FIRST_SERVED,
+    Holders,
+    PlaceRule,
+)
 from redwingscale_daemon._internal.forwarding.prompt_pacing import hold
 from redwingscale_daemon._internal.forwarding.return_order import UNORDERED, ReturnOrder
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
@@ -73,6 +78,7 @@
     order: ReturnOrder = UNORDERED
     # Counts a prompt that was held because it would have broken streams.
     on_held: Callable[[], None] = lambda: None
+    places: PlaceRule = FIRST_COME_FIRST_SERVED
 
     def choose_holder(self, call: Call, prompt: Prompt) -> Candidate:
         """Return the best holder, waiting for one; raises `Refusal`, `CallerLeft`.
@@ -134,21 +140,28 @@
             raise
 
     def _choose_in_time(self, call: Call, prompt: Prompt, found: Candidate) -> Candidate:
-        """Return ``found``, or the best of all holders if ``found`` is too late.
+        """Return ``found``, or the best of all holders if there is no place at ``found``.
 
         The chooser compares only a sample of the holders, so a long queue at ``found``
-        says nothing about the rest. Raises `Refusal` only if the best one is too late.
+        says nothing about the rest. Raises `Refusal` only if the best one has no place.
         """
-        if self.order.overload_refusal(call, prompt, found, _overload_refusal) is None:
-            return found
-        best = self.chooser.choose_holder(
-            call.service, prompt, call.attempts.tried, compare_all=True
+        holders = Holders(
+            lambda: self.chooser.choose_holder(
+                call.service, prompt, call.attempts.tried, compare_all=True
+            ),
+            lambda one: self.order.overload_refusal(call, prompt, one, _overload_refusal),
+            lambda: self._check_wait(call),
         )
-        refusal = self.order.overload_refusal(call, prompt, best or found, _overload_refusal)
-        if refusal is None:
-            return best or found
-        self.demand.note_overload(call.service, prompt.unit)
-        raise refusal
+        match self.places.take_place(call, prompt, found, holders):
+            case Candidate() as chosen:
+                return chosen
+            case refusal:
+                self.demand.note_overload(call.service, prompt.unit)
+                raise refusal
+
+    def _check_wait(self, call: Call) -> None:
+        self._refuse_if_stopping(call)
+        call.watch.check_caller()
 
     def _wait_for_holder(self, call: Call, prompt: Prompt) -> Candidate:
         started = time.monotonic()
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_try.py
@@ -0,0 +1,109 @@
+"""One request's search for a place at a holder."""
+
+import time
+from collections.abc import Callable
+
+from redwingscale_daemon._internal.admission.place_queue import (
+    Decision,
+    Offer,
+    PlaceQueue,
+    PlaceTicket,
+    Verdict,
+)
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.fleet.chooser import PROMPT_TOKENS_PER_MS, Candidate
+from redwingscale_daemon._internal.fleet.load_tracker import LoadTracker
+from redwingscale_daemon._internal.forwarding.place_rule import Holders
+
+MILLISECONDS_PER_SECOND = 1000.0
+LEAST_RETRY_SECONDS = 0.3
+
+
+class PlaceTry:
+    """Decides again for each new load of the holders; `end` must follow.
+
+    While the request waits, its tokens are announced as waiting at the holder that was best
+    when the wait began. Only patient requests share the room that becomes free with those
+    of other instances, so the others are not announced.
+    """
+
+    def __init__(
+        self,
+        ticket: PlaceTicket,
+        queue: PlaceQueue,
+        found: Candidate,
+        holders: Holders,
+        load_tracker: LoadTracker,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.ticket = ticket
+        self.found = found
+        self._queue = queue
+        self._holders = holders
+        self._load_tracker = load_tracker
+        self._clock = clock
+        self._begun_at = clock()
+        self._waiting_at = ""
+        self.waited = False
+
+    def decide(self) -> Verdict:
+        """Return what to do now, for `found` or, without room there, the best of all holders.
+
+        The chooser compares only a sample of the holders.
+        """
+        now = self._clock()
+        refused = self._holders.refusal(self.found) is not None
+        if self.waited or refused or self.queue_seconds > self.ticket.arrival.limit_at(now):
+            self.found = self._holders.best() or self.found
+            refused = self._holders.refusal(self.found) is not None
+        verdict = self._queue.decide(self.ticket, self._offer(refused=refused), now)
+        if verdict.decision is Decision.WAIT and not self.waited:
+            self.waited, self._waiting_at = True, self.found.upstream.id
+            self._announce(1)
+        return verdict
+
+    def result(self, verdict: Verdict) -> Candidate | Refusal:
+        """Return the holder by a verdict to send, or why there is none."""
+        refusal = self._holders.refusal(self.found)
+        if refusal is not None:
+            return refusal
+        if verdict.decision is Decision.SEND:
+            return self.found
+        queue, limit = self.queue_seconds, self.ticket.arrival.limit_at(self._clock())
+        return Refusal(
+            503,
+            "overloaded",
+            f"{self.found.upstream.id} has {queue:.2f} s of others, of which rank "
+            f"{self.ticket.arrival.rank} may join {limit:.2f} s ({verdict.reason})",
+            retry_after_seconds=max(LEAST_RETRY_SECONDS, queue - limit),
+        )
+
+    def end(self) -> None:
+        """Leave the queue, however the request has ended; a second call does nothing."""
+        self._queue.leave(self.ticket)
+        if self._waiting_at:
+            self._announce(-1)
+            self._waiting_at = ""
+
+    @property
+    def queue_seconds(self) -> float:
+        """The queue at the holder that was found last."""
+        return self.found.queue_ms / MILLISECONDS_PER_SECOND
+
+    @property
+    def waited_seconds(self) -> float:
+        """The seconds since the search began."""
+        return self._clock() - self._begun_at
+
+    def _announce(self, sign: int) -> None:
+        if self.ticket.arrival.limit.patient:
+            self._load_tracker.add_waiting(self._waiting_at, sign * self.ticket.arrival.tokens)
+
+    def _offer(self, *, refused: bool) -> Offer:
+        return Offer(
+            self.queue_seconds,
+            self._load_tracker.total(self.found.upstream.id).waiting,
+            PROMPT_TOKENS_PER_MS * MILLISECONDS_PER_SECOND,
+            self._load_tracker.announcement(),
+            refused,
+        )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_totals.py
@@ -111,7 +111,7 @@
 def _loads(fresh: list[InstanceUpdate]) -> dict[str, Load]:
     totals: dict[str, Load] = defaultdict(lambda: NO_LOAD)
     for entry in (entry for update in fresh for entry in update.loads):
-        load = Load(entry.requests, entry.prompt_tokens, entry.generating)
+        load = Load(entry.requests, entry.prompt_tokens, entry.generating, entry.waiting)
         totals[entry.upstream] = totals[entry.upstream].plus(load)
     return totals
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -41,6 +41,7 @@
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
+from redwingscale_daemon._internal.workspaces.place_shares import PlaceShares
 from redwingscale_daemon._internal.workspaces.use_totals import UseTotals
 from redwingscale_daemon._internal.workspaces.workspace import UseLimit
 
@@ -124,6 +125,7 @@
         # Returns the slowness that the former leader has sent.
         self._former_slowness = former_slowness
         self._use = UseTotals(use_slack)
+        self._shares = PlaceShares()
         # Issues permits for upstreams with a rate limit.
         self._issuer = issuer or PermitIssuer()
         self._totals = NO_TOTALS
@@ -139,6 +141,7 @@
         self._failing.receive(update.outcomes)
         self._slowness.receive(update.first_events)
         self._use.receive(update.instance, update.drawn)
+        self._shares.receive(update.places)
         self._directory.note_leaving(update.leaving, "instance")
         for key in update.misdirected:
             self._workers.request_report(key)
@@ -196,6 +199,7 @@
         self._copies.begin_term(succeeds_another=self._authority.succeeds_another())
         self._slowness.begin(self._former_slowness(), [one.id for one in self._directory.all()])
         self._use.begin(self._known_instances())
+        self._shares.begin()
         self._issuer.begin()
         self._changes.begin_with(self._directory.all())
         table = self._routes.get()
@@ -383,6 +387,7 @@
             unplanned=unplanned,
             returns=self._returns.next_entries() if periodic else [],
             slowness=self._slowness.changes() if periodic else {},
+            shares=self._shares.shares() if periodic else None,
         )
 
     def _announces_units(self, service: str) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -4,6 +4,7 @@
 
 from redwingscale_daemon._internal.fleet.list_update import ListUpdate
 from redwingscale_daemon._internal.fleet.rate_limit_messages import PermitEntry, RateLimitEntry
+from redwingscale_daemon._internal.workspaces.place_messages import PlaceUse
 from redwingscale_daemon._internal.workspaces.use_messages import DrawnEntry, GrantEntry
 
 
@@ -33,13 +34,15 @@
 class LoadEntry(msgspec.Struct, array_like=True):
     """The open requests at an upstream, and their prompt tokens that it has yet to read.
 
-    ``generating`` requests have received their first event.
+    ``generating`` requests have received their first event. ``waiting`` prompt tokens are
+    those of requests that wait for a place there.
     """
 
     upstream: str
     requests: int
     prompt_tokens: int
     generating: int = 0
+    waiting: int = 0
 
 
 class FirstEventEntry(msgspec.Struct, array_like=True):
@@ -138,6 +141,7 @@
     named a time before which the instance must not send them requests. ``first_events``
     were observed and ``returns`` were announced to callers since the previous update.
     ``misdirected`` upstreams have refused a request since then for a unit that they lack.
+    ``places`` has the tokens of requests for holders since then, by workspace.
     """
 
     instance: str
@@ -155,6 +159,7 @@
     first_events: list[FirstEventEntry] = []
     returns: list[ReturnEntry] = []
     misdirected: list[str] = []
+    places: list[PlaceUse] = []
 
 
 class ResidencyEntry(msgspec.Struct, array_like=True):
@@ -198,6 +203,8 @@
     ``slowness`` has the time to a first event relative to the expected one, by upstream id
     and by model name; keys that begin with "*" are those of `SlownessView`. For the ``unplanned`` units, requests wait and no load is planned.
     ``returns`` are the refused requests of all instances that are expected to return.
+    ``shares`` has the workspaces that are beyond their share of the holders, and the fraction
+    of their requests that is within it; None if the update is not periodic.
     """
 
     leader: str
@@ -217,6 +224,7 @@
     slowness: dict[str, float] = {}
     unplanned: list[str] = []
     returns: list[ReturnEntry] = []
+    shares: dict[str, float] | None = None
 
     def delayed(self, seconds: float) -> "LeaderUpdate":
         """Return the update with ``seconds`` of delay added to its ages; late permits are void."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -37,6 +37,7 @@
         self._first_events = meter.create_counter("redwingscale_first_events", unit="1")
         self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
         self.returns = meter.create_counter("redwingscale_returns", unit="1")
+        self.places = meter.create_counter("redwingscale_places", unit="1")
         self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
         self.staged_loads = meter.create_counter("redwingscale_staged_loads", unit="1")
         self.without_copy = meter.create_gauge("redwingscale_models_without_copy", unit="1")
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_shares.py
@@ -0,0 +1,119 @@
+"""The leader's totals of workspaces' use of holders, and the shares that follow."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.utils.decaying_rate import DecayingRate
+from redwingscale_daemon._internal.workspaces.place_messages import PlaceUse
+
+RECENT_HALF_LIFE_SECONDS = 1.5
+# The usual use is learned over a minute: bursts last for some seconds.
+USUAL_HALF_LIFE_SECONDS = 60.0
+# A flood counts toward the usual use of its workspace only up to this many times that use.
+MAX_USUAL_FACTOR = 1.5
+# Until then the usual use is not known, and there are no shares.
+LEARNING_SECONDS = 5.0
+# A workspace that was idle gets at least this fraction of the mean weight.
+MIN_WEIGHT_FRACTION = 0.25
+# Use that varies by less is not above the usual.
+MIN_SHORTAGE_FRACTION = 0.03
+LEAST_SHARE = 0.02
+
+
+class _Use(NamedTuple):
+    offered: DecayingRate
+    admitted: DecayingRate
+    usual: DecayingRate
+
+
+class PlaceShares:
+    """Divides the tokens that were admitted lately by the usual use of each workspace.
+
+    Answers one workspace that sends five times its usual load while room is short. Shares
+    are weighted max-min fair: a workspace below its part gets all that it asks for.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self.begin()
+
+    def begin(self) -> None:
+        """Drop everything: a new leader does not know the use under the former one."""
+        with self._lock:
+            self._by_workspace: dict[str, _Use] = {}
+            self._begun_at: float | None = None
+
+    def receive(self, entries: Iterable[PlaceUse]) -> None:
+        """Add the use in an update of an instance."""
+        now = self._clock()
+        with self._lock:
+            for entry in entries:
+                if self._begun_at is None:
+                    self._begun_at = now
+                use = self._by_workspace.get(entry.workspace) or _new_use(now)
+                self._by_workspace[entry.workspace] = _Use(
+                    use.offered.with_events(entry.offered, now),
+                    use.admitted.with_events(entry.admitted, now),
+                    self._usual(use, entry.offered, now),
+                )
+
+    def shares(self) -> dict[str, float]:
+        """Return the fraction of its requests that is within its share, by workspace.
+
+        Workspaces that are not listed are within their share with all requests.
+        """
+        now = self._clock()
+        with self._lock:
+            if self._begun_at is None or now - self._begun_at < LEARNING_SECONDS:
+                return {}
+            age = now - self._begun_at
+            offered = {k: one.offered.now(now) for k, one in self._by_workspace.items()}
+            admitted = sum(one.admitted.now(now) for one in self._by_workspace.values())
+            usual = {k: self._usual_now(one, now, age) for k, one in self._by_workspace.items()}
+        least = MIN_WEIGHT_FRACTION * sum(usual.values()) / max(1, len(usual))
+        weights = {key: max(rate, least) for key, rate in usual.items()}
+        return max_min_shares(offered, weights, admitted)
+
+    def _usual_now(self, use: _Use, now: float, age: float) -> float:
+        """Return the usual rate; a rate that began lately has not reached its height yet."""
+        reached = 1.0 - 0.5 ** (age / USUAL_HALF_LIFE_SECONDS)
+        return use.usual.now(now) / reached if reached else 0.0
+
+    def _usual(self, use: _Use, offered: int, now: float) -> DecayingRate:
+        age = now - (self._begun_at if self._begun_at is not None else now)
+        counted = float(offered)
+        if age > LEARNING_SECONDS:
+            usual, recent = self._usual_now(use, now, age), use.offered.now(now)
+            if recent > MAX_USUAL_FACTOR * usual > 0:
+                counted *= MAX_USUAL_FACTOR * usual / recent
+        return use.usual.with_events(counted, now)
+
+
+def max_min_shares(
+    offered: Mapping[str, float], weights: Mapping[str, float], capacity: float
+) -> dict[str, float]:
+    """Return the fractions of ``offered`` that fit ``capacity``, where they are below 1."""
+    total = sum(offered.values())
+    if total <= 0 or total - capacity < MIN_SHORTAGE_FRACTION * total:
+        return {}
+    left, weight = capacity, sum(weights[key] for key in offered)
+    level = 0.0
+    # The smallest use relative to its weight is satisfied first.
+    for key in sorted(offered, key=lambda name: offered[name] / max(weights[name], 1e-9)):
+        level = left / max(weight, 1e-9)
+        if offered[key] > level * weights[key]:
+            break
+        left, weight = left - offered[key], weight - weights[key]
+    return {
+        key: max(LEAST_SHARE, round(level * weights[key] / rate, 2))
+        for key, rate in offered.items()
+        if rate > level * weights[key]
+    }
+
+
+def _new_use(now: float) -> _Use:
+    recent = DecayingRate(RECENT_HALF_LIFE_SECONDS, at=now)
+    return _Use(recent, recent, DecayingRate(USUAL_HALF_LIFE_SECONDS, at=now))
