--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -145,19 +145,22 @@
         The chooser compares only a sample of the holders, so a long queue at ``found``
         says nothing about the rest. Raises `Refusal` only if the best one has no place.
         """
-        holders = Holders(
+        match self.places.take_place(call, prompt, found, self.holders(call, prompt)):
+            case Candidate() as chosen:
+                return chosen
+            case refusal:
+                self.demand.note_overload(call.service, prompt.unit)
+                raise refusal
+
+    def holders(self, call: Call, prompt: Prompt) -> Holders:
+        """Return what the choice of a place needs to know of the request's holders."""
+        return Holders(
             lambda: self.chooser.choose_holder(
                 call.service, prompt, call.attempts.tried, compare_all=True
             ),
             lambda one: self.order.overload_refusal(call, prompt, one, _overload_refusal),
             lambda: self._check_wait(call),
         )
-        match self.places.take_place(call, prompt, found, holders):
-            case Candidate() as chosen:
-                return chosen
-            case refusal:
-                self.demand.note_overload(call.service, prompt.unit)
-                raise refusal
 
     def _check_wait(self, call: Call) -> None:
         self._refuse_if_stopping(call)
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/places/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation of requests of several ranks and workspaces that compete for places."""
--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/caller.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/caller.py
@@ -7,6 +7,7 @@
     """A request that is first sent ``at`` seconds after the start; times are in seconds.
 
     The lower its ``rank``, the more urgent it is. ``tokens`` are those of its prompt.
+    ``workspace`` is empty for a caller without a key.
     """
 
     name: str
@@ -15,6 +16,7 @@
     limit: float
     rank: int = 0
     tokens: int = 2368
+    workspace: str = ""
 
 
 class Outcome(NamedTuple):
--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/instance.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/instance.py
@@ -82,6 +82,9 @@
         ),
         request=SimpleNamespace(arrived_at=now),
         terms=SimpleNamespace(request_id=f"{caller.name}-{now:.3f}", key_digest=b"k"),
+        permit=SimpleNamespace(
+            workspace=SimpleNamespace(name=caller.workspace) if caller.workspace else None
+        ),
         watch=SimpleNamespace(
             remaining=lambda: max(0.0, deadline - time.monotonic()), check_caller=lambda: None
         ),
--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
@@ -90,14 +90,25 @@
             if sent_before:
                 self._outcomes.append(Outcome(caller, sent_at, None))
                 return
-            announced = refusal.retry_after_seconds or 0.0
-            pause = min(announced, (deadline - now) * WAITED_FRACTION)
-            returns_at = now + pause + ROUND_TRIP_SECONDS
-            self._at(returns_at, self._send, caller, sent_at, deadline, instance)
+            self._return(caller, sent_at, deadline, instance, refusal)
             return
         first_event_at = self._begin(caller, instance, found)
         self._outcomes.append(Outcome(caller, sent_at, first_event_at))
 
+    def _return(
+        self,
+        caller: Caller,
+        sent_at: tuple[float, ...],
+        deadline: float,
+        refused_by: Instance,
+        refusal: Refusal,
+    ) -> None:
+        """Send a refused request again, as told or after the longest time that it waits."""
+        announced, now = refusal.retry_after_seconds or 0.0, self._clock.now
+        pause = min(announced, (deadline - now) * WAITED_FRACTION)
+        returns_at = now + pause + ROUND_TRIP_SECONDS
+        self._at(returns_at, self._send, caller, sent_at, deadline, refused_by)
+
     def _begin(self, caller: Caller, instance: Instance, found: Candidate) -> float:
         """Queue a request at its holder and return the time of its first event."""
         key, now = found.upstream.id, self._clock.now
@@ -142,4 +153,8 @@
 
 
 def _without(total: Load, own: Load) -> Load:
-    return Load(total.requests - own.requests, total.prompt_tokens - own.prompt_tokens)
+    return Load(
+        total.requests - own.requests,
+        total.prompt_tokens - own.prompt_tokens,
+        waiting=total.waiting - own.waiting,
+    )
