Count the tokens that wait for any holder of a unit, and sample holders again

Requests that waited for the best of all holders were sent to the same one at once. The simulation now announces loads until its last caller is served.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_queue.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_queue.py
@@ -32,10 +32,11 @@
 
 
 class Offer(NamedTuple):
-    """The best holder found: its queue, and the tokens that all instances keep waiting for it.
+    """The best holder found: its queue, and the tokens that wait at all instances for any holder.
 
     ``tokens_per_second`` is its speed. ``announcement`` differs whenever the load of the
     holders is announced anew. ``refused`` if no request may join it now, whatever its rank.
+    ``best`` if no other holder has less queue.
     """
 
     queue_seconds: float
@@ -43,6 +44,7 @@
     tokens_per_second: float
     announcement: float
     refused: bool = False
+    best: bool = True
 
 
 class PlaceTicket:
@@ -109,7 +111,7 @@
             reason = "behind_others"
         if spare > MIN_SPARE_SECONDS:
             return Verdict(Decision.WAIT, reason)
-        if request.returning or self._is_guaranteed(request.rank):
+        if offer.best and self._is_guaranteed(request):
             return Verdict(Decision.SEND, "guaranteed")
         return Verdict(Decision.REFUSE, reason)
 
@@ -139,7 +141,10 @@
             for one in self._queue
         )
 
-    def _is_guaranteed(self, rank: int) -> bool:
+    def _is_guaranteed(self, request: PlaceRequest) -> bool:
+        if request.returning and not request.beyond_share:
+            return True
+        rank = request.rank
         credit = self._guaranteed.get(rank, 0.0) + GUARANTEED_FRACTION
         sent = credit >= 1.0
         self._guaranteed[rank] = credit - sent
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/queue_limit.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/queue_limit.py
@@ -5,9 +5,10 @@
 
 # The most urgent requests may join a queue of this many latency targets.
 MOST_URGENT_TARGETS = 2.0
+MOST_FRACTION = 1.0
 # The least urgent requests may join a queue of this fraction of the shortest latency target
 # of the more urgent ones, which then still begin well within it.
-LEAST_FRACTION = 0.3
+LEAST_FRACTION = 0.2
 # A request whose latency target is this many times the shortest one of its service can wait
 # for a quiet moment.
 PATIENT_TARGETS = 3.0
@@ -82,4 +83,4 @@
 
 def _fraction(step: int, steps: int) -> float:
     """Return 1 for the most urgent of ``steps``, and `LEAST_FRACTION` for the least urgent."""
-    return 1.0 - (1.0 - LEAST_FRACTION) * step / max(1, steps - 1)
+    return MOST_FRACTION - (MOST_FRACTION - LEAST_FRACTION) * step / max(1, steps - 1)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -113,6 +113,10 @@
             candidates = _with_pauses(candidates, self._pauses, service, prompt)
         return self._cheapest(candidates, compare_all=compare_all)
 
+    def holder_ids(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
+        """Return the ids of the holders of the prompt's unit that are not in ``tried``."""
+        return [upstream.id for upstream in self._holders(service, prompt, tried)]
+
     def note_first_event(self, chosen: Candidate, real_ms: float) -> None:
         """Take the time to the first event of a request that was sent to ``chosen``."""
         match chosen.estimate:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/fair_places.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/fair_places.py
@@ -107,7 +107,8 @@
             case Refusal():
                 name = "refused"
             case _:
-                self.uses.note_admitted(request.workspace, request.tokens)
+                if not request.returning and (request.limit.patient or not place.waited):
+                    self.uses.note_admitted(request.workspace, request.tokens)
                 name = "guaranteed" if verdict.reason == "guaranteed" else "sent"
         self.record(request.rank, f"{name}_after_wait" if place.waited else name)
         if place.waited or name != "sent":
@@ -144,7 +145,7 @@
         self, call: Call, prompt: Prompt, found: Candidate, targets: Mapping[int, float]
     ) -> PlaceRequest:
         workspace = call.permit.workspace.name if call.permit.workspace else ""
-        beyond = self.uses.is_beyond(workspace) and not call.attempts.returning
+        beyond = self.uses.is_beyond(workspace)
         urgency, target = call.urgency, call.route.latency_target_seconds
         route_rank = min(urgency.route, LOWEST_PRIORITY)
         standing = Standing(route_rank, urgency.workspace, urgency.workspaces)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -155,9 +155,11 @@
     def holders(self, call: Call, prompt: Prompt) -> Holders:
         """Return what the choice of a place needs to know of the request's holders."""
         return Holders(
+            lambda: self.chooser.choose_holder(call.service, prompt, call.attempts.tried),
             lambda: self.chooser.choose_holder(
                 call.service, prompt, call.attempts.tried, compare_all=True
             ),
+            lambda: self.chooser.holder_ids(call.service, prompt, call.attempts.tried),
             lambda one: self.order.overload_refusal(call, prompt, one, _overload_refusal),
             lambda: self._check_wait(call),
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_rule.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_rule.py
@@ -12,12 +12,15 @@
 class Holders(NamedTuple):
     """The holders of one request's unit.
 
-    ``best`` returns the cheapest of all holders, None without one. ``refusal`` returns why
+    ``again`` returns the cheapest of a sample of the holders, ``best`` of all; None without
+    one. ``ids`` returns the ids of all. ``refusal`` returns why
     the request would be too late at a holder, None if it would not. ``check`` raises
     `Refusal`, `CallerLeft` if the request must not wait any longer.
     """
 
+    again: Callable[[], Candidate | None]
     best: Callable[[], Candidate | None]
+    ids: Callable[[], list[str]]
     refusal: Callable[[Candidate], Refusal | None]
     check: Callable[[], None]
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_try.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_try.py
@@ -22,8 +22,8 @@
 class PlaceTry:
     """Decides again for each new load of the holders; `end` must follow.
 
-    While the request waits, its tokens are announced as waiting at the holder that was best
-    when the wait began. Only patient requests share the room that becomes free with those
+    While the request waits, its tokens are announced as waiting at the holders, in equal
+    parts: any of them may be the first with room. Only patient requests share the room that becomes free with those
     of other instances, so the others are not announced.
     """
 
@@ -43,23 +43,26 @@
         self._load_tracker = load_tracker
         self._clock = clock
         self._begun_at = clock()
-        self._waiting_at = ""
+        # The tokens announced, by holder.
+        self._announced: dict[str, int] = {}
         self.waited = False
 
     def decide(self) -> Verdict:
-        """Return what to do now, for `found` or, without room there, the best of all holders.
+        """Return what to do now, for a holder of a sample.
 
-        The chooser compares only a sample of the holders.
+        The best of all holders is used only if the request would be refused otherwise:
+        all instances would send to the same one at once.
         """
         now = self._clock()
-        refused = self._holders.refusal(self.found) is not None
-        if self.waited or refused or self.queue_seconds > self.ticket.arrival.limit_at(now):
+        if self.waited:
+            self.found = self._holders.again() or self.found
+        verdict = self._decide(now, best=False)
+        if verdict.decision is Decision.REFUSE:
             self.found = self._holders.best() or self.found
-            refused = self._holders.refusal(self.found) is not None
-        verdict = self._queue.decide(self.ticket, self._offer(refused=refused), now)
+            verdict = self._decide(now, best=True)
         if verdict.decision is Decision.WAIT and not self.waited:
-            self.waited, self._waiting_at = True, self.found.upstream.id
-            self._announce(1)
+            self.waited = True
+            self._announce()
         return verdict
 
     def result(self, verdict: Verdict) -> Candidate | Refusal:
@@ -81,9 +84,9 @@
     def end(self) -> None:
         """Leave the queue, however the request has ended; a second call does nothing."""
         self._queue.leave(self.ticket)
-        if self._waiting_at:
-            self._announce(-1)
-            self._waiting_at = ""
+        announced, self._announced = self._announced, {}
+        for key, tokens in announced.items():
+            self._load_tracker.add_waiting(key, -tokens)
 
     @property
     def queue_seconds(self) -> float:
@@ -95,15 +98,25 @@
         """The seconds since the search began."""
         return self._clock() - self._begun_at
 
-    def _announce(self, sign: int) -> None:
-        if self.ticket.arrival.limit.patient:
-            self._load_tracker.add_waiting(self._waiting_at, sign * self.ticket.arrival.tokens)
+    def _decide(self, now: float, *, best: bool) -> Verdict:
+        refused = self._holders.refusal(self.found) is not None
+        return self._queue.decide(self.ticket, self._offer(refused=refused, best=best), now)
+
+    def _announce(self) -> None:
+        if not self.ticket.arrival.limit.patient:
+            return
+        holders = self._holders.ids()
+        tokens = self.ticket.arrival.tokens // max(1, len(holders))
+        self._announced = dict.fromkeys(holders, tokens)
+        for key in holders:
+            self._load_tracker.add_waiting(key, tokens)
 
-    def _offer(self, *, refused: bool) -> Offer:
+    def _offer(self, *, refused: bool, best: bool) -> Offer:
         return Offer(
             self.queue_seconds,
-            self._load_tracker.total(self.found.upstream.id).waiting,
+            sum(self._load_tracker.total(key).waiting for key in self._holders.ids()),
             PROMPT_TOKENS_PER_MS * MILLISECONDS_PER_SECOND,
             self._load_tracker.announcement(),
             refused,
+            best,
         )
--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
@@ -59,11 +59,12 @@
 
     def run(self, callers: Iterable[Caller]) -> list[Outcome]:
         """Return the outcomes of all callers."""
-        start = self._clock.now
+        start, updates_until = self._clock.now, LAST_UPDATE_SECONDS
         for caller in callers:
+            updates_until = max(updates_until, caller.at + caller.limit)
             sent_at = start + caller.at
             self._at(sent_at, self._send, caller, (), sent_at + caller.limit, None)
-        for step in range(int(LAST_UPDATE_SECONDS / UPDATE_SECONDS)):
+        for step in range(int(updates_until / UPDATE_SECONDS)):
             self._at(start + step * UPDATE_SECONDS, self._update)
         while self._events:
             at, _, action, arguments = heapq.heappop(self._events)
