Compare workspaces with their usual use, and let floods share free room

A share by admitted tokens was seen only seconds after the queues had grown, and returns of the refused requests took the places of other workspaces.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_queue.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_queue.py
@@ -119,13 +119,16 @@
         request = ticket.arrival
         if self._ahead(ticket, offer, now):
             return False
-        if not request.limit.patient or not offer.waiting_tokens:
+        if not request.shares_room or not (offer.waiting_tokens or request.beyond_share):
             return True
+        if request.beyond_share and ticket.place is None:
+            # The others learn of it first: such requests are many.
+            ticket.drawn_at = offer.announcement
         if ticket.drawn_at == offer.announcement:
             return False
         ticket.drawn_at = offer.announcement
         room = (limit - offer.queue_seconds) * offer.tokens_per_second
-        others = sum(p.ticket.arrival.limit.patient for p in self._queue if p.ticket is not ticket)
+        others = sum(p.ticket.arrival.shares_room for p in self._queue if p.ticket is not ticket)
         # A new arrival is not among the waiting ones yet.
         waiting = offer.waiting_tokens + (0 if ticket.place else request.tokens)
         return self._random.random() < (1 + others) * room / waiting
@@ -136,7 +139,7 @@
         return any(
             one < place
             and one.ticket.arrival.rank <= request.rank
-            and one.ticket.arrival.limit.patient <= request.limit.patient
+            and one.ticket.arrival.shares_room <= request.shares_room
             and one.ticket.arrival.limit_at(now) >= offer.queue_seconds
             for one in self._queue
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_request.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_request.py
@@ -41,6 +41,11 @@
         """The flow that the request belongs to."""
         return PlaceFlow(self.workspace, self.rank)
 
+    @property
+    def shares_room(self) -> bool:
+        """Whether the room that becomes free is shared with such requests of all instances."""
+        return self.limit.patient or self.beyond_share
+
     @property
     def weight(self) -> float:
         """The weight per request: a large prompt takes as much room as several small ones."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
@@ -28,8 +28,9 @@
 # and with more, most of the returning requests are late.
 QUEUE_TARGETS = 1.5
 # Refusals of an instance that stops or is cut off: another instance can serve the request
-# at once, and the leader would not learn of a booking.
-_NOT_BOOKED = frozenset({"stopping", "cut_off"})
+# at once, and the leader would not learn of a booking. A workspace beyond its share gets no
+# places before the requests of others.
+_NOT_BOOKED = frozenset({"stopping", "cut_off", "beyond_share"})
 
 
 class RefusedSink(Protocol):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_try.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_try.py
@@ -23,7 +23,7 @@
     """Decides again for each new load of the holders; `end` must follow.
 
     While the request waits, its tokens are announced as waiting at the holders, in equal
-    parts: any of them may be the first with room. Only patient requests share the room that becomes free with those
+    parts: any of them may be the first with room. Only some requests share the room that becomes free with those
     of other instances, so the others are not announced.
     """
 
@@ -75,7 +75,7 @@
         queue, limit = self.queue_seconds, self.ticket.arrival.limit_at(self._clock())
         return Refusal(
             503,
-            "overloaded",
+            "beyond_share" if self.ticket.arrival.beyond_share else "overloaded",
             f"{self.found.upstream.id} has {queue:.2f} s of others, of which rank "
             f"{self.ticket.arrival.rank} may join {limit:.2f} s ({verdict.reason})",
             retry_after_seconds=max(LEAST_RETRY_SECONDS, queue - limit),
@@ -103,7 +103,7 @@
         return self._queue.decide(self.ticket, self._offer(refused=refused, best=best), now)
 
     def _announce(self) -> None:
-        if not self.ticket.arrival.limit.patient:
+        if not self.ticket.arrival.shares_room:
             return
         holders = self._holders.ids()
         tokens = self.ticket.arrival.tokens // max(1, len(holders))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_shares.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_shares.py
@@ -8,31 +8,31 @@
 from redwingscale_daemon._internal.utils.decaying_rate import DecayingRate
 from redwingscale_daemon._internal.workspaces.place_messages import PlaceUse
 
-RECENT_HALF_LIFE_SECONDS = 1.5
+RECENT_HALF_LIFE_SECONDS = 2.0
 # The usual use is learned over a minute: bursts last for some seconds.
 USUAL_HALF_LIFE_SECONDS = 60.0
-# A flood counts toward the usual use of its workspace only up to this many times that use.
-MAX_USUAL_FACTOR = 1.5
+# A flood counts toward the usual use of its workspace only up to this many times that use:
+# lasting growth becomes the usual use within some minutes.
+MAX_USUAL_FACTOR = 1.2
 # Until then the usual use is not known, and there are no shares.
 LEARNING_SECONDS = 5.0
 # A workspace that was idle gets at least this fraction of the mean weight.
 MIN_WEIGHT_FRACTION = 0.25
-# Use that varies by less is not above the usual.
-MIN_SHORTAGE_FRACTION = 0.03
-LEAST_SHARE = 0.02
+# A workspace is far above its usual use at this many times that use: of some ten requests
+# within the half-life, the number varies by less.
+FAR_ABOVE_FACTOR = 3.0
 
 
 class _Use(NamedTuple):
     offered: DecayingRate
-    admitted: DecayingRate
     usual: DecayingRate
 
 
 class PlaceShares:
-    """Divides the tokens that were admitted lately by the usual use of each workspace.
+    """Compares the prompt tokens that each workspace asks for with its usual use.
 
-    Answers one workspace that sends five times its usual load while room is short. Shares
-    are weighted max-min fair: a workspace below its part gets all that it asks for.
+    Answers one workspace that sends five times its usual load. Instances apply the shares
+    only where the queues of holders are long.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
@@ -56,7 +56,6 @@
                 use = self._by_workspace.get(entry.workspace) or _new_use(now)
                 self._by_workspace[entry.workspace] = _Use(
                     use.offered.with_events(entry.offered, now),
-                    use.admitted.with_events(entry.admitted, now),
                     self._usual(use, entry.offered, now),
                 )
 
@@ -71,11 +70,10 @@
                 return {}
             age = now - self._begun_at
             offered = {k: one.offered.now(now) for k, one in self._by_workspace.items()}
-            admitted = sum(one.admitted.now(now) for one in self._by_workspace.values())
             usual = {k: self._usual_now(one, now, age) for k, one in self._by_workspace.items()}
         least = MIN_WEIGHT_FRACTION * sum(usual.values()) / max(1, len(usual))
         weights = {key: max(rate, least) for key, rate in usual.items()}
-        return max_min_shares(offered, weights, admitted)
+        return shares_of(offered, weights)
 
     def _usual_now(self, use: _Use, now: float, age: float) -> float:
         """Return the usual rate; a rate that began lately has not reached its height yet."""
@@ -92,28 +90,23 @@
         return use.usual.with_events(counted, now)
 
 
-def max_min_shares(
-    offered: Mapping[str, float], weights: Mapping[str, float], capacity: float
-) -> dict[str, float]:
-    """Return the fractions of ``offered`` that fit ``capacity``, where they are below 1."""
-    total = sum(offered.values())
-    if total <= 0 or total - capacity < MIN_SHORTAGE_FRACTION * total:
-        return {}
-    left, weight = capacity, sum(weights[key] for key in offered)
-    level = 0.0
-    # The smallest use relative to its weight is satisfied first.
-    for key in sorted(offered, key=lambda name: offered[name] / max(weights[name], 1e-9)):
-        level = left / max(weight, 1e-9)
-        if offered[key] > level * weights[key]:
-            break
-        left, weight = left - offered[key], weight - weights[key]
+def shares_of(offered: Mapping[str, float], weights: Mapping[str, float]) -> dict[str, float]:
+    """Return what fraction of ``offered`` is within the share of those far above it.
+
+    The share is the usual use, which is the weight, and grows with the use of the others:
+    whoever is not far above it is not limited at all.
+    """
+    near = [key for key, rate in offered.items() if rate <= FAR_ABOVE_FACTOR * weights[key]]
+    near_weight = sum(weights[key] for key in near)
+    growth = sum(offered[key] for key in near) / near_weight if near_weight else 1.0
+    level = max(1.0, growth)
     return {
-        key: max(LEAST_SHARE, round(level * weights[key] / rate, 2))
+        key: round(level * weights[key] / rate, 2)
         for key, rate in offered.items()
-        if rate > level * weights[key]
+        if rate > FAR_ABOVE_FACTOR * level * weights[key]
     }
 
 
 def _new_use(now: float) -> _Use:
     recent = DecayingRate(RECENT_HALF_LIFE_SECONDS, at=now)
-    return _Use(recent, recent, DecayingRate(USUAL_HALF_LIFE_SECONDS, at=now))
+    return _Use(recent, DecayingRate(USUAL_HALF_LIFE_SECONDS, at=now))
--- a/packages/redwingscale-standins/src/redwingscale_standins/places/load.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/places/load.py
@@ -23,7 +23,8 @@
 
 
 def _arrivals(rank: int, per_second: float, seconds: float) -> list[Caller]:
-    draws, at, callers = random.Random(rank), 0.0, []
+    draws, at = random.Random(rank), 0.0
+    callers: list[Caller] = []
     while at < seconds:
         busy = rank == BULK and at % BURST_INTERVAL_SECONDS < BURST_SECONDS
         at += draws.expovariate(per_second * (BURST_FACTOR if busy else 1))
@@ -31,16 +32,19 @@
     return callers
 
 
-def flood(per_second: float, seconds: float, factor: float, begins_at: float) -> list[Caller]:
+def flood(
+    per_second: float, seconds: float, factor: float, begins_at: float, seed: int = 5
+) -> list[Caller]:
     """Return callers of sixteen workspaces; ``w0`` sends ``factor`` times its load from then on.
 
     Workspace ``w0`` usually sends a tenth of all requests.
     """
-    draws, callers = random.Random(5), []
+    callers: list[Caller] = []
     names = [f"w{number}" for number in range(WORKSPACES)]
     rates = dict.fromkeys(names, per_second * 0.9 / (WORKSPACES - 1)) | {"w0": per_second * 0.1}
     for name, rate in rates.items():
-        at = 0.0
+        # The requests of the others do not depend on the factor.
+        draws, at = random.Random(f"{seed} {name}"), 0.0
         while at < seconds:
             more = factor if name == "w0" and at >= begins_at else 1.0
             at += draws.expovariate(rate * more)
