--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_request.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_request.py
@@ -4,9 +4,6 @@
 
 from redwingscale_daemon._internal.admission.queue_limit import QueueLimit
 
-# The queue at a holder may take this much longer than expected.
-QUEUE_MARGIN = 1.0
-
 
 class PlaceFlow(NamedTuple):
     """The requests of one workspace and rank, which share one weight in the queue."""
@@ -59,4 +56,4 @@
     def spare_at(self, now: float, queue_seconds: float) -> float:
         """Return how long the request can wait and still begin in time behind such a queue."""
         until = self.arrived_at + self.target_seconds - self.own_seconds
-        return until - now - queue_seconds * QUEUE_MARGIN
+        return until - now - queue_seconds
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/queue_limit.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/queue_limit.py
@@ -5,15 +5,15 @@
 
 # The most urgent requests may join a queue of this many latency targets.
 MOST_URGENT_TARGETS = 2.0
-MOST_FRACTION = 1.0
 # The least urgent requests may join a queue of this fraction of the shortest latency target
 # of the more urgent ones, which then still begin well within it.
 LEAST_FRACTION = 0.2
 # A request whose latency target is this many times the shortest one of its service can wait
 # for a quiet moment.
 PATIENT_TARGETS = 3.0
-# The same fraction for requests of a workspace beyond its share.
+# The same fraction for requests of a workspace beyond its share, at first and in the end.
 BEYOND_SHARE_FRACTION = 0.15
+BEYOND_SHARE_LAST_FRACTION = 0.4
 
 
 class QueueLimit(NamedTuple):
@@ -61,8 +61,8 @@
     shortest = min(targets.values())
     patient = target_seconds >= PATIENT_TARGETS * shortest
     if beyond_share:
-        least = BEYOND_SHARE_FRACTION * shortest
-        return QueueLimit(least, least, patient)
+        at_first, at_last = BEYOND_SHARE_FRACTION, BEYOND_SHARE_LAST_FRACTION
+        return QueueLimit(at_first * shortest, at_last * shortest, patient)
     present = MOST_URGENT_TARGETS * target_seconds
     ranks = sorted(targets)
     step = standing.workspace * len(ranks) + ranks.index(standing.route)
@@ -83,4 +83,4 @@
 
 def _fraction(step: int, steps: int) -> float:
     """Return 1 for the most urgent of ``steps``, and `LEAST_FRACTION` for the least urgent."""
-    return MOST_FRACTION - (MOST_FRACTION - LEAST_FRACTION) * step / max(1, steps - 1)
+    return 1.0 - (1.0 - LEAST_FRACTION) * step / max(1, steps - 1)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/fair_places.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/fair_places.py
@@ -107,8 +107,6 @@
             case Refusal():
                 name = "refused"
             case _:
-                if not request.returning and (request.limit.patient or not place.waited):
-                    self.uses.note_admitted(request.workspace, request.tokens)
                 name = "guaranteed" if verdict.reason == "guaranteed" else "sent"
         self.record(request.rank, f"{name}_after_wait" if place.waited else name)
         if place.waited or name != "sent":
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_messages.py
@@ -4,11 +4,10 @@
 
 
 class PlaceUse(msgspec.Struct, array_like=True):
-    """Prompt tokens of a workspace at one instance since its previous update.
+    """The ``offered`` prompt tokens of a workspace at one instance since its previous update.
 
-    ``offered`` are those of all its requests for holders, ``admitted`` of those sent.
+    They are those of its requests for holders, sent or not; returning ones count once.
     """
 
     workspace: str
     offered: int
-    admitted: int
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_shares.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_shares.py
@@ -8,18 +8,19 @@
 from redwingscale_daemon._internal.utils.decaying_rate import DecayingRate
 from redwingscale_daemon._internal.workspaces.place_messages import PlaceUse
 
-RECENT_HALF_LIFE_SECONDS = 2.0
-# The usual use is learned over a minute: bursts last for some seconds.
+RECENT_HALF_LIFE_SECONDS = 2.5
+# The usual use is learned over a minute: floods last for some seconds.
 USUAL_HALF_LIFE_SECONDS = 60.0
 # A flood counts toward the usual use of its workspace only up to this many times that use:
 # lasting growth becomes the usual use within some minutes.
 MAX_USUAL_FACTOR = 1.2
-# Until then the usual use is not known, and there are no shares.
-LEARNING_SECONDS = 5.0
+# Until then the usual use is not known, and there are no shares. The mean use of all
+# workspaces counts as that of each for as long: a few requests say little.
+LEARNING_SECONDS = 10.0
 # A workspace that was idle gets at least this fraction of the mean weight.
 MIN_WEIGHT_FRACTION = 0.25
-# A workspace is far above its usual use at this many times that use: of some ten requests
-# within the half-life, the number varies by less.
+# A workspace is far above its usual use at this many times that use: the few requests of a
+# small workspace within the half-life vary by a factor of two.
 FAR_ABOVE_FACTOR = 3.0
 
 
@@ -45,6 +46,7 @@
         with self._lock:
             self._by_workspace: dict[str, _Use] = {}
             self._begun_at: float | None = None
+            self._compared_at = 0.0
 
     def receive(self, entries: Iterable[PlaceUse]) -> None:
         """Add the use in an update of an instance."""
@@ -52,42 +54,43 @@
         with self._lock:
             for entry in entries:
                 if self._begun_at is None:
-                    self._begun_at = now
+                    self._begun_at = self._compared_at = now
                 use = self._by_workspace.get(entry.workspace) or _new_use(now)
-                self._by_workspace[entry.workspace] = _Use(
-                    use.offered.with_events(entry.offered, now),
-                    self._usual(use, entry.offered, now),
-                )
+                offered = use.offered.with_events(entry.offered, now)
+                self._by_workspace[entry.workspace] = use._replace(offered=offered)
 
     def shares(self) -> dict[str, float]:
         """Return the fraction of its requests that is within its share, by workspace.
 
-        Workspaces that are not listed are within their share with all requests.
+        Workspaces that are not listed are within their share with all requests. To be called
+        with each periodic update.
         """
         now = self._clock()
         with self._lock:
-            if self._begun_at is None or now - self._begun_at < LEARNING_SECONDS:
+            if self._begun_at is None:
                 return {}
             age = now - self._begun_at
-            offered = {k: one.offered.now(now) for k, one in self._by_workspace.items()}
-            usual = {k: self._usual_now(one, now, age) for k, one in self._by_workspace.items()}
-        least = MIN_WEIGHT_FRACTION * sum(usual.values()) / max(1, len(usual))
-        weights = {key: max(rate, least) for key, rate in usual.items()}
+            self._learn(now, age)
+            if age < LEARNING_SECONDS:
+                return {}
+            offered = {key: use.offered.now(now) for key, use in self._by_workspace.items()}
+            usual = {key: _usual(use, now, age) for key, use in self._by_workspace.items()}
+        mean = sum(usual.values()) / max(1, len(usual))
+        known = age / (age + LEARNING_SECONDS)
+        weights = {
+            key: max(MIN_WEIGHT_FRACTION * mean, rate * known + mean * (1.0 - known))
+            for key, rate in usual.items()
+        }
         return shares_of(offered, weights)
 
-    def _usual_now(self, use: _Use, now: float, age: float) -> float:
-        """Return the usual rate; a rate that began lately has not reached its height yet."""
-        reached = 1.0 - 0.5 ** (age / USUAL_HALF_LIFE_SECONDS)
-        return use.usual.now(now) / reached if reached else 0.0
-
-    def _usual(self, use: _Use, offered: int, now: float) -> DecayingRate:
-        age = now - (self._begun_at if self._begun_at is not None else now)
-        counted = float(offered)
-        if age > LEARNING_SECONDS:
-            usual, recent = self._usual_now(use, now, age), use.offered.now(now)
-            if recent > MAX_USUAL_FACTOR * usual > 0:
-                counted *= MAX_USUAL_FACTOR * usual / recent
-        return use.usual.with_events(counted, now)
+    def _learn(self, now: float, age: float) -> None:
+        seconds, self._compared_at = now - self._compared_at, now
+        for key, use in self._by_workspace.items():
+            rate = use.offered.now(now)
+            if age > LEARNING_SECONDS and (usual := _usual(use, now, age)):
+                rate = min(rate, MAX_USUAL_FACTOR * usual)
+            learned = use.usual.with_events(rate * seconds, now)
+            self._by_workspace[key] = use._replace(usual=learned)
 
 
 def shares_of(offered: Mapping[str, float], weights: Mapping[str, float]) -> dict[str, float]:
@@ -107,6 +110,14 @@
     }
 
 
+def _usual(use: _Use, now: float, age: float) -> float:
+    """Return the usual rate; a rate that began lately has not reached its height yet."""
+    reached = 1.0 - 0.5 ** (age / USUAL_HALF_LIFE_SECONDS)
+    return use.usual.now(now) / reached if reached else 0.0
+
+
 def _new_use(now: float) -> _Use:
-    recent = DecayingRate(RECENT_HALF_LIFE_SECONDS, at=now)
-    return _Use(recent, DecayingRate(USUAL_HALF_LIFE_SECONDS, at=now))
+    return _Use(
+        DecayingRate(RECENT_HALF_LIFE_SECONDS, at=now),
+        DecayingRate(USUAL_HALF_LIFE_SECONDS, at=now),
+    )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_uses.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_uses.py
@@ -23,7 +23,6 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._offered: Counter[str] = Counter()
-        self._admitted: Counter[str] = Counter()
         self._shares: dict[str, float] = {}
         self._received_at = float("-inf")
         self._credit: dict[str, float] = {}
@@ -34,19 +33,11 @@
             with self._lock:
                 self._offered[workspace] += tokens
 
-    def note_admitted(self, workspace: str, tokens: int) -> None:
-        """Count a request that is sent to its holder."""
-        if workspace:
-            with self._lock:
-                self._admitted[workspace] += tokens
-
     def drain(self) -> list[PlaceUse]:
         """Return the counts since the previous call."""
         with self._lock:
             offered, self._offered = self._offered, Counter()
-            admitted, self._admitted = self._admitted, Counter()
-        names = sorted(offered.keys() | admitted.keys())
-        return [PlaceUse(name, offered[name], admitted[name]) for name in names]
+        return [PlaceUse(*entry) for entry in sorted(offered.items())]
 
     def receive(self, shares: Mapping[str, float] | None) -> None:
         """Take the shares of an update of the leader; None if it has none."""
