--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_queue.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_queue.py
@@ -32,7 +32,7 @@
 
 
 class Offer(NamedTuple):
-    """The best holder found: its queue, and the tokens that wait at all instances for any holder.
+    """The holder found: its queue, how long a request waits behind it, and the tokens that wait at all instances for any holder.
 
     ``tokens_per_second`` is its speed. ``announcement`` differs whenever the load of the
     holders is announced anew. ``refused`` if no request may join it now, whatever its rank.
@@ -40,6 +40,7 @@
     """
 
     queue_seconds: float
+    wait_seconds: float
     waiting_tokens: int
     tokens_per_second: float
     announcement: float
@@ -99,7 +100,7 @@
         if ticket.shed:
             return Verdict(Decision.REFUSE, "queue_full")
         limit = request.limit_at(now)
-        spare = request.spare_at(now, offer.queue_seconds)
+        spare = request.spare_at(now, offer.wait_seconds)
         reason = "beyond_share" if request.beyond_share else "rank_limit"
         if offer.refused:
             # Those that can wait do so until the requests that are due have begun.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/fair_places.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/fair_places.py
@@ -136,7 +136,7 @@
             upstream=place.found.upstream.id,
             queue=round(place.queue_seconds, 3),
             limit=round(request.limit_at(now), 3),
-            spare=round(request.spare_at(now, place.queue_seconds), 3),
+            spare=round(request.spare_at(now, place.wait_seconds), 3),
         )
 
     def _place_request(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_try.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_try.py
@@ -90,7 +90,15 @@
 
     @property
     def queue_seconds(self) -> float:
-        """The queue at the holder that was found last."""
+        """The time that the holder found last needs to read its unread prompts.
+
+        Requests that it only generates for delay a first event as well, but take no room.
+        """
+        return _reading_ms(self.found) / MILLISECONDS_PER_SECOND
+
+    @property
+    def wait_seconds(self) -> float:
+        """The time that the request would spend behind others at the holder found last."""
         return self.found.queue_ms / MILLISECONDS_PER_SECOND
 
     @property
@@ -114,9 +122,17 @@
     def _offer(self, *, refused: bool, best: bool) -> Offer:
         return Offer(
             self.queue_seconds,
+            self.wait_seconds,
             sum(self._load_tracker.total(key).waiting for key in self._holders.ids()),
             PROMPT_TOKENS_PER_MS * MILLISECONDS_PER_SECOND,
             self._load_tracker.announcement(),
             refused,
             best,
         )
+
+
+def _reading_ms(found: Candidate) -> float:
+    estimate = found.estimate
+    if estimate is None:
+        return found.queue_ms
+    return min(found.queue_ms, estimate.ahead.queue_ms * estimate.slowness)
--- a/packages/redwingscale-standins/src/redwingscale_standins/places/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/places/world.py
@@ -8,9 +8,11 @@
 from redwingscale_daemon._internal.admission.place_queue import Decision
 from redwingscale_daemon._internal.exceptions import Refusal
 from redwingscale_daemon._internal.fleet.chooser import Candidate
+from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.forwarding.fair_places import FairPlaces, PlaceQueues
 from redwingscale_daemon._internal.forwarding.place_try import PlaceTry
 from redwingscale_daemon._internal.settings.scheduling import Mode
+from redwingscale_daemon._internal.swaps.instance_totals import FRESH_SECONDS
 from redwingscale_daemon._internal.workspaces.place_shares import PlaceShares
 from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
 
@@ -117,6 +119,11 @@
             return
         self._return(caller, sent_at, deadline, instance, result)
 
+    def _loads_of(self, instance: Instance) -> dict[str, Load]:
+        silent_since = self._clock.now - FRESH_SECONDS
+        lost = instance is self._instances[0] and silent_since > self._lost_instance
+        return {} if lost else super()._loads_of(instance)
+
     def _update(self) -> None:
         if self._clock.now < self._lost_leader:
             super()._update()
--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
@@ -137,13 +137,16 @@
         update = LeaderUpdate(
             "leader", 1, [], False, {}, None, INSTANCES, nothing_read, returns=entries
         )
-        own = [one.fleet.load_tracker.own() for one in self._instances]
+        own = [self._loads_of(one) for one in self._instances]
         total = {key: _sum(loads.get(key, NO_LOAD) for loads in own) for key in HOLDERS}
         for instance, loads in zip(self._instances, own, strict=True):
             others = {key: _without(total[key], loads.get(key, NO_LOAD)) for key in HOLDERS}
             at = self._clock.now + UPDATE_DELAY_SECONDS
             self._at(at, self._receive, instance, update, others)
 
+    def _loads_of(self, instance: Instance) -> dict[str, Load]:
+        return instance.fleet.load_tracker.own()
+
     def _receive(self, instance: Instance, update: LeaderUpdate, others: dict[str, Load]) -> None:
         instance.updates.receive(update.delayed(UPDATE_DELAY_SECONDS))
         instance.fleet.load_tracker.set_others(others)
