--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_queue.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_queue.py
@@ -112,7 +112,7 @@
             reason = "behind_others"
         if spare > MIN_SPARE_SECONDS:
             return Verdict(Decision.WAIT, reason)
-        if offer.best and self._is_guaranteed(request):
+        if offer.best and self._is_guaranteed(request.rank):
             return Verdict(Decision.SEND, "guaranteed")
         return Verdict(Decision.REFUSE, reason)
 
@@ -130,8 +130,9 @@
         ticket.drawn_at = offer.announcement
         room = (limit - offer.queue_seconds) * offer.tokens_per_second
         others = sum(p.ticket.arrival.shares_room for p in self._queue if p.ticket is not ticket)
-        # A new arrival is not among the waiting ones yet.
-        waiting = offer.waiting_tokens + (0 if ticket.place else request.tokens)
+        # A new arrival is not among the waiting ones yet, and holders may have changed.
+        added = 0 if ticket.place else request.tokens
+        waiting = max(1, request.tokens, offer.waiting_tokens + added)
         return self._random.random() < (1 + others) * room / waiting
 
     def _ahead(self, ticket: PlaceTicket, offer: Offer, now: float) -> bool:
@@ -145,10 +146,7 @@
             for one in self._queue
         )
 
-    def _is_guaranteed(self, request: PlaceRequest) -> bool:
-        if request.returning and not request.beyond_share:
-            return True
-        rank = request.rank
+    def _is_guaranteed(self, rank: int) -> bool:
         credit = self._guaranteed.get(rank, 0.0) + GUARANTEED_FRACTION
         sent = credit >= 1.0
         self._guaranteed[rank] = credit - sent
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_request.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/place_request.py
@@ -50,6 +50,9 @@
 
     def limit_at(self, now: float) -> float:
         """Return the longest queue that the request may join, in seconds."""
+        if self.returning:
+            # It has waited as told, and goes before new ones of its rank.
+            return self.limit.at_last
         spare = self.target_seconds - self.own_seconds
         return self.limit.after((now - self.arrived_at) / spare if spare > 0 else 1.0)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/fair_places.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/fair_places.py
@@ -81,7 +81,8 @@
                 self.changes.wait(seen, CALLER_CHECK_SECONDS)
                 seen = self.changes.count
                 holders.check()
-                verdict = place.decide()
+                if place.due:
+                    verdict = place.decide()
             return self.finish(call, place, verdict)
         finally:
             place.end()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_try.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/place_try.py
@@ -17,6 +17,9 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 LEAST_RETRY_SECONDS = 0.3
+# A waiting request looks at its holders at each announcement of their load, and after this
+# time for the changes in the load of its own instance.
+RECHECK_SECONDS = 0.1
 
 
 class PlaceTry:
@@ -43,6 +46,8 @@
         self._load_tracker = load_tracker
         self._clock = clock
         self._begun_at = clock()
+        self._decided_at = float("-inf")
+        self._announcement = 0.0
         # The tokens announced, by holder.
         self._announced: dict[str, int] = {}
         self.waited = False
@@ -53,7 +58,8 @@
         The best of all holders is used only if the request would be refused otherwise:
         all instances would send to the same one at once.
         """
-        now = self._clock()
+        now = self._decided_at = self._clock()
+        self._announcement = self._load_tracker.announcement()
         if self.waited:
             self.found = self._holders.again() or self.found
         verdict = self._decide(now, best=False)
@@ -88,6 +94,14 @@
         for key, tokens in announced.items():
             self._load_tracker.add_waiting(key, -tokens)
 
+    @property
+    def due(self) -> bool:
+        """Whether the load of the holders may have changed since the last decision."""
+        return (
+            self._clock() - self._decided_at >= RECHECK_SECONDS
+            or self._load_tracker.announcement() != self._announcement
+        )
+
     @property
     def queue_seconds(self) -> float:
         """The time that the holder found last needs to read its unread prompts.
