--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/ordered_return.py
@@ -32,8 +32,9 @@
 # model resident more often: workers are busy with a swap for some seconds.
 PLANNING_FRACTION = 0.25
 # Refusals of an instance that stops or is cut off: another instance can serve the request
-# at once, and the leader would not learn of a booking.
-_NOT_BOOKED = frozenset({"stopping", "cut_off"})
+# at once, and the leader would not learn of a booking. A workspace beyond its share gets no
+# places before the requests of others.
+_NOT_BOOKED = frozenset({"stopping", "cut_off", "beyond_share"})
 
 
 class RefusedSink(Protocol):
--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
@@ -59,11 +59,12 @@
 
     def run(self, callers: Iterable[Caller]) -> list[Outcome]:
         """Return the outcomes of all callers."""
-        start = self._clock.now
+        start, updates_until = self._clock.now, LAST_UPDATE_SECONDS
         for caller in callers:
+            updates_until = max(updates_until, caller.at + caller.limit)
             sent_at = start + caller.at
             self._at(sent_at, self._send, caller, (), sent_at + caller.limit, None)
-        for step in range(int(LAST_UPDATE_SECONDS / UPDATE_SECONDS)):
+        for step in range(int(updates_until / UPDATE_SECONDS)):
             self._at(start + step * UPDATE_SECONDS, self._update)
         while self._events:
             at, _, action, arguments = heapq.heappop(self._events)
@@ -90,14 +91,25 @@
             if sent_before:
                 self._outcomes.append(Outcome(caller, sent_at, None))
                 return
-            announced = refusal.retry_after_seconds or 0.0
-            pause = min(announced, (deadline - now) * WAITED_FRACTION)
-            returns_at = now + pause + ROUND_TRIP_SECONDS
-            self._at(returns_at, self._send, caller, sent_at, deadline, instance)
+            self._return(caller, sent_at, deadline, instance, refusal)
             return
         first_event_at = self._begin(caller, instance, found)
         self._outcomes.append(Outcome(caller, sent_at, first_event_at))
 
+    def _return(
+        self,
+        caller: Caller,
+        sent_at: tuple[float, ...],
+        deadline: float,
+        refused_by: Instance,
+        refusal: Refusal,
+    ) -> None:
+        """Send a refused request again, as told or after the longest time that it waits."""
+        announced, now = refusal.retry_after_seconds or 0.0, self._clock.now
+        pause = min(announced, (deadline - now) * WAITED_FRACTION)
+        returns_at = now + pause + ROUND_TRIP_SECONDS
+        self._at(returns_at, self._send, caller, sent_at, deadline, refused_by)
+
     def _begin(self, caller: Caller, instance: Instance, found: Candidate) -> float:
         """Queue a request at its holder and return the time of its first event."""
         key, now = found.upstream.id, self._clock.now
@@ -125,13 +137,16 @@
         update = LeaderUpdate(
             "leader", 1, [], False, {}, None, INSTANCES, nothing_read, returns=entries
         )
-        own = [one.fleet.load_tracker.own() for one in self._instances]
+        own = [self._loads_of(one) for one in self._instances]
         total = {key: _sum(loads.get(key, NO_LOAD) for loads in own) for key in HOLDERS}
         for instance, loads in zip(self._instances, own, strict=True):
             others = {key: _without(total[key], loads.get(key, NO_LOAD)) for key in HOLDERS}
             at = self._clock.now + UPDATE_DELAY_SECONDS
             self._at(at, self._receive, instance, update, others)
 
+    def _loads_of(self, instance: Instance) -> dict[str, Load]:
+        return instance.fleet.load_tracker.own()
+
     def _receive(self, instance: Instance, update: LeaderUpdate, others: dict[str, Load]) -> None:
         instance.updates.receive(update.delayed(UPDATE_DELAY_SECONDS))
         instance.fleet.load_tracker.set_others(others)
@@ -142,4 +157,8 @@
 
 
 def _without(total: Load, own: Load) -> Load:
-    return Load(total.requests - own.requests, total.prompt_tokens - own.prompt_tokens)
+    return Load(
+        total.requests - own.requests,
+        total.prompt_tokens - own.prompt_tokens,
+        waiting=total.waiting - own.waiting,
+    )
