--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/queue_limit.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/admission/queue_limit.py
@@ -13,7 +13,7 @@
 PATIENT_TARGETS = 3.0
 # The same fraction for requests of a workspace beyond its share, at first and in the end.
 BEYOND_SHARE_FRACTION = 0.15
-BEYOND_SHARE_LAST_FRACTION = 0.4
+BEYOND_SHARE_LAST_FRACTION = 0.3
 
 
 class QueueLimit(NamedTuple):
