--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/scheduling.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/scheduling.py
@@ -28,7 +28,7 @@
     stream_pauses: Mode = Mode.AUTO
     copy_aware_swaps: Mode = Mode.AUTO
     staged_copies: Mode = Mode.OFF
-    first_event_estimates: Mode = Mode.AUTO
+    first_event_estimates: Mode = Mode.OFF
     ordered_return: Mode = Mode.AUTO
     fair_places: Mode = Mode.AUTO
     lost_swaps: Mode = Mode.AUTO
