--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/scheduling.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/scheduling.py
@@ -19,8 +19,9 @@
 
     ``stream_pauses`` places prompts by the pauses that they cause in other streams.
     ``copy_aware_swaps`` plans swaps by the copies of weights that upstreams have in memory
-    and on disk; ``staged_copies`` makes copies that nobody has asked for yet. ``first_event_estimates`` learns the time to a first event from all
-    instances. ``ordered_return`` gives refused callers a time to return and serves them
+    and on disk; ``staged_copies`` makes copies that nobody has asked for yet.
+    ``first_event_estimates`` learns the time to a first event from all instances.
+    ``ordered_return`` gives refused callers a time to return and serves them
     before new ones. ``fair_places`` queues requests that compete for a holder.
     ``lost_swaps`` gives up swaps at upstreams that the leader cannot reach.
     """
