--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -5,6 +5,13 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.composition.ordered_return import (
+    ReturnUpdates,
+    build_ordered_return,
+    new_return_updates,
+)
+from redwingscale_daemon._internal.composition.pauses import PauseRules
+from redwingscale_daemon._internal.composition.places import build_fair_places
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps, engine_calls
 from redwingscale_daemon._internal.fleet.chooser import Chooser
@@ -12,6 +19,7 @@
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
 from redwingscale_daemon._internal.fleet.list_reads import READ_CHECK_SECONDS, ListReads
 from redwingscale_daemon._internal.fleet.own_reports import OwnReports
+from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
@@ -21,7 +29,9 @@
 from redwingscale_daemon._internal.forwarding.request_handler import RequestHandler
 from redwingscale_daemon._internal.forwarding.sender import Sender
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
+from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 from redwingscale_daemon._internal.forwarding.upstream_connection import CONNECT_SECONDS
+from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget, limits_of
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
 from redwingscale_daemon._internal.lifecycle.ingress_instance import IngressInstance, IngressParts
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
@@ -31,11 +41,13 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_follower import RouteFollower
 from redwingscale_daemon._internal.settings.ingress_settings import Bounds, IngressSettings
+from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
+from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
 from redwingscale_daemon._internal.workspaces.use_limiter import UseLimiter
 
 # Larger than any configuration allows.
@@ -65,7 +77,20 @@
     open_requests = OpenRequests()
     reads = StoreReads(LinkState("upstreams"), LinkState("configuration"))
     limiter = UseLimiter(lambda: swaps.instances(), settings.bounds.use_slack)
-    swaps = build_swaps(settings, uuid.uuid4().hex, store, routes, fleet, metrics, reads, limiter)
+    returns = new_return_updates()
+    place_uses = PlaceUses()
+    swaps = build_swaps(
+        settings,
+        uuid.uuid4().hex,
+        store,
+        routes,
+        fleet,
+        metrics,
+        reads,
+        limiter,
+        returns,
+        place_uses,
+    )
     own_reports = _own_reports(settings, routes, fleet, reads)
     handler = _request_handler(
         settings,
@@ -77,9 +102,13 @@
         metrics,
         own_reports,
         limiter,
+        returns,
+        place_uses,
         lambda: callers.crowded,
     )
-    callers = _callers(settings, handler)
+    budget = ByteBudget(limits_of(settings.machine.memory_mb))
+    metrics.observe_bytes_held(lambda: budget.held)
+    callers = _callers(settings, handler, budget)
     followers = _followers(settings.bounds, store, routes, fleet, swaps, reads, own_reports)
     parts = IngressParts(
         callers=callers,
@@ -145,13 +174,31 @@
     metrics: IngressMetrics,
     own_reports: OwnReports,
     limiter: UseLimiter,
+    returns: ReturnUpdates,
+    place_uses: PlaceUses,
     crowded: Callable[[], bool],
 ) -> RequestHandler:
     bounds = settings.bounds
     rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
     budget = RepeatBudget(rule, swaps.instances)
-    chooser = Chooser(settings.failure_domain, fleet, swaps.instances)
-    sender = Sender(pool, exchange, fleet.backpressure)
+    pauses = StreamPauses(
+        PauseRules(routes, settings.scheduling.stream_pauses).rule_of,
+        fleet.load_tracker,
+        lambda: metrics.long_pauses.add(1),
+    )
+    fleet.directory.on_gone(pauses.forget)
+    mode = settings.scheduling.first_event_estimates
+    chooser = Chooser(
+        settings.failure_domain,
+        fleet,
+        swaps.instances,
+        pauses,
+        estimates_on=lambda service: is_on(mode, routes.engine(service)),
+    )
+    fleet.first_events.on_observed = metrics.record_first_event
+    limits = limits_of(settings.machine.memory_mb)
+    open_bytes = UpstreamBytes(limits.upstream if limits else None)
+    sender = Sender(pool, exchange, fleet.backpressure, open_bytes)
     parts = RelayParts(
         exchange,
         sender,
@@ -162,6 +209,7 @@
         budget,
         fleet.gate,
         fleet.backpressure,
+        pauses,
     )
     wait = HolderWait(
         chooser,
@@ -171,6 +219,22 @@
         open_requests,
         fleet.gate,
         lambda: own_reports.caller_retry_seconds,
+        build_ordered_return(
+            settings.scheduling.ordered_return,
+            returns,
+            routes,
+            fleet,
+            swaps.local_demand,
+            lambda result: metrics.returns.add(1, {"result": result}),
+        ),
+        lambda: metrics.held_prompts.add(1),
+        build_fair_places(
+            settings.scheduling.fair_places,
+            routes,
+            fleet,
+            place_uses,
+            lambda rank, result: metrics.places.add(1, {"rank": str(rank), "result": result}),
+        ),
     )
     return RequestHandler(
         routes,
@@ -215,7 +279,9 @@
     )
 
 
-def _callers(settings: IngressSettings, handler: RequestHandler) -> IngressServer:
+def _callers(
+    settings: IngressSettings, handler: RequestHandler, budget: ByteBudget
+) -> IngressServer:
     limits = PortLimits(
         settings.request_threads,
         MAX_HEAD_BYTES,
@@ -224,7 +290,14 @@
         max(MIN_REFUSING_THREADS, round(settings.request_threads * REFUSING_FRACTION)),
         "callers",
     )
-    return IngressServer(handler.handle, *settings.callers, limits, handler.screen)
+    return IngressServer(
+        handler.handle,
+        *settings.callers,
+        limits,
+        handler.screen,
+        handler.refuse_unread,
+        budget,
+    )
 
 
 def _probes(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.composition.ordered_return import ReturnUpdates
 from redwingscale_daemon._internal.composition.peers import build_peers
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.exceptions import PlatformError
@@ -15,8 +16,10 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_version_tracker import RouteVersionTracker
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings, Machine
+from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.rows import RowStore
+from redwingscale_daemon._internal.swaps.copy_plans import CopySettings
 from redwingscale_daemon._internal.swaps.demand import Demand
 from redwingscale_daemon._internal.swaps.instance_count import InstanceCount
 from redwingscale_daemon._internal.swaps.leader import Leader
@@ -36,9 +39,11 @@
 )
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
+from redwingscale_daemon._internal.swaps.slowness import first_event_entry
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
+from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
 from redwingscale_daemon._internal.workspaces.use_limiter import UseLimiter
 
 # Three renewals fit into a lease: one lost answer does not end it.
@@ -101,6 +106,8 @@
     metrics: IngressMetrics,
     reads: StoreReads,
     limiter: UseLimiter,
+    returns: ReturnUpdates,
+    place_uses: PlaceUses,
 ) -> Swaps:
     """Return the parts, not started; ``start`` identifies this process."""
     me = settings.instance
@@ -138,6 +145,8 @@
 
     def on_leader_update(update: LeaderUpdate) -> None:
         instances.receive(update.instances)
+        returns.receive(update)
+        place_uses.receive(update.shares)
         _take_update(update, sent_loads, fleet)
         if update.grants is not None:
             limiter.receive(update.grants)
@@ -156,6 +165,13 @@
             reads.configuration.age,
         )
 
+    def gives_up(upstream_id: str) -> bool:
+        upstream, table = fleet.directory.get(upstream_id), routes.get()
+        if upstream is None or table is None:
+            return False
+        rule = table.services_by_name.get(upstream.service)
+        return rule is not None and is_on(settings.scheduling.lost_swaps, rule.engine)
+
     def make_update(initial: bool) -> InstanceUpdate:
         nonlocal sent_loads
         loads = [LoadEntry(key, *load) for key, load in fleet.load_tracker.own().items()]
@@ -180,6 +196,10 @@
             fleet.rates.updates(full=initial),
             fleet.directory.leaving_unlisted(),
             fleet.retry_times.pending(),
+            returns=returns.entries(),
+            places=place_uses.drain(),
+            misdirected=[key for key in fleet.outcomes.drain_misdirected() if gives_up(key)],
+            first_events=[first_event_entry(*event) for event in fleet.first_events.drain()],
         )
         own_demand.receive(update)
         return update
@@ -215,6 +235,16 @@
         issuer,
         instances,
         fleet.rates.limited,
+        ordered_return=lambda engine: is_on(settings.scheduling.ordered_return, engine),
+        lost_swaps=settings.scheduling.lost_swaps,
+        on_given_up=lambda reason: metrics.swaps_given_up.add(1, {"reason": reason}),
+        copies=CopySettings(
+            settings.scheduling.copy_aware_swaps,
+            settings.scheduling.staged_copies,
+            lambda purpose: metrics.staged_loads.add(1, {"purpose": purpose}),
+            lambda service, models: metrics.without_copy.set(models, {"service": service}),
+        ),
+        former_slowness=fleet.first_events.slowness.values,
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet)
@@ -270,13 +300,14 @@
     fleet.directory.note_leaving(update.leaving, "order giver")
     if update.loads is not None:
         fleet.outcomes.set_failure_ratios(update.failure_ratios)
+        fleet.first_events.slowness.receive(update.slowness)
         own = {entry.upstream: entry for entry in own_loads}
-        fleet.load_tracker.set_others(
-            {
-                entry.upstream: _load_of_others(entry, own.get(entry.upstream))
-                for entry in update.loads
-            }
-        )
+        others = {
+            entry.upstream: _load_of_others(entry, own.get(entry.upstream))
+            for entry in update.loads
+        }
+        fleet.load_tracker.set_others(others)
+        fleet.first_events.receive_others(others)
     fleet.changes.notify()
 
 
@@ -290,7 +321,10 @@
 def _load_of_others(total: LoadEntry, own: LoadEntry | None) -> Load:
     # The total may be older than the loads that this instance has sent since.
     if own is None:
-        return Load(total.requests, total.prompt_tokens)
+        return Load(total.requests, total.prompt_tokens, total.generating, total.waiting)
     return Load(
-        max(0, total.requests - own.requests), max(0, total.prompt_tokens - own.prompt_tokens)
+        max(0, total.requests - own.requests),
+        max(0, total.prompt_tokens - own.prompt_tokens),
+        max(0, total.generating - own.generating),
+        max(0, total.waiting - own.waiting),
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -100,9 +100,17 @@
     """The caller has disconnected; nobody waits for the answer."""
 
 
+class CallerTooSlow(CallerLeft):
+    """The caller has not read its answer for so long that its connection is cut."""
+
+
 class TimeLimitReached(RedwingscaleError):
     """The caller's deadline or the route's time limit has passed."""
 
 
+class NotSentInTime(TimeLimitReached):
+    """The time limit was reached before the request was sent to the chosen upstream."""
+
+
 class UpstreamSilent(RedwingscaleError):
     """An upstream sent nothing for longer than a healthy one would."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -1,12 +1,13 @@
 """The attempts to send one request, and whether another one is allowed."""
 
 import time
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureState
 from redwingscale_daemon._internal.fleet.chooser import Candidate
+from redwingscale_daemon._internal.fleet.first_event_estimate import FirstEventEstimate
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
@@ -15,6 +16,8 @@
 
 # An attempt that no upstream has run costs little, but uses up time until the deadline.
 MAX_ATTEMPTS = 4
+# Statuses that promise a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({429, 503})
 
 
 class FailedResponse(NamedTuple):
@@ -42,6 +45,8 @@
         self.longest_gap_seconds = 0.0
         self._sent_at = 0.0
         self.first_event_seconds: float | None = None
+        # Whether the request was refused before and has returned as announced to its caller.
+        self.returning = False
 
     def begin(
         self, request: str, chosen: Candidate, load: Load, backpressure: BackpressureState
@@ -60,6 +65,8 @@
             rate=_or_dash(backpressure.per_second),
             leaving=_or_dash(backpressure.leaving_seconds),
             retry_in=round(backpressure.retry_in, 3),
+            **_pause_fields(chosen),
+            **_estimate_fields(chosen.estimate),
         )
         if not self.count:
             self._budget.note_request(self._service)
@@ -78,6 +85,7 @@
         if isinstance(outcome, NotRun) and outcome.retry_later:
             # The chooser leaves the upstream out until its retry time has passed.
             self.tried.discard(outcome.upstream.id)
+        self.possible_runs += isinstance(outcome, Lost)
         if self.count >= MAX_ATTEMPTS:
             return False
         match outcome:
@@ -88,12 +96,20 @@
             case NotRun():
                 return self._budget.take(self._service)
             case Lost():
-                return self._take_repeat()
+                return self._may_repeat()
 
     def take_retry_after_error(self, upstream_id: str, reason: str) -> bool:
         """Record a failed or unsigned response; return whether to try another upstream."""
         self.history.append(f"{upstream_id}:{reason}")
-        return self.count < MAX_ATTEMPTS and self._take_repeat()
+        self.possible_runs += 1
+        return self.count < MAX_ATTEMPTS and self._may_repeat()
+
+    def may_pass_on(self, status: int, *, counted: bool) -> bool:
+        """Return whether a response with ``status`` is true of all attempts.
+
+        ``counted`` tells whether the attempt that received it counts in `possible_runs`.
+        """
+        return status not in NOT_RUN_STATUSES or self.possible_runs == int(counted)
 
     def note_first_event(self) -> float:
         """Record the first event of the latest attempt; return the seconds since it was sent."""
@@ -118,8 +134,7 @@
         """Whether no upstream has run the request or will run it."""
         return self.possible_runs == 0
 
-    def _take_repeat(self) -> bool:
-        self.possible_runs += 1
+    def _may_repeat(self) -> bool:
         return (
             self._route.repeatable
             and self.possible_runs < self._route.most_upstreams
@@ -127,5 +142,24 @@
         )
 
 
+def _pause_fields(chosen: Candidate) -> dict[str, Any]:
+    if chosen.pauses is None:
+        return {}
+    return {
+        "broken": round(chosen.pauses.broken, 2),
+        "place_ms": round(chosen.pauses.place_ms),
+    }
+
+
+def _estimate_fields(estimate: FirstEventEstimate | None) -> dict[str, Any]:
+    if estimate is None:
+        return {}
+    return {
+        "expected_ms": round(estimate.expected_ms),
+        "spread_ms": round(estimate.spread_ms),
+        "slowness": round(estimate.slowness, 2),
+    }
+
+
 def _or_dash(value: float | None) -> float | str:
     return "-" if value is None else round(value, 3)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -1,5 +1,6 @@
 """Waits until the model or adapter of a request is resident at an upstream."""
 
+import math
 import time
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -15,6 +16,14 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.final_refusal import final_refusal
+from redwingscale_daemon._internal.forwarding.late_refusal import late_refusal
+from redwingscale_daemon._internal.forwarding.place_rule import (
+    FIRST_COME_FIRST_SERVED,
+    Holders,
+    PlaceRule,
+)
+from redwingscale_daemon._internal.forwarding.prompt_pacing import hold
+from redwingscale_daemon._internal.forwarding.return_order import UNORDERED, ReturnOrder
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 
@@ -67,6 +76,10 @@
     # it reaches neither the leader nor the list, or only its own failure domain. None
     # while it is not isolated.
     caller_retry_seconds: Callable[[], float | None] = lambda: None
+    order: ReturnOrder = UNORDERED
+    # Counts a prompt that was held because it would have broken streams.
+    on_held: Callable[[], None] = lambda: None
+    places: PlaceRule = FIRST_COME_FIRST_SERVED
 
     def choose_holder(self, call: Call, prompt: Prompt) -> Candidate:
         """Return the best holder, waiting for one; raises `Refusal`, `CallerLeft`.
@@ -74,9 +87,21 @@
         A request that cannot be served in time is refused at once, with a retry time:
         a longer wait would keep the caller from trying another instance.
         """
+        self.order.note_arrival(call, prompt)
+        try:
+            return self._choose_holder(call, prompt)
+        except Refusal as refusal:
+            self.note_refusal(call, prompt, refusal)
+            raise
+
+    def note_refusal(self, call: Call, prompt: Prompt, refusal: Refusal) -> None:
+        """Set the time at which the caller of a refused request should return."""
+        self.order.note_refusal(call, prompt, refusal, _max_wait_seconds(call))
+
+    def _choose_holder(self, call: Call, prompt: Prompt) -> Candidate:
         found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
         if found is not None:
-            return self._choose_in_time(call, prompt, found)
+            return self._hold(call, prompt, self._choose_in_time(call, prompt, found))
         throttled = self.chooser.throttled_holders(call.service, prompt, call.attempts.tried)
         if throttled:
             self._check_queue(call, prompt, throttled)
@@ -87,6 +112,17 @@
             finally:
                 self.demand.end_wait(call.service, prompt.unit)
 
+    def _hold(self, call: Call, prompt: Prompt, found: Candidate) -> Candidate:
+        if found.pauses is None:
+            return found
+        return hold(
+            call,
+            found,
+            lambda: self.chooser.choose_holder(call.service, prompt, call.attempts.tried),
+            lambda: self.open_requests.draining,
+            self.on_held,
+        )
+
     def _check_queue(self, call: Call, prompt: Prompt, throttled: list[str]) -> None:
         """Raise `Refusal` if neither the throttled holders nor a load can serve it in time."""
         ready_in = self.residency.ready_in(str(prompt.unit))
@@ -105,21 +141,33 @@
             raise
 
     def _choose_in_time(self, call: Call, prompt: Prompt, found: Candidate) -> Candidate:
-        """Return ``found``, or the best of all holders if ``found`` is too late.
+        """Return ``found``, or the best of all holders if there is no place at ``found``.
 
         The chooser compares only a sample of the holders, so a long queue at ``found``
-        says nothing about the rest. Raises `Refusal` only if the best one is too late.
+        says nothing about the rest. Raises `Refusal` only if the best one has no place.
         """
-        if _overload_refusal(call, found) is None:
-            return found
-        best = self.chooser.choose_holder(
-            call.service, prompt, call.attempts.tried, compare_all=True
+        match self.places.take_place(call, prompt, found, self.holders(call, prompt)):
+            case Candidate() as chosen:
+                return chosen
+            case refusal:
+                self.demand.note_overload(call.service, prompt.unit)
+                raise refusal
+
+    def holders(self, call: Call, prompt: Prompt) -> Holders:
+        """Return what the choice of a place needs to know of the request's holders."""
+        return Holders(
+            lambda: self.chooser.choose_holder(call.service, prompt, call.attempts.tried),
+            lambda: self.chooser.choose_holder(
+                call.service, prompt, call.attempts.tried, compare_all=True
+            ),
+            lambda: self.chooser.holder_ids(call.service, prompt, call.attempts.tried),
+            lambda one: self.order.overload_refusal(call, prompt, one, _overload_refusal),
+            lambda: self._check_wait(call),
         )
-        refusal = _overload_refusal(call, best or found)
-        if refusal is None:
-            return best or found
-        self.demand.note_overload(call.service, prompt.unit)
-        raise refusal
+
+    def _check_wait(self, call: Call) -> None:
+        self._refuse_if_stopping(call)
+        call.watch.check_caller()
 
     def _wait_for_holder(self, call: Call, prompt: Prompt) -> Candidate:
         started = time.monotonic()
@@ -164,14 +212,16 @@
             # another instance.
             raise final_refusal(call, "cut_off", f"no news of {prompt.unit}", retry_seconds)
         left = _max_wait_seconds(call)
-        ready_in = self.residency.ready_in(str(prompt.unit))
+        ready_in = self.order.ready_in(call, prompt, self.residency.ready_in(str(prompt.unit)))
         throttled = self.chooser.throttled_holders(call.service, prompt, call.attempts.tried)
         if waited_seconds > LOAD_ANNOUNCED_SECONDS and (ready_in is None or ready_in > left):
             self._check_retry_times(call, prompt, throttled, ready_in)
         if ready_in is not None and not throttled:
             too_late = ready_in > left
         elif self.residency.fresh:
-            too_late = left <= 0
+            too_late = left <= 0 or (
+                not throttled and self.order.is_unplanned(call, prompt, waited_seconds, left)
+            )
         else:
             too_late = waited_seconds > NO_UPDATES_WAIT_SECONDS
         if not too_late:
@@ -195,6 +245,10 @@
         found.expected_ms / MILLISECONDS_PER_SECOND,
     )
     max_wait = _max_wait_seconds(call)
+    if found.estimate is not None and not call.attempts.count:
+        # A returning request has waited already, and is refused only if its caller would leave.
+        target = math.inf if call.attempts.returning else call.route.latency_target_seconds
+        return late_refusal(found.estimate, max_wait, target, OVERLOADED_RETRY_SECONDS)
     excess = max(queue - longest, expected - max_wait)
     if excess <= 0 or call.attempts.count:
         return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -15,9 +15,11 @@
 from redwingscale_daemon._internal.forwarding.attempt_failure import FAILURE_STATUSES, note_failure
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.events import Event, read_events
+from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.pause_watch import PauseWatch
 from redwingscale_daemon._internal.forwarding.response_body import read_response_body
 from redwingscale_daemon._internal.models.run_state import RunState
 
@@ -31,6 +33,8 @@
 STREAM_SILENCE_SECONDS = 1.6
 # Before the first event, the request may be queued at a healthy upstream.
 FIRST_EVENT_SILENCE_SECONDS = 2.2
+# An upstream that was expected to send the first event long ago is silent.
+SILENT_EXPECTED_TIMES = 3.0
 REFUSED_RETRY_SECONDS = 0.3
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -75,6 +79,7 @@
         A stream that cannot be completed is cut, so that it never looks complete.
         """
         progress = _Progress(call.terms.last_event)
+        prompt = prompt._replace(priority=_priority(call))
         while True:
             candidate = self._wait.choose_holder(call, prompt)
             if not self._parts.gate.draw(candidate.upstream.id):
@@ -90,8 +95,11 @@
             unread = max(0, prompt.tokens_in - kept)
             ticket = self._parts.load_tracker.open_ticket(upstream.id, prompt.unit, unread)
             self._prefixes.sent(upstream.id, prompt)
+            if self._parts.pauses is not None:
+                self._parts.pauses.note_sent(call.service, prompt)
+            pauses = PauseWatch(self._parts.pauses, call, upstream.id, load, unread)
             try:
-                if self._send(call, candidate, progress, ticket):
+                if self._send(call, candidate, progress, ticket, pauses):
                     return
             finally:
                 ticket.close()
@@ -102,6 +110,7 @@
         candidate: Candidate,
         progress: _Progress,
         ticket: LoadTicket,
+        pauses: PauseWatch,
     ) -> bool:
         """Return whether the reply is complete, False to retry; raises if neither is possible."""
         upstream = candidate.upstream
@@ -112,22 +121,20 @@
             _priority(call),
             progress.last_event,
         )
-        call.watch.silence_seconds = _first_event_silence_seconds(call)
+        call.watch.silence_seconds = _first_event_silence_seconds(call, candidate)
         try:
             outcome = self._parts.sender.send(
                 upstream, call.request, call.terms.request_id, headers, call.watch
             )
-        except TimeLimitReached:
-            raise _time_limit_refusal() from None
+        except TimeLimitReached as error:
+            raise time_limit_refusal(call, error) from None
         match outcome:
             case Answering():
-                return self._relay_response(call, outcome, candidate, progress, ticket)
+                return self._relay_response(call, outcome, candidate, progress, ticket, pauses)
             case Lost():
                 if not progress.events:
                     waited_ms = call.attempts.seconds_since_send() * MILLISECONDS_PER_SECOND
-                    self._parts.latency_factors.observe(
-                        upstream.id, candidate.first_event_ms, waited_ms
-                    )
+                    self._parts.chooser.note_lost(candidate, waited_ms)
                 return self._prepare_retry(call, outcome)
             case NotRun():
                 return self._prepare_retry(call, outcome)
@@ -139,6 +146,7 @@
         candidate: Candidate,
         progress: _Progress,
         ticket: LoadTicket,
+        pauses: PauseWatch,
     ) -> bool:
         response = answering.response
         try:
@@ -146,14 +154,14 @@
                 return self._relay_failure(call, answering)
             if not self._parts.dialect.is_signed(response):
                 raise HTTPException("the answer bears no signature")
-            self._relay_events(call, answering, candidate, progress, ticket)
+            self._relay_events(call, answering, candidate, progress, ticket, pauses)
         except (HTTPException, OSError, UpstreamSilent, ValueError) as error:
             answering.connection.discard()
             lost = Lost(answering.upstream, f"event {progress.last_event}: {error!r}")
             return self._prepare_retry(call, lost)
-        except TimeLimitReached:
+        except TimeLimitReached as error:
             answering.connection.discard()
-            raise _time_limit_refusal() from None
+            raise time_limit_refusal(call, error) from None
         except (CallerLeft, Refusal):
             answering.connection.discard()
             raise
@@ -168,17 +176,18 @@
         candidate: Candidate,
         progress: _Progress,
         ticket: LoadTicket,
+        pauses: PauseWatch,
     ) -> None:
         headers = self._parts.dialect.response_headers(answering.response)
         begun = False
-        for event in read_events(answering.response):
+        for event in read_events(answering.response, call.note_read):
+            pauses.note_read()
             if not begun:
                 begun = True
                 ticket.note_prompt_read()
                 real_ms = call.attempts.note_first_event() * MILLISECONDS_PER_SECOND
-                self._parts.latency_factors.observe(
-                    answering.upstream.id, candidate.first_event_ms, real_ms
-                )
+                pauses.note_first_event(ticket, real_ms / MILLISECONDS_PER_SECOND)
+                self._parts.chooser.note_first_event(candidate, real_ms)
                 if real_ms / MILLISECONDS_PER_SECOND > call.route.latency_target_seconds:
                     self._note_late_first_event(call)
             call.watch.silence_seconds = STREAM_SILENCE_SECONDS if call.route.resumable else None
@@ -189,6 +198,7 @@
             call.reply.write(event.data)
             progress.note_delivered(event)
             call.attempts.note_delivery()
+            pauses.note_written()
         if not call.reply.started:
             call.reply.begin(answering.response.status, headers)
 
@@ -197,7 +207,7 @@
             self._wait.demand.note_overload(call.service, call.terms.prompt.unit)
 
     def _relay_failure(self, call: Call, answering: Answering) -> bool:
-        body = read_response_body(answering.response)
+        body = read_response_body(answering.response, call.request.held)
         self._parts.sender.release(answering)
         status = answering.response.status
         if status in FAILURE_STATUSES:
@@ -209,6 +219,8 @@
             return False
         if call.reply.started:
             raise Refusal(502, "stream_broken", f"status {status}", run=RunState.RUN)
+        if not call.attempts.may_pass_on(status, counted=failed):
+            raise Refusal(502, "upstream_failed", f"status {status}", run=RunState.UNKNOWN)
         call.reply.send(status, self._parts.dialect.response_headers(answering.response), body)
         return True
 
@@ -219,7 +231,12 @@
             call.watch.check_caller()
             return False
         if call.attempts.certainly_not_run:
-            raise Refusal(503, "refused", outcome.reason, retry_after_seconds=REFUSED_RETRY_SECONDS)
+            refusal = Refusal(
+                503, "refused", outcome.reason, retry_after_seconds=REFUSED_RETRY_SECONDS
+            )
+            if call.terms.prompt is not None:
+                self._wait.note_refusal(call, call.terms.prompt, refusal)
+            raise refusal
         raise Refusal(502, "upstream_failed", outcome.reason, run=RunState.UNKNOWN)
 
 
@@ -228,11 +245,12 @@
     return call.urgency.level(PRIORITY_LEVELS, late=late)
 
 
-def _first_event_silence_seconds(call: Call) -> float | None:
+def _first_event_silence_seconds(call: Call, candidate: Candidate) -> float | None:
     if not call.route.resumable:
         return None
-    return max(FIRST_EVENT_SILENCE_SECONDS, call.route.latency_target_seconds * 2)
-
-
-def _time_limit_refusal() -> Refusal:
-    return Refusal(504, "time_limit", "no answer within the time limit", run=RunState.UNKNOWN)
+    usual = max(FIRST_EVENT_SILENCE_SECONDS, call.route.latency_target_seconds * 2)
+    if candidate.estimate is None:
+        return usual
+    # A request in a long queue is given up no sooner than its caller would.
+    expected = candidate.estimate.expected_ms / MILLISECONDS_PER_SECOND
+    return max(usual, min(call.route.first_event_seconds, expected * SILENT_EXPECTED_TIMES))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -4,7 +4,7 @@
 import io
 import socket
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from http.client import HTTPResponse
 from typing import Any
@@ -19,7 +19,8 @@
 CONNECT_SECONDS = 0.35
 # A host that lost power acknowledges nothing: data in flight is abandoned after this time.
 USER_TIMEOUT_MS = 4000
-_READ_BYTES = 65536
+# Each connection has a buffer of this size.
+_READ_BYTES = 16 << 10
 # Methods whose requests need no Content-Length if they have no body.
 _BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
@@ -117,6 +118,8 @@
         self.idle_since = 0.0
         # Monotonic time from which the upstream may close this connection while it is idle.
         self.expires_at = float("inf")
+        # Called once when the request on this connection is answered or given up.
+        self.on_request_end: Callable[[], None] | None = None
 
     def connect(self) -> None:
         """Connect; raises `HTTPError` or `OSError`, in which case nothing was sent."""
@@ -176,6 +179,12 @@
         """Record that the connection is idle from now on."""
         self.idle_since = time.monotonic()
 
+    def end_request(self) -> None:
+        """Note that the request is answered or given up; a second call does nothing."""
+        ended, self.on_request_end = self.on_request_end, None
+        if ended is not None:
+            ended()
+
     def discard(self) -> None:
         """Reset the connection; the upstream aborts what it runs for it.
 
@@ -183,6 +192,7 @@
         still reach the upstream once the partition ends, long after its caller has
         disconnected.
         """
+        self.end_request()
         if self.sock is not None:
             with contextlib.suppress(OSError):
                 self.sock.setsockopt(*RESET_ON_CLOSE)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_request.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_request.py
@@ -3,14 +3,19 @@
 import socket
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
+from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
+
 Headers = tuple[tuple[str, str], ...]
 
 
 class IngressRequest(NamedTuple):
     """A request; ``target`` is kept byte for byte and ``body`` is complete.
 
-    ``arrived_at`` is the monotonic time after the head was read. ``socket`` is the
-    caller's connection, on which a disconnect of the caller is seen.
+    ``arrived_at`` is the monotonic time after the head was read, ``arrived_on_lease_clock``
+    the same time by `lease_clock`, which deadlines are counted by. ``socket`` is the
+    caller's connection, on which a disconnect of the caller is seen. ``held`` counts the
+    bytes that the instance holds for the request.
     """
 
     method: str
@@ -20,6 +25,8 @@
     body: bytes
     arrived_at: float
     socket: socket.socket
+    arrived_on_lease_clock: float = 0.0
+    held: HeldBytes = HeldBytes(ByteBudget())
 
     @property
     def path(self) -> str:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -14,7 +14,10 @@
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.service_rule import EngineRule
+from redwingscale_daemon._internal.settings.scheduling import Mode
 from redwingscale_daemon._internal.swaps.adapter_orders import AdapterOrders
+from redwingscale_daemon._internal.swaps.announced_returns import AnnouncedReturns
+from redwingscale_daemon._internal.swaps.copy_plans import CopyPlans, CopySettings
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.failing_upstreams import FailingUpstreams
 from redwingscale_daemon._internal.swaps.instance_totals import NO_TOTALS, InstanceTotals
@@ -31,11 +34,14 @@
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
 from redwingscale_daemon._internal.swaps.service_views import ServiceViews
-from redwingscale_daemon._internal.swaps.tasks import SwapTask
+from redwingscale_daemon._internal.swaps.slowness import Slowness
+from redwingscale_daemon._internal.swaps.tasks import ReportTask, SwapTask
+from redwingscale_daemon._internal.swaps.unserved_units import UnservedUnits
 from redwingscale_daemon._internal.swaps.update_schedule import UPDATE_SECONDS, UpdateSchedule
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.swaps.worker_pool import WorkerPool
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
+from redwingscale_daemon._internal.workspaces.place_shares import PlaceShares
 from redwingscale_daemon._internal.workspaces.use_totals import UseTotals
 from redwingscale_daemon._internal.workspaces.workspace import UseLimit
 
@@ -53,6 +59,10 @@
 # Instances treat a leader that is silent for longer as lost.
 MAX_PLAN_PAUSE_SECONDS = 0.7
 BITS_PER_MEGABIT = 1e6
+# Where lost swaps are given up: how long the first update of a new leader waits for the reports of
+# the workers, which take some milliseconds each. Without them, instances would use the residency of
+# the list, which may lag. Requests that wait for a load expect its announcement within 0.3 s.
+FIRST_UPDATE_SECONDS = 0.1
 # Each swap evaluates every model at every worker again; further swaps wait a quarter of a second.
 MAX_SWAPS_PER_STEP = 4
 # Other addresses follow in later updates; instances remember them.
@@ -76,6 +86,11 @@
         issuer: PermitIssuer | None = None,
         known_instances: Callable[[], int] = lambda: 0,
         limits_by_id: Callable[[], Mapping[str, float]] = dict,
+        ordered_return: Callable[[EngineRule], bool] = lambda _: False,
+        lost_swaps: Mode = Mode.OFF,
+        on_given_up: Callable[[str], None] = lambda _: None,
+        copies: CopySettings | None = None,
+        former_slowness: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         self._authority = authority
         self._routes = routes
@@ -90,19 +105,33 @@
         self._read = read
         self._changes = ListChanges()
         self._demand = Demand()
+        self._copies = CopyPlans(copies or CopySettings(), self._demand)
+        # Services with staged copies whose initial copies are noted; later ones may be staged.
+        self._noted: set[str] = set()
         self._rate = LoadRate()
         self._wake = threading.Event()
-        self._workers = WorkerPool(self._engine, client, authority, self._wake.set)
+        self._workers = WorkerPool(
+            self._engine, client, authority, self._wake.set, lost_swaps, on_given_up
+        )
         self._service_views = ServiceViews(directory, self._workers, self._demand, limits_by_id)
         self._adapters = AdapterOrders(self._demand, self._workers)
+        # Whether requests for a service's models are refused at once if no load is planned.
+        self._ordered_return = ordered_return
+        self._unserved = UnservedUnits()
+        self._returns = AnnouncedReturns()
         self._instances = InstanceTotals()
         self._failing = FailingUpstreams()
+        self._slowness = Slowness()
+        # Returns the slowness that the former leader has sent.
+        self._former_slowness = former_slowness
         self._use = UseTotals(use_slack)
+        self._shares = PlaceShares()
         # Issues permits for upstreams with a rate limit.
         self._issuer = issuer or PermitIssuer()
         self._totals = NO_TOTALS
         self._schedule = UpdateSchedule()
         self._leading = False
+        self._term_began_at = 0.0
         # Not for secrets: it only spreads peer requests over the instances.
         self._random = random.Random()
 
@@ -110,20 +139,26 @@
         """Process an instance's update; called by the threads that receive updates."""
         self._demand.receive(update)
         self._failing.receive(update.outcomes)
+        self._slowness.receive(update.first_events)
         self._use.receive(update.instance, update.drawn)
+        self._shares.receive(update.places)
         self._directory.note_leaving(update.leaving, "instance")
+        for key in update.misdirected:
+            self._workers.request_report(key)
         if self._issuer.receive(update.instance, update.rate_limits):
             self._wake.set()
         if self._instances.receive(update):
             # A new instance has no residency yet.
             self._schedule.request_full()
             self._wake.set()
-        if any(entry.waiting for entry in update.demand):
+        self._returns.receive(update.returns)
+        if any(entry.waiting or entry.refused for entry in update.demand):
             self._wake.set()
 
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are no longer listed."""
         self._instances.forget(upstream_ids)
+        self._slowness.forget(upstream_ids)
 
     def step(self) -> LeaderUpdate | None:
         """Plan once and return the update sent, None without changes or the leader lease."""
@@ -132,6 +167,7 @@
         fence = self._authority.fence()
         if fence is None:
             self._end_term()
+            self._note_copies_before_term()
             return None
         if not self._leading:
             self._leading = True
@@ -140,7 +176,8 @@
         self._totals = self._instances.sum()
         self._follow_upstreams()
         self._plan()
-        update = self._make_update(fence)
+        reading = self._workers.unread and started - self._term_began_at < FIRST_UPDATE_SECONDS
+        update = None if reading else self._make_update(fence)
         message_bytes = 0 if update is None else self._server.publish(update)
         elapsed = time.monotonic() - started
         min_pause = MIN_PLAN_PAUSE_SECONDS + len(self._instances) * PLAN_PAUSE_SECONDS_PER_INSTANCE
@@ -158,7 +195,11 @@
 
     def _begin_term(self, fence: int) -> None:
         log_event("giver_begins", fence=fence)
+        self._term_began_at = time.monotonic()
+        self._copies.begin_term(succeeds_another=self._authority.succeeds_another())
+        self._slowness.begin(self._former_slowness(), [one.id for one in self._directory.all()])
         self._use.begin(self._known_instances())
+        self._shares.begin()
         self._issuer.begin()
         self._changes.begin_with(self._directory.all())
         table = self._routes.get()
@@ -180,6 +221,8 @@
             self._schedule = UpdateSchedule()
             self._changes = ListChanges()
             self._demand.forget_snapshot_senders()
+            self._unserved.clear()
+            self._returns.clear()
             log_event("giver_ends")
         self._workers.stop()
 
@@ -188,21 +231,35 @@
         if not self._workers:
             self._note_initial_copies(listed)
         self._workers.follow(listed)
+        self._workers.read_reports(self._totals.unreachable)
 
     def _note_initial_copies(self, upstreams: Iterable[Upstream]) -> None:
         copies: dict[str, Counter[str]] = defaultdict(Counter)
         for upstream in upstreams:
             copies[upstream.service].update(upstream.models_by_name.keys())
         for service, copies_by_model in copies.items():
+            if service in self._noted:
+                continue
+            if self._copies.is_on(self._engine(service)):
+                self._noted.add(service)
             self._demand.note_initial_copies(service, copies_by_model)
 
+    def _note_copies_before_term(self) -> None:
+        """Note the initial copies that staging restores, in case this instance leads later."""
+        self._note_initial_copies(
+            one
+            for one in self._directory.all()
+            if one.service not in self._noted and self._copies.is_on(self._engine(one.service))
+        )
+
     def _engine(self, service: str) -> EngineRule | None:
         table = self._routes.get()
         rule = table.services_by_name.get(service) if table else None
         return rule.engine if rule else None
 
     def _plan(self) -> None:
-        for waiting in self._demand.waiting():
+        wanted = self._demand.wanted()
+        for waiting in wanted:
             engine = self._engine(waiting.service)
             if engine is None:
                 continue
@@ -218,19 +275,64 @@
         for name, service in table.services_by_name.items() if table else ():
             if service.engine is not None:
                 self._adapters.load_extra_copies(name, service.engine, self._views)
-                self._swap_models(name, service.engine)
+                complete = self._swap_models(name, service.engine)
+                if self._ordered_return(service.engine):
+                    self._note_plan(name, [one for one in wanted if one.service == name], complete)
+
+    def _note_plan(self, service: str, wanted: list[WaitingUnit], complete: bool) -> None:
+        views = self._views(service)
+        self._demand.note_resident(service, {name for view in views for name in view.resident})
+        self._unserved.note_plan(wanted, views, complete=complete)
+
+    def _swap_models(self, service: str, engine: EngineRule) -> bool:
+        """Start the swaps that pay off, the best one first; each affects the next choice.
 
-    def _swap_models(self, service: str, engine: EngineRule) -> None:
-        """Start the swaps that pay off, the best one first; each affects the next choice."""
-        planner = Planner(service, engine, self._demand)
+        Returns whether no further one pays off now.
+        """
+        staged = self._copies.is_on(engine)
+        planner = Planner(
+            service,
+            engine,
+            self._demand,
+            lambda views: self._copies.guard(service, engine, views) if staged else None,
+        )
+        if staged:
+            resident = frozenset().union(*(view.resident for view in self._views(service)))
+            self._demand.note_resident(service, resident)
         for _ in range(MAX_SWAPS_PER_STEP):
             views = self._views(service)
-            waiting = self._service_views.missing_models(service, engine, views, self._totals)
+            waiting = self._service_views.missing_models(
+                service, engine, views, self._totals, by_arrivals=staged
+            )
             cold_allowed = self._rate.allows_load(self._ceiling(engine))
             swap = planner.best_swap(waiting, views, cold_allowed=cold_allowed)
-            if swap is None:
-                return
-            self._start_swap(swap, waiting)
+            if swap is not None:
+                self._start_swap(swap, waiting)
+            elif not self._copies.stages(engine) or not self._stage(
+                service, engine, waiting, cold_allowed
+            ):
+                return True
+        return False
+
+    def _stage(
+        self, service: str, engine: EngineRule, waiting: Iterable[WaitingUnit], cold_allowed: bool
+    ) -> bool:
+        """Start the next staged load, if any; return whether there was one."""
+        awaited = {one.unit.model for one in waiting}
+        views = self._views(service)
+        for key in self._copies.reports_to_read(engine, views):
+            self._workers.start_task(key, ReportTask())
+        load = self._copies.next_load(
+            service, engine, views, cold_allowed=cold_allowed, awaited=awaited
+        )
+        if load is None:
+            return False
+        if load.cold:
+            self._rate.count_load()
+        self._copies.note_evictions(service, load.evicted)
+        task = SwapTask(load.evicted, load.model, load.load_seconds)
+        self._workers.start_task(load.view.upstream.id, task)
+        return True
 
     def _start_swap(self, swap: Swap, waiting: Iterable[WaitingUnit]) -> None:
         served = [one for one in waiting if one.unit.model == swap.model.name]
@@ -247,6 +349,7 @@
         )
         if swap.cold:
             self._rate.count_load()
+        self._copies.note_evictions(swap.view.upstream.service, swap.evicted)
         task = SwapTask(swap.evicted, swap.model.name, swap.load_seconds)
         self._workers.start_task(swap.view.upstream.id, task)
 
@@ -259,10 +362,14 @@
         residency, residency_complete = self._schedule.residency(
             self._workers.resident_by_id(), periodic=periodic, instances=len(self._instances)
         )
-        ready_in = self._workers.ready_in_by_model()
+        ready_in = self._workers.ready_in_by_model(
+            self._totals.cut_off
+        ) | self._workers.ready_in_by_unit(self._announces_units)
+        unplanned = self._unserved.listed(periodic=periodic)
         store = self._read(self._changes)
         limits = self._issuer.issue(all_limits=periodic)
-        if not self._schedule.has_changes(ready_in.keys(), store) and not periodic and not limits:
+        changed = self._schedule.has_changes(ready_in.keys(), store)
+        if not changed and not periodic and not limits and not unplanned:
             return None
         loads = [LoadEntry(key, *load) for key, load in self._totals.loads.items()]
         return LeaderUpdate(
@@ -279,8 +386,17 @@
             self._sample_peers() if residency_complete else [],
             limits,
             self._directory.leaving_unlisted(),
+            unplanned=unplanned,
+            returns=self._returns.next_entries() if periodic else [],
+            slowness=self._slowness.changes() if periodic else {},
+            shares=self._shares.shares() if periodic else None,
         )
 
+    def _announces_units(self, service: str) -> bool:
+        """Return whether requests are refused if no load of their unit is announced."""
+        engine = self._engine(service)
+        return engine is not None and self._ordered_return(engine)
+
     def _sample_peers(self) -> list[str]:
         addresses = self._instances.addresses()
         return self._random.sample(addresses, min(MAX_PEERS_PER_UPDATE, len(addresses)))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -4,6 +4,7 @@
 
 from redwingscale_daemon._internal.fleet.list_update import ListUpdate
 from redwingscale_daemon._internal.fleet.rate_limit_messages import PermitEntry, RateLimitEntry
+from redwingscale_daemon._internal.workspaces.place_messages import PlaceUse
 from redwingscale_daemon._internal.workspaces.use_messages import DrawnEntry, GrantEntry
 
 
@@ -14,6 +15,8 @@
     ``max_wait_seconds``, and none longer. ``overloads`` counts requests whose holders were
     too busy: they were refused for that reason, or had their first event after their
     latency target. Each waiting request counts ``weight`` times, by its urgency.
+    ``refused`` counts requests that were refused for want of a holder; at least one of them
+    could have waited for ``refused_wait_seconds``, and none longer.
     """
 
     service: str
@@ -24,31 +27,46 @@
     max_wait_seconds: float
     overloads: int = 0
     weight: float = 1.0
+    refused: int = 0
+    refused_wait_seconds: float = 0.0
 
 
 class LoadEntry(msgspec.Struct, array_like=True):
     """The open requests at an upstream, and their prompt tokens that it has yet to read.
 
-    ``generating`` requests have received their first event.
+    ``generating`` requests have received their first event. ``waiting`` prompt tokens are
+    those of requests that wait for a place there.
     """
 
     upstream: str
     requests: int
     prompt_tokens: int
     generating: int = 0
+    waiting: int = 0
 
 
 class FirstEventEntry(msgspec.Struct, array_like=True):
-    """A first event that came after ``real_ms``; ``expected_ms`` were expected at speed 1."""
+    """A first event that came after ``real_ms``; ``expected_ms`` were expected at speed 1.
+
+    At the time of the request, ``queue_ms`` at speed 1 were ahead of it, and its own prompt
+    takes ``own_ms``; the upstream had ``requests`` open. ``priority`` 0 is the most urgent.
+    """
 
     upstream: str
     model: str
     expected_ms: float
     real_ms: float
+    own_ms: float = 0.0
+    queue_ms: float = 0.0
+    requests: int = 0
+    priority: int = 0
 
 
 class ReturnEntry(msgspec.Struct, array_like=True):
-    """A refused request that may return in ``seconds``; ``request`` identifies it anywhere."""
+    """A refused request that may return in ``seconds``; ``request`` identifies it anywhere.
+
+    The lower its ``rank``, the more urgent it is.
+    """
 
     service: str
     model: str
@@ -56,6 +74,11 @@
     request: str
     seconds: float
     tokens: int
+    rank: int = 0
+
+    def delayed(self, seconds: float) -> "ReturnEntry":
+        """Return the entry as of ``seconds`` later."""
+        return msgspec.structs.replace(self, seconds=self.seconds - seconds)
 
 
 class UseEntry(msgspec.Struct, array_like=True):
@@ -117,6 +140,8 @@
     in their responses, and are not yet marked so in the list. ``rejecting`` upstreams have
     named a time before which the instance must not send them requests. ``first_events``
     were observed and ``returns`` were announced to callers since the previous update.
+    ``misdirected`` upstreams have refused a request since then for a unit that they lack.
+    ``places`` has the tokens of requests for holders since then, by workspace.
     """
 
     instance: str
@@ -133,6 +158,8 @@
     rejecting: list[str] = []
     first_events: list[FirstEventEntry] = []
     returns: list[ReturnEntry] = []
+    misdirected: list[str] = []
+    places: list[PlaceUse] = []
 
 
 class ResidencyEntry(msgspec.Struct, array_like=True):
@@ -174,8 +201,10 @@
     send time by the leader's monotonic clock.
 
     ``slowness`` has the time to a first event relative to the expected one, by upstream id
-    and by model name. For the ``unplanned`` units, requests wait and no load is planned.
+    and by model name; keys that begin with "*" are those of `SlownessView`. For the ``unplanned`` units, requests wait and no load is planned.
     ``returns`` are the refused requests of all instances that are expected to return.
+    ``shares`` has the workspaces that are beyond their share of the holders, and the fraction
+    of their requests that is within it; None if the update is not periodic.
     """
 
     leader: str
@@ -195,6 +224,7 @@
     slowness: dict[str, float] = {}
     unplanned: list[str] = []
     returns: list[ReturnEntry] = []
+    shares: dict[str, float] | None = None
 
     def delayed(self, seconds: float) -> "LeaderUpdate":
         """Return the update with ``seconds`` of delay added to its ages; late permits are void."""
@@ -207,4 +237,5 @@
             configuration_age=self.store.configuration_age + seconds,
         )
         limits = [entry.delayed(seconds) for entry in self.rate_limits]
-        return msgspec.structs.replace(self, store=store, rate_limits=limits)
+        returns = [entry.delayed(seconds) for entry in self.returns]
+        return msgspec.structs.replace(self, store=store, rate_limits=limits, returns=returns)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -1,8 +1,10 @@
 """Counters and latencies of the requests that are forwarded byte for byte."""
 
 import time
+from collections.abc import Callable, Iterable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
@@ -13,6 +15,9 @@
 # Latency targets of deployments are between 0.1 and 5 seconds.
 LATENCY_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0)
 
+# A first event within this factor of its expected time counts as expected.
+FIRST_EVENT_NEAR_FACTOR = 2.0
+
 
 class IngressMetrics:
     """The metrics of one instance; each label has only a few values."""
@@ -26,10 +31,19 @@
             metric_readers=[PrometheusMetricReader()], views=[view], shutdown_on_exit=False
         )
         meter = self._provider.get_meter("redwingscale")
+        self._meter = meter
         self._requests = meter.create_counter("redwingscale_ingress_requests", unit="1")
         self._seconds = meter.create_histogram("redwingscale_request_seconds", unit="s")
         meter.create_observable_gauge("redwingscale_threads", callbacks=[observe_threads])
+        self.long_pauses = meter.create_counter("redwingscale_long_pauses", unit="1")
+        self.held_prompts = meter.create_counter("redwingscale_held_prompts", unit="1")
+        self._first_events = meter.create_counter("redwingscale_first_events", unit="1")
         self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
+        self.returns = meter.create_counter("redwingscale_returns", unit="1")
+        self.places = meter.create_counter("redwingscale_places", unit="1")
+        self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
+        self.staged_loads = meter.create_counter("redwingscale_staged_loads", unit="1")
+        self.without_copy = meter.create_gauge("redwingscale_models_without_copy", unit="1")
 
     def record_request(self, request: IngressRequest, outcome: str) -> float:
         """Count an ended request; return its duration in seconds."""
@@ -38,6 +52,22 @@
         self._seconds.record(seconds, {"outcome": outcome})
         return seconds
 
+    def observe_bytes_held(self, read: Callable[[], int]) -> None:
+        """Report ``read()``, the bytes held for callers and upstreams, as a gauge."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(
+            "redwingscale_bytes_held", callbacks=[observe], unit="1"
+        )
+
+    def record_first_event(self, ratio: float) -> None:
+        """Count a first event by the ``ratio`` of its real to its expected time."""
+        near = 1.0 / FIRST_EVENT_NEAR_FACTOR <= ratio <= FIRST_EVENT_NEAR_FACTOR
+        came = "as_expected" if near else ("late" if ratio > 1.0 else "early")
+        self._first_events.add(1, {"came": came})
+
     def prometheus_page(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return bytes(generate_latest(REGISTRY))
