Say for which load a decision is designed

Cause: doc comments said that a class answers a load, which reads as answering a request; one comment promised short waits that hold only where no load can serve the request. Change: wording of eight comments.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/others_load.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/others_load.py
@@ -37,7 +37,7 @@
 class OthersLoad:
     """The usual load of other instances, by upstream id.
 
-    Answers a load that is announced 0.25 to 0.75 s late, while a worker reads some 5,000
+    Designed for a load that is announced 0.25 to 0.75 s late, while a worker reads some 5,000
     tokens in 0.25 s: a long queue has mostly been read since, and an empty one has not
     stayed empty. With its age, an announced queue moves to the usual one, and its spread
     to that of the usual one.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/read_times.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/read_times.py
@@ -73,7 +73,7 @@
 
     A regression whose coefficients are never negative: of the time to read all prompts, a
     fixed time, and the open requests. The latter two are used relative to the first, whose
-    scale is in the upstreams' slowness. Answers engines in which a running request costs
+    scale is in the upstreams' slowness. Designed for engines in which a running request costs
     6 ms as well as those in which it costs nothing.
 
     Requests of a priority wait for a share of the queue. In the mean over all requests,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/slowness_fit.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/slowness_fit.py
@@ -38,7 +38,7 @@
 class SlownessFit:
     """Ratio of real to expected time as a product of level, upstream and model.
 
-    All are kept as logarithms. Answers a load in which the models and the upstreams of one
+    All are kept as logarithms. Designed for a load in which the models and the upstreams of one
     service differ in speed by a factor of two and more, and in which each pair of them is
     seen too rarely to be learned on its own.
     """
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/late_refusal.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/late_refusal.py
@@ -21,7 +21,7 @@
 
     Too late is a first event after ``max_wait_seconds``, when the caller has disconnected.
     With a queue that takes longer than ``target_seconds``, the latency target, everybody
-    behind it is late. Answers a load that holds some seconds of prompts for each worker,
+    behind it is late. Designed for a load that holds some seconds of prompts for each worker,
     where estimates are off by a factor of two.
     """
     chance = estimate.chance_by(max_wait_seconds)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/load_outlook.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/load_outlook.py
@@ -10,7 +10,7 @@
 from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule
 
 # The leader announces a load within this time after a request began to wait for it. It is
-# checked each 0.05 s, so a wait that ends in a refusal lasts under a quarter of a second.
+# checked each 0.05 s: a request that no load can serve is refused within 0.25 s.
 ANNOUNCED_SECONDS = 0.2
 # An adapter is loaded within some tens of milliseconds, after the planning step that starts it.
 ADAPTER_SECONDS = 0.4
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/slowness.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/slowness.py
@@ -31,7 +31,7 @@
 class Slowness:
     """Slowness of upstreams and models over the first events of all instances.
 
-    Answers a load in which one instance sees one or two streams a second and all of them
+    Designed for a load in which one instance sees one or two streams a second and all of them
     together over a hundred: only the sum shows within a quarter of a second that an upstream
     is slow for a moment.
     """
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/staging.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/staging.py
@@ -28,7 +28,7 @@
 class Staging:
     """The staged loads that are useful at one point in time.
 
-    Answers two loads: the 16 s before traffic starts, in which some 25 of 104 models are at no
+    Designed for two loads: the 16 s before traffic starts, in which some 25 of 104 models are at no
     worker and each of 30 workers carries out one cold load, and the idle workers during traffic.
     Only a load makes a copy, and it drives the least recently used copies out. A model whose last
     copy would be at risk is first loaded from that copy, which makes it the most recently used
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_uses.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/workspaces/place_uses.py
@@ -15,7 +15,7 @@
 class PlaceUses:
     """Counts prompt tokens by workspace, and lets through each workspace's share.
 
-    Answers a deployment in which each instance sees one or two streams a second, too few
+    Designed for a deployment in which each instance sees one or two streams a second, too few
     to tell which workspace is beyond its share: the leader tells it from the totals.
     """
 
