Log content, phase and kind of end of failed attempts

Cause: the logs could not tell a request that comes again under another id from a new one, a connection that the upstream's end closed from silence, nor an attempt that had begun from one in the queue; the hypotheses on the requests that end upstreams differ in just these. Change: sending_failed names the digest of path, caller, model and body, whether the upstream's end closed the connection, and how far the attempt got. The digest is computed for failed attempts only. Result: unit tests of forwarding and ingress pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -3,6 +3,7 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.fingerprint import fingerprint_of
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 
@@ -31,4 +32,8 @@
         reason=outcome.reason,
         sending=call.attempts.count,
         answer_begun=call.reply.started,
+        body=fingerprint_of(call.request, call.terms),
+        broken=isinstance(outcome, Lost) and outcome.broken,
+        head=call.attempts.head_received,
+        events=call.attempts.events_received,
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -44,6 +44,9 @@
         self.last_event_at: float | None = None
         self.longest_gap_seconds = 0.0
         self._sent_at = 0.0
+        # Of the latest attempt: whether a head has arrived, and the events after it.
+        self.head_received = False
+        self.events_received = 0
         self.first_event_seconds: float | None = None
         # Whether the request was refused before and has returned as announced to its caller.
         self.returning = False
@@ -72,6 +75,8 @@
             self._budget.note_request(self._service)
         self.count += 1
         self._sent_at = time.monotonic()
+        self.head_received = False
+        self.events_received = 0
         self.tried.add(upstream_id)
 
     def take_retry(self, outcome: NotRun | Lost) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
@@ -1,6 +1,6 @@
 """The possible outcomes of sending a request to one upstream."""
 
-from http.client import HTTPResponse
+from http.client import HTTPResponse, IncompleteRead
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.upstream import Upstream
@@ -33,7 +33,18 @@
 
 
 class Lost(NamedTuple):
-    """No valid response arrived: the request may have run."""
+    """No valid response arrived: the request may have run.
+
+    ``broken``: the upstream's end closed or reset the connection, as it does when its
+    process ends. Otherwise it was silent, or its response was invalid.
+    """
 
     upstream: Upstream
     reason: str
+    broken: bool = False
+
+
+def lost_by(upstream: Upstream, error: Exception, detail: str = "") -> Lost:
+    """Return the loss of a request whose exchange with ``upstream`` raised ``error``."""
+    broken = isinstance(error, ConnectionError | IncompleteRead)
+    return Lost(upstream, f"{detail}{error!r}", broken)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -17,7 +17,7 @@
 from redwingscale_daemon._internal.forwarding.attempts import Attempts, FailedResponse
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
-from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
+from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.response_body import (
     BodyStart,
@@ -113,6 +113,7 @@
 
     def _relay_response(self, call: Call, answering: Answering) -> bool:
         response, upstream = answering.response, answering.upstream
+        call.attempts.head_received = True
         failed = response.status >= FIRST_SERVER_ERROR_STATUS
         unsigned = response.status < FIRST_ERROR_STATUS and not self._parts.dialect.is_signed(
             response
@@ -126,7 +127,7 @@
                 start = read_body_start(response, held)
         except (HTTPException, OSError, UpstreamSilent) as error:
             answering.connection.discard()
-            lost = Lost(upstream, f"answer broke off: {error!r}")
+            lost = lost_by(upstream, error, "answer broke off: ")
             note_failure(self._parts, call, lost)
             if not call.attempts.take_retry(lost):
                 raise _failure_refusal(lost.reason) from error
@@ -182,7 +183,7 @@
                 piece = read_body_piece(response, call.request.held)
         except (HTTPException, OSError, UpstreamSilent) as error:
             answering.connection.discard()
-            lost = Lost(answering.upstream, f"answer broke off: {error!r}")
+            lost = lost_by(answering.upstream, error, "answer broke off: ")
             note_failure(self._parts, call, lost)
             raise _failure_refusal(lost.reason) from error
         except TimeLimitReached as error:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/response_body.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/response_body.py
@@ -1,6 +1,6 @@
 """Reads response bodies: whole, or in pieces if they are too long to hold."""
 
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
@@ -66,5 +66,5 @@
     itself; until the response is closed, its connection accepts no further request.
     """
     if response.length:
-        raise HTTPException(f"{response.length} bytes are missing")
+        raise IncompleteRead(b"", response.length)
     response.close()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -17,7 +17,7 @@
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
-from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
+from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
 from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 from redwingscale_daemon._internal.forwarding.upstream_connection import UpstreamConnection
 from redwingscale_daemon._internal.forwarding.watch import Watch
@@ -78,7 +78,7 @@
             raise
         except (HTTPException, HTTPError, OSError, UpstreamSilent) as error:
             connection.discard()
-            return Lost(upstream, repr(error))
+            return lost_by(upstream, error)
         except Exception:
             # The bytes of the request would count forever.
             connection.discard()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -17,7 +17,7 @@
 from redwingscale_daemon._internal.forwarding.events import Event, read_events
 from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
-from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
+from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.pause_watch import PauseWatch
 from redwingscale_daemon._internal.forwarding.response_body import read_response_body
@@ -149,6 +149,7 @@
         pauses: PauseWatch,
     ) -> bool:
         response = answering.response
+        call.attempts.head_received = True
         try:
             if response.status >= FIRST_ERROR_STATUS:
                 return self._relay_failure(call, answering)
@@ -157,7 +158,7 @@
             self._relay_events(call, answering, candidate, progress, ticket, pauses)
         except (HTTPException, OSError, UpstreamSilent, ValueError) as error:
             answering.connection.discard()
-            lost = Lost(answering.upstream, f"event {progress.last_event}: {error!r}")
+            lost = lost_by(answering.upstream, error, f"event {progress.last_event}: ")
             return self._prepare_retry(call, lost)
         except TimeLimitReached as error:
             answering.connection.discard()
@@ -182,6 +183,7 @@
         begun = False
         for event in read_events(answering.response, call.note_read):
             pauses.note_read()
+            call.attempts.events_received += 1
             if not begun:
                 begun = True
                 ticket.note_prompt_read()
