Reproduce the request that ends upstreams on real processes

Callers saw 502s and cut streams for as long as one body came again under new ids, until every worker of the model had ended.

--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -7,6 +7,7 @@
 from redwingscale_standins.hosted.model_worker import ModelWorker, WorkerTiming
 from redwingscale_standins.hosted.rows_api import RowsApi
 from redwingscale_standins.hosted.waiting import until
+from redwingscale_standins.hosted.worker_process import WorkerProcess
 
 
 class Deployment:
@@ -20,6 +21,7 @@
         self.rows.put("op", "config", document(1))
         self.workers = {}
         self.instances = []
+        self.processes = []
 
     def _serve(self, handler):
         server = HttpServer(handler, "127.0.0.1", 0, ServerLimits(threads=24))
@@ -34,6 +36,12 @@
         self.rows.put("servers", worker_id, self.entry(made, port))
         return made
 
+    def worker_process(self, name, *models):
+        """Start a worker that requests can end, in a process of its own."""
+        made = WorkerProcess(name, models, self.rows)
+        self.processes.append(made)
+        return made
+
     def entry(self, worker, port, state="ready"):
         models = [{"Name": name, "Version": 1, "Adapters": []} for name in worker.models]
         return {
@@ -53,6 +61,8 @@
     def stop(self):
         for instance in self.instances:
             instance.end()
+        for process in self.processes:
+            process.stop()
         for server in self._servers:
             server.stop()
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
@@ -100,6 +100,7 @@
         request: str = "r1",
         timeout: float = 25.0,
         key: str | None = None,
+        body: bytes = b"{}",
     ) -> tuple[int, list[int]]:
         """Request one stream and return its status and the ids of its events."""
         headers = {
@@ -112,7 +113,7 @@
             headers["Authorization"] = f"Bearer {key}"
         url = f"http://127.0.0.1:{self.ports[0]}{path}"
         response = urllib3.request(
-            "POST", url, body=b"{}", headers=headers, retries=False, timeout=timeout
+            "POST", url, body=body, headers=headers, retries=False, timeout=timeout
         )
         lines = response.data.decode().splitlines()
         return response.status, [int(line[4:]) for line in lines if line.startswith("id: ")]
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -69,7 +69,9 @@
         return self._run(headers)
 
     def _run(self, headers: Any) -> bytes | Iterator[bytes]:
-        read_body(BODY_LIMIT_BYTES)
+        return self._serve(headers, read_body(BODY_LIMIT_BYTES))
+
+    def _serve(self, headers: Any, _body: bytes) -> bytes | Iterator[bytes]:
         name, _, adapter = headers["X-Redwingscale-Model-Name"].partition("/")
         if name not in self.models or (adapter and adapter not in self.models[name]):
             return self._refuse(421)
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/worker_process.py
@@ -0,0 +1,136 @@
+"""A model worker in a process of its own, which the requests with a mark in their body end."""
+
+import itertools
+import os
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from typing import Any
+
+from redwingscale_common.network.server import HttpServer, ServerLimits
+
+from redwingscale_standins.hosted.model_worker import ModelWorker, WorkerTiming
+from redwingscale_standins.hosted.rows_api import RowsApi
+
+# A worker ends before it answers a request with the first mark, after the head of the answer
+# to one with the second, and after two events to one with the third.
+ENDS_AT_ONCE, ENDS_AFTER_HEAD, ENDS_AFTER_EVENTS = b"end-at-once", b"end-after-head", b"end-late"
+EVENTS_BEFORE_END = 2
+END_SECONDS = 0.02
+SERVER_THREADS = 48
+
+
+class EndingWorker(ModelWorker):
+    """Ends its process when it runs a request whose body has a mark."""
+
+    def _serve(self, headers: Any, body: bytes) -> bytes | Iterator[bytes]:
+        if ENDS_AT_ONCE in body:
+            time.sleep(END_SECONDS)
+            os._exit(1)
+        answer = super()._serve(headers, body)
+        if isinstance(answer, bytes):
+            return answer
+        if ENDS_AFTER_HEAD in body:
+            return _ends(answer, 0)
+        return _ends(answer, EVENTS_BEFORE_END) if ENDS_AFTER_EVENTS in body else answer
+
+
+def _ends(events: Iterator[bytes], count: int) -> Iterator[bytes]:
+    # The server sends the head with the first bytes: a comment, which is no event.
+    yield b": begun\n"
+    yield from itertools.islice(events, count)
+    time.sleep(END_SECONDS)
+    os._exit(1)
+
+
+class WorkerProcess:
+    """Keeps a worker running and listed: a process that ends is replaced under its address.
+
+    ``ends`` are the monotonic times at which a process ended. The entry of one that has ended
+    stays in the list for ``listed_seconds``, the next one starts after ``down_seconds``.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        models: tuple[str, ...],
+        rows: RowsApi,
+        gap: float = 0.02,
+        listed_seconds: float = 0.6,
+        down_seconds: float = 1.0,
+    ) -> None:
+        self.name, self.models, self.ends = name, models, list[float]()
+        self._rows, self._gap = rows, gap
+        self._listed_seconds, self._down_seconds = listed_seconds, down_seconds
+        self._starts = itertools.count(1)
+        self._stopped = threading.Event()
+        self._port = 0
+        self.process = self._start()
+        self._thread = threading.Thread(target=self._replace_ended, daemon=True)
+        self._thread.start()
+
+    def kill(self) -> None:
+        """End the process from outside."""
+        self.process.kill()
+
+    def stop(self) -> None:
+        """End the process for good."""
+        self._stopped.set()
+        self.process.kill()
+        self._thread.join()
+        self.process.kill()
+        self.process.wait()
+
+    def _start(self) -> "subprocess.Popen[str]":
+        self.id = f"{self.name}.{next(self._starts)}"
+        command = [sys.executable, "-m", __name__, self.id, str(self._port), str(self._gap)]
+        process = subprocess.Popen(
+            [*command, *self.models], stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True
+        )
+        assert process.stdout is not None
+        self._port = int(process.stdout.readline())
+        self._rows.put("servers", self.id, self._entry())
+        return process
+
+    def _replace_ended(self) -> None:
+        while True:
+            self.process.wait()
+            if self._stopped.is_set():
+                return
+            self.ends.append(time.monotonic())
+            self._stopped.wait(self._listed_seconds)
+            self._rows.remove("servers", self.id)
+            if self._stopped.wait(self._down_seconds - self._listed_seconds):
+                return
+            self.process = self._start()
+
+    def _entry(self) -> dict[str, Any]:
+        models = [{"Name": name, "Version": 1, "Adapters": []} for name in self.models]
+        return {
+            "Service": "llm",
+            "Address": f"127.0.0.1:{self._port}",
+            "Zone": "z1",
+            "Slots": 64,
+            "State": "ready",
+            "Version": "v1",
+            "ColdLeftMs": 0,
+            "Seq": 1,
+            "Models": models,
+        }
+
+
+def main() -> None:
+    """Serve until the process is ended; writes its port to standard output."""
+    worker_id, port, gap, *models = sys.argv[1:]
+    worker = EndingWorker(worker_id, {name: set() for name in models}, WorkerTiming(float(gap)))
+    limits = ServerLimits(threads=SERVER_THREADS)
+    server = HttpServer(worker, "127.0.0.1", int(port), limits)
+    server.start()
+    print(server.port, flush=True)
+    threading.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
