--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/suspects.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/suspects.py
@@ -40,6 +40,10 @@
         """All engines that crashed under the request."""
         return tuple(dict.fromkeys((*self.began, *self.weak)))
 
+    def includes(self, engine: str, *, began: bool) -> bool:
+        """Return whether a crash of ``engine`` is recorded, with no less evidence."""
+        return engine in self.began or (not began and engine in self.weak)
+
     @property
     def needs_turn(self) -> bool:
         """Whether the request may run only while no other suspect runs on its engine."""
@@ -123,6 +127,12 @@
         """Yield the records of the turns under way on ``engine``."""
         return (r for _, r in self.turns() if r.phase is Phase.RUNNING and r.target == engine)
 
+    def turn_crashes(self, fingerprint: str) -> tuple[str, ...]:
+        """Return the engines that crashed in turns of a request."""
+        records = (seen.record for seen in self.seen_by_key.values())
+        crashes = (r.turn_crashes for r in records if r.fingerprint == fingerprint)
+        return max(crashes, key=len, default=())
+
     def begun_on(self, engine: str, but: str) -> dict[str, Record]:
         """Return one record of each request, but one, that ``engine`` began as it crashed."""
         return {
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
@@ -0,0 +1,75 @@
+"""Decides whether the request of a turn crashed its engine."""
+
+import time
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.quarantine.record import Crash, Phase, Record, Turn
+from redwingscale_daemon._internal.quarantine.shared_records import SharedRecords
+from redwingscale_daemon._internal.quarantine.store import StoredQuarantine
+from redwingscale_daemon._internal.quarantine.turns import SETTLE_SECONDS
+
+# How long other requests that the crashed engine had begun may take to show, in turns of
+# their own, that they were not the cause.
+VERDICT_SECONDS = 2.0
+# Beyond this many crashes in its turns, a request is quarantined whatever else ran there.
+MOST_TURN_CRASHES = 2
+
+
+def decide(shared: SharedRecords, turn: Turn, crash: Crash) -> StoredQuarantine | None:
+    """Return the quarantine of the request of ``turn``, None if it may not be the cause.
+
+    Called with the lock of ``shared`` held, and releases it while it waits for what other
+    instances saw of the crash.
+    """
+    fingerprint = turn.record.fingerprint
+    record = turn.record._replace(
+        crashed_engines=tuple(dict.fromkeys((*turn.record.crashed_engines, crash.engine))),
+        turn_crashes=(*shared.suspects.turn_crashes(fingerprint), crash.engine),
+        position=crash.position,
+        weak=False,
+    )
+    # Still running for the others: copies of the request wait for the verdict.
+    shared.publish(turn.key, record)
+    _await_reports(shared, turn, crash)
+    if turn.key not in shared.suspects:
+        return None
+    if shared.quarantined.explains(crash.engine):
+        shared.publish(turn.key, turn.record._replace(phase=Phase.SUSPECT))
+        return None
+    others = shared.suspects.begun_on(crash.engine, but=fingerprint)
+    if _is_ambiguous(record, others) and len(record.turn_crashes) < MOST_TURN_CRASHES:
+        shared.publish(turn.key, record._replace(phase=Phase.SUSPECT))
+        return None
+    seconds = shared.quarantined.next_seconds(fingerprint)
+    suspicion = shared.suspects.suspicion(fingerprint)
+    log_event(
+        "quarantined",
+        level="ERROR",
+        fingerprint=fingerprint,
+        died=",".join(record.crashed_engines),
+        crashes=len(record.crashed_engines),
+        age=round(time.monotonic() - suspicion.since, 3) if suspicion else "-",
+        evidence=crash.evidence,
+        others=len(others),
+        seconds=seconds,
+    )
+    return StoredQuarantine(fingerprint, seconds, record.crashed_engines)
+
+
+def _await_reports(shared: SharedRecords, turn: Turn, crash: Crash) -> None:
+    """Return once all that the engine had begun is known, and no other suspect is left."""
+    now = time.monotonic()
+    settled_at, decided_by = now + SETTLE_SECONDS, now + VERDICT_SECONDS
+    while turn.key in shared.suspects and now < decided_by:
+        others = shared.suspects.begun_on(crash.engine, but=turn.record.fingerprint)
+        if shared.quarantined.explains(crash.engine) or (now >= settled_at and not others):
+            return
+        shared.changed.wait(SETTLE_SECONDS / 4)
+        now = time.monotonic()
+
+
+def _is_ambiguous(record: Record, others: dict[str, Record]) -> bool:
+    # In a partition, where records of turns do not arrive, two suspects may share an engine.
+    crashes = len(record.crashed_engines)
+    return any(len(other.crashed_engines) >= crashes for other in others.values())
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from collections import Counter
 from typing import NamedTuple
 
 import pytest
@@ -238,7 +239,10 @@
         chooser = Chooser("z1", fleet)
         chooser._random = random.Random(1)
         budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
-        self.quarantine = Quarantine("one", GossipState("one"), NoStore())
+        self.entries = GossipState("one")
+        self.crash_counts = Counter()
+        count = self.crash_counts.update
+        self.quarantine = Quarantine("one", self.entries, NoStore(), lambda kind: count([kind]))
         ends = UpstreamEnds(fleet.directory, fleet.health)
         self.guard = CrashGuard(self.quarantine, fleet.directory, ends)
         parts = RelayParts(
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
@@ -2,9 +2,7 @@
 
 import json
 
-import msgspec
 from redwingscale_daemon._internal.forwarding import crash_guard
-from redwingscale_daemon._internal.membership.entry import Entry
 from redwingscale_daemon._internal.quarantine.record import Crash
 from redwingscale_daemon._internal.quarantine.store import StoredQuarantine
 
@@ -23,24 +21,12 @@
     return script
 
 
-def quarantine(world, fingerprint):
-    world.quarantine._on_quarantine(_entry(StoredQuarantine(fingerprint, SECONDS, ("u0",))))
-
-
-def _entry(value):
-    return Entry("two", "quarantine", "0", 1, 1, msgspec.msgpack.encode(value))
-
-
-def suspects(world):
-    return {seen.record.fingerprint for seen in world.quarantine._suspects.seen_by_key.values()}
-
-
 def test_reset_connection_of_a_running_upstream_is_no_crash(world):
     """Guards against links that reset connections and condemn what ran on them."""
     world.add("llm", breaks)
     world.add("llm", events(1, 2, 3))
     assert world.request("/stream/x", model="m").status == 200
-    assert not suspects(world)
+    assert not world.crash_counts
 
 
 def test_upstream_that_refuses_connections_makes_its_requests_suspect(world):
@@ -48,7 +34,7 @@
     world.add("llm", crashes(world, 0))
     world.add("llm", breaks)
     world.request("/stream/x", model="m")
-    assert len(suspects(world)) == 1
+    assert world.crash_counts["suspect"] == 1
 
 
 def test_planned_end_of_an_upstream_is_no_crash(world):
@@ -62,16 +48,16 @@
 
     world.upstreams[0][0].scripts = [leave]
     world.request("/stream/x", model="m")
-    assert not suspects(world)
+    assert not world.crash_counts
 
 
 def test_entry_that_leaves_the_list_later_is_evidence(world):
     """Guards against a process that is replaced before anyone is refused a connection."""
     world.add("llm", breaks)
     assert world.request("/single/x", model="m").status == 502
-    assert not suspects(world)
+    assert not world.crash_counts
     world.directory.replace([])
-    assert len(suspects(world)) == 1
+    assert world.crash_counts["suspect"] == 1
 
 
 def test_suspect_that_runs_anywhere_is_cleared(world):
@@ -80,7 +66,7 @@
     world.add("llm", events(1, 2, 3))
     for _ in range(4):
         assert world.request("/stream/x", model="m").status == 200
-    assert not suspects(world)
+    assert world.crash_counts["suspect"] == world.crash_counts["cleared"]
 
 
 def test_quarantined_request_is_refused_as_not_run(world, monkeypatch):
@@ -93,7 +79,7 @@
     )
     world.quarantine.note_crash("other", Crash("u9", "refused"), None)
     assert world.request("/safe/x", b"body").status == 200
-    quarantine(world, seen[0])
+    world.entries.publish("quarantine", "0", StoredQuarantine(seen[0], SECONDS, ("u0",)))
     sent = len(world.log)
     refused = world.request("/safe/x", b"body")
     assert refused.status == 422
