--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
@@ -180,7 +180,7 @@
                 add_finding("mixed", f"{context}: {len(body)} bytes that are not its response")
         elif response.status == 404 and self._must_have_route(request, node):
             add_finding("configuration", f"{context}: 404 for {request.path}")
-        elif response.status in (400, 401, 403) and request.kind != "withdrawn":
+        elif response.status in (400, 401, 403, 422) and request.kind != "withdrawn":
             add_finding("denied", f"{context}: {response.status}")
         if response.status in _NOT_EXECUTED_STATUSES and not response.headers.get("Retry-After"):
             add_finding("refused", f"{context}: {response.status} without Retry-After")
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -8,6 +8,7 @@
 
 from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.soak.backpressure import announce_leaving, reject
+from redwingscale_standins.soak.ending_body import send_ending_bodies
 from redwingscale_standins.soak.faulty_link import FaultyLink
 from redwingscale_standins.soak.world import Node, RateLimitPeriod, WorkerHost, World
 
@@ -36,8 +37,9 @@
 class Faults:
     """Draws faults from the world's seeded generator and runs each in its own thread."""
 
-    def __init__(self, world: World, *, planned_only: bool) -> None:
+    def __init__(self, world: World, *, planned_only: bool, ending_bodies: bool = False) -> None:
         self._world = world
+        self._ending_bodies = ending_bodies
         self._random = world.random
         planned: list[Callable[[], None]] = [
             self._stop_instance,
@@ -70,6 +72,8 @@
     def run(self, seconds: float) -> None:
         """Start faults for ``seconds``, then wait until all have ended."""
         end = time.monotonic() + seconds
+        if self._ending_bodies:
+            self._begin("bodies that end workers", lambda: send_ending_bodies(self._world, seconds))
         while time.monotonic() < end:
             self._random.choice(self._menu)()
             pause = self._random.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -19,6 +19,7 @@
     check_rate_limits,
     check_requests,
 )
+from redwingscale_standins.soak.ending_body import check_ending_bodies
 from redwingscale_standins.soak.faults import Faults
 from redwingscale_standins.soak.world import STEADY_KEY, WorkerHost, World
 
@@ -42,12 +43,19 @@
     findings: list[str]
 
 
-def play(seed: int, seconds: float, instances: int, directory: Path) -> Outcome:
-    """Run one seed and return its outcome; logs are kept in ``directory``."""
+def play(
+    seed: int, seconds: float, instances: int, directory: Path, *, ending_bodies: bool = True
+) -> Outcome:
+    """Run one seed and return its outcome; logs are kept in ``directory``.
+
+    With ``ending_bodies``, seeds with unplanned faults have bodies that end their workers.
+    """
     planned_only = seed % PLANNED_EVERY == 0
     world = World(directory, instances, seed)
     callers = [Caller(world, number, seed) for number in range(instances * CALLERS_EACH)]
-    faults = Faults(world, planned_only=planned_only)
+    faults = Faults(
+        world, planned_only=planned_only, ending_bodies=ending_bodies and not planned_only
+    )
     ended = threading.Event()
     history = _WorkerHistory(world)
     heartbeats = threading.Thread(
@@ -69,6 +77,7 @@
         check_limit(world)
         check_rate_limits(world)
         check_backpressure(world)
+        check_ending_bodies(world)
         check_leaving(world, history.leaving(), planned_only=planned_only)
     finally:
         for caller in callers:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak_worker.py
@@ -1,7 +1,7 @@
 """A soak worker that serves streams, plain requests and orders, and injects its own faults."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import cherrypy
@@ -14,6 +14,8 @@
 
 MEMORY_MB = 150.0
 PLAIN_SECONDS = 0.02
+# The begin of a body that ends the worker.
+ENDING_MARK = b"ends its worker"
 _MODEL_MB = {str(model["Name"]): float(str(model["WeightsMb"])) for model in MODELS}
 
 
@@ -26,6 +28,15 @@
         self.failing = False
         self.losing = False
         self.crashed = False
+        # Called when the worker begins a body that ends it, None for a worker that none ends.
+        self.on_ending_body: Callable[[], None] | None = None
+
+    def _serve(self, headers: Any, body: bytes) -> bytes | Iterator[bytes]:
+        if body.startswith(ENDING_MARK) and self.on_ending_body is not None:
+            self.crashed = True
+            self.on_ending_body()
+            drop_connection()
+        return super()._serve(headers, body)
 
     def _run(self, headers: Any) -> bytes | Iterator[bytes]:
         if self.crashed:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from redwingscale_common.network.server import HttpServer, ServerLimits
 
@@ -17,6 +17,9 @@
 from redwingscale_standins.soak.ledger import Ledger
 from redwingscale_standins.soak.soak_worker import SoakWorker
 
+if TYPE_CHECKING:
+    from redwingscale_standins.soak.ending_body import EndingBody
+
 MODEL_SERVICE, PLAIN_SERVICE = "llm", "plain"
 MODEL_WORKERS, PLAIN_WORKERS = 3, 2
 PLAIN_LIMIT_SECONDS = 4.0
@@ -26,6 +29,9 @@
 # Rate in requests a second, and burst, of the limited workspace.
 MAX_PER_SECOND, MAX_BURST = 10, 10
 _SERVER_THREADS = 48
+# A worker that has ended stays in the list for a while, and is replaced later.
+ENDED_LISTED_SECONDS = 0.5
+ENDED_DOWN_SECONDS = 1.0
 
 
 class WorkerHost:
@@ -104,6 +110,7 @@
     """Everything that a soak starts; `stop` ends it by the ids it has."""
 
     def __init__(self, directory: Path, instances: int, seed: int) -> None:
+        self.seed = seed
         self.random = random.Random(seed)
         self.ledger = Ledger()
         self._directory = directory
@@ -115,6 +122,8 @@
         # Unplanned faults of any kind, and faults of the whole store.
         self.disturbance = Disturbance()
         self.store_disturbance = Disturbance()
+        self.ending_bodies: list[EndingBody] = []
+        self._stopped = False
         self._listing = threading.Lock()
         self.version = 0
         self.version_at = 0.0
@@ -144,6 +153,7 @@
         """Start a worker and list it."""
         worker = SoakWorker(f"w{next(self._numbers)}", models, self.ledger)
         host = self.worker_hosts[worker.id] = WorkerHost(worker, service)
+        worker.on_ending_body = lambda: self._end(host)
         self.list(host, "ready")
         return host
 
@@ -173,6 +183,22 @@
         self.unlist(host)
         host.server.stop()
 
+    def _end(self, host: WorkerHost) -> None:
+        """End a worker as a process ends, and replace it after some time."""
+
+        def replace() -> None:
+            host.link.close()
+            self.worker_hosts.pop(host.worker.id, None)
+            time.sleep(ENDED_LISTED_SECONDS)
+            self.unlist(host)
+            host.server.stop()
+            time.sleep(ENDED_DOWN_SECONDS - ENDED_LISTED_SECONDS)
+            if not self._stopped:
+                self.add_worker(host.service, set(host.worker.models))
+
+        # Called by a thread of the server that it stops.
+        threading.Thread(target=replace, name=f"replace {host.worker.id}", daemon=True).start()
+
     def change_configuration(self) -> None:
         """Write the next configuration version, with a route that contains its number."""
         self.version += 1
@@ -194,10 +220,11 @@
 
     def stop(self) -> None:
         """Stop all instances, links and servers."""
+        self._stopped = True
         for node in self.nodes:
             node.process.end()
             node.store_link.close()
-        for host in self.worker_hosts.values():
+        for host in list(self.worker_hosts.values()):
             host.link.close()
             host.server.stop()
         self._store.stop()
