Let one copy of a suspect wait for the turn of all copies of an instance

Cause: each copy of a popular suspect published records of its own and woke all others; a request with an active quarantine read all records to find its own. Change: copies at one instance wait for the one that takes the turn; records are found by fingerprint; a failed first read of the stored quarantines is logged. Result: 18 tests of the quarantine pass, four of them new.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/crashes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/crashes.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from redwingscale_common.utils.logs import log_event
+
 from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.fleet.fleet import Fleet
 from redwingscale_daemon._internal.fleet.upstream_ends import UpstreamEnds
@@ -44,7 +46,8 @@
             return
         try:
             quarantine.refresh()
-        except PlatformError:
+        except PlatformError as error:
+            log_event("quarantines_not_loaded", error=error)
             return
         loaded = True
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
@@ -1,14 +1,17 @@
 """Finds requests that crash engines, so that every instance refuses them."""
 
+import time
 from collections.abc import Callable
 
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.quarantine.record import Crash, Phase, Record, Turn
+from redwingscale_daemon._internal.quarantine.refusals import deadline_refusal
 from redwingscale_daemon._internal.quarantine.shared_records import Board, SharedRecords
 from redwingscale_daemon._internal.quarantine.store import QuarantineSaver
-from redwingscale_daemon._internal.quarantine.turns import await_turn
+from redwingscale_daemon._internal.quarantine.suspects import MAX_TURN_SECONDS
+from redwingscale_daemon._internal.quarantine.turns import SETTLE_SECONDS, await_turn
 from redwingscale_daemon._internal.quarantine.verdict import decide
 
 # Covers the tokens that the crashed engine may have generated but not delivered. The
@@ -40,6 +43,8 @@
         self._changed = self._shared.changed
         self._store = store
         self._count = count
+        # Requests of which this instance has a turn or waits for one, and since when.
+        self._turning_since: dict[str, float] = {}
 
     def refresh(self) -> None:
         """Add the quarantines stored in the platform's table; raises `PlatformError`."""
@@ -89,38 +94,82 @@
         its deadline passes during the wait, and whatever ``check_caller`` raises, which is
         called from time to time.
         """
-        shared = self._shared
         run_if_quarantined = RunState.RUN if run is RunState.UNKNOWN else run
         with self._changed:
-            self.check(fingerprint, run_if_quarantined)
-            suspicion = shared.suspects.suspicion(fingerprint)
-            on_probation = shared.quarantined.known(fingerprint)
-            if not on_probation and (suspicion is None or not suspicion.needs_turn):
+            while self._needs_turn(fingerprint, run_if_quarantined):
+                if not self._is_turning(fingerprint):
+                    break
+                # One copy waits for all of this instance.
+                if time.monotonic() >= deadline_at:
+                    raise deadline_refusal(run)
+                check_caller()
+                self._changed.wait(max(0.0, min(SETTLE_SECONDS, deadline_at - time.monotonic())))
+            else:
                 return None
-            crashed_engines = suspicion.crashed_engines if suspicion else ()
-            turn_crashes = shared.suspects.turn_crashes(fingerprint)
-            weak = suspicion is not None and not suspicion.began
-            record = Record(
-                fingerprint, Phase.WAITING, crashed_engines, engine, position, weak, turn_crashes
-            )
-            key = shared.publish_new(record)
+            self._turning_since[fingerprint] = time.monotonic()
+            turn = None
             try:
-                begins = await_turn(shared, key, record, deadline_at, run, check_caller)
-            except BaseException:
-                if key in shared.suspects:
-                    shared.publish(key, record._replace(phase=Phase.SUSPECT))
-                raise
-            if not begins:
+                turn = self._take_turn(
+                    fingerprint, engine, position, deadline_at, run, check_caller
+                )
+            finally:
+                if turn is None:
+                    self._end_turn(fingerprint)
+            if turn is None:
                 self.check(fingerprint, run_if_quarantined)
+            return turn
+
+    def _needs_turn(self, fingerprint: str, run: RunState) -> bool:
+        self.check(fingerprint, run)
+        suspicion = self._shared.suspects.suspicion(fingerprint)
+        on_probation = self._shared.quarantined.known(fingerprint)
+        return on_probation or (suspicion is not None and suspicion.needs_turn)
+
+    def _is_turning(self, fingerprint: str) -> bool:
+        since = self._turning_since.get(fingerprint)
+        return since is not None and time.monotonic() - since < MAX_TURN_SECONDS
+
+    def _end_turn(self, fingerprint: str) -> None:
+        self._turning_since.pop(fingerprint, None)
+        self._changed.notify_all()
+
+    def _take_turn(
+        self,
+        fingerprint: str,
+        engine: str,
+        position: int,
+        deadline_at: float,
+        run: RunState,
+        check_caller: Callable[[], None],
+    ) -> Turn | None:
+        shared = self._shared
+        suspicion = shared.suspects.suspicion(fingerprint)
+        record = Record(
+            fingerprint,
+            Phase.WAITING,
+            suspicion.crashed_engines if suspicion else (),
+            engine,
+            position,
+            weak=suspicion is not None and not suspicion.began,
+            turn_crashes=shared.suspects.turn_crashes(fingerprint),
+        )
+        key = shared.publish_new(record)
+        try:
+            if not await_turn(shared, key, record, deadline_at, run, check_caller):
                 return None
-            record = record._replace(phase=Phase.RUNNING)
-            shared.publish(key, record)
-            crash_position = suspicion.position if suspicion else 0
-            return Turn(key, record, max(position, crash_position) + CLEARING_TOKENS)
+        except BaseException:
+            if key in shared.suspects:
+                shared.publish(key, record._replace(phase=Phase.SUSPECT))
+            raise
+        record = record._replace(phase=Phase.RUNNING)
+        shared.publish(key, record)
+        crash_position = suspicion.position if suspicion else 0
+        return Turn(key, record, max(position, crash_position) + CLEARING_TOKENS)
 
     def clear(self, turn: Turn) -> None:
         """End a turn: the request has ended, or run past the token at which its engine crashed."""
         with self._changed:
+            self._end_turn(turn.record.fingerprint)
             if turn.key in self._shared.suspects:
                 self._log_cleared(turn.record.fingerprint, "turn")
                 self._shared.publish(turn.key, turn.record._replace(phase=Phase.CLEARED))
@@ -128,6 +177,7 @@
     def release(self, turn: Turn) -> None:
         """End a turn without a result; the request stays suspect."""
         with self._changed:
+            self._end_turn(turn.record.fingerprint)
             if turn.key in self._shared.suspects:
                 self._shared.publish(turn.key, turn.record._replace(phase=Phase.SUSPECT))
 
@@ -151,9 +201,14 @@
         """
         with self._changed:
             if turn is None or turn.key not in self._shared.suspects:
+                if turn is not None:
+                    self._end_turn(fingerprint)
                 self._add_suspect(fingerprint, crash)
                 return
-            quarantine = decide(self._shared, turn, crash)
+            try:
+                quarantine = decide(self._shared, turn, crash)
+            finally:
+                self._end_turn(fingerprint)
             if quarantine is not None:
                 self._count("quarantined")
                 self._shared.publish_quarantine(quarantine)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/shared_records.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/shared_records.py
@@ -112,5 +112,5 @@
             self.add_quarantine(quarantine)
 
     def _forget(self, fingerprint: str) -> None:
-        self.suspects.drop(lambda record: record.fingerprint == fingerprint)
+        self.suspects.forget(fingerprint)
         self.quarantined.pop(fingerprint)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/suspects.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/suspects.py
@@ -55,6 +55,7 @@
 
     def __init__(self) -> None:
         self.seen_by_key: dict[RecordKey, SeenRecord] = {}
+        self._keys_by_fingerprint: dict[str, set[RecordKey]] = {}
 
     def __contains__(self, key: RecordKey) -> bool:
         return key in self.seen_by_key
@@ -64,31 +65,41 @@
 
     def put(self, key: RecordKey, record: Record) -> None:
         """Store a record; beyond `MAX_RECORDS` the oldest ones without a turn are dropped."""
+        self.pop(key)
         self.seen_by_key[key] = SeenRecord(record, time.monotonic())
+        self._keys_by_fingerprint.setdefault(record.fingerprint, set()).add(key)
         excess = len(self.seen_by_key) - MAX_RECORDS
         if excess > 0:
             idle = [k for k, s in self.seen_by_key.items() if s.record.phase not in TURN_PHASES]
             idle.sort(key=lambda k: self.seen_by_key[k].seen_at)
             for old in idle[:excess]:
-                del self.seen_by_key[old]
+                self.pop(old)
 
     def pop(self, key: RecordKey) -> None:
         """Drop a record if there is one."""
-        self.seen_by_key.pop(key, None)
+        seen = self.seen_by_key.pop(key, None)
+        if seen is not None:
+            keys = self._keys_by_fingerprint[seen.record.fingerprint]
+            keys.discard(key)
+            if not keys:
+                del self._keys_by_fingerprint[seen.record.fingerprint]
 
     def drop(self, is_settled: Callable[[Record], bool]) -> None:
         """Drop the records for which ``is_settled`` holds."""
-        kept = {k: s for k, s in self.seen_by_key.items() if not is_settled(s.record)}
-        self.seen_by_key = kept
+        for key in [k for k, s in self.seen_by_key.items() if is_settled(s.record)]:
+            self.pop(key)
+
+    def forget(self, fingerprint: str) -> None:
+        """Drop all records of a request."""
+        for key in list(self._keys_by_fingerprint.get(fingerprint, ())):
+            self.pop(key)
 
     def drop_old(self) -> None:
         """Drop records without a turn that are older than `SUSPICION_SECONDS`."""
         oldest = time.monotonic() - SUSPICION_SECONDS
-        self.seen_by_key = {
-            key: seen
-            for key, seen in self.seen_by_key.items()
-            if seen.record.phase in TURN_PHASES or seen.seen_at > oldest
-        }
+        for key, seen in list(self.seen_by_key.items()):
+            if seen.record.phase not in TURN_PHASES and seen.seen_at <= oldest:
+                self.pop(key)
 
     def free_key(self, instance: str) -> RecordKey:
         """Return the lowest unused key of an instance."""
@@ -100,10 +111,8 @@
         oldest = time.monotonic() - SUSPICION_SECONDS
         seen = [
             one
-            for one in self.seen_by_key.values()
-            if one.record.fingerprint == fingerprint
-            and one.record.phase in SUSPECT_PHASES
-            and one.seen_at > oldest
+            for one in self._seen(fingerprint)
+            if one.record.phase in SUSPECT_PHASES and one.seen_at > oldest
         ]
         if not seen:
             return None
@@ -129,10 +138,12 @@
 
     def turn_crashes(self, fingerprint: str) -> tuple[str, ...]:
         """Return the engines that crashed in turns of a request."""
-        records = (seen.record for seen in self.seen_by_key.values())
-        crashes = (r.turn_crashes for r in records if r.fingerprint == fingerprint)
+        crashes = (seen.record.turn_crashes for seen in self._seen(fingerprint))
         return max(crashes, key=len, default=())
 
+    def _seen(self, fingerprint: str) -> list[SeenRecord]:
+        return [self.seen_by_key[key] for key in self._keys_by_fingerprint.get(fingerprint, ())]
+
     def begun_on(self, engine: str, but: str) -> dict[str, Record]:
         """Return one record of each request, but one, that ``engine`` began as it crashed."""
         return {
--- a/packages/redwingscale-daemon/tests/unit/relay/test_quarantine.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/test_quarantine.py
@@ -177,3 +177,57 @@
         quarantine.wait_for_turn("a", "engine-1", 0, time.monotonic())
 
     assert caught.value.code == "suspect"
+
+
+def test_copies_of_a_suspect_wait_for_one_turn(make_quarantines):
+    """Guards against a popular request whose copies all publish records and wait in a row."""
+    [quarantine] = make_quarantines(1)
+    quarantine.note_crash("a", Crash("engine-0", "refused"), None)
+    turn = quarantine.wait_for_turn("a", "engine-1", 0, _later())
+    with ThreadPoolExecutor(BYSTANDERS) as pool:
+        copies = [
+            pool.submit(quarantine.wait_for_turn, "a", f"engine-{n}", 0, _later())
+            for n in range(BYSTANDERS)
+        ]
+        time.sleep(0.1)
+        assert not any(copy.done() for copy in copies)
+        quarantine.clear(turn)
+        assert [copy.result(30.0) for copy in copies] == [None] * BYSTANDERS
+
+
+def test_request_that_had_just_begun_beside_a_turn_is_cleared_first(make_quarantines):
+    """Guards against an innocent suspect that is condemned for the crash of a fresh request."""
+    first, second = make_quarantines(2)
+    first.note_crash("innocent", Crash("engine-0", "refused"), None)
+    turn = first.wait_for_turn("innocent", "engine-1", 0, _later())
+    with ThreadPoolExecutor(1) as pool:
+        verdict = pool.submit(first.note_crash, "innocent", Crash("engine-1", "refused"), turn)
+        second.note_crash("cause", Crash("engine-1", "refused"), None)
+        of_cause = second.wait_for_turn("cause", "engine-2", 0, _later())
+        with pytest.raises(Refusal):
+            second.note_crash("cause", Crash("engine-2", "refused"), of_cause)
+        assert verdict.result(30.0) is None
+    first.check("innocent")
+    assert first.is_suspect("innocent")
+
+
+def test_weak_suspect_needs_no_turn_until_its_second_crash(make_quarantines):
+    """Guards against streams well under way that wait for turns after one crash beside them."""
+    [quarantine] = make_quarantines(1)
+    for number in range(2):
+        assert quarantine.wait_for_turn("a", "engine-9", 5, _later()) is None
+        quarantine.note_crash("a", Crash(f"engine-{number}", "refused", False, 5), None)
+    assert quarantine.wait_for_turn("a", "engine-9", 5, _later()) is not None
+
+
+def test_copy_that_runs_elsewhere_clears_a_suspect(make_quarantines):
+    """Guards against a popular request that stays suspect though its copies are answered."""
+    first, second = make_quarantines(2)
+    first.note_crash("a", Crash("engine-0", "refused", True, 3), None)
+    while not second.is_suspect("a"):
+        time.sleep(0.01)
+    second.note_survival("a", 4)
+    assert second.is_suspect("a")
+    second.note_survival("a", 5)
+    while first.is_suspect("a"):
+        time.sleep(0.01)
