Pass received entries on in one message to each of four peers

Change: what comes in one message is passed on to the same four peers; only what was received on asking and what was not acknowledged is logged.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
@@ -63,16 +63,15 @@
     of the peers that it learns of first.
     """
 
-    def __init__(
-        self, gossip: GossipState, instance: str, peers: Callable[[], Sequence[str]], send: Send
-    ) -> None:
+    def __init__(self, gossip: GossipState, peers: Callable[[], Sequence[str]], send: Send) -> None:
         self._gossip = gossip
-        self._instance = instance
         self._peers = peers
         self._send = send
         self._lock = threading.Lock()
         self._outboxes: dict[str, _Outbox] = {}
         self._asked = 0
+        # Where entries that this thread receives are passed on to.
+        self._batch = threading.local()
         # Not for secrets: it only spreads the messages.
         self._random = random.Random()
         self._pool = ThreadPoolExecutor(THREADS, thread_name_prefix="entry-exchange")
@@ -94,21 +93,28 @@
 
     def receive(self, entries: Iterable[Entry]) -> None:
         """Take the entries that a peer has sent."""
-        for entry in entries:
-            self._gossip.accept(entry, entry.origin)
+        with self._lock:
+            self._follow_peers()
+            addresses = list(self._outboxes)
+        # The same peers for the whole batch, so that they get one message.
+        self._batch.addresses = self._random.sample(addresses, min(FANOUT, len(addresses)))
+        try:
+            for entry in entries:
+                self._gossip.accept(entry, entry.origin)
+        finally:
+            self._batch.addresses = None
 
     def entries(self) -> list[Entry]:
         """Return all entries, for a peer that asks for them."""
         return self._gossip.entries()
 
     def _forward(self, entry: Entry) -> None:
-        own = entry.origin == self._instance
+        addresses = getattr(self._batch, "addresses", None)
         with self._lock:
             self._follow_peers()
-            addresses = list(self._outboxes)
-            count = len(addresses) if own else min(FANOUT, len(addresses))
-            for address in self._random.sample(addresses, count):
-                self._outboxes[address].add([entry])
+            for address in self._outboxes if addresses is None else addresses:
+                if (outbox := self._outboxes.get(address)) is not None:
+                    outbox.add([entry])
         self._periodic.wake()
 
     def _follow_peers(self) -> None:
@@ -158,6 +164,9 @@
                 else:
                     outbox.drop(entries)
                     outbox.asks = False
-        log_event("entries_sent", peer=address, entries=len(entries), answered=received is not None)
-        self.receive(received or [])
+        if received is None:
+            log_event("entries_not_acknowledged", peer=address, entries=len(entries))
+        elif asks:
+            log_event("entries_received", peer=address, entries=len(received))
+            self.receive(received)
         self._periodic.wake()
