--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -1,7 +1,6 @@
 """Relays streams of model services and resumes them when an upstream is lost."""
 
 from http.client import HTTPException
-from typing import NamedTuple
 
 from redwingscale_daemon._internal.exceptions import (
     CallerLeft,
@@ -10,19 +9,19 @@
     UpstreamSilent,
 )
 from redwingscale_daemon._internal.fleet.chooser import Candidate
-from redwingscale_daemon._internal.fleet.load_tracker import LoadTicket
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.forwarding.attempt_failure import FAILURE_STATUSES, note_failure
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.crash_guard import GuardedAttempt
-from redwingscale_daemon._internal.forwarding.events import Event, read_events
+from redwingscale_daemon._internal.forwarding.events import read_events
 from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.pause_watch import PauseWatch
 from redwingscale_daemon._internal.forwarding.response_body import read_response_body
+from redwingscale_daemon._internal.forwarding.stream_progress import Progress, Sending
 from redwingscale_daemon._internal.models.run_state import RunState
 
 FIRST_ERROR_STATUS = 400
@@ -41,41 +40,6 @@
 MILLISECONDS_PER_SECOND = 1000.0
 
 
-class _Progress:
-    """The position in the caller's stream."""
-
-    def __init__(self, last_event: int | None) -> None:
-        self.last_event = last_event
-        self.events = 0
-
-    def is_next(self, event: Event) -> bool:
-        """Return whether ``event`` is the next one, False if it was already delivered.
-
-        Raises `HTTPException` at a gap: the upstream did not resume where requested.
-        """
-        if event.number is None:
-            raise HTTPException("an event has no number")
-        if self.last_event is None or event.number == self.last_event + 1:
-            return True
-        if event.number <= self.last_event:
-            return False
-        raise HTTPException(f"event {event.number} follows {self.last_event}")
-
-    def note_delivered(self, event: Event) -> None:
-        """Record that ``event`` was written to the caller."""
-        self.last_event = event.number
-        self.events += 1
-
-
-class _Sending(NamedTuple):
-    """What one attempt uses, and reports to while it runs."""
-
-    candidate: Candidate
-    ticket: LoadTicket
-    pauses: PauseWatch
-    attempt: GuardedAttempt
-
-
 class StreamRelay:
     """Relays events one by one; resumes a run at another upstream if the route allows it."""
 
@@ -89,7 +53,7 @@
 
         A stream that cannot be completed is cut, so that it never looks complete.
         """
-        progress = _Progress(call.terms.last_event)
+        progress = Progress(call.terms.last_event)
         prompt = prompt._replace(priority=_priority(call))
         while True:
             candidate = self._wait.choose_holder(call, prompt)
@@ -112,13 +76,13 @@
                 self._parts.pauses.note_sent(call.service, prompt)
             pauses = PauseWatch(self._parts.pauses, call, upstream.id, load, unread)
             try:
-                if self._send(call, progress, _Sending(candidate, ticket, pauses, attempt)):
+                if self._send(call, progress, Sending(candidate, ticket, pauses, attempt)):
                     return
             finally:
                 attempt.close()
                 ticket.close()
 
-    def _send(self, call: Call, progress: _Progress, sending: _Sending) -> bool:
+    def _send(self, call: Call, progress: Progress, sending: Sending) -> bool:
         """Return whether the reply is complete, False to retry; raises if neither is possible."""
         candidate = sending.candidate
         upstream = candidate.upstream
@@ -148,7 +112,7 @@
                 return self._prepare_retry(call, outcome, progress, sending)
 
     def _relay_response(
-        self, call: Call, answering: Answering, progress: _Progress, sending: _Sending
+        self, call: Call, answering: Answering, progress: Progress, sending: Sending
     ) -> bool:
         response = answering.response
         call.attempts.head_received = True
@@ -174,7 +138,7 @@
         return True
 
     def _relay_events(
-        self, call: Call, answering: Answering, progress: _Progress, sending: _Sending
+        self, call: Call, answering: Answering, progress: Progress, sending: Sending
     ) -> None:
         headers = self._parts.dialect.response_headers(answering.response)
         begun = False
@@ -227,7 +191,7 @@
         return True
 
     def _prepare_retry(
-        self, call: Call, outcome: NotRun | Lost, progress: _Progress, sending: _Sending
+        self, call: Call, outcome: NotRun | Lost, progress: Progress, sending: Sending
     ) -> bool:
         """Record the failure; return False to retry, raises `Refusal` if that is not allowed."""
         note_failure(self._parts, call, outcome)
