Wait for a turn no longer than the caller waits

Cause: a suspect waited for its turn until its deadline, but callers of streams leave long before it where no event comes; and one whose turn could not begin before the deadline waited all the same. Change: the wait ends with what the caller waits for a holder; a turn that cannot settle in time is refused at once (suspect, not run where that is so).

--- a/benchmarks/guard_cost.py
+++ b/benchmarks/guard_cost.py
@@ -52,7 +52,7 @@
 def _serve(guard: CrashGuard, call: Call) -> None:
     call.attempts.fingerprint = None
     guard.check(call)
-    attempt = guard.begin(call, UPSTREAM)
+    attempt = guard.begin(call, UPSTREAM, 1.0)
     for number in range(1, EVENTS + 1):
         call.attempts.events_received = number
         attempt.note_event(number)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
@@ -48,11 +48,13 @@
         if self._quarantine.active:
             self._quarantine.check(fingerprint_of(call), RunState.NOT_RUN)
 
-    def begin(self, call: Call, upstream: Upstream, position: int = 0) -> "GuardedAttempt":
+    def begin(
+        self, call: Call, upstream: Upstream, max_wait_seconds: float, position: int = 0
+    ) -> "GuardedAttempt":
         """Return the guard of one attempt, after the turn of a suspect has come.
 
         ``position`` is the number of the last event that the caller has. Raises `Refusal`
-        if the request is quarantined or its deadline passes first, and `CallerLeft`.
+        if the request is quarantined or its turn does not come in time, and `CallerLeft`.
         """
         if not self._quarantine.active:
             return GuardedAttempt(self, call, upstream, None)
@@ -62,7 +64,7 @@
                 fingerprint_of(call),
                 upstream.id,
                 position,
-                time.monotonic() + call.watch.remaining(),
+                time.monotonic() + max_wait_seconds,
                 run,
                 call.watch.check_caller,
             )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -96,7 +96,7 @@
 
     def note_refusal(self, call: Call, prompt: Prompt, refusal: Refusal) -> None:
         """Set the time at which the caller of a refused request should return."""
-        self.order.note_refusal(call, prompt, refusal, _max_wait_seconds(call))
+        self.order.note_refusal(call, prompt, refusal, max_wait_seconds(call))
 
     def _choose_holder(self, call: Call, prompt: Prompt) -> Candidate:
         found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
@@ -106,7 +106,7 @@
         if throttled:
             self._check_queue(call, prompt, throttled)
         with self.gate.waiting(throttled):
-            self.demand.begin_wait(call.service, prompt.unit, _max_wait_seconds(call))
+            self.demand.begin_wait(call.service, prompt.unit, max_wait_seconds(call))
             try:
                 return self._wait_for_holder(call, prompt)
             finally:
@@ -126,7 +126,7 @@
     def _check_queue(self, call: Call, prompt: Prompt, throttled: list[str]) -> None:
         """Raise `Refusal` if neither the throttled holders nor a load can serve it in time."""
         ready_in = self.residency.ready_in(str(prompt.unit))
-        if ready_in is not None and ready_in <= _max_wait_seconds(call):
+        if ready_in is not None and ready_in <= max_wait_seconds(call):
             return
         if not self.gate.rate_limited(throttled):
             # The holders only reject requests for now: the leader may load the unit at
@@ -134,7 +134,7 @@
             return
         try:
             ThrottleWait(self.gate, self.changes).check_queue(
-                call, throttled, _max_wait_seconds(call)
+                call, throttled, max_wait_seconds(call)
             )
         except Refusal:
             self.demand.note_overload(call.service, prompt.unit)
@@ -175,7 +175,7 @@
             "waits_for_holder",
             request=call.terms.request_id,
             unit=prompt.unit,
-            patience=round(_max_wait_seconds(call), 3),
+            patience=round(max_wait_seconds(call), 3),
             giver_heard=self.residency.fresh,
         )
         while True:
@@ -199,7 +199,7 @@
     ) -> None:
         """Raise `Refusal` if all retry times of the holders are later than the wait can last."""
         retry_in = self.gate.retry_seconds(throttled)
-        if not throttled or retry_in <= max(0.0, _max_wait_seconds(call)):
+        if not throttled or retry_in <= max(0.0, max_wait_seconds(call)):
             return
         self.demand.note_overload(call.service, prompt.unit)
         detail = f"{','.join(throttled)} may be asked again in {retry_in:.2f} s"
@@ -211,7 +211,7 @@
             # The leader does not receive this instance's demand: the caller should retry at
             # another instance.
             raise final_refusal(call, "cut_off", f"no news of {prompt.unit}", retry_seconds)
-        left = _max_wait_seconds(call)
+        left = max_wait_seconds(call)
         ready_in = self.order.ready_in(call, prompt, self.residency.ready_in(str(prompt.unit)))
         throttled = self.chooser.throttled_holders(call.service, prompt, call.attempts.tried)
         if waited_seconds > LOAD_ANNOUNCED_SECONDS and (ready_in is None or ready_in > left):
@@ -244,7 +244,7 @@
         found.queue_ms / MILLISECONDS_PER_SECOND,
         found.expected_ms / MILLISECONDS_PER_SECOND,
     )
-    max_wait = _max_wait_seconds(call)
+    max_wait = max_wait_seconds(call)
     if found.estimate is not None and not call.attempts.count:
         # A returning request has waited already, and is refused only if its caller would leave.
         target = math.inf if call.attempts.returning else call.route.latency_target_seconds
@@ -261,7 +261,7 @@
     )
 
 
-def _max_wait_seconds(call: Call) -> float:
+def max_wait_seconds(call: Call) -> float:
     """Return the seconds that the request can still wait for an upstream.
 
     Leaves the upstream `MIN_SERVICE_SECONDS`. Callers of a stream disconnect long
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -53,7 +53,8 @@
                 if _deliver_failure(call):
                     return
                 raise _no_upstream_refusal(call.attempts)
-            attempt = self._parts.guard.begin(call, candidate.upstream)
+            max_wait_seconds = call.watch.remaining() - MIN_SERVICE_SECONDS
+            attempt = self._parts.guard.begin(call, candidate.upstream, max_wait_seconds)
             if not attempt.usable or not self._parts.gate.draw(candidate.upstream.id):
                 # The upstream has gone or rejected a request, or another one used the permit.
                 attempt.close()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -16,7 +16,7 @@
 from redwingscale_daemon._internal.forwarding.crash_guard import GuardedAttempt
 from redwingscale_daemon._internal.forwarding.events import read_events
 from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
-from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
+from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait, max_wait_seconds
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.pause_watch import PauseWatch
@@ -59,7 +59,9 @@
             candidate = self._wait.choose_holder(call, prompt)
             if not call.attempts.count:
                 call.permit.check()
-            attempt = self._parts.guard.begin(call, candidate.upstream, progress.last_event or 0)
+            attempt = self._parts.guard.begin(
+                call, candidate.upstream, max_wait_seconds(call), progress.last_event or 0
+            )
             if not attempt.usable or not self._parts.gate.draw(candidate.upstream.id):
                 # The upstream has gone or rejected a request, or another one used the permit.
                 attempt.close()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
@@ -106,6 +106,9 @@
                 self._changed.wait(max(0.0, min(SETTLE_SECONDS, deadline_at - time.monotonic())))
             else:
                 return None
+            if time.monotonic() + SETTLE_SECONDS > deadline_at:
+                # Its turn cannot come in time: the caller need not wait for that.
+                raise deadline_refusal(run)
             self._turning_since[fingerprint] = time.monotonic()
             turn = None
             try:
--- a/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
@@ -20,8 +20,8 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
 from redwingscale_daemon._internal.forwarding.holder_wait import (
-    _max_wait_seconds,
     _overload_refusal,
+    max_wait_seconds,
 )
 from redwingscale_daemon._internal.swaps.slowness import Slowness, first_event_entry
 
@@ -173,7 +173,7 @@
         refused = _overload_refusal(call, chosen) is not None
         real_ms = (done - now) * 1000
         if now - self.start > self.shape.warm_seconds:
-            wait_ms = _max_wait_seconds(call) * 1000
+            wait_ms = max_wait_seconds(call) * 1000
             chance = (
                 chosen.estimate.chance_by(self.shape.target_seconds) if chosen.estimate else 0.0
             )
