Decide a crash in a turn also where its evidence comes later

Cause: a request that lost its connection in a turn while the address still accepted connections (the next process was back at once) became one more suspicion when the list or a 421 showed the end; the turn did not count, and such a request could end a worker in every turn. Change: the pending loss keeps its turn, and the verdict runs when the evidence comes. Evidence: test_evidence_that_comes_after_a_turn_still_decides; without the change no quarantine follows.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
@@ -1,5 +1,6 @@
 """Keeps requests that crash upstreams from running, attempt by attempt."""
 
+import contextlib
 import threading
 import time
 from typing import NamedTuple
@@ -22,11 +23,15 @@
 
 
 class _Loss(NamedTuple):
-    """A request that was lost with a connection, at ``at`` on the monotonic clock."""
+    """A request that was lost with a connection, at ``at`` on the monotonic clock.
+
+    ``turn`` is the one it was lost in, None if it ran without a turn.
+    """
 
     fingerprint: str
     crash: Crash
     at: float
+    turn: Turn | None
 
 
 class CrashGuard:
@@ -111,7 +116,7 @@
         evidence = self._ends.evidence(upstream)
         crash = Crash(upstream.id, evidence or "", began, position)
         if evidence is None:
-            self._add_pending(upstream.id, _Loss(fingerprint, crash, time.monotonic()))
+            self._add_pending(upstream.id, _Loss(fingerprint, crash, time.monotonic(), turn))
             if turn is not None:
                 self._quarantine.release(turn)
             return
@@ -134,10 +139,22 @@
         with self._lock:
             losses = self._pending_by_upstream.pop(upstream_id, [])
         oldest = time.monotonic() - PENDING_SECONDS
-        for loss in losses:
-            if loss.at > oldest:
-                crash = loss.crash._replace(evidence=evidence)
-                self._quarantine.note_crash(loss.fingerprint, crash, None)
+        recent = [
+            loss._replace(crash=loss.crash._replace(evidence=evidence))
+            for loss in losses
+            if loss.at > oldest
+        ]
+        for loss in recent:
+            if loss.turn is None:
+                self._quarantine.note_crash(loss.fingerprint, loss.crash, None)
+            else:
+                # The verdict takes time that this thread does not have.
+                threading.Thread(target=self._note_late, args=(loss,), daemon=True).start()
+
+    def _note_late(self, loss: _Loss) -> None:
+        # The caller of the lost request has its answer; the quarantine is logged.
+        with contextlib.suppress(Refusal):
+            self._quarantine.note_crash(loss.fingerprint, loss.crash, loss.turn)
 
     def _note_gone(self, upstream_ids: set[str]) -> None:
         for key in upstream_ids & self._pending_by_upstream.keys():
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
@@ -173,7 +173,7 @@
         """End a turn: the request has ended, or run past the token at which its engine crashed."""
         with self._changed:
             self._end_turn(turn.record.fingerprint)
-            if turn.key in self._shared.suspects:
+            if self._shared.suspects.holds(turn):
                 self._log_cleared(turn.record.fingerprint, "turn")
                 self._shared.publish(turn.key, turn.record._replace(phase=Phase.CLEARED))
 
@@ -181,7 +181,7 @@
         """End a turn without a result; the request stays suspect."""
         with self._changed:
             self._end_turn(turn.record.fingerprint)
-            if turn.key in self._shared.suspects:
+            if self._shared.suspects.holds(turn):
                 self._shared.publish(turn.key, turn.record._replace(phase=Phase.SUSPECT))
 
     def note_survival(self, fingerprint: str, position: float) -> None:
@@ -203,7 +203,7 @@
         again. A crash in a turn is decided first, which takes some seconds at the most.
         """
         with self._changed:
-            if turn is None or turn.key not in self._shared.suspects:
+            if turn is None or not self._shared.suspects.holds(turn):
                 if turn is not None:
                     self._end_turn(fingerprint)
                 self._add_suspect(fingerprint, crash)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/suspects.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/suspects.py
@@ -12,6 +12,7 @@
     Record,
     RecordKey,
     SeenRecord,
+    Turn,
 )
 
 SUSPICION_SECONDS = 300.0
@@ -63,6 +64,11 @@
     def __bool__(self) -> bool:
         return bool(self.seen_by_key)
 
+    def holds(self, turn: Turn) -> bool:
+        """Return whether the record of a turn is still there, and not replaced by another."""
+        seen = self.seen_by_key.get(turn.key)
+        return seen is not None and seen.record.fingerprint == turn.record.fingerprint
+
     def put(self, key: RecordKey, record: Record) -> None:
         """Store a record; beyond `MAX_RECORDS` the oldest ones without a turn are dropped."""
         self.pop(key)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
@@ -1,16 +1,22 @@
 """What counts as the crash of an upstream under a request, and what a refused caller gets."""
 
 import json
+import time
 
 from redwingscale_daemon._internal.forwarding import crash_guard
 from redwingscale_daemon._internal.quarantine.record import Crash
 from redwingscale_daemon._internal.quarantine.store import StoredQuarantine
 
-from .conftest import breaks, events, sized
+from .conftest import WAIT_SECONDS, breaks, events, sized
 
 SECONDS = 300.0
 
 
+def watch_fingerprints(seen):
+    original = crash_guard.fingerprint_of
+    return lambda call: seen.append(original(call)) or seen[-1]
+
+
 def crashes(world, number):
     """Return a script that stops listening before it closes the connection."""
 
@@ -60,6 +66,23 @@
     assert world.crash_counts["suspect"] == 1
 
 
+def test_evidence_that_comes_after_a_turn_still_decides(world, monkeypatch):
+    """Guards against workers that are back at their address before a connection is refused."""
+    world.add("llm", breaks)
+    seen = []
+    monkeypatch.setattr(crash_guard, "fingerprint_of", watch_fingerprints(seen))
+    world.quarantine.note_crash("other", Crash("u8", "refused"), None)
+    assert world.request("/single/x", model="m").status == 502
+    world.quarantine.note_crash(seen[0], Crash("u9", "refused"), None)
+    assert world.request("/single/x", model="m").status == 502
+    world.directory.replace([])
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not world.crash_counts["quarantined"]:
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+    assert world.request("/single/x", model="m").status == 422
+
+
 def test_suspect_that_runs_anywhere_is_cleared(world):
     """Guards against a popular request that stays suspect while it is answered elsewhere."""
     world.add("llm", crashes(world, 0))
@@ -73,10 +96,7 @@
     """Guards against a repeat that an upstream still runs, and a caller told that it ran."""
     world.add("plain", sized(b"answer"))
     seen = []
-    original = crash_guard.fingerprint_of
-    monkeypatch.setattr(
-        crash_guard, "fingerprint_of", lambda *a: seen.append(original(*a)) or seen[-1]
-    )
+    monkeypatch.setattr(crash_guard, "fingerprint_of", watch_fingerprints(seen))
     world.quarantine.note_crash("other", Crash("u9", "refused"), None)
     assert world.request("/safe/x", b"body").status == 200
     world.entries.publish("quarantine", "0", StoredQuarantine(seen[0], SECONDS, ("u0",)))
