Choose again after any wait beside a suspect

Cause: whether the chosen upstream is still usable was checked only for a request that got a turn. A copy that waited for the turn of another one, and needed none once it was cleared, kept its old choice. Change: the check follows every wait. Evidence: test_upstream_that_leaves_during_a_wait_gets_no_request fails without the change (200 in place of 503) and passes with it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
@@ -77,7 +77,7 @@
             if refusal.status == 503 and run is not RunState.NOT_RUN:
                 raise Refusal(502, "upstream_failed", refusal.detail, run=run) from None
             raise
-        return GuardedAttempt(self, call, upstream, turn)
+        return GuardedAttempt(self, call, upstream, turn, may_have_waited=True)
 
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether ``upstream`` may still be used after a wait."""
@@ -166,17 +166,24 @@
     """One attempt at one upstream; used by one thread."""
 
     def __init__(
-        self, guard: CrashGuard, call: Call, upstream: Upstream, turn: Turn | None
+        self,
+        guard: CrashGuard,
+        call: Call,
+        upstream: Upstream,
+        turn: Turn | None,
+        *,
+        may_have_waited: bool = False,
     ) -> None:
         self._guard = guard
         self._call = call
         self._upstream = upstream
         self._turn = turn
+        self._may_have_waited = may_have_waited
 
     @property
     def usable(self) -> bool:
-        """Whether the upstream has not gone while the attempt waited for its turn."""
-        return self._turn is None or self._guard.is_usable(self._upstream)
+        """Whether the upstream has not gone while the attempt waited, for a turn or for none."""
+        return not self._may_have_waited or self._guard.is_usable(self._upstream)
 
     def note_event(self, position: int) -> None:
         """Note an event of this attempt; ``position`` is its number."""
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
@@ -83,6 +83,24 @@
     assert world.request("/single/x", model="m").status == 422
 
 
+def test_upstream_that_leaves_during_a_wait_gets_no_request(world, monkeypatch):
+    """Guards against a copy of a cleared suspect that is sent to an upstream that has left."""
+    world.add("llm", events(1, 2, 3))
+    wait_for_turn = world.quarantine.wait_for_turn
+
+    def wait_while_it_leaves(*arguments):
+        world.directory.note_leaving(["u0"], "answer")
+        return wait_for_turn(*arguments)
+
+    monkeypatch.setattr(world.quarantine, "wait_for_turn", wait_while_it_leaves)
+    world.quarantine.note_crash("other", Crash("u8", "refused"), None)
+    assert (
+        world.request("/stream/x", model="m", headers=("X-Redwingscale-Deadline-Ms: 500",)).status
+        == 503
+    )
+    assert not world.log
+
+
 def test_suspect_that_runs_anywhere_is_cleared(world):
     """Guards against a popular request that stays suspect while it is answered elsewhere."""
     world.add("llm", crashes(world, 0))
