Expect the first request after a burst to be served

Cause: the test that replaced a listed one accepted any 200 within 5 s, which is weaker than before. Change: it waits until no thread serves a connection, and then expects the port not to be crowded and the first request to be served.

--- a/packages/redwingscale-daemon/tests/unit/ingress/test_request_threads.py
+++ b/packages/redwingscale-daemon/tests/unit/ingress/test_request_threads.py
@@ -81,7 +81,9 @@
     port.release.set()
     assert [one.getresponse().status for one in sent] == [200] * len(sent)
     # A thread serves its connection until some time after its caller has the answer.
-    assert wait_until(lambda: port.request_status() == 200)
+    assert wait_until(lambda: not port.server._threads.busy)
+    assert not port.server.crowded
+    assert port.request_status() == 200
 
 
 def test_port_that_has_just_started_is_not_crowded(monkeypatch):
