Log when failures at several upstreams make the own path suspect

Cause: upstream_unreachable names one upstream at a time, so the logs of an instance could not tell one loss of its own path from separate losses of many upstreams. Change: the sender notes each answer, and each failure of a new connection; failures at two upstreams with no byte from any since are logged as path_suspected, and path_not_suspected once one is heard. No decision depends on it yet.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -204,7 +204,7 @@
     fleet.first_events.on_observed = metrics.record_first_event
     limits = limits_of(settings.machine.memory_mb)
     open_bytes = UpstreamBytes(limits.upstream if limits else None)
-    sender = Sender(pool, exchange, fleet.backpressure, open_bytes)
+    sender = Sender(pool, exchange, fleet.backpressure, open_bytes, fleet.path)
     parts = RelayParts(
         exchange,
         sender,
@@ -216,6 +216,7 @@
         fleet.gate,
         fleet.backpressure,
         guard,
+        fleet.path,
         pauses,
     )
     wait = HolderWait(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -10,6 +10,7 @@
 from redwingscale_daemon._internal.fleet.latency_factors import LatencyFactors
 from redwingscale_daemon._internal.fleet.load_tracker import LoadTracker
 from redwingscale_daemon._internal.fleet.outcomes import Outcomes
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 from redwingscale_daemon._internal.fleet.residency import Residency
@@ -34,6 +35,7 @@
     gate: SendGate
     backpressure: BackpressureTracker
     first_events: FirstEventEstimates
+    path: OwnPath
 
 
 def new_fleet(instance: str = "", instances: Callable[[], int] = lambda: 1) -> Fleet:
@@ -47,11 +49,12 @@
         PrefixMemory(),
     )
     first_events = FirstEventEstimates(load_tracker)
+    path = OwnPath(lambda: len(directory.all()))
     rates = RateLimits(instance, instances, directory.lists)
     retry_times = RetryTimes()
     backpressure = BackpressureTracker(directory, rates, retry_times)
     by_upstream = (load_tracker, health, latency_factors, prefixes, residency, rates, retry_times)
-    for part in (*by_upstream, first_events):
+    for part in (*by_upstream, first_events, path):
         directory.on_gone(part.forget)
     return Fleet(
         directory,
@@ -67,4 +70,5 @@
         SendGate(rates, retry_times),
         backpressure,
         first_events,
+        path,
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -125,12 +125,13 @@
             self.first_event_seconds = seconds
         return seconds
 
-    def note_delivery(self) -> None:
-        """Record an event written to the caller, and the gap since the previous one."""
+    def note_delivery(self) -> float:
+        """Record an event written to the caller, and the gap since the last one; return the time."""
         now = time.monotonic()
         if self.last_event_at is not None:
             self.longest_gap_seconds = max(self.longest_gap_seconds, now - self.last_event_at)
         self.last_event_at = now
+        return now
 
     def seconds_since_send(self) -> float:
         """Return the seconds since the latest attempt was sent."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
@@ -7,6 +7,7 @@
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.latency_factors import LatencyFactors
 from redwingscale_daemon._internal.fleet.load_tracker import LoadTracker
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
 from redwingscale_daemon._internal.fleet.send_gate import SendGate
 from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
 from redwingscale_daemon._internal.forwarding.crash_guard import CrashGuard
@@ -28,4 +29,5 @@
     gate: SendGate
     backpressure: BackpressureTracker
     guard: CrashGuard
+    path: OwnPath
     pauses: StreamPauses | None = None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -14,6 +14,7 @@
 )
 from redwingscale_daemon._internal.fleet.backpressure import Backpressure
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureTracker
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
@@ -39,11 +40,13 @@
         dialect: Dialect,
         backpressure: BackpressureTracker,
         open_bytes: UpstreamBytes | None = None,
+        path: OwnPath | None = None,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
         self._backpressure = backpressure
         self._open_bytes = open_bytes or UpstreamBytes()
+        self._path = path or OwnPath()
 
     def send(
         self,
@@ -66,6 +69,7 @@
             connection = self._pool.take_idle(upstream) or self._pool.open(upstream)
         except (HTTPError, OSError) as error:
             self._open_bytes.give(upstream.id, size)
+            self._path.note_failed(upstream.id, "no connection")
             # urllib3 chains the error of the socket.
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
             return NotRun(
@@ -85,12 +89,16 @@
             connection.discard()
             raise
         except (HTTPException, HTTPError, OSError, UpstreamSilent) as error:
+            # An upstream may close a connection that was idle.
+            if isinstance(error, OSError | UpstreamSilent) and not connection.response_count:
+                self._path.note_failed(upstream.id, "no byte on a new connection")
             connection.discard()
             return lost_by(upstream, error)
         except Exception:
             # The bytes of the request would count forever.
             connection.discard()
             raise
+        self._path.note_heard(upstream.id)
         if response is None:
             connection.discard()
             return Lost(upstream, "answers of other requests")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -164,7 +164,7 @@
                 call.reply.begin(answering.response.status, headers)
             call.reply.write(event.data)
             progress.note_delivered(event)
-            call.attempts.note_delivery()
+            self._parts.path.heard_at = call.attempts.note_delivery()
             pauses.note_written()
         if not call.reply.started:
             call.reply.begin(answering.response.status, headers)
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_own_path.py
@@ -0,0 +1,82 @@
+"""When failed exchanges are evidence that the instance has lost its own path."""
+
+import pytest
+from redwingscale_daemon._internal.fleet.own_path import EVIDENCE_SECONDS, OwnPath
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        self.now += 0.001
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def path(clock):
+    return OwnPath(lambda: 5, clock)
+
+
+def test_failures_at_one_upstream_leave_the_path_sound(path):
+    """Guards against an upstream that has crashed and is taken for a lost path."""
+    for _ in range(5):
+        path.note_failed("a", "no connection")
+    assert not path.suspected
+
+
+def test_failures_at_two_upstreams_make_the_path_suspect(path):
+    path.note_failed("a", "no connection")
+    path.note_failed("b", "no connection")
+    assert path.suspected
+    assert path.evidence().upstreams == {"a", "b"}
+
+
+def test_answer_between_two_failures_leaves_the_path_sound(path):
+    """Guards against two upstreams that crash one after the other while others answer."""
+    path.note_failed("a", "no connection")
+    path.note_heard("c")
+    path.note_failed("b", "no connection")
+    assert not path.suspected
+
+
+def test_answer_ends_the_suspicion(path):
+    path.note_failed("a", "no connection")
+    path.note_failed("b", "no connection")
+    path.note_heard("b")
+    assert not path.suspected
+    assert path.evidence() is None
+
+
+def test_event_of_an_open_stream_counts_as_heard(path, clock):
+    """Guards against a path that is suspect while streams go on and only new connections fail."""
+    path.note_failed("a", "no connection")
+    path.heard_at = clock()
+    path.note_failed("b", "no connection")
+    assert not path.suspected
+
+
+def test_old_failure_is_no_evidence(path, clock):
+    path.note_failed("a", "no connection")
+    clock.now += EVIDENCE_SECONDS
+    path.note_failed("b", "no connection")
+    assert not path.suspected
+
+
+def test_only_upstream_of_a_deployment_is_evidence(clock):
+    path = OwnPath(lambda: 1, clock)
+    path.note_failed("a", "no connection")
+    assert path.suspected
+
+
+def test_evidence_of_silence_alone_is_marked(path):
+    path.note_failed("a", "overdue", silent=True)
+    path.note_failed("b", "overdue", silent=True)
+    assert path.evidence().silent
+    path.note_failed("b", "no connection")
+    assert not path.evidence().silent
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -247,7 +247,7 @@
         self.guard = CrashGuard(self.quarantine, fleet.directory, ends)
         parts = RelayParts(
             exchange,
-            Sender(self.pool, exchange, fleet.backpressure, open_bytes),
+            Sender(self.pool, exchange, fleet.backpressure, open_bytes, fleet.path),
             chooser,
             fleet.load_tracker,
             fleet.health,
@@ -256,6 +256,7 @@
             fleet.gate,
             fleet.backpressure,
             self.guard,
+            fleet.path,
         )
         self.caller_retry_seconds = None
         wait = HolderWait(
