--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -8,6 +8,8 @@
 from redwingscale_standins.hosted.rows_api import RowsApi
 from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.hosted.worker_process import WorkerProcess
+from redwingscale_standins.soak.faulty_link import FaultyLink
+from redwingscale_standins.soak.process_paths import PathFault, ProcessPaths
 
 
 class Deployment:
@@ -22,6 +24,8 @@
         self.workers = {}
         self.instances = []
         self.processes = []
+        self.paths = ProcessPaths()
+        self.links = []
 
     def _serve(self, handler):
         server = HttpServer(handler, "127.0.0.1", 0, ServerLimits(threads=24))
@@ -38,10 +42,31 @@
 
     def worker_process(self, name, *models):
         """Start a worker that requests can end, in a process of its own."""
-        made = WorkerProcess(name, models, self.rows)
+        made = WorkerProcess(name, models, self.rows, open_link=self.link)
         self.processes.append(made)
         return made
 
+    def plain_worker(self, made):
+        """List a worker of the plain service, behind a link."""
+        port = self.link(self._serve(made))
+        self.rows.put("servers", made.id, self.entry(made, port) | {"Service": "plain"})
+        return made
+
+    def link(self, port):
+        """Return the port of a new link, which may fail for single instances."""
+        self.links.append(FaultyLink(port, self.paths))
+        return self.links[-1].port
+
+    def cut(self, instance, fault):
+        """Cut an instance off from all workers that have links."""
+        self.paths.cut(instance.process.pid, fault)
+        if fault is PathFault.RESET:
+            for link in self.links:
+                link.reset_cut()
+
+    def heal(self, instance):
+        self.paths.heal(instance.process.pid)
+
     def entry(self, worker, port, state="ready"):
         models = [{"Name": name, "Version": 1, "Adapters": []} for name in worker.models]
         return {
@@ -63,6 +88,8 @@
             instance.end()
         for process in self.processes:
             process.stop()
+        for link in self.links:
+            link.close()
         for server in self._servers:
             server.stop()
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/worker_process.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/worker_process.py
@@ -7,7 +7,7 @@
 import sys
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from redwingscale_common.network.server import HttpServer, ServerLimits
@@ -53,6 +53,7 @@
 
     ``ends`` are the monotonic times at which a process ended. The entry of one that has ended
     stays in the list for ``listed_seconds``, the next one starts after ``down_seconds``.
+    ``open_link`` returns the port that is listed for the worker's own port.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         gap: float = 0.02,
         listed_seconds: float = 0.6,
         down_seconds: float = 1.0,
+        open_link: Callable[[int], int] = lambda port: port,
     ) -> None:
         self.name, self.models, self.ends = name, models, list[float]()
         self._rows, self._gap = rows, gap
@@ -74,6 +76,7 @@
         self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._reserved.bind(("127.0.0.1", 0))
         self._port = self._reserved.getsockname()[1]
+        self._listed_port = open_link(self._port)
         self.process = self._start()
         self._thread = threading.Thread(target=self._replace_ended, daemon=True)
         self._thread.start()
@@ -120,7 +123,7 @@
         models = [{"Name": name, "Version": 1, "Adapters": []} for name in self.models]
         return {
             "Service": "llm",
-            "Address": f"127.0.0.1:{self._port}",
+            "Address": f"127.0.0.1:{self._listed_port}",
             "Zone": "z1",
             "Slots": 64,
             "State": "ready",
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
@@ -8,6 +8,8 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_standins.soak.process_paths import PathFault, ProcessPaths
+
 CHUNK_BYTES = 65536
 HOLD_POLL_SECONDS = 0.02
 # SO_LINGER with a timeout of zero: closing sends a reset instead of a FIN.
@@ -19,11 +21,15 @@
 
     ``hold_to`` and ``hold_from`` hold the bytes of one direction and deliver them when
     the fault ends, like a network that drops packets which are retransmitted later.
-    `silence` discards all further traffic of the connections that are open now.
+    `silence` discards all further traffic of the connections that are open now. ``paths``
+    has the client processes that the link fails for.
     """
 
-    def __init__(self, target_port: int) -> None:
+    def __init__(self, target_port: int, paths: ProcessPaths | None = None) -> None:
         self.target_port = target_port
+        self._paths = paths or ProcessPaths()
+        # The fault of each accepted connection, and the version of the paths it was found at.
+        self._fault_by_client: dict[socket.socket, tuple[int, PathFault | None]] = {}
         self.delay_seconds = 0.0
         self.hold_to = False
         self.hold_from = False
@@ -52,6 +58,20 @@
         for end in sockets:
             _reset(end)
 
+    def reset_cut(self) -> None:
+        """Reset the open connections of processes with the fault `PathFault.RESET`."""
+        for client in list(self._fault_by_client):
+            if self._fault(client) is PathFault.RESET:
+                _reset(client)
+
+    def _fault(self, client: socket.socket) -> PathFault | None:
+        version, fault = self._fault_by_client.get(client, (-1, None))
+        if version != self._paths.version:
+            version = self._paths.version
+            fault = self._paths.fault(client)
+            self._fault_by_client[client] = (version, fault)
+        return fault
+
     def close(self) -> None:
         """Stop accepting connections and reset the open ones."""
         self._closed = True
@@ -65,10 +85,11 @@
             except OSError:
                 return
             try:
-                if self.refuse:
+                if self.refuse or self._fault(client) in (PathFault.RESET, PathFault.REFUSE_NEW):
                     raise ConnectionRefusedError
                 server = socket.create_connection(("127.0.0.1", self.target_port), timeout=5.0)
             except OSError:
+                self._fault_by_client.pop(client, None)
                 _reset(client)
                 continue
             server.settimeout(None)
@@ -85,13 +106,16 @@
     def _pump_both(self, client: socket.socket, server: socket.socket) -> None:
         generation = self._generation
         for source, sink, is_held in (
-            (client, server, lambda: self.hold_to),
-            (server, client, lambda: self.hold_from),
+            (client, server, lambda: self.hold_to or self._holds(client)),
+            (server, client, lambda: self.hold_from or self._holds(client)),
         ):
             threading.Thread(
                 target=self._pump, args=(source, sink, is_held, generation), daemon=True
             ).start()
 
+    def _holds(self, client: socket.socket) -> bool:
+        return self._fault(client) is PathFault.HOLD
+
     def _pump(
         self,
         source: socket.socket,
@@ -112,6 +136,8 @@
             # One end was reset, so reset the other too.
             with self._lock:
                 self._open -= {source, sink}
+            for end in (source, sink):
+                self._fault_by_client.pop(end, None)
             _reset(source)
             _reset(sink)
 
