--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
@@ -0,0 +1,120 @@
+"""Wires what an instance does when it loses its path to upstreams, and for others that have."""
+
+import socket
+from collections.abc import Callable
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.fleet.fleet import Fleet
+from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
+from redwingscale_daemon._internal.fleet.path_watch import PathWatch
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
+from redwingscale_daemon._internal.forwarding.detour import Detour
+from redwingscale_daemon._internal.forwarding.path_replies import PathReplies
+from redwingscale_daemon._internal.forwarding.peer_offers import Ask, PeerOffers
+from redwingscale_daemon._internal.forwarding.peer_port import PeerPort
+from redwingscale_daemon._internal.forwarding.peer_relay import PeerRelay
+from redwingscale_daemon._internal.forwarding.request_handler import RequestHandler
+from redwingscale_daemon._internal.forwarding.upstream_connection import CONNECT_SECONDS
+from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
+from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
+from redwingscale_daemon._internal.platform import exchange
+from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings
+from redwingscale_daemon._internal.swaps.order_client import OrderClient
+from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
+
+# Offset from the first peer port; the ports before it carry the updates between instances.
+PEER_REQUESTS_PORT = 3
+# Fraction of the threads of the callers' port that serve requests of other instances: as
+# many callers again as an instance has on the average.
+PEER_THREADS_FRACTION = 0.5
+MIN_PEER_THREADS = 8
+
+
+class Detours(NamedTuple):
+    """What the request path needs to pass requests on."""
+
+    detour: Detour
+    relay: PeerRelay
+
+
+def build_detours(
+    settings: IngressSettings,
+    fleet: Fleet,
+    metrics: IngressMetrics,
+    addresses: Callable[[], list[str]],
+    ask: Ask,
+    reports: OrderClient,
+) -> Detours:
+    """Return the parts, not started; `PathWatch` starts with the first suspicion."""
+    path = fleet.path
+    offers = PeerOffers(settings.failure_domain, addresses, ask)
+    pool = ConnectionPool()
+
+    def probe(upstream: Upstream) -> None:
+        if upstream.models_by_name:
+            # An answer is noted by the client.
+            reports.report(upstream)
+            return
+        try:
+            socket.create_connection(upstream.address, CONNECT_SECONDS).close()
+        except OSError:
+            return
+        path.note_heard(upstream.id)
+
+    watch = PathWatch(
+        path, fleet.directory, offers.who_heard, probe, lambda since: offers.follow((), since)
+    )
+    path.on_suspected(watch.begin)
+    path.on_restored(lambda: pool.forget(offers.ids()))
+    return Detours(
+        Detour(path, fleet.health, offers),
+        PeerRelay(
+            settings.instance,
+            exchange,
+            pool,
+            offers,
+            lambda: path.lost,
+            lambda result: metrics.passed_on.add(1, {"result": result}),
+        ),
+    )
+
+
+def build_peer_port(
+    settings: IngressSettings,
+    handler: RequestHandler,
+    budget: ByteBudget,
+    limits: PortLimits,
+    may_take: Callable[[], bool],
+) -> PeerPort:
+    """Return the port for requests of other instances, not opened."""
+    first_port = settings.peer_ports[0]
+    threads = max(MIN_PEER_THREADS, round(limits.threads * PEER_THREADS_FRACTION))
+    peer_limits = limits._replace(threads=threads, refusing_threads=0, name="peers")
+
+    def make_server(port: PeerPort) -> IngressServer:
+        return IngressServer(
+            port.handle,
+            settings.host,
+            first_port + PEER_REQUESTS_PORT if first_port else 0,
+            peer_limits,
+            port.screen,
+            port.refuse_unread,
+            budget,
+        )
+
+    return PeerPort(handler, make_server, may_take)
+
+
+def build_path_replies(
+    settings: IngressSettings,
+    fleet: Fleet,
+    port: PeerPort,
+    may_take: Callable[[], bool],
+    busy: Callable[[], float],
+) -> Callable[[PathQuery], PathReply | None]:
+    """Return how this instance answers peers that ask what it reaches."""
+    replies = PathReplies(
+        settings.instance, settings.failure_domain, settings.host, fleet.path, port, may_take, busy
+    )
+    return replies.reply
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -6,6 +6,12 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.composition.crashes import build_crashes
+from redwingscale_daemon._internal.composition.detours import (
+    Detours,
+    build_detours,
+    build_path_replies,
+    build_peer_port,
+)
 from redwingscale_daemon._internal.composition.ordered_return import (
     ReturnUpdates,
     build_ordered_return,
@@ -92,8 +98,13 @@
         limiter,
         returns,
         place_uses,
+        lambda query: reply_on_path(query),
+    )
+    reports = _report_client(fleet)
+    own_reports = _own_reports(settings, routes, fleet, reads, reports)
+    detours = build_detours(
+        settings, fleet, metrics, swaps.peers.addresses, swaps.peers.ask_path, reports
     )
-    own_reports = _own_reports(settings, routes, fleet, reads)
     crashes = build_crashes(settings.instance, swaps.entries, store, fleet, metrics)
     handler = _request_handler(
         settings,
@@ -108,14 +119,26 @@
         returns,
         place_uses,
         crashes.guard,
+        detours,
         lambda: callers.crowded,
     )
     budget = ByteBudget(limits_of(settings.machine.memory_mb))
     metrics.observe_bytes_held(lambda: budget.held)
-    callers = _callers(settings, handler, budget)
+    limits = _port_limits(settings)
+    callers = _callers(settings, handler, budget, limits)
+
+    def may_take() -> bool:
+        known = routes.get() is not None and bool(fleet.directory.all())
+        return known and not (open_requests.draining or fleet.path.lost or callers.crowded)
+
+    peer_port = build_peer_port(settings, handler, budget, limits, may_take)
+    reply_on_path = build_path_replies(
+        settings, fleet, peer_port, may_take, lambda: callers.busy_fraction
+    )
     followers = _followers(settings.bounds, store, routes, fleet, swaps, reads, own_reports)
     parts = IngressParts(
         callers=callers,
+        peers=peer_port,
         probes=_probes(settings, routes, fleet.directory, open_requests, metrics, own_reports),
         tasks=(
             *followers,
@@ -182,6 +205,7 @@
     returns: ReturnUpdates,
     place_uses: PlaceUses,
     guard: CrashGuard,
+    detours: Detours,
     crowded: Callable[[], bool],
 ) -> RequestHandler:
     bounds = settings.bounds
@@ -217,6 +241,8 @@
         fleet.backpressure,
         guard,
         fleet.path,
+        detours.detour,
+        detours.relay,
         pauses,
     )
     wait = HolderWait(
@@ -243,6 +269,7 @@
             place_uses,
             lambda rank, result: metrics.places.add(1, {"rank": str(rank), "result": result}),
         ),
+        detours.detour.choose,
     )
     return RequestHandler(
         routes,
@@ -260,22 +287,30 @@
     )
 
 
-def _own_reports(
-    settings: IngressSettings, routes: CurrentRoutes, fleet: Fleet, reads: StoreReads
-) -> OwnReports:
-    def runs_models(service: str) -> bool:
-        table = routes.get()
-        rule = table.services_by_name.get(service) if table else None
-        return rule is not None and rule.engine is not None
-
-    client = OrderClient(
+def _report_client(fleet: Fleet) -> OrderClient:
+    return OrderClient(
         engine_calls(),
         on_backpressure=lambda upstream, backpressure: fleet.backpressure.take(
             upstream, backpressure, "own report"
         ),
+        path=fleet.path,
         connect_timeout_seconds=CONNECT_SECONDS,
         response_timeout_seconds=CONNECT_SECONDS,
     )
+
+
+def _own_reports(
+    settings: IngressSettings,
+    routes: CurrentRoutes,
+    fleet: Fleet,
+    reads: StoreReads,
+    client: OrderClient,
+) -> OwnReports:
+    def runs_models(service: str) -> bool:
+        table = routes.get()
+        rule = table.services_by_name.get(service) if table else None
+        return rule is not None and rule.engine is not None
+
     return OwnReports(
         settings.failure_domain,
         fleet.directory,
@@ -288,10 +323,8 @@
     )
 
 
-def _callers(
-    settings: IngressSettings, handler: RequestHandler, budget: ByteBudget
-) -> IngressServer:
-    limits = PortLimits(
+def _port_limits(settings: IngressSettings) -> PortLimits:
+    return PortLimits(
         settings.request_threads,
         MAX_HEAD_BYTES,
         MAX_BODY_BYTES,
@@ -299,6 +332,11 @@
         max(MIN_REFUSING_THREADS, round(settings.request_threads * REFUSING_FRACTION)),
         "callers",
     )
+
+
+def _callers(
+    settings: IngressSettings, handler: RequestHandler, budget: ByteBudget, limits: PortLimits
+) -> IngressServer:
     return IngressServer(
         handler.handle,
         *settings.callers,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -5,6 +5,7 @@
 
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.fleet.fleet import Fleet
+from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
@@ -50,6 +51,7 @@
     route_versions: RouteVersionTracker,
     lease: LeaderLease,
     fleet: Fleet,
+    reply_on_path: Callable[[PathQuery], PathReply | None],
 ) -> Peers:
     """Return the parts, not started."""
     first_port = settings.peer_ports[0]
@@ -61,6 +63,7 @@
         lambda: LeaseState(lease.row_version, lease.record),
         fleet.rates.receive_from_peer,
         lambda: exchange,
+        reply_on_path,
     )
     behind = SustainedCondition(BEHIND_BEFORE_QUERY_SECONDS)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -11,6 +11,7 @@
 from redwingscale_daemon._internal.fleet.fleet import Fleet
 from redwingscale_daemon._internal.fleet.list_update_tracker import ListUpdateTracker
 from redwingscale_daemon._internal.fleet.load_tracker import Load
+from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
 from redwingscale_daemon._internal.platform import engine, exchange
@@ -39,6 +40,7 @@
     UseEntry,
 )
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
+from redwingscale_daemon._internal.swaps.peer_client import PeerClient
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.slowness import first_event_entry
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
@@ -72,7 +74,8 @@
     returns whether this instance is the leader, which reads the store for all. On the
     other instances, ``list_updates`` and ``route_versions`` replace these reads, and
     ``fetch_announced`` fetches a configuration that the leader announced. ``release``
-    gives up the leader lease. ``entries`` are those that all instances exchange.
+    gives up the leader lease. ``entries`` are those that all instances exchange,
+    ``peers`` queries other instances.
     """
 
     local_demand: LocalDemand
@@ -84,6 +87,7 @@
     route_versions: RouteVersionTracker
     fetch_announced: Callable[[], bool]
     entries: GossipState
+    peers: PeerClient
 
 
 def engine_calls() -> EngineCalls:
@@ -110,6 +114,7 @@
     limiter: UseLimiter,
     returns: ReturnUpdates,
     place_uses: PlaceUses,
+    reply_on_path: Callable[[PathQuery], PathReply | None] = lambda query: None,
 ) -> Swaps:
     """Return the parts, not started; ``start`` identifies this process."""
     me = settings.instance
@@ -228,6 +233,7 @@
             lambda upstream, backpressure: fleet.backpressure.take(
                 upstream, backpressure, "order giver"
             ),
+            fleet.path,
         ),
         server,
         LoadCeiling(0.0, bounds.load_window),
@@ -249,7 +255,7 @@
         former_slowness=fleet.first_events.slowness.values,
     )
     fleet.directory.on_gone(leader.forget)
-    peers = build_peers(settings, routes, reads, route_versions, lease, fleet)
+    peers = build_peers(settings, routes, reads, route_versions, lease, fleet, reply_on_path)
     client = LeaderClient(lease, me, make_update, on_leader_update, leader.receive)
     local_demand.on_new_wait(client.wake)
     fleet.rates.on_update(client.wake)
@@ -287,6 +293,7 @@
         route_versions=route_versions,
         fetch_announced=peers.fetch_announced,
         entries=peers.entries,
+        peers=peers.client,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -113,6 +113,15 @@
             candidates = _with_pauses(candidates, self._pauses, service, prompt)
         return self._cheapest(candidates, compare_all=compare_all)
 
+    def plain_ids(self, service: str, tried: Collection[str]) -> list[str]:
+        """Return the ids of the upstreams of a plain service that are not in ``tried``."""
+        return [upstream.id for upstream in self._plain_upstreams(service, tried)]
+
+    def resident_ids(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
+        """Return the holders of the prompt's unit, reached or not, that are not in ``tried``."""
+        holders = self._directory.holders(service, prompt.unit)
+        return [u.id for u in holders if u.id not in tried and not self._health.is_replaced(u.id)]
+
     def holder_ids(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
         """Return the ids of the holders of the prompt's unit that are not in ``tried``."""
         return [upstream.id for upstream in self._holders(service, prompt, tried)]
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -42,20 +42,23 @@
     """Return an empty fleet for ``instance`` whose parts drop upstreams that are gone."""
     changes, residency, outcomes = Changes(), Residency(), Outcomes()
     directory = UpstreamDirectory(residency, changes)
+    path = OwnPath(lambda: len(directory.all()))
     load_tracker, health, latency_factors, prefixes = (
         LoadTracker(),
-        Health(outcomes),
+        Health(outcomes, path),
         LatencyFactors(),
         PrefixMemory(),
     )
     first_events = FirstEventEstimates(load_tracker)
-    path = OwnPath(lambda: len(directory.all()))
     rates = RateLimits(instance, instances, directory.lists)
     retry_times = RetryTimes()
     backpressure = BackpressureTracker(directory, rates, retry_times)
     by_upstream = (load_tracker, health, latency_factors, prefixes, residency, rates, retry_times)
     for part in (*by_upstream, first_events, path):
         directory.on_gone(part.forget)
+    path.on_lost(changes.notify)
+    path.on_restored(health.forgive)
+    path.on_restored(changes.notify)
     return Fleet(
         directory,
         residency,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
@@ -3,11 +3,13 @@
 import math
 import threading
 import time
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.outcomes import Outcomes
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
 
 # How long an upstream is avoided after a first failure; doubled by each further one. Long
 # enough to send a few requests elsewhere, short enough that a restarted upstream gets
@@ -31,11 +33,14 @@
     only some of the instances cannot reach it.
     """
 
-    def __init__(self, outcomes: Outcomes) -> None:
+    def __init__(self, outcomes: Outcomes, path: OwnPath | None = None) -> None:
         self._outcomes = outcomes
+        self._path = path or OwnPath()
         self._lock = threading.Lock()
         self._suspicions: dict[str, _Suspicion] = {}
         self._unreachable_until: dict[str, float] = {}
+        # When each of them accepted no connection for the first time since its last answer.
+        self._unreachable_since: dict[str, float] = {}
 
     def note_failure(self, upstream_id: str) -> None:
         """Note a request that the upstream lost or answered with a failure of its own."""
@@ -55,7 +60,9 @@
         self._suspect(upstream_id)
         with self._lock:
             first = upstream_id not in self._unreachable_until
-            self._unreachable_until[upstream_id] = time.monotonic() + UNREACHABLE_SECONDS
+            now = time.monotonic()
+            self._unreachable_until[upstream_id] = now + UNREACHABLE_SECONDS
+            self._unreachable_since.setdefault(upstream_id, now)
         if first:
             log_event("upstream_unreachable", level="WARNING", upstream=upstream_id)
 
@@ -81,6 +88,7 @@
         with self._lock:
             self._suspicions.pop(upstream_id, None)
             reached = self._unreachable_until.pop(upstream_id, None)
+            self._unreachable_since.pop(upstream_id, None)
         if reached is not None:
             log_event("upstream_reached", upstream=upstream_id)
 
@@ -98,10 +106,26 @@
         return self._unreachable_until.get(upstream_id) == math.inf
 
     def is_unreachable(self, upstream_id: str) -> bool:
-        """Return whether ``upstream_id`` accepted no connection lately."""
+        """Return whether ``upstream_id`` accepted no connection lately, or none can be reached."""
+        if self._path.lost:
+            return True
         until = self._unreachable_until.get(upstream_id)
         return until is not None and time.monotonic() < until
 
+    def unreachable_since(self, upstream_ids: Iterable[str]) -> float:
+        """Return the monotonic time from which all of ``upstream_ids`` were unreachable."""
+        since = self._unreachable_since
+        return max((since.get(key, float("-inf")) for key in upstream_ids), default=float("-inf"))
+
+    def forgive(self) -> None:
+        """Drop all failures: they came from the path of this instance, which works again."""
+        with self._lock:
+            self._suspicions.clear()
+            self._unreachable_since.clear()
+            self._unreachable_until = {
+                key: until for key, until in self._unreachable_until.items() if until == math.inf
+            }
+
     def all_unreachable(self) -> list[str]:
         """Return the upstreams that have accepted no connection since their last answer."""
         with self._lock:
@@ -113,3 +137,4 @@
             for key in upstream_ids:
                 self._suspicions.pop(key, None)
                 self._unreachable_until.pop(key, None)
+                self._unreachable_since.pop(key, None)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
@@ -2,13 +2,14 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
-# Failures at fewer upstreams may be failures of these upstreams.
-SUSPECT_UPSTREAMS = 2
+# Failures at fewer upstreams may be failures of these upstreams, and answers of fewer may be
+# those that get through on a path that loses packets.
+DECIDING_UPSTREAMS = 2
 # Older failures are no evidence: the upstreams may have had no request since.
 EVIDENCE_SECONDS = 3.0
 # A request without a byte for this long is evidence while no other upstream is heard either.
@@ -36,12 +37,12 @@
 
     A failure at one upstream says little about the path. Failures at several of them, with
     no byte from any upstream since the first, make the path suspect: either all of them are
-    lost for everybody, or this instance is cut off.
+    lost for everybody, or this instance is cut off. Peers that still hear them decide.
     """
 
     def __init__(
         self,
-        known_upstreams: Callable[[], int] = lambda: SUSPECT_UPSTREAMS,
+        known_upstreams: Callable[[], int] = lambda: DECIDING_UPSTREAMS,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._known_upstreams = known_upstreams
@@ -52,16 +53,46 @@
         self._heard_at_by_id: dict[str, float] = {}
         self._failures_by_id: dict[str, _Failure] = {}
         self._suspected = False
+        # Monotonic time of the first failure of a path that is lost, None while it is not.
+        self._lost_since: float | None = None
+        self._heard_since_loss: set[str] = set()
+        self._on_suspected: list[Callable[[], None]] = []
+        self._on_lost: list[Callable[[], None]] = []
+        self._on_restored: list[Callable[[], None]] = []
+
+    def on_suspected(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when the path becomes suspect."""
+        self._on_suspected.append(listener)
+
+    def on_lost(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when the path is lost."""
+        self._on_lost.append(listener)
+
+    def on_restored(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when a lost path works again."""
+        self._on_restored.append(listener)
+
+    @property
+    def lost(self) -> bool:
+        """Whether this instance reaches no upstream, while others do."""
+        return self._lost_since is not None
+
+    @property
+    def lost_since(self) -> float | None:
+        """The monotonic time of the first failure on a path that is lost, None if it is not."""
+        return self._lost_since
 
     @property
-    def suspected(self) -> bool:
-        """Whether exchanges with several upstreams have failed and none has been heard since."""
-        return self._suspected and self.evidence() is not None
+    def doubtful(self) -> bool:
+        """Whether the path is lost or suspect: failures say nothing about upstreams."""
+        return self.lost or self.evidence() is not None
 
     def note_heard(self, upstream_id: str) -> None:
         """Note the head of an answer."""
         self.heard_at = self._heard_at_by_id[upstream_id] = self._clock()
-        if self._suspected:
+        if self._lost_since is not None:
+            self._note_heard_while_lost(upstream_id)
+        elif self._suspected:
             self.evidence()
 
     def note_failed(self, upstream_id: str, reason: str, *, silent: bool = False) -> None:
@@ -71,24 +102,35 @@
         """
         now = self._clock()
         with self._lock:
+            if self._lost_since is not None:
+                return
             current = self._current(now)
             before = current.get(upstream_id, _Failure(now, silent))
             current[upstream_id] = _Failure(before.at, before.silent and silent)
             self._failures_by_id = current
-            needed = max(1, min(SUSPECT_UPSTREAMS, self._known_upstreams()))
-            begins = not self._suspected and len(current) >= needed
+            begins = not self._suspected and len(current) >= self._deciding()
             self._suspected = self._suspected or begins
-        if begins:
-            log_event(
-                "path_suspected",
-                level="WARNING",
-                upstreams=",".join(sorted(current)),
-                reason=reason,
-                unheard_for=round(now - self.heard_at, 3),
-            )
+        if not begins:
+            return
+        log_event(
+            "path_suspected",
+            level="WARNING",
+            upstreams=",".join(sorted(current)),
+            reason=reason,
+            unheard_for=round(now - self.heard_at, 3),
+        )
+        _call_all(self._on_suspected)
+
+    def note_overdue(self, upstream_id: str) -> bool:
+        """Note a wait for a byte longer than `OVERDUE_SECONDS`; return whether the path is lost."""
+        if self._lost_since is None and self._clock() - self.heard_at > OVERDUE_SECONDS:
+            self.note_failed(upstream_id, "overdue", silent=True)
+        return self.lost
 
     def evidence(self) -> Evidence | None:
         """Return the evidence while the path is suspect, None once an upstream is heard."""
+        if not self._suspected:
+            return None
         with self._lock:
             if not self._suspected:
                 return None
@@ -103,7 +145,30 @@
         log_event("path_not_suspected", unheard_for=round(self._clock() - self.heard_at, 3))
         return None
 
-    def heard_since(self, upstream_ids: frozenset[str], since: float) -> list[str]:
+    def confirm_loss(self, evidence: Evidence, peers: Iterable[str]) -> bool:
+        """Take the path as lost, as ``peers`` reach upstreams that this instance does not.
+
+        Returns False if an upstream was heard meanwhile.
+        """
+        with self._lock:
+            if self._lost_since is not None or self.heard_at > evidence.since:
+                return False
+            self._lost_since = evidence.since
+            self._heard_since_loss = set()
+            self._suspected = False
+            self._failures_by_id = {}
+        log_event(
+            "path_lost",
+            level="WARNING",
+            upstreams=",".join(sorted(evidence.upstreams)),
+            reached_by=",".join(sorted(peers)),
+            unheard_for=round(self._clock() - self.heard_at, 3),
+            known_after=round(self._clock() - evidence.since, 3),
+        )
+        _call_all(self._on_lost)
+        return True
+
+    def heard_since(self, upstream_ids: Iterable[str], since: float) -> list[str]:
         """Return those of ``upstream_ids`` that have answered since the monotonic ``since``."""
         heard = self._heard_at_by_id
         return [key for key in upstream_ids if heard.get(key, float("-inf")) > since]
@@ -115,6 +180,28 @@
                 self._failures_by_id.pop(key, None)
                 self._heard_at_by_id.pop(key, None)
 
+    def _note_heard_while_lost(self, upstream_id: str) -> None:
+        with self._lock:
+            self._heard_since_loss.add(upstream_id)
+            since = self._lost_since
+            if since is None or len(self._heard_since_loss) < self._deciding():
+                return
+            self._lost_since = None
+        log_event(
+            "path_restored",
+            upstreams=",".join(sorted(self._heard_since_loss)),
+            lost_for=round(self._clock() - since, 3),
+        )
+        _call_all(self._on_restored)
+
+    def _deciding(self) -> int:
+        return max(1, min(DECIDING_UPSTREAMS, self._known_upstreams()))
+
     def _current(self, now: float) -> dict[str, _Failure]:
         since = max(self.heard_at, now - EVIDENCE_SECONDS)
         return {key: one for key, one in self._failures_by_id.items() if one.at > since}
+
+
+def _call_all(listeners: Iterable[Callable[[], None]]) -> None:
+    for listener in listeners:
+        listener()
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_watch.py
@@ -0,0 +1,104 @@
+"""Finds out whether a suspect path is lost, and when it works again."""
+
+import itertools
+import threading
+import time
+from collections.abc import Callable, Collection, Iterable
+
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.own_path import Evidence, OwnPath
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+
+# How often peers are asked while the path is suspect: they hear upstreams now and then.
+CONFIRM_SECONDS = 0.1
+# How often one upstream is probed while the path is lost.
+PROBE_SECONDS = 0.4
+
+# Returns the peers that have heard some of the upstreams since a monotonic time.
+AskPeers = Callable[[Collection[str], float], Iterable[str]]
+
+
+class PathWatch:
+    """Runs a thread from the first suspicion until the path is sound again.
+
+    Peers that heard an upstream after this instance failed to reach it show that its own
+    path is lost. While it is lost, one connection at a time tells when it works again, so
+    that no caller's request has to.
+    """
+
+    def __init__(
+        self,
+        path: OwnPath,
+        directory: UpstreamDirectory,
+        ask_peers: AskPeers,
+        probe: Callable[[Upstream], None],
+        follow_peers: Callable[[float], None] = lambda since: None,
+    ) -> None:
+        self._path = path
+        self._directory = directory
+        self._ask_peers = ask_peers
+        # Sends one request to an upstream; an answer is noted by the path itself.
+        self._probe = probe
+        # Keeps the offers of peers current while requests are passed on.
+        self._follow_peers = follow_peers
+        self._lock = threading.Lock()
+        self._running = False
+        self._offset = itertools.count()
+
+    def begin(self) -> None:
+        """Start the thread unless it runs."""
+        with self._lock:
+            if self._running:
+                return
+            self._running = True
+        threading.Thread(target=self._run, name="path-watch", daemon=True).start()
+
+    def _run(self) -> None:
+        while self._is_needed():
+            try:
+                pause = self.step()
+            except Exception as error:
+                # Without this thread, a path that works again would stay unused.
+                log_event("step_failed", level="WARNING", task="path-watch", error=repr(error))
+                pause = PROBE_SECONDS
+            time.sleep(pause)
+
+    def _is_needed(self) -> bool:
+        with self._lock:
+            self._running = self._path.doubtful
+            return self._running
+
+    def step(self) -> float:
+        """Ask peers or probe an upstream once; return the seconds until the next step."""
+        since = self._path.lost_since
+        if since is not None:
+            self._follow_peers(since)
+            return self._probe_next()
+        evidence = self._path.evidence()
+        if evidence is not None and not self._is_refuted(evidence):
+            peers = set(self._ask_peers(evidence.upstreams, evidence.since))
+            if peers:
+                self._path.confirm_loss(evidence, peers)
+        return CONFIRM_SECONDS
+
+    def _is_refuted(self, evidence: Evidence) -> bool:
+        """Return whether a probe shows that upstreams were only slow to answer."""
+        if not evidence.silent:
+            return False
+        self._probe_next()
+        return self._path.heard_at > evidence.since
+
+    def _probe_next(self) -> float:
+        known = self._directory.all()
+        if not known:
+            return PROBE_SECONDS
+        # Those that run models answer a probe without running anything.
+        probed = [one for one in known if one.models_by_name] or known
+        upstream = probed[next(self._offset) % len(probed)]
+        asked_at = time.monotonic()
+        self._probe(upstream)
+        heard = bool(self._path.heard_since([upstream.id], asked_at))
+        # A second answer follows at once, so that the path is used again early.
+        return 0.0 if heard else PROBE_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -2,6 +2,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.fingerprint import fingerprint_of
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
@@ -12,6 +13,16 @@
 FAILURE_STATUSES = frozenset({500, 502})
 
 
+def watch_path(parts: RelayParts, call: Call, upstream: Upstream) -> None:
+    """Give up a request that waits for bytes once the own path is lost, if it may be repeated."""
+    may_repeat = call.route.repeatable
+
+    def on_overdue() -> bool:
+        return parts.path.note_overdue(upstream.id) and may_repeat
+
+    call.watch.on_overdue = on_overdue
+
+
 def note_failure(parts: RelayParts, call: Call, outcome: NotRun | Lost) -> None:
     """Log the failed attempt and count it against the health of its upstream."""
     match outcome:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -1,6 +1,7 @@
 """The attempts to send one request, and whether another one is allowed."""
 
 import time
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from redwingscale_common.utils.logs import log_event
@@ -16,6 +17,8 @@
 
 # An attempt that no upstream has run costs little, but uses up time until the deadline.
 MAX_ATTEMPTS = 4
+# An instance that declines costs little; one that is lost may have run the request.
+MAX_PASSED_ON = 3
 # Statuses that promise a caller that its request has not run and never will.
 NOT_RUN_STATUSES = frozenset({429, 503})
 
@@ -36,6 +39,12 @@
         self._service = service
         self._budget = budget
         self.tried: set[str] = set()
+        # Of these, the upstreams that were not reached.
+        self.unreached: set[str] = set()
+        # How often the request was passed on to another instance.
+        self.passed_on = 0
+        # Whether another instance has passed it on to this one.
+        self.taken_over = False
         self.count = 0
         self.possible_runs = 0
         self.history: list[str] = []
@@ -97,6 +106,7 @@
             return False
         match outcome:
             case NotRun(reached=False):
+                self.unreached.add(outcome.upstream.id)
                 return True
             case NotRun(gone=True):
                 return True
@@ -105,6 +115,33 @@
             case Lost():
                 return self._may_repeat()
 
+    def take_over(self, attempts: int, possible_runs: int, tried: Iterable[str]) -> None:
+        """Continue the attempts of the instance that has passed the request on."""
+        self.taken_over = True
+        self.count, self.possible_runs = attempts, possible_runs
+        self.tried.update(tried)
+
+    @property
+    def may_pass_on_to_peer(self) -> bool:
+        """Whether the request may go to another instance: at most once, and not in a circle."""
+        return not self.taken_over and self.passed_on < MAX_PASSED_ON
+
+    @property
+    def count_of_reached(self) -> int:
+        """The attempts without those whose upstream was not reached, at least 1 after any."""
+        return max(min(1, self.count), self.count - len(self.unreached))
+
+    def note_passed_on(self, peer: str) -> None:
+        """Count that the request is passed on to the instance ``peer``."""
+        self.passed_on += 1
+        self.history.append(f"passed on to {peer}")
+
+    def take_retry_after_lost_peer(self, reason: str) -> bool:
+        """Record a peer that was lost with the request; return whether to try another way."""
+        self.history.append(reason)
+        self.possible_runs += 1
+        return self.passed_on < MAX_PASSED_ON and self._may_repeat()
+
     def take_retry_after_error(self, upstream_id: str, reason: str) -> bool:
         """Record a failed or unsigned response; return whether to try another upstream."""
         self.history.append(f"{upstream_id}:{reason}")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
@@ -3,8 +3,8 @@
 import threading
 import time
 from collections import defaultdict
+from typing import Protocol
 
-from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.upstream_connection import UpstreamConnection
 
 # Upstreams that announce no idle timeout close idle connections after some seconds. A
@@ -16,6 +16,22 @@
 MAX_IDLE_PER_UPSTREAM = 32
 
 
+class Endpoint(Protocol):
+    """An upstream, or another instance that takes requests."""
+
+    @property
+    def id(self) -> str:
+        """Identifies the process."""
+
+    @property
+    def host(self) -> str:
+        """The host that it listens on."""
+
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+
+
 class ConnectionPool:
     """Idle connections by upstream id.
 
@@ -27,7 +43,7 @@
         self._idle_by_upstream: dict[str, list[UpstreamConnection]] = defaultdict(list)
         self.opened = 0
 
-    def take_idle(self, upstream: Upstream) -> UpstreamConnection | None:
+    def take_idle(self, upstream: Endpoint) -> UpstreamConnection | None:
         """Return an idle connection that is open and has no unread bytes, None without one."""
         while (connection := self._pop(upstream.id)) is not None:
             fresh = time.monotonic() < connection.expires_at
@@ -36,7 +52,7 @@
             connection.discard()
         return None
 
-    def open(self, upstream: Upstream) -> UpstreamConnection:
+    def open(self, upstream: Endpoint) -> UpstreamConnection:
         """Return a new connection; raises the errors of `UpstreamConnection.connect`."""
         connection = UpstreamConnection(upstream.host, upstream.port)
         connection.connect()
@@ -45,7 +61,7 @@
         return connection
 
     def put_back(
-        self, upstream: Upstream, connection: UpstreamConnection, idle_seconds: float | None
+        self, upstream: Endpoint, connection: UpstreamConnection, idle_seconds: float | None
     ) -> None:
         """Keep ``connection`` after a complete response, if it can be reused.
 
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
@@ -0,0 +1,64 @@
+"""Decides whether a request goes to an upstream or through another instance."""
+
+from collections.abc import Collection
+
+from redwingscale_daemon._internal.exceptions import Refusal
+from redwingscale_daemon._internal.fleet.health import Health
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
+from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.final_refusal import final_refusal
+from redwingscale_daemon._internal.forwarding.peer_offers import Peer, PeerOffers
+
+NO_PATH = "no_path"
+# Another instance that reaches upstreams may have room again; the balancer may choose it.
+PEERS_BUSY_RETRY_SECONDS = 0.3
+# No other instance is known to reach upstreams. Paths are mostly back within seconds.
+NO_PEER_RETRY_SECONDS = 1.0
+
+
+class Detour:
+    """Chooses another instance for requests whose upstreams are unreachable from here only.
+
+    It makes no difference whether the path to all upstreams is lost or to those of one
+    request: what counts is that none of its upstreams is reached here, and one is by a peer.
+    """
+
+    def __init__(self, path: OwnPath, health: Health, offers: PeerOffers) -> None:
+        self._path = path
+        self._health = health
+        self._offers = offers
+
+    def choose(self, call: Call, upstream_ids: Collection[str]) -> Peer | None:
+        """Return the instance to pass ``call`` on to, None to go on without one.
+
+        ``upstream_ids`` are the upstreams that could run it. Raises `Refusal` if this
+        instance reaches no upstream and no other instance takes the request.
+        """
+        since = self._path.lost_since
+        if since is not None:
+            return self._choose_without_path(call, since)
+        if not upstream_ids or not all(map(self._health.is_unreachable, upstream_ids)):
+            return None
+        if not call.attempts.may_pass_on_to_peer:
+            return None
+        failed_at = self._health.unreachable_since(upstream_ids)
+        self._offers.follow(self._health.all_unreachable(), failed_at)
+        return self._offers.choose(failed_at, upstream_ids)
+
+    def _choose_without_path(self, call: Call, since: float) -> Peer | None:
+        if call.attempts.may_pass_on_to_peer:
+            peer = self._offers.choose(since, None)
+            if peer is None:
+                self._offers.follow((), since)
+                peer = self._offers.choose(since, None)
+            if peer is not None:
+                return peer
+        detail = "this instance has no path to upstreams, and no other one takes the request"
+        known = self._offers.known or call.attempts.passed_on
+        retry_seconds = PEERS_BUSY_RETRY_SECONDS if known else NO_PEER_RETRY_SECONDS
+        raise final_refusal(call, NO_PATH, detail, retry_seconds)
+
+
+def is_no_path(refusal: Refusal) -> bool:
+    """Return whether the instance could not send the request for want of a path."""
+    return refusal.code == NO_PATH
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/dialect.py
@@ -36,6 +36,11 @@
     ) -> Headers:
         """Return the headers of one attempt at one upstream."""
 
+    def peer_headers(
+        self, request: IngressRequest, seconds_left: float, last_event: int | None
+    ) -> Headers:
+        """Return the headers of a request that is passed on to another instance."""
+
     def response_headers(self, response: HTTPResponse) -> Headers:
         """Return the headers of a response that are passed on to the caller."""
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -2,7 +2,7 @@
 
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from redwingscale_common.utils.logs import log_event
@@ -17,6 +17,7 @@
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.final_refusal import final_refusal
 from redwingscale_daemon._internal.forwarding.late_refusal import late_refusal
+from redwingscale_daemon._internal.forwarding.peer_offers import Peer
 from redwingscale_daemon._internal.forwarding.place_rule import (
     FIRST_COME_FIRST_SERVED,
     Holders,
@@ -80,10 +81,14 @@
     # Counts a prompt that was held because it would have broken streams.
     on_held: Callable[[], None] = lambda: None
     places: PlaceRule = FIRST_COME_FIRST_SERVED
+    # Returns another instance to pass a request on to, given the holders of its unit.
+    find_peer: Callable[[Call, Sequence[str]], Peer | None] = lambda call, holders: None
 
-    def choose_holder(self, call: Call, prompt: Prompt) -> Candidate:
+    def choose_holder(self, call: Call, prompt: Prompt) -> Candidate | Peer:
         """Return the best holder, waiting for one; raises `Refusal`, `CallerLeft`.
 
+        Returns another instance if only others reach the holders.
+
         A request that cannot be served in time is refused at once, with a retry time:
         a longer wait would keep the caller from trying another instance.
         """
@@ -98,10 +103,12 @@
         """Set the time at which the caller of a refused request should return."""
         self.order.note_refusal(call, prompt, refusal, max_wait_seconds(call))
 
-    def _choose_holder(self, call: Call, prompt: Prompt) -> Candidate:
+    def _choose_holder(self, call: Call, prompt: Prompt) -> Candidate | Peer:
         found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
         if found is not None:
             return self._hold(call, prompt, self._choose_in_time(call, prompt, found))
+        if (peer := self._find_peer(call, prompt)) is not None:
+            return peer
         throttled = self.chooser.throttled_holders(call.service, prompt, call.attempts.tried)
         if throttled:
             self._check_queue(call, prompt, throttled)
@@ -112,6 +119,11 @@
             finally:
                 self.demand.end_wait(call.service, prompt.unit)
 
+    def _find_peer(self, call: Call, prompt: Prompt) -> Peer | None:
+        # Another instance may reach those that this one has tried in vain.
+        excluded = call.attempts.tried - call.attempts.unreached
+        return self.find_peer(call, self.chooser.resident_ids(call.service, prompt, excluded))
+
     def _hold(self, call: Call, prompt: Prompt, found: Candidate) -> Candidate:
         if found.pauses is None:
             return found
@@ -169,7 +181,7 @@
         self._refuse_if_stopping(call)
         call.watch.check_caller()
 
-    def _wait_for_holder(self, call: Call, prompt: Prompt) -> Candidate:
+    def _wait_for_holder(self, call: Call, prompt: Prompt) -> Candidate | Peer:
         started = time.monotonic()
         log_event(
             "waits_for_holder",
@@ -183,6 +195,8 @@
             found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
             if found is not None:
                 return found
+            if (peer := self._find_peer(call, prompt)) is not None:
+                return peer
             self._refuse_if_not_in_time(call, prompt, time.monotonic() - started)
             self._refuse_if_stopping(call)
             self.changes.wait(seen, CALLER_CHECK_SECONDS)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/parts.py
@@ -11,7 +11,9 @@
 from redwingscale_daemon._internal.fleet.send_gate import SendGate
 from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
 from redwingscale_daemon._internal.forwarding.crash_guard import CrashGuard
+from redwingscale_daemon._internal.forwarding.detour import Detour
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
+from redwingscale_daemon._internal.forwarding.peer_relay import PeerRelay
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.sender import Sender
 
@@ -30,4 +32,6 @@
     backpressure: BackpressureTracker
     guard: CrashGuard
     path: OwnPath
+    detour: Detour
+    peers: PeerRelay
     pauses: StreamPauses | None = None
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/path_replies.py
@@ -0,0 +1,48 @@
+"""Answers instances that ask which upstreams this one reaches."""
+
+import time
+from collections.abc import Callable
+
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
+from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
+from redwingscale_daemon._internal.forwarding.peer_port import PeerPort
+
+
+class PathReplies:
+    """Says what was heard of upstreams, and offers to take requests."""
+
+    def __init__(
+        self,
+        instance: str,
+        failure_domain: str,
+        host: str,
+        path: OwnPath,
+        port: PeerPort,
+        may_take: Callable[[], bool],
+        busy: Callable[[], float],
+    ) -> None:
+        self._instance = instance
+        self._failure_domain = failure_domain
+        self._host = host
+        self._path = path
+        self._port = port
+        self._may_take = may_take
+        self._busy = busy
+
+    def reply(self, query: PathQuery) -> PathReply | None:
+        """Return the answer to a peer, None if no port can be opened for its requests."""
+        offer = self._port.offer()
+        if offer is None:
+            return None
+        now = time.monotonic()
+        return PathReply(
+            self._instance,
+            self._failure_domain,
+            self._host,
+            offer.port,
+            offer.token,
+            self._may_take(),
+            self._busy(),
+            self._path.heard_since(query.upstreams, now - query.seconds),
+            now - self._path.heard_at,
+        )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -13,13 +13,18 @@
 from redwingscale_daemon._internal.fleet.changes import Changes
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.upstream import Upstream
-from redwingscale_daemon._internal.forwarding.attempt_failure import FAILURE_STATUSES, note_failure
+from redwingscale_daemon._internal.forwarding.attempt_failure import (
+    FAILURE_STATUSES,
+    note_failure,
+    watch_path,
+)
 from redwingscale_daemon._internal.forwarding.attempts import Attempts, FailedResponse
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.crash_guard import GuardedAttempt
 from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.peer_offers import Peer
 from redwingscale_daemon._internal.forwarding.response_body import (
     BodyStart,
     read_body_piece,
@@ -49,6 +54,10 @@
         """Serve ``call``; raises `Refusal`, `CallerLeft`."""
         while True:
             candidate = self._choose_upstream(call)
+            if isinstance(candidate, Peer):
+                if self._parts.peers.relay(call, candidate):
+                    return
+                continue
             if candidate is None:
                 if _deliver_failure(call):
                     return
@@ -70,13 +79,22 @@
                 attempt.close()
                 ticket.close()
 
-    def _choose_upstream(self, call: Call) -> Candidate | None:
-        """Return the best upstream, waiting for throttled ones; None if none is usable."""
+    def _choose_upstream(self, call: Call) -> Candidate | Peer | None:
+        """Return the best upstream, waiting for throttled ones; None if none is usable.
+
+        Returns another instance if only others reach upstreams of the service.
+        """
 
         def choose() -> Candidate | None:
             return self._parts.chooser.choose_plain(call.service, call.attempts.tried)
 
         found = choose()
+        if found is None or self._parts.health.is_unreachable(found.upstream.id):
+            # Another instance may reach those that this one has tried in vain.
+            excluded = call.attempts.tried - call.attempts.unreached
+            usable = self._parts.chooser.plain_ids(call.service, excluded)
+            if (peer := self._parts.detour.choose(call, usable)) is not None:
+                return peer
         if found is not None or call.attempts.failure is not None:
             return found
         throttled = self._parts.chooser.throttled_plain(call.service, call.attempts.tried)
@@ -92,6 +110,7 @@
         headers = parts.dialect.attempt_headers(
             call.headers, upstream.platform_name, call.watch.remaining(), PLAIN_PRIORITY, None
         )
+        watch_path(parts, call, upstream)
         try:
             outcome = parts.sender.send(
                 upstream, call.request, call.terms.request_id, headers, call.watch
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -11,7 +11,9 @@
 from redwingscale_daemon._internal.forwarding.attempts import Attempts
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.crash_guard import CrashGuard
+from redwingscale_daemon._internal.forwarding.detour import is_no_path
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
+from redwingscale_daemon._internal.forwarding.envelope import DECLINED_HEADER, Envelope
 from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
@@ -77,13 +79,18 @@
         # Not for secrets: it only draws a service by weight.
         self._random = random.Random()
 
-    def handle(self, request: IngressRequest, reply: Reply) -> None:
-        """Serve ``request``; raises `CallerLeft` if the caller has disconnected."""
+    def handle(
+        self, request: IngressRequest, reply: Reply, passed_on: Envelope | None = None
+    ) -> None:
+        """Serve ``request``; raises `CallerLeft` if the caller has disconnected.
+
+        ``passed_on`` is set if another instance has passed the request on to this one.
+        """
         with self._open_requests.track():
             if self._open_requests.draining or self._leaves_rotation():
                 # A persistent connection could carry the next request just as the port closes.
                 reply.close_after()
-            self._handle(request, reply)
+            self._handle(request, reply, passed_on)
 
     def screen(self, head: IngressRequest, reply: Reply) -> bool:
         """Refuse a request with a missing or unknown key before its body is read.
@@ -113,7 +120,7 @@
             self._log_end(head, terms, None, refusal)
         self._refuse(refusal, reply)
 
-    def _handle(self, request: IngressRequest, reply: Reply) -> None:
+    def _handle(self, request: IngressRequest, reply: Reply, passed_on: Envelope | None) -> None:
         terms = self._dialect.read_terms(request)
         if isinstance(terms, str):
             log_event("request_malformed", level="WARNING", place="headers", detail=terms)
@@ -121,13 +128,14 @@
             return
         call: Call | None = None
         try:
-            call = self._route(request, terms, reply)
+            call = self._route(request, terms, reply, passed_on)
             self._relay(call)
         except Refusal as refusal:
             if call is not None and refusal.run is RunState.NOT_RUN:
                 call.permit.refund()
             self._log_end(request, terms, call, refusal)
-            self._refuse(refusal, reply)
+            declined = passed_on is not None and is_no_path(refusal)
+            self._refuse(refusal, reply, declined=declined)
         except CallerTooSlow as error:
             self._metrics.record_request(request, "caller_too_slow")
             log_event(
@@ -148,7 +156,13 @@
         else:
             self._log_end(request, terms, call, None, reply.status)
 
-    def _route(self, request: IngressRequest, terms: Terms, reply: Reply) -> Call:
+    def _route(
+        self,
+        request: IngressRequest,
+        terms: Terms,
+        reply: Reply,
+        passed_on: Envelope | None,
+    ) -> Call:
         table = self._routes.get()
         if table is None:
             raise Refusal(
@@ -163,7 +177,7 @@
             raise Refusal(404, "route_unknown", place)
         permit = Permit(self._routes, table, route, terms.key_digest, self._limiter)
         workspace = permit.workspace
-        if self._crowded():
+        if passed_on is None and self._crowded():
             # Left unread until a thread is free, the request would time out at the caller,
             # which could not tell whether it had run.
             raise Refusal(
@@ -172,8 +186,7 @@
                 "as many requests are open as this instance may serve at once",
                 retry_after_seconds=NO_THREAD_RETRY_SECONDS,
             )
-        permit.draw(terms.request_id, terms.tokens)
-        service = draw_service(route, self._random)
+        attempts, service = self._begin(route, terms, permit, passed_on)
         log_event(
             "routed",
             request=terms.request_id,
@@ -183,6 +196,7 @@
             configuration=table.version,
             unit=terms.prompt.unit if terms.prompt else "-",
             tokens=_format_tokens(terms),
+            passed_on_by=passed_on.instance if passed_on else "-",
         )
         return Call(
             request=request,
@@ -196,26 +210,45 @@
             ),
             watch=Watch(request.socket, _deadline(request, terms, route)),
             reply=reply,
-            attempts=Attempts(route, service, self._budget),
+            attempts=attempts,
             permit=permit,
             urgency=_urgency(table, route, workspace),
         )
 
+    def _begin(
+        self, route: Route, terms: Terms, permit: Permit, passed_on: Envelope | None
+    ) -> tuple[Attempts, str]:
+        """Return the attempts and the service; the first instance draws from the limit."""
+        if passed_on is None:
+            permit.draw(terms.request_id, terms.tokens)
+            service = draw_service(route, self._random)
+            return Attempts(route, service, self._budget), service
+        names = {one.service for one in route.services}
+        service = passed_on.service
+        if service not in names:
+            service = draw_service(route, self._random)
+        attempts = Attempts(route, service, self._budget)
+        attempts.take_over(passed_on.attempts, passed_on.possible_runs, passed_on.tried)
+        return attempts, service
+
     def _relay(self, call: Call) -> None:
         self._guard.check(call)
-        self._demand.arrived(call.service, call.terms, call.urgency.weight)
+        if not call.attempts.taken_over:
+            self._demand.arrived(call.service, call.terms, call.urgency.weight)
         if call.terms.prompt is None:
             self._plain.run(call)
         else:
             self._streams.run(call, call.terms.prompt)
 
-    def _refuse(self, refusal: Refusal, reply: Reply) -> None:
+    def _refuse(self, refusal: Refusal, reply: Reply, *, declined: bool = False) -> None:
         if reply.started:
             reply.abort()
             return
         headers = [("Content-Type", "application/problem+json")]
         if refusal.retry_after_seconds is not None:
             headers.append(("Retry-After", f"{refusal.retry_after_seconds:.2f}"))
+        if declined:
+            headers.append((DECLINED_HEADER, "1"))
         if refusal.status == HTTPStatus.UNAUTHORIZED:
             headers.append(("WWW-Authenticate", "Bearer"))
         reply.send(refusal.status, headers, refusal.document())
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -11,7 +11,11 @@
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
 from redwingscale_daemon._internal.fleet.prompt import Prompt
-from redwingscale_daemon._internal.forwarding.attempt_failure import FAILURE_STATUSES, note_failure
+from redwingscale_daemon._internal.forwarding.attempt_failure import (
+    FAILURE_STATUSES,
+    note_failure,
+    watch_path,
+)
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.crash_guard import GuardedAttempt
 from redwingscale_daemon._internal.forwarding.events import read_events
@@ -20,6 +24,7 @@
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.pause_watch import PauseWatch
+from redwingscale_daemon._internal.forwarding.peer_offers import Peer
 from redwingscale_daemon._internal.forwarding.response_body import read_response_body
 from redwingscale_daemon._internal.forwarding.stream_progress import Progress, Sending
 from redwingscale_daemon._internal.models.run_state import RunState
@@ -57,6 +62,10 @@
         prompt = prompt._replace(priority=_priority(call))
         while True:
             candidate = self._wait.choose_holder(call, prompt)
+            if isinstance(candidate, Peer):
+                if self._parts.peers.relay(call, candidate, progress):
+                    return
+                continue
             if not call.attempts.count:
                 call.permit.check()
             attempt = self._parts.guard.begin(
@@ -96,6 +105,7 @@
             progress.last_event,
         )
         call.watch.silence_seconds = _first_event_silence_seconds(call, candidate)
+        watch_path(self._parts, call, upstream)
         try:
             outcome = self._parts.sender.send(
                 upstream, call.request, call.terms.request_id, headers, call.watch
@@ -106,7 +116,7 @@
             case Answering():
                 return self._relay_response(call, outcome, progress, sending)
             case Lost():
-                if not progress.events:
+                if not progress.events and not self._parts.path.doubtful:
                     waited_ms = call.attempts.seconds_since_send() * MILLISECONDS_PER_SECOND
                     self._parts.chooser.note_lost(candidate, waited_ms)
                 return self._prepare_retry(call, outcome, progress, sending)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -3,6 +3,7 @@
 import select
 import socket
 import time
+from collections.abc import Callable
 
 from redwingscale_daemon._internal.exceptions import (
     CallerLeft,
@@ -10,11 +11,14 @@
     TimeLimitReached,
     UpstreamSilent,
 )
+from redwingscale_daemon._internal.fleet.own_path import OVERDUE_SECONDS
 from redwingscale_daemon._internal.leases.clock import lease_clock
 
 _CLOSED_EVENTS = select.POLLHUP | select.POLLERR | select.POLLRDHUP
 _UPSTREAM_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
 _MILLISECONDS_PER_SECOND = 1000.0
+# How often a wait that is overdue is reported again.
+_OVERDUE_AGAIN_SECONDS = 0.25
 
 
 class Watch:
@@ -32,6 +36,8 @@
         self._caller_events = select.POLLIN | select.POLLRDHUP
         self.deadline = deadline
         self.silence_seconds: float | None = None
+        # Called while a wait for a byte is overdue; returns whether to give it up.
+        self.on_overdue: Callable[[], bool] | None = None
 
     def remaining(self) -> float:
         """Return the seconds until the deadline, at least 0."""
@@ -60,18 +66,26 @@
         Raises `CallerLeft`, `TimeLimitReached` at the deadline, and
         `UpstreamSilent` after ``silence_seconds`` without a byte.
         """
-        silent_at = time.monotonic() + (self.silence_seconds or float("inf"))
+        began = time.monotonic()
+        silent_at = began + (self.silence_seconds or float("inf"))
+        overdue_at = began + OVERDUE_SECONDS if self.on_overdue else float("inf")
         poller = select.poll()
         poller.register(upstream, _UPSTREAM_EVENTS)
         poller.register(self._caller, self._caller_events)
         while True:
             time_left = self.deadline - lease_clock()
-            silence_left = silent_at - time.monotonic()
+            now = time.monotonic()
+            silence_left, overdue_left = silent_at - now, overdue_at - now
             if time_left <= 0:
                 raise TimeLimitReached("no time is left")
             if silence_left <= 0:
                 raise UpstreamSilent(f"no byte for {self.silence_seconds} s")
-            wait = min(time_left, silence_left)
+            if overdue_left <= 0:
+                if self.on_overdue is not None and self.on_overdue():
+                    raise UpstreamSilent("the path to upstreams is lost")
+                overdue_at = now + _OVERDUE_AGAIN_SECONDS
+                continue
+            wait = min(time_left, silence_left, overdue_left)
             ready = dict(poller.poll(wait * _MILLISECONDS_PER_SECOND + 1))
             if (events := ready.get(self._caller.fileno())) is not None:
                 self._check_caller_events(events)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -212,6 +212,11 @@
         """Whether only threads reserved to refuse requests are free."""
         return self._threads.busy > self._answering_threads
 
+    @property
+    def busy_fraction(self) -> float:
+        """The fraction of the threads that serve a connection."""
+        return self._threads.busy / max(1, self._threads.max)
+
     def stop(self, timeout_seconds: float = SHUTDOWN_SECONDS) -> None:
         """Stop accepting, close idle connections, and wait at most ``timeout_seconds``.
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
@@ -42,10 +42,21 @@
         """Stop accepting, and wait at most ``timeout_seconds`` for open requests."""
 
 
+class StoppablePort(Protocol):
+    """A port that opens by itself when it is needed."""
+
+    def stop(self, timeout_seconds: float = 1.0) -> None:
+        """Stop accepting, and wait at most ``timeout_seconds`` for open requests."""
+
+
 class IngressParts(NamedTuple):
-    """The parts of an instance; ``tasks`` start first, ``probes`` last."""
+    """The parts of an instance; ``tasks`` start first, ``probes`` last.
+
+    ``peers`` is the port for requests that other instances pass on.
+    """
 
     callers: Server
+    peers: StoppablePort
     probes: Sequence[Server]
     tasks: Sequence[Task]
     open_requests: OpenRequests
@@ -93,6 +104,7 @@
         self._parts.release()
         time.sleep(BALANCER_REMOVAL_SECONDS)
         log_event("port_closing", open_requests=open_requests.count)
-        self._parts.callers.stop(max(EXIT_RESERVE_SECONDS, deadline - time.monotonic()))
+        for port in (self._parts.callers, self._parts.peers):
+            port.stop(max(EXIT_RESERVE_SECONDS, deadline - time.monotonic()))
         log_event("stopped", open_requests=open_requests.count)
         flush_logs()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -84,19 +84,31 @@
     last_event: int | None,
 ) -> Headers:
     """Return the headers of one attempt at the upstream ``upstream_name``."""
-    kept = common
-    if last_event is not None:
-        resume_header = names.LAST_EVENT_ID.lower()
-        kept = tuple(header for header in common if header[0].lower() != resume_header)
-        kept += ((names.LAST_EVENT_ID, str(last_event)),)
     return (
-        *kept,
-        (names.DEADLINE_MS, str(max(1, int(seconds_left * _MILLISECONDS)))),
+        *_resuming(common, last_event),
+        _deadline(seconds_left),
         (names.EXPECTED_UPSTREAM, upstream_name),
         (names.PRIORITY, str(priority)),
     )
 
 
+def peer_headers(request: IngressRequest, seconds_left: float, last_event: int | None) -> Headers:
+    """Return the headers of a request that is passed on to another instance."""
+    return (*_resuming(forwarded_headers(request), last_event), _deadline(seconds_left))
+
+
+def _resuming(headers: Headers, last_event: int | None) -> Headers:
+    if last_event is None:
+        return headers
+    resume_header = names.LAST_EVENT_ID.lower()
+    kept = tuple(header for header in headers if header[0].lower() != resume_header)
+    return (*kept, (names.LAST_EVENT_ID, str(last_event)))
+
+
+def _deadline(seconds_left: float) -> tuple[str, str]:
+    return names.DEADLINE_MS, str(max(1, int(seconds_left * _MILLISECONDS)))
+
+
 def response_headers(response: HTTPResponse) -> Headers:
     """Return the headers of an upstream's answer to forward to the caller."""
     return tuple(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -7,9 +7,16 @@
 import urllib3
 from urllib3 import BaseHTTPResponse
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ProtocolError,
+    ReadTimeoutError,
+)
 
 from redwingscale_daemon._internal.fleet.backpressure import Backpressure
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.dialect import HeaderValues
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
@@ -47,6 +54,7 @@
         calls: EngineCalls,
         on_result: Callable[[OrderResult], None] = lambda _: None,
         on_backpressure: Callable[[str, Backpressure], None] = lambda *_: None,
+        path: OwnPath | None = None,
         *,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
         response_timeout_seconds: float = RESPONSE_TIMEOUT_SECONDS,
@@ -55,6 +63,9 @@
         self._on_result = on_result
         # Called with an upstream id and the backpressure in the upstream's answer.
         self._on_backpressure = on_backpressure
+        self._path = path or OwnPath()
+        # The upstreams whose latest call broke off.
+        self._broken: set[str] = set()
         self._pools = urllib3.PoolManager(
             num_pools=64,
             maxsize=1,
@@ -71,7 +82,10 @@
             if response.status != _OK:
                 return None
             return self._calls.decode_report(response.data)
-        except (HTTPError, msgspec.DecodeError):
+        except HTTPError as error:
+            self._note_failed(upstream, error)
+            return None
+        except msgspec.DecodeError:
             return None
 
     def order(self, upstream: Upstream, order: Order) -> OrderResult:
@@ -88,14 +102,27 @@
                 body=self._calls.encode_order(order),
                 headers=self._calls.order_headers(upstream.platform_name),
             )
-        except (NewConnectionError, ConnectTimeoutError):
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            self._note_failed(upstream, error)
             return OrderResult.REFUSED
-        except HTTPError:
+        except HTTPError as error:
+            self._note_failed(upstream, error)
             return OrderResult.UNKNOWN
         self._note_backpressure(upstream, response)
         return self._calls.order_result(response.status)
 
+    def _note_failed(self, upstream: Upstream, error: HTTPError) -> None:
+        # An upstream may close a connection that was idle, but not the next one as well.
+        again = upstream.id in self._broken
+        if isinstance(error, ProtocolError):
+            self._broken.add(upstream.id)
+        if again or not isinstance(error, ProtocolError):
+            silent = isinstance(error, ReadTimeoutError)
+            self._path.note_failed(upstream.id, "no answer to a call", silent=silent)
+
     def _note_backpressure(self, upstream: Upstream, response: BaseHTTPResponse) -> None:
+        self._path.note_heard(upstream.id)
+        self._broken.discard(upstream.id)
         backpressure = self._calls.read_backpressure(response.status, response.headers)
         self._on_backpressure(upstream.id, backpressure)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -9,6 +9,7 @@
 import pynng
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
 from redwingscale_daemon._internal.fleet.rate_limit_messages import RateLimitEntry
 from redwingscale_daemon._internal.membership.entry import Entry
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
@@ -75,6 +76,11 @@
         response = self._query(address, entries=entries, asks=asks)
         return None if response is None else response.entries
 
+    def ask_path(self, address: str, query: PathQuery) -> PathReply | None:
+        """Ask a peer which upstreams it reaches; None if it does not answer that."""
+        response = self._query(address, path=query)
+        return None if response is None else response.path
+
     def step(self) -> None:
         """Query peers, if needed, until one knows the configuration that is in force now."""
         if not self._needed():
@@ -102,10 +108,11 @@
         rates: Sequence[RateLimitEntry] = (),
         entries: Sequence[Entry] = (),
         asks: bool = False,
+        path: PathQuery | None = None,
     ) -> PeerResponse | None:
         table = self._routes.get()
         version = table.version if table else 0
-        request = PeerRequest(version, list(rates), list(entries), asks)
+        request = PeerRequest(version, list(rates), list(entries), asks, path)
         # By default the socket resends a request by itself; -1 disables that.
         options = {
             "send_timeout": RESPONSE_TIMEOUT_MS,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
@@ -9,6 +9,7 @@
 import pynng
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
 from redwingscale_daemon._internal.fleet.rate_limit_messages import RateLimitEntry
 from redwingscale_daemon._internal.membership.entry import Entry
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
@@ -23,13 +24,15 @@
     """The version of the sender's configuration, and what has changed there.
 
     ``rates`` are rate limits, ``entries`` those that all instances exchange. ``asks``:
-    the response shall contain all entries of the peer.
+    the response shall contain all entries of the peer. ``path`` asks which upstreams it
+    reaches; a peer of an older release does not know the question.
     """
 
     configuration: int
     rates: list[RateLimitEntry] = []
     entries: list[Entry] = []
     asks: bool = False
+    path: PathQuery | None = None
 
 
 class PeerResponse(msgspec.Struct, array_like=True):
@@ -46,6 +49,7 @@
     lease_version: int
     leader: LeaderRecord | None
     entries: list[Entry] = []
+    path: PathReply | None = None
 
 
 class Entries(Protocol):
@@ -77,6 +81,7 @@
         lease: Callable[[], LeaseState],
         receive_rates: Callable[[list[RateLimitEntry]], None] = lambda _: None,
         entries: Callable[[], Entries | None] = lambda: None,
+        reply_on_path: Callable[[PathQuery], PathReply | None] = lambda query: None,
     ) -> None:
         self._socket = pynng.Rep0(recv_timeout=_TIMEOUT_MS, send_timeout=_TIMEOUT_MS)
         self._host = host
@@ -86,6 +91,7 @@
         self._lease = lease
         self._receive_rates = receive_rates
         self._entries = entries
+        self._reply_on_path = reply_on_path
         self._compressed_table: tuple[int, bytes] = (0, b"")
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="peer-desk", daemon=True)
@@ -111,7 +117,11 @@
             try:
                 request = msgspec.msgpack.decode(self._socket.recv(), type=PeerRequest)
                 self._receive_rates(request.rates)
-                self._socket.send(msgspec.msgpack.encode(self._make_response(request)))
+                response = self._make_response(request)
+                if request.path is not None:
+                    path = self._reply_on_path(request.path)
+                    response = msgspec.structs.replace(response, path=path)
+                self._socket.send(msgspec.msgpack.encode(response))
             except pynng.Timeout:
                 continue
             except pynng.Closed:
--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -40,9 +40,13 @@
         self.rows.put("servers", worker_id, self.entry(made, port))
         return made
 
-    def worker_process(self, name, *models):
-        """Start a worker that requests can end, in a process of its own."""
-        made = WorkerProcess(name, models, self.rows, open_link=self.link)
+    def worker_process(self, name, *models, linked=False):
+        """Start a worker that requests can end, in a process of its own.
+
+        One behind a link accepts connections also after its process has ended.
+        """
+        open_link = self.link if linked else lambda port: port
+        made = WorkerProcess(name, models, self.rows, open_link=open_link)
         self.processes.append(made)
         return made
 
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_lost_path.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_lost_path.py
@@ -132,7 +132,7 @@
     deployment.rows.put("op", "config", configuration())
     deployment.ledger = Ledger()
     for number in range(WORKERS):
-        deployment.worker_process(f"w{number}", "m1")
+        deployment.worker_process(f"w{number}", "m1", linked=True)
     for number in range(2):
         deployment.plain_worker(SoakWorker(f"p{number}", set(), deployment.ledger))
     for name in INSTANCES:
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_own_path.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_own_path.py
@@ -27,13 +27,13 @@
     """Guards against an upstream that has crashed and is taken for a lost path."""
     for _ in range(5):
         path.note_failed("a", "no connection")
-    assert not path.suspected
+    assert not path.doubtful
 
 
 def test_failures_at_two_upstreams_make_the_path_suspect(path):
     path.note_failed("a", "no connection")
     path.note_failed("b", "no connection")
-    assert path.suspected
+    assert path.doubtful
     assert path.evidence().upstreams == {"a", "b"}
 
 
@@ -42,14 +42,14 @@
     path.note_failed("a", "no connection")
     path.note_heard("c")
     path.note_failed("b", "no connection")
-    assert not path.suspected
+    assert not path.doubtful
 
 
 def test_answer_ends_the_suspicion(path):
     path.note_failed("a", "no connection")
     path.note_failed("b", "no connection")
     path.note_heard("b")
-    assert not path.suspected
+    assert not path.doubtful
     assert path.evidence() is None
 
 
@@ -58,20 +58,20 @@
     path.note_failed("a", "no connection")
     path.heard_at = clock()
     path.note_failed("b", "no connection")
-    assert not path.suspected
+    assert not path.doubtful
 
 
 def test_old_failure_is_no_evidence(path, clock):
     path.note_failed("a", "no connection")
     clock.now += EVIDENCE_SECONDS
     path.note_failed("b", "no connection")
-    assert not path.suspected
+    assert not path.doubtful
 
 
 def test_only_upstream_of_a_deployment_is_evidence(clock):
     path = OwnPath(lambda: 1, clock)
     path.note_failed("a", "no connection")
-    assert path.suspected
+    assert path.doubtful
 
 
 def test_evidence_of_silence_alone_is_marked(path):
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -15,8 +15,11 @@
 from redwingscale_daemon._internal.fleet.upstream_ends import UpstreamEnds
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.crash_guard import CrashGuard
+from redwingscale_daemon._internal.forwarding.detour import Detour
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
+from redwingscale_daemon._internal.forwarding.peer_offers import PeerOffers
+from redwingscale_daemon._internal.forwarding.peer_relay import PeerRelay
 from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
 from redwingscale_daemon._internal.forwarding.repeat_budget import BudgetRule, RepeatBudget
 from redwingscale_daemon._internal.forwarding.request_handler import RequestHandler
@@ -244,6 +247,11 @@
         count = self.crash_counts.update
         self.quarantine = Quarantine("one", self.entries, NoStore(), lambda kind: count([kind]))
         ends = UpstreamEnds(fleet.directory, fleet.health)
+        self.path = fleet.path
+        self.peers = {}
+        self.offers = PeerOffers(
+            "z1", lambda: self.peers, lambda address, query: self.peers[address]
+        )
         self.guard = CrashGuard(self.quarantine, fleet.directory, ends)
         parts = RelayParts(
             exchange,
@@ -257,6 +265,8 @@
             fleet.backpressure,
             self.guard,
             fleet.path,
+            Detour(fleet.path, fleet.health, self.offers),
+            PeerRelay("one", exchange, ConnectionPool(), self.offers, lambda: fleet.path.lost),
         )
         self.caller_retry_seconds = None
         wait = HolderWait(
--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/instance.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/instance.py
@@ -74,6 +74,7 @@
         ),
         attempts=SimpleNamespace(
             tried=set(),
+            unreached=set(),
             count=0,
             last_event_at=None,
             returning=False,
