Take a refused connection as proof of a crash only while the own path works

What callers saw: nothing yet; two streams of a popular body that break in a cut which refuses connections could put that body in quarantine for every caller. Cause: a refused connection was proof, kept for good, that a process had ended, whoever refused it; and an entry that left the list within 5 s was proof for each loss before it. Change: a refused connection counts once another upstream has been heard after it; losses without evidence are dropped when the own path is lost. test_upstream_that_refuses_connections_makes_its_requests_suspect expected the proof while no upstream answered at all, which is what a cut looks like; it is replaced by three tests: not without an answer, at once with one, and later when one has come. Evidence: test_refused_connection_is_no_evidence_while_no_upstream_is_heard and test_loss_of_the_own_path_makes_no_request_suspect fail on the code before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/crashes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/crashes.py
@@ -35,7 +35,9 @@
         RowQuarantineStore(store),
         lambda result: metrics.suspects.add(1, {"result": result}),
     )
-    guard = CrashGuard(quarantine, fleet.directory, UpstreamEnds(fleet.directory, fleet.health))
+    ends = UpstreamEnds(fleet.directory, fleet.health, fleet.path)
+    guard = CrashGuard(quarantine, fleet.directory, ends)
+    fleet.path.on_lost(guard.drop_losses)
     loaded = False
 
     def step() -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_ends.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_ends.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 
 from redwingscale_daemon._internal.fleet.health import Health
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
@@ -14,18 +15,23 @@
 PROBE_TIMEOUT_SECONDS = 0.3
 # An upstream that accepted a connection is not probed again within this time.
 ALIVE_SECONDS = 0.5
+# How long a refused connection waits for proof that the own path works.
+PROOF_SECONDS = 0.3
+_PROOF_POLL_SECONDS = 0.02
 
 
 class UpstreamEnds:
     """Tells the end of a process from a connection that was reset, a cut and a planned stop.
 
     A refused connection, another process at the address and an entry that has left the list
-    are evidence. A connection that times out or is accepted is not.
+    are evidence. A connection that times out or is accepted is not, nor is a refused one
+    unless another upstream is heard afterwards: a network that is cut may refuse as well.
     """
 
-    def __init__(self, directory: UpstreamDirectory, health: Health) -> None:
+    def __init__(self, directory: UpstreamDirectory, health: Health, path: OwnPath) -> None:
         self._directory = directory
         self._health = health
+        self._path = path
         self._lock = threading.Lock()
         self._probe_locks: dict[str, threading.Lock] = defaultdict(threading.Lock)
         self._ended: dict[str, str] = {}
@@ -34,7 +40,7 @@
     def evidence(self, upstream: Upstream) -> str | None:
         """Return how it is known that ``upstream`` has crashed, None if it is not known.
 
-        Called after its end has closed a connection; takes up to half a second.
+        Called after its end has closed a connection; takes up to a second.
         """
         if self._directory.leaving_seconds(upstream.id) is not None:
             return None
@@ -47,6 +53,18 @@
         with probe_lock:
             return self._probe(upstream)
 
+    def path_works_since(self, at: float) -> bool:
+        """Return whether an upstream has been heard after the monotonic time ``at``."""
+        return not self._path.lost and self._path.heard_at > at
+
+    def _proves_end(self) -> bool:
+        refused_at = time.monotonic()
+        while time.monotonic() - refused_at < PROOF_SECONDS and not self._path.lost:
+            if self.path_works_since(refused_at):
+                return True
+            time.sleep(_PROOF_POLL_SECONDS)
+        return False
+
     def _probe(self, upstream: Upstream) -> str | None:
         if upstream.id in self._ended:
             return self._ended[upstream.id]
@@ -57,6 +75,8 @@
             try:
                 socket.create_connection(upstream.address, PROBE_TIMEOUT_SECONDS).close()
             except ConnectionRefusedError:
+                if not self._proves_end():
+                    return None
                 self._ended[upstream.id] = "refused"
                 return "refused"
             except OSError:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
@@ -3,6 +3,7 @@
 import contextlib
 import threading
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.exceptions import Refusal
@@ -89,8 +90,17 @@
         self._settle(upstream.id, "replaced")
 
     def note_refused(self, upstream: Upstream) -> None:
-        """Note that the address of ``upstream`` refuses connections."""
-        self._settle(upstream.id, "refused")
+        """Note that the address of ``upstream`` refuses connections.
+
+        This is evidence only of losses before the last byte from any upstream: since then,
+        the path of this instance may be lost.
+        """
+        self._settle(upstream.id, "refused", self._ends.path_works_since)
+
+    def drop_losses(self) -> None:
+        """Drop the losses without evidence, as the path of this instance is lost."""
+        with self._lock:
+            self._pending_by_upstream = {}
 
     def note_survival(self, call: Call, position: float) -> None:
         """Note that an attempt has run beyond its begin, up to event ``position``."""
@@ -134,10 +144,20 @@
             if sum(map(len, self._pending_by_upstream.values())) < MAX_PENDING:
                 self._pending_by_upstream.setdefault(upstream_id, []).append(loss)
 
-    def _settle(self, upstream_id: str, evidence: str) -> None:
-        """Report the losses at an upstream that is now known to have crashed."""
+    def _settle(
+        self, upstream_id: str, evidence: str, counts: Callable[[float], bool] = lambda at: True
+    ) -> None:
+        """Report the losses at an upstream that is now known to have crashed.
+
+        ``counts`` returns whether the evidence counts for a loss at a monotonic time; the
+        other losses stay without evidence.
+        """
         with self._lock:
-            losses = self._pending_by_upstream.pop(upstream_id, [])
+            pending = self._pending_by_upstream.pop(upstream_id, [])
+            losses = [loss for loss in pending if counts(loss.at)]
+            if len(losses) < len(pending):
+                kept = [loss for loss in pending if loss not in losses]
+                self._pending_by_upstream[upstream_id] = kept
         oldest = time.monotonic() - PENDING_SECONDS
         recent = [
             loss._replace(crash=loss.crash._replace(evidence=evidence))
