Tell the leader nothing of upstreams that fail behind a doubtful own path

What callers saw: upstreams that work were avoided by every instance (failure ratios), or taken for lost by the leader, because a cut instance reported them as failing or unreachable. Cause: an instance sent its counts without regard to its own path. Change: while the path is suspect or lost, failures, unreachable upstreams and late first events are left out of the updates.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import msgspec
+
 from redwingscale_daemon._internal.composition.ordered_return import ReturnUpdates
 from redwingscale_daemon._internal.composition.peers import build_peers
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
@@ -189,7 +191,12 @@
         ]
         snapshot = own_demand.snapshot() if initial else None
         outcomes = [OutcomeEntry(*counts) for counts in fleet.outcomes.drain()]
+        first_events = fleet.first_events.drain()
         unreachable = fleet.health.all_unreachable()
+        if fleet.path.doubtful:
+            # These failures tell others nothing about the upstreams.
+            outcomes = [msgspec.structs.replace(one, failed=0) for one in outcomes]
+            unreachable, first_events = [], []
         update = InstanceUpdate(
             me,
             local_demand.drain(),
@@ -206,7 +213,7 @@
             returns=returns.entries(),
             places=place_uses.drain(),
             misdirected=[key for key in fleet.outcomes.drain_misdirected() if gives_up(key)],
-            first_events=[first_event_entry(*event) for event in fleet.first_events.drain()],
+            first_events=[first_event_entry(*event) for event in first_events],
         )
         own_demand.receive(update)
         return update
