Hand the lease over when a leader loses its path to the workers

What callers saw: with the leader cut off from all workers, no model was loaded for seconds. Cause: the lease depends on the store alone, which a leader without a path to workers still reaches. Change: a leader whose path is lost ends its lease at once, and no instance takes the lease while its own path is lost. Evidence: test_callers_of_a_leader_without_path_are_served failed (the cut instance still led) and passes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -140,6 +140,7 @@
             settings.bounds.order_quiet,
             _standby_seconds(settings.machine),
         ),
+        may_lead=lambda: not fleet.path.lost,
     )
     lease_retry = Backoff()
     local_demand = LocalDemand()
@@ -269,7 +270,10 @@
 
     def follow_lease() -> None:
         # The leader's updates show that it is alive: its row is read only without them.
-        if lease.is_leader:
+        if lease.is_leader and fleet.path.lost:
+            # Orders need the path, and a leader without one plans by what it cannot see.
+            lease.hand_over()
+        elif lease.is_leader:
             lease.step()
         elif (not fleet.residency.fresh or lease.record is None) and lease_retry.due:
             try:
@@ -279,6 +283,9 @@
                 raise
             lease_retry.note_answer()
 
+    lease_task = Periodic("giver-lease", LEASE_STEP_SECONDS, follow_lease)
+    fleet.path.on_lost(lease_task.wake)
+
     def lead() -> None:
         update = leader.step()
         if update is not None:
@@ -289,7 +296,7 @@
         tasks=(
             server,
             *peers.tasks,
-            Periodic("giver-lease", LEASE_STEP_SECONDS, follow_lease),
+            lease_task,
             client,
             Periodic("order-giver", 0.0, lead),
         ),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
@@ -72,12 +72,15 @@
         describe: Callable[[], LeaderRecord],
         timing: LeaseTiming,
         clock: Clock = lease_clock,
+        may_lead: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
         self._start = start
         self._describe = describe
         self._timing = timing
         self._clock = clock
+        # Whether this instance may take the lease now.
+        self._may_lead = may_lead
         self._row_version = ABSENT
         # The store's version as of the last read, None if the row must be read again.
         self._store_version: int | None = None
@@ -167,9 +170,8 @@
             if self._store_version is None:
                 self._read()
             else:
-                self._wait_for_change(
-                    self._store_version, min(seconds_left, self._seconds_until_takeable())
-                )
+                takeable_in = self._seconds_until_takeable() if self._may_lead() else math.inf
+                self._wait_for_change(self._store_version, min(seconds_left, takeable_in))
             # Take it right after the wait: with a pause here, the lease would go to whichever
             # instance resumes first, on a small machine as well as on a large one.
             if self._may_take():
@@ -179,6 +181,10 @@
     def release(self) -> None:
         """End the lease so that another instance can take it at once; never take it again."""
         self._released = True
+        self.hand_over()
+
+    def hand_over(self) -> None:
+        """End the lease so that another instance can take it at once."""
         if not self.is_leader:
             return
         self._valid_until = -math.inf
@@ -244,7 +250,7 @@
         self._record = record
 
     def _may_take(self) -> bool:
-        if self.is_leader or self._released:
+        if self.is_leader or self._released or not self._may_lead():
             return False
         return self._seconds_until_takeable() <= 0
 
