Refuse at once when no instance reaches an upstream, and test what a cut instance does

What callers saw: with all instances cut off, requests were held until their deadline. Cause: the path counted as lost only if a peer reached upstreams. Change: three probes that fail while no peer reaches an upstream either make it lost as well; requests are then refused with 503. A leader hands over only if peers reach upstreams. Two answers, not answers of two upstreams, restore the path: with one upstream left it would never have been. What is told to the leader is a function of its own. Evidence: functional tests of a popular body, the end of a cut, a killed peer, a cancelled stream and a cut of all instances; unit tests on scripted peers. Two of the functional tests failed in their first form for faults of their own (ids used twice; a caller that did not leave).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
@@ -62,9 +62,11 @@
             return
         path.note_heard(upstream.id)
 
-    watch = PathWatch(
-        path, fleet.directory, offers.who_heard, probe, lambda since: offers.follow((), since)
-    )
+    def follow_peers(since: float) -> bool:
+        offers.follow((), since)
+        return offers.reach_upstreams(since)
+
+    watch = PathWatch(path, fleet.directory, offers.who_heard, probe, follow_peers)
     path.on_suspected(watch.begin)
     path.on_restored(lambda: pool.forget(offers.ids()))
     return Detours(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -4,12 +4,11 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import msgspec
-
 from redwingscale_daemon._internal.composition.ordered_return import ReturnUpdates
 from redwingscale_daemon._internal.composition.peers import build_peers
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.fleet.findings import drain_findings
 from redwingscale_daemon._internal.fleet.fleet import Fleet
 from redwingscale_daemon._internal.fleet.list_update_tracker import ListUpdateTracker
 from redwingscale_daemon._internal.fleet.load_tracker import Load
@@ -140,7 +139,7 @@
             settings.bounds.order_quiet,
             _standby_seconds(settings.machine),
         ),
-        may_lead=lambda: not fleet.path.lost,
+        may_lead=lambda: not fleet.path.cut_off,
     )
     lease_retry = Backoff()
     local_demand = LocalDemand()
@@ -191,21 +190,15 @@
             for (upstream, unit), requests in fleet.load_tracker.open_by_unit().items()
         ]
         snapshot = own_demand.snapshot() if initial else None
-        outcomes = [OutcomeEntry(*counts) for counts in fleet.outcomes.drain()]
-        first_events = fleet.first_events.drain()
-        unreachable = fleet.health.all_unreachable()
-        if fleet.path.doubtful:
-            # These failures tell others nothing about the upstreams.
-            outcomes = [msgspec.structs.replace(one, failed=0) for one in outcomes]
-            unreachable, first_events = [], []
+        findings = drain_findings(fleet)
         update = InstanceUpdate(
             me,
             local_demand.drain(),
             loads,
             uses,
-            unreachable,
+            findings.unreachable,
             snapshot,
-            outcomes,
+            [OutcomeEntry(*counts) for counts in findings.outcomes],
             limiter.updates(full=initial),
             peers.server.address,
             fleet.rates.updates(full=initial),
@@ -214,7 +207,7 @@
             returns=returns.entries(),
             places=place_uses.drain(),
             misdirected=[key for key in fleet.outcomes.drain_misdirected() if gives_up(key)],
-            first_events=[first_event_entry(*event) for event in first_events],
+            first_events=[first_event_entry(*event) for event in findings.first_events],
         )
         own_demand.receive(update)
         return update
@@ -270,7 +263,7 @@
 
     def follow_lease() -> None:
         # The leader's updates show that it is alive: its row is read only without them.
-        if lease.is_leader and fleet.path.lost:
+        if lease.is_leader and fleet.path.cut_off:
             # Orders need the path, and a leader without one plans by what it cannot see.
             lease.hand_over()
         elif lease.is_leader:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
@@ -7,9 +7,10 @@
 
 from redwingscale_common.utils.logs import log_event
 
-# Failures at fewer upstreams may be failures of these upstreams, and answers of fewer may be
-# those that get through on a path that loses packets.
+# Failures at fewer upstreams may be failures of these upstreams.
 DECIDING_UPSTREAMS = 2
+# A single answer may get through on a path that loses most packets.
+DECIDING_ANSWERS = 2
 # Older failures are no evidence: the upstreams may have had no request since.
 EVIDENCE_SECONDS = 3.0
 # A request without a byte for this long is evidence while no other upstream is heard either.
@@ -37,7 +38,8 @@
 
     A failure at one upstream says little about the path. Failures at several of them, with
     no byte from any upstream since the first, make the path suspect: either all of them are
-    lost for everybody, or this instance is cut off. Peers that still hear them decide.
+    lost for everybody, or this instance is cut off. Peers that still hear them decide. If
+    none does, the path counts as lost once probes of several upstreams have failed.
     """
 
     def __init__(
@@ -55,7 +57,9 @@
         self._suspected = False
         # Monotonic time of the first failure of a path that is lost, None while it is not.
         self._lost_since: float | None = None
-        self._heard_since_loss: set[str] = set()
+        self._heard_since_loss: list[str] = []
+        # Whether peers reach upstreams while the path is lost.
+        self._reached_by_peers = False
         self._on_suspected: list[Callable[[], None]] = []
         self._on_lost: list[Callable[[], None]] = []
         self._on_restored: list[Callable[[], None]] = []
@@ -74,9 +78,14 @@
 
     @property
     def lost(self) -> bool:
-        """Whether this instance reaches no upstream, while others do."""
+        """Whether this instance reaches no upstream."""
         return self._lost_since is not None
 
+    @property
+    def cut_off(self) -> bool:
+        """Whether this instance reaches no upstream while others do."""
+        return self.lost and self._reached_by_peers
+
     @property
     def lost_since(self) -> float | None:
         """The monotonic time of the first failure on a path that is lost, None if it is not."""
@@ -146,28 +155,39 @@
         return None
 
     def confirm_loss(self, evidence: Evidence, peers: Iterable[str]) -> bool:
-        """Take the path as lost, as ``peers`` reach upstreams that this instance does not.
+        """Take the path as lost; ``peers`` reach upstreams that this instance does not.
 
         Returns False if an upstream was heard meanwhile.
         """
+        peers = sorted(peers)
         with self._lock:
             if self._lost_since is not None or self.heard_at > evidence.since:
                 return False
+            self._reached_by_peers = bool(peers)
             self._lost_since = evidence.since
-            self._heard_since_loss = set()
+            self._heard_since_loss = []
             self._suspected = False
             self._failures_by_id = {}
         log_event(
             "path_lost",
             level="WARNING",
             upstreams=",".join(sorted(evidence.upstreams)),
-            reached_by=",".join(sorted(peers)),
+            reached_by=",".join(peers) or "-",
             unheard_for=round(self._clock() - self.heard_at, 3),
             known_after=round(self._clock() - evidence.since, 3),
         )
         _call_all(self._on_lost)
         return True
 
+    def note_reached_by_peers(self) -> None:
+        """Note that peers reach upstreams, after none did when the path was lost."""
+        with self._lock:
+            if self._lost_since is None or self._reached_by_peers:
+                return
+            self._reached_by_peers = True
+        log_event("path_lost_here_only", level="WARNING")
+        _call_all(self._on_lost)
+
     def heard_since(self, upstream_ids: Iterable[str], since: float) -> list[str]:
         """Return those of ``upstream_ids`` that have answered since the monotonic ``since``."""
         heard = self._heard_at_by_id
@@ -182,9 +202,9 @@
 
     def _note_heard_while_lost(self, upstream_id: str) -> None:
         with self._lock:
-            self._heard_since_loss.add(upstream_id)
+            self._heard_since_loss.append(upstream_id)
             since = self._lost_since
-            if since is None or len(self._heard_since_loss) < self._deciding():
+            if since is None or len(self._heard_since_loss) < DECIDING_ANSWERS:
                 return
             self._lost_since = None
         log_event(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_watch.py
@@ -15,6 +15,8 @@
 CONFIRM_SECONDS = 0.1
 # How often one upstream is probed while the path is lost.
 PROBE_SECONDS = 0.4
+# Failed probes after which the path is lost although no peer reaches upstreams either.
+FAILED_PROBES = 3
 
 # Returns the peers that have heard some of the upstreams since a monotonic time.
 AskPeers = Callable[[Collection[str], float], Iterable[str]]
@@ -34,18 +36,20 @@
         directory: UpstreamDirectory,
         ask_peers: AskPeers,
         probe: Callable[[Upstream], None],
-        follow_peers: Callable[[float], None] = lambda since: None,
+        follow_peers: Callable[[float], bool] = lambda since: False,
     ) -> None:
         self._path = path
         self._directory = directory
         self._ask_peers = ask_peers
         # Sends one request to an upstream; an answer is noted by the path itself.
         self._probe = probe
-        # Keeps the offers of peers current while requests are passed on.
+        # Keeps the offers of peers current while requests are passed on; returns whether a
+        # peer has heard an upstream since a monotonic time.
         self._follow_peers = follow_peers
         self._lock = threading.Lock()
         self._running = False
         self._offset = itertools.count()
+        self._failed_probes = 0
 
     def begin(self) -> None:
         """Start the thread unless it runs."""
@@ -53,6 +57,7 @@
             if self._running:
                 return
             self._running = True
+            self._failed_probes = 0
         threading.Thread(target=self._run, name="path-watch", daemon=True).start()
 
     def _run(self) -> None:
@@ -74,31 +79,35 @@
         """Ask peers or probe an upstream once; return the seconds until the next step."""
         since = self._path.lost_since
         if since is not None:
-            self._follow_peers(since)
-            return self._probe_next()
+            if self._follow_peers(since):
+                self._path.note_reached_by_peers()
+            # A second answer follows at once, so that the path is used again early.
+            return 0.0 if self._is_probe_answered() else PROBE_SECONDS
         evidence = self._path.evidence()
-        if evidence is not None and not self._is_refuted(evidence):
-            peers = set(self._ask_peers(evidence.upstreams, evidence.since))
-            if peers:
-                self._path.confirm_loss(evidence, peers)
+        if evidence is not None:
+            self._confirm(evidence)
         return CONFIRM_SECONDS
 
-    def _is_refuted(self, evidence: Evidence) -> bool:
-        """Return whether a probe shows that upstreams were only slow to answer."""
-        if not evidence.silent:
-            return False
-        self._probe_next()
-        return self._path.heard_at > evidence.since
+    def _confirm(self, evidence: Evidence) -> None:
+        # Upstreams that are only slow to answer requests do answer a probe.
+        if evidence.silent and self._is_probe_answered():
+            return
+        peers = set(self._ask_peers(evidence.upstreams, evidence.since))
+        if peers:
+            self._path.confirm_loss(evidence, peers)
+        elif evidence.silent or not self._is_probe_answered():
+            self._failed_probes += 1
+            if self._failed_probes >= FAILED_PROBES:
+                self._path.confirm_loss(evidence, ())
 
-    def _probe_next(self) -> float:
+    def _is_probe_answered(self) -> bool:
+        """Probe the next upstream; return whether it answers."""
         known = self._directory.all()
         if not known:
-            return PROBE_SECONDS
+            return False
         # Those that run models answer a probe without running anything.
         probed = [one for one in known if one.models_by_name] or known
         upstream = probed[next(self._offset) % len(probed)]
         asked_at = time.monotonic()
         self._probe(upstream)
-        heard = bool(self._path.heard_since([upstream.id], asked_at))
-        # A second answer follows at once, so that the path is used again early.
-        return 0.0 if heard else PROBE_SECONDS
+        return bool(self._path.heard_since([upstream.id], asked_at))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
@@ -83,6 +83,10 @@
                 return
             self._ask_round(upstream_ids, since)
 
+    def reach_upstreams(self, since: float) -> bool:
+        """Return whether an able peer has heard an upstream after ``since``, monotonic."""
+        return any(peer.able and peer.heard_at > since for peer in list(self._by_id.values()))
+
     def choose(self, since: float, upstream_ids: Collection[str] | None) -> Peer | None:
         """Return the best able peer that has heard an upstream after ``since``, monotonic.
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -139,7 +139,10 @@
             call.request, call.watch.remaining(), progress.last_event if progress else None
         )
         connection.send_request(
-            call.request.method, call.request.target, (*headers, carried), call.request.body
+            call.request.method,
+            call.request.target,
+            (*envelope.without(headers), carried),
+            call.request.body,
         )
         return _Exchange(peer, connection, connection.receive_response(call.watch))
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/world.py
@@ -93,6 +93,7 @@
                 return
             self._return(caller, sent_at, deadline, instance, refusal)
             return
+        assert isinstance(found, Candidate), "the instances here have a path"
         first_event_at = self._begin(caller, instance, found)
         self._outcomes.append(Outcome(caller, sent_at, first_event_at))
 
