Date evidence of a lost path by the begin of exchanges, and probe before a loss from silence

Cause: a time-out counted from its end, so two calls that ended together were evidence although others had answered meanwhile; one probe, of any upstream, decided on evidence of silence. Change: a failed exchange is dated by its begin, a silent wait by the last byte of any upstream; peers are asked what they heard since the suspicion; evidence of silence needs two probes of upstreams that peers hear, and these are probed first while the path is lost. The holders of a request are listed only while some upstream is unreachable. Unit tests of each rule; the functional tests of the cut pass.

--- a/packages/redwingscale-cli/src/redwingscale_cli/_internal/operations/trace.py
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/operations/trace.py
@@ -24,6 +24,10 @@
         "quarantined",
         "giver_taken",
         "giver_lost",
+        "path_suspected",
+        "path_lost",
+        "path_lost_here_only",
+        "path_restored",
         "store_lost",
         "store_regained",
     }
@@ -40,8 +44,16 @@
     context: tuple[LogLine, ...]
 
     def end(self) -> LogLine | None:
-        """Return the line of the event that ended the request, None if the logs lack it."""
-        return next((line for line in reversed(self.own) if line.event in ENDS), None)
+        """Return the line of the event that ended the request, None if the logs lack it.
+
+        Of a request that was passed on, this is the one at the caller's own instance.
+        """
+        taken_over = {
+            line.instance for line in self.own if line.fields.get("passed_on_by", "-") != "-"
+        }
+        ends = [line for line in reversed(self.own) if line.event in ENDS]
+        first = [line for line in ends if line.instance not in taken_over]
+        return next(iter(first or ends), None)
 
 
 def trace(request: str, files: Iterable[Path]) -> Trace:
--- a/packages/redwingscale-cli/tests/unit/test_trace.py
+++ b/packages/redwingscale-cli/tests/unit/test_trace.py
@@ -37,6 +37,18 @@
     assert list(render(trace("r2", logs)))[-1] == "not ended in these logs"
 
 
+def test_request_that_was_passed_on_ends_at_the_instance_of_its_caller(tmp_path):
+    texts = {
+        "b": "event=routed instance=b request=r passed_on_by=a\nevent=request_ended instance=b request=r status=200",
+        "a": "event=routed instance=a request=r passed_on_by=-\nevent=request_ended instance=a request=r status=502",
+    }
+    files = [tmp_path / f"{name}.log" for name in texts]
+    for file, text in zip(files, texts.values(), strict=True):
+        file.write_text(text.replace("event=", "time=2026-12-02T10:00:00.100+0000 event="))
+    assert trace("r", files).end().fields["status"] == "502"
+    assert trace("r", files[::-1]).end().fields["status"] == "502"
+
+
 def test_unknown_request_is_an_error(logs):
     with pytest.raises(ClientError, match="r9"):
         trace("r9", logs)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
@@ -126,6 +126,11 @@
                 key: until for key, until in self._unreachable_until.items() if until == math.inf
             }
 
+    @property
+    def any_unreachable(self) -> bool:
+        """Whether an upstream has accepted no connection since its last answer."""
+        return bool(self._unreachable_until)
+
     def all_unreachable(self) -> list[str]:
         """Return the upstreams that have accepted no connection since their last answer."""
         with self._lock:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
@@ -1,5 +1,6 @@
 """Whether this instance has lost its own network path to the upstreams."""
 
+import math
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -18,17 +19,21 @@
 
 
 class Evidence(NamedTuple):
-    """Exchanges that failed while no upstream was heard; ``since`` is the first one's time.
+    """Exchanges that failed while no upstream was heard, all in monotonic time.
 
-    ``silent`` if each of them only got no byte in time.
+    The first of them began at ``since``, and the path became suspect at ``noted_at``.
+    ``silent`` if too many of them only got no byte in time, as busy upstreams may do.
     """
 
     upstreams: frozenset[str]
     since: float
+    noted_at: float
     silent: bool
 
 
 class _Failure(NamedTuple):
+    """A failed exchange that began at the monotonic time ``at``."""
+
     at: float
     silent: bool
 
@@ -37,7 +42,7 @@
     """Collects evidence from all exchanges with upstreams.
 
     A failure at one upstream says little about the path. Failures at several of them, with
-    no byte from any upstream since the first, make the path suspect: either all of them are
+    no byte from any upstream since the first exchange began, make the path suspect: either all of them are
     lost for everybody, or this instance is cut off. Peers that still hear them decide. If
     none does, the path counts as lost once probes of several upstreams have failed.
     """
@@ -55,6 +60,7 @@
         self._heard_at_by_id: dict[str, float] = {}
         self._failures_by_id: dict[str, _Failure] = {}
         self._suspected = False
+        self._suspected_at = float("-inf")
         # Monotonic time of the first failure of a path that is lost, None while it is not.
         self._lost_since: float | None = None
         self._heard_since_loss: list[str] = []
@@ -104,21 +110,28 @@
         elif self._suspected:
             self.evidence()
 
-    def note_failed(self, upstream_id: str, reason: str, *, silent: bool = False) -> None:
+    def note_failed(
+        self, upstream_id: str, reason: str, began_at: float | None = None, *, silent: bool = False
+    ) -> None:
         """Note a new connection that was not accepted, or broke before its first byte.
 
-        ``silent``: no byte has come within `OVERDUE_SECONDS`.
+        It began at the monotonic time ``began_at``, None for now: a byte from any upstream
+        after that shows that the path worked. ``silent``: no byte has come in time.
         """
         now = self._clock()
+        began_at = now if began_at is None else began_at
         with self._lock:
             if self._lost_since is not None:
                 return
             current = self._current(now)
-            before = current.get(upstream_id, _Failure(now, silent))
+            if began_at <= max(self.heard_at, now - EVIDENCE_SECONDS):
+                return
+            before = current.get(upstream_id, _Failure(began_at, silent))
             current[upstream_id] = _Failure(before.at, before.silent and silent)
             self._failures_by_id = current
             begins = not self._suspected and len(current) >= self._deciding()
-            self._suspected = self._suspected or begins
+            if begins:
+                self._suspected, self._suspected_at = True, now
         if not begins:
             return
         log_event(
@@ -130,10 +143,15 @@
         )
         _call_all(self._on_suspected)
 
-    def note_overdue(self, upstream_id: str) -> bool:
-        """Note a wait for a byte longer than `OVERDUE_SECONDS`; return whether the path is lost."""
+    def note_overdue(self, upstream_id: str, began_at: float) -> bool:
+        """Note a wait for a byte since ``began_at``, monotonic, longer than `OVERDUE_SECONDS`.
+
+        Returns whether the path is lost.
+        """
         if self._lost_since is None and self._clock() - self.heard_at > OVERDUE_SECONDS:
-            self.note_failed(upstream_id, "overdue", silent=True)
+            # The path worked until the last byte of any upstream.
+            since = max(began_at, math.nextafter(self.heard_at, math.inf))
+            self.note_failed(upstream_id, "overdue", since, silent=True)
         return self.lost
 
     def evidence(self) -> Evidence | None:
@@ -145,10 +163,12 @@
                 return None
             current = self._failures_by_id = self._current(self._clock())
             if current:
+                failed = sum(not one.silent for one in current.values())
                 return Evidence(
                     frozenset(current),
                     min(one.at for one in current.values()),
-                    all(one.silent for one in current.values()),
+                    self._suspected_at,
+                    silent=failed < self._deciding(),
                 )
             self._suspected = False
         log_event("path_not_suspected", unheard_for=round(self._clock() - self.heard_at, 3))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_watch.py
@@ -1,9 +1,8 @@
 """Finds out whether a suspect path is lost, and when it works again."""
 
-import itertools
 import threading
 import time
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Mapping
 
 from redwingscale_common.utils.logs import log_event
 
@@ -16,10 +15,12 @@
 # How often one upstream is probed while the path is lost.
 PROBE_SECONDS = 0.4
 # Failed probes after which the path is lost although no peer reaches upstreams either.
-FAILED_PROBES = 3
+FAILED_PROBES = 4
+# While the path is suspect, so many are probed at once.
+CONFIRMING_PROBES = 2
 
-# Returns the peers that have heard some of the upstreams since a monotonic time.
-AskPeers = Callable[[Collection[str], float], Iterable[str]]
+# Returns, by peer, which of some upstreams it heard since a monotonic time.
+AskPeers = Callable[[Collection[str], float], Mapping[str, frozenset[str]]]
 
 
 class PathWatch:
@@ -48,7 +49,9 @@
         self._follow_peers = follow_peers
         self._lock = threading.Lock()
         self._running = False
-        self._offset = itertools.count()
+        # When each upstream was probed last, and those that answered or that peers hear.
+        self._probed_at: dict[str, float] = {}
+        self._likely: frozenset[str] = frozenset()
         self._failed_probes = 0
 
     def begin(self) -> None:
@@ -58,6 +61,7 @@
                 return
             self._running = True
             self._failed_probes = 0
+            self._probed_at, self._likely = {}, frozenset()
         threading.Thread(target=self._run, name="path-watch", daemon=True).start()
 
     def _run(self) -> None:
@@ -89,25 +93,47 @@
         return CONFIRM_SECONDS
 
     def _confirm(self, evidence: Evidence) -> None:
+        known = [one.id for one in self._directory.all()]
+        # Upstreams that crash together were heard by peers until then; probes tell silent ones.
+        since = evidence.since if evidence.silent else evidence.noted_at
+        heard_by_peer = self._ask_peers(known, since)
+        self._likely = frozenset().union(*heard_by_peer.values())
+        peers = [key for key, heard in heard_by_peer.items() if heard & evidence.upstreams]
+        if peers and not evidence.silent:
+            self._path.confirm_loss(evidence, peers)
+            return
         # Upstreams that are only slow to answer requests do answer a probe.
-        if evidence.silent and self._is_probe_answered():
+        if self._is_probe_answered(CONFIRMING_PROBES):
             return
-        peers = set(self._ask_peers(evidence.upstreams, evidence.since))
-        if peers:
+        self._failed_probes += CONFIRMING_PROBES
+        if peers or self._failed_probes >= FAILED_PROBES:
             self._path.confirm_loss(evidence, peers)
-        elif evidence.silent or not self._is_probe_answered():
-            self._failed_probes += 1
-            if self._failed_probes >= FAILED_PROBES:
-                self._path.confirm_loss(evidence, ())
 
-    def _is_probe_answered(self) -> bool:
-        """Probe the next upstream; return whether it answers."""
+    def _is_probe_answered(self, count: int = 1) -> bool:
+        """Probe the ``count`` upstreams that most likely answer; return whether one does."""
         known = self._directory.all()
-        if not known:
-            return False
         # Those that run models answer a probe without running anything.
         probed = [one for one in known if one.models_by_name] or known
-        upstream = probed[next(self._offset) % len(probed)]
+        chosen = sorted(
+            probed,
+            key=lambda one: (
+                one.id not in self._likely,
+                self._probed_at.get(one.id, float("-inf")),
+            ),
+        )[:count]
         asked_at = time.monotonic()
-        self._probe(upstream)
-        return bool(self._path.heard_since([upstream.id], asked_at))
+        self._probed_at |= dict.fromkeys([one.id for one in chosen], asked_at)
+        threads = [
+            threading.Thread(target=self._probe, args=(one,), daemon=True) for one in chosen[1:]
+        ]
+        for thread in threads:
+            thread.start()
+        for upstream in chosen[:1]:
+            self._probe(upstream)
+        for thread in threads:
+            thread.join()
+        ids = frozenset(one.id for one in chosen)
+        answered = frozenset(self._path.heard_since(ids, asked_at))
+        # Those that peers hear but this instance does not are probed last from now on.
+        self._likely = self._likely - ids | answered
+        return bool(answered)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -17,8 +17,8 @@
     """Give up a request that waits for bytes once the own path is lost, if it may be repeated."""
     may_repeat = call.route.repeatable
 
-    def on_overdue() -> bool:
-        return parts.path.note_overdue(upstream.id) and may_repeat
+    def on_overdue(began_at: float) -> bool:
+        return parts.path.note_overdue(upstream.id, began_at) and may_repeat
 
     call.watch.on_overdue = on_overdue
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
@@ -1,6 +1,6 @@
 """Decides whether a request goes to an upstream or through another instance."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from redwingscale_daemon._internal.exceptions import Refusal
 from redwingscale_daemon._internal.fleet.health import Health
@@ -28,18 +28,19 @@
         self._health = health
         self._offers = offers
 
-    def choose(self, call: Call, upstream_ids: Collection[str]) -> Peer | None:
+    def choose(self, call: Call, list_upstreams: Callable[[], Collection[str]]) -> Peer | None:
         """Return the instance to pass ``call`` on to, None to go on without one.
 
-        ``upstream_ids`` are the upstreams that could run it. Raises `Refusal` if this
+        ``list_upstreams`` returns the ids of upstreams that could run it. Raises `Refusal` if this
         instance reaches no upstream and no other instance takes the request.
         """
         since = self._path.lost_since
         if since is not None:
             return self._choose_without_path(call, since)
-        if not upstream_ids or not all(map(self._health.is_unreachable, upstream_ids)):
+        if not self._health.any_unreachable or not call.attempts.may_pass_on_to_peer:
             return None
-        if not call.attempts.may_pass_on_to_peer:
+        upstream_ids = list_upstreams()
+        if not upstream_ids or not all(map(self._health.is_unreachable, upstream_ids)):
             return None
         failed_at = self._health.unreachable_since(upstream_ids)
         self._offers.follow(self._health.all_unreachable(), failed_at)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -64,6 +64,9 @@
         """Count a request whose holders were too busy to serve it in time."""
 
 
+FindPeer = Callable[[Call, Callable[[], Sequence[str]]], Peer | None]
+
+
 class HolderWait(NamedTuple):
     """Chooses the holder of a request's unit, waiting for one if there is none."""
 
@@ -81,8 +84,8 @@
     # Counts a prompt that was held because it would have broken streams.
     on_held: Callable[[], None] = lambda: None
     places: PlaceRule = FIRST_COME_FIRST_SERVED
-    # Returns another instance to pass a request on to, given the holders of its unit.
-    find_peer: Callable[[Call, Sequence[str]], Peer | None] = lambda call, holders: None
+    # Returns another instance to pass a request on to, given how to list the holders.
+    find_peer: FindPeer = lambda call, list_holders: None
 
     def choose_holder(self, call: Call, prompt: Prompt) -> Candidate | Peer:
         """Return the best holder, waiting for one; raises `Refusal`, `CallerLeft`.
@@ -122,7 +125,9 @@
     def _find_peer(self, call: Call, prompt: Prompt) -> Peer | None:
         # Another instance may reach those that this one has tried in vain.
         excluded = call.attempts.tried - call.attempts.unreached
-        return self.find_peer(call, self.chooser.resident_ids(call.service, prompt, excluded))
+        return self.find_peer(
+            call, lambda: self.chooser.resident_ids(call.service, prompt, excluded)
+        )
 
     def _hold(self, call: Call, prompt: Prompt, found: Candidate) -> Candidate:
         if found.pauses is None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
@@ -18,6 +18,8 @@
 FRESH_SECONDS = 1.5
 # A round is repeated at most this often for requests.
 ROUND_SECONDS = 0.4
+# The same for requests with other upstreams than those that were asked about.
+LEAST_PAUSE_SECONDS = 0.15
 # A peer that has declined a request or lost one is left out for this time.
 AVOID_SECONDS = 0.5
 # Traffic between failure domains is charged for: a peer in another one is used if those of
@@ -65,21 +67,21 @@
         # Not for secrets: it only spreads requests.
         self._random = random.Random()
 
-    def who_heard(self, upstream_ids: Collection[str], since: float) -> list[str]:
-        """Ask peers now; return those that heard some of the upstreams since ``since``."""
-        began = time.monotonic()
+    def who_heard(self, upstream_ids: Collection[str], since: float) -> dict[str, frozenset[str]]:
+        """Ask peers now; return which of the upstreams each of them heard since ``since``."""
         self._ask_round(upstream_ids, since)
-        return [
-            peer.id
+        return {
+            peer.id: peer.heard
             for peer in list(self._by_id.values())
-            if peer.able and peer.replied_at >= began and peer.heard and peer.heard_at > since
-        ]
+            if peer.able and peer.replied_at > since and peer.heard and peer.heard_at > since
+        }
 
     def follow(self, upstream_ids: Collection[str], since: float) -> None:
         """Ask peers now unless that was done a moment ago, for these upstreams."""
         with self._round:
             recent = time.monotonic() - self._asked_at < ROUND_SECONDS
-            if recent and self._asked >= frozenset(upstream_ids):
+            just_now = time.monotonic() - self._asked_at < LEAST_PAUSE_SECONDS
+            if just_now or (recent and self._asked >= frozenset(upstream_ids)):
                 return
             self._ask_round(upstream_ids, since)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -92,8 +92,10 @@
         if found is None or self._parts.health.is_unreachable(found.upstream.id):
             # Another instance may reach those that this one has tried in vain.
             excluded = call.attempts.tried - call.attempts.unreached
-            usable = self._parts.chooser.plain_ids(call.service, excluded)
-            if (peer := self._parts.detour.choose(call, usable)) is not None:
+            peer = self._parts.detour.choose(
+                call, lambda: self._parts.chooser.plain_ids(call.service, excluded)
+            )
+            if peer is not None:
                 return peer
         if found is not None or call.attempts.failure is not None:
             return found
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -65,11 +65,12 @@
         size = len(request.body)
         if not self._open_bytes.take(upstream.id, size):
             return NotRun(upstream, "too many bytes open", misdirected=False, reached=True)
+        began_at = time.monotonic()
         try:
             connection = self._pool.take_idle(upstream) or self._pool.open(upstream)
         except (HTTPError, OSError) as error:
             self._open_bytes.give(upstream.id, size)
-            self._path.note_failed(upstream.id, "no connection")
+            self._path.note_failed(upstream.id, "no connection", began_at)
             # urllib3 chains the error of the socket.
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
             return NotRun(
@@ -91,7 +92,7 @@
         except (HTTPException, HTTPError, OSError, UpstreamSilent) as error:
             # An upstream may close a connection that was idle.
             if isinstance(error, OSError | UpstreamSilent) and not connection.response_count:
-                self._path.note_failed(upstream.id, "no byte on a new connection")
+                self._path.note_failed(upstream.id, "no byte on a new connection", began_at)
             connection.discard()
             return lost_by(upstream, error)
         except Exception:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -18,7 +18,7 @@
 _UPSTREAM_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
 _MILLISECONDS_PER_SECOND = 1000.0
 # How often a wait that is overdue is reported again.
-_OVERDUE_AGAIN_SECONDS = 0.25
+_OVERDUE_AGAIN_SECONDS = 0.4
 
 
 class Watch:
@@ -36,8 +36,9 @@
         self._caller_events = select.POLLIN | select.POLLRDHUP
         self.deadline = deadline
         self.silence_seconds: float | None = None
-        # Called while a wait for a byte is overdue; returns whether to give it up.
-        self.on_overdue: Callable[[], bool] | None = None
+        # Called with the monotonic time at which a wait for a byte began while it is overdue;
+        # returns whether to give it up.
+        self.on_overdue: Callable[[float], bool] | None = None
 
     def remaining(self) -> float:
         """Return the seconds until the deadline, at least 0."""
@@ -81,7 +82,7 @@
             if silence_left <= 0:
                 raise UpstreamSilent(f"no byte for {self.silence_seconds} s")
             if overdue_left <= 0:
-                if self.on_overdue is not None and self.on_overdue():
+                if self.on_overdue is not None and self.on_overdue(began):
                     raise UpstreamSilent("the path to upstreams is lost")
                 overdue_at = now + _OVERDUE_AGAIN_SECONDS
                 continue
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -1,5 +1,6 @@
 """HTTP client for the reports of model workers and the orders to them."""
 
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -76,6 +77,7 @@
 
     def report(self, upstream: Upstream) -> EngineReport | None:
         """Return the worker's report, None without a valid answer."""
+        began_at = time.monotonic()
         try:
             response = self._pools.request("GET", _url(upstream, self._calls.report_target))
             self._note_backpressure(upstream, response)
@@ -83,7 +85,7 @@
                 return None
             return self._calls.decode_report(response.data)
         except HTTPError as error:
-            self._note_failed(upstream, error)
+            self._note_failed(upstream, error, began_at)
             return None
         except msgspec.DecodeError:
             return None
@@ -95,6 +97,7 @@
         return result
 
     def _send(self, upstream: Upstream, order: Order) -> OrderResult:
+        began_at = time.monotonic()
         try:
             response = self._pools.request(
                 "POST",
@@ -103,22 +106,22 @@
                 headers=self._calls.order_headers(upstream.platform_name),
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
-            self._note_failed(upstream, error)
+            self._note_failed(upstream, error, began_at)
             return OrderResult.REFUSED
         except HTTPError as error:
-            self._note_failed(upstream, error)
+            self._note_failed(upstream, error, began_at)
             return OrderResult.UNKNOWN
         self._note_backpressure(upstream, response)
         return self._calls.order_result(response.status)
 
-    def _note_failed(self, upstream: Upstream, error: HTTPError) -> None:
+    def _note_failed(self, upstream: Upstream, error: HTTPError, began_at: float) -> None:
         # An upstream may close a connection that was idle, but not the next one as well.
         again = upstream.id in self._broken
         if isinstance(error, ProtocolError):
             self._broken.add(upstream.id)
         if again or not isinstance(error, ProtocolError):
             silent = isinstance(error, ReadTimeoutError)
-            self._path.note_failed(upstream.id, "no answer to a call", silent=silent)
+            self._path.note_failed(upstream.id, "no answer to a call", began_at, silent=silent)
 
     def _note_backpressure(self, upstream: Upstream, response: BaseHTTPResponse) -> None:
         self._path.note_heard(upstream.id)
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_own_path.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_own_path.py
@@ -1,7 +1,7 @@
 """When failed exchanges are evidence that the instance has lost its own path."""
 
 import pytest
-from redwingscale_daemon._internal.fleet.own_path import EVIDENCE_SECONDS, OwnPath
+from redwingscale_daemon._internal.fleet.own_path import EVIDENCE_SECONDS, OVERDUE_SECONDS, OwnPath
 
 
 class Clock:
@@ -79,4 +79,27 @@
     path.note_failed("b", "overdue", silent=True)
     assert path.evidence().silent
     path.note_failed("b", "no connection")
+    assert path.evidence().silent
+    path.note_failed("a", "no connection")
     assert not path.evidence().silent
+
+
+def test_waits_that_began_before_the_last_byte_are_evidence_once_all_are_overdue(path, clock):
+    """Guards against a cut that is found only when new requests are sent."""
+    began_at = clock()
+    path.heard_at = clock()
+    path.note_overdue("a", began_at)
+    assert not path.doubtful
+    clock.now += OVERDUE_SECONDS
+    path.note_overdue("a", began_at)
+    path.note_overdue("b", began_at)
+    assert path.doubtful
+
+
+def test_failure_of_an_exchange_that_began_before_an_answer_is_no_evidence(path, clock):
+    """Guards against two upstreams that time out together while the others answer."""
+    began_at = clock()
+    path.note_heard("c")
+    path.note_failed("a", "no connection", began_at)
+    path.note_failed("b", "no connection", began_at)
+    assert not path.doubtful
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_path_watch.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_path_watch.py
@@ -20,7 +20,7 @@
         self.path, self.health, self.outcomes = fleet.path, fleet.health, fleet.outcomes
         self.reached = set()
         self.probed = []
-        self.peers = []
+        self.peers = {}
         models = {"m": ResidentModel("m", 1, frozenset())}
         ids = [f"u{number}" for number in range(5)]
         fleet.directory.replace(
@@ -48,7 +48,7 @@
 
 def test_path_is_lost_as_soon_as_peers_hear_the_upstreams(world):
     world.fail("u0", "u1")
-    world.peers = ["two"]
+    world.peers = {"two": frozenset({"u0", "u4"})}
     assert world.watch.step() == CONFIRM_SECONDS
     assert world.path.cut_off
     assert not world.probed
@@ -57,16 +57,17 @@
 def test_probe_refutes_evidence_of_silence(world):
     """Guards against a path that counts as lost while two upstreams only read long prompts."""
     world.fail("u0", "u1", silent=True)
-    world.peers = ["two"]
-    world.reached = {f"u{number}" for number in range(5)}
+    world.peers = {"two": frozenset({"u0", "u4"})}
+    world.reached = {"u4"}
     world.watch.step()
     assert not world.path.doubtful
+    assert sorted(world.probed) == ["u0", "u4"]
 
 
 def test_upstreams_that_nobody_hears_do_not_cut_the_instance_off(world):
     """Guards against a leader that hands over because all workers are down."""
     world.fail("u0", "u1")
-    for _ in range(FAILED_PROBES):
+    while len(world.probed) < FAILED_PROBES:
         assert not world.path.lost
         world.watch.step()
     assert world.path.lost
@@ -75,11 +76,12 @@
 
 def test_path_that_loses_most_packets_is_not_used_after_one_answer(world):
     world.fail("u0", "u1")
-    world.peers = ["two"]
+    world.peers = {"two": frozenset({"u0", "u4"})}
     world.watch.step()
     world.reached = {"u0"}
-    pauses = [world.watch.step() for _ in range(5)]
-    assert pauses.count(PROBE_SECONDS) == 4
+    world.probed.clear()
+    while "u0" not in world.probed:
+        assert world.watch.step() in (0.0, PROBE_SECONDS)
     assert world.path.lost
     world.reached = {f"u{number}" for number in range(5)}
     world.watch.step()
@@ -91,7 +93,7 @@
     for key in ("u0", "u1", "u2"):
         world.health.note_unreachable(key)
     world.fail("u0", "u1")
-    world.peers = ["two"]
+    world.peers = {"two": frozenset({"u0", "u4"})}
     world.watch.step()
     assert world.health.is_unreachable("u4")
     world.reached = {f"u{number}" for number in range(5)}
@@ -109,7 +111,7 @@
         world.health.note_failure(key)
         world.health.note_unreachable(key)
     world.fail("u0", "u1")
-    world.peers = ["two"]
+    world.peers = {"two": frozenset({"u0", "u4"})}
     if lost:
         world.watch.step()
     findings = drain_findings(world.fleet)
