Reproduce brittle upstreams that fall over under load

Cause: not fixed yet. No instance reads that an upstream is brittle; each sends to full upstreams until they reject, and learns of a rejection by its own requests only.

--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -33,11 +33,11 @@
         self._servers.append(server)
         return server.port
 
-    def worker(self, worker_id, *models, timing=None):
+    def worker(self, worker_id, *models, timing=None, slots=64):
         made = ModelWorker(worker_id, {name: set() for name in models}, timing or WorkerTiming())
         port = self._serve(made)
         self.workers[worker_id] = made
-        self.rows.put("servers", worker_id, self.entry(made, port))
+        self.rows.put("servers", worker_id, self.entry(made, port) | {"Slots": slots})
         return made
 
     def worker_process(self, name, *models, linked=False):
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -8,7 +8,11 @@
 import cherrypy
 from redwingscale_common.network.exchange import json_response, read_body, read_json
 
+from redwingscale_standins.hang import drop_connection
+
 BODY_LIMIT_BYTES = 1 << 20
+# How long a worker that fell over closes all connections.
+FALL_SECONDS = 1.5
 _ECHOED_HEADERS = ("X-Redwingscale-Request-Id",)
 
 
@@ -42,19 +46,31 @@
         self.leaving = False
         # While set, requests are rejected with this many seconds in Retry-After.
         self.retry_after: float | None = None
-        # Every request that was rejected with Retry-After.
+        # Rejections for want of room in one second after which the worker falls over, announced
+        # in all answers; None for a worker that bears any number.
+        self.brittle: int | None = None
+        # How many requests run at once; the rest is rejected. None for no bound.
+        self.room: int | None = None
+        # Monotonic times at which the worker fell over.
+        self.falls: list[float] = []
+        # Every request that was rejected, with Retry-After or for want of room.
         self.rejections: list[Rejection] = []
         # Monotonic times of all calls.
         self.called_at: list[float] = []
         self._timing = timing or WorkerTiming()
         self._lock = threading.Lock()
         self._busy = False
+        self._running = 0
 
     @cherrypy.expose
     def default(self, *segments: str, **_: str) -> bytes | Iterator[bytes]:
         """Dispatch one request."""
         headers = cherrypy.request.headers
         self.called_at.append(time.monotonic())
+        if self.falls and time.monotonic() < self.falls[-1] + FALL_SECONDS:
+            drop_connection()
+        if self.brittle is not None:
+            cherrypy.response.headers["Server-Brittle"] = str(self.brittle)
         if self.rate_limit is not None:
             cherrypy.response.headers["Server-Limit"] = str(self.rate_limit)
         if self.leaving:
@@ -77,6 +93,8 @@
             return self._refuse(421)
         if self.retry_after is not None:
             return self._reject(self.retry_after)
+        if not self._take_room():
+            return self._reject_for_room()
         response = cherrypy.response
         response.headers["Content-Type"] = "text/event-stream"
         response.headers["X-Redwingscale-Response-Seal"] = "seal"
@@ -89,9 +107,31 @@
         return self._events(first, last)
 
     def _events(self, first: int, last: int) -> Iterator[bytes]:
-        for number in range(first, last + 1):
-            time.sleep(self._timing.gap)
-            yield f"id: {number}\ndata: token{number}\n\n".encode()
+        try:
+            for number in range(first, last + 1):
+                time.sleep(self._timing.gap)
+                yield f"id: {number}\ndata: token{number}\n\n".encode()
+        finally:
+            with self._lock:
+                self._running -= 1
+
+    def _take_room(self) -> bool:
+        with self._lock:
+            if self.room is not None and self._running >= self.room:
+                return False
+            self._running += 1
+            return True
+
+    def _reject_for_room(self) -> bytes:
+        request = cherrypy.request.headers.get("X-Redwingscale-Request-Id", "")
+        now = time.monotonic()
+        with self._lock:
+            self.rejections.append(Rejection(request, now))
+            recent = sum(one.at > now - 1.0 for one in self.rejections)
+            if self.brittle is not None and recent > self.brittle:
+                self.falls.append(now)
+                self.rejections.clear()
+        return self._refuse(503)
 
     def _refuse(self, status: int) -> bytes:
         cherrypy.response.status = status
