Send brittle upstreams no more than they run at once

What callers saw: nothing yet; by the users' pages an upstream that says that it is brittle falls over if it has to reject more than some requests in a second, and takes what it ran with it. Cause: nothing read the notice; instances sent to full upstreams and learned of rejections one by one. Change: the notice is decoded with the other notices. To a brittle upstream each instance sends up to its share of the slots, or while the announced load leaves room for every instance; after a rejection it pauses for so long that all instances together stay under half of the bound, and assumes the room that was found, growing by one in two seconds over all instances.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/backpressure_tracker.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/backpressure_tracker.py
@@ -5,6 +5,7 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.backpressure import Backpressure
+from redwingscale_daemon._internal.fleet.brittle_upstreams import BrittleUpstreams
 from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 from redwingscale_daemon._internal.fleet.retry_times import RetryTimes
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
@@ -31,11 +32,16 @@
     """
 
     def __init__(
-        self, directory: UpstreamDirectory, rates: RateLimits, retry_times: RetryTimes
+        self,
+        directory: UpstreamDirectory,
+        rates: RateLimits,
+        retry_times: RetryTimes,
+        brittle: BrittleUpstreams,
     ) -> None:
         self._directory = directory
         self._rates = rates
         self._retry_times = retry_times
+        self._brittle = brittle
 
     def take(
         self,
@@ -53,6 +59,10 @@
         if not self._directory.lists(upstream_id):
             return
         self._take_limit(upstream_id, backpressure.per_second, source, sent_at)
+        if backpressure.rejections_per_second is not None or sent_at is not None:
+            self._brittle.note(upstream_id, backpressure.rejections_per_second)
+        if backpressure.rejected and (pause := self._brittle.note_rejected(upstream_id)):
+            self._take_retry_after(upstream_id, pause, "brittle")
         if backpressure.leaving:
             self._directory.note_leaving([upstream_id], source)
         if backpressure.retry_after_seconds is not None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureTracker
+from redwingscale_daemon._internal.fleet.brittle_upstreams import BrittleUpstreams
 from redwingscale_daemon._internal.fleet.changes import Changes
 from redwingscale_daemon._internal.fleet.first_event_estimates import FirstEventEstimates
 from redwingscale_daemon._internal.fleet.health import Health
@@ -52,9 +53,10 @@
     first_events = FirstEventEstimates(load_tracker)
     rates = RateLimits(instance, instances, directory.lists)
     retry_times = RetryTimes()
-    backpressure = BackpressureTracker(directory, rates, retry_times)
+    brittle = BrittleUpstreams(directory, load_tracker, instances)
+    backpressure = BackpressureTracker(directory, rates, retry_times, brittle)
     by_upstream = (load_tracker, health, latency_factors, prefixes, residency, rates, retry_times)
-    for part in (*by_upstream, first_events, path):
+    for part in (*by_upstream, first_events, path, brittle):
         directory.on_gone(part.forget)
     path.on_lost(changes.notify)
     path.on_restored(health.forgive)
@@ -70,7 +72,7 @@
         outcomes,
         rates,
         retry_times,
-        SendGate(rates, retry_times),
+        SendGate(rates, retry_times, brittle),
         backpressure,
         first_events,
         path,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -152,7 +152,14 @@
     Must not be used for the answer of another process at the upstream's address.
     """
     retry_after = _number(headers, "Retry-After") if status == _UNAVAILABLE else None
-    return Backpressure(_number(headers, names.RATE_LIMIT), _leaving(headers), retry_after)
+    rejected = status == _UNAVAILABLE and headers.get(names.NOT_RUN) is not None
+    return Backpressure(
+        _number(headers, names.RATE_LIMIT),
+        _leaving(headers),
+        retry_after,
+        rejected,
+        _number(headers, names.BRITTLE),
+    )
 
 
 def idle_seconds(response: HTTPResponse) -> float | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
@@ -17,6 +17,8 @@
 RATE_LIMIT = "Server-Limit"
 # "1" in each answer of an upstream that is leaving and takes no new work.
 LEAVING = "Server-Leaving"
+# In each answer of a brittle upstream: how many requests it may reject in a second.
+BRITTLE = "Server-Brittle"
 # The name of the workspace, sent to upstreams; a value that a caller sends is dropped.
 WORKSPACE = "X-Redwingscale-Tenant-Id"
 AUTHORIZATION = "Authorization"
