Let the soak cut paths of instances and make workers brittle

Change: instances lose their path to all workers for 5 to 9 s, in the three ways of the tests; model workers become brittle and get little room. Checked where no other unplanned fault is near: callers of a cut instance are served two thirds as often as others from 4 s after the begin, and no worker falls over more than twice in such a time; all other promises hold beside them.

--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/disturbance.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/disturbance.py
@@ -12,6 +12,8 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._faults = 0
+        # How many faults have begun.
+        self.begun = 0
         self._ended_at = float("-inf")
 
     @property
@@ -24,6 +26,7 @@
         """Count a fault while the block runs."""
         with self._lock:
             self._faults += 1
+            self.begun += 1
         try:
             yield
         finally:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -8,9 +8,17 @@
 
 from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.soak.backpressure import announce_leaving, reject
+from redwingscale_standins.soak.brittle import make_brittle
 from redwingscale_standins.soak.ending_body import send_ending_bodies
 from redwingscale_standins.soak.faulty_link import FaultyLink
-from redwingscale_standins.soak.world import Node, RateLimitPeriod, WorkerHost, World
+from redwingscale_standins.soak.lost_path import cut_path
+from redwingscale_standins.soak.world import (
+    MODEL_SERVICE,
+    Node,
+    RateLimitPeriod,
+    WorkerHost,
+    World,
+)
 
 # Between the starts of two consecutive faults.
 SHORTEST_PAUSE_SECONDS = 0.2
@@ -62,6 +70,9 @@
             self._disturb_worker_link,
             self._crash_worker,
             self._break_worker,
+            self._cut_path,
+            self._cut_path,
+            self._make_brittle,
         ]
         self._menu = planned if planned_only else planned + unplanned
         self._threads: list[threading.Thread] = []
@@ -162,6 +173,25 @@
             os.kill(pid, signal.SIGCONT)
         self._mark_up(node)
 
+    def _cut_path(self) -> None:
+        node = self._take_down()
+        if node is None:
+            return
+
+        def fault() -> None:
+            cut_path(self._world, node, self._random)
+            self._mark_up(node)
+
+        self._begin(f"{node.name} loses its path to the workers", fault)
+
+    def _make_brittle(self) -> None:
+        host = self._choose_worker()
+        if host.service == MODEL_SERVICE and host.worker.brittle is None:
+            self._begin(
+                f"{host.worker.id} is brittle",
+                lambda: make_brittle(self._world, host, self._random),
+            )
+
     def _reload(self) -> None:
         node = self._random.choice(self._world.nodes)
         if node.name not in self._down:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -10,6 +10,7 @@
 
 from redwingscale_standins.hosted.documents import MODELS
 from redwingscale_standins.soak.backpressure import check_backpressure
+from redwingscale_standins.soak.brittle import check_brittle
 from redwingscale_standins.soak.caller import Caller
 from redwingscale_standins.soak.checks import (
     check_cuts,
@@ -21,6 +22,7 @@
 )
 from redwingscale_standins.soak.ending_body import check_ending_bodies
 from redwingscale_standins.soak.faults import Faults
+from redwingscale_standins.soak.lost_path import check_path_cuts
 from redwingscale_standins.soak.world import STEADY_KEY, WorkerHost, World
 
 CALLERS_EACH = 4
@@ -78,6 +80,8 @@
         check_rate_limits(world)
         check_backpressure(world)
         check_ending_bodies(world)
+        check_path_cuts(world)
+        check_brittle(world)
         check_leaving(world, history.leaving(), planned_only=planned_only)
     finally:
         for caller in callers:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -15,10 +15,13 @@
 from redwingscale_standins.soak.disturbance import Disturbance
 from redwingscale_standins.soak.faulty_link import FaultyLink
 from redwingscale_standins.soak.ledger import Ledger
+from redwingscale_standins.soak.process_paths import ProcessPaths
 from redwingscale_standins.soak.soak_worker import SoakWorker
 
 if TYPE_CHECKING:
+    from redwingscale_standins.soak.brittle import BrittlePeriod
     from redwingscale_standins.soak.ending_body import EndingBody
+    from redwingscale_standins.soak.lost_path import PathCut
 
 MODEL_SERVICE, PLAIN_SERVICE = "llm", "plain"
 MODEL_WORKERS, PLAIN_WORKERS = 3, 2
@@ -37,7 +40,7 @@
 class WorkerHost:
     """A worker with the server and the link in front of it."""
 
-    def __init__(self, worker: SoakWorker, service: str) -> None:
+    def __init__(self, worker: SoakWorker, service: str, paths: ProcessPaths) -> None:
         self.worker = worker
         self.service = service
         self.state = "ready"
@@ -49,7 +52,7 @@
         limits = ServerLimits(threads=_SERVER_THREADS)
         self.server = HttpServer(worker, "127.0.0.1", 0, limits)
         self.server.start()
-        self.link = FaultyLink(self.server.port)
+        self.link = FaultyLink(self.server.port, paths)
 
     def entry(self) -> dict[str, Any]:
         """Return the worker's row in the list."""
@@ -123,6 +126,10 @@
         self.disturbance = Disturbance()
         self.store_disturbance = Disturbance()
         self.ending_bodies: list[EndingBody] = []
+        # Which instances have lost their path to the workers.
+        self.paths = ProcessPaths()
+        self.path_cuts: list[PathCut] = []
+        self.brittle_periods: list[BrittlePeriod] = []
         self._stopped = False
         self._listing = threading.Lock()
         self.version = 0
@@ -152,7 +159,7 @@
     def add_worker(self, service: str, models: set[str]) -> WorkerHost:
         """Start a worker and list it."""
         worker = SoakWorker(f"w{next(self._numbers)}", models, self.ledger)
-        host = self.worker_hosts[worker.id] = WorkerHost(worker, service)
+        host = self.worker_hosts[worker.id] = WorkerHost(worker, service, self.paths)
         worker.on_ending_body = lambda: self._end(host)
         self.list(host, "ready")
         return host
