Keep requests at upstreams that fall silent together, unless others hear them

What callers saw: nothing yet; streams and repeatable requests open at upstreams that all paused for more than a second would have been given up, since the path then counts as lost. Cause: an open request was given up on any loss of the path, also where no peer reaches upstreams either. Change: it is given up only if peers do.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
@@ -146,13 +146,14 @@
     def note_overdue(self, upstream_id: str, began_at: float) -> bool:
         """Note a wait for a byte since ``began_at``, monotonic, longer than `OVERDUE_SECONDS`.
 
-        Returns whether the path is lost.
+        Returns whether the path is lost while others reach upstreams. An upstream that
+        nobody hears may go on after a second.
         """
         if self._lost_since is None and self._clock() - self.heard_at > OVERDUE_SECONDS:
             # The path worked until the last byte of any upstream.
             since = max(began_at, math.nextafter(self.heard_at, math.inf))
             self.note_failed(upstream_id, "overdue", since, silent=True)
-        return self.lost
+        return self.cut_off
 
     def evidence(self) -> Evidence | None:
         """Return the evidence while the path is suspect, None once an upstream is heard."""
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -190,6 +190,7 @@
     route("/safe/", Idempotency.IDEMPOTENT, services=(WeightedService("plain", 1.0),)),
     route("/once/", Idempotency.AT_MOST_ONCE, services=(WeightedService("plain", 1.0),)),
     route("/brief/", Idempotency.IDEMPOTENT, services=(WeightedService("plain", 1.0),), time_limit_seconds=0.3),
+    route("/slow/", Idempotency.AT_MOST_ONCE, services=(WeightedService("plain", 1.0),), time_limit_seconds=10.0),
     route("/stream/", Idempotency.STREAM, resumable=True),
     route("/single/", Idempotency.STREAM, most_upstreams=1),
     route("/long/", Idempotency.STREAM, resumable=True, time_limit_seconds=10.0),
