--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_silent_upstreams.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_silent_upstreams.py
@@ -50,10 +50,13 @@
         world.add("llm", events(1, 2, gap=SILENT_SECONDS))
     world.path.on_suspected(lambda: world.path.confirm_loss(world.path.evidence(), ()))
     caller = world.send("/stream/x", model="m")
+    # The head of the answer has been heard.
+    time.sleep(0.3)
     world.path.note_failed("other", "overdue", silent=True)
     response = read_response(caller)
     assert (numbers(response), response.whole) == ([1, 2], True)
     assert len(world.log) == 1
+    assert world.path.lost
 
 
 def test_upstream_that_is_silent_longer_than_the_user_timeout_is_not_lost(world):
