Let instances take turns at a brittle upstream with fewer places than instances

Cause: after a rejection the room was taken as fewer places than instances: no share was a whole request, and room for one more from each instance never came; it grew by one in twelve seconds. Change: instances take random turns of a quarter of a second, as many at a time as there are places; the room grows by one in the time of a pause. Refusals of plain requests and the wiring of own reports moved into files of their own; whether the peers' port takes requests is decided in one place.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
@@ -92,7 +92,7 @@
     """Return the port for requests of other instances, not opened."""
     first_port = settings.peer_ports[0]
     threads = max(MIN_PEER_THREADS, round(limits.threads * PEER_THREADS_FRACTION))
-    peer_limits = limits._replace(threads=threads, refusing_threads=0, name="peers")
+    peer_limits = limits._replace(threads=threads, name="peers")
 
     def make_server(port: PeerPort) -> IngressServer:
         return IngressServer(
@@ -112,11 +112,10 @@
     settings: IngressSettings,
     fleet: Fleet,
     port: PeerPort,
-    may_take: Callable[[], bool],
     busy: Callable[[], float],
 ) -> Callable[[PathQuery], PathReply | None]:
     """Return how this instance answers peers that ask what it reaches."""
     replies = PathReplies(
-        settings.instance, settings.failure_domain, settings.host, fleet.path, port, may_take, busy
+        settings.instance, settings.failure_domain, settings.host, fleet.path, port, busy
     )
     return replies.reply
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -17,10 +17,11 @@
     build_ordered_return,
     new_return_updates,
 )
+from redwingscale_daemon._internal.composition.own_reports import build_own_reports, report_client
 from redwingscale_daemon._internal.composition.pauses import PauseRules
 from redwingscale_daemon._internal.composition.places import build_fair_places
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
-from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps, engine_calls
+from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
@@ -38,7 +39,6 @@
 from redwingscale_daemon._internal.forwarding.sender import Sender
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
 from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
-from redwingscale_daemon._internal.forwarding.upstream_connection import CONNECT_SECONDS
 from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget, limits_of
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
 from redwingscale_daemon._internal.lifecycle.ingress_instance import IngressInstance, IngressParts
@@ -52,7 +52,6 @@
 from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey
-from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
@@ -100,8 +99,8 @@
         place_uses,
         lambda query: reply_on_path(query),
     )
-    reports = _report_client(fleet)
-    own_reports = _own_reports(settings, routes, fleet, reads, reports)
+    reports = report_client(fleet)
+    own_reports = build_own_reports(settings, routes, fleet, reads, reports)
     detours = build_detours(
         settings, fleet, metrics, swaps.peers.addresses, swaps.peers.ask_path, reports
     )
@@ -132,9 +131,7 @@
         return known and not (open_requests.draining or fleet.path.lost or callers.crowded)
 
     peer_port = build_peer_port(settings, handler, budget, limits, may_take)
-    reply_on_path = build_path_replies(
-        settings, fleet, peer_port, may_take, lambda: callers.busy_fraction
-    )
+    reply_on_path = build_path_replies(settings, fleet, peer_port, lambda: callers.busy_fraction)
     followers = _followers(settings.bounds, store, routes, fleet, swaps, reads, own_reports)
     parts = IngressParts(
         callers=callers,
@@ -287,42 +284,6 @@
     )
 
 
-def _report_client(fleet: Fleet) -> OrderClient:
-    return OrderClient(
-        engine_calls(),
-        on_backpressure=lambda upstream, backpressure: fleet.backpressure.take(
-            upstream, backpressure, "own report"
-        ),
-        path=fleet.path,
-        connect_timeout_seconds=CONNECT_SECONDS,
-        response_timeout_seconds=CONNECT_SECONDS,
-    )
-
-
-def _own_reports(
-    settings: IngressSettings,
-    routes: CurrentRoutes,
-    fleet: Fleet,
-    reads: StoreReads,
-    client: OrderClient,
-) -> OwnReports:
-    def runs_models(service: str) -> bool:
-        table = routes.get()
-        rule = table.services_by_name.get(service) if table else None
-        return rule is not None and rule.engine is not None
-
-    return OwnReports(
-        settings.failure_domain,
-        fleet.directory,
-        fleet.residency,
-        reads.upstreams,
-        runs_models,
-        client.report,
-        settings.bounds.leave,
-        fleet.gate.draw,
-    )
-
-
 def _port_limits(settings: IngressSettings) -> PortLimits:
     return PortLimits(
         settings.request_threads,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/brittle_upstreams.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/brittle_upstreams.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+import zlib
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -13,9 +14,9 @@
 # Fraction of the rejections that a brittle upstream bears which all instances together may
 # cause: other callers than these may cause some as well.
 REJECTIONS_FRACTION = 0.5
-# An upstream that has rejected a request gets one more at once after this time, from one of
-# all instances.
-GROWTH_SECONDS = 2.0
+# With fewer places than instances, the instances that may send one request change this often:
+# as often as they announce their load.
+TURN_SECONDS = 0.25
 
 
 class _Room(NamedTuple):
@@ -31,17 +32,20 @@
     A brittle upstream falls over if it has to reject more than some requests in a second,
     from all instances together. Each instance therefore sends no more than the upstream
     runs at once: up to its share, or while the announced load of all leaves room for every
-    instance. The rest waits here, goes elsewhere or is refused. After a rejection the
-    instance pauses, and assumes no more room than was found.
+    instance, or in its turn. The rest waits here, goes elsewhere or is refused. After a
+    rejection the instance pauses, and assumes the room that was found, which grows by one in
+    the time of a pause.
     """
 
     def __init__(
         self,
+        instance: str,
         directory: UpstreamDirectory,
         load_tracker: LoadTracker,
         instances: Callable[[], int],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._instance = instance
         self._directory = directory
         self._load_tracker = load_tracker
         self._instances = instances
@@ -86,22 +90,22 @@
         # The rejected request still counts.
         running = max(1, self._load_tracker.total(upstream_id).requests - 1)
         self._room_by_id[upstream_id] = _Room(running, self._clock())
-        return max(1, self._instances()) / max(
-            rejections * REJECTIONS_FRACTION, REJECTIONS_FRACTION
-        )
+        return self._pause_seconds(rejections)
 
     def has_room(self, upstream_id: str) -> bool:
         """Return whether this instance may send one more request, False to wait."""
         upstream = self._directory.get(upstream_id)
-        if upstream is None or upstream_id not in self._rejections_by_id:
+        rejections = self._rejections_by_id.get(upstream_id)
+        if upstream is None or rejections is None:
             return True
         instances = max(1, self._instances())
-        room = self._room(upstream_id, upstream.slots, instances)
+        room = self._room(upstream_id, upstream.slots, rejections)
+        own = self._load_tracker.own_at(upstream_id).requests
         total = self._load_tracker.total(upstream_id).requests
-        if self._load_tracker.own_at(upstream_id).requests < room // instances:
-            return total < room
         # Every other instance may send one until its load is announced.
-        return total + instances <= room
+        if own < room // instances or total + instances <= room:
+            return total < room
+        return own == 0 and total < room and self._has_turn(upstream_id, room / instances)
 
     def forget(self, upstream_ids: set[str]) -> None:
         """Drop upstreams that are gone."""
@@ -110,12 +114,22 @@
                 self._rejections_by_id.pop(key, None)
                 self._room_by_id.pop(key, None)
 
-    def _room(self, upstream_id: str, slots: int, instances: int) -> int:
+    def _has_turn(self, upstream_id: str, fraction: float) -> bool:
+        """Return whether this instance is in the random ``fraction`` that may send now."""
+        turn = int(self._clock() / TURN_SECONDS)
+        drawn = zlib.crc32(f"{self._instance}/{upstream_id}/{turn}".encode())
+        return drawn < fraction * 2**32
+
+    def _pause_seconds(self, rejections: float) -> float:
+        allowed = max(rejections, 1.0) * REJECTIONS_FRACTION
+        return max(1, self._instances()) / allowed
+
+    def _room(self, upstream_id: str, slots: int, rejections: float) -> int:
         """Return how many requests the upstream is assumed to run at once."""
         found = self._room_by_id.get(upstream_id)
         if found is None:
             return max(1, slots)
-        grown = int((self._clock() - found.rejected_at) / (GROWTH_SECONDS * instances))
+        grown = int((self._clock() - found.rejected_at) / self._pause_seconds(rejections))
         return max(1, min(slots, found.requests + grown))
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -53,7 +53,7 @@
     first_events = FirstEventEstimates(load_tracker)
     rates = RateLimits(instance, instances, directory.lists)
     retry_times = RetryTimes()
-    brittle = BrittleUpstreams(directory, load_tracker, instances)
+    brittle = BrittleUpstreams(instance, directory, load_tracker, instances)
     backpressure = BackpressureTracker(directory, rates, retry_times, brittle)
     by_upstream = (load_tracker, health, latency_factors, prefixes, residency, rates, retry_times)
     for part in (*by_upstream, first_events, path, brittle):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/path_replies.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/path_replies.py
@@ -18,7 +18,6 @@
         host: str,
         path: OwnPath,
         port: PeerPort,
-        may_take: Callable[[], bool],
         busy: Callable[[], float],
     ) -> None:
         self._instance = instance
@@ -26,7 +25,6 @@
         self._host = host
         self._path = path
         self._port = port
-        self._may_take = may_take
         self._busy = busy
 
     def reply(self, query: PathQuery) -> PathReply | None:
@@ -41,7 +39,7 @@
             self._host,
             offer.port,
             offer.token,
-            self._may_take(),
+            self._port.takes_requests,
             self._busy(),
             self._path.heard_since(query.upstreams, now - query.seconds),
             now - self._path.heard_at,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_port.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_port.py
@@ -63,6 +63,12 @@
                 log_event("peer_port_opened", port=server.port)
         return None if self._server is None else Offer(self._server.port, self._token)
 
+    @property
+    def takes_requests(self) -> bool:
+        """Whether a request that arrives now is taken, not declined."""
+        server = self._server
+        return self._may_take() and server is not None and not server.crowded
+
     def stop(self, timeout_seconds: float = 1.0) -> None:
         """Close the port, and wait at most ``timeout_seconds`` for open requests."""
         with self._lock:
@@ -88,7 +94,7 @@
         """Serve a request of a peer; raises `CallerLeft` if the peer gives it up."""
         stripped, carried = envelope.take(request)
         assert carried is not None, "requests without an envelope are screened out"
-        if not self._may_take():
+        if not self.takes_requests:
             reply.send(_DECLINED, ((envelope.DECLINED_HEADER, "1"),), b"")
             return
         self._handler.handle(stripped, reply, carried)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -195,8 +195,8 @@
     def _retry_after_loss(self, call: Call, peer: Peer, error: Exception) -> bool:
         self._note(call, peer, "lost", repr(error))
         reason = f"peer {peer.id} lost: {error!r}"
-        resumable = not call.reply.started or call.route.resumable
-        if call.attempts.take_retry_after_lost_peer(reason) and resumable:
+        may_go_on = not call.reply.started or call.route.resumable
+        if may_go_on and call.attempts.take_retry_after_lost_peer(reason):
             call.watch.check_caller()
             return False
         raise Refusal(502, "upstream_failed", reason, run=RunState.UNKNOWN) from error
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -18,10 +18,14 @@
     note_failure,
     watch_path,
 )
-from redwingscale_daemon._internal.forwarding.attempts import Attempts, FailedResponse
+from redwingscale_daemon._internal.forwarding.attempts import FailedResponse
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.crash_guard import GuardedAttempt
-from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
+from redwingscale_daemon._internal.forwarding.final_refusal import (
+    failure_refusal,
+    no_upstream_refusal,
+    time_limit_refusal,
+)
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer
@@ -32,12 +36,9 @@
     read_response_body,
 )
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
-from redwingscale_daemon._internal.models.run_state import RunState
 
 FIRST_SERVER_ERROR_STATUS = 500
 FIRST_ERROR_STATUS = 400
-# A full upstream has free slots again within the time of a few requests.
-NO_UPSTREAM_RETRY_SECONDS = 0.2
 PLAIN_PRIORITY = 5
 # Time that a waiting request leaves its upstream to run it.
 MIN_SERVICE_SECONDS = 0.25
@@ -61,7 +62,7 @@
             if candidate is None:
                 if _deliver_failure(call):
                     return
-                raise _no_upstream_refusal(call.attempts)
+                raise no_upstream_refusal(call.attempts)
             max_wait_seconds = call.watch.remaining() - MIN_SERVICE_SECONDS
             attempt = self._parts.guard.begin(call, candidate.upstream, max_wait_seconds)
             if not attempt.usable or not self._parts.gate.draw(candidate.upstream.id):
@@ -127,7 +128,7 @@
                 if not call.attempts.take_retry(outcome):
                     if _deliver_failure(call):
                         return True
-                    raise _no_upstream_refusal(call.attempts)
+                    raise no_upstream_refusal(call.attempts)
                 return False
             case Lost():
                 note_failure(self._parts, call, outcome)
@@ -135,7 +136,7 @@
                 if not call.attempts.take_retry(outcome):
                     if _deliver_failure(call):
                         return True
-                    raise _failure_refusal(outcome.reason)
+                    raise failure_refusal(outcome.reason)
                 return False
 
     def _relay_response(self, call: Call, answering: Answering, attempt: GuardedAttempt) -> bool:
@@ -158,7 +159,7 @@
             note_failure(self._parts, call, lost)
             attempt.note_lost(lost)
             if not call.attempts.take_retry(lost):
-                raise _failure_refusal(lost.reason) from error
+                raise failure_refusal(lost.reason) from error
             return False
         except TimeLimitReached as error:
             answering.connection.discard()
@@ -190,9 +191,9 @@
                 call.attempts.failure = FailedResponse(response.status, headers, start.data)
             return False
         if unsigned:
-            raise _failure_refusal("the answer bears no signature")
+            raise failure_refusal("the answer bears no signature")
         if not call.attempts.may_pass_on(response.status, counted=failed):
-            raise _failure_refusal(f"status {response.status}")
+            raise failure_refusal(f"status {response.status}")
         headers = self._parts.dialect.response_headers(response)
         call.reply.send(response.status, headers, start.data)
         return True
@@ -222,7 +223,7 @@
             lost = lost_by(answering.upstream, error, "answer broke off: ")
             note_failure(self._parts, call, lost)
             attempt.note_lost(lost)
-            raise _failure_refusal(lost.reason) from error
+            raise failure_refusal(lost.reason) from error
         except TimeLimitReached as error:
             answering.connection.discard()
             raise time_limit_refusal(call, error) from None
@@ -244,18 +245,3 @@
         return False
     call.reply.send(failure.status, failure.headers, failure.body)
     return True
-
-
-def _no_upstream_refusal(attempts: Attempts) -> Refusal:
-    if not attempts.certainly_not_run:
-        return _failure_refusal("no other upstream is left")
-    return Refusal(
-        503,
-        "no_upstream",
-        "; ".join(attempts.history) or "no upstream is known",
-        retry_after_seconds=NO_UPSTREAM_RETRY_SECONDS,
-    )
-
-
-def _failure_refusal(reason: str) -> Refusal:
-    return Refusal(502, "upstream_failed", reason, run=RunState.UNKNOWN)
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_brittle_upstreams.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_brittle_upstreams.py
@@ -2,7 +2,7 @@
 
 import pytest
 from redwingscale_daemon._internal.fleet.backpressure import Backpressure
-from redwingscale_daemon._internal.fleet.brittle_upstreams import GROWTH_SECONDS, BrittleUpstreams
+from redwingscale_daemon._internal.fleet.brittle_upstreams import TURN_SECONDS, BrittleUpstreams
 from redwingscale_daemon._internal.fleet.fleet import new_fleet
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.fleet.upstream import Upstream
@@ -14,13 +14,17 @@
 
 
 class World:
-    def __init__(self, instances=INSTANCES):
+    def __init__(self, instances=INSTANCES, slots=SLOTS):
         self.now = 0.0
         self.fleet = new_fleet("one", lambda: instances)
-        listed = Upstream("u", "s", "h", 1, "z", SLOTS, False, None, {}, frozenset(), frozenset())
+        listed = Upstream("u", "s", "h", 1, "z", slots, False, None, {}, frozenset(), frozenset())
         self.fleet.directory.replace([listed])
         self.brittle = BrittleUpstreams(
-            self.fleet.directory, self.fleet.load_tracker, lambda: instances, lambda: self.now
+            "one",
+            self.fleet.directory,
+            self.fleet.load_tracker,
+            lambda: instances,
+            lambda: self.now,
         )
         self.brittle.note("u", REJECTIONS)
 
@@ -60,13 +64,27 @@
 
 def test_room_found_by_a_rejection_is_kept_and_grows_again(world):
     world.set_load(2, 5)
-    world.brittle.note_rejected("u")
+    pause = world.brittle.note_rejected("u")
     world.set_load(0, 6)
     assert not world.brittle.has_room("u")
-    world.now += GROWTH_SECONDS * INSTANCES
+    world.now += pause
     assert world.brittle.has_room("u")
 
 
+@pytest.mark.parametrize(("instances", "places"), [(6, 1), (6, 3), (67, 12)])
+def test_instances_take_turns_where_places_are_fewer(instances, places):
+    """Guards against an upstream that nobody uses any more, as no share is a whole request."""
+    world = World(instances, places)
+    world.set_load(0, 0)
+    turns = 400
+    allowed = 0
+    for _ in range(turns):
+        world.now += TURN_SECONDS
+        allowed += world.brittle.has_room("u")
+    assert 0 < allowed < turns
+    assert allowed * instances / turns == pytest.approx(places, rel=0.5)
+
+
 def test_rejection_by_an_upstream_that_is_not_brittle_pauses_nothing(world):
     assert world.brittle.note_rejected("other") is None
 
