Count a refused connection as proof of a crash unless the own path is in doubt

Change: a refused connection counts after 0.03 s unless the path is suspect by then, and is itself a failure of the path, so a cut that refuses at two upstreams makes it suspect.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_ends.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_ends.py
@@ -15,9 +15,11 @@
 PROBE_TIMEOUT_SECONDS = 0.3
 # An upstream that accepted a connection is not probed again within this time.
 ALIVE_SECONDS = 0.5
-# How long a refused connection waits for proof that the own path works.
-PROOF_SECONDS = 0.3
-_PROOF_POLL_SECONDS = 0.02
+# A cut that refuses connections shows at several upstreams within this time.
+CUT_SECONDS = 0.03
+# How long the verdict on a refused connection waits while the own path is in doubt.
+DOUBT_SECONDS = 0.3
+_DOUBT_POLL_SECONDS = 0.02
 
 
 class UpstreamEnds:
@@ -25,7 +27,7 @@
 
     A refused connection, another process at the address and an entry that has left the list
     are evidence. A connection that times out or is accepted is not, nor is a refused one
-    unless another upstream is heard afterwards: a network that is cut may refuse as well.
+    while the own path is in doubt: a network that is cut may refuse as well.
     """
 
     def __init__(self, directory: UpstreamDirectory, health: Health, path: OwnPath) -> None:
@@ -54,16 +56,18 @@
             return self._probe(upstream)
 
     def path_works_since(self, at: float) -> bool:
-        """Return whether an upstream has been heard after the monotonic time ``at``."""
-        return not self._path.lost and self._path.heard_at > at
+        """Return whether the own path is sound, or was so after the monotonic time ``at``."""
+        return not self._path.lost and (self._path.heard_at > at or not self._path.doubtful)
 
-    def _proves_end(self) -> bool:
-        refused_at = time.monotonic()
-        while time.monotonic() - refused_at < PROOF_SECONDS and not self._path.lost:
-            if self.path_works_since(refused_at):
-                return True
-            time.sleep(_PROOF_POLL_SECONDS)
-        return False
+    def _proves_end(self, upstream: Upstream) -> bool:
+        self._path.note_failed(upstream.id, "connection refused")
+        time.sleep(CUT_SECONDS)
+        doubted_since = time.monotonic()
+        while self._path.doubtful:
+            if self._path.lost or time.monotonic() - doubted_since > DOUBT_SECONDS:
+                return False
+            time.sleep(_DOUBT_POLL_SECONDS)
+        return True
 
     def _probe(self, upstream: Upstream) -> str | None:
         if upstream.id in self._ended:
@@ -75,7 +79,7 @@
             try:
                 socket.create_connection(upstream.address, PROBE_TIMEOUT_SECONDS).close()
             except ConnectionRefusedError:
-                if not self._proves_end():
+                if not self._proves_end(upstream):
                     return None
                 self._ended[upstream.id] = "refused"
                 return "refused"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
@@ -92,8 +92,8 @@
     def note_refused(self, upstream: Upstream) -> None:
         """Note that the address of ``upstream`` refuses connections.
 
-        This is evidence only of losses before the last byte from any upstream: since then,
-        the path of this instance may be lost.
+        While the path of this instance is in doubt, this is evidence only of losses before
+        the last byte from any upstream.
         """
         self._settle(upstream.id, "refused", self._ends.path_works_since)
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
@@ -1,7 +1,6 @@
 """What counts as the crash of an upstream under a request, and what a refused caller gets."""
 
 import json
-import threading
 import time
 
 from redwingscale_daemon._internal.forwarding import crash_guard
@@ -11,8 +10,6 @@
 from .conftest import WAIT_SECONDS, breaks, events, sized
 
 SECONDS = 300.0
-# Within the time that a refused connection waits for an answer of another upstream.
-ANSWER_SECONDS = 0.1
 
 
 def watch_fingerprints(seen):
@@ -38,28 +35,29 @@
     assert not world.crash_counts
 
 
-def test_refused_connection_is_no_evidence_while_no_upstream_is_heard(world):
-    """Guards against a network that refuses connections, and condemns what it carried."""
+def test_upstream_that_refuses_connections_makes_its_requests_suspect(world):
+    """Guards against a crash that leaves no trace beyond the failed attempt."""
     world.add("llm", crashes(world, 0))
     world.add("llm", breaks)
     world.request("/stream/x", model="m")
-    assert not world.crash_counts
+    assert world.crash_counts["suspect"] == 1
 
 
-def test_upstream_that_refuses_connections_while_others_answer_makes_requests_suspect(world):
-    """Guards against a crash that leaves no trace beyond the failed attempt."""
+def test_refused_connections_of_a_doubtful_path_are_no_evidence(world):
+    """Guards against a network that refuses connections, and condemns what it carried."""
     world.add("llm", crashes(world, 0))
     world.add("llm", breaks)
-    threading.Timer(ANSWER_SECONDS, world.path.note_heard, ["u1"]).start()
-    world.request("/stream/x", model="m")
-    assert world.crash_counts["suspect"] == 1
+    world.path.note_failed("other", "no connection")
+    world.request("/single/x", model="m")
+    assert not world.crash_counts
 
 
 def test_refused_connection_is_evidence_once_another_upstream_has_answered(world):
-    """Guards against a crash that is forgotten since no other upstream was heard at once."""
+    """Guards against a crash that is forgotten since the path was in doubt at first."""
     world.add("llm", crashes(world, 0))
     world.add("llm", breaks)
-    world.request("/stream/x", model="m")
+    world.path.note_failed("other", "no connection")
+    world.request("/single/x", model="m")
     assert not world.crash_counts
     world.path.note_heard("u1")
     world.guard.note_refused(world.upstreams[0][1])
