--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_watch.py
@@ -10,6 +10,8 @@
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
+# Most suspicions end sooner, with the next byte of an upstream, and peers need not be asked.
+SETTLE_SECONDS = 0.03
 # How often peers are asked while the path is suspect: they hear upstreams now and then.
 CONFIRM_SECONDS = 0.1
 # How often one upstream is probed while the path is lost.
@@ -65,6 +67,7 @@
         threading.Thread(target=self._run, name="path-watch", daemon=True).start()
 
     def _run(self) -> None:
+        time.sleep(SETTLE_SECONDS)
         while self._is_needed():
             try:
                 pause = self.step()
