Log each answer that ends early with its reason

Cause: request_ended names an outcome, but not how old the last byte of the upstream was, whether its connection was open, whether bytes had come that nobody had read, nor what a closed connection still held. Change: answer_cut with a reason, ages, unsent bytes and what was tried; closed_with_bytes at each close of a caller's connection that holds bytes; how late a wait for a silent upstream woke; the time limit in routed; a counter by reason. No decision changes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -29,6 +29,7 @@
 from redwingscale_daemon._internal.fleet.own_reports import OwnReports
 from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+from redwingscale_daemon._internal.forwarding.answer_end import AnswerEnds
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.crash_guard import CrashGuard
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
@@ -281,6 +282,7 @@
         guard,
         lambda: own_reports.domain_cut,
         crowded,
+        AnswerEnds(open_requests, lambda reason: metrics.answers_cut.add(1, {"reason": reason})),
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -27,6 +27,7 @@
     """Log the failed attempt and count it against the health of its upstream."""
     match outcome:
         case Lost():
+            call.attempts.last_loss = outcome
             parts.health.note_failure(outcome.upstream.id)
         case NotRun(reached=False):
             parts.health.note_unreachable(outcome.upstream.id)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -52,6 +52,10 @@
         # Monotonic time of the last event written to the caller, None before the first one.
         self.last_event_at: float | None = None
         self.longest_gap_seconds = 0.0
+        # Monotonic time of the last byte read from an upstream, None before the first one.
+        self.last_read_at: float | None = None
+        # The last attempt that was lost.
+        self.last_loss: Lost | None = None
         self._sent_at = 0.0
         # Identifies the content of the request; computed where it is needed.
         self.fingerprint: str | None = None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/call.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/call.py
@@ -1,5 +1,6 @@
 """One request in flight, with everything that is decided before it is sent."""
 
+import time
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.forwarding.attempts import Attempts
@@ -35,5 +36,6 @@
 
         Raises `Refusal` if the instance holds too many bytes.
         """
+        self.attempts.last_read_at = time.monotonic()
         self.request.held.set_answer(pending_bytes)
         self.reply.restart_write_limit()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
@@ -3,6 +3,7 @@
 from http.client import HTTPResponse, IncompleteRead
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.exceptions import UpstreamSilent
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.upstream_connection import UpstreamConnection
 
@@ -38,15 +39,16 @@
     """No valid response arrived: the request may have run.
 
     ``broken``: the upstream's end closed or reset the connection, as it does when its
-    process ends. Otherwise it was silent, or its response was invalid.
+    process ends. ``silent``: it sent nothing for too long. Otherwise its response was invalid.
     """
 
     upstream: Upstream
     reason: str
     broken: bool = False
+    silent: bool = False
 
 
 def lost_by(upstream: Upstream, error: Exception, detail: str = "") -> Lost:
     """Return the loss of a request whose exchange with ``upstream`` raised ``error``."""
     broken = isinstance(error, ConnectionError | IncompleteRead)
-    return Lost(upstream, f"{detail}{error!r}", broken)
+    return Lost(upstream, f"{detail}{error!r}", broken, isinstance(error, UpstreamSilent))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -8,6 +8,7 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import CallerLeft, CallerTooSlow, Refusal
+from redwingscale_daemon._internal.forwarding.answer_end import AnswerEnds
 from redwingscale_daemon._internal.forwarding.attempts import Attempts
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.crash_guard import CrashGuard
@@ -61,6 +62,7 @@
         guard: CrashGuard,
         leaves_rotation: Callable[[], bool] = lambda: False,
         crowded: Callable[[], bool] = lambda: False,
+        ends: AnswerEnds | None = None,
     ) -> None:
         # Whether callers should use another instance from now on.
         self._leaves_rotation = leaves_rotation
@@ -76,6 +78,7 @@
         self._metrics = metrics
         self._limiter = limiter
         self._guard = guard
+        self._ends = ends or AnswerEnds(open_requests)
         # Not for secrets: it only draws a service by weight.
         self._random = random.Random()
 
@@ -126,6 +129,7 @@
             log_event("request_malformed", level="WARNING", place="headers", detail=terms)
             self._refuse(Refusal(400, "malformed", terms), reply)
             return
+        reply.label(terms.request_id)
         call: Call | None = None
         try:
             call = self._route(request, terms, reply, passed_on)
@@ -133,10 +137,12 @@
         except Refusal as refusal:
             if call is not None and refusal.run is RunState.NOT_RUN:
                 call.permit.refund()
+            self._note_cut(call, reply, refusal)
             self._log_end(request, terms, call, refusal)
             declined = passed_on is not None and is_no_path(refusal)
             self._refuse(refusal, reply, declined=declined)
         except CallerTooSlow as error:
+            self._note_cut(call, reply, error)
             self._metrics.record_request(request, "caller_too_slow")
             log_event(
                 "caller_too_slow",
@@ -147,7 +153,8 @@
                 detail=error,
             )
             raise
-        except CallerLeft:
+        except CallerLeft as error:
+            self._note_cut(call, reply, error)
             if call is not None and not call.attempts.count:
                 call.permit.refund()
             self._metrics.record_request(request, "caller_left")
@@ -156,6 +163,10 @@
         else:
             self._log_end(request, terms, call, None, reply.status)
 
+    def _note_cut(self, call: Call | None, reply: Reply, error: Refusal | CallerLeft) -> None:
+        if call is not None and reply.started:
+            self._ends.note_cut(call, error)
+
     def _route(
         self,
         request: IngressRequest,
@@ -187,6 +198,7 @@
                 retry_after_seconds=NO_THREAD_RETRY_SECONDS,
             )
         attempts, service = self._begin(route, terms, permit, passed_on)
+        watch = Watch(request.socket, _deadline(request, terms, route))
         log_event(
             "routed",
             request=terms.request_id,
@@ -197,6 +209,7 @@
             unit=terms.prompt.unit if terms.prompt else "-",
             tokens=_format_tokens(terms),
             passed_on_by=passed_on.instance if passed_on else "-",
+            limit=round(watch.remaining(), 3),
         )
         return Call(
             request=request,
@@ -208,7 +221,7 @@
                 workspace.name if workspace else None,
                 hide_key=table.keys is not None,
             ),
-            watch=Watch(request.socket, _deadline(request, terms, route)),
+            watch=watch,
             reply=reply,
             attempts=attempts,
             permit=permit,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -80,7 +80,9 @@
             if time_left <= 0:
                 raise TimeLimitReached("no time is left")
             if silence_left <= 0:
-                raise UpstreamSilent(f"no byte for {self.silence_seconds} s")
+                raise UpstreamSilent(
+                    f"no byte for {self.silence_seconds} s, woke {-silence_left:.3f} s late"
+                )
             if overdue_left <= 0:
                 if self.on_overdue is not None and self.on_overdue(began):
                     raise UpstreamSilent("the path to upstreams is lost")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -26,7 +26,11 @@
 from redwingscale_daemon._internal.ingress.strict_chunks import read_chunks
 from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
 from redwingscale_daemon._internal.leases.clock import lease_clock
-from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
+from redwingscale_daemon._internal.utils.sockets import (
+    RESET_ON_CLOSE,
+    unread_bytes,
+    unsent_bytes,
+)
 
 Handler = Callable[[IngressRequest, Reply], None]
 # Answers a request by its head alone, or returns False to let the server read its body.
@@ -67,6 +71,8 @@
 
 class _Connection(BoundedConnection):
     RequestHandlerClass = _Request
+    # The id of the last request, once it is known.
+    last_request = "-"
 
     def make_file(self, raw: socket.socket, mode: str, size: int) -> Any:
         """Return the reader or the writer of the connection."""
@@ -80,11 +86,25 @@
 
         After an orderly close, the kernel would keep the unread bytes for some minutes.
         """
+        self._log_bytes_at_close()
         if self.wfile.expired:
             with suppress(OSError):
                 self.socket.setsockopt(*RESET_ON_CLOSE)
         super().close()
 
+    def _log_bytes_at_close(self) -> None:
+        # A close with unread bytes resets the connection, and unsent bytes are lost with it.
+        unsent, unread = unsent_bytes(self.socket), unread_bytes(self.socket)
+        if unsent or unread:
+            log_event(
+                "closed_with_bytes",
+                level="WARNING",
+                request=self.last_request,
+                unsent=unsent,
+                unread=unread,
+                reset=self.wfile.expired,
+            )
+
 
 def _send_refusal(head: IngressRequest, reply: Reply, refusal: Refusal) -> None:
     reply.send(refusal.status, (), refusal.document())
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
@@ -48,6 +48,10 @@
         """Send the next bytes of a stream; raise `CallerLeft`."""
         self._write(data)
 
+    def label(self, request_id: str) -> None:
+        """Name the request in what is logged of its connection."""
+        self._request.conn.last_request = request_id
+
     def restart_write_limit(self) -> None:
         """Start the limit on waiting for the caller anew, since the upstream was read."""
         self._request.conn.wfile.restart()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -41,6 +41,7 @@
         self.orders = meter.create_counter("redwingscale_swap_orders", unit="1")
         self.returns = meter.create_counter("redwingscale_returns", unit="1")
         self.passed_on = meter.create_counter("redwingscale_passed_on", unit="1")
+        self.answers_cut = meter.create_counter("redwingscale_answers_cut", unit="1")
         self.suspects = meter.create_counter("redwingscale_suspects", unit="1")
         self.places = meter.create_counter("redwingscale_places", unit="1")
         self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -14,6 +14,7 @@
 from redwingscale_daemon._internal.fleet.path_messages import PathReply
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
 from redwingscale_daemon._internal.fleet.upstream_ends import UpstreamEnds
+from redwingscale_daemon._internal.forwarding.answer_end import AnswerEnds
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.crash_guard import CrashGuard
 from redwingscale_daemon._internal.forwarding.detour import Detour
@@ -283,10 +284,12 @@
             lambda: self.caller_retry_seconds,
             find_peer=parts.detour.choose,
         )
+        # Why answers that had begun were ended early.
+        self.cuts = []
         handler = self.handler = RequestHandler(
             self.routes, exchange, PlainRelay(parts, self.changes), StreamRelay(parts, wait, fleet.prefixes),
             self.local_demand, budget, self.open_requests, _OutcomeLog(self.ended),
-            self.limiter, self.guard,
+            self.limiter, self.guard, ends=AnswerEnds(self.open_requests, self.cuts.append),
         )  # fmt: skip
         self.server = IngressServer(
             handler.handle, "127.0.0.1", 0, limits, handler.screen, handler.refuse_unread, held
