Reproduce answers cut while their worker pauses

What callers saw: an answer with status 200 that ends in the middle. Cause: an upstream that sends nothing for 1.6 s is given up before another attempt is known to be allowed and possible. A close is logged only if it resets the connection: readiness probes end with unsent bytes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -95,7 +95,7 @@
     def _log_bytes_at_close(self) -> None:
         # A close with unread bytes resets the connection, and unsent bytes are lost with it.
         unsent, unread = unsent_bytes(self.socket), unread_bytes(self.socket)
-        if unsent or unread:
+        if unread or self.wfile.expired:
             log_event(
                 "closed_with_bytes",
                 level="WARNING",
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
@@ -25,6 +25,7 @@
         directory: Path,
         pipe: tuple[int, int] | None = None,
         request_threads: int = 32,
+        bounds: dict[str, Any] | None = None,
     ) -> None:
         self.name = name
         self.settings: dict[str, Any] = {
@@ -44,7 +45,8 @@
                 "order_quiet_ms": 300,
                 "stop_grace": 12,
                 "load_window": 5,
-            },
+            }
+            | (bounds or {}),
         }
         self._file = directory / f"{name}.json"
         self._file.write_text(json.dumps({"ingress": self.settings}))
