Keep a silent stream connected until another upstream has sent its next event

What callers saw: an answer with status 200 that ends in the middle, although its upstream went on. Cause: 1.6 s without a byte counted as the loss of the run. The connection was discarded first; only then were the budget of repeats, the route's attempts and a holder with room looked at, and without one of them the answer was cut. Change: one place decides what a silence leads to, for upstreams, peers and a lost path. It asks a second upstream while the first stays connected; whichever sends the next event goes on, the other is reset. Waits judge a silence after a poll, so that a thread without processor time does not take its own delay for one. A plain request on a lost path takes its repeat before it gives up its connection. A silent upstream is avoided, but counted as failed only when another one has gone on.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -112,5 +112,9 @@
     """The time limit was reached before the request was sent to the chosen upstream."""
 
 
+class FirstUpstreamResumed(RedwingscaleError):
+    """The upstream that was silent has sent bytes while a second one was asked to go on."""
+
+
 class UpstreamSilent(RedwingscaleError):
     """An upstream sent nothing for longer than a healthy one would."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
@@ -55,6 +55,16 @@
                 before.failures + 1, time.monotonic() + avoid
             )
 
+    def note_silent(self, upstream_id: str) -> None:
+        """Prefer others to an upstream that sends nothing, which may still go on."""
+        self._suspect(upstream_id)
+
+    def note_resumed(self, upstream_id: str) -> None:
+        """Note that an upstream goes on after a silence."""
+        with self._lock:
+            if upstream_id not in self._unreachable_until:
+                self._suspicions.pop(upstream_id, None)
+
     def note_unreachable(self, upstream_id: str) -> None:
         """Note a connection that the upstream did not accept."""
         self._suspect(upstream_id)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -14,13 +14,15 @@
 
 
 def watch_path(parts: RelayParts, call: Call, upstream: Upstream) -> None:
-    """Give up a request that waits for bytes once the own path is lost, if it may be repeated."""
-    may_repeat = call.route.repeatable
+    """Give up a request that waits for bytes once the own path is lost, if it may be repeated.
+
+    A repeat is taken from the budget first: the answer may still come on this connection.
+    """
 
     def on_overdue(began_at: float) -> bool:
-        return parts.path.note_overdue(upstream.id, began_at) and may_repeat
+        return parts.path.note_overdue(upstream.id, began_at) and call.attempts.reserve_repeat()
 
-    call.watch.on_overdue = on_overdue
+    call.watch.expect(None, None, on_overdue)
 
 
 def note_failure(parts: RelayParts, call: Call, outcome: NotRun | Lost) -> None:
@@ -49,6 +51,6 @@
         answer_begun=call.reply.started,
         body=fingerprint_of(call),
         broken=isinstance(outcome, Lost) and outcome.broken,
-        head=call.attempts.head_received,
-        events=call.attempts.events_received,
+        head=call.attempts.current.head_received,
+        events=call.attempts.current.events_received,
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -31,6 +31,19 @@
     body: bytes
 
 
+class AttemptState:
+    """When one attempt was sent, whether its head has arrived, and the events after it."""
+
+    def __init__(self) -> None:
+        self.sent_at = time.monotonic()
+        self.head_received = False
+        self.events_received = 0
+
+    def seconds_since_send(self) -> float:
+        """Return the seconds since the attempt was sent."""
+        return time.monotonic() - self.sent_at
+
+
 class Attempts:
     """Tracks the upstreams that were tried and how many may have run the request."""
 
@@ -56,12 +69,12 @@
         self.last_read_at: float | None = None
         # The last attempt that was lost.
         self.last_loss: Lost | None = None
-        self._sent_at = 0.0
         # Identifies the content of the request; computed where it is needed.
         self.fingerprint: str | None = None
-        # Of the latest attempt: whether a head has arrived, and the events after it.
-        self.head_received = False
-        self.events_received = 0
+        # Whether the budget has granted a repeat that is not used yet.
+        self._reserved = False
+        # The attempt that is waited for or whose answer is relayed.
+        self.current = AttemptState()
         self.first_event_seconds: float | None = None
         # Whether the request was refused before and has returned as announced to its caller.
         self.returning = False
@@ -89,9 +102,7 @@
         if not self.count:
             self._budget.note_request(self._service)
         self.count += 1
-        self._sent_at = time.monotonic()
-        self.head_received = False
-        self.events_received = 0
+        self.current = AttemptState()
         self.tried.add(upstream_id)
 
     def take_retry(self, outcome: NotRun | Lost) -> bool:
@@ -101,24 +112,51 @@
         no more upstreams than the route allows. A retry is counted against the budget
         unless the upstream was not reached or another process has taken its address.
         """
-        self.history.append(f"{outcome.upstream.id}:{outcome.reason}")
-        if isinstance(outcome, NotRun) and outcome.retry_later:
-            # The chooser leaves the upstream out until its retry time has passed.
-            self.tried.discard(outcome.upstream.id)
-        self.possible_runs += isinstance(outcome, Lost)
+        self.note_failed(outcome)
         if self.count >= MAX_ATTEMPTS:
             return False
         match outcome:
-            case NotRun(reached=False):
-                self.unreached.add(outcome.upstream.id)
-                return True
-            case NotRun(gone=True):
+            case NotRun(reached=False) | NotRun(gone=True):
                 return True
             case NotRun():
                 return self._budget.take(self._service)
             case Lost():
                 return self._may_repeat()
 
+    def note_failed(self, outcome: NotRun | Lost) -> None:
+        """Record a failed attempt."""
+        self.history.append(f"{outcome.upstream.id}:{outcome.reason}")
+        if isinstance(outcome, NotRun) and outcome.retry_later:
+            # The chooser leaves the upstream out until its retry time has passed.
+            self.tried.discard(outcome.upstream.id)
+        if isinstance(outcome, NotRun) and not outcome.reached:
+            self.unreached.add(outcome.upstream.id)
+        self.possible_runs += isinstance(outcome, Lost)
+
+    def note_superseded(self, name: str, reason: str) -> None:
+        """Record an attempt that may have run and was ended since another one went on first."""
+        self.history.append(f"{name}:{reason}")
+        self.possible_runs += 1
+
+    @property
+    def may_ask_second(self) -> bool:
+        """Whether the route allows one more upstream while the current one still runs."""
+        return (
+            self.count < MAX_ATTEMPTS
+            and self._route.repeatable
+            and self.possible_runs + 1 < self._route.most_upstreams
+        )
+
+    def use_reserved(self) -> None:
+        """Note that the reserved repeat is sent."""
+        self._reserved = False
+
+    def reserve_repeat(self) -> bool:
+        """Take the repeat that follows if the current attempt is given up; return whether."""
+        if not self._reserved:
+            self._reserved = self.may_ask_second and self._budget.take(self._service)
+        return self._reserved
+
     def take_over(self, attempts: int, possible_runs: int, tried: Iterable[str]) -> None:
         """Continue the attempts of the instance that has passed the request on."""
         self.taken_over = True
@@ -159,9 +197,9 @@
         """
         return status not in NOT_RUN_STATUSES or self.possible_runs == int(counted)
 
-    def note_first_event(self) -> float:
-        """Record the first event of the latest attempt; return the seconds since it was sent."""
-        seconds = self.seconds_since_send()
+    def note_first_event(self, state: AttemptState) -> float:
+        """Record the first event of an attempt; return the seconds since it was sent."""
+        seconds = state.seconds_since_send()
         if self.first_event_seconds is None:
             self.first_event_seconds = seconds
         return seconds
@@ -174,16 +212,15 @@
         self.last_event_at = now
         return now
 
-    def seconds_since_send(self) -> float:
-        """Return the seconds since the latest attempt was sent."""
-        return time.monotonic() - self._sent_at
-
     @property
     def certainly_not_run(self) -> bool:
         """Whether no upstream has run the request or will run it."""
         return self.possible_runs == 0
 
     def _may_repeat(self) -> bool:
+        if self._reserved:
+            self._reserved = False
+            return True
         return (
             self._route.repeatable
             and self.possible_runs < self._route.most_upstreams
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
@@ -122,7 +122,8 @@
         """
         fingerprint = fingerprint_of(call)
         attempts = call.attempts
-        began = attempts.head_received and attempts.events_received < CLEARING_TOKENS
+        current = attempts.current
+        began = current.head_received and current.events_received < CLEARING_TOKENS
         evidence = self._ends.evidence(upstream)
         crash = Crash(upstream.id, evidence or "", began, position)
         if evidence is None:
@@ -209,7 +210,7 @@
         """Note an event of this attempt; ``position`` is its number."""
         if self._turn is not None and position >= self._turn.clear_at:
             self._end_turn(cleared=True)
-        if self._call.attempts.events_received == CLEARING_TOKENS:
+        if self._call.attempts.current.events_received == CLEARING_TOKENS:
             self._guard.note_survival(self._call, position)
 
     def note_complete(self) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -122,6 +122,11 @@
             finally:
                 self.demand.end_wait(call.service, prompt.unit)
 
+    def choose_now(self, call: Call, prompt: Prompt) -> Candidate | Peer | None:
+        """Return the best holder, or an instance that reaches one, without waiting for any."""
+        found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
+        return found or self._find_peer(call, prompt)
+
     def _find_peer(self, call: Call, prompt: Prompt) -> Peer | None:
         # Another instance may reach those that this one has tried in vain.
         excluded = call.attempts.tried - call.attempts.unreached
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from http.client import HTTPException, HTTPResponse
 from typing import NamedTuple
 
@@ -20,9 +21,9 @@
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
 from redwingscale_daemon._internal.forwarding.envelope import Envelope
-from redwingscale_daemon._internal.forwarding.events import read_events
 from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer, PeerOffers
+from redwingscale_daemon._internal.forwarding.peer_stream import PeerStream
 from redwingscale_daemon._internal.forwarding.response_body import (
     read_body_piece,
     read_body_start,
@@ -32,8 +33,6 @@
 from redwingscale_daemon._internal.models.run_state import RunState
 
 FIRST_ERROR_STATUS = 400
-# A peer sends the stream of another upstream when one falls silent for 1.6 s.
-PEER_STREAM_SILENCE_SECONDS = 3.0
 _MAX_DISCARDED_BYTES = 65536
 
 _LOST = (HTTPException, HTTPError, OSError, UpstreamSilent, ValueError)
@@ -70,10 +69,89 @@
         # Counts a request that was passed on, by its result.
         self._on_result = on_result
 
-    def relay(self, call: Call, peer: Peer, progress: Progress | None = None) -> bool:
+    def relay(self, call: Call, peer: Peer) -> bool:
         """Return whether the reply is complete, False to choose again; raises `Refusal`.
 
-        ``progress`` is the caller's stream, None for a request that is not a stream.
+        The request is not a stream.
+        """
+        exchange = self._begin_or_retry(call, peer, None)
+        return exchange is not None and self._deliver_whole(call, exchange)
+
+    def _deliver_whole(self, call: Call, exchange: _Exchange) -> bool:
+        try:
+            self._deliver(call, exchange)
+        except _LOST as error:
+            exchange.connection.discard()
+            return self._retry_after_loss(call, exchange.peer, error)
+        except TimeLimitReached as error:
+            exchange.connection.discard()
+            raise time_limit_refusal(call, error) from None
+        except (CallerLeft, Refusal):
+            # The peer notices the reset, and aborts what it runs for the request.
+            exchange.connection.discard()
+            raise
+        self._finish(exchange)
+        return True
+
+    def open_stream(self, call: Call, peer: Peer, progress: Progress) -> PeerStream | bool:
+        """Return the peer's stream, True if the reply is complete, False to choose again.
+
+        Raises `Refusal`.
+        """
+        exchange = self._begin_or_retry(call, peer, progress)
+        if exchange is None:
+            return False
+        if exchange.response.status < FIRST_ERROR_STATUS:
+            return self._stream(call, exchange)
+        return self._deliver_whole(call, exchange)
+
+    def open_second(self, call: Call, peer: Peer, progress: Progress) -> PeerStream | None:
+        """Return the stream of a peer that goes on while another connection is kept open.
+
+        Returns None if the peer does not go on; raises `Refusal`, `FirstUpstreamResumed`.
+        """
+        try:
+            exchange = self._begin(call, peer, progress, running=1)
+        except _LOST as error:
+            self._note(call, peer, "lost", repr(error))
+            call.attempts.note_superseded(peer.id, repr(error))
+            return None
+        if exchange is None:
+            return None
+        if exchange.response.status < FIRST_ERROR_STATUS:
+            return self._stream(call, exchange)
+        exchange.connection.discard()
+        self._note(call, peer, "failed", f"status {exchange.response.status}")
+        return None
+
+    def _stream(self, call: Call, exchange: _Exchange) -> PeerStream:
+        return PeerStream(
+            call,
+            exchange.peer.id,
+            exchange.connection,
+            exchange.response,
+            envelope.without(self._dialect.response_headers(exchange.response)),
+            partial(self._finish, exchange),
+            partial(self._retry_after_loss, call, exchange.peer),
+        )
+
+    def _begin_or_retry(
+        self, call: Call, peer: Peer, progress: Progress | None
+    ) -> _Exchange | None:
+        try:
+            return self._begin(call, peer, progress)
+        except _LOST as error:
+            self._retry_after_loss(call, peer, error)
+            return None
+        except TimeLimitReached as error:
+            raise time_limit_refusal(call, error) from None
+
+    def _begin(
+        self, call: Call, peer: Peer, progress: Progress | None, running: int = 0
+    ) -> _Exchange | None:
+        """Send the request; return None if the peer did not take it, raises one of `_LOST`.
+
+        ``running`` attempts at upstreams are still open.
         """
         call.permit.check()
         call.attempts.note_passed_on(peer.id)
@@ -86,39 +164,33 @@
             path_lost=self._path_lost(),
             after_event=progress.last_event if progress else None,
         )
-        call.watch.on_overdue = None
-        call.watch.silence_seconds = (
-            call.route.first_event_seconds if call.route.resumable else None
-        )
+        if progress is None:
+            call.watch.expect(None)
         try:
             connection = self._pool.take_idle(peer) or self._pool.open(peer)
         except (HTTPError, OSError) as error:
             self._note(call, peer, "unreachable", repr(error))
-            return False
+            return None
         try:
-            exchange = self._send(call, peer, connection, progress)
-            if envelope.DECLINED_HEADER in exchange.response.headers:
-                exchange.response.read(_MAX_DISCARDED_BYTES)
-                self._release(exchange)
-                self._note(call, peer, "declined", f"status {exchange.response.status}")
-                return False
-            self._deliver(call, exchange, progress)
-        except _LOST as error:
-            connection.discard()
-            return self._retry_after_loss(call, peer, error)
-        except TimeLimitReached as error:
-            connection.discard()
-            raise time_limit_refusal(call, error) from None
-        except (CallerLeft, Refusal):
+            exchange = self._send(call, peer, connection, progress, running)
+            if envelope.DECLINED_HEADER not in exchange.response.headers:
+                return exchange
+            exchange.response.read(_MAX_DISCARDED_BYTES)
+        except BaseException:
             # The peer notices the reset, and aborts what it runs for the request.
             connection.discard()
             raise
         self._release(exchange)
-        self._on_result("answered")
-        return True
+        self._note(call, peer, "declined", f"status {exchange.response.status}")
+        return None
 
     def _send(
-        self, call: Call, peer: Peer, connection: UpstreamConnection, progress: Progress | None
+        self,
+        call: Call,
+        peer: Peer,
+        connection: UpstreamConnection,
+        progress: Progress | None,
+        running: int,
     ) -> _Exchange:
         call.watch.check_before_sending()
         attempts = call.attempts
@@ -131,7 +203,7 @@
                 call.service,
                 time.monotonic() - call.request.arrived_at,
                 attempts.count_of_reached,
-                attempts.possible_runs,
+                attempts.possible_runs + running,
                 sorted(tried),
             )
         )
@@ -146,12 +218,9 @@
         )
         return _Exchange(peer, connection, connection.receive_response(call.watch))
 
-    def _deliver(self, call: Call, exchange: _Exchange, progress: Progress | None) -> None:
+    def _deliver(self, call: Call, exchange: _Exchange) -> None:
         response = exchange.response
         headers = envelope.without(self._dialect.response_headers(response))
-        if progress is not None and response.status < FIRST_ERROR_STATUS:
-            self._deliver_events(call, response, headers, progress)
-            return
         length = response.length
         start = read_body_start(response, call.request.held)
         if call.reply.started:
@@ -172,27 +241,13 @@
             call.reply.write(piece)
             piece = read_body_piece(response, call.request.held)
 
-    def _deliver_events(
-        self,
-        call: Call,
-        response: HTTPResponse,
-        headers: tuple[tuple[str, str], ...],
-        progress: Progress,
-    ) -> None:
-        for event in read_events(response, call.note_read):
-            if call.route.resumable:
-                call.watch.silence_seconds = PEER_STREAM_SILENCE_SECONDS
-            if not progress.is_next(event):
-                continue
-            if not call.reply.started:
-                call.reply.begin(response.status, headers)
-            call.reply.write(event.data)
-            progress.note_delivered(event)
-            call.attempts.note_delivery()
-        if not call.reply.started:
-            call.reply.begin(response.status, headers)
+    def _finish(self, exchange: _Exchange) -> None:
+        """Keep the connection of an answer that was read to its end."""
+        self._release(exchange)
+        self._on_result("answered")
 
     def _retry_after_loss(self, call: Call, peer: Peer, error: Exception) -> bool:
+        """Note a peer that was lost; return False to retry, raises `Refusal` otherwise."""
         self._note(call, peer, "lost", repr(error))
         reason = f"peer {peer.id} lost: {error!r}"
         may_go_on = not call.reply.started or call.route.resumable
@@ -210,6 +265,7 @@
         self._pool.put_back(exchange.peer, connection, idle)
 
     def _note(self, call: Call, peer: Peer, result: str, reason: str) -> None:
+        """Log and count a request that the peer did not answer."""
         self._offers.avoid(peer, reason)
         self._on_result(result)
         call.attempts.history.append(f"{peer.id}:{result}")
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -0,0 +1,212 @@
+"""Asks a second upstream to go on with a silent stream, while the first one stays connected."""
+
+import socket
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from redwingscale_common.exceptions import RedwingscaleError
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import FirstUpstreamResumed, Refusal
+from redwingscale_daemon._internal.fleet.chooser import Candidate
+from redwingscale_daemon._internal.fleet.prompt import Prompt
+from redwingscale_daemon._internal.forwarding.answer_stream import (
+    BREAKS,
+    AnswerStream,
+    UpstreamStream,
+    drop_attempt,
+)
+from redwingscale_daemon._internal.forwarding.attempt_failure import (
+    FAILURE_STATUSES,
+    note_failure,
+)
+from redwingscale_daemon._internal.forwarding.call import Call
+from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait, max_wait_seconds
+from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
+from redwingscale_daemon._internal.forwarding.peer_offers import Peer
+from redwingscale_daemon._internal.forwarding.stream_progress import Progress, Sending
+from redwingscale_daemon._internal.forwarding.stream_sender import StreamSender
+
+# How often another upstream is looked for while the stream stays silent.
+ASK_AGAIN_SECONDS = 0.3
+FIRST_ERROR_STATUS = 400
+
+
+class Superseded(RedwingscaleError):
+    """Another upstream has sent the next event; ``stream`` goes on with the answer."""
+
+    def __init__(self, stream: AnswerStream) -> None:
+        super().__init__(f"{stream.name} goes on")
+        self.stream = stream
+
+
+class StreamFactory(NamedTuple):
+    """Opens the answer of an upstream that has sent the head of a stream."""
+
+    sender: StreamSender
+    wait: HolderWait
+    open: Callable[[Call, Answering, Sending], UpstreamStream]
+
+
+class SecondUpstream:
+    """Looks for another upstream during the silence of one; used by the thread of the request.
+
+    The silent connection is given up only when another upstream has sent the next event.
+    If the silent one sends a byte before, the second one is given up instead.
+    """
+
+    def __init__(
+        self, factory: StreamFactory, call: Call, prompt: Prompt, progress: Progress
+    ) -> None:
+        self._factory = factory
+        self._call = call
+        self._prompt = prompt
+        self._progress = progress
+        # The silent upstream or peer, and why no second one was asked at last.
+        self._silent: str | None = None
+        self._reason = ""
+        self._waits_for_holder = False
+
+    def ask(self, silent: socket.socket, name: str, *, is_peer: bool = False) -> float:
+        """Return the seconds until the next call; raises `Superseded`, `CallerLeft` or at the deadline.
+
+        ``name`` is the upstream or peer at the other end of the ``silent`` connection.
+        """
+        self._note_silence(name, is_peer=is_peer)
+        first = self._call.attempts.current
+        try:
+            stream = self._open(silent)
+        except Refusal as refusal:
+            # It concerns the second attempt only; the first one may still go on.
+            self._note_not_asked(refusal.detail)
+            stream = None
+        if stream is None:
+            self._call.attempts.current = first
+            return ASK_AGAIN_SECONDS
+        self._log("second_goes_on", upstream=stream.name, silent=name)
+        self._silent = None
+        raise Superseded(stream)
+
+    def close(self) -> None:
+        """Stop counting the request as one that waits for a holder; a second call does nothing."""
+        if self._waits_for_holder:
+            self._waits_for_holder = False
+            self._factory.wait.demand.end_wait(self._call.service, self._prompt.unit)
+
+    def note_event(self) -> None:
+        """Note that the stream goes on."""
+        if self._silent is not None:
+            self._log("silence_ended", upstream=self._silent)
+            self._factory.sender.parts.health.note_resumed(self._silent)
+            self._silent, self._reason = None, ""
+            self.close()
+
+    def _note_silence(self, name: str, *, is_peer: bool) -> None:
+        if self._silent == name:
+            return
+        self._silent = name
+        self._log("upstream_silent", upstream=name, events=self._progress.events)
+        if not is_peer:
+            self._factory.sender.parts.health.note_silent(name)
+
+    def _note_not_asked(self, reason: str) -> None:
+        if reason != self._reason:
+            self._reason = reason
+            self._log("second_not_asked", reason=reason)
+
+    def _open(self, silent: socket.socket) -> AnswerStream | None:
+        call = self._call
+        if not call.attempts.may_ask_second:
+            self._note_not_asked("no further attempt is allowed")
+            return None
+        chosen = self._factory.wait.choose_now(call, self._prompt)
+        if chosen is None:
+            self._note_not_asked("no other holder")
+            self._wait_for_holder()
+            return None
+        if not call.attempts.reserve_repeat():
+            self._note_not_asked("no repeat is left")
+            return None
+        with call.watch.standing_by(silent):
+            match chosen:
+                case Peer():
+                    return self._open_peer(chosen)
+                case Candidate():
+                    return self._open_upstream(chosen)
+
+    def _wait_for_holder(self) -> None:
+        # The leader may load the unit at another upstream.
+        if not self._waits_for_holder:
+            self._waits_for_holder = True
+            self._factory.wait.demand.begin_wait(
+                self._call.service, self._prompt.unit, max(0.0, max_wait_seconds(self._call))
+            )
+
+    def _open_peer(self, peer: Peer) -> AnswerStream | None:
+        call = self._call
+        call.attempts.use_reserved()
+        call.watch.expect(call.route.first_event_seconds)
+        try:
+            stream = self._factory.sender.parts.peers.open_second(call, peer, self._progress)
+        except FirstUpstreamResumed as error:
+            call.attempts.note_superseded(peer.id, str(error))
+            return None
+        return stream and self._with_next_event(stream)
+
+    def _open_upstream(self, candidate: Candidate) -> AnswerStream | None:
+        factory, call = self._factory, self._call
+        sending = factory.sender.begin(call, candidate, self._prompt, self._progress, 0.0)
+        if sending is None:
+            return None
+        call.attempts.use_reserved()
+        call.watch.expect(sending.silence_seconds)
+        try:
+            outcome = factory.sender.send(call, sending, self._progress)
+        except FirstUpstreamResumed as error:
+            drop_attempt(factory.sender.parts, call, sending, error, call.attempts.current)
+            return None
+        except BaseException:
+            sending.close()
+            raise
+        match outcome:
+            case Answering() if outcome.response.status < FIRST_ERROR_STATUS:
+                return self._with_next_event(factory.open(call, outcome, sending))
+            case Answering():
+                self._note_failure_status(outcome, sending)
+            case Lost() | NotRun():
+                self._note_failure(outcome, sending)
+        return None
+
+    def _with_next_event(self, stream: AnswerStream) -> AnswerStream | None:
+        """Return ``stream`` once it has sent the next event, None if it is given up."""
+        try:
+            stream.read_next(self._progress)
+        except (FirstUpstreamResumed, *BREAKS) as error:
+            stream.drop(error)
+            return None
+        except BaseException:
+            stream.discard()
+            stream.close()
+            raise
+        return stream
+
+    def _note_failure(self, outcome: Lost | NotRun, sending: Sending) -> None:
+        parts = self._factory.sender.parts
+        try:
+            note_failure(parts, self._call, outcome)
+            self._call.attempts.note_failed(outcome)
+            if isinstance(outcome, Lost):
+                sending.attempt.note_lost(outcome, self._progress.last_event or 0)
+        finally:
+            sending.close()
+
+    def _note_failure_status(self, answering: Answering, sending: Sending) -> None:
+        status = answering.response.status
+        answering.connection.discard()
+        sending.close()
+        if status in FAILURE_STATUSES:
+            self._factory.sender.parts.health.note_failure(answering.upstream.id)
+        self._call.attempts.note_superseded(answering.upstream.id, f"status {status}")
+
+    def _log(self, event: str, **fields: Any) -> None:
+        log_event(event, request=self._call.terms.request_id, **fields)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_progress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_progress.py
@@ -37,9 +37,18 @@
 
 
 class Sending(NamedTuple):
-    """What one attempt uses, and reports to while it runs."""
+    """What one attempt uses, and reports to while it runs.
+
+    ``silence_seconds`` is the longest wait for its first event, None for no bound.
+    """
 
     candidate: Candidate
     ticket: LoadTicket
     pauses: PauseWatch
     attempt: GuardedAttempt
+    silence_seconds: float | None
+
+    def close(self) -> None:
+        """End the account of the attempt; a second call does nothing."""
+        self.attempt.close()
+        self.ticket.close()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -85,6 +85,11 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self._sock, name)
 
+    @property
+    def plain(self) -> socket.socket:
+        """The socket itself."""
+        return self._sock
+
     def makefile(self, *_: object, **__: object) -> _PersistentReader:
         return self.reader
 
@@ -175,6 +180,12 @@
         except (OSError, ValueError):
             return False
 
+    @property
+    def open_socket(self) -> socket.socket:
+        """The socket of the open connection."""
+        assert self._watched is not None
+        return self._watched.plain
+
     def rest(self) -> None:
         """Record that the connection is idle from now on."""
         self.idle_since = time.monotonic()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -1,12 +1,17 @@
 """Waits for bytes of an upstream while checking the caller and the deadline."""
 
+import math
 import select
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import (
     CallerLeft,
+    FirstUpstreamResumed,
     NotSentInTime,
     TimeLimitReached,
     UpstreamSilent,
@@ -36,9 +41,14 @@
         self._caller_events = select.POLLIN | select.POLLRDHUP
         self.deadline = deadline
         self.silence_seconds: float | None = None
+        # Called with the silent socket after `silence_seconds`; returns the seconds after which
+        # to call it again, or raises to give up the connection. None gives it up at once.
+        self.on_silent: Callable[[socket.socket], float] | None = None
         # Called with the monotonic time at which a wait for a byte began while it is overdue;
-        # returns whether to give it up.
+        # returns whether the path to the upstream is lost.
         self.on_overdue: Callable[[float], bool] | None = None
+        # A silent connection that is kept open while another one is waited for.
+        self._standby: socket.socket | None = None
 
     def remaining(self) -> float:
         """Return the seconds until the deadline, at least 0."""
@@ -61,40 +71,90 @@
             raise NotSentInTime("no time is left")
         self.check_caller()
 
+    def expect(
+        self,
+        silence_seconds: float | None,
+        on_silent: Callable[[socket.socket], float] | None = None,
+        on_overdue: Callable[[float], bool] | None = None,
+    ) -> None:
+        """Set what later waits for a byte do about silence."""
+        self.silence_seconds = silence_seconds
+        self.on_silent, self.on_overdue = on_silent, on_overdue
+
+    @contextmanager
+    def standing_by(self, first: socket.socket) -> Iterator[None]:
+        """Let waits in the block raise `FirstUpstreamResumed` once ``first`` has bytes."""
+        expected = self.silence_seconds, self.on_silent, self.on_overdue
+        before, self._standby = self._standby, first
+        try:
+            yield
+        finally:
+            self._standby = before
+            self.expect(*expected)
+
     def wait_until_readable(self, upstream: socket.socket) -> None:
         """Block until ``upstream`` has bytes or is closed.
 
-        Raises `CallerLeft`, `TimeLimitReached` at the deadline, and
-        `UpstreamSilent` after ``silence_seconds`` without a byte.
+        Raises `CallerLeft`, `TimeLimitReached` at the deadline, `UpstreamSilent` after
+        ``silence_seconds`` without a byte, `FirstUpstreamResumed`, and what `on_silent` raises.
         """
         began = time.monotonic()
-        silent_at = began + (self.silence_seconds or float("inf"))
-        overdue_at = began + OVERDUE_SECONDS if self.on_overdue else float("inf")
-        poller = select.poll()
-        poller.register(upstream, _UPSTREAM_EVENTS)
-        poller.register(self._caller, self._caller_events)
+        silent_at = began + (self.silence_seconds or math.inf)
+        overdue_at = began + OVERDUE_SECONDS if self.on_overdue else math.inf
+        poller = self._poller(upstream)
         while True:
             time_left = self.deadline - lease_clock()
-            now = time.monotonic()
-            silence_left, overdue_left = silent_at - now, overdue_at - now
             if time_left <= 0:
                 raise TimeLimitReached("no time is left")
-            if silence_left <= 0:
-                raise UpstreamSilent(
-                    f"no byte for {self.silence_seconds} s, woke {-silence_left:.3f} s late"
-                )
-            if overdue_left <= 0:
-                if self.on_overdue is not None and self.on_overdue(began):
-                    raise UpstreamSilent("the path to upstreams is lost")
-                overdue_at = now + _OVERDUE_AGAIN_SECONDS
-                continue
-            wait = min(time_left, silence_left, overdue_left)
+            # The silence is judged after a poll: bytes may have come while this thread had no
+            # processor time.
+            wait = max(0.0, min(time_left, min(silent_at, overdue_at) - time.monotonic()))
             ready = dict(poller.poll(wait * _MILLISECONDS_PER_SECOND + 1))
             if (events := ready.get(self._caller.fileno())) is not None:
                 self._check_caller_events(events)
                 poller.modify(self._caller, self._caller_events)
             if upstream.fileno() in ready:
                 return
+            if self._standby is not None and self._standby.fileno() in ready:
+                self._check_standby(self._standby)
+                poller = self._poller(upstream)
+            now = time.monotonic()
+            if now >= overdue_at:
+                if self.on_overdue is not None and self.on_overdue(began):
+                    silent_at = self._note_silence(upstream, "the path to upstreams is lost")
+                    poller = self._poller(upstream)
+                overdue_at = now + _OVERDUE_AGAIN_SECONDS
+            elif now >= silent_at:
+                reason = f"no byte for {self.silence_seconds} s, woke {now - silent_at:.3f} s late"
+                silent_at = self._note_silence(upstream, reason)
+                poller = self._poller(upstream)
+
+    def _poller(self, upstream: socket.socket) -> select.poll:
+        poller = select.poll()
+        poller.register(upstream, _UPSTREAM_EVENTS)
+        poller.register(self._caller, self._caller_events)
+        if self._standby is not None:
+            poller.register(self._standby, _UPSTREAM_EVENTS)
+        return poller
+
+    def _note_silence(self, upstream: socket.socket, reason: str) -> float:
+        """Return the monotonic time at which to do so again; raises `UpstreamSilent`."""
+        if self.on_silent is None:
+            raise UpstreamSilent(reason)
+        pause = self.on_silent(upstream)
+        return time.monotonic() + pause
+
+    def _check_standby(self, standby: socket.socket) -> None:
+        """Raise `FirstUpstreamResumed` if the silent connection has bytes; forget a broken one."""
+        try:
+            if standby.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                raise FirstUpstreamResumed("the silent upstream has sent bytes")
+        except BlockingIOError:
+            return
+        except OSError as error:
+            log_event("silent_connection_broke", error=error)
+        # Its loss is noted when it is read.
+        self._standby = None
 
     def _check_caller_events(self, events: int) -> None:
         if events & _CLOSED_EVENTS:
