Keep a connection open until its caller has the end of a whole answer

Callers of an instance that drains lost the end of answers that their worker had finished, and saw a reset after 2,048 of 46,023 bytes.

The connection of such an answer is closed after it. A close with unread bytes, here those of the caller's next request, resets the connection, and so do bytes that arrive after the close; a reset drops what the caller has not taken yet. Only refusals of requests with an unread body waited before the close.

Now every whole answer after which the connection is closed waits for the caller: the write side is shut down, and bytes of the caller are read and discarded until it closes or has acknowledged all. Answers that are cut are closed at once, as before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -10,11 +10,14 @@
 
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HTTPRequest, HTTPServer
-from redwingscale_common.network.bounded import BoundedConnection, BoundedRequest
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
 from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
+from redwingscale_daemon._internal.ingress.caller_delivery import (
+    DeliveredRequest,
+    DeliveringConnection,
+)
 from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
 from redwingscale_daemon._internal.ingress.limited_writer import (
@@ -65,11 +68,11 @@
     write_seconds: float = CALLER_WRITE_SECONDS
 
 
-class _Request(BoundedRequest):
+class _Request(DeliveredRequest):
     header_reader = StrictHeaderReader()
 
 
-class _Connection(BoundedConnection):
+class _Connection(DeliveringConnection):
     RequestHandlerClass = _Request
     # The id of the last request, once it is known.
     last_request = "-"
@@ -165,6 +168,7 @@
             self._close_without_answer()
 
     def _close_without_answer(self) -> None:
+        self.req.is_cut = True
         self.req.close_connection = True
         self.req.chunked_write = False
         self.req.sent_headers = True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
@@ -58,6 +58,7 @@
 
     def abort(self) -> None:
         """End an incomplete stream: the connection closes without the last chunk."""
+        self._request.is_cut = True
         self._request.chunked_write = False
         self._request.close_connection = True
 
