Leave a caller's next request unread while the end of its answer is delivered

Cause: the wait for the delivery of a whole answer read and dropped what the caller sent meanwhile. A caller may send a request again only if it was not read, and a read one that ends without an answer counts as lost. Change: the wait looks at what the caller has acknowledged and whether it has closed, and reads nothing. Its bound is the deadline of the request in place of 2.5 s, since a slow caller is not gone.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -199,6 +199,7 @@
             )
         attempts, service = self._begin(route, terms, permit, passed_on)
         watch = Watch(request.socket, _deadline(request, terms, route))
+        reply.set_delivery_limit(watch.remaining())
         log_event(
             "routed",
             request=terms.request_id,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_delivery.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_delivery.py
@@ -1,11 +1,12 @@
 """Connections that are closed only when the caller has the end of its answer."""
 
+import math
+import select
 import socket
 import time
 from contextlib import suppress
 
 from redwingscale_common.network.bounded import (
-    LINGER_READ_BYTES,
     LINGER_SECONDS,
     BoundedConnection,
     BoundedRequest,
@@ -15,8 +16,6 @@
 
 # How often it is asked what the caller has acknowledged.
 POLL_SECONDS = 0.05
-# A caller that takes no byte for this long is not waited for.
-STALL_SECONDS = 2.5
 
 
 class DeliveredRequest(BoundedRequest):
@@ -35,48 +34,44 @@
     """A connection that waits for the caller to take a whole answer before it is closed."""
 
     RequestHandlerClass = DeliveredRequest
-    # Whether the last request was answered whole.
+    # Whether the last request was answered whole, and the monotonic time until which its
+    # caller may take the answer.
     is_answered = False
+    deliver_until = 0.0
 
     def communicate(self) -> bool:
         """Handle one request; return whether the connection can be used for another."""
         self.is_answered = False
         keep = super().communicate()
         if not keep and self.is_answered and not self.has_unread_input:
-            await_delivery(self.socket, self.server.timeout)
+            await_delivery(self.socket, self.deliver_until)
         return keep
 
 
-def await_delivery(sock: socket.socket, longest_seconds: float) -> None:
-    """End the answer, and read and discard until the caller has it or closes.
+def await_delivery(sock: socket.socket, ends_at: float) -> None:
+    """End the answer, and wait until the caller has acknowledged all of it, or ``ends_at``.
 
     A close with unread bytes resets the connection, and so do bytes that arrive after a
-    close. The reset drops what the caller has not taken yet, so the connection stays open
-    while the caller takes bytes, at most ``longest_seconds``. A caller that has sent more
-    gets a short time to close first.
+    close. The reset drops what the caller has not taken yet, so a caller that has sent more
+    gets a short time to close first. Its bytes stay unread: it may send a request again
+    only if it was not read.
     """
-    unsent = unsent_bytes(sock)
-    sends_on = bool(unread_bytes(sock))
-    if unsent == 0 and not sends_on:
+    if not unsent_bytes(sock) and not unread_bytes(sock):
         return
-    moved_at = time.monotonic()
-    ends_at = moved_at + longest_seconds
     with suppress(OSError):
         sock.shutdown(socket.SHUT_WR)
-        sock.settimeout(POLL_SECONDS)
-        while time.monotonic() < min(ends_at, moved_at + _patience(unsent)):
-            try:
-                if not sock.recv(LINGER_READ_BYTES):
-                    return
-                sends_on = True
-            except TimeoutError:
-                pass
-            before, unsent = unsent, unsent_bytes(sock)
-            if unsent == 0 and not sends_on:
+    acknowledged_at = math.inf
+    while not _is_closed(sock) and time.monotonic() < ends_at:
+        if not unsent_bytes(sock):
+            acknowledged_at = min(acknowledged_at, time.monotonic())
+            # The caller may not have read yet what it has acknowledged.
+            if not unread_bytes(sock) or time.monotonic() > acknowledged_at + LINGER_SECONDS:
                 return
-            if unsent != before:
-                moved_at = time.monotonic()
+        time.sleep(POLL_SECONDS)
 
 
-def _patience(unsent: int | None) -> float:
-    return STALL_SECONDS if unsent else LINGER_SECONDS
+def _is_closed(sock: socket.socket) -> bool:
+    """Return whether the caller has closed or reset the connection."""
+    poller = select.poll()
+    poller.register(sock, select.POLLRDHUP)
+    return bool(poller.poll(0))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
@@ -1,5 +1,6 @@
 """The answer to one request of a caller."""
 
+import time
 from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Any
@@ -52,6 +53,10 @@
         """Name the request in what is logged of its connection."""
         self._request.conn.last_request = request_id
 
+    def set_delivery_limit(self, seconds: float) -> None:
+        """Set how long from now on the caller may take to receive a whole answer."""
+        self._request.conn.deliver_until = time.monotonic() + seconds
+
     def restart_write_limit(self) -> None:
         """Start the limit on waiting for the caller anew, since the upstream was read."""
         self._request.conn.wfile.restart()
