End the wait for a holder when a second upstream goes on

Callers saw nothing of it directly: the leader counted a stream that had been taken over by another upstream as waiting for its unit until the stream ended, and may have loaded one more copy for it, in the place of a model that others asked for.

The end of the silence was noted by the name of the silent upstream, which is forgotten before the second one takes over, so its first event did not end the wait. A stream whose silent upstream broke was counted twice, since the choice of a holder counts its own wait.

The wait ends in both places where something else than the silent upstream is waited for.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -85,6 +85,7 @@
             return ASK_AGAIN_SECONDS
         self._log("second_goes_on", upstream=stream.name, silent=name)
         self._silent = None
+        self.close()
         raise Superseded(stream)
 
     def close(self) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -82,6 +82,8 @@
 
         Raises `Refusal`, `CallerLeft`, `Superseded`.
         """
+        # A wait for a holder is counted where it takes place.
+        second.close()
         candidate = self._wait.choose_holder(call, prompt)
         if isinstance(candidate, Peer):
             silent_seconds = call.route.first_event_seconds if call.route.resumable else None
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -0,0 +1,51 @@
+"""What is counted and kept while a second upstream is asked to go on with a silent stream."""
+
+import threading
+import time
+
+import pytest
+from redwingscale_daemon._internal.forwarding import answer_stream, peer_stream, stream_sender
+
+from .conftest import WAIT_SECONDS, head, read_response
+from .test_bytes_held import wait_until
+from .test_second_upstream import SILENCE_SECONDS, Pausing
+from .test_streams import numbers
+
+
+@pytest.fixture(autouse=True)
+def short_silence(monkeypatch):
+    monkeypatch.setattr(answer_stream, "STREAM_SILENCE_SECONDS", SILENCE_SECONDS)
+    monkeypatch.setattr(peer_stream, "PEER_STREAM_SILENCE_SECONDS", SILENCE_SECONDS)
+    monkeypatch.setattr(stream_sender, "FIRST_EVENT_SILENCE_SECONDS", SILENCE_SECONDS)
+
+
+def waiting(world):
+    return sum(entry.waiting for entry in world.local_demand.drain())
+
+
+def begins_then(until, *numbers):
+    """Return a script that sends the first event, and the others once ``until`` is set."""
+
+    def script(connection, received):
+        connection.sendall(head(received, "200 OK", "Transfer-Encoding: chunked"))
+        for number in numbers:
+            event = f"id: {number}\ndata: token{number}\n\n".encode()
+            connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            until.wait(WAIT_SECONDS)
+        connection.sendall(b"0\r\n\r\n")
+
+    return script
+
+
+def test_wait_for_a_holder_ends_when_the_second_upstream_goes_on(world):
+    """Guards against copies of a model that are loaded for a stream that has an upstream."""
+    ends = threading.Event()
+    world.add("llm", Pausing(WAIT_SECONDS, 1, 2, 3))
+    caller = world.send("/long/x", model="m")
+    wait_until(lambda: waiting(world) == 1)
+    world.add("llm", begins_then(ends, 2, 3))
+    wait_until(lambda: len(world.log) == 2)
+    time.sleep(0.1)
+    counted = waiting(world)
+    ends.set()
+    assert (numbers(read_response(caller)), counted) == ([1, 2, 3], 0)
