Keep avoiding an upstream that broke after its silence

Callers saw requests that were sent to an upstream which had just lost its run, and waited there.

The first event after a silence cleared the failures of the silent upstream, also when that upstream had broken meanwhile and another one had sent the event.

test_upstream_that_broke_after_its_silence_stays_avoided fails without the change. Only an event of the silent upstream itself shows that it goes on; an event of another one ends the silence.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -94,13 +94,15 @@
             self._waits_for_holder = False
             self._factory.wait.demand.end_wait(self._call.service, self._prompt.unit)
 
-    def note_event(self) -> None:
-        """Note that the stream goes on."""
-        if self._silent is not None:
-            self._log("silence_ended", upstream=self._silent)
-            self._factory.sender.parts.health.note_resumed(self._silent)
-            self._silent, self._reason = None, ""
-            self.close()
+    def note_event(self, name: str) -> None:
+        """Note that the stream goes on with an event of the upstream or peer ``name``."""
+        if self._silent is None:
+            return
+        if self._silent == name:
+            self._log("silence_ended", upstream=name)
+            self._factory.sender.parts.health.note_resumed(name)
+        self._silent, self._reason = None, ""
+        self.close()
 
     def _note_silence(self, name: str, *, is_peer: bool) -> None:
         if self._silent == name:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -176,7 +176,7 @@
         self, call: Call, stream: AnswerStream, progress: Progress, second: SecondUpstream
     ) -> None:
         for event in stream.read():
-            second.note_event()
+            second.note_event(stream.name)
             call.watch.silence_seconds = stream.silence_seconds
             if not progress.is_next(event):
                 continue
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -242,7 +242,7 @@
         self.load_tracker = fleet.load_tracker
         self.rates = fleet.rates
         self.backpressure = fleet.backpressure
-        self.outcomes = fleet.outcomes
+        self.outcomes, self.health = fleet.outcomes, fleet.health
         chooser = Chooser("z1", fleet)
         chooser._random = random.Random(1)
         budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -6,9 +6,9 @@
 import pytest
 from redwingscale_daemon._internal.forwarding import answer_stream, peer_stream, stream_sender
 
-from .conftest import WAIT_SECONDS, head, read_response
+from .conftest import WAIT_SECONDS, events, head, read_response
 from .test_bytes_held import wait_until
-from .test_second_upstream import SILENCE_SECONDS, Pausing
+from .test_second_upstream import ASK_SECONDS, SILENCE_SECONDS, Pausing
 from .test_streams import numbers
 
 
@@ -49,3 +49,25 @@
     counted = waiting(world)
     ends.set()
     assert (numbers(read_response(caller)), counted) == ([1, 2, 3], 0)
+
+
+def test_upstream_that_broke_after_its_silence_stays_avoided(world):
+    """Guards against a lost upstream that counts as sound since another one has gone on."""
+    ends = threading.Event()
+
+    def breaks_while_silent(connection, received):
+        events(1, then="break")(connection, received)
+        time.sleep(ASK_SECONDS)
+        return False
+
+    world.add("llm", breaks_while_silent)
+    caller = world.send("/long/x", model="m")
+    wait_until(lambda: waiting(world) == 1)
+    # No look for another upstream follows before the first one breaks.
+    time.sleep(ASK_SECONDS / 3)
+    world.add("llm", begins_then(ends, 2, 3))
+    wait_until(lambda: len(world.log) == 2)
+    time.sleep(0.1)
+    avoided = world.health.is_avoided("u0")
+    ends.set()
+    assert (numbers(read_response(caller)), avoided) == ([1, 2, 3], True)
