Do not ask a silent peer to go on with its own stream

Callers of an instance without a path saw one more pause; their requests ran twice behind the same peer, and each such request used up one repeat of the budget.

When a peer's stream was silent, another peer was looked for among all of them, so the silent one could be chosen again: it is kept open and is not avoided as a lost one is.

test_same_peer_is_not_asked_to_go_on_with_its_own_stream saw two requests at the only peer, and sees one now. The peer whose stream is kept open is left out of the choice.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -56,6 +56,8 @@
         self.unreached: set[str] = set()
         # How often the request was passed on to another instance.
         self.passed_on = 0
+        # The instance whose silent stream is kept open while another one is looked for.
+        self.silent_peer: str | None = None
         # Whether another instance has passed it on to this one.
         self.taken_over = False
         self.count = 0
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
@@ -44,14 +44,15 @@
             return None
         failed_at = self._health.unreachable_since(upstream_ids)
         self._offers.follow(self._health.all_unreachable(), failed_at)
-        return self._offers.choose(failed_at, upstream_ids)
+        return self._offers.choose(failed_at, upstream_ids, call.attempts.silent_peer)
 
     def _choose_without_path(self, call: Call, since: float) -> Peer | None:
         if call.attempts.may_pass_on_to_peer:
-            peer = self._offers.choose(since, None)
+            silent = call.attempts.silent_peer
+            peer = self._offers.choose(since, None, silent)
             if peer is None:
                 self._offers.follow((), since)
-                peer = self._offers.choose(since, None)
+                peer = self._offers.choose(since, None, silent)
             if peer is not None:
                 return peer
         detail = "this instance has no path to upstreams, and no other one takes the request"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
@@ -89,16 +89,20 @@
         """Return whether an able peer has heard an upstream after ``since``, monotonic."""
         return any(peer.able and peer.heard_at > since for peer in list(self._by_id.values()))
 
-    def choose(self, since: float, upstream_ids: Collection[str] | None) -> Peer | None:
+    def choose(
+        self, since: float, upstream_ids: Collection[str] | None, excluded: str | None = None
+    ) -> Peer | None:
         """Return the best able peer that has heard an upstream after ``since``, monotonic.
 
-        ``upstream_ids`` are those of which it must reach one, None for any.
+        ``upstream_ids`` are those of which it must reach one, None for any; the peer
+        ``excluded`` is left out.
         """
         now = time.monotonic()
         able = [
             peer
             for peer in list(self._by_id.values())
             if peer.able
+            and peer.id != excluded
             and now - peer.replied_at < FRESH_SECONDS
             and now >= self._avoided_until.get(peer.id, 0.0)
             and (upstream_ids is None or peer.heard & frozenset(upstream_ids))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -74,12 +74,15 @@
         """
         self._note_silence(name, is_peer=is_peer)
         first = self._call.attempts.current
+        self._call.attempts.silent_peer = name if is_peer else None
         try:
             stream = self._open(silent)
         except Refusal as refusal:
             # It concerns the second attempt only; the first one may still go on.
             self._note_not_asked(refusal.detail)
             stream = None
+        finally:
+            self._call.attempts.silent_peer = None
         if stream is None:
             self._call.attempts.current = first
             return ASK_AGAIN_SECONDS
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -8,7 +8,7 @@
 
 from .conftest import WAIT_SECONDS, events, head, read_response
 from .test_bytes_held import wait_until
-from .test_second_upstream import ASK_SECONDS, SILENCE_SECONDS, Pausing
+from .test_second_upstream import ASK_SECONDS, SILENCE_SECONDS, Pausing, sendings
 from .test_streams import numbers
 
 
@@ -71,3 +71,13 @@
     avoided = world.health.is_avoided("u0")
     ends.set()
     assert (numbers(read_response(caller)), avoided) == ([1, 2, 3], True)
+
+
+def test_same_peer_is_not_asked_to_go_on_with_its_own_stream(world):
+    """Guards against a request that runs twice at the upstreams of one peer."""
+    world.add("llm", events(1))
+    world.add_peer(Pausing(ASK_SECONDS * 3, 1, 2, 3))
+    world.lose_path()
+    response = world.request("/long/x", model="m")
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
+    assert [upstream for upstream, _ in sendings(world)] == ["p0"]
