Count peers that may have run a stream when another one goes on

Requests of an instance without a path ran at more upstreams than their route allows.

Two attempts through peers were missing in the number of possible runs: a silent peer that was given up before the head of its answer, and a second peer that answered with a failure other than a promise that it has not run the request.

Both tests saw one attempt more than the route's two upstreams, and see two now.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -121,7 +121,10 @@
         if exchange.response.status < FIRST_ERROR_STATUS:
             return self._stream(call, exchange)
         exchange.connection.discard()
-        self._note(call, peer, "failed", f"status {exchange.response.status}")
+        reason = f"status {exchange.response.status}"
+        self._note(call, peer, "failed", reason)
+        if exchange.response.status not in NOT_RUN_STATUSES:
+            call.attempts.note_superseded(peer.id, reason)
         return None
 
     def _stream(self, call: Call, exchange: _Exchange) -> PeerStream:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -1,6 +1,5 @@
 """Relays streams of model services and resumes them when an upstream is lost."""
 
-import socket
 from contextlib import closing
 from functools import partial
 
@@ -86,9 +85,7 @@
         second.close()
         candidate = self._wait.choose_holder(call, prompt)
         if isinstance(candidate, Peer):
-            silent_seconds = call.route.first_event_seconds if call.route.resumable else None
-            call.watch.expect(silent_seconds, partial(_ask_for_peer, second, candidate.id))
-            return self._parts.peers.open_stream(call, candidate, progress)
+            return self._open_peer(call, candidate, progress, second)
         if not call.attempts.count:
             call.permit.check()
         sending = self._sender.begin(call, candidate, prompt, progress, max_wait_seconds(call))
@@ -103,6 +100,17 @@
             if not kept:
                 sending.close()
 
+    def _open_peer(
+        self, call: Call, peer: Peer, progress: Progress, second: SecondUpstream
+    ) -> AnswerStream | bool:
+        silent_seconds = call.route.first_event_seconds if call.route.resumable else None
+        call.watch.expect(silent_seconds, partial(second.ask, name=peer.id, is_peer=True))
+        try:
+            return self._parts.peers.open_stream(call, peer, progress)
+        except Superseded as error:
+            call.attempts.note_superseded(peer.id, f"no answer begun, {error}")
+            raise
+
     def _send(
         self, call: Call, sending: Sending, progress: Progress, second: SecondUpstream
     ) -> AnswerStream | bool:
@@ -111,7 +119,7 @@
         def is_path_lost(began_at: float) -> bool:
             return self._parts.path.note_overdue(upstream.id, began_at) and call.route.resumable
 
-        on_silent = partial(_ask_for_upstream, second, upstream.id)
+        on_silent = partial(second.ask, name=upstream.id)
         call.watch.expect(sending.silence_seconds, on_silent, is_path_lost)
         try:
             outcome = self._sender.send(call, sending, progress)
@@ -147,8 +155,7 @@
     ) -> bool:
         """Return whether the reply is complete, False to retry; raises if neither is possible."""
         call.attempts.current = stream.state
-        ask = _ask_for_peer if isinstance(stream, PeerStream) else _ask_for_upstream
-        on_silent = partial(ask, second, stream.name)
+        on_silent = partial(second.ask, name=stream.name, is_peer=isinstance(stream, PeerStream))
         may_resume = call.route.resumable
         with closing(stream):
             try:
@@ -240,11 +247,3 @@
                 self._wait.note_refusal(call, call.terms.prompt, refusal)
             raise refusal
         raise Refusal(502, "upstream_failed", outcome.reason, run=RunState.UNKNOWN)
-
-
-def _ask_for_upstream(second: SecondUpstream, name: str, silent: socket.socket) -> float:
-    return second.ask(silent, name)
-
-
-def _ask_for_peer(second: SecondUpstream, name: str, silent: socket.socket) -> float:
-    return second.ask(silent, name, is_peer=True)
