Let no stream go on with a failure that stalls

Callers could see a failure whose body went on with the events of a stream, and waited for the rest of its length; requests ran at more upstreams than their route allows.

While the body of a failure was read, a silence still asked a second upstream. What it sent was written into a body that had begun, the connection of the failure was not closed, and an upstream's own failure was not counted as a possible run. A peer's failure that had begun was also followed by another attempt after its loss.

test_failure_of_a_peer_is_not_continued_by_a_stream and test_failure_that_is_not_sent_whole_counts_as_a_possible_run fail without the change. A silence of a failure is a loss of it as before, and ends the answer once its body has begun.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -78,11 +78,15 @@
         return exchange is not None and self._deliver_whole(call, exchange)
 
     def _deliver_whole(self, call: Call, exchange: _Exchange) -> bool:
+        begun = call.reply.started
+        # No stream can go on with an answer that is no stream.
+        call.watch.expect(call.watch.silence_seconds)
         try:
             self._deliver(call, exchange)
         except _LOST as error:
             exchange.connection.discard()
-            return self._retry_after_loss(call, exchange.peer, error)
+            may_go_on = call.reply.started == begun
+            return self._retry_after_loss(call, exchange.peer, error, may_go_on=may_go_on)
         except TimeLimitReached as error:
             exchange.connection.discard()
             raise time_limit_refusal(call, error) from None
@@ -249,11 +253,13 @@
         self._release(exchange)
         self._on_result("answered")
 
-    def _retry_after_loss(self, call: Call, peer: Peer, error: Exception) -> bool:
+    def _retry_after_loss(
+        self, call: Call, peer: Peer, error: Exception, *, may_go_on: bool = True
+    ) -> bool:
         """Note a peer that was lost; return False to retry, raises `Refusal` otherwise."""
         self._note(call, peer, "lost", repr(error))
         reason = f"peer {peer.id} lost: {error!r}"
-        may_go_on = not call.reply.started or call.route.resumable
+        may_go_on = may_go_on and (not call.reply.started or call.route.resumable)
         if may_go_on and call.attempts.take_retry_after_lost_peer(reason):
             call.watch.check_caller()
             return False
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -81,7 +81,6 @@
 
         Raises `Refusal`, `CallerLeft`, `Superseded`.
         """
-        # A wait for a holder is counted where it takes place.
         second.close()
         candidate = self._wait.choose_holder(call, prompt)
         if isinstance(candidate, Peer):
@@ -156,13 +155,12 @@
         """Return whether the reply is complete, False to retry; raises if neither is possible."""
         call.attempts.current = stream.state
         on_silent = partial(second.ask, name=stream.name, is_peer=isinstance(stream, PeerStream))
-        may_resume = call.route.resumable
         with closing(stream):
             try:
                 call.watch.expect(
                     stream.silence_seconds,
                     on_silent,
-                    lambda began_at: stream.is_path_lost(began_at) and may_resume,
+                    lambda began_at: stream.is_path_lost(began_at) and call.route.resumable,
                 )
                 self._pass_on(call, stream, progress, second)
             except BREAKS as error:
@@ -200,6 +198,8 @@
         self, call: Call, answering: Answering, progress: Progress, sending: Sending
     ) -> bool:
         """Pass on an upstream's own failure, or return False to retry; raises `Refusal`."""
+        # No stream can go on with a failure.
+        call.watch.expect(call.watch.silence_seconds)
         try:
             body = read_response_body(answering.response, call.request.held)
         except BREAKS as error:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -114,3 +114,42 @@
     response = read_response(caller)
     assert (numbers(response), response.whole) == ([1, 2, 3], True)
     assert [upstream for upstream, _ in sendings(world)] == ["p0", "p1"]
+
+
+def fails_slowly(connection, received):
+    """Script of an upstream that stops in the middle of its failure."""
+    connection.sendall(head(received, "500 Failed", "Content-Length: 9") + b"half")
+    time.sleep(WAIT_SECONDS)
+    return False
+
+
+def test_failure_that_is_not_sent_whole_counts_as_a_possible_run(world):
+    """Guards against more upstreams than the route allows, after a failure that stalls."""
+    world.add("llm", fails_slowly)
+    caller = world.send("/long/x", model="m")
+    wait_until(lambda: len(world.log) == 1)
+    world.add("llm", Pausing(ASK_SECONDS * 4, 1, 2, 3))
+    wait_until(lambda: len(world.log) == 2)
+    world.add("llm", events(2, 3))
+    response = read_response(caller)
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
+    assert [upstream for upstream, _ in sendings(world)] == ["u0", "u1"]
+
+
+def test_failure_of_a_peer_is_not_continued_by_a_stream(world, monkeypatch):
+    """Guards against events in the middle of the body of a failure."""
+    monkeypatch.setattr(Route, "first_event_seconds", property(lambda route: SILENCE_SECONDS))
+
+    def fails_with_a_large_body(connection, received):
+        connection.sendall(head(received, "500 Failed", "Content-Length: 900000"))
+        connection.sendall(b"x" * 800000)
+        time.sleep(WAIT_SECONDS)
+        return False
+
+    world.add("llm", events(1))
+    world.add_peer(fails_with_a_large_body)
+    world.lose_path()
+    caller = world.send("/long/x", model="m")
+    wait_until(lambda: len(world.log) == 1)
+    world.add_peer(events(1, 2, 3))
+    assert b"token" not in read_response(caller).body
