Close the connection of a rejection that a resumed stream cuts short

Callers saw nothing at first: each such rejection leaked one connection, and its bytes counted as open at the upstream for ever, until requests to it were refused as too many bytes.

The body of a rejection is read with the errors of a wait suppressed, which did not include that the first upstream has sent bytes.

test_rejection_that_is_cut_short_by_the_first_upstream_frees_its_bytes found 6 bytes open for good, and finds none now. The rejection stands whatever ends the read of its body.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -9,6 +9,7 @@
 
 from redwingscale_daemon._internal.exceptions import (
     CallerLeft,
+    FirstUpstreamResumed,
     TimeLimitReached,
     UpstreamSilent,
 )
@@ -156,9 +157,15 @@
     ) -> NotRun:
         reason = f"status {response.status}"
         answering = Answering(upstream, connection, response)
-        # A caller that disconnects during this read is noticed at the next wait.
+        # A caller that disconnects during this read is noticed at the next wait, and so is a
+        # first upstream that goes on.
         with contextlib.suppress(
-            HTTPException, OSError, UpstreamSilent, TimeLimitReached, CallerLeft
+            HTTPException,
+            OSError,
+            UpstreamSilent,
+            TimeLimitReached,
+            CallerLeft,
+            FirstUpstreamResumed,
         ):
             response.read(_MAX_DISCARDED_BYTES)
         if response.isclosed():
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -5,9 +5,10 @@
 
 import pytest
 from redwingscale_daemon._internal.forwarding import answer_stream, peer_stream, stream_sender
+from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 from redwingscale_daemon._internal.routes.route import Route
 
-from .conftest import WAIT_SECONDS, events, head, read_response, sized
+from .conftest import WAIT_SECONDS, World, events, head, read_response, sized
 from .test_bytes_held import wait_until
 from .test_second_upstream import ASK_SECONDS, SILENCE_SECONDS, Pausing, sendings
 from .test_silent_upstreams import after
@@ -85,6 +86,26 @@
     assert [upstream for upstream, _ in sendings(world)] == ["p0"]
 
 
+def test_rejection_that_is_cut_short_by_the_first_upstream_frees_its_bytes():
+    """Guards against bytes of rejected requests that count as open for ever."""
+    held = UpstreamBytes(1000)
+    world = World(open_bytes=held)
+    world.start()
+
+    def rejects_slowly(connection, received):
+        lines = ("X-Redwingscale-Not-Executed: 1", "Content-Length: 9")
+        connection.sendall(head(received, "503 Full", *lines, signed=False))
+        time.sleep(ASK_SECONDS * 4)
+        return False
+
+    world.add("llm", Pausing(ASK_SECONDS * 2, 1, 2, 3))
+    world.add("llm", rejects_slowly)
+    response = world.request("/long/x", b"prompt", model="m")
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
+    assert not held._open_by_id
+    world.stop()
+
+
 def test_failure_of_a_second_peer_counts_as_a_possible_run(world):
     """Guards against more upstreams than the route allows, through peers."""
     world.add("llm", events(1))
