Never answer "not run" while an upstream has the request

Callers could get a 503, which promises that the request has not run and never will, at their deadline; their use of the limit was refunded.

test_request_that_is_at_an_upstream_is_never_answered_as_not_run got 503, and gets 504 now. A second attempt that is not sent in time ends the request as any deadline does.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -7,7 +7,12 @@
 from redwingscale_common.exceptions import RedwingscaleError
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import FirstUpstreamResumed, Refusal
+from redwingscale_daemon._internal.exceptions import (
+    FirstUpstreamResumed,
+    NotSentInTime,
+    Refusal,
+    TimeLimitReached,
+)
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.forwarding.answer_stream import (
@@ -81,6 +86,9 @@
             # It concerns the second attempt only; the first one may still go on.
             self._note_not_asked(refusal.detail)
             stream = None
+        except NotSentInTime as error:
+            # The first upstream has the request.
+            raise TimeLimitReached(str(error)) from None
         finally:
             self._call.attempts.silent_peer = None
         if stream is None:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -106,6 +106,22 @@
     world.stop()
 
 
+def test_request_that_is_at_an_upstream_is_never_answered_as_not_run(world, monkeypatch):
+    """Guards against a 503 at the deadline since the second upstream was not reached in time."""
+    open_connection = world.pool.open
+
+    def open_slowly(upstream):
+        if upstream.id == "u1":
+            time.sleep(0.4)
+        return open_connection(upstream)
+
+    monkeypatch.setattr(world.pool, "open", open_slowly)
+    world.add("llm", after(2.0, events(1)))
+    world.add("llm", after(2.0, events(1)))
+    headers = ("X-Redwingscale-Deadline-Ms: 1200",)
+    assert world.request("/long/x", model="m", headers=headers).status == 504
+
+
 def test_failure_of_a_second_peer_counts_as_a_possible_run(world):
     """Guards against more upstreams than the route allows, through peers."""
     world.add("llm", events(1))
