Take the crash of a second upstream as evidence against its request

A request that crashes its upstreams could reach one more of them in each silence: callers of others lost their streams there.

A second upstream that closed its connection after its head was only logged and counted; the guard against such requests did not learn of it, as it does of every other attempt.

test_crash_of_the_second_upstream_is_evidence found no pending loss, and finds one now. The loss is noted before the account of the attempt is closed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -61,8 +61,11 @@
     def is_path_lost(self, began_at: float) -> bool:
         """Note a wait for a byte that began at monotonic ``began_at``; return `OwnPath.cut_off`."""
 
-    def drop(self, reason: Exception) -> None:
-        """Give up the answer, since another attempt goes on; closes the account."""
+    def drop(self, reason: Exception, progress: Progress) -> None:
+        """Give up the answer, since another attempt goes on; closes the account.
+
+        Raises `Refusal` if it shows that the request crashes upstreams.
+        """
 
     def discard(self) -> None:
         """Reset the connection."""
@@ -165,10 +168,15 @@
         """Note a wait for a byte that began at monotonic ``began_at``; return `OwnPath.cut_off`."""
         return self._parts.path.note_overdue(self.name, began_at)
 
-    def drop(self, reason: Exception) -> None:
+    def drop(self, reason: Exception, progress: Progress) -> None:
         """Give up the answer, since another attempt goes on; closes the account."""
         self.discard()
-        drop_attempt(self._parts, self._call, self._sending, reason, self.state)
+        try:
+            if not isinstance(reason, FirstUpstreamResumed):
+                lost = lost_by(self._answering.upstream, reason)
+                self._sending.attempt.note_lost(lost, progress.last_event or 0)
+        finally:
+            drop_attempt(self._parts, self._call, self._sending, reason, self.state)
 
     def discard(self) -> None:
         """Reset the connection."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -196,7 +196,7 @@
         try:
             stream.read_next(self._progress)
         except (FirstUpstreamResumed, *BREAKS) as error:
-            stream.drop(error)
+            stream.drop(error, self._progress)
             return None
         except BaseException:
             stream.discard()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -169,7 +169,7 @@
                 stream.discard()
                 raise time_limit_refusal(call, error) from None
             except Superseded as error:
-                stream.drop(UpstreamSilent(f"silent, {error}"))
+                stream.drop(UpstreamSilent(f"silent, {error}"), progress)
                 raise
             except (CallerLeft, Refusal):
                 stream.discard()
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -122,6 +122,14 @@
     assert world.request("/long/x", model="m", headers=headers).status == 504
 
 
+def test_crash_of_the_second_upstream_is_evidence(world):
+    """Guards against a request that crashes one second upstream after another."""
+    world.add("llm", Pausing(ASK_SECONDS * 3, 1, 2, 3))
+    world.add("llm", events(then="break"))
+    assert world.request("/long/x", model="m").whole
+    assert list(world.guard._pending_by_upstream) == ["u1"]
+
+
 def test_failure_of_a_second_peer_counts_as_a_possible_run(world):
     """Guards against more upstreams than the route allows, through peers."""
     world.add("llm", events(1))
