Do not count the silence of a second upstream as its failure

All instances avoided an upstream that had only queued a request for some seconds, and callers of its model waited in the queues of the others.

A second upstream that sent nothing in time was counted as failed for all instances, while the silent first one was not: the rule is that only an upstream in whose place another one has gone on has failed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -61,10 +61,10 @@
     def is_path_lost(self, began_at: float) -> bool:
         """Note a wait for a byte that began at monotonic ``began_at``; return `OwnPath.cut_off`."""
 
-    def drop(self, reason: Exception, progress: Progress) -> None:
+    def drop(self, reason: Exception, progress: Progress, *, may_go_on: bool = False) -> None:
         """Give up the answer, since another attempt goes on; closes the account.
 
-        Raises `Refusal` if it shows that the request crashes upstreams.
+        ``may_go_on`` as in `note_failure`. Raises `Refusal` if it shows that the request crashes upstreams.
         """
 
     def discard(self) -> None:
@@ -168,7 +168,7 @@
         """Note a wait for a byte that began at monotonic ``began_at``; return `OwnPath.cut_off`."""
         return self._parts.path.note_overdue(self.name, began_at)
 
-    def drop(self, reason: Exception, progress: Progress) -> None:
+    def drop(self, reason: Exception, progress: Progress, *, may_go_on: bool = False) -> None:
         """Give up the answer, since another attempt goes on; closes the account."""
         self.discard()
         try:
@@ -176,7 +176,9 @@
                 lost = lost_by(self._answering.upstream, reason)
                 self._sending.attempt.note_lost(lost, progress.last_event or 0)
         finally:
-            drop_attempt(self._parts, self._call, self._sending, reason, self.state)
+            drop_attempt(
+                self._parts, self._call, self._sending, reason, self.state, may_go_on=may_go_on
+            )
 
     def discard(self) -> None:
         """Reset the connection."""
@@ -188,7 +190,13 @@
 
 
 def drop_attempt(
-    parts: RelayParts, call: Call, sending: Sending, reason: Exception, state: AttemptState
+    parts: RelayParts,
+    call: Call,
+    sending: Sending,
+    reason: Exception,
+    state: AttemptState,
+    *,
+    may_go_on: bool = False,
 ) -> None:
     """Record an attempt that is given up since another one goes on with the stream."""
     upstream = sending.candidate.upstream
@@ -200,5 +208,5 @@
     if not state.events_received and not parts.path.doubtful:
         waited_ms = state.seconds_since_send() * MILLISECONDS_PER_SECOND
         parts.chooser.note_lost(sending.candidate, waited_ms)
-    note_failure(parts, call, lost)
+    note_failure(parts, call, lost, may_go_on=may_go_on)
     call.attempts.note_failed(lost)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -25,12 +25,21 @@
     call.watch.expect(None, None, on_overdue)
 
 
-def note_failure(parts: RelayParts, call: Call, outcome: NotRun | Lost) -> None:
-    """Log the failed attempt and count it against the health of its upstream."""
+def note_failure(
+    parts: RelayParts, call: Call, outcome: NotRun | Lost, *, may_go_on: bool = False
+) -> None:
+    """Log the failed attempt and count it against the health of its upstream.
+
+    ``may_go_on``: the upstream was only silent, and no other one has gone on in its place. It
+    is avoided, but not counted as failed for other instances.
+    """
     match outcome:
         case Lost():
             call.attempts.last_loss = outcome
-            parts.health.note_failure(outcome.upstream.id)
+            if may_go_on:
+                parts.health.note_silent(outcome.upstream.id)
+            else:
+                parts.health.note_failure(outcome.upstream.id)
         case NotRun(reached=False):
             parts.health.note_unreachable(outcome.upstream.id)
             if outcome.refused:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
@@ -79,7 +79,7 @@
         """Return False: a silent peer says nothing about the own path."""
         return False
 
-    def drop(self, reason: Exception, progress: Progress) -> None:
+    def drop(self, reason: Exception, progress: Progress, *, may_go_on: bool = False) -> None:
         """Give up the answer, since another attempt goes on."""
         self.discard()
         self._call.attempts.note_superseded(self.name, str(reason))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -12,6 +12,7 @@
     NotSentInTime,
     Refusal,
     TimeLimitReached,
+    UpstreamSilent,
 )
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.prompt import Prompt
@@ -196,7 +197,8 @@
         try:
             stream.read_next(self._progress)
         except (FirstUpstreamResumed, *BREAKS) as error:
-            stream.drop(error, self._progress)
+            may_go_on = isinstance(error, UpstreamSilent)
+            stream.drop(error, self._progress, may_go_on=may_go_on)
             return None
         except BaseException:
             stream.discard()
@@ -207,7 +209,8 @@
     def _note_failure(self, outcome: Lost | NotRun, sending: Sending) -> None:
         parts = self._factory.sender.parts
         try:
-            note_failure(parts, self._call, outcome)
+            may_go_on = isinstance(outcome, Lost) and outcome.silent
+            note_failure(parts, self._call, outcome, may_go_on=may_go_on)
             self._call.attempts.note_failed(outcome)
             if isinstance(outcome, Lost):
                 sending.attempt.note_lost(outcome, self._progress.last_event or 0)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream.py
@@ -166,4 +166,4 @@
     world.add("llm", Pausing(ASK_SECONDS * 3, 1, 2, 3))
     assert world.request("/long/x", model="m").whole
     wait_until(lambda: world.ended == ["answered"])
-    assert world.outcomes.failure_ratio("u0") == 0.0
+    assert world.outcomes.drain() == [("u0", 1, 0)]
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -122,6 +122,17 @@
     assert world.request("/long/x", model="m", headers=headers).status == 504
 
 
+@pytest.mark.parametrize("second", [after(WAIT_SECONDS, events(2, 3)), events(then="silent")])
+def test_silent_second_upstream_is_not_counted_as_failed(world, second):
+    """Guards against other instances that avoid an upstream with a queue."""
+    world.add("llm", Pausing(2.0, 1, 2, 3))
+    world.add("llm", second)
+    response = world.request("/long/x", model="m")
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
+    wait_until(lambda: world.ended == ["answered"])
+    assert world.outcomes.drain() == [("u0", 1, 0)]
+
+
 def test_crash_of_the_second_upstream_is_evidence(world):
     """Guards against a request that crashes one second upstream after another."""
     world.add("llm", Pausing(ASK_SECONDS * 3, 1, 2, 3))
