Keep the second upstream until the first one has sent a whole event

Callers lost streams that a second upstream was about to go on with: answered with a failure, or cut in the middle, since the silent first upstream had sent some bytes.

Any byte of the first upstream ended the attempt at the second one. A rejection or a failure after a silence, and a part of an event before a crash, then left the request with no upstream: both were tried, and the route's number of possible runs was reached.

test_failure_of_the_first_upstream_leaves_the_stream_to_the_second and test_part_of_an_event_leaves_the_stream_to_the_second fail without the change (no event, and event 1 only).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -7,16 +7,14 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from redwingscale_common.utils.logs import log_event
-
 from redwingscale_daemon._internal.exceptions import (
     CallerLeft,
-    FirstUpstreamResumed,
     NotSentInTime,
     TimeLimitReached,
     UpstreamSilent,
 )
 from redwingscale_daemon._internal.fleet.own_path import OVERDUE_SECONDS
+from redwingscale_daemon._internal.forwarding.standby import Standby
 from redwingscale_daemon._internal.leases.clock import lease_clock
 
 _CLOSED_EVENTS = select.POLLHUP | select.POLLERR | select.POLLRDHUP
@@ -48,7 +46,7 @@
         # returns whether the path to the upstream is lost.
         self.on_overdue: Callable[[float], bool] | None = None
         # A silent connection that is kept open while another one is waited for.
-        self._standby: socket.socket | None = None
+        self._standby: Standby | None = None
 
     def remaining(self) -> float:
         """Return the seconds until the deadline, at least 0."""
@@ -83,9 +81,9 @@
 
     @contextmanager
     def standing_by(self, first: socket.socket) -> Iterator[None]:
-        """Let waits in the block raise `FirstUpstreamResumed` once ``first`` has bytes."""
+        """Let waits in the block raise `FirstUpstreamResumed` once ``first`` goes on."""
         expected = self.silence_seconds, self.on_silent, self.on_overdue
-        before, self._standby = self._standby, first
+        before, self._standby = self._standby, Standby(first)
         try:
             yield
         finally:
@@ -108,15 +106,16 @@
                 raise TimeLimitReached("no time is left")
             # The silence is judged after a poll: bytes may have come while this thread had no
             # processor time.
-            wait = max(0.0, min(time_left, min(silent_at, overdue_at) - time.monotonic()))
+            look_at = self._standby.look_at if self._standby is not None else math.inf
+            wait = max(0.0, min(time_left, min(silent_at, overdue_at, look_at) - time.monotonic()))
             ready = dict(poller.poll(wait * _MILLISECONDS_PER_SECOND + 1))
             if (events := ready.get(self._caller.fileno())) is not None:
                 self._check_caller_events(events)
                 poller.modify(self._caller, self._caller_events)
             if upstream.fileno() in ready:
                 return
-            if self._standby is not None and self._standby.fileno() in ready:
-                self._check_standby(self._standby)
+            if self._standby is not None and self._standby.is_due(ready):
+                self._standby.look()
                 poller = self._poller(upstream)
             now = time.monotonic()
             if now >= overdue_at:
@@ -134,7 +133,7 @@
         poller.register(upstream, _UPSTREAM_EVENTS)
         poller.register(self._caller, self._caller_events)
         if self._standby is not None:
-            poller.register(self._standby, _UPSTREAM_EVENTS)
+            self._standby.register(poller)
         return poller
 
     def _note_silence(self, upstream: socket.socket, reason: str) -> float:
@@ -144,18 +143,6 @@
         pause = self.on_silent(upstream)
         return time.monotonic() + pause
 
-    def _check_standby(self, standby: socket.socket) -> None:
-        """Raise `FirstUpstreamResumed` if the silent connection has bytes; forget a broken one."""
-        try:
-            if standby.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
-                raise FirstUpstreamResumed("the silent upstream has sent bytes")
-        except BlockingIOError:
-            return
-        except OSError as error:
-            log_event("silent_connection_broke", error=error)
-        # Its loss is noted when it is read.
-        self._standby = None
-
     def _check_caller_events(self, events: int) -> None:
         if events & _CLOSED_EVENTS:
             raise CallerLeft("the caller closed its connection")
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -8,7 +8,7 @@
 from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 from redwingscale_daemon._internal.routes.route import Route
 
-from .conftest import WAIT_SECONDS, World, events, head, read_response, sized
+from .conftest import WAIT_SECONDS, World, events, head, not_run, read_response, sized
 from .test_bytes_held import wait_until
 from .test_second_upstream import ASK_SECONDS, SILENCE_SECONDS, Pausing, sendings
 from .test_silent_upstreams import after
@@ -209,3 +209,48 @@
     wait_until(lambda: len(world.log) == 1)
     world.add_peer(events(1, 2, 3))
     assert b"token" not in read_response(caller).body
+
+
+@pytest.mark.parametrize("first", [not_run, sized(b"", "500 Failed")])
+def test_failure_of_the_first_upstream_leaves_the_stream_to_the_second(world, first):
+    """Guards against a second upstream that is given up for an answer that is no stream."""
+    world.add("llm", after(1.4, first))
+    world.add("llm", after(0.65, events(1, 2)))
+    response = world.request("/long/x", model="m")
+    assert (numbers(response), response.whole) == ([1, 2], True)
+
+
+def test_part_of_an_event_leaves_the_stream_to_the_second(world):
+    """Guards against a second upstream that is given up for an event that never becomes whole."""
+
+    def breaks_inside_an_event(connection, received):
+        events(1, then="break")(connection, received)
+        time.sleep(ASK_SECONDS)
+        connection.sendall(b"20\r\nid: 2\ndata: hal")
+        time.sleep(ASK_SECONDS)
+        return False
+
+    world.add("llm", breaks_inside_an_event)
+    world.add("llm", after(ASK_SECONDS * 3, events(2, 3)))
+    response = world.request("/long/x", model="m")
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
+
+
+def test_event_that_comes_in_parts_ends_the_silence(world):
+    """Guards against a first upstream whose event is not noticed since it was incomplete at first."""
+    second = Pausing(WAIT_SECONDS, 2, 3)
+
+    def goes_on_in_parts(connection, received):
+        events(1, then="break")(connection, received)
+        time.sleep(ASK_SECONDS)
+        for part in (b"14\r\nid: 2\n", b"data: token2\n", b"\n\r\n0\r\n\r\n"):
+            time.sleep(0.05)
+            connection.sendall(part)
+        return True
+
+    world.add("llm", goes_on_in_parts)
+    world.add("llm", after(WAIT_SECONDS / 2, second))
+    began = time.monotonic()
+    response = world.request("/long/x", model="m")
+    assert (numbers(response), response.whole) == ([1, 2], True)
+    assert time.monotonic() - began < WAIT_SECONDS / 2
