Take the crash of a silent first upstream as evidence against its request

A request that freezes its upstreams before it crashes them went on to the next one in each silence: callers of others lost their streams there.

The loss of the first upstream is noted when its connection is read. When a second upstream went on first, the connection was dropped as silent, also if the other end had closed it meanwhile.

test_crash_of_a_silent_upstream_is_evidence_when_another_one_goes_on found no pending loss before. The connection is polled for its end before it is dropped.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.stream_progress import Progress, Sending
 from redwingscale_daemon._internal.ingress.ingress_request import Headers
+from redwingscale_daemon._internal.utils.sockets import is_closed
 
 MILLISECONDS_PER_SECOND = 1000.0
 # A second upstream is asked after this time without a byte in mid-stream: a step takes some
@@ -170,6 +171,8 @@
 
     def drop(self, reason: Exception, progress: Progress, *, may_go_on: bool = False) -> None:
         """Give up the answer, since another attempt goes on; closes the account."""
+        if isinstance(reason, UpstreamSilent) and is_closed(self.socket):
+            reason = ConnectionResetError(f"closed while silent: {reason}")
         self.discard()
         try:
             if not isinstance(reason, FirstUpstreamResumed):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/sockets.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/sockets.py
@@ -1,6 +1,7 @@
 """Socket options that several parts set."""
 
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -19,6 +20,13 @@
     return _count(sock, termios.FIONREAD)
 
 
+def is_closed(sock: socket.socket) -> bool:
+    """Return whether the other end has closed or reset the connection."""
+    poller = select.poll()
+    poller.register(sock, select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def _count(sock: socket.socket, request: int) -> int | None:
     try:
         (count,) = struct.unpack("i", fcntl.ioctl(sock, request, bytes(4)))
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -254,3 +254,17 @@
     response = world.request("/long/x", model="m")
     assert (numbers(response), response.whole) == ([1, 2], True)
     assert time.monotonic() - began < WAIT_SECONDS / 2
+
+
+def test_crash_of_a_silent_upstream_is_evidence_when_another_one_goes_on(world):
+    """Guards against a request that freezes its upstreams before it crashes them."""
+
+    def breaks_while_silent(connection, received):
+        events(1, then="break")(connection, received)
+        time.sleep(ASK_SECONDS)
+        return False
+
+    world.add("llm", breaks_while_silent)
+    world.add("llm", after(ASK_SECONDS * 2, events(2, 3)))
+    assert world.request("/long/x", model="m").whole
+    assert list(world.guard._pending_by_upstream) == ["u0"]
