--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -7,7 +7,13 @@
 from redwingscale_common.exceptions import RedwingscaleError
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import FirstUpstreamResumed, Refusal
+from redwingscale_daemon._internal.exceptions import (
+    FirstUpstreamResumed,
+    NotSentInTime,
+    Refusal,
+    TimeLimitReached,
+    UpstreamSilent,
+)
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.forwarding.answer_stream import (
@@ -74,17 +80,24 @@
         """
         self._note_silence(name, is_peer=is_peer)
         first = self._call.attempts.current
+        self._call.attempts.silent_peer = name if is_peer else None
         try:
             stream = self._open(silent)
         except Refusal as refusal:
             # It concerns the second attempt only; the first one may still go on.
             self._note_not_asked(refusal.detail)
             stream = None
+        except NotSentInTime as error:
+            # The first upstream has the request.
+            raise TimeLimitReached(str(error)) from None
+        finally:
+            self._call.attempts.silent_peer = None
         if stream is None:
             self._call.attempts.current = first
             return ASK_AGAIN_SECONDS
         self._log("second_goes_on", upstream=stream.name, silent=name)
         self._silent = None
+        self.close()
         raise Superseded(stream)
 
     def close(self) -> None:
@@ -93,13 +106,15 @@
             self._waits_for_holder = False
             self._factory.wait.demand.end_wait(self._call.service, self._prompt.unit)
 
-    def note_event(self) -> None:
-        """Note that the stream goes on."""
-        if self._silent is not None:
-            self._log("silence_ended", upstream=self._silent)
-            self._factory.sender.parts.health.note_resumed(self._silent)
-            self._silent, self._reason = None, ""
-            self.close()
+    def note_event(self, name: str) -> None:
+        """Note that the stream goes on with an event of the upstream or peer ``name``."""
+        if self._silent is None:
+            return
+        if self._silent == name:
+            self._log("silence_ended", upstream=name)
+            self._factory.sender.parts.health.note_resumed(name)
+        self._silent, self._reason = None, ""
+        self.close()
 
     def _note_silence(self, name: str, *, is_peer: bool) -> None:
         if self._silent == name:
@@ -182,7 +197,8 @@
         try:
             stream.read_next(self._progress)
         except (FirstUpstreamResumed, *BREAKS) as error:
-            stream.drop(error)
+            may_go_on = isinstance(error, UpstreamSilent)
+            stream.drop(error, self._progress, may_go_on=may_go_on)
             return None
         except BaseException:
             stream.discard()
@@ -193,7 +209,8 @@
     def _note_failure(self, outcome: Lost | NotRun, sending: Sending) -> None:
         parts = self._factory.sender.parts
         try:
-            note_failure(parts, self._call, outcome)
+            may_go_on = isinstance(outcome, Lost) and outcome.silent
+            note_failure(parts, self._call, outcome, may_go_on=may_go_on)
             self._call.attempts.note_failed(outcome)
             if isinstance(outcome, Lost):
                 sending.attempt.note_lost(outcome, self._progress.last_event or 0)
