Fail a request without an answer when no second upstream can go on

Cause: the rule that keeps a silent connection was applied to requests whose answer had not begun, too. Change: an upstream that has sent nothing is given up at that limit if no second one can be asked. While a second one is asked, both stay open; a begun answer is kept as before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -72,12 +72,16 @@
         self._silent: str | None = None
         self._reason = ""
         self._waits_for_holder = False
+        # Whether the silent upstream went on while the second one was asked.
+        self._first_goes_on = False
 
     def ask(self, silent: socket.socket, name: str, *, is_peer: bool = False) -> float:
         """Return the seconds until the next call; raises `Superseded`, `CallerLeft` or at the deadline.
 
-        ``name`` is the upstream or peer at the other end of the ``silent`` connection.
+        ``name`` is the upstream or peer at the other end of the ``silent`` connection. Raises
+        `UpstreamSilent` if the answer has not begun and no second upstream goes on.
         """
+        self._first_goes_on = False
         self._note_silence(name, is_peer=is_peer)
         first = self._call.attempts.current
         self._call.attempts.silent_peer = name if is_peer else None
@@ -94,6 +98,9 @@
             self._call.attempts.silent_peer = None
         if stream is None:
             self._call.attempts.current = first
+            if not (is_peer or self._call.reply.started or self._first_goes_on):
+                # Its caller has received nothing, and may try another instance.
+                raise UpstreamSilent("no byte in time, and no other upstream goes on")
             return ASK_AGAIN_SECONDS
         self._log("second_goes_on", upstream=stream.name, silent=name)
         self._silent = None
@@ -137,7 +144,8 @@
         chosen = self._factory.wait.choose_now(call, self._prompt)
         if chosen is None:
             self._note_not_asked("no other holder")
-            self._wait_for_holder()
+            if call.reply.started:
+                self._wait_for_holder()
             return None
         if not call.attempts.reserve_repeat():
             self._note_not_asked("no repeat is left")
@@ -164,6 +172,7 @@
         try:
             stream = self._factory.sender.parts.peers.open_second(call, peer, self._progress)
         except FirstUpstreamResumed as error:
+            self._first_goes_on = True
             call.attempts.note_superseded(peer.id, str(error))
             return None
         return stream and self._with_next_event(stream)
@@ -178,6 +187,7 @@
         try:
             outcome = factory.sender.send(call, sending, self._progress)
         except FirstUpstreamResumed as error:
+            self._first_goes_on = True
             drop_attempt(factory.sender.parts, call, sending, error, call.attempts.current)
             return None
         except BaseException:
@@ -197,6 +207,7 @@
         try:
             stream.read_next(self._progress)
         except (FirstUpstreamResumed, *BREAKS) as error:
+            self._first_goes_on = isinstance(error, FirstUpstreamResumed)
             may_go_on = isinstance(error, UpstreamSilent)
             stream.drop(error, self._progress, may_go_on=may_go_on)
             return None
