Pass requests on while new connections to upstreams break and open ones live on

Each byte on an open connection counted as proof that the path works. Evidence older than the last byte was dropped, the path never became suspect, answers cleared the marks of unreachable upstreams, and each request was lost at up to three upstreams in 0.4 s.

New connections are now judged by new connections. If they are refused or closed before a byte at two upstreams within 3 s, and none works after that, an upstream where they break is used on an idle connection only, and counts as unreachable without one: the request goes through a peer. A probe opens one connection at a time, first to upstreams not tried yet, and one that works ends the state. An upstream that ends alone changes nothing.

Open: a request that may not be repeated is lost where it is the first to find out, also the first at an upstream without models.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
@@ -4,11 +4,17 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.composition.swaps import engine_calls
 from redwingscale_daemon._internal.fleet.fleet import Fleet
+from redwingscale_daemon._internal.fleet.new_connection_watch import NewConnectionWatch
 from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
 from redwingscale_daemon._internal.fleet.path_watch import PathWatch
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
+from redwingscale_daemon._internal.forwarding.connection_probe import (
+    answers_on_new_connection,
+    keeps_new_connection,
+)
 from redwingscale_daemon._internal.forwarding.detour import Detour
 from redwingscale_daemon._internal.forwarding.path_replies import PathReplies
 from redwingscale_daemon._internal.forwarding.peer_offers import Ask, PeerOffers
@@ -66,6 +72,15 @@
         offers.follow((), since)
         return offers.reach_upstreams(since)
 
+    def probe_new(upstream: Upstream) -> bool:
+        if upstream.models_by_name:
+            return answers_on_new_connection(upstream, engine_calls().report_target)
+        return keeps_new_connection(upstream)
+
+    new_connections = fleet.new_connections
+    new_connections.on_broken = NewConnectionWatch(
+        new_connections, fleet.directory, probe_new
+    ).begin
     watch = PathWatch(path, fleet.directory, offers.who_heard, probe, follow_peers)
     path.on_suspected(watch.begin)
     path.on_restored(lambda: pool.forget(offers.ids()))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -81,6 +81,7 @@
     fleet = new_fleet(settings.instance, lambda: swaps.instances())
     pool = ConnectionPool()
     fleet.directory.on_gone(pool.forget)
+    fleet.new_connections.has_idle = pool.has_idle
     metrics = IngressMetrics()
     open_requests = OpenRequests()
     reads = StoreReads(LinkState("upstreams"), LinkState("configuration"))
@@ -226,7 +227,9 @@
     fleet.first_events.on_observed = metrics.record_first_event
     limits = limits_of(settings.machine.memory_mb)
     open_bytes = UpstreamBytes(limits.upstream if limits else None)
-    sender = Sender(pool, exchange, fleet.backpressure, open_bytes, fleet.path)
+    sender = Sender(
+        pool, exchange, fleet.backpressure, open_bytes, fleet.path, fleet.new_connections
+    )
     parts = RelayParts(
         exchange,
         sender,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/fleet.py
@@ -10,6 +10,7 @@
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.latency_factors import LatencyFactors
 from redwingscale_daemon._internal.fleet.load_tracker import LoadTracker
+from redwingscale_daemon._internal.fleet.new_connections import NewConnections
 from redwingscale_daemon._internal.fleet.outcomes import Outcomes
 from redwingscale_daemon._internal.fleet.own_path import OwnPath
 from redwingscale_daemon._internal.fleet.prefix_memory import PrefixMemory
@@ -37,6 +38,7 @@
     backpressure: BackpressureTracker
     first_events: FirstEventEstimates
     path: OwnPath
+    new_connections: NewConnections
 
 
 def new_fleet(instance: str = "", instances: Callable[[], int] = lambda: 1) -> Fleet:
@@ -44,9 +46,10 @@
     changes, residency, outcomes = Changes(), Residency(), Outcomes()
     directory = UpstreamDirectory(residency, changes)
     path = OwnPath(lambda: len(directory.all()))
+    new_connections = NewConnections()
     load_tracker, health, latency_factors, prefixes = (
         LoadTracker(),
-        Health(outcomes, path),
+        Health(outcomes, path, new_connections),
         LatencyFactors(),
         PrefixMemory(),
     )
@@ -56,7 +59,7 @@
     brittle = BrittleUpstreams(instance, directory, load_tracker, instances)
     backpressure = BackpressureTracker(directory, rates, retry_times, brittle)
     by_upstream = (load_tracker, health, latency_factors, prefixes, residency, rates, retry_times)
-    for part in (*by_upstream, first_events, path, brittle):
+    for part in (*by_upstream, first_events, path, brittle, new_connections):
         directory.on_gone(part.forget)
     path.on_lost(changes.notify)
     path.on_restored(health.forgive)
@@ -76,4 +79,5 @@
         backpressure,
         first_events,
         path,
+        new_connections,
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
@@ -8,6 +8,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.new_connections import NewConnections
 from redwingscale_daemon._internal.fleet.outcomes import Outcomes
 from redwingscale_daemon._internal.fleet.own_path import OwnPath
 
@@ -33,9 +34,15 @@
     only some of the instances cannot reach it.
     """
 
-    def __init__(self, outcomes: Outcomes, path: OwnPath | None = None) -> None:
+    def __init__(
+        self,
+        outcomes: Outcomes,
+        path: OwnPath | None = None,
+        connections: NewConnections | None = None,
+    ) -> None:
         self._outcomes = outcomes
         self._path = path or OwnPath()
+        self._connections = connections or NewConnections()
         self._lock = threading.Lock()
         self._suspicions: dict[str, _Suspicion] = {}
         self._unreachable_until: dict[str, float] = {}
@@ -107,15 +114,17 @@
 
     def is_unreachable(self, upstream_id: str) -> bool:
         """Return whether ``upstream_id`` accepted no connection lately, or none can be reached."""
-        if self._path.lost:
+        if self._path.lost or self._connections.is_closed(upstream_id):
             return True
         until = self._unreachable_until.get(upstream_id)
         return until is not None and time.monotonic() < until
 
     def unreachable_since(self, upstream_ids: Iterable[str]) -> float:
         """Return the monotonic time from which all of ``upstream_ids`` were unreachable."""
-        since = self._unreachable_since
-        return max((since.get(key, float("-inf")) for key in upstream_ids), default=float("-inf"))
+        never = float("-inf")
+        refused, broken = self._unreachable_since.get, self._connections.broken_since
+        times = [time for key in upstream_ids for time in (refused(key), broken(key))]
+        return max((time for time in times if time is not None), default=never)
 
     def forgive(self) -> None:
         """Drop all failures: they came from the path of this instance, which works again."""
@@ -129,7 +138,7 @@
     @property
     def any_unreachable(self) -> bool:
         """Whether an upstream has accepted no connection since its last answer."""
-        return bool(self._unreachable_until)
+        return bool(self._unreachable_until or self._connections.broken())
 
     def all_unreachable(self) -> list[str]:
         """Return the upstreams that have accepted no connection since their last answer."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
@@ -52,6 +52,12 @@
             connection.discard()
         return None
 
+    def has_idle(self, upstream_id: str) -> bool:
+        """Return whether a connection to an upstream is idle and was not closed for its age."""
+        now = time.monotonic()
+        with self._lock:
+            return any(now < one.expires_at for one in self._idle_by_upstream.get(upstream_id, ()))
+
     def open(self, upstream: Endpoint) -> UpstreamConnection:
         """Return a new connection; raises the errors of `UpstreamConnection.connect`."""
         connection = UpstreamConnection(upstream.host, upstream.port)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
@@ -43,7 +43,7 @@
         if not upstream_ids or not all(map(self._health.is_unreachable, upstream_ids)):
             return None
         failed_at = self._health.unreachable_since(upstream_ids)
-        self._offers.follow(self._health.all_unreachable(), failed_at)
+        self._offers.follow(upstream_ids, failed_at)
         return self._offers.choose(failed_at, upstream_ids)
 
     def _choose_without_path(self, call: Call, since: float) -> Peer | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -14,6 +14,7 @@
 )
 from redwingscale_daemon._internal.fleet.backpressure import Backpressure
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureTracker
+from redwingscale_daemon._internal.fleet.new_connections import NewConnections
 from redwingscale_daemon._internal.fleet.own_path import OwnPath
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
@@ -41,12 +42,14 @@
         backpressure: BackpressureTracker,
         open_bytes: UpstreamBytes | None = None,
         path: OwnPath | None = None,
+        connections: NewConnections | None = None,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
         self._backpressure = backpressure
         self._open_bytes = open_bytes or UpstreamBytes()
         self._path = path or OwnPath()
+        self._connections = connections or NewConnections()
 
     def send(
         self,
@@ -66,20 +69,13 @@
         if not self._open_bytes.take(upstream.id, size):
             return NotRun(upstream, "too many bytes open", misdirected=False, reached=True)
         began_at = time.monotonic()
-        try:
-            connection = self._pool.take_idle(upstream) or self._pool.open(upstream)
-        except (HTTPError, OSError) as error:
-            self._open_bytes.give(upstream.id, size)
-            self._path.note_failed(upstream.id, "no connection", began_at)
-            # urllib3 chains the error of the socket.
-            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
-            return NotRun(
-                upstream,
-                f"no connection: {error!r}",
-                misdirected=False,
-                reached=False,
-                refused=is_refused,
-            )
+        connection = self._pool.take_idle(upstream)
+        if connection is None:
+            opened = self._open(upstream, began_at)
+            if isinstance(opened, NotRun):
+                self._open_bytes.give(upstream.id, size)
+                return opened
+            connection = opened
         connection.on_request_end = partial(self._open_bytes.give, upstream.id, size)
         sent_at = time.monotonic()
         try:
@@ -93,6 +89,8 @@
             # An upstream may close a connection that was idle.
             if isinstance(error, OSError | UpstreamSilent) and not connection.response_count:
                 self._path.note_failed(upstream.id, "no byte on a new connection", began_at)
+                if isinstance(error, ConnectionError):
+                    self._connections.note_broken(upstream.id)
             connection.discard()
             return lost_by(upstream, error)
         except Exception:
@@ -100,6 +98,8 @@
             connection.discard()
             raise
         self._path.note_heard(upstream.id)
+        if connection.response_count == 1:
+            self._connections.note_opened(upstream.id, began_at)
         if response is None:
             connection.discard()
             return Lost(upstream, "answers of other requests")
@@ -109,6 +109,21 @@
             return refused._replace(retry_later=bool(backpressure.retry_after_seconds))
         return Answering(upstream, connection, response)
 
+    def _open(self, upstream: Upstream, began_at: float) -> UpstreamConnection | NotRun:
+        if not self._connections.may_open(upstream.id):
+            reason = "no connection: new ones break"
+            return NotRun(upstream, reason, misdirected=False, reached=False)
+        try:
+            return self._pool.open(upstream)
+        except (HTTPError, OSError) as error:
+            self._path.note_failed(upstream.id, "no connection", began_at)
+            # urllib3 chains the error of the socket.
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            if is_refused:
+                self._connections.note_broken(upstream.id)
+            reason = f"no connection: {error!r}"
+            return NotRun(upstream, reason, misdirected=False, reached=False, refused=is_refused)
+
     def release(self, answering: Answering) -> None:
         """Return the connection of a fully read response to the pool, or close it."""
         idle = self._dialect.idle_seconds(answering.response)
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_new_connections_break.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_new_connections_break.py
@@ -1,5 +1,6 @@
 """An instance whose connections to upstreams live on while new ones are reset."""
 
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -34,6 +35,14 @@
     return deployment
 
 
+def keep_asking(instance, stopped):
+    """Request streams one after another: a peer tells by its own requests what it reaches."""
+    number = 0
+    while not stopped.wait(0.05):
+        instance.request_stream("m1", 2, request=f"peer-{number}")
+        number += 1
+
+
 def served_at_once(instance, play):
     """Request streams at the same time, and return how many are whole."""
 
@@ -48,12 +57,19 @@
 def test_callers_are_served_while_new_connections_break(fleet):
     """Guards against requests that are lost on new connections while open ones answer."""
     instance = next(each for each in fleet.instances if each.name != fleet.leader())
-    with ThreadPoolExecutor(1) as pool:
+    stopped = threading.Event()
+    with ThreadPoolExecutor(1 + len(INSTANCES)) as pool:
+        for peer in fleet.instances:
+            if peer is not instance:
+                pool.submit(keep_asking, peer, stopped)
         stream = pool.submit(instance.request_stream, "m1", LONG_EVENTS, request="long")
         until(lambda: b"request=long" in instance.log.read_bytes(), "the long stream")
         fleet.cut(instance, PathFault.REFUSE_NEW)
-        time.sleep(CONTACT_SECONDS)
+        cut_at = time.monotonic()
+        while time.monotonic() < cut_at + CONTACT_SECONDS:
+            served_at_once(instance, "uncounted")
         served = [served_at_once(instance, play) for play in range(PLAYS)]
+        stopped.set()
         fleet.heal(instance)
         assert stream.result() == (200, [*range(1, LONG_EVENTS + 1)])
     assert served == [AT_ONCE] * PLAYS
