Let stand-in workers pause in mid-stream, and links delay their answers

Cause: no stand-in fell silent in mid-stream and went on, as a worker that preempts a run does, and no link delayed bytes in flight in one direction, so relays were only tried against workers that send at once or end. Change: ModelWorker.pause (one run or one in several), FaultyLink.delay_from_seconds; the number of running streams is public.

--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -1,5 +1,6 @@
 """A model worker that streams numbered events, serves reports and takes orders."""
 
+import itertools
 import threading
 import time
 from collections.abc import Iterator
@@ -23,6 +24,14 @@
     load: float = 0.05
 
 
+class StreamPause(NamedTuple):
+    """A silence of ``seconds`` after some events of every ``every``-th run, which then goes on."""
+
+    seconds: float
+    after_events: int = 3
+    every: int = 1
+
+
 class Rejection(NamedTuple):
     """A rejected request and the monotonic time of the rejection."""
 
@@ -51,6 +60,8 @@
         self.brittle: int | None = None
         # How many requests run at once; the rest is rejected. None for no bound.
         self.room: int | None = None
+        # How runs that begin now pause in mid-stream, as one preempted for memory does.
+        self.pause: StreamPause | None = None
         # Monotonic times at which the worker fell over.
         self.falls: list[float] = []
         # Every request that was rejected, with Retry-After or for want of room.
@@ -60,7 +71,9 @@
         self._timing = timing or WorkerTiming()
         self._lock = threading.Lock()
         self._busy = False
-        self._running = 0
+        # How many streams run now.
+        self.running = 0
+        self._stream_numbers = itertools.count(1)
 
     @cherrypy.expose
     def default(self, *segments: str, **_: str) -> bytes | Iterator[bytes]:
@@ -107,19 +120,24 @@
         return self._events(first, last)
 
     def _events(self, first: int, last: int) -> Iterator[bytes]:
+        pause = self.pause
+        if pause is not None and next(self._stream_numbers) % pause.every:
+            pause = None
         try:
             for number in range(first, last + 1):
                 time.sleep(self._timing.gap)
                 yield f"id: {number}\ndata: token{number}\n\n".encode()
+                if pause is not None and number == first + pause.after_events - 1:
+                    time.sleep(pause.seconds)
         finally:
             with self._lock:
-                self._running -= 1
+                self.running -= 1
 
     def _take_room(self) -> bool:
         with self._lock:
-            if self.room is not None and self._running >= self.room:
+            if self.room is not None and self.running >= self.room:
                 return False
-            self._running += 1
+            self.running += 1
             return True
 
     def _reject_for_room(self) -> bytes:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
@@ -4,7 +4,6 @@
 import struct
 import threading
 import time
-from collections.abc import Callable
 
 from redwingscale_common.utils.logs import log_event
 
@@ -21,6 +20,7 @@
 
     ``hold_to`` and ``hold_from`` hold the bytes of one direction and deliver them when
     the fault ends, like a network that drops packets which are retransmitted later.
+    ``delay_seconds`` delays both directions, ``delay_from_seconds`` what the target sends.
     `silence` discards all further traffic of the connections that are open now. ``paths``
     has the client processes that the link fails for.
     """
@@ -31,6 +31,7 @@
         # The fault of each accepted connection, and the version of the paths it was found at.
         self._fault_by_client: dict[socket.socket, tuple[int, PathFault | None]] = {}
         self.delay_seconds = 0.0
+        self.delay_from_seconds = 0.0
         self.hold_to = False
         self.hold_from = False
         self.refuse = False
@@ -44,7 +45,7 @@
 
     def heal(self) -> None:
         """End every fault; silenced connections stay silent."""
-        self.delay_seconds = 0.0
+        self.delay_seconds = self.delay_from_seconds = 0.0
         self.hold_to = self.hold_from = self.refuse = False
 
     def silence(self) -> None:
@@ -105,31 +106,22 @@
 
     def _pump_both(self, client: socket.socket, server: socket.socket) -> None:
         generation = self._generation
-        for source, sink, is_held in (
-            (client, server, lambda: self.hold_to or self._holds(client)),
-            (server, client, lambda: self.hold_from or self._holds(client)),
-        ):
+        for from_target in (False, True):
             threading.Thread(
-                target=self._pump, args=(source, sink, is_held, generation), daemon=True
+                target=self._pump, args=(client, server, from_target, generation), daemon=True
             ).start()
 
-    def _holds(self, client: socket.socket) -> bool:
-        return self._fault(client) is PathFault.HOLD
-
     def _pump(
-        self,
-        source: socket.socket,
-        sink: socket.socket,
-        is_held: Callable[[], bool],
-        generation: int,
+        self, client: socket.socket, server: socket.socket, from_target: bool, generation: int
     ) -> None:
+        source, sink = (server, client) if from_target else (client, server)
         try:
             while data := source.recv(CHUNK_BYTES):
-                if self._wait(is_held):
+                if self._wait(client, from_target):
                     _raise_if_reset(source)
                 if generation == self._generation:
                     sink.sendall(data)
-            self._wait(is_held)
+            self._wait(client, from_target)
             if generation == self._generation:
                 sink.shutdown(socket.SHUT_WR)
         except OSError:
@@ -141,12 +133,17 @@
             _reset(source)
             _reset(sink)
 
-    def _wait(self, is_held: Callable[[], bool]) -> bool:
+    def _is_held(self, client: socket.socket, from_target: bool) -> bool:
+        held = self.hold_from if from_target else self.hold_to
+        return held or self._fault(client) is PathFault.HOLD
+
+    def _wait(self, client: socket.socket, from_target: bool) -> bool:
         """Wait as the current faults require; return whether bytes were held."""
-        if self.delay_seconds:
-            time.sleep(self.delay_seconds)
-        was_held = is_held()
-        while is_held() and not self._closed:
+        delay_seconds = self.delay_seconds + (self.delay_from_seconds if from_target else 0.0)
+        if delay_seconds:
+            time.sleep(delay_seconds)
+        was_held = self._is_held(client, from_target)
+        while self._is_held(client, from_target) and not self._closed:
             time.sleep(HOLD_POLL_SECONDS)
         return was_held
 
