Let the soak pause sound workers, slow paths and callers, beside versions

Cause: the soak's workers answered at once or broke off, its callers always read, and versions came alone. Change: drawn apart, so that the other faults of a seed stay the same, in both kinds of seeds: model workers pause in mid-stream for 1 to 4 s, what workers send arrives up to a second later, callers of large streams stop reading for 1 to 4 s, and versions with another time limit come every 0.8 s. None counts as a disturbance; what a worker announces on a slow path is late, so the checks of rate limits, rejections and brittle workers leave these times out. A leaving worker now ends its streams before it is stopped, for up to 8 s: planned work must not break a paused stream.

--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/backpressure.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/backpressure.py
@@ -44,7 +44,7 @@
 def _add_period(
     world: World, host: WorkerHost, begun_at: float, retry_seconds: float | None
 ) -> None:
-    undisturbed = world.disturbance.last_at < begun_at - UNDISTURBED_SECONDS
+    undisturbed = world.announced_late_at() < begun_at - UNDISTURBED_SECONDS
     period = BackpressurePeriod(host.worker, begun_at, time.monotonic(), undisturbed, retry_seconds)
     world.backpressure_periods.append(period)
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/brittle.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/brittle.py
@@ -27,16 +27,16 @@
 def make_brittle(world: World, host: WorkerHost, rng: random.Random) -> None:
     """Make a worker brittle for some seconds, and give it little room."""
     worker = host.worker
-    calm = world.disturbance.last_at < time.monotonic() - UNDISTURBED_SECONDS
+    calm = world.announced_late_at() < time.monotonic() - UNDISTURBED_SECONDS
     with world.disturbance.during():
-        faults = world.disturbance.begun
+        faults = world.disturbance.begun + world.slow_paths.begun
         worker.brittle = rng.choice(REJECTIONS)
         time.sleep(NOTICE_SECONDS)
         before = len(worker.falls)
         worker.room = rng.choice(ROOM)
         time.sleep(rng.uniform(SHORTEST_SECONDS, LONGEST_SECONDS))
         falls = len(worker.falls) - before
-        undisturbed = calm and world.disturbance.begun == faults
+        undisturbed = calm and world.disturbance.begun + world.slow_paths.begun == faults
         world.brittle_periods.append(BrittlePeriod(worker.id, falls, undisturbed))
         worker.room = worker.brittle = None
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
@@ -9,6 +9,7 @@
 
 from redwingscale_standins.hosted.documents import HOST
 from redwingscale_standins.soak.ledger import RequestResult
+from redwingscale_standins.soak.soak_worker import LARGE_MARK
 from redwingscale_standins.soak.world import (
     LIMITED_KEY,
     PLAIN_LIMIT_SECONDS,
@@ -25,6 +26,10 @@
 IN_FORCE_SECONDS = 2.5
 DISCONNECT_SECONDS = 0.15
 DISCONNECT_FRACTION = 0.05
+# Callers of large streams that stop reading in mid-answer and go on.
+STALL_FRACTION = 0.1
+SHORTEST_STALL_SECONDS, LONGEST_STALL_SECONDS = 1.0, 4.0
+STALLED_EVENTS = 40
 PAUSE_SECONDS = 0.03
 _NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 # How often each kind of request is sent, relative to the others.
@@ -32,7 +37,7 @@
 
 
 class _Request(NamedTuple):
-    """A request, the time limit of its response, and whether its caller disconnects."""
+    """A request, the time limit of its response, and how its caller behaves."""
 
     id: str
     kind: str
@@ -41,16 +46,20 @@
     headers: dict[str, str]
     limit_seconds: float
     disconnects: bool
+    # How long the caller stops reading after the first byte of the body.
+    stall_seconds: float
 
 
 class Caller(threading.Thread):
     """Keeps its connection until it closes, then connects to an instance not stopping."""
 
-    def __init__(self, world: World, number: int, seed: int) -> None:
+    def __init__(self, world: World, number: int, seed: int, *, stalls: bool = False) -> None:
         super().__init__(name=f"caller-{number}", daemon=True)
         self._world = world
         self._number = number
         self._random = random.Random(seed * 1000 + number)
+        # Apart from the other draws, so that those of a seed stay the same.
+        self._stalls = random.Random(f"stalls {seed} {number}") if stalls else None
         self._connection: http.client.HTTPConnection | None = None
         self._node = world.nodes[number % len(world.nodes)]
         self._sent_count = 0
@@ -70,18 +79,23 @@
         headers["Authorization"] = f"Bearer {self._key(kind)}"
         body = self._random.randbytes(self._random.choice([0, 40, 3000]))
         disconnects = self._random.random() < DISCONNECT_FRACTION
+        stall_seconds = 0.0
         if kind == "stream":
             model = self._random.choices(["m1", "m2", "m3", "m4"], [6, 3, 1, 1])[0]
             headers["X-Redwingscale-Model-Name"] = model
             headers["X-Redwingscale-Token-Usage"] = f"10,{self._random.randint(1, 25)}"
             headers["X-Redwingscale-Deadline-Ms"] = str(int(STREAM_LIMIT_SECONDS * 1000))
             path, limit = "/live/x", STREAM_LIMIT_SECONDS
+            if self._stalls is not None and self._stalls.random() < STALL_FRACTION:
+                stall_seconds = self._stalls.uniform(SHORTEST_STALL_SECONDS, LONGEST_STALL_SECONDS)
+                body = LARGE_MARK + request_id.encode()
+                headers["X-Redwingscale-Token-Usage"] = f"10,{STALLED_EVENTS}"
         else:
             version = self._world.version
             segment = "once" if kind == "once" else "safe"
             path = f"/v{version}/x" if kind == "newest" else f"/{segment}/{request_id}?a=%2F"
             limit = PLAIN_LIMIT_SECONDS
-        return _Request(request_id, kind, path, body, headers, limit, disconnects)
+        return _Request(request_id, kind, path, body, headers, limit, disconnects, stall_seconds)
 
     def _key(self, kind: str) -> str:
         match kind:
@@ -109,7 +123,10 @@
             else:
                 response = connection.getresponse()
                 status = response.status
-                body = response.read()
+                if request.stall_seconds:
+                    body = response.read(1)
+                    time.sleep(request.stall_seconds)
+                body += response.read()
                 complete = True
                 self._check(request, node, response, body, process.pid)
         except (OSError, http.client.HTTPException):
@@ -118,7 +135,7 @@
         ended_at = time.monotonic()
         if status is not None and not complete and status >= 300:
             status = None
-        self._check_time(request, node, ended_at - sent_at)
+        self._check_time(request, node, ended_at - sent_at - request.stall_seconds)
         self._world.ledger.add_result(
             RequestResult(
                 request.id,
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -12,6 +12,7 @@
 from redwingscale_standins.soak.ending_body import send_ending_bodies
 from redwingscale_standins.soak.faulty_link import FaultyLink
 from redwingscale_standins.soak.lost_path import cut_path
+from redwingscale_standins.soak.stalls import play_stalls
 from redwingscale_standins.soak.world import (
     MODEL_SERVICE,
     Node,
@@ -28,6 +29,8 @@
 # nothing and is only removed from the list may serve for longer.
 LEAVING_SECONDS = 4.0
 UNANNOUNCED_LEAVING_SECONDS = 12.0
+# A leaving worker ends the streams that it has begun, for as long as callers wait.
+LONGEST_STREAM_SECONDS = 8.0
 # The leader announces a change of the list for three seconds: an instance that is cut off
 # from the store for longer has to detect the change by itself.
 SHORTEST_CUT_SECONDS = 4.0
@@ -45,9 +48,17 @@
 class Faults:
     """Draws faults from the world's seeded generator and runs each in its own thread."""
 
-    def __init__(self, world: World, *, planned_only: bool, ending_bodies: bool = False) -> None:
+    def __init__(
+        self,
+        world: World,
+        *,
+        planned_only: bool,
+        ending_bodies: bool = False,
+        stalls: bool = False,
+    ) -> None:
         self._world = world
         self._ending_bodies = ending_bodies
+        self._stalls = stalls
         self._random = world.random
         planned: list[Callable[[], None]] = [
             self._stop_instance,
@@ -85,6 +96,8 @@
         end = time.monotonic() + seconds
         if self._ending_bodies:
             self._begin("bodies that end workers", lambda: send_ending_bodies(self._world, seconds))
+        if self._stalls:
+            self._begin("stalls", lambda: play_stalls(self._world, seconds, self._begin))
         while time.monotonic() < end:
             self._random.choice(self._menu)()
             pause = self._random.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
@@ -290,7 +303,7 @@
             host.worker.rate_limit = rate
             time.sleep(seconds)
             host.worker.rate_limit = None
-            undisturbed = self._world.disturbance.last_at < begun_at - UNDISTURBED_SECONDS
+            undisturbed = self._world.announced_late_at() < begun_at - UNDISTURBED_SECONDS
             period = RateLimitPeriod(host.worker, rate, begun_at, time.monotonic(), undisturbed)
             self._world.rate_limit_periods.append(period)
 
@@ -347,6 +360,7 @@
             begin(host)
             host.left_at = time.monotonic()
             time.sleep(seconds)
+            host.worker.wait_until_idle(LONGEST_STREAM_SECONDS)
             self._world.drop(host)
 
         self._begin(f"{host.worker.id} {kind}", fault)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -46,17 +46,29 @@
 
 
 def play(
-    seed: int, seconds: float, instances: int, directory: Path, *, ending_bodies: bool = True
+    seed: int,
+    seconds: float,
+    instances: int,
+    directory: Path,
+    *,
+    ending_bodies: bool = True,
+    stalls: bool = True,
 ) -> Outcome:
     """Run one seed and return its outcome; logs are kept in ``directory``.
 
     With ``ending_bodies``, seeds with unplanned faults have bodies that end their workers.
+    With ``stalls``, all seeds have sound workers that pause, slow paths and slow callers.
     """
     planned_only = seed % PLANNED_EVERY == 0
     world = World(directory, instances, seed)
-    callers = [Caller(world, number, seed) for number in range(instances * CALLERS_EACH)]
+    callers = [
+        Caller(world, number, seed, stalls=stalls) for number in range(instances * CALLERS_EACH)
+    ]
     faults = Faults(
-        world, planned_only=planned_only, ending_bodies=ending_bodies and not planned_only
+        world,
+        planned_only=planned_only,
+        ending_bodies=ending_bodies and not planned_only,
+        stalls=stalls,
     )
     ended = threading.Event()
     history = _WorkerHistory(world)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak_worker.py
@@ -16,6 +16,12 @@
 PLAIN_SECONDS = 0.02
 # The begin of a body that ends the worker.
 ENDING_MARK = b"ends its worker"
+# The begin of a body whose events are large, and what they have in addition. The whole
+# response is more than the buffers of a connection hold, so that a caller that stops
+# reading is noticed.
+LARGE_MARK = b"large events"
+LARGE_DATA = b"data: " + b"x" * 32768 + b"\n\n"
+IDLE_POLL_SECONDS = 0.05
 _MODEL_MB = {str(model["Name"]): float(str(model["WeightsMb"])) for model in MODELS}
 
 
@@ -36,7 +42,10 @@
             self.crashed = True
             self.on_ending_body()
             drop_connection()
-        return super()._serve(headers, body)
+        answer = super()._serve(headers, body)
+        if isinstance(answer, bytes) or not body.startswith(LARGE_MARK):
+            return answer
+        return (event[:-1] + LARGE_DATA for event in answer)
 
     def _run(self, headers: Any) -> bytes | Iterator[bytes]:
         if self.crashed:
@@ -69,6 +78,12 @@
                 raise ConnectionAbortedError("the response is dropped")
             yield event
 
+    def wait_until_idle(self, longest_seconds: float) -> None:
+        """Wait until no stream runs, or for ``longest_seconds``."""
+        end = time.monotonic() + longest_seconds
+        while self.running and time.monotonic() < end:
+            time.sleep(IDLE_POLL_SECONDS)
+
     def _order(self, order: dict[str, Any]) -> bytes:
         before = len(self.orders)
         answer = super()._order(order)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -26,6 +26,8 @@
 MODEL_SERVICE, PLAIN_SERVICE = "llm", "plain"
 MODEL_WORKERS, PLAIN_WORKERS = 3, 2
 PLAIN_LIMIT_SECONDS = 4.0
+# Of the route of streams, in turn with each version; callers' own deadlines are shorter.
+STREAM_ROUTE_LIMITS_MS = (20000, 15000)
 # Valid in every version, for a workspace without a limit.
 STEADY_KEY = "steady-key"
 LIMITED_KEY = "limited-key"
@@ -125,6 +127,8 @@
         # Unplanned faults of any kind, and faults of the whole store.
         self.disturbance = Disturbance()
         self.store_disturbance = Disturbance()
+        # Paths on which responses of workers, and so their announcements, are late.
+        self.slow_paths = Disturbance()
         self.ending_bodies: list[EndingBody] = []
         # Which instances have lost their path to the workers.
         self.paths = ProcessPaths()
@@ -132,6 +136,7 @@
         self.brittle_periods: list[BrittlePeriod] = []
         self._stopped = False
         self._listing = threading.Lock()
+        self._version_lock = threading.Lock()
         self.version = 0
         self.version_at = 0.0
         self._store = HttpServer(self.rows, "127.0.0.1", 0, ServerLimits(threads=64))
@@ -206,10 +211,20 @@
         # Called by a thread of the server that it stops.
         threading.Thread(target=replace, name=f"replace {host.worker.id}", daemon=True).start()
 
+    def announced_late_at(self) -> float:
+        """Return when an unplanned fault or a slow path last delayed what workers announce."""
+        return max(self.disturbance.last_at, self.slow_paths.last_at)
+
     def change_configuration(self) -> None:
-        """Write the next configuration version, with a route that contains its number."""
+        """Write the next version: another time limit, and a route that contains its number."""
+        with self._version_lock:
+            self._write_next_version()
+
+    def _write_next_version(self) -> None:
         self.version += 1
         configuration = document(self.version)
+        limit_ms = STREAM_ROUTE_LIMITS_MS[self.version % len(STREAM_ROUTE_LIMITS_MS)]
+        configuration["Routes"][0]["TimeoutMs"] = limit_ms
         configuration["Routes"] += [
             _plain_route("safe", "/safe/", "safe"),
             _plain_route("once", "/once/", "unsafe"),
