Check in the soak that an answer whose worker goes on arrives whole

Cause: a stream that was cut after its head kept the status 200, and no check of the soak looked at it: the check of planned work counts only connections that end without a status. Change: callers record whether an answer was complete; faults that end connections record whose and when. An answer cut after a worker ran it is a finding unless its caller left, its deadline was reached, the last worker that began it broke off meanwhile, or its instance (with a lost path: any instance) was killed or had its connections reset.

--- a/packages/redwingscale-daemon/tests/functional/hosted/test_whole_answers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_whole_answers.py
@@ -1,17 +1,29 @@
-"""Stand-ins that are silent, or whose bytes are late, while they go on."""
+"""The faults of the soak that leave a worker sound, and the check of its whole answers."""
 
 import http.client
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 from redwingscale_common.network.server import HttpServer, ServerLimits
 from redwingscale_standins.hosted.model_worker import ModelWorker, StreamPause
 from redwingscale_standins.soak.faulty_link import FaultyLink
+from redwingscale_standins.soak.ledger import Break, Ledger, RequestResult, Run
+from redwingscale_standins.soak.lost_path import PathCut
+from redwingscale_standins.soak.whole_answers import check_whole_answers
 
 EVENTS = 6
 PAUSE_SECONDS = 0.6
 DELAY_SECONDS = 0.5
+PROCESS, OTHER_PROCESS = 41, 42
+# The answer was sent at 0 s, ran from 1 s at w1, and was cut after 3 s, with a limit of 8 s.
+RESULT = RequestResult(
+    request="r1", kind="stream", path="/live/x", body=b"", instance="n1", status=200,
+    sent_at=0.0, ended_at=3.0, disconnected=False, undisturbed_since=0.0, process=PROCESS,
+    complete=False, limit_seconds=8.0, stall_seconds=0.0,
+)  # fmt: skip
+RUN = Run("w1", "/live/x", b"", 1.0)
 
 
 @pytest.fixture
@@ -71,3 +83,68 @@
     assert events == EVENTS
     assert times[0] >= DELAY_SECONDS
     link.close()
+
+
+def _findings(result=RESULT, runs=(RUN,), breaks=(), path_cuts=(), no_room=()):
+    ledger = Ledger()
+    ledger.results.append(result)
+    ledger.runs[result.request] += runs
+    ledger.breaks += breaks
+    ledger.no_room |= set(no_room)
+    check_whole_answers(SimpleNamespace(ledger=ledger, path_cuts=list(path_cuts)))
+    return ledger.findings
+
+
+EXCUSES = {
+    "whole": {"result": RESULT._replace(complete=True)},
+    "not run": {"runs": ()},
+    "caller left": {"result": RESULT._replace(disconnected=True)},
+    "deadline": {"result": RESULT._replace(ended_at=8.0)},
+    "worker ended": {"breaks": [Break("w1", 2.0, 2.1)]},
+    "worker ended with the request in flight": {"breaks": [Break("w1", 0.9, 0.95)]},
+    "instance ended": {"breaks": [Break(PROCESS, 2.0, 2.1)]},
+    "relaying instance ended": {
+        "breaks": [Break(OTHER_PROCESS, 2.0, 2.1)],
+        "path_cuts": [PathCut("n1", 0.5, 5.0, True)],
+    },
+    "resumed, then the next worker ended": {
+        "runs": (RUN, Run("w2", "/live/x", b"", 2.0)),
+        "breaks": [Break("w2", 2.5, 2.6)],
+    },
+    "ended, and the next worker had no room": {
+        "runs": (RUN, Run("w2", "/live/x", b"", 2.0)),
+        "breaks": [Break("w1", 1.5, 1.6)],
+        "no_room": [("r1", "w2")],
+    },
+}
+FAULTS = {
+    "nothing ended": {},
+    "no status": {"result": RESULT._replace(status=None)},
+    "slow caller": {"result": RESULT._replace(stall_seconds=2.0)},
+    "shortly before the deadline": {"result": RESULT._replace(ended_at=7.7)},
+    "another worker ended": {"breaks": [Break("w2", 2.0, 2.1)]},
+    "worker ended before the run": {"breaks": [Break("w1", 0.1, 0.5)]},
+    "worker ended after the cut": {"breaks": [Break("w1", 3.1, 3.2)]},
+    "another instance ended": {"breaks": [Break(OTHER_PROCESS, 2.0, 2.1)]},
+    "another instance ended while a third had no path": {
+        "breaks": [Break(OTHER_PROCESS, 2.0, 2.1)],
+        "path_cuts": [PathCut("n3", 0.5, 5.0, True)],
+    },
+    "path lost, but nothing ended": {"path_cuts": [PathCut("n1", 0.5, 5.0, True)]},
+    "the first worker ended, the next goes on": {
+        "runs": (RUN, Run("w2", "/live/x", b"", 2.0)),
+        "breaks": [Break("w1", 1.5, 1.6)],
+    },
+}
+
+
+@pytest.mark.parametrize("case", EXCUSES)
+def test_excused(case):
+    # Guards against false findings, which would hide the true ones.
+    assert _findings(**EXCUSES[case]) == []
+
+
+@pytest.mark.parametrize("case", FAULTS)
+def test_found(case):
+    # Guards against answers that are cut unnoticed beside a fault that has not ended them.
+    assert len(_findings(**FAULTS[case])) == 1
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
@@ -149,6 +149,9 @@
                 request.disconnects,
                 max(node.disturbance.last_at, self._world.store_disturbance.last_at),
                 process.pid,
+                complete,
+                request.limit_seconds,
+                request.stall_seconds,
             )
         )
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -42,6 +42,8 @@
 RATE_LIMITS = (0.5, 1.0, 4.0)
 # Bytes delayed on a link arrive when it heals.
 UNDISTURBED_SECONDS = 4.0
+# Those that end the answers under way; bytes of the others arrive later.
+BREAKING_LINK_FAULTS = frozenset({"refuse", "silence", "reset"})
 LINK_FAULTS = ("delay", "hold_to", "hold_from", "refuse", "silence", "reset")
 
 
@@ -162,7 +164,8 @@
     def _kill(self, node: Node) -> None:
         with node.disturbance.during(), self._world.disturbance.during():
             node.stopping = True
-            node.process.end()
+            with self._world.ledger.breaking(node.process.process.pid):
+                node.process.end()
             time.sleep(self._duration() / 3)
             self._restart(node)
 
@@ -274,7 +277,8 @@
         kind = self._random.choice(LINK_FAULTS)
 
         def fault() -> None:
-            with self._world.disturbance.during():
+            broken = [host.worker.id] if kind in BREAKING_LINK_FAULTS else []
+            with self._world.disturbance.during(), self._world.ledger.breaking(*broken):
                 self._apply_link_fault(host.link, kind, seconds)
 
         self._begin(f"link of {host.worker.id}: {kind} {seconds:.2f}", fault)
@@ -284,7 +288,8 @@
         what = self._random.choice(["failing", "losing"])
 
         def fault() -> None:
-            with self._world.disturbance.during():
+            broken = [host.worker.id] if what == "losing" else []
+            with self._world.disturbance.during(), self._world.ledger.breaking(*broken):
                 setattr(host.worker, what, True)
                 time.sleep(seconds)
                 setattr(host.worker, what, False)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/ledger.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/ledger.py
@@ -3,6 +3,8 @@
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 
@@ -24,11 +26,21 @@
     at: float
 
 
+class Break(NamedTuple):
+    """A fault that ends open connections of a worker, or of the process with this id."""
+
+    place: str | int
+    begun_at: float
+    ended_at: float
+
+
 class RequestResult(NamedTuple):
     """The result of one request for its caller; ``status`` is None if the connection ended.
 
     No fault has disturbed the instance or the store since ``undisturbed_since``.
-    ``process`` is the process id of the instance that received the request.
+    ``process`` is the process id of the instance that received the request. ``complete`` is
+    false if the connection ended before the end of the response. The caller did not read
+    for ``stall_seconds``.
     """
 
     request: str
@@ -42,6 +54,9 @@
     disconnected: bool
     undisturbed_since: float
     process: int
+    complete: bool
+    limit_seconds: float
+    stall_seconds: float
 
 
 class Ledger:
@@ -52,6 +67,9 @@
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.orders: dict[str, list[Order]] = defaultdict(list)
         self.results: list[RequestResult] = []
+        self.breaks: list[Break] = []
+        # Requests and the workers that had no room for them, although a run was recorded.
+        self.no_room: set[tuple[str, str]] = set()
         self.findings: list[str] = []
         # Requests that the soak itself sends, in addition to the callers.
         self.probes: set[str] = set()
@@ -71,6 +89,16 @@
         with self._lock:
             self.results.append(result)
 
+    @contextmanager
+    def breaking(self, *places: str | int) -> Iterator[None]:
+        """Record that the block ends open connections of workers or processes."""
+        begun_at = time.monotonic()
+        try:
+            yield
+        finally:
+            with self._lock:
+                self.breaks += [Break(place, begun_at, time.monotonic()) for place in places]
+
     def add_finding(self, rule: str, detail: str) -> None:
         """Record a broken promise."""
         with self._lock:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/lost_path.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/lost_path.py
@@ -35,9 +35,10 @@
     process = node.process.process.pid
     with world.disturbance.during():
         faults, begun_at = world.disturbance.begun, time.monotonic()
-        world.paths.cut(process, fault)
-        if fault is PathFault.RESET:
-            for host in list(world.worker_hosts.values()):
+        resets = fault is PathFault.RESET
+        with world.ledger.breaking(*([process] if resets else [])):
+            world.paths.cut(process, fault)
+            for host in list(world.worker_hosts.values()) if resets else ():
                 host.link.reset_cut()
         time.sleep(rng.uniform(SHORTEST_CUT_SECONDS, LONGEST_CUT_SECONDS))
         undisturbed = calm and world.disturbance.begun == faults
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -23,6 +23,7 @@
 from redwingscale_standins.soak.ending_body import check_ending_bodies
 from redwingscale_standins.soak.faults import Faults
 from redwingscale_standins.soak.lost_path import check_path_cuts
+from redwingscale_standins.soak.whole_answers import check_whole_answers
 from redwingscale_standins.soak.world import STEADY_KEY, WorkerHost, World
 
 CALLERS_EACH = 4
@@ -87,6 +88,7 @@
         _check_recovery(world)
         check_requests(world)
         check_cuts(world, planned_only=planned_only)
+        check_whole_answers(world)
         check_orders(world, HANDOVER_PAUSE_SECONDS / 2)
         check_limit(world)
         check_rate_limits(world)
@@ -103,6 +105,7 @@
         faults.wait()
         world.stop()
         (directory / "faults.log").write_text("\n".join(faults.log) + "\n")
+        (directory / "findings.log").write_text("\n".join(world.ledger.findings) + "\n")
     results = world.ledger.results
     answered = sum(result.status is not None and result.status < 300 for result in results)
     return Outcome(seed, len(results), answered, len(faults.log), world.ledger.findings)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak_worker.py
@@ -78,6 +78,11 @@
                 raise ConnectionAbortedError("the response is dropped")
             yield event
 
+    def _reject_for_room(self) -> bytes:
+        request = cherrypy.request.headers.get("X-Redwingscale-Request-Id", "")
+        self._ledger.no_room.add((request, self.id))
+        return super()._reject_for_room()
+
     def wait_until_idle(self, longest_seconds: float) -> None:
         """Wait until no stream runs, or for ``longest_seconds``."""
         end = time.monotonic() + longest_seconds
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -189,8 +189,9 @@
 
     def drop(self, host: WorkerHost) -> None:
         """Stop a worker immediately, then remove its row."""
-        host.worker.crashed = True
-        host.link.close()
+        with self.ledger.breaking(host.worker.id):
+            host.worker.crashed = True
+            host.link.close()
         self.worker_hosts.pop(host.worker.id, None)
         self.unlist(host)
         host.server.stop()
@@ -209,7 +210,8 @@
                 self.add_worker(host.service, set(host.worker.models))
 
         # Called by a thread of the server that it stops.
-        threading.Thread(target=replace, name=f"replace {host.worker.id}", daemon=True).start()
+        with self.ledger.breaking(host.worker.id):
+            threading.Thread(target=replace, name=f"replace {host.worker.id}", daemon=True).start()
 
     def announced_late_at(self) -> float:
         """Return when an unplanned fault or a slow path last delayed what workers announce."""
