Use a path again once it carries events of open streams

What callers saw: an instance whose only upstreams paused together refused all new requests for seconds after their streams had gone on (503, no path). Cause: a path that was lost came back with two heads of answers only; events of open streams did not count. Change: each event of a stream counts as heard while the path is lost.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
@@ -110,6 +110,13 @@
         elif self._suspected:
             self.evidence()
 
+    def note_event(self, upstream_id: str, at: float) -> None:
+        """Note an event of a stream at the monotonic time ``at``."""
+        self.heard_at = at
+        if self._lost_since is not None:
+            # A path that carries a stream works, also if no new request is sent on it.
+            self._note_heard_while_lost(upstream_id)
+
     def note_failed(
         self, upstream_id: str, reason: str, began_at: float | None = None, *, silent: bool = False
     ) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -150,7 +150,7 @@
 
     def note_written(self) -> None:
         """Note that the event yielded last was written to the caller."""
-        self._parts.path.heard_at = self._call.attempts.last_event_at or 0.0
+        self._parts.path.note_event(self.name, self._call.attempts.last_event_at or 0.0)
         self._sending.pauses.note_written()
 
     def finish(self) -> None:
