--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/own_path.py
@@ -4,10 +4,11 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.fleet.path_evidence import Evidence, Failure
+
 # Failures at fewer upstreams may be failures of these upstreams.
 DECIDING_UPSTREAMS = 2
 # A single answer may get through on a path that loses most packets.
@@ -18,26 +19,6 @@
 OVERDUE_SECONDS = 0.5
 
 
-class Evidence(NamedTuple):
-    """Exchanges that failed while no upstream was heard, all in monotonic time.
-
-    The first of them began at ``since``, and the path became suspect at ``noted_at``.
-    ``silent`` if too many of them only got no byte in time, as busy upstreams may do.
-    """
-
-    upstreams: frozenset[str]
-    since: float
-    noted_at: float
-    silent: bool
-
-
-class _Failure(NamedTuple):
-    """A failed exchange that began at the monotonic time ``at``."""
-
-    at: float
-    silent: bool
-
-
 class OwnPath:
     """Collects evidence from all exchanges with upstreams.
 
@@ -58,7 +39,7 @@
         # Monotonic time of the last byte from any upstream. Set for each event of a stream.
         self.heard_at = float("-inf")
         self._heard_at_by_id: dict[str, float] = {}
-        self._failures_by_id: dict[str, _Failure] = {}
+        self._failures_by_id: dict[str, Failure] = {}
         self._suspected = False
         self._suspected_at = float("-inf")
         # Monotonic time of the first failure of a path that is lost, None while it is not.
@@ -133,8 +114,8 @@
             current = self._current(now)
             if began_at <= max(self.heard_at, now - EVIDENCE_SECONDS):
                 return
-            before = current.get(upstream_id, _Failure(began_at, silent))
-            current[upstream_id] = _Failure(before.at, before.silent and silent)
+            before = current.get(upstream_id, Failure(began_at, silent))
+            current[upstream_id] = Failure(before.at, before.silent and silent)
             self._failures_by_id = current
             begins = not self._suspected and len(current) >= self._deciding()
             if begins:
@@ -245,7 +226,7 @@
     def _deciding(self) -> int:
         return max(1, min(DECIDING_UPSTREAMS, self._known_upstreams()))
 
-    def _current(self, now: float) -> dict[str, _Failure]:
+    def _current(self, now: float) -> dict[str, Failure]:
         since = max(self.heard_at, now - EVIDENCE_SECONDS)
         return {key: one for key, one in self._failures_by_id.items() if one.at > since}
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_watch.py
@@ -6,7 +6,8 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.fleet.own_path import Evidence, OwnPath
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
+from redwingscale_daemon._internal.fleet.path_evidence import Evidence
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
