Keep what a caller has not read instead of cutting its answer

Callers that stopped reading for 4.2 s, or took 5 KB/s, had their answers cut after 2.5 s, with 6 to 7 s left to their deadline; the reset lost also what was under way (4,000 of 1,600,000 bytes arrived).

Cause: a write waited for the caller, up to CALLER_WRITE_SECONDS, and left the upstream unread meanwhile. The limit took a caller that the network slows for one that is gone. The bounds of held bytes cut an answer as well (a 502 in mid-answer).

Change: no write waits. What the socket does not take is kept, at most 4 MB for a request and half of the budget for all, and is sent by the polls that wait for the upstream. Beyond a bound the upstream is not read, without any cut; a request that holds no more than 16 KB of its answer may always read on. The end of an answer waits for the caller up to the deadline, before the next request of the connection, and a stop of the port waits for it within its grace. At the deadline the answer ends with the reason deadline, or at once when the caller closes. The outcome caller_too_slow is gone.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -100,10 +100,6 @@
     """The caller has disconnected; nobody waits for the answer."""
 
 
-class CallerTooSlow(CallerLeft):
-    """The caller has not read its answer for so long that its connection is cut."""
-
-
 class TimeLimitReached(RedwingscaleError):
     """The caller's deadline or the route's time limit has passed."""
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
@@ -6,7 +6,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import CallerLeft, CallerTooSlow, Refusal
+from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.holder_wait import STOP_MARGIN_SECONDS
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
@@ -18,7 +18,6 @@
 
     DEADLINE = "deadline"
     CALLER_LEFT = "caller_left"
-    CALLER_TOO_SLOW = "caller_too_slow"
     UPSTREAM_BROKE = "upstream_broke"
     UPSTREAM_SILENT = "upstream_silent"
     BYTES_HELD = "bytes_held"
@@ -51,6 +50,7 @@
             connected=not loss.broken if loss else "-",
             last_byte_age=_age(attempts.last_read_at),
             last_event_age=_age(attempts.last_event_at),
+            unwritten=call.reply.unwritten,
             unsent=unsent_bytes(call.request.socket),
             sendings=attempts.count,
             tried=";".join(attempts.history),
@@ -59,8 +59,6 @@
 
     def _reason(self, call: Call, error: Refusal | CallerLeft) -> EndReason:
         match error:
-            case CallerTooSlow():
-                return EndReason.CALLER_TOO_SLOW
             case CallerLeft():
                 return EndReason.CALLER_LEFT
             case Refusal(code="time_limit"):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/call.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/call.py
@@ -32,10 +32,6 @@
     urgency: Urgency
 
     def note_read(self, pending_bytes: int) -> None:
-        """Count the bytes read from an upstream; the caller may now be waited for again.
-
-        Raises `Refusal` if the instance holds too many bytes.
-        """
+        """Note a read of an upstream, of which ``pending_bytes`` are not yet written."""
         self.attempts.last_read_at = time.monotonic()
         self.request.held.set_answer(pending_bytes)
-        self.reply.restart_write_limit()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/events.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/events.py
@@ -25,7 +25,8 @@
 ) -> Iterator[Event]:
     """Yield complete events as they arrive.
 
-    ``on_read`` is called after each read with the number of bytes that were not yielded yet.
+    ``on_read`` is called after the events of each read were yielded, with the number of
+    bytes that are left.
     Bytes after the last complete event are dropped, since an upstream may stop in
     the middle of an event. Raises `HTTPException` or `OSError` if the response breaks
     off; the iterator ends normally only at the end of the response.
@@ -33,10 +34,10 @@
     pending = bytearray()
     while data := response.read1(_READ_BYTES):
         pending += data
-        # The events are yielded while the caller may not read: only one copy is held.
+        # The next read may wait for the caller: only one copy is held.
         del data
-        on_read(len(pending))
         yield from _whole_events(pending)
+        on_read(len(pending))
         if len(pending) > MAX_EVENT_BYTES:
             raise HTTPException("an event has no end")
     finish_response(response)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -24,7 +24,7 @@
 from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer, PeerOffers
 from redwingscale_daemon._internal.forwarding.response_body import (
-    read_body_piece,
+    pass_on_pieces,
     read_body_start,
 )
 from redwingscale_daemon._internal.forwarding.stream_progress import Progress
@@ -166,11 +166,7 @@
             call.reply.send(response.status, headers, start.data)
             return
         call.reply.begin(response.status, headers, length)
-        piece = start.data
-        while piece:
-            call.reply.restart_write_limit()
-            call.reply.write(piece)
-            piece = read_body_piece(response, call.request.held)
+        pass_on_pieces(response, call.reply, call.request.held, start.data)
 
     def _deliver_events(
         self,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -31,7 +31,7 @@
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer
 from redwingscale_daemon._internal.forwarding.response_body import (
     BodyStart,
-    read_body_piece,
+    pass_on_pieces,
     read_body_start,
     read_response_body,
 )
@@ -214,10 +214,7 @@
         headers = self._parts.dialect.response_headers(response)
         try:
             call.reply.begin(response.status, headers, length)
-            while piece:
-                call.reply.restart_write_limit()
-                call.reply.write(piece)
-                piece = read_body_piece(response, call.request.held)
+            pass_on_pieces(response, call.reply, call.request.held, piece)
         except (HTTPException, OSError, UpstreamSilent) as error:
             answering.connection.discard()
             lost = lost_by(answering.upstream, error, "answer broke off: ")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -7,7 +7,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import CallerLeft, CallerTooSlow, Refusal
+from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
 from redwingscale_daemon._internal.forwarding.answer_end import AnswerEnds
 from redwingscale_daemon._internal.forwarding.attempts import Attempts
 from redwingscale_daemon._internal.forwarding.call import Call
@@ -17,6 +17,7 @@
 from redwingscale_daemon._internal.forwarding.envelope import DECLINED_HEADER, Envelope
 from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
+from redwingscale_daemon._internal.forwarding.reply_rest import finish, send_rest
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
 from redwingscale_daemon._internal.forwarding.terms import Terms
 from redwingscale_daemon._internal.forwarding.watch import Watch
@@ -134,6 +135,7 @@
         try:
             call = self._route(request, terms, reply, passed_on)
             self._relay(call)
+            finish(call)
         except Refusal as refusal:
             if call is not None and refusal.run is RunState.NOT_RUN:
                 call.permit.refund()
@@ -141,18 +143,8 @@
             self._log_end(request, terms, call, refusal)
             declined = passed_on is not None and is_no_path(refusal)
             self._refuse(refusal, reply, declined=declined)
-        except CallerTooSlow as error:
-            self._note_cut(call, reply, error)
-            self._metrics.record_request(request, "caller_too_slow")
-            log_event(
-                "caller_too_slow",
-                level="WARNING",
-                request=terms.request_id,
-                route=_route_name(call),
-                begun=reply.started,
-                detail=error,
-            )
-            raise
+            if call is not None:
+                send_rest(call)
         except CallerLeft as error:
             self._note_cut(call, reply, error)
             if call is not None and not call.attempts.count:
@@ -198,7 +190,7 @@
                 retry_after_seconds=NO_THREAD_RETRY_SECONDS,
             )
         attempts, service = self._begin(route, terms, permit, passed_on)
-        watch = Watch(request.socket, _deadline(request, terms, route))
+        watch = Watch(request.socket, _deadline(request, terms, route), reply)
         log_event(
             "routed",
             request=terms.request_id,
@@ -256,6 +248,8 @@
     def _refuse(self, refusal: Refusal, reply: Reply, *, declined: bool = False) -> None:
         if reply.started:
             reply.abort()
+            if refusal.code == "time_limit":
+                reply.drop_unwritten()
             return
         headers = [("Content-Type", "application/problem+json")]
         if refusal.retry_after_seconds is not None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -53,7 +53,7 @@
     def readinto(self, buffer: Any) -> int | None:
         if self.watch is None:
             return self._read_pending(buffer)
-        self.watch.wait_until_readable(self._sock)
+        self.watch.wait_until_readable(self._sock, len(buffer))
         return self._sock.recv_into(buffer)
 
     def _read_pending(self, buffer: Any) -> int | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -12,6 +12,7 @@
     UpstreamSilent,
 )
 from redwingscale_daemon._internal.fleet.own_path import OVERDUE_SECONDS
+from redwingscale_daemon._internal.ingress.reply import Reply
 from redwingscale_daemon._internal.leases.clock import lease_clock
 
 _CLOSED_EVENTS = select.POLLHUP | select.POLLERR | select.POLLRDHUP
@@ -19,6 +20,8 @@
 _MILLISECONDS_PER_SECOND = 1000.0
 # How often a wait that is overdue is reported again.
 _OVERDUE_AGAIN_SECONDS = 0.4
+# How often a wait for room asks again: other requests free it without notice.
+_ROOM_CHECK_SECONDS = 0.25
 
 
 class Watch:
@@ -29,11 +32,13 @@
     ``deadline`` is on `lease_clock`: an instance that was suspended must not serve a
     request whose caller gave up meanwhile. ``silence_seconds`` is the longest wait for a
     byte, None for no bound; it does not include suspended time, in which nothing is read.
+    Each wait also sends what the caller has not yet taken of ``reply``.
     """
 
-    def __init__(self, caller: socket.socket, deadline: float) -> None:
+    def __init__(self, caller: socket.socket, deadline: float, reply: Reply | None = None) -> None:
         self._caller = caller
         self._caller_events = select.POLLIN | select.POLLRDHUP
+        self._reply = reply
         self.deadline = deadline
         self.silence_seconds: float | None = None
         # Called with the monotonic time at which a wait for a byte began while it is overdue;
@@ -46,10 +51,7 @@
 
     def check_caller(self) -> None:
         """Raise `CallerLeft` if the caller has closed its connection."""
-        poller = select.poll()
-        poller.register(self._caller, self._caller_events)
-        for _, events in poller.poll(0):
-            self._check_caller_events(events)
+        self._poll_caller(0.0)
 
     def check_before_sending(self) -> None:
         """Raise `CallerLeft` or `NotSentInTime` if the request must not be sent any more.
@@ -61,8 +63,8 @@
             raise NotSentInTime("no time is left")
         self.check_caller()
 
-    def wait_until_readable(self, upstream: socket.socket) -> None:
-        """Block until ``upstream`` has bytes or is closed.
+    def wait_until_readable(self, upstream: socket.socket, count: int = 0) -> None:
+        """Block until ``upstream`` has bytes or is closed, and ``count`` of them may be held.
 
         Raises `CallerLeft`, `TimeLimitReached` at the deadline, and
         `UpstreamSilent` after ``silence_seconds`` without a byte.
@@ -72,7 +74,7 @@
         overdue_at = began + OVERDUE_SECONDS if self.on_overdue else float("inf")
         poller = select.poll()
         poller.register(upstream, _UPSTREAM_EVENTS)
-        poller.register(self._caller, self._caller_events)
+        poller.register(self._caller, self._polled_events())
         while True:
             time_left = self.deadline - lease_clock()
             now = time.monotonic()
@@ -91,10 +93,45 @@
             wait = min(time_left, silence_left, overdue_left)
             ready = dict(poller.poll(wait * _MILLISECONDS_PER_SECOND + 1))
             if (events := ready.get(self._caller.fileno())) is not None:
-                self._check_caller_events(events)
-                poller.modify(self._caller, self._caller_events)
+                self._serve_caller(events)
+                poller.modify(self._caller, self._polled_events())
             if upstream.fileno() in ready:
-                return
+                break
+        if self._reply is not None:
+            self._wait_for_room(self._reply, count)
+
+    def wait_until_written(self) -> None:
+        """Block until the caller has taken the whole reply; raises as above."""
+        while self._reply is not None and self._reply.unwritten:
+            self._poll_caller(self._time_left(self._reply))
+
+    def _wait_for_room(self, reply: Reply, count: int) -> None:
+        # The upstream has bytes, so this is no silence of it.
+        while not reply.take_room(count):
+            self._poll_caller(min(self._time_left(reply), _ROOM_CHECK_SECONDS))
+
+    def _time_left(self, reply: Reply) -> float:
+        time_left = self.deadline - lease_clock()
+        if time_left <= 0:
+            raise TimeLimitReached(f"the caller has not taken {reply.unwritten} bytes")
+        return time_left
+
+    def _poll_caller(self, seconds: float) -> None:
+        poller = select.poll()
+        poller.register(self._caller, self._polled_events())
+        for _, events in poller.poll(seconds and seconds * _MILLISECONDS_PER_SECOND + 1):
+            self._serve_caller(events)
+
+    def _polled_events(self) -> int:
+        if self._reply is not None and self._reply.unwritten:
+            return self._caller_events | select.POLLOUT
+        return self._caller_events
+
+    def _serve_caller(self, events: int) -> None:
+        if events & select.POLLOUT and self._reply is not None:
+            self._reply.send_unwritten()
+        if events & ~select.POLLOUT:
+            self._check_caller_events(events)
 
     def _check_caller_events(self, events: int) -> None:
         if events & _CLOSED_EVENTS:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/byte_budget.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/byte_budget.py
@@ -13,6 +13,12 @@
 # Bodies leave the rest to answers: refusing a request costs less than cutting an answer that
 # an upstream has already worked on.
 BODIES_FRACTION = 0.75
+# Answers that callers do not take leave the rest to bodies: callers that stall must not make
+# the instance refuse the requests of others. What each request may always hold is beyond it.
+ANSWERS_FRACTION = 0.5
+# What is kept at most of one answer for a caller that does not read. The upstream of a longer
+# one stays unread meanwhile.
+ANSWER_BYTES = 4 * BYTES_PER_MB
 # An upstream holds the requests of up to 70 instances, at 2.4 to 14 KB each. One instance may
 # send it as much as the largest body that the limits allow.
 UPSTREAM_BYTES = 4 * BYTES_PER_MB
@@ -35,7 +41,7 @@
 
 
 class ByteBudget:
-    """Counts the bytes held: bodies of open requests, and answers read but not yet written.
+    """Counts the bytes held: bodies of open requests, and answers that callers have not taken.
 
     Designed for many callers that read slowly or send large bodies at once: without a
     bound, the instance exceeds its memory and is killed with all its requests. Without
@@ -45,29 +51,46 @@
     def __init__(self, limits: ByteLimits | None = None) -> None:
         self.limits = limits
         self._lock = threading.Lock()
-        self._held = 0
+        self._bodies = 0
+        self._answers = 0
 
     @property
     def held(self) -> int:
         """Bytes held now."""
-        return self._held
+        return self._bodies + self._answers
+
+    @property
+    def most_of_answer(self) -> int:
+        """The bound in bytes on what is held of one answer."""
+        return ANSWER_BYTES if self.limits is None else min(ANSWER_BYTES, self.limits.request)
 
     def take_body(self, count: int) -> bool:
         """Count ``count`` bytes of a body; return False, uncounted, beyond the bound."""
-        return self._take(count, BODIES_FRACTION)
-
-    def take_answer(self, count: int) -> bool:
-        """Count ``count`` bytes of an answer; return False, uncounted, beyond the bound."""
-        return self._take(count, 1.0)
+        with self._lock:
+            if self._exceeds(self.held + count, BODIES_FRACTION):
+                return False
+            self._bodies += count
+            return True
 
-    def give(self, count: int) -> None:
-        """Remove ``count`` bytes that are no longer held."""
+    def give_body(self, count: int) -> None:
+        """Remove ``count`` bytes of a body that are no longer held."""
         with self._lock:
-            self._held -= count
+            self._bodies -= count
 
-    def _take(self, count: int, fraction: float) -> bool:
+    def take_answer(self, count: int) -> bool:
+        """Count ``count`` bytes of an answer; return False, uncounted, beyond the bound."""
         with self._lock:
-            if self.limits is not None and self._held + count > self.limits.total * fraction:
+            if self._exceeds(self._answers + count, ANSWERS_FRACTION):
+                return False
+            if self._exceeds(self.held + count, 1.0):
                 return False
-            self._held += count
+            self._answers += count
             return True
+
+    def add_answer(self, count: int) -> None:
+        """Count ``count`` bytes of an answer whatever the bound, or fewer if it is negative."""
+        with self._lock:
+            self._answers += count
+
+    def _exceeds(self, count: int, fraction: float) -> bool:
+        return self.limits is not None and count > self.limits.total * fraction
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
@@ -0,0 +1,83 @@
+"""One connection of a caller."""
+
+import socket
+from contextlib import suppress
+from typing import Any
+
+from redwingscale_common.network.bounded import BoundedConnection, BoundedRequest
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.ingress.pending_writer import PendingWriter
+from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
+from redwingscale_daemon._internal.utils.sockets import (
+    RESET_ON_CLOSE,
+    unread_bytes,
+    unsent_bytes,
+)
+
+# What the kernel holds for a caller that does not read. It would otherwise grow to some
+# MB for each connection. A link of 100 Mbit/s with delays of some ms needs less.
+SEND_BUFFER_BYTES = 64 << 10
+
+
+class _Request(BoundedRequest):
+    header_reader = StrictHeaderReader()
+
+
+class CallerConnection(BoundedConnection):
+    """A connection whose answers are written without waiting for the caller."""
+
+    RequestHandlerClass = _Request
+    # The id of the last request, once it is known.
+    last_request = "-"
+
+    def make_file(self, raw: socket.socket, mode: str, size: int) -> Any:
+        """Return the reader or the writer of the connection."""
+        if "r" in mode:
+            return super().make_file(raw, mode, size)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        return PendingWriter(raw)
+
+    def communicate(self) -> bool:
+        """Handle one request; return whether the connection can be used for another."""
+        keep = super().communicate()
+        return self._send_rest() and keep
+
+    def _linger(self) -> None:
+        self._send_rest()
+        super()._linger()
+
+    def _send_rest(self) -> bool:
+        """Send what is left of an answer without a deadline; return whether all was sent."""
+        if self.wfile.pending:
+            with suppress(OSError):
+                self.wfile.drain(self.server.rest_seconds)
+        if not self.wfile.pending:
+            return True
+        self.wfile.expired = True
+        self.wfile.drop()
+        return False
+
+    def close(self) -> None:
+        """Close the connection; reset it if the caller did not read its answer.
+
+        After an orderly close, the kernel would keep the unread bytes for some minutes.
+        """
+        self._log_bytes_at_close()
+        if self.wfile.expired:
+            with suppress(OSError):
+                self.socket.setsockopt(*RESET_ON_CLOSE)
+        super().close()
+
+    def _log_bytes_at_close(self) -> None:
+        # A close with unread bytes resets the connection, and unsent bytes are lost with it.
+        unsent, unread = unsent_bytes(self.socket), unread_bytes(self.socket)
+        if unsent or unread:
+            log_event(
+                "closed_with_bytes",
+                level="WARNING",
+                request=self.last_request,
+                unsent=unsent,
+                unread=unread,
+                reset=self.wfile.expired,
+            )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/held_bytes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/held_bytes.py
@@ -2,14 +2,16 @@
 
 from redwingscale_daemon._internal.exceptions import Refusal
 from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
-from redwingscale_daemon._internal.models.run_state import RunState
 
 # Other instances have room, and here some is freed as soon as a request ends.
 RETRY_SECONDS = 0.3
+# A request that holds no more than this of its answer may always read on. Without it, an
+# answer whose caller reads at once would stand still while others use up the budget.
+FREE_BYTES = 16 << 10
 
 
 class HeldBytes:
-    """The body of one request, and the part of its answer that is not yet written.
+    """The body of one request, and the part of its answer that its caller has not taken.
 
     The body counts until the request ends, since it may have to be sent again. Used by one
     thread.
@@ -19,6 +21,9 @@
         self._budget = budget
         self._body = 0
         self._answer = 0
+        self._unwritten = 0
+        # What the budget counts of the answer; more than is held while room is reserved.
+        self._counted = 0
 
     def add_body(self, count: int) -> None:
         """Count bytes before they are read; raise `Refusal`, as not run, beyond a bound."""
@@ -31,26 +36,44 @@
             )
         self._body += count
 
+    def take_room(self, count: int) -> bool:
+        """Reserve room to read ``count`` bytes of the answer; return False beyond a bound.
+
+        The room is reserved until the bytes held are set the next time.
+        """
+        held = self._answer + self._unwritten
+        if held <= FREE_BYTES:
+            return True
+        added = held + count - self._counted
+        if added <= 0:
+            return True
+        if held + count > self._budget.most_of_answer or not self._budget.take_answer(added):
+            return False
+        self._counted += added
+        return True
+
     def set_answer(self, count: int) -> None:
-        """Set the bytes read of the answer and not yet written; raise `Refusal` beyond a bound."""
-        added = count - self._answer
-        if not added:
-            return
-        if added < 0:
-            self._budget.give(-added)
-        elif self._exceeds(count) or not self._budget.take_answer(added):
-            raise Refusal(
-                502,
-                "bytes_held",
-                f"{count} bytes of the answer, {self._budget.held} held in all",
-                run=RunState.UNKNOWN,
-            )
+        """Set the bytes read of the answer and not yet written to the reply."""
         self._answer = count
+        self._recount()
+
+    def set_unwritten(self, count: int) -> None:
+        """Set the bytes written to the reply that the caller's socket has not taken."""
+        self._unwritten = count
+        self._recount()
 
     def close(self) -> None:
         """Count nothing any more; a second call does nothing."""
-        self._budget.give(self._body + self._answer)
-        self._body = self._answer = 0
+        self._budget.give_body(self._body)
+        self._body = 0
+        self._answer = self._unwritten = 0
+        self._recount()
+
+    def _recount(self) -> None:
+        count = self._answer + self._unwritten
+        if count != self._counted:
+            self._budget.add_answer(count - self._counted)
+            self._counted = count
 
     def _exceeds(self, count: int) -> bool:
         limits = self._budget.limits
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -1,49 +1,36 @@
 """HTTP server for requests that are forwarded byte for byte."""
 
-import socket
 import threading
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from functools import partial
 from typing import Any, NamedTuple
 
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HTTPRequest, HTTPServer
-from redwingscale_common.network.bounded import BoundedConnection, BoundedRequest
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
 from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
+from redwingscale_daemon._internal.ingress.caller_connection import CallerConnection
 from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
-from redwingscale_daemon._internal.ingress.limited_writer import (
-    CALLER_WRITE_SECONDS,
-    LimitedWriter,
-)
 from redwingscale_daemon._internal.ingress.reply import Reply
 from redwingscale_daemon._internal.ingress.request_threads import RequestThreads
 from redwingscale_daemon._internal.ingress.strict_chunks import read_chunks
-from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
 from redwingscale_daemon._internal.leases.clock import lease_clock
-from redwingscale_daemon._internal.utils.sockets import (
-    RESET_ON_CLOSE,
-    unread_bytes,
-    unsent_bytes,
-)
 
 Handler = Callable[[IngressRequest, Reply], None]
 # Answers a request by its head alone, or returns False to let the server read its body.
 Screen = Callable[[IngressRequest, Reply], bool]
 # Answers a request that is refused before its body was read whole.
 RefuseUnread = Callable[[IngressRequest, Reply, Refusal], None]
-# What the kernel holds for a caller that does not read. It would otherwise grow to some
-# MB for each connection. A link of 100 Mbit/s with delays of some ms needs less.
-SEND_BUFFER_BYTES = 64 << 10
 # The server's default keeps 10 idle connections and closes the others at once: a caller
 # that sends a request at that moment would see its connection closed.
 MAX_IDLE_CONNECTIONS = 2000
 SHUTDOWN_SECONDS = 1
+# How long a caller may take for a refusal, which has no deadline.
+REST_SECONDS = 2.5
 # Threads that a port keeps while it is idle.
 MIN_THREADS = 2
 
@@ -52,8 +39,8 @@
     """Bounds of a port; ``idle_seconds`` also bounds the time to send a request.
 
     ``refusing_threads`` of the ``threads`` are reserved to refuse requests while all
-    others are busy. A caller may make the port wait ``write_seconds`` before its
-    connection is cut.
+    others are busy. A caller may make the port wait ``rest_seconds`` for the rest of a
+    refusal.
     """
 
     threads: int
@@ -62,48 +49,7 @@
     idle_seconds: int
     refusing_threads: int = 0
     name: str = "port"
-    write_seconds: float = CALLER_WRITE_SECONDS
-
-
-class _Request(BoundedRequest):
-    header_reader = StrictHeaderReader()
-
-
-class _Connection(BoundedConnection):
-    RequestHandlerClass = _Request
-    # The id of the last request, once it is known.
-    last_request = "-"
-
-    def make_file(self, raw: socket.socket, mode: str, size: int) -> Any:
-        """Return the reader or the writer of the connection."""
-        if "r" in mode:
-            return super().make_file(raw, mode, size)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        return LimitedWriter(raw, self.server.write_seconds, size)
-
-    def close(self) -> None:
-        """Close the connection; reset it if the caller did not read its answer.
-
-        After an orderly close, the kernel would keep the unread bytes for some minutes.
-        """
-        self._log_bytes_at_close()
-        if self.wfile.expired:
-            with suppress(OSError):
-                self.socket.setsockopt(*RESET_ON_CLOSE)
-        super().close()
-
-    def _log_bytes_at_close(self) -> None:
-        # A close with unread bytes resets the connection, and unsent bytes are lost with it.
-        unsent, unread = unsent_bytes(self.socket), unread_bytes(self.socket)
-        if unsent or unread:
-            log_event(
-                "closed_with_bytes",
-                level="WARNING",
-                request=self.last_request,
-                unsent=unsent,
-                unread=unread,
-                reset=self.wfile.expired,
-            )
+    rest_seconds: float = REST_SECONDS
 
 
 def _send_refusal(head: IngressRequest, reply: Reply, refusal: Refusal) -> None:
@@ -127,13 +73,14 @@
         try:
             self._respond()
         finally:
+            self.req.conn.wfile.count_with(None)
             self._held.close()
 
     def _respond(self) -> None:
         server_request = self.req
         try:
             head = _ingress_request(server_request, self._held)
-            if self._apps.screen(head, Reply(server_request)):
+            if self._apps.screen(head, Reply(server_request, self._held)):
                 return
             body = self._read_body()
         except Refusal as refusal:
@@ -152,12 +99,12 @@
             self._close_without_answer()
             return
         try:
-            self._apps.handler(head._replace(body=body), Reply(server_request))
+            self._apps.handler(head._replace(body=body), Reply(server_request, self._held))
         except CallerLeft:
             self._close_without_answer()
 
     def _refuse_unread(self, head: IngressRequest, refusal: Refusal) -> None:
-        reply = Reply(self.req)
+        reply = Reply(self.req, self._held)
         reply.leave_body_unread()
         try:
             self._apps.refuse_unread(head, reply, refusal)
@@ -168,6 +115,7 @@
         self.req.close_connection = True
         self.req.chunked_write = False
         self.req.sent_headers = True
+        self.req.conn.wfile.drop()
 
     def _read_body(self) -> bytes:
         if self.req.chunked_read:
@@ -206,11 +154,11 @@
         )
         self._answering_threads = limits.threads - limits.refusing_threads
         server.requests = self._threads
-        server.ConnectionClass = _Connection
+        server.ConnectionClass = CallerConnection
         server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
         server.max_request_header_size = limits.head_bytes
         server.timeout = limits.idle_seconds
-        server.write_seconds = limits.write_seconds
+        server.rest_seconds = limits.rest_seconds
         server.shutdown_timeout = SHUTDOWN_SECONDS
         server.error_log = _log_server_error
         self._thread = threading.Thread(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
@@ -4,21 +4,26 @@
 from http import HTTPStatus
 from typing import Any
 
-from redwingscale_daemon._internal.exceptions import CallerLeft, CallerTooSlow
+from redwingscale_daemon._internal.exceptions import CallerLeft
+from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
 
 _CONTENT_LENGTH = b"Content-Length"
-# The writer copies what it writes. A caller on a slow link has the whole limit of a write
-# for each piece of a large answer.
-_PIECE_BYTES = 64 << 10
+_LAST_CHUNK = b"0\r\n\r\n"
 
 
 class Reply:
-    """Writes one answer: a complete one, or a stream that ends or is aborted."""
+    """Writes one answer: a complete one, or a stream that ends or is aborted.
 
-    def __init__(self, server_request: Any) -> None:
+    No write waits for the caller. What its socket does not take is kept, counted by ``held``,
+    until `send_unwritten`.
+    """
+
+    def __init__(self, server_request: Any, held: HeldBytes) -> None:
         self._request = server_request
+        self._held = held
+        self._writer = server_request.conn.wfile
+        self._writer.count_with(held)
         self.status = 0
-        self.restart_write_limit()
 
     @property
     def started(self) -> bool:
@@ -31,9 +36,7 @@
         self._request.outheaders.append((_CONTENT_LENGTH, str(len(body)).encode()))
         self._send_head()
         if self._request.method != b"HEAD":
-            for start in range(0, len(body), _PIECE_BYTES):
-                self.restart_write_limit()
-                self._write(body[start : start + _PIECE_BYTES])
+            self._write(body)
 
     def begin(
         self, status: int, headers: Iterable[tuple[str, str]], length: int | None = None
@@ -52,15 +55,42 @@
         """Name the request in what is logged of its connection."""
         self._request.conn.last_request = request_id
 
-    def restart_write_limit(self) -> None:
-        """Start the limit on waiting for the caller anew, since the upstream was read."""
-        self._request.conn.wfile.restart()
+    @property
+    def unwritten(self) -> int:
+        """Bytes of the answer that the caller's socket has not taken."""
+        return int(self._writer.pending)
+
+    def send_unwritten(self) -> None:
+        """Send what the caller's socket takes now; raise `CallerLeft`."""
+        try:
+            self._writer.send_pending()
+        except OSError as error:
+            self.abort()
+            raise CallerLeft(repr(error)) from error
+
+    def take_room(self, count: int) -> bool:
+        """Return whether ``count`` more bytes of the answer may be read now, and reserve them."""
+        return self._held.take_room(count)
+
+    def end(self) -> None:
+        """Write the end of a whole answer; raise `CallerLeft`."""
+        if self._request.chunked_write:
+            # Otherwise the server writes it after the request, when nothing waits any more.
+            self._request.chunked_write = False
+            self._write(_LAST_CHUNK)
 
     def abort(self) -> None:
         """End an incomplete stream: the connection closes without the last chunk."""
         self._request.chunked_write = False
         self._request.close_connection = True
 
+    def drop_unwritten(self) -> None:
+        """Abort the answer and send nothing more of it; the connection is reset."""
+        if self.unwritten:
+            self._writer.expired = True
+            self._writer.drop()
+        self.abort()
+
     def close_after(self) -> None:
         """Close the connection after this answer."""
         self._request.close_connection = True
@@ -84,19 +114,14 @@
             self._request.ensure_headers_sent()
         except OSError as error:
             self.abort()
-            raise _lost_caller(error) from error
+            raise CallerLeft(repr(error)) from error
 
     def _write(self, data: bytes) -> None:
         try:
             self._request.write(data)
         except OSError as error:
             self.abort()
-            raise _lost_caller(error) from error
-
-
-def _lost_caller(error: OSError) -> CallerLeft:
-    kind = CallerTooSlow if isinstance(error, TimeoutError) else CallerLeft
-    return kind(repr(error))
+            raise CallerLeft(repr(error)) from error
 
 
 def _phrase(status: int) -> str:
