--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
@@ -4,9 +4,12 @@
 from contextlib import suppress
 from typing import Any
 
-from redwingscale_common.network.bounded import BoundedConnection, BoundedRequest
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.ingress.caller_delivery import (
+    DeliveredRequest,
+    DeliveringConnection,
+)
 from redwingscale_daemon._internal.ingress.pending_writer import PendingWriter
 from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
 from redwingscale_daemon._internal.utils.sockets import (
@@ -20,11 +23,18 @@
 SEND_BUFFER_BYTES = 64 << 10
 
 
-class _Request(BoundedRequest):
+class _Request(DeliveredRequest):
     header_reader = StrictHeaderReader()
 
+    def respond(self) -> None:
+        """Answer the request, and wait for the rest of a refusal to be taken."""
+        super().respond()
+        if not self.conn.send_rest():
+            self.conn.is_answered = False
+            self.close_connection = True
+
 
-class CallerConnection(BoundedConnection):
+class CallerConnection(DeliveringConnection):
     """A connection whose answers are written without waiting for the caller."""
 
     RequestHandlerClass = _Request
@@ -38,16 +48,11 @@
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         return PendingWriter(raw)
 
-    def communicate(self) -> bool:
-        """Handle one request; return whether the connection can be used for another."""
-        keep = super().communicate()
-        return self._send_rest() and keep
-
     def _linger(self) -> None:
-        self._send_rest()
+        self.send_rest()
         super()._linger()
 
-    def _send_rest(self) -> bool:
+    def send_rest(self) -> bool:
         """Send what is left of an answer without a deadline; return whether all was sent."""
         if self.wfile.pending:
             with suppress(OSError):
@@ -72,7 +77,7 @@
     def _log_bytes_at_close(self) -> None:
         # A close with unread bytes resets the connection, and unsent bytes are lost with it.
         unsent, unread = unsent_bytes(self.socket), unread_bytes(self.socket)
-        if unsent or unread:
+        if unread or self.wfile.expired:
             log_event(
                 "closed_with_bytes",
                 level="WARNING",
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -112,6 +112,7 @@
             self._close_without_answer()
 
     def _close_without_answer(self) -> None:
+        self.req.is_cut = True
         self.req.close_connection = True
         self.req.chunked_write = False
         self.req.sent_headers = True
