--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
@@ -1,6 +1,7 @@
 """One connection of a caller."""
 
 import socket
+import time
 from contextlib import suppress
 from typing import Any
 
@@ -53,10 +54,14 @@
         super()._linger()
 
     def send_rest(self) -> bool:
-        """Send what is left of an answer without a deadline; return whether all was sent."""
+        """Send what is left of an answer; return whether all was sent.
+
+        That is a refusal, or the last bytes of an answer, which the socket mostly takes at once.
+        """
         if self.wfile.pending:
+            left = self.deliver_until - time.monotonic()
             with suppress(OSError):
-                self.wfile.drain(self.server.rest_seconds)
+                self.wfile.drain(max(left, self.server.rest_seconds))
         if not self.wfile.pending:
             return True
         self.wfile.expired = True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
@@ -1,5 +1,6 @@
 """The answer to one request of a caller."""
 
+import time
 from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Any
@@ -55,6 +56,10 @@
         """Name the request in what is logged of its connection."""
         self._request.conn.last_request = request_id
 
+    def set_delivery_limit(self, seconds: float) -> None:
+        """Set how long from now on the caller may take to receive a whole answer."""
+        self._request.conn.deliver_until = time.monotonic() + seconds
+
     @property
     def unwritten(self) -> int:
         """Bytes of the answer that the caller's socket has not taken."""
@@ -73,9 +78,11 @@
         return self._held.take_room(count)
 
     def end(self) -> None:
-        """Write the end of a whole answer; raise `CallerLeft`."""
-        if self._request.chunked_write:
-            # Otherwise the server writes it after the request, when nothing waits any more.
+        """Write the end of an answer whose caller is waited for; raise `CallerLeft`.
+
+        Otherwise the server writes it, once the request was counted.
+        """
+        if self.unwritten and self._request.chunked_write:
             self._request.chunked_write = False
             self._write(_LAST_CHUNK)
 
