--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.stream_progress import Progress, Sending
 from redwingscale_daemon._internal.ingress.ingress_request import Headers
+from redwingscale_daemon._internal.utils.sockets import is_closed
 
 MILLISECONDS_PER_SECOND = 1000.0
 # A second upstream is asked after this time without a byte in mid-stream: a step takes some
@@ -61,8 +62,11 @@
     def is_path_lost(self, began_at: float) -> bool:
         """Note a wait for a byte that began at monotonic ``began_at``; return `OwnPath.cut_off`."""
 
-    def drop(self, reason: Exception) -> None:
-        """Give up the answer, since another attempt goes on; closes the account."""
+    def drop(self, reason: Exception, progress: Progress, *, may_go_on: bool = False) -> None:
+        """Give up the answer, since another attempt goes on; closes the account.
+
+        ``may_go_on`` as in `note_failure`. Raises `Refusal` if it shows that the request crashes upstreams.
+        """
 
     def discard(self) -> None:
         """Reset the connection."""
@@ -165,10 +169,19 @@
         """Note a wait for a byte that began at monotonic ``began_at``; return `OwnPath.cut_off`."""
         return self._parts.path.note_overdue(self.name, began_at)
 
-    def drop(self, reason: Exception) -> None:
+    def drop(self, reason: Exception, progress: Progress, *, may_go_on: bool = False) -> None:
         """Give up the answer, since another attempt goes on; closes the account."""
+        if isinstance(reason, UpstreamSilent) and is_closed(self.socket):
+            reason = ConnectionResetError(f"closed while silent: {reason}")
         self.discard()
-        drop_attempt(self._parts, self._call, self._sending, reason, self.state)
+        try:
+            if not isinstance(reason, FirstUpstreamResumed):
+                lost = lost_by(self._answering.upstream, reason)
+                self._sending.attempt.note_lost(lost, progress.last_event or 0)
+        finally:
+            drop_attempt(
+                self._parts, self._call, self._sending, reason, self.state, may_go_on=may_go_on
+            )
 
     def discard(self) -> None:
         """Reset the connection."""
@@ -180,7 +193,13 @@
 
 
 def drop_attempt(
-    parts: RelayParts, call: Call, sending: Sending, reason: Exception, state: AttemptState
+    parts: RelayParts,
+    call: Call,
+    sending: Sending,
+    reason: Exception,
+    state: AttemptState,
+    *,
+    may_go_on: bool = False,
 ) -> None:
     """Record an attempt that is given up since another one goes on with the stream."""
     upstream = sending.candidate.upstream
@@ -192,5 +211,5 @@
     if not state.events_received and not parts.path.doubtful:
         waited_ms = state.seconds_since_send() * MILLISECONDS_PER_SECOND
         parts.chooser.note_lost(sending.candidate, waited_ms)
-    note_failure(parts, call, lost)
+    note_failure(parts, call, lost, may_go_on=may_go_on)
     call.attempts.note_failed(lost)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -7,7 +7,13 @@
 from redwingscale_common.exceptions import RedwingscaleError
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import FirstUpstreamResumed, Refusal
+from redwingscale_daemon._internal.exceptions import (
+    FirstUpstreamResumed,
+    NotSentInTime,
+    Refusal,
+    TimeLimitReached,
+    UpstreamSilent,
+)
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.forwarding.answer_stream import (
@@ -66,25 +72,39 @@
         self._silent: str | None = None
         self._reason = ""
         self._waits_for_holder = False
+        # Whether the silent upstream went on while the second one was asked.
+        self._first_goes_on = False
 
     def ask(self, silent: socket.socket, name: str, *, is_peer: bool = False) -> float:
         """Return the seconds until the next call; raises `Superseded`, `CallerLeft` or at the deadline.
 
-        ``name`` is the upstream or peer at the other end of the ``silent`` connection.
+        ``name`` is the upstream or peer at the other end of the ``silent`` connection. Raises
+        `UpstreamSilent` if the answer has not begun and no second upstream goes on.
         """
+        self._first_goes_on = False
         self._note_silence(name, is_peer=is_peer)
         first = self._call.attempts.current
+        self._call.attempts.silent_peer = name if is_peer else None
         try:
             stream = self._open(silent)
         except Refusal as refusal:
             # It concerns the second attempt only; the first one may still go on.
             self._note_not_asked(refusal.detail)
             stream = None
+        except NotSentInTime as error:
+            # The first upstream has the request.
+            raise TimeLimitReached(str(error)) from None
+        finally:
+            self._call.attempts.silent_peer = None
         if stream is None:
             self._call.attempts.current = first
+            if not (is_peer or self._call.reply.started or self._first_goes_on):
+                # Its caller has received nothing, and may try another instance.
+                raise UpstreamSilent("no byte in time, and no other upstream goes on")
             return ASK_AGAIN_SECONDS
         self._log("second_goes_on", upstream=stream.name, silent=name)
         self._silent = None
+        self.close()
         raise Superseded(stream)
 
     def close(self) -> None:
@@ -93,13 +113,15 @@
             self._waits_for_holder = False
             self._factory.wait.demand.end_wait(self._call.service, self._prompt.unit)
 
-    def note_event(self) -> None:
-        """Note that the stream goes on."""
-        if self._silent is not None:
-            self._log("silence_ended", upstream=self._silent)
-            self._factory.sender.parts.health.note_resumed(self._silent)
-            self._silent, self._reason = None, ""
-            self.close()
+    def note_event(self, name: str) -> None:
+        """Note that the stream goes on with an event of the upstream or peer ``name``."""
+        if self._silent is None:
+            return
+        if self._silent == name:
+            self._log("silence_ended", upstream=name)
+            self._factory.sender.parts.health.note_resumed(name)
+        self._silent, self._reason = None, ""
+        self.close()
 
     def _note_silence(self, name: str, *, is_peer: bool) -> None:
         if self._silent == name:
@@ -122,7 +144,8 @@
         chosen = self._factory.wait.choose_now(call, self._prompt)
         if chosen is None:
             self._note_not_asked("no other holder")
-            self._wait_for_holder()
+            if call.reply.started:
+                self._wait_for_holder()
             return None
         if not call.attempts.reserve_repeat():
             self._note_not_asked("no repeat is left")
@@ -149,6 +172,7 @@
         try:
             stream = self._factory.sender.parts.peers.open_second(call, peer, self._progress)
         except FirstUpstreamResumed as error:
+            self._first_goes_on = True
             call.attempts.note_superseded(peer.id, str(error))
             return None
         return stream and self._with_next_event(stream)
@@ -163,6 +187,7 @@
         try:
             outcome = factory.sender.send(call, sending, self._progress)
         except FirstUpstreamResumed as error:
+            self._first_goes_on = True
             drop_attempt(factory.sender.parts, call, sending, error, call.attempts.current)
             return None
         except BaseException:
@@ -182,7 +207,9 @@
         try:
             stream.read_next(self._progress)
         except (FirstUpstreamResumed, *BREAKS) as error:
-            stream.drop(error)
+            self._first_goes_on = isinstance(error, FirstUpstreamResumed)
+            may_go_on = isinstance(error, UpstreamSilent)
+            stream.drop(error, self._progress, may_go_on=may_go_on)
             return None
         except BaseException:
             stream.discard()
@@ -193,7 +220,8 @@
     def _note_failure(self, outcome: Lost | NotRun, sending: Sending) -> None:
         parts = self._factory.sender.parts
         try:
-            note_failure(parts, self._call, outcome)
+            may_go_on = isinstance(outcome, Lost) and outcome.silent
+            note_failure(parts, self._call, outcome, may_go_on=may_go_on)
             self._call.attempts.note_failed(outcome)
             if isinstance(outcome, Lost):
                 sending.attempt.note_lost(outcome, self._progress.last_event or 0)
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_stalled_callers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_stalled_callers.py
@@ -188,7 +188,7 @@
     with contextlib.closing(Caller(instance)) as caller:
         response = caller.begin("/live/x", "r1")
         began = time.monotonic()
-        until(lambda: not worker._running, "the end of the run")
+        until(lambda: not worker.running, "the end of the run")
         assert time.monotonic() - began < EVENTS * GAP_SECONDS * 2
         time.sleep(max(0.0, began + STALL_SECONDS - time.monotonic()))
         assert rest_of(response) == WHOLE
@@ -221,6 +221,6 @@
         caller.begin("/live/x", "r1", deadline_ms=4000)
         until(lambda: has_ended(instance), "the end of the request")
         assert 3.9 < time.monotonic() - began < 4.6
-        assert not deployment.workers["w1"]._running
+        assert not deployment.workers["w1"].running
         held = next(line for line in instance.metrics().splitlines() if line.startswith(HELD))
         assert held.endswith(" 0.0")
