--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_delivery.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_delivery.py
@@ -41,7 +41,7 @@
 
     def communicate(self) -> bool:
         """Handle one request; return whether the connection can be used for another."""
-        self.is_answered = False
+        self.is_answered, self.deliver_until = False, 0.0
         keep = super().communicate()
         if not keep and self.is_answered and not self.has_unread_input:
             await_delivery(self.socket, self.deliver_until)
