Tell cuts at the end of the process from callers that leave

Cause: the instance's own close of a connection looks to its wait like that of the caller. Change: within the stop margin the reason is process_ends. Two reasons that no begun answer can have any more are gone, which leaves the four allowed ones. Measured: unit tests of forwarding and ingress, test_soak and test_pausing_workers pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
@@ -19,8 +19,6 @@
     DEADLINE = "deadline"
     CALLER_LEFT = "caller_left"
     UPSTREAM_BROKE = "upstream_broke"
-    UPSTREAM_SILENT = "upstream_silent"
-    BYTES_HELD = "bytes_held"
     PROCESS_ENDS = "process_ends"
 
 
@@ -58,19 +56,14 @@
         )
 
     def _reason(self, call: Call, error: Refusal | CallerLeft) -> EndReason:
+        # At the end of the process its own close looks like that of a caller.
+        stopping = self._open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS
         match error:
-            case CallerLeft():
+            case CallerLeft() if not stopping:
                 return EndReason.CALLER_LEFT
             case Refusal(code="time_limit"):
                 return EndReason.DEADLINE
-            case Refusal(code="bytes_held"):
-                return EndReason.BYTES_HELD
-        if self._open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS:
-            return EndReason.PROCESS_ENDS
-        loss = call.attempts.last_loss
-        if loss is not None and loss.silent:
-            return EndReason.UPSTREAM_SILENT
-        return EndReason.UPSTREAM_BROKE
+        return EndReason.PROCESS_ENDS if stopping else EndReason.UPSTREAM_BROKE
 
 
 def _age(at: float | None) -> float | str:
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -25,11 +25,15 @@
 
 
 class StreamPause(NamedTuple):
-    """A silence of ``seconds`` after some events of every ``every``-th run, which then goes on."""
+    """A silence of ``seconds`` after some events of every ``every``-th run, which then goes on.
+
+    Runs that go on with a stream of another worker pause only if ``resumed`` is set.
+    """
 
     seconds: float
     after_events: int = 3
     every: int = 1
+    resumed: bool = True
 
 
 class Rejection(NamedTuple):
@@ -121,6 +125,8 @@
 
     def _events(self, first: int, last: int) -> Iterator[bytes]:
         pause = self.pause
+        if pause is not None and first > 1 and not pause.resumed:
+            pause = None
         if pause is not None and next(self._stream_numbers) % pause.every:
             pause = None
         try:
