Keep a second upstream that is slow to begin if no third one may be asked

What callers saw: a stream whose upstream had frozen was cut at its deadline, since the second upstream had a queue beyond its limit for the first event and was given up with nothing better to ask. Change: its limit holds only if the route allows a third upstream. Evidence: the new unit test times out without the change.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -143,10 +143,18 @@
     @property
     def may_ask_second(self) -> bool:
         """Whether the route allows one more upstream while the current one still runs."""
+        return self._may_ask(running=1)
+
+    @property
+    def may_ask_third(self) -> bool:
+        """Whether the route allows one more upstream while two of them still run."""
+        return self._may_ask(running=2)
+
+    def _may_ask(self, running: int) -> bool:
         return (
             self.count < MAX_ATTEMPTS
             and self._route.repeatable
-            and self.possible_runs + 1 < self._route.most_upstreams
+            and self.possible_runs + running < self._route.most_upstreams
         )
 
     def use_reserved(self) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -183,7 +183,8 @@
         if sending is None:
             return None
         call.attempts.use_reserved()
-        call.watch.expect(sending.silence_seconds)
+        # Without a third upstream to ask, nothing is gained by giving up the second one.
+        call.watch.expect(sending.silence_seconds if call.attempts.may_ask_third else None)
         try:
             outcome = factory.sender.send(call, sending, self._progress)
         except FirstUpstreamResumed as error:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream.py
@@ -129,6 +129,14 @@
     assert sendings(world) == [("u0", None), ("u1", "1")]
 
 
+def test_second_upstream_that_is_slow_to_begin_is_kept_if_no_third_may_be_asked(world):
+    """Guards against a stream left to a frozen upstream since the second one had a queue."""
+    world.add("llm", Pausing(WAIT_SECONDS, 1, 2, 3))
+    world.add("llm", after(1.6, events(2, 3)))
+    response = world.request("/long/x", model="m")
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
+
+
 def test_stream_passed_on_to_a_peer_is_kept_while_the_peer_is_silent(world, monkeypatch):
     """Guards against a peer that is given up though it goes on."""
     monkeypatch.setattr(
