Keep a quarter of the held bytes for bodies, and tell the own path of broken new connections

What callers saw: with six stalled callers one body was refused (503 bytes_held) although a quarter of the budget is kept for bodies; an instance whose open and new connections were reset passed requests on, but did not take its path for lost. Cause: each answer may always hold 16 KB, beyond the half of the budget that answers may use, and bodies were bounded by the sum. Requests that are not sent on new connections leave no evidence of a lost path. Change: bodies may use the part that answers may not, whatever these hold. A probe on a new connection that fails counts as a failure on the path, which is lost if nothing is heard on open ones either. The new unit test of the budget fails without the change.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
@@ -1,6 +1,7 @@
 """Wires what an instance does when it loses its path to upstreams, and for others that have."""
 
 import socket
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -73,9 +74,15 @@
         return offers.reach_upstreams(since)
 
     def probe_new(upstream: Upstream) -> bool:
+        began_at = time.monotonic()
         if upstream.models_by_name:
-            return answers_on_new_connection(upstream, engine_calls().report_target)
-        return keeps_new_connection(upstream)
+            works = answers_on_new_connection(upstream, engine_calls().report_target)
+        else:
+            works = keeps_new_connection(upstream)
+        if not works:
+            # The path is lost if nothing is heard on open connections either.
+            path.note_failed(upstream.id, "a new connection broke", began_at)
+        return works
 
     new_connections = fleet.new_connections
     new_connections.on_broken = NewConnectionWatch(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -38,7 +38,7 @@
 
     @property
     def silence_seconds(self) -> float | None:
-        """How long to wait for the next byte until a second upstream is asked, None for ever."""
+        """How long to wait for the next byte until a second upstream is asked, None without a bound."""
 
     @property
     def socket(self) -> socket.socket:
@@ -105,7 +105,7 @@
 
     @property
     def silence_seconds(self) -> float | None:
-        """How long to wait for the next byte until a second upstream is asked, None for ever."""
+        """How long to wait for the next byte until a second upstream is asked, None without a bound."""
         if not self._call.route.resumable:
             return None
         return (
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
@@ -42,7 +42,7 @@
 
     @property
     def silence_seconds(self) -> float | None:
-        """How long to wait for the next byte until a second upstream is asked, None for ever."""
+        """How long to wait for the next byte until a second upstream is asked, None without a bound."""
         if not self._call.route.resumable:
             return None
         begun = self.state.events_received
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -58,7 +58,7 @@
     """Looks for another upstream during the silence of one; used by the thread of the request.
 
     The silent connection is given up only when another upstream has sent the next event.
-    If the silent one sends a byte before, the second one is given up instead.
+    If the silent one goes on before, the second one is given up instead.
     """
 
     def __init__(
@@ -76,10 +76,11 @@
         self._first_goes_on = False
 
     def ask(self, silent: socket.socket, name: str, *, is_peer: bool = False) -> float:
-        """Return the seconds until the next call; raises `Superseded`, `CallerLeft` or at the deadline.
+        """Return the seconds until the next call; raises `Superseded` if another one goes on.
 
         ``name`` is the upstream or peer at the other end of the ``silent`` connection. Raises
-        `UpstreamSilent` if the answer has not begun and no second upstream goes on.
+        `UpstreamSilent` if the answer has not begun and no second upstream goes on, `CallerLeft`,
+        and `TimeLimitReached` at the deadline.
         """
         self._first_goes_on = False
         self._note_silence(name, is_peer=is_peer)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/byte_budget.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/byte_budget.py
@@ -65,9 +65,14 @@
         return ANSWER_BYTES if self.limits is None else min(ANSWER_BYTES, self.limits.request)
 
     def take_body(self, count: int) -> bool:
-        """Count ``count`` bytes of a body; return False, uncounted, beyond the bound."""
+        """Count ``count`` bytes of a body; return False, uncounted, beyond the bound.
+
+        What answers may not use is kept for bodies, whatever small answers hold beyond it.
+        """
         with self._lock:
-            if self._exceeds(self.held + count, BODIES_FRACTION):
+            if self._exceeds(self.held + count, BODIES_FRACTION) and self._exceeds(
+                self._bodies + count, BODIES_FRACTION - ANSWERS_FRACTION
+            ):
                 return False
             self._bodies += count
             return True
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_bytes_held.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_bytes_held.py
@@ -288,6 +288,16 @@
     wait_until(lambda: not budget.held)
 
 
+def test_small_answers_beyond_their_bound_leave_a_quarter_for_bodies():
+    """Guards against bodies that are refused for the few bytes that each answer may always hold."""
+    budget = ByteBudget(ByteLimits(800_000, 200_000))
+    assert budget.take_answer(400_000)
+    budget.add_answer(90_000)
+    assert budget.take_body(150_000)
+    assert not budget.take_body(60_000)
+    budget.give_body(150_000)
+
+
 def test_memory_with_200_slow_callers_is_bounded(make_world):
     """Guards against an instance that is killed for its memory with all its requests.
 
