--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -12,6 +12,7 @@
 from redwingscale_standins.soak.ending_body import send_ending_bodies
 from redwingscale_standins.soak.faulty_link import FaultyLink
 from redwingscale_standins.soak.lost_path import cut_path
+from redwingscale_standins.soak.stalls import play_stalls
 from redwingscale_standins.soak.world import (
     MODEL_SERVICE,
     Node,
@@ -28,6 +29,8 @@
 # nothing and is only removed from the list may serve for longer.
 LEAVING_SECONDS = 4.0
 UNANNOUNCED_LEAVING_SECONDS = 12.0
+# A leaving worker ends the streams that it has begun, for as long as callers wait.
+LONGEST_STREAM_SECONDS = 8.0
 # The leader announces a change of the list for three seconds: an instance that is cut off
 # from the store for longer has to detect the change by itself.
 SHORTEST_CUT_SECONDS = 4.0
@@ -39,15 +42,25 @@
 RATE_LIMITS = (0.5, 1.0, 4.0)
 # Bytes delayed on a link arrive when it heals.
 UNDISTURBED_SECONDS = 4.0
+# Those that end the answers under way; bytes of the others arrive later.
+BREAKING_LINK_FAULTS = frozenset({"refuse", "silence", "reset"})
 LINK_FAULTS = ("delay", "hold_to", "hold_from", "refuse", "silence", "reset")
 
 
 class Faults:
     """Draws faults from the world's seeded generator and runs each in its own thread."""
 
-    def __init__(self, world: World, *, planned_only: bool, ending_bodies: bool = False) -> None:
+    def __init__(
+        self,
+        world: World,
+        *,
+        planned_only: bool,
+        ending_bodies: bool = False,
+        stalls: bool = False,
+    ) -> None:
         self._world = world
         self._ending_bodies = ending_bodies
+        self._stalls = stalls
         self._random = world.random
         planned: list[Callable[[], None]] = [
             self._stop_instance,
@@ -85,6 +98,8 @@
         end = time.monotonic() + seconds
         if self._ending_bodies:
             self._begin("bodies that end workers", lambda: send_ending_bodies(self._world, seconds))
+        if self._stalls:
+            self._begin("stalls", lambda: play_stalls(self._world, seconds, self._begin))
         while time.monotonic() < end:
             self._random.choice(self._menu)()
             pause = self._random.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
@@ -149,7 +164,8 @@
     def _kill(self, node: Node) -> None:
         with node.disturbance.during(), self._world.disturbance.during():
             node.stopping = True
-            node.process.end()
+            with self._world.ledger.breaking(node.process.process.pid):
+                node.process.end()
             time.sleep(self._duration() / 3)
             self._restart(node)
 
@@ -261,7 +277,8 @@
         kind = self._random.choice(LINK_FAULTS)
 
         def fault() -> None:
-            with self._world.disturbance.during():
+            broken = [host.worker.id] if kind in BREAKING_LINK_FAULTS else []
+            with self._world.disturbance.during(), self._world.ledger.breaking(*broken):
                 self._apply_link_fault(host.link, kind, seconds)
 
         self._begin(f"link of {host.worker.id}: {kind} {seconds:.2f}", fault)
@@ -271,7 +288,8 @@
         what = self._random.choice(["failing", "losing"])
 
         def fault() -> None:
-            with self._world.disturbance.during():
+            broken = [host.worker.id] if what == "losing" else []
+            with self._world.disturbance.during(), self._world.ledger.breaking(*broken):
                 setattr(host.worker, what, True)
                 time.sleep(seconds)
                 setattr(host.worker, what, False)
@@ -290,7 +308,7 @@
             host.worker.rate_limit = rate
             time.sleep(seconds)
             host.worker.rate_limit = None
-            undisturbed = self._world.disturbance.last_at < begun_at - UNDISTURBED_SECONDS
+            undisturbed = self._world.announced_late_at() < begun_at - UNDISTURBED_SECONDS
             period = RateLimitPeriod(host.worker, rate, begun_at, time.monotonic(), undisturbed)
             self._world.rate_limit_periods.append(period)
 
@@ -347,6 +365,7 @@
             begin(host)
             host.left_at = time.monotonic()
             time.sleep(seconds)
+            host.worker.wait_until_idle(LONGEST_STREAM_SECONDS)
             self._world.drop(host)
 
         self._begin(f"{host.worker.id} {kind}", fault)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -23,6 +23,7 @@
 from redwingscale_standins.soak.ending_body import check_ending_bodies
 from redwingscale_standins.soak.faults import Faults
 from redwingscale_standins.soak.lost_path import check_path_cuts
+from redwingscale_standins.soak.whole_answers import check_whole_answers
 from redwingscale_standins.soak.world import STEADY_KEY, WorkerHost, World
 
 CALLERS_EACH = 4
@@ -46,17 +47,29 @@
 
 
 def play(
-    seed: int, seconds: float, instances: int, directory: Path, *, ending_bodies: bool = True
+    seed: int,
+    seconds: float,
+    instances: int,
+    directory: Path,
+    *,
+    ending_bodies: bool = True,
+    stalls: bool = True,
 ) -> Outcome:
     """Run one seed and return its outcome; logs are kept in ``directory``.
 
     With ``ending_bodies``, seeds with unplanned faults have bodies that end their workers.
+    With ``stalls``, all seeds have sound workers that pause, slow paths and slow callers.
     """
     planned_only = seed % PLANNED_EVERY == 0
     world = World(directory, instances, seed)
-    callers = [Caller(world, number, seed) for number in range(instances * CALLERS_EACH)]
+    callers = [
+        Caller(world, number, seed, stalls=stalls) for number in range(instances * CALLERS_EACH)
+    ]
     faults = Faults(
-        world, planned_only=planned_only, ending_bodies=ending_bodies and not planned_only
+        world,
+        planned_only=planned_only,
+        ending_bodies=ending_bodies and not planned_only,
+        stalls=stalls,
     )
     ended = threading.Event()
     history = _WorkerHistory(world)
@@ -75,6 +88,7 @@
         _check_recovery(world)
         check_requests(world)
         check_cuts(world, planned_only=planned_only)
+        check_whole_answers(world)
         check_orders(world, HANDOVER_PAUSE_SECONDS / 2)
         check_limit(world)
         check_rate_limits(world)
@@ -91,6 +105,7 @@
         faults.wait()
         world.stop()
         (directory / "faults.log").write_text("\n".join(faults.log) + "\n")
+        (directory / "findings.log").write_text("\n".join(world.ledger.findings) + "\n")
     results = world.ledger.results
     answered = sum(result.status is not None and result.status < 300 for result in results)
     return Outcome(seed, len(results), answered, len(faults.log), world.ledger.findings)
