--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
@@ -6,7 +6,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import CallerLeft, CallerTooSlow, Refusal
+from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.holder_wait import STOP_MARGIN_SECONDS
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
@@ -18,10 +18,7 @@
 
     DEADLINE = "deadline"
     CALLER_LEFT = "caller_left"
-    CALLER_TOO_SLOW = "caller_too_slow"
     UPSTREAM_BROKE = "upstream_broke"
-    UPSTREAM_SILENT = "upstream_silent"
-    BYTES_HELD = "bytes_held"
     PROCESS_ENDS = "process_ends"
 
 
@@ -51,6 +48,7 @@
             connected=not loss.broken if loss else "-",
             last_byte_age=_age(attempts.last_read_at),
             last_event_age=_age(attempts.last_event_at),
+            unwritten=call.reply.unwritten,
             unsent=unsent_bytes(call.request.socket),
             sendings=attempts.count,
             tried=";".join(attempts.history),
@@ -58,21 +56,14 @@
         )
 
     def _reason(self, call: Call, error: Refusal | CallerLeft) -> EndReason:
+        # At the end of the process its own close looks like that of a caller.
+        stopping = self._open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS
         match error:
-            case CallerTooSlow():
-                return EndReason.CALLER_TOO_SLOW
-            case CallerLeft():
+            case CallerLeft() if not stopping:
                 return EndReason.CALLER_LEFT
             case Refusal(code="time_limit"):
                 return EndReason.DEADLINE
-            case Refusal(code="bytes_held"):
-                return EndReason.BYTES_HELD
-        if self._open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS:
-            return EndReason.PROCESS_ENDS
-        loss = call.attempts.last_loss
-        if loss is not None and loss.silent:
-            return EndReason.UPSTREAM_SILENT
-        return EndReason.UPSTREAM_BROKE
+        return EndReason.PROCESS_ENDS if stopping else EndReason.UPSTREAM_BROKE
 
 
 def _age(at: float | None) -> float | str:
