Send requests directly again as soon as the path is restored

What callers saw: after a cut one request was still passed on to a peer. Cause: that new connections break was known on its own, and forgotten up to 0.4 s after the path was back. Change: a restored path clears it. Measured: that test and the one of the cancel pass; types.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
@@ -91,6 +91,7 @@
     watch = PathWatch(path, fleet.directory, offers.who_heard, probe, follow_peers)
     path.on_suspected(watch.begin)
     path.on_restored(lambda: pool.forget(offers.ids()))
+    path.on_restored(fleet.new_connections.note_restored)
     return Detours(
         Detour(path, fleet.health, offers),
         PeerRelay(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/new_connections.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/new_connections.py
@@ -62,6 +62,14 @@
         if ended:
             log_event("new_connections_work", upstream=upstream_id)
 
+    def note_restored(self) -> None:
+        """Note that the path works again after it was lost, as a probe has shown."""
+        with self._lock:
+            ended, self._break = self._break, False
+            self._broken_since = {}
+        if ended:
+            log_event("new_connections_work", upstream="-")
+
     def may_open(self, upstream_id: str) -> bool:
         """Return whether a request may be sent on a new connection."""
         return not (self._break and upstream_id in self._broken_since)
