Give the test of late readers a buffer whose window the kernel opens in time

Its log: the answer ended at 40.085, the close came at 51.135 at the end of the grace with 5,756 bytes unsent. With a buffer of 2,048 bytes the window opens only with the probes of the sender, which wait longer each time: the caller did not get 46 KB in 11 s. Change: 8,192 bytes.

--- a/packages/redwingscale-daemon/tests/functional/hosted/test_answer_ends.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_answer_ends.py
@@ -10,7 +10,7 @@
 
 EVENTS = 1500
 # Most of the answer waits at the instance while the caller does not read.
-CALLER_BUFFER_BYTES = 2048
+CALLER_BUFFER_BYTES = 8192
 NEXT_REQUEST = stream_request("next", 3)
 SENT_NEXT = {"nothing": b"", "part": NEXT_REQUEST[:60], "whole": NEXT_REQUEST}
 PAUSE_SECONDS = 1.5
