Wait for the updates of the leader before all holders count as rejecting

What callers saw: with a holder that rejects all requests for a minute, a request was refused with 503 after 0.3 s, although the leader loaded the model at another upstream.

Cause: a request took 0.3 s on its own clock for proof that the leader plans no load. A leader that has just begun, or is slow, announces a load later. In a normal run of the test the load is announced 0.26 s after the wait began, since the leader begins its term during the wait; 0.04 s of delay suffice. That this is what delayed the failed run is suspected: its logs are lost.

Change: a request is refused for the retry times of its holders only after two updates of a leader, each of which follows a planning step, besides the 0.3 s. Without a leader the wait of 0.6 s stands.

The test on processes now begins once there is a leader. Before, it raced the begin of the first term: without a leader a request is refused after 0.6 s, by design. The race itself is tested with a clock that the test sets.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/residency.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/residency.py
@@ -32,6 +32,8 @@
         # What upstreams have reported themselves, and when.
         self._reported: dict[str, tuple[AdaptersByModel, float]] = {}
         self._fence: int | None = None
+        # How many updates of leaders were taken.
+        self.updates = 0
 
     def replace(
         self, resident: dict[str, AdaptersByModel], ready_in: dict[str, float], fence: int = 0
@@ -39,6 +41,7 @@
         """Take a full view that was just received from the leader with ``fence``."""
         with self._lock:
             self._fence = fence
+            self.updates += 1
             self._view = ResidencyView(resident, ready_in, time.monotonic())
 
     def update(
@@ -51,6 +54,7 @@
         with self._lock:
             if fence == self._fence:
                 merged = {**self._view.resident_by_upstream, **resident}
+                self.updates += 1
                 self._view = ResidencyView(merged, ready_in, time.monotonic())
 
     def reported(self, upstream_id: str, resident: AdaptersByModel, at: float) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -34,8 +34,10 @@
 # updates from a leader, a request waits no longer than this.
 NO_UPDATES_WAIT_SECONDS = 0.6
 # If the leader loads the unit elsewhere for a request whose holders reject it, the load
-# is announced within this time.
+# is announced within this time, and by the second update of the leader: the first one may
+# have been planned before the request was counted.
 LOAD_ANNOUNCED_SECONDS = 0.3
+LOAD_ANNOUNCED_UPDATES = 2
 # Time that a waiting request leaves its upstream to read the prompt.
 MIN_SERVICE_SECONDS = 0.25
 # If no load is announced, none is in progress, and an earlier retry would be refused
@@ -64,6 +66,18 @@
         """Count a request whose holders were too busy to serve it in time."""
 
 
+class _Wait(NamedTuple):
+    """When a wait began, monotonic, and how many updates of leaders had come by then."""
+
+    began_at: float
+    updates: int
+
+    @property
+    def seconds(self) -> float:
+        """How long the wait has lasted."""
+        return time.monotonic() - self.began_at
+
+
 FindPeer = Callable[[Call, Callable[[], Sequence[str]]], Peer | None]
 
 
@@ -192,7 +206,7 @@
         call.watch.check_caller()
 
     def _wait_for_holder(self, call: Call, prompt: Prompt) -> Candidate | Peer:
-        started = time.monotonic()
+        started, updates = time.monotonic(), self.residency.updates
         log_event(
             "waits_for_holder",
             request=call.terms.request_id,
@@ -207,7 +221,7 @@
                 return found
             if (peer := self._find_peer(call, prompt)) is not None:
                 return peer
-            self._refuse_if_not_in_time(call, prompt, time.monotonic() - started)
+            self._refuse_if_not_in_time(call, prompt, _Wait(started, updates))
             self._refuse_if_stopping(call)
             self.changes.wait(seen, CALLER_CHECK_SECONDS)
             call.watch.check_caller()
@@ -230,7 +244,11 @@
         retry_seconds = min(retry_in, ready_in or NO_HOLDER_RETRY_SECONDS)
         raise final_refusal(call, "upstream_rejects", detail, retry_seconds)
 
-    def _refuse_if_not_in_time(self, call: Call, prompt: Prompt, waited_seconds: float) -> None:
+    def _is_load_unannounced(self, wait: _Wait) -> bool:
+        updates = self.residency.updates - wait.updates
+        return wait.seconds > LOAD_ANNOUNCED_SECONDS and updates >= LOAD_ANNOUNCED_UPDATES
+
+    def _refuse_if_not_in_time(self, call: Call, prompt: Prompt, wait: _Wait) -> None:
         if (retry_seconds := self.caller_retry_seconds()) is not None:
             # The leader does not receive this instance's demand: the caller should retry at
             # another instance.
@@ -238,16 +256,16 @@
         left = max_wait_seconds(call)
         ready_in = self.order.ready_in(call, prompt, self.residency.ready_in(str(prompt.unit)))
         throttled = self.chooser.throttled_holders(call.service, prompt, call.attempts.tried)
-        if waited_seconds > LOAD_ANNOUNCED_SECONDS and (ready_in is None or ready_in > left):
+        if self._is_load_unannounced(wait) and (ready_in is None or ready_in > left):
             self._check_retry_times(call, prompt, throttled, ready_in)
         if ready_in is not None and not throttled:
             too_late = ready_in > left
         elif self.residency.fresh:
             too_late = left <= 0 or (
-                not throttled and self.order.is_unplanned(call, prompt, waited_seconds, left)
+                not throttled and self.order.is_unplanned(call, prompt, wait.seconds, left)
             )
         else:
-            too_late = waited_seconds > NO_UPDATES_WAIT_SECONDS
+            too_late = wait.seconds > NO_UPDATES_WAIT_SECONDS
         if not too_late:
             return
         detail = f"{prompt.unit} is ready in {ready_in} s, {left:.3f} s are left"
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_backpressure.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_backpressure.py
@@ -89,6 +89,7 @@
     rejecting = deployment.worker("w1", "m1")
     others = [deployment.worker("w2", "m2"), deployment.worker("w3", "m3", "m4")]
     one = deployment.instance("one")
+    until(lambda: b"event=giver_begins" in one.log.read_bytes(), "a leader")
     rejecting.retry_after = LONG_RETRY_AFTER_SECONDS
     assert one.request_stream("m1")[0] == 200
     assert any("m1" in other.models for other in others)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_refused_waits.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_refused_waits.py
@@ -1,5 +1,6 @@
 """A request whose unit gets no holder in time is refused at once, and its caller is told when."""
 
+import math
 from types import SimpleNamespace
 
 import pytest
@@ -30,7 +31,8 @@
         self.clock = clock
         self.instance = Instance(0, 20, ("u0",), mode)
         self.list_upstream()
-        self.leader_lost = False
+        self.leader_begins_at = -math.inf
+        self.update_seconds = 0.25
         self.ready_at = {}
         self.leader_update()
         self.holder_wait = self.instance.wait._replace(changes=self)
@@ -48,13 +50,22 @@
 
     def wait(self, seen, seconds):
         self.clock.now += seconds
-        if self.clock.now - self.updated_at >= 0.25 and not self.leader_lost:
+        due_at = max(self.leader_begins_at, self.updated_at + self.update_seconds)
+        if self.clock.now >= due_at:
             self.leader_update()
 
     def loads(self, unit, seconds):
         self.ready_at[unit] = self.clock.now + seconds
         self.leader_update()
 
+    def reject(self, seconds):
+        """Let the only holder reject requests, and the leader load the model elsewhere."""
+        fleet = self.instance.fleet
+        rejecting = fleet.directory.get("u0")._replace(id="rejecting")
+        fleet.directory.replace([fleet.directory.get("u0"), rejecting])
+        fleet.residency.reported("rejecting", {UNIT.model: frozenset()}, math.inf)
+        fleet.retry_times.note("rejecting", seconds)
+
     def unplanned(self, *units):
         self.instance.updates.receive(SimpleNamespace(unplanned=units, returns=()))
 
@@ -125,7 +136,7 @@
 
 
 def test_instance_without_a_leader_waits_as_before(scene, clock):
-    scene.leader_lost = True
+    scene.leader_begins_at = math.inf
     clock.now += 2.0
     assert NO_UPDATES_WAIT_SECONDS < scene.refused()[1] < NO_UPDATES_WAIT_SECONDS + 0.1
 
@@ -137,3 +148,34 @@
     assert waited > 4.0
     assert refusal.retry_after_seconds == 2.0
     assert sum(entry.refused for entry in scene.instance.demand.drain()) == 0
+
+
+@pytest.mark.parametrize("update_seconds", [0.25, 0.5])
+def test_request_that_all_holders_reject_waits_for_the_updates_of_a_slow_leader(
+    clock, update_seconds
+):
+    # Guards against refusals because the leader announces a load later than usual.
+    scene = Scene(clock, Mode.OFF)
+    scene.reject(60.0)
+    scene.update_seconds = update_seconds
+    scene.ready_at["m"] = clock.now + 2 * update_seconds + 0.2
+    assert scene.choose().upstream.id == "u0"
+
+
+def test_request_that_all_holders_reject_waits_for_a_leader_that_has_just_begun(clock):
+    # Guards against refusals before the first update of a leader.
+    scene = Scene(clock, Mode.OFF)
+    clock.now += 2.0
+    scene.reject(60.0)
+    scene.leader_begins_at = clock.now + 0.45
+    scene.ready_at["m"] = clock.now + 0.65
+    assert scene.choose().upstream.id == "u0"
+
+
+def test_request_that_all_holders_reject_is_refused_if_no_load_is_announced(clock):
+    # Guards against requests that wait until their deadline and are then refused.
+    scene = Scene(clock, Mode.OFF)
+    scene.reject(60.0)
+    refusal, waited = scene.refused()
+    assert refusal.code == "upstream_rejects"
+    assert waited < 0.6
