Let the accept queue of an instance hold a burst of connections

What callers saw: connections opened in a burst, or while the process gets no time, were established a second and more later than others, or not within the time that callers allow.

Cause: the ports of callers and peers used the default of their server, an accept queue of 5 connections. The opening packets of further ones are dropped and sent again after one, three and seven seconds.

Evidence: 64 connections to an instance that is suspended; on the code before, connecting times out, now all are established. A listed test that failed once (requests_beyond_the_threads) had one connection routed a second later than the others; that this was its cause is suspected only, so its entry stays.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -33,6 +33,9 @@
 REST_SECONDS = 2.5
 # Threads that a port keeps while it is idle.
 MIN_THREADS = 2
+# Connections that the kernel holds until they are accepted. The server's default is 5: the opening
+# packets of further ones are dropped, and are sent again only a second later.
+ACCEPT_QUEUE_CONNECTIONS = 1024
 
 
 class PortLimits(NamedTuple):
@@ -156,6 +159,7 @@
         self._answering_threads = limits.threads - limits.refusing_threads
         server.requests = self._threads
         server.ConnectionClass = CallerConnection
+        server.request_queue_size = ACCEPT_QUEUE_CONNECTIONS
         server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
         server.max_request_header_size = limits.head_bytes
         server.timeout = limits.idle_seconds
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
@@ -11,6 +11,7 @@
 
 from redwingscale_standins.hosted.documents import document
 from redwingscale_standins.hosted.model_worker import WorkerTiming
+from redwingscale_standins.hosted.raw_caller import RawCaller
 from redwingscale_standins.hosted.waiting import until
 
 
@@ -187,6 +188,20 @@
     assert one.request_stream("m1", 3) == (200, [1, 2, 3])
 
 
+def test_connections_of_a_burst_are_established_while_the_process_gets_no_time(deployment):
+    # Guards against callers that wait a second and more until their connection is tried again.
+    deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    os.kill(one.process.pid, signal.SIGSTOP)
+    try:
+        callers = [RawCaller(one.ports[0]) for _ in range(64)]
+    finally:
+        os.kill(one.process.pid, signal.SIGCONT)
+    for caller in callers:
+        caller.close()
+    assert one.request_stream("m1") == (200, [1, 2, 3])
+
+
 def test_number_of_instances_outlasts_their_processes(deployment):
     """Guards against instances that all restart and each take a sixth of a limit."""
     deployment.worker("w1", "m1")
