--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -1,6 +1,5 @@
 """Waits until the model or adapter of a request is resident at an upstream."""
 
-import math
 import time
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
@@ -16,7 +15,6 @@
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.final_refusal import final_refusal
-from redwingscale_daemon._internal.forwarding.late_refusal import late_refusal
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer
 from redwingscale_daemon._internal.forwarding.place_rule import (
     FIRST_COME_FIRST_SERVED,
@@ -26,6 +24,10 @@
 from redwingscale_daemon._internal.forwarding.prompt_pacing import hold
 from redwingscale_daemon._internal.forwarding.return_order import UNORDERED, ReturnOrder
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
+from redwingscale_daemon._internal.forwarding.wait_bounds import (
+    max_wait_seconds,
+    overload_refusal,
+)
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 
 # How often a waiting request checks that its caller is still connected.
@@ -38,15 +40,9 @@
 # have been planned before the request was counted.
 LOAD_ANNOUNCED_SECONDS = 0.3
 LOAD_ANNOUNCED_UPDATES = 2
-# Time that a waiting request leaves its upstream to read the prompt.
-MIN_SERVICE_SECONDS = 0.25
 # If no load is announced, none is in progress, and an earlier retry would be refused
 # again.
 NO_HOLDER_RETRY_SECONDS = 2.0
-OVERLOADED_RETRY_SECONDS = 1.0
-# A request is refused if the queue before it exceeds this many latency targets.
-MAX_QUEUE_TARGETS = 2.0
-MILLISECONDS_PER_SECOND = 1000.0
 # Time before the end of the process for a refusal to reach the caller.
 STOP_MARGIN_SECONDS = 0.8
 # Another instance can serve the request at once.
@@ -197,7 +193,7 @@
                 call.service, prompt, call.attempts.tried, compare_all=True
             ),
             lambda: self.chooser.holder_ids(call.service, prompt, call.attempts.tried),
-            lambda one: self.order.overload_refusal(call, prompt, one, _overload_refusal),
+            lambda one: self.order.overload_refusal(call, prompt, one, overload_refusal),
             lambda: self._check_wait(call),
         )
 
@@ -270,46 +266,3 @@
             return
         detail = f"{prompt.unit} is ready in {ready_in} s, {left:.3f} s are left"
         raise final_refusal(call, "no_holder", detail, ready_in or NO_HOLDER_RETRY_SECONDS)
-
-
-def _overload_refusal(call: Call, found: Candidate) -> Refusal | None:
-    """Return a refusal if ``found`` would send the first event too late, else None.
-
-    A request that waits behind a queue too long for its time limit also delays those
-    behind it, and all of them are late; refused, it costs nothing and is retried when
-    the queue is shorter. The time to read its own prompt does not count as queue:
-    otherwise the largest requests would be refused most often. A request that was
-    already sent to an upstream is not refused here.
-    """
-    longest = call.route.latency_target_seconds * MAX_QUEUE_TARGETS
-    queue, expected = (
-        found.queue_ms / MILLISECONDS_PER_SECOND,
-        found.expected_ms / MILLISECONDS_PER_SECOND,
-    )
-    max_wait = max_wait_seconds(call)
-    if found.estimate is not None and not call.attempts.count:
-        # A returning request has waited already, and is refused only if its caller would leave.
-        target = math.inf if call.attempts.returning else call.route.latency_target_seconds
-        return late_refusal(found.estimate, max_wait, target, OVERLOADED_RETRY_SECONDS)
-    excess = max(queue - longest, expected - max_wait)
-    if excess <= 0 or call.attempts.count:
-        return None
-    return Refusal(
-        503,
-        "overloaded",
-        f"{found.upstream.id} would begin in {expected:.2f} s behind {queue:.2f} s of others; "
-        f"{longest:.2f} s of them and {max_wait:.2f} s in all are worth waiting",
-        retry_after_seconds=max(OVERLOADED_RETRY_SECONDS, excess),
-    )
-
-
-def max_wait_seconds(call: Call) -> float:
-    """Return the seconds that the request can still wait for an upstream.
-
-    Leaves the upstream `MIN_SERVICE_SECONDS`. Callers of a stream disconnect long
-    before their deadline if no event arrives; this is counted from the arrival of the
-    request or from the last event.
-    """
-    since = call.attempts.last_event_at or call.request.arrived_at
-    next_event = since + call.route.first_event_seconds - time.monotonic()
-    return min(call.watch.remaining(), next_event) - MIN_SERVICE_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -27,11 +27,12 @@
     note_failure,
 )
 from redwingscale_daemon._internal.forwarding.call import Call
-from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait, max_wait_seconds
+from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer
 from redwingscale_daemon._internal.forwarding.stream_progress import Progress, Sending
 from redwingscale_daemon._internal.forwarding.stream_sender import StreamSender
+from redwingscale_daemon._internal.forwarding.wait_bounds import max_wait_seconds
 
 # How often another upstream is looked for while the stream stays silent.
 ASK_AGAIN_SECONDS = 0.3
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -21,7 +21,7 @@
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.crash_guard import GuardedAttempt
 from redwingscale_daemon._internal.forwarding.final_refusal import time_limit_refusal
-from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait, max_wait_seconds
+from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer
@@ -39,6 +39,7 @@
     StreamSender,
     priority,
 )
+from redwingscale_daemon._internal.forwarding.wait_bounds import max_wait_seconds
 from redwingscale_daemon._internal.models.run_state import RunState
 
 FIRST_SERVER_ERROR_STATUS = 500
--- a/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
@@ -19,9 +19,9 @@
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
-from redwingscale_daemon._internal.forwarding.holder_wait import (
-    _overload_refusal,
+from redwingscale_daemon._internal.forwarding.wait_bounds import (
     max_wait_seconds,
+    overload_refusal,
 )
 from redwingscale_daemon._internal.swaps.slowness import Slowness, first_event_entry
 
@@ -166,11 +166,11 @@
         )
         chooser = self.choosers[number]
         chosen = chooser.choose_holder("llm", prompt, ())
-        if _overload_refusal(call, chosen):
+        if overload_refusal(call, chosen):
             chosen = chooser.choose_holder("llm", prompt, (), compare_all=True)
         worker = self.workers[chosen.upstream.id]
         done = worker.done_at(now - self.start, tokens, self.sizes[model]) + self.start
-        refused = _overload_refusal(call, chosen) is not None
+        refused = overload_refusal(call, chosen) is not None
         real_ms = (done - now) * 1000
         if now - self.start > self.shape.warm_seconds:
             wait_ms = max_wait_seconds(call) * 1000
