Keep a request on a lost path until a peer has answered it

What callers saw: a request of a route that may be repeated, waiting for a service that runs no models, ended with 502 half a second after the path of its instance was taken as lost, although its upstream answered a moment later. An answer of more than 64 KB that had begun was cut in the same way.

Cause: plain_relay.py closed the connection once a repeat was reserved, before it was known that a peer takes the request.

Change: the first connection stays open until a peer has sent the head of an answer that is no failure. If the upstream goes on before, the peer is reset. Nothing gives up an answer of which the caller has a part. Whether a second way is asked is decided in one place for streams and other requests (second_choice.py).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -2,7 +2,6 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.fingerprint import fingerprint_of
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
@@ -13,18 +12,6 @@
 FAILURE_STATUSES = frozenset({500, 502})
 
 
-def watch_path(parts: RelayParts, call: Call, upstream: Upstream) -> None:
-    """Give up a request that waits for bytes once the own path is lost, if it may be repeated.
-
-    A repeat is taken from the budget first: the answer may still come on this connection.
-    """
-
-    def on_overdue(began_at: float) -> bool:
-        return parts.path.note_overdue(upstream.id, began_at) and call.attempts.reserve_repeat()
-
-    call.watch.expect(None, None, on_overdue)
-
-
 def note_failure(
     parts: RelayParts, call: Call, outcome: NotRun | Lost, *, may_go_on: bool = False
 ) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/final_refusal.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/final_refusal.py
@@ -1,4 +1,4 @@
-"""The refusal of a request that no upstream can serve in time."""
+"""The last answer to a request that no upstream has served in time."""
 
 from redwingscale_daemon._internal.exceptions import NotSentInTime, Refusal, TimeLimitReached
 from redwingscale_daemon._internal.forwarding.attempts import Attempts
@@ -45,3 +45,15 @@
 def failure_refusal(reason: str) -> Refusal:
     """Return the answer to a request that may have run and has no valid answer."""
     return Refusal(502, "upstream_failed", reason, run=RunState.UNKNOWN)
+
+
+def deliver_failure(call: Call) -> bool:
+    """Reply with the failure that an upstream sent earlier; return whether there is one.
+
+    It tells the caller more than a refusal by this instance would.
+    """
+    failure = call.attempts.failure
+    if failure is None or not call.attempts.may_pass_on(failure.status, counted=True):
+        return False
+    call.reply.send(failure.status, failure.headers, failure.body)
+    return True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -33,12 +33,15 @@
 from redwingscale_daemon._internal.models.run_state import RunState
 
 FIRST_ERROR_STATUS = 400
+FIRST_SERVER_ERROR_STATUS = 500
 _MAX_DISCARDED_BYTES = 65536
 
 _LOST = (HTTPException, HTTPError, OSError, UpstreamSilent, ValueError)
 
 
-class _Exchange(NamedTuple):
+class Exchange(NamedTuple):
+    """The head of a peer's answer has arrived; its body is unread."""
+
     peer: Peer
     connection: UpstreamConnection
     response: HTTPResponse
@@ -75,9 +78,10 @@
         The request is not a stream.
         """
         exchange = self._begin_or_retry(call, peer, None)
-        return exchange is not None and self._deliver_whole(call, exchange)
+        return exchange is not None and self.deliver_whole(call, exchange)
 
-    def _deliver_whole(self, call: Call, exchange: _Exchange) -> bool:
+    def deliver_whole(self, call: Call, exchange: Exchange) -> bool:
+        """Pass on an answer that is no stream; return and raise as `relay` does."""
         begun = call.reply.started
         # No stream can go on with an answer that is no stream.
         call.watch.expect(call.watch.silence_seconds)
@@ -107,13 +111,23 @@
             return False
         if exchange.response.status < FIRST_ERROR_STATUS:
             return self._stream(call, exchange)
-        return self._deliver_whole(call, exchange)
+        return self.deliver_whole(call, exchange)
 
     def open_second(self, call: Call, peer: Peer, progress: Progress) -> PeerStream | None:
         """Return the stream of a peer that goes on while another connection is kept open.
 
         Returns None if the peer does not go on; raises `Refusal`, `FirstUpstreamResumed`.
         """
+        exchange = self._begin_second(call, peer, progress, FIRST_ERROR_STATUS)
+        return exchange and self._stream(call, exchange)
+
+    def begin_second(self, call: Call, peer: Peer) -> Exchange | None:
+        """Return the answer of a peer to a request that is no stream; otherwise as `open_second`."""
+        return self._begin_second(call, peer, None, FIRST_SERVER_ERROR_STATUS)
+
+    def _begin_second(
+        self, call: Call, peer: Peer, progress: Progress | None, first_failure_status: int
+    ) -> Exchange | None:
         try:
             exchange = self._begin(call, peer, progress, running=1)
         except _LOST as error:
@@ -122,16 +136,17 @@
             return None
         if exchange is None:
             return None
-        if exchange.response.status < FIRST_ERROR_STATUS:
-            return self._stream(call, exchange)
+        status = exchange.response.status
+        if status < first_failure_status and status not in NOT_RUN_STATUSES:
+            return exchange
         exchange.connection.discard()
-        reason = f"status {exchange.response.status}"
+        reason = f"status {status}"
         self._note(call, peer, "failed", reason)
-        if exchange.response.status not in NOT_RUN_STATUSES:
+        if status not in NOT_RUN_STATUSES:
             call.attempts.note_superseded(peer.id, reason)
         return None
 
-    def _stream(self, call: Call, exchange: _Exchange) -> PeerStream:
+    def _stream(self, call: Call, exchange: Exchange) -> PeerStream:
         return PeerStream(
             call,
             exchange.peer.id,
@@ -142,9 +157,7 @@
             partial(self._retry_after_loss, call, exchange.peer),
         )
 
-    def _begin_or_retry(
-        self, call: Call, peer: Peer, progress: Progress | None
-    ) -> _Exchange | None:
+    def _begin_or_retry(self, call: Call, peer: Peer, progress: Progress | None) -> Exchange | None:
         try:
             return self._begin(call, peer, progress)
         except _LOST as error:
@@ -155,7 +168,7 @@
 
     def _begin(
         self, call: Call, peer: Peer, progress: Progress | None, running: int = 0
-    ) -> _Exchange | None:
+    ) -> Exchange | None:
         """Send the request; return None if the peer did not take it, raises one of `_LOST`.
 
         ``running`` attempts at upstreams are still open.
@@ -198,7 +211,7 @@
         connection: UpstreamConnection,
         progress: Progress | None,
         running: int,
-    ) -> _Exchange:
+    ) -> Exchange:
         call.watch.check_before_sending()
         attempts = call.attempts
         # Upstreams that were lost with the path of this instance are sound.
@@ -223,9 +236,9 @@
             (*envelope.without(headers), carried),
             call.request.body,
         )
-        return _Exchange(peer, connection, connection.receive_response(call.watch))
+        return Exchange(peer, connection, connection.receive_response(call.watch))
 
-    def _deliver(self, call: Call, exchange: _Exchange) -> None:
+    def _deliver(self, call: Call, exchange: Exchange) -> None:
         response = exchange.response
         headers = envelope.without(self._dialect.response_headers(response))
         length = response.length
@@ -244,7 +257,7 @@
         call.reply.begin(response.status, headers, length)
         pass_on_pieces(response, call.reply, call.request.held, start.data)
 
-    def _finish(self, exchange: _Exchange) -> None:
+    def _finish(self, exchange: Exchange) -> None:
         """Keep the connection of an answer that was read to its end."""
         self._release(exchange)
         self._on_result("answered")
@@ -261,7 +274,7 @@
             return False
         raise Refusal(502, "upstream_failed", reason, run=RunState.UNKNOWN) from error
 
-    def _release(self, exchange: _Exchange) -> None:
+    def _release(self, exchange: Exchange) -> None:
         connection = exchange.connection
         idle = self._dialect.idle_seconds(exchange.response)
         if idle == 0.0 or not connection.is_reusable():
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -16,12 +16,12 @@
 from redwingscale_daemon._internal.forwarding.attempt_failure import (
     FAILURE_STATUSES,
     note_failure,
-    watch_path,
 )
 from redwingscale_daemon._internal.forwarding.attempts import FailedResponse
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.crash_guard import GuardedAttempt
 from redwingscale_daemon._internal.forwarding.final_refusal import (
+    deliver_failure,
     failure_refusal,
     no_upstream_refusal,
     time_limit_refusal,
@@ -35,6 +35,11 @@
     read_body_start,
     read_response_body,
 )
+from redwingscale_daemon._internal.forwarding.second_peer import (
+    AnsweredByPeer,
+    SecondPeer,
+    go_on_through,
+)
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
 
 FIRST_SERVER_ERROR_STATUS = 500
@@ -60,7 +65,7 @@
                     return
                 continue
             if candidate is None:
-                if _deliver_failure(call):
+                if deliver_failure(call):
                     return
                 raise no_upstream_refusal(call.attempts)
             max_wait_seconds = call.watch.remaining() - MIN_SERVICE_SECONDS
@@ -76,6 +81,9 @@
             try:
                 if self._send(call, candidate.upstream, attempt):
                     return
+            except AnsweredByPeer as taken_over:
+                if go_on_through(self._parts, call, taken_over, candidate.upstream, attempt):
+                    return
             finally:
                 attempt.close()
                 ticket.close()
@@ -91,11 +99,7 @@
 
         found = choose()
         if found is None or self._parts.health.is_unreachable(found.upstream.id):
-            # Another instance may reach those that this one has tried in vain.
-            excluded = call.attempts.tried - call.attempts.unreached
-            peer = self._parts.detour.choose(
-                call, lambda: self._parts.chooser.plain_ids(call.service, excluded)
-            )
+            peer = self._find_peer(call)
             if peer is not None:
                 return peer
         if found is not None or call.attempts.failure is not None:
@@ -107,13 +111,20 @@
             call, throttled, lambda: call.watch.remaining() - MIN_SERVICE_SECONDS, choose
         )
 
+    def _find_peer(self, call: Call) -> Peer | None:
+        # Another instance may reach those that this one has tried in vain.
+        excluded = call.attempts.tried - call.attempts.unreached
+        return self._parts.detour.choose(
+            call, lambda: self._parts.chooser.plain_ids(call.service, excluded)
+        )
+
     def _send(self, call: Call, upstream: Upstream, attempt: GuardedAttempt) -> bool:
         """Return whether the reply was sent, False to retry; raises if neither is possible."""
         parts = self._parts
         headers = parts.dialect.attempt_headers(
             call.headers, upstream.platform_name, call.watch.remaining(), PLAIN_PRIORITY, None
         )
-        watch_path(parts, call, upstream)
+        SecondPeer(parts, call, upstream, self._find_peer).watch()
         try:
             outcome = parts.sender.send(
                 upstream, call.request, call.terms.request_id, headers, call.watch
@@ -126,7 +137,7 @@
             case NotRun():
                 note_failure(self._parts, call, outcome)
                 if not call.attempts.take_retry(outcome):
-                    if _deliver_failure(call):
+                    if deliver_failure(call):
                         return True
                     raise no_upstream_refusal(call.attempts)
                 return False
@@ -134,7 +145,7 @@
                 note_failure(self._parts, call, outcome)
                 attempt.note_lost(outcome)
                 if not call.attempts.take_retry(outcome):
-                    if _deliver_failure(call):
+                    if deliver_failure(call):
                         return True
                     raise failure_refusal(outcome.reason)
                 return False
@@ -164,7 +175,7 @@
         except TimeLimitReached as error:
             answering.connection.discard()
             raise time_limit_refusal(call, error) from None
-        except (CallerLeft, Refusal):
+        except (CallerLeft, Refusal, AnsweredByPeer):
             answering.connection.discard()
             raise
         if not start.whole:
@@ -212,6 +223,8 @@
         """
         response = answering.response
         headers = self._parts.dialect.response_headers(response)
+        # Nobody can go on with an answer that has begun.
+        call.watch.expect(None)
         try:
             call.reply.begin(response.status, headers, length)
             pass_on_pieces(response, call.reply, call.request.held, piece)
@@ -230,15 +243,3 @@
         attempt.note_complete()
         self._parts.sender.release(answering)
         self._parts.health.note_answer(answering.upstream.id)
-
-
-def _deliver_failure(call: Call) -> bool:
-    """Reply with the failure that an upstream sent earlier; return whether there is one.
-
-    It tells the caller more than a refusal by this instance would.
-    """
-    failure = call.attempts.failure
-    if failure is None or not call.attempts.may_pass_on(failure.status, counted=True):
-        return False
-    call.reply.send(failure.status, failure.headers, failure.body)
-    return True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -30,6 +30,7 @@
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait, max_wait_seconds
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer
+from redwingscale_daemon._internal.forwarding.second_choice import NotAsked, SecondChoice
 from redwingscale_daemon._internal.forwarding.stream_progress import Progress, Sending
 from redwingscale_daemon._internal.forwarding.stream_sender import StreamSender
 
@@ -68,9 +69,9 @@
         self._call = call
         self._prompt = prompt
         self._progress = progress
-        # The silent upstream or peer, and why no second one was asked at last.
+        self._choice = SecondChoice(call, lambda: factory.wait.choose_now(call, prompt))
+        # The silent upstream or peer.
         self._silent: str | None = None
-        self._reason = ""
         self._waits_for_holder = False
         # Whether the silent upstream went on while the second one was asked.
         self._first_goes_on = False
@@ -90,7 +91,7 @@
             stream = self._open(silent)
         except Refusal as refusal:
             # It concerns the second attempt only; the first one may still go on.
-            self._note_not_asked(refusal.detail)
+            self._choice.note_not_asked(refusal.detail)
             stream = None
         except NotSentInTime as error:
             # The first upstream has the request.
@@ -121,7 +122,8 @@
         if self._silent == name:
             self._log("silence_ended", upstream=name)
             self._factory.sender.parts.health.note_resumed(name)
-        self._silent, self._reason = None, ""
+        self._silent = None
+        self._choice.forget()
         self.close()
 
     def _note_silence(self, name: str, *, is_peer: bool) -> None:
@@ -132,31 +134,18 @@
         if not is_peer:
             self._factory.sender.parts.health.note_silent(name)
 
-    def _note_not_asked(self, reason: str) -> None:
-        if reason != self._reason:
-            self._reason = reason
-            self._log("second_not_asked", reason=reason)
-
     def _open(self, silent: socket.socket) -> AnswerStream | None:
-        call = self._call
-        if not call.attempts.may_ask_second:
-            self._note_not_asked("no further attempt is allowed")
-            return None
-        chosen = self._factory.wait.choose_now(call, self._prompt)
-        if chosen is None:
-            self._note_not_asked("no other holder")
-            if call.reply.started:
+        watch = self._call.watch
+        match self._choice.take():
+            case Peer() as peer:
+                with watch.standing_by(silent):
+                    return self._open_peer(peer)
+            case Candidate() as candidate:
+                with watch.standing_by(silent):
+                    return self._open_upstream(candidate)
+            case NotAsked.NO_OTHER if self._call.reply.started:
                 self._wait_for_holder()
-            return None
-        if not call.attempts.reserve_repeat():
-            self._note_not_asked("no repeat is left")
-            return None
-        with call.watch.standing_by(silent):
-            match chosen:
-                case Peer():
-                    return self._open_peer(chosen)
-                case Candidate():
-                    return self._open_upstream(chosen)
+        return None
 
     def _wait_for_holder(self) -> None:
         # The leader may load the unit at another upstream.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/standby.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/standby.py
@@ -22,13 +22,14 @@
 class Standby:
     """Looks at the bytes of a silent connection without reading them.
 
-    A whole event, or the head of a successful answer, shows that the upstream goes on. A
-    failure, a part of an event and a broken connection do not: they are read once nothing
-    else is waited for.
+    A whole event, or the head of a successful answer, shows that the upstream goes on, and
+    ``in_body`` of an answer that is no stream each byte does. A failure, a part of an event
+    and a broken connection do not: they are read once nothing else is waited for.
     """
 
-    def __init__(self, silent: socket.socket) -> None:
+    def __init__(self, silent: socket.socket, *, in_body: bool = False) -> None:
         self._socket = silent
+        self._in_body = in_body
         self._is_watched = True
         # Monotonic time of the next look at a part of an event, infinite without one.
         self.look_at = math.inf
@@ -55,6 +56,8 @@
             return
         if not data:
             self._leave("closed")
+        elif self._in_body:
+            raise FirstUpstreamResumed("the silent upstream goes on with its body")
         elif not any(end in data for end in _ENDS) and len(data) < _PEEKED_BYTES:
             self.look_at = time.monotonic() + _REST_SECONDS
         elif data.startswith(b"HTTP/") and data.split(b" ", 1)[1][:1] != b"2":
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -82,10 +82,13 @@
         self.on_silent, self.on_overdue = on_silent, on_overdue
 
     @contextmanager
-    def standing_by(self, first: socket.socket) -> Iterator[None]:
-        """Let waits in the block raise `FirstUpstreamResumed` once ``first`` goes on."""
+    def standing_by(self, first: socket.socket, *, in_body: bool = False) -> Iterator[None]:
+        """Let waits in the block raise `FirstUpstreamResumed` once ``first`` goes on.
+
+        ``in_body`` as for `Standby`.
+        """
         expected = self.silence_seconds, self.on_silent, self.on_overdue
-        before, self._standby = self._standby, Standby(first)
+        before, self._standby = self._standby, Standby(first, in_body=in_body)
         try:
             yield
         finally:
