Keep an answer that may not be repeated through silences of its engine

What callers saw: an answer of the product's own interface that may not be repeated was cut in the middle, with run "unknown", after one silence (0.5 to 5 s) and one probe without an answer, though its engine went on behind a path that came back, and after five silences of an engine that paused.

Cause: relay/run.py took one probe without an answer for the loss of the engine, and three resumes without a token for the loss of the attempt, also where no other attempt may follow.

Change: such an answer is kept. The deadline, the end of the engine's process, an engine that does not know the attempt, connections that break without a token and the end of the process still end it. The rule is in relay/resumption.py. Requests that may be repeated go on as before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/relay/run.py
@@ -13,7 +13,6 @@
     Refusal,
     ReportInvalid,
     StreamBroken,
-    StreamSilent,
     UpstreamCrashed,
     UpstreamError,
     UpstreamUnreachable,
@@ -29,20 +28,17 @@
 from redwingscale_daemon._internal.quarantine.quarantine import CLEARING_TOKENS
 from redwingscale_daemon._internal.quarantine.record import Crash, Turn
 from redwingscale_daemon._internal.relay.progress import Progress
+from redwingscale_daemon._internal.relay.resumption import RETRY_PAUSE_SECONDS, Resumption
 from redwingscale_daemon._internal.relay.run_parts import RunParts
 from redwingscale_daemon._internal.telemetry.tracing import trace_headers
 from redwingscale_daemon._internal.upstreams.engine_client import is_connection_refused
 from redwingscale_daemon._internal.upstreams.engine_stream import EngineStream
-from redwingscale_daemon._internal.upstreams.probe import Probe
 
 Events = Generator[StreamEvent, None, None]
 
 RETRY_AFTER_SECONDS = 1.0
 MAX_ATTEMPTS = 8
-MAX_RESUMES = 32
-MAX_STALLED_RESUMES = 3
 MAX_LOST_ENGINES_WITHOUT_BUDGET = 2
-RETRY_PAUSE_SECONDS = 0.05
 TURN_PRIORITY = 0
 ENGINE_POLL_SECONDS = 0.1
 TOKENS_PER_TIMEOUT_UPDATE = 16
@@ -156,20 +152,17 @@
     ) -> Events:
         """Yield the events of one attempt, and resume it on new connections when one breaks."""
         connect: Callable[[], EngineStream] = partial(self._start, engine, attempt, headers)
-        stalled = 0
-        for _ in range(MAX_RESUMES):
+        resumption = Resumption(engine, self._request, self._parts)
+        while True:
             before = self._progress.position
             try:
                 yield from self._relay_stream(connect())
                 return
-            except StreamBroken as broken:
-                error = broken
+            except (StreamBroken, UpstreamUnreachable) as error:
+                resumption.check(error, self._progress.position, before)
             except AttemptUnknown as unknown:
                 raise self._classify_unknown_attempt(unknown, engine) from unknown
-            stalled = 0 if self._progress.position > before else stalled + 1
-            self._check_resume(engine, error, stalled)
             connect = partial(self._resume, engine, attempt.attempt_id, headers)
-        raise error
 
     def _start(
         self, engine: EngineMember, attempt: Attempt, headers: dict[str, str]
@@ -215,40 +208,6 @@
         if self._parts.quarantine.active:
             self._parts.quarantine.note_survival(self._request.fingerprint, position)
 
-    def _check_resume(self, engine: EngineMember, error: StreamBroken, stalled: int) -> None:
-        """Raise unless the attempt may be resumed on a new connection to ``engine``.
-
-        A resume is taken from the retry budget only if the connection delivered no token
-        and did not end by going silent.
-        """
-        parts = self._parts
-        log_event(
-            "stream_broken",
-            level="WARNING",
-            request=self._request.request_id,
-            upstream=engine.id,
-            position=self._progress.position,
-            error=error,
-        )
-        if self._is_past_deadline() or stalled > MAX_STALLED_RESUMES:
-            raise error
-        silent = isinstance(error, StreamSilent)
-        if stalled or silent:
-            self._probe(engine, error)
-        if stalled and not silent:
-            if not parts.budget.take():
-                raise error
-            time.sleep(RETRY_PAUSE_SECONDS)
-        parts.metrics.resumes.add(1, {"upstream": engine.id})
-
-    def _probe(self, engine: EngineMember, error: StreamBroken) -> None:
-        """Raise if a new connection shows that the engine has crashed or is unreachable."""
-        match self._parts.client.probe(engine):
-            case Probe.REFUSED:
-                raise UpstreamCrashed(engine.id, error.detail, run=RunState.UNKNOWN)
-            case Probe.NO_ANSWER:
-                raise UpstreamUnreachable(engine.id, error.detail, run=RunState.UNKNOWN)
-
     def _classify_unknown_attempt(
         self, error: AttemptUnknown, engine: EngineMember
     ) -> UpstreamError:
