Let the end of a link wait for a send that runs

Cause, suspected: Periodic.stop waits 5 s for a step. Link.stop then closed the socket while the step still sent on it, and the rest of the step opened another one that nobody closed.

Change: the socket is opened, used and closed under one lock, and an ended link sends no more.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/link.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/link.py
@@ -79,7 +79,10 @@
         self._pending: dict[EntryKey, Entry] = {}
         self._messages: list[Message] = []
         self._relayed_by_id: dict[int, int] = {}
+        # Held to use the socket: a close waits for the end of a send of another thread.
+        self._socket_lock = threading.RLock()
         self._socket: pynng.Push0 | None = None
+        self._ended = False
         self._full_cycle_at = 0.0
         self._is_new_connection = True
         self._acknowledged = 0
@@ -89,22 +92,23 @@
         share = rendezvous_score(sender.instance, peer) / SCORE_LIMIT
         self._delay_seconds = COALESCE_SECONDS + STAGGER_SECONDS * share
         self._task = Periodic(f"link-{peer}", sender.timing.heartbeat, self._step)
-        self.peer = peer
-        self.url = url
+        self.peer, self.url = peer, url
 
     def start(self) -> None:
         self._task.start()
 
     def stop(self) -> None:
-        """Inform the peer that the link is no longer chosen, and end it.
+        """Inform the peer that the link is no longer chosen, and end it once no send runs.
 
         A peer that links back would otherwise continue for some cycles, receive no
         acknowledgement and redial to no effect.
         """
         self._task.stop()
-        if self._socket is not None:
-            self._send([Hello(self._own_url, False)])
-        self._close()
+        with self._socket_lock:
+            if self._socket is not None:
+                self._send([Hello(self._own_url, False)])
+            self._close()
+            self._ended = True
 
     def set_chosen(self, chosen: bool) -> None:
         """Set whether this end chooses the link; send a change to the peer at once."""
@@ -196,12 +200,15 @@
             messages,
         )
         data = encode_frame(frame, sender.key)
-        try:
-            self._open().send(data)
-            sender.traffic.count_sent(len(data))
-            self._failing = False
-        except pynng.NNGException as error:
-            self._fail(error)
+        with self._socket_lock:
+            if self._ended:
+                return
+            try:
+                self._open().send(data)
+                self._failing = False
+                sender.traffic.count_sent(len(data))
+            except pynng.NNGException as error:
+                self._fail(error)
 
     def _fail(self, error: Exception) -> None:
         if not self._failing:
@@ -233,9 +240,10 @@
 
     def _close(self) -> None:
         """Close the socket; the next one begins with a comparison of all entries."""
-        if self._socket is not None:
-            self._socket.close()
-        self._socket = None
+        with self._socket_lock:
+            closed, self._socket = self._socket, None
+            if closed is not None:
+                closed.close()
         self._is_new_connection = True
         self._full_cycle_at = 0.0
         self._relayed_by_id.clear()
