Judge the crash of a silent upstream by the events of its own run

Callers got 422: a stream that was silent, whose upstream then broke after many events, counted as a run that crashes its upstream at its begin, and two of these quarantine the content for all callers.

Cause: once a second upstream goes on, the current attempt is the second one, with one event. The loss of the first one was judged by it.

The evidence of such a loss now takes the events of the attempt that was lost. test_crash_of_a_silent_upstream_counts_by_its_own_events failed before (began was True after three events).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -171,6 +171,8 @@
 
     def drop(self, reason: Exception, progress: Progress, *, may_go_on: bool = False) -> None:
         """Give up the answer, since another attempt goes on; closes the account."""
+        # Whether a crash came at the begin of the run is judged by the events of this attempt.
+        self._call.attempts.current = self.state
         if isinstance(reason, UpstreamSilent) and is_closed(self.socket):
             reason = ConnectionResetError(f"closed while silent: {reason}")
         self.discard()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -126,6 +126,7 @@
             raise time_limit_refusal(call, error) from None
         except Superseded as error:
             silent = UpstreamSilent(f"no answer begun, {error}")
+            call.attempts.current = state
             drop_attempt(self._parts, call, sending, silent, state)
             raise
         match outcome:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -207,3 +207,17 @@
     world.add("llm", after(ASK_SECONDS * 2, events(2, 3)))
     assert world.request("/long/x", model="m").whole
     assert list(world.guard._pending_by_upstream) == ["u0"]
+
+
+def test_crash_of_a_silent_upstream_counts_by_its_own_events(world):
+    """Guards against a crash long after the begin of a run that counts as one at its begin."""
+
+    def breaks_while_silent(connection, received):
+        events(1, 2, 3, then="break")(connection, received)
+        time.sleep(ASK_SECONDS)
+        return False
+
+    world.add("llm", breaks_while_silent)
+    world.add("llm", after(ASK_SECONDS * 2, events(4, 5)))
+    assert world.request("/long/x", model="m").whole
+    assert [loss.crash.began for loss in world.guard._pending_by_upstream["u0"]] == [False]
