Go on at the second upstream when the first one is found to have crashed

Callers saw a begun answer end though another upstream had sent its next event.

Cause: the evidence that the request crashes its upstreams raised the final refusal while the silent first upstream was given up. The second upstream's connection and its place in the load account were kept, until the process ended for the latter.

The evidence is recorded and logged; later attempts are refused as before. test_quarantine_of_the_first_run_leaves_the_stream_to_the_second failed before: event 1 of 3, and the answer was cut.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -5,7 +5,9 @@
 from http.client import HTTPException
 from typing import Protocol
 
-from redwingscale_daemon._internal.exceptions import FirstUpstreamResumed, UpstreamSilent
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.exceptions import FirstUpstreamResumed, Refusal, UpstreamSilent
 from redwingscale_daemon._internal.forwarding.attempt_failure import note_failure
 from redwingscale_daemon._internal.forwarding.attempts import AttemptState
 from redwingscale_daemon._internal.forwarding.call import Call
@@ -65,7 +67,7 @@
     def drop(self, reason: Exception, progress: Progress, *, may_go_on: bool = False) -> None:
         """Give up the answer, since another attempt goes on; closes the account.
 
-        ``may_go_on`` as in `note_failure`. Raises `Refusal` if it shows that the request crashes upstreams.
+        ``may_go_on`` as in `note_failure`.
         """
 
     def discard(self) -> None:
@@ -180,11 +182,23 @@
             if not isinstance(reason, FirstUpstreamResumed):
                 lost = lost_by(self._answering.upstream, reason)
                 self._sending.attempt.note_lost(lost, progress.last_event or 0)
+        except Refusal as refusal:
+            # The other attempt has the request already; only later ones are refused.
+            self._log_quarantined(refusal)
         finally:
             drop_attempt(
                 self._parts, self._call, self._sending, reason, self.state, may_go_on=may_go_on
             )
 
+    def _log_quarantined(self, refusal: Refusal) -> None:
+        log_event(
+            "quarantined_in_mid_answer",
+            level="WARNING",
+            request=self._call.terms.request_id,
+            upstream=self.name,
+            detail=refusal.detail,
+        )
+
     def discard(self) -> None:
         """Reset the connection."""
         self._answering.connection.discard()
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -4,8 +4,10 @@
 import time
 
 import pytest
+from redwingscale_daemon._internal.exceptions import Refusal
 from redwingscale_daemon._internal.forwarding import answer_stream, peer_stream, stream_sender
 from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
+from redwingscale_daemon._internal.models.run_state import RunState
 
 from .conftest import WAIT_SECONDS, World, events, head, not_run, read_response, sized
 from .test_bytes_held import wait_until
@@ -221,3 +223,23 @@
     world.add("llm", after(ASK_SECONDS * 2, events(4, 5)))
     assert world.request("/long/x", model="m").whole
     assert [loss.crash.began for loss in world.guard._pending_by_upstream["u0"]] == [False]
+
+
+def test_quarantine_of_the_first_run_leaves_the_stream_to_the_second(world, monkeypatch):
+    """Guards against an answer that is cut, and its account kept, for a crash before it went on."""
+
+    def breaks_while_silent(connection, received):
+        events(1, then="break")(connection, received)
+        time.sleep(ASK_SECONDS)
+        return False
+
+    def note_lost(call, upstream, position, turn):
+        raise Refusal(422, "quarantined", "it crashes upstreams", run=RunState.RUN)
+
+    monkeypatch.setattr(world.guard, "note_lost", note_lost)
+    world.add("llm", breaks_while_silent)
+    world.add("llm", after(ASK_SECONDS * 2, events(2, 3)))
+    response = world.request("/long/x", model="m")
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
+    wait_until(lambda: world.ended == ["answered"])
+    assert [world.load_tracker.total(key).requests for key in ("u0", "u1")] == [0, 0]
