Read the event of a second upstream also if its caller takes nothing

Cause: the read of the second upstream's event waited for room in the reply, while the silent first upstream stayed connected.

While one stands by, the next event is read without room; reads after it wait as before. test_first_upstream_is_reset_while_its_caller_does_not_read failed before: the first upstream was not reset within 0.2 s, and had no bound.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -129,7 +129,9 @@
                 reason = f"no byte for {self.silence_seconds} s, woke {now - silent_at:.3f} s late"
                 silent_at = self._note_silence(upstream, reason)
                 poller = self._poller(upstream)
-        if self._reply is not None:
+        # While two upstreams run the stream, its next event is read without room: the other run
+        # would last for as long as the caller reads nothing.
+        if self._reply is not None and self._standby is None:
             self._wait_for_room(self._reply, count)
 
     def wait_until_written(self) -> None:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream.py
@@ -1,5 +1,6 @@
 """A silent stream that another upstream may go on with, while its own one stays connected."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -8,10 +9,11 @@
 from redwingscale_daemon._internal.exceptions import UpstreamSilent
 from redwingscale_daemon._internal.forwarding import answer_stream, stream_sender
 from redwingscale_daemon._internal.forwarding.watch import Watch
+from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget, ByteLimits
 from redwingscale_daemon._internal.leases.clock import lease_clock
 
-from .conftest import WAIT_SECONDS, events, head, not_run, sized
-from .test_bytes_held import wait_until
+from .conftest import WAIT_SECONDS, World, events, head, not_run, sized
+from .test_bytes_held import send_slow, wait_until
 from .test_silent_upstreams import after
 from .test_streams import numbers
 
@@ -183,3 +185,35 @@
     assert world.request("/long/x", model="m").whole
     wait_until(lambda: world.ended == ["answered"])
     assert world.outcomes.drain() == [("u0", 1, 0)]
+
+
+def test_first_upstream_is_reset_while_its_caller_does_not_read():
+    """Guards against two runs of a stream for as long as its caller stalls."""
+    budget = ByteBudget(ByteLimits(8 << 20, 2 << 20))
+    world = World(held=budget)
+    world.start()
+    given_up = threading.Event()
+    burst = b"".join(b"id: %d\ndata: %s\n\n" % (one, b"x" * 1000) for one in range(1, 401))
+
+    def falls_silent(connection, received):
+        connection.sendall(head(received, "200 OK", "Transfer-Encoding: chunked"))
+        connection.sendall(b"%x\r\n%s\r\n" % (len(burst), burst))
+        time.sleep(SILENCE_SECONDS / 2)
+        connection.sendall(b"11\r\nid: 401\ndata: x\n\n\r\n")
+        connection.settimeout(WAIT_SECONDS)
+        with contextlib.suppress(OSError):
+            connection.recv(1)
+        given_up.set()
+        return False
+
+    world.add("llm", falls_silent)
+    world.add("llm", events(402, 403))
+    caller = send_slow(world)
+    wait_until(lambda: budget.held > len(burst) / 4)
+    time.sleep(SILENCE_SECONDS)
+    # Answers to other callers leave no room.
+    budget.add_answer(8 << 20)
+    wait_until(lambda: len(world.log) == 2)
+    assert given_up.wait(SILENCE_SECONDS)
+    caller.close()
+    world.stop()
