Judge the crash of a silent upstream by its own events

What callers saw: nothing shown. A stream well under way whose silent upstream crashed became strongly suspect, so that its body ran in turns only.

Cause: when a second upstream goes on, the attempt that the request counts as current is the second one. The loss of the first one was judged by the events of the second, which has just begun whenever it takes over.

Change: the first attempt is the current one again before it is given up.

Measured: the new test failed on the code before with three events received, and passes; the tests of forwarding pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -97,8 +97,9 @@
             raise TimeLimitReached(str(error)) from None
         finally:
             self._call.attempts.silent_peer = None
-        if stream is None:
+            # What is noted next concerns the first attempt, also when it is given up.
             self._call.attempts.current = first
+        if stream is None:
             if not (is_peer or self._call.reply.started or self._first_goes_on):
                 # Its caller has received nothing, and may try another instance.
                 raise UpstreamSilent("no byte in time, and no other upstream goes on")
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -207,3 +207,20 @@
     world.add("llm", after(ASK_SECONDS * 2, events(2, 3)))
     assert world.request("/long/x", model="m").whole
     assert list(world.guard._pending_by_upstream) == ["u0"]
+
+
+@pytest.mark.parametrize(("received", "began"), [((1,), True), ((1, 2, 3), False)])
+def test_crash_of_a_silent_upstream_is_judged_by_its_own_events(world, received, began):
+    """Guards against a stream well under way that is suspect like one that had just begun."""
+
+    def breaks_while_silent(connection, request):
+        events(*received, then="break")(connection, request)
+        time.sleep(ASK_SECONDS)
+        return False
+
+    following = received[-1] + 1
+    world.add("llm", breaks_while_silent)
+    world.add("llm", after(ASK_SECONDS * 2, events(following)))
+    response = world.request("/long/x", model="m")
+    assert numbers(response) == [*received, following]
+    assert [loss.crash.began for loss in world.guard._pending_by_upstream["u0"]] == [began]
