Count requests without an answer as possible causes of a crash in a turn

What callers saw: an innocent body that had been suspect once was refused with 422 for 300 s when another body ended the worker of its turn at once.

Cause: a body that ends its worker before the head of an answer has never just begun. Beside a turn such a loss was not recorded at all, so the request of the turn was the only one left and was quarantined with two crashes. The body that ended the workers lost that crash from its count, and ended one more.

Change: a request whose caller has no token counts as a possible cause, also beside a turn. The verdict waits up to two seconds for it to run elsewhere or to be quarantined. While one is left, the request of the turn is quarantined only after three crashes, or a second one in its turns. The number of crashes of the other request is now that of all its records.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
@@ -223,7 +223,7 @@
         in_turns = any(
             record.fingerprint != fingerprint for record in shared.suspects.running_on(crash.engine)
         )
-        if shared.quarantined.explains(crash.engine) or (in_turns and not crash.began):
+        if shared.quarantined.explains(crash.engine) or (in_turns and not crash.at_begin):
             return
         suspicion = shared.suspects.suspicion(fingerprint)
         if suspicion and suspicion.includes(crash.engine, began=crash.began):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/record.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/record.py
@@ -34,6 +34,11 @@
     weak: bool = False
     turn_crashes: tuple[str, ...] = ()
 
+    @property
+    def at_begin(self) -> bool:
+        """Whether the request may have ended its engines at its begin."""
+        return not self.weak or not self.position
+
 
 class RecordKey(NamedTuple):
     """The key of a record; an instance reuses its slots to keep the number of entries low."""
@@ -74,6 +79,14 @@
     began: bool = True
     position: int = 0
 
+    @property
+    def at_begin(self) -> bool:
+        """Whether the request may have caused the crash at its begin.
+
+        One whose caller has no token may have ended the engine before it answered.
+        """
+        return self.began or not self.position
+
 
 class Quarantined(NamedTuple):
     """A request that is refused until ``expires_at``, on the monotonic clock.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/suspects.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/suspects.py
@@ -150,13 +150,13 @@
     def _seen(self, fingerprint: str) -> list[SeenRecord]:
         return [self.seen_by_key[key] for key in self._keys_by_fingerprint.get(fingerprint, ())]
 
-    def begun_on(self, engine: str, but: str) -> dict[str, Record]:
-        """Return one record of each request, but one, that ``engine`` began as it crashed."""
+    def possible_causes(self, engine: str, but: str) -> set[str]:
+        """Return the requests, but one, that may have crashed ``engine`` at their begin."""
         return {
-            seen.record.fingerprint: seen.record
+            seen.record.fingerprint
             for seen in self.seen_by_key.values()
             if engine in seen.record.crashed_engines
-            and not seen.record.weak
+            and seen.record.at_begin
             and seen.record.fingerprint != but
         }
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
@@ -9,11 +9,13 @@
 from redwingscale_daemon._internal.quarantine.store import StoredQuarantine
 from redwingscale_daemon._internal.quarantine.turns import SETTLE_SECONDS
 
-# How long other requests that the crashed engine had begun may take to show, in turns of
-# their own, that they were not the cause.
+# How long other requests that may have crashed the engine may take to show that they did not.
 VERDICT_SECONDS = 2.0
 # Beyond this many crashes in its turns, a request is quarantined whatever else ran there.
 MOST_TURN_CRASHES = 2
+# With fewer crashes, a request is not the cause as long as another one may be: that costs one
+# more engine at most.
+CRASHES_BESIDE_OTHERS = 3
 
 
 def decide(shared: SharedRecords, turn: Turn, crash: Crash) -> StoredQuarantine | None:
@@ -37,8 +39,8 @@
     if shared.quarantined.explains(crash.engine):
         shared.publish(turn.key, turn.record._replace(phase=Phase.SUSPECT))
         return None
-    others = shared.suspects.begun_on(crash.engine, but=fingerprint)
-    if _is_ambiguous(record, others) and len(record.turn_crashes) < MOST_TURN_CRASHES:
+    others = shared.suspects.possible_causes(crash.engine, but=fingerprint)
+    if _is_ambiguous(shared, record, others) and len(record.turn_crashes) < MOST_TURN_CRASHES:
         shared.publish(turn.key, record._replace(phase=Phase.SUSPECT))
         return None
     seconds = shared.quarantined.next_seconds(fingerprint)
@@ -62,14 +64,18 @@
     now = time.monotonic()
     settled_at, decided_by = now + SETTLE_SECONDS, now + VERDICT_SECONDS
     while turn.key in shared.suspects and now < decided_by:
-        others = shared.suspects.begun_on(crash.engine, but=turn.record.fingerprint)
+        others = shared.suspects.possible_causes(crash.engine, but=turn.record.fingerprint)
         if shared.quarantined.explains(crash.engine) or (now >= settled_at and not others):
             return
         shared.changed.wait(SETTLE_SECONDS / 4)
         now = time.monotonic()
 
 
-def _is_ambiguous(record: Record, others: dict[str, Record]) -> bool:
+def _is_ambiguous(shared: SharedRecords, record: Record, others: set[str]) -> bool:
     # In a partition, where records of turns do not arrive, two suspects may share an engine.
     crashes = len(record.crashed_engines)
-    return any(len(other.crashed_engines) >= crashes for other in others.values())
+    suspicions = filter(None, map(shared.suspects.suspicion, others))
+    return any(
+        crashes < CRASHES_BESIDE_OTHERS or len(other.crashed_engines) >= crashes
+        for other in suspicions
+    )
--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -40,13 +40,14 @@
         self.rows.put("servers", made.id, self.entry(made, port) | {"Slots": slots})
         return made
 
-    def worker_process(self, name, *models, linked=False):
+    def worker_process(self, name, *models, linked=False, **timing):
         """Start a worker that requests can end, in a process of its own.
 
-        One behind a link accepts connections also after its process has ended.
+        One behind a link accepts connections also after its process has ended. ``timing`` are
+        the seconds that `WorkerProcess` takes.
         """
         open_link = self.link if linked else lambda port: port
-        made = WorkerProcess(name, models, self.rows, open_link=open_link)
+        made = WorkerProcess(name, models, self.rows, open_link=open_link, **timing)
         self.processes.append(made)
         return made
 
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_suspects_beside_ending_bodies.py
@@ -0,0 +1,108 @@
+"""An innocent suspect that runs in its turn while another body ends the same worker."""
+
+import itertools
+import re
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+import urllib3
+from redwingscale_standins.hosted.documents import HOST
+from redwingscale_standins.hosted.waiting import until
+from redwingscale_standins.hosted.worker_process import ENDS_AT_ONCE
+from redwingscale_standins.soak.ledger import Ledger
+from redwingscale_standins.soak.soak_worker import SoakWorker
+
+from .test_lost_path import configuration, send
+from .test_requests_that_end_workers import (
+    INSTANCES,
+    MOST_ENDS,
+    REFUSED,
+    ends,
+    knows_its_peers,
+    request,
+    send_until_refused,
+)
+
+WORKERS = 3
+# A turn lasts for two events, so that the other body meets it.
+GAP_SECONDS = 0.5
+# No worker is back before the body has ended the others.
+DOWN_SECONDS = 4.0
+PAUSE_SECONDS = 0.03
+EVENTS = 4
+POPULAR = b"popular"
+
+
+@pytest.fixture
+def fleet(deployment):
+    """Three instances, and three workers whose events come slowly.
+
+    Each instance hears a plain worker all the time: it knows that its own path works.
+    """
+    deployment.rows.put("op", "config", configuration())
+    for number in range(WORKERS):
+        deployment.worker_process(
+            f"w{number}", "m1", gap=GAP_SECONDS, listed_seconds=0.6, down_seconds=DOWN_SECONDS
+        )
+    deployment.plain_worker(SoakWorker("plain", set(), Ledger()))
+    instances = [deployment.instance(name) for name in INSTANCES]
+    until(lambda: all(map(knows_its_peers, instances)), "the peers of each instance")
+    stopped = threading.Event()
+
+    def hear(instance):
+        for number in itertools.takewhile(lambda _: not stopped.is_set(), itertools.count()):
+            send(instance, "safe", f"plain-{number}")
+            time.sleep(PAUSE_SECONDS)
+
+    with ThreadPoolExecutor(len(instances)) as pool:
+        callers = [pool.submit(hear, each) for each in instances]
+        yield deployment
+        stopped.set()
+    for caller in callers:
+        caller.result()
+
+
+def sent_to(instance, request_id):
+    """Return the workers that ``instance`` has sent a request to, in turn."""
+    line = re.compile(rf"event=sent .*request={request_id} upstream=(\S+)")
+    return line.findall(instance.log.read_text())
+
+
+def open_stream(instance, request_id, body):
+    """Return the answer of a stream, whose body is unread."""
+    headers = {
+        "Host": HOST,
+        "X-Redwingscale-Request-Id": request_id,
+        "X-Redwingscale-Model-Name": "m1",
+        "X-Redwingscale-Token-Usage": f"10,{EVENTS}",
+    }
+    url = f"http://127.0.0.1:{instance.ports[0]}/live/x"
+    return urllib3.request(
+        "POST", url, body=body, headers=headers, retries=False, preload_content=False
+    )
+
+
+def test_suspect_in_its_turn_is_not_refused_for_a_body_that_ends_workers(fleet):
+    """Guards against a popular body that is refused since another one ends workers at once."""
+    first, second, third = fleet.instances
+    answer = open_stream(first, "popular", POPULAR)
+    assert answer.read(1)
+    # Its first event has come, the second one has not: it is suspect once the worker ends.
+    [used] = sent_to(first, "popular")
+    next(one for one in fleet.processes if one.id == used).kill()
+    until(lambda: len(sent_to(first, "popular")) == 2, "its turn")
+    request(second, "ending", ENDS_AT_ONCE)
+    until(lambda: ends(fleet) >= WORKERS, "the end of the others")
+
+    statuses = []
+
+    def is_served():
+        statuses.append(request(third, f"popular-{len(statuses)}", POPULAR)[0])
+        return statuses[-1] == 200
+
+    send_until_refused(fleet, ENDS_AT_ONCE)
+    assert ends(fleet) <= 1 + MOST_ENDS
+    until(is_served, "the popular body")
+    assert REFUSED not in statuses
