Ask for a lead of two crashes while another request may be the cause

Cause: the request of a turn was quarantined if it had one crash more than any other possible cause. A popular body is at most upstreams that end.

Change: two crashes more are needed. A body that ends its upstreams has them after its third crash, as those beside it are at one of its upstreams only.

The empty popular body had its turn at w18; a body that ends its workers was sent there by another instance, ended it before its answer began, and was not recorded, as the upstream had a turn. The verdict had one other candidate with one crash and quarantined the popular body (w0, w18).

Measured: the new unit test failed before and passes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
@@ -13,9 +13,9 @@
 VERDICT_SECONDS = 2.0
 # Beyond this many crashes in its turns, a request is quarantined whatever else ran there.
 MOST_TURN_CRASHES = 2
-# With fewer crashes, a request is not the cause as long as another one may be: that costs one
-# more engine at most.
-CRASHES_BESIDE_OTHERS = 3
+# A request is the cause if it has so many crashes more than any other that may be: a popular
+# one may have been at an engine more that others ended than the cause itself.
+LEAST_LEAD = 2
 
 
 def decide(shared: SharedRecords, turn: Turn, crash: Crash) -> StoredQuarantine | None:
@@ -75,7 +75,4 @@
     # In a partition, where records of turns do not arrive, two suspects may share an engine.
     crashes = len(record.crashed_engines)
     suspicions = filter(None, map(shared.suspects.suspicion, others))
-    return any(
-        crashes < CRASHES_BESIDE_OTHERS or len(other.crashed_engines) >= crashes
-        for other in suspicions
-    )
+    return any(crashes < len(other.crashed_engines) + LEAST_LEAD for other in suspicions)
--- a/packages/redwingscale-daemon/tests/unit/relay/test_turn_verdicts.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/test_turn_verdicts.py
@@ -47,6 +47,18 @@
     assert first.is_suspect("innocent")
 
 
+def test_suspect_with_one_crash_more_than_another_possible_cause_stays_free(make_quarantines):
+    """Guards against a popular body that was at three engines that other bodies ended."""
+    first, second = make_quarantines(2)
+    for number in range(2):
+        first.note_crash("innocent", _unanswered(f"engine-{number}"), None)
+    turn = first.wait_for_turn("innocent", "engine-2", 0, _later())
+    for number in range(2, 4):
+        second.note_crash("cause", _unanswered(f"engine-{number}"), None)
+    first.note_crash("innocent", _begun("engine-2"), turn)
+    first.check("innocent")
+
+
 def test_second_crash_in_turns_decides_beside_requests_without_an_answer(make_quarantines):
     """Guards against a cause that ends one engine after another since some request is always beside it."""
     first, second = make_quarantines(2)
