Do not count how often kept work is resumed in its test

What was seen: test_work_goes_on_when_its_caller_leaves_an_unreachable_engine failed once beside other tests at a load average of 30.

Cause, traced: the test expects one resume. Its silences are 0.1 to 0.2 s, which a thread without processor time takes for further silences: beside 14 busy processes the work was resumed two and three times in three of four runs.

What is guarded against is work that is given up: it is resumed, was started once and not cancelled. That holds for any number of resumes.

--- a/packages/redwingscale-daemon/tests/unit/relay/test_kept_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/test_kept_answers.py
@@ -125,5 +125,6 @@
     for thread in threading.enumerate():
         if thread.name == "drain":
             thread.join(timeout=30.0)
-    assert (engine.streams.started, engine.streams.resumed) == (1, 1)
-    assert engine.streams.cancelled == 0
+    # A thread without processor time takes short silences for further ones and resumes again.
+    assert engine.streams.resumed >= 1
+    assert (engine.streams.started, engine.streams.cancelled) == (1, 0)
