Take the crash that another instance reports for evidence

What callers saw: an innocent body in its turn was refused with 422, since the body that ended its worker had come through an instance without a path.

Cause: an instance that doubts its path, or has lost it, has no evidence of a crash, and drops what it lost. The cause of a crash stayed unknown there, while another instance gave its verdict on the request of a turn.

What was lost in a turn needs own evidence as before: its connection may have been cut. The losses move to a file of their own.

Measured: the new tests of the guard fail on the code before (reports were not looked at) and pass. The tests of relay, forwarding and of requests that end workers pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
@@ -3,8 +3,7 @@
 import contextlib
 import threading
 import time
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Collection
 
 from redwingscale_daemon._internal.exceptions import Refusal
 from redwingscale_daemon._internal.fleet.upstream import Upstream
@@ -13,28 +12,18 @@
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.fingerprint import fingerprint_of
 from redwingscale_daemon._internal.forwarding.outcome import Lost
+from redwingscale_daemon._internal.forwarding.pending_losses import (
+    REPORTED_SECONDS,
+    Loss,
+    PendingLosses,
+)
 from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.quarantine.quarantine import CLEARING_TOKENS, Quarantine
 from redwingscale_daemon._internal.quarantine.record import Crash, Turn
 
-# Evidence of a crash may come this long after the loss of a request.
-PENDING_SECONDS = 5.0
-MAX_PENDING = 1024
 COMPLETE = float("inf")
 
 
-class _Loss(NamedTuple):
-    """A request that was lost with a connection, at ``at`` on the monotonic clock.
-
-    ``turn`` is the one it was lost in, None if it ran without a turn.
-    """
-
-    fingerprint: str
-    crash: Crash
-    at: float
-    turn: Turn | None
-
-
 class CrashGuard:
     """Watches the attempts of this instance for the quarantine that all instances share."""
 
@@ -44,10 +33,9 @@
         self._quarantine = quarantine
         self._directory = directory
         self._ends = ends
-        self._lock = threading.Lock()
-        # Losses without evidence so far, by upstream id.
-        self._pending_by_upstream: dict[str, list[_Loss]] = {}
+        self.pending = PendingLosses()
         directory.on_gone(self._note_gone)
+        quarantine.on_crash(self._note_reported)
 
     def check(self, call: Call) -> None:
         """Raise the final `Refusal` if a request with this content is quarantined."""
@@ -95,12 +83,11 @@
         While the path of this instance is in doubt, this is evidence only of losses before
         the last byte from any upstream.
         """
-        self._settle(upstream.id, "refused", self._ends.path_works_since)
+        self._settle(upstream.id, "refused", lambda loss: self._ends.path_works_since(loss.at))
 
     def drop_losses(self) -> None:
         """Drop the losses without evidence, as the path of this instance is lost."""
-        with self._lock:
-            self._pending_by_upstream = {}
+        self.pending.clear()
 
     def note_survival(self, call: Call, position: float) -> None:
         """Note that an attempt has run beyond its begin, up to event ``position``."""
@@ -127,58 +114,54 @@
         evidence = self._ends.evidence(upstream)
         crash = Crash(upstream.id, evidence or "", began, position)
         if evidence is None:
-            self._add_pending(upstream.id, _Loss(fingerprint, crash, time.monotonic(), turn))
+            self.pending.add(Loss(fingerprint, crash, time.monotonic(), turn))
             if turn is not None:
                 self._quarantine.release(turn)
+            elif self.pending.is_reported(upstream.id):
+                self._settle_reported(upstream.id)
             return
         self._settle(upstream.id, evidence)
         self._quarantine.note_crash(fingerprint, crash, turn)
 
-    def _add_pending(self, upstream_id: str, loss: _Loss) -> None:
-        oldest = time.monotonic() - PENDING_SECONDS
-        with self._lock:
-            kept = {
-                key: [one for one in losses if one.at > oldest]
-                for key, losses in self._pending_by_upstream.items()
-            }
-            self._pending_by_upstream = {key: losses for key, losses in kept.items() if losses}
-            if sum(map(len, self._pending_by_upstream.values())) < MAX_PENDING:
-                self._pending_by_upstream.setdefault(upstream_id, []).append(loss)
-
     def _settle(
-        self, upstream_id: str, evidence: str, counts: Callable[[float], bool] = lambda at: True
+        self, upstream_id: str, evidence: str, counts: Callable[[Loss], bool] = lambda loss: True
     ) -> None:
         """Report the losses at an upstream that is now known to have crashed.
 
-        ``counts`` returns whether the evidence counts for a loss at a monotonic time; the
-        other losses stay without evidence.
+        The losses for which ``counts`` does not hold stay without evidence.
         """
-        with self._lock:
-            pending = self._pending_by_upstream.pop(upstream_id, [])
-            losses = [loss for loss in pending if counts(loss.at)]
-            if len(losses) < len(pending):
-                kept = [loss for loss in pending if loss not in losses]
-                self._pending_by_upstream[upstream_id] = kept
-        oldest = time.monotonic() - PENDING_SECONDS
-        recent = [
-            loss._replace(crash=loss.crash._replace(evidence=evidence))
-            for loss in losses
-            if loss.at > oldest
-        ]
-        for loss in recent:
+        for loss in self.pending.take(upstream_id, counts):
+            proven = loss._replace(crash=loss.crash._replace(evidence=evidence))
             if loss.turn is None:
-                self._quarantine.note_crash(loss.fingerprint, loss.crash, None)
+                self._quarantine.note_crash(loss.fingerprint, proven.crash, None)
             else:
                 # The verdict takes time that this thread does not have.
-                threading.Thread(target=self._note_late, args=(loss,), daemon=True).start()
+                threading.Thread(target=self._note_late, args=(proven,), daemon=True).start()
+
+    def _settle_reported(self, upstream_id: str) -> None:
+        """Report the losses at an upstream whose crash another instance has seen.
+
+        This instance may be unable to see it. It condemns no request of a turn for that: its
+        own connection may have been cut.
+        """
+        if self._directory.leaving_seconds(upstream_id) is None:
+            oldest = time.monotonic() - REPORTED_SECONDS
+            self._settle(
+                upstream_id, "reported", lambda loss: loss.turn is None and loss.at > oldest
+            )
+
+    def _note_reported(self, upstream_ids: Collection[str]) -> None:
+        for key in self.pending.note_reported(upstream_ids):
+            # Called by the thread that receives the entries of peers.
+            threading.Thread(target=self._settle_reported, args=(key,), daemon=True).start()
 
-    def _note_late(self, loss: _Loss) -> None:
+    def _note_late(self, loss: Loss) -> None:
         # The caller of the lost request has its answer; the quarantine is logged.
         with contextlib.suppress(Refusal):
             self._quarantine.note_crash(loss.fingerprint, loss.crash, loss.turn)
 
     def _note_gone(self, upstream_ids: set[str]) -> None:
-        for key in upstream_ids & self._pending_by_upstream.keys():
+        for key in filter(self.pending.__contains__, upstream_ids):
             self._settle(key, "unlisted")
         self._ends.forget(upstream_ids)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/quarantine.py
@@ -1,7 +1,7 @@
 """Finds requests that crash engines, so that every instance refuses them."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from redwingscale_common.utils.logs import log_event
 
@@ -79,6 +79,10 @@
         with self._changed:
             return self._shared.suspects.suspicion(fingerprint) is not None
 
+    def on_crash(self, listener: Callable[[Collection[str]], None]) -> None:
+        """Call ``listener`` with the engines that crashed by each record; it must not wait."""
+        self._shared.on_crash = listener
+
     def wait_for_turn(
         self,
         fingerprint: str,
@@ -129,8 +133,8 @@
         return on_probation or (suspicion is not None and suspicion.needs_turn)
 
     def _is_turning(self, fingerprint: str) -> bool:
-        since = self._turning_since.get(fingerprint)
-        return since is not None and time.monotonic() - since < MAX_TURN_SECONDS
+        since = self._turning_since.get(fingerprint, float("-inf"))
+        return time.monotonic() - since < MAX_TURN_SECONDS
 
     def _end_turn(self, fingerprint: str) -> None:
         self._turning_since.pop(fingerprint, None)
@@ -191,8 +195,7 @@
             suspicion = shared.suspects.suspicion(fingerprint)
             if suspicion is None and not shared.quarantined.known(fingerprint):
                 return
-            crash_position = suspicion.position if suspicion else 0
-            if position >= crash_position + CLEARING_TOKENS:
+            if position >= (suspicion.position if suspicion else 0) + CLEARING_TOKENS:
                 self._log_cleared(fingerprint, "run")
                 shared.publish_cleared(fingerprint)
 
@@ -220,9 +223,8 @@
 
     def _add_suspect(self, fingerprint: str, crash: Crash) -> None:
         shared = self._shared
-        in_turns = any(
-            record.fingerprint != fingerprint for record in shared.suspects.running_on(crash.engine)
-        )
+        running = shared.suspects.running_on(crash.engine)
+        in_turns = any(record.fingerprint != fingerprint for record in running)
         if shared.quarantined.explains(crash.engine) or (in_turns and not crash.at_begin):
             return
         suspicion = shared.suspects.suspicion(fingerprint)
@@ -239,9 +241,8 @@
             position=crash.position,
             crashes=1 + len(suspicion.crashed_engines if suspicion else ()),
         )
-        engines, weak = (crash.engine,), not crash.began
-        record = Record(fingerprint, Phase.SUSPECT, engines, position=crash.position, weak=weak)
-        shared.publish_new(record)
+        record = Record(fingerprint, Phase.SUSPECT, (crash.engine,), position=crash.position)
+        shared.publish_new(record._replace(weak=not crash.began))
 
     def _log_cleared(self, fingerprint: str, by: str) -> None:
         self._count("cleared")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/shared_records.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/shared_records.py
@@ -45,6 +45,8 @@
         self.changed = threading.Condition()
         self.suspects = Suspects()
         self.quarantined = QuarantinedRequests()
+        # Called with the engines that crashed by a record, with ``changed`` held.
+        self.on_crash: Callable[[tuple[str, ...]], None] = lambda engines: None
         self._instance = instance
         self._board = board
         self._slots = itertools.cycle(map(str, range(BOARD_SLOTS)))
@@ -98,6 +100,7 @@
                     self._forget(record.fingerprint)
                 case Phase.SUSPECT | Phase.WAITING | Phase.RUNNING:
                     self.suspects.put(key, record)
+                    self.on_crash(record.crashed_engines)
             self.changed.notify_all()
 
     def _on_cleared(self, entry: Entry) -> None:
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_suspects_beside_ending_bodies.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_suspects_beside_ending_bodies.py
@@ -39,7 +39,7 @@
 def fleet(deployment):
     """Three instances, and three workers whose events come slowly.
 
-    Each instance hears a plain worker all the time: it knows that its own path works.
+    Instances given to ``hear`` hear a plain worker all the time, so they know that their path works.
     """
     deployment.rows.put("op", "config", configuration())
     for number in range(WORKERS):
@@ -57,11 +57,9 @@
             time.sleep(PAUSE_SECONDS)
 
     with ThreadPoolExecutor(len(instances)) as pool:
-        callers = [pool.submit(hear, each) for each in instances]
+        deployment.hear = lambda heard: [pool.submit(hear, each) for each in heard]
         yield deployment
         stopped.set()
-    for caller in callers:
-        caller.result()
 
 
 def sent_to(instance, request_id):
@@ -84,9 +82,9 @@
     )
 
 
-def test_suspect_in_its_turn_is_not_refused_for_a_body_that_ends_workers(fleet):
-    """Guards against a popular body that is refused since another one ends workers at once."""
-    first, second, third = fleet.instances
+def end_others_in_its_turn(fleet):
+    """Let the popular body get its turn, and another one end the workers that are left."""
+    first, second, _ = fleet.instances
     answer = open_stream(first, "popular", POPULAR)
     assert answer.read(1)
     # Its first event has come, the second one has not: it is suspect once the worker ends.
@@ -96,13 +94,30 @@
     request(second, "ending", ENDS_AT_ONCE)
     until(lambda: ends(fleet) >= WORKERS, "the end of the others")
 
+
+def assert_only_the_other_is_refused(fleet):
+    send_until_refused(fleet, ENDS_AT_ONCE)
     statuses = []
 
     def is_served():
-        statuses.append(request(third, f"popular-{len(statuses)}", POPULAR)[0])
+        statuses.append(request(fleet.instances[-1], f"popular-{len(statuses)}", POPULAR)[0])
         return statuses[-1] == 200
 
-    send_until_refused(fleet, ENDS_AT_ONCE)
-    assert ends(fleet) <= 1 + MOST_ENDS
     until(is_served, "the popular body")
     assert REFUSED not in statuses
+
+
+def test_suspect_in_its_turn_is_not_refused_for_a_body_that_ends_workers(fleet):
+    """Guards against a popular body that is refused since another one ends workers at once."""
+    fleet.hear(fleet.instances)
+    end_others_in_its_turn(fleet)
+    assert_only_the_other_is_refused(fleet)
+    assert ends(fleet) <= 1 + MOST_ENDS
+
+
+def test_suspect_is_not_refused_for_a_body_of_an_instance_that_doubts_its_path(fleet):
+    """Guards against a popular body that is refused since the cause has no evidence in time."""
+    first, _, third = fleet.instances
+    fleet.hear([first, third])
+    end_others_in_its_turn(fleet)
+    assert_only_the_other_is_refused(fleet)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
@@ -8,6 +8,7 @@
 from redwingscale_daemon._internal.quarantine.store import StoredQuarantine
 
 from .conftest import WAIT_SECONDS, breaks, events, sized
+from .test_bytes_held import wait_until
 
 SECONDS = 300.0
 
@@ -113,6 +114,49 @@
     assert world.request("/single/x", model="m").status == 422
 
 
+def test_crash_that_another_instance_reports_is_evidence(world):
+    """Guards against the cause of a crash that stays unknown at an instance without a path."""
+    world.add("llm", breaks)
+    assert world.request("/single/x", model="m").status == 502
+    assert not world.crash_counts
+    world.quarantine.note_crash("other", Crash("u0", "refused"), None)
+    wait_until(lambda: world.crash_counts["suspect"] == 2)
+
+
+def test_loss_after_the_report_of_a_crash_has_evidence(world):
+    """Guards against a loss that is noticed only after other instances have seen the crash."""
+    world.add("llm", breaks)
+    world.quarantine.note_crash("other", Crash("u0", "refused"), None)
+    assert world.request("/single/x", model="m").status == 502
+    assert world.crash_counts["suspect"] == 2
+
+
+def test_reported_crash_long_after_a_loss_is_no_evidence(world, monkeypatch):
+    """Guards against a connection that was cut before its upstream crashed."""
+    monkeypatch.setattr(crash_guard, "REPORTED_SECONDS", 0.0)
+    world.add("llm", breaks)
+    assert world.request("/single/x", model="m").status == 502
+    world.quarantine.note_crash("other", Crash("u0", "refused"), None)
+    time.sleep(0.1)
+    assert world.crash_counts["suspect"] == 1
+
+
+def test_reported_crash_decides_no_turn(world, monkeypatch):
+    """Guards against a request that is condemned since the connection of its turn was cut."""
+    world.add("llm", breaks)
+    seen = []
+    monkeypatch.setattr(crash_guard, "fingerprint_of", watch_fingerprints(seen))
+    world.quarantine.note_crash("other", Crash("u8", "refused"), None)
+    assert world.request("/single/x", model="m").status == 502
+    world.guard.drop_losses()
+    world.quarantine.note_crash(seen[0], Crash("u9", "refused"), None)
+    assert world.request("/single/x", model="m").status == 502
+    world.quarantine.note_crash("other", Crash("u0", "refused"), None)
+    time.sleep(0.6)
+    assert not world.crash_counts["quarantined"]
+    assert len(world.guard.pending.at("u0")) == 1
+
+
 def test_upstream_that_leaves_during_a_wait_gets_no_request(world, monkeypatch):
     """Guards against a copy of a cleared suspect that is sent to an upstream that has left."""
     world.add("llm", events(1, 2, 3))
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -127,7 +127,7 @@
     world.add("llm", Pausing(ASK_SECONDS * 3, 1, 2, 3))
     world.add("llm", events(then="break"))
     assert world.request("/long/x", model="m").whole
-    assert list(world.guard._pending_by_upstream) == ["u1"]
+    assert [len(world.guard.pending.at(key)) for key in ("u0", "u1")] == [0, 1]
 
 
 def fails_slowly(connection, received):
@@ -206,7 +206,7 @@
     world.add("llm", breaks_while_silent)
     world.add("llm", after(ASK_SECONDS * 2, events(2, 3)))
     assert world.request("/long/x", model="m").whole
-    assert list(world.guard._pending_by_upstream) == ["u0"]
+    assert [len(world.guard.pending.at(key)) for key in ("u0", "u1")] == [1, 0]
 
 
 @pytest.mark.parametrize(("received", "began"), [((1,), True), ((1, 2, 3), False)])
@@ -223,4 +223,4 @@
     world.add("llm", after(ASK_SECONDS * 2, events(following)))
     response = world.request("/long/x", model="m")
     assert numbers(response) == [*received, following]
-    assert [loss.crash.began for loss in world.guard._pending_by_upstream["u0"]] == [began]
+    assert [loss.crash.began for loss in world.guard.pending.at("u0")] == [began]
