Quarantine no request whose upstreams may each have had another cause

Cause: the popular body was at three upstreams that two other bodies ended. The body that ended the last one had ended no other yet, so the popular one led by two crashes.

Evidence: the trace (w1 and w5 under one body, w15 in the popular body's turn under a new one; four possible causes at w15, none of them cleared in two seconds). By the lead of two crashes alone it is quarantined as well.

Change: it must also have ended an upstream at which no other request can be the cause. A body that ends its upstreams has one as soon as those beside it have run elsewhere; otherwise a second crash in its turns decides as before.

Measured: the new unit test failed before and passes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
@@ -75,4 +75,12 @@
     # In a partition, where records of turns do not arrive, two suspects may share an engine.
     crashes = len(record.crashed_engines)
     suspicions = filter(None, map(shared.suspects.suspicion, others))
-    return any(crashes < len(other.crashed_engines) + LEAST_LEAD for other in suspicions)
+    if any(crashes < len(other.crashed_engines) + LEAST_LEAD for other in suspicions):
+        return True
+    return all(_has_another_cause(shared, record, engine) for engine in record.crashed_engines)
+
+
+def _has_another_cause(shared: SharedRecords, record: Record, engine: str) -> bool:
+    # Several causes may have ended one engine of a popular request each.
+    others = shared.suspects.possible_causes(engine, but=record.fingerprint)
+    return bool(others) or shared.quarantined.explains(engine)
--- a/packages/redwingscale-daemon/tests/unit/relay/test_turn_verdicts.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/test_turn_verdicts.py
@@ -59,6 +59,18 @@
     first.check("innocent")
 
 
+def test_suspect_whose_engines_all_have_another_possible_cause_stays_free(make_quarantines):
+    """Guards against a popular body that was at three engines that one new body each ended."""
+    first, second = make_quarantines(2)
+    for number in range(2):
+        first.note_crash("innocent", _unanswered(f"engine-{number}"), None)
+        second.note_crash(f"cause {number}", _unanswered(f"engine-{number}"), None)
+    turn = first.wait_for_turn("innocent", "engine-2", 0, _later())
+    second.note_crash("cause 2", _unanswered("engine-2"), None)
+    first.note_crash("innocent", _begun("engine-2"), turn)
+    first.check("innocent")
+
+
 def test_second_crash_in_turns_decides_beside_requests_without_an_answer(make_quarantines):
     """Guards against a cause that ends one engine after another since some request is always beside it."""
     first, second = make_quarantines(2)
