Let the faulty link delay resets, and keep connections from opening

Both are needed to measure for how long two workers run one stream: the reset of the first run travels as long as the event of the second one, and a connection through the link opened at once however slow the link was.

test_resets_are_delayed_like_bytes and test_stalled_link_opens_no_connection.

--- a/packages/redwingscale-daemon/tests/functional/hosted/test_whole_answers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_whole_answers.py
@@ -1,13 +1,16 @@
 """The faults of the soak that leave a worker sound, and the check of its whole answers."""
 
 import http.client
+import socket
 import threading
 import time
 from types import SimpleNamespace
 
 import pytest
 from redwingscale_common.network.server import HttpServer, ServerLimits
+from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
 from redwingscale_standins.hosted.model_worker import ModelWorker, StreamPause
+from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.soak.faulty_link import FaultyLink
 from redwingscale_standins.soak.ledger import Break, Ledger, RequestResult, Run
 from redwingscale_standins.soak.lost_path import PathCut
@@ -85,6 +88,30 @@
     link.close()
 
 
+def test_resets_are_delayed_like_bytes(worker):
+    # Guards against measured overlaps of runs that leave out the way of the reset.
+    link = FaultyLink(worker.port)
+    connection = socket.create_connection(("127.0.0.1", link.port), timeout=10.0)
+    until(lambda: bool(link._open), "the connection")
+    link.delay_seconds = DELAY_SECONDS
+    connection.setsockopt(*RESET_ON_CLOSE)
+    begun = time.monotonic()
+    connection.close()
+    until(lambda: not link._open, "the reset")
+    assert time.monotonic() - begun >= DELAY_SECONDS
+    link.close()
+
+
+def test_stalled_link_opens_no_connection(worker):
+    # Guards against a slow path on which a loopback connection opens at once.
+    link = FaultyLink(worker.port)
+    link.stall_new()
+    for _ in range(3):
+        with pytest.raises(TimeoutError):
+            socket.create_connection(("127.0.0.1", link.port), timeout=DELAY_SECONDS)
+    link.close()
+
+
 def _findings(result=RESULT, runs=(RUN,), breaks=(), path_cuts=(), no_room=()):
     ledger = Ledger()
     ledger.results.append(result)
--- a/packages/redwingscale-standins/src/redwingscale_standins/hang.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hang.py
@@ -7,13 +7,17 @@
 
 def drop_connection() -> None:
     """Shut the caller's socket so that it sees a reset in place of an answer."""
-    connection = cherrypy.request.wsgi_environ["wsgi.input"].rfile
-    raw = _socket_of(connection)
+    raw = caller_socket()
     if raw is not None:
         raw.shutdown(socket.SHUT_RDWR)
     raise cherrypy.HTTPError(500, "connection dropped")
 
 
+def caller_socket() -> socket.socket | None:
+    """Return the socket of the current request's caller."""
+    return _socket_of(cherrypy.request.wsgi_environ["wsgi.input"].rfile)
+
+
 def _socket_of(reader: object) -> socket.socket | None:
     for name in ("rfile", "raw", "_sock"):
         inner = getattr(reader, name, None)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
@@ -11,6 +11,8 @@
 
 CHUNK_BYTES = 65536
 HOLD_POLL_SECONDS = 0.02
+# One is accepted and held, the queue has room for another.
+FILLERS = 4
 # SO_LINGER with a timeout of zero: closing sends a reset instead of a FIN.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -20,8 +22,10 @@
 
     ``hold_to`` and ``hold_from`` hold the bytes of one direction and deliver them when
     the fault ends, like a network that drops packets which are retransmitted later.
-    ``delay_seconds`` delays both directions, ``delay_from_seconds`` what the target sends.
-    `silence` discards all further traffic of the connections that are open now. ``paths``
+    ``delay_seconds`` delays both directions, ``delay_from_seconds`` what the target sends;
+    resets are delayed like bytes.
+    `stall_new` keeps new connections from opening for seconds, as a path with a long round
+    trip does. `silence` discards all further traffic of the connections that are open now. ``paths``
     has the client processes that the link fails for.
     """
 
@@ -36,6 +40,9 @@
         self.hold_from = False
         self.refuse = False
         self._generation = 0
+        self._stalls_new = False
+        # Own connections that fill the queue of those to be accepted.
+        self._fillers: list[socket.socket] = []
         self._closed = False
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
@@ -52,6 +59,17 @@
         """Discard all further traffic of the connections that are open now."""
         self._generation += 1
 
+    def stall_new(self) -> None:
+        """Keep new connections from opening until the link is closed."""
+        self._stalls_new = True
+        # The kernel drops what opens a connection while the queue is full.
+        self._listener.listen(0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self._fillers.append(filler)
+
     def reset(self) -> None:
         """Reset the connections that are open now."""
         with self._lock:
@@ -77,6 +95,8 @@
         """Stop accepting connections and reset the open ones."""
         self._closed = True
         self._listener.close()
+        for filler in self._fillers:
+            filler.close()
         self.reset()
 
     def _accept(self) -> None:
@@ -85,6 +105,8 @@
                 client, _ = self._listener.accept()
             except OSError:
                 return
+            while self._stalls_new and not self._closed:
+                time.sleep(HOLD_POLL_SECONDS)
             try:
                 if self.refuse or self._fault(client) in (PathFault.RESET, PathFault.REFUSE_NEW):
                     raise ConnectionRefusedError
@@ -126,6 +148,8 @@
                 sink.shutdown(socket.SHUT_WR)
         except OSError:
             # One end was reset, so reset the other too.
+            if not self._closed:
+                time.sleep(self._delay(from_target))
             with self._lock:
                 self._open -= {source, sink}
             for end in (source, sink):
@@ -137,10 +161,12 @@
         held = self.hold_from if from_target else self.hold_to
         return held or self._fault(client) is PathFault.HOLD
 
+    def _delay(self, from_target: bool) -> float:
+        return self.delay_seconds + (self.delay_from_seconds if from_target else 0.0)
+
     def _wait(self, client: socket.socket, from_target: bool) -> bool:
         """Wait as the current faults require; return whether bytes were held."""
-        delay_seconds = self.delay_seconds + (self.delay_from_seconds if from_target else 0.0)
-        if delay_seconds:
+        if delay_seconds := self._delay(from_target):
             time.sleep(delay_seconds)
         was_held = self._is_held(client, from_target)
         while self._is_held(client, from_target) and not self._closed:
