Ask a second upstream on a new connection

Callers lost streams, or waited 8 to 12 s in the middle of one, when all open connections to upstreams had gone silent while new ones worked: of eight streams four ended at their deadline. And beside a silent stream on a slow path two workers ran it for a round trip and more: 0.62 s at 0.2 s each way, 1.54 s at 0.5 s (of these the link of the test adds up to a delay more), where 0.4 s are allowed.

Cause: the second attempt went on an idle connection. It can be as dead as the first one, and opening none tells nothing about the path.

The second attempt, at an upstream or a peer, opens a connection in place of an idle one, within 0.3 s. Two workers then run a stream for 0.3 s and the time of this process at the most, if the path stays as it was. On a slower path the silent stream is kept and no second one is asked.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
@@ -5,7 +5,11 @@
 from collections import defaultdict
 from typing import Protocol
 
-from redwingscale_daemon._internal.forwarding.upstream_connection import UpstreamConnection
+from redwingscale_daemon._internal.forwarding.upstream_connection import (
+    CONNECT_SECONDS,
+    SECOND_CONNECT_SECONDS,
+    UpstreamConnection,
+)
 
 # Upstreams that announce no idle timeout close idle connections after some seconds. A
 # request sent while the connection closes is lost, and may or may not have run.
@@ -58,9 +62,20 @@
         with self._lock:
             return any(now < one.expires_at for one in self._idle_by_upstream.get(upstream_id, ()))
 
-    def open(self, upstream: Endpoint) -> UpstreamConnection:
+    def open_second(self, upstream: Endpoint) -> UpstreamConnection:
+        """Return a new connection in place of an idle one; raises as `open`.
+
+        Idle connections may be as dead as a silent one. Upstreams accept a bounded number.
+        """
+        if (idle := self._pop(upstream.id)) is not None:
+            idle.discard()
+        return self.open(upstream, SECOND_CONNECT_SECONDS)
+
+    def open(
+        self, upstream: Endpoint, connect_seconds: float = CONNECT_SECONDS
+    ) -> UpstreamConnection:
         """Return a new connection; raises the errors of `UpstreamConnection.connect`."""
-        connection = UpstreamConnection(upstream.host, upstream.port)
+        connection = UpstreamConnection(upstream.host, upstream.port, connect_seconds)
         connection.connect()
         with self._lock:
             self.opened += 1
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -174,7 +174,10 @@
         if progress is None:
             call.watch.expect(None)
         try:
-            connection = self._pool.take_idle(peer) or self._pool.open(peer)
+            if running:
+                connection = self._pool.open_second(peer)
+            else:
+                connection = self._pool.take_idle(peer) or self._pool.open(peer)
         except (HTTPError, OSError) as error:
             self._note(call, peer, "unreachable", repr(error))
             return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -187,7 +187,7 @@
         # Without a third upstream to ask, nothing is gained by giving up the second one.
         call.watch.expect(sending.silence_seconds if call.attempts.may_ask_third else None)
         try:
-            outcome = factory.sender.send(call, sending, self._progress)
+            outcome = factory.sender.send(call, sending, self._progress, is_second=True)
         except FirstUpstreamResumed as error:
             self._first_goes_on = True
             drop_attempt(factory.sender.parts, call, sending, error, call.attempts.current)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from collections.abc import Callable
 from functools import partial
 from http.client import HTTPException, HTTPResponse
 
@@ -59,9 +60,13 @@
         request_id: str,
         headers: Headers,
         watch: Watch,
+        *,
+        is_second: bool = False,
     ) -> Outcome:
         """Send and wait for the head of the response.
 
+        ``is_second``: another upstream with the same stream stays connected.
+
         Raises `CallerLeft` or `TimeLimitReached`, which is a `NotSentInTime` if nothing
         was sent. The connection is closed unless it is returned in an `Answering` or can
         be reused after a refusal: an upstream aborts what it runs for a closed connection.
@@ -70,9 +75,11 @@
         if not self._open_bytes.take(upstream.id, size):
             return NotRun(upstream, "too many bytes open", misdirected=False, reached=True)
         began_at = time.monotonic()
-        connection = self._pool.take_idle(upstream)
+        is_new = is_second and self._connections.may_open(upstream.id)
+        connection = None if is_new else self._pool.take_idle(upstream)
         if connection is None:
-            opened = self._open(upstream, began_at)
+            open_connection = self._pool.open_second if is_second else self._pool.open
+            opened = self._open(upstream, began_at, open_connection)
             if isinstance(opened, NotRun):
                 self._open_bytes.give(upstream.id, size)
                 return opened
@@ -110,12 +117,17 @@
             return refused._replace(retry_later=bool(backpressure.retry_after_seconds))
         return Answering(upstream, connection, response)
 
-    def _open(self, upstream: Upstream, began_at: float) -> UpstreamConnection | NotRun:
+    def _open(
+        self,
+        upstream: Upstream,
+        began_at: float,
+        open_connection: Callable[[Upstream], UpstreamConnection],
+    ) -> UpstreamConnection | NotRun:
         if not self._connections.may_open(upstream.id):
             reason = "no connection: new ones break"
             return NotRun(upstream, reason, misdirected=False, reached=False)
         try:
-            return self._pool.open(upstream)
+            return open_connection(upstream)
         except (HTTPError, OSError) as error:
             self._path.note_failed(upstream.id, "no connection", began_at)
             # urllib3 chains the error of the socket.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_sender.py
@@ -58,8 +58,10 @@
         silence_seconds = _first_event_silence_seconds(call, candidate)
         return Sending(candidate, ticket, pauses, attempt, silence_seconds)
 
-    def send(self, call: Call, sending: Sending, progress: Progress) -> Answering | Lost | NotRun:
-        """Send the request and wait for the head of the answer; raises as `Sender.send` does."""
+    def send(
+        self, call: Call, sending: Sending, progress: Progress, *, is_second: bool = False
+    ) -> Answering | Lost | NotRun:
+        """Send the request and wait for the head of the answer, as `Sender.send` does."""
         upstream = sending.candidate.upstream
         headers = self.parts.dialect.attempt_headers(
             call.headers,
@@ -69,7 +71,12 @@
             progress.last_event,
         )
         outcome = self.parts.sender.send(
-            upstream, call.request, call.terms.request_id, headers, call.watch
+            upstream,
+            call.request,
+            call.terms.request_id,
+            headers,
+            call.watch,
+            is_second=is_second,
         )
         if isinstance(outcome, Answering):
             call.attempts.current.head_received = True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -17,6 +17,10 @@
 # Connecting takes about one millisecond, four across failure domains. If it takes this
 # long, the host is down or a packet was lost, and another upstream is tried.
 CONNECT_SECONDS = 0.35
+# The longest round trip to a second upstream for one stream, measured by connecting. Once it
+# goes on, both work on the stream until its event has come and the first one is reset: a
+# round trip and the time of this process, of which callers allow 0.4 s in all.
+SECOND_CONNECT_SECONDS = 0.3
 # A host that lost power acknowledges nothing: data in flight is abandoned after this time.
 USER_TIMEOUT_MS = 4000
 # Each connection has a buffer of this size.
@@ -116,8 +120,8 @@
 class UpstreamConnection(HTTPConnection):
     """Sends requests with their raw target; every read waits under a `Watch`."""
 
-    def __init__(self, host: str, port: int) -> None:
-        super().__init__(host, port, timeout=CONNECT_SECONDS)
+    def __init__(self, host: str, port: int, connect_seconds: float = CONNECT_SECONDS) -> None:
+        super().__init__(host, port, timeout=connect_seconds)
         self._watched: _WatchedSocket | None = None
         self.response_count = 0
         self.idle_since = 0.0
--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -78,9 +78,9 @@
             "State": state, "Version": "v1", "ColdLeftMs": 0, "Seq": 1, "Models": models,
         }  # fmt: skip
 
-    def instance(self, name, pipe=None, store_port=None, **bounds):
+    def instance(self, name, pipe=None, store_port=None, request_threads=32, **bounds):
         made = InstanceProcess(
-            name, store_port or self.store_port, self._directory, pipe, bounds=bounds
+            name, store_port or self.store_port, self._directory, pipe, request_threads, bounds
         )
         self.instances.append(made)
         until(lambda: made.status() == 200, f"readiness of {name}")
