Do not count upstreams that were not reached against a begun stream

A caller kept waiting for a frozen upstream, up to its deadline, though a sound one held the model: after three connections that did not open no further attempt was allowed. The end of its own upstream then cut the answer. Each of these connections also used up a repeat of the budget.

Cause: an attempt that reached nobody counted like one that was sent.

For streams that have begun, attempts count if they reached an upstream, and the repeat of one that was not sent serves the next one. Before the first event the bound stays: the caller may try another instance. test_upstreams_that_were_not_reached_leave_the_attempts_for_others failed before (second_not_asked, no further attempt is allowed).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -2,14 +2,18 @@
 
 import time
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureState
 from redwingscale_daemon._internal.fleet.chooser import Candidate
-from redwingscale_daemon._internal.fleet.first_event_estimate import FirstEventEstimate
 from redwingscale_daemon._internal.fleet.load_tracker import Load
+from redwingscale_daemon._internal.forwarding.choice_fields import (
+    estimate_fields,
+    or_dash,
+    pause_fields,
+)
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.ingress.ingress_request import Headers
@@ -95,11 +99,11 @@
             cost_ms=round(chosen.cost_ms),
             open=load.requests,
             unread_tokens=load.prompt_tokens,
-            rate=_or_dash(backpressure.per_second),
-            leaving=_or_dash(backpressure.leaving_seconds),
+            rate=or_dash(backpressure.per_second),
+            leaving=or_dash(backpressure.leaving_seconds),
             retry_in=round(backpressure.retry_in, 3),
-            **_pause_fields(chosen),
-            **_estimate_fields(chosen.estimate),
+            **pause_fields(chosen),
+            **estimate_fields(chosen.estimate),
         )
         if not self.count:
             self._budget.note_request(self._service)
@@ -115,7 +119,9 @@
         unless the upstream was not reached or another process has taken its address.
         """
         self.note_failed(outcome)
-        if self.count >= MAX_ATTEMPTS:
+        # Before its first event, a caller may have more time for another instance.
+        begun = self.last_event_at is not None
+        if (self.count_of_reached if begun else self.count) >= MAX_ATTEMPTS:
             return False
         match outcome:
             case NotRun(reached=False) | NotRun(gone=True):
@@ -152,7 +158,7 @@
 
     def _may_ask(self, running: int) -> bool:
         return (
-            self.count < MAX_ATTEMPTS
+            self.count_of_reached < MAX_ATTEMPTS
             and self._route.repeatable
             and self.possible_runs + running < self._route.most_upstreams
         )
@@ -161,6 +167,10 @@
         """Note that the reserved repeat is sent."""
         self._reserved = False
 
+    def return_repeat(self) -> None:
+        """Note that the repeat was not sent: it serves the next attempt."""
+        self._reserved = True
+
     def reserve_repeat(self) -> bool:
         """Take the repeat that follows if the current attempt is given up; return whether."""
         if not self._reserved:
@@ -236,26 +246,3 @@
             and self.possible_runs < self._route.most_upstreams
             and self._budget.take(self._service)
         )
-
-
-def _pause_fields(chosen: Candidate) -> dict[str, Any]:
-    if chosen.pauses is None:
-        return {}
-    return {
-        "broken": round(chosen.pauses.broken, 2),
-        "place_ms": round(chosen.pauses.place_ms),
-    }
-
-
-def _estimate_fields(estimate: FirstEventEstimate | None) -> dict[str, Any]:
-    if estimate is None:
-        return {}
-    return {
-        "expected_ms": round(estimate.expected_ms),
-        "spread_ms": round(estimate.spread_ms),
-        "slowness": round(estimate.slowness, 2),
-    }
-
-
-def _or_dash(value: float | None) -> float | str:
-    return "-" if value is None else round(value, 3)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -225,8 +225,11 @@
             may_go_on = isinstance(outcome, Lost) and outcome.silent
             note_failure(parts, self._call, outcome, may_go_on=may_go_on)
             self._call.attempts.note_failed(outcome)
-            if isinstance(outcome, Lost):
-                sending.attempt.note_lost(outcome, self._progress.last_event or 0)
+            match outcome:
+                case Lost():
+                    sending.attempt.note_lost(outcome, self._progress.last_event or 0)
+                case NotRun(reached=False):
+                    self._call.attempts.return_repeat()
         finally:
             sending.close()
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream.py
@@ -12,7 +12,7 @@
 from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget, ByteLimits
 from redwingscale_daemon._internal.leases.clock import lease_clock
 
-from .conftest import WAIT_SECONDS, World, events, head, not_run, sized
+from .conftest import WAIT_SECONDS, World, events, head, not_run, read_response, sized
 from .test_bytes_held import send_slow, wait_until
 from .test_silent_upstreams import after
 from .test_streams import numbers
@@ -217,3 +217,16 @@
     assert given_up.wait(SILENCE_SECONDS)
     caller.close()
     world.stop()
+
+
+def test_upstreams_that_were_not_reached_leave_the_attempts_for_others(world):
+    """Guards against an answer that ends with its upstream after connections that did not open."""
+    world.add("llm", Pausing(ASK_SECONDS * 8, 1, 2, 3))
+    for _ in range(3):
+        world.add("llm", not_run).close()
+    caller = world.send("/long/x", model="m")
+    wait_until(lambda: all(map(world.health.is_unreachable, ("u1", "u2", "u3"))))
+    world.add("llm", events(2, 3))
+    wait_until(lambda: len(world.log) == 2)
+    response = read_response(caller)
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
