Let 128 connections of callers wait to be accepted

A caller of a process that stood still for a moment could not connect for a second: in bursts of more than five connections the kernel dropped what opens them.

Cause: the server's default for its queue of connections, 5.

test_connections_open_while_the_instance_has_no_processor_time failed before: a connection to a stopped process timed out.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -28,6 +28,9 @@
 # The server's default keeps 10 idle connections and closes the others at once: a caller
 # that sends a request at that moment would see its connection closed.
 MAX_IDLE_CONNECTIONS = 2000
+# The server's default is 5. The kernel drops what opens a connection while the queue of those
+# to be accepted is full, and the caller sends it again after a second.
+ACCEPT_QUEUE_LENGTH = 128
 SHUTDOWN_SECONDS = 1
 # How long a caller may take for a refusal, which has no deadline.
 REST_SECONDS = 2.5
@@ -154,6 +157,7 @@
             server, limits.name, min(MIN_THREADS, limits.threads), limits.threads
         )
         self._answering_threads = limits.threads - limits.refusing_threads
+        server.request_queue_size = ACCEPT_QUEUE_LENGTH
         server.requests = self._threads
         server.ConnectionClass = CallerConnection
         server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_hosted.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
@@ -187,6 +188,20 @@
     assert one.request_stream("m1", 3) == (200, [1, 2, 3])
 
 
+def test_connections_open_while_the_instance_has_no_processor_time(deployment):
+    """Guards against callers that are kept out for a second by a process that stood still."""
+    deployment.worker("w1", "m1")
+    one = deployment.instance("one")
+    one.process.send_signal(signal.SIGSTOP)
+    try:
+        callers = [socket.create_connection(("127.0.0.1", one.ports[0]), 0.5) for _ in range(40)]
+    finally:
+        one.process.send_signal(signal.SIGCONT)
+    for caller in callers:
+        caller.close()
+    assert one.request_stream("m1", 3) == (200, [1, 2, 3])
+
+
 def test_number_of_instances_outlasts_their_processes(deployment):
     """Guards against instances that all restart and each take a sixth of a limit."""
     deployment.worker("w1", "m1")
