--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -178,7 +178,7 @@
         # Without a third upstream to ask, nothing is gained by giving up the second one.
         call.watch.expect(sending.silence_seconds if call.attempts.may_ask_third else None)
         try:
-            outcome = factory.sender.send(call, sending, self._progress)
+            outcome = factory.sender.send(call, sending, self._progress, is_second=True)
         except FirstUpstreamResumed as error:
             self._first_goes_on = True
             drop_attempt(factory.sender.parts, call, sending, error, call.attempts.current)
@@ -216,8 +216,11 @@
             may_go_on = isinstance(outcome, Lost) and outcome.silent
             note_failure(parts, self._call, outcome, may_go_on=may_go_on)
             self._call.attempts.note_failed(outcome)
-            if isinstance(outcome, Lost):
-                sending.attempt.note_lost(outcome, self._progress.last_event or 0)
+            match outcome:
+                case Lost():
+                    sending.attempt.note_lost(outcome, self._progress.last_event or 0)
+                case NotRun(reached=False):
+                    self._call.attempts.return_repeat()
         finally:
             sending.close()
 
