Watch the first upstream and the caller while a second one is connected

What callers saw: a stream whose silent upstream went on while a second one was being connected stood still for up to 0.35 s more. An upstream worked on as long for a caller that had left.

Cause: the second attempt connected in the thread of the request, which polled nothing else meanwhile.

Change: connections are opened under the watch of their request (watched_connect.py), the first one of a request as well. A second attempt that ends before it was sent, since the first upstream goes on, is no possible run and keeps its repeat. The stub of one test takes the new argument.

Measured: two of the three new tests fail on the code before (event 0.304 s, caller 0.306 s late) and pass now with a bound of 0.15 s; the third guards the count and holds on both.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -112,5 +112,9 @@
     """The upstream that was silent has sent bytes while a second one was asked to go on."""
 
 
+class ResumedBeforeSending(FirstUpstreamResumed):
+    """The same, before the second upstream was sent the request."""
+
+
 class UpstreamSilent(RedwingscaleError):
     """An upstream sent nothing for longer than a healthy one would."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -205,7 +205,7 @@
     upstream = sending.candidate.upstream
     sending.close()
     if isinstance(reason, FirstUpstreamResumed):
-        call.attempts.note_superseded(upstream.id, str(reason))
+        call.attempts.note_first_resumed(upstream.id, reason)
         return
     lost = lost_by(upstream, reason)
     if not state.events_received and not parts.path.doubtful:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -6,6 +6,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_daemon._internal.exceptions import FirstUpstreamResumed, ResumedBeforeSending
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureState
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.first_event_estimate import FirstEventEstimate
@@ -140,6 +141,15 @@
         self.history.append(f"{name}:{reason}")
         self.possible_runs += 1
 
+    def note_first_resumed(self, name: str, error: FirstUpstreamResumed) -> None:
+        """Record a second attempt that is ended since the first upstream goes on."""
+        if isinstance(error, ResumedBeforeSending):
+            self.history.append(f"{name}:{error}")
+            # The next second attempt may use its repeat.
+            self._reserved = True
+        else:
+            self.note_superseded(name, str(error))
+
     @property
     def may_ask_second(self) -> bool:
         """Whether the route allows one more upstream while the current one still runs."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from redwingscale_daemon._internal.forwarding.upstream_connection import UpstreamConnection
+from redwingscale_daemon._internal.forwarding.watch import Watch
 
 # Upstreams that announce no idle timeout close idle connections after some seconds. A
 # request sent while the connection closes is lost, and may or may not have run.
@@ -58,10 +59,10 @@
         with self._lock:
             return any(now < one.expires_at for one in self._idle_by_upstream.get(upstream_id, ()))
 
-    def open(self, upstream: Endpoint) -> UpstreamConnection:
+    def open(self, upstream: Endpoint, watch: Watch | None = None) -> UpstreamConnection:
         """Return a new connection; raises the errors of `UpstreamConnection.connect`."""
         connection = UpstreamConnection(upstream.host, upstream.port)
-        connection.connect()
+        connection.connect(watch)
         with self._lock:
             self.opened += 1
         return connection
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -187,7 +187,7 @@
         if progress is None:
             call.watch.expect(None)
         try:
-            connection = self._pool.take_idle(peer) or self._pool.open(peer)
+            connection = self._pool.take_idle(peer) or self._pool.open(peer, call.watch)
         except (HTTPError, OSError) as error:
             self._note(call, peer, "unreachable", repr(error))
             return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_peer.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_peer.py
@@ -94,7 +94,7 @@
             with call.watch.standing_by(silent, in_body=call.attempts.current.head_received):
                 return self._parts.peers.begin_second(call, peer)
         except FirstUpstreamResumed as error:
-            call.attempts.note_superseded(peer.id, str(error))
+            call.attempts.note_first_resumed(peer.id, error)
             return None
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -163,7 +163,7 @@
             stream = self._factory.sender.parts.peers.open_second(call, peer, self._progress)
         except FirstUpstreamResumed as error:
             self._first_goes_on = True
-            call.attempts.note_superseded(peer.id, str(error))
+            call.attempts.note_first_resumed(peer.id, error)
             return None
         return stream and self._with_next_event(stream)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -72,7 +72,11 @@
         began_at = time.monotonic()
         connection = self._pool.take_idle(upstream)
         if connection is None:
-            opened = self._open(upstream, began_at)
+            try:
+                opened = self._open(upstream, began_at, watch)
+            except BaseException:
+                self._open_bytes.give(upstream.id, size)
+                raise
             if isinstance(opened, NotRun):
                 self._open_bytes.give(upstream.id, size)
                 return opened
@@ -110,12 +114,14 @@
             return refused._replace(retry_later=bool(backpressure.retry_after_seconds))
         return Answering(upstream, connection, response)
 
-    def _open(self, upstream: Upstream, began_at: float) -> UpstreamConnection | NotRun:
+    def _open(
+        self, upstream: Upstream, began_at: float, watch: Watch
+    ) -> UpstreamConnection | NotRun:
         if not self._connections.may_open(upstream.id):
             reason = "no connection: new ones break"
             return NotRun(upstream, reason, misdirected=False, reached=False)
         try:
-            return self._pool.open(upstream)
+            return self._pool.open(upstream, watch)
         except (HTTPError, OSError) as error:
             self._path.note_failed(upstream.id, "no connection", began_at)
             # urllib3 chains the error of the socket.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -10,8 +10,10 @@
 from typing import Any
 
 from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ConnectTimeoutError, NameResolutionError, NewConnectionError
 
 from redwingscale_daemon._internal.forwarding.watch import Watch
+from redwingscale_daemon._internal.forwarding.watched_connect import connect_watched
 from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
 
 # Connecting takes about one millisecond, four across failure domains. If it takes this
@@ -118,6 +120,7 @@
 
     def __init__(self, host: str, port: int) -> None:
         super().__init__(host, port, timeout=CONNECT_SECONDS)
+        self._connect_watch: Watch | None = None
         self._watched: _WatchedSocket | None = None
         self.response_count = 0
         self.idle_since = 0.0
@@ -126,8 +129,12 @@
         # Called once when the request on this connection is answered or given up.
         self.on_request_end: Callable[[], None] | None = None
 
-    def connect(self) -> None:
-        """Connect; raises `HTTPError` or `OSError`, in which case nothing was sent."""
+    def connect(self, watch: Watch | None = None) -> None:
+        """Connect; raises `HTTPError` or `OSError`, in which case nothing was sent.
+
+        With the ``watch`` of a request it raises as `Watch.wait_until_connected` as well.
+        """
+        self._connect_watch = watch
         super().connect()
         assert isinstance(self.sock, socket.socket)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -136,6 +143,18 @@
         self._watched = _WatchedSocket(self.sock)
         self.sock = self._watched
 
+    def _new_conn(self) -> socket.socket:
+        if self._connect_watch is None:
+            return super()._new_conn()
+        try:
+            return connect_watched(self.host, self.port, CONNECT_SECONDS, self._connect_watch)
+        except socket.gaierror as error:
+            raise NameResolutionError(self.host, self, error) from error
+        except TimeoutError as error:
+            raise ConnectTimeoutError(self, str(error)) from error
+        except OSError as error:
+            raise NewConnectionError(self, str(error)) from error
+
     def send_request(
         self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
     ) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -9,7 +9,9 @@
 
 from redwingscale_daemon._internal.exceptions import (
     CallerLeft,
+    FirstUpstreamResumed,
     NotSentInTime,
+    ResumedBeforeSending,
     TimeLimitReached,
     UpstreamSilent,
 )
@@ -135,6 +137,31 @@
         if self._reply is not None:
             self._wait_for_room(self._reply, count)
 
+    def wait_until_connected(self, upstream: socket.socket, seconds: float) -> bool:
+        """Block until ``upstream`` has connected or failed to; return False after ``seconds``.
+
+        Raises `CallerLeft`, `NotSentInTime` at the deadline, and `ResumedBeforeSending`.
+        """
+        until = time.monotonic() + seconds
+        poller = self._poller(upstream, select.POLLOUT)
+        while (wait := until - time.monotonic()) > 0:
+            if (time_left := self.deadline - lease_clock()) <= 0:
+                raise NotSentInTime("no time is left")
+            look_at = self._standby.look_at if self._standby is not None else math.inf
+            wait = max(0.0, min(wait, time_left, look_at - time.monotonic()))
+            ready = dict(poller.poll(wait * _MILLISECONDS_PER_SECOND + 1))
+            if (events := ready.get(self._caller.fileno())) is not None:
+                self._serve_caller(events)
+            if upstream.fileno() in ready:
+                return True
+            if self._standby is not None and self._standby.is_due(ready):
+                try:
+                    self._standby.look()
+                except FirstUpstreamResumed as error:
+                    raise ResumedBeforeSending(str(error)) from None
+            poller = self._poller(upstream, select.POLLOUT)
+        return False
+
     def wait_until_written(self) -> None:
         """Block until the caller has taken the whole reply; raises as above."""
         while self._reply is not None and self._reply.unwritten:
@@ -168,9 +195,9 @@
         if events & ~select.POLLOUT:
             self._check_caller_events(events)
 
-    def _poller(self, upstream: socket.socket) -> select.poll:
+    def _poller(self, upstream: socket.socket, events: int = _UPSTREAM_EVENTS) -> select.poll:
         poller = select.poll()
-        poller.register(upstream, _UPSTREAM_EVENTS)
+        poller.register(upstream, events)
         poller.register(self._caller, self._polled_events())
         if self._standby is not None:
             self._standby.register(poller)
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_connections.py
@@ -0,0 +1,117 @@
+"""A second attempt that waits for its connection, while the first upstream stays connected."""
+
+import contextlib
+import socket
+import time
+
+import pytest
+from redwingscale_daemon._internal.forwarding import answer_stream, stream_sender
+
+from .conftest import WAIT_SECONDS, events, head, read_response
+from .test_bytes_held import wait_until
+from .test_second_upstream import SILENCE_SECONDS, Pausing, sendings
+from .test_streams import numbers
+
+# The first upstream goes on this long after the second one is asked.
+GOES_ON_SECONDS = 0.05
+# The way of an event through this instance, on a busy machine.
+PASS_SECONDS = 0.15
+
+
+@pytest.fixture(autouse=True)
+def short_silence(monkeypatch):
+    monkeypatch.setattr(answer_stream, "STREAM_SILENCE_SECONDS", SILENCE_SECONDS)
+    monkeypatch.setattr(stream_sender, "FIRST_EVENT_SILENCE_SECONDS", SILENCE_SECONDS)
+
+
+@pytest.fixture
+def unreached(world):
+    """Return a function that lists a second upstream whose connections hang."""
+    server = socket.create_server(("127.0.0.1", 0), backlog=0)
+    # One connection that nobody accepts fills the queue: the packets of others are dropped.
+    waiting = [socket.create_connection(server.getsockname())]
+
+    def add():
+        scripted = world.add("llm", events(2, 3))
+        scripted.close()
+        listed = world.upstreams[-1][1]._replace(port=server.getsockname()[1])
+        world.upstreams[-1] = scripted, listed
+        world.directory.replace([upstream for _, upstream in world.upstreams])
+
+    yield add
+    for one in (*waiting, server):
+        one.close()
+
+
+class GoesOn(Pausing):
+    """Script of a stream that goes on while a second upstream is being connected."""
+
+    def __init__(self):
+        super().__init__(SILENCE_SECONDS + GOES_ON_SECONDS, 1, 2)
+        self.went_on_at = None
+
+    def _is_closed_within(self, connection):
+        closed = super()._is_closed_within(connection)
+        self.went_on_at = time.monotonic()
+        return closed
+
+
+def test_event_is_passed_on_while_a_second_upstream_is_connected(world, unreached):
+    """Guards against a stream that stands still for a connection that it does not need."""
+    first = GoesOn()
+    world.add("llm", first)
+    unreached()
+    caller = world.send("/long/x", model="m")
+    stream = caller.makefile("rb")
+    while b"token2" not in stream.readline():
+        pass
+    assert time.monotonic() - first.went_on_at < PASS_SECONDS
+
+
+def test_caller_that_leaves_while_a_second_upstream_is_connected_is_noticed(world, unreached):
+    """Guards against a first upstream that works on for nobody."""
+    closed_at = []
+
+    def waits(connection, received):
+        connection.sendall(head(received, "200 OK", "Transfer-Encoding: chunked"))
+        event = b"id: 1\ndata: token1\n\n"
+        connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        connection.settimeout(WAIT_SECONDS)
+        with contextlib.suppress(OSError):
+            connection.recv(1)
+        closed_at.append(time.monotonic())
+        return False
+
+    world.add("llm", waits)
+    unreached()
+    caller = world.send("/long/x", model="m")
+    stream = caller.makefile("rb")
+    while b"token1" not in stream.readline():
+        pass
+    time.sleep(SILENCE_SECONDS + GOES_ON_SECONDS)
+    left_at = time.monotonic()
+    caller.shutdown(socket.SHUT_RDWR)
+    wait_until(lambda: closed_at)
+    assert closed_at[0] - left_at < PASS_SECONDS
+
+
+def test_connection_that_is_given_up_before_it_is_used_is_no_run(world, unreached):
+    """Guards against a stream that may not go on elsewhere since an unused connection counts."""
+
+    def pauses_twice(connection, received):
+        connection.sendall(head(received, "200 OK", "Transfer-Encoding: chunked"))
+        for number, pause in ((1, SILENCE_SECONDS + GOES_ON_SECONDS), (2, WAIT_SECONDS)):
+            event = f"id: {number}\ndata: token{number}\n\n".encode()
+            connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            time.sleep(pause)
+        return False
+
+    world.add("llm", pauses_twice)
+    unreached()
+    caller = world.send("/long/x", model="m")
+    wait_until(lambda: world.log)
+    time.sleep(2 * SILENCE_SECONDS + GOES_ON_SECONDS)
+    world.add("llm", events(3))
+    response = read_response(caller)
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
+    assert sendings(world) == [("u0", None), ("u2", "2")]
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -99,10 +99,10 @@
     """Guards against a 503 at the deadline since the second upstream was not reached in time."""
     open_connection = world.pool.open
 
-    def open_slowly(upstream):
+    def open_slowly(upstream, watch):
         if upstream.id == "u1":
             time.sleep(0.4)
-        return open_connection(upstream)
+        return open_connection(upstream, watch)
 
     monkeypatch.setattr(world.pool, "open", open_slowly)
     world.add("llm", after(2.0, events(1)))
