--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
@@ -10,6 +10,7 @@
     SECOND_CONNECT_SECONDS,
     UpstreamConnection,
 )
+from redwingscale_daemon._internal.forwarding.watch import Watch
 
 # Upstreams that announce no idle timeout close idle connections after some seconds. A
 # request sent while the connection closes is lost, and may or may not have run.
@@ -62,21 +63,24 @@
         with self._lock:
             return any(now < one.expires_at for one in self._idle_by_upstream.get(upstream_id, ()))
 
-    def open_second(self, upstream: Endpoint) -> UpstreamConnection:
+    def open_second(self, upstream: Endpoint, watch: Watch) -> UpstreamConnection:
         """Return a new connection in place of an idle one; raises as `open`.
 
         Idle connections may be as dead as a silent one. Upstreams accept a bounded number.
         """
         if (idle := self._pop(upstream.id)) is not None:
             idle.discard()
-        return self.open(upstream, SECOND_CONNECT_SECONDS)
+        return self.open(upstream, watch, SECOND_CONNECT_SECONDS)
 
     def open(
-        self, upstream: Endpoint, connect_seconds: float = CONNECT_SECONDS
+        self,
+        upstream: Endpoint,
+        watch: Watch | None = None,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> UpstreamConnection:
         """Return a new connection; raises the errors of `UpstreamConnection.connect`."""
         connection = UpstreamConnection(upstream.host, upstream.port, connect_seconds)
-        connection.connect()
+        connection.connect(watch)
         with self._lock:
             self.opened += 1
         return connection
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -188,9 +188,9 @@
             call.watch.expect(None)
         try:
             if running:
-                connection = self._pool.open_second(peer)
+                connection = self._pool.open_second(peer, call.watch)
             else:
-                connection = self._pool.take_idle(peer) or self._pool.open(peer)
+                connection = self._pool.take_idle(peer) or self._pool.open(peer, call.watch)
         except (HTTPError, OSError) as error:
             self._note(call, peer, "unreachable", repr(error))
             return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -79,7 +79,11 @@
         connection = None if is_new else self._pool.take_idle(upstream)
         if connection is None:
             open_connection = self._pool.open_second if is_second else self._pool.open
-            opened = self._open(upstream, began_at, open_connection)
+            try:
+                opened = self._open(upstream, began_at, partial(open_connection, upstream, watch))
+            except BaseException:
+                self._open_bytes.give(upstream.id, size)
+                raise
             if isinstance(opened, NotRun):
                 self._open_bytes.give(upstream.id, size)
                 return opened
@@ -121,13 +125,13 @@
         self,
         upstream: Upstream,
         began_at: float,
-        open_connection: Callable[[Upstream], UpstreamConnection],
+        open_connection: Callable[[], UpstreamConnection],
     ) -> UpstreamConnection | NotRun:
         if not self._connections.may_open(upstream.id):
             reason = "no connection: new ones break"
             return NotRun(upstream, reason, misdirected=False, reached=False)
         try:
-            return open_connection(upstream)
+            return open_connection()
         except (HTTPError, OSError) as error:
             self._path.note_failed(upstream.id, "no connection", began_at)
             # urllib3 chains the error of the socket.
