Log the size and time of each configuration version on its way

The logs said when a version was in force, but not what it cost: how many bytes an instance received or sent for it, how long a fetch took and how long the tables took to build. Without these a late answer beside a version could not be traced to the link or to the processor.

configuration_sent, configuration_received and configuration_fetched say this. No logic is changed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
@@ -130,9 +130,17 @@
         for row in rows:
             if row.key != self._row or row.value is None:
                 continue
+            begun_at = time.monotonic()
             try:
                 table = self._decode(row.value)
             except msgspec.DecodeError as error:
                 log_event("configuration_invalid", level="ERROR", row=row.version, error=error)
                 continue
+            log_event(
+                "configuration_received",
+                source="store",
+                version=table.version,
+                bytes=len(row.value),
+                build_seconds=round(time.monotonic() - begun_at, 4),
+            )
             self._current.offer(table)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -96,11 +96,21 @@
 
     def fetch(self, address: str, version: int) -> bool:
         """Query a peer; return whether the configuration here has ``version`` or a later one."""
+        begun_at = time.monotonic()
         response = self._query(address)
+        fetch_seconds = time.monotonic() - begun_at
         if response is not None:
             self._apply(address, response)
         table = self._routes.get()
-        return table is not None and table.version >= version
+        fetched = table is not None and table.version >= version
+        log_event(
+            "configuration_fetched",
+            peer=address,
+            version=version,
+            fetched=fetched,
+            seconds=round(fetch_seconds, 4),
+        )
+        return fetched
 
     def _query(
         self,
@@ -140,8 +150,18 @@
             self._learn_leader(response.lease_version, response.leader)
         if not response.table:
             return
+        begun_at = time.monotonic()
         try:
             data = zlib.decompressobj().decompress(response.table, MAX_TABLE_BYTES)
-            self._routes.offer(decode_table(data))
+            table = decode_table(data)
         except (zlib.error, msgspec.DecodeError) as error:
             log_event("peer_table_invalid", level="WARNING", peer=address, error=repr(error))
+            return
+        log_event(
+            "configuration_received",
+            source=address,
+            version=table.version,
+            bytes=len(response.table),
+            build_seconds=round(time.monotonic() - begun_at, 4),
+        )
+        self._routes.offer(table)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
@@ -141,6 +141,8 @@
         if table.version != self._compressed_table[0]:
             self._compressed_table = (table.version, zlib.compress(encode_table(table)))
         newer = self._compressed_table[1] if table.version > request.configuration else b""
+        if newer:
+            log_event("configuration_sent", version=table.version, bytes=len(newer))
         return PeerResponse(
             table.version, newer, self._age(), lease.row_version, lease.record, entries
         )
