Bound what an instance sends at once of a large version

A version that adds thousands of routes is as large as the whole table, and the leader sent it to all instances at the same moment: on a link of 10 Mbit/s what it sent took two thirds of a second and more, and requests and events of streams that passed there waited behind it. Fetches timed out, and those instances read the store's row, which is twenty times as large.

An instance now sends at most what its link takes in 0.1 s, or one reply that takes longer, and names instances that have the version to other requesters, which query one of these or the leader again. A requester that has not received the version after 0.3 of the time in which it must be in force, or whose peer is silent, reads the store as before. Requesters of an older release are sent the version at once.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -26,6 +26,9 @@
 PEER_QUERY_SECONDS = 0.4
 # An announced version is read from the store first; peers are queried after this time.
 BEHIND_BEFORE_QUERY_SECONDS = 0.3
+# Fraction of the time in which a change must be in force that its fetch from instances may
+# take. The leader has read it before, and an instance without it reads the store after.
+FETCH_FRACTION = 0.3
 # If the leader has been silent for longer, it may not announce a rate limit in time, and
 # instances send rate limits to each other.
 LEADER_SILENT_SECONDS = 0.5
@@ -64,6 +67,7 @@
         fleet.rates.receive_from_peer,
         lambda: exchange,
         reply_on_path,
+        settings.machine.link_mbps,
     )
     behind = SustainedCondition(BEHIND_BEFORE_QUERY_SECONDS)
 
@@ -79,7 +83,9 @@
         record = lease.record
         if record is None or not record.desk_port:
             return False
-        return peer_client.fetch(f"{record.host}:{record.desk_port}", route_versions.version)
+        address = f"{record.host}:{record.desk_port}"
+        seconds = settings.bounds.configuration * FETCH_FRACTION
+        return peer_client.fetch(address, route_versions.version, seconds)
 
     peer_client = PeerClient(
         routes,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -25,6 +25,9 @@
 RESPONSE_TIMEOUT_MS = 400
 # A configuration that a peer knew to be in force within this time ends the queries.
 FRESH_CONFIGURATION_SECONDS = 1.5
+# Pause before the next query for a configuration that a peer may not send: some of those
+# that it names receive theirs only now.
+HOLDER_QUERY_SECONDS = (0.02, 0.06)
 MAX_TABLE_BYTES = 32 << 20
 
 
@@ -46,6 +49,8 @@
         self._on_new_peers = on_new_peers
         # When each address was last announced.
         self._announced_at: dict[str, float] = {}
+        # Whether `fetch` is under way: what other queries receive meanwhile would come twice.
+        self._fetching = False
         # Not for secrets: it only spreads the queries.
         self._random = random.Random()
 
@@ -85,7 +90,7 @@
 
     def step(self) -> None:
         """Query peers, if needed, until one knows the configuration that is in force now."""
-        if not self._needed():
+        if self._fetching or not self._needed():
             return
         addresses = self.addresses()
         for address in self._random.sample(addresses, min(MAX_QUERIES_PER_STEP, len(addresses))):
@@ -96,24 +101,46 @@
             if response.age < FRESH_CONFIGURATION_SECONDS:
                 return
 
-    def fetch(self, address: str, version: int) -> bool:
-        """Query a peer; return whether the configuration here has ``version`` or a later one."""
+    def fetch(self, address: str, version: int, seconds: float) -> bool:
+        """Query a peer; return whether the configuration here has ``version`` or a later one.
+
+        A peer that may not send it names others that have it; these are queried for up to
+        ``seconds``, and the peer again.
+        """
         begun_at = time.monotonic()
-        response = self._query(address)
-        fetch_seconds = time.monotonic() - begun_at
-        if response is not None:
-            self._apply(address, response)
-        table = self._routes.get()
-        fetched = table is not None and table.version >= version
+        sources, queries = [address], 0
+        self._fetching = True
+        try:
+            while not self._has(version):
+                if queries and time.monotonic() - begun_at > seconds:
+                    break
+                queries += 1
+                peer = self._random.choice(sources)
+                response = self._query(peer)
+                if response is None:
+                    break
+                self._apply(peer, response)
+                if response.holders:
+                    sources = [address, *response.holders]
+                if not self._has(version):
+                    time.sleep(self._random.uniform(*HOLDER_QUERY_SECONDS))
+        finally:
+            self._fetching = False
+        fetched = self._has(version)
         log_event(
             "configuration_fetched",
             peer=address,
             version=version,
             fetched=fetched,
-            seconds=round(fetch_seconds, 4),
+            queries=queries,
+            seconds=round(time.monotonic() - begun_at, 4),
         )
         return fetched
 
+    def _has(self, version: int) -> bool:
+        table = self._routes.get()
+        return table is not None and table.version >= version
+
     def _query(
         self,
         address: str,
@@ -125,7 +152,8 @@
         table = self._routes.get()
         version = table.version if table else 0
         base = table.digest if table else b""
-        request = PeerRequest(version, list(rates), list(entries), asks, path, base)
+        own = self._own_address()
+        request = PeerRequest(version, list(rates), list(entries), asks, path, base, own)
         # By default the socket resends a request by itself; -1 disables that.
         options = {
             "send_timeout": RESPONSE_TIMEOUT_MS,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
@@ -25,7 +25,8 @@
     ``rates`` are rate limits, ``entries`` those that all instances exchange. ``asks``:
     the response shall contain all entries of the peer. ``path`` asks which upstreams it
     reaches; a peer of an older release does not know the question. ``base`` is the digest of
-    the sender's configuration, empty if it knows no differences.
+    the sender's configuration, empty if it knows no differences. ``address`` is that of the
+    sender's peer server, empty if it knows no ``holders``.
     """
 
     configuration: int
@@ -34,14 +35,16 @@
     asks: bool = False
     path: PathQuery | None = None
     base: bytes = b""
+    address: str = ""
 
 
 class PeerResponse(msgspec.Struct, array_like=True):
     """The configuration and the leader as known to the peer.
 
     If the peer's configuration is newer than the requester's, ``table`` has it as a whole or
-    ``difference`` leads to it from the requester's; else both are empty. It was last known
-    to be in force ``age`` seconds ago. ``lease_version`` and ``leader`` are the
+    ``difference`` leads to it from the requester's, or the instances at ``holders`` have it,
+    while the peer may not send it; else these are empty. It was last known to be in force
+    ``age`` seconds ago. ``lease_version`` and ``leader`` are the
     leader's row as last read or received.
     """
 
@@ -53,6 +56,7 @@
     entries: list[Entry] = []
     path: PathReply | None = None
     difference: bytes = b""
+    holders: list[str] = []
 
 
 class Entries(Protocol):
@@ -85,6 +89,7 @@
         receive_rates: Callable[[list[RateLimitEntry]], None] = lambda _: None,
         entries: Callable[[], Entries | None] = lambda: None,
         reply_on_path: Callable[[PathQuery], PathReply | None] = lambda query: None,
+        link_mbps: float = 1000.0,
     ) -> None:
         self._socket = pynng.Rep0(recv_timeout=_TIMEOUT_MS, send_timeout=_TIMEOUT_MS)
         self._host = host
@@ -95,7 +100,7 @@
         self._receive_rates = receive_rates
         self._entries = entries
         self._reply_on_path = reply_on_path
-        self._tables = TableReplies(routes)
+        self._tables = TableReplies(routes, link_mbps)
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="peer-desk", daemon=True)
 
@@ -141,7 +146,7 @@
         entries = exchange.entries() if exchange is not None and request.asks else []
         if table is None:
             return PeerResponse(0, b"", float("inf"), lease.row_version, lease.record, entries)
-        newer = self._tables.reply_to(request.configuration, request.base)
+        newer = self._tables.reply_to(request.configuration, request.base, request.address)
         return PeerResponse(
             table.version,
             newer.table,
@@ -150,4 +155,5 @@
             lease.record,
             entries,
             difference=newer.difference,
+            holders=newer.holders,
         )
