--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -78,9 +78,14 @@
             "State": state, "Version": "v1", "ColdLeftMs": 0, "Seq": 1, "Models": models,
         }  # fmt: skip
 
-    def instance(self, name, pipe=None, store_port=None, **bounds):
+    def instance(self, name, pipe=None, store_port=None, machine=None, **bounds):
         made = InstanceProcess(
-            name, store_port or self.store_port, self._directory, pipe, bounds=bounds
+            name,
+            store_port or self.store_port,
+            self._directory,
+            pipe,
+            bounds=bounds,
+            machine=machine,
         )
         self.instances.append(made)
         until(lambda: made.status() == 200, f"readiness of {name}")
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
@@ -26,6 +26,7 @@
         pipe: tuple[int, int] | None = None,
         request_threads: int = 32,
         bounds: dict[str, Any] | None = None,
+        machine: dict[str, float] | None = None,
     ) -> None:
         self.name = name
         self.settings: dict[str, Any] = {
@@ -48,6 +49,8 @@
             }
             | (bounds or {}),
         }
+        if machine:
+            self.settings["machine"] = machine
         self._file = directory / f"{name}.json"
         self._file.write_text(json.dumps({"ingress": self.settings}))
         self.log = directory / f"{name}.log"
