Ask for no configuration where the answer's one is not used

An exchange of entries and a question about paths named the own version, so a peer with a later one sent its whole configuration with the reply, and the requester dropped it. They now name a version above all others, which peers of earlier releases answer without a table as well.

The fixtures of the tests of peers move to a module that two files share.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -28,6 +28,8 @@
 # Pause before the next query for a configuration that a peer may not send: some of those
 # that it names receive theirs only now.
 HOLDER_QUERY_SECONDS = (0.02, 0.06)
+# Above all versions: a peer does not send its configuration to a requester that has this one.
+NO_TABLE_ABOVE = 1 << 62
 MAX_TABLE_BYTES = 32 << 20
 
 
@@ -80,12 +82,12 @@
 
         Returns None if the peer did not answer.
         """
-        response = self._query(address, entries=entries, asks=asks)
+        response = self._query(address, entries=entries, asks=asks, takes_table=False)
         return None if response is None else response.entries
 
     def ask_path(self, address: str, query: PathQuery) -> PathReply | None:
         """Ask a peer which upstreams it reaches; None if it does not answer that."""
-        response = self._query(address, path=query)
+        response = self._query(address, path=query, takes_table=False)
         return None if response is None else response.path
 
     def step(self) -> None:
@@ -148,9 +150,10 @@
         entries: Sequence[Entry] = (),
         asks: bool = False,
         path: PathQuery | None = None,
+        takes_table: bool = True,
     ) -> PeerResponse | None:
         table = self._routes.get()
-        version = table.version if table else 0
+        version = (table.version if table else 0) if takes_table else NO_TABLE_ABOVE
         base = table.digest if table else b""
         own = self._own_address()
         request = PeerRequest(version, list(rates), list(entries), asks, path, base, own)
--- a/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
@@ -12,6 +12,8 @@
 from redwingscale_daemon._internal.swaps.order import Load, OrderResult
 from redwingscale_daemon._internal.swaps.worker_view import WorkerView
 
+from .peers_world import Peer, Requester
+
 SERVICE = "llm"
 COLD, DISK, MEMORY = 6.0, 1.2, 0.5
 
@@ -171,3 +173,22 @@
             return True
         time.sleep(0.005)
     return False
+
+
+@pytest.fixture
+def start():
+    """Start peers; they are stopped at the end."""
+    started = []
+
+    def start_peer(*arguments, **options):
+        started.append(Peer(*arguments, **options))
+        return started[-1]
+
+    yield start_peer
+    for peer in started:
+        peer.server.stop()
+
+
+@pytest.fixture
+def requester():
+    return Requester()
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
@@ -1,90 +1,22 @@
 """What an instance receives from its peers while the store rejects it."""
 
 import socket
-import threading
-import zlib
 
 import msgspec
 import pynng
-import pytest
 from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 from redwingscale_daemon._internal.platform.configuration import decode_configuration
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.table_record import decode_table, encode_table
 from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease, LeaderRecord, LeaseTiming
 from redwingscale_daemon._internal.swaps.peer_client import PeerClient
-from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerResponse, PeerServer
+from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerServer
 from redwingscale_daemon._internal.swaps.rate_limit_gossip import RateLimitGossip
 from redwingscale_daemon._internal.workspaces.keys import key_digest
 from redwingscale_standins.hosted.documents import document
 from redwingscale_standins.hosted.waiting import until
 
-KEY = "k2b7ex5wa5"
-LEADER = LeaderRecord("n9", "127.0.0.1", 1, 2, "start")
-
-
-def table(version, *keys):
-    tenants = [{"Name": "clerks", "ApiKeys": list(keys), "RatePerS": 5, "Burst": 9}]
-    return decode_configuration(msgspec.json.encode(document(version) | {"Tenants": tenants}))
-
-
-class Peer:
-    """The peer server of an instance, and its configuration."""
-
-    def __init__(self, newest, age=0.1):
-        self.routes = CurrentRoutes()
-        self.routes.offer(newest)
-        self.server = PeerServer(
-            "127.0.0.1", 0, self.routes, lambda: age, lambda: LeaseState(7, LEADER)
-        )
-        self.server.start()
-
-
-@pytest.fixture
-def start():
-    """Start peers; they are stopped at the end."""
-    started = []
-
-    def start_peer(*arguments, **options):
-        started.append(Peer(*arguments, **options))
-        return started[-1]
-
-    yield start_peer
-    for peer in started:
-        peer.server.stop()
-
-
-def ask(peer, *request):
-    """Return the response to a request with these fields."""
-    with pynng.Req0(recv_timeout=2000) as link:
-        link.dial(f"tcp://{peer.server.address}", block=True)
-        link.send(msgspec.msgpack.encode(request))
-        return msgspec.msgpack.decode(link.recv(), type=PeerResponse)
-
-
-class Requester:
-    """An instance that the store rejects."""
-
-    def __init__(self):
-        self.routes = CurrentRoutes()
-        self.needed = True
-        self.leaders = []
-        self.client = PeerClient(
-            self.routes,
-            lambda: self.needed,
-            lambda version, record: self.leaders.append((version, record)),
-            lambda: "127.0.0.1:1",
-        )
-
-    @property
-    def version(self):
-        current = self.routes.get()
-        return current.version if current else None
-
-
-@pytest.fixture
-def requester():
-    return Requester()
+from .peers_world import KEY, LEADER, ask, table
 
 
 def test_table_is_sent_complete_and_without_keys():
@@ -157,53 +89,6 @@
     assert (response.configuration, response.table, response.difference) == (2, b"", b"")
 
 
-def test_difference_is_sent_to_an_instance_with_an_earlier_version(start, requester):
-    """Guards against whole tables to all instances at once, which fill the link of the leader."""
-    peer = start(table(1, KEY))
-    requester.routes.offer(table(1, KEY))
-    peer.routes.offer(table(2))
-    peer.routes.offer(table(3, "other"))
-    response = ask(peer, 1, [], [], False, None, requester.routes.get().digest)
-    assert response.table == b""
-    assert len(response.difference) < len(ask(peer, 1).table)
-    requester.client.remember([peer.server.address])
-    requester.client.step()
-    assert requester.version == 3
-    assert requester.routes.get().digest == table(3, "other").digest
-
-
-def test_whole_table_is_sent_where_the_earlier_one_is_not_known(start, requester):
-    """Guards against a difference that is applied to another table than the one it leads from."""
-    peer = start(table(1, KEY))
-    requester.routes.offer(table(1, "decoded otherwise by another release"))
-    peer.routes.offer(table(2, KEY))
-    requester.client.remember([peer.server.address])
-    requester.client.step()
-    assert requester.routes.get().digest == table(2, KEY).digest
-
-
-def test_release_without_differences_receives_the_whole_table(start):
-    peer = start(table(1))
-    peer.routes.offer(table(2, KEY))
-    response = ask(peer, 1, [], [], False)
-    assert decode_table(zlib.decompress(response.table)).digest == table(2, KEY).digest
-    assert response.difference == b""
-
-
-def test_whole_table_of_a_release_without_differences_is_adopted(requester):
-    response = [2, zlib.compress(encode_table(table(2, KEY))), 0.1, 7, LEADER, []]
-    requester.routes.offer(table(1))
-    with pynng.Rep0(recv_timeout=2000) as older:
-        listener = older.listen("tcp://127.0.0.1:0")
-        requester.client.remember([str(listener.local_address).removeprefix("tcp://")])
-        step = threading.Thread(target=requester.client.step)
-        step.start()
-        older.recv()
-        older.send(msgspec.msgpack.encode(response))
-        step.join()
-    assert requester.routes.get().digest == table(2, KEY).digest
-
-
 def test_lease_row_of_a_peer_is_adopted_only_if_newer(store):
     """Guards against a return to a former leader."""
     timing = LeaseTiming(2.0, 1.2, 0.3)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
@@ -7,6 +7,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
+from redwingscale_standins.soak.link_rate import LinkRate
 from redwingscale_standins.soak.process_paths import PathFault, ProcessPaths
 
 CHUNK_BYTES = 65536
@@ -22,11 +23,18 @@
     the fault ends, like a network that drops packets which are retransmitted later.
     ``delay_seconds`` delays both directions, ``delay_from_seconds`` what the target sends.
     `silence` discards all further traffic of the connections that are open now. ``paths``
-    has the client processes that the link fails for.
+    has the client processes that the link fails for. ``rate_from`` bounds what the target
+    sends, None for no bound.
     """
 
-    def __init__(self, target_port: int, paths: ProcessPaths | None = None) -> None:
+    def __init__(
+        self,
+        target_port: int,
+        paths: ProcessPaths | None = None,
+        rate_from: LinkRate | None = None,
+    ) -> None:
         self.target_port = target_port
+        self._rate_from = rate_from
         self._paths = paths or ProcessPaths()
         # The fault of each accepted connection, and the version of the paths it was found at.
         self._fault_by_client: dict[socket.socket, tuple[int, PathFault | None]] = {}
@@ -119,6 +127,8 @@
             while data := source.recv(CHUNK_BYTES):
                 if self._wait(client, from_target):
                     _raise_if_reset(source)
+                if from_target and self._rate_from is not None:
+                    self._rate_from.wait(len(data))
                 if generation == self._generation:
                     sink.sendall(data)
             self._wait(client, from_target)
