Leave half of the link to requests while a large version is sent

What an instance sends of a version took its whole link while others asked for it, so events of streams there still waited behind it. It now takes half.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/table_replies.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/table_replies.py
@@ -11,8 +11,9 @@
 from redwingscale_daemon._internal.routes.table_difference import encode_difference
 from redwingscale_daemon._internal.routes.table_record import encode_table
 
-# Events of running streams wait behind what this instance sends: configurations fill its link
-# for at most this long at once, unless a single one takes longer.
+# Events of running streams wait behind what this instance sends. Configurations take this
+# fraction of its link, and wait there for at most this long unless a single one takes longer.
+LINK_FRACTION = 0.5
 LINK_SECONDS = 0.1
 BITS_PER_MEGABIT = 1e6
 # How many instances that have the version are named to a requester.
@@ -39,7 +40,7 @@
 
     def __init__(self, routes: CurrentRoutes, link_mbps: float) -> None:
         self._routes = routes
-        self._bytes_per_second = link_mbps * BITS_PER_MEGABIT / 8
+        self._bytes_per_second = link_mbps * BITS_PER_MEGABIT / 8 * LINK_FRACTION
         # The table that the encodings are of.
         self._table: RouteTable | None = None
         self._whole = b""
