Share the losses of a suspect between two tests of the guard

Cause: two tests began with the same steps. Change: one function for both; the checks are the same, and one more: the loss without a turn is settled.

--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
@@ -97,8 +97,8 @@
     assert world.crash_counts["suspect"] == 1
 
 
-def test_evidence_that_comes_after_a_turn_still_decides(world, monkeypatch):
-    """Guards against workers that are back at their address before a connection is refused."""
+def lose_without_evidence(world, monkeypatch):
+    """Lose one request twice at u0, first without a turn and then in its turn."""
     world.add("llm", breaks)
     seen = []
     monkeypatch.setattr(crash_guard, "fingerprint_of", watch_fingerprints(seen))
@@ -106,6 +106,11 @@
     assert world.request("/single/x", model="m").status == 502
     world.quarantine.note_crash(seen[0], Crash("u9", "refused"), None)
     assert world.request("/single/x", model="m").status == 502
+
+
+def test_evidence_that_comes_after_a_turn_still_decides(world, monkeypatch):
+    """Guards against workers that are back at their address before a connection is refused."""
+    lose_without_evidence(world, monkeypatch)
     world.directory.replace([])
     deadline = time.monotonic() + WAIT_SECONDS
     while not world.crash_counts["quarantined"]:
@@ -143,18 +148,12 @@
 
 def test_reported_crash_decides_no_turn(world, monkeypatch):
     """Guards against a request that is condemned since the connection of its turn was cut."""
-    world.add("llm", breaks)
-    seen = []
-    monkeypatch.setattr(crash_guard, "fingerprint_of", watch_fingerprints(seen))
-    world.quarantine.note_crash("other", Crash("u8", "refused"), None)
-    assert world.request("/single/x", model="m").status == 502
-    world.guard.drop_losses()
-    world.quarantine.note_crash(seen[0], Crash("u9", "refused"), None)
-    assert world.request("/single/x", model="m").status == 502
+    lose_without_evidence(world, monkeypatch)
     world.quarantine.note_crash("other", Crash("u0", "refused"), None)
+    wait_until(lambda: len(world.guard.pending.at("u0")) == 1)
     time.sleep(0.6)
     assert not world.crash_counts["quarantined"]
-    assert len(world.guard.pending.at("u0")) == 1
+    assert [loss.turn is None for loss in world.guard.pending.at("u0")] == [False]
 
 
 def test_upstream_that_leaves_during_a_wait_gets_no_request(world, monkeypatch):
