Log a crash in a turn that condemns no request

Cause: a verdict that was left open showed nowhere. Measured: the tests of verdicts and quarantine pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
@@ -41,6 +41,14 @@
         return None
     others = shared.suspects.possible_causes(crash.engine, but=fingerprint)
     if _is_ambiguous(shared, record, others) and len(record.turn_crashes) < MOST_TURN_CRASHES:
+        log_event(
+            "crash_undecided",
+            level="WARNING",
+            fingerprint=fingerprint,
+            died=",".join(record.crashed_engines),
+            evidence=crash.evidence,
+            others=len(others),
+        )
         shared.publish(turn.key, record._replace(phase=Phase.SUSPECT))
         return None
     seconds = shared.quarantined.next_seconds(fingerprint)
