Count the crash of one upstream once, whatever turns it ended

Cause: a verdict that is open lets the suspect run once more, and a second crash in its turns decides. Two turns that one upstream ended counted as two crashes.

Evidence: the trace. The worker w10 dropped all answers from 3:03:06.4 on, but refused connections only at 3:03:09. Two turns of the popular body were lost there in between, and both were settled by the same evidence. Another body that had been there led by no more than one crash less, so that nothing but the number of turns can have decided.

Change: the crashes in turns are those of different upstreams.

Measured: the new unit test failed before and passes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
@@ -25,9 +25,11 @@
     instances saw of the crash.
     """
     fingerprint = turn.record.fingerprint
+    # One crash may have ended several turns, if the engine refused connections late.
+    turn_crashes = dict.fromkeys((*shared.suspects.turn_crashes(fingerprint), crash.engine))
     record = turn.record._replace(
         crashed_engines=tuple(dict.fromkeys((*turn.record.crashed_engines, crash.engine))),
-        turn_crashes=(*shared.suspects.turn_crashes(fingerprint), crash.engine),
+        turn_crashes=tuple(turn_crashes),
         position=crash.position,
         weak=False,
     )
--- a/packages/redwingscale-daemon/tests/unit/relay/test_turn_verdicts.py
+++ b/packages/redwingscale-daemon/tests/unit/relay/test_turn_verdicts.py
@@ -84,6 +84,20 @@
         first.note_crash("cause", _begun("engine-2"), turn)
 
 
+def test_crash_that_ends_two_turns_counts_once(make_quarantines):
+    """Guards against a suspect that is condemned since an engine refused connections late."""
+    first, second = make_quarantines(2)
+    first.note_crash("innocent", _begun("engine-0"), None)
+    turns = []
+    for _ in range(2):
+        turns.append(first.wait_for_turn("innocent", "engine-1", 0, _later()))
+        first.release(turns[-1])
+    second.note_crash("cause", _unanswered("engine-1"), None)
+    for turn in turns:
+        first.note_crash("innocent", _begun("engine-1"), turn)
+    first.check("innocent")
+
+
 def test_third_crash_decides_beside_requests_without_an_answer(make_quarantines):
     """Guards against a fourth engine that ends under a body that ends its engines at once."""
     first, second = make_quarantines(2)
