--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/verdict.py
@@ -25,9 +25,11 @@
     instances saw of the crash.
     """
     fingerprint = turn.record.fingerprint
+    # One crash may have ended several turns, if the engine refused connections late.
+    turn_crashes = dict.fromkeys((*shared.suspects.turn_crashes(fingerprint), crash.engine))
     record = turn.record._replace(
         crashed_engines=tuple(dict.fromkeys((*turn.record.crashed_engines, crash.engine))),
-        turn_crashes=(*shared.suspects.turn_crashes(fingerprint), crash.engine),
+        turn_crashes=tuple(turn_crashes),
         position=crash.position,
         weak=False,
     )
@@ -41,6 +43,14 @@
         return None
     others = shared.suspects.possible_causes(crash.engine, but=fingerprint)
     if _is_ambiguous(shared, record, others) and len(record.turn_crashes) < MOST_TURN_CRASHES:
+        log_event(
+            "crash_undecided",
+            level="WARNING",
+            fingerprint=fingerprint,
+            died=",".join(record.crashed_engines),
+            evidence=crash.evidence,
+            others=len(others),
+        )
         shared.publish(turn.key, record._replace(phase=Phase.SUSPECT))
         return None
     seconds = shared.quarantined.next_seconds(fingerprint)
