--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import time
-from collections.abc import Callable
 from functools import partial
 from http.client import HTTPException, HTTPResponse
 
@@ -78,9 +77,8 @@
         is_new = is_second and self._connections.may_open(upstream.id)
         connection = None if is_new else self._pool.take_idle(upstream)
         if connection is None:
-            open_connection = self._pool.open_second if is_second else self._pool.open
             try:
-                opened = self._open(upstream, began_at, partial(open_connection, upstream, watch))
+                opened = self._open(upstream, began_at, watch, is_second=is_second)
             except BaseException:
                 self._open_bytes.give(upstream.id, size)
                 raise
@@ -122,16 +120,14 @@
         return Answering(upstream, connection, response)
 
     def _open(
-        self,
-        upstream: Upstream,
-        began_at: float,
-        open_connection: Callable[[], UpstreamConnection],
+        self, upstream: Upstream, began_at: float, watch: Watch, *, is_second: bool
     ) -> UpstreamConnection | NotRun:
         if not self._connections.may_open(upstream.id):
             reason = "no connection: new ones break"
             return NotRun(upstream, reason, misdirected=False, reached=False)
         try:
-            return open_connection()
+            open_connection = self._pool.open_second if is_second else self._pool.open
+            return open_connection(upstream, watch)
         except (HTTPError, OSError) as error:
             self._path.note_failed(upstream.id, "no connection", began_at)
             # urllib3 chains the error of the socket.
@@ -139,7 +135,14 @@
             if is_refused:
                 self._connections.note_broken(upstream.id)
             reason = f"no connection: {error!r}"
-            return NotRun(upstream, reason, misdirected=False, reached=False, refused=is_refused)
+            return NotRun(
+                upstream,
+                reason,
+                misdirected=False,
+                reached=False,
+                refused=is_refused,
+                slow=is_second and isinstance(error.__cause__, TimeoutError),
+            )
 
     def release(self, answering: Answering) -> None:
         """Return the connection of a fully read response to the pool, or close it."""
