Let one of two instances at a time ask further upstreams for a stream

What callers' upstreams saw: a stream that an instance had passed on to a peer ran at more upstreams than its route allows. With six workers whose runs all pause for 5 s after three events, eight streams ran at up to 3 where MaxAttempts is 2, and at up to 5 where it is 3.

Cause: the peer and the instance that has passed the stream on each asked second upstreams by their own count. The first instance counted one upstream at the peer, whatever the peer had asked.

Change: before the first instance asks another peer, it claims the request from the silent one, which answers how many upstreams may run it, and neither asks nor repeats from then on (shared_runs.py). The claim goes over the peers' port as two more fields of the messages there; older releases ignore them.

Open: how many upstreams a peer had asked when it was lost is not known.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_messages.py
@@ -4,10 +4,15 @@
 
 
 class PathQuery(msgspec.Struct, array_like=True):
-    """Which of ``upstreams`` has the peer heard in the last ``seconds``?"""
+    """Which of ``upstreams`` has the peer heard in the last ``seconds``?
+
+    With a ``passing``, the peer asks no further upstream for the request that was passed on to
+    it with this id: the instance that asks does so from now on.
+    """
 
     upstreams: list[str]
     seconds: float
+    passing: str = ""
 
 
 class PathReply(msgspec.Struct, array_like=True):
@@ -16,7 +21,8 @@
     ``heard`` are the upstreams of the query that it has heard, ``heard_ago`` the seconds since
     it heard any. A request that is passed on to ``host`` and ``port`` needs ``token``.
     ``able``: whether it may take requests now. ``busy`` is the fraction of its request
-    threads in use.
+    threads in use. ``runs``: how many upstreams may run the request of the query there, 0 if
+    the peer does not know it.
     """
 
     instance: str
@@ -28,3 +34,4 @@
     busy: float
     heard: list[str]
     heard_ago: float
+    runs: int = 0
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -1,7 +1,8 @@
 """The attempts to send one request, and whether another one is allowed."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any, NamedTuple
 
 from redwingscale_common.utils.logs import log_event
@@ -13,6 +14,7 @@
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
+from redwingscale_daemon._internal.forwarding.shared_runs import SharedRuns
 from redwingscale_daemon._internal.ingress.ingress_request import Headers
 from redwingscale_daemon._internal.routes.route import Route
 
@@ -61,6 +63,8 @@
         self.silent_peer: str | None = None
         # Whether another instance has passed it on to this one.
         self.taken_over = False
+        # The upstreams that it may run at beside those counted here.
+        self.shared = SharedRuns()
         self.count = 0
         self.possible_runs = 0
         self.history: list[str] = []
@@ -139,7 +143,7 @@
     def note_superseded(self, name: str, reason: str) -> None:
         """Record an attempt that may have run and was ended since another one went on first."""
         self.history.append(f"{name}:{reason}")
-        self.possible_runs += 1
+        self.possible_runs += self.shared.take_runs(name)
 
     def note_first_resumed(self, name: str, error: FirstUpstreamResumed) -> None:
         """Record a second attempt that is ended since the first upstream goes on."""
@@ -153,23 +157,32 @@
     @property
     def may_ask_second(self) -> bool:
         """Whether the route allows one more upstream while the current one still runs."""
-        return self._may_ask(running=1)
+        return self._may_ask(self.running)
 
     @property
     def may_ask_third(self) -> bool:
         """Whether the route allows one more upstream while two of them still run."""
-        return self._may_ask(running=2)
+        return self._may_ask(self.running + 1)
+
+    @property
+    def running(self) -> int:
+        """How many upstreams may run the request on the connection that is waited for."""
+        return self.shared.running_at(self.silent_peer)
 
     def _may_ask(self, running: int) -> bool:
         return (
-            self.count < MAX_ATTEMPTS
+            not self.shared.claimed
+            and self.count < MAX_ATTEMPTS
             and self._route.repeatable
             and self.possible_runs + running < self._route.most_upstreams
         )
 
-    def use_reserved(self) -> None:
-        """Note that the reserved repeat is sent."""
-        self._reserved = False
+    @contextmanager
+    def asking_second(self) -> Iterator[bool]:
+        """Tell whether a second upstream may still be asked, which uses the reserved repeat."""
+        with self.shared.asking_second() as allowed:
+            self._reserved = self._reserved and not allowed
+            yield allowed
 
     def reserve_repeat(self) -> bool:
         """Take the repeat that follows if the current attempt is given up; return whether."""
@@ -181,6 +194,7 @@
         """Continue the attempts of the instance that has passed the request on."""
         self.taken_over = True
         self.count, self.possible_runs = attempts, possible_runs
+        self.shared.take_over(possible_runs)
         self.tried.update(tried)
 
     @property
@@ -198,10 +212,10 @@
         self.passed_on += 1
         self.history.append(f"passed on to {peer}")
 
-    def take_retry_after_lost_peer(self, reason: str) -> bool:
+    def take_retry_after_lost_peer(self, peer: str, reason: str) -> bool:
         """Record a peer that was lost with the request; return whether to try another way."""
         self.history.append(reason)
-        self.possible_runs += 1
+        self.possible_runs += self.shared.take_runs(peer)
         return self.passed_on < MAX_PASSED_ON and self._may_repeat()
 
     def take_retry_after_error(self, upstream_id: str, reason: str) -> bool:
@@ -238,6 +252,8 @@
         return self.possible_runs == 0
 
     def _may_repeat(self) -> bool:
+        if self.shared.claimed:
+            return False
         if self._reserved:
             self._reserved = False
             return True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
@@ -16,7 +16,7 @@
 
     ``token`` is the one that the receiver has issued. ``waited`` are the seconds since the
     caller sent the request. ``attempts`` were made, of which ``possible_runs`` may have run;
-    the upstreams in ``tried`` have refused or lost it.
+    the upstreams in ``tried`` have refused or lost it. ``passing`` is unique to this passing on.
     """
 
     token: str
@@ -26,6 +26,7 @@
     attempts: int
     possible_runs: int
     tried: list[str]
+    passing: str = ""
 
     def is_from_a_peer(self, token: str) -> bool:
         """Return whether the sender knows ``token``."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
@@ -14,6 +14,8 @@
 MAX_ASKED = 6
 # How long a round waits for replies; later ones are used by the next requests.
 REPLY_SECONDS = 0.1
+# How long the thread of a request waits until a silent peer has said how many upstreams run it.
+CLAIM_SECONDS = 0.2
 # An older offer is not used: the peer may be cut off or full by now.
 FRESH_SECONDS = 1.5
 # A round is repeated at most this often for requests.
@@ -34,7 +36,8 @@
 class Peer(NamedTuple):
     """An instance that takes requests; ``heard`` are upstreams that it reaches.
 
-    ``heard_at`` is the monotonic time at which it last heard any upstream, by the clock here.
+    ``heard_at`` is the monotonic time at which it last heard any upstream, by the clock here;
+    ``address`` is where it is asked.
     """
 
     id: str
@@ -47,6 +50,7 @@
     heard: frozenset[str]
     heard_at: float
     replied_at: float
+    address: str
 
 
 class PeerOffers:
@@ -116,6 +120,23 @@
         self._avoided_until[peer.id] = time.monotonic() + AVOID_SECONDS
         log_event("peer_avoided", level="WARNING", peer=peer.id, reason=reason)
 
+    def claim(self, peer: Peer, passing: str) -> int:
+        """Let ``peer`` ask no further upstream for a request that was passed on to it.
+
+        Returns how many upstreams may run it there, 0 if that is not known in time.
+        """
+        replies: list[PathReply | None] = []
+
+        def ask() -> None:
+            replies.append(self._ask(peer.address, PathQuery([], 0.0, passing)))
+
+        thread = threading.Thread(target=ask, daemon=True)
+        thread.start()
+        thread.join(CLAIM_SECONDS)
+        runs = replies[0].runs if replies and replies[0] is not None else 0
+        log_event("passed_on_claimed", peer=peer.id, passing=passing, runs=runs or "-")
+        return runs
+
     def ids(self) -> set[str]:
         """Return the peers that have replied lately."""
         return set(self._by_id)
@@ -158,6 +179,7 @@
             frozenset(reply.heard),
             now - reply.heard_ago,
             now,
+            address,
         )
         with self._lock:
             oldest = now - FRESH_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_port.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_port.py
@@ -69,6 +69,10 @@
         server = self._server
         return self._may_take() and server is not None and not server.crowded
 
+    def claim(self, passing: str) -> int:
+        """Return how many upstreams may run a passed-on request, and let no further one run it."""
+        return self._handler.claim(passing)
+
     def stop(self, timeout_seconds: float = 1.0) -> None:
         """Close the port, and wait at most ``timeout_seconds`` for open requests."""
         with self._lock:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -1,6 +1,7 @@
 """Passes requests on to another instance and returns its answers."""
 
 import time
+import uuid
 from collections.abc import Callable
 from functools import partial
 from http.client import HTTPException, HTTPResponse
@@ -129,7 +130,7 @@
         self, call: Call, peer: Peer, progress: Progress | None, first_failure_status: int
     ) -> Exchange | None:
         try:
-            exchange = self._begin(call, peer, progress, running=1)
+            exchange = self._begin(call, peer, progress, call.attempts.running)
         except _LOST as error:
             self._note(call, peer, "lost", repr(error))
             call.attempts.note_superseded(peer.id, repr(error))
@@ -214,6 +215,8 @@
     ) -> Exchange:
         call.watch.check_before_sending()
         attempts = call.attempts
+        passing = uuid.uuid4().hex
+        attempts.shared.note_passed_on(peer.id, partial(self._offers.claim, peer, passing))
         # Upstreams that were lost with the path of this instance are sound.
         tried = set() if self._path_lost() else attempts.tried - attempts.unreached
         carried = envelope.encode(
@@ -225,6 +228,7 @@
                 attempts.count_of_reached,
                 attempts.possible_runs + running,
                 sorted(tried),
+                passing,
             )
         )
         headers = self._dialect.peer_headers(
@@ -269,7 +273,7 @@
         self._note(call, peer, "lost", repr(error))
         reason = f"peer {peer.id} lost: {error!r}"
         may_go_on = may_go_on and (not call.reply.started or call.route.resumable)
-        if may_go_on and call.attempts.take_retry_after_lost_peer(reason):
+        if may_go_on and call.attempts.take_retry_after_lost_peer(peer.id, reason):
             call.watch.check_caller()
             return False
         raise Refusal(502, "upstream_failed", reason, run=RunState.UNKNOWN) from error
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
+from weakref import WeakValueDictionary
 
 from redwingscale_common.utils.logs import log_event
 
@@ -80,6 +81,8 @@
         self._limiter = limiter
         self._guard = guard
         self._ends = ends or AnswerEnds(open_requests)
+        # The open requests that other instances have passed on, by the id of their passing.
+        self._taken_over: WeakValueDictionary[str, Attempts] = WeakValueDictionary()
         # Not for secrets: it only draws a service by weight.
         self._random = random.Random()
 
@@ -96,6 +99,15 @@
                 reply.close_after()
             self._handle(request, reply, passed_on)
 
+    def claim(self, passing: str) -> int:
+        """Return how many upstreams may run a passed-on request, and let no further one run it.
+
+        Returns 0 if the request is not open. The instance that has passed it on decides from
+        now on whether another upstream is asked.
+        """
+        attempts = self._taken_over.get(passing)
+        return 0 if attempts is None else attempts.shared.claim(attempts.possible_runs)
+
     def screen(self, head: IngressRequest, reply: Reply) -> bool:
         """Refuse a request with a missing or unknown key before its body is read.
 
@@ -235,6 +247,7 @@
             service = draw_service(route, self._random)
         attempts = Attempts(route, service, self._budget)
         attempts.take_over(passed_on.attempts, passed_on.possible_runs, passed_on.tried)
+        self._taken_over[passed_on.passing] = attempts
         return attempts, service
 
     def _relay(self, call: Call) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_choice.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_choice.py
@@ -40,6 +40,10 @@
         chosen = self._choose()
         if chosen is None:
             return self._not_asked(NotAsked.NO_OTHER)
+        # A silent peer may have asked several upstreams, and may be about to ask one.
+        attempts.shared.claim_at(attempts.silent_peer)
+        if not attempts.may_ask_second:
+            return self._not_asked(NotAsked.NO_ATTEMPT)
         if not attempts.reserve_repeat():
             return self._not_asked(NotAsked.NO_REPEAT)
         return chosen
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_peer.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_peer.py
@@ -89,10 +89,12 @@
         peer = self._choice.take()
         if not isinstance(peer, Peer):
             return None
-        call.attempts.use_reserved()
         try:
-            with call.watch.standing_by(silent, in_body=call.attempts.current.head_received):
-                return self._parts.peers.begin_second(call, peer)
+            with (
+                call.attempts.asking_second() as allowed,
+                call.watch.standing_by(silent, in_body=call.attempts.current.head_received),
+            ):
+                return self._parts.peers.begin_second(call, peer) if allowed else None
         except FirstUpstreamResumed as error:
             call.attempts.note_first_resumed(peer.id, error)
             return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -137,16 +137,20 @@
     def _open(self, silent: socket.socket) -> AnswerStream | None:
         watch = self._call.watch
         match self._choice.take():
-            case Peer() as peer:
-                with watch.standing_by(silent):
-                    return self._open_peer(peer)
-            case Candidate() as candidate:
-                with watch.standing_by(silent):
-                    return self._open_upstream(candidate)
+            case Peer() | Candidate() as chosen:
+                with self._call.attempts.asking_second() as allowed, watch.standing_by(silent):
+                    return self._open_chosen(chosen) if allowed else None
             case NotAsked.NO_OTHER if self._call.reply.started:
                 self._wait_for_holder()
         return None
 
+    def _open_chosen(self, chosen: Peer | Candidate) -> AnswerStream | None:
+        match chosen:
+            case Peer():
+                return self._open_peer(chosen)
+            case Candidate():
+                return self._open_upstream(chosen)
+
     def _wait_for_holder(self) -> None:
         # The leader may load the unit at another upstream.
         if not self._waits_for_holder:
@@ -157,7 +161,6 @@
 
     def _open_peer(self, peer: Peer) -> AnswerStream | None:
         call = self._call
-        call.attempts.use_reserved()
         call.watch.expect(call.route.first_event_seconds)
         try:
             stream = self._factory.sender.parts.peers.open_second(call, peer, self._progress)
@@ -172,7 +175,6 @@
         sending = factory.sender.begin(call, candidate, self._prompt, self._progress, 0.0)
         if sending is None:
             return None
-        call.attempts.use_reserved()
         # Without a third upstream to ask, nothing is gained by giving up the second one.
         call.watch.expect(sending.silence_seconds if call.attempts.may_ask_third else None)
         try:
--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -33,9 +33,11 @@
         self._servers.append(server)
         return server.port
 
-    def worker(self, worker_id, *models, timing=None, slots=64):
+    def worker(self, worker_id, *models, timing=None, slots=64, linked=False):
         made = ModelWorker(worker_id, {name: set() for name in models}, timing or WorkerTiming())
         port = self._serve(made)
+        if linked:
+            port = self.link(port)
         self.workers[made.id] = made
         self.rows.put("servers", made.id, self.entry(made, port) | {"Slots": slots})
         return made
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -27,7 +27,7 @@
 class StreamPause(NamedTuple):
     """A silence of ``seconds`` after some events of every ``every``-th run, which then goes on.
 
-    Runs that go on with a stream of another worker pause only if ``resumed`` is set.
+    With 0 ``after_events`` the run is silent before its first event. Runs that go on with a stream of another worker pause only if ``resumed`` is set.
     """
 
     seconds: float
@@ -130,6 +130,8 @@
         if pause is not None and next(self._stream_numbers) % pause.every:
             pause = None
         try:
+            if pause is not None and not pause.after_events:
+                time.sleep(pause.seconds)
             for number in range(first, last + 1):
                 time.sleep(self._timing.gap)
                 yield f"id: {number}\ndata: token{number}\n\n".encode()
