--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -417,3 +417,12 @@
     made.start()
     yield made
     made.stop()
+
+
+@pytest.fixture
+def peer():
+    """Another instance, which reaches its upstreams."""
+    made = World()
+    made.start()
+    yield made
+    made.stop()
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_claimed_requests.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_claimed_requests.py
@@ -8,7 +8,7 @@
 from redwingscale_daemon._internal.forwarding import answer_stream, peer_offers, peer_stream
 from redwingscale_daemon._internal.forwarding.shared_runs import SharedRuns
 
-from .conftest import WAIT_SECONDS, World, events, read_response
+from .conftest import WAIT_SECONDS, events, read_response
 from .test_bytes_held import wait_until
 from .test_passed_on import carried
 from .test_second_upstream import ASK_SECONDS, SILENCE_SECONDS, Pausing
@@ -25,14 +25,6 @@
     monkeypatch.setattr(peer_stream, "PEER_STREAM_SILENCE_SECONDS", PEER_SILENCE_SECONDS)
 
 
-@pytest.fixture
-def peer():
-    made = World()
-    made.start()
-    yield made
-    made.stop()
-
-
 @pytest.fixture
 def cut(world, peer):
     """An instance without a path, and ``peer`` that takes its requests and answers its claims."""
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_passed_on.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_passed_on.py
@@ -15,7 +15,7 @@
 from redwingscale_daemon._internal.workspaces.use_limiter import Drawn
 from redwingscale_daemon._internal.workspaces.workspace import UseLimit, UseUnit, Workspace
 
-from .conftest import WAIT_SECONDS, World, breaks, events, head, read_response, sized
+from .conftest import WAIT_SECONDS, breaks, events, head, read_response, sized
 from .test_streams import numbers
 
 DEADLINE_MS = 900
@@ -39,15 +39,6 @@
     return world
 
 
-@pytest.fixture
-def peer():
-    """Another instance, which reaches its upstreams."""
-    made = World()
-    made.start()
-    yield made
-    made.stop()
-
-
 def test_stream_is_served_through_a_peer(cut):
     cut.add_peer(events(1, 2, 3))
     cut.lose_path()
