Let an old stream go on through another peer

What callers saw: a stream that an instance had passed on was cut when its peer was lost, or fell silent for good, if it had begun longer ago than callers of its route wait for a first event (2 s, or four times the objective).

Change: the envelope tells the seconds since the caller's last event. Older releases ignore the field, and behave as before without it.

Measured: the new test fails on the code before (events 1 to 4 of 6, cut) and passes now, three times; unit tests of forwarding passed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -246,6 +246,11 @@
         self.last_event_at = now
         return now
 
+    @property
+    def seconds_since_event(self) -> float | None:
+        """The seconds since an event was written to the caller, None before the first one."""
+        return None if self.last_event_at is None else time.monotonic() - self.last_event_at
+
     @property
     def certainly_not_run(self) -> bool:
         """Whether no upstream has run the request or will run it."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
@@ -17,6 +17,7 @@
     ``token`` is the one that the receiver has issued. ``waited`` are the seconds since the
     caller sent the request. ``attempts`` were made, of which ``possible_runs`` may have run;
     the upstreams in ``tried`` have refused or lost it. ``passing`` is unique to this passing on.
+    ``since_event`` are the seconds since the caller was sent an event, None before the first one.
     """
 
     token: str
@@ -27,6 +28,7 @@
     possible_runs: int
     tried: list[str]
     passing: str = ""
+    since_event: float | None = None
 
     def is_from_a_peer(self, token: str) -> bool:
         """Return whether the sender knows ``token``."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -229,6 +229,7 @@
                 attempts.possible_runs + running,
                 sorted(tried),
                 passing,
+                attempts.seconds_since_event,
             )
         )
         headers = self._dialect.peer_headers(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -1,6 +1,7 @@
 """Handles each request of a caller from arrival to reply."""
 
 import random
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
@@ -247,6 +248,9 @@
             service = draw_service(route, self._random)
         attempts = Attempts(route, service, self._budget)
         attempts.take_over(passed_on.attempts, passed_on.possible_runs, passed_on.tried)
+        if passed_on.since_event is not None:
+            # A stream that is old is not late: its caller waits for the next event.
+            attempts.last_event_at = time.monotonic() - passed_on.since_event
         self._taken_over[passed_on.passing] = attempts
         return attempts, service
 
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_old_streams_of_peers.py
@@ -0,0 +1,30 @@
+"""Streams that go on through another peer long after they began."""
+
+import pytest
+from redwingscale_daemon._internal.routes.route import Route
+
+from .conftest import events, read_response
+from .test_bytes_held import wait_until
+from .test_streams import numbers
+
+# How long callers wait for the first event, and for each further one.
+PATIENCE_SECONDS = 0.8
+GAP_SECONDS = 0.4
+
+
+@pytest.fixture(autouse=True)
+def short_patience(monkeypatch):
+    monkeypatch.setattr(Route, "first_event_seconds", property(lambda route: PATIENCE_SECONDS))
+
+
+def test_stream_older_than_the_patience_of_its_caller_goes_on(world, peer):
+    """Guards against a stream that is cut with its peer, since its age counts as a wait."""
+    world.add("llm", events(99))
+    world.add_peer(events(1, 2, 3, 4, then="break", gap=GAP_SECONDS))
+    world.lose_path()
+    caller = world.send("/long/x", model="m")
+    wait_until(lambda: world.log)
+    peer.add("llm", events(5, 6))
+    world.peers["p1"] = peer.take_requests_of_peers("p1")
+    response = read_response(caller)
+    assert (numbers(response), response.whole) == ([1, 2, 3, 4, 5, 6], True)
