Give the second upstream up with a request that is refused

What upstreams saw: a silent upstream had crashed, the second one went on, and the crash made the request one that crashes upstreams. Its caller was cut, but the second upstream worked on, and its load counted at this instance for good.

Cause: the loss of the first attempt is recorded after the second one has sent its next event. If that refuses the request, nobody closed the second one.

Change: the second attempt is given up if the first one cannot be dropped.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -46,6 +46,15 @@
         super().__init__(f"{stream.name} goes on")
         self.stream = stream
 
+    def drop_first(self, drop: Callable[[], None]) -> None:
+        """Give up the silent attempt by ``drop``; if that raises, ``stream`` is given up as well."""
+        try:
+            drop()
+        except BaseException:
+            self.stream.discard()
+            self.stream.close()
+            raise
+
 
 class StreamFactory(NamedTuple):
     """Opens the answer of an upstream that has sent the head of a stream."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -126,7 +126,7 @@
             raise time_limit_refusal(call, error) from None
         except Superseded as error:
             silent = UpstreamSilent(f"no answer begun, {error}")
-            drop_attempt(self._parts, call, sending, silent, state)
+            error.drop_first(partial(drop_attempt, self._parts, call, sending, silent, state))
             raise
         match outcome:
             case Answering() if outcome.response.status >= FIRST_ERROR_STATUS:
@@ -169,7 +169,8 @@
                 stream.discard()
                 raise time_limit_refusal(call, error) from None
             except Superseded as error:
-                stream.drop(UpstreamSilent(f"silent, {error}"), progress)
+                silent = UpstreamSilent(f"silent, {error}")
+                error.drop_first(partial(stream.drop, silent, progress))
                 raise
             except (CallerLeft, Refusal):
                 stream.discard()
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_upstream_accounts.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from redwingscale_daemon._internal.exceptions import Refusal
 from redwingscale_daemon._internal.forwarding import answer_stream, peer_stream, stream_sender
 from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 
@@ -207,3 +208,24 @@
     world.add("llm", after(ASK_SECONDS * 2, events(2, 3)))
     assert world.request("/long/x", model="m").whole
     assert list(world.guard._pending_by_upstream) == ["u0"]
+
+
+def test_second_upstream_is_given_up_with_a_request_that_crashes_the_first(world, monkeypatch):
+    """Guards against a load that counts for ever, and an upstream that works on for nobody."""
+    begun = events(1, then="break")
+
+    def breaks_while_silent(connection, received):
+        begun(connection, received)
+        time.sleep(ASK_SECONDS * 2)
+        return False
+
+    def refuse(call, upstream, position, turn):
+        raise Refusal(422, "quarantined", "it crashes upstreams")
+
+    second = Pausing(WAIT_SECONDS, 2, 3)
+    monkeypatch.setattr(world.guard, "note_lost", refuse)
+    world.add("llm", breaks_while_silent)
+    world.add("llm", after(ASK_SECONDS * 3, second))
+    assert not world.request("/long/x", model="m").whole
+    assert second.given_up.wait(WAIT_SECONDS / 2)
+    wait_until(lambda: not world.load_tracker.total("u1").requests)
