Stall a link for tests only once it accepts no more

What was seen: test_stalled_link_opens_no_connection failed once in 197 tests on processes, a connection opened.

Cause: the thread that accepts took one of the connections that fill the queue after they were opened, so a place was free for the test. The stall now waits until that thread holds a connection, and fills the queue after that.

--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
@@ -14,6 +14,8 @@
 HOLD_POLL_SECONDS = 0.02
 # One is accepted and held, the queue has room for another.
 FILLERS = 4
+# How long the thread that accepts connections may take to stop doing so.
+STALL_SECONDS = 5.0
 # SO_LINGER with a timeout of zero: closing sends a reset instead of a FIN.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -48,6 +50,7 @@
         self.refuse = False
         self._generation = 0
         self._stalls_new = False
+        self._accepts_none = threading.Event()
         # Own connections that fill the queue of those to be accepted.
         self._fillers: list[socket.socket] = []
         self._closed = False
@@ -71,11 +74,17 @@
         self._stalls_new = True
         # The kernel drops what opens a connection while the queue is full.
         self._listener.listen(0)
+        # The thread that accepts takes one more, after which nobody frees a place.
+        self._fill_place()
+        self._accepts_none.wait(STALL_SECONDS)
         for _ in range(FILLERS):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(("127.0.0.1", self.port))
-            self._fillers.append(filler)
+            self._fill_place()
+
+    def _fill_place(self) -> None:
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(("127.0.0.1", self.port))
+        self._fillers.append(filler)
 
     def reset(self) -> None:
         """Reset the connections that are open now."""
@@ -113,6 +122,7 @@
             except OSError:
                 return
             while self._stalls_new and not self._closed:
+                self._accepts_none.set()
                 time.sleep(HOLD_POLL_SECONDS)
             try:
                 if self.refuse or self._fault(client) in (PathFault.RESET, PathFault.REFUSE_NEW):
