--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -127,7 +127,7 @@
             raise time_limit_refusal(call, error) from None
         except Superseded as error:
             silent = UpstreamSilent(f"no answer begun, {error}")
-            error.drop_first(partial(drop_attempt, self._parts, call, sending, silent, state))
+            drop_attempt(self._parts, call, sending, silent, state)
             raise
         match outcome:
             case Answering() if outcome.response.status >= FIRST_ERROR_STATUS:
@@ -170,8 +170,7 @@
                 stream.discard()
                 raise time_limit_refusal(call, error) from None
             except Superseded as error:
-                silent = UpstreamSilent(f"silent, {error}")
-                error.drop_first(partial(stream.drop, silent, progress))
+                stream.drop(UpstreamSilent(f"silent, {error}"), progress)
                 raise
             except (CallerLeft, Refusal):
                 stream.discard()
