Keep a slow upstream for a begun stream that another instance has passed on

Cause: the peer judged by its own reply whether the answer had begun. To it a begun stream looks like a new one, whose caller may try another instance.

Change: an answer has begun if the caller was sent an event, by this instance or by the one before, which the envelope tells.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -125,8 +125,7 @@
         """
         self.note_failed(outcome)
         # Before its first event, a caller may have more time for another instance.
-        begun = self.last_event_at is not None
-        if (self.count_of_reached if begun else self.count) >= MAX_ATTEMPTS:
+        if (self.count_of_reached if self.answer_begun else self.count) >= MAX_ATTEMPTS:
             return False
         match outcome:
             case NotRun(reached=False) | NotRun(gone=True):
@@ -256,6 +255,11 @@
         self.last_event_at = now
         return now
 
+    @property
+    def answer_begun(self) -> bool:
+        """Whether the caller was sent an event, by this instance or by the one before."""
+        return self.last_event_at is not None
+
     @property
     def seconds_since_event(self) -> float | None:
         """The seconds since an event was written to the caller, None before the first one."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -102,7 +102,7 @@
             # What is noted next concerns the first attempt, also when it is given up.
             self._call.attempts.current = first
         if stream is None:
-            if not (is_peer or self._call.reply.started or self._first_goes_on):
+            if not (is_peer or self._call.attempts.answer_begun or self._first_goes_on):
                 # Its caller has received nothing, and may try another instance.
                 raise UpstreamSilent("no byte in time, and no other upstream goes on")
             return ASK_AGAIN_SECONDS
@@ -142,7 +142,7 @@
             case Peer() | Candidate() as chosen:
                 with self._call.attempts.asking_second() as allowed, watch.standing_by(silent):
                     return self._open_chosen(chosen) if allowed else None
-            case NotAsked.NO_OTHER if self._call.reply.started:
+            case NotAsked.NO_OTHER if self._call.attempts.answer_begun:
                 self._wait_for_holder()
         return None
 
