Go on through another peer when one refuses a stream that has begun

A begun stream that a peer refused, as one that stops or is full does with 503, was cut, though other peers could go on with it.

Cause: a peer's answer that is no stream ended a begun answer at once, without a look for another way. The loss of a peer was treated better than its refusal.

Change: a refusal leaves the other peers, up to the number of times that a request may be passed on; another failure is treated like the loss of the peer.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -83,14 +83,15 @@
 
     def deliver_whole(self, call: Call, exchange: Exchange) -> bool:
         """Pass on an answer that is no stream; return and raise as `relay` does."""
-        begun = call.reply.started
+        if call.reply.started:
+            return self._refuse_failure(call, exchange)
         # No stream can go on with an answer that is no stream.
         call.watch.expect(call.watch.silence_seconds)
         try:
             self._deliver(call, exchange)
         except _LOST as error:
             exchange.connection.discard()
-            may_go_on = call.reply.started == begun
+            may_go_on = not call.reply.started
             return self._retry_after_loss(call, exchange.peer, error, may_go_on=may_go_on)
         except TimeLimitReached as error:
             exchange.connection.discard()
@@ -102,6 +103,16 @@
         self._finish(exchange)
         return True
 
+    def _refuse_failure(self, call: Call, exchange: Exchange) -> bool:
+        """Return False to go on with a begun stream elsewhere; raises `Refusal` otherwise."""
+        exchange.connection.discard()
+        status = exchange.response.status
+        reason = f"status {status} for a stream that has begun"
+        if status in NOT_RUN_STATUSES:
+            self._note(call, exchange.peer, "refused", reason)
+            return False
+        return self._retry_after_loss(call, exchange.peer, HTTPException(reason))
+
     def open_stream(self, call: Call, peer: Peer, progress: Progress) -> PeerStream | bool:
         """Return the peer's stream, True if the reply is complete, False to choose again.
 
@@ -251,8 +262,6 @@
         headers = envelope.without(self._dialect.response_headers(response))
         length = response.length
         start = read_body_start(response, call.request.held)
-        if call.reply.started:
-            raise Refusal(502, "stream_broken", f"peer: status {response.status}", run=RunState.RUN)
         if not call.attempts.may_pass_on(response.status, counted=False):
             raise Refusal(
                 502, "upstream_failed", f"peer: status {response.status}", run=RunState.UNKNOWN
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_old_streams_of_peers.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_old_streams_of_peers.py
@@ -4,7 +4,7 @@
 from redwingscale_daemon._internal.forwarding import stream_sender
 from redwingscale_daemon._internal.routes.route import Route
 
-from .conftest import events, read_response
+from .conftest import events, read_response, sized
 from .test_bytes_held import wait_until
 from .test_silent_upstreams import after
 from .test_streams import numbers
@@ -48,3 +48,14 @@
     world.peers["p1"] = peer.take_requests_of_peers("p1")
     response = read_response(caller)
     assert (numbers(response), response.whole) == ([1, 2, 3, 4], True)
+
+
+def test_stream_that_a_peer_refuses_goes_on_through_another(world):
+    """Guards against a stream that is cut since one of several peers cannot go on with it."""
+    scripts = iter([events(1, 2, then="break"), sized(b"", "503 Refused"), events(3, 4)])
+    world.add("llm", events(99))
+    for _ in range(3):
+        world.add_peer(lambda connection, received: next(scripts)(connection, received))
+    world.lose_path()
+    response = world.request("/long/x", model="m")
+    assert (numbers(response), response.whole) == ([1, 2, 3, 4], True)
