Fill the queue of a stalled link one connection after another

test_stalled_link_opens_no_connection failed once in a run of 58 tests with -n 3 at a load average of about 20: a connection opened. The link accepted its first filler only after the others had been dropped, and the next connection found the queue empty. It now waits until one connection is held before the queue is filled.

--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faulty_link.py
@@ -4,6 +4,7 @@
 import struct
 import threading
 import time
+from contextlib import suppress
 
 from redwingscale_common.utils.logs import log_event
 
@@ -11,8 +12,6 @@
 
 CHUNK_BYTES = 65536
 HOLD_POLL_SECONDS = 0.02
-# One is accepted and held, the queue has room for another.
-FILLERS = 4
 # SO_LINGER with a timeout of zero: closing sends a reset instead of a FIN.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -41,6 +40,7 @@
         self.refuse = False
         self._generation = 0
         self._stalls_new = False
+        self._holds_accepted = threading.Event()
         # Own connections that fill the queue of those to be accepted.
         self._fillers: list[socket.socket] = []
         self._closed = False
@@ -62,13 +62,14 @@
     def stall_new(self) -> None:
         """Keep new connections from opening until the link is closed."""
         self._stalls_new = True
-        # The kernel drops what opens a connection while the queue is full.
+        # The kernel drops what opens a connection while the queue is full: one connection is
+        # accepted and held, another one waits.
         self._listener.listen(0)
-        for _ in range(FILLERS):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(("127.0.0.1", self.port))
-            self._fillers.append(filler)
+        for _ in range(2):
+            # It does not open if another connection waits already.
+            with suppress(TimeoutError):
+                self._fillers.append(socket.create_connection(("127.0.0.1", self.port), 1.0))
+            self._holds_accepted.wait()
 
     def reset(self) -> None:
         """Reset the connections that are open now."""
@@ -106,6 +107,7 @@
             except OSError:
                 return
             while self._stalls_new and not self._closed:
+                self._holds_accepted.set()
                 time.sleep(HOLD_POLL_SECONDS)
             try:
                 if self.refuse or self._fault(client) in (PathFault.RESET, PathFault.REFUSE_NEW):
