Judge the time to connect after a poll

What callers saw: nothing shown. An upstream counted as unreachable for 0.8 s though its connection had opened.

Cause: a wait for a connection ended by the clock of its thread. After an event of the caller that was served late, the connection was not looked at again.

Change: the time is judged after a poll, as for silences. Measured: the new test fails on the code before and passes now.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -145,24 +145,30 @@
         Raises `CallerLeft`, `NotSentInTime` at the deadline, and `ResumedBeforeSending`.
         """
         until = time.monotonic() + seconds
-        poller = self._poller(upstream, select.POLLOUT)
-        while (wait := until - time.monotonic()) > 0:
+        while True:
             if (time_left := self.deadline - lease_clock()) <= 0:
                 raise NotSentInTime("no time is left")
+            wait = max(0.0, until - time.monotonic())
             look_at = self._standby.look_at if self._standby is not None else math.inf
-            wait = max(0.0, min(wait, time_left, look_at - time.monotonic()))
-            ready = dict(poller.poll(wait * _MILLISECONDS_PER_SECOND + 1))
+            polled = max(0.0, min(wait, time_left, look_at - time.monotonic()))
+            poller = self._poller(upstream, select.POLLOUT)
+            ready = dict(poller.poll(polled * _MILLISECONDS_PER_SECOND + 1))
             if (events := ready.get(self._caller.fileno())) is not None:
                 self._serve_caller(events)
             if upstream.fileno() in ready:
                 return True
             if self._standby is not None and self._standby.is_due(ready):
-                try:
-                    self._standby.look()
-                except FirstUpstreamResumed as error:
-                    raise ResumedBeforeSending(str(error)) from None
-            poller = self._poller(upstream, select.POLLOUT)
-        return False
+                self._look_before_sending(self._standby)
+            # Judged after a poll: it may have connected while this thread had no processor time.
+            if not wait:
+                return False
+
+    @staticmethod
+    def _look_before_sending(standby: Standby) -> None:
+        try:
+            standby.look()
+        except FirstUpstreamResumed as error:
+            raise ResumedBeforeSending(str(error)) from None
 
     def wait_until_written(self) -> None:
         """Block until the caller has taken the whole reply; raises as above."""
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_second_connections.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_second_connections.py
@@ -1,6 +1,7 @@
 """A second attempt that waits for its connection, while the first upstream stays connected."""
 
 import contextlib
+import select
 import socket
 import threading
 import time
@@ -10,7 +11,9 @@
     answer_stream,
     connection_pool,
     stream_sender,
+    watch,
 )
+from redwingscale_daemon._internal.leases.clock import lease_clock
 
 from .conftest import WAIT_SECONDS, events, head, read_response
 from .test_bytes_held import wait_until
@@ -21,6 +24,7 @@
 GOES_ON_SECONDS = 0.05
 # Longer than the tests wait for anything else.
 CONNECT_SECONDS = 4 * WAIT_SECONDS
+CONNECT_LIMIT_SECONDS = 0.1
 
 
 @pytest.fixture(autouse=True)
@@ -110,3 +114,27 @@
     response = read_response(caller)
     assert (numbers(response), response.whole) == ([1, 2, 3], True)
     assert sendings(world) == [("u0", None), ("u2", "2")]
+
+
+class LatePoller:
+    """Returns the caller's event once the time to connect is over, and then the connection."""
+
+    def __init__(self, caller, upstream):
+        self._found = iter([[(caller.fileno(), select.POLLIN)], [(upstream.fileno(), 0)]])
+
+    def poll(self, milliseconds):
+        time.sleep(milliseconds / 1000)
+        return next(self._found)
+
+
+def test_connection_that_opens_while_the_thread_stands_still_is_used(monkeypatch):
+    """Guards against upstreams that seem unreachable to a thread without processor time."""
+    caller, sent = socket.socketpair()
+    upstream, other_end = socket.socketpair()
+    sent.sendall(b"the next request")
+    poller = LatePoller(caller, upstream)
+    monkeypatch.setattr(watch.Watch, "_poller", lambda *_: poller)
+    watched = watch.Watch(caller, lease_clock() + WAIT_SECONDS)
+    assert watched.wait_until_connected(upstream, CONNECT_LIMIT_SECONDS)
+    for one in (caller, sent, upstream, other_end):
+        one.close()
