Keep sending to peers, and the state of one attempt, in modules of their own

What sends a request to a peer once is peer_sender.py; what is known of one attempt is attempt_state.py. Code moved only; the unit tests of forwarding pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -9,7 +9,7 @@
 
 from redwingscale_daemon._internal.exceptions import FirstUpstreamResumed, Refusal, UpstreamSilent
 from redwingscale_daemon._internal.forwarding.attempt_failure import note_failure
-from redwingscale_daemon._internal.forwarding.attempts import AttemptState
+from redwingscale_daemon._internal.forwarding.attempt_state import AttemptState
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.event_reader import EventReader
 from redwingscale_daemon._internal.forwarding.events import Event, read_events
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_state.py
@@ -0,0 +1,27 @@
+"""What is known of one attempt, and of an answer that is kept for later."""
+
+import time
+from typing import NamedTuple
+
+from redwingscale_daemon._internal.ingress.ingress_request import Headers
+
+
+class FailedResponse(NamedTuple):
+    """An upstream's failure, returned to the caller if no later attempt succeeds."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class AttemptState:
+    """When one attempt was sent, whether its head has arrived, and the events after it."""
+
+    def __init__(self) -> None:
+        self.sent_at = time.monotonic()
+        self.head_received = False
+        self.events_received = 0
+
+    def seconds_since_send(self) -> float:
+        """Return the seconds since the attempt was sent."""
+        return time.monotonic() - self.sent_at
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -3,7 +3,6 @@
 import time
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
-from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
@@ -11,6 +10,10 @@
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureState
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.load_tracker import Load
+from redwingscale_daemon._internal.forwarding.attempt_state import (
+    AttemptState,
+    FailedResponse,
+)
 from redwingscale_daemon._internal.forwarding.choice_fields import (
     estimate_fields,
     or_dash,
@@ -19,7 +22,6 @@
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.shared_runs import SharedRuns
-from redwingscale_daemon._internal.ingress.ingress_request import Headers
 from redwingscale_daemon._internal.routes.route import Route
 
 # An attempt that no upstream has run costs little, but uses up time until the deadline.
@@ -30,27 +32,6 @@
 NOT_RUN_STATUSES = frozenset({429, 503})
 
 
-class FailedResponse(NamedTuple):
-    """An upstream's failure, returned to the caller if no later attempt succeeds."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-class AttemptState:
-    """When one attempt was sent, whether its head has arrived, and the events after it."""
-
-    def __init__(self) -> None:
-        self.sent_at = time.monotonic()
-        self.head_received = False
-        self.events_received = 0
-
-    def seconds_since_send(self) -> float:
-        """Return the seconds since the attempt was sent."""
-        return time.monotonic() - self.sent_at
-
-
 class Attempts:
     """Tracks the upstreams that were tried and how many may have run the request."""
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 from http.client import HTTPResponse
 
-from redwingscale_daemon._internal.forwarding.attempts import AttemptState
+from redwingscale_daemon._internal.forwarding.attempt_state import AttemptState
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.event_reader import EventReader
 from redwingscale_daemon._internal.forwarding.events import Event, read_events
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -17,7 +17,7 @@
     FAILURE_STATUSES,
     note_failure,
 )
-from redwingscale_daemon._internal.forwarding.attempts import FailedResponse
+from redwingscale_daemon._internal.forwarding.attempt_state import FailedResponse
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.crash_guard import GuardedAttempt
 from redwingscale_daemon._internal.forwarding.final_refusal import (
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_peer.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_peer.py
@@ -21,7 +21,7 @@
 from redwingscale_daemon._internal.forwarding.outcome import lost_by
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer
-from redwingscale_daemon._internal.forwarding.peer_relay import Exchange
+from redwingscale_daemon._internal.forwarding.peer_sender import Exchange
 from redwingscale_daemon._internal.forwarding.second_choice import SecondChoice
 
 
