Count repeats over all instances, and show that replaced workers receive too many

Nothing added up what all instances send beyond the first sending of a request. The rule now stands once, judged by arrivals at the workers; plays on real processes use it.

--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -10,6 +10,7 @@
 from redwingscale_common.network.exchange import json_response, read_body, read_json
 
 from redwingscale_standins.hang import drop_connection
+from redwingscale_standins.repeats.rule import Arrival
 
 BODY_LIMIT_BYTES = 1 << 20
 # How long a worker that fell over closes all connections.
@@ -72,6 +73,10 @@
         self.rejections: list[Rejection] = []
         # Monotonic times of all calls.
         self.called_at: list[float] = []
+        # Every request whose head was read, whatever became of it.
+        self.arrivals: list[Arrival] = []
+        # How many of them were addressed to another worker.
+        self.refused_for_another = 0
         self._timing = timing or WorkerTiming()
         self._lock = threading.Lock()
         self._busy = False
@@ -84,6 +89,9 @@
         """Dispatch one request."""
         headers = cherrypy.request.headers
         self.called_at.append(time.monotonic())
+        if segments[:1] != ("api",):
+            request = headers.get("X-Redwingscale-Request-Id", "")
+            self.arrivals.append(Arrival(request, time.monotonic()))
         if self.falls and time.monotonic() < self.falls[-1] + FALL_SECONDS:
             drop_connection()
         if self.brittle is not None:
@@ -93,6 +101,7 @@
         if self.leaving:
             cherrypy.response.headers["Server-Leaving"] = "1"
         if headers.get("X-Redwingscale-Expect-Instance", self.id) != self.id:
+            self.refused_for_another += segments[:1] != ("api",)
             return self._refuse(421)
         match cherrypy.request.method, segments:
             case "GET", ("api", "report"):
