Log and count repeats that were sent, passed freely or were refused

No line told that a repeat was refused for want of budget, nor what was used and allowed then, and no counter told free repeats from counted ones, so that the hypotheses of the incident could not be told apart. No logic changes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -209,7 +209,12 @@
 ) -> RequestHandler:
     bounds = settings.bounds
     rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
-    budget = RepeatBudget(rule, swaps.instances)
+    budget = RepeatBudget(
+        rule,
+        swaps.instances,
+        lambda service, result: metrics.repeats.add(1, {"service": service, "result": result}),
+    )
+    metrics.observe_repeats_left(budget.left_by_service)
     pauses = StreamPauses(
         PauseRules(routes, settings.scheduling.stream_pauses).rule_of,
         fleet.load_tracker,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -110,6 +110,7 @@
             return False
         match outcome:
             case NotRun(reached=False) | NotRun(gone=True):
+                self._budget.note_free(self._service)
                 return True
             case NotRun():
                 return self._budget.take(self._service)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -42,6 +42,7 @@
         self.returns = meter.create_counter("redwingscale_returns", unit="1")
         self.passed_on = meter.create_counter("redwingscale_passed_on", unit="1")
         self.answers_cut = meter.create_counter("redwingscale_answers_cut", unit="1")
+        self.repeats = meter.create_counter("redwingscale_repeats", unit="1")
         self.suspects = meter.create_counter("redwingscale_suspects", unit="1")
         self.places = meter.create_counter("redwingscale_places", unit="1")
         self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
@@ -65,6 +66,16 @@
             "redwingscale_bytes_held", callbacks=[observe], unit="1"
         )
 
+    def observe_repeats_left(self, read: Callable[[], dict[str, float]]) -> None:
+        """Report ``read()``, the repeats that may be sent now by service, as a gauge."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(left, {"service": key}) for key, left in read().items()]
+
+        self._meter.create_observable_gauge(
+            "redwingscale_repeats_left", callbacks=[observe], unit="1"
+        )
+
     def record_first_event(self, ratio: float) -> None:
         """Count a first event by the ``ratio`` of its real to its expected time."""
         near = 1.0 / FIRST_EVENT_NEAR_FACTOR <= ratio <= FIRST_EVENT_NEAR_FACTOR
