Count each sending of a request against the budget at the time it is sent

Callers saw nothing of it; workers received up to 314 repeats in 10 s where all instances together may send 112. Cause: a repeat after 421 of another process at the address of an upstream passed without the budget, though that attempt had arrived, and each instance learned of each replaced worker by such requests of its own. Other repeats were counted where the failure was noted, and sent later.

All ways to send to an upstream now pass through Arrivals.take_sending, right before the first byte. Only a request that no upstream can have received is free; a peer counts what it sends itself, and a request is counted once, where its caller sends it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -214,7 +214,7 @@
         swaps.instances,
         lambda service, result: metrics.repeats.add(1, {"service": service, "result": result}),
     )
-    metrics.observe_repeats_left(budget.left_by_service)
+    metrics.observe_repeats_left(budget.usage_by_service)
     pauses = StreamPauses(
         PauseRules(routes, settings.scheduling.stream_pauses).rule_of,
         fleet.load_tracker,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -27,6 +27,9 @@
                 parts.health.note_silent(outcome.upstream.id)
             else:
                 parts.health.note_failure(outcome.upstream.id)
+        case NotRun(no_repeat=True):
+            # It says nothing about the upstream.
+            pass
         case NotRun(reached=False, slow=False):
             parts.health.note_unreachable(outcome.upstream.id)
             if outcome.refused:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -1,8 +1,7 @@
 """The attempts to send one request, and whether another one is allowed."""
 
 import time
-from collections.abc import Iterable, Iterator
-from contextlib import contextmanager
+from collections.abc import Iterable
 
 from redwingscale_common.utils.logs import log_event
 
@@ -10,6 +9,7 @@
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureState
 from redwingscale_daemon._internal.fleet.chooser import Candidate
 from redwingscale_daemon._internal.fleet.load_tracker import Load
+from redwingscale_daemon._internal.forwarding.arrivals import Arrivals
 from redwingscale_daemon._internal.forwarding.attempt_state import (
     AttemptState,
     FailedResponse,
@@ -37,8 +37,7 @@
 
     def __init__(self, route: Route, service: str, budget: RepeatBudget) -> None:
         self._route = route
-        self._service = service
-        self._budget = budget
+        self.arrivals = Arrivals(budget, service)
         self.tried: set[str] = set()
         # Of these, the upstreams that were not reached.
         self.unreached: set[str] = set()
@@ -63,8 +62,6 @@
         self.last_loss: Lost | None = None
         # Identifies the content of the request; computed where it is needed.
         self.fingerprint: str | None = None
-        # Whether the budget has granted a repeat that is not used yet.
-        self._reserved = False
         # The attempt that is waited for or whose answer is relayed.
         self.current = AttemptState()
         self.first_event_seconds: float | None = None
@@ -91,9 +88,8 @@
             **pause_fields(chosen),
             **estimate_fields(chosen.estimate),
         )
-        if not self.count:
-            self._budget.note_request(self._service)
         self.count += 1
+        self.arrivals.note_attempt()
         self.current = AttemptState()
         self.tried.add(upstream_id)
 
@@ -101,19 +97,17 @@
         """Record a failed attempt; return whether the request may be sent again.
 
         A request that may have run is sent again only if the route allows it, and to
-        no more upstreams than the route allows. A retry is counted against the budget
-        unless the upstream was not reached or another process has taken its address.
+        no more upstreams than the route allows.
         """
         self.note_failed(outcome)
         # Before its first event, a caller may have more time for another instance.
         if (self.count_of_reached if self.answer_begun else self.count) >= MAX_ATTEMPTS:
             return False
         match outcome:
-            case NotRun(reached=False) | NotRun(gone=True):
-                self._budget.note_free(self._service)
-                return True
+            case NotRun(no_repeat=True):
+                return False
             case NotRun():
-                return self._budget.take(self._service)
+                return self.arrivals.more_allowed
             case Lost():
                 return self._may_repeat()
 
@@ -136,8 +130,6 @@
         """Record a second attempt that is ended since the first upstream goes on."""
         if isinstance(error, ResumedBeforeSending):
             self.history.append(f"{name}:{error}")
-            # The next second attempt may use its repeat.
-            self._reserved = True
         else:
             self.note_superseded(name, str(error))
 
@@ -164,26 +156,16 @@
             and self.possible_runs + running < self._route.most_upstreams
         )
 
-    @contextmanager
-    def asking_second(self) -> Iterator[bool]:
-        """Tell whether a second upstream may still be asked, which uses the reserved repeat."""
-        with self.shared.asking_second() as allowed:
-            self._reserved = self._reserved and not allowed
-            yield allowed
-
-    def return_repeat(self) -> None:
-        """Note that the repeat was not sent: it serves the next attempt."""
-        self._reserved = True
-
-    def reserve_repeat(self) -> bool:
-        """Take the repeat that follows if the current attempt is given up; return whether."""
-        if not self._reserved:
-            self._reserved = self.may_ask_second and self._budget.take(self._service)
-        return self._reserved
-
-    def take_over(self, attempts: int, possible_runs: int, tried: Iterable[str]) -> None:
-        """Continue the attempts of the instance that has passed the request on."""
+    def take_over(
+        self, attempts: int, possible_runs: int, tried: Iterable[str], sender: str | None
+    ) -> None:
+        """Continue the attempts of the instance that has passed the request on.
+
+        ``sender`` is that instance if an upstream may have received the request from it.
+        """
         self.taken_over = True
+        if sender is not None:
+            self.arrivals.note_instance(sender)
         self.count, self.possible_runs = attempts, possible_runs
         self.shared.take_over(possible_runs)
         self.tried.update(tried)
@@ -255,11 +237,8 @@
     def _may_repeat(self) -> bool:
         if self.shared.claimed:
             return False
-        if self._reserved:
-            self._reserved = False
-            return True
         return (
             self._route.repeatable
             and self.possible_runs < self._route.most_upstreams
-            and self._budget.take(self._service)
+            and self.arrivals.more_allowed
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
@@ -18,6 +18,7 @@
     caller sent the request. ``attempts`` were made, of which ``possible_runs`` may have run;
     the upstreams in ``tried`` have refused or lost it. ``passing`` is unique to this passing on.
     ``since_event`` are the seconds since the caller was sent an event, None before the first one.
+    ``may_have_arrived`` tells whether an upstream may have received the request.
     """
 
     token: str
@@ -29,6 +30,7 @@
     tried: list[str]
     passing: str = ""
     since_event: float | None = None
+    may_have_arrived: bool = True
 
     def is_from_a_peer(self, token: str) -> bool:
         """Return whether the sender knows ``token``."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
@@ -24,7 +24,7 @@
     full, or cannot be reached (``reached`` is False; ``refused`` if its address refuses
     connections, ``slow`` if a connection did not open in the short time of a second attempt).
     ``retry_later``: the upstream named a time from which it accepts requests
-    again.
+    again. ``no_repeat``: nothing was sent, since the budget allows no further sending.
     """
 
     upstream: Upstream
@@ -35,6 +35,7 @@
     retry_later: bool = False
     refused: bool = False
     slow: bool = False
+    no_repeat: bool = False
 
 
 class Lost(NamedTuple):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_sender.py
@@ -88,6 +88,7 @@
             connection.discard()
             raise
         self.release(exchange)
+        call.attempts.arrivals.note_declined(peer.id)
         self.note(call, peer, "declined", f"status {exchange.response.status}")
         return None
 
@@ -116,11 +117,13 @@
                 sorted(tried),
                 passing,
                 attempts.seconds_since_event,
+                attempts.arrivals.possible,
             )
         )
         headers = self._dialect.peer_headers(
             call.request, call.watch.remaining(), progress.last_event if progress else None
         )
+        attempts.arrivals.note_instance(peer.id)
         connection.send_request(
             call.request.method,
             call.request.target,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -127,7 +127,12 @@
         SecondPeer(parts, call, upstream, self._find_peer).watch()
         try:
             outcome = parts.sender.send(
-                upstream, call.request, call.terms.request_id, headers, call.watch
+                upstream,
+                call.request,
+                call.terms.request_id,
+                headers,
+                call.watch,
+                call.attempts.arrivals.take_sending,
             )
         except TimeLimitReached as error:
             raise time_limit_refusal(call, error) from None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/repeat_budget.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/repeat_budget.py
@@ -25,6 +25,18 @@
     window_seconds: float
 
 
+class Usage(NamedTuple):
+    """The repeats of a service that were sent here in the last window, and how many may be."""
+
+    used: int
+    allowed: float
+
+    @property
+    def has_repeat(self) -> bool:
+        """Whether one more repeat is allowed."""
+        return self.used + 1 <= self.allowed
+
+
 class RepeatBudget:
     """This instance's share of the repeats of each service.
 
@@ -37,11 +49,13 @@
         rule: BudgetRule,
         instances: Callable[[], int],
         count: Callable[[str, str], None] = lambda service, result: None,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._rule = rule
         self._instances = instances
         # Called with a service and what became of a repeat: sent, free or refused.
         self._count = count
+        self._clock = clock
         self._lock = threading.Lock()
         self._requests: dict[str, deque[float]] = defaultdict(deque)
         self._repeats: dict[str, deque[float]] = defaultdict(deque)
@@ -49,9 +63,9 @@
         self._logged_at: dict[str, float] = {}
 
     def note_request(self, service: str) -> None:
-        """Count the first attempt of a request."""
+        """Count a request that a caller has sent to this instance."""
         with self._lock:
-            self._requests[service].append(time.monotonic())
+            self._requests[service].append(self._clock())
 
     def note_free(self, service: str) -> None:
         """Count a repeat that is not counted against the budget."""
@@ -59,33 +73,40 @@
 
     def take(self, service: str) -> bool:
         """Count one more repeat if it is allowed; return whether it is."""
-        now = time.monotonic()
         with self._lock:
-            used, allowed = self._used(service, now), self._allowed(service, now)
-            fits = used + 1 <= allowed
-            if fits:
-                self._repeats[service].append(now)
-        self._count(service, "sent" if fits else "refused")
-        if not fits:
-            self._log_refused(service, used, allowed, now)
-        return fits
-
-    def left_by_service(self) -> dict[str, float]:
-        """Return how many repeats may be sent now, by service."""
-        now = time.monotonic()
+            usage = self._usage(service, self._clock())
+            if usage.has_repeat:
+                self._repeats[service].append(self._clock())
+        if not usage.has_repeat:
+            self._note_refused(service, usage)
+            return False
+        self._count(service, "sent")
+        return True
+
+    def has_repeat(self, service: str) -> bool:
+        """Return whether one more repeat is allowed now; a refusal is counted."""
         with self._lock:
-            services = list(self._requests)
-            return {key: self._allowed(key, now) - self._used(key, now) for key in services}
-
-    def _used(self, service: str, now: float) -> int:
-        return self._recent(self._repeats[service], now)
+            usage = self._usage(service, self._clock())
+        if not usage.has_repeat:
+            self._note_refused(service, usage)
+        return usage.has_repeat
+
+    def usage_by_service(self) -> dict[str, Usage]:
+        """Return the usage of each service that was asked for or got repeats here."""
+        now = self._clock()
+        with self._lock:
+            services = self._requests.keys() | self._repeats.keys()
+            return {service: self._usage(service, now) for service in sorted(services)}
 
-    def _allowed(self, service: str, now: float) -> float:
+    def _usage(self, service: str, now: float) -> Usage:
         requests = self._recent(self._requests[service], now)
         slack = self._rule.slack * SLACK_SHARE / max(1, self._instances())
-        return self._rule.ratio * RATIO_SHARE * requests + slack
+        allowed = self._rule.ratio * RATIO_SHARE * requests + slack
+        return Usage(self._recent(self._repeats[service], now), allowed)
 
-    def _log_refused(self, service: str, used: int, allowed: float, now: float) -> None:
+    def _note_refused(self, service: str, usage: Usage) -> None:
+        self._count(service, "refused")
+        now = self._clock()
         with self._lock:
             self._refused[service] += 1
             if now < self._logged_at.get(service, -math.inf) + LOG_SECONDS:
@@ -97,8 +118,8 @@
             level="WARNING",
             service=service,
             refused=refused,
-            used=used,
-            allowed=round(allowed, 2),
+            used=usage.used,
+            allowed=round(usage.allowed, 2),
             instances=self._instances(),
         )
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -241,13 +241,15 @@
         if passed_on is None:
             permit.draw(terms.request_id, terms.tokens)
             service = draw_service(route, self._random)
+            self._budget.note_request(service)
             return Attempts(route, service, self._budget), service
         names = {one.service for one in route.services}
         service = passed_on.service
         if service not in names:
             service = draw_service(route, self._random)
         attempts = Attempts(route, service, self._budget)
-        attempts.take_over(passed_on.attempts, passed_on.possible_runs, passed_on.tried)
+        sender = passed_on.instance if passed_on.may_have_arrived else None
+        attempts.take_over(passed_on.attempts, passed_on.possible_runs, passed_on.tried, sender)
         if passed_on.since_event is not None:
             # A stream that is old is not late: its caller waits for the next event.
             attempts.last_event_at = time.monotonic() - passed_on.since_event
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_choice.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_choice.py
@@ -33,7 +33,7 @@
         self._reason = ""
 
     def take(self) -> Candidate | Peer | NotAsked:
-        """Return whom to ask, with a repeat reserved for it; raises `Refusal`."""
+        """Return whom to ask, or why none is asked; raises `Refusal`."""
         attempts = self._call.attempts
         if not attempts.may_ask_second:
             return self._not_asked(NotAsked.NO_ATTEMPT)
@@ -44,7 +44,8 @@
         attempts.shared.claim_at(attempts.silent_peer)
         if not attempts.may_ask_second:
             return self._not_asked(NotAsked.NO_ATTEMPT)
-        if not attempts.reserve_repeat():
+        # A peer sends it within its own part of the budget.
+        if isinstance(chosen, Candidate) and not attempts.arrivals.more_allowed:
             return self._not_asked(NotAsked.NO_REPEAT)
         return chosen
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_peer.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_peer.py
@@ -91,7 +91,7 @@
             return None
         try:
             with (
-                call.attempts.asking_second() as allowed,
+                call.attempts.shared.asking_second() as allowed,
                 call.watch.standing_by(silent, in_body=call.attempts.current.head_received),
             ):
                 return self._parts.peers.begin_second(call, peer) if allowed else None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -140,7 +140,10 @@
         watch = self._call.watch
         match self._choice.take():
             case Peer() | Candidate() as chosen:
-                with self._call.attempts.asking_second() as allowed, watch.standing_by(silent):
+                with (
+                    self._call.attempts.shared.asking_second() as allowed,
+                    watch.standing_by(silent),
+                ):
                     return self._open_chosen(chosen) if allowed else None
             case NotAsked.NO_OTHER if self._call.attempts.answer_begun:
                 self._wait_for_holder()
@@ -218,11 +221,8 @@
             may_go_on = isinstance(outcome, Lost) and outcome.silent
             note_failure(parts, self._call, outcome, may_go_on=may_go_on)
             self._call.attempts.note_failed(outcome)
-            match outcome:
-                case Lost():
-                    sending.attempt.note_lost(outcome, self._progress.last_event or 0)
-                case NotRun(reached=False):
-                    self._call.attempts.return_repeat()
+            if isinstance(outcome, Lost):
+                sending.attempt.note_lost(outcome, self._progress.last_event or 0)
         finally:
             sending.close()
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from collections.abc import Callable
 from functools import partial
 from http.client import HTTPException, HTTPResponse
 
@@ -59,12 +60,15 @@
         request_id: str,
         headers: Headers,
         watch: Watch,
+        take_sending: Callable[[], bool],
         *,
         is_second: bool = False,
     ) -> Outcome:
         """Send and wait for the head of the response.
 
-        ``is_second``: another upstream with the same stream stays connected.
+        ``take_sending`` is called right before the first byte is sent, and counts the sending;
+        nothing is sent if it returns False. ``is_second``: another upstream with the same
+        stream stays connected.
 
         Raises `CallerLeft` or `TimeLimitReached`, which is a `NotSentInTime` if nothing
         was sent. The connection is closed unless it is returned in an `Answering` or can
@@ -90,6 +94,9 @@
         sent_at = time.monotonic()
         try:
             watch.check_before_sending()
+            if not take_sending():
+                self._pool.put_back(upstream, connection, None)
+                return _no_repeat(upstream)
             connection.send_request(request.method, request.target, headers, request.body)
             response = self._matching_response(connection, request, request_id, watch)
         except (CallerLeft, TimeLimitReached):
@@ -209,3 +216,8 @@
         misdirected = self._dialect.is_misdirected(response)
         gone = self._dialect.is_from_another(response, upstream.platform_name)
         return NotRun(upstream, reason, misdirected=misdirected, reached=True, gone=gone)
+
+
+def _no_repeat(upstream: Upstream) -> NotRun:
+    reason = "no repeat is left"
+    return NotRun(upstream, reason, misdirected=False, reached=False, no_repeat=True)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_sender.py
@@ -76,6 +76,7 @@
             call.terms.request_id,
             headers,
             call.watch,
+            call.attempts.arrivals.take_sending,
             is_second=is_second,
         )
         if isinstance(outcome, Answering):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -9,6 +9,7 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
 
+from redwingscale_daemon._internal.forwarding.repeat_budget import Usage
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
 from redwingscale_daemon._internal.telemetry.thread_counts import observe_threads
 
@@ -66,11 +67,14 @@
             "redwingscale_bytes_held", callbacks=[observe], unit="1"
         )
 
-    def observe_repeats_left(self, read: Callable[[], dict[str, float]]) -> None:
-        """Report ``read()``, the repeats that may be sent now by service, as a gauge."""
+    def observe_repeats_left(self, read: Callable[[], dict[str, Usage]]) -> None:
+        """Report the repeats that may be sent now, by service, as a gauge."""
 
         def observe(options: CallbackOptions) -> Iterable[Observation]:
-            return [Observation(left, {"service": key}) for key, left in read().items()]
+            return [
+                Observation(usage.allowed - usage.used, {"service": service})
+                for service, usage in read().items()
+            ]
 
         self._meter.create_observable_gauge(
             "redwingscale_repeats_left", callbacks=[observe], unit="1"
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -245,7 +245,7 @@
         self.outcomes, self.health = fleet.outcomes, fleet.health
         chooser = Chooser("z1", fleet)
         chooser._random = random.Random(1)
-        budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
+        budget = self.budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
         self.entries = GossipState("one")
         self.crash_counts = Counter()
         count = self.crash_counts.update
