Keep the budget's slack over restarts and joins of instances

What callers and workers saw: instances that were killed in series had more shares of the slack than there are instances, each start a whole one; many that started at once divided it by six, the count assumed until told.

Cause: a local share assumes that the process before it has used nothing. A process now takes its share as used for one window, unless the leader tells it what former processes have sent (RepeatHistory); without a known count it has no slack. The share grows from 0.6 to 0.85, as nothing else needs the rest.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -53,6 +53,7 @@
 from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey
+from redwingscale_daemon._internal.swaps.instance_count import InstanceCount
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
@@ -88,6 +89,7 @@
     limiter = UseLimiter(lambda: swaps.instances(), settings.bounds.use_slack)
     returns = new_return_updates()
     place_uses = PlaceUses()
+    repeat_budget = _repeat_budget(settings.bounds, lambda: swaps.instances, metrics)
     swaps = build_swaps(
         settings,
         uuid.uuid4().hex,
@@ -99,6 +101,7 @@
         limiter,
         returns,
         place_uses,
+        repeat_budget,
         lambda query: reply_on_path(query),
     )
     reports = report_client(fleet)
@@ -121,6 +124,7 @@
         place_uses,
         crashes.guard,
         detours,
+        repeat_budget,
         lambda: callers.crowded,
     )
     budget = ByteBudget(limits_of(settings.machine.memory_mb))
@@ -151,6 +155,18 @@
     return IngressInstance(parts, settings.bounds.stop_grace, reload)
 
 
+def _repeat_budget(
+    bounds: Bounds, instances: Callable[[], InstanceCount], metrics: IngressMetrics
+) -> RepeatBudget:
+    budget = RepeatBudget(
+        BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window),
+        lambda: instances()() if instances().known else None,
+        lambda service, result: metrics.repeats.add(1, {"service": service, "result": result}),
+    )
+    metrics.observe_repeats_left(budget.usage_by_service)
+    return budget
+
+
 def _followers(
     bounds: Bounds,
     store: StoreClient,
@@ -205,16 +221,9 @@
     place_uses: PlaceUses,
     guard: CrashGuard,
     detours: Detours,
+    budget: RepeatBudget,
     crowded: Callable[[], bool],
 ) -> RequestHandler:
-    bounds = settings.bounds
-    rule = BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
-    budget = RepeatBudget(
-        rule,
-        swaps.instances,
-        lambda service, result: metrics.repeats.add(1, {"service": service, "result": result}),
-    )
-    metrics.observe_repeats_left(budget.usage_by_service)
     pauses = StreamPauses(
         PauseRules(routes, settings.scheduling.stream_pauses).rule_of,
         fleet.load_tracker,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -13,6 +13,7 @@
 from redwingscale_daemon._internal.fleet.list_update_tracker import ListUpdateTracker
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
+from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
 from redwingscale_daemon._internal.platform import engine, exchange
@@ -47,6 +48,7 @@
 from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
 from redwingscale_daemon._internal.swaps.peer_client import PeerClient
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
+from redwingscale_daemon._internal.swaps.repeat_history import RepeatHistory
 from redwingscale_daemon._internal.swaps.slowness import first_event_entry
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
@@ -86,7 +88,7 @@
     local_demand: LocalDemand
     tasks: tuple[Task, ...]
     release: Callable[[], None]
-    instances: Callable[[], int]
+    instances: InstanceCount
     is_leader: Callable[[], bool]
     list_updates: ListUpdateTracker
     route_versions: RouteVersionTracker
@@ -119,6 +121,7 @@
     limiter: UseLimiter,
     returns: ReturnUpdates,
     place_uses: PlaceUses,
+    budget: RepeatBudget,
     reply_on_path: Callable[[PathQuery], PathReply | None] = lambda query: None,
 ) -> Swaps:
     """Return the parts, not started; ``start`` identifies this process."""
@@ -160,6 +163,8 @@
         instances.receive(update.instances)
         returns.receive(update)
         place_uses.receive(update.shares)
+        if (former := update.starts.get(start)) is not None:
+            budget.note_former(former)
         _take_update(update, sent_loads, fleet)
         if update.grants is not None:
             limiter.receive(update.grants)
@@ -213,6 +218,8 @@
             places=place_uses.drain(),
             misdirected=[key for key in fleet.outcomes.drain_misdirected() if gives_up(key)],
             first_events=[first_event_entry(*event) for event in findings.first_events],
+            start=start,
+            repeats=budget.repeats(),
         )
         own_demand.receive(update)
         return update
@@ -260,12 +267,14 @@
             lambda service, models: metrics.without_copy.set(models, {"service": service}),
         ),
         former_slowness=fleet.first_events.slowness.values,
+        repeats=RepeatHistory(bounds.repeat_window),
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet, reply_on_path)
     client = LeaderClient(lease, me, make_update, on_leader_update, leader.receive)
     local_demand.on_new_wait(client.wake)
     fleet.rates.on_update(client.wake)
+    budget.on_sent(client.wake)
 
     def follow_lease() -> None:
         # The leader's updates show that it is alive: its row is read only without them.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/repeat_budget.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/repeat_budget.py
@@ -2,17 +2,19 @@
 
 import math
 import threading
-import time
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
-# The rule bounds all instances together, and each sees only its own requests. These
-# shares of the rule leave room for instances that are starting or not yet seen.
+from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
+
+# Once the load stops, the rule may count no more than this part of the requests for repeats
+# that were allowed when they were sent.
 RATIO_SHARE = 0.75
-SLACK_SHARE = 0.6
+# The rest is for instances that divide by a count that has risen since they heard it.
+SLACK_SHARE = 0.85
 # Refused repeats of a service are logged together at this interval.
 LOG_SECONDS = 1.0
 
@@ -47,21 +49,46 @@
     def __init__(
         self,
         rule: BudgetRule,
-        instances: Callable[[], int],
+        instances: Callable[[], int | None],
         count: Callable[[str, str], None] = lambda service, result: None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Clock = lease_clock,
     ) -> None:
         self._rule = rule
+        # Returns how many instances share the slack, None until it is known.
         self._instances = instances
         # Called with a service and what became of a repeat: sent, free or refused.
         self._count = count
         self._clock = clock
+        self._started_at = clock()
+        # The repeats of the processes before this one, None while they are not known.
+        self._former: Mapping[str, int] | None = None
+        self._on_sent: Callable[[], None] = lambda: None
         self._lock = threading.Lock()
         self._requests: dict[str, deque[float]] = defaultdict(deque)
         self._repeats: dict[str, deque[float]] = defaultdict(deque)
         self._refused: dict[str, int] = defaultdict(int)
         self._logged_at: dict[str, float] = {}
 
+    def on_sent(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each repeat."""
+        self._on_sent = listener
+
+    def note_former(self, repeats: Mapping[str, int]) -> None:
+        """Take the `repeats` of the processes of this instance before this one."""
+        if self._former is None:
+            log_event("former_repeats", repeats=sum(repeats.values()))
+        self._former = repeats
+
+    def repeats(self) -> dict[str, int]:
+        """Return the repeats in the window beyond what the own requests allow, by service."""
+        now = self._clock()
+        with self._lock:
+            beyond = {
+                service: math.ceil(self._usage(service, now).used - self._by_requests(service, now))
+                for service in self._repeats
+            }
+        return {service: count for service, count in beyond.items() if count > 0}
+
     def note_request(self, service: str) -> None:
         """Count a request that a caller has sent to this instance."""
         with self._lock:
@@ -81,6 +108,7 @@
             self._note_refused(service, usage)
             return False
         self._count(service, "sent")
+        self._on_sent()
         return True
 
     def has_repeat(self, service: str) -> bool:
@@ -99,11 +127,27 @@
             return {service: self._usage(service, now) for service in sorted(services)}
 
     def _usage(self, service: str, now: float) -> Usage:
-        requests = self._recent(self._requests[service], now)
-        slack = self._rule.slack * SLACK_SHARE / max(1, self._instances())
-        allowed = self._rule.ratio * RATIO_SHARE * requests + slack
+        allowed = self._by_requests(service, now) + self._slack(service, now)
         return Usage(self._recent(self._repeats[service], now), allowed)
 
+    def _by_requests(self, service: str, now: float) -> float:
+        requests = self._recent(self._requests[service], now)
+        return self._rule.ratio * RATIO_SHARE * requests
+
+    def _slack(self, service: str, now: float) -> float:
+        """Return the share of the slack, less what processes before this one have used of it.
+
+        A process that does not know that takes the share as used, so that instances which
+        are started again and again have no more shares than there are instances.
+        """
+        instances = self._instances()
+        if instances is None:
+            return 0.0
+        share = self._rule.slack * SLACK_SHARE / max(1, instances)
+        if now >= self._started_at + self._rule.window_seconds:
+            return share
+        return 0.0 if self._former is None else max(0.0, share - self._former.get(service, 0))
+
     def _note_refused(self, service: str, usage: Usage) -> None:
         self._count(service, "refused")
         now = self._clock()
@@ -120,7 +164,7 @@
             refused=refused,
             used=usage.used,
             allowed=round(usage.allowed, 2),
-            instances=self._instances(),
+            instances=self._instances() or "-",
         )
 
     def _recent(self, times: deque[float], now: float) -> int:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_count.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_count.py
@@ -14,6 +14,12 @@
         # process that has just started uses the recorded count from its first request on.
         self._read_recorded = read_recorded
         self._highest = DEFAULT_INSTANCES
+        self._received = False
+
+    @property
+    def known(self) -> bool:
+        """Whether a leader has told the count to this process or to the store."""
+        return self._received or self._read_recorded() > 0
 
     def __call__(self) -> int:
         """Return the count."""
@@ -23,3 +29,4 @@
     def receive(self, instances: int) -> None:
         """Take the count from an update of the leader."""
         self._highest = max(self._highest, instances)
+        self._received = True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -33,6 +33,7 @@
 from redwingscale_daemon._internal.swaps.order_client import OrderClient
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.planner import Planner, Swap
+from redwingscale_daemon._internal.swaps.repeat_history import RepeatHistory
 from redwingscale_daemon._internal.swaps.service_views import ServiceViews
 from redwingscale_daemon._internal.swaps.slowness import Slowness
 from redwingscale_daemon._internal.swaps.tasks import ReportTask, SwapTask
@@ -92,6 +93,7 @@
         copies: CopySettings | None = None,
         former_slowness: Callable[[], Mapping[str, float]] = dict,
         next_difference: Callable[[], bytes] = bytes,
+        repeats: RepeatHistory | None = None,
     ) -> None:
         self._authority = authority
         self._routes = routes
@@ -129,6 +131,7 @@
         self._former_slowness = former_slowness
         self._use = UseTotals(use_slack)
         self._shares = PlaceShares()
+        self._repeats = repeats or RepeatHistory(0.0)
         # Issues permits for upstreams with a rate limit.
         self._issuer = issuer or PermitIssuer()
         self._totals = NO_TOTALS
@@ -145,6 +148,7 @@
         self._slowness.receive(update.first_events)
         self._use.receive(update.instance, update.drawn)
         self._shares.receive(update.places)
+        self._repeats.receive(update.instance, update.start, update.repeats)
         self._directory.note_leaving(update.leaving, "instance")
         for key in update.misdirected:
             self._workers.request_report(key)
@@ -203,6 +207,7 @@
         self._slowness.begin(self._former_slowness(), [one.id for one in self._directory.all()])
         self._use.begin(self._known_instances())
         self._shares.begin()
+        self._repeats.begin(succeeds_another=self._authority.succeeds_another())
         self._issuer.begin()
         self._changes.begin_with(self._directory.all())
         table = self._routes.get()
@@ -394,6 +399,7 @@
             slowness=self._slowness.changes() if periodic else {},
             shares=self._shares.shares() if periodic else None,
             configuration_difference=self._next_difference(),
+            starts=self._repeats.next_starts(),
         )
 
     def _announces_units(self, service: str) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -141,7 +141,9 @@
     named a time before which the instance must not send them requests. ``first_events``
     were observed and ``returns`` were announced to callers since the previous update.
     ``misdirected`` upstreams have refused a request since then for a unit that they lack.
-    ``places`` has the tokens of requests for holders since then, by workspace.
+    ``places`` has the tokens of requests for holders since then, by workspace. ``start``
+    identifies the process. ``repeats`` are those that it has sent in the last window beyond
+    the part that its own requests allow, by service.
     """
 
     instance: str
@@ -160,6 +162,8 @@
     returns: list[ReturnEntry] = []
     misdirected: list[str] = []
     places: list[PlaceUse] = []
+    start: str = ""
+    repeats: dict[str, int] = {}
 
 
 class ResidencyEntry(msgspec.Struct, array_like=True):
@@ -207,6 +211,8 @@
     of their requests that is within it; None if the update is not periodic.
     ``configuration_difference`` leads to the configuration in ``store`` from the one before,
     compressed; empty where the version is fetched.
+    ``starts`` are some of the processes that have just started, by their ``start``, and the
+    ``repeats`` of the processes before them.
     """
 
     leader: str
@@ -228,6 +234,7 @@
     returns: list[ReturnEntry] = []
     shares: dict[str, float] | None = None
     configuration_difference: bytes = b""
+    starts: dict[str, dict[str, int]] = {}
 
     def delayed(self, seconds: float) -> "LeaderUpdate":
         """Return the update with ``seconds`` of delay added to its ages; late permits are void."""
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -246,6 +246,7 @@
         chooser = Chooser("z1", fleet)
         chooser._random = random.Random(1)
         budget = self.budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
+        budget.note_former({})
         self.entries = GossipState("one")
         self.crash_counts = Counter()
         count = self.crash_counts.update
