Choose again after a wait for a turn in which the upstream was replaced

Callers saw 503 and late answers beside workers that were replaced one after another: requests with the same body become suspects and wait for turns, and all that waited were then sent to the upstream chosen before the wait, though another process was known to have its address. The check after the wait looked at the list and at leaving only.

The test failed before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_ends.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_ends.py
@@ -55,6 +55,10 @@
         with probe_lock:
             return self._probe(upstream)
 
+    def is_replaced(self, upstream_id: str) -> bool:
+        """Return whether another process is known to listen at the upstream's address."""
+        return self._health.is_replaced(upstream_id)
+
     def path_works_since(self, at: float) -> bool:
         """Return whether the own path is sound, or was so after the monotonic time ``at``."""
         return not self._path.lost and (self._path.heard_at > at or not self._path.doubtful)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
@@ -70,8 +70,11 @@
 
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether ``upstream`` may still be used after a wait."""
-        listed = self._directory.lists(upstream.id)
-        return listed and self._directory.leaving_seconds(upstream.id) is None
+        return (
+            self._directory.lists(upstream.id)
+            and self._directory.leaving_seconds(upstream.id) is None
+            and not self._ends.is_replaced(upstream.id)
+        )
 
     def note_replaced(self, upstream: Upstream) -> None:
         """Note that another process answers at the address of ``upstream``."""
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_crash_guard.py
@@ -210,3 +210,12 @@
     monkeypatch.setattr(crash_guard, "fingerprint_of", fail)
     world.add("llm", events(1, 2, 3))
     assert world.request("/stream/x", model="m").status == 200
+
+
+def test_upstream_that_is_replaced_during_a_wait_is_not_used(world):
+    """Guards against requests that wait for a turn and then go where they were to go before."""
+    world.add("llm", events(1))
+    listed = world.upstreams[0][1]
+    assert world.guard.is_usable(listed)
+    world.health.note_replaced(listed.id)
+    assert not world.guard.is_usable(listed)
