Ask which process listens before a request goes to a replaced upstream

What workers saw: a worker that came back at its address under another id, listed later, received a request from each instance, refused it with 421, and the repeat of each drew on the budget.

An instance whose connection to an upstream broke now asks the process there for its name (the platform's health call) before a request goes on a new connection; so it does for upstreams it has not heard for half a second while others are being replaced. What one instance finds, the leader tells all with its next update.

The tests of the check failed before; the play's bound on requests at another process fails on the code before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -35,6 +35,7 @@
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
 from redwingscale_daemon._internal.forwarding.parts import RelayParts
 from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
+from redwingscale_daemon._internal.forwarding.process_check import ProcessCheck
 from redwingscale_daemon._internal.forwarding.repeat_budget import BudgetRule, RepeatBudget
 from redwingscale_daemon._internal.forwarding.request_handler import RequestHandler
 from redwingscale_daemon._internal.forwarding.sender import Sender
@@ -155,6 +156,18 @@
     return IngressInstance(parts, settings.bounds.stop_grace, reload)
 
 
+def _process_check(fleet: Fleet) -> ProcessCheck:
+    check = ProcessCheck(
+        names.HEALTH_PATH,
+        exchange.answering_upstream,
+        # A call without a permit would exceed the rate limit of an upstream that has one.
+        lambda upstream_id: fleet.rates.per_second(upstream_id) is None,
+        lambda: fleet.health.lately_replaced,
+    )
+    fleet.directory.on_gone(check.forget)
+    return check
+
+
 def _repeat_budget(
     bounds: Bounds, instances: Callable[[], InstanceCount], metrics: IngressMetrics
 ) -> RepeatBudget:
@@ -242,7 +255,13 @@
     limits = limits_of(settings.machine.memory_mb)
     open_bytes = UpstreamBytes(limits.upstream if limits else None)
     sender = Sender(
-        pool, exchange, fleet.backpressure, open_bytes, fleet.path, fleet.new_connections
+        pool,
+        exchange,
+        fleet.backpressure,
+        open_bytes,
+        fleet.path,
+        fleet.new_connections,
+        _process_check(fleet),
     )
     parts = RelayParts(
         exchange,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -220,6 +220,7 @@
             first_events=[first_event_entry(*event) for event in findings.first_events],
             start=start,
             repeats=budget.repeats(),
+            replaced=fleet.health.replaced(),
         )
         own_demand.receive(update)
         return update
@@ -268,6 +269,7 @@
         ),
         former_slowness=fleet.first_events.slowness.values,
         repeats=RepeatHistory(bounds.repeat_window),
+        health=fleet.health,
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet, reply_on_path)
@@ -275,6 +277,7 @@
     local_demand.on_new_wait(client.wake)
     fleet.rates.on_update(client.wake)
     budget.on_sent(client.wake)
+    fleet.health.on_replaced(client.wake)
 
     def follow_lease() -> None:
         # The leader's updates show that it is alive: its row is read only without them.
@@ -330,6 +333,8 @@
     take(residency, update.ready_in, update.fence)
     fleet.rates.receive(update.rate_limits)
     fleet.directory.note_leaving(update.leaving, "order giver")
+    for key in filter(fleet.directory.lists, update.replaced):
+        fleet.health.note_replaced(key, "order giver")
     if update.loads is not None:
         fleet.outcomes.set_failure_ratios(update.failure_ratios)
         fleet.first_events.slowness.receive(update.slowness)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
@@ -3,7 +3,7 @@
 import math
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
@@ -19,6 +19,8 @@
 LONGEST_AVOID_SECONDS = 4.0
 # An upstream that accepts no connection is tried again after this time.
 UNREACHABLE_SECONDS = 0.8
+# Upstreams are often replaced one after another; in this time after one, others may follow.
+REPLACED_SECONDS = 10.0
 
 
 class _Suspicion(NamedTuple):
@@ -48,6 +50,8 @@
         self._unreachable_until: dict[str, float] = {}
         # When each of them accepted no connection for the first time since its last answer.
         self._unreachable_since: dict[str, float] = {}
+        self._replaced_at = float("-inf")
+        self._on_replaced: Callable[[], None] = lambda: None
 
     def note_failure(self, upstream_id: str) -> None:
         """Note a request that the upstream lost or answered with a failure of its own."""
@@ -83,15 +87,34 @@
         if first:
             log_event("upstream_unreachable", level="WARNING", upstream=upstream_id)
 
-    def note_replaced(self, upstream_id: str) -> None:
+    def on_replaced(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after this instance has found a replaced upstream."""
+        self._on_replaced = listener
+
+    def note_replaced(self, upstream_id: str, source: str = "answer") -> None:
         """Note that another process listens at the upstream's address.
 
         A restarted upstream is listed under its former id for some seconds, and refuses
-        each request that is addressed to that id.
+        each request that is addressed to that id. ``source`` is what tells so.
         """
         with self._lock:
+            if self.is_replaced(upstream_id):
+                return
             self._unreachable_until[upstream_id] = math.inf
-        log_event("upstream_replaced", level="WARNING", upstream=upstream_id)
+            self._replaced_at = time.monotonic()
+        log_event("upstream_replaced", level="WARNING", upstream=upstream_id, source=source)
+        if source == "answer":
+            self._on_replaced()
+
+    def replaced(self) -> list[str]:
+        """Return the upstreams at whose address another process is known to listen."""
+        with self._lock:
+            return [key for key, until in self._unreachable_until.items() if until == math.inf]
+
+    @property
+    def lately_replaced(self) -> bool:
+        """Whether an upstream was found replaced in the last `REPLACED_SECONDS`."""
+        return time.monotonic() < self._replaced_at + REPLACED_SECONDS
 
     def note_misdirected(self, upstream_id: str) -> None:
         """Note a request that the upstream refused for a unit that it lacks."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -23,6 +23,8 @@
     match outcome:
         case Lost():
             call.attempts.last_loss = outcome
+            if outcome.broken:
+                parts.sender.note_broken(outcome.upstream.id)
             if may_go_on:
                 parts.health.note_silent(outcome.upstream.id)
             else:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Protocol
 
 from redwingscale_daemon._internal.forwarding.upstream_connection import (
@@ -47,6 +48,8 @@
         self._lock = threading.Lock()
         self._idle_by_upstream: dict[str, list[UpstreamConnection]] = defaultdict(list)
         self.opened = 0
+        # Called with an upstream id if its end has closed an idle connection before its time.
+        self.on_broken: Callable[[str], None] = lambda upstream_id: None
 
     def take_idle(self, upstream: Endpoint) -> UpstreamConnection | None:
         """Return an idle connection that is open and has no unread bytes, None without one."""
@@ -55,6 +58,8 @@
             if fresh and connection.is_reusable():
                 return connection
             connection.discard()
+            if fresh:
+                self.on_broken(upstream.id)
         return None
 
     def has_idle(self, upstream_id: str) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -22,6 +22,7 @@
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
 from redwingscale_daemon._internal.forwarding.dialect import Dialect
 from redwingscale_daemon._internal.forwarding.outcome import Answering, Lost, NotRun, lost_by
+from redwingscale_daemon._internal.forwarding.process_check import ProcessCheck
 from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 from redwingscale_daemon._internal.forwarding.upstream_connection import UpstreamConnection
 from redwingscale_daemon._internal.forwarding.watch import Watch
@@ -45,6 +46,7 @@
         open_bytes: UpstreamBytes | None = None,
         path: OwnPath | None = None,
         connections: NewConnections | None = None,
+        check: ProcessCheck | None = None,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
@@ -52,6 +54,8 @@
         self._open_bytes = open_bytes or UpstreamBytes()
         self._path = path or OwnPath()
         self._connections = connections or NewConnections()
+        self._check = check or ProcessCheck()
+        pool.on_broken = self._check.note_broken
 
     def send(
         self,
@@ -81,6 +85,10 @@
         is_new = is_second and self._connections.may_open(upstream.id)
         connection = None if is_new else self._pool.take_idle(upstream)
         if connection is None:
+            if self._check.finds_another(upstream):
+                self._open_bytes.give(upstream.id, size)
+                reason = "another process has the address"
+                return NotRun(upstream, reason, misdirected=True, reached=True, gone=True)
             try:
                 opened = self._open(upstream, began_at, watch, is_second=is_second)
             except BaseException:
@@ -109,6 +117,8 @@
                 if isinstance(error, ConnectionError):
                     self._connections.note_broken(upstream.id)
             connection.discard()
+            if isinstance(error, ConnectionError):
+                self._check.note_broken(upstream.id)
             return lost_by(upstream, error)
         except Exception:
             # The bytes of the request would count forever.
@@ -117,6 +127,7 @@
         self._path.note_heard(upstream.id)
         if connection.response_count == 1:
             self._connections.note_opened(upstream.id, began_at)
+        self._check.note_heard(upstream.id, connection.opened_at)
         if response is None:
             connection.discard()
             return Lost(upstream, "answers of other requests")
@@ -141,6 +152,7 @@
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
             if is_refused:
                 self._connections.note_broken(upstream.id)
+                self._check.note_broken(upstream.id)
             reason = f"no connection: {error!r}"
             return NotRun(
                 upstream,
@@ -151,6 +163,10 @@
                 slow=is_second and isinstance(error.__cause__, TimeoutError),
             )
 
+    def note_broken(self, upstream_id: str) -> None:
+        """Note an answer that the upstream's end has broken off."""
+        self._check.note_broken(upstream_id)
+
     def release(self, answering: Answering) -> None:
         """Return the connection of a fully read response to the pool, or close it."""
         idle = self._dialect.idle_seconds(answering.response)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -128,6 +128,8 @@
         self._connect_watch: Watch | None = None
         self._watched: _WatchedSocket | None = None
         self.response_count = 0
+        # Monotonic time at which it began to open.
+        self.opened_at = time.monotonic()
         self.idle_since = 0.0
         # Monotonic time from which the upstream may close this connection while it is idle.
         self.expires_at = float("inf")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -140,9 +140,14 @@
     return response.status == _MISDIRECTED
 
 
+def answering_upstream(response: HTTPResponse) -> str | None:
+    """Return the name of the process that answers, None if the response does not say."""
+    return response.headers.get(names.ANSWERING_UPSTREAM)
+
+
 def is_from_another(response: HTTPResponse, upstream_name: str) -> bool:
     """Return whether a process other than ``upstream_name`` now has its address."""
-    answering = response.headers.get(names.ANSWERING_UPSTREAM)
+    answering = answering_upstream(response)
     return response.status == _MISDIRECTED and answering not in (None, upstream_name)
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
@@ -8,7 +8,8 @@
 PROMPT_PARTS = "X-Redwingscale-Prefix-Hash"
 # The upstream's signature of its answer, which the caller verifies.
 SIGNATURE = "X-Redwingscale-Response-Seal"
-# The name of the process that answers, in its refusal of a request for another process.
+# The name of the process that answers, in its refusal of a request for another process and
+# in answers about its health.
 ANSWERING_UPSTREAM = "X-Redwingscale-Instance-Id"
 NOT_RUN = "X-Redwingscale-Not-Executed"
 PRIORITY = "X-Redwingscale-Request-Priority"
@@ -25,6 +26,7 @@
 KEY_SCHEME = "Bearer"
 
 READINESS_PATH = "/api/readyz"
+HEALTH_PATH = "/healthz"
 REPORT_PATH = "/api/report"
 ORDER_PATH = "/api/order"
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -143,7 +143,8 @@
     ``misdirected`` upstreams have refused a request since then for a unit that they lack.
     ``places`` has the tokens of requests for holders since then, by workspace. ``start``
     identifies the process. ``repeats`` are those that it has sent in the last window beyond
-    the part that its own requests allow, by service.
+    the part that its own requests allow, by service. At the addresses of ``replaced``
+    upstreams other processes listen.
     """
 
     instance: str
@@ -164,6 +165,7 @@
     places: list[PlaceUse] = []
     start: str = ""
     repeats: dict[str, int] = {}
+    replaced: list[str] = []
 
 
 class ResidencyEntry(msgspec.Struct, array_like=True):
@@ -212,7 +214,7 @@
     ``configuration_difference`` leads to the configuration in ``store`` from the one before,
     compressed; empty where the version is fetched.
     ``starts`` are some of the processes that have just started, by their ``start``, and the
-    ``repeats`` of the processes before them.
+    ``repeats`` of the processes before them. ``replaced`` as from an instance.
     """
 
     leader: str
@@ -235,6 +237,7 @@
     shares: dict[str, float] | None = None
     configuration_difference: bytes = b""
     starts: dict[str, dict[str, int]] = {}
+    replaced: list[str] = []
 
     def delayed(self, seconds: float) -> "LeaderUpdate":
         """Return the update with ``seconds`` of delay added to its ages; late permits are void."""
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -24,6 +24,7 @@
 from redwingscale_daemon._internal.forwarding.peer_port import PeerPort
 from redwingscale_daemon._internal.forwarding.peer_relay import PeerRelay
 from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
+from redwingscale_daemon._internal.forwarding.process_check import ProcessCheck
 from redwingscale_daemon._internal.forwarding.repeat_budget import BudgetRule, RepeatBudget
 from redwingscale_daemon._internal.forwarding.request_handler import RequestHandler
 from redwingscale_daemon._internal.forwarding.sender import Sender
@@ -31,7 +32,7 @@
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
-from redwingscale_daemon._internal.platform import exchange
+from redwingscale_daemon._internal.platform import exchange, names
 from redwingscale_daemon._internal.quarantine.quarantine import Quarantine
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.idempotency import Idempotency
@@ -87,6 +88,9 @@
         # A connection that the other side discards is reset.
         with connection, contextlib.suppress(ConnectionResetError):
             while head := _read_head(stream):
+                if head.startswith("GET /healthz "):
+                    self._answer_with_name(connection)
+                    continue
                 length = int(Received("", head, b"").header("Content-Length") or 0)
                 received = Received(self.name, head, stream.read(length))
                 self.log.append(received)
@@ -97,6 +101,10 @@
                         continue
                 return
 
+    def _answer_with_name(self, connection):
+        lines = ("HTTP/1.1 200 OK", f"X-Redwingscale-Instance-Id: {self.name}", "Content-Length: 0")
+        connection.sendall("\r\n".join([*lines, "", ""]).encode())
+
     def close(self):
         # close() alone would let the waiting thread accept one more connection.
         with contextlib.suppress(OSError):
@@ -247,6 +255,8 @@
         chooser._random = random.Random(1)
         budget = self.budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
         budget.note_former({})
+        self.check = ProcessCheck(names.HEALTH_PATH, exchange.answering_upstream)
+        self.directory.on_gone(self.check.forget)
         self.entries = GossipState("one")
         self.crash_counts = Counter()
         count = self.crash_counts.update
@@ -261,7 +271,9 @@
         self.guard = CrashGuard(self.quarantine, fleet.directory, ends)
         parts = RelayParts(
             exchange,
-            Sender(self.pool, exchange, fleet.backpressure, open_bytes, fleet.path),
+            Sender(
+                self.pool, exchange, fleet.backpressure, open_bytes, fleet.path, check=self.check
+            ),
             chooser,
             fleet.load_tracker,
             fleet.health,
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -89,8 +89,8 @@
         """Dispatch one request."""
         headers = cherrypy.request.headers
         self.called_at.append(time.monotonic())
-        if segments[:1] != ("api",):
-            request = headers.get("X-Redwingscale-Request-Id", "")
+        request = headers.get("X-Redwingscale-Request-Id")
+        if request is not None:
             self.arrivals.append(Arrival(request, time.monotonic()))
         if self.falls and time.monotonic() < self.falls[-1] + FALL_SECONDS:
             drop_connection()
@@ -101,9 +101,12 @@
         if self.leaving:
             cherrypy.response.headers["Server-Leaving"] = "1"
         if headers.get("X-Redwingscale-Expect-Instance", self.id) != self.id:
-            self.refused_for_another += segments[:1] != ("api",)
+            self.refused_for_another += request is not None
             return self._refuse(421)
         match cherrypy.request.method, segments:
+            case "GET", ("healthz",):
+                cherrypy.response.headers["X-Redwingscale-Instance-Id"] = self.id
+                return b""
             case "GET", ("api", "report"):
                 return json_response(self._report())
             case "POST", ("api", "order"):
--- a/packages/redwingscale-standins/src/redwingscale_standins/repeats/__main__.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/repeats/__main__.py
@@ -17,6 +17,7 @@
 RESETS = FailedRequests(reset=True)
 PLAYS = {
     "replaced": Play(Replacements(0.5, 2.0)),
+    "replaced-same-body": Play(Replacements(0.5, 2.0), same_body=True),
     "replaced-waves": Play(Replacements(5.0, 2.0, at_once=6)),
     "replaced-slowly": Play(Replacements(1.5, 1.0)),
     "rejects": Play(FailedRequests()),
@@ -52,6 +53,7 @@
             result = play(plan, directory)
             print(
                 f"{name}: repeats {result.window.repeats} of {result.window.allowed:.0f},"
+                f" {result.repeats} in all,"
                 f" at another's address {result.elsewhere}, served {result.served}"
                 f" of {result.statuses.total()}, {dict(result.statuses)}; logs in {directory}",
                 flush=True,
--- a/packages/redwingscale-standins/src/redwingscale_standins/repeats/play.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/repeats/play.py
@@ -23,7 +23,7 @@
     Replacements,
     WorkerFault,
 )
-from redwingscale_standins.repeats.rule import RepeatRule, Window, worst_window
+from redwingscale_standins.repeats.rule import RepeatRule, Window, repeats_of, worst_window
 from redwingscale_standins.repeats.world import MODEL, RepeatWorld
 from redwingscale_standins.soak.process_paths import PathFault
 
@@ -33,7 +33,11 @@
 
 
 class Play(NamedTuple):
-    """A load beside faults: each request has an id of its own, and no caller repeats one."""
+    """A load beside faults: each request has an id of its own, and no caller repeats one.
+
+    With ``same_body``, all of them have the same content, and wait for the verdict if workers
+    that run it end.
+    """
 
     workers_fail: WorkerFault
     instances_fail: InstanceFault | None = None
@@ -42,14 +46,19 @@
     per_second: float = 30.0
     seconds: float = 14.0
     rule: RepeatRule = RepeatRule()
+    same_body: bool = False
 
 
 class Result(NamedTuple):
-    """What callers and workers saw; ``statuses`` has 0 for a connection that ended."""
+    """What callers and workers saw.
+
+    ``window`` is the worst one, ``repeats`` are those of the whole play. ``statuses`` has 0 for a
+    connection that ended. ``elsewhere`` requests arrived at a worker that replaces their own.
+    """
 
     window: Window
+    repeats: int
     statuses: Counter[int]
-    arrivals: int
     elsewhere: int
 
     @property
@@ -93,7 +102,7 @@
         arrivals = self._world.arrivals()
         window = worst_window(arrivals, self._requested_at, self._plan.rule)
         elsewhere = sum(place.worker.refused_for_another for place in self._world.places)
-        return Result(window, self._statuses, len(arrivals), elsewhere)
+        return Result(window, len(repeats_of(arrivals)), self._statuses, elsewhere)
 
     def _send_all(self, callers: ThreadPoolExecutor) -> None:
         begin = time.monotonic()
@@ -103,10 +112,11 @@
 
     def _send(self, number: int) -> None:
         instance = self._world.instances[number % len(self._world.instances)]
+        body = b"{}" if self._plan.same_body else f"body {number}".encode()
         self._requested_at.append(time.monotonic())
         try:
             status, ids = instance.request_stream(
-                MODEL, EVENTS, request=f"r{number}", timeout=CALLER_SECONDS
+                MODEL, EVENTS, request=f"r{number}", timeout=CALLER_SECONDS, body=body
             )
             whole = status != 200 or ids == [*range(1, EVENTS + 1)]
         except (urllib3.exceptions.HTTPError, IndexError):
