Let the soak replace workers at their address, and judge the repeats of all instances

No seed replaced a worker at its address, and nothing added up repeats. Seeds with unplanned faults now have workers that come back under another id, one by one or all at once, listed later, and instances killed in series beside them; the rule for repeats is a promise of every seed. A request that ends for want of budget says so in its history.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -107,7 +107,7 @@
             case NotRun(no_repeat=True):
                 return False
             case NotRun():
-                return self.arrivals.more_allowed
+                return self._more_allowed()
             case Lost():
                 return self._may_repeat()
 
@@ -234,11 +234,17 @@
         """Whether no upstream has run the request or will run it."""
         return self.possible_runs == 0
 
+    def _more_allowed(self) -> bool:
+        allowed = self.arrivals.more_allowed
+        if not allowed:
+            self.history.append("no repeat is left")
+        return allowed
+
     def _may_repeat(self) -> bool:
         if self.shared.claimed:
             return False
         return (
             self._route.repeatable
             and self.possible_runs < self._route.most_upstreams
-            and self.arrivals.more_allowed
+            and self._more_allowed()
         )
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
@@ -13,6 +13,10 @@
 
 from redwingscale_standins.hosted.documents import HOST
 from redwingscale_standins.hosted.waiting import WAIT_SECONDS, until
+from redwingscale_standins.repeats.rule import RepeatRule
+
+# The budget for repeats, unless another one is set.
+REPEAT_RULE = RepeatRule(ratio=0.2, slack=100, window_seconds=10)
 
 
 class InstanceProcess:
@@ -40,9 +44,9 @@
             "metrics_port": 0,
             "request_threads": request_threads,
             "bounds": {
-                "repeat_ratio": 0.2,
-                "repeat_slack": 100,
-                "repeat_window": 10,
+                "repeat_ratio": REPEAT_RULE.ratio,
+                "repeat_slack": REPEAT_RULE.slack,
+                "repeat_window": REPEAT_RULE.window_seconds,
                 "order_quiet_ms": 300,
                 "stop_grace": 12,
                 "load_window": 5,
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -1,6 +1,7 @@
 """Injects the faults of a soak, which may overlap."""
 
 import os
+import random
 import signal
 import threading
 import time
@@ -12,6 +13,7 @@
 from redwingscale_standins.soak.ending_body import send_ending_bodies
 from redwingscale_standins.soak.faulty_link import FaultyLink
 from redwingscale_standins.soak.lost_path import cut_path
+from redwingscale_standins.soak.replacements import play_replacements
 from redwingscale_standins.soak.stalls import play_stalls
 from redwingscale_standins.soak.world import (
     MODEL_SERVICE,
@@ -57,10 +59,12 @@
         planned_only: bool,
         ending_bodies: bool = False,
         stalls: bool = False,
+        replacements: bool = False,
     ) -> None:
         self._world = world
         self._ending_bodies = ending_bodies
         self._stalls = stalls
+        self._replacements = replacements
         self._random = world.random
         planned: list[Callable[[], None]] = [
             self._stop_instance,
@@ -100,12 +104,17 @@
             self._begin("bodies that end workers", lambda: send_ending_bodies(self._world, seconds))
         if self._stalls:
             self._begin("stalls", lambda: play_stalls(self._world, seconds, self._begin))
+        if self._replacements:
+            self._begin("replacements", lambda: self._play_replacements(seconds))
         while time.monotonic() < end:
             self._random.choice(self._menu)()
             pause = self._random.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
             time.sleep(min(pause, max(0.0, end - time.monotonic())))
         self.wait()
 
+    def _play_replacements(self, seconds: float) -> None:
+        play_replacements(self._world, seconds, self._begin, self._replaceable, self._kill_instance)
+
     def wait(self) -> None:
         """Wait until every started fault has ended."""
         for thread in self._threads:
@@ -128,13 +137,13 @@
     def _duration(self) -> float:
         return self._random.uniform(0.3, LONGEST_FAULT_SECONDS)
 
-    def _take_down(self) -> Node | None:
+    def _take_down(self, drawn: random.Random | None = None) -> Node | None:
         """Choose an instance that may go down now and mark it as down, or return None."""
         with self._lock:
             up = [node for node in self._world.nodes if node.name not in self._down]
             if len(self._down) + 1 > len(self._world.nodes) * MAX_DOWN_FRACTION or not up:
                 return None
-            node = self._random.choice(up)
+            node = (drawn or self._random).choice(up)
             self._down.add(node.name)
             return node
 
@@ -156,8 +165,8 @@
             self._world.ledger.add_finding("stop", f"{node.name} ended with {code}")
         self._restart(node)
 
-    def _kill_instance(self) -> None:
-        node = self._take_down()
+    def _kill_instance(self, drawn: random.Random | None = None) -> None:
+        node = self._take_down(drawn)
         if node is not None:
             self._begin(f"kill {node.name}", lambda: self._kill(node))
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -23,6 +23,7 @@
 from redwingscale_standins.soak.ending_body import check_ending_bodies
 from redwingscale_standins.soak.faults import Faults
 from redwingscale_standins.soak.lost_path import check_path_cuts
+from redwingscale_standins.soak.replacements import check_repeats
 from redwingscale_standins.soak.whole_answers import check_whole_answers
 from redwingscale_standins.soak.world import STEADY_KEY, WorkerHost, World
 
@@ -54,11 +55,13 @@
     *,
     ending_bodies: bool = True,
     stalls: bool = True,
+    replacements: bool = True,
 ) -> Outcome:
     """Run one seed and return its outcome; logs are kept in ``directory``.
 
     With ``ending_bodies``, seeds with unplanned faults have bodies that end their workers.
     With ``stalls``, all seeds have sound workers that pause, slow paths and slow callers.
+    With ``replacements``, seeds with unplanned faults have workers that come back with another id.
     """
     planned_only = seed % PLANNED_EVERY == 0
     world = World(directory, instances, seed)
@@ -70,6 +73,7 @@
         planned_only=planned_only,
         ending_bodies=ending_bodies and not planned_only,
         stalls=stalls,
+        replacements=replacements and not planned_only,
     )
     ended = threading.Event()
     history = _WorkerHistory(world)
@@ -92,6 +96,7 @@
         check_orders(world, HANDOVER_PAUSE_SECONDS / 2)
         check_limit(world)
         check_rate_limits(world)
+        check_repeats(world)
         check_backpressure(world)
         check_ending_bodies(world)
         check_path_cuts(world)
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -42,7 +43,9 @@
 class WorkerHost:
     """A worker with the server and the link in front of it."""
 
-    def __init__(self, worker: SoakWorker, service: str, paths: ProcessPaths) -> None:
+    def __init__(
+        self, worker: SoakWorker, service: str, paths: ProcessPaths, link: FaultyLink | None = None
+    ) -> None:
         self.worker = worker
         self.service = service
         self.state = "ready"
@@ -54,7 +57,7 @@
         limits = ServerLimits(threads=_SERVER_THREADS)
         self.server = HttpServer(worker, "127.0.0.1", 0, limits)
         self.server.start()
-        self.link = FaultyLink(self.server.port, paths)
+        self.link = link or FaultyLink(self.server.port, paths)
 
     def entry(self) -> dict[str, Any]:
         """Return the worker's row in the list."""
@@ -122,6 +125,8 @@
         self._numbers = iter(range(1000))
         self.rows = RowsApi()
         self.worker_hosts: dict[str, WorkerHost] = {}
+        # Those that have ended as well.
+        self.all_hosts: list[WorkerHost] = []
         self.rate_limit_periods: list[RateLimitPeriod] = []
         self.backpressure_periods: list[BackpressurePeriod] = []
         # Unplanned faults of any kind, and faults of the whole store.
@@ -163,12 +168,42 @@
 
     def add_worker(self, service: str, models: set[str]) -> WorkerHost:
         """Start a worker and list it."""
+        host = self._start_worker(service, models)
+        self._add(host)
+        return host
+
+    def replace_in_place(self, host: WorkerHost) -> Callable[[], None]:
+        """End a worker and let another process listen at its address at once.
+
+        Returns what lists the new process in place of the old one.
+        """
+        follower = self._start_worker(host.service, set(host.worker.models), host.link)
+        with self.ledger.breaking(host.worker.id):
+            host.worker.crashed = True
+            host.link.target_port = follower.server.port
+            host.link.reset()
+        self.worker_hosts.pop(host.worker.id, None)
+        host.server.stop()
+
+        def list_follower() -> None:
+            self.unlist(host)
+            self._add(follower)
+
+        return list_follower
+
+    def _start_worker(
+        self, service: str, models: set[str], link: FaultyLink | None = None
+    ) -> WorkerHost:
         worker = SoakWorker(f"w{next(self._numbers)}", models, self.ledger)
-        host = self.worker_hosts[worker.id] = WorkerHost(worker, service, self.paths)
+        host = WorkerHost(worker, service, self.paths, link)
         worker.on_ending_body = lambda: self._end(host)
-        self.list(host, "ready")
+        self.all_hosts.append(host)
         return host
 
+    def _add(self, host: WorkerHost) -> None:
+        self.worker_hosts[host.worker.id] = host
+        self.list(host, "ready")
+
     def list(self, host: WorkerHost, state: str) -> None:
         """Write the worker's row, unless it was removed from the list."""
         with self._listing:
