Wait for the leader's word before the first repeats of a process are refused

Callers of a process that had just started got 503 for a first request that an upstream rejected, though nothing of the budget was used: the slack rests until the leader tells what former processes have sent, 0.2 to 0.6 s after the start. The decision to refuse now waits for that within the first second.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/repeat_budget.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/repeat_budget.py
@@ -15,6 +15,8 @@
 RATIO_SHARE = 0.75
 # The rest is for instances that divide by a count that has risen since they heard it.
 SLACK_SHARE = 0.85
+# The leader tells a process what it must know this soon after its start, if there is one.
+TOLD_SECONDS = 1.0
 # Refused repeats of a service are logged together at this interval.
 LOG_SECONDS = 1.0
 
@@ -62,6 +64,7 @@
         self._started_at = clock()
         # The repeats of the processes before this one, None while they are not known.
         self._former: Mapping[str, int] | None = None
+        self._told = threading.Event()
         self._on_sent: Callable[[], None] = lambda: None
         self._lock = threading.Lock()
         self._requests: dict[str, deque[float]] = defaultdict(deque)
@@ -78,6 +81,7 @@
         if self._former is None:
             log_event("former_repeats", repeats=sum(repeats.values()))
         self._former = repeats
+        self._told.set()
 
     def repeats(self) -> dict[str, int]:
         """Return the repeats in the window beyond what the own requests allow, by service."""
@@ -112,9 +116,15 @@
         return True
 
     def has_repeat(self, service: str) -> bool:
-        """Return whether one more repeat is allowed now; a refusal is counted."""
+        """Return whether one more repeat is allowed now; a refusal is counted.
+
+        Waits in the first second of the process if that may be known soon.
+        """
         with self._lock:
             usage = self._usage(service, self._clock())
+        if not usage.has_repeat and self._awaits_leader():
+            with self._lock:
+                usage = self._usage(service, self._clock())
         if not usage.has_repeat:
             self._note_refused(service, usage)
         return usage.has_repeat
@@ -126,6 +136,11 @@
             services = self._requests.keys() | self._repeats.keys()
             return {service: self._usage(service, now) for service in sorted(services)}
 
+    def _awaits_leader(self) -> bool:
+        """Wait for what the leader tells a process that has started; return whether it came."""
+        seconds = self._started_at + TOLD_SECONDS - self._clock()
+        return not self._told.is_set() and seconds > 0 and self._told.wait(seconds)
+
     def _usage(self, service: str, now: float) -> Usage:
         allowed = self._by_requests(service, now) + self._slack(service, now)
         return Usage(self._recent(self._repeats[service], now), allowed)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_repeat_budget.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_repeat_budget.py
@@ -1,6 +1,7 @@
 """The sum of what the budgets of all instances let through, judged by the rule at the receiver."""
 
 import itertools
+import threading
 
 import pytest
 from redwingscale_daemon._internal.forwarding.repeat_budget import BudgetRule, RepeatBudget
@@ -156,3 +157,10 @@
     left = sum(world.budgets[0].take("llm") for _ in range(60))
     others = sum(world.budgets[1].take("llm") for _ in range(60))
     assert (left, others) == (others - 1, 7)
+
+
+def test_first_repeat_after_a_start_waits_for_the_leader():
+    """Guards against requests that are refused in the moments before the leader is heard."""
+    budget = RepeatBudget(BudgetRule(*RULE), lambda: DEFAULT_INSTANCES)
+    threading.Timer(0.1, budget.note_former, [{}]).start()
+    assert budget.has_repeat("llm")
