Ask a silent process for its name once, not by one request after another

Each request asked the process behind the path for its name, one after another, for 0.2 s each, and knew of the lost path that much later. An upstream that does not answer is now asked once a second.

A connection that was opened for a repeat which is refused is closed: kept, it counted as one that never had an answer.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/process_check.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/process_check.py
@@ -14,6 +14,9 @@
 ANSWER_SECONDS = 0.2
 # While upstreams are being replaced, one that was heard this lately is not asked.
 HEARD_SECONDS = 0.5
+# An upstream that has not answered is not asked again for this long: requests would wait for
+# the answer one after another.
+UNANSWERED_SECONDS = 1.0
 
 
 class ProcessCheck:
@@ -42,6 +45,8 @@
         # When connections to them broke last, of upstreams not heard on a newer one since.
         self._broken_at: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
+        # When they were asked last, and did not answer.
+        self._unanswered_at: dict[str, float] = {}
         self._asking: dict[str, threading.Lock] = defaultdict(threading.Lock)
         # Upstreams at whose address another process was found.
         self._replaced: set[str] = set()
@@ -78,7 +83,9 @@
             name = self._ask(upstream)
             if name == upstream.platform_name:
                 self.note_heard(upstream.id, began_at)
-            elif name is not None:
+            elif name is None:
+                self._unanswered_at[upstream.id] = time.monotonic()
+            else:
                 self._replaced.add(upstream.id)
             return upstream.id in self._replaced
 
@@ -90,8 +97,12 @@
                 self._asking.pop(key, None)
                 self._replaced.discard(key)
                 self._heard_at.pop(key, None)
+                self._unanswered_at.pop(key, None)
 
     def _in_doubt(self, upstream_id: str) -> bool:
+        unanswered_at = self._unanswered_at.get(upstream_id, float("-inf"))
+        if time.monotonic() < unanswered_at + UNANSWERED_SECONDS:
+            return False
         if upstream_id in self._broken_at or upstream_id in self._replaced:
             return True
         heard_at = self._heard_at.get(upstream_id, float("-inf"))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -103,7 +103,7 @@
         try:
             watch.check_before_sending()
             if not take_sending():
-                self._pool.put_back(upstream, connection, None)
+                connection.discard()
                 return _no_repeat(upstream)
             connection.send_request(request.method, request.target, headers, request.body)
             response = self._matching_response(connection, request, request_id, watch)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_process_check.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_process_check.py
@@ -1,6 +1,8 @@
 """Requests are not sent to a process that has replaced their upstream."""
 
+import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from redwingscale_daemon._internal.forwarding.process_check import ProcessCheck
@@ -76,3 +78,17 @@
     for _ in range(3):
         assert world.request("/stream/x", model="m").status == 200
     assert [one.upstream for one in world.log[arrived:]] == ["u1"] * 3
+
+
+def test_requests_do_not_wait_for_a_silent_process_one_after_another(world, listed):
+    """Guards against a queue of requests that each ask an upstream whose path holds all bytes."""
+    check, silent = make_check(), socket.create_server(("127.0.0.1", 0))
+    listed = listed._replace(port=silent.getsockname()[1])
+    check.note_broken(listed.id)
+    with ThreadPoolExecutor(8) as pool:
+        assert not any(pool.map(check.finds_another, [listed] * 8))
+    silent.settimeout(0.0)
+    silent.accept()
+    with pytest.raises(BlockingIOError):
+        silent.accept()
+    silent.close()
