--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -279,7 +279,9 @@
         self._begin(f"store down {seconds:.2f}", fault)
 
     def _choose_worker(self) -> WorkerHost:
-        return self._random.choice([*self._world.worker_hosts.values()])
+        # All may have been replaced, and be listed later.
+        hosts = [*self._world.worker_hosts.values()] or self._world.all_hosts[-1:]
+        return self._random.choice(hosts)
 
     def _disturb_worker_link(self) -> None:
         host, seconds = self._choose_worker(), self._duration()
