Tell replaced upstreams with their address, and settle their losses where it is told

Found while reading the diff, nobody was seen to hit it: an instance with a list that lags could find another process at the former address of an upstream, and all would avoid the upstream at its new one; and instances that are told of a replacement no longer get the 421 that was their evidence for losses they could not explain, so that a request which ends upstreams was known later.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/crashes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/crashes.py
@@ -38,6 +38,7 @@
     ends = UpstreamEnds(fleet.directory, fleet.health, fleet.path)
     guard = CrashGuard(quarantine, fleet.directory, ends)
     fleet.path.on_lost(guard.drop_losses)
+    fleet.health.on_replaced(lambda upstream_id, _: guard.note_replaced(upstream_id))
     loaded = False
 
     def step() -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -54,7 +54,6 @@
 from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey
-from redwingscale_daemon._internal.swaps.instance_count import InstanceCount
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
@@ -90,7 +89,7 @@
     limiter = UseLimiter(lambda: swaps.instances(), settings.bounds.use_slack)
     returns = new_return_updates()
     place_uses = PlaceUses()
-    repeat_budget = _repeat_budget(settings.bounds, lambda: swaps.instances, metrics)
+    repeat_budget = _repeat_budget(settings.bounds, lambda: swaps.instances.if_known(), metrics)
     swaps = build_swaps(
         settings,
         uuid.uuid4().hex,
@@ -169,11 +168,11 @@
 
 
 def _repeat_budget(
-    bounds: Bounds, instances: Callable[[], InstanceCount], metrics: IngressMetrics
+    bounds: Bounds, instances: Callable[[], int | None], metrics: IngressMetrics
 ) -> RepeatBudget:
     budget = RepeatBudget(
         BudgetRule(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window),
-        lambda: instances()() if instances().known else None,
+        instances,
         lambda service, result: metrics.repeats.add(1, {"service": service, "result": result}),
     )
     metrics.observe_repeats_left(budget.usage_by_service)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -10,9 +10,11 @@
 from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.fleet.findings import drain_findings
 from redwingscale_daemon._internal.fleet.fleet import Fleet
+from redwingscale_daemon._internal.fleet.health import OWN_ANSWER
 from redwingscale_daemon._internal.fleet.list_update_tracker import ListUpdateTracker
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
+from redwingscale_daemon._internal.fleet.replaced_upstreams import ReplacedUpstreams
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
@@ -152,6 +154,7 @@
     local_demand = LocalDemand()
     # The demand history of this instance, sent to new leaders as the initial snapshot.
     own_demand = Demand()
+    replaced = ReplacedUpstreams(fleet.directory, fleet.health)
     bounds = settings.bounds
     list_updates = ListUpdateTracker(fleet.directory, bounds.leave)
     route_versions = RouteVersionTracker(bounds.configuration)
@@ -163,6 +166,7 @@
         instances.receive(update.instances)
         returns.receive(update)
         place_uses.receive(update.shares)
+        replaced.receive(update.replaced, "order giver")
         if (former := update.starts.get(start)) is not None:
             budget.note_former(former)
         _take_update(update, sent_loads, fleet)
@@ -220,7 +224,7 @@
             first_events=[first_event_entry(*event) for event in findings.first_events],
             start=start,
             repeats=budget.repeats(),
-            replaced=fleet.health.replaced(),
+            replaced=replaced.addresses(),
         )
         own_demand.receive(update)
         return update
@@ -269,7 +273,7 @@
         ),
         former_slowness=fleet.first_events.slowness.values,
         repeats=RepeatHistory(bounds.repeat_window),
-        health=fleet.health,
+        replaced=replaced,
     )
     fleet.directory.on_gone(leader.forget)
     peers = build_peers(settings, routes, reads, route_versions, lease, fleet, reply_on_path)
@@ -277,7 +281,7 @@
     local_demand.on_new_wait(client.wake)
     fleet.rates.on_update(client.wake)
     budget.on_sent(client.wake)
-    fleet.health.on_replaced(client.wake)
+    fleet.health.on_replaced(lambda _, source: client.wake() if source == OWN_ANSWER else None)
 
     def follow_lease() -> None:
         # The leader's updates show that it is alive: its row is read only without them.
@@ -333,8 +337,6 @@
     take(residency, update.ready_in, update.fence)
     fleet.rates.receive(update.rate_limits)
     fleet.directory.note_leaving(update.leaving, "order giver")
-    for key in filter(fleet.directory.lists, update.replaced):
-        fleet.health.note_replaced(key, "order giver")
     if update.loads is not None:
         fleet.outcomes.set_failure_ratios(update.failure_ratios)
         fleet.first_events.slowness.receive(update.slowness)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/health.py
@@ -21,6 +21,8 @@
 UNREACHABLE_SECONDS = 0.8
 # Upstreams are often replaced one after another; in this time after one, others may follow.
 REPLACED_SECONDS = 10.0
+# The source of what this instance has found out itself.
+OWN_ANSWER = "answer"
 
 
 class _Suspicion(NamedTuple):
@@ -51,7 +53,7 @@
         # When each of them accepted no connection for the first time since its last answer.
         self._unreachable_since: dict[str, float] = {}
         self._replaced_at = float("-inf")
-        self._on_replaced: Callable[[], None] = lambda: None
+        self._replaced_listeners: list[Callable[[str, str], None]] = []
 
     def note_failure(self, upstream_id: str) -> None:
         """Note a request that the upstream lost or answered with a failure of its own."""
@@ -87,11 +89,11 @@
         if first:
             log_event("upstream_unreachable", level="WARNING", upstream=upstream_id)
 
-    def on_replaced(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` after this instance has found a replaced upstream."""
-        self._on_replaced = listener
+    def on_replaced(self, listener: Callable[[str, str], None]) -> None:
+        """Call ``listener`` with the id of an upstream that was replaced, and the source."""
+        self._replaced_listeners.append(listener)
 
-    def note_replaced(self, upstream_id: str, source: str = "answer") -> None:
+    def note_replaced(self, upstream_id: str, source: str = OWN_ANSWER) -> None:
         """Note that another process listens at the upstream's address.
 
         A restarted upstream is listed under its former id for some seconds, and refuses
@@ -103,8 +105,8 @@
             self._unreachable_until[upstream_id] = math.inf
             self._replaced_at = time.monotonic()
         log_event("upstream_replaced", level="WARNING", upstream=upstream_id, source=source)
-        if source == "answer":
-            self._on_replaced()
+        for listener in self._replaced_listeners:
+            listener(upstream_id, source)
 
     def replaced(self) -> list[str]:
         """Return the upstreams at whose address another process is known to listen."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -38,7 +38,6 @@
                 parts.guard.note_refused(outcome.upstream)
         case NotRun(gone=True):
             parts.health.note_replaced(outcome.upstream.id)
-            parts.guard.note_replaced(outcome.upstream)
         case NotRun(misdirected=True):
             # The answer is newer than what the leader believes is resident there.
             parts.health.note_misdirected(outcome.upstream.id)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/crash_guard.py
@@ -76,9 +76,9 @@
             and not self._ends.is_replaced(upstream.id)
         )
 
-    def note_replaced(self, upstream: Upstream) -> None:
-        """Note that another process answers at the address of ``upstream``."""
-        self._settle(upstream.id, "replaced")
+    def note_replaced(self, upstream_id: str) -> None:
+        """Note that another process answers at the upstream's address."""
+        self._settle(upstream_id, "replaced")
 
     def note_refused(self, upstream: Upstream) -> None:
         """Note that the address of ``upstream`` refuses connections.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_count.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/instance_count.py
@@ -16,10 +16,9 @@
         self._highest = DEFAULT_INSTANCES
         self._received = False
 
-    @property
-    def known(self) -> bool:
-        """Whether a leader has told the count to this process or to the store."""
-        return self._received or self._read_recorded() > 0
+    def if_known(self) -> int | None:
+        """Return the count, None before a leader has told it to this process or the store."""
+        return self() if self._received or self._read_recorded() > 0 else None
 
     def __call__(self) -> int:
         """Return the count."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -11,6 +11,7 @@
 
 from redwingscale_daemon._internal.fleet.health import Health
 from redwingscale_daemon._internal.fleet.outcomes import Outcomes
+from redwingscale_daemon._internal.fleet.replaced_upstreams import ReplacedUpstreams
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
@@ -96,7 +97,7 @@
         former_slowness: Callable[[], Mapping[str, float]] = dict,
         next_difference: Callable[[], bytes] = bytes,
         repeats: RepeatHistory | None = None,
-        health: Health | None = None,
+        replaced: ReplacedUpstreams | None = None,
     ) -> None:
         self._authority = authority
         self._routes = routes
@@ -135,7 +136,7 @@
         self._use = UseTotals(use_slack)
         self._shares = PlaceShares()
         self._repeats = repeats or RepeatHistory(0.0)
-        self._health = health or Health(Outcomes())
+        self._replaced = replaced or ReplacedUpstreams(directory, Health(Outcomes()))
         # Issues permits for upstreams with a rate limit.
         self._issuer = issuer or PermitIssuer()
         self._totals = NO_TOTALS
@@ -152,8 +153,7 @@
         self._slowness.receive(update.first_events)
         self._use.receive(update.instance, update.drawn)
         self._shares.receive(update.places)
-        for key in filter(self._directory.lists, update.replaced):
-            self._health.note_replaced(key, "instance")
+        self._replaced.receive(update.replaced, "instance")
         self._repeats.receive(update.instance, update.start, update.repeats)
         self._directory.note_leaving(update.leaving, "instance")
         for key in update.misdirected:
@@ -406,7 +406,7 @@
             shares=self._shares.shares() if periodic else None,
             configuration_difference=self._next_difference(),
             starts=self._repeats.next_starts(),
-            replaced=self._health.replaced(),
+            replaced=self._replaced.addresses(),
         )
 
     def _announces_units(self, service: str) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -143,8 +143,8 @@
     ``misdirected`` upstreams have refused a request since then for a unit that they lack.
     ``places`` has the tokens of requests for holders since then, by workspace. ``start``
     identifies the process. ``repeats`` are those that it has sent in the last window beyond
-    the part that its own requests allow, by service. At the addresses of ``replaced``
-    upstreams other processes listen.
+    the part that its own requests allow, by service. At the addresses of the ``replaced``
+    upstreams, by id, other processes listen.
     """
 
     instance: str
@@ -165,7 +165,7 @@
     places: list[PlaceUse] = []
     start: str = ""
     repeats: dict[str, int] = {}
-    replaced: list[str] = []
+    replaced: dict[str, str] = {}
 
 
 class ResidencyEntry(msgspec.Struct, array_like=True):
@@ -237,7 +237,7 @@
     shares: dict[str, float] | None = None
     configuration_difference: bytes = b""
     starts: dict[str, dict[str, int]] = {}
-    replaced: list[str] = []
+    replaced: dict[str, str] = {}
 
     def delayed(self, seconds: float) -> "LeaderUpdate":
         """Return the update with ``seconds`` of delay added to its ages; late permits are void."""
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -269,6 +269,7 @@
             "z1", lambda: self.peers, lambda address, query: self.peers[address]
         )
         self.guard = CrashGuard(self.quarantine, fleet.directory, ends)
+        fleet.health.on_replaced(lambda upstream_id, _: self.guard.note_replaced(upstream_id))
         parts = RelayParts(
             exchange,
             Sender(
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_process_check.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_process_check.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from redwingscale_daemon._internal.fleet.replaced_upstreams import ReplacedUpstreams
 from redwingscale_daemon._internal.forwarding.process_check import ProcessCheck
 from redwingscale_daemon._internal.platform import exchange, names
 
@@ -92,3 +93,13 @@
     with pytest.raises(BlockingIOError):
         silent.accept()
     silent.close()
+
+
+def test_told_replacement_counts_at_the_address_where_it_was_found(world, listed):
+    """Guards against an upstream that is avoided since its former address has another process."""
+    replaced = ReplacedUpstreams(world.directory, world.health)
+    replaced.receive({listed.id: "10.0.0.1:80"}, "instance")
+    assert not world.health.is_replaced(listed.id)
+    address = f"{listed.host}:{listed.port}"
+    replaced.receive({listed.id: address, "gone": address}, "instance")
+    assert replaced.addresses() == {listed.id: address}
