--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/repeat_history.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/repeat_history.py
@@ -11,7 +11,7 @@
 # since. Processes report four times a second and with each repeat; a start takes a second.
 LAST_REPORT_SECONDS = 2.0
 # Each start is told in so many updates, and so many at a time: hundreds may come at once.
-TOLD_TIMES = 3
+TOLD_TIMES = 6
 MAX_TOLD_PER_UPDATE = 32
 
 
