Hear the leader before the first repeats of a process are granted as well

A begun answer was cut half a second after the start of its instance: two streams shared the one repeat that their requests allow, each was told that one is left, and the second was refused when it was to be sent, 3 ms before the leader told of the slack. In its first second, a process now waits for the leader before any repeat is granted. The unit test failed before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/repeat_budget.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/repeat_budget.py
@@ -118,13 +118,11 @@
     def has_repeat(self, service: str) -> bool:
         """Return whether one more repeat is allowed now; a refusal is counted.
 
-        Waits in the first second of the process if that may be known soon.
+        Waits in the first second of the process until the leader is heard.
         """
+        self._await_leader()
         with self._lock:
             usage = self._usage(service, self._clock())
-        if not usage.has_repeat and self._awaits_leader():
-            with self._lock:
-                usage = self._usage(service, self._clock())
         if not usage.has_repeat:
             self._note_refused(service, usage)
         return usage.has_repeat
@@ -136,10 +134,12 @@
             services = self._requests.keys() | self._repeats.keys()
             return {service: self._usage(service, now) for service in sorted(services)}
 
-    def _awaits_leader(self) -> bool:
-        """Wait for what the leader tells a process that has started; return whether it came."""
+    def _await_leader(self) -> None:
+        # Requests that share what is left now would be refused when they are sent, at a time at
+        # which the leader has told of more.
         seconds = self._started_at + TOLD_SECONDS - self._clock()
-        return not self._told.is_set() and seconds > 0 and self._told.wait(seconds)
+        if seconds > 0:
+            self._told.wait(seconds)
 
     def _usage(self, service: str, now: float) -> Usage:
         allowed = self._by_requests(service, now) + self._slack(service, now)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_repeat_budget.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_repeat_budget.py
@@ -162,5 +162,10 @@
 def test_first_repeat_after_a_start_waits_for_the_leader():
     """Guards against requests that are refused in the moments before the leader is heard."""
     budget = RepeatBudget(BudgetRule(*RULE), lambda: DEFAULT_INSTANCES)
+    for _ in range(8):
+        budget.note_request("llm")
     threading.Timer(0.1, budget.note_former, [{}]).start()
     assert budget.has_repeat("llm")
+    # One of them is left without the leader.
+    assert budget.take("llm")
+    assert budget.take("llm")
