Log the software version of upstreams, and which stream a request takes up

Cause: no line named the version of the process that wrote an event, nor the stream that a caller takes up again, so the hypotheses of the incident could not be told apart from the logs of the instances. Change: the version is kept with each upstream and told apart from it in the leader's updates, which instances of the release before go on decoding; upstream_seen, sent and request_ended name it, routed has resumes and after_event, trace lists the other tries of a stream, and redwingscale_resumed_streams counts streams that went on within an answer at another version. What is decided is as before. Measured: unit tests of fleet, platform, swaps, forwarding and the client pass.

--- a/packages/redwingscale-cli/src/redwingscale_cli/_internal/operations/trace.py
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/operations/trace.py
@@ -38,10 +38,14 @@
 
 
 class Trace(NamedTuple):
-    """The request's own log lines and the related ones in ``context``, each in log order."""
+    """The request's own log lines and the related ones in ``context``, each in log order.
+
+    ``tries`` are the begins and ends of other requests for the same stream.
+    """
 
     own: tuple[LogLine, ...]
     context: tuple[LogLine, ...]
+    tries: tuple[LogLine, ...] = ()
 
     def end(self) -> LogLine | None:
         """Return the line of the event that ended the request, None if the logs lack it.
@@ -65,7 +69,7 @@
     own = tuple(line for line in lines if line.fields.get("request") == request)
     if not own:
         raise ClientError(f"{request}: {_REQUEST_NOT_FOUND}")
-    return Trace(own, tuple(_context(own, lines)))
+    return Trace(own, tuple(_context(own, lines)), tuple(_tries(request, own, lines)))
 
 
 def read_lines(file: Path) -> Iterator[LogLine]:
@@ -92,6 +96,13 @@
         listed = list(lines)
         yield f"{instance}:"
         yield from (_render(line, listed[0].at) for line in listed)
+    if found.tries:
+        yield "other requests for the same stream (each on its instance's own clock):"
+        yield from (
+            f"  {line.instance}  request={line.fields.get('request')}"
+            f"  {line.event}  {line.render_fields()}"
+            for line in found.tries
+        )
     by_instance = sorted(found.context, key=lambda line: line.instance)
     for instance, lines in groupby(by_instance, key=lambda line: line.instance):
         yield f"meanwhile at {instance} (its own clock):"
@@ -107,6 +118,24 @@
     return f"  {line.at - since:+8.3f}  {line.event}  {line.render_fields()}"
 
 
+def _tries(request: str, own: tuple[LogLine, ...], lines: Iterable[LogLine]) -> Iterator[LogLine]:
+    """Yield the lines that begin and end the other requests of the stream of ``request``."""
+    every = list(lines)
+    named = [line.fields.get("resumes", "-") for line in own if line.event == "routed"]
+    first = next((one for one in named if one != "-"), request)
+    requests = {
+        line.fields["request"]
+        for line in every
+        if line.event == "routed" and line.fields.get("resumes") == first
+    }
+    others = (requests | {first}) - {request}
+    return (
+        line
+        for line in every
+        if line.fields.get("request") in others and line.event in {"routed", *ENDS}
+    )
+
+
 def _context(own: tuple[LogLine, ...], lines: Iterable[LogLine]) -> Iterator[LogLine]:
     units = {unit.split("/")[0] for line in own if (unit := line.fields.get("unit", "-")) != "-"}
     upstreams = {line.fields["upstream"] for line in own if "upstream" in line.fields}
--- a/packages/redwingscale-cli/tests/unit/test_trace.py
+++ b/packages/redwingscale-cli/tests/unit/test_trace.py
@@ -49,6 +49,21 @@
     assert trace("r", files[::-1]).end().fields["status"] == "502"
 
 
+def test_trace_names_the_other_tries_of_a_stream(tmp_path):
+    texts = {
+        "a": "event=routed instance=a request=r1 resumes=-\nevent=caller_left instance=a request=r1",
+        "b": "event=routed instance=b request=r2 resumes=r1\nevent=request_ended instance=b request=r2 status=503",
+        "c": "event=routed instance=c request=r3 resumes=r1\nevent=request_ended instance=c request=r3 status=200",
+    }
+    files = [tmp_path / name for name in texts]
+    for file, text in zip(files, texts.values(), strict=True):
+        file.write_text(text.replace("event=", "time=2026-12-02T10:00:00.100+0000 event="))
+    for request in ("r1", "r2", "r3"):
+        tries = {line.fields["request"] for line in trace(request, files).tries}
+        assert tries == {"r1", "r2", "r3"} - {request}
+    assert "request=r3" in "\n".join(render(trace("r1", files)))
+
+
 def test_unknown_request_is_an_error(logs):
     with pytest.raises(ClientError, match="r9"):
         trace("r9", logs)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_update_tracker.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_update_tracker.py
@@ -46,7 +46,7 @@
         self._read_at = now - update.age
         self._digest, self._version = update.digest, update.version
         if update.changed or update.gone:
-            self._directory.update(update.changed, update.gone, update.version)
+            self._directory.update(update.upstreams(), update.gone, update.version)
 
     def replaces_read(self, last_read_at: float) -> bool:
         """Return whether the updates replace a read; the last one was at ``last_read_at``."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream.py
@@ -20,6 +20,9 @@
     former start. ``row_version`` decides which of two entries of one name is newer, since
     the clocks that ``id`` is made from may jump.
 
+    ``software`` is the version of the process's software, None if unknown. Several versions may
+    serve side by side; what they write does not fit together in one stream.
+
     ``leaving`` upstreams take no new work. ``seconds_left`` is the remaining time of one
     that is removed at short notice, None if unknown.
     """
@@ -40,6 +43,7 @@
     # When the process started, in Unix milliseconds by its own clock, None if unknown.
     started_at_ms: int | None = None
     row_version: int = 0
+    software: str | None = ""
 
     @property
     def platform_name(self) -> str:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -213,6 +213,7 @@
             service=upstream.service,
             address=f"{upstream.host}:{upstream.port}",
             failure_domain=upstream.failure_domain,
+            software=upstream.software,
         )
     for key in leaving:
         seconds_left = after[key].seconds_left
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -38,6 +38,10 @@
     def name(self) -> str:
         """The upstream or peer."""
 
+    @property
+    def software(self) -> str | None:
+        """The version of the software that writes the events, None if unknown."""
+
     @property
     def silence_seconds(self) -> float | None:
         """How long to wait for the next byte until a second upstream is asked, None without a bound."""
@@ -105,6 +109,11 @@
         """The id of the upstream."""
         return self._answering.upstream.id
 
+    @property
+    def software(self) -> str | None:
+        """The version of the upstream's software, None if unknown."""
+        return self._answering.upstream.software
+
     @property
     def silence_seconds(self) -> float | None:
         """How long to wait for the next byte until a second upstream is asked, None without a bound."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -65,6 +65,8 @@
         # The attempt that is waited for or whose answer is relayed.
         self.current = AttemptState()
         self.first_event_seconds: float | None = None
+        # The software versions of the upstreams whose events the caller was sent, in order.
+        self.software: list[str] = []
         # Whether the request was refused before and has returned as announced to its caller.
         self.returning = False
 
@@ -78,6 +80,7 @@
             request=request,
             upstream=upstream_id,
             sending=self.count + 1,
+            software=chosen.upstream.software,
             among=chosen.among,
             cost_ms=round(chosen.cost_ms),
             open=load.requests,
@@ -219,6 +222,12 @@
         self.last_event_at = now
         return now
 
+    def note_software(self, software: str | None) -> None:
+        """Note the version of the upstream that wrote an event for the caller."""
+        name = software or "-"
+        if self.software[-1:] != [name]:
+            self.software.append(name)
+
     @property
     def answer_begun(self) -> bool:
         """Whether the caller was sent an event, by this instance or by the one before."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
@@ -37,6 +37,8 @@
         # Called when the answer was read to its end, and when it broke.
         self._on_end, self._on_lost = on_end, on_lost
         self.state = AttemptState()
+        # The peer does not say which upstream it asks.
+        self.software: str | None = None
         self.status = response.status
         self.headers = headers
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -39,6 +39,8 @@
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 # Another instance can serve the request; here a thread becomes free when a stream ends.
 NO_THREAD_RETRY_SECONDS = 0.3
+# Characters of an id that its caller may have made up.
+MAX_LOGGED_ID = 64
 
 
 class DemandSink(Protocol):
@@ -216,6 +218,8 @@
             tokens=_format_tokens(terms),
             passed_on_by=passed_on.instance if passed_on else "-",
             limit=round(watch.remaining(), 3),
+            resumes=terms.resumed_request[:MAX_LOGGED_ID] if terms.resumed_request else "-",
+            after_event="-" if terms.last_event is None else terms.last_event,
         )
         return Call(
             request=request,
@@ -289,6 +293,10 @@
         status: int = 0,
     ) -> None:
         attempts = call.attempts if call else None
+        if attempts is not None:
+            self._metrics.record_resumptions(
+                by_caller=terms.last_event is not None, software=attempts.software
+            )
         seconds = self._metrics.record_request(request, refusal.code if refusal else "answered")
         log_event(
             "request_ended",
@@ -300,6 +308,7 @@
             detail=refusal.detail if refusal else "",
             sendings=attempts.count if attempts else "-",
             history=";".join(attempts.history) if attempts else "",
+            software=",".join(attempts.software) or "-" if attempts else "-",
             first_event=_format_seconds(attempts.first_event_seconds if attempts else None),
             longest_gap=_format_seconds(attempts.longest_gap_seconds if attempts else None),
             seconds=round(seconds, 4),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -188,6 +188,7 @@
                 continue
             if not call.reply.started:
                 call.reply.begin(stream.status, stream.headers)
+            call.attempts.note_software(stream.software)
             call.reply.write(event.data)
             progress.note_delivered(event)
             call.attempts.note_delivery()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/terms.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/terms.py
@@ -12,7 +12,8 @@
     None for a request that runs no model. ``last_event`` is the number of the last event
     that the caller received of this stream, None if it does not resume one. ``tokens`` is
     the total that the request asks for, None if it names none. ``key_digest`` is the
-    digest of the caller's key, None if it sent none.
+    digest of the caller's key, None if it sent none. ``resumed_request`` is the id of the
+    request that brought the first event of the stream, None if the caller names none.
     """
 
     request_id: str
@@ -21,3 +22,4 @@
     last_event: int | None
     tokens: int | None = None
     key_digest: bytes | None = None
+    resumed_request: str | None = None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
@@ -36,7 +36,7 @@
     service: _Text
     address: str
     zone: _Text
-    # The version of the upstream's software; checked but not used.
+    # The version of the upstream's software.
     version: _Text
     slots: Annotated[int, msgspec.Meta(ge=1)]
     state: Literal["ready", "draining"]
@@ -70,6 +70,7 @@
         named=name,
         started_at_ms=entry.born,
         row_version=row_version,
+        software=entry.version,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -56,6 +56,7 @@
         last_event=int(last_event) if last_event.isdigit() else None,
         tokens=_total_tokens(values),
         key_digest=_key_digest(values),
+        resumed_request=values.get(names.RESUMED_REQUEST.lower()),
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/names.py
@@ -14,6 +14,8 @@
 NOT_RUN = "X-Redwingscale-Not-Executed"
 PRIORITY = "X-Redwingscale-Request-Priority"
 LAST_EVENT_ID = "Last-Event-Id"
+# The id of the caller's request that brought the first event of the stream to go on with.
+RESUMED_REQUEST = "Resumes"
 # Requests a second that an upstream accepts from all instances together; absent without limit.
 RATE_LIMIT = "Server-Limit"
 # "1" in each answer of an upstream that is leaving and takes no new work.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/list_changes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/list_changes.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.list_digest import list_digest, listing
-from redwingscale_daemon._internal.fleet.list_update import ListUpdate
+from redwingscale_daemon._internal.fleet.list_update import ListUpdate, make_list_update
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 
@@ -48,7 +48,7 @@
         listed = copy.listed()
         changed, gone = self.of(listed, copy.kept)
         digest = list_digest(listed) if copy.kept else copy.digest
-        return ListUpdate(changed, gone, age, digest, copy.version)
+        return make_list_update(changed, gone, age, digest, copy.version)
 
     def of(
         self, listed: Iterable[Upstream], kept: Collection[str] = ()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -1,7 +1,7 @@
 """Counters and latencies of the requests that are forwarded byte for byte."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -44,6 +44,7 @@
         self.passed_on = meter.create_counter("redwingscale_passed_on", unit="1")
         self.answers_cut = meter.create_counter("redwingscale_answers_cut", unit="1")
         self.repeats = meter.create_counter("redwingscale_repeats", unit="1")
+        self._resumed = meter.create_counter("redwingscale_resumed_streams", unit="1")
         self.suspects = meter.create_counter("redwingscale_suspects", unit="1")
         self.places = meter.create_counter("redwingscale_places", unit="1")
         self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
@@ -57,6 +58,17 @@
         self._seconds.record(seconds, {"outcome": outcome})
         return seconds
 
+    def record_resumptions(self, *, by_caller: bool, software: Sequence[str]) -> None:
+        """Count the times that a stream went on, by a try of its caller or within an answer.
+
+        ``software`` are the versions that wrote the events of the answer, in order; those of
+        earlier answers are not known here.
+        """
+        if by_caller and software:
+            self._resumed.add(1, {"within": "tries", "software": "unknown"})
+        if len(software) > 1:
+            self._resumed.add(len(software) - 1, {"within": "answer", "software": "other"})
+
     def observe_bytes_held(self, read: Callable[[], int]) -> None:
         """Report ``read()``, the bytes held for callers and upstreams, as a gauge."""
 
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_update_releases.py
@@ -0,0 +1,48 @@
+"""Updates of the list between instances of this release and of the one before."""
+
+from typing import NamedTuple
+
+import msgspec
+from redwingscale_daemon._internal.fleet.list_update import ListUpdate, make_list_update
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+
+FORMER_FIELDS = [
+    (name, kind) for name, kind in Upstream.__annotations__.items() if name != "software"
+]
+FormerUpstream = NamedTuple("FormerUpstream", FORMER_FIELDS)
+
+
+class FormerUpdate(msgspec.Struct, array_like=True):
+    changed: list[FormerUpstream]
+    gone: list[str]
+    age: float
+    digest: int
+    version: int
+
+
+def listed(software):
+    return Upstream(
+        "u1", "llm", "127.0.0.1", 1, "z1", 64, False, None, {}, frozenset(), frozenset(),
+        software=software,
+    )  # fmt: skip
+
+
+def test_former_release_decodes_an_update_with_software():
+    """Guards against instances that drop the leader's updates while a release is rolled out."""
+    encoded = msgspec.msgpack.encode(make_list_update([listed("v1")], ["u2"], 0.1, 7, 3))
+    former = msgspec.msgpack.decode(encoded, type=FormerUpdate)
+    assert former.changed[0] == FormerUpstream(*listed("v1")[:-1])
+    assert (former.gone, former.digest, former.version) == (["u2"], 7, 3)
+
+
+def test_software_is_unknown_in_an_update_of_the_former_release():
+    """Guards against a worker that is taken for one of another version."""
+    former = FormerUpdate([FormerUpstream(*listed("v1")[:-1])], [], 0.1, 7, 3)
+    update = msgspec.msgpack.decode(msgspec.msgpack.encode(former), type=ListUpdate)
+    assert [one.software for one in update.upstreams()] == [None]
+
+
+def test_software_is_told_with_the_list():
+    update = make_list_update([listed("v1"), listed(None)._replace(id="u2")], [], 0.1, 7, 3)
+    received = msgspec.msgpack.decode(msgspec.msgpack.encode(update), type=ListUpdate)
+    assert {one.id: one.software for one in received.upstreams()} == {"u1": "v1", "u2": None}
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -217,6 +217,9 @@
     def __init__(self, ended):
         self._ended = ended
 
+    def record_resumptions(self, **counted):
+        """Count nothing."""
+
     def record_request(self, request, outcome):
         self._ended.append(outcome)
         return 0.0
