Show that streams go on at a software version that did not begin them

Callers saw streams with events of two software versions of a service. Cause: an upstream is chosen by what it holds; its version is not looked at, within an answer or when a caller takes a stream up. Change: a test on six instances and six workers of two versions (callers that take up elsewhere, connections reset, silent workers, instances killed, workers updated and back, a list that lags, a version that is gone, instances without a path), judged at the caller by what it holds.

--- /dev/null
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_software_versions.py
@@ -0,0 +1,67 @@
+"""Streams beside workers of two software versions, judged by what callers hold."""
+
+import pytest
+from redwingscale_standins.versions.caller import Habits
+from redwingscale_standins.versions.faults import (
+    CutPaths,
+    Kills,
+    Resets,
+    RollingUpdate,
+    Silences,
+    VersionGone,
+)
+from redwingscale_standins.versions.play import Play, play
+from redwingscale_standins.versions.world import FIRST
+
+# Allowed over a whole run, and the part of the streams taken up that has to go on.
+MOST_MIXED = 2
+LEAST_WENT_ON = 0.9
+ONE_VERSION = (FIRST,) * 6
+LEAVES = Habits(leave_after=6)
+SECONDS = 8.0
+
+PLAYS = {
+    "callers-take-up": Play((), LEAVES, seconds=SECONDS),
+    "within-an-answer": Play((Resets(),), seconds=SECONDS),
+    "beside-silent-workers": Play((Silences(),), seconds=SECONDS),
+    "instances-killed": Play((Kills(),), LEAVES, seconds=SECONDS),
+    "workers-updated-and-back": Play(
+        (RollingUpdate(0.8, back=True),), LEAVES, ONE_VERSION, seconds=SECONDS
+    ),
+    "list-that-lags": Play(
+        (RollingUpdate(0.8, listed_late_seconds=2.0),), LEAVES, ONE_VERSION, seconds=SECONDS
+    ),
+}
+
+
+@pytest.mark.parametrize("plan", PLAYS.values(), ids=PLAYS)
+def test_streams_go_on_only_at_the_version_that_began_them(tmp_path, plan):
+    """Guards against streams that hold events of two software versions."""
+    result = play(plan, tmp_path)
+    assert result.begun
+    assert result.gaps == 0
+    assert result.mixed <= MOST_MIXED, result.describe()
+
+
+@pytest.mark.parametrize(
+    "plan", [PLAYS["callers-take-up"], PLAYS["instances-killed"]], ids=["calm", "instances-killed"]
+)
+def test_streams_whose_version_serves_go_on(tmp_path, plan):
+    """Guards against streams that are given up since nobody knows the version that began them."""
+    result = play(plan, tmp_path)
+    assert result.went_on >= LEAST_WENT_ON * result.taken_up > 0, result.describe()
+
+
+def test_streams_of_a_version_that_is_gone_are_rejected_at_once(tmp_path):
+    """Guards against callers that wait until their deadline for a version that is gone."""
+    result = play(Play((VersionGone(3.0),), LEAVES, seconds=SECONDS), tmp_path)
+    assert result.mixed <= MOST_MIXED, result.describe()
+    rejected = [one for held in result.held for one in held.tries if one.status == 503]
+    assert rejected
+    assert max(one.seconds for one in rejected) < 1.0
+
+
+def test_streams_go_on_through_other_instances_at_their_version(tmp_path):
+    """Guards against a peer that goes on with a begun stream at another version."""
+    result = play(Play((CutPaths(),), LEAVES, seconds=SECONDS), tmp_path)
+    assert result.mixed <= MOST_MIXED, result.describe()
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/model_worker.py
@@ -51,6 +51,8 @@
         self, worker_id: str, models: dict[str, set[str]], timing: WorkerTiming | None = None
     ) -> None:
         self.id = worker_id
+        # The version of its software, which each event names.
+        self.software = "v1"
         self.models = models
         self.orders: list[dict[str, Any]] = []
         self.runs: list[str] = []
@@ -84,6 +86,21 @@
         self.running = 0
         self._stream_numbers = itertools.count(1)
 
+    def entry(self, port: int, zone: str = "z1") -> dict[str, Any]:
+        """Return the worker's row in the list, for a worker that is reached at ``port``."""
+        models = [{"Name": name, "Version": 1, "Adapters": []} for name in self.models]
+        return {
+            "Service": "llm",
+            "Address": f"127.0.0.1:{port}",
+            "Zone": zone,
+            "Slots": 64,
+            "State": "ready",
+            "Version": self.software,
+            "ColdLeftMs": 0,
+            "Seq": 1,
+            "Models": models,
+        }
+
     @cherrypy.expose
     def default(self, *segments: str, **_: str) -> bytes | Iterator[bytes]:
         """Dispatch one request."""
@@ -146,7 +163,7 @@
                 time.sleep(pause.seconds)
             for number in range(first, last + 1):
                 time.sleep(self._timing.gap)
-                yield f"id: {number}\ndata: token{number}\n\n".encode()
+                yield f"id: {number}\ndata: token{number} {self.software}\n\n".encode()
                 if pause is not None and number == first + pause.after_events - 1:
                     time.sleep(pause.seconds)
         finally:
--- a/packages/redwingscale-standins/src/redwingscale_standins/repeats/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/repeats/world.py
@@ -73,7 +73,7 @@
             if self._listed is not None:
                 self._rows.remove("servers", self._listed)
             self._listed = self.worker.id
-            self._rows.put("servers", self._listed, self._entry())
+            self._rows.put("servers", self._listed, self.worker.entry(self.link.port))
 
     def replace(self, listed_late_seconds: float) -> None:
         """End the process and begin the next one, which is listed later."""
@@ -86,19 +86,6 @@
         self.link.close()
         self._server.stop()
 
-    def _entry(self) -> dict[str, Any]:
-        return {
-            "Service": "llm",
-            "Address": f"127.0.0.1:{self.link.port}",
-            "Zone": "z1",
-            "Slots": 64,
-            "State": "ready",
-            "Version": "v1",
-            "ColdLeftMs": 0,
-            "Seq": 1,
-            "Models": [{"Name": MODEL, "Version": 1, "Adapters": []}],
-        }
-
 
 class RepeatWorld:
     """Everything that a play starts; `stop` ends it."""
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Plays of streams beside workers of two software versions."""
