--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -21,6 +21,7 @@
 from redwingscale_daemon._internal.composition.pauses import PauseRules
 from redwingscale_daemon._internal.composition.places import build_fair_places
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
+from redwingscale_daemon._internal.composition.stream_origins import build_stream_origins
 from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
@@ -40,6 +41,7 @@
 from redwingscale_daemon._internal.forwarding.request_handler import RequestHandler
 from redwingscale_daemon._internal.forwarding.sender import Sender
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
+from redwingscale_daemon._internal.forwarding.stream_resumption import StreamResumption
 from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget, limits_of
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
@@ -89,6 +91,15 @@
     limiter = UseLimiter(lambda: swaps.instances(), settings.bounds.use_slack)
     returns = new_return_updates()
     place_uses = PlaceUses()
+    streams = build_stream_origins(
+        routes,
+        fleet.directory,
+        lambda: min(reads.upstreams.age, swaps.list_updates.age),
+        lambda: swaps.own_address(),
+        lambda: swaps.peers.addresses(),
+        lambda: swaps.leader_address(),
+        metrics,
+    )
     repeat_budget = _repeat_budget(settings.bounds, lambda: swaps.instances.if_known(), metrics)
     swaps = build_swaps(
         settings,
@@ -103,6 +114,7 @@
         place_uses,
         repeat_budget,
         lambda query: reply_on_path(query),
+        streams.versions,
     )
     reports = report_client(fleet)
     own_reports = build_own_reports(settings, routes, fleet, reads, reports)
@@ -126,6 +138,7 @@
         detours,
         repeat_budget,
         lambda: callers.crowded,
+        streams.resumption,
     )
     budget = ByteBudget(limits_of(settings.machine.memory_mb))
     metrics.observe_bytes_held(lambda: budget.held)
@@ -146,6 +159,7 @@
         tasks=(
             *followers,
             *swaps.tasks,
+            streams.link,
             crashes.task,
             Periodic("own-reports", OWN_REPORTS_SECONDS, own_reports.step),
         ),
@@ -235,6 +249,7 @@
     detours: Detours,
     budget: RepeatBudget,
     crowded: Callable[[], bool],
+    resumption: StreamResumption,
 ) -> RequestHandler:
     pauses = StreamPauses(
         PauseRules(routes, settings.scheduling.stream_pauses).rule_of,
@@ -318,6 +333,7 @@
         lambda: own_reports.domain_cut,
         crowded,
         AnswerEnds(open_requests, lambda reason: metrics.answers_cut.add(1, {"reason": reason})),
+        resumption,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
 from redwingscale_daemon._internal.fleet.replaced_upstreams import ReplacedUpstreams
+from redwingscale_daemon._internal.fleet.software_versions import SoftwareVersions
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
@@ -84,7 +85,8 @@
     other instances, ``list_updates`` and ``route_versions`` replace these reads, and
     ``fetch_announced`` fetches a configuration that the leader announced. ``release``
     gives up the leader lease. ``entries`` are those that all instances exchange,
-    ``peers`` queries other instances.
+    ``peers`` queries other instances; ``own_address`` is that of the peer server here, and
+    ``leader_address`` that of the leader's, None without one.
     """
 
     local_demand: LocalDemand
@@ -97,6 +99,8 @@
     fetch_announced: Callable[[], bool]
     entries: GossipState
     peers: PeerClient
+    own_address: Callable[[], str]
+    leader_address: Callable[[], str | None]
 
 
 def engine_calls() -> EngineCalls:
@@ -125,6 +129,7 @@
     place_uses: PlaceUses,
     budget: RepeatBudget,
     reply_on_path: Callable[[PathQuery], PathReply | None] = lambda query: None,
+    versions: SoftwareVersions | None = None,
 ) -> Swaps:
     """Return the parts, not started; ``start`` identifies this process."""
     me = settings.instance
@@ -149,6 +154,7 @@
             _standby_seconds(settings.machine),
         ),
         may_lead=lambda: not fleet.path.cut_off,
+        software=versions,
     )
     lease_retry = Backoff()
     local_demand = LocalDemand()
@@ -225,6 +231,7 @@
             start=start,
             repeats=budget.repeats(),
             replaced=replaced.addresses(),
+            bound_waits=local_demand.bound_waits(),
         )
         own_demand.receive(update)
         return update
@@ -298,6 +305,10 @@
                 raise
             lease_retry.note_answer()
 
+    def leader_address() -> str | None:
+        record = lease.record
+        return f"{record.host}:{record.desk_port}" if record and record.desk_port else None
+
     lease_task = Periodic("giver-lease", LEASE_STEP_SECONDS, follow_lease)
     fleet.path.on_lost(lease_task.wake)
 
@@ -323,6 +334,8 @@
         fetch_announced=peers.fetch_announced,
         entries=peers.entries,
         peers=peers.client,
+        own_address=lambda: peers.server.address,
+        leader_address=leader_address,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/chooser.py
@@ -61,6 +61,14 @@
     estimate: FirstEventEstimate | None = None
 
 
+Allows = Callable[[Upstream], bool]
+
+
+def allow_all(upstream: Upstream) -> bool:
+    """Return True: any upstream may serve a request that has not begun."""
+    return bool(upstream.id)
+
+
 class Chooser:
     """Chooses the cheapest upstream by load, cached prompt, failure domain and failures."""
 
@@ -87,9 +95,14 @@
         # Not for secrets, only to spread requests.
         self._random = random.Random()
 
-    def choose_plain(self, service: str, tried: Collection[str]) -> Candidate | None:
-        """Return the cheapest upstream of a plain service that is not in ``tried``."""
-        upstreams = self._sendable(self._plain_upstreams(service, tried))
+    def choose_plain(
+        self, service: str, tried: Collection[str], allows: Allows = allow_all
+    ) -> Candidate | None:
+        """Return the cheapest upstream of a plain service that is not in ``tried``.
+
+        Here and below, ``allows`` tells whether an upstream may serve the request.
+        """
+        upstreams = self._sendable(self._plain_upstreams(service, tried, allows))
         return self._cheapest([Candidate(self._plain_cost(u), u) for u in upstreams])
 
     def choose_holder(
@@ -97,6 +110,7 @@
         service: str,
         prompt: Prompt,
         tried: Collection[str],
+        allows: Allows = allow_all,
         *,
         compare_all: bool = False,
     ) -> Candidate | None:
@@ -105,7 +119,7 @@
         With many instances only a sample of the holders is compared, unless
         ``compare_all`` is set.
         """
-        holders = self._sendable(self._holders(service, prompt, tried))
+        holders = self._sendable(self._holders(service, prompt, tried, allows))
         home = _home_id(prompt, holders)
         candidates = [self._prompt_candidate(u, prompt, home) for u in holders]
         if self._pauses is not None and not compare_all:
@@ -113,18 +127,28 @@
             candidates = _with_pauses(candidates, self._pauses, service, prompt)
         return self._cheapest(candidates, compare_all=compare_all)
 
-    def plain_ids(self, service: str, tried: Collection[str]) -> list[str]:
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the listed upstreams of a service that take new work."""
+        return self._directory.usable(service)
+
+    def plain_ids(
+        self, service: str, tried: Collection[str], allows: Allows = allow_all
+    ) -> list[str]:
         """Return the ids of the upstreams of a plain service that are not in ``tried``."""
-        return [upstream.id for upstream in self._plain_upstreams(service, tried)]
+        return [upstream.id for upstream in self._plain_upstreams(service, tried, allows)]
 
-    def resident_ids(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
+    def resident_ids(
+        self, service: str, prompt: Prompt, tried: Collection[str], allows: Allows = allow_all
+    ) -> list[str]:
         """Return the holders of the prompt's unit, reached or not, that are not in ``tried``."""
-        holders = self._directory.holders(service, prompt.unit)
+        holders = filter(allows, self._directory.holders(service, prompt.unit))
         return [u.id for u in holders if u.id not in tried and not self._health.is_replaced(u.id)]
 
-    def holder_ids(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
+    def holder_ids(
+        self, service: str, prompt: Prompt, tried: Collection[str], allows: Allows = allow_all
+    ) -> list[str]:
         """Return the ids of the holders of the prompt's unit that are not in ``tried``."""
-        return [upstream.id for upstream in self._holders(service, prompt, tried)]
+        return [upstream.id for upstream in self._holders(service, prompt, tried, allows)]
 
     def note_first_event(self, chosen: Candidate, real_ms: float) -> None:
         """Take the time to the first event of a request that was sent to ``chosen``."""
@@ -142,20 +166,32 @@
             case estimate:
                 self._first_events.observe_lost(estimate, waited_ms)
 
-    def throttled_plain(self, service: str, tried: Collection[str]) -> list[str]:
+    def throttled_plain(
+        self, service: str, tried: Collection[str], allows: Allows = allow_all
+    ) -> list[str]:
         """Return the ids that `choose_plain` skips because of rate limits or retry times."""
-        return self._throttled(self._plain_upstreams(service, tried)) if self._gate.known else []
+        if not self._gate.known:
+            return []
+        return self._throttled(self._plain_upstreams(service, tried, allows))
 
-    def throttled_holders(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[str]:
+    def throttled_holders(
+        self, service: str, prompt: Prompt, tried: Collection[str], allows: Allows = allow_all
+    ) -> list[str]:
         """Return the ids that `choose_holder` skips because of rate limits or retry times."""
-        return self._throttled(self._holders(service, prompt, tried)) if self._gate.known else []
+        if not self._gate.known:
+            return []
+        return self._throttled(self._holders(service, prompt, tried, allows))
 
-    def _plain_upstreams(self, service: str, tried: Collection[str]) -> list[Upstream]:
-        usable = self._directory.usable(service)
+    def _plain_upstreams(
+        self, service: str, tried: Collection[str], allows: Allows
+    ) -> list[Upstream]:
+        usable = filter(allows, self._directory.usable(service))
         return [u for u in usable if u.id not in tried and not self._health.is_replaced(u.id)]
 
-    def _holders(self, service: str, prompt: Prompt, tried: Collection[str]) -> list[Upstream]:
-        holders = self._directory.holders(service, prompt.unit)
+    def _holders(
+        self, service: str, prompt: Prompt, tried: Collection[str], allows: Allows
+    ) -> list[Upstream]:
+        holders = filter(allows, self._directory.holders(service, prompt.unit))
         return [u for u in holders if u.id not in tried and not self._health.is_unreachable(u.id)]
 
     def _sendable(self, upstreams: list[Upstream]) -> list[Upstream]:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_update_tracker.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_update_tracker.py
@@ -1,5 +1,6 @@
 """Follows the leader's updates about the list of upstreams."""
 
+import math
 import time
 
 from redwingscale_common.utils.logs import log_event
@@ -48,6 +49,13 @@
         if update.changed or update.gone:
             self._directory.update(update.upstreams(), update.gone, update.version)
 
+    @property
+    def age(self) -> float:
+        """Seconds since the leader's list was the one here, infinite if it is another one."""
+        if self._digest != self._directory.copy.digest:
+            return math.inf
+        return time.monotonic() - self._read_at
+
     def replaces_read(self, last_read_at: float) -> bool:
         """Return whether the updates replace a read; the last one was at ``last_read_at``."""
         now = time.monotonic()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_messages.py
@@ -22,7 +22,8 @@
     it heard any. A request that is passed on to ``host`` and ``port`` needs ``token``.
     ``able``: whether it may take requests now. ``busy`` is the fraction of its request
     threads in use. ``runs``: how many upstreams may run the request of the query there, 0 if
-    the peer does not know it.
+    the peer does not know it. ``binds``: whether it goes on with a begun stream only at the
+    software version that it is told; an instance of the release before does not.
     """
 
     instance: str
@@ -35,3 +36,4 @@
     heard: list[str]
     heard_ago: float
     runs: int = 0
+    binds: bool = False
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
@@ -0,0 +1,144 @@
+"""Which software versions of a service may have begun a stream that still lives."""
+
+import math
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
+
+# An older list may lack a version that streams have begun at since.
+CURRENT_LIST_SECONDS = 2.0
+# A process that was suspended may hold an old list that its steady clock takes for current.
+SUSPENDED_SECONDS = 0.5
+
+# Seconds since an upstream of each version was listed last, by service and version.
+AgesByService = dict[str, dict[str, float]]
+# Before the first leader of a deployment, no stream has begun anywhere.
+NEVER_SERVED_SECONDS = 1e6
+
+
+class SoftwareRecord(msgspec.Struct):
+    """What the leader's row says of versions, for instances that have just started.
+
+    All versions that were listed are known for the last ``software_known_seconds``.
+    """
+
+    software: AgesByService = {}
+    software_known_seconds: float = 0.0
+
+
+class SoftwareVersions:
+    """Remembers the versions that were listed, for as long as a stream can live.
+
+    What former processes of the deployment have seen is taken over from the leader's row.
+    Without that, all versions are known only from the start of this process.
+    """
+
+    def __init__(
+        self,
+        stream_seconds: Callable[[], float],
+        list_age: Callable[[], float],
+        clock: Clock = lease_clock,
+    ) -> None:
+        # Returns for how long a stream can live, over all tries of its caller.
+        self._stream_seconds = stream_seconds
+        # Returns the seconds since the list was known to be current, by the steady clock.
+        self._list_age = list_age
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._current: tuple[Upstream, ...] = ()
+        # When an upstream of each version was listed last; None stands for an unknown version.
+        self._listed_at: dict[str, dict[str | None, float]] = defaultdict(dict)
+        self._known_since = clock()
+        self._suspended = clock() - time.monotonic()
+        self._resumed_at = -math.inf
+
+    def follow(self, before: Iterable[Upstream], after: Iterable[Upstream]) -> None:
+        """Take a new list and the one that it replaces."""
+        now, current = self._clock(), tuple(after)
+        with self._lock:
+            for upstream in (*before, *current):
+                self._listed_at[upstream.service][upstream.software] = now
+            self._current = current
+
+    def note(self, service: str, software: str) -> None:
+        """Note a version that another instance has seen."""
+        with self._lock:
+            self._listed_at[service][software] = self._clock()
+
+    def record(self) -> SoftwareRecord:
+        """Return what is remembered, for the leader's row."""
+        now = self._clock()
+        with self._lock:
+            self._refresh(now)
+            ages = {
+                service: {
+                    software: round(now - at, 3) for software, at in times.items() if software
+                }
+                for service, times in self._listed_at.items()
+            }
+        return SoftwareRecord(ages, round(self.known_seconds, 3))
+
+    def take_row(self, row: bytes | None) -> None:
+        """Take over what the leader's row says, None if there has never been a leader."""
+        if row is None:
+            self._take_over(SoftwareRecord({}, NEVER_SERVED_SECONDS))
+            return
+        try:
+            self._take_over(msgspec.json.decode(row, type=SoftwareRecord))
+        except msgspec.DecodeError as error:
+            log_event("software_row_invalid", level="WARNING", error=error)
+
+    @property
+    def known_seconds(self) -> float:
+        """For how long all versions that were listed are known."""
+        return self._clock() - self._known_since
+
+    def _take_over(self, record: SoftwareRecord) -> None:
+        now = self._clock()
+        with self._lock:
+            for service, age_by_software in record.software.items():
+                times = self._listed_at[service]
+                for software, age in age_by_software.items():
+                    times[software] = max(now - age, times.get(software, -math.inf))
+            self._known_since = min(self._known_since, now - record.software_known_seconds)
+
+    def serving(self, service: str) -> set[str | None]:
+        """Return the versions of the upstreams that are listed now."""
+        return {one.software for one in self._current if one.service == service}
+
+    def remembered(self, service: str) -> set[str | None]:
+        """Return the versions that may have begun a stream which still lives."""
+        now = self._clock()
+        with self._lock:
+            self._refresh(now)
+            since = now - self._stream_seconds()
+            times = self._listed_at[service]
+            for software in [key for key, at in times.items() if at < since]:
+                del times[software]
+            return set(times)
+
+    def sole(self, service: str) -> str | None:
+        """Return the version that has begun all streams of ``service``, None if not known."""
+        if self.known_seconds < self._stream_seconds() or not self._is_list_current():
+            return None
+        versions = self.remembered(service)
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    def _refresh(self, now: float) -> None:
+        for upstream in self._current:
+            self._listed_at[upstream.service][upstream.software] = now
+
+    def _is_list_current(self) -> bool:
+        now = time.monotonic()
+        suspended = self._clock() - now
+        if suspended > self._suspended + SUSPENDED_SECONDS:
+            self._suspended, self._resumed_at = suspended, now
+        age = self._list_age()
+        return age < CURRENT_LIST_SECONDS and now - age > self._resumed_at
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -15,6 +15,7 @@
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 
 GoneListener = Callable[[set[str]], None]
+ListListener = Callable[[Iterable[Upstream], Iterable[Upstream]], None]
 # Called with the current upstreams by id, returns the new list.
 MakeList = Callable[[dict[str, Upstream]], Iterable[Upstream]]
 
@@ -56,11 +57,16 @@
         self._read_at = float("-inf")
         self._leaving = LeavingUpstreams()
         self._gone_listeners: list[GoneListener] = []
+        self._list_listeners: list[ListListener] = []
 
     def on_gone(self, listener: GoneListener) -> None:
         """Call ``listener`` with the ids of upstreams that are no longer listed."""
         self._gone_listeners.append(listener)
 
+    def on_list(self, listener: ListListener) -> None:
+        """Call ``listener`` with the upstreams of each former list and of the new one."""
+        self._list_listeners.append(listener)
+
     def replace(
         self, listed: Iterable[Upstream], version: int = 0, kept: Iterable[Upstream] = ()
     ) -> bool:
@@ -108,6 +114,8 @@
         self, before: dict[str, Upstream], after: dict[str, Upstream], leaving: set[str]
     ) -> None:
         _log_changes(before, after, leaving)
+        for note_list in self._list_listeners:
+            note_list(before.values(), after.values())
         gone = before.keys() - after.keys()
         if gone:
             for listener in self._gone_listeners:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -22,6 +22,7 @@
 from redwingscale_daemon._internal.forwarding.outcome import Lost, NotRun
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.shared_runs import SharedRuns
+from redwingscale_daemon._internal.forwarding.stream_binding import StreamBinding
 from redwingscale_daemon._internal.routes.route import Route
 
 # An attempt that no upstream has run costs little, but uses up time until the deadline.
@@ -35,8 +36,16 @@
 class Attempts:
     """Tracks the upstreams that were tried and how many may have run the request."""
 
-    def __init__(self, route: Route, service: str, budget: RepeatBudget) -> None:
+    def __init__(
+        self,
+        route: Route,
+        service: str,
+        budget: RepeatBudget,
+        binding: StreamBinding | None = None,
+    ) -> None:
         self._route = route
+        # Which upstreams may go on with a stream that its caller has begun to receive.
+        self.binding = binding or StreamBinding()
         self.arrivals = Arrivals(budget, service)
         self.tried: set[str] = set()
         # Of these, the upstreams that were not reached.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
@@ -44,15 +44,22 @@
             return None
         failed_at = self._health.unreachable_since(upstream_ids)
         self._offers.follow(upstream_ids, failed_at)
-        return self._offers.choose(failed_at, upstream_ids, call.attempts.silent_peer)
+        return self._choose(call, failed_at, upstream_ids)
+
+    def _choose(
+        self, call: Call, since: float, upstream_ids: Collection[str] | None
+    ) -> Peer | None:
+        attempts = call.attempts
+        return self._offers.choose(
+            since, upstream_ids, attempts.silent_peer, binds=attempts.binding.needs_telling
+        )
 
     def _choose_without_path(self, call: Call, since: float) -> Peer | None:
         if call.attempts.may_pass_on_to_peer:
-            silent = call.attempts.silent_peer
-            peer = self._offers.choose(since, None, silent)
+            peer = self._choose(call, since, None)
             if peer is None:
                 self._offers.follow((), since)
-                peer = self._offers.choose(since, None, silent)
+                peer = self._choose(call, since, None)
             if peer is not None:
                 return peer
         detail = "this instance has no path to upstreams, and no other one takes the request"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
@@ -9,6 +9,8 @@
 HEADER = "Redwingscale-Passed-On"
 # Set in an answer of a peer that has not taken the request, and never will.
 DECLINED_HEADER = "Redwingscale-Declined"
+# In a stream that a peer has begun: the version of the software that writes it.
+SOFTWARE_HEADER = "Redwingscale-Software"
 
 
 class Envelope(msgspec.Struct):
@@ -18,7 +20,8 @@
     caller sent the request. ``attempts`` were made, of which ``possible_runs`` may have run;
     the upstreams in ``tried`` have refused or lost it. ``passing`` is unique to this passing on.
     ``since_event`` are the seconds since the caller was sent an event, None before the first one.
-    ``may_have_arrived`` tells whether an upstream may have received the request.
+    ``may_have_arrived`` tells whether an upstream may have received the request. The caller has
+    events of a ``begun`` stream, which goes on at ``software`` only, None if unknown.
     """
 
     token: str
@@ -31,6 +34,8 @@
     passing: str = ""
     since_event: float | None = None
     may_have_arrived: bool = True
+    begun: bool = False
+    software: str | None = None
 
     def is_from_a_peer(self, token: str) -> bool:
         """Return whether the sender knows ``token``."""
@@ -56,7 +61,20 @@
     return request._replace(headers=kept, arrived_at=arrived_at), envelope
 
 
+def software_header(software: str) -> tuple[str, str]:
+    """Return the header that tells the version of the software which writes a stream."""
+    return SOFTWARE_HEADER, msgspec.json.encode(software).decode("latin-1")
+
+
+def read_software(value: str | None) -> str | None:
+    """Return the version in a `SOFTWARE_HEADER`, None without a valid one."""
+    try:
+        return msgspec.json.decode((value or "").encode("latin-1"), type=str)
+    except (msgspec.DecodeError, UnicodeError):
+        return None
+
+
 def without(headers: Headers) -> Headers:
     """Return ``headers`` without those that only instances set."""
-    own = {HEADER.lower(), DECLINED_HEADER.lower()}
+    own = {HEADER.lower(), DECLINED_HEADER.lower(), SOFTWARE_HEADER.lower()}
     return tuple((name, value) for name, value in headers if name.lower() not in own)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -23,6 +23,7 @@
 )
 from redwingscale_daemon._internal.forwarding.prompt_pacing import hold
 from redwingscale_daemon._internal.forwarding.return_order import UNORDERED, ReturnOrder
+from redwingscale_daemon._internal.forwarding.stream_binding import BEGIN_ANEW_SECONDS
 from redwingscale_daemon._internal.forwarding.throttle_wait import ThrottleWait
 from redwingscale_daemon._internal.forwarding.wait_bounds import (
     max_wait_seconds,
@@ -52,11 +53,16 @@
 class WaitSink(Protocol):
     """Counts the demand of waiting requests."""
 
-    def begin_wait(self, service: str, unit: Unit, max_wait_seconds: float) -> None:
-        """Count a request that waits for ``unit`` for up to ``max_wait_seconds``."""
+    def begin_wait(
+        self, service: str, unit: Unit, max_wait_seconds: float, software: str | None = None
+    ) -> None:
+        """Count a request that waits for ``unit`` for up to ``max_wait_seconds``.
+
+        ``software`` is the version that a begun stream waits for, None for any version.
+        """
 
-    def end_wait(self, service: str, unit: Unit) -> None:
-        """Remove a request that no longer waits for ``unit``."""
+    def end_wait(self, service: str, unit: Unit, software: str | None = None) -> None:
+        """Remove a request that no longer waits for ``unit``; ``software`` as in `begin_wait`."""
 
     def note_overload(self, service: str, unit: Unit) -> None:
         """Count a request whose holders were too busy to serve it in time."""
@@ -116,32 +122,62 @@
         """Set the time at which the caller of a refused request should return."""
         self.order.note_refusal(call, prompt, refusal, max_wait_seconds(call))
 
+    def _cheapest(
+        self, call: Call, prompt: Prompt, *, compare_all: bool = False
+    ) -> Candidate | None:
+        """Return the best holder that may serve the request now."""
+        attempts = call.attempts
+        return self.chooser.choose_holder(
+            call.service, prompt, attempts.tried, attempts.binding.allows, compare_all=compare_all
+        )
+
+    def _throttled(self, call: Call, prompt: Prompt) -> list[str]:
+        attempts = call.attempts
+        return self.chooser.throttled_holders(
+            call.service, prompt, attempts.tried, attempts.binding.allows
+        )
+
+    def _refuse_if_not_served(self, call: Call) -> None:
+        """Raise `Refusal` at once if no listed upstream may go on with a begun stream."""
+        binding = call.attempts.binding
+        if not binding.begun:
+            return
+        reason = binding.not_served(self.chooser.usable(call.service))
+        if reason is not None:
+            raise final_refusal(call, reason.code, reason.detail, BEGIN_ANEW_SECONDS)
+
     def _choose_holder(self, call: Call, prompt: Prompt) -> Candidate | Peer:
-        found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
+        self._refuse_if_not_served(call)
+        found = self._cheapest(call, prompt)
         if found is not None:
             return self._hold(call, prompt, self._choose_in_time(call, prompt, found))
         if (peer := self._find_peer(call, prompt)) is not None:
             return peer
-        throttled = self.chooser.throttled_holders(call.service, prompt, call.attempts.tried)
+        throttled = self._throttled(call, prompt)
         if throttled:
             self._check_queue(call, prompt, throttled)
         with self.gate.waiting(throttled):
-            self.demand.begin_wait(call.service, prompt.unit, max_wait_seconds(call))
+            software = call.attempts.binding.awaited
+            self.demand.begin_wait(call.service, prompt.unit, max_wait_seconds(call), software)
             try:
                 return self._wait_for_holder(call, prompt)
             finally:
-                self.demand.end_wait(call.service, prompt.unit)
+                self.demand.end_wait(call.service, prompt.unit, software)
 
     def choose_now(self, call: Call, prompt: Prompt) -> Candidate | Peer | None:
         """Return the best holder, or an instance that reaches one, without waiting for any."""
-        found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
+        self._refuse_if_not_served(call)
+        found = self._cheapest(call, prompt)
         return found or self._find_peer(call, prompt)
 
     def _find_peer(self, call: Call, prompt: Prompt) -> Peer | None:
         # Another instance may reach those that this one has tried in vain.
         excluded = call.attempts.tried - call.attempts.unreached
         return self.find_peer(
-            call, lambda: self.chooser.resident_ids(call.service, prompt, excluded)
+            call,
+            lambda: self.chooser.resident_ids(
+                call.service, prompt, excluded, call.attempts.binding.allows
+            ),
         )
 
     def _hold(self, call: Call, prompt: Prompt, found: Candidate) -> Candidate:
@@ -150,7 +186,7 @@
         return hold(
             call,
             found,
-            lambda: self.chooser.choose_holder(call.service, prompt, call.attempts.tried),
+            lambda: self._cheapest(call, prompt),
             lambda: self.open_requests.draining,
             self.on_held,
         )
@@ -188,11 +224,11 @@
     def holders(self, call: Call, prompt: Prompt) -> Holders:
         """Return what the choice of a place needs to know of the request's holders."""
         return Holders(
-            lambda: self.chooser.choose_holder(call.service, prompt, call.attempts.tried),
-            lambda: self.chooser.choose_holder(
-                call.service, prompt, call.attempts.tried, compare_all=True
+            lambda: self._cheapest(call, prompt),
+            lambda: self._cheapest(call, prompt, compare_all=True),
+            lambda: self.chooser.holder_ids(
+                call.service, prompt, call.attempts.tried, call.attempts.binding.allows
             ),
-            lambda: self.chooser.holder_ids(call.service, prompt, call.attempts.tried),
             lambda one: self.order.overload_refusal(call, prompt, one, overload_refusal),
             lambda: self._check_wait(call),
         )
@@ -211,8 +247,9 @@
             giver_heard=self.residency.fresh,
         )
         while True:
+            self._refuse_if_not_served(call)
             seen = self.changes.count
-            found = self.chooser.choose_holder(call.service, prompt, call.attempts.tried)
+            found = self._cheapest(call, prompt)
             if found is not None:
                 return found
             if (peer := self._find_peer(call, prompt)) is not None:
@@ -251,7 +288,7 @@
             raise final_refusal(call, "cut_off", f"no news of {prompt.unit}", retry_seconds)
         left = max_wait_seconds(call)
         ready_in = self.order.ready_in(call, prompt, self.residency.ready_in(str(prompt.unit)))
-        throttled = self.chooser.throttled_holders(call.service, prompt, call.attempts.tried)
+        throttled = self._throttled(call, prompt)
         if self._is_load_unannounced(wait) and (ready_in is None or ready_in > left):
             self._check_retry_times(call, prompt, throttled, ready_in)
         if ready_in is not None and not throttled:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/path_replies.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/path_replies.py
@@ -44,4 +44,5 @@
             self._path.heard_since(query.upstreams, now - query.seconds),
             now - self._path.heard_at,
             self._port.claim(query.passing) if query.passing else 0,
+            binds=True,
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
@@ -51,6 +51,7 @@
     heard_at: float
     replied_at: float
     address: str
+    binds: bool = False
 
 
 class PeerOffers:
@@ -94,18 +95,24 @@
         return any(peer.able and peer.heard_at > since for peer in list(self._by_id.values()))
 
     def choose(
-        self, since: float, upstream_ids: Collection[str] | None, excluded: str | None = None
+        self,
+        since: float,
+        upstream_ids: Collection[str] | None,
+        excluded: str | None = None,
+        *,
+        binds: bool = False,
     ) -> Peer | None:
         """Return the best able peer that has heard an upstream after ``since``, monotonic.
 
         ``upstream_ids`` are those of which it must reach one, None for any; the peer
-        ``excluded`` is left out.
+        ``excluded`` is left out, and with ``binds`` those that do not.
         """
         now = time.monotonic()
         able = [
             peer
             for peer in list(self._by_id.values())
             if peer.able
+            and (peer.binds or not binds)
             and peer.id != excluded
             and now - peer.replied_at < FRESH_SECONDS
             and now >= self._avoided_until.get(peer.id, 0.0)
@@ -180,6 +187,7 @@
             now - reply.heard_ago,
             now,
             address,
+            reply.binds,
         )
         with self._lock:
             oldest = now - FRESH_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_relay.py
@@ -172,6 +172,9 @@
             )
         if response.status in NOT_RUN_STATUSES:
             call.permit.refund()
+        if response.status < FIRST_ERROR_STATUS:
+            software = envelope.read_software(response.headers.get(envelope.SOFTWARE_HEADER))
+            call.note_begun(software, tell=False)
         if start.whole:
             call.reply.send(response.status, headers, start.data)
             return
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_sender.py
@@ -118,6 +118,8 @@
                 passing,
                 attempts.seconds_since_event,
                 attempts.arrivals.possible,
+                attempts.binding.begun,
+                attempts.binding.required,
             )
         )
         headers = self._dialect.peer_headers(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_stream.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from http.client import HTTPResponse
 
+from redwingscale_daemon._internal.forwarding import envelope
 from redwingscale_daemon._internal.forwarding.attempt_state import AttemptState
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.event_reader import EventReader
@@ -37,8 +38,8 @@
         # Called when the answer was read to its end, and when it broke.
         self._on_end, self._on_lost = on_end, on_lost
         self.state = AttemptState()
-        # The peer does not say which upstream it asks.
-        self.software: str | None = None
+        # The version of the upstream that the peer asks; one of the release before says none.
+        self.software = envelope.read_software(response.headers.get(envelope.SOFTWARE_HEADER))
         self.status = response.status
         self.headers = headers
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -94,8 +94,10 @@
         Returns another instance if only others reach upstreams of the service.
         """
 
+        allows = call.attempts.binding.allows
+
         def choose() -> Candidate | None:
-            return self._parts.chooser.choose_plain(call.service, call.attempts.tried)
+            return self._parts.chooser.choose_plain(call.service, call.attempts.tried, allows)
 
         found = choose()
         if found is None or self._parts.health.is_unreachable(found.upstream.id):
@@ -104,7 +106,7 @@
                 return peer
         if found is not None or call.attempts.failure is not None:
             return found
-        throttled = self._parts.chooser.throttled_plain(call.service, call.attempts.tried)
+        throttled = self._parts.chooser.throttled_plain(call.service, call.attempts.tried, allows)
         if not throttled:
             return None
         return self._throttle_wait.wait_for_candidate(
@@ -115,7 +117,10 @@
         # Another instance may reach those that this one has tried in vain.
         excluded = call.attempts.tried - call.attempts.unreached
         return self._parts.detour.choose(
-            call, lambda: self._parts.chooser.plain_ids(call.service, excluded)
+            call,
+            lambda: self._parts.chooser.plain_ids(
+                call.service, excluded, call.attempts.binding.allows
+            ),
         )
 
     def _send(self, call: Call, upstream: Upstream, attempt: GuardedAttempt) -> bool:
@@ -211,6 +216,8 @@
         if not call.attempts.may_pass_on(response.status, counted=failed):
             raise failure_refusal(f"status {response.status}")
         headers = self._parts.dialect.response_headers(response)
+        call.note_begun(upstream.software)
+        headers = call.answer_headers(headers, upstream.software)
         call.reply.send(response.status, headers, start.data)
         return True
 
@@ -227,9 +234,12 @@
         If the body breaks off, the reply is cut: it lacks bytes of its length, or its end.
         """
         response = answering.response
-        headers = self._parts.dialect.response_headers(response)
+        headers = call.answer_headers(
+            self._parts.dialect.response_headers(response), answering.upstream.software
+        )
         # Nobody can go on with an answer that has begun.
         call.watch.expect(None)
+        call.note_begun(answering.upstream.software)
         try:
             call.reply.begin(response.status, headers, length)
             pass_on_pieces(response, call.reply, call.request.held, piece)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import Protocol
 from weakref import WeakValueDictionary
@@ -20,7 +21,9 @@
 from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.reply_rest import finish, send_rest
+from redwingscale_daemon._internal.forwarding.stream_origins import Found
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
+from redwingscale_daemon._internal.forwarding.stream_resumption import StreamResumption
 from redwingscale_daemon._internal.forwarding.terms import Terms
 from redwingscale_daemon._internal.forwarding.watch import Watch
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
@@ -68,6 +71,7 @@
         leaves_rotation: Callable[[], bool] = lambda: False,
         crowded: Callable[[], bool] = lambda: False,
         ends: AnswerEnds | None = None,
+        resumption: StreamResumption | None = None,
     ) -> None:
         # Whether callers should use another instance from now on.
         self._leaves_rotation = leaves_rotation
@@ -83,6 +87,7 @@
         self._metrics = metrics
         self._limiter = limiter
         self._guard = guard
+        self._resumption = resumption
         self._ends = ends or AnswerEnds(open_requests)
         # The open requests that other instances have passed on, by the id of their passing.
         self._taken_over: WeakValueDictionary[str, Attempts] = WeakValueDictionary()
@@ -205,6 +210,7 @@
                 retry_after_seconds=NO_THREAD_RETRY_SECONDS,
             )
         attempts, service = self._begin(route, terms, permit, passed_on)
+        name = workspace.name if workspace else ""
         watch = Watch(request.socket, _deadline(request, terms, route), reply)
         reply.set_delivery_limit(watch.remaining())
         log_event(
@@ -236,22 +242,42 @@
             attempts=attempts,
             permit=permit,
             urgency=_urgency(table, route, workspace),
+            on_begun=partial(self._note_begun, terms, name, service),
         )
 
+    def _note_begun(
+        self, terms: Terms, workspace: str, service: str, software: str, tell: bool
+    ) -> None:
+        if self._resumption is None:
+            return
+        log_event(
+            "stream_bound", request=terms.request_id, service=service, software=software, told=tell
+        )
+        self._resumption.note_begun(terms.request_id, workspace, service, software, tell=tell)
+
     def _begin(
         self, route: Route, terms: Terms, permit: Permit, passed_on: Envelope | None
     ) -> tuple[Attempts, str]:
         """Return the attempts and the service; the first instance draws from the limit."""
         if passed_on is None:
+            found = self._find_origin(route, terms, permit)
             permit.draw(terms.request_id, terms.tokens)
-            service = draw_service(route, self._random)
+            service = found.service if found else draw_service(route, self._random)
             self._budget.note_request(service)
-            return Attempts(route, service, self._budget), service
+            attempts = self._new_attempts(route, service)
+            if found is not None:
+                attempts.binding.bind(found.software)
+            return attempts, service
         names = {one.service for one in route.services}
         service = passed_on.service
         if service not in names:
             service = draw_service(route, self._random)
-        attempts = Attempts(route, service, self._budget)
+        attempts = self._new_attempts(route, service)
+        if passed_on.begun:
+            attempts.binding.bind(passed_on.software)
+        elif (found := self._find_origin(route, terms, permit)) is not None:
+            # From an instance of the release before, which knows no versions.
+            attempts.binding.bind(found.software)
         sender = passed_on.instance if passed_on.may_have_arrived else None
         attempts.take_over(passed_on.attempts, passed_on.possible_runs, passed_on.tried, sender)
         if passed_on.since_event is not None:
@@ -260,6 +286,16 @@
         self._taken_over[passed_on.passing] = attempts
         return attempts, service
 
+    def _find_origin(self, route: Route, terms: Terms, permit: Permit) -> Found | None:
+        if self._resumption is None:
+            return None
+        workspace = permit.workspace.name if permit.workspace else ""
+        return self._resumption.find(route, terms, workspace)
+
+    def _new_attempts(self, route: Route, service: str) -> Attempts:
+        binding = self._resumption.binding(service) if self._resumption else None
+        return Attempts(route, service, self._budget, binding)
+
     def _relay(self, call: Call) -> None:
         self._guard.check(call)
         if not call.attempts.taken_over:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/second_upstream.py
@@ -74,6 +74,8 @@
         # The silent upstream or peer.
         self._silent: str | None = None
         self._waits_for_holder = False
+        # The version that is waited for, None for any.
+        self._awaited: str | None = None
         # Whether the silent upstream went on while the second one was asked.
         self._first_goes_on = False
 
@@ -115,7 +117,7 @@
         """Stop counting the request as one that waits for a holder; a second call does nothing."""
         if self._waits_for_holder:
             self._waits_for_holder = False
-            self._factory.wait.demand.end_wait(self._call.service, self._prompt.unit)
+            self._factory.wait.demand.end_wait(self._call.service, self._prompt.unit, self._awaited)
 
     def note_event(self, name: str) -> None:
         """Note that the stream goes on with an event of the upstream or peer ``name``."""
@@ -160,8 +162,12 @@
         # The leader may load the unit at another upstream.
         if not self._waits_for_holder:
             self._waits_for_holder = True
+            self._awaited = self._call.attempts.binding.awaited
             self._factory.wait.demand.begin_wait(
-                self._call.service, self._prompt.unit, max(0.0, max_wait_seconds(self._call))
+                self._call.service,
+                self._prompt.unit,
+                max(0.0, max_wait_seconds(self._call)),
+                self._awaited,
             )
 
     def _open_peer(self, peer: Peer) -> AnswerStream | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_relay.py
@@ -2,6 +2,9 @@
 
 from contextlib import closing
 from functools import partial
+from http.client import HTTPException
+
+from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import (
     CallerLeft,
@@ -181,13 +184,20 @@
     def _pass_on(
         self, call: Call, stream: AnswerStream, progress: Progress, second: SecondUpstream
     ) -> None:
+        checked = False
         for event in stream.read():
             second.note_event(stream.name)
             call.watch.silence_seconds = stream.silence_seconds
             if not progress.is_next(event):
                 continue
+            if not checked:
+                self._check_software(call, stream)
+                checked = True
             if not call.reply.started:
-                call.reply.begin(stream.status, stream.headers)
+                call.note_begun(stream.software, tell=not isinstance(stream, PeerStream))
+                call.reply.begin(
+                    stream.status, call.answer_headers(stream.headers, stream.software)
+                )
             call.attempts.note_software(stream.software)
             call.reply.write(event.data)
             progress.note_delivered(event)
@@ -196,6 +206,20 @@
         if not call.reply.started:
             call.reply.begin(stream.status, stream.headers)
 
+    def _check_software(self, call: Call, stream: AnswerStream) -> None:
+        """Raise `HTTPException` if the events of ``stream`` do not go on with the caller's."""
+        if call.attempts.binding.allows_software(stream.software):
+            return
+        log_event(
+            "software_mismatch",
+            level="ERROR",
+            request=call.terms.request_id,
+            upstream=stream.name,
+            software=stream.software,
+            required=call.attempts.binding.required,
+        )
+        raise HTTPException(f"the events of {stream.name} are of another software version")
+
     def _relay_failure(
         self, call: Call, answering: Answering, progress: Progress, sending: Sending
     ) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/wait_bounds.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/wait_bounds.py
@@ -25,15 +25,18 @@
     otherwise the largest requests would be refused most often. A request that was
     already sent to an upstream is not refused here.
     """
-    longest = call.route.latency_target_seconds * MAX_QUEUE_TARGETS
+    begun = call.attempts.binding.begun
+    longest = math.inf if begun else call.route.latency_target_seconds * MAX_QUEUE_TARGETS
     queue, expected = (
         found.queue_ms / MILLISECONDS_PER_SECOND,
         found.expected_ms / MILLISECONDS_PER_SECOND,
     )
     max_wait = max_wait_seconds(call)
     if found.estimate is not None and not call.attempts.count:
-        # A returning request has waited already, and is refused only if its caller would leave.
-        target = math.inf if call.attempts.returning else call.route.latency_target_seconds
+        # A returning request has waited already, and a stream that is taken up has begun: they
+        # are refused only if their caller would leave.
+        waits = call.attempts.returning or call.attempts.binding.begun
+        target = math.inf if waits else call.route.latency_target_seconds
         return late_refusal(found.estimate, max_wait, target, OVERLOADED_RETRY_SECONDS)
     excess = max(queue - longest, expected - max_wait)
     if excess <= 0 or call.attempts.count:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_table.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_table.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from redwingscale_daemon._internal.routes.idempotency import Idempotency
 from redwingscale_daemon._internal.routes.route import Route
 from redwingscale_daemon._internal.routes.service_rule import ServiceRule
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys
@@ -53,6 +54,12 @@
         """All routes."""
         return self.by_host_and_prefix.values()
 
+    @cached_property
+    def longest_stream_seconds(self) -> float:
+        """The longest time limit of a route for streams, 0 without one."""
+        streams = (one for one in self.routes if one.idempotency is Idempotency.STREAM)
+        return max((one.time_limit_seconds for one in streams), default=0.0)
+
     @cached_property
     def digest(self) -> bytes:
         """A digest of all but the version, the same wherever the table was built.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
@@ -2,12 +2,13 @@
 
 import math
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import msgspec
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import HistoryGone, PlatformError
+from redwingscale_daemon._internal.fleet.software_versions import SoftwareRecord
 from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
 from redwingscale_daemon._internal.store.rows import RowKey, RowStore, StoredRow
 
@@ -33,6 +34,16 @@
     instances: int = 0
 
 
+class SoftwareRows(Protocol):
+    """What instances that have just started need to know of software versions."""
+
+    def record(self) -> SoftwareRecord:
+        """Return what is known here."""
+
+    def take_row(self, row: bytes | None) -> None:
+        """Take over what the leader's row says, None if there has never been a leader."""
+
+
 class LeaseTiming(NamedTuple):
     """The times of a lease.
 
@@ -73,7 +84,10 @@
         timing: LeaseTiming,
         clock: Clock = lease_clock,
         may_lead: Callable[[], bool] = lambda: True,
+        software: SoftwareRows | None = None,
     ) -> None:
+        # Writes what is known of software versions with the record, and takes it over from it.
+        self._software = software
         self._store = store
         self._start = start
         self._describe = describe
@@ -197,7 +211,10 @@
             log_event("giver_released", fence=self._fence)
 
     def _write(self, record: LeaderRecord) -> int | None:
-        return self._store.write(LEASE_ROW, msgspec.json.encode(record), self._row_version)
+        fields = msgspec.structs.asdict(record)
+        if self._software is not None:
+            fields |= msgspec.structs.asdict(self._software.record())
+        return self._store.write(LEASE_ROW, msgspec.json.encode(fields), self._row_version)
 
     def _renew(self) -> None:
         started = self._clock()
@@ -227,13 +244,19 @@
         snapshot = self._store.read(LEASE_ROW.table, LEASE_ROW.partition)
         self._store_version = snapshot.version
         if not self._observe_newest(row for row in snapshot.rows if row.key == LEASE_ROW):
+            self._take_software(None)
             self._observe(ABSENT, None)
 
+    def _take_software(self, row: bytes | None) -> None:
+        if self._software is not None and self._record is None:
+            self._software.take_row(row)
+
     def _observe_newest(self, rows: Iterable[StoredRow]) -> bool:
         """Note the newest of ``rows``; return whether there is one."""
         row = max(rows, key=lambda row: row.version, default=None)
         if row is None:
             return False
+        self._take_software(row.value)
         if row.value is None:
             self._observe(ABSENT, None)
         else:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/local_demand.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/local_demand.py
@@ -7,7 +7,8 @@
 
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.terms import Terms
-from redwingscale_daemon._internal.swaps.messages import DemandEntry
+from redwingscale_daemon._internal.swaps.bound_waits import LocalBoundWaits
+from redwingscale_daemon._internal.swaps.messages import BoundWait, DemandEntry
 
 _Key = tuple[str, Unit]
 # Fraction of the newest request in the mean weight of a unit's requests; most of them
@@ -28,6 +29,7 @@
         # Mean weight of the requests for each unit.
         self._weights: dict[_Key, float] = {}
         self._wait_ends_at: dict[_Key, list[float]] = defaultdict(list)
+        self._bound = LocalBoundWaits()
         self._wake: Callable[[], None] = lambda: None
 
     def on_new_wait(self, wake: Callable[[], None]) -> None:
@@ -56,16 +58,32 @@
             self._refused_waits[key] = max(max_wait_seconds, self._refused_waits.get(key, 0.0))
         self._wake()
 
-    def begin_wait(self, service: str, unit: Unit, max_wait_seconds: float) -> None:
-        """Note that a request waits for ``unit``, for at most ``max_wait_seconds``."""
+    def begin_wait(
+        self, service: str, unit: Unit, max_wait_seconds: float, software: str | None = None
+    ) -> None:
+        """Note that a request waits for ``unit``, for at most ``max_wait_seconds``.
+
+        ``software`` is the version that a begun stream waits for, None for any version.
+        """
+        if software is not None:
+            self._bound.begin(service, unit, software, max_wait_seconds)
+            self._wake()
+            return
         key = (service, unit)
         with self._lock:
             self._waiting[key] += 1
             self._wait_ends_at[key].append(time.monotonic() + max_wait_seconds)
         self._wake()
 
-    def end_wait(self, service: str, unit: Unit) -> None:
-        """Note that a request no longer waits for ``unit``."""
+    def bound_waits(self) -> list[BoundWait]:
+        """Return the begun streams that wait for one software version."""
+        return self._bound.entries()
+
+    def end_wait(self, service: str, unit: Unit, software: str | None = None) -> None:
+        """Note that a request no longer waits for ``unit``; ``software`` as in `begin_wait`."""
+        if software is not None:
+            self._bound.end(service, unit, software)
+            return
         key = (service, unit)
         with self._lock:
             self._waiting[key] -= 1
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -31,6 +31,20 @@
     refused_wait_seconds: float = 0.0
 
 
+class BoundWait(msgspec.Struct, array_like=True):
+    """Begun streams that wait for a unit at an upstream of the version ``software``.
+
+    At least one of the ``requests`` can wait for another ``max_wait_seconds``, and none longer.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    software: str
+    requests: int
+    max_wait_seconds: float
+
+
 class LoadEntry(msgspec.Struct, array_like=True):
     """The open requests at an upstream, and their prompt tokens that it has yet to read.
 
@@ -144,7 +158,7 @@
     ``places`` has the tokens of requests for holders since then, by workspace. ``start``
     identifies the process. ``repeats`` are those that it has sent in the last window beyond
     the part that its own requests allow, by service. At the addresses of the ``replaced``
-    upstreams, by id, other processes listen.
+    upstreams, by id, other processes listen. ``bound_waits`` are those of begun streams.
     """
 
     instance: str
@@ -166,6 +180,7 @@
     start: str = ""
     repeats: dict[str, int] = {}
     replaced: dict[str, str] = {}
+    bound_waits: list[BoundWait] = []
 
 
 class ResidencyEntry(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -45,6 +45,9 @@
         self.answers_cut = meter.create_counter("redwingscale_answers_cut", unit="1")
         self.repeats = meter.create_counter("redwingscale_repeats", unit="1")
         self._resumed = meter.create_counter("redwingscale_resumed_streams", unit="1")
+        self.taken_up = meter.create_counter("redwingscale_taken_up_streams", unit="1")
+        self._origin_datagrams = meter.create_counter("redwingscale_origin_datagrams", unit="1")
+        self._origin_bytes = meter.create_counter("redwingscale_origin_bytes", unit="By")
         self.suspects = meter.create_counter("redwingscale_suspects", unit="1")
         self.places = meter.create_counter("redwingscale_places", unit="1")
         self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
@@ -69,6 +72,11 @@
         if len(software) > 1:
             self._resumed.add(len(software) - 1, {"within": "answer", "software": "other"})
 
+    def record_origin_datagram(self, kind: str, size: int) -> None:
+        """Count a datagram of ``size`` bytes that tells or asks how a stream began."""
+        self._origin_datagrams.add(1, {"kind": kind})
+        self._origin_bytes.add(size, {"kind": kind})
+
     def observe_bytes_held(self, read: Callable[[], int]) -> None:
         """Report ``read()``, the bytes held for callers and upstreams, as a gauge."""
 
--- a/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/engine_simulation.py
@@ -19,6 +19,7 @@
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
+from redwingscale_daemon._internal.forwarding.stream_binding import StreamBinding
 from redwingscale_daemon._internal.forwarding.wait_bounds import (
     max_wait_seconds,
     overload_refusal,
@@ -160,7 +161,9 @@
                 latency_target_seconds=self.shape.target_seconds,
                 first_event_seconds=min(self.shape.limit_seconds, 4 * self.shape.target_seconds),
             ),
-            attempts=SimpleNamespace(count=0, last_event_at=None, returning=False),
+            attempts=SimpleNamespace(
+                binding=StreamBinding(), count=0, last_event_at=None, returning=False
+            ),
             request=SimpleNamespace(arrived_at=now),
             watch=SimpleNamespace(remaining=lambda: self.shape.limit_seconds),
         )
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_overload.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_overload.py
@@ -9,6 +9,7 @@
 from redwingscale_daemon._internal.fleet.prompt import Prompt
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
+from redwingscale_daemon._internal.forwarding.stream_binding import StreamBinding
 from redwingscale_daemon._internal.swaps.local_demand import LocalDemand
 
 PROMPT = Prompt(Unit("m"), 1000, 10, ())
@@ -24,7 +25,7 @@
     def __init__(self, sampled, best):
         self.sampled, self.best = sampled, best
 
-    def choose_holder(self, service, prompt, tried, *, compare_all=False):
+    def choose_holder(self, service, prompt, tried, allows, *, compare_all=False):
         return self.best if compare_all else self.sampled
 
 
@@ -33,7 +34,7 @@
     return SimpleNamespace(
         service="llm",
         route=SimpleNamespace(latency_target_seconds=0.8, first_event_seconds=4.0),
-        attempts=SimpleNamespace(tried=set(), count=0, last_event_at=None),
+        attempts=SimpleNamespace(binding=StreamBinding(), tried=set(), count=0, last_event_at=None),
         request=SimpleNamespace(arrived_at=time.monotonic()),
         watch=SimpleNamespace(remaining=lambda: 10.0),
     )
--- a/packages/redwingscale-standins/src/redwingscale_standins/returns/instance.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/returns/instance.py
@@ -17,6 +17,7 @@
 from redwingscale_daemon._internal.fleet.unplanned_units import UnplannedUnits
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
 from redwingscale_daemon._internal.forwarding.holder_wait import HolderWait
+from redwingscale_daemon._internal.forwarding.stream_binding import StreamBinding
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
@@ -73,6 +74,7 @@
             first_event_seconds=min(caller.limit, max(2.0, 4 * caller.target)),
         ),
         attempts=SimpleNamespace(
+            binding=StreamBinding(),
             tried=set(),
             unreached=set(),
             count=0,
