Load a model at the version of begun streams that wait for it, and keep its last copy

Callers saw streams cut though a worker of their version served: it did not hold the model, and the leader counted the model as resident at another version. Change: instances tell the leader which begun streams wait for which version; it loads the model or adapter at a worker of that version, and does not evict the last copy there while streams run on it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/evictions.py
@@ -53,6 +53,7 @@
         self._service = service
         self._engine = engine
         self._demand = demand
+        self._views = views
         # None where copies at hand decide nothing.
         self.guard = guard
         self.holder_counts = _holder_counts(views)
@@ -91,10 +92,20 @@
         ]
 
     def _may_evict(self, name: str, view: WorkerView) -> bool:
-        if not _is_evictable(name, view):
+        if not _is_evictable(name, view) or self._is_last_for_streams(name, view):
             return False
         return self.guard is None or self.guard.may_evict(name, view)
 
+    def _is_last_for_streams(self, name: str, view: WorkerView) -> bool:
+        """Return whether streams that run here could go on at no other upstream."""
+        software = view.upstream.software
+        same = [one for one in self._views if one.upstream.software == software]
+        return (
+            len(same) < len(self._views)
+            and view.open_for(name) > 0
+            and not any(name in one.resident for one in same if one is not view)
+        )
+
     def _room_mb(self, view: WorkerView, evicted: tuple[str, ...]) -> float:
         kept = {name: adapters for name, adapters in view.resident.items() if name not in evicted}
         return self._engine.weights_mb - view.reserved_mb - used_mb(self._engine, kept)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader.py
@@ -20,6 +20,7 @@
 from redwingscale_daemon._internal.settings.scheduling import Mode
 from redwingscale_daemon._internal.swaps.adapter_orders import AdapterOrders
 from redwingscale_daemon._internal.swaps.announced_returns import AnnouncedReturns
+from redwingscale_daemon._internal.swaps.bound_waits import BoundWaits
 from redwingscale_daemon._internal.swaps.copy_plans import CopyPlans, CopySettings
 from redwingscale_daemon._internal.swaps.demand import Demand, WaitingUnit
 from redwingscale_daemon._internal.swaps.failing_upstreams import FailingUpstreams
@@ -28,6 +29,7 @@
 from redwingscale_daemon._internal.swaps.list_changes import ListChanges
 from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling, LoadRate
 from redwingscale_daemon._internal.swaps.messages import (
+    BoundWait,
     InstanceUpdate,
     LeaderUpdate,
     LoadEntry,
@@ -114,6 +116,7 @@
         # Returns what a new configuration changes, for the update that is sent next.
         self._next_difference = next_difference
         self._demand = Demand()
+        self._bound_waits = BoundWaits()
         self._copies = CopyPlans(copies or CopySettings(), self._demand)
         # Services with staged copies whose initial copies are noted; later ones may be staged.
         self._noted: set[str] = set()
@@ -165,7 +168,8 @@
             self._schedule.request_full()
             self._wake.set()
         self._returns.receive(update.returns)
-        if any(entry.waiting or entry.refused for entry in update.demand):
+        bound = self._bound_waits.receive(update)
+        if bound or any(entry.waiting or entry.refused for entry in update.demand):
             self._wake.set()
 
     def forget(self, upstream_ids: set[str]) -> None:
@@ -272,6 +276,8 @@
         return rule.engine if rule else None
 
     def _plan(self) -> None:
+        for bound in self._bound_waits.all():
+            self._load_at_version(bound)
         wanted = self._demand.wanted()
         for waiting in wanted:
             engine = self._engine(waiting.service)
@@ -293,6 +299,27 @@
                 if self._ordered_return(service.engine):
                     self._note_plan(name, [one for one in wanted if one.service == name], complete)
 
+    def _load_at_version(self, bound: BoundWait) -> None:
+        """Load what begun streams wait for at an upstream of the version that began them."""
+        engine = self._engine(bound.service)
+        if engine is None:
+            return
+        unit = Unit(bound.model, bound.adapter)
+        waiting = WaitingUnit(bound.service, unit, bound.requests, bound.max_wait_seconds)
+        views = [
+            view for view in self._views(bound.service) if view.upstream.software == bound.software
+        ]
+        if any(_has_resident(view, unit) or view.loading == unit.model for view in views):
+            return
+        if any(unit.model in view.resident for view in views):
+            self._adapters.load_waiting(waiting, engine, views)
+            return
+        planner = Planner(bound.service, engine, self._demand)
+        cold_allowed = self._rate.allows_load(self._ceiling(engine))
+        swap = planner.swap_for(waiting, views, cold_allowed=cold_allowed)
+        if swap is not None:
+            self._start_swap(swap, [waiting])
+
     def _note_plan(self, service: str, wanted: list[WaitingUnit], complete: bool) -> None:
         views = self._views(service)
         self._demand.note_resident(service, {name for view in views for name in view.resident})
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_software_versions.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_software_versions.py
@@ -9,9 +9,10 @@
     RollingUpdate,
     Silences,
     VersionGone,
+    WorkerEnds,
 )
 from redwingscale_standins.versions.play import Play, play
-from redwingscale_standins.versions.world import FIRST
+from redwingscale_standins.versions.world import FIRST, OTHER
 
 # Allowed over a whole run, and the part of the streams taken up that has to go on.
 MOST_MIXED = 2
@@ -65,3 +66,12 @@
     """Guards against a peer that goes on with a begun stream at another version."""
     result = play(Play((CutPaths(),), LEAVES, seconds=SECONDS), tmp_path)
     assert result.mixed <= MOST_MIXED, result.describe()
+
+
+def test_streams_whose_last_holder_ends_go_on_at_a_worker_that_loads_the_model(tmp_path):
+    """Guards against streams that are lost since only workers of another version hold the model."""
+    software = (FIRST, FIRST, OTHER, OTHER)
+    plan = Play((WorkerEnds(0, 4.0),), Habits(), software, without_model=(1,), seconds=SECONDS)
+    result = play(plan, tmp_path)
+    assert result.mixed <= MOST_MIXED, result.describe()
+    assert all(one.whole for one in result.held), result.describe()
--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/faults.py
@@ -20,6 +20,13 @@
     after_seconds: float = 6.0
 
 
+class WorkerEnds(NamedTuple):
+    """The worker ``number`` ends for good ``after_seconds``."""
+
+    number: int = 0
+    after_seconds: float = 3.0
+
+
 class Resets(NamedTuple):
     """The connections of one worker after another are reset."""
 
@@ -51,4 +58,4 @@
     for_seconds: float = 2.5
 
 
-Fault = RollingUpdate | VersionGone | Resets | Silences | Kills | StoreAway | CutPaths
+Fault = RollingUpdate | VersionGone | WorkerEnds | Resets | Silences | Kills | StoreAway | CutPaths
--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/play.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/play.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import NamedTuple
@@ -22,6 +22,7 @@
     Silences,
     StoreAway,
     VersionGone,
+    WorkerEnds,
 )
 from redwingscale_standins.versions.rule import has_gap, mixed_streams
 from redwingscale_standins.versions.world import FIRST, OTHER, VersionWorld
@@ -37,6 +38,8 @@
     faults: tuple[Fault, ...] = ()
     habits: Habits = Habits()
     software: Sequence[str] = (FIRST, FIRST, FIRST, OTHER, OTHER, OTHER)
+    # Workers that hold another model at first.
+    without_model: Collection[int] = ()
     instances: int = 6
     per_second: float = 12.0
     seconds: float = 16.0
@@ -95,7 +98,7 @@
 
 def play(plan: Play, directory: Path) -> Result:
     """Play ``plan`` on processes of its own, whose logs are kept in ``directory``."""
-    world = VersionWorld(directory, plan.software)
+    world = VersionWorld(directory, plan.software, plan.without_model)
     try:
         world.start_instances(plan.instances)
         return _Run(plan, world).result()
@@ -144,6 +147,9 @@
                     for one in places:
                         if one.worker.software == FIRST:
                             one.end()
+            case WorkerEnds():
+                if not self._ended.wait(fault.after_seconds):
+                    places[fault.number].end()
             case Resets():
                 for one in itertools.cycle(places):
                     if self._ended.wait(fault.every_seconds):
--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/world.py
@@ -1,7 +1,7 @@
 """A store, workers of two software versions behind links, and instances."""
 
 import threading
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from pathlib import Path
@@ -17,7 +17,7 @@
 from redwingscale_standins.soak.process_paths import ProcessPaths
 
 FIRST, OTHER = "v1", "v1.1"
-MODEL = "m1"
+MODEL, OTHER_MODEL = "m1", "m2"
 EVENT_GAP_SECONDS = 0.05
 SERVER_THREADS = 64
 # Instances that start at the same time.
@@ -93,7 +93,9 @@
 class VersionWorld:
     """Everything that a play starts; `stop` ends it."""
 
-    def __init__(self, directory: Path, software: Sequence[str]) -> None:
+    def __init__(
+        self, directory: Path, software: Sequence[str], without_model: Collection[int] = ()
+    ) -> None:
         self._directory = directory
         self.rows = RowsApi()
         self._store = HttpServer(self.rows, "127.0.0.1", 0, ServerLimits(threads=96))
@@ -101,7 +103,9 @@
         self.rows.put("op", "config", document(1))
         self.paths = ProcessPaths()
         self.places = [
-            VersionPlace(f"w{number}", version, [MODEL], self)
+            VersionPlace(
+                f"w{number}", version, [OTHER_MODEL if number in without_model else MODEL], self
+            )
             for number, version in enumerate(software)
         ]
         self.instances: list[InstanceProcess] = []
