Let the soak start workers of two software versions, and callers take up their streams

Cause: all stand-ins and the soak listed all workers as v1 and wrote the same words at all of them, so that no test could see a stream of two versions. Change: workers of a soak are started with one of two versions in no order, also where others are replaced in place or restarted; callers leave and take streams up at other instances; the oracle of the plays judges what they and all other callers hold. Units for what is known of versions and begins; Last-Event-Id on a route that has no streams is left alone; datagrams are counted once for each begin.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/stream_origins.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/stream_origins.py
@@ -48,7 +48,7 @@
 
     versions = SoftwareVersions(stream_seconds, list_age)
     directory.on_list(versions.follow)
-    link = OriginLink(own_address, peers, leader, metrics.record_origin_datagram)
+    link = OriginLink(own_address, peers, leader, metrics.record_origin_datagrams)
     origins = StreamOrigins(link, stream_seconds, versions.note)
     link.connect(origins.receive, origins.entry)
     resumption = StreamResumption(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
@@ -45,18 +45,21 @@
         stream_seconds: Callable[[], float],
         list_age: Callable[[], float],
         clock: Clock = lease_clock,
+        steady_clock: Clock = time.monotonic,
     ) -> None:
         # Returns for how long a stream can live, over all tries of its caller.
         self._stream_seconds = stream_seconds
         # Returns the seconds since the list was known to be current, by the steady clock.
         self._list_age = list_age
         self._clock = clock
+        # Stops while the machine is suspended, as that of the list's age does.
+        self._steady_clock = steady_clock
         self._lock = threading.Lock()
         self._current: tuple[Upstream, ...] = ()
         # When an upstream of each version was listed last; None stands for an unknown version.
         self._listed_at: dict[str, dict[str | None, float]] = defaultdict(dict)
         self._known_since = clock()
-        self._suspended = clock() - time.monotonic()
+        self._suspended = clock() - steady_clock()
         self._resumed_at = -math.inf
 
     def follow(self, before: Iterable[Upstream], after: Iterable[Upstream]) -> None:
@@ -136,7 +139,7 @@
             self._listed_at[upstream.service][upstream.software] = now
 
     def _is_list_current(self) -> bool:
-        now = time.monotonic()
+        now = self._steady_clock()
         suspended = self._clock() - now
         if suspended > self._suspended + SUSPENDED_SECONDS:
             self._suspended, self._resumed_at = suspended, now
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/origin_link.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/origin_link.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from contextlib import closing
 
 import msgspec
@@ -57,13 +57,13 @@
         own_address: Callable[[], str],
         peers: Callable[[], Sequence[str]],
         leader: Callable[[], str | None],
-        on_sent: Callable[[str, int], None] = lambda kind, size: None,
+        on_sent: Callable[[str, int, int], None] = lambda kind, datagrams, size: None,
     ) -> None:
         # Returns "HOST:PORT" of the peer server, which is open before `start`.
         self._own_address = own_address
         self._peers = peers
         self._leader = leader
-        # Called with the kind and the bytes of each datagram sent.
+        # Called with the kind, number and total bytes of datagrams sent.
         self._on_sent = on_sent
         self._receive: Callable[[Sequence[OriginEntry]], None] = lambda entries: None
         self._find: Callable[[bytes], OriginEntry | None] = lambda key: None
@@ -102,14 +102,13 @@
         self._stopped = True
         if self._socket is not None:
             # The thread waits for a datagram.
-            self._send("stop", self._socket.getsockname(), b"")
+            self._send(self._socket.getsockname(), b"")
             self._thread.join(STOP_SECONDS)
 
     def tell(self, entry: OriginEntry) -> None:
         """Send an entry to the leader and some other instances, without waiting."""
         message = msgspec.msgpack.encode(OriginMessage([entry]))
-        for address in self._told():
-            self._send("told", address, message)
+        self._send_all("told", self._told(), message)
 
     def ask(self, key: bytes) -> OriginEntry | None:
         """Return what an instance knows, None if none says so within `ASK_SECONDS`."""
@@ -128,8 +127,7 @@
                     and (silent := asked - question.answered)
                     and (left := ends_at - time.monotonic()) > 0
                 ):
-                    for address in silent:
-                        self._send("asked", address, message)
+                    self._send_all("asked", silent, message)
                     question.condition.wait_for(
                         lambda: question.entry is not None or question.answered >= asked,
                         min(left, ASK_AGAIN_SECONDS),
@@ -151,15 +149,20 @@
             return addresses
         return [addresses[0], *self._random.sample(addresses[1:], MOST_TOLD - 1)]
 
-    def _send(self, kind: str, address: Address, message: bytes) -> None:
+    def _send_all(self, kind: str, addresses: Iterable[Address], message: bytes) -> None:
+        sent = sum(self._send(address, message) for address in addresses)
+        self._on_sent(kind, sent, sent * len(message))
+
+    def _send(self, address: Address, message: bytes) -> bool:
+        """Send a datagram without waiting; return whether the kernel took it."""
         if self._socket is None:
-            return
+            return False
         try:
             self._socket.sendto(message, socket.MSG_DONTWAIT, address)
         except OSError as error:
             log_event("origin_not_sent", level="WARNING", peer=address[0], error=error)
-            return
-        self._on_sent(kind, len(message))
+            return False
+        return True
 
     def _run(self) -> None:
         assert self._socket is not None, "started without a socket"
@@ -178,7 +181,7 @@
         if message.asked:
             entry = self._find(message.asked)
             answer = OriginMessage([entry] if entry else [], number=message.number)
-            self._send("answered", sender, msgspec.msgpack.encode(answer))
+            self._send_all("answered", [sender], msgspec.msgpack.encode(answer))
         elif message.number:
             self._take_answer(message, sender)
         else:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_resumption.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_resumption.py
@@ -18,6 +18,7 @@
     StreamOrigins,
 )
 from redwingscale_daemon._internal.forwarding.terms import Terms
+from redwingscale_daemon._internal.routes.idempotency import Idempotency
 from redwingscale_daemon._internal.routes.route import Route
 
 SERVICE_CHANGED = "service_changed"
@@ -47,7 +48,7 @@
 
     def find(self, route: Route, terms: Terms, workspace: str) -> Found | None:
         """Return how the stream of a request began, None for a new stream; raises `Refusal`."""
-        if terms.last_event is None:
+        if terms.last_event is None or route.idempotency is not Idempotency.STREAM:
             return None
         services = [one.service for one in route.services]
         found = self._find(services, terms, workspace)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -72,9 +72,9 @@
         if len(software) > 1:
             self._resumed.add(len(software) - 1, {"within": "answer", "software": "other"})
 
-    def record_origin_datagram(self, kind: str, size: int) -> None:
-        """Count a datagram of ``size`` bytes that tells or asks how a stream began."""
-        self._origin_datagrams.add(1, {"kind": kind})
+    def record_origin_datagrams(self, kind: str, datagrams: int, size: int) -> None:
+        """Count datagrams of ``size`` bytes in all that tell or ask how a stream began."""
+        self._origin_datagrams.add(datagrams, {"kind": kind})
         self._origin_bytes.add(size, {"kind": kind})
 
     def observe_bytes_held(self, read: Callable[[], int]) -> None:
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_software_versions.py
@@ -0,0 +1,127 @@
+"""Which software versions may have begun a stream that still lives."""
+
+import msgspec
+import pytest
+from redwingscale_daemon._internal.fleet.software_versions import SoftwareVersions
+from redwingscale_daemon._internal.fleet.upstream import Upstream
+
+STREAM_SECONDS = 40.0
+
+
+class Clock:
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def ages():
+    return {"list": 0.1, "suspended": 0.0}
+
+
+@pytest.fixture
+def make(clock, ages):
+    def make():
+        return SoftwareVersions(
+            lambda: STREAM_SECONDS, lambda: ages["list"], clock, lambda: clock() - ages["suspended"]
+        )
+
+    return make
+
+
+def listed(*software):
+    return [
+        Upstream(
+            f"u{number}", "llm", "127.0.0.1", number, "z1", 64, False, None, {},
+            frozenset(), frozenset(), software=one,
+        )
+        for number, one in enumerate(software)
+    ]  # fmt: skip
+
+
+def test_version_is_the_only_one_once_the_others_have_been_gone_for_a_stream(make, clock):
+    versions = make()
+    versions.take_row(None)
+    both, one = listed("v1", "v1.1"), listed("v1.1", "v1.1")
+    versions.follow([], both)
+    assert versions.sole("llm") is None
+    versions.follow(both, one)
+    clock.now += STREAM_SECONDS - 1
+    assert versions.sole("llm") is None
+    clock.now += 2
+    assert versions.sole("llm") == "v1.1"
+
+
+def test_instance_that_has_just_started_knows_no_only_version(make, clock):
+    """Guards against a stream of a version that was gone right before the instance started."""
+    versions = make()
+    versions.follow([], listed("v1.1"))
+    assert versions.sole("llm") is None
+    clock.now += STREAM_SECONDS + 1
+    assert versions.sole("llm") == "v1.1"
+
+
+def test_row_of_the_leader_carries_versions_over_a_restart_of_all_instances(make, clock):
+    before, after = make(), make()
+    before.take_row(None)
+    before.follow([], listed("v1", "v1.1"))
+    before.follow(listed("v1", "v1.1"), listed("v1.1"))
+    clock.now += 3
+    row = msgspec.json.encode(before.record())
+    clock.now += 2
+    after.take_row(row)
+    after.follow([], listed("v1.1"))
+    assert after.remembered("llm") == {"v1", "v1.1"}
+    clock.now += STREAM_SECONDS
+    assert after.sole("llm") == "v1.1"
+
+
+def test_row_of_the_former_release_says_nothing(make):
+    versions = make()
+    versions.take_row(b'{"instance": "one", "host": "h"}')
+    versions.follow([], listed("v1"))
+    assert versions.sole("llm") is None
+
+
+def test_old_list_knows_no_only_version(make, ages):
+    """Guards against an instance that is cut off while a new version begins to serve."""
+    versions = make()
+    versions.take_row(None)
+    versions.follow([], listed("v1"))
+    assert versions.sole("llm") == "v1"
+    ages["list"] = 2.5
+    assert versions.sole("llm") is None
+
+
+def test_list_from_before_a_suspend_knows_no_only_version(make, clock, ages):
+    """Guards against a list that the steady clock takes for current after a suspend."""
+    versions = make()
+    versions.take_row(None)
+    versions.follow([], listed("v1"))
+    clock.now += 30
+    ages["suspended"] = 30.0
+    assert versions.sole("llm") is None
+    clock.now += 1
+    assert versions.sole("llm") == "v1"
+
+
+def test_version_that_another_instance_tells_counts(make):
+    versions = make()
+    versions.take_row(None)
+    versions.follow([], listed("v1"))
+    versions.note("llm", "v1.1")
+    assert versions.sole("llm") is None
+
+
+def test_upstream_of_unknown_version_leaves_no_only_version(make):
+    versions = make()
+    versions.take_row(None)
+    versions.follow([], listed("v1", None))
+    assert versions.sole("llm") is None
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/caller.py
@@ -18,6 +18,7 @@
     World,
     version_key,
 )
+from redwingscale_standins.versions.rule import read_pieces
 
 STREAM_LIMIT_SECONDS = 8.0
 # Tolerance beyond the limit: half a second is promised, the rest allows for a busy machine.
@@ -206,6 +207,7 @@
             add_finding("refused", f"{context}: {response.status} without Retry-After")
 
     def _check_events(self, request: _Request, body: bytes, context: str) -> None:
+        self._world.ledger.pieces_by_request[request.id] = [*read_pieces(body)]
         numbers = [int(line[4:]) for line in body.decode().splitlines() if line[:4] == "id: "]
         expected = int(request.headers["X-Redwingscale-Token-Usage"].partition(",")[2])
         if numbers != list(range(1, expected + 1)):
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/ledger.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/ledger.py
@@ -7,6 +7,8 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
+from redwingscale_standins.versions.rule import Piece
+
 
 class Run(NamedTuple):
     """The start of a request at a worker."""
@@ -71,6 +73,8 @@
         # Requests and the workers that had no room for them, although a run was recorded.
         self.no_room: set[tuple[str, str]] = set()
         self.findings: list[str] = []
+        # The events of streams that callers hold from one answer.
+        self.pieces_by_request: dict[str, list[Piece]] = {}
         # Requests that the soak itself sends, in addition to the callers.
         self.probes: set[str] = set()
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -24,8 +24,10 @@
 from redwingscale_standins.soak.faults import Faults
 from redwingscale_standins.soak.lost_path import check_path_cuts
 from redwingscale_standins.soak.replacements import check_repeats
+from redwingscale_standins.soak.versions import Takers
 from redwingscale_standins.soak.whole_answers import check_whole_answers
 from redwingscale_standins.soak.world import STEADY_KEY, WorkerHost, World
+from redwingscale_standins.versions.world import FIRST, OTHER
 
 CALLERS_EACH = 4
 HEARTBEAT_SECONDS = 0.4
@@ -56,15 +58,18 @@
     ending_bodies: bool = True,
     stalls: bool = True,
     replacements: bool = True,
+    versions: bool = True,
 ) -> Outcome:
     """Run one seed and return its outcome; logs are kept in ``directory``.
 
     With ``ending_bodies``, seeds with unplanned faults have bodies that end their workers.
     With ``stalls``, all seeds have sound workers that pause, slow paths and slow callers.
     With ``replacements``, seeds with unplanned faults have workers that come back with another id.
+    With ``versions``, workers are started with two software versions in no order, and callers take
+    streams up at other instances.
     """
     planned_only = seed % PLANNED_EVERY == 0
-    world = World(directory, instances, seed)
+    world = World(directory, instances, seed, (FIRST, OTHER) if versions else (FIRST,))
     callers = [
         Caller(world, number, seed, stalls=stalls) for number in range(instances * CALLERS_EACH)
     ]
@@ -75,6 +80,7 @@
         stalls=stalls,
         replacements=replacements and not planned_only,
     )
+    takers = Takers(world) if versions else None
     ended = threading.Event()
     history = _WorkerHistory(world)
     heartbeats = threading.Thread(
@@ -84,11 +90,16 @@
         heartbeats.start()
         for caller in callers:
             caller.start()
+        if takers is not None:
+            takers.start()
         faults.run(seconds)
         for caller in callers:
             caller.stopped = True
         for caller in callers:
             caller.join()
+        if takers is not None:
+            takers.stop()
+            takers.check()
         _check_recovery(world)
         check_requests(world)
         check_cuts(world, planned_only=planned_only)
@@ -105,6 +116,8 @@
     finally:
         for caller in callers:
             caller.stopped = True
+        if takers is not None:
+            takers.stop()
         ended.set()
         # A fault in progress would restart an instance after the cleanup.
         faults.wait()
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/world.py
@@ -3,7 +3,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -66,7 +66,7 @@
             "Service": self.service,
             "Address": f"127.0.0.1:{self.link.port}",
             "Zone": "z1",
-            "Version": "v1",
+            "Version": self.worker.software,
             "Slots": 16,
             "State": self.state,
             "ColdLeftMs": 0,
@@ -117,7 +117,12 @@
 class World:
     """Everything that a soak starts; `stop` ends it by the ids it has."""
 
-    def __init__(self, directory: Path, instances: int, seed: int) -> None:
+    def __init__(
+        self, directory: Path, instances: int, seed: int, software: Sequence[str] = ("v1",)
+    ) -> None:
+        # The versions that workers are started with; drawn apart from the faults.
+        self._software = software
+        self._drawn_software = random.Random(f"software {seed}")
         self.seed = seed
         self.random = random.Random(seed)
         self.ledger = Ledger()
@@ -195,6 +200,7 @@
         self, service: str, models: set[str], link: FaultyLink | None = None
     ) -> WorkerHost:
         worker = SoakWorker(f"w{next(self._numbers)}", models, self.ledger)
+        worker.software = self._drawn_software.choice(self._software)
         host = WorkerHost(worker, service, self.paths, link)
         worker.on_ending_body = lambda: self._end(host)
         self.all_hosts.append(host)
