Refuse a begun stream at once if no worker of its version has its model in time

Callers of a begun stream waited for some seconds for a load that cannot end in time. Cause: the wait was judged by the loads of any version. Change: a begun stream waits only if a worker of its version holds or can load the unit within the time that its caller waits.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -2,6 +2,7 @@
 
 import uuid
 from collections.abc import Callable
+from functools import partial
 
 from redwingscale_common.utils.logs import log_event
 
@@ -21,7 +22,10 @@
 from redwingscale_daemon._internal.composition.pauses import PauseRules
 from redwingscale_daemon._internal.composition.places import build_fair_places
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
-from redwingscale_daemon._internal.composition.stream_origins import build_stream_origins
+from redwingscale_daemon._internal.composition.stream_origins import (
+    build_stream_origins,
+    load_seconds,
+)
 from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
@@ -318,6 +322,7 @@
             lambda rank, result: metrics.places.add(1, {"rank": str(rank), "result": result}),
         ),
         detours.detour.choose,
+        partial(load_seconds, routes, fleet.directory),
     )
     return RequestHandler(
         routes,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/stream_origins.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/stream_origins.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.fleet.software_versions import SoftwareVersions
+from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.forwarding.origin_link import OriginLink
 from redwingscale_daemon._internal.forwarding.stream_origins import StreamOrigins
@@ -55,3 +57,20 @@
         origins, versions, lambda result: metrics.taken_up.add(1, {"result": result})
     )
     return StreamParts(versions, resumption, link)
+
+
+def load_seconds(
+    routes: CurrentRoutes,
+    directory: UpstreamDirectory,
+    service: str,
+    unit: Unit,
+    upstream: Upstream,
+) -> float:
+    """Return the seconds in which ``upstream`` could load ``unit``, 0 if it holds the model."""
+    engine = routes.engine(service)
+    rule = engine.models_by_name.get(unit.model) if engine else None
+    if rule is None or unit.model in directory.resident(upstream):
+        return 0.0
+    if unit.model in upstream.in_memory:
+        return rule.memory_seconds
+    return rule.disk_seconds if unit.model in upstream.on_disk else rule.cold_seconds
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -1,5 +1,6 @@
 """Waits until the model or adapter of a request is resident at an upstream."""
 
+import math
 import time
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
@@ -13,6 +14,7 @@
 from redwingscale_daemon._internal.fleet.residency import Residency
 from redwingscale_daemon._internal.fleet.send_gate import SendGate
 from redwingscale_daemon._internal.fleet.unit import Unit
+from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.call import Call
 from redwingscale_daemon._internal.forwarding.final_refusal import final_refusal
 from redwingscale_daemon._internal.forwarding.peer_offers import Peer
@@ -80,6 +82,7 @@
         return time.monotonic() - self.began_at
 
 
+LoadSeconds = Callable[[str, Unit, Upstream], float]
 FindPeer = Callable[[Call, Callable[[], Sequence[str]]], Peer | None]
 
 
@@ -102,6 +105,8 @@
     places: PlaceRule = FIRST_COME_FIRST_SERVED
     # Returns another instance to pass a request on to, given how to list the holders.
     find_peer: FindPeer = lambda call, list_holders: None
+    # Returns the seconds in which an upstream of a service could load a unit, 0 if it holds it.
+    load_seconds: LoadSeconds = lambda service, unit, upstream: 0.0
 
     def choose_holder(self, call: Call, prompt: Prompt) -> Candidate | Peer:
         """Return the best holder, waiting for one; raises `Refusal`, `CallerLeft`.
@@ -146,6 +151,24 @@
         if reason is not None:
             raise final_refusal(call, reason.code, reason.detail, BEGIN_ANEW_SECONDS)
 
+    def _refuse_if_loaded_too_late(self, call: Call, prompt: Prompt) -> None:
+        """Raise `Refusal` if no upstream of a begun stream's version has the unit in time."""
+        binding, left = call.attempts.binding, max_wait_seconds(call)
+        if binding.awaited is None or self._throttled(call, prompt):
+            return
+        ready_in = self.residency.ready_in(str(prompt.unit))
+        loaded_in = min(
+            (
+                self.load_seconds(call.service, prompt.unit, one)
+                for one in self.chooser.usable(call.service)
+                if binding.allows(one) and one.id not in call.attempts.tried
+            ),
+            default=math.inf,
+        )
+        if min(loaded_in, math.inf if ready_in is None else ready_in) > left:
+            detail = f"{binding.awaited} has {prompt.unit} in {loaded_in} s, {left:.3f} s are left"
+            raise final_refusal(call, "no_holder", detail, BEGIN_ANEW_SECONDS)
+
     def _choose_holder(self, call: Call, prompt: Prompt) -> Candidate | Peer:
         self._refuse_if_not_served(call)
         found = self._cheapest(call, prompt)
@@ -254,6 +277,7 @@
                 return found
             if (peer := self._find_peer(call, prompt)) is not None:
                 return peer
+            self._refuse_if_loaded_too_late(call, prompt)
             self._refuse_if_not_in_time(call, prompt, _Wait(started, updates))
             self._refuse_if_stopping(call)
             self.changes.wait(seen, CALLER_CHECK_SECONDS)
