Keep known versions beside a leader of the release before, and forget old ones in time

Cause: a leader of the release before tells upstreams without their version, which replaced what the list had told; new ones stayed unknown until the next full read. Change: a known version stays, the list is read here while one is unknown, versions whose streams have ended are dropped from the leader's row, and a datagram that fails does not end the thread of the link.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_update_tracker.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_update_tracker.py
@@ -67,6 +67,8 @@
             and self._version >= copy.version
             and last_read_at > self._fence_at
             and now - last_read_at < FULL_READ_SECONDS
+            # A leader of the release before does not tell the versions of new upstreams.
+            and all(one.software is not None for one in copy.by_id.values())
         )
         self._log_source(replaces, last_read_at)
         return replaces
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
@@ -79,7 +79,7 @@
         """Return what is remembered, for the leader's row."""
         now = self._clock()
         with self._lock:
-            self._refresh(now)
+            self._follow_time(now)
             ages = {
                 service: {
                     software: round(now - at, 3) for software, at in times.items() if software
@@ -118,14 +118,9 @@
 
     def remembered(self, service: str) -> set[str | None]:
         """Return the versions that may have begun a stream which still lives."""
-        now = self._clock()
         with self._lock:
-            self._refresh(now)
-            since = now - self._stream_seconds()
-            times = self._listed_at[service]
-            for software in [key for key, at in times.items() if at < since]:
-                del times[software]
-            return set(times)
+            self._follow_time(self._clock())
+            return set(self._listed_at.get(service, ()))
 
     def sole(self, service: str) -> str | None:
         """Return the version that has begun all streams of ``service``, None if not known."""
@@ -134,9 +129,14 @@
         versions = self.remembered(service)
         return next(iter(versions)) if len(versions) == 1 else None
 
-    def _refresh(self, now: float) -> None:
+    def _follow_time(self, now: float) -> None:
+        """Note what is still listed, and forget versions whose streams have all ended."""
         for upstream in self._current:
             self._listed_at[upstream.service][upstream.software] = now
+        since = now - self._stream_seconds()
+        for times in self._listed_at.values():
+            for software in [key for key, at in times.items() if at < since]:
+                del times[software]
 
     def _is_list_current(self) -> bool:
         now = self._steady_clock()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -87,6 +87,9 @@
         dropped = set(gone)
 
         def apply_changes(before: dict[str, Upstream]) -> Iterable[Upstream]:
+            for key, upstream in changed_by_id.items():
+                if upstream.software is None and key in before:
+                    changed_by_id[key] = upstream._replace(software=before[key].software)
             others = {key: one for key, one in before.items() if key not in dropped}
             return {**others, **changed_by_id}.values()
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/origin_link.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/origin_link.py
@@ -20,6 +20,8 @@
 # Datagrams may be lost: those that have not answered are asked again after this time.
 ASK_AGAIN_SECONDS = 0.06
 STOP_SECONDS = 1.0
+# Bounds the log lines of a socket that fails.
+FAILED_PAUSE_SECONDS = 0.05
 # Larger than any message here.
 MAX_BYTES = 4096
 
@@ -168,9 +170,14 @@
         assert self._socket is not None, "started without a socket"
         with closing(self._socket):
             while not self._stopped:
-                data, sender = self._socket.recvfrom(MAX_BYTES)
-                if data:
-                    self._take(data, sender)
+                try:
+                    data, sender = self._socket.recvfrom(MAX_BYTES)
+                    if data:
+                        self._take(data, sender)
+                except Exception as error:
+                    # One datagram must not end the thread that answers the other instances.
+                    log_event("origin_not_taken", level="WARNING", error=repr(error))
+                    time.sleep(FAILED_PAUSE_SECONDS)
 
     def _take(self, data: bytes, sender: Address) -> None:
         try:
