Do not take a version for gone that is too new for the list here

Callers saw a begun stream cut: its peer was killed, and the list here did not name yet the worker of its version, which another instance had used for half a second. Cause: a version was gone as soon as the list here lacked it. Change: one that another instance has told of since counts for two more seconds.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
@@ -5,6 +5,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+from itertools import chain
 
 import msgspec
 from redwingscale_common.utils.logs import log_event
@@ -58,6 +59,8 @@
         self._current: tuple[Upstream, ...] = ()
         # When an upstream of each version was listed last; None stands for an unknown version.
         self._listed_at: dict[str, dict[str | None, float]] = defaultdict(dict)
+        # When another instance told of a stream of each version.
+        self._told_at: dict[str, dict[str | None, float]] = defaultdict(dict)
         self._known_since = clock()
         self._suspended = clock() - steady_clock()
         self._resumed_at = -math.inf
@@ -73,7 +76,7 @@
     def note(self, service: str, software: str) -> None:
         """Note a version that another instance has seen."""
         with self._lock:
-            self._listed_at[service][software] = self._clock()
+            self._told_at[service][software] = self._clock()
 
     def record(self) -> SoftwareRecord:
         """Return what is remembered, for the leader's row."""
@@ -120,7 +123,21 @@
         """Return the versions that may have begun a stream which still lives."""
         with self._lock:
             self._follow_time(self._clock())
-            return set(self._listed_at.get(service, ()))
+            return {*self._listed_at.get(service, ()), *self._told_at.get(service, ())}
+
+    def is_gone(self, service: str, software: str) -> bool:
+        """Return whether no upstream of a version serves any more.
+
+        One that others know and the list here lacks may be too new for it.
+        """
+        with self._lock:
+            now = self._clock()
+            self._follow_time(now)
+            listed_at = self._listed_at[service].get(software, -math.inf)
+            told_at = self._told_at[service].get(software, -math.inf)
+        if software in self.serving(service):
+            return False
+        return listed_at > told_at or now > told_at + CURRENT_LIST_SECONDS
 
     def sole(self, service: str) -> str | None:
         """Return the version that has begun all streams of ``service``, None if not known."""
@@ -134,7 +151,7 @@
         for upstream in self._current:
             self._listed_at[upstream.service][upstream.software] = now
         since = now - self._stream_seconds()
-        for times in self._listed_at.values():
+        for times in chain(self._listed_at.values(), self._told_at.values()):
             for software in [key for key, at in times.items() if at < since]:
                 del times[software]
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -157,11 +157,15 @@
         if binding.awaited is None or self._throttled(call, prompt):
             return
         ready_in = self.residency.ready_in(str(prompt.unit))
+        allowed = [*filter(binding.allows, self.chooser.usable(call.service))]
+        if not allowed:
+            # The list may lag.
+            return
         loaded_in = min(
             (
                 self.load_seconds(call.service, prompt.unit, one)
-                for one in self.chooser.usable(call.service)
-                if binding.allows(one) and one.id not in call.attempts.tried
+                for one in allowed
+                if one.id not in call.attempts.tried
             ),
             default=math.inf,
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_binding.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_binding.py
@@ -26,9 +26,15 @@
     served for as long as streams live.
     """
 
-    def __init__(self, sole: Callable[[], str | None] = lambda: "") -> None:
+    def __init__(
+        self,
+        sole: Callable[[], str | None] = lambda: "",
+        is_gone: Callable[[str], bool] = lambda software: True,
+    ) -> None:
         # By default all upstreams are taken for one version.
         self._sole = sole
+        # Whether a version that is not listed has no upstream any more.
+        self._is_gone = is_gone
         # Whether the caller holds an event of the stream.
         self.begun = False
         # The version that wrote it, None if not known.
@@ -77,4 +83,6 @@
             return NotServed(
                 STREAM_UNKNOWN, f"the version that began it is unknown, {serving} serve"
             )
+        if not self._is_gone(self.software):
+            return None
         return NotServed(SOFTWARE_GONE, f"it began at {self.software}, {serving} serve")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_resumption.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_resumption.py
@@ -1,6 +1,7 @@
 """Decides where a stream that its caller takes up again may go on."""
 
 from collections.abc import Callable
+from functools import partial
 
 from redwingscale_common.utils.logs import log_event
 
@@ -44,7 +45,9 @@
 
     def binding(self, service: str) -> StreamBinding:
         """Return the binding of a stream of ``service`` that has not begun."""
-        return StreamBinding(lambda: self._versions.sole(service))
+        return StreamBinding(
+            lambda: self._versions.sole(service), partial(self._versions.is_gone, service)
+        )
 
     def find(self, route: Route, terms: Terms, workspace: str) -> Found | None:
         """Return how the stream of a request began, None for a new stream; raises `Refusal`."""
@@ -57,8 +60,7 @@
         if found.service not in services:
             detail = f"it began at {found.service}, which the route no longer has"
             raise self._refused(terms, SERVICE_CHANGED, detail, services)
-        serving = self._versions.serving(found.service)
-        if serving and found.software not in serving:
+        if self._versions.is_gone(found.service, found.software):
             detail = f"it began at {found.software}"
             raise self._refused(terms, SOFTWARE_GONE, detail, services)
         self._on_result(found.source)
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_software_versions.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_software_versions.py
@@ -125,3 +125,25 @@
     versions.take_row(None)
     versions.follow([], listed("v1", None))
     assert versions.sole("llm") is None
+
+
+def test_version_that_another_instance_tells_is_not_gone_while_the_list_lags(make, clock):
+    """Guards against a begun stream that is cut since its worker is too new for the list here."""
+    versions = make()
+    versions.follow([], listed("v1.1"))
+    assert versions.is_gone("llm", "v1")
+    versions.note("llm", "v1")
+    assert not versions.is_gone("llm", "v1")
+    clock.now += 1
+    versions.follow(listed("v1.1"), listed("v1", "v1.1"))
+    clock.now += 1
+    versions.follow(listed("v1", "v1.1"), listed("v1.1"))
+    assert versions.is_gone("llm", "v1")
+
+
+def test_version_that_no_list_has_for_long_is_gone(make, clock):
+    versions = make()
+    versions.follow([], listed("v1.1"))
+    versions.note("llm", "v1")
+    clock.now += 3
+    assert versions.is_gone("llm", "v1")
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_stream_resumption.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_stream_resumption.py
@@ -37,10 +37,11 @@
     def sole(self, service):
         return self.only
 
-    def serving(self, service):
+    def remembered(self, service):
         return self.listed
 
-    remembered = serving
+    def is_gone(self, service, software):
+        return software not in self.listed
 
 
 @pytest.fixture
