Judge by the age of a begin whether its version may be too new for the list

Cause: an origin that was asked for counted as told now, so that a take-up of a version that was gone waited; and a plain answer with an error status bound its stream. Change: a begin counts as of its age; only answers that succeed bind a stream. Measured: unit added; units of versions, streams, origins and plain requests pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
@@ -73,10 +73,12 @@
                 self._listed_at[upstream.service][upstream.software] = now
             self._current = current
 
-    def note(self, service: str, software: str) -> None:
-        """Note a version that another instance has seen."""
+    def note(self, service: str, software: str, age: float = 0.0) -> None:
+        """Note that a stream has begun at a version ``age`` seconds ago."""
+        told_at = self._clock() - age
         with self._lock:
-            self._told_at[service][software] = self._clock()
+            times = self._told_at[service]
+            times[software] = max(told_at, times.get(software, -math.inf))
 
     def record(self) -> SoftwareRecord:
         """Return what is remembered, for the leader's row."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -216,7 +216,8 @@
         if not call.attempts.may_pass_on(response.status, counted=failed):
             raise failure_refusal(f"status {response.status}")
         headers = self._parts.dialect.response_headers(response)
-        call.note_begun(upstream.software)
+        if response.status < FIRST_ERROR_STATUS:
+            call.note_begun(upstream.software)
         headers = call.answer_headers(headers, upstream.software)
         call.reply.send(response.status, headers, start.data)
         return True
@@ -239,7 +240,8 @@
         )
         # Nobody can go on with an answer that has begun.
         call.watch.expect(None)
-        call.note_begun(answering.upstream.software)
+        if response.status < FIRST_ERROR_STATUS:
+            call.note_begun(answering.upstream.software)
         try:
             call.reply.begin(response.status, headers, length)
             pass_on_pieces(response, call.reply, call.request.held, piece)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_origins.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_origins.py
@@ -57,12 +57,12 @@
         self,
         peers: OriginPeers,
         stream_seconds: Callable[[], float],
-        on_software: Callable[[str, str], None] = lambda service, software: None,
+        on_software: Callable[[str, str, float], None] = lambda service, software, age: None,
         clock: Clock = lease_clock,
     ) -> None:
         self._peers = peers
         self._stream_seconds = stream_seconds
-        # Called with the service and version of each entry of another instance.
+        # Called with the service, version and age of each entry of another instance.
         self._on_software = on_software
         self._clock = clock
         self._lock = threading.Lock()
@@ -81,7 +81,7 @@
     def receive(self, entries: Iterable[OriginEntry]) -> None:
         """Take what another instance tells."""
         for entry in entries:
-            self._on_software(entry.service, entry.software)
+            self._on_software(entry.service, entry.software, max(0.0, entry.age))
             self._keep(entry, "peer")
 
     def known(self, workspace: str, request: str) -> Found | None:
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_software_versions.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_software_versions.py
@@ -147,3 +147,14 @@
     versions.note("llm", "v1")
     clock.now += 3
     assert versions.is_gone("llm", "v1")
+
+
+def test_old_begin_says_nothing_of_a_version_that_has_left_the_list_since(make, clock):
+    """Guards against a take-up that waits for a version that is gone, since it was asked for."""
+    versions = make()
+    versions.follow([], listed("v1", "v1.1"))
+    clock.now += 5
+    versions.follow(listed("v1", "v1.1"), listed("v1.1"))
+    clock.now += 5
+    versions.note("llm", "v1", 8.0)
+    assert versions.is_gone("llm", "v1")
