--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
@@ -9,21 +9,29 @@
 import msgspec
 from redwingscale_common.network.exchange import json_response, read_json
 
+from redwingscale_standins.hosted.row_copies import OutsideWrite, RowCopies, RowKey, RowState
+
 BODY_LIMIT_BYTES = 1 << 20
 MAX_WAIT_SECONDS = 30.0
 _KEY_FIELDS = ("Table", "part", "Key")
-
-RowKey = tuple[str, str, str]
+ERA_HEADER = "Store-Era"
+FIRST_ERA = 1
 
 
 class RowsApi:
-    """Stores rows by table, partition and key; ``down`` makes every request fail with 503."""
+    """Stores rows by table, partition and key; ``down`` makes every request fail with 503.
+
+    `restore` brings it back from an older copy, which begins a new ``era``.
+    """
 
     def __init__(self) -> None:
         self._condition = threading.Condition()
         self._rows: dict[RowKey, tuple[int, str]] = {}
         self._deleted: dict[RowKey, int] = {}
         self._version = 0
+        self._copies = RowCopies()
+        self._copies.keep(RowState({}, {}, 0))
+        self.era = FIRST_ERA
         self.down = False
 
     def put(self, table: str, key: str, value: object) -> None:
@@ -32,7 +40,8 @@
         with self._condition:
             self._version += 1
             self._rows[(table, "", key)] = (self._version, encoded)
-            self._condition.notify_all()
+            self._copies.note_write((table, "", key), value)
+            self._note_change()
 
     def remove(self, table: str, key: str) -> None:
         """Delete a row unconditionally, as the platform does."""
@@ -40,7 +49,33 @@
             self._version += 1
             self._rows.pop((table, "", key), None)
             self._deleted[(table, "", key)] = self._version
-            self._condition.notify_all()
+            self._copies.note_write((table, "", key), None)
+            self._note_change()
+
+    def restore(self, seconds: float) -> list[OutsideWrite]:
+        """Go back to the state of ``seconds`` ago, and give its later versions out again.
+
+        Returns what the operator and upstreams have written since then, for `write_again`.
+        """
+        since = time.monotonic() - seconds
+        with self._condition:
+            lost = self._copies.writes_since(since)
+            self._rows, self._deleted, self._version = self._copies.state_at(since)
+            self.era += 1
+            self._note_change()
+        return lost
+
+    def write_again(self, lost: list[OutsideWrite]) -> None:
+        """Make the last one of the ``lost`` writes to each row again, in their order."""
+        last_by_key = {write.key: write for write in lost}
+        for write in lost:
+            if last_by_key[write.key] is not write:
+                continue
+            table, _, key = write.key
+            if write.value is None:
+                self.remove(table, key)
+            else:
+                self.put(table, key, write.value)
 
     def value(self, table: str, key: str) -> Any:
         """Return the decoded value of a row, or None if there is no such row."""
@@ -50,6 +85,7 @@
     @cherrypy.expose
     def default(self, *segments: str, **query: str) -> bytes:
         """Dispatch one request."""
+        cherrypy.response.headers[ERA_HEADER] = str(self.era)
         if self.down:
             raise cherrypy.HTTPError(503)
         match cherrypy.request.method, segments:
@@ -71,9 +107,11 @@
         with self._condition:
             while not (changed := self._changed(table, after)):
                 remaining = deadline - time.monotonic()
-                if remaining <= 0:
+                if remaining <= 0 or after > self._version:
                     break
                 self._condition.wait(remaining)
+            if after > self._version:
+                cherrypy.response.status = 410
             return self._respond(changed)
 
     def _changed(self, table: str, after: int) -> list[dict[str, Any]]:
@@ -96,9 +134,13 @@
             self._version += 1
             for put in body["Puts"]:
                 self._rows[_row_key(put)] = (self._version, put["Value"])
-            self._condition.notify_all()
+            self._note_change()
             return self._respond([])
 
+    def _note_change(self) -> None:
+        self._copies.keep(RowState(self._rows, self._deleted, self._version))
+        self._condition.notify_all()
+
     def _row(self, key: RowKey) -> dict[str, Any]:
         version, value = self._rows[key]
         key_fields = dict(zip(_KEY_FIELDS, key, strict=True))
@@ -106,6 +148,8 @@
 
     def _respond(self, rows: list[dict[str, Any]]) -> bytes:
         status = cherrypy.response.status or 200
+        # A long poll may have begun in an earlier era.
+        cherrypy.response.headers[ERA_HEADER] = str(self.era)
         page = {"Rows": rows, "Truncated": False, "RowVersion": self._version, "NowMs": 0}
         return json_response(page, int(status))
 
--- /dev/null
+++ b/packages/redwingscale-standins/src/redwingscale_standins/leaving/__init__.py
@@ -0,0 +1,1 @@
+"""What workers receive after they have said that they leave."""
