Log the store's eras, and show the age of the list

Logs could not tell a list that is read late from a store that came back from an older copy. The header Store-Era of each answer is read, a new era is logged and counted; the age of the list in use is a metric.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -61,6 +61,7 @@
 from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey
+from redwingscale_daemon._internal.store.store_eras import StoreEras
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
@@ -84,13 +85,15 @@
 
 def build_ingress(settings: IngressSettings, reload: Callable[[], None]) -> IngressInstance:
     """Return the instance for ``settings``; nothing is started yet."""
-    store = StoreClient(settings.store.host, settings.store.port)
+    eras = StoreEras()
+    store = StoreClient(settings.store.host, settings.store.port, eras)
     routes = CurrentRoutes()
     fleet = new_fleet(settings.instance, lambda: swaps.instances())
     pool = ConnectionPool()
     fleet.directory.on_gone(pool.forget)
     fleet.new_connections.has_idle = pool.has_idle
     metrics = IngressMetrics()
+    eras.on_rise(lambda before, era: None if before is None else metrics.store_eras.add(1))
     open_requests = OpenRequests()
     reads = StoreReads(LinkState("upstreams"), LinkState("configuration"))
     limiter = UseLimiter(lambda: swaps.instances(), settings.bounds.use_slack)
@@ -147,6 +150,7 @@
     )
     budget = ByteBudget(limits_of(settings.machine.memory_mb))
     metrics.observe_bytes_held(lambda: budget.held)
+    metrics.observe_list_age(lambda: min(reads.upstreams.age, swaps.list_updates.age))
     limits = _port_limits(settings)
     unread_closes = UnreadCloses(
         fleet.load_tracker.is_uneven,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -14,10 +14,13 @@
     WriteUnknown,
 )
 from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+from redwingscale_daemon._internal.store.store_eras import UNTOLD_ERA, StoreEras
 
 _OK = 200
 _GONE = 410
 _PRECONDITION_FAILED = 412
+_ERA_HEADER = "Store-Era"
+_ERA_SOURCE = "store"
 # Statuses of requests that the store refused without any effect.
 _REFUSED = frozenset({403, 429, 503, 507})
 # An answer usually takes 4 to 9 ms; a silent connection times out after this.
@@ -48,7 +51,8 @@
 class StoreClient:
     """Implements `RowStore`; connections are reused, and no request is retried."""
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, eras: StoreEras | None = None) -> None:
+        self._eras = eras or StoreEras()
         self._pool = urllib3.HTTPConnectionPool(
             host,
             port,
@@ -127,9 +131,15 @@
             raise PlatformUnavailable(repr(error)) from error
         except HTTPError as error:
             raise WriteUnknown(repr(error)) from error
+        self._eras.note(_era(response), _ERA_SOURCE)
         return response.status, response.data
 
 
+def _era(response: urllib3.BaseHTTPResponse) -> int:
+    value = response.headers.get(_ERA_HEADER, "")
+    return int(value) if value.isdigit() else UNTOLD_ERA
+
+
 def _failure(status: int, answer: bytes) -> PlatformUnavailable | WriteUnknown:
     detail = f"status {status}: {answer[:200]!r}"
     return PlatformUnavailable(detail) if status in _REFUSED else WriteUnknown(detail)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/telemetry/ingress_metrics.py
@@ -54,6 +54,7 @@
         self.places = meter.create_counter("redwingscale_places", unit="1")
         self.swaps_given_up = meter.create_counter("redwingscale_swaps_given_up", unit="1")
         self.staged_loads = meter.create_counter("redwingscale_staged_loads", unit="1")
+        self.store_eras = meter.create_counter("redwingscale_store_eras", unit="1")
         self.without_copy = meter.create_gauge("redwingscale_models_without_copy", unit="1")
 
     def record_request(self, request: IngressRequest, outcome: str) -> float:
@@ -89,6 +90,16 @@
             "redwingscale_bytes_held", callbacks=[observe], unit="1"
         )
 
+    def observe_list_age(self, read: Callable[[], float]) -> None:
+        """Report ``read()``, the seconds since the list of upstreams was known to be current."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(
+            "redwingscale_list_age_seconds", callbacks=[observe], unit="s"
+        )
+
     def observe_repeats_left(self, read: Callable[[], dict[str, Usage]]) -> None:
         """Report the repeats that may be sent now, by service, as a gauge."""
 
