--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -113,6 +113,7 @@
         settings,
         uuid.uuid4().hex,
         store,
+        eras,
         routes,
         fleet,
         metrics,
@@ -164,7 +165,7 @@
 
     peer_port = build_peer_port(settings, handler, budget, limits, may_take)
     reply_on_path = build_path_replies(settings, fleet, peer_port, lambda: callers.busy_fraction)
-    followers = _followers(settings.bounds, store, routes, fleet, swaps, reads, own_reports)
+    followers = _followers(settings.bounds, store, eras, routes, fleet, swaps, reads, own_reports)
     parts = IngressParts(
         callers=callers,
         peers=peer_port,
@@ -209,6 +210,7 @@
 def _followers(
     bounds: Bounds,
     store: StoreClient,
+    eras: StoreEras,
     routes: CurrentRoutes,
     fleet: Fleet,
     swaps: Swaps,
@@ -220,6 +222,7 @@
         swaps.list_updates.replaces_read,
         lambda: own_reports.leader_silent,
         bounds.leave,
+        lambda: fleet.directory.copy.version.era < eras.newest,
     )
     route_follower = RouteFollower(
         store,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -11,8 +11,11 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_version_tracker import RouteVersionTracker
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings
+from redwingscale_daemon._internal.store.store_eras import StoreEras
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.entry_exchange import EntryExchange
 from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease
+from redwingscale_daemon._internal.swaps.lease_record import LeaderRecord
 from redwingscale_daemon._internal.swaps.peer_client import PeerClient
 from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerServer
 from redwingscale_daemon._internal.swaps.rate_limit_gossip import RateLimitGossip
@@ -53,6 +56,7 @@
     reads: StoreReads,
     route_versions: RouteVersionTracker,
     lease: LeaderLease,
+    eras: StoreEras,
     fleet: Fleet,
     reply_on_path: Callable[[PathQuery], PathReply | None],
 ) -> Peers:
@@ -87,10 +91,14 @@
         seconds = settings.bounds.configuration * FETCH_FRACTION
         return peer_client.fetch(address, route_versions.version, seconds)
 
+    def adopt_record(row_version: StoreVersion, record: LeaderRecord) -> None:
+        eras.note(row_version.era, "peer")
+        lease.adopt_record(row_version, record)
+
     peer_client = PeerClient(
         routes,
         may_be_outdated,
-        lease.adopt_record,
+        adopt_record,
         lambda: peer_server.address,
         lambda: exchange.note_peers(),
     )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -30,13 +30,15 @@
 from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.rows import RowStore
+from redwingscale_daemon._internal.store.store_eras import StoreEras
 from redwingscale_daemon._internal.swaps.copy_plans import CopySettings
 from redwingscale_daemon._internal.swaps.demand import Demand
 from redwingscale_daemon._internal.swaps.instance_count import InstanceCount
 from redwingscale_daemon._internal.swaps.leader import Leader
 from redwingscale_daemon._internal.swaps.leader_client import LeaderClient
-from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease, LeaderRecord, LeaseTiming
+from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease
 from redwingscale_daemon._internal.swaps.leader_server import LeaderServer
+from redwingscale_daemon._internal.swaps.lease_record import LeaderRecord, LeaseTiming
 from redwingscale_daemon._internal.swaps.list_changes import ListChanges
 from redwingscale_daemon._internal.swaps.load_rate import LoadCeiling
 from redwingscale_daemon._internal.swaps.local_demand import LocalDemand
@@ -120,6 +122,7 @@
     settings: IngressSettings,
     start: str,
     store: RowStore,
+    eras: StoreEras,
     routes: CurrentRoutes,
     fleet: Fleet,
     metrics: IngressMetrics,
@@ -155,6 +158,7 @@
         ),
         may_lead=lambda: not fleet.path.cut_off,
         software=versions,
+        eras=eras,
     )
     lease_retry = Backoff()
     local_demand = LocalDemand()
@@ -162,7 +166,7 @@
     own_demand = Demand()
     replaced = ReplacedUpstreams(fleet.directory, fleet.health)
     bounds = settings.bounds
-    list_updates = ListUpdateTracker(fleet.directory, bounds.leave)
+    list_updates = ListUpdateTracker(fleet.directory, bounds.leave, eras)
     route_versions = RouteVersionTracker(bounds.configuration)
     # The loads that this instance sent last: the leader's totals include them.
     sent_loads: list[LoadEntry] = []
@@ -180,7 +184,9 @@
             limiter.receive(update.grants)
         peers.client.remember(update.peers)
         if not lease.is_leader:
-            lease.note_renewal(update.store.lease_version)
+            told = update.store
+            eras.note(max(told.lease_version.era, told.upstreams.version.era), "order giver")
+            lease.note_renewal(told.lease_version)
             list_updates.take(update.fence, update.store.upstreams)
             apply_announced(routes, update.store.configuration, update.configuration_difference)
             route_versions.take(update.store.configuration, update.store.configuration_age)
@@ -188,10 +194,11 @@
     def read_for_all(changes: ListChanges) -> StoreUpdate:
         table = routes.get()
         return StoreUpdate(
-            lease.row_version,
+            lease.row_version.number,
             changes.make_update(fleet.directory, reads.upstreams.age),
             table.version if table else 0,
             reads.configuration.age,
+            lease.row_version.era,
         )
 
     def gives_up(upstream_id: str) -> bool:
@@ -283,7 +290,7 @@
         replaced=replaced,
     )
     fleet.directory.on_gone(leader.forget)
-    peers = build_peers(settings, routes, reads, route_versions, lease, fleet, reply_on_path)
+    peers = build_peers(settings, routes, reads, route_versions, lease, eras, fleet, reply_on_path)
     client = LeaderClient(lease, me, make_update, on_leader_update, leader.receive)
     local_demand.on_new_wait(client.wake)
     fleet.rates.on_update(client.wake)
@@ -295,7 +302,7 @@
         if lease.is_leader and fleet.path.cut_off:
             # Orders need the path, and a leader without one plans by what it cannot see.
             lease.hand_over()
-        elif lease.is_leader:
+        elif lease.is_leader or lease.unconfirmed:
             lease.step()
         elif (not fleet.residency.fresh or lease.record is None) and lease_retry.due:
             try:
@@ -311,6 +318,7 @@
 
     lease_task = Periodic("giver-lease", LEASE_STEP_SECONDS, follow_lease)
     fleet.path.on_lost(lease_task.wake)
+    eras.on_rise(lambda before, era: lease_task.wake())
 
     def lead() -> None:
         update = leader.step()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -96,6 +96,10 @@
     """The changes since the requested version are no longer kept: a full read is needed."""
 
 
+class EraChanged(HistoryGone):
+    """A version of another era was named: it says nothing about the store as it is now."""
+
+
 class CallerLeft(RedwingscaleError):
     """The caller has disconnected; nobody waits for the answer."""
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -12,13 +12,14 @@
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowStore, StoredRow
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 # Entries that lapse during a store outage are written again within two seconds after it:
 # until then a missing entry does not mean that its upstream is gone.
 LAPSED_RETURN_SECONDS = 2.0
 
 # Called with the name of the entry, its row version and its value.
-Decode = Callable[[str, int, bytes], Upstream]
+Decode = Callable[[str, StoreVersion, bytes], Upstream]
 
 
 class ListFollower:
@@ -70,9 +71,16 @@
             self._state.note_answer()
         else:
             known = self._directory.copy.version
-            log_event("list_outdated", level="WARNING", list_version=version, known=known)
+            log_event(
+                "list_outdated",
+                level="WARNING",
+                era=version.era,
+                list_version=version.number,
+                known_era=known.era,
+                known=known.number,
+            )
 
-    def _lapsed(self, listed: list[Upstream], version: int) -> list[Upstream]:
+    def _lapsed(self, listed: list[Upstream], version: StoreVersion) -> list[Upstream]:
         """Return known upstreams whose entries may only have lapsed in a store outage.
 
         Each is kept for `LAPSED_RETURN_SECONDS` once. If the time were counted only from
@@ -80,6 +88,9 @@
         every second read is lost.
         """
         now = time.monotonic()
+        if version.era > self._directory.copy.version.era:
+            # What upstreams have written since the copy is written again as well.
+            self._reconnected_at = now
         listed_ids = {upstream.id for upstream in listed}
         missing = {one.id: one for one in self._directory.all() if one.id not in listed_ids}
         # After a read that failed longer ago, the leader's updates replaced reads and
@@ -91,7 +102,7 @@
             return []
         for key in missing.keys() - self._missing_since.keys():
             self._missing_since[key] = now
-            log_event("upstream_kept", upstream=key, list_version=version)
+            log_event("upstream_kept", upstream=key, list_version=version.number, era=version.era)
         kept = [
             one
             for key, one in missing.items()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_reads.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_reads.py
@@ -19,7 +19,8 @@
     """The leader reads for all instances; the others only if its updates are not enough.
 
     When the leader falls silent, an instance reads the list at once: if that read fails
-    too, the instance is cut off.
+    too, the instance is cut off. In a new era of the store it reads the list at once, unless
+    the leader has told it first.
     """
 
     def __init__(
@@ -28,7 +29,10 @@
         replaces_read: Callable[[float], bool],
         leader_silent: Callable[[], bool],
         leave_seconds: float = 2.0,
+        outdated: Callable[[], bool] = lambda: False,
     ) -> None:
+        # Whether the list here is of an earlier era of the store.
+        self._outdated = outdated
         self._is_leader = is_leader
         # Whether the leader's updates replace a read, by the monotonic time of the last one.
         self._replaces_read = replaces_read
@@ -37,6 +41,8 @@
 
     def not_due(self, last_read_at: float) -> bool:
         """Return whether no read is due; ``last_read_at`` is monotonic."""
+        if self._outdated():
+            return False
         since = time.monotonic() - last_read_at
         if self._is_leader():
             return since < READ_FOR_ALL_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_update_tracker.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_update_tracker.py
@@ -7,6 +7,8 @@
 
 from redwingscale_daemon._internal.fleet.list_update import ListUpdate
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
+from redwingscale_daemon._internal.store.store_eras import StoreEras
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 # Fraction of the time after which a leaving upstream gets no new work. The leader reads
 # twice a second and sends updates within a quarter of a second: a list that is older than
@@ -29,14 +31,20 @@
     within a second.
     """
 
-    def __init__(self, directory: UpstreamDirectory, leave_seconds: float = 2.0) -> None:
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        leave_seconds: float = 2.0,
+        eras: StoreEras | None = None,
+    ) -> None:
+        self._eras = eras or StoreEras()
         self._current_seconds = leave_seconds * CURRENT_FRACTION
         self._directory = directory
         self._fence: int | None = None
         self._fence_at = float("inf")
         self._read_at = float("-inf")
         self._digest: int | None = None
-        self._version = -1
+        self._version: StoreVersion | None = None
         self._replacing = False
 
     def take(self, fence: int, update: ListUpdate) -> None:
@@ -52,7 +60,8 @@
     @property
     def age(self) -> float:
         """Seconds since the leader's list was the one here, infinite if it is another one."""
-        if self._digest != self._directory.copy.digest:
+        same = self._digest == self._directory.copy.digest
+        if not same or self._version is None or self._version.era < self._eras.newest:
             return math.inf
         return time.monotonic() - self._read_at
 
@@ -64,7 +73,10 @@
             now - self._read_at < self._current_seconds
             and self._digest == copy.digest
             # Otherwise the store answers the leader from an older state than this instance.
+            and self._version is not None
             and self._version >= copy.version
+            # In a new era of the store, the leader reads the list again.
+            and self._version.era >= self._eras.newest
             and last_read_at > self._fence_at
             and now - last_read_at < FULL_READ_SECONDS
             # A leader of the release before does not tell the versions of new upstreams.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.store.store_version import StoreVersion
+
 
 class ResidentModel(NamedTuple):
     """A model that is resident at an upstream, and its resident adapters."""
@@ -42,14 +44,22 @@
     named: str | None = None
     # When the process started, in Unix milliseconds by its own clock, None if unknown.
     started_at_ms: int | None = None
-    row_version: int = 0
+    # The number of ``row_version``.
+    row_number: int = 0
     software: str | None = ""
+    # The era of ``row_version``; in messages, that of the list counts.
+    era: int = 0
 
     @property
     def platform_name(self) -> str:
         """Name of the process in its entry, its reports and its refusals."""
         return self.id if self.named is None else self.named
 
+    @property
+    def row_version(self) -> StoreVersion:
+        """The version of the entry."""
+        return StoreVersion(self.era, self.row_number)
+
     @property
     def address(self) -> tuple[str, int]:
         """Where the process listens; other processes may reuse the address after its end."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -13,6 +13,7 @@
 from redwingscale_daemon._internal.fleet.residency import AdaptersByModel, Residency
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.store.store_version import NOTHING_READ, StoreVersion
 
 GoneListener = Callable[[set[str]], None]
 ListListener = Callable[[Iterable[Upstream], Iterable[Upstream]], None]
@@ -23,15 +24,14 @@
 class ListCopy(NamedTuple):
     """This instance's copy of the list, and its `list_digest`.
 
-    ``version`` is the row version of the store when the list was read, here or by the
-    leader. ``kept`` are the ids of upstreams that were missing from the list when it was
+    ``version`` is that of the store when the list was read, here or by the leader. ``kept`` are the ids of upstreams that were missing from the list when it was
     read here but are still used. They count in the digest, so that the leader's updates
     don't replace reads until these upstreams are listed again or dropped.
     """
 
     by_id: dict[str, Upstream]
     digest: int
-    version: int
+    version: StoreVersion
     kept: frozenset[str] = frozenset()
 
     def listed(self) -> list[Upstream]:
@@ -43,8 +43,8 @@
     """Upstreams by id, as last listed, with residency that is newer than the list.
 
     Lists come from two threads, one that reads the store and one that receives the
-    leader's updates, and in any order. Row versions only rise: a list that is older than
-    the copy is ignored, as it would bring back an upstream that has left. An upstream that
+    leader's updates, and in any order. A list that is older than the copy is ignored, as it
+    would bring back an upstream that has left. An upstream that
     is leaving by any source, the list or its own answers, takes no new work whatever the
     other sources say.
     """
@@ -53,7 +53,7 @@
         self._lock = threading.Lock()
         self._residency = residency
         self._changes = changes
-        self._copy = ListCopy({}, list_digest(()), 0)
+        self._copy = ListCopy({}, list_digest(()), NOTHING_READ)
         self._read_at = float("-inf")
         self._leaving = LeavingUpstreams()
         self._gone_listeners: list[GoneListener] = []
@@ -68,7 +68,10 @@
         self._list_listeners.append(listener)
 
     def replace(
-        self, listed: Iterable[Upstream], version: int = 0, kept: Iterable[Upstream] = ()
+        self,
+        listed: Iterable[Upstream],
+        version: StoreVersion = NOTHING_READ,
+        kept: Iterable[Upstream] = (),
     ) -> bool:
         """Take a full list that was read at ``version``; return False if it is outdated.
 
@@ -81,7 +84,12 @@
             self._read_at = time.monotonic()
         return taken
 
-    def update(self, changed: Iterable[Upstream], gone: Iterable[str], version: int = 0) -> bool:
+    def update(
+        self,
+        changed: Iterable[Upstream],
+        gone: Iterable[str],
+        version: StoreVersion = NOTHING_READ,
+    ) -> bool:
         """Take changes to the list: new or changed upstreams, and the ids of those gone."""
         changed_by_id = {upstream.id: upstream for upstream in changed}
         dropped = set(gone)
@@ -95,7 +103,9 @@
 
         return self._take(apply_changes, version)
 
-    def _take(self, make: MakeList, version: int, kept: frozenset[str] | None = None) -> bool:
+    def _take(
+        self, make: MakeList, version: StoreVersion, kept: frozenset[str] | None = None
+    ) -> bool:
         """Replace the copy by what ``make`` returns for it; return False if it is newer.
 
         Runs under one lock: changes that are merged into a copy which another thread
@@ -189,8 +199,8 @@
     """Return ``upstreams`` by id, each name once, never from an older entry than in ``known``.
 
     A stale read of the list, here or by the leader, names a start that has ended: requests
-    would be sent to a process as if it had the residency of the former one. Row versions
-    only rise, so the entry with the lower version is replaced.
+    would be sent to a process as if it had the residency of the former one. The entry with
+    the lower row version is replaced.
     """
     newest = {one.platform_name: one for one in known}
     listed: dict[str, Upstream] = {}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 TABLE = "servers"
 _DRAINING = "draining"
@@ -51,7 +52,7 @@
     remaining_ms: float | None = None
 
 
-def decode_upstream(name: str, row_version: int, document: bytes) -> Upstream:
+def decode_upstream(name: str, row_version: StoreVersion, document: bytes) -> Upstream:
     """Return the upstream that ``document`` describes; raise `msgspec.DecodeError`."""
     entry = msgspec.json.decode(document, type=_Entry)
     host, port = _address(entry.address)
@@ -69,7 +70,8 @@
         on_disk=frozenset(entry.at_hand.on_disk),
         named=name,
         started_at_ms=entry.born,
-        row_version=row_version,
+        row_number=row_version.number,
+        era=row_version.era,
         software=entry.version,
     )
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -2,19 +2,23 @@
 
 import base64
 import binascii
+from typing import NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
 import urllib3
+from redwingscale_common.utils.logs import log_event
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from redwingscale_daemon._internal.exceptions import (
+    EraChanged,
     HistoryGone,
     PlatformUnavailable,
     WriteUnknown,
 )
 from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
 from redwingscale_daemon._internal.store.store_eras import UNTOLD_ERA, StoreEras
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 _OK = 200
 _GONE = 410
@@ -48,8 +52,17 @@
     row_version: int = 0
 
 
+class _Answer(NamedTuple):
+    status: int
+    body: bytes
+    era: int
+
+
 class StoreClient:
-    """Implements `RowStore`; connections are reused, and no request is retried."""
+    """Implements `RowStore`; connections are reused, and no request is retried.
+
+    An answer from before the newest era in ``eras`` counts as none.
+    """
 
     def __init__(self, host: str, port: int, eras: StoreEras | None = None) -> None:
         self._eras = eras or StoreEras()
@@ -65,58 +78,68 @@
         found: list[StoredRow] = []
         start = ""
         # The version of the first page: rows written between two pages may be missing.
-        version: int | None = None
+        version: StoreVersion | None = None
         for _ in range(_MAX_PAGES):
-            page = self._page(table, partition, start)
-            found.extend(map(_stored_row, page.rows))
-            version = page.row_version if version is None else version
+            page, era = self._page(table, partition, start)
+            found.extend(_stored_row(row, era) for row in page.rows)
+            version = StoreVersion(era, page.row_version) if version is None else version
+            if version.era != era:
+                raise EraChanged(f"table {table!r} was read in eras {version.era} and {era}")
             if not page.truncated or not page.rows:
                 return Snapshot(tuple(found), version)
             # The range includes its first key: continue at the next possible one.
             start = page.rows[-1].key + "\x00"
         raise PlatformUnavailable(f"table {table!r} has more than {_MAX_PAGES} pages")
 
-    def changes(self, table: str, after: int, wait_seconds: float) -> Snapshot:
+    def changes(self, table: str, after: StoreVersion, wait_seconds: float) -> Snapshot:
         """See `RowStore.changes`."""
-        query = {"Table": table, "after": after, "WaitMs": int(wait_seconds * 1000)}
+        query = {"Table": table, "after": after.number, "WaitMs": int(wait_seconds * 1000)}
         timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=wait_seconds + FEED_MARGIN_SECONDS)
-        body = self._get(f"/api/rows-feed?{urlencode(query)}", timeout)
+        body, era = self._get(f"/api/rows-feed?{urlencode(query)}", timeout)
         page = _decode(body)
-        return Snapshot(tuple(map(_stored_row, page.rows)), page.row_version)
+        if era != after.era:
+            # Rows may have been written under numbers up to this one that are new there.
+            raise EraChanged(f"changes since {after} were asked for in era {era}")
+        rows = tuple(_stored_row(row, era) for row in page.rows)
+        return Snapshot(rows, StoreVersion(era, page.row_version))
 
-    def write(self, key: RowKey, value: bytes, expected_version: int) -> int | None:
+    def write(self, key: RowKey, value: bytes, expected: StoreVersion) -> StoreVersion | None:
         """See `RowStore.write`."""
         row_key = {"Table": key.table, "part": key.partition, "Key": key.key}
         body = {
-            "Expect": [{**row_key, "RowVersion": expected_version}],
+            "Expect": [{**row_key, "RowVersion": expected.number}],
             "Puts": [{**row_key, "Value": base64.b64encode(value).decode()}],
             "Remove": [],
         }
-        status, answer = self._send("POST", "/api/rows-tx", msgspec.json.encode(body), None)
-        if status == _PRECONDITION_FAILED:
+        answer = self._send("POST", "/api/rows-tx", msgspec.json.encode(body), None)
+        if answer.status not in (_OK, _PRECONDITION_FAILED):
+            raise _failure(answer)
+        if answer.era != expected.era:
+            # The number of the condition may have been given out again, to another's write.
+            raise EraChanged(f"{expected} was expected in era {answer.era}")
+        if answer.status == _PRECONDITION_FAILED:
             return None
-        if status != _OK:
-            raise _failure(status, answer)
-        return _decode(answer).row_version
+        return StoreVersion(answer.era, _decode(answer.body).row_version)
 
-    def _page(self, table: str, partition: str, start: str) -> _Rows:
+    def _page(self, table: str, partition: str, start: str) -> tuple[_Rows, int]:
         query = {"Table": table, "part": partition} | ({"From": start} if start else {})
-        return _decode(self._get(f"/api/rows-get?{urlencode(query)}", None))
+        body, era = self._get(f"/api/rows-get?{urlencode(query)}", None)
+        return _decode(body), era
 
-    def _get(self, target: str, timeout: urllib3.Timeout | None) -> bytes:
+    def _get(self, target: str, timeout: urllib3.Timeout | None) -> tuple[bytes, int]:
         try:
-            status, body = self._send("GET", target, b"", timeout)
+            answer = self._send("GET", target, b"", timeout)
         except WriteUnknown as error:
             raise PlatformUnavailable(str(error)) from error
-        if status == _GONE:
+        if answer.status == _GONE:
             raise HistoryGone(target)
-        if status != _OK:
-            raise PlatformUnavailable(f"unexpected status {status}")
-        return body
+        if answer.status != _OK:
+            raise PlatformUnavailable(f"unexpected status {answer.status}")
+        return answer.body, answer.era
 
     def _send(
         self, method: str, target: str, body: bytes, timeout: urllib3.Timeout | None
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         headers = {"Content-Type": "application/json"} if body else {}
         try:
             response = self._pool.request(
@@ -131,8 +154,18 @@
             raise PlatformUnavailable(repr(error)) from error
         except HTTPError as error:
             raise WriteUnknown(repr(error)) from error
-        self._eras.note(_era(response), _ERA_SOURCE)
-        return response.status, response.data
+        answer = _Answer(response.status, response.data, _era(response))
+        self._eras.note(answer.era, _ERA_SOURCE)
+        if answer.era < self._eras.newest:
+            log_event(
+                "store_answer_outdated",
+                level="WARNING",
+                call=target.partition("?")[0],
+                era=answer.era,
+                known=self._eras.newest,
+            )
+            raise WriteUnknown(f"an answer of era {answer.era}")
+        return answer
 
 
 def _era(response: urllib3.BaseHTTPResponse) -> int:
@@ -140,9 +173,9 @@
     return int(value) if value.isdigit() else UNTOLD_ERA
 
 
-def _failure(status: int, answer: bytes) -> PlatformUnavailable | WriteUnknown:
-    detail = f"status {status}: {answer[:200]!r}"
-    return PlatformUnavailable(detail) if status in _REFUSED else WriteUnknown(detail)
+def _failure(answer: _Answer) -> PlatformUnavailable | WriteUnknown:
+    detail = f"status {answer.status}: {answer.body[:200]!r}"
+    return PlatformUnavailable(detail) if answer.status in _REFUSED else WriteUnknown(detail)
 
 
 def _decode(body: bytes) -> _Rows:
@@ -152,12 +185,13 @@
         raise PlatformUnavailable(f"the answer does not contain rows: {error}") from error
 
 
-def _stored_row(row: _Row) -> StoredRow:
+def _stored_row(row: _Row, era: int) -> StoredRow:
     key = RowKey(row.table, row.part, row.key)
+    version = StoreVersion(era, row.row_version)
     if row.deleted:
-        return StoredRow(key, row.row_version, None)
+        return StoredRow(key, version, None)
     try:
-        return StoredRow(key, row.row_version, base64.b64decode(row.value, validate=True))
+        return StoredRow(key, version, base64.b64decode(row.value, validate=True))
     except binascii.Error:
         # An empty value: its decoder reports the error, and the other rows stay usable.
-        return StoredRow(key, row.row_version, b"")
+        return StoredRow(key, version, b"")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/row_store.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/row_store.py
@@ -11,6 +11,7 @@
 from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.quarantine.store import StoredQuarantine
 from redwingscale_daemon._internal.store.rows import RowKey, RowStore
+from redwingscale_daemon._internal.store.store_version import NO_ROW_NUMBER, StoreVersion
 
 QUARANTINE_ROW = RowKey("redwingscale-quarantine", "", "requests")
 MAX_STORED = 256
@@ -55,11 +56,11 @@
             if left > 0:
                 yield StoredQuarantine(one.fingerprint, left, one.crashed_engines)
 
-    def _read(self) -> tuple[int, list[_StoredRequest]]:
-        rows = self._store.read(QUARANTINE_ROW.table, QUARANTINE_ROW.partition).rows
+    def _read(self) -> tuple[StoreVersion, list[_StoredRequest]]:
+        rows, read_at = self._store.read(QUARANTINE_ROW.table, QUARANTINE_ROW.partition)
         row = next((one for one in rows if one.key == QUARANTINE_ROW), None)
         if row is None or row.value is None:
-            return 0, []
+            return StoreVersion(read_at.era, NO_ROW_NUMBER), []
         try:
             return row.version, msgspec.json.decode(row.value, type=list[_StoredRequest])
         except msgspec.DecodeError as error:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
@@ -13,6 +13,7 @@
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey, RowStore, StoredRow
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 # Duration of a waiting read, as a fraction of the time in which a change must be in force:
 # if the connection has gone silent just before the change, one wait and its margin still
@@ -52,7 +53,7 @@
         # Whether this instance reads for all and announces versions to the others.
         self._reads_for_all = reads_for_all
         self._in_force_seconds = in_force_seconds
-        self._version: int | None = None
+        self._version: StoreVersion | None = None
         self._retry = Backoff(immediate_first_retry=True)
         self._relied_on_leader = False
         # Whether the next read is the first one after relying on the leader's updates.
@@ -69,7 +70,7 @@
         try:
             self._take(self._changes())
         except HistoryGone:
-            log_event("configuration_history_gone", version=self._version)
+            log_event("configuration_history_gone", read_at=self._version)
             self._version = None
         except PlatformError as error:
             self._state.note_failure(error)
@@ -138,7 +139,9 @@
             try:
                 table = self._decode(row.value)
             except msgspec.DecodeError as error:
-                log_event("configuration_invalid", level="ERROR", row=row.version, error=error)
+                log_event(
+                    "configuration_invalid", level="ERROR", row=row.version.number, error=error
+                )
                 continue
             log_event(
                 "configuration_received",
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/rows.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/rows.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple, Protocol
 
+from redwingscale_daemon._internal.store.store_version import StoreVersion
+
 
 class RowKey(NamedTuple):
     """The key of a row; rows of one ``partition`` can change in one transaction."""
@@ -15,7 +17,7 @@
     """A row as read, written by transaction ``version``; ``value`` is None if it was deleted."""
 
     key: RowKey
-    version: int
+    version: StoreVersion
     value: bytes | None
 
 
@@ -26,7 +28,7 @@
     """
 
     rows: tuple[StoredRow, ...]
-    version: int
+    version: StoreVersion
 
 
 class RowStore(Protocol):
@@ -34,19 +36,22 @@
 
     They raise `PlatformUnavailable` if nothing was done, `WriteUnknown` if a write may
     have taken effect, and `HistoryGone` if changes since a version are no longer kept.
+    `EraChanged` tells that a call named a version of another era than that of its answer.
     """
 
     def read(self, table: str, partition: str) -> Snapshot:
         """Return all rows of one partition."""
 
-    def changes(self, table: str, after: int, wait_seconds: float) -> Snapshot:
+    def changes(self, table: str, after: StoreVersion, wait_seconds: float) -> Snapshot:
         """Return the rows changed after version ``after``.
 
         Waits up to ``wait_seconds`` for the first change.
         """
 
-    def write(self, key: RowKey, value: bytes, expected_version: int) -> int | None:
-        """Write one row if it still has ``expected_version``, 0 for an absent row.
+    def write(self, key: RowKey, value: bytes, expected: StoreVersion) -> StoreVersion | None:
+        """Write one row if it still has the version ``expected``.
+
+        An absent row has the number `NO_ROW_NUMBER` in the era in which it was looked for.
 
         Returns the new version, None if the row has another version than expected.
         """
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_client.py
@@ -9,7 +9,8 @@
 import pynng
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease, LeaderRecord
+from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease
+from redwingscale_daemon._internal.swaps.lease_record import LeaderRecord
 from redwingscale_daemon._internal.swaps.messages import InstanceUpdate, LeaderUpdate
 from redwingscale_daemon._internal.swaps.update_delay import UpdateDelay
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
@@ -2,67 +2,37 @@
 
 import math
 from collections.abc import Callable, Iterable
-from typing import NamedTuple, Protocol
 
 import msgspec
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import HistoryGone, PlatformError
-from redwingscale_daemon._internal.fleet.software_versions import SoftwareRecord
+from redwingscale_daemon._internal.exceptions import (
+    EraChanged,
+    HistoryGone,
+    PlatformError,
+    WriteUnknown,
+)
 from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
-from redwingscale_daemon._internal.store.rows import RowKey, RowStore, StoredRow
+from redwingscale_daemon._internal.store.rows import RowStore, StoredRow
+from redwingscale_daemon._internal.store.store_eras import UNTOLD_ERA, StoreEras
+from redwingscale_daemon._internal.store.store_version import (
+    NO_ROW_NUMBER,
+    NOTHING_READ,
+    StoreVersion,
+)
+from redwingscale_daemon._internal.swaps.lease_record import (
+    LEASE_ROW,
+    LeaderRecord,
+    LeaseTiming,
+    SoftwareRows,
+    read_record,
+)
 
-LEASE_ROW = RowKey("redwingscale", "", "order-giver")
-ABSENT = 0
 # One call reads the row, one waits for a change, and one more waits if the lease holder
 # has renewed the row meanwhile.
 MAX_CALLS_PER_WATCH = 3
 
 
-class LeaderRecord(msgspec.Struct):
-    """The row's value; ``start`` is an id of the lease holder's process, new at each start."""
-
-    instance: str
-    host: str
-    news_port: int
-    needs_port: int
-    start: str
-    released: bool = False
-    # The port of its peer server, 0 for none.
-    desk_port: int = 0
-    # The number of instances, for those that have just started.
-    instances: int = 0
-
-
-class SoftwareRows(Protocol):
-    """What instances that have just started need to know of software versions."""
-
-    def record(self) -> SoftwareRecord:
-        """Return what is known here."""
-
-    def take_row(self, row: bytes | None) -> None:
-        """Take over what the leader's row says, None if there has never been a leader."""
-
-
-class LeaseTiming(NamedTuple):
-    """The times of a lease.
-
-    The lease ends ``lease_seconds`` after its last renewal. Between the last order of a
-    leader and the first order of its successor is a pause of ``handover_pause_seconds``.
-
-    Orders are sent only for ``order_seconds`` after a renewal, which is less than the
-    lease: the handover pause counts from the end of that time, and part of it has passed
-    when the successor takes the lease.
-
-    This instance leaves a free lease to others for ``standby_seconds`` before it takes it.
-    """
-
-    lease_seconds: float
-    order_seconds: float
-    handover_pause_seconds: float
-    standby_seconds: float = 0.0
-
-
 class LeaderLease:
     """A lease on one row of the store: an instance that sees no renewal in time takes it.
 
@@ -72,6 +42,12 @@
     resumes detects at once that its lease has ended. A new leader sends no orders for
     ``handover_pause_seconds``, so that orders of two leaders never interleave.
 
+    In a new era of the store, the row says nothing of who led last, and no lease counts
+    until it is written again. The former leader sends no orders once it knows of the era,
+    and at the latest ``order_seconds`` after its last renewal: the pause for it counts
+    from that long after this instance has learned of the era. The former leader itself,
+    if its lease has not ended, needs no pause: no other instance can lead so early.
+
     ``start`` is an id of this process. ``describe`` returns the record of this instance; it
     is called for each write, as the ports in it are known only once they are open.
     """
@@ -85,6 +61,7 @@
         clock: Clock = lease_clock,
         may_lead: Callable[[], bool] = lambda: True,
         software: SoftwareRows | None = None,
+        eras: StoreEras | None = None,
     ) -> None:
         # Writes what is known of software versions with the record, and takes it over from it.
         self._software = software
@@ -95,17 +72,24 @@
         self._clock = clock
         # Whether this instance may take the lease now.
         self._may_lead = may_lead
-        self._row_version = ABSENT
+        self._eras = eras or StoreEras()
+        self._eras.on_rise(self._note_era)
+        self._row_version = NOTHING_READ
         # The store's version as of the last read, None if the row must be read again.
-        self._store_version: int | None = None
+        self._store_version: StoreVersion | None = None
         self._changed_at = clock()
         # The newest row version announced by the lease holder, and when it was first received.
-        self._announced_renewal = (ABSENT, -math.inf)
+        self._announced_renewal = (NOTHING_READ, -math.inf)
         self._record: LeaderRecord | None = None
         self._valid_until = -math.inf
         self._pause_until = -math.inf
+        # The end of the pause for the leader of an earlier era.
+        self._era_pause_until = -math.inf
         self._released = False
-        self._fence = 0
+        # The row's version when this instance took the lease, and when it last wrote the row.
+        self._taken = self._written = NOTHING_READ
+        # The era of the last write of this instance whose response was lost.
+        self._unanswered_era: int | None = None
 
     @property
     def record(self) -> LeaderRecord | None:
@@ -115,6 +99,15 @@
     @property
     def is_leader(self) -> bool:
         """Whether this instance is the leader now."""
+        return self._lasts and self._written.era >= self._eras.newest
+
+    @property
+    def unconfirmed(self) -> bool:
+        """Whether this instance led in an earlier era of the store, and its lease has not ended."""
+        return self._lasts and self._written.era < self._eras.newest
+
+    @property
+    def _lasts(self) -> bool:
         return self._clock() < self._valid_until
 
     @property
@@ -129,16 +122,16 @@
         """
         now = self._clock()
         orders_until = self._valid_until - self._timing.lease_seconds + self._timing.order_seconds
-        if now >= orders_until or now < self._pause_until:
+        if not self.is_leader or now >= orders_until or now < self._pause_until:
             return None
-        return self._fence
+        return self._taken.fence
 
     @property
-    def row_version(self) -> int:
+    def row_version(self) -> StoreVersion:
         """The row's version as last read or written here."""
         return self._row_version
 
-    def note_renewal(self, row_version: int) -> None:
+    def note_renewal(self, row_version: StoreVersion) -> None:
         """Note the row version of a renewal, as announced in an update of the lease holder.
 
         The row is not read while updates arrive. After the last one, the lease counts from
@@ -148,12 +141,13 @@
         if row_version > self._announced_renewal[0]:
             self._announced_renewal = (row_version, self._clock())
 
-    def adopt_record(self, row_version: int, record: LeaderRecord) -> None:
+    def adopt_record(self, row_version: StoreVersion, record: LeaderRecord) -> None:
         """Adopt the row as known to a peer, if it is newer.
 
         This is how an instance that the store rejects finds a new leader.
         """
-        if not self.is_leader and row_version > self._row_version:
+        newer = row_version > self._row_version and row_version.era >= self._eras.newest
+        if newer and not self.is_leader:
             self._observe(row_version, record)
 
     def step(self) -> None:
@@ -204,23 +198,42 @@
         self._valid_until = -math.inf
         ended = msgspec.structs.replace(self._describe(), released=True)
         try:
-            self._write(ended)
+            written = self._write(ended)
         except PlatformError as error:
             log_event("giver_release_failed", level="WARNING", error=error)
-        else:
-            log_event("giver_released", fence=self._fence)
+            return
+        self._written = written or self._written
+        log_event("giver_released", fence=self._taken.fence)
 
-    def _write(self, record: LeaderRecord) -> int | None:
+    def _note_era(self, before: int | None, era: int) -> None:
+        if before is None and era == UNTOLD_ERA:
+            return
+        # An instance that starts does not know when the era began.
+        timing = self._timing
+        pause = timing.order_seconds + timing.handover_pause_seconds
+        self._era_pause_until = self._clock() + pause
+        log_event("giver_unconfirmed", era=era, led=self._lasts, pause=round(pause, 3))
+
+    def _write(self, record: LeaderRecord) -> StoreVersion | None:
+        """Write the row; return None if it has changed, or the store is in another era."""
         fields = msgspec.structs.asdict(record)
         if self._software is not None:
             fields |= msgspec.structs.asdict(self._software.record())
-        return self._store.write(LEASE_ROW, msgspec.json.encode(fields), self._row_version)
+        expected = self._row_version
+        try:
+            return self._store.write(LEASE_ROW, msgspec.json.encode(fields), expected)
+        except EraChanged as error:
+            log_event("giver_row_of_another_era", error=error)
+            return None
+        except WriteUnknown:
+            self._unanswered_era = expected.era
+            raise
 
     def _renew(self) -> None:
         started = self._clock()
         written = self._write(self._describe())
         if written is not None:
-            self._row_version = written
+            self._row_version = self._written = written
             self._valid_until = started + self._timing.lease_seconds
             return
         # Either another instance took the row, or the response to an earlier renewal of this
@@ -228,13 +241,15 @@
         self._read()
         if self._record is None or not self._is_own(self._record):
             self._valid_until = -math.inf
-            log_event("giver_lost", level="WARNING", fence=self._fence, reason="row was taken")
+            fence = self._taken.fence
+            log_event("giver_lost", level="WARNING", fence=fence, reason="row was taken")
 
-    def _wait_for_change(self, since: int, seconds: float) -> None:
+    def _wait_for_change(self, since: StoreVersion, seconds: float) -> None:
         try:
             changes = self._store.changes(LEASE_ROW.table, since, seconds)
         except HistoryGone:
-            log_event("giver_row_history_gone", row_version=self._row_version)
+            version = self._row_version
+            log_event("giver_row_history_gone", era=version.era, row_version=version.number)
             self._store_version = None
             return
         self._store_version = changes.version
@@ -245,7 +260,7 @@
         self._store_version = snapshot.version
         if not self._observe_newest(row for row in snapshot.rows if row.key == LEASE_ROW):
             self._take_software(None)
-            self._observe(ABSENT, None)
+            self._observe(StoreVersion(snapshot.version.era, NO_ROW_NUMBER), None)
 
     def _take_software(self, row: bytes | None) -> None:
         if self._software is not None and self._record is None:
@@ -258,18 +273,25 @@
             return False
         self._take_software(row.value)
         if row.value is None:
-            self._observe(ABSENT, None)
+            self._observe(StoreVersion(row.version.era, NO_ROW_NUMBER), None)
         else:
-            self._observe(row.version, _record(row))
+            self._observe(row.version, read_record(row))
         return True
 
-    def _observe(self, version: int, record: LeaderRecord | None) -> None:
+    def _observe(self, version: StoreVersion, record: LeaderRecord | None) -> None:
+        if record is not None and not self._is_own(record):
+            self._unanswered_era = None
         if version != self._row_version:
             self._row_version = version
             announced_version, announced_at = self._announced_renewal
             self._changed_at = announced_at if version == announced_version else self._clock()
         if record != self._record:
-            log_event("giver_seen", giver=record.instance if record else None, row_version=version)
+            log_event(
+                "giver_seen",
+                giver=record.instance if record else None,
+                era=version.era,
+                row_version=version.number,
+            )
         self._record = record
 
     def _may_take(self) -> bool:
@@ -279,16 +301,31 @@
 
     def _seconds_until_takeable(self) -> float:
         """Return the seconds until the row may be taken if it does not change."""
-        unchanged = self._clock() - self._changed_at
+        now = self._clock()
+        unchanged = now - self._changed_at
         standby = self._timing.standby_seconds
-        if self._row_version == ABSENT or self._record is None or self._record.released:
-            return max(0.0, standby - unchanged)
-        if self._is_own(self._record):
+        if self._record is None or self._record.released:
+            # The former leader of an earlier era goes first: it needs no pause.
+            reserved_until = self._era_pause_until - self._timing.handover_pause_seconds
+            return max(0.0, standby - unchanged, reserved_until - now)
+        if self._led_last():
             # The lease ended while the store could not be reached, and no instance took it.
             return 0.0
         lease = self._timing.lease_seconds
         return max(0.0, lease + lease / 4 + standby - unchanged)
 
+    def _led_last(self) -> bool:
+        """Return whether no other process can have led since this one did.
+
+        An own record does not show that: a copy of the store may bring it back, and so may
+        a write that is done late, under a number that was given out again.
+        """
+        if self._record is None or not self._is_own(self._record):
+            return False
+        version = self._row_version
+        known = version == self._written or version.era == self._unanswered_era
+        return known or self.unconfirmed
+
     def _is_own(self, record: LeaderRecord) -> bool:
         return record.start == self._start
 
@@ -301,26 +338,21 @@
         if written is None:
             self._read()
             return
-        self._row_version = written
+        self._row_version = self._written = self._taken = written
         self._record = self._describe()
-        self._fence = written
         self._valid_until = started + self._timing.lease_seconds
         orders_in = max(0.0, self._pause_until - self._clock())
-        log_event("giver_taken", fence=written, orders_in=round(orders_in, 3))
+        log_event(
+            "giver_taken", fence=written.fence, era=written.era, orders_in=round(orders_in, 3)
+        )
 
     def _handover_pause_end(self) -> float:
         """Return when the pause after the former leader's last order ends."""
-        if self._row_version == ABSENT or self._record is None or self._is_own(self._record):
+        if self._led_last():
             return -math.inf
+        if self._record is None:
+            return self._era_pause_until
         # A leader that releases the lease has sent its last order before.
         after = 0.0 if self._record.released else self._timing.order_seconds
         last_order = self._changed_at + after
-        return last_order + self._timing.handover_pause_seconds
-
-
-def _record(row: StoredRow) -> LeaderRecord | None:
-    try:
-        return msgspec.json.decode(row.value or b"", type=LeaderRecord)
-    except msgspec.DecodeError as error:
-        log_event("giver_row_invalid", level="WARNING", error=error)
-        return None
+        return max(self._era_pause_until, last_order + self._timing.handover_pause_seconds)
--- /dev/null
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lease_record.py
@@ -0,0 +1,64 @@
+"""The row of the leader lease, and the times of the lease."""
+
+from typing import NamedTuple, Protocol
+
+import msgspec
+from redwingscale_common.utils.logs import log_event
+
+from redwingscale_daemon._internal.fleet.software_versions import SoftwareRecord
+from redwingscale_daemon._internal.store.rows import RowKey, StoredRow
+
+LEASE_ROW = RowKey("redwingscale", "", "order-giver")
+
+
+class LeaderRecord(msgspec.Struct):
+    """The row's value; ``start`` is an id of the lease holder's process, new at each start."""
+
+    instance: str
+    host: str
+    news_port: int
+    needs_port: int
+    start: str
+    released: bool = False
+    # The port of its peer server, 0 for none.
+    desk_port: int = 0
+    # The number of instances, for those that have just started.
+    instances: int = 0
+
+
+class SoftwareRows(Protocol):
+    """What instances that have just started need to know of software versions."""
+
+    def record(self) -> SoftwareRecord:
+        """Return what is known here."""
+
+    def take_row(self, row: bytes | None) -> None:
+        """Take over what the leader's row says, None if there has never been a leader."""
+
+
+class LeaseTiming(NamedTuple):
+    """The times of a lease.
+
+    The lease ends ``lease_seconds`` after its last renewal. Between the last order of a
+    leader and the first order of its successor is a pause of ``handover_pause_seconds``.
+
+    Orders are sent only for ``order_seconds`` after a renewal, which is less than the
+    lease: the handover pause counts from the end of that time, and part of it has passed
+    when the successor takes the lease.
+
+    This instance leaves a free lease to others for ``standby_seconds`` before it takes it.
+    """
+
+    lease_seconds: float
+    order_seconds: float
+    handover_pause_seconds: float
+    standby_seconds: float = 0.0
+
+
+def read_record(row: StoredRow) -> LeaderRecord | None:
+    """Return the record in ``row``, None if it is invalid."""
+    try:
+        return msgspec.json.decode(row.value or b"", type=LeaderRecord)
+    except msgspec.DecodeError as error:
+        log_event("giver_row_invalid", level="WARNING", error=error)
+        return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -4,6 +4,7 @@
 
 from redwingscale_daemon._internal.fleet.list_update import ListUpdate
 from redwingscale_daemon._internal.fleet.rate_limit_messages import PermitEntry, RateLimitEntry
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.workspaces.place_messages import PlaceUse
 from redwingscale_daemon._internal.workspaces.use_messages import DrawnEntry, GrantEntry
 
@@ -193,14 +194,22 @@
 class StoreUpdate(msgspec.Struct, array_like=True):
     """What the leader has read from the store, so that the other instances need not.
 
-    ``lease_version`` is the row version of the newest lease renewal. ``configuration`` is
+    ``lease_version`` is that of the newest lease renewal. ``configuration`` is
     the version in force, confirmed ``configuration_age`` seconds ago.
     """
 
-    lease_version: int
+    # The number of ``lease_version``.
+    lease_number: int
     upstreams: ListUpdate
     configuration: int
     configuration_age: float
+    # The era of ``lease_version``.
+    lease_era: int = 0
+
+    @property
+    def lease_version(self) -> StoreVersion:
+        """The version of the lease's row."""
+        return StoreVersion(self.lease_era, self.lease_number)
 
 
 class LeaderUpdate(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -16,7 +16,8 @@
 from redwingscale_daemon._internal.routes.route_table import RouteTable
 from redwingscale_daemon._internal.routes.table_difference import apply_difference
 from redwingscale_daemon._internal.routes.table_record import decode_table
-from redwingscale_daemon._internal.swaps.leader_lease import LeaderRecord
+from redwingscale_daemon._internal.store.store_version import StoreVersion
+from redwingscale_daemon._internal.swaps.lease_record import LeaderRecord
 from redwingscale_daemon._internal.swaps.peer_server import PeerRequest, PeerResponse
 
 MAX_PEERS = 32
@@ -40,7 +41,7 @@
         self,
         routes: CurrentRoutes,
         needed: Callable[[], bool],
-        learn_leader: Callable[[int, LeaderRecord], None],
+        learn_leader: Callable[[StoreVersion, LeaderRecord], None],
         own_address: Callable[[], str],
         on_new_peers: Callable[[], None] = lambda: None,
     ) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
@@ -12,8 +12,9 @@
 from redwingscale_daemon._internal.fleet.rate_limit_messages import RateLimitEntry
 from redwingscale_daemon._internal.membership.entry import Entry
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
-from redwingscale_daemon._internal.swaps.leader_lease import LeaderRecord
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.leader_server import open_port
+from redwingscale_daemon._internal.swaps.lease_record import LeaderRecord
 from redwingscale_daemon._internal.swaps.table_replies import TableReplies
 
 _TIMEOUT_MS = 1000
@@ -44,19 +45,27 @@
     If the peer's configuration is newer than the requester's, ``table`` has it as a whole or
     ``difference`` leads to it from the requester's, or the instances at ``holders`` have it,
     while the peer may not send it; else these are empty. It was last known to be in force
-    ``age`` seconds ago. ``lease_version`` and ``leader`` are the
-    leader's row as last read or received.
+    ``age`` seconds ago. ``lease_version`` and ``leader`` are the leader's row as last read or
+    received.
     """
 
     configuration: int
     table: bytes
     age: float
-    lease_version: int
+    # The number of ``lease_version``.
+    lease_number: int
     leader: LeaderRecord | None
     entries: list[Entry] = []
     path: PathReply | None = None
     difference: bytes = b""
     holders: list[str] = []
+    # The era of ``lease_version``.
+    lease_era: int = 0
+
+    @property
+    def lease_version(self) -> StoreVersion:
+        """The version of the leader's row."""
+        return StoreVersion(self.lease_era, self.lease_number)
 
 
 class Entries(Protocol):
@@ -72,7 +81,7 @@
 class LeaseState(NamedTuple):
     """The leader's row as known to an instance."""
 
-    row_version: int
+    row_version: StoreVersion
     record: LeaderRecord | None
 
 
@@ -145,15 +154,24 @@
             exchange.receive(request.entries)
         entries = exchange.entries() if exchange is not None and request.asks else []
         if table is None:
-            return PeerResponse(0, b"", float("inf"), lease.row_version, lease.record, entries)
+            return PeerResponse(
+                0,
+                b"",
+                float("inf"),
+                lease.row_version.number,
+                lease.record,
+                entries,
+                lease_era=lease.row_version.era,
+            )
         newer = self._tables.reply_to(request.configuration, request.base, request.address)
         return PeerResponse(
             table.version,
             newer.table,
             self._age(),
-            lease.row_version,
+            lease.row_version.number,
             lease.record,
             entries,
             difference=newer.difference,
             holders=newer.holders,
+            lease_era=lease.row_version.era,
         )
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_store_from_a_copy.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_store_from_a_copy.py
@@ -1,6 +1,7 @@
 """Instances whose store comes back from an older copy."""
 
 import itertools
+import signal
 import threading
 import time
 
@@ -116,17 +117,26 @@
 
 def test_fences_rise_over_a_copy(deployment, two_instances):
     """Guards against orders with a lower fence than the worker has seen."""
-    worker = deployment.workers["w1"]
-    go_back(deployment)
-    for instance in two_instances:
-        assert instance.request_stream("m2", request=f"before {instance.name}")[0] == 200
-    before = max(int(order["Fence"]) for order in worker.orders + deployment.workers["w2"].orders)
-    go_back(deployment)
-    for instance in two_instances:
-        assert instance.request_stream("m3", request=f"after {instance.name}")[0] == 200
-    orders = worker.orders + deployment.workers["w2"].orders
-    after = [int(order["Fence"]) for order in orders if order["Model"] == "m3"]
-    assert min(after) > before
+    workers = deployment.workers.values()
+    one, two = two_instances
+    until(lambda: deployment.leader() == "one", "the first leader")
+    copied_at = time.monotonic()
+    count_versions(deployment, 100)
+    one.end(signal.SIGTERM)
+    until(lambda: deployment.leader() == "two", "the second leader")
+    assert two.request_stream("m1/a1", request="before")[0] == 200
+    before = [int(order["Fence"]) for worker in workers for order in worker.orders]
+    deployment.rows.down = True
+    # The lease ends meanwhile.
+    time.sleep(3.0)
+    deployment.rows.restore(time.monotonic() - copied_at)
+    deployment.rows.down = False
+    until(lambda: two.log.read_bytes().count(b"event=giver_taken") == 2, "its return")
+    until(lambda: two.request_stream("m1/a2", request="after")[0] == 200, "an order")
+    for worker in workers:
+        fences = [int(order["Fence"]) for order in worker.orders]
+        assert fences == sorted(fences)
+    assert max(int(order["Fence"]) for worker in workers for order in worker.orders) > max(before)
 
 
 def test_new_version_after_a_copy_comes_into_force(deployment, two_instances):
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_leaving.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_leaving.py
@@ -8,6 +8,7 @@
     LeavingUpstreams,
 )
 from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 LEAVING = Backpressure(leaving=True)
 
@@ -23,7 +24,7 @@
 @pytest.fixture
 def fleet():
     made = new_fleet()
-    made.directory.replace([upstream("a"), upstream("b")], 1)
+    made.directory.replace([upstream("a"), upstream("b")], StoreVersion(0, 1))
     return made
 
 
@@ -34,24 +35,26 @@
 def test_list_does_not_end_the_leaving_that_an_answer_signals(fleet):
     # Guards against an upstream that is used again because its entry is older than its answer.
     fleet.backpressure.take("a", LEAVING, "answer")
-    fleet.directory.replace([upstream("a"), upstream("b")], 2)
-    fleet.directory.update([upstream("a")], [], 3)
+    fleet.directory.replace([upstream("a"), upstream("b")], StoreVersion(0, 2))
+    fleet.directory.update([upstream("a")], [], StoreVersion(0, 3))
     assert usable(fleet) == {"b"}
 
 
 def test_entry_that_lapsed_and_returned_does_not_end_the_leaving(fleet):
     # Guards against an upstream that is used again after an outage of the store.
     fleet.backpressure.take("a", LEAVING, "answer")
-    fleet.directory.replace([upstream("b")], 2)
-    fleet.directory.replace([upstream("a"), upstream("b")], 3)
+    fleet.directory.replace([upstream("b")], StoreVersion(0, 2))
+    fleet.directory.replace([upstream("a"), upstream("b")], StoreVersion(0, 3))
     assert usable(fleet) == {"b"}
 
 
 def test_next_start_under_the_name_does_not_leave(fleet):
     # Guards against a restarted upstream that is never used.
-    fleet.directory.replace([upstream("a", started_at_ms=1)], 2)
+    fleet.directory.replace([upstream("a", started_at_ms=1)], StoreVersion(0, 2))
     fleet.backpressure.take("a@1", LEAVING, "answer")
-    fleet.directory.replace([upstream("a", started_at_ms=2)._replace(row_version=2)], 3)
+    fleet.directory.replace(
+        [upstream("a", started_at_ms=2)._replace(row_number=2)], StoreVersion(0, 3)
+    )
     assert usable(fleet) == {"a@2"}
 
 
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_leaving_in_time.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_leaving_in_time.py
@@ -14,6 +14,7 @@
 from redwingscale_daemon._internal.platform.store_client import ANSWER_SECONDS
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 READ_SECONDS = 0.02
 STEPS = 60
@@ -44,8 +45,10 @@
             raise PlatformUnavailable("no answer")
         self._clock.sleep(READ_SECONDS)
         version = 2 if self.leaving else 1
-        row = StoredRow(RowKey(table, partition, "a"), version, b"leaving" * self.leaving)
-        return Snapshot((row,), version)
+        row = StoredRow(
+            RowKey(table, partition, "a"), StoreVersion(0, version), b"leaving" * self.leaving
+        )
+        return Snapshot((row,), StoreVersion(0, version))
 
 
 def decode(name, row_version, value):
@@ -81,7 +84,9 @@
 
     def receive_update():
         received_at[0] = clock.now
-        tracker.take(1, ListUpdate([], [], 0.0, directory.copy.digest, directory.copy.version))
+        tracker.take(
+            1, ListUpdate([], [], 0.0, directory.copy.digest, directory.copy.version.number)
+        )
 
     for _ in range(STEPS):
         follower.step()
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
@@ -16,6 +16,7 @@
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.list_changes import ListChanges
 
 STEP_SECONDS = 0.25
@@ -25,7 +26,7 @@
 BEHIND_SECONDS = 3.0
 IN_TOUCH_SECONDS = 3.0
 LEAVE_SECONDS = 2.0
-LATER_VERSION = 9999
+LATER_VERSION = StoreVersion(0, 9999)
 
 
 class Clock:
@@ -65,10 +66,10 @@
 
     def read(self, table, partition):
         rows = tuple(
-            StoredRow(RowKey(table, partition, name), version, state.encode())
+            StoredRow(RowKey(table, partition, name), StoreVersion(0, version), state.encode())
             for name, (version, state) in self.rows.items()
         )
-        return Snapshot(rows, self.version)
+        return Snapshot(rows, StoreVersion(0, self.version))
 
     def read_behind(self):
         """Return the list as of `BEHIND_SECONDS` ago."""
@@ -79,7 +80,7 @@
 def decode(name, row_version, value):
     return Upstream(
         name, "llm", "127.0.0.1", 1, "z1", 64, value == b"draining", None, {},
-        frozenset(), frozenset(), row_version=row_version,
+        frozenset(), frozenset(), row_number=row_version.number, era=row_version.era,
     )  # fmt: skip
 
 
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_starts.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_starts.py
@@ -10,6 +10,7 @@
 from redwingscale_daemon._internal.platform import discovery
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 UNIT = Unit("m")
 PROMPT = Prompt(UNIT, 900, 10, (PromptPart("p", 800), PromptPart("own", 100)))
@@ -20,7 +21,7 @@
     resident = {name: ResidentModel(name, 1, frozenset()) for name in models}
     return Upstream(
         f"w@{started_at_ms}", "llm", "127.0.0.1", 1, "z1", 64, False, None, resident,
-        frozenset(), frozenset(), named="w", started_at_ms=started_at_ms, row_version=row_version,
+        frozenset(), frozenset(), named="w", started_at_ms=started_at_ms, row_number=row_version,
     )  # fmt: skip
 
 
@@ -83,8 +84,11 @@
     def read(self, table, partition):
         if self.values is None:
             raise PlatformUnavailable("away")
-        rows = [StoredRow(RowKey(table, "", name), 1, value) for name, value in self.values.items()]
-        return Snapshot(tuple(rows), 1)
+        rows = [
+            StoredRow(RowKey(table, "", name), StoreVersion(0, 1), value)
+            for name, value in self.values.items()
+        ]
+        return Snapshot(tuple(rows), StoreVersion(0, 1))
 
 
 ENTRY = (
--- a/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
@@ -6,6 +6,7 @@
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
 from redwingscale_daemon._internal.platform import configuration, discovery, engine, exchange
 from redwingscale_daemon._internal.routes.idempotency import Idempotency
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult, Unload
 from redwingscale_daemon._internal.workspaces.keys import key_digest
 from redwingscale_daemon._internal.workspaces.workspace import UseLimit, UseUnit, Workspace
@@ -121,12 +122,13 @@
         "Models": [{"Name": "m", "Version": 2, "Adapters": ["a1"]}],
         "AtHand": {"InMemory": ["m"], "OnDisk": ["m", "n"]},
     }  # fmt: skip
-    upstream = discovery.decode_upstream("i-1", 9, msgspec.json.encode(entry))
+    upstream = discovery.decode_upstream("i-1", StoreVersion(2, 9), msgspec.json.encode(entry))
     assert upstream.id != upstream.platform_name == "i-1"
     assert upstream.address == ("10.0.0.9", 8080)
     assert (upstream.leaving, upstream.seconds_left) == (True, 1.5)
     assert upstream.models_by_name["m"].adapters == {"a1"}
     assert upstream.on_disk == {"m", "n"}
+    assert upstream.row_version == StoreVersion(2, 9)
 
 
 @pytest.mark.parametrize(
@@ -135,7 +137,7 @@
 )
 def test_malformed_upstream_entry_is_rejected(document):
     with pytest.raises(msgspec.DecodeError):
-        discovery.decode_upstream("i-1", 1, document)
+        discovery.decode_upstream("i-1", StoreVersion(0, 1), document)
 
 
 ENTRY = {
@@ -152,7 +154,7 @@
     """
     lacking = {name: value for name, value in ENTRY.items() if name != field}
     with pytest.raises(msgspec.DecodeError):
-        discovery.decode_upstream("i-1", 1, msgspec.json.encode(lacking))
+        discovery.decode_upstream("i-1", StoreVersion(0, 1), msgspec.json.encode(lacking))
 
 
 @pytest.mark.parametrize(
@@ -167,13 +169,17 @@
 )  # fmt: skip
 def test_entry_with_an_invalid_value_is_rejected(field, value):
     with pytest.raises(msgspec.DecodeError):
-        discovery.decode_upstream("i-1", 1, msgspec.json.encode({**ENTRY, field: value}))
+        discovery.decode_upstream(
+            "i-1", StoreVersion(0, 1), msgspec.json.encode({**ENTRY, field: value})
+        )
 
 
 def test_two_starts_of_a_process_are_two_upstreams():
     starts = [
-        discovery.decode_upstream("i-1", version, msgspec.json.encode({**ENTRY, "born": born}))
-        for version, born in ((1, 1700000000000), (2, 1700000005000))
+        discovery.decode_upstream(
+            "i-1", StoreVersion(0, number), msgspec.json.encode({**ENTRY, "born": born})
+        )
+        for number, born in ((1, 1700000000000), (2, 1700000005000))
     ]
     assert starts[0].id != starts[1].id
     assert {one.platform_name for one in starts} == {"i-1"}
--- a/packages/redwingscale-daemon/tests/unit/routes/test_change_in_time.py
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_change_in_time.py
@@ -14,6 +14,7 @@
 from redwingscale_daemon._internal.routes.route_version_tracker import RouteVersionTracker
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 ROW = RowKey("op", "", "config")
 READ_SECONDS = 0.02
@@ -49,8 +50,8 @@
             self._clock.sleep(limit_seconds)
             raise PlatformUnavailable("no answer")
         self._clock.sleep(READ_SECONDS)
-        row = StoredRow(ROW, self.version, str(self.version).encode())
-        return Snapshot((row,), self.version)
+        row = StoredRow(ROW, StoreVersion(0, self.version), str(self.version).encode())
+        return Snapshot((row,), StoreVersion(0, self.version))
 
 
 def decode(value):
--- a/packages/redwingscale-daemon/tests/unit/routes/test_route_follower.py
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_route_follower.py
@@ -8,6 +8,7 @@
 from redwingscale_daemon._internal.routes.route_version_tracker import RouteVersionTracker
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 ROW = RowKey("op", "", "config")
 
@@ -30,8 +31,8 @@
         self.reads.append(what)
         if self.fail:
             raise PlatformUnavailable("down")
-        row = StoredRow(ROW, self.value, str(self.value).encode())
-        return Snapshot((row,), self.value)
+        row = StoredRow(ROW, StoreVersion(0, self.value), str(self.value).encode())
+        return Snapshot((row,), StoreVersion(0, self.value))
 
 
 def decode(value):
--- a/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
@@ -3,11 +3,12 @@
 import time
 
 import pytest
-from redwingscale_daemon._internal.exceptions import HistoryGone
+from redwingscale_daemon._internal.exceptions import EraChanged, HistoryGone
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
 from redwingscale_daemon._internal.platform import engine as platform_engine
 from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule
 from redwingscale_daemon._internal.store.rows import Snapshot, StoredRow
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.messages import DemandEntry, InstanceUpdate
 from redwingscale_daemon._internal.swaps.order import Load, OrderResult
@@ -75,7 +76,7 @@
     """One row, with faults to inject."""
 
     def __init__(self):
-        self.version = 0
+        self.version = StoreVersion(0, 0)
         self.row = None
         self.fail = None
         self.lose_answer = None
@@ -101,12 +102,14 @@
         changed = self.row if self.row and self.row.version > after else None
         return Snapshot((changed,) if changed else (), self.version)
 
-    def write(self, key, value, expected_version):
+    def write(self, key, value, expected):
         if self.fail:
             raise self.fail
-        if expected_version != (self.row.version if self.row else 0):
+        if expected.era != self.version.era:
+            raise EraChanged("another era")
+        if expected.number != (self.row.version.number if self.row else 0):
             return None
-        self.version += 1
+        self.version = self.version._replace(number=self.version.number + 1)
         self.row = StoredRow(key, self.version, value)
         if self.lose_answer:
             raise self.lose_answer
--- a/packages/redwingscale-daemon/tests/unit/swaps/peers_world.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/peers_world.py
@@ -4,6 +4,7 @@
 import pynng
 from redwingscale_daemon._internal.platform.configuration import decode_configuration
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.leader_lease import LeaderRecord
 from redwingscale_daemon._internal.swaps.peer_client import PeerClient
 from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerResponse, PeerServer
@@ -25,7 +26,7 @@
         self.routes = CurrentRoutes()
         self.routes.offer(newest)
         self.server = PeerServer(
-            "127.0.0.1", 0, self.routes, lambda: age, lambda: LeaseState(7, LEADER)
+            "127.0.0.1", 0, self.routes, lambda: age, lambda: LeaseState(StoreVersion(0, 7), LEADER)
         )
         self.server.start()
 
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
@@ -8,6 +8,7 @@
 from redwingscale_daemon._internal.platform.configuration import decode_configuration
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.table_record import decode_table, encode_table
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease, LeaderRecord, LeaseTiming
 from redwingscale_daemon._internal.swaps.peer_client import PeerClient
 from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerServer
@@ -43,7 +44,7 @@
     requester.client.step()
     assert requester.version == 2
     assert requester.routes.get().keys.find(key_digest(KEY)) is None
-    assert requester.leaders == [(7, LEADER)]
+    assert requester.leaders == [(StoreVersion(0, 7), LEADER)]
 
 
 def test_older_configuration_of_a_peer_is_not_adopted(start, requester):
@@ -84,7 +85,7 @@
     requester.routes.offer(table(2))
     requester.client.remember([peer.server.address])
     requester.client.step()
-    assert requester.leaders == [(7, LEADER)]
+    assert requester.leaders == [(StoreVersion(0, 7), LEADER)]
     response = ask(peer, 2)
     assert (response.configuration, response.table, response.difference) == (2, b"", b"")
 
@@ -93,11 +94,11 @@
     """Guards against a return to a former leader."""
     timing = LeaseTiming(2.0, 1.2, 0.3)
     lease = LeaderLease(store, "me", lambda: LEADER, timing)
-    lease.adopt_record(9, LEADER)
+    lease.adopt_record(StoreVersion(0, 9), LEADER)
     former = LeaderRecord("n1", "127.0.0.1", 1, 2, "former")
-    lease.adopt_record(8, former)
+    lease.adopt_record(StoreVersion(0, 8), former)
     assert lease.record == LEADER
-    assert lease.row_version == 9
+    assert lease.row_version == StoreVersion(0, 9)
 
 
 def test_advertised_rate_limit_is_forwarded_without_a_leader():
@@ -105,7 +106,12 @@
     here, there = RateLimits(), RateLimits()
     routes = CurrentRoutes()
     server = PeerServer(
-        "127.0.0.1", 0, routes, lambda: 0.1, lambda: LeaseState(7, None), there.receive_from_peer
+        "127.0.0.1",
+        0,
+        routes,
+        lambda: 0.1,
+        lambda: LeaseState(StoreVersion(0, 7), None),
+        there.receive_from_peer,
     )
     server.start()
     client = PeerClient(routes, lambda: False, lambda *_: None, lambda: "")
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_table_replies.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_table_replies.py
@@ -8,6 +8,7 @@
 import pytest
 from redwingscale_daemon._internal.platform.configuration import decode_configuration
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps import table_replies
 from redwingscale_daemon._internal.swaps.peer_client import PeerClient
 from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerServer
@@ -119,7 +120,7 @@
             0,
             self.routes,
             lambda: 0.1,
-            lambda: LeaseState(1, None),
+            lambda: LeaseState(StoreVersion(0, 1), None),
             link_mbps=link_mbps,
         )
         self.server.start()
