Take no upstream back that only an older copy lists again

A copy of the store shows an entry that had been removed: its upstream was used again until the removal was written again, or for good. Before, the list of the copy was refused as a whole, which hid this.

An entry that was removed in an earlier era is taken for leaving, and told so to the others, unless it is written again in the era in which it was removed, or its upstream starts anew. Entries that were kept since they may have lapsed are not remembered: two copies in a row must not leave an installation without upstreams. What was told to leave stays so by the memory of leaving upstreams.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -8,6 +8,7 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.changes import Changes
+from redwingscale_daemon._internal.fleet.gone_upstreams import GoneUpstreams
 from redwingscale_daemon._internal.fleet.leaving_upstreams import LeavingUpstreams
 from redwingscale_daemon._internal.fleet.list_digest import list_digest
 from redwingscale_daemon._internal.fleet.residency import AdaptersByModel, Residency
@@ -46,7 +47,8 @@
     leader's updates, and in any order. A list that is older than the copy is ignored, as it
     would bring back an upstream that has left. An upstream that
     is leaving by any source, the list or its own answers, takes no new work whatever the
-    other sources say.
+    other sources say. One that was removed is taken for leaving if only an older copy of the
+    store lists it.
     """
 
     def __init__(self, residency: Residency, changes: Changes) -> None:
@@ -56,6 +58,7 @@
         self._copy = ListCopy({}, list_digest(()), NOTHING_READ)
         self._read_at = float("-inf")
         self._leaving = LeavingUpstreams()
+        self._gone = GoneUpstreams()
         self._gone_listeners: list[GoneListener] = []
         self._list_listeners: list[ListListener] = []
 
@@ -119,7 +122,12 @@
             kept = before.kept if kept is None else kept
             self._copy = ListCopy(after, list_digest(after.values()), version, kept)
             new_leaving = self._leaving.note([k for k, one in after.items() if one.leaving])
+            # Entries that were kept may only have lapsed.
+            self._gone.note(before.by_id.keys() - after.keys() - before.kept, version)
+            undone = self._leaving.note(self._gone.listed_by_copy(after.values()))
             self._leaving.follow(after.keys())
+        for key in undone:
+            log_event("upstream_leaving", upstream=key, seconds_left=None, source="removed before")
         self._announce(before.by_id, after, new_leaving)
         return True
 
