Ask peers for a newer configuration before a process that starts is ready

After a copy of the store, a process that starts took the copy's older configuration: a withdrawn key worked there until the later version was written again.

Instances tell the leader their version, so that a leader that has started on a copy gets it from them.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -62,6 +62,7 @@
 from redwingscale_daemon._internal.store.link_state import LinkState
 from redwingscale_daemon._internal.store.rows import RowKey
 from redwingscale_daemon._internal.store.store_eras import StoreEras
+from redwingscale_daemon._internal.swaps.start_check import StartCheck
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 from redwingscale_daemon._internal.workspaces.place_uses import PlaceUses
@@ -169,7 +170,15 @@
     parts = IngressParts(
         callers=callers,
         peers=peer_port,
-        probes=_probes(settings, routes, fleet.directory, open_requests, metrics, own_reports),
+        probes=_probes(
+            settings,
+            routes,
+            fleet.directory,
+            open_requests,
+            metrics,
+            own_reports,
+            swaps.start_check,
+        ),
         tasks=(
             *followers,
             *swaps.tasks,
@@ -390,6 +399,7 @@
     open_requests: OpenRequests,
     metrics: IngressMetrics,
     own_reports: OwnReports,
+    start_check: StartCheck,
 ) -> tuple[IngressServer, ...]:
     def not_ready_reason() -> str:
         if own_reports.domain_cut:
@@ -398,6 +408,8 @@
             return "draining"
         if routes.get() is None:
             return "no configuration is known"
+        if not start_check.done:
+            return "peers may know a newer configuration"
         return "" if directory.all() else "no upstream is known"
 
     probes = PortLimits(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -59,8 +59,13 @@
     eras: StoreEras,
     fleet: Fleet,
     reply_on_path: Callable[[PathQuery], PathReply | None],
+    told_by_instances: Callable[[], int],
 ) -> Peers:
-    """Return the parts, not started."""
+    """Return the parts, not started.
+
+    ``told_by_instances`` returns the newest configuration that instances have told the leader
+    here, 0 for none.
+    """
     first_port = settings.peer_ports[0]
     peer_server = PeerServer(
         settings.host,
@@ -78,8 +83,10 @@
     def may_be_outdated() -> bool:
         """Return whether there may be a configuration or a leader unknown to this instance."""
         table = routes.get()
+        current_version = table.version if table else 0
+        if told_by_instances() > current_version:
+            return True
         if route_versions.current:
-            current_version = table.version if table else 0
             return behind.update(route_versions.version > current_version)
         return reads.configuration.lost or reads.configuration.age > settings.bounds.configuration
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from redwingscale_daemon._internal.composition.ordered_return import ReturnUpdates
-from redwingscale_daemon._internal.composition.peers import build_peers
+from redwingscale_daemon._internal.composition.peers import FETCH_FRACTION, build_peers
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.fleet.findings import drain_findings
@@ -55,6 +55,7 @@
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.repeat_history import RepeatHistory
 from redwingscale_daemon._internal.swaps.slowness import first_event_entry
+from redwingscale_daemon._internal.swaps.start_check import StartCheck
 from redwingscale_daemon._internal.swaps.worker_orders import OrderAuthority
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
@@ -74,6 +75,8 @@
 LEADER_CORES = 1.0
 LEADER_LINK_MBPS = 100.0
 STANDBY_SECONDS = 0.75
+# How many peers the leader's row names.
+NAMED_PEERS = 3
 # Instances of the same size wait for a random fraction of this before they take a free
 # lease. Otherwise they would all write at the same moment, and all writes but one would fail.
 CONTEST_SPREAD_SECONDS = 0.25
@@ -88,7 +91,8 @@
     ``fetch_announced`` fetches a configuration that the leader announced. ``release``
     gives up the leader lease. ``entries`` are those that all instances exchange,
     ``peers`` queries other instances; ``own_address`` is that of the peer server here, and
-    ``leader_address`` that of the leader's, None without one.
+    ``leader_address`` that of the leader's, None without one. ``start_check`` ends before the
+    instance is ready.
     """
 
     local_demand: LocalDemand
@@ -103,6 +107,7 @@
     peers: PeerClient
     own_address: Callable[[], str]
     leader_address: Callable[[], str | None]
+    start_check: StartCheck
 
 
 def engine_calls() -> EngineCalls:
@@ -149,6 +154,7 @@
             start,
             desk_port=peers.server.port,
             instances=instances(),
+            peers=sorted(peers.client.addresses())[:NAMED_PEERS],
         ),
         LeaseTiming(
             LEASE_SECONDS,
@@ -239,6 +245,7 @@
             repeats=budget.repeats(),
             replaced=replaced.addresses(),
             bound_waits=local_demand.bound_waits(),
+            configuration=table.version if (table := routes.get()) else 0,
         )
         own_demand.receive(update)
         return update
@@ -252,9 +259,14 @@
         settings.bounds.order_quiet,
         lambda upstream: not fleet.retry_times.remaining(upstream) and issuer.draw(upstream),
     )
-    server = LeaderServer(
-        settings.host, news_port, needs_port, lambda update: leader.receive(update)
-    )
+    newest_told = 0
+
+    def receive(update: InstanceUpdate) -> None:
+        nonlocal newest_told
+        newest_told = max(newest_told, update.configuration)
+        leader.receive(update)
+
+    server = LeaderServer(settings.host, news_port, needs_port, receive)
     leader = Leader(
         authority,
         routes,
@@ -290,7 +302,17 @@
         replaced=replaced,
     )
     fleet.directory.on_gone(leader.forget)
-    peers = build_peers(settings, routes, reads, route_versions, lease, eras, fleet, reply_on_path)
+    peers = build_peers(
+        settings,
+        routes,
+        reads,
+        route_versions,
+        lease,
+        eras,
+        fleet,
+        reply_on_path,
+        lambda: newest_told,
+    )
     client = LeaderClient(lease, me, make_update, on_leader_update, leader.receive)
     local_demand.on_new_wait(client.wake)
     fleet.rates.on_update(client.wake)
@@ -312,10 +334,21 @@
                 raise
             lease_retry.note_answer()
 
+    def named_peers() -> list[str]:
+        record, here = lease.record, peers.server.address
+        named = [f"{record.host}:{record.desk_port}", *record.peers] if record else []
+        return [address for address in named if address != here]
+
     def leader_address() -> str | None:
         record = lease.record
         return f"{record.host}:{record.desk_port}" if record and record.desk_port else None
 
+    start_check = StartCheck(
+        routes,
+        eras,
+        named_peers,
+        lambda peer: peers.client.confirm(peer, bounds.configuration * FETCH_FRACTION),
+    )
     lease_task = Periodic("giver-lease", LEASE_STEP_SECONDS, follow_lease)
     fleet.path.on_lost(lease_task.wake)
     eras.on_rise(lambda before, era: lease_task.wake())
@@ -330,6 +363,7 @@
         tasks=(
             server,
             *peers.tasks,
+            start_check,
             lease_task,
             client,
             Periodic("order-giver", 0.0, lead),
@@ -344,6 +378,7 @@
         peers=peers.client,
         own_address=lambda: peers.server.address,
         leader_address=leader_address,
+        start_check=start_check,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lease_record.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lease_record.py
@@ -22,8 +22,9 @@
     released: bool = False
     # The port of its peer server, 0 for none.
     desk_port: int = 0
-    # The number of instances, for those that have just started.
+    # The number of instances, and the peer servers of some, for those that have just started.
     instances: int = 0
+    peers: list[str] = []
 
 
 class SoftwareRows(Protocol):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/messages.py
@@ -160,6 +160,8 @@
     identifies the process. ``repeats`` are those that it has sent in the last window beyond
     the part that its own requests allow, by service. At the addresses of the ``replaced``
     upstreams, by id, other processes listen. ``bound_waits`` are those of begun streams.
+    ``configuration`` is the version in force at the instance: a leader that has started on an
+    older copy of the store learns of a newer one.
     """
 
     instance: str
@@ -182,6 +184,7 @@
     repeats: dict[str, int] = {}
     replaced: dict[str, str] = {}
     bound_waits: list[BoundWait] = []
+    configuration: int = 0
 
 
 class ResidencyEntry(msgspec.Struct, array_like=True):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -104,6 +104,18 @@
             if response.age < FRESH_CONFIGURATION_SECONDS:
                 return
 
+    def confirm(self, address: str, seconds: float) -> bool:
+        """Query a peer, and take its configuration within ``seconds`` if it is newer.
+
+        Returns whether the configuration here is that of the peer or a later one.
+        """
+        response = self._query(address)
+        if response is None:
+            return False
+        self._apply(address, response)
+        known = self._has(response.configuration)
+        return known or self.fetch(address, response.configuration, seconds)
+
     def fetch(self, address: str, version: int, seconds: float) -> bool:
         """Query a peer; return whether the configuration here has ``version`` or a later one.
 
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_store_from_a_copy.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_store_from_a_copy.py
@@ -155,8 +155,9 @@
         until(lambda one=instance: one.request_stream(key="k1")[0] == 401, "the end of the key")
 
 
-def test_key_that_a_copy_knows_again_stays_withdrawn(deployment, two_instances):
-    """Guards against an older configuration at a process that starts on the copy."""
+@pytest.fixture
+def withdrawn(deployment, two_instances):
+    """Withdraw a key, and let the store come back from a copy that knows it."""
     deployment.rows.put("op", "config", keyed_document(2, "k1", "k2"))
     for instance in two_instances:
         until(lambda one=instance: one.request_stream(key="k1")[0] == 200, "the first version")
@@ -165,7 +166,24 @@
     for instance in two_instances:
         until(lambda one=instance: one.request_stream(key="k1")[0] == 401, "the end of the key")
     deployment.rows.restore(COPY_SECONDS)
+    return two_instances
+
+
+def test_key_that_a_copy_knows_again_stays_withdrawn(deployment, withdrawn):
+    """Guards against an older configuration at a process that starts on the copy."""
     started = deployment.instance("three")
-    for instance in (*two_instances, started):
+    for instance in (*withdrawn, started):
         assert instance.request_stream(key="k1")[0] == 401
         assert instance.request_stream(key="k2")[0] == 200
+
+
+def test_key_stays_withdrawn_if_the_leader_starts_on_the_copy(deployment, withdrawn):
+    """Guards against an older configuration at the only peer that the store names."""
+    one, two = withdrawn
+    assert deployment.leader() == "one"
+    one.end()
+    one.start()
+    until(lambda: one.status() == 200, "its readiness")
+    for instance in (one, two):
+        until(lambda here=instance: here.request_stream(key="k1")[0] == 401, "the end of the key")
+        assert instance.request_stream(key="k2")[0] == 200
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
@@ -15,7 +15,7 @@
 MAX_WAIT_SECONDS = 30.0
 _KEY_FIELDS = ("Table", "part", "Key")
 ERA_HEADER = "Store-Era"
-FIRST_ERA = 1
+FIRST_ERA = 0
 
 
 class RowsApi:
