Drop kept upstreams in time without another read

The time for which it is kept was checked at the next read only.

Kept upstreams are dropped when that time has passed. The new test failed before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -51,8 +51,10 @@
     def step(self) -> None:
         """Read the list once if a read is due.
 
-        The last list stays in use while the store is unavailable.
+        The last list stays in use while the store is unavailable, without the upstreams that
+        it lacked and whose entries have not come back in time.
         """
+        self._drop_overdue()
         if self._not_due(self._state.answered_at) or not self._retry.due:
             return
         try:
@@ -80,6 +82,16 @@
                 known=known.number,
             )
 
+    def _drop_overdue(self) -> None:
+        now = time.monotonic()
+        overdue = [
+            key for key, at in self._missing_since.items() if now - at >= LAPSED_RETURN_SECONDS
+        ]
+        if overdue:
+            self._directory.update([], overdue, self._directory.copy.version)
+            for key in overdue:
+                del self._missing_since[key]
+
     def _lapsed(self, listed: list[Upstream], version: StoreVersion) -> list[Upstream]:
         """Return known upstreams whose entries may only have lapsed in a store outage.
 
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
@@ -434,3 +434,17 @@
             store.put(name, "draining")
         case "remove":
             store.remove(name)
+
+
+def test_kept_upstream_is_dropped_in_time_by_an_instance_that_is_cut_off_again(deployment):
+    """Guards against requests to an upstream whose entry was missing in the last list read."""
+    deployment.hears_giver = False
+    deployment.instance.cut = True
+    deployment.run(2.0)
+    deployment.store.remove("u1")
+    deployment.instance.cut = False
+    deployment.run(2 * STEP_SECONDS)
+    assert "u1" in deployment.instance.known()
+    deployment.instance.cut = True
+    deployment.run(LEAVE_SECONDS)
+    assert deployment.instance.known() == {"u0", "u2"}
