Let the soak's store come back from older copies

Copies of up to 8 s beside all other unplanned faults, drawn apart from them; versions are given out again, and what the operator and the workers wrote is written again later. The check of leaving workers uses the rule that the tests of the fault use.

--- a/packages/redwingscale-daemon/tests/functional/hosted/test_soak.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_soak.py
@@ -27,7 +27,7 @@
     # it was removed from the list. The leader's link to the store was silent for 0.5 s: the
     # leader paused, lost the changes that it had announced, and continued with the same
     # fencing number.
-    others = {"ending_bodies": False, "stalls": False, "replacements": False, "versions": False}
+    others = dict.fromkeys(("ending_bodies", "stalls", "replacements", "versions", "copies"), False)
     _play(109, 20.0, 4, tmp_path, **others)
 
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/row_copies.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/row_copies.py
@@ -47,6 +47,10 @@
         """Note a write of the operator or of an upstream."""
         self._writes.append(OutsideWrite(time.monotonic(), key, value))
 
+    def is_last(self, write: OutsideWrite) -> bool:
+        """Return whether nobody outside has written the row again since ``write``."""
+        return next(one for one in reversed(self._writes) if one.key == write.key) is write
+
     def state_at(self, at: float) -> RowState:
         """Return the state at the monotonic time ``at``, the oldest one if none is as old."""
         older = itertools.takewhile(lambda kept: kept[0] <= at, self._states)
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
@@ -66,10 +66,12 @@
         return lost
 
     def write_again(self, lost: list[OutsideWrite]) -> None:
-        """Make the last one of the ``lost`` writes to each row again, in their order."""
-        last_by_key = {write.key: write for write in lost}
+        """Make the last one of the ``lost`` writes to each row again, in their order.
+
+        Rows that were written since are left as they are.
+        """
         for write in lost:
-            if last_by_key[write.key] is not write:
+            if not self._copies.is_last(write):
                 continue
             table, _, key = write.key
             if write.value is None:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/checks.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/checks.py
@@ -3,13 +3,12 @@
 from collections.abc import Iterator
 from itertools import pairwise
 
+from redwingscale_standins.leaving.rule import late_arrivals
 from redwingscale_standins.rate_limits.rule import most_allowed, most_in_window
 from redwingscale_standins.soak.ledger import Ledger, RequestResult, Run
 from redwingscale_standins.soak.world import MAX_BURST, MAX_PER_SECOND, WorkerHost, World
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
-# New work may reach a leaving worker for two seconds; the rest allows for a busy machine.
-LEAVING_SECONDS = 3.0
 # A disturbed instance has the current list after three seconds; the rest allows for a
 # busy machine.
 IN_TOUCH_SECONDS = 4.0
@@ -116,13 +115,15 @@
     """
     result_by_request = {result.request: result for result in world.ledger.results}
     for host in left:
-        for request, run in _runs_of(world, host.worker.id):
-            result = result_by_request.get(request)
-            in_touch = result is not None and run.at > result.undisturbed_since + IN_TOUCH_SECONDS
-            if run.at > host.left_at + LEAVING_SECONDS and (planned_only or in_touch):
-                late = run.at - host.left_at
-                at = f"{result.instance}, request {request}" if result else request
-                detail = f"{host.worker.id} began {run.path} {late:.2f} s late, from {at}"
+        runs = list(_runs_of(world, host.worker.id))
+        for late in late_arrivals(((request, run.at) for request, run in runs), host.left_at):
+            result = result_by_request.get(late.request)
+            ran_at = host.left_at + late.late_seconds
+            in_touch = result is not None and ran_at > result.undisturbed_since + IN_TOUCH_SECONDS
+            if planned_only or in_touch:
+                at = f"{result.instance}, request {late.request}" if result else late.request
+                path = next(run.path for request, run in runs if request == late.request)
+                detail = f"{host.worker.id} began {path} {late.late_seconds:.2f} s late, from {at}"
                 world.ledger.add_finding("leaving", detail)
 
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/faults.py
@@ -10,6 +10,7 @@
 from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.soak.backpressure import announce_leaving, reject
 from redwingscale_standins.soak.brittle import make_brittle
+from redwingscale_standins.soak.copies import play_copies
 from redwingscale_standins.soak.ending_body import send_ending_bodies
 from redwingscale_standins.soak.ending_part import send_ending_parts
 from redwingscale_standins.soak.faulty_link import FaultyLink
@@ -63,7 +64,9 @@
         ending_parts: bool = False,
         stalls: bool = False,
         replacements: bool = False,
+        copies: bool = False,
     ) -> None:
+        self._copies = copies
         self._world = world
         self._ending_bodies = ending_bodies
         self._ending_parts = ending_parts
@@ -111,6 +114,8 @@
             self._begin("parts that end workers", lambda: send_ending_parts(self._world, seconds))
         if self._stalls:
             self._begin("stalls", lambda: play_stalls(self._world, seconds, self._begin))
+        if self._copies:
+            self._begin("copies of the store", lambda: play_copies(self._world, seconds))
         if self._replacements:
             self._begin("replacements", lambda: self._play_replacements(seconds))
         while time.monotonic() < end:
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/soak.py
@@ -68,6 +68,7 @@
     stalls: bool = True,
     replacements: bool = True,
     versions: bool = True,
+    copies: bool = True,
 ) -> Outcome:
     """Run one seed and return its outcome; logs are kept in ``directory``.
 
@@ -75,6 +76,7 @@
     with ``ending_parts`` requests that share one part of their prompts, which ends them.
     With ``stalls``, all seeds have sound workers that pause, slow paths and slow callers.
     With ``replacements``, seeds with unplanned faults have workers that come back with another id.
+    With ``copies``, the store comes back from older copies in seeds with unplanned faults.
     With ``versions``, workers are started with two software versions in no order, and callers take
     streams up at other instances.
     """
@@ -90,6 +92,7 @@
         ending_parts=ending_parts and not planned_only,
         stalls=stalls,
         replacements=replacements and not planned_only,
+        copies=copies and not planned_only,
     )
     takers = Takers(world) if versions else None
     ended = threading.Event()
