Write quarantines again that the store may have lost

The row of quarantines is written by whoever condemns or clears a request. After a copy it lacked the last ones, or had one back that was dropped: a process that starts without a peer would run a request that ends workers, or refuse a sound one. In a new era of the store, an instance writes again what it has written in the last 60 s; the row is merged as always.

The new tests, on the client's own code at a simulated store, fail without the call in a new era.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/crashes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/crashes.py
@@ -14,6 +14,7 @@
 from redwingscale_daemon._internal.quarantine.quarantine import Quarantine
 from redwingscale_daemon._internal.quarantine.row_store import RowQuarantineStore
 from redwingscale_daemon._internal.store.rows import RowStore
+from redwingscale_daemon._internal.store.store_eras import StoreEras
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
@@ -28,10 +29,16 @@
 
 
 def build_crashes(
-    instance: str, entries: GossipState, store: RowStore, fleet: Fleet, metrics: IngressMetrics
+    instance: str,
+    entries: GossipState,
+    store: RowStore,
+    eras: StoreEras,
+    fleet: Fleet,
+    metrics: IngressMetrics,
 ) -> Crashes:
     """Return the parts, not started."""
     rows = RowQuarantineStore(store)
+    eras.on_rise(lambda before, era: rows.write_again())
     quarantine = Quarantine(
         instance,
         entries,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -131,7 +131,7 @@
     detours = build_detours(
         settings, fleet, metrics, swaps.peers.addresses, swaps.peers.ask_path, reports
     )
-    crashes = build_crashes(settings.instance, swaps.entries, store, fleet, metrics)
+    crashes = build_crashes(settings.instance, swaps.entries, store, eras, fleet, metrics)
     handler = _request_handler(
         settings,
         swaps,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/row_store.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/row_store.py
@@ -17,6 +17,8 @@
 MAX_STORED = 256
 WRITE_ATTEMPTS = 5
 RETRY_SECONDS = 0.5
+# A copy from which the store comes back is some seconds old: what was written before is in it.
+REWRITTEN_SECONDS = 60.0
 
 
 class _StoredRequest(NamedTuple):
@@ -28,6 +30,13 @@
     crashed_engines: tuple[str, ...]
 
 
+class _Write(NamedTuple):
+    """What this instance wrote of one request, None if it dropped the quarantine, and when."""
+
+    quarantine: StoredQuarantine | None
+    at: float
+
+
 class RowQuarantineStore:
     """Saves and loads quarantines, best effort: peers also exchange them directly.
 
@@ -37,15 +46,43 @@
 
     def __init__(self, store: RowStore) -> None:
         self._store = store
+        self._lock = threading.Lock()
+        self._writes_by_fingerprint: dict[str, _Write] = {}
 
     def save(self, quarantine: StoredQuarantine) -> None:
         """Write the row in the background, so that no request waits for the platform."""
-        arguments = (quarantine.fingerprint, quarantine)
-        threading.Thread(target=self._write, args=arguments, daemon=True).start()
+        self._begin(quarantine.fingerprint, quarantine)
 
     def drop(self, fingerprint: str) -> None:
         """Write the row without a quarantine in the background."""
-        threading.Thread(target=self._write, args=(fingerprint, None), daemon=True).start()
+        self._begin(fingerprint, None)
+
+    def write_again(self) -> None:
+        """Write again what this instance has written lately, for a store that may have lost it."""
+        now = time.monotonic()
+        with self._lock:
+            writes = list(self._writes_by_fingerprint.items())
+        for fingerprint, (quarantine, at) in writes:
+            if quarantine is not None:
+                quarantine = quarantine._replace(seconds=quarantine.seconds - (now - at))
+            if now - at < REWRITTEN_SECONDS:
+                log_event("quarantine_written_again", fingerprint=fingerprint)
+                self._run(fingerprint, quarantine)
+
+    def _begin(self, fingerprint: str, quarantine: StoredQuarantine | None) -> None:
+        now = time.monotonic()
+        with self._lock:
+            kept = {
+                key: one
+                for key, one in self._writes_by_fingerprint.items()
+                if now - one.at < REWRITTEN_SECONDS
+            }
+            self._writes_by_fingerprint = kept | {fingerprint: _Write(quarantine, now)}
+        self._run(fingerprint, quarantine)
+
+    def _run(self, fingerprint: str, quarantine: StoredQuarantine | None) -> None:
+        arguments = (fingerprint, quarantine)
+        threading.Thread(target=self._write, args=arguments, daemon=True).start()
 
     def load(self) -> Iterator[StoredQuarantine]:
         """Yield the quarantines in force; raises `PlatformError`."""
