Tell all instances what an older copy undoes about leaving upstreams

An instance that had not read an entry's last change before the store came back from a copy has no memory of it, and would use the upstream until its entry is written again. The leader tells what instances tell it, but for some seconds after a copy there may be none.

An instance that finds a leaving upstream listed as ready in the first list of an era publishes that to all directly. Logged as leaving_undone. The new test, on two directories, fails without the notice.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -11,6 +11,7 @@
 from redwingscale_daemon._internal.fleet.findings import drain_findings
 from redwingscale_daemon._internal.fleet.fleet import Fleet
 from redwingscale_daemon._internal.fleet.health import OWN_ANSWER
+from redwingscale_daemon._internal.fleet.leaving_notices import share_leaving
 from redwingscale_daemon._internal.fleet.list_update_tracker import ListUpdateTracker
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
@@ -313,6 +314,7 @@
         reply_on_path,
         lambda: newest_told,
     )
+    share_leaving(fleet.directory, peers.entries)
     client = LeaderClient(lease, me, make_update, on_leader_update, leader.receive)
     local_demand.on_new_wait(client.wake)
     fleet.rates.on_update(client.wake)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -11,12 +11,14 @@
 from redwingscale_daemon._internal.fleet.gone_upstreams import GoneUpstreams
 from redwingscale_daemon._internal.fleet.leaving_upstreams import LeavingUpstreams
 from redwingscale_daemon._internal.fleet.list_digest import list_digest
+from redwingscale_daemon._internal.fleet.list_log import log_changes
 from redwingscale_daemon._internal.fleet.residency import AdaptersByModel, Residency
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.store.store_version import NOTHING_READ, StoreVersion
 
 GoneListener = Callable[[set[str]], None]
+UndoneListener = Callable[[list[str]], None]
 ListListener = Callable[[Iterable[Upstream], Iterable[Upstream]], None]
 # Called with the current upstreams by id, returns the new list.
 MakeList = Callable[[dict[str, Upstream]], Iterable[Upstream]]
@@ -61,6 +63,7 @@
         self._gone = GoneUpstreams()
         self._gone_listeners: list[GoneListener] = []
         self._list_listeners: list[ListListener] = []
+        self._undone_listeners: list[UndoneListener] = []
 
     def on_gone(self, listener: GoneListener) -> None:
         """Call ``listener`` with the ids of upstreams that are no longer listed."""
@@ -70,6 +73,10 @@
         """Call ``listener`` with the upstreams of each former list and of the new one."""
         self._list_listeners.append(listener)
 
+    def on_undone(self, listener: UndoneListener) -> None:
+        """Call ``listener`` with leaving upstreams that the first list of an era has as ready."""
+        self._undone_listeners.append(listener)
+
     def replace(
         self,
         listed: Iterable[Upstream],
@@ -124,17 +131,26 @@
             new_leaving = self._leaving.note([k for k, one in after.items() if one.leaving])
             # Entries that were kept may only have lapsed.
             self._gone.note(before.by_id.keys() - after.keys() - before.kept, version)
-            undone = self._leaving.note(self._gone.listed_by_copy(after.values()))
+            removed = self._leaving.note(self._gone.listed_by_copy(after.values()))
             self._leaving.follow(after.keys())
-        for key in undone:
+        for key in removed:
             log_event("upstream_leaving", upstream=key, seconds_left=None, source="removed before")
+        if version.era > before.version.era:
+            self._announce_undone(version.era)
         self._announce(before.by_id, after, new_leaving)
         return True
 
+    def _announce_undone(self, era: int) -> None:
+        undone = self.leaving_unlisted()
+        if undone:
+            log_event("leaving_undone", level="WARNING", era=era, upstreams=",".join(undone))
+            for listener in self._undone_listeners:
+                listener(undone)
+
     def _announce(
         self, before: dict[str, Upstream], after: dict[str, Upstream], leaving: set[str]
     ) -> None:
-        _log_changes(before, after, leaving)
+        log_changes(before, after, leaving)
         for note_list in self._list_listeners:
             note_list(before.values(), after.values())
         gone = before.keys() - after.keys()
@@ -229,23 +245,3 @@
         key in before and before[key].models_by_name != upstream.models_by_name
         for key, upstream in after.items()
     )
-
-
-def _log_changes(
-    before: dict[str, Upstream], after: dict[str, Upstream], leaving: set[str]
-) -> None:
-    for key in after.keys() - before.keys():
-        upstream = after[key]
-        log_event(
-            "upstream_seen",
-            upstream=key,
-            service=upstream.service,
-            address=f"{upstream.host}:{upstream.port}",
-            failure_domain=upstream.failure_domain,
-            software=upstream.software,
-        )
-    for key in leaving:
-        seconds_left = after[key].seconds_left
-        log_event("upstream_leaving", upstream=key, seconds_left=seconds_left, source="list")
-    for key in before.keys() - after.keys():
-        log_event("upstream_gone", upstream=key, was_leaving=before[key].leaving)
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_copy.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_copy.py
@@ -2,7 +2,9 @@
 
 import pytest
 from redwingscale_daemon._internal.fleet.fleet import new_fleet
+from redwingscale_daemon._internal.fleet.leaving_notices import share_leaving
 from redwingscale_daemon._internal.fleet.upstream import Upstream
+from redwingscale_daemon._internal.membership.gossip_state import GossipState
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 
@@ -87,3 +89,21 @@
         [listed("a", StoreVersion(3, 50)), listed("b", StoreVersion(3, 51))], StoreVersion(3, 55)
     )
     assert usable(directory) == ["a", "b"]
+
+
+@pytest.mark.parametrize("before", ["draining", "removed"])
+def test_instance_that_learned_nothing_before_the_copy_is_told(directory, before):
+    """Guards against work from an instance that had not read the entry's last change."""
+    other = new_fleet().directory
+    other.replace(directory.all(), StoreVersion(1, 60))
+    one, two = GossipState("one"), GossipState("two")
+    one.on_forward(lambda entry: two.accept(entry, "one"))
+    share_leaving(directory, one)
+    share_leaving(other, two)
+    b = listed("b", StoreVersion(1, 51))
+    a = [listed("a", StoreVersion(1, 61), leaving=True)] if before == "draining" else []
+    directory.replace([*a, b], StoreVersion(1, 61))
+    copy = [listed("a", StoreVersion(2, 50)), listed("b", StoreVersion(2, 51))]
+    for each in (other, directory):
+        each.replace(copy, StoreVersion(2, 55))
+    assert usable(other) == usable(directory) == ["b"]
