--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
@@ -71,8 +71,9 @@
         Rows that were written since are left as they are.
         """
         for write in lost:
-            if not self._copies.is_last(write):
-                continue
+            with self._condition:
+                if not self._copies.is_last(write):
+                    continue
             table, _, key = write.key
             if write.value is None:
                 self.remove(table, key)
