Give up a stream with more events than its request may have tokens

An event holds a token at least, and the request names the most tokens that it may have: an event beyond that number proves that what comes is no answer to it. The sending counts as broken; another upstream goes on after the last event that fits, else the caller is cut at once.

The new case of test_raw_answers.py failed before. The fixture of the forwarding units announced ten tokens for answers of up to 1,000 events and more; it announces 9,000 now, nothing else changed there.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -145,11 +145,24 @@
         for event in read_events(self._answering.response, self._call.note_read):
             self._sending.pauses.note_read()
             self.state.events_received += 1
+            self._check_length(event)
             self._sending.attempt.note_event(event.number or 0)
             if self.state.events_received == 1:
                 self._note_first_event()
             yield event
 
+    def _check_length(self, event: Event) -> None:
+        """Raise `HTTPException` at an event beyond the tokens that the request may have.
+
+        An event holds a token at least. What the upstream sends is no answer to the request,
+        and may never end.
+        """
+        prompt = self._call.terms.prompt
+        most = prompt.most_tokens_out if prompt is not None else 0
+        position = self.state.events_received if event.number is None else event.number
+        if most and position > most:
+            raise HTTPException(f"event {position} of an answer of {most} tokens at most")
+
     def _note_first_event(self) -> None:
         call, sending = self._call, self._sending
         sending.ticket.note_prompt_read()
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
@@ -107,6 +107,12 @@
             [whole_in_chunks(headers) + b"0\r\n\r\n"], itertools.repeat(PIECE)
         )
     ),
+    "events-beyond-the-announced-number": sends_on(
+        lambda headers: itertools.chain(
+            [stream_head(headers)], (events(n, n) for n in itertools.count(1))
+        ),
+        0.005,
+    ),
     "no-http": sends_on(lambda headers: itertools.repeat(PIECE)),
 }
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -371,7 +371,15 @@
         return caller
 
     def send(
-        self, path, body=b"", *, method="POST", model=None, caller=None, headers=(), tokens="100,10"
+        self,
+        path,
+        body=b"",
+        *,
+        method="POST",
+        model=None,
+        caller=None,
+        headers=(),
+        tokens="100,9000",
     ):
         caller = caller or self.connect()
         lines = [
