--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -27,9 +27,10 @@
 class ListCopy(NamedTuple):
     """This instance's copy of the list, and its `list_digest`.
 
-    ``version`` is that of the store when the list was read, here or by the leader. ``kept`` are the ids of upstreams that were missing from the list when it was
-    read here but are still used. They count in the digest, so that the leader's updates
-    don't replace reads until these upstreams are listed again or dropped.
+    ``version`` is that of the store when the list was read, here or by the leader. ``kept``
+    are the ids of upstreams that were missing from the list when it was read here but are
+    still used. They count in the digest, so that the leader's updates don't replace reads
+    until these upstreams are listed again or dropped.
     """
 
     by_id: dict[str, Upstream]
@@ -47,10 +48,9 @@
 
     Lists come from two threads, one that reads the store and one that receives the
     leader's updates, and in any order. A list that is older than the copy is ignored, as it
-    would bring back an upstream that has left. An upstream that
-    is leaving by any source, the list or its own answers, takes no new work whatever the
-    other sources say. One that was removed is taken for leaving if only an older copy of the
-    store lists it.
+    would bring back an upstream that has left. An upstream that is leaving by any source, the
+    list or its own answers, takes no new work whatever the other sources say. One that was
+    removed is taken for leaving if only an older copy of the store lists it.
     """
 
     def __init__(self, residency: Residency, changes: Changes) -> None:
