--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_stream.py
@@ -154,8 +154,7 @@
     def _check_length(self, event: Event) -> None:
         """Raise `HTTPException` at an event beyond the tokens that the request may have.
 
-        An event holds a token at least. What the upstream sends is no answer to the request,
-        and may never end.
+        An event holds a token at least: what the upstream sends may never end.
         """
         prompt = self._call.terms.prompt
         most = prompt.most_tokens_out if prompt is not None else 0
