Count no request as servable by a worker that has left the list

The soak counts requests that had a worker, and asks for answers to two thirds of them. A worker whose row was removed, and which serves its open requests, still counted.

Cause: the check looked at the end of the worker's process only.

A worker now counts until it leaves the list or ends, as the docstring says. The bound is the same.

--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/served.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/served.py
@@ -35,6 +35,6 @@
     return any(
         host.service == service
         and host.known_at + LISTED_SECONDS < result.sent_at
-        and host.ended_at > result.ended_at
+        and min(host.left_at, host.ended_at) > result.ended_at
         for host in world.all_hosts
     )
