Pass requests to a peer with a newer list while store and leader are silent

Callers of an instance that was cut off from the store got 503 (no_upstream, cut_off) for 1 to 1.5 s after the leader was killed, although another instance had read the list and knew upstreams.

Cause: a request went to a peer only if the upstreams known here could not be reached. One that knows none, or only replaced ones, asked nobody.

A peer's reply now tells how old its list is. While neither the store nor the leader gives the list here, a request without an upstream goes to a peer whose list is at least 0.2 s newer. Peers with the same list get nothing.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
@@ -53,6 +53,7 @@
     addresses: Callable[[], list[str]],
     ask: Ask,
     reports: OrderClient,
+    outdated_since: Callable[[], float | None],
 ) -> Detours:
     """Return the parts, not started; `PathWatch` starts with the first suspicion."""
     path = fleet.path
@@ -95,7 +96,7 @@
     path.on_restored(lambda: pool.forget(offers.ids()))
     path.on_restored(fleet.new_connections.note_restored)
     return Detours(
-        Detour(path, fleet.health, offers),
+        Detour(path, fleet.health, offers, outdated_since),
         PeerRelay(
             settings.instance,
             exchange,
@@ -138,6 +139,7 @@
     fleet: Fleet,
     port: PeerPort,
     busy: Callable[[], float],
+    list_age: Callable[[], float],
 ) -> Callable[[PathQuery], PathReply | None]:
     """Return how this instance answers peers that ask what it reaches."""
     replies = PathReplies(
@@ -148,5 +150,6 @@
         port,
         busy,
         fleet.health.is_unreachable,
+        list_age,
     )
     return replies.reply
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -29,6 +29,7 @@
 from redwingscale_daemon._internal.composition.swaps import Swaps, build_swaps
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
+from redwingscale_daemon._internal.fleet.list_age import ListAge
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
 from redwingscale_daemon._internal.fleet.list_reads import READ_CHECK_SECONDS, ListReads
 from redwingscale_daemon._internal.fleet.own_reports import OwnReports
@@ -97,13 +98,16 @@
     eras.on_rise(lambda before, era: None if before is None else metrics.store_eras.add(1))
     open_requests = OpenRequests()
     reads = StoreReads(LinkState("upstreams"), LinkState("configuration"))
+    list_age = ListAge(
+        reads.upstreams, lambda: swaps.list_updates.age, lambda: own_reports.leader_silent
+    )
     limiter = UseLimiter(lambda: swaps.instances(), settings.bounds.use_slack)
     returns = new_return_updates()
     place_uses = PlaceUses()
     streams = build_stream_origins(
         routes,
         fleet.directory,
-        lambda: min(reads.upstreams.age, swaps.list_updates.age),
+        list_age.seconds,
         lambda: swaps.own_address(),
         lambda: swaps.peers.addresses(),
         lambda: swaps.leader_address(),
@@ -129,7 +133,13 @@
     reports = report_client(fleet)
     own_reports = build_own_reports(settings, routes, fleet, reads, reports)
     detours = build_detours(
-        settings, fleet, metrics, swaps.peers.addresses, swaps.peers.ask_path, reports
+        settings,
+        fleet,
+        metrics,
+        swaps.peers.addresses,
+        swaps.peers.ask_path,
+        reports,
+        list_age.outdated_since,
     )
     crashes = build_crashes(settings.instance, swaps.entries, store, eras, fleet, metrics)
     handler = _request_handler(
@@ -152,7 +162,7 @@
     )
     budget = ByteBudget(limits_of(settings.machine.memory_mb))
     metrics.observe_bytes_held(lambda: budget.held)
-    metrics.observe_list_age(lambda: min(reads.upstreams.age, swaps.list_updates.age))
+    metrics.observe_list_age(list_age.seconds)
     limits = _port_limits(settings)
     unread_closes = UnreadCloses(
         fleet.load_tracker.is_uneven,
@@ -165,7 +175,9 @@
         return known and not (open_requests.draining or fleet.path.lost or callers.crowded)
 
     peer_port = build_peer_port(settings, handler, budget, limits, may_take)
-    reply_on_path = build_path_replies(settings, fleet, peer_port, lambda: callers.busy_fraction)
+    reply_on_path = build_path_replies(
+        settings, fleet, peer_port, lambda: callers.busy_fraction, list_age.seconds
+    )
     followers = _followers(settings.bounds, store, eras, routes, fleet, swaps, reads, own_reports)
     parts = IngressParts(
         callers=callers,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_messages.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/path_messages.py
@@ -1,5 +1,7 @@
 """What instances ask each other about their paths to upstreams."""
 
+import math
+
 import msgspec
 
 
@@ -24,7 +26,9 @@
     threads in use. ``runs``: how many upstreams may run the request of the query there, 0 if
     the peer does not know it. ``binds``: whether it goes on with a begun stream only at the
     software version that it is told; an instance of the release before does not. ``refused``
-    are the upstreams of the query whose hosts refuse connections of the peer.
+    are the upstreams of the query whose hosts refuse connections of the peer. ``listed_ago``
+    are the seconds since the store gave the list of upstreams that the peer uses, infinite if it
+    is of the release before.
     """
 
     instance: str
@@ -39,3 +43,4 @@
     runs: int = 0
     binds: bool = False
     refused: list[str] = msgspec.field(default_factory=list)
+    listed_ago: float = math.inf
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/detour.py
@@ -14,6 +14,9 @@
 PEERS_BUSY_RETRY_SECONDS = 0.3
 # No other instance is known to reach upstreams. Paths are mostly back within seconds.
 NO_PEER_RETRY_SECONDS = 1.0
+# A peer's list is newer than the one here if the store gave it so much later. Instances that
+# use the same read know its time from messages, to within their transit times.
+NEWER_LIST_SECONDS = 0.2
 
 
 class Detour:
@@ -21,9 +24,19 @@
 
     It makes no difference whether the path to all upstreams is lost or to those of one
     request: what counts is that none of its upstreams is reached here, and one is by a peer.
+    An instance that gets the list neither from the store nor from the leader may lack
+    upstreams that a peer knows.
     """
 
-    def __init__(self, path: OwnPath, health: Health, offers: PeerOffers) -> None:
+    def __init__(
+        self,
+        path: OwnPath,
+        health: Health,
+        offers: PeerOffers,
+        outdated_since: Callable[[], float | None] = lambda: None,
+    ) -> None:
+        # When the store gave the list in use here, monotonic, None while updates of it arrive.
+        self._outdated_since = outdated_since
         self._path = path
         self._health = health
         self._offers = offers
@@ -37,21 +50,43 @@
         since = self._path.lost_since
         if since is not None:
             return self._choose_without_path(call, since)
-        if not self._health.any_unreachable or not call.attempts.may_pass_on_to_peer:
+        listed_at = self._outdated_since()
+        if not self._health.any_unreachable and listed_at is None:
+            return None
+        if not call.attempts.may_pass_on_to_peer:
             return None
         upstream_ids = list_upstreams()
-        if not upstream_ids or not all(map(self._health.is_unreachable, upstream_ids)):
+        if not all(map(self._health.is_unreachable, upstream_ids)):
             return None
+        peer = self._choose_by_path(call, upstream_ids) if upstream_ids else None
+        if peer is None and listed_at is not None:
+            return self._choose_by_list(call, listed_at)
+        return peer
+
+    def _choose_by_path(self, call: Call, upstream_ids: Collection[str]) -> Peer | None:
         failed_at = self._health.unreachable_since(upstream_ids)
         self._offers.follow(upstream_ids, failed_at)
         return self._choose(call, failed_at, upstream_ids)
 
+    def _choose_by_list(self, call: Call, listed_at: float) -> Peer | None:
+        self._offers.follow((), listed_at)
+        return self._choose(call, listed_at, None, listed_after=listed_at + NEWER_LIST_SECONDS)
+
     def _choose(
-        self, call: Call, since: float, upstream_ids: Collection[str] | None
+        self,
+        call: Call,
+        since: float,
+        upstream_ids: Collection[str] | None,
+        *,
+        listed_after: float = float("-inf"),
     ) -> Peer | None:
         attempts = call.attempts
         return self._offers.choose(
-            since, upstream_ids, attempts.silent_peer, binds=attempts.binding.needs_telling
+            since,
+            upstream_ids,
+            attempts.silent_peer,
+            binds=attempts.binding.needs_telling,
+            listed_after=listed_after,
         )
 
     def _choose_without_path(self, call: Call, since: float) -> Peer | None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/path_replies.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/path_replies.py
@@ -1,5 +1,6 @@
 """Answers instances that ask which upstreams this one reaches."""
 
+import math
 import time
 from collections.abc import Callable
 
@@ -20,7 +21,10 @@
         port: PeerPort,
         busy: Callable[[], float],
         is_unreachable: Callable[[str], bool] = lambda upstream_id: False,
+        list_age: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        # Seconds since the store gave the list that is in use here.
+        self._list_age = list_age
         # Returns whether an upstream has accepted no connection of this instance lately.
         self._is_unreachable = is_unreachable
         self._instance = instance
@@ -50,4 +54,5 @@
             self._port.claim(query.passing) if query.passing else 0,
             binds=True,
             refused=[*filter(self._is_unreachable, query.upstreams)],
+            listed_ago=self._list_age(),
         )
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_offers.py
@@ -36,8 +36,8 @@
 class Peer(NamedTuple):
     """An instance that takes requests; ``heard`` are upstreams that it reaches.
 
-    ``heard_at`` is the monotonic time at which it last heard any upstream, by the clock here;
-    ``address`` is where it is asked.
+    ``heard_at`` is the monotonic time at which it last heard any upstream, by the clock here, and
+    ``listed_at`` that at which the store gave its list; ``address`` is where it is asked.
     """
 
     id: str
@@ -53,6 +53,7 @@
     address: str
     binds: bool = False
     refused: frozenset[str] = frozenset()
+    listed_at: float = float("-inf")
 
 
 class PeerOffers:
@@ -108,11 +109,13 @@
         excluded: str | None = None,
         *,
         binds: bool = False,
+        listed_after: float = float("-inf"),
     ) -> Peer | None:
         """Return the best able peer that has heard an upstream after ``since``, monotonic.
 
         ``upstream_ids`` are those of which it must reach one, None for any; the peer
-        ``excluded`` is left out, and with ``binds`` those that do not.
+        ``excluded`` is left out, those whose list is older than ``listed_after``, and with
+        ``binds`` those that do not.
         """
         now = time.monotonic()
         able = [
@@ -120,6 +123,7 @@
             for peer in list(self._by_id.values())
             if peer.able
             and (peer.binds or not binds)
+            and peer.listed_at >= listed_after
             and peer.id != excluded
             and now - peer.replied_at < FRESH_SECONDS
             and now >= self._avoided_until.get(peer.id, 0.0)
@@ -196,6 +200,7 @@
             address,
             reply.binds,
             frozenset(reply.refused),
+            now - reply.listed_ago,
         )
         with self._lock:
             oldest = now - FRESH_SECONDS
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_cut_from_the_store.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_cut_from_the_store.py
@@ -48,6 +48,23 @@
     )
 
 
+def test_upstream_listed_during_a_cut_is_reached_through_another_instance(deployment, store_link):
+    # Guards against refusals by an instance that gets the list neither from the store nor from
+    # a leader, while another one knows an upstream.
+    deployment.worker("w1", "m1")
+    one, two = deployment.instance("one"), deployment.instance("two", store_port=store_link.port)
+    until(lambda: deployment.leader() == "one", "the first leader")
+    three = deployment.instance("three")
+    store_link.refuse = True
+    store_link.reset()
+    until(lambda: b"what=upstreams" in two.log.read_bytes(), "the loss of the store")
+    one.end(signal.SIGKILL)
+    deployment.worker("w2", "m4")
+    until(lambda: three.request_stream("m4", request="r3")[0] == 200, "the upstream at the other")
+    assert two.request_stream("m4", request="r2") == (200, [1, 2, 3])
+    assert b"event=passed_on instance=two request=r2" in two.log.read_bytes()
+
+
 def test_key_withdrawn_during_a_cut_is_refused_at_once(deployment, store_link):
     """Guards against a withdrawn key that still works at an instance cut off from the store."""
     deployment.rows.put("op", "config", keyed_document(2, "k1", "k2"))
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -273,6 +273,7 @@
         self.path = fleet.path
         self.peers = {}
         self.peer_port = None
+        self.list_outdated_since = None
         self.offers = PeerOffers(
             "z1", lambda: self.peers, lambda address, query: self.peers[address]
         )
@@ -295,7 +296,7 @@
             fleet.backpressure,
             self.guard,
             fleet.path,
-            Detour(fleet.path, fleet.health, self.offers),
+            Detour(fleet.path, fleet.health, self.offers, lambda: self.list_outdated_since),
             PeerRelay("one", exchange, ConnectionPool(), self.offers, lambda: fleet.path.lost),
         )
         self.caller_retry_seconds = None
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_passed_on.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_passed_on.py
@@ -1,6 +1,7 @@
 """Requests of an instance without a path to upstreams, passed on to another instance."""
 
 import json
+import math
 import socket
 import threading
 import time
@@ -208,6 +209,21 @@
     assert not world.log
 
 
+@pytest.mark.parametrize(
+    ("outdated", "listed_ago", "status"),
+    [(True, 0.5, 200), (True, 5.0, 503), (True, math.inf, 503), (False, 0.5, 503)],
+)
+def test_request_without_upstream_goes_to_a_peer_with_a_newer_list(
+    world, outdated, listed_ago, status
+):
+    # Guards against refusals for upstreams that only a peer's list has.
+    peer = world.add_peer(sized(b"answer"))
+    world.peers[peer.name] = msgspec.structs.replace(world.peers[peer.name], listed_ago=listed_ago)
+    world.list_outdated_since = time.monotonic() - 5.0 if outdated else None
+    assert world.request("/once/x").status == status
+    assert len(world.log) == (status == 200)
+
+
 def test_request_is_taken_from_a_peer_and_counted_there_only_once(cut, peer):
     peer.add("plain", sized(b"answer"))
     cut.peers["p0"] = peer.take_requests_of_peers()
