--- a/packages/redwingscale-daemon/tests/functional/hosted/test_soak.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_soak.py
@@ -12,8 +12,8 @@
 
 SECONDS = 5.0
 INSTANCES = 3
-# Their share of answered requests is a test of its own, see below.
-APART = frozenset({1, 2})
+# Its share of answered requests is a test of its own, see below.
+APART = 2
 
 
 # One seed has planned work only, where no request may be cut; two have all faults.
@@ -35,14 +35,13 @@
     outcome = play(seed, seconds, instances, directory, **options)
     assert outcome.findings == []
     assert outcome.served > outcome.servable * 2 / 3
-    if seed not in APART:
+    if seed != APART:
         assert outcome.answered > outcome.requests / 2
 
 
-@pytest.mark.parametrize("seed", sorted(APART))
-def test_half_of_all_requests_are_answered(seed, tmp_path):
-    # Guards against instances that refuse most requests while faults overlap.
-    outcome = play(seed, SECONDS, INSTANCES, tmp_path)
+def test_half_of_all_requests_are_answered(tmp_path):
+    # Guards against instances that refuse most requests while all workers end at once.
+    outcome = play(APART, SECONDS, INSTANCES, tmp_path)
     assert outcome.answered > outcome.requests / 2
 
 
