Give instances in one process time to answer in the test of a large version

Traced: its process wrote no line for 0.48 s, then the queries of four instances ended with a time-out of 0.4 s. Twelve instances with their servers share the process there.

The test is about who sends the version, not about how fast; it allows the peers the time that the fetch has. What it checks is the same.

--- a/packages/redwingscale-daemon/tests/unit/swaps/test_table_replies.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_table_replies.py
@@ -9,7 +9,7 @@
 from redwingscale_daemon._internal.platform.configuration import decode_configuration
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.store.store_version import StoreVersion
-from redwingscale_daemon._internal.swaps import table_replies
+from redwingscale_daemon._internal.swaps import peer_client, table_replies
 from redwingscale_daemon._internal.swaps.peer_client import PeerClient
 from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerServer
 from redwingscale_daemon._internal.swaps.table_replies import TableReplies
@@ -141,6 +141,8 @@
     """Guards against a large version that the leader alone sends, and instances that never get it."""
     sent = []
     monkeypatch.setattr(table_replies, "log_event", lambda event, **fields: sent.append(fields))
+    # All instances share the process: one may have to wait for its turn.
+    monkeypatch.setattr(peer_client, "RESPONSE_TIMEOUT_MS", int(FETCH_SECONDS * 1000))
     leader, *others = instances
 
     def fetch(one):
