Remember an upstream that was removed right after the store's return

Cause: kept entries were never remembered as removed, since a copy may lack what was written after it. One that a list of the same era had was removed in that era.

The unit test failed before the change.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -129,8 +129,12 @@
             kept = before.kept if kept is None else kept
             self._copy = ListCopy(after, list_digest(after.values()), version, kept)
             new_leaving = self._leaving.note([k for k, one in after.items() if one.leaving])
-            # Entries that were kept may only have lapsed.
-            self._gone.note(before.by_id.keys() - after.keys() - before.kept, version)
+            gone = [one for key, one in before.by_id.items() if key not in after]
+            # Kept entries that were not listed in this era may only have lapsed.
+            removed_ids = [
+                one.id for one in gone if one.id not in before.kept or one.era == version.era
+            ]
+            self._gone.note(removed_ids, version)
             removed = self._leaving.note(self._gone.listed_by_copy(after.values()))
             self._leaving.follow(after.keys())
         for key in removed:
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_copy.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_copy.py
@@ -64,6 +64,17 @@
     assert directory.leaving_unlisted() == ["a"]
 
 
+def test_upstream_that_was_kept_after_its_removal_stays_removed(directory):
+    """Guards against work for an upstream that was removed right after the store's return."""
+    entries = [listed("a", StoreVersion(2, 50)), listed("b", StoreVersion(2, 51))]
+    directory.replace(entries, StoreVersion(2, 55))
+    directory.replace(entries[1:], StoreVersion(2, 56), kept=entries[:1])
+    directory.update([], ["a"], StoreVersion(2, 56))
+    copies = [one._replace(era=3) for one in entries]
+    directory.replace(copies, StoreVersion(3, 52))
+    assert usable(directory) == ["b"]
+
+
 def test_next_start_of_a_removed_upstream_is_used(directory):
     directory.replace([listed("b", StoreVersion(1, 51))], StoreVersion(1, 61))
     start = listed("a@2", StoreVersion(2, 56))._replace(named="a", started_at_ms=2)
