--- a/review/kit.py
+++ b/review/kit.py
@@ -145,6 +145,10 @@
                     self._rows[key] = (self._version, value)
             self._condition.notify_all()
 
+    def version(self, table: str, key: str) -> int:
+        """Return the version of a row, 0 without it."""
+        return self._rows.get((table, "", key), (0, ""))[0]
+
     def value(self, table: str, key: str) -> Any:
         """Return the value of a row, None without it."""
         row = self._rows.get((table, "", key))
