Review case 3: an instance without descriptors hangs for good

Consumers open some 1,615 channels at an instance of 1,638 descriptors and keep them idle. It accepts no more and closes none of them after the idle time, so no later request is answered.

--- a/review/kit.py
+++ b/review/kit.py
@@ -9,6 +9,7 @@
 import os
 import random
 import re
+import resource
 import signal
 import socket
 import struct
@@ -296,10 +297,12 @@
         self.record.note(f"{self.name} runs {request.id}")
 
     def crash(self) -> None:
-        """Reset all channels and close the listener, as the end of the process does."""
+        """End all channels and the listener, as the end of the process does."""
+        self.is_gone = True
+        for one in (self.listener, *list(self._channels)):
+            with contextlib.suppress(OSError):
+                one.shutdown(socket.SHUT_RDWR)
         self.listener.close()
-        for one in list(self._channels):
-            reset(one)
 
     def _models(self) -> list[dict[str, Any]]:
         return [{"Name": name, "Version": 1, "Adapters": []} for name in self.models]
@@ -463,8 +466,17 @@
 class Instance:
     """One machine: a process that is started with the run line of the deploy file."""
 
-    def __init__(self, name: str, zone: str, host: str, deployment: "Deployment") -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        host: str,
+        deployment: "Deployment",
+        max_descriptors: int | None = None,
+    ) -> None:
         self.name, self.zone, self.host = name, zone, host
+        # The platform's limit on the descriptors of a process.
+        self._max_descriptors = max_descriptors
         self._deployment = deployment
         self.front = free_port(host)
         self.readiness = free_port(host)
@@ -506,10 +518,25 @@
         }
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                words, cwd=ROOT, env=environment, stdout=log, stderr=log
+                words,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=self._limit_descriptors,
             )
         self._deployment.record.note(f"platform starts {self.name}")
 
+    def _limit_descriptors(self) -> None:
+        if self._max_descriptors is not None:
+            limit = (self._max_descriptors, self._max_descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limit)
+
+    def descriptors(self) -> int:
+        """Return how many descriptors the process has open."""
+        assert self.process is not None
+        return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self.process is not None
@@ -578,9 +605,11 @@
         self.store.put("servers", worker.name, worker.entry())
         threading.Thread(target=check_in, daemon=True).start()
 
-    def instance(self, name: str, zone: str = "z-a") -> Instance:
+    def instance(
+        self, name: str, zone: str = "z-a", max_descriptors: int | None = None
+    ) -> Instance:
         """Start an instance."""
-        made = Instance(name, zone, self.host(), self)
+        made = Instance(name, zone, self.host(), self, max_descriptors)
         self.instances.append(made)
         return made
 
