Let the handover pause begin when the last order has arrived

Callers saw nothing.

Cause: the pause counted from when the former leader may have sent its last order. An order whose packet is lost is sent again, and a call may last 0.5 s to connect and 0.6 s for the answer. The same held for a released lease and for the pause after the store's return from a copy.

Change: a call with an order ends after ORDER_CALL_SECONDS, connecting included, with a reset that drops what is unsent. A successor adds this time to the pause on all three paths, so no order of the former leader can arrive within the pause. Orders rest 0.6 s longer when the leader changes.

Two tests of the exact length of the pause name the new length; their margins are the same.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -51,7 +51,11 @@
     StoreUpdate,
     UseEntry,
 )
-from redwingscale_daemon._internal.swaps.order_client import EngineCalls, OrderClient
+from redwingscale_daemon._internal.swaps.order_client import (
+    ORDER_CALL_SECONDS,
+    EngineCalls,
+    OrderClient,
+)
 from redwingscale_daemon._internal.swaps.peer_client import PeerClient
 from redwingscale_daemon._internal.swaps.permit_issuer import PermitIssuer
 from redwingscale_daemon._internal.swaps.repeat_history import RepeatHistory
@@ -160,6 +164,7 @@
         LeaseTiming(
             LEASE_SECONDS,
             ORDER_SECONDS,
+            ORDER_CALL_SECONDS,
             settings.bounds.order_quiet,
             _standby_seconds(settings.machine),
         ),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
@@ -40,12 +40,13 @@
     a successor from when it observes the row's last change, so the lease ends first for
     its holder. The clock also counts while the machine is suspended: a lease holder that
     resumes detects at once that its lease has ended. A new leader sends no orders for
-    ``handover_pause_seconds``, so that orders of two leaders never interleave.
+    ``handover_pause_seconds``, so that orders of two leaders never interleave. The pause
+    begins when the last order of the former leader can no longer arrive.
 
     In a new era of the store, the row says nothing of who led last, and no lease counts
     until it is written again. The former leader sends no orders once it knows of the era,
     and at the latest ``order_seconds`` after its last renewal: the pause for it counts
-    from that long after this instance has learned of the era. The former leader itself,
+    from when those have arrived, reckoned from when this instance has learned of the era. The former leader itself,
     if its lease has not ended, needs no pause: no other instance can lead so early.
 
     ``start`` is an id of this process. ``describe`` returns the record of this instance; it
@@ -210,7 +211,7 @@
             return
         # An instance that starts does not know when the era began.
         timing = self._timing
-        pause = timing.order_seconds + timing.handover_pause_seconds
+        pause = timing.order_seconds + self._pause_after_last_order
         self._era_pause_until = self._clock() + pause
         log_event("giver_unconfirmed", era=era, led=self._lasts, pause=round(pause, 3))
 
@@ -306,7 +307,7 @@
         standby = self._timing.standby_seconds
         if self._record is None or self._record.released:
             # The former leader of an earlier era goes first: it needs no pause.
-            reserved_until = self._era_pause_until - self._timing.handover_pause_seconds
+            reserved_until = self._era_pause_until - self._pause_after_last_order
             return max(0.0, standby - unchanged, reserved_until - now)
         if self._led_last():
             # The lease ended while the store could not be reached, and no instance took it.
@@ -352,7 +353,12 @@
             return -math.inf
         if self._record is None:
             return self._era_pause_until
-        # A leader that releases the lease has sent its last order before.
+        # A leader that releases the lease has sent its last order before; it may not have arrived.
         after = 0.0 if self._record.released else self._timing.order_seconds
-        last_order = self._changed_at + after
-        return max(self._era_pause_until, last_order + self._timing.handover_pause_seconds)
+        last_sent = self._changed_at + after
+        return max(self._era_pause_until, last_sent + self._pause_after_last_order)
+
+    @property
+    def _pause_after_last_order(self) -> float:
+        """The seconds from the sending of a former leader's last order to the first one here."""
+        return self._timing.order_call_seconds + self._timing.handover_pause_seconds
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lease_record.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lease_record.py
@@ -40,18 +40,20 @@
 class LeaseTiming(NamedTuple):
     """The times of a lease.
 
-    The lease ends ``lease_seconds`` after its last renewal. Between the last order of a
-    leader and the first order of its successor is a pause of ``handover_pause_seconds``.
+    The lease ends ``lease_seconds`` after its last renewal. Between the arrival of the last
+    order of a leader and the first order of its successor is a pause of
+    ``handover_pause_seconds``.
 
     Orders are sent only for ``order_seconds`` after a renewal, which is less than the
-    lease: the handover pause counts from the end of that time, and part of it has passed
-    when the successor takes the lease.
+    lease, and arrive within ``order_call_seconds`` or never: the handover pause counts from
+    the end of both, and part of it has passed when the successor takes the lease.
 
     This instance leaves a free lease to others for ``standby_seconds`` before it takes it.
     """
 
     lease_seconds: float
     order_seconds: float
+    order_call_seconds: float
     handover_pause_seconds: float
     standby_seconds: float = 0.0
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -28,6 +28,9 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 # A worker answers within a few milliseconds or, if the answer is lost, never.
 RESPONSE_TIMEOUT_SECONDS = 0.6
+# An order that has no answer after this time, connecting included, is given up with a reset: it
+# arrives within this time or never.
+ORDER_CALL_SECONDS = 0.6
 _OK = 200
 
 
@@ -48,7 +51,8 @@
 
     A connection without an answer is reset rather than closed: an order delayed by a network cut
     would otherwise be delivered when the cut ends, seconds after the first order of another
-    leader. A reset drops the sender's buffer.
+    leader. A reset drops the sender's buffer. A lost packet is sent again until then, so that a
+    successor has to wait ``ORDER_CALL_SECONDS`` for an order that was sent in time.
     """
 
     def __init__(
@@ -68,6 +72,11 @@
         self._path = path or OwnPath()
         # The upstreams whose latest call broke off.
         self._broken: set[str] = set()
+        self._order_timeout = urllib3.Timeout(
+            total=ORDER_CALL_SECONDS,
+            connect=connect_timeout_seconds,
+            read=response_timeout_seconds,
+        )
         self._pools = ShortAnswerPools(
             num_pools=64,
             maxsize=1,
@@ -105,6 +114,7 @@
                 _url(upstream, self._calls.order_target),
                 body=self._calls.encode_order(order),
                 headers=self._calls.order_headers(upstream.platform_name),
+                timeout=self._order_timeout,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             self._note_failed(upstream, error, began_at)
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_leader_lease.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_leader_lease.py
@@ -5,7 +5,11 @@
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable, WriteUnknown
 from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease, LeaderRecord, LeaseTiming
 
-TIMING = LeaseTiming(lease_seconds=2.0, order_seconds=1.2, handover_pause_seconds=3.0)
+TIMING = LeaseTiming(
+    lease_seconds=2.0, order_seconds=1.2, order_call_seconds=0.6, handover_pause_seconds=3.0
+)
+# From the sending of a leader's last order to the first order of its successor.
+PAUSE_SECONDS = TIMING.order_call_seconds + TIMING.handover_pause_seconds
 
 
 class Clock:
@@ -66,6 +70,24 @@
     assert second.fence() > 1
 
 
+@pytest.mark.parametrize("end", ["cut from the store", "released"])
+def test_order_that_arrives_late_is_older_than_the_handover_pause(make_lease, clock, end):
+    # Guards against turns of two leaders: the last order of the first one was lost and sent again.
+    first, second = make_lease("a"), make_lease("b")
+    first.step()
+    second.step()
+    arrived = clock.now
+    if end == "released":
+        arrived += TIMING.order_call_seconds
+        first.release()
+    while second.fence() is None and clock.now < 120.0:
+        clock.now += 0.1
+        second.step()
+        if first.fence() is not None:
+            arrived = clock.now + TIMING.order_call_seconds
+    assert clock.now - arrived >= TIMING.handover_pause_seconds
+
+
 def test_suspended_leader_sends_no_order_when_it_resumes(make_lease, clock):
     # The process is suspended past its lease and resumes right before an order: the clock
     # also counts while it is suspended, and `fence` is called for each order.
@@ -190,7 +212,7 @@
         clock.now += 0.1
         second.step()
     since_release = clock.now - 100.0
-    assert TIMING.handover_pause_seconds <= since_release <= TIMING.handover_pause_seconds + 0.5
+    assert PAUSE_SECONDS <= since_release <= PAUSE_SECONDS + 0.5
 
 
 def test_lease_counts_from_the_last_update_of_its_holder(make_lease, clock):
@@ -213,7 +235,7 @@
     while second.fence() is None:
         clock.now += 0.1
         second.step()
-    longest = TIMING.order_seconds + TIMING.handover_pause_seconds
+    longest = TIMING.order_seconds + PAUSE_SECONDS
     assert longest <= clock.now - announced_at <= longest + 0.2
 
 
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_lease_over_copies.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_lease_over_copies.py
@@ -8,8 +8,12 @@
 from redwingscale_daemon._internal.swaps.lease_record import LEASE_ROW, LeaderRecord, LeaseTiming
 from redwingscale_standins.histories.lease_history import run_lease_history
 
-TIMING = LeaseTiming(lease_seconds=2.0, order_seconds=1.2, handover_pause_seconds=3.0)
-LONGEST_PAUSE_SECONDS = TIMING.order_seconds + TIMING.handover_pause_seconds
+TIMING = LeaseTiming(
+    lease_seconds=2.0, order_seconds=1.2, order_call_seconds=0.6, handover_pause_seconds=3.0
+)
+LONGEST_PAUSE_SECONDS = (
+    TIMING.order_seconds + TIMING.order_call_seconds + TIMING.handover_pause_seconds
+)
 
 
 class Clock:
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
@@ -92,7 +92,7 @@
 
 def test_lease_row_of_a_peer_is_adopted_only_if_newer(store):
     """Guards against a return to a former leader."""
-    timing = LeaseTiming(2.0, 1.2, 0.3)
+    timing = LeaseTiming(2.0, 1.2, 0.6, 0.3)
     lease = LeaderLease(store, "me", lambda: LEADER, timing)
     lease.adopt_record(StoreVersion(0, 9), LEADER)
     former = LeaderRecord("n1", "127.0.0.1", 1, 2, "former")
--- a/packages/redwingscale-standins/src/redwingscale_standins/histories/lease_history.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/histories/lease_history.py
@@ -14,7 +14,9 @@
 from redwingscale_standins.histories.clock import FakeClock
 from redwingscale_standins.histories.era_store import Connection, EraStore
 
-TIMING = LeaseTiming(lease_seconds=2.0, order_seconds=1.2, handover_pause_seconds=3.0)
+TIMING = LeaseTiming(
+    lease_seconds=2.0, order_seconds=1.2, order_call_seconds=0.6, handover_pause_seconds=3.0
+)
 INSTANCES = 4
 TICK_SECONDS = 0.1
 STEP_TICKS = 5
@@ -25,6 +27,8 @@
 LATE_SECONDS = (1.0, 6.0)
 ACTIONS = ("copy", "copy", "cut", "heal", "kill", "stop", "pause", "told")
 CALL_FAULTS = ("refused", "lost", "late")
+# The share of the orders whose packets are lost and sent again.
+DELAYED_SHARE = 0.1
 
 
 class LeaseOrder(NamedTuple):
@@ -62,6 +66,8 @@
             client, self.name, lambda: record, timing, lambda: world.clock.now, eras=self.eras
         )
         self.paused_until = 0.0
+        # When the worker has its last order: the next one is sent after that.
+        self.arrived_at = 0.0
 
     def step(self) -> None:
         try:
@@ -73,6 +79,7 @@
 class _LeaseWorld:
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
+        self._delays = random.Random(-seed)
         self.clock = FakeClock()
         self.store = EraStore(self.clock, era=self.random.choice((0, 1, 3)))
         self.faulty = True
@@ -103,8 +110,13 @@
                 self._order(one)
 
     def _order(self, one: _Process) -> None:
-        if (fence := one.lease.fence()) is not None:
-            self.orders.append(LeaseOrder(self.clock.now, one.name, fence))
+        now = self.clock.now
+        if now < one.arrived_at or (fence := one.lease.fence()) is None:
+            return
+        one.arrived_at = now
+        if self._delays.random() < DELAYED_SHARE:
+            one.arrived_at += self._delays.uniform(0.0, TIMING.order_call_seconds)
+        self.orders.append(LeaseOrder(one.arrived_at, one.name, fence))
 
     def act(self) -> None:
         """Let one fault begin or end."""
@@ -149,6 +161,7 @@
     sound_at = world.clock.now
     for number in range(round(RECOVERY_SECONDS / TICK_SECONDS)):
         world.tick(number)
+    world.orders.sort(key=lambda order: order.at)
     violations = _violations(world.orders)
     if not world.orders or world.orders[-1].at < sound_at + RECOVERY_SECONDS - 1.0:
         violations.append(f"no orders {RECOVERY_SECONDS} s after the last fault")
