Free bodies when their requests end

Cause: the account of bytes gives a body back when its request ends, but the body was a field of the request, which is part of a reference cycle. The collector counts objects and not bytes. The body of a failure that is kept for its caller was in the same cycle, and not counted once another answer was read.

Evidence: with the collector off, blocks of the size of a body remain after requests on every path but those that end before a route is found.

Change: bodies and kept failures are referred to by HeldBytes alone, which drops them in the call that stops counting them. Whatever still refers to the request reaches no bytes; a use after the end raises RuntimeError.

The account and the memory now have one owner, so no cycle matters.

--- a/benchmarks/guard_cost.py
+++ b/benchmarks/guard_cost.py
@@ -17,6 +17,8 @@
 from redwingscale_daemon._internal.forwarding.repeat_budget import BudgetRule, RepeatBudget
 from redwingscale_daemon._internal.forwarding.terms import Terms
 from redwingscale_daemon._internal.forwarding.watch import Watch
+from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
+from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
 from redwingscale_daemon._internal.quarantine.quarantine import Quarantine
@@ -61,7 +63,9 @@
 
 
 def _call(body: bytes, caller: socket.socket) -> Call:
-    request = IngressRequest("POST", "/live/x", "a.example", (), body, 0.0, caller)
+    held = HeldBytes(ByteBudget())
+    held.keep_body(body)
+    request = IngressRequest("POST", "/live/x", "a.example", (), 0.0, caller, held=held)
     budget = RepeatBudget(BudgetRule(0.2, 50.0, 10.0), lambda: 1)
     attempts = Attempts(None, "llm", budget)  # type: ignore[arg-type]
     watch = Watch(caller, time.monotonic() + 60.0)
--- a/benchmarks/keys_and_limits.py
+++ b/benchmarks/keys_and_limits.py
@@ -69,7 +69,7 @@
         ("X-Redwingscale-Deadline-Ms", "4000"),
         ("Authorization", "Bearer w3-5"),
     )
-    request = IngressRequest("POST", "/a/b", "a", headers, b"", 0.0, None)  # type: ignore[arg-type]
+    request = IngressRequest("POST", "/a/b", "a", headers, 0.0, None)  # type: ignore[arg-type]
     plain = request._replace(headers=headers[:-1])
 
     def keys_and_limit() -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_state.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_state.py
@@ -7,11 +7,13 @@
 
 
 class FailedResponse(NamedTuple):
-    """An upstream's failure, returned to the caller if no later attempt succeeds."""
+    """An upstream's failure, returned to the caller if no later attempt succeeds.
+
+    Its body is in the `HeldBytes` of the request.
+    """
 
     status: int
     headers: Headers
-    body: bytes
 
 
 class AttemptState:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/final_refusal.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/final_refusal.py
@@ -55,5 +55,5 @@
     failure = call.attempts.failure
     if failure is None or not call.attempts.may_pass_on(failure.status, counted=True):
         return False
-    call.reply.send(failure.status, failure.headers, failure.body)
+    call.reply.send(failure.status, failure.headers, call.request.held.failure)
     return True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/plain_relay.py
@@ -209,7 +209,8 @@
             )
             if failed and self._parts.dialect.is_signed(response):
                 headers = self._parts.dialect.response_headers(response)
-                call.attempts.failure = FailedResponse(response.status, headers, start.data)
+                call.attempts.failure = FailedResponse(response.status, headers)
+                held.keep_failure(start.data)
             return False
         if unsigned:
             raise failure_refusal("the answer bears no signature")
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/held_bytes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/held_bytes.py
@@ -11,14 +11,18 @@
 
 
 class HeldBytes:
-    """The body of one request, and the part of its answer that its caller has not taken.
+    """The body of one request, and what is held of its answers.
 
-    The body counts until the request ends, since it may have to be sent again. Used by one
-    thread.
+    The body counts until the request ends, since it may have to be sent again, and so does a
+    failure that is kept in case that no other upstream succeeds. Both are kept here alone, and
+    dropped when they no longer count: whatever still refers to the request then, such as a
+    reference cycle, keeps no body alive. Used by one thread.
     """
 
     def __init__(self, budget: ByteBudget) -> None:
         self._budget = budget
+        self._kept_body: bytes | None = b""
+        self._kept_failure = b""
         self._body = 0
         self._answer = 0
         self._unwritten = 0
@@ -36,6 +40,27 @@
             )
         self._body += count
 
+    @property
+    def body(self) -> bytes:
+        """The whole body, empty without one; raises `RuntimeError` after the request has ended."""
+        if self._kept_body is None:
+            raise RuntimeError("the body of an ended request is gone")
+        return self._kept_body
+
+    def keep_body(self, body: bytes) -> None:
+        """Keep a body, the bytes of which were counted before."""
+        self._kept_body = body
+
+    @property
+    def failure(self) -> bytes:
+        """The body of the failure that is kept, empty without one."""
+        return self._kept_failure
+
+    def keep_failure(self, body: bytes) -> None:
+        """Keep the body of an upstream's failure until the request ends, and count it."""
+        self._kept_failure = body
+        self._recount()
+
     def take_room(self, count: int) -> bool:
         """Reserve room to read ``count`` bytes of the answer; return False beyond a bound.
 
@@ -44,7 +69,7 @@
         held = self._answer + self._unwritten
         if held <= FREE_BYTES:
             return True
-        added = held + count - self._counted
+        added = held + len(self._kept_failure) + count - self._counted
         if added <= 0:
             return True
         if held + count > self._budget.most_of_answer or not self._budget.take_answer(added):
@@ -63,14 +88,15 @@
         self._recount()
 
     def close(self) -> None:
-        """Count nothing any more; a second call does nothing."""
+        """Drop the body and count nothing any more; a second call does nothing."""
+        self._kept_body, self._kept_failure = None, b""
         self._budget.give_body(self._body)
         self._body = 0
         self._answer = self._unwritten = 0
         self._recount()
 
     def _recount(self) -> None:
-        count = self._answer + self._unwritten
+        count = self._answer + self._unwritten + len(self._kept_failure)
         if count != self._counted:
             self._budget.add_answer(count - self._counted)
             self._counted = count
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_request.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_request.py
@@ -10,24 +10,28 @@
 
 
 class IngressRequest(NamedTuple):
-    """A request; ``target`` is kept byte for byte and ``body`` is complete.
+    """A request; ``target`` is kept byte for byte.
 
     ``arrived_at`` is the monotonic time after the head was read, ``arrived_on_lease_clock``
     the same time by `lease_clock`, which deadlines are counted by. ``socket`` is the
-    caller's connection, on which a disconnect of the caller is seen. ``held`` counts the
-    bytes that the instance holds for the request.
+    caller's connection, on which a disconnect of the caller is seen. ``held`` has the
+    body and counts the bytes that the instance holds for the request.
     """
 
     method: str
     target: str
     host: str
     headers: Headers
-    body: bytes
     arrived_at: float
     socket: socket.socket
     arrived_on_lease_clock: float = 0.0
     held: HeldBytes = HeldBytes(ByteBudget())
 
+    @property
+    def body(self) -> bytes:
+        """The whole body, empty until it is read; only for the time of the request."""
+        return self.held.body
+
     @property
     def path(self) -> str:
         """The target without the query."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -86,7 +86,7 @@
             head = _ingress_request(server_request, self._held)
             if self._apps.screen(head, Reply(server_request, self._held)):
                 return
-            body = self._read_body()
+            self._held.keep_body(self._read_body())
         except Refusal as refusal:
             self._refuse_unread(head, refusal)
             return
@@ -103,7 +103,7 @@
             self._close_without_answer()
             return
         try:
-            self._apps.handler(head._replace(body=body), Reply(server_request, self._held))
+            self._apps.handler(head, Reply(server_request, self._held))
         except CallerLeft:
             self._close_without_answer()
 
@@ -230,7 +230,6 @@
         target=server_request.uri.decode("latin-1"),
         host=host.rsplit(":", 1)[0].lower(),
         headers=headers,
-        body=b"",
         arrived_at=time.monotonic(),
         socket=server_request.conn.socket,
         arrived_on_lease_clock=lease_clock(),
--- a/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
@@ -101,7 +101,7 @@
     headers = (("X-Redwingscale-Request-Id", "r"),)
     if tokens is not None:
         headers += (("X-Redwingscale-Token-Usage", tokens),)
-    request = IngressRequest("GET", "/", "a", headers, b"", 0.0, None)
+    request = IngressRequest("GET", "/", "a", headers, 0.0, None)
     terms = exchange.read_terms(request)
     assert UseLimit(UseUnit.TOKENS, 1, 1, 200.0).cost(terms.tokens) == cost
     assert UseLimit(UseUnit.REQUESTS, 1, 1).cost(terms.tokens) == 1.0
@@ -206,7 +206,7 @@
 
 
 def request(*headers):
-    return IngressRequest("POST", "/p/x", "a.example", headers, b"", 0.0, None)
+    return IngressRequest("POST", "/p/x", "a.example", headers, 0.0, None)
 
 
 def test_terms():
