Never send a request twice on one connection

A worker that was full for a moment refused an unsafe request, with a Retry-After, and sent the refusal a second time where the next answer was due.

Cause: after the pause, the request went to the same worker on the same connection. Answers are told apart by the id of the request alone, so the copy was taken for the answer to the second sending.

Change: a connection remembers the ids of the last requests that it carried, and the pool does not choose it for a request with one of them. On another connection no copy can have the id that is waited for; a copy has the id of an earlier request and is skipped. Other requests use the connection as before. The same holds for connections to other instances.

The stand-in callers of these tests gave each request the same id; each has its own now, as callers' attempts have.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
@@ -51,9 +51,13 @@
         # Called with an upstream id if its end has closed an idle connection before its time.
         self.on_broken: Callable[[str], None] = lambda upstream_id: None
 
-    def take_idle(self, upstream: Endpoint) -> UpstreamConnection | None:
-        """Return an idle connection that is open and has no unread bytes, None without one."""
-        while (connection := self._pop(upstream.id)) is not None:
+    def take_idle(self, upstream: Endpoint, request_id: str) -> UpstreamConnection | None:
+        """Return an idle connection that is open and has no unread bytes, None without one.
+
+        One that has carried a request with the same id stays idle: answers are told apart by
+        the id of their request.
+        """
+        while (connection := self._pop(upstream.id, request_id)) is not None:
             fresh = time.monotonic() < connection.expires_at
             if fresh and connection.is_reusable():
                 return connection
@@ -116,7 +120,10 @@
             for connection in connections:
                 connection.discard()
 
-    def _pop(self, upstream_id: str) -> UpstreamConnection | None:
+    def _pop(self, upstream_id: str, request_id: str = "") -> UpstreamConnection | None:
         with self._lock:
-            idle = self._idle_by_upstream.get(upstream_id)
-            return idle.pop() if idle else None
+            idle = self._idle_by_upstream.get(upstream_id, [])
+            usable = (one for one in reversed(idle) if not one.has_carried(request_id))
+            if (found := next(usable, None)) is not None:
+                idle.remove(found)
+            return found
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_sender.py
@@ -74,7 +74,9 @@
             if running:
                 connection = self._pool.open_second(peer, call.watch)
             else:
-                connection = self._pool.take_idle(peer) or self._pool.open(peer, call.watch)
+                connection = self._pool.take_idle(peer, call.terms.request_id) or self._pool.open(
+                    peer, call.watch
+                )
         except (HTTPError, OSError) as error:
             self.note(call, peer, "unreachable", repr(error))
             return None
@@ -126,6 +128,7 @@
             call.request, call.watch.remaining(), progress.last_event if progress else None
         )
         attempts.arrivals.note_instance(peer.id)
+        connection.note_request(call.terms.request_id)
         connection.send_request(
             call.request.method,
             call.request.target,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -83,7 +83,7 @@
             return NotRun(upstream, "too many bytes open", misdirected=False, reached=True)
         began_at = time.monotonic()
         is_new = is_second and self._connections.may_open(upstream.id)
-        connection = None if is_new else self._pool.take_idle(upstream)
+        connection = None if is_new else self._pool.take_idle(upstream, request_id)
         if connection is None:
             if self._check.finds_another(upstream):
                 self._open_bytes.give(upstream.id, size)
@@ -105,6 +105,7 @@
             if not take_sending():
                 connection.discard()
                 return _no_repeat(upstream)
+            connection.note_request(request_id)
             connection.send_request(request.method, request.target, headers, request.body)
             response = self._matching_response(connection, request, request_id, watch)
         except (CallerLeft, TimeLimitReached):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import time
+from collections import deque
 from collections.abc import Callable, Iterable
 from http.client import HTTPResponse
 
@@ -24,6 +25,8 @@
 SECOND_CONNECT_SECONDS = 0.2
 # A host that lost power acknowledges nothing: data in flight is abandoned after this time.
 USER_TIMEOUT_MS = 4000
+# A late copy of an answer comes before the next answer on its connection.
+REMEMBERED_REQUESTS = 16
 # Methods whose requests need no Content-Length if they have no body.
 _BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
@@ -37,6 +40,8 @@
         self._connect_watch: Watch | None = None
         self._watched: WatchedSocket | None = None
         self.response_count = 0
+        # The ids of the last requests that were sent on it.
+        self._request_ids: deque[str] = deque(maxlen=REMEMBERED_REQUESTS)
         # Monotonic time at which it began to open.
         self.opened_at = time.monotonic()
         self.idle_since = 0.0
@@ -82,6 +87,17 @@
             self.putheader("Content-Length", str(len(body)))
         self.endheaders(body or None)
 
+    def note_request(self, request_id: str) -> None:
+        """Note the id of a request that is sent on this connection."""
+        self._request_ids.append(request_id)
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id was one of the last on this connection.
+
+        A late copy of its answer could not be told from the answer to the same request.
+        """
+        return request_id in self._request_ids
+
     def receive_response(self, watch: Watch) -> HTTPResponse:
         """Return the response after reading its head; raises as `Watch` and `http.client` do."""
         assert self._watched is not None
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -1,6 +1,7 @@
 """Scripted upstreams and callers on real sockets."""
 
 import contextlib
+import itertools
 import random
 import socket
 import threading
@@ -246,6 +247,7 @@
     def __init__(self, limits=LIMITS, held=None, open_bytes=None):
         self.log = []
         self.upstreams = []
+        self._request_numbers = itertools.count(1)
         self.routes = CurrentRoutes()
         fleet = new_fleet()
         self.changes, self.residency = fleet.changes, fleet.residency
@@ -384,7 +386,8 @@
     ):
         caller = caller or self.connect()
         lines = [
-            f"{method} {path} HTTP/1.1", f"Host: {HOST}", "X-Redwingscale-Request-Id: r1",
+            f"{method} {path} HTTP/1.1", f"Host: {HOST}",
+            f"X-Redwingscale-Request-Id: r{next(self._request_numbers)}",
             f"Content-Length: {len(body)}", *headers,
         ]  # fmt: skip
         if model:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
@@ -77,7 +77,7 @@
         time.sleep(0.05)
 
     def late(connection, received):
-        old = received._replace(head=received.head.replace("r1", "old"))
+        old = received._replace(head=received.head.replace("r2", "r1"))
         sized(b"first again")(connection, old)
         sized(b"second")(connection, received)
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_suspended_instance.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_suspended_instance.py
@@ -29,9 +29,9 @@
     """Run ``action`` when the connection for the next request has been chosen."""
     take_idle = world.pool.take_idle
 
-    def act_and_take(upstream):
+    def act_and_take(upstream, request_id):
         action()
-        return take_idle(upstream)
+        return take_idle(upstream, request_id)
 
     monkeypatch.setattr(world.pool, "take_idle", act_and_take)
 
