Take no head for whole that breaks off

Cause: http.client takes the end of a connection for the end of a head, and a line that breaks off for a line. A head without its last lines lacks the length of the body; a cut value is believed. All readers of heads used it: answers of upstreams, after interim answers and late copies, answers of instances, of the store, to orders, reports and questions for a process's name, and of the product's own interface.

Evidence: the tests cut heads at seven places, in three framings, plain and streamed. Before: 200 with an empty body, a cut 503 taken for the promise of "not run", an order taken for carried out, a write for not done, a cut name for another process.

Change: responses on all connections raise IncompleteRead where a line of the head has no end or the connection closes before the blank line, and size lines of chunks likewise. That is an error of a connection that broke off, as after cut bodies: a request goes on as its kind allows, and nothing of the head is used.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watched_socket.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watched_socket.py
@@ -6,6 +6,8 @@
 from contextlib import contextmanager
 from typing import Any
 
+from redwingscale_common.network.whole_heads import check_line
+
 from redwingscale_daemon._internal.forwarding.line_bound import LineBound
 from redwingscale_daemon._internal.forwarding.watch import Watch
 
@@ -70,15 +72,21 @@
         self._lines: LineBound | None = None
 
     def readline(self, size: int | None = -1, /) -> bytes:
-        """Return the next line; raises `HTTPException` if it, or a trailer, has no end."""
+        """Return the next line; raises `HTTPException` if it breaks off, or has no end.
+
+        The lines of a trailer are bounded together.
+        """
         if self.raw.lines is not None:
             return super().readline(size)
         self._lines = self._lines or LineBound()
         self.raw.lines = self._lines
         try:
-            return super().readline(size)
+            line = super().readline(size)
         finally:
             self.raw.lines = None
+        # A size that breaks off would pass for a smaller one, or for that of the last chunk. After
+        # the size of the last chunk, no byte is missing.
+        return line if line in (b"", b"\r") else check_line(line, size or -1)
 
     def read(self, size: int | None = -1, /) -> bytes:
         """Return ``size`` bytes of a body."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import urllib3
+from redwingscale_common.network.whole_heads import WholeHeadPool
 from redwingscale_common.utils.logs import log_event
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
@@ -66,7 +67,7 @@
 
     def __init__(self, host: str, port: int, eras: StoreEras | None = None) -> None:
         self._eras = eras or StoreEras()
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = WholeHeadPool(
             host,
             port,
             maxsize=4,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
@@ -6,8 +6,12 @@
 import time
 from typing import Any
 
-import urllib3
-import urllib3.connection
+from redwingscale_common.network.whole_heads import (
+    WholeHeadConnection,
+    WholeHeadPool,
+    WholeHeadPools,
+    WholeHeadResponse,
+)
 
 # Answers to calls have some kilobytes and come at once.
 MAX_ANSWER_BYTES = 1 << 20
@@ -68,6 +72,8 @@
     ``timeout`` bounds the connecting, and the whole answer.
     """
 
+    response_class = WholeHeadResponse
+
     def __init__(self, host: str, port: int, timeout: float) -> None:
         super().__init__(host, port, timeout=timeout)
         self._answer_seconds = timeout
@@ -77,17 +83,17 @@
         self.sock = _BoundedSocket(self.sock, self._answer_seconds)
 
 
-class _PooledConnection(urllib3.connection.HTTPConnection):
+class _PooledConnection(WholeHeadConnection):
     def connect(self) -> None:
         super().connect()
         self.sock = _BoundedSocket(self.sock)
 
 
-class _Pool(urllib3.HTTPConnectionPool):
+class _Pool(WholeHeadPool):
     ConnectionCls = _PooledConnection
 
 
-class ShortAnswerPools(urllib3.PoolManager):
+class ShortAnswerPools(WholeHeadPools):
     """Gives an answer up that has no end, with an `HTTPError` of ``urllib3``."""
 
     def __init__(self, **options: Any) -> None:
