Do not take the leader's row for complete beyond its writing

After the end of all instances, streams that one software version had begun went on at another one: their callers hold events of two versions, in answers that look whole (a report of other operators).

Cause: a process that starts takes what the leader's row says of versions as true up to its own start. A version that served between the row's last writing and the end of all instances is not in it. A missing row was taken to mean that no stream had ever begun, also after the store's return from a copy.

Change: the row names the list that it holds for, by the store's version and era, and the upstreams of that list. A process that starts reads what was removed from the list since. An upstream that came and went, dropped changes or another era make all versions known from the start only, so that nobody's streams are refused in place of joined. Upstreams that came and stayed are in the list that the process reads. A missing row means "never" in the first era of the store alone.

Callers of streams begun beside two versions are refused as before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -15,12 +15,13 @@
 from redwingscale_daemon._internal.fleet.list_update_tracker import ListUpdateTracker
 from redwingscale_daemon._internal.fleet.load_tracker import Load
 from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
+from redwingscale_daemon._internal.fleet.recorded_versions import RecordedVersions
 from redwingscale_daemon._internal.fleet.replaced_upstreams import ReplacedUpstreams
 from redwingscale_daemon._internal.fleet.software_versions import SoftwareVersions
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
-from redwingscale_daemon._internal.platform import engine, exchange
+from redwingscale_daemon._internal.platform import discovery, engine, exchange
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_version_tracker import RouteVersionTracker
 from redwingscale_daemon._internal.routes.version_announcements import (
@@ -148,6 +149,11 @@
     me = settings.instance
     news_port = settings.peer_ports[0]
     needs_port = news_port + 1 if news_port else 0
+    recorded = (
+        None
+        if versions is None
+        else RecordedVersions(versions, fleet.directory, store, discovery.TABLE)
+    )
     lease = LeaderLease(
         store,
         start,
@@ -169,7 +175,7 @@
             _standby_seconds(settings.machine),
         ),
         may_lead=lambda: not fleet.path.cut_off,
-        software=versions,
+        software=recorded,
         eras=eras,
     )
     lease_retry = Backoff()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
@@ -8,7 +8,6 @@
 from itertools import chain
 
 import msgspec
-from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.leases.clock import Clock, lease_clock
@@ -20,8 +19,6 @@
 
 # Seconds since an upstream of each version was listed last, by service and version.
 AgesByService = dict[str, dict[str, float]]
-# Before the first leader of a deployment, no stream has begun anywhere.
-NEVER_SERVED_SECONDS = 1e6
 
 
 class SoftwareRecord(msgspec.Struct):
@@ -93,22 +90,13 @@
             }
         return SoftwareRecord(ages, round(self.known_seconds, 3))
 
-    def take_row(self, row: bytes | None) -> None:
-        """Take over what the leader's row says, None if there has never been a leader."""
-        if row is None:
-            self._take_over(SoftwareRecord({}, NEVER_SERVED_SECONDS))
-            return
-        try:
-            self._take_over(msgspec.json.decode(row, type=SoftwareRecord))
-        except msgspec.DecodeError as error:
-            log_event("software_row_invalid", level="WARNING", error=error)
-
     @property
     def known_seconds(self) -> float:
         """For how long all versions that were listed are known."""
         return self._clock() - self._known_since
 
-    def _take_over(self, record: SoftwareRecord) -> None:
+    def take_over(self, record: SoftwareRecord) -> None:
+        """Take over what former processes of the deployment knew."""
         now = self._clock()
         with self._lock:
             for service, age_by_software in record.software.items():
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
@@ -260,19 +260,19 @@
         snapshot = self._store.read(LEASE_ROW.table, LEASE_ROW.partition)
         self._store_version = snapshot.version
         if not self._observe_newest(row for row in snapshot.rows if row.key == LEASE_ROW):
-            self._take_software(None)
+            self._take_software(None, snapshot.version.era)
             self._observe(StoreVersion(snapshot.version.era, NO_ROW_NUMBER), None)
 
-    def _take_software(self, row: bytes | None) -> None:
+    def _take_software(self, row: StoredRow | None, era: int) -> None:
         if self._software is not None and self._record is None:
-            self._software.take_row(row)
+            self._software.take_row(row, era)
 
     def _observe_newest(self, rows: Iterable[StoredRow]) -> bool:
         """Note the newest of ``rows``; return whether there is one."""
         row = max(rows, key=lambda row: row.version, default=None)
         if row is None:
             return False
-        self._take_software(row.value)
+        self._take_software(row, row.version.era)
         if row.value is None:
             self._observe(StoreVersion(row.version.era, NO_ROW_NUMBER), None)
         else:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lease_record.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lease_record.py
@@ -33,8 +33,8 @@
     def record(self) -> SoftwareRecord:
         """Return what is known here."""
 
-    def take_row(self, row: bytes | None) -> None:
-        """Take over what the leader's row says, None if there has never been a leader."""
+    def take_row(self, row: StoredRow | None, era: int) -> None:
+        """Take over what the leader's row says that was read in ``era``; None without a row."""
 
 
 class LeaseTiming(NamedTuple):
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_software_versions.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_software_versions.py
@@ -7,7 +7,9 @@
     Kills,
     Resets,
     RollingUpdate,
+    RowLoss,
     Silences,
+    VersionForgotten,
     VersionGone,
     WorkerEnds,
 )
@@ -18,6 +20,7 @@
 MOST_MIXED = 2
 LEAST_WENT_ON = 0.9
 ONE_VERSION = (FIRST,) * 6
+SOFTWARE = (FIRST, FIRST, FIRST, OTHER, OTHER, OTHER)
 LEAVES = Habits(leave_after=6)
 SECONDS = 8.0
 
@@ -62,6 +65,23 @@
     assert max(one.seconds for one in rejected) < 1.0
 
 
+@pytest.mark.parametrize("loss", RowLoss, ids=lambda loss: loss.name)
+def test_streams_of_a_version_that_nobody_remembers_do_not_go_on_at_another(tmp_path, loss):
+    """Guards against streams of two versions after all instances and the last writes are lost."""
+    plan = Play((VersionForgotten(loss),), software=SOFTWARE, unlisted=(FIRST,), seconds=SECONDS)
+    result = play(plan, tmp_path)
+    assert any(one.pieces[0].software == FIRST for one in result.begun)
+    assert (result.mixed, result.gaps) == (0, 0), result.describe()
+
+
+def test_streams_go_on_at_the_only_version_after_all_instances_were_killed(tmp_path):
+    """Guards against streams that are given up although one version alone has served."""
+    plan = Play((Kills(3.0, at_once=6),), software=ONE_VERSION, seconds=SECONDS)
+    result = play(plan, tmp_path)
+    assert result.mixed == 0
+    assert result.went_on >= LEAST_WENT_ON * result.taken_up > 0, result.describe()
+
+
 def test_streams_go_on_through_other_instances_at_their_version(tmp_path):
     """Guards against a peer that goes on with a begun stream at another version."""
     result = play(Play((CutPaths(),), LEAVES, seconds=SECONDS), tmp_path)
--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/faults.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/faults.py
@@ -1,5 +1,6 @@
 """What goes wrong in a play: how workers of the two versions come and go, and what is disturbed."""
 
+from enum import Enum
 from typing import NamedTuple
 
 
@@ -20,6 +21,25 @@
     after_seconds: float = 6.0
 
 
+class RowLoss(Enum):
+    """Why the leader's row does not name a version that has served."""
+
+    LEADER_KILLED = "no leader has written it since"
+    ROW_GONE = "the store came back from a copy without the row"
+    ROW_OLDER = "the store came back from a copy with an older row"
+
+
+class VersionForgotten(NamedTuple):
+    """The first version serves for ``serves_seconds`` and is gone; then all instances are killed.
+
+    It is listed ``after_seconds``. The instances start again.
+    """
+
+    loss: RowLoss
+    after_seconds: float = 2.0
+    serves_seconds: float = 1.6
+
+
 class WorkerEnds(NamedTuple):
     """The worker ``number`` ends for good ``after_seconds``."""
 
@@ -58,4 +78,14 @@
     for_seconds: float = 2.5
 
 
-Fault = RollingUpdate | VersionGone | WorkerEnds | Resets | Silences | Kills | StoreAway | CutPaths
+Fault = (
+    RollingUpdate
+    | VersionGone
+    | VersionForgotten
+    | WorkerEnds
+    | Resets
+    | Silences
+    | Kills
+    | StoreAway
+    | CutPaths
+)
--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/play.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/play.py
@@ -19,8 +19,10 @@
     Kills,
     Resets,
     RollingUpdate,
+    RowLoss,
     Silences,
     StoreAway,
+    VersionForgotten,
     VersionGone,
     WorkerEnds,
 )
@@ -40,6 +42,8 @@
     software: Sequence[str] = (FIRST, FIRST, FIRST, OTHER, OTHER, OTHER)
     # Workers that hold another model at first.
     without_model: Collection[int] = ()
+    # Versions whose workers are not listed at first.
+    unlisted: Collection[str] = ()
     instances: int = 6
     per_second: float = 12.0
     seconds: float = 16.0
@@ -98,7 +102,7 @@
 
 def play(plan: Play, directory: Path) -> Result:
     """Play ``plan`` on processes of its own, whose logs are kept in ``directory``."""
-    world = VersionWorld(directory, plan.software, plan.without_model)
+    world = VersionWorld(directory, plan.software, plan.without_model, plan.unlisted)
     try:
         world.start_instances(plan.instances)
         return _Run(plan, world).result()
@@ -147,6 +151,9 @@
                     for one in places:
                         if one.worker.software == FIRST:
                             one.end()
+            case VersionForgotten():
+                if not self._ended.wait(fault.after_seconds):
+                    self._forget(fault)
             case WorkerEnds():
                 if not self._ended.wait(fault.after_seconds):
                     places[fault.number].end()
@@ -174,6 +181,26 @@
                     self._ended.wait(fault.for_seconds)
                     self._world.paths.heal(pid)
 
+    def _forget(self, fault: VersionForgotten) -> None:
+        rows, instances = self._world.rows, self._world.instances
+        places = [one for one in self._world.places if one.worker.software == FIRST]
+        before = time.monotonic()
+        if fault.loss is RowLoss.LEADER_KILLED:
+            leader = rows.value("redwingscale", "order-giver")["instance"]
+            next(one for one in instances if one.name == leader).end()
+        for one in places:
+            one.list()
+        self._ended.wait(fault.serves_seconds)
+        for one in places:
+            one.end()
+        for instance in instances:
+            instance.end()
+        if fault.loss is RowLoss.ROW_GONE:
+            rows.write_again(rows.restore(time.monotonic()))
+        elif fault.loss is RowLoss.ROW_OLDER:
+            rows.write_again(rows.restore(time.monotonic() - before))
+        self._restart(instances)
+
     def _restart(self, instances: Sequence[InstanceProcess]) -> None:
         for one in instances:
             one.end()
--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/world.py
@@ -29,14 +29,23 @@
 class VersionPlace:
     """The address of a worker, at which one process follows another, of any version."""
 
-    def __init__(self, name: str, software: str, models: Sequence[str], world: "VersionWorld"):
+    def __init__(
+        self,
+        name: str,
+        software: str,
+        models: Sequence[str],
+        world: "VersionWorld",
+        *,
+        listed: bool = True,
+    ) -> None:
         self.name, self._models, self._world = name, models, world
         self._lives = 0
         self.worker = self._new_worker(software)
         self.link = FaultyLink(self._serve(self.worker), world.paths)
         self._listed: str | None = None
         self._lock = threading.Lock()
-        self.list()
+        if listed:
+            self.list()
 
     def _new_worker(self, software: str) -> ModelWorker:
         self._lives += 1
@@ -94,7 +103,11 @@
     """Everything that a play starts; `stop` ends it."""
 
     def __init__(
-        self, directory: Path, software: Sequence[str], without_model: Collection[int] = ()
+        self,
+        directory: Path,
+        software: Sequence[str],
+        without_model: Collection[int] = (),
+        unlisted: Collection[str] = (),
     ) -> None:
         self._directory = directory
         self.rows = RowsApi()
@@ -104,7 +117,11 @@
         self.paths = ProcessPaths()
         self.places = [
             VersionPlace(
-                f"w{number}", version, [OTHER_MODEL if number in without_model else MODEL], self
+                f"w{number}",
+                version,
+                [OTHER_MODEL if number in without_model else MODEL],
+                self,
+                listed=version not in unlisted,
             )
             for number, version in enumerate(software)
         ]
