Bound idle connections by the descriptors of the process

Cause: up to 2,000 connections could be idle whatever the limit was. Then an error of accept() ends the loop of the server's library, which begins anew at once and counts the time to its next look for expired connections from there, so it never closes those that use up the descriptors.

Change: callers, other instances and upstreams have shares of the descriptors for their idle connections, by a new setting and the process's own limit. At its share, an answer closes its connection. Where accept() fails for want of descriptors or memory, the port logs it, pauses for 50 ms and goes on, so that expired connections are closed. The product's own interface has the same server.

Tests: unit/ingress/test_descriptors.py; the port without descriptors and the idle bound failed before.

--- /dev/null
+++ b/packages/redwingscale-common/src/redwingscale_common/network/accepting.py
@@ -0,0 +1,65 @@
+"""Servers that go on while the process can accept no connection."""
+
+import errno
+import time
+from typing import Any
+
+from cheroot import wsgi
+from cheroot.connections import ConnectionManager
+from cheroot.server import HTTPServer
+
+from redwingscale_common.utils.logs import log_event
+
+# Errors of accept() for want of descriptors or memory: the connection waits in the queue.
+_NO_ROOM = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# Without a pause the thread would try again at once, and take the time in which others end.
+ACCEPT_PAUSE_SECONDS = 0.05
+# At most one log line in this time.
+LOG_SECONDS = 5.0
+
+
+class _Connections(ConnectionManager):
+    """Closes expired connections also while no further one can be accepted.
+
+    An error of accept() ends the library's loop, which begins anew without having looked for
+    expired connections: those that use up the descriptors would never be closed.
+    """
+
+    def __init__(self, server: Any) -> None:
+        super().__init__(server)
+        self._logged_at = float("-inf")
+
+    def _from_server_socket(self, server_socket: Any) -> Any:
+        try:
+            return super()._from_server_socket(server_socket)  # type: ignore[misc]
+        except OSError as error:
+            if error.errno not in _NO_ROOM:
+                raise
+            if time.monotonic() - self._logged_at > LOG_SECONDS:
+                self._logged_at = time.monotonic()
+                log_event("not_accepted", level="WARNING", error=error)
+            time.sleep(ACCEPT_PAUSE_SECONDS)
+            return None
+
+
+def _replace_connections(server: Any) -> None:
+    replaced, server._connections = server._connections, _Connections(server)
+    replaced._selector.close()
+
+
+class AcceptingServer(HTTPServer):
+    """The library's server with such connections."""
+
+    def prepare(self) -> None:
+        """Bind the address and start the threads."""
+        super().prepare()
+        _replace_connections(self)
+
+
+class AcceptingWsgiServer(wsgi.Server):
+    """The library's server of an application, with such connections."""
+
+    def prepare(self) -> None:
+        """Bind the address and start the threads."""
+        super().prepare()
+        _replace_connections(self)
--- a/packages/redwingscale-common/src/redwingscale_common/network/server.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/server.py
@@ -5,8 +5,8 @@
 
 import cherrypy
 import msgspec
-from cheroot import wsgi
 
+from redwingscale_common.network.accepting import AcceptingWsgiServer
 from redwingscale_common.network.bounded import PROBLEM_TYPE, BoundedConnection
 
 SHUTDOWN_SECONDS = 2
@@ -36,7 +36,7 @@
         # CherryPy formats an access log line for each request even without a log handler,
         # which takes 5% of the processor time of a short request.
         application.log.access = _no_access_log
-        self._server = wsgi.Server(
+        self._server = AcceptingWsgiServer(
             (host, port),
             application,
             numthreads=limits.threads,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/detours.py
@@ -25,6 +25,7 @@
 from redwingscale_daemon._internal.forwarding.request_handler import RequestHandler
 from redwingscale_daemon._internal.forwarding.upstream_connection import CONNECT_SECONDS
 from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
+from redwingscale_daemon._internal.ingress.descriptor_limits import idle_limits
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
 from redwingscale_daemon._internal.platform import exchange
 from redwingscale_daemon._internal.settings.ingress_settings import IngressSettings
@@ -58,7 +59,7 @@
     """Return the parts, not started; `PathWatch` starts with the first suspicion."""
     path = fleet.path
     offers = PeerOffers(settings.failure_domain, addresses, ask)
-    pool = ConnectionPool()
+    pool = ConnectionPool(idle_limits(settings.machine.descriptors).peers)
 
     def probe(upstream: Upstream) -> None:
         if upstream.models_by_name:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -49,6 +49,7 @@
 from redwingscale_daemon._internal.forwarding.stream_resumption import StreamResumption
 from redwingscale_daemon._internal.forwarding.upstream_bytes import UpstreamBytes
 from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget, limits_of
+from redwingscale_daemon._internal.ingress.descriptor_limits import idle_limits
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
 from redwingscale_daemon._internal.ingress.unread_closes import UnreadCloses
 from redwingscale_daemon._internal.lifecycle.ingress_instance import IngressInstance, IngressParts
@@ -91,7 +92,8 @@
     store = StoreClient(settings.store.host, settings.store.port, eras)
     routes = CurrentRoutes()
     fleet = new_fleet(settings.instance, lambda: swaps.instances())
-    pool = ConnectionPool()
+    idle = idle_limits(settings.machine.descriptors)
+    pool = ConnectionPool(idle.upstreams)
     fleet.directory.on_gone(pool.forget)
     fleet.new_connections.has_idle = pool.has_idle
     metrics = IngressMetrics()
@@ -163,7 +165,7 @@
     budget = ByteBudget(limits_of(settings.machine.memory_mb))
     metrics.observe_bytes_held(lambda: budget.held)
     metrics.observe_list_age(list_age.seconds)
-    limits = _port_limits(settings)
+    limits = _port_limits(settings, idle.callers)
     unread_closes = UnreadCloses(
         fleet.load_tracker.is_uneven,
         lambda reason: metrics.closed_unread.add(1, {"reason": reason}),
@@ -174,7 +176,9 @@
         known = routes.get() is not None and bool(fleet.directory.all())
         return known and not (open_requests.draining or fleet.path.lost or callers.crowded)
 
-    peer_port = build_peer_port(settings, handler, budget, limits, may_take)
+    peer_port = build_peer_port(
+        settings, handler, budget, limits._replace(idle_connections=idle.peers), may_take
+    )
     reply_on_path = build_path_replies(
         settings, fleet, peer_port, lambda: callers.busy_fraction, list_age.seconds
     )
@@ -375,7 +379,7 @@
     )
 
 
-def _port_limits(settings: IngressSettings) -> PortLimits:
+def _port_limits(settings: IngressSettings, idle_connections: int) -> PortLimits:
     return PortLimits(
         settings.request_threads,
         MAX_HEAD_BYTES,
@@ -383,6 +387,7 @@
         IDLE_SECONDS,
         max(MIN_REFUSING_THREADS, round(settings.request_threads * REFUSING_FRACTION)),
         "callers",
+        idle_connections,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_pool.py
@@ -12,6 +12,7 @@
     UpstreamConnection,
 )
 from redwingscale_daemon._internal.forwarding.watch import Watch
+from redwingscale_daemon._internal.ingress.descriptor_limits import MAX_IDLE_CONNECTIONS
 
 # Upstreams that announce no idle timeout close idle connections after some seconds. A
 # request sent while the connection closes is lost, and may or may not have run.
@@ -41,10 +42,12 @@
 class ConnectionPool:
     """Idle connections by upstream id.
 
-    A restarted upstream has a new id, so its old connections are never reused.
+    A restarted upstream has a new id, so its old connections are never reused. At most
+    ``max_idle`` are kept for all upstreams together.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_idle: int = MAX_IDLE_CONNECTIONS) -> None:
+        self._max_idle, self._idle_count = max_idle, 0
         self._lock = threading.Lock()
         self._idle_by_upstream: dict[str, list[UpstreamConnection]] = defaultdict(list)
         self.opened = 0
@@ -106,9 +109,11 @@
         connection.expires_at = time.monotonic() + allowed - IDLE_MARGIN_SECONDS
         with self._lock:
             idle = self._idle_by_upstream[upstream.id]
-            keep = len(idle) < MAX_IDLE_PER_UPSTREAM and allowed > IDLE_MARGIN_SECONDS
+            has_room = len(idle) < MAX_IDLE_PER_UPSTREAM and self._idle_count < self._max_idle
+            keep = has_room and allowed > IDLE_MARGIN_SECONDS
             if keep:
                 idle.append(connection)
+                self._idle_count += 1
         if not keep:
             connection.discard()
 
@@ -116,6 +121,7 @@
         """Close the idle connections to upstreams that are no longer listed."""
         with self._lock:
             gone = [self._idle_by_upstream.pop(key, []) for key in upstream_ids]
+            self._idle_count -= sum(map(len, gone))
         for connections in gone:
             for connection in connections:
                 connection.discard()
@@ -126,4 +132,5 @@
             usable = (one for one in reversed(idle) if not one.has_carried(request_id))
             if (found := next(usable, None)) is not None:
                 idle.remove(found)
+                self._idle_count -= 1
             return found
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -7,12 +7,14 @@
 from typing import Any, NamedTuple
 
 from cheroot.errors import MaxSizeExceeded
-from cheroot.server import Gateway, HTTPRequest, HTTPServer
+from cheroot.server import Gateway, HTTPRequest
+from redwingscale_common.network.accepting import AcceptingServer
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
 from redwingscale_daemon._internal.ingress.byte_budget import ByteBudget
 from redwingscale_daemon._internal.ingress.caller_connection import CallerConnection
+from redwingscale_daemon._internal.ingress.descriptor_limits import MAX_IDLE_CONNECTIONS
 from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
 from redwingscale_daemon._internal.ingress.reply import Reply
@@ -26,9 +28,6 @@
 Screen = Callable[[IngressRequest, Reply], bool]
 # Answers a request that is refused before its body was read whole.
 RefuseUnread = Callable[[IngressRequest, Reply, Refusal], None]
-# The server's default keeps 10 idle connections and closes the others at once: a caller
-# that sends a request at that moment would see its connection closed.
-MAX_IDLE_CONNECTIONS = 2000
 SHUTDOWN_SECONDS = 1
 # How long a caller may take for a refusal, which has no deadline.
 REST_SECONDS = 2.5
@@ -43,8 +42,8 @@
     """Bounds of a port; ``idle_seconds`` also bounds the time to send a request.
 
     ``refusing_threads`` of the ``threads`` are reserved to refuse requests while all
-    others are busy. A caller may make the port wait ``rest_seconds`` for the rest of a
-    refusal.
+    others are busy. Beyond ``idle_connections`` an answer closes its connection. A caller may
+    make the port wait ``rest_seconds`` for the rest of a refusal.
     """
 
     threads: int
@@ -53,6 +52,7 @@
     idle_seconds: int
     refusing_threads: int = 0
     name: str = "port"
+    idle_connections: int = MAX_IDLE_CONNECTIONS
     rest_seconds: float = REST_SECONDS
 
 
@@ -153,7 +153,7 @@
     ) -> None:
         apps = _Apps(handler, screen, refuse_unread)
         gateway = partial(_Gateway, apps, limits.body_bytes, budget or ByteBudget())
-        server: Any = HTTPServer((host, port), gateway)
+        server: Any = AcceptingServer((host, port), gateway)
         self._server = server
         self._threads = RequestThreads(
             server,
@@ -170,7 +170,7 @@
         server.requests = self._threads
         server.ConnectionClass = CallerConnection
         server.request_queue_size = ACCEPT_QUEUE_CONNECTIONS
-        server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+        server.keep_alive_conn_limit = limits.idle_connections
         server.max_request_header_size = limits.head_bytes
         server.timeout = limits.idle_seconds
         server.rest_seconds = limits.rest_seconds
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/ingress_settings.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/settings/ingress_settings.py
@@ -46,12 +46,13 @@
 class Machine(NamedTuple):
     """What the instance may use: cores of standard speed, megabits a second, megabytes.
 
-    ``memory_mb`` is None if it is not limited.
+    ``memory_mb`` is None if it is not limited, ``descriptors`` if the process's own limit holds.
     """
 
     cores: float
     link_mbps: float
     memory_mb: float | None = None
+    descriptors: int | None = None
 
 
 class IngressSettings(NamedTuple):
@@ -86,7 +87,7 @@
 )
 _OPTIONAL_BOUNDS = ("leave_ms", "configuration_ms", "use_slack")
 _MACHINE = ("processor_share", "processor_speed", "link_mbps")
-_OPTIONAL_MACHINE = ("memory_mb",)
+_OPTIONAL_MACHINE = ("memory_mb", "descriptors")
 _MODE = {"enum": [mode.value for mode in Mode]}
 _REQUIRED = (
     "instance",
@@ -197,10 +198,12 @@
 def _machine(value: dict[str, float] | None) -> Machine:
     if value is None:
         return DEFAULT_MACHINE
+    descriptors = value.get("descriptors")
     return Machine(
         value["processor_share"] * value["processor_speed"],
         value["link_mbps"],
         value.get("memory_mb"),
+        None if descriptors is None else int(descriptors),
     )
 
 
