Bound the names in the leader's row, and read all changes of the list

Reading the diff of the row's versions: at some thousand upstreams, or with names of 200 bytes, the names of the list would have outgrown the row, and the leader could not have written it. An answer with some of the changes since the list would have been taken for all of them. Neither was seen on a deployment.

The row has no names beyond 24 KB, so that each removed upstream counts as one that came and went. Changes are read until an answer has fewer than 500 rows, eight times at most.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/recorded_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/recorded_versions.py
@@ -3,7 +3,7 @@
 import msgspec
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.exceptions import PlatformError, PlatformUnavailable
 from redwingscale_daemon._internal.fleet.software_versions import SoftwareRecord, SoftwareVersions
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.store.rows import RowStore, StoredRow
@@ -13,13 +13,19 @@
 # Before the first leader of a deployment, no stream has begun anywhere.
 NEVER_SERVED_SECONDS = 1e6
 _NO_ERA = -1
+# The row has room for 64 KB in base64. Without their names, upstreams that were removed are taken
+# for ones that came and went.
+MAX_NAMES_BYTES = 24 << 10
+# The store may return so many rows in one answer, and the rest in further ones.
+_PAGE_ROWS = 500
+_MAX_PAGES = 8
 
 
 class VersionsRow(SoftwareRecord):
     """The fields of the leader's row.
 
     ``software`` holds for the list of upstreams as of transaction ``software_list`` of
-    ``software_era``, which named ``software_upstreams``.
+    ``software_era``, which named ``software_upstreams``; these are empty if they are too many.
     """
 
     software_era: int = _NO_ERA
@@ -58,7 +64,7 @@
             known.software_known_seconds,
             copy.version.era,
             copy.version.number,
-            sorted(one.platform_name for one in copy.by_id.values()),
+            _fitting(sorted(one.platform_name for one in copy.by_id.values())),
         )
 
     def take_row(self, row: StoredRow | None, era: int) -> None:
@@ -83,11 +89,23 @@
         """Return why a version may have served that the row does not name, empty if none has."""
         if record.software_era != era:
             return f"written in era {record.software_era}, read in era {era}"
-        since = StoreVersion(era, record.software_list)
         try:
-            changes = self._store.changes(self._table, since, 0.0)
+            removed = self._removed_since(StoreVersion(era, record.software_list))
         except PlatformError as error:
             return f"changes of the list are not known: {error!r}"
-        removed = {row.key.key for row in changes.rows if row.value is None}
         unknown = removed.difference(record.software_upstreams)
         return f"upstreams came and went: {','.join(sorted(unknown))}" if unknown else ""
+
+    def _removed_since(self, version: StoreVersion) -> set[str]:
+        """Return the names that were removed from the list; raises `PlatformError`."""
+        removed: set[str] = set()
+        for _ in range(_MAX_PAGES):
+            rows, version = self._store.changes(self._table, version, 0.0)
+            removed |= {row.key.key for row in rows if row.value is None}
+            if len(rows) < _PAGE_ROWS:
+                return removed
+        raise PlatformUnavailable(f"more than {_MAX_PAGES * _PAGE_ROWS} changes")
+
+
+def _fitting(names: list[str]) -> list[str]:
+    return names if sum(map(len, names)) <= MAX_NAMES_BYTES else []
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_recorded_versions.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_recorded_versions.py
@@ -13,6 +13,8 @@
 STREAM_SECONDS = 40.0
 TABLE = "upstreams"
 LIST_NUMBER = 7
+# The rows of one answer of the store.
+PAGE_ROWS = 500
 LISTED = [
     Upstream(
         "u1", "llm", "127.0.0.1", 1, "z1", 64, False, None, {}, frozenset(), frozenset(),
@@ -29,10 +31,11 @@
         self.history_gone = False
 
     def changes(self, table, after, wait_seconds):
-        assert (table, after.number, wait_seconds) == (TABLE, LIST_NUMBER, 0.0)
+        assert (table, wait_seconds) == (TABLE, 0.0)
         if self.history_gone:
             raise HistoryGone("dropped")
-        return Snapshot(tuple(self.changed), StoreVersion(after.era, 20))
+        rows = [row for row in self.changed if row.version > after][:PAGE_ROWS]
+        return Snapshot(tuple(rows), rows[-1].version if rows else after)
 
     def note(self, name, value):
         version = StoreVersion(0, 10 + len(self.changed))
@@ -44,6 +47,7 @@
 
     def __init__(self, store, era=0):
         fleet = new_fleet()
+        self.directory = fleet.directory
         self.versions = SoftwareVersions(lambda: STREAM_SECONDS, lambda: 0.1)
         fleet.directory.on_list(self.versions.follow)
         self.rows = RecordedVersions(self.versions, fleet.directory, store, TABLE)
@@ -108,3 +112,22 @@
 def test_row_without_versions_says_nothing(store, row, value):
     """Guards against a row of the former release, or a deleted one, that is taken for complete."""
     assert sole(store, row._replace(value=value)) is None
+
+
+@pytest.mark.parametrize("changes", [PAGE_ROWS + 10, 9 * PAGE_ROWS])
+def test_upstream_that_came_and_went_is_found_among_many_changes(store, row, changes):
+    """Guards against an answer of the store with some of the changes that is taken for all."""
+    for number in range(changes):
+        store.note(f"n{number}", b"listed")
+    assert sole(store, row) == ("v1" if changes < 8 * PAGE_ROWS else None)
+    store.note("u2", None)
+    assert sole(store, row) is None
+
+
+def test_row_has_no_names_that_it_has_no_room_for(store):
+    """Guards against a leader that cannot write its row, and loses its lease."""
+    leader = Process(store)
+    many = [LISTED[0]._replace(id=f"upstream-{n:050d}") for n in range(1000)]
+    leader.directory.replace(many, StoreVersion(0, LIST_NUMBER + 1))
+    record = leader.rows.record()
+    assert (record.software_upstreams, record.software) == ([], {"llm": {"v1": 0.0}})
