Send each order on a connection of its own

Found on the paths related to late copies of refusals: answers to orders and reports name no request. A late copy of a report, or of the answer to an earlier order, was taken for the answer to an unload. An adapter that requests still used counted as unloaded, and the worker was ordered to load three adapters into two places (rule LIMIT). Not seen on a deployment.

Cause: reports and orders shared one persistent connection, on which the answers are told apart by their order alone. The count that orders name does not show it: a deferred unload counts like one that is done.

Change: each order goes on a new connection, where no other answer can come. Reports stay on persistent ones: a copy is one poll older, and the next order names its count, which the worker checks.

Tests: both forms of test_copies_of_order_answers.py failed before (three adapters in two places). The tests of orders, cut answers and answers without end pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from contextlib import closing
 from typing import NamedTuple
 
 import msgspec
@@ -22,7 +23,7 @@
 from redwingscale_daemon._internal.forwarding.dialect import HeaderValues
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Order, OrderResult
-from redwingscale_daemon._internal.utils.bounded_answers import ShortAnswerPools
+from redwingscale_daemon._internal.utils.bounded_answers import ShortAnswerPool, ShortAnswerPools
 from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -32,6 +33,7 @@
 # arrives within this time or never.
 ORDER_CALL_SECONDS = 0.6
 _OK = 200
+_SOCKET_OPTIONS = [*HTTPConnection.default_socket_options, RESET_ON_CLOSE]
 
 
 class EngineCalls(NamedTuple):
@@ -47,7 +49,10 @@
 
 
 class OrderClient:
-    """Sends each call once, on a persistent connection.
+    """Sends each call once: questions on persistent connections, each order on a new one.
+
+    Answers to calls name no request. On a persistent connection, a late copy of an earlier answer
+    would be taken for that of an order, and an adapter for unloaded that is still resident.
 
     A connection without an answer is reset rather than closed: an order delayed by a network cut
     would otherwise be delivered when the cut ends, seconds after the first order of another
@@ -82,7 +87,7 @@
             maxsize=1,
             retries=False,
             timeout=urllib3.Timeout(connect=connect_timeout_seconds, read=response_timeout_seconds),
-            socket_options=[*HTTPConnection.default_socket_options, RESET_ON_CLOSE],
+            socket_options=_SOCKET_OPTIONS,
         )
 
     def report(self, upstream: Upstream) -> EngineReport | None:
@@ -109,13 +114,13 @@
     def _send(self, upstream: Upstream, order: Order) -> OrderResult:
         began_at = time.monotonic()
         try:
-            response = self._pools.request(
-                "POST",
-                _url(upstream, self._calls.order_target),
-                body=self._calls.encode_order(order),
-                headers=self._calls.order_headers(upstream.platform_name),
-                timeout=self._order_timeout,
-            )
+            with closing(self._connect(upstream)) as connection:
+                response = connection.request(
+                    "POST",
+                    self._calls.order_target,
+                    body=self._calls.encode_order(order),
+                    headers=self._calls.order_headers(upstream.platform_name),
+                )
         except (NewConnectionError, ConnectTimeoutError) as error:
             self._note_failed(upstream, error, began_at)
             return OrderResult.REFUSED
@@ -125,6 +130,16 @@
         self._note_backpressure(upstream, response)
         return self._calls.order_result(response.status)
 
+    def _connect(self, upstream: Upstream) -> ShortAnswerPool:
+        return ShortAnswerPool(
+            upstream.host,
+            upstream.port,
+            maxsize=1,
+            retries=False,
+            timeout=self._order_timeout,
+            socket_options=_SOCKET_OPTIONS,
+        )
+
     def _note_failed(self, upstream: Upstream, error: HTTPError, began_at: float) -> None:
         # An upstream may close a connection that was idle, but not the next one as well.
         again = upstream.id in self._broken
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
@@ -89,7 +89,9 @@
         self.sock = _BoundedSocket(self.sock)
 
 
-class _Pool(WholeHeadPool):
+class ShortAnswerPool(WholeHeadPool):
+    """Connections to one host; an answer that has no end raises an `HTTPError` of ``urllib3``."""
+
     ConnectionCls = _PooledConnection
 
 
@@ -98,4 +100,4 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self.pool_classes_by_scheme = {"http": _Pool}
+        self.pool_classes_by_scheme = {"http": ShortAnswerPool}
