Keep in the store how streams began while several versions serve

After the end of all instances, no stream that its caller took up went on while two software versions served: each got 503 until its caller gave up, though workers of its version were there.

Cause: which version began a stream was in the memory of instances only, and ended with them.

Change: while several versions may have begun streams that still live, the leader, which is told of each begin, writes the new ones each 0.25 s to a table of its own, 160 rows in turn. A process that starts reads them after the leader's row. The keys are digests of ids, so that an old row cannot name another stream. With one version nothing is written or read.

A refused take-up names the stream in the log.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -130,7 +130,7 @@
         place_uses,
         repeat_budget,
         lambda query: reply_on_path(query),
-        streams.versions,
+        streams,
     )
     reports = report_client(fleet)
     own_reports = build_own_reports(settings, routes, fleet, reads, reports)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/stream_origins.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/stream_origins.py
@@ -25,6 +25,7 @@
     """The parts; ``link`` is not started."""
 
     versions: SoftwareVersions
+    origins: StreamOrigins
     resumption: StreamResumption
     link: OriginLink
 
@@ -56,7 +57,7 @@
     resumption = StreamResumption(
         origins, versions, lambda result: metrics.taken_up.add(1, {"result": result})
     )
-    return StreamParts(versions, resumption, link)
+    return StreamParts(versions, origins, resumption, link)
 
 
 def load_seconds(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -7,6 +7,7 @@
 from redwingscale_daemon._internal.composition.ordered_return import ReturnUpdates
 from redwingscale_daemon._internal.composition.peers import FETCH_FRACTION, build_peers
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
+from redwingscale_daemon._internal.composition.stream_origins import StreamParts
 from redwingscale_daemon._internal.exceptions import PlatformError
 from redwingscale_daemon._internal.fleet.findings import drain_findings
 from redwingscale_daemon._internal.fleet.fleet import Fleet
@@ -17,7 +18,7 @@
 from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
 from redwingscale_daemon._internal.fleet.recorded_versions import RecordedVersions
 from redwingscale_daemon._internal.fleet.replaced_upstreams import ReplacedUpstreams
-from redwingscale_daemon._internal.fleet.software_versions import SoftwareVersions
+from redwingscale_daemon._internal.forwarding.origin_rows import WRITE_SECONDS, OriginRows
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.lifecycle.ingress_instance import Task
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
@@ -142,18 +143,16 @@
     returns: ReturnUpdates,
     place_uses: PlaceUses,
     budget: RepeatBudget,
-    reply_on_path: Callable[[PathQuery], PathReply | None] = lambda query: None,
-    versions: SoftwareVersions | None = None,
+    reply_on_path: Callable[[PathQuery], PathReply | None],
+    streams: StreamParts,
 ) -> Swaps:
     """Return the parts, not started; ``start`` identifies this process."""
     me = settings.instance
     news_port = settings.peer_ports[0]
     needs_port = news_port + 1 if news_port else 0
-    recorded = (
-        None
-        if versions is None
-        else RecordedVersions(versions, fleet.directory, store, discovery.TABLE)
-    )
+    recorded = RecordedVersions(streams.versions, fleet.directory, store, discovery.TABLE)
+    origin_rows = OriginRows(store, streams.origins, streams.versions, lambda: lease.is_leader)
+    recorded.on_taken = origin_rows.load
     lease = LeaderLease(
         store,
         start,
@@ -380,6 +379,7 @@
             lease_task,
             client,
             Periodic("order-giver", 0.0, lead),
+            Periodic("stream-origin-rows", WRITE_SECONDS, origin_rows.step),
         ),
         release=lease.release,
         instances=instances,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/recorded_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/recorded_versions.py
@@ -1,5 +1,7 @@
 """What the leader's row says of software versions, and what it may lack."""
 
+from collections.abc import Callable
+
 import msgspec
 from redwingscale_common.utils.logs import log_event
 
@@ -50,6 +52,8 @@
         self._store = store
         # The table in which upstreams are listed, by their names.
         self._table = table
+        # Called when the row of a former leader has been taken over.
+        self.on_taken: Callable[[], None] = lambda: None
 
     def record(self) -> VersionsRow:
         """Return what the row is to say."""
@@ -84,6 +88,7 @@
             log_event("software_row_incomplete", level="WARNING", reason=missed)
             record.software_known_seconds = 0.0
         self._versions.take_over(record)
+        self.on_taken()
 
     def _missed(self, record: VersionsRow, era: int) -> str:
         """Return why a version may have served that the row does not name, empty if none has."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
@@ -115,6 +115,12 @@
             self._follow_time(self._clock())
             return {*self._listed_at.get(service, ()), *self._told_at.get(service, ())}
 
+    def mixed(self) -> frozenset[str]:
+        """Return the services of which several versions may have begun streams that still live."""
+        with self._lock:
+            services = {*self._listed_at, *self._told_at}
+        return frozenset(one for one in services if len(self.remembered(one)) > 1)
+
     def is_gone(self, service: str, software: str) -> bool:
         """Return whether no upstream of a version serves any more.
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_origins.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_origins.py
@@ -4,6 +4,7 @@
 import threading
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from itertools import takewhile
 from typing import NamedTuple, Protocol
 
 import msgspec
@@ -28,7 +29,7 @@
 
 
 class Found(NamedTuple):
-    """A known origin; ``source`` is "own", "peer" if told before, or "asked"."""
+    """A known origin; ``source`` is "own", "peer" if told before, "row" or "asked"."""
 
     service: str
     software: str
@@ -36,6 +37,16 @@
     age: float
 
 
+class _Kept(NamedTuple):
+    """An entry and how it is known; ``number`` counts all entries."""
+
+    began_at: float
+    service: str
+    software: str
+    source: str
+    number: int
+
+
 class OriginPeers(Protocol):
     """The other instances."""
 
@@ -66,8 +77,9 @@
         self._on_software = on_software
         self._clock = clock
         self._lock = threading.Lock()
-        # When each stream began, its service, its version and how that is known; oldest first.
-        self._by_key: OrderedDict[bytes, tuple[float, str, str, str]] = OrderedDict()
+        # In the order in which they were learned.
+        self._by_key: OrderedDict[bytes, _Kept] = OrderedDict()
+        self._newest = 0
 
     def note(
         self, workspace: str, request: str, service: str, software: str, *, tell: bool
@@ -102,22 +114,40 @@
         found = self._find(key)
         return found and OriginEntry(key, found.service, found.software, found.age)
 
+    def since(self, number: int) -> tuple[list[OriginEntry], int]:
+        """Return what was learned after entry ``number``, and the number of the last entry."""
+        with self._lock:
+            newer = takewhile(lambda item: item[1].number > number, reversed(self._by_key.items()))
+            found = [OriginEntry(key, kept.service, kept.software) for key, kept in newer]
+            return found[::-1], self._newest
+
+    def restore(self, entries: Iterable[OriginEntry]) -> None:
+        """Keep what former processes knew; how long ago these streams began is not known."""
+        for entry in entries:
+            self._keep(entry, "row")
+
     def _find(self, key: bytes) -> Found | None:
         with self._lock:
             kept = self._by_key.get(key)
         if kept is None:
             return None
-        at, service, software, source = kept
-        age = self._clock() - at
-        return Found(service, software, source, age) if age < self._stream_seconds() else None
+        age = self._clock() - kept.began_at
+        if age >= self._stream_seconds():
+            return None
+        return Found(kept.service, kept.software, kept.source, age)
 
     def _keep(self, entry: OriginEntry, source: str) -> None:
         began_at = self._clock() - max(0.0, entry.age)
         oldest = self._clock() - self._stream_seconds()
         with self._lock:
-            self._by_key.setdefault(entry.key, (began_at, entry.service, entry.software, source))
+            if entry.key not in self._by_key:
+                self._newest += 1
+                self._by_key[entry.key] = _Kept(
+                    began_at, entry.service, entry.software, source, self._newest
+                )
             while self._by_key and (
-                len(self._by_key) > MAX_ENTRIES or next(iter(self._by_key.values()))[0] < oldest
+                len(self._by_key) > MAX_ENTRIES
+                or next(iter(self._by_key.values())).began_at < oldest
             ):
                 self._by_key.popitem(last=False)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_resumption.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_resumption.py
@@ -100,6 +100,7 @@
             request=terms.request_id,
             reason=code,
             detail=detail,
+            resumes=terms.resumed_request[:MAX_ID_CHARACTERS] if terms.resumed_request else "-",
             serving=self._serving(services),
             known_for=round(self._versions.known_seconds, 1),
         )
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_software_versions.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_software_versions.py
@@ -19,6 +19,8 @@
 # Allowed over a whole run, and the part of the streams taken up that has to go on.
 MOST_MIXED = 2
 LEAST_WENT_ON = 0.9
+# The same where the last begins are lost with all instances.
+LEAST_KNOWN = 0.5
 ONE_VERSION = (FIRST,) * 6
 SOFTWARE = (FIRST, FIRST, FIRST, OTHER, OTHER, OTHER)
 LEAVES = Habits(leave_after=6)
@@ -82,6 +84,13 @@
     assert result.went_on >= LEAST_WENT_ON * result.taken_up > 0, result.describe()
 
 
+def test_streams_of_both_versions_go_on_after_all_instances_were_killed(tmp_path):
+    """Guards against streams that are all given up, although workers of their versions serve."""
+    result = play(Play((Kills(3.0, at_once=6),), seconds=SECONDS), tmp_path)
+    assert result.mixed == 0, result.describe()
+    assert result.went_on >= LEAST_KNOWN * result.taken_up > 0, result.describe()
+
+
 def test_streams_go_on_through_other_instances_at_their_version(tmp_path):
     """Guards against a peer that goes on with a begun stream at another version."""
     result = play(Play((CutPaths(),), LEAVES, seconds=SECONDS), tmp_path)
