Search no streams while the leader has none to write

Reading the diff: with one version the leader went through all streams that it knows, up to 20,000, four times a second, and so it did beside another service with several versions that had no new streams.

It now looks only while a service has several versions, and from the last entry on. The new test failed before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/origin_rows.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/origin_rows.py
@@ -1,4 +1,4 @@
-"""Keeps how streams began in the store while several versions serve, for the end of all instances."""
+"""Keeps how streams began in the store, so that it outlives the end of all instances."""
 
 from collections.abc import Callable, Iterable, Iterator
 from itertools import groupby
@@ -19,7 +19,7 @@
 
 # A table of its own: instances without a leader wait for changes in that of the leader's row.
 TABLE = "redwingscale-streams"
-# What began after the last writing is lost with all instances.
+# Streams that began after the last writing are unknown once all instances have ended.
 WRITE_SECONDS = 0.25
 # Rows are written in turn: their number times the interval is longer than streams mostly live.
 ROWS = 160
@@ -71,9 +71,12 @@
             # Streams that began while their version served alone.
             self._written = 0
         self._services = services
+        if not services or not self._retry.due:
+            return
         entries, newest = self._origins.since(self._written)
         kept = [entry for entry in entries if entry.service in services]
-        if not kept or not self._retry.due:
+        if not kept:
+            self._written = newest
             return
         try:
             self._write(kept)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_origin_rows.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_origin_rows.py
@@ -102,6 +102,23 @@
     assert started(table).known("r1") == ["v1"]
 
 
+def test_nothing_is_searched_while_there_is_nothing_to_write(table, monkeypatch):
+    """Guards against a leader that goes through all streams four times a second."""
+    leader = Instance(table, software=("v1",))
+    numbers, since = [], leader.origins.since
+    monkeypatch.setattr(
+        leader.origins, "since", lambda number: numbers.append(number) or since(number)
+    )
+    leader.begin("r1")
+    leader.rows.step()
+    assert numbers == []
+    leader.versions.note("other", "v1")
+    leader.versions.note("other", "v2")
+    leader.rows.step()
+    leader.rows.step()
+    assert numbers == [0, 1]
+
+
 def test_streams_of_a_version_that_is_forgotten_are_not_read(table):
     """Guards against rows of an earlier release that keep a version in mind."""
     leader = Instance(table)
