Answer requests that arrive as their connection expires

Callers saw: an idle connection of an instance was closed as its next request came, without an answer; the caller cannot know whether the request has run.

Cause: the library's loop reads what is ready, and then closes all connections that have been idle for too long, also those whose next request came in between. Both ports of an instance use it.

Change: an expired connection with unread bytes is read instead of closed. One whose request is still on its way is closed as before, as HTTP allows.

--- a/packages/redwingscale-common/src/redwingscale_common/network/accepting.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/accepting.py
@@ -1,6 +1,7 @@
-"""Servers that go on while the process can accept no connection."""
+"""Servers that go on while none can be accepted, and close no connection with a request."""
 
 import errno
+import select
 import time
 from typing import Any
 
@@ -19,12 +20,15 @@
 
 
 class _Connections(ConnectionManager):
-    """Closes expired connections also while no further one can be accepted.
+    """Closes expired connections, also while no further one can be accepted.
 
     An error of accept() ends the library's loop, which begins anew without having looked for
-    expired connections: those that use up the descriptors would never be closed.
+    expired connections: those that use up the descriptors would never be closed. The library
+    also closes those whose next request came since it last looked, unread.
     """
 
+    _selector: Any
+
     def __init__(self, server: Any) -> None:
         super().__init__(server)
         self._logged_at = float("-inf")
@@ -41,6 +45,25 @@
             time.sleep(ACCEPT_PAUSE_SECONDS)
             return None
 
+    def _expire(self, threshold: float) -> None:
+        expired = [
+            (descriptor, connection)
+            for descriptor, connection in self._selector.connections
+            if connection is not self.server and connection.last_used < threshold
+        ]
+        for descriptor, connection in expired:
+            self._selector.unregister(descriptor)
+            if _is_readable(descriptor):
+                self.server.process_conn(connection)
+            else:
+                connection.close()
+
+
+def _is_readable(descriptor: int) -> bool:
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
 
 def _replace_connections(server: Any) -> None:
     replaced, server._connections = server._connections, _Connections(server)
--- a/packages/redwingscale-daemon/tests/unit/ingress/test_descriptors.py
+++ b/packages/redwingscale-daemon/tests/unit/ingress/test_descriptors.py
@@ -4,6 +4,8 @@
 import http.client
 import resource
 import socket
+import threading
+import time
 
 import pytest
 from redwingscale_daemon._internal.forwarding.connection_pool import ConnectionPool
@@ -75,6 +77,29 @@
     assert waiting.recv(12) == b"HTTP/1.1 200"
 
 
+def test_request_that_comes_as_its_connection_expires_is_answered(make_port, monkeypatch):
+    """Guards against a request that is closed unread: its caller cannot know if it has run."""
+    server = make_port()
+    selector = server._server._connections._selector
+    select, held, sent = selector.select, threading.Event(), threading.Event()
+
+    def select_before_the_request(timeout):
+        if not held.is_set():
+            return select(timeout)
+        sent.wait(WAIT_SECONDS)
+        held.clear()
+        return ()
+
+    monkeypatch.setattr(selector, "select", select_before_the_request)
+    connection, _ = ask(server)
+    held.set()
+    time.sleep(IDLE_SECONDS * 1.5)
+    connection.request("GET", "/")
+    sent.set()
+
+    assert connection.getresponse().read() == b"whole"
+
+
 def test_connections_beyond_the_idle_ones_are_answered_and_closed(make_port):
     """Guards against idle connections that use up all descriptors."""
     server = make_port(30, idle_connections=2)
