--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
@@ -46,8 +46,9 @@
     In a new era of the store, the row says nothing of who led last, and no lease counts
     until it is written again. The former leader sends no orders once it knows of the era,
     and at the latest ``order_seconds`` after its last renewal: the pause for it counts
-    from when those have arrived, reckoned from when this instance has learned of the era. The former leader itself,
-    if its lease has not ended, needs no pause: no other instance can lead so early.
+    from when those have arrived, reckoned from when this instance has learned of the era.
+    The former leader itself, if its lease has not ended, needs no pause: no other instance
+    can lead so early.
 
     ``start`` is an id of this process. ``describe`` returns the record of this instance; it
     is called for each write, as the ports in it are known only once they are open.
