Give 200 slow callers a deadline that none meets while they begin

By its log the first request began at 27.009 and ended at 37.011, at its route's time limit of 10 s; the 200th began at 37.917. The limit worked; the test needed a machine that opens 200 streams in 10 s.

Change: these callers use a route with a limit of 120 s. The assertions are the same: 200 open requests, the bytes held, the memory.

--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -206,6 +206,7 @@
     route("/stream/", Idempotency.STREAM, resumable=True),
     route("/single/", Idempotency.STREAM, most_upstreams=1),
     route("/long/", Idempotency.STREAM, resumable=True, time_limit_seconds=10.0),
+    route("/minutes/", Idempotency.STREAM, resumable=True, time_limit_seconds=120.0),
     route("/public/", Idempotency.IDEMPOTENT, services=(WeightedService("plain", 1.0),), public=True),
     route("/brief-stream/", Idempotency.STREAM, resumable=True, time_limit_seconds=0.5),
 ]  # fmt: skip
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_bytes_held.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_bytes_held.py
@@ -308,7 +308,8 @@
     for _ in range(4):
         world.add("llm", flood)
     before = resident_bytes()
-    callers = [send_slow(world) for _ in range(200)]
+    # None may reach its deadline before the last one is sent, which takes seconds.
+    callers = [send_slow(world, "/minutes/slow") for _ in range(200)]
     assert world.open_requests.count == 200
     time.sleep(1.0)
     held, resident = budget.held, resident_bytes()
