Log when a request came in a planned stop, and who closed its connection

At the end of its grace the process shuts the reading side of its connections, and a poll reports the same events as for a caller that has left. The log said "the caller closed its connection" for both, and no line told when a request had come relative to SIGTERM or on what connection.

Nothing else changes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
@@ -44,6 +44,7 @@
             route=call.route.name,
             reason=reason,
             detail=error,
+            stop_age=self._stop_age(),
             upstream=loss.upstream.id if loss else "-",
             connected=not loss.broken if loss else "-",
             last_byte_age=_age(attempts.last_read_at),
@@ -55,6 +56,11 @@
             left=round(call.watch.remaining(), 3),
         )
 
+    def _stop_age(self) -> float | str:
+        if not self._open_requests.draining:
+            return "-"
+        return round(time.monotonic() - self._open_requests.drained_since, 3)
+
     def _reason(self, call: Call, error: Refusal | CallerLeft) -> EndReason:
         # At the end of the process its own close looks like that of a caller.
         stopping = self._open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -152,6 +152,7 @@
             self._refuse(Refusal(400, "malformed", terms), reply)
             return
         reply.label(terms.request_id)
+        self._log_if_stopping(request, terms)
         call: Call | None = None
         try:
             call = self._route(request, terms, reply, passed_on)
@@ -171,11 +172,26 @@
             if call is not None and not call.attempts.count:
                 call.permit.refund()
             self._metrics.record_request(request, "caller_left")
-            log_event("caller_left", request=terms.request_id, route=_route_name(call))
+            log_event(
+                "caller_left", request=terms.request_id, route=_route_name(call), detail=error
+            )
             raise
         else:
             self._log_end(request, terms, call, None, reply.status)
 
+    def _log_if_stopping(self, request: IngressRequest, terms: Terms) -> None:
+        if not self._open_requests.draining:
+            return
+        now = time.monotonic()
+        log_event(
+            "received_in_stop",
+            request=terms.request_id,
+            stop_age=round(now - self._open_requests.drained_since, 3),
+            head_age=round(now - request.arrived_at, 3),
+            connection_age=round(now - request.connection.accepted_at, 3),
+            requests_before=request.connection.requests - 1,
+        )
+
     def _note_cut(self, call: Call | None, reply: Reply, error: Refusal | CallerLeft) -> None:
         if call is not None and reply.started:
             self._ends.note_cut(call, error)
@@ -212,7 +228,7 @@
             )
         attempts, service = self._begin(route, terms, permit, passed_on)
         name = workspace.name if workspace else ""
-        watch = Watch(request.socket, _deadline(request, terms, route), reply)
+        watch = Watch(request.socket, _deadline(request, terms, route), reply, request.connection)
         reply.set_delivery_limit(watch.remaining())
         log_event(
             "routed",
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -17,6 +17,7 @@
 )
 from redwingscale_daemon._internal.fleet.own_path import OVERDUE_SECONDS
 from redwingscale_daemon._internal.forwarding.standby import Standby
+from redwingscale_daemon._internal.ingress.connection_state import ConnectionState
 from redwingscale_daemon._internal.ingress.reply import Reply
 from redwingscale_daemon._internal.leases.clock import lease_clock
 
@@ -40,8 +41,15 @@
     Each wait also sends what the caller has not yet taken of ``reply``.
     """
 
-    def __init__(self, caller: socket.socket, deadline: float, reply: Reply | None = None) -> None:
+    def __init__(
+        self,
+        caller: socket.socket,
+        deadline: float,
+        reply: Reply | None = None,
+        connection: ConnectionState | None = None,
+    ) -> None:
         self._caller = caller
+        self._connection = connection or ConnectionState()
         self._caller_events = select.POLLIN | select.POLLRDHUP
         self._reply = reply
         self.deadline = deadline
@@ -222,10 +230,12 @@
         return time.monotonic() + pause
 
     def _check_caller_events(self, events: int) -> None:
-        if events & _CLOSED_EVENTS:
-            raise CallerLeft("the caller closed its connection")
-        if not self._caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
-            raise CallerLeft("the caller closed its connection")
+        if events & _CLOSED_EVENTS or not self._caller.recv(
+            1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+        ):
+            # A poll reports the same events for both.
+            closed_by = "this process" if self._connection.ended else "the caller"
+            raise CallerLeft(f"{closed_by} closed the connection")
         # The caller has already sent its next request. Its bytes stay readable, so from
         # here on only the close of the connection is polled.
         self._caller_events = select.POLLRDHUP
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
@@ -11,6 +11,7 @@
     DeliveredRequest,
     DeliveringConnection,
 )
+from redwingscale_daemon._internal.ingress.connection_state import ConnectionState
 from redwingscale_daemon._internal.ingress.pending_writer import PendingWriter
 from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
 from redwingscale_daemon._internal.utils.sockets import (
@@ -45,6 +46,10 @@
     was_read = False
     is_turned_away = False
 
+    def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
+        super().__init__(server, sock, makefile)
+        self.state = ConnectionState()
+
     def communicate(self) -> bool:
         """Handle one request; return whether the connection can be used for another."""
         if not self.was_read and self.server.unread_closes.closes_late(self.socket):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -225,6 +225,7 @@
         for name, value in server_request.inheaders.items()
     )
     host = server_request.inheaders.get(b"Host", b"").decode("latin-1")
+    server_request.conn.state.requests += 1
     return IngressRequest(
         method=server_request.method.decode("latin-1"),
         target=server_request.uri.decode("latin-1"),
@@ -234,6 +235,7 @@
         socket=server_request.conn.socket,
         arrived_on_lease_clock=lease_clock(),
         held=held,
+        connection=server_request.conn.state,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
@@ -111,6 +111,12 @@
             self._waiters.clear()
         super().stop(timeout)
 
+    @staticmethod
+    def _force_close(conn: Any) -> None:
+        if conn is not None:
+            conn.state.ended = True
+            ThreadPool._force_close(conn)  # type: ignore[attr-defined]
+
     def _next_connection(self) -> Any:
         me = threading.get_ident()
         self._serving.discard(me)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
@@ -99,7 +99,11 @@
 
     def _drain(self, deadline: float) -> None:
         open_requests = self._parts.open_requests
-        log_event("draining", open_requests=open_requests.count)
+        log_event(
+            "draining",
+            open_requests=open_requests.count,
+            ends_in=round(deadline - time.monotonic(), 3),
+        )
         open_requests.drain(deadline)
         self._parts.release()
         time.sleep(BALANCER_REMOVAL_SECONDS)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/open_requests.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/open_requests.py
@@ -2,6 +2,7 @@
 
 import math
 import threading
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -14,6 +15,7 @@
         self._count = 0
         self._draining = threading.Event()
         self._ends_at = math.inf
+        self._drained_since = math.inf
 
     @property
     def draining(self) -> bool:
@@ -23,8 +25,14 @@
     def drain(self, ends_at: float) -> None:
         """Start draining; requests are still answered until ``ends_at``, monotonic."""
         self._ends_at = ends_at
+        self._drained_since = time.monotonic()
         self._draining.set()
 
+    @property
+    def drained_since(self) -> float:
+        """The monotonic time at which the instance began to drain, infinite before it does."""
+        return self._drained_since
+
     @property
     def ends_at(self) -> float:
         """The monotonic time at which the process ends, infinite unless it is draining."""
