Serve the connections that a closing port has established

As its port closed, an instance reset the connections that waited in the accept queue, and closed idle ones whose next request had come since the last look, unread. Their callers had sent a request and got no answer. Both are read now, like a connection that expires.

Cause: the library's stop() and close() do not look for bytes. Found by reading.

--- a/packages/redwingscale-common/src/redwingscale_common/network/accepting.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/accepting.py
@@ -45,6 +45,29 @@
             time.sleep(ACCEPT_PAUSE_SECONDS)
             return None
 
+    def stop(self) -> None:
+        """End the loop, and serve the connections that were established before.
+
+        The library closes the port with connections in its queue, which resets them, and closes
+        idle ones whose next request has come.
+        """
+        super().stop()
+        listener = self.server.socket
+        listener.setblocking(False)
+        while (connection := self._from_server_socket(listener)) is not None:
+            self.server.process_conn(connection)
+
+    def close(self) -> None:
+        """Close all idle connections, and serve those whose next request has come."""
+        for descriptor, connection in self._selector.connections:
+            if connection is self.server:
+                continue
+            if _is_readable(descriptor):
+                self.server.process_conn(connection)
+            else:
+                connection.close()
+        self._selector.close()
+
     def _expire(self, threshold: float) -> None:
         expired = [
             (descriptor, connection)
--- a/packages/redwingscale-common/src/redwingscale_common/network/bounded.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/bounded.py
@@ -56,8 +56,8 @@
 class BoundedReader(StreamReader):
     """The server's `StreamReader` on top of a `DeadlineIO`."""
 
-    def __init__(self, sock: socket.socket, seconds: float, buffer_bytes: int) -> None:
-        super(StreamReader, self).__init__(DeadlineIO(sock, seconds), buffer_bytes)
+    def __init__(self, raw: DeadlineIO, buffer_bytes: int) -> None:
+        super(StreamReader, self).__init__(raw, buffer_bytes)
         self.bytes_read = 0
 
 
@@ -106,7 +106,7 @@
     def make_file(self, raw: socket.socket, mode: str, size: int) -> Any:
         """Return the reader or the writer of the connection."""
         if "r" in mode:
-            return BoundedReader(raw, self.server.timeout, size)
+            return BoundedReader(DeadlineIO(raw, self.server.timeout), size)
         return StreamWriter(raw, mode, size)
 
     def communicate(self) -> bool:
