End all connections of a planned stop at one time that the store cannot move

The library counted the time for open requests from the end of its accept loop, which takes up to 0.5 s, and by the time of day; it then ended the connections one after the other, each after the thread of the one before had ended. The port of peers was closed after all callers' requests, and the time until the ports close began after the lease was released, however long the store took.

Measured on the code before: answers cut 7.4 to 7.92 s after SIGTERM where 7.4 s are meant and the process is killed after 8 s.

Now all times count from SIGTERM on the monotonic clock, both ports close together, and what is open at the end is ended at once; the lease is released beside it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -174,7 +174,6 @@
         server.max_request_header_size = limits.head_bytes
         server.timeout = limits.idle_seconds
         server.rest_seconds = limits.rest_seconds
-        server.shutdown_timeout = SHUTDOWN_SECONDS
         server.error_log = _log_server_error
         self._thread = threading.Thread(
             target=server.serve, name=f"{limits.name}-accept", daemon=True
@@ -209,12 +208,12 @@
         return not connection.is_turned_away
 
     def stop(self, timeout_seconds: float = SHUTDOWN_SECONDS) -> None:
-        """Stop accepting, close idle connections, and wait at most ``timeout_seconds``.
+        """Stop accepting, close idle connections, and end all others in ``timeout_seconds``.
 
-        Each accepted request is answered: for one that was read and then dropped, its
-        caller could not know that it has not run.
+        Each request that was read is answered: for one that was read and then dropped, its
+        caller could not know that it has not run. Connections without a request are closed.
         """
-        self._server.shutdown_timeout = timeout_seconds
+        self._threads.ends_at = time.monotonic() + timeout_seconds
         self._server.stop()
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
@@ -1,9 +1,12 @@
 """A thread pool that grows with demand and ends threads that stay idle."""
 
+import contextlib
+import math
+import socket
 import threading
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from cheroot.workers.threadpool import (  # type: ignore[attr-defined]
@@ -18,6 +21,8 @@
 IDLE_SECONDS = 10.0
 # At most one log line in this time while all threads are busy.
 FULL_LOG_SECONDS = 5.0
+# Time for the answers to requests that are open when the process ends.
+ENDING_SECONDS = 0.3
 
 
 class _Waiter:
@@ -49,7 +54,9 @@
     Connections that ``admits`` returns False for are closed.
     """
 
-    _threads: list[threading.Thread]
+    _threads: list[WorkerThread]
+    # Monotonic time at which the connections of a port that has closed are ended.
+    ends_at = math.inf
 
     def __init__(
         self,
@@ -103,19 +110,34 @@
                 self._log_full()
 
     def stop(self, timeout: Any = 5) -> None:
-        """End all threads, after the connections that wait were served."""
+        """End all threads by `ends_at`, after the connections that wait were served.
+
+        The requests that are open then get `ENDING_SECONDS` to end their answers.
+        """
         with self._lock:
             self._stopping = True
             for waiter in self._waiters:
                 waiter.assign(_SHUTDOWNREQUEST)
             self._waiters.clear()
-        super().stop(timeout)
+        threads = [*self._threads]
+        _join(threads, self.ends_at)
+        with self._lock:
+            unread = [*self._backlog]
+            self._backlog.clear()
+        for connection in unread:
+            connection.close()
+        for thread in threads:
+            self._end(thread.conn)
+        _join(threads, self.ends_at + ENDING_SECONDS)
 
     @staticmethod
-    def _force_close(conn: Any) -> None:
-        if conn is not None:
-            conn.state.ended = True
-            ThreadPool._force_close(conn)  # type: ignore[attr-defined]
+    def _end(connection: Any) -> None:
+        """End the reading side of a connection, which wakes the thread that waits for it."""
+        if connection is None:
+            return
+        connection.state.ended = True
+        with contextlib.suppress(OSError):
+            connection.socket.shutdown(socket.SHUT_RD)
 
     def _next_connection(self) -> Any:
         me = threading.get_ident()
@@ -126,6 +148,7 @@
         return connection
 
     def _await_connection(self) -> Any:
+        me = threading.get_ident()
         while True:
             with self._lock:
                 if self._backlog:
@@ -142,11 +165,11 @@
                     return waiter.connection
                 self._waiters.remove(waiter)
                 if len(self._threads) > self.min:
-                    self._threads.remove(threading.current_thread())
+                    self._threads = [one for one in self._threads if one.ident != me]
                     return _SHUTDOWNREQUEST
 
     def _start_one(self) -> None:
-        worker: threading.Thread = WorkerThread(self.server)  # type: ignore[no-untyped-call]
+        worker = WorkerThread(self.server)  # type: ignore[no-untyped-call]
         worker.name = f"{self._name}-{len(self._threads)}"
         worker.daemon = True
         try:
@@ -170,3 +193,8 @@
             threads=self.max,
             waiting=len(self._backlog),
         )
+
+
+def _join(threads: Iterable[threading.Thread], until: float) -> None:
+    for thread in threads:
+        thread.join(max(0.0, until - time.monotonic()))
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/lifecycle/ingress_instance.py
@@ -1,8 +1,10 @@
 """Starts and stops an instance whose requests are routed by host and path."""
 
 import signal
+import threading
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import NamedTuple, Protocol
 
 from redwingscale_common.utils.logs import flush_logs, log_event
@@ -39,14 +41,14 @@
         """Bind the port and serve; raise OSError if it is in use."""
 
     def stop(self, timeout_seconds: float = 1.0) -> None:
-        """Stop accepting, and wait at most ``timeout_seconds`` for open requests."""
+        """Stop accepting, and end all requests in ``timeout_seconds``."""
 
 
 class StoppablePort(Protocol):
     """A port that opens by itself when it is needed."""
 
     def stop(self, timeout_seconds: float = 1.0) -> None:
-        """Stop accepting, and wait at most ``timeout_seconds`` for open requests."""
+        """Stop accepting, and end all requests in ``timeout_seconds``."""
 
 
 class IngressParts(NamedTuple):
@@ -94,21 +96,35 @@
         log_event("started", callers_port=self._parts.callers.port, probe_ports=ports)
         while signals.next() == signal.SIGHUP:
             self._reload()
-        self._drain(time.monotonic() + self._grace_seconds - EXIT_RESERVE_SECONDS)
+        self._drain(time.monotonic())
         return 0
 
-    def _drain(self, deadline: float) -> None:
+    def _drain(self, began_at: float) -> None:
         open_requests = self._parts.open_requests
+        ends_at = began_at + max(0.0, self._grace_seconds - EXIT_RESERVE_SECONDS)
+        closes_at = min(began_at + BALANCER_REMOVAL_SECONDS, ends_at)
         log_event(
             "draining",
             open_requests=open_requests.count,
-            ends_in=round(deadline - time.monotonic(), 3),
+            ends_in=round(ends_at - time.monotonic(), 3),
         )
-        open_requests.drain(deadline)
-        self._parts.release()
-        time.sleep(BALANCER_REMOVAL_SECONDS)
+        open_requests.drain(closes_at, ends_at)
+        # The store may be slow to answer, and the ports close on time all the same.
+        release = self._start_thread("release", self._parts.release)
+        time.sleep(max(0.0, closes_at - time.monotonic()))
         log_event("port_closing", open_requests=open_requests.count)
-        for port in (self._parts.callers, self._parts.peers):
-            port.stop(max(EXIT_RESERVE_SECONDS, deadline - time.monotonic()))
+        stops = [
+            self._start_thread("stop", partial(stop, max(0.0, ends_at - time.monotonic())))
+            for stop in (self._parts.callers.stop, self._parts.peers.stop)
+        ]
+        exits_at = ends_at + EXIT_RESERVE_SECONDS / 2
+        for thread in (*stops, release):
+            thread.join(max(0.0, exits_at - time.monotonic()))
         log_event("stopped", open_requests=open_requests.count)
         flush_logs()
+
+    @staticmethod
+    def _start_thread(name: str, work: Callable[[], None]) -> threading.Thread:
+        thread = threading.Thread(target=work, name=name, daemon=True)
+        thread.start()
+        return thread
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_plain_requests.py
@@ -174,7 +174,7 @@
 
 def test_draining_instance_serves_and_closes(world):
     world.add("plain", sized(b"ok"))
-    world.open_requests.drain(time.monotonic() + 5.0)
+    world.open_requests.drain(time.monotonic() + 2.0, time.monotonic() + 5.0)
     response = world.request("/safe/")
     assert (response.status, response.headers["Connection"]) == (200, "close")
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_streams.py
@@ -126,7 +126,7 @@
     # know that the request has not run.
     world.add("llm", events(1))
     caller = world.send("/stream/", model="late")
-    world.open_requests.drain(time.monotonic() + 1.0)
+    world.open_requests.drain(time.monotonic(), time.monotonic() + 1.0)
     response = read_response(caller)
     assert (response.status, "Retry-After" in response.headers) == (503, True)
 
