Take no request in a planned stop that cannot end before the process

Callers whose requests came late in a planned stop, on connections that were opened before the port closed, got no whole answer: the requests were sent to an upstream whatever time was left, and cut as the process ended, among them some that may not be repeated.

Cause: that a request may be served was decided when its connection was accepted, and nothing asked again when it had been read, or when it was sent. At the end the process shut its connections, which looked like callers that had left, so not even a failure was answered.

One rule now decides when a head and a request have been read, while a request waits and before each sending: from the closing of the port on it is taken only if it ends in time, by its deadline, or, if it may be repeated, by the longest time of its route lately. Others get 503 at once. A connection that has brought nothing as the port closes is closed; a request that has begun is read on for as long as it might be served. What is open at the end gets 502 or 503, if its answer has not begun. A peer that is stopping declines before it reads a body.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/exceptions.py
@@ -104,6 +104,10 @@
     """The caller has disconnected; nobody waits for the answer."""
 
 
+class ProcessEnds(CallerLeft):
+    """This process ends the connection since it stops; its caller may still read an answer."""
+
+
 class TimeLimitReached(RedwingscaleError):
     """The caller's deadline or the route's time limit has passed."""
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/answer_end.py
@@ -8,8 +8,8 @@
 
 from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
 from redwingscale_daemon._internal.forwarding.call import Call
-from redwingscale_daemon._internal.forwarding.holder_wait import STOP_MARGIN_SECONDS
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
+from redwingscale_daemon._internal.lifecycle.stop_rule import STOPPING
 from redwingscale_daemon._internal.utils.sockets import unsent_bytes
 
 
@@ -33,7 +33,7 @@
 
     def note_cut(self, call: Call, error: Refusal | CallerLeft) -> None:
         """Note that the answer to ``call``, which has begun, ends early because of ``error``."""
-        reason = self._reason(call, error)
+        reason = _reason(error)
         attempts = call.attempts
         loss = attempts.last_loss
         self._on_cut(reason)
@@ -61,15 +61,16 @@
             return "-"
         return round(time.monotonic() - self._open_requests.drained_since, 3)
 
-    def _reason(self, call: Call, error: Refusal | CallerLeft) -> EndReason:
-        # At the end of the process its own close looks like that of a caller.
-        stopping = self._open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS
-        match error:
-            case CallerLeft() if not stopping:
-                return EndReason.CALLER_LEFT
-            case Refusal(code="time_limit"):
-                return EndReason.DEADLINE
-        return EndReason.PROCESS_ENDS if stopping else EndReason.UPSTREAM_BROKE
+
+def _reason(error: Refusal | CallerLeft) -> EndReason:
+    match error:
+        case CallerLeft():
+            return EndReason.CALLER_LEFT
+        case Refusal(code=code) if code == STOPPING:
+            return EndReason.PROCESS_ENDS
+        case Refusal(code="time_limit"):
+            return EndReason.DEADLINE
+    return EndReason.UPSTREAM_BROKE
 
 
 def _age(at: float | None) -> float | str:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/holder_wait.py
@@ -46,10 +46,6 @@
 # If no load is announced, none is in progress, and an earlier retry would be refused
 # again.
 NO_HOLDER_RETRY_SECONDS = 2.0
-# Time before the end of the process for a refusal to reach the caller.
-STOP_MARGIN_SECONDS = 0.8
-# Another instance can serve the request at once.
-STOPPING_RETRY_SECONDS = 0.05
 
 
 class WaitSink(Protocol):
@@ -257,13 +253,9 @@
                 call.service, prompt, call.attempts.tried, call.attempts.binding.allows
             ),
             lambda one: self.order.overload_refusal(call, prompt, one, overload_refusal),
-            lambda: self._check_wait(call),
+            lambda: call.watch.check_caller(),
         )
 
-    def _check_wait(self, call: Call) -> None:
-        self._refuse_if_stopping(call)
-        call.watch.check_caller()
-
     def _wait_for_holder(self, call: Call, prompt: Prompt) -> Candidate | Peer:
         started, updates = time.monotonic(), self.residency.updates
         log_event(
@@ -283,16 +275,9 @@
                 return peer
             self._refuse_if_loaded_too_late(call, prompt)
             self._refuse_if_not_in_time(call, prompt, _Wait(started, updates))
-            self._refuse_if_stopping(call)
             self.changes.wait(seen, CALLER_CHECK_SECONDS)
             call.watch.check_caller()
 
-    def _refuse_if_stopping(self, call: Call) -> None:
-        # A request that still waits when the process ends would have its connection
-        # closed without a response, although the stop was planned.
-        if self.open_requests.ends_at - time.monotonic() < STOP_MARGIN_SECONDS:
-            raise final_refusal(call, "stopping", "the instance stops", STOPPING_RETRY_SECONDS)
-
     def _check_retry_times(
         self, call: Call, prompt: Prompt, throttled: list[str], ready_in: float | None
     ) -> None:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_port.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_port.py
@@ -74,7 +74,7 @@
         return self._handler.claim(passing)
 
     def stop(self, timeout_seconds: float = 1.0) -> None:
-        """Close the port, and wait at most ``timeout_seconds`` for open requests."""
+        """Close the port, and end all requests in ``timeout_seconds``."""
         with self._lock:
             self._stopped = True
             server = self._server
@@ -88,7 +88,11 @@
         """
         stripped, carried = envelope.take(head)
         if carried is not None and carried.is_from_a_peer(self._token):
-            return self._handler.screen(stripped, reply)
+            if self.takes_requests:
+                return self._handler.screen(stripped, reply)
+            reply.leave_body_unread()
+            self._decline(reply)
+            return True
         log_event("passed_on_without_token", level="WARNING", target=head.path)
         reply.leave_body_unread()
         reply.send(403, (), Refusal(403, "no_peer", "no valid token").document())
@@ -99,10 +103,14 @@
         stripped, carried = envelope.take(request)
         assert carried is not None, "requests without an envelope are screened out"
         if not self.takes_requests:
-            reply.send(_DECLINED, ((envelope.DECLINED_HEADER, "1"),), b"")
+            self._decline(reply)
             return
         self._handler.handle(stripped, reply, carried)
 
+    @staticmethod
+    def _decline(reply: Reply) -> None:
+        reply.send(_DECLINED, ((envelope.DECLINED_HEADER, "1"),), b"")
+
     def refuse_unread(self, head: IngressRequest, reply: Reply, refusal: Refusal) -> None:
         """Refuse a request whose body was not read whole; raises `CallerLeft`."""
         self._handler.refuse_unread(envelope.take(head)[0], reply, refusal)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -10,7 +10,7 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import CallerLeft, Refusal
+from redwingscale_daemon._internal.exceptions import CallerLeft, ProcessEnds, Refusal
 from redwingscale_daemon._internal.fleet.prompt import format_parts
 from redwingscale_daemon._internal.forwarding.answer_end import AnswerEnds
 from redwingscale_daemon._internal.forwarding.attempts import Attempts
@@ -22,6 +22,7 @@
 from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.reply_rest import finish, send_rest
+from redwingscale_daemon._internal.forwarding.stop_check import StopCheck, end_refusal
 from redwingscale_daemon._internal.forwarding.stream_origins import Found
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
 from redwingscale_daemon._internal.forwarding.stream_resumption import StreamResumption
@@ -29,7 +30,10 @@
 from redwingscale_daemon._internal.forwarding.watch import Watch
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
 from redwingscale_daemon._internal.ingress.reply import Reply
+from redwingscale_daemon._internal.leases.clock import lease_clock
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
+from redwingscale_daemon._internal.lifecycle.run_times import RunTimes
+from redwingscale_daemon._internal.lifecycle.stop_rule import STOPPING, StopRule
 from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route import Route
@@ -90,6 +94,8 @@
         self._guard = guard
         self._resumption = resumption
         self._ends = ends or AnswerEnds(open_requests)
+        self._run_times = RunTimes()
+        self._stop = StopCheck(StopRule(open_requests, self._run_times))
         # The open requests that other instances have passed on, by the id of their passing.
         self._taken_over: WeakValueDictionary[str, Attempts] = WeakValueDictionary()
         # Not for secrets: it only draws a service by weight.
@@ -118,20 +124,22 @@
         return 0 if attempts is None else attempts.shared.claim(attempts.possible_runs)
 
     def screen(self, head: IngressRequest, reply: Reply) -> bool:
-        """Refuse a request with a missing or unknown key before its body is read.
+        """Refuse a request before its body is read: without a known key, or too late in a stop.
 
         Returns whether it was refused.
         """
         table = self._routes.get()
-        if table is None or table.keys is None:
+        if table is None or (table.keys is None and not self._open_requests.draining):
             return False
         route = table.find(head.host, head.path)
         terms = self._dialect.read_terms(head)
         if route is None or isinstance(terms, str):
             return False
         try:
+            self._stop.check_head(route, _deadline(head, terms, route) - lease_clock())
             workspace_of(table, route, terms.key_digest)
         except Refusal as refusal:
+            self._log_if_stopping(head, terms)
             self._log_end(head, terms, None, refusal)
             reply.leave_body_unread()
             self._refuse(refusal, reply)
@@ -142,6 +150,7 @@
         """Refuse a request whose body was not read whole; raises `CallerLeft`."""
         terms = self._dialect.read_terms(head)
         if not isinstance(terms, str):
+            self._log_if_stopping(head, terms)
             self._log_end(head, terms, None, refusal)
         self._refuse(refusal, reply)
 
@@ -159,14 +168,11 @@
             self._relay(call)
             finish(call)
         except Refusal as refusal:
-            if call is not None and refusal.run is RunState.NOT_RUN:
-                call.permit.refund()
-            self._note_cut(call, reply, refusal)
-            self._log_end(request, terms, call, refusal)
-            declined = passed_on is not None and is_no_path(refusal)
-            self._refuse(refusal, reply, declined=declined)
-            if call is not None:
-                send_rest(call)
+            self._end_refused(request, terms, call, reply, refusal, passed_on)
+        except ProcessEnds as error:
+            if call is None:
+                raise
+            self._end_refused(request, terms, call, reply, end_refusal(call, error), passed_on)
         except CallerLeft as error:
             self._note_cut(call, reply, error)
             if call is not None and not call.attempts.count:
@@ -177,8 +183,26 @@
             )
             raise
         else:
+            self._run_times.note(call.route.name, time.monotonic() - request.arrived_at)
             self._log_end(request, terms, call, None, reply.status)
 
+    def _end_refused(
+        self,
+        request: IngressRequest,
+        terms: Terms,
+        call: Call | None,
+        reply: Reply,
+        refusal: Refusal,
+        passed_on: Envelope | None,
+    ) -> None:
+        if call is not None and refusal.run is RunState.NOT_RUN:
+            call.permit.refund()
+        self._note_cut(call, reply, refusal)
+        self._log_end(request, terms, call, refusal)
+        self._refuse(refusal, reply, declined=passed_on is not None and _may_go_elsewhere(refusal))
+        if call is not None:
+            send_rest(call)
+
     def _log_if_stopping(self, request: IngressRequest, terms: Terms) -> None:
         if not self._open_requests.draining:
             return
@@ -315,7 +339,9 @@
         return Attempts(route, service, self._budget, binding)
 
     def _relay(self, call: Call) -> None:
+        call.watch.check_stop = partial(self._stop.check, call)
         call.watch.before_sending = partial(self._guard.check, call)
+        self._stop.check(call)
         self._guard.note_arrival(call)
         self._guard.check(call)
         if not call.attempts.taken_over:
@@ -385,6 +411,12 @@
     return request.arrived_on_lease_clock + limit
 
 
+def _may_go_elsewhere(refusal: Refusal) -> bool:
+    """Return whether the instance that passed the request on may try another one."""
+    stopping = refusal.code == STOPPING and refusal.run is RunState.NOT_RUN
+    return stopping or is_no_path(refusal)
+
+
 def _format_seconds(seconds: float | None) -> str:
     return "-" if seconds is None else f"{seconds:.4f}"
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -11,6 +11,7 @@
     CallerLeft,
     FirstUpstreamResumed,
     NotSentInTime,
+    ProcessEnds,
     ResumedBeforeSending,
     TimeLimitReached,
     UpstreamSilent,
@@ -62,6 +63,9 @@
         self.on_overdue: Callable[[float], bool] | None = None
         # Raises what keeps the request from being sent; called right before each sending.
         self.before_sending: Callable[[], None] = lambda: None
+        # Raises if the request can no longer end before the process; called before each sending,
+        # and during waits for one.
+        self.check_stop: Callable[[], None] = lambda: None
         # A silent connection that is kept open while another one is waited for.
         self._standby: Standby | None = None
 
@@ -70,8 +74,12 @@
         return max(0.0, self.deadline - lease_clock())
 
     def check_caller(self) -> None:
-        """Raise `CallerLeft` if the caller has closed its connection."""
+        """Raise `CallerLeft` if the caller has closed its connection, or what `check_stop` raises.
+
+        Called before a request is sent, and while it waits to be sent.
+        """
         self._poll_caller(0.0)
+        self.check_stop()
 
     def check_before_sending(self) -> None:
         """Raise `CallerLeft` or `NotSentInTime` if the request must not be sent any more.
@@ -233,9 +241,9 @@
         if events & _CLOSED_EVENTS or not self._caller.recv(
             1, socket.MSG_PEEK | socket.MSG_DONTWAIT
         ):
-            # A poll reports the same events for both.
-            closed_by = "this process" if self._connection.ended else "the caller"
-            raise CallerLeft(f"{closed_by} closed the connection")
+            if self._connection.ended:
+                raise ProcessEnds("this process ends the connection")
+            raise CallerLeft("the caller closed the connection")
         # The caller has already sent its next request. Its bytes stay readable, so from
         # here on only the close of the connection is polled.
         self._caller_events = select.POLLRDHUP
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
@@ -5,12 +5,14 @@
 from contextlib import suppress
 from typing import Any
 
+from redwingscale_common.network.bounded import BoundedReader
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.ingress.caller_delivery import (
     DeliveredRequest,
     DeliveringConnection,
 )
+from redwingscale_daemon._internal.ingress.caller_reader import CallerIO
 from redwingscale_daemon._internal.ingress.connection_state import ConnectionState
 from redwingscale_daemon._internal.ingress.pending_writer import PendingWriter
 from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
@@ -61,7 +63,7 @@
     def make_file(self, raw: socket.socket, mode: str, size: int) -> Any:
         """Return the reader or the writer of the connection."""
         if "r" in mode:
-            return super().make_file(raw, mode, size)
+            return BoundedReader(CallerIO(raw, self.server.timeout, self.server.port_stop), size)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         return PendingWriter(raw)
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/ingress_server.py
@@ -17,11 +17,13 @@
 from redwingscale_daemon._internal.ingress.descriptor_limits import MAX_IDLE_CONNECTIONS
 from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
+from redwingscale_daemon._internal.ingress.port_stop import PortStop
 from redwingscale_daemon._internal.ingress.reply import Reply
 from redwingscale_daemon._internal.ingress.request_threads import RequestThreads
 from redwingscale_daemon._internal.ingress.strict_chunks import read_chunks
 from redwingscale_daemon._internal.ingress.unread_closes import UnreadCloses
 from redwingscale_daemon._internal.leases.clock import lease_clock
+from redwingscale_daemon._internal.lifecycle.stop_rule import unread_refusal
 
 Handler = Callable[[IngressRequest, Reply], None]
 # Answers a request by its head alone, or returns False to let the server read its body.
@@ -99,6 +101,11 @@
             server_request.simple_response("400 Bad Request", str(error))
             server_request.sent_headers = True
             return
+        except TimeoutError:
+            if not server_request.server.port_stop.begun:
+                raise
+            self._refuse_unread(head, unread_refusal())
+            return
         except CallerLeft:
             self._close_without_answer()
             return
@@ -174,6 +181,7 @@
         server.max_request_header_size = limits.head_bytes
         server.timeout = limits.idle_seconds
         server.rest_seconds = limits.rest_seconds
+        server.port_stop = PortStop()
         server.error_log = _log_server_error
         self._thread = threading.Thread(
             target=server.serve, name=f"{limits.name}-accept", daemon=True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
@@ -114,6 +114,7 @@
 
         The requests that are open then get `ENDING_SECONDS` to end their answers.
         """
+        self.server.port_stop.begin(self.ends_at - ENDING_SECONDS)
         with self._lock:
             self._stopping = True
             for waiter in self._waiters:
