--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
@@ -125,17 +125,24 @@
         with self._lock:
             unread = [*self._backlog]
             self._backlog.clear()
+        open_connections = [thread.conn for thread in threads if thread.conn is not None]
+        if unread or open_connections:
+            log_event(
+                "connections_ended",
+                level="WARNING",
+                port=self._name,
+                open=len(open_connections),
+                unread=len(unread),
+            )
         for connection in unread:
             connection.close()
-        for thread in threads:
-            self._end(thread.conn)
+        for connection in open_connections:
+            self._end(connection)
         _join(threads, self.ends_at + ENDING_SECONDS)
 
     @staticmethod
     def _end(connection: Any) -> None:
         """End the reading side of a connection, which wakes the thread that waits for it."""
-        if connection is None:
-            return
         connection.state.ended = True
         with contextlib.suppress(OSError):
             connection.socket.shutdown(socket.SHUT_RD)
