Close the connection of a request that is refused by its head in a stop

What callers saw: a request without a body, refused as its head was read in a planned stop, got 503 on a connection that stayed open, and could send its next request there just as the process ended.

Cause: only requests that are handled close their connections while the instance drains; a refusal by the head alone does not pass there.

The same step now precedes both. The two tests of test_request_that_cannot_end_is_refused_and_not_sent failed before on the missing Connection: close, and pass.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -109,11 +109,14 @@
         ``passed_on`` is set if another instance has passed the request on to this one.
         """
         with self._open_requests.track():
-            if self._open_requests.draining or self._leaves_rotation():
-                # A persistent connection could carry the next request just as the port closes.
-                reply.close_after()
+            self._close_in_stop(reply)
             self._handle(request, reply, passed_on)
 
+    def _close_in_stop(self, reply: Reply) -> None:
+        if self._open_requests.draining or self._leaves_rotation():
+            # A persistent connection could carry the next request just as the port closes.
+            reply.close_after()
+
     def claim(self, passing: str) -> int:
         """Return how many upstreams may run a passed-on request, and let no further one run it.
 
@@ -141,6 +144,7 @@
         except Refusal as refusal:
             self._log_if_stopping(head, terms)
             self._log_end(head, terms, None, refusal)
+            self._close_in_stop(reply)
             reply.leave_body_unread()
             self._refuse(refusal, reply)
             return True
