Promise callers at the end of a stop what is known of their requests

What callers saw: 502 for some requests that were open as the process ended and had surely not run: those for which an upstream was chosen but not yet sent to, that a peer had declined, or that another instance had passed on after an attempt that was refused. A caller may not send such a request again.

Cause: the answer was chosen by the number of attempts, which counts the ones of the passing instance too, and those that were not sent.

What was sent is counted already, right before the first byte; the answer now asks that. The cases "chosen", "declined" and "taken_over" of the new test_request_that_is_open_at_the_end_... failed before and pass; "sent", "at_a_peer" and "taken_over_after_a_loss" guard the other direction.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/arrivals.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/arrivals.py
@@ -14,12 +14,18 @@
         self._sent = False
         # The instances that may have sent it: those that have it, and the one that it came from.
         self._may_have_sent: set[str] = set()
+        self._sender: str | None = None
 
     @property
     def possible(self) -> bool:
         """Whether an upstream may have received the request, whatever it did with it."""
         return self._sent or bool(self._may_have_sent)
 
+    @property
+    def possible_from_here(self) -> bool:
+        """The same of what this instance has sent, and the instances that it has passed it on to."""
+        return self._sent or bool(self._may_have_sent - {self._sender})
+
     @property
     def more_allowed(self) -> bool:
         """Whether the budget allows to send the request now."""
@@ -43,6 +49,11 @@
         self._sent = True
         return True
 
+    def note_sender(self, instance: str) -> None:
+        """Note the instance that has passed the request on, and may have sent it before."""
+        self._sender = instance
+        self.note_instance(instance)
+
     def note_instance(self, instance: str) -> None:
         """Note another instance that may have sent the request to an upstream."""
         self._may_have_sent.add(instance)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -181,7 +181,7 @@
         """
         self.taken_over = True
         if sender is not None:
-            self.arrivals.note_instance(sender)
+            self.arrivals.note_sender(sender)
         self.count, self.possible_runs = attempts, possible_runs
         self.shared.take_over(possible_runs)
         self.tried.update(tried)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stop_check.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stop_check.py
@@ -12,7 +12,6 @@
     StopRule,
     unread_refusal,
 )
-from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.routes.route import Route
 
 
@@ -33,12 +32,10 @@
 
 
 def end_refusal(call: Call, error: ProcessEnds) -> Refusal:
-    """Return the answer to a request that is open as the process ends.
-
-    An attempt that is open then is not yet counted among the possible runs.
-    """
-    if call.attempts.count or call.attempts.passed_on:
-        return Refusal(502, STOPPING, str(error), run=RunState.UNKNOWN)
+    """Return the answer to a request that is open as the process ends."""
+    if call.attempts.arrivals.possible_from_here:
+        # An attempt that is open is not counted yet.
+        call.attempts.possible_runs += 1
     return _refusal(call, str(error))
 
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
@@ -4,10 +4,16 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
 
 import msgspec
 import pytest
+from redwingscale_daemon._internal.exceptions import ProcessEnds
 from redwingscale_daemon._internal.forwarding import envelope
+from redwingscale_daemon._internal.forwarding.attempts import Attempts
+from redwingscale_daemon._internal.forwarding.stop_check import end_refusal
+from redwingscale_daemon._internal.lifecycle.stop_rule import STOPPING
+from redwingscale_daemon._internal.models.run_state import RunState
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys, key_digest
 from redwingscale_daemon._internal.workspaces.use_limiter import Drawn
 from redwingscale_daemon._internal.workspaces.workspace import UseLimit, UseUnit, Workspace
@@ -43,8 +49,7 @@
 class Held:
     """A script of an upstream that answers once the test lets it."""
 
-    def __init__(self, world):
-        self._world = world
+    def __init__(self):
         self.received, self.goes_on = threading.Event(), threading.Event()
 
     def __call__(self, connection, received):
@@ -163,26 +168,28 @@
     assert (response.status, response.headers.get(envelope.DECLINED_HEADER)) == (503, "1")
 
 
-def test_request_goes_on_elsewhere_when_the_process_of_its_peer_ends(cut, peer):
-    """Guards against a failure of the peer's end as the answer to a request to be repeated."""
-    held = Held(peer)
+@pytest.mark.parametrize(("path", "status", "asked"), [("/safe/x", 200, 1), ("/once/x", 502, 0)])
+def test_request_that_runs_as_the_process_of_its_peer_ends(cut, peer, path, status, asked):
+    """Guards against a final failure of what may be repeated, and against two runs of the rest."""
+    held = Held()
     peer.add("plain", held)
     cut.peers["p0"] = peer.take_requests_of_peers()
     cut.add_peer(sized(b"answer"), domain="z2")
     cut.lose_path()
-    caller = cut.send("/safe/x")
+    caller = cut.send(path)
     assert held.received.wait(WAIT_SECONDS)
     drain(peer, STOP_SECONDS)
     peer.peer_port.stop(STOP_SECONDS)
-    assert read_response(caller).body == b"answer"
+    response = read_response(caller)
     held.goes_on.set()
+    assert (response.status, len(cut.log)) == (status, asked)
 
 
 def test_units_are_not_refunded_when_the_caller_leaves_a_request_at_a_peer(cut, monkeypatch):
     """Guards against requests that run at another instance's upstream for nothing."""
     clerks = Workspace("clerks", 1, UseLimit(UseUnit.REQUESTS, 10.0, 1000.0))
     cut.configure(2, WorkspaceKeys({key_digest("k"): clerks}))
-    held = Held(cut)
+    held = Held()
     cut.add_peer(held)
     cut.lose_path()
     refunded = []
@@ -194,3 +201,59 @@
     wait_until(lambda: cut.ended)
     held.goes_on.set()
     assert (cut.ended, refunded) == (["caller_left"], [])
+
+
+def nothing(attempts):
+    """Not even chosen an upstream."""
+
+
+def chosen(attempts):
+    attempts.count = 1
+    attempts.arrivals.note_attempt()
+
+
+def sent(attempts):
+    chosen(attempts)
+    assert attempts.arrivals.take_sending()
+
+
+def at_a_peer(attempts):
+    attempts.note_passed_on("p0")
+    attempts.arrivals.note_instance("p0")
+
+
+def declined(attempts):
+    at_a_peer(attempts)
+    attempts.arrivals.note_declined("p0")
+
+
+def taken_over(attempts):
+    attempts.take_over(1, 0, ["u0"], "one")
+
+
+def taken_over_after_a_loss(attempts):
+    attempts.take_over(1, 1, ["u0"], "one")
+
+
+@pytest.mark.parametrize(
+    ("before", "status"),
+    [
+        (nothing, 503),
+        (chosen, 503),
+        (sent, 502),
+        (at_a_peer, 502),
+        (declined, 503),
+        (taken_over, 503),
+        (taken_over_after_a_loss, 502),
+    ],
+)
+def test_request_that_is_open_at_the_end_is_promised_not_to_have_run_only_if_so(
+    world, before, status
+):
+    """Guards against a 503 for what may run, and a 502 for what was not sent."""
+    attempts = Attempts(world.routes.get().find(HOST, "/once/x"), "plain", world.budget)
+    before(attempts)
+    refusal = end_refusal(SimpleNamespace(attempts=attempts), ProcessEnds("ends"))
+    assert (refusal.status, refusal.code) == (status, STOPPING)
+    assert (refusal.run is RunState.NOT_RUN) == (status == 503)
+    assert (refusal.retry_after_seconds is None) == (status == 502)
