Let a request that a stopping peer has not sent go elsewhere

What callers saw: 502 for a repeatable request that an instance without a path passed on, after one loss, to a peer that then stopped. The peer had not sent it, and others could have served it.

Cause: a peer declined only what had surely not run anywhere; a loss at the passing instance counted as well. The 502 was the caller's last answer.

A peer that stops now declines whatever it has not run itself; the passing instance, which knows of the loss, decides. A request that is open at the end counts as run here. test_request_that_may_have_run_goes_on_elsewhere_... failed before with 502 and passes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -256,6 +256,11 @@
         """Whether no upstream has run the request or will run it."""
         return self.possible_runs == 0
 
+    @property
+    def possible_runs_here(self) -> int:
+        """How many of the possible runs are not those of the instance that passed it on."""
+        return self.shared.runs_since(self.possible_runs)
+
     def _more_allowed(self) -> bool:
         allowed = self.arrivals.more_allowed
         if not allowed:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -203,7 +203,8 @@
             call.permit.refund()
         self._note_cut(call, reply, refusal)
         self._log_end(request, terms, call, refusal)
-        self._refuse(refusal, reply, declined=passed_on is not None and _may_go_elsewhere(refusal))
+        declined = passed_on is not None and _may_go_elsewhere(refusal, call)
+        self._refuse(refusal, reply, declined=declined)
         if call is not None:
             send_rest(call)
 
@@ -415,10 +416,13 @@
     return request.arrived_on_lease_clock + limit
 
 
-def _may_go_elsewhere(refusal: Refusal) -> bool:
-    """Return whether the instance that passed the request on may try another one."""
-    stopping = refusal.code == STOPPING and refusal.run is RunState.NOT_RUN
-    return stopping or is_no_path(refusal)
+def _may_go_elsewhere(refusal: Refusal, call: Call | None) -> bool:
+    """Return whether the instance that passed the request on may try another one.
+
+    Upstreams that it has asked itself may have run the request.
+    """
+    not_run_here = call is not None and not call.attempts.possible_runs_here
+    return (refusal.code == STOPPING and not_run_here) or is_no_path(refusal)
 
 
 def _format_seconds(seconds: float | None) -> str:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/shared_runs.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/shared_runs.py
@@ -31,7 +31,11 @@
         """Ask no further upstream from now on; return how many may run the request here."""
         with self._lock:
             self.claimed = True
-            return possible_runs - self._runs_before + 1 + self._asks_second
+            return self.runs_since(possible_runs) + 1 + self._asks_second
+
+    def runs_since(self, possible_runs: int) -> int:
+        """Return how many of ``possible_runs`` were added since the request was taken over."""
+        return possible_runs - self._runs_before
 
     @contextmanager
     def asking_second(self) -> Iterator[bool]:
