Decline a passed-on request whose body a stopping peer could not read

What callers saw: 503 for a request that an instance passed on to a peer whose port closed while the body was on its way, though other peers could serve it.

Cause: the refusal of an unread request, 503, did not bear the header by which a peer declines, so it was the caller's answer.

test_request_whose_body_a_stopping_peer_has_not_read_is_declined failed before and passes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_port.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/peer_port.py
@@ -13,6 +13,7 @@
 from redwingscale_daemon._internal.ingress.ingress_request import IngressRequest
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer
 from redwingscale_daemon._internal.ingress.reply import Reply
+from redwingscale_daemon._internal.lifecycle.stop_rule import STOPPING
 
 TOKEN_BYTES = 16
 # The sender tries another instance.
@@ -112,5 +113,11 @@
         reply.send(_DECLINED, ((envelope.DECLINED_HEADER, "1"),), b"")
 
     def refuse_unread(self, head: IngressRequest, reply: Reply, refusal: Refusal) -> None:
-        """Refuse a request whose body was not read whole; raises `CallerLeft`."""
+        """Refuse a request whose body was not read whole; raises `CallerLeft`.
+
+        One that came too late in a stop is declined.
+        """
+        if refusal.code == STOPPING:
+            self._decline(reply)
+            return
         self._handler.refuse_unread(envelope.take(head)[0], reply, refusal)
