Let a repeatable request go on when the process of its peer ends

What callers saw: 502 for a request that may be repeated, passed on to a peer whose process then ended, with time left for another one.

Cause: since a process answers 502 for what runs as it ends.

A peer closes the connection of such a request again, if it counts for one possible run, as the passing instance then counts.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -261,6 +261,11 @@
         """How many of the possible runs are not those of the instance that passed it on."""
         return self.shared.runs_since(self.possible_runs)
 
+    @property
+    def counts_as_lost(self) -> bool:
+        """Whether the instance that passed it on counts right if it takes this one for lost."""
+        return self.possible_runs_here == 1
+
     def _more_allowed(self) -> bool:
         allowed = self.arrivals.more_allowed
         if not allowed:
