Refund a request whose caller left only if nothing was sent

What callers saw: a workspace paid nothing for requests that another instance's upstream ran, if the caller left meanwhile; and paid for requests that waited, chosen for an upstream but never sent.

Cause: the refund looked at the number of attempts, which leaves out what was passed on. It looks at what was sent now, as the end of a stop does. test_units_are_not_refunded_when_the_caller_leaves_a_request_at_a_peer failed before and passes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -183,7 +183,7 @@
             self._end_refused(request, terms, call, reply, refusal, passed_on)
         except CallerLeft as error:
             self._note_cut(call, reply, error)
-            if call is not None and not call.attempts.count:
+            if call is not None and not call.attempts.arrivals.possible:
                 call.permit.refund()
             self._metrics.record_request(request, "caller_left")
             log_event(
