--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempts.py
@@ -181,7 +181,7 @@
         """
         self.taken_over = True
         if sender is not None:
-            self.arrivals.note_instance(sender)
+            self.arrivals.note_sender(sender)
         self.count, self.possible_runs = attempts, possible_runs
         self.shared.take_over(possible_runs)
         self.tried.update(tried)
@@ -256,6 +256,16 @@
         """Whether no upstream has run the request or will run it."""
         return self.possible_runs == 0
 
+    @property
+    def possible_runs_here(self) -> int:
+        """How many of the possible runs are not those of the instance that passed it on."""
+        return self.shared.runs_since(self.possible_runs)
+
+    @property
+    def counts_as_lost(self) -> bool:
+        """Whether the instance that passed it on counts right if it takes this one for lost."""
+        return self.possible_runs_here == 1
+
     def _more_allowed(self) -> bool:
         allowed = self.arrivals.more_allowed
         if not allowed:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -109,11 +109,14 @@
         ``passed_on`` is set if another instance has passed the request on to this one.
         """
         with self._open_requests.track():
-            if self._open_requests.draining or self._leaves_rotation():
-                # A persistent connection could carry the next request just as the port closes.
-                reply.close_after()
+            self._close_in_stop(reply)
             self._handle(request, reply, passed_on)
 
+    def _close_in_stop(self, reply: Reply) -> None:
+        if self._open_requests.draining or self._leaves_rotation():
+            # A persistent connection could carry the next request just as the port closes.
+            reply.close_after()
+
     def claim(self, passing: str) -> int:
         """Return how many upstreams may run a passed-on request, and let no further one run it.
 
@@ -141,6 +144,7 @@
         except Refusal as refusal:
             self._log_if_stopping(head, terms)
             self._log_end(head, terms, None, refusal)
+            self._close_in_stop(reply)
             reply.leave_body_unread()
             self._refuse(refusal, reply)
             return True
@@ -172,10 +176,14 @@
         except ProcessEnds as error:
             if call is None:
                 raise
-            self._end_refused(request, terms, call, reply, end_refusal(call, error), passed_on)
+            refusal = end_refusal(call, error)
+            if passed_on is not None and call.attempts.counts_as_lost and not reply.started:
+                self._log_end(request, terms, call, refusal)
+                raise
+            self._end_refused(request, terms, call, reply, refusal, passed_on)
         except CallerLeft as error:
             self._note_cut(call, reply, error)
-            if call is not None and not call.attempts.count:
+            if call is not None and not call.attempts.arrivals.possible:
                 call.permit.refund()
             self._metrics.record_request(request, "caller_left")
             log_event(
@@ -199,7 +207,8 @@
             call.permit.refund()
         self._note_cut(call, reply, refusal)
         self._log_end(request, terms, call, refusal)
-        self._refuse(refusal, reply, declined=passed_on is not None and _may_go_elsewhere(refusal))
+        declined = passed_on is not None and _may_go_elsewhere(refusal, call)
+        self._refuse(refusal, reply, declined=declined)
         if call is not None:
             send_rest(call)
 
@@ -411,10 +420,13 @@
     return request.arrived_on_lease_clock + limit
 
 
-def _may_go_elsewhere(refusal: Refusal) -> bool:
-    """Return whether the instance that passed the request on may try another one."""
-    stopping = refusal.code == STOPPING and refusal.run is RunState.NOT_RUN
-    return stopping or is_no_path(refusal)
+def _may_go_elsewhere(refusal: Refusal, call: Call | None) -> bool:
+    """Return whether the instance that passed the request on may try another one.
+
+    Upstreams that it has asked itself may have run the request.
+    """
+    not_run_here = call is not None and not call.attempts.possible_runs_here
+    return (refusal.code == STOPPING and not_run_here) or is_no_path(refusal)
 
 
 def _format_seconds(seconds: float | None) -> str:
