Close connections that have brought nothing as their port closes

In a planned stop, a connection on which nothing had come stayed open until shortly before the process ended, although the port had closed 5 s before. Its caller could still send a request there, of which later ones got 503 or a close instead of being opened at another instance.

Cause: the buffered reader reads again after the end of the input. The first read saw that the port had closed; the second no longer polled for it, and waited until the time for begun requests.

Now a read that has ended does not wait again. The unit test, which took the connection's end for granted as long as the port's stop had ended too, now compares with open times far beyond its own wait: it timed out before this change, and passes with it.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_reader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_reader.py
@@ -40,16 +40,22 @@
             self.expired = remaining <= 0
             if self.expired:
                 raise TimeoutError("timed out")
-            ready = dict(self._poller.poll(remaining * _MILLISECONDS_PER_SECOND + 1))
+            # The library reads again after the end of the input.
+            wait_seconds = 0.0 if self._has_ended else remaining
+            ready = dict(self._poller.poll(wait_seconds * _MILLISECONDS_PER_SECOND + 1))
             if self._port_stop.descriptor in ready:
                 self._note_stop()
             if self._socket.fileno() in ready:
                 count = self._read_now(buffer)
                 if count is not None:
                     return count
-            elif self._is_stopping and not self._request_begun:
+            elif self._has_ended:
                 return 0
 
+    @property
+    def _has_ended(self) -> bool:
+        return self._is_stopping and not self._request_begun
+
     def _read_now(self, buffer: Any) -> int | None:
         try:
             count = os.readv(self._socket.fileno(), [buffer])
--- a/packages/redwingscale-daemon/tests/unit/ingress/test_closing_port.py
+++ b/packages/redwingscale-daemon/tests/unit/ingress/test_closing_port.py
@@ -9,6 +9,8 @@
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
 
 WAIT_SECONDS = 8.0
+# For open requests, and for a connection to bring one: no test waits for it.
+LONG_SECONDS = 60
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -16,7 +18,7 @@
     """A port that answers each request at once, and whose accept loop can be held."""
 
     def __init__(self, monkeypatch):
-        limits = PortLimits(8, 8 << 10, 8 << 10, 20)
+        limits = PortLimits(8, 8 << 10, 8 << 10, LONG_SECONDS)
         self.server = IngressServer(
             lambda request, reply: reply.send(200, (), b"whole"), "127.0.0.1", 0, limits
         )
@@ -52,7 +54,7 @@
 
     def stop(self):
         """Stop the port, and let its loop see only that it must end."""
-        stop = threading.Thread(target=self.server.stop, args=(WAIT_SECONDS,))
+        stop = threading.Thread(target=self.server.stop, args=(LONG_SECONDS,), daemon=True)
         stop.start()
         wait_until(lambda: self._connections._stop_requested)
         self._go_on.set()
@@ -104,9 +106,10 @@
 
 
 def test_connections_without_a_request_are_closed_as_the_port_closes(port):
-    """Guards against a stop that waits for callers that send nothing."""
-    idle = port.ask()
+    """Guards against connections that stay open, and bring a request when it is too late."""
+    idle, read = port.ask(), port.connect()
+    wait_until(lambda: port.server._threads.busy)
     port.hold()
-    unused = port.connect()
+    unread = port.connect()
     port.stop()
-    assert [one.recv(1) for one in (idle, unused)] == [b"", b""]
+    assert [one.recv(1) for one in (idle, read, unread)] == [b""] * 3
