Answer requests that a stop of the product's own port cuts short with 408, not 400

Callers whose head had come in part, or whose body was still on its way, when a stopping instance ended its connections got 400, after which a caller does not try another instance. Nothing that an upstream ran was cut: the instance has no end of its grace, and waits for each open request.

Cause: 2 s after the port has closed, the library ends the reading side of all connections. The end of the input looked like a caller that had sent a part of a request and closed. The reader now reports it as a request that came too late if its server has stopped: 408, which promises that it has not run.

--- a/packages/redwingscale-common/src/redwingscale_common/network/bounded.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/bounded.py
@@ -7,6 +7,7 @@
 
 import socket
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
@@ -21,23 +22,34 @@
 
 
 class DeadlineIO(socket.SocketIO):
-    """Reads a socket until a deadline that applies to all reads together."""
-
-    def __init__(self, sock: socket.socket, seconds: float) -> None:
+    """Reads a socket until a deadline that applies to all reads together.
+
+    A server that stops ends the reading side of its connections. A request that has begun is
+    late then, and not malformed: its caller may send it elsewhere.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        seconds: float,
+        has_stopped: Callable[[], bool] = lambda: False,
+    ) -> None:
         super().__init__(sock, "rb")
         self._socket = sock
         self._seconds = seconds
-        self.expired = False
+        self._has_stopped = has_stopped
+        self.expired = self._request_begun = False
         self.restart_deadline()
 
     def restart_deadline(self) -> None:
         """Set the deadline anew, counted from now."""
         self._deadline = time.monotonic() + self._seconds
+        self._request_begun = False
 
     def readinto(self, buffer: Any) -> int | None:
         """Read the bytes that are available.
 
-        Raises `TimeoutError` if the deadline passes first.
+        Raises `TimeoutError` if the deadline passes first, or the server has stopped.
         """
         remaining = self._deadline - time.monotonic()
         self.expired = remaining <= 0
@@ -45,13 +57,20 @@
             raise TimeoutError("timed out")
         self._socket.settimeout(remaining)
         try:
-            return super().readinto(buffer)
+            return self._note(super().readinto(buffer))
         except TimeoutError:
             self.expired = True
             raise
         finally:
             self._socket.settimeout(self._seconds)
 
+    def _note(self, count: int | None) -> int | None:
+        if count:
+            self._request_begun = True
+        elif count == 0 and self._request_begun and self._has_stopped():
+            raise TimeoutError("timed out")
+        return count
+
 
 class BoundedReader(StreamReader):
     """The server's `StreamReader` on top of a `DeadlineIO`."""
@@ -106,7 +125,8 @@
     def make_file(self, raw: socket.socket, mode: str, size: int) -> Any:
         """Return the reader or the writer of the connection."""
         if "r" in mode:
-            return BoundedReader(DeadlineIO(raw, self.server.timeout), size)
+            reader = DeadlineIO(raw, self.server.timeout, lambda: not self.server.ready)
+            return BoundedReader(reader, size)
         return StreamWriter(raw, mode, size)
 
     def communicate(self) -> bool:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_reader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_reader.py
@@ -22,17 +22,12 @@
 
     def __init__(self, sock: socket.socket, seconds: float, port_stop: PortStop) -> None:
         self._port_stop = port_stop
-        self._request_begun = self._is_stopping = False
+        self._is_stopping = False
         self._poller = select.poll()
         self._poller.register(sock, select.POLLIN)
         self._poller.register(port_stop.descriptor, select.POLLIN)
         super().__init__(sock, seconds)
 
-    def restart_deadline(self) -> None:
-        """Set the deadline of the next request, counted from now."""
-        super().restart_deadline()
-        self._request_begun = False
-
     def readinto(self, buffer: Any) -> int | None:
         """Read the bytes that are available, 0 at the end; raises `TimeoutError`, `OSError`."""
         while True:
