--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_reader.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_reader.py
@@ -22,17 +22,12 @@
 
     def __init__(self, sock: socket.socket, seconds: float, port_stop: PortStop) -> None:
         self._port_stop = port_stop
-        self._request_begun = self._is_stopping = False
+        self._is_stopping = False
         self._poller = select.poll()
         self._poller.register(sock, select.POLLIN)
         self._poller.register(port_stop.descriptor, select.POLLIN)
         super().__init__(sock, seconds)
 
-    def restart_deadline(self) -> None:
-        """Set the deadline of the next request, counted from now."""
-        super().restart_deadline()
-        self._request_begun = False
-
     def readinto(self, buffer: Any) -> int | None:
         """Read the bytes that are available, 0 at the end; raises `TimeoutError`, `OSError`."""
         while True:
@@ -40,16 +35,22 @@
             self.expired = remaining <= 0
             if self.expired:
                 raise TimeoutError("timed out")
-            ready = dict(self._poller.poll(remaining * _MILLISECONDS_PER_SECOND + 1))
+            # The library reads again after the end of the input.
+            wait_seconds = 0.0 if self._has_ended else remaining
+            ready = dict(self._poller.poll(wait_seconds * _MILLISECONDS_PER_SECOND + 1))
             if self._port_stop.descriptor in ready:
                 self._note_stop()
             if self._socket.fileno() in ready:
                 count = self._read_now(buffer)
                 if count is not None:
                     return count
-            elif self._is_stopping and not self._request_begun:
+            elif self._has_ended:
                 return 0
 
+    @property
+    def _has_ended(self) -> bool:
+        return self._is_stopping and not self._request_begun
+
     def _read_now(self, buffer: Any) -> int | None:
         try:
             count = os.readv(self._socket.fileno(), [buffer])
