Give up answers of the store that have no end

A store whose answer had no end made the instance hold all of its bytes: with 300 MB as the limit the process reached 600 MB and more (the stand-in sends no more at full speed), which ends it with all requests on it. Interim answers, small chunks or a trailer without end held the thread that follows the configuration, so that a later configuration was not in force after 30 s.

Cause: the time-out of a store call bounds each read, and nothing bounded the bytes or the time of an answer.

An answer of the store is now given up beyond 8 MiB, or one second after the time-out of one read, as reports and orders of workers are. The stated page of 1 MB fits as base64, and so do the changes of 20 s in small rows.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -7,7 +7,6 @@
 
 import msgspec
 import urllib3
-from redwingscale_common.network.whole_heads import WholeHeadPool
 from redwingscale_common.utils.logs import log_event
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
@@ -20,6 +19,7 @@
 from redwingscale_daemon._internal.store.rows import RowKey, Snapshot, StoredRow
 from redwingscale_daemon._internal.store.store_eras import UNTOLD_ERA, StoreEras
 from redwingscale_daemon._internal.store.store_version import StoreVersion
+from redwingscale_daemon._internal.utils.bounded_answers import StoreAnswerPool
 
 _OK = 200
 _GONE = 410
@@ -62,12 +62,13 @@
 class StoreClient:
     """Implements `RowStore`; connections are reused, and no request is retried.
 
+    An answer without an end is given up, and counts as one that did not come.
     An answer from before the newest era in ``eras`` counts as none.
     """
 
     def __init__(self, host: str, port: int, eras: StoreEras | None = None) -> None:
         self._eras = eras or StoreEras()
-        self._pool = WholeHeadPool(
+        self._pool = StoreAnswerPool(
             host,
             port,
             maxsize=4,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
@@ -16,13 +16,16 @@
 # Answers to calls have some kilobytes and come at once.
 MAX_ANSWER_BYTES = 1 << 20
 ANSWER_SECONDS = 1.0
+# The store sends pages of at most 500 rows or 1 MB, which is more in base64. The changes since a
+# long poll have no stated bound: all that can be written in 20 s, at 400 small rows a second.
+MAX_STORE_ANSWER_BYTES = 8 << 20
 
 
 class _BoundedReader(io.RawIOBase):
     """Reads one answer; raises `TimeoutError` or `http.client.HTTPException` beyond its bounds."""
 
-    def __init__(self, sock: socket.socket, answer_seconds: float) -> None:
-        self._sock = sock
+    def __init__(self, sock: socket.socket, answer_seconds: float, most_bytes: int) -> None:
+        self._sock, self._most_bytes = sock, most_bytes
         # Keeps the socket open until it is closed itself.
         self._raw = sock.makefile("rb", buffering=0)
         self._seconds_left = answer_seconds
@@ -44,8 +47,8 @@
             self._seconds_left -= time.monotonic() - began_at
             self._sock.settimeout(timeout)
         self._bytes += count or 0
-        if self._bytes > MAX_ANSWER_BYTES:
-            raise http.client.HTTPException(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
+        if self._bytes > self._most_bytes:
+            raise http.client.HTTPException(f"the answer has more than {self._most_bytes} bytes")
         return count
 
     def close(self) -> None:
@@ -56,14 +59,31 @@
 class _BoundedSocket:
     """Wraps a socket for `http.client`, which makes a file for each answer."""
 
-    def __init__(self, sock: socket.socket, answer_seconds: float = ANSWER_SECONDS) -> None:
-        self._sock, self._answer_seconds = sock, answer_seconds
+    def __init__(
+        self,
+        sock: socket.socket,
+        answer_seconds: float = ANSWER_SECONDS,
+        most_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        self._sock, self._answer_seconds, self._most_bytes = sock, answer_seconds, most_bytes
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._sock, name)
 
     def makefile(self, *_: object, **__: object) -> io.BufferedReader:
-        return io.BufferedReader(_BoundedReader(self._sock, self._answer_seconds))
+        return io.BufferedReader(
+            _BoundedReader(self._sock, self._seconds_of_answer(), self._most_bytes)
+        )
+
+    def _seconds_of_answer(self) -> float:
+        return self._answer_seconds
+
+
+class _PolledSocket(_BoundedSocket):
+    """Lets an answer take its seconds beyond the time-out of a read, for which a poll may wait."""
+
+    def _seconds_of_answer(self) -> float:
+        return self._answer_seconds + (self._sock.gettimeout() or 0.0)
 
 
 class ShortAnswerConnection(http.client.HTTPConnection):
@@ -95,6 +115,18 @@
     ConnectionCls = _PooledConnection
 
 
+class _StoreConnection(WholeHeadConnection):
+    def connect(self) -> None:
+        super().connect()
+        self.sock = _PolledSocket(self.sock, most_bytes=MAX_STORE_ANSWER_BYTES)
+
+
+class StoreAnswerPool(WholeHeadPool):
+    """As `ShortAnswerPool`, for answers of the store, which are longer and may be waited for."""
+
+    ConnectionCls = _StoreConnection
+
+
 class ShortAnswerPools(WholeHeadPools):
     """Gives an answer up that has no end, with an `HTTPError` of ``urllib3``."""
 
