Refuse chunks of a negative size in answers of upstreams

A worker that refused a request with a body in chunks, the first of size -1, was read until it closed: the process reached 351 and 466 MB of 300 MB with twelve requests at three such workers, and no request went on to a sound one before its deadline. With another negative size the caller got 500.

Cause: http.client takes a size with a sign, and reads -1 bytes as all bytes until the connection ends; any other negative size raises a ValueError, which nothing on the way expects.

Reads of an upstream's body without a valid size now raise HTTPException, which every caller takes for a broken answer: the connection is reset, and the request goes on at another worker.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watched_socket.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watched_socket.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
+from http.client import HTTPException
 from typing import Any
 
 from redwingscale_common.network.whole_heads import check_line
@@ -89,14 +90,14 @@
         return line if line in (b"", b"\r") else check_line(line, size or -1)
 
     def read(self, size: int | None = -1, /) -> bytes:
-        """Return ``size`` bytes of a body."""
+        """Return ``size`` bytes of a body; raises `HTTPException` without a valid size."""
         self._lines = None
-        return super().read(size)
+        return super().read(_check_size(size))
 
     def read1(self, size: int = -1, /) -> bytes:
-        """Return at most ``size`` bytes of a body that are there."""
+        """Return at most ``size`` bytes of a body that are there; raises as `read`."""
         self._lines = None
-        return super().read1(size)
+        return super().read1(_check_size(size))
 
     def readinto(self, buffer: Any, /) -> int:
         """Read bytes of a body."""
@@ -110,6 +111,13 @@
         super().close()
 
 
+def _check_size(size: int | None) -> int:
+    # `http.client` takes a negative size of a chunk as it is, and would read without end for -1.
+    if size is None or size < 0:
+        raise HTTPException(f"the size of a body or chunk is {size}")
+    return size
+
+
 class WatchedSocket:
     """Wraps a socket for `http.client`, so that reads go through a `WatchedReader`."""
 
