Take an answer to a call with an invalid size for a broken one

A worker or a store that declares a chunk or a body of 1 TB, of more than any size, or of a negative size made the call raise MemoryError, OverflowError or ValueError. The callers of those calls expect errors of HTTP and of sockets only, among them the check of a worker before a request is sent to it.

Cause: http.client allocates the whole declared size before it reads, and takes a size with a sign.

The file of a bounded answer now refuses such a size with HTTPException before anything is allocated, which all callers take for a broken answer.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
@@ -56,6 +56,21 @@
         super().close()
 
 
+class _AnswerFile(io.BufferedReader):
+    """Raises `http.client.HTTPException` for a size that is not valid."""
+
+    def __init__(self, raw: _BoundedReader, most_bytes: int) -> None:
+        super().__init__(raw)
+        self._most_bytes = most_bytes
+
+    def read(self, size: int | None = -1, /) -> bytes:
+        # The buffer for so many bytes may exceed the memory before any of them has come. A
+        # chunk of a negative size other than -1, which reads to the end, is refused by no other.
+        if size is not None and not -1 <= size <= self._most_bytes:
+            raise http.client.HTTPException(f"the size of a body or chunk is {size}")
+        return super().read(size)
+
+
 class _BoundedSocket:
     """Wraps a socket for `http.client`, which makes a file for each answer."""
 
@@ -71,9 +86,8 @@
         return getattr(self._sock, name)
 
     def makefile(self, *_: object, **__: object) -> io.BufferedReader:
-        return io.BufferedReader(
-            _BoundedReader(self._sock, self._seconds_of_answer(), self._most_bytes)
-        )
+        reader = _BoundedReader(self._sock, self._seconds_of_answer(), self._most_bytes)
+        return _AnswerFile(reader, self._most_bytes)
 
     def _seconds_of_answer(self) -> float:
         return self._answer_seconds
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/utils/test_bounded_answers.py
@@ -0,0 +1,70 @@
+"""Answers to calls whose sizes no memory holds."""
+
+import contextlib
+import http.client
+import socket
+import threading
+
+import pytest
+import urllib3
+from redwingscale_daemon._internal.utils.bounded_answers import (
+    ShortAnswerConnection,
+    ShortAnswerPool,
+    StoreAnswerPool,
+)
+
+TIMEOUT_SECONDS = 5.0
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+INVALID_SIZES = {
+    "chunk-beyond-all-sizes": CHUNKED + b"f" * 40 + b"\r\n",
+    "chunk-of-negative-size": CHUNKED + b"-1\r\n",
+    "chunk-of-other-negative-size": CHUNKED + b"-5\r\n",
+    "chunk-beyond-the-memory": CHUNKED + b"10000000000\r\n",
+    "length-beyond-all-sizes": OK + b"Content-Length: 99999999999999999999\r\n\r\n",
+    "length-beyond-the-memory": OK + b"Content-Length: 1099511627776\r\n\r\n",
+}
+
+
+@pytest.fixture
+def answering():
+    """Return a function that opens a port which answers one call with bytes, and closes."""
+    with contextlib.ExitStack() as stack:
+
+        def make(data):
+            listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+
+            def serve():
+                with contextlib.suppress(OSError):
+                    connection, _ = listener.accept()
+                    with connection:
+                        connection.recv(65536)
+                        connection.sendall(data + b"x" * 1000)
+
+            threading.Thread(target=serve, daemon=True).start()
+            return listener.getsockname()[1]
+
+        yield make
+
+
+@pytest.mark.parametrize("pool", [ShortAnswerPool, StoreAnswerPool])
+@pytest.mark.parametrize("form", INVALID_SIZES)
+def test_pool_takes_an_invalid_answer_for_a_broken_one(answering, pool, form):
+    """Guards against an answer that raises what no call expects, such as `MemoryError`."""
+    port = answering(INVALID_SIZES[form])
+    with (
+        pool("127.0.0.1", port, retries=False, timeout=TIMEOUT_SECONDS) as calls,
+        pytest.raises(urllib3.exceptions.HTTPError),
+    ):
+        calls.request("GET", "/")
+
+
+@pytest.mark.parametrize("form", INVALID_SIZES)
+def test_connection_takes_an_invalid_answer_for_a_broken_one(answering, form):
+    """Guards against a check of a worker that raises what no request expects."""
+    port = answering(INVALID_SIZES[form])
+    connection = ShortAnswerConnection("127.0.0.1", port, timeout=TIMEOUT_SECONDS)
+    with contextlib.closing(connection):
+        connection.request("GET", "/")
+        with pytest.raises((http.client.HTTPException, OSError)):
+            connection.getresponse().read()
