--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
@@ -18,6 +18,8 @@
 # The budget for repeats, unless another one is set.
 REPEAT_RULE = RepeatRule(ratio=0.2, slack=100, window_seconds=10)
 
+DAEMON_MODULE = "redwingscale_daemon"
+
 
 class InstanceProcess:
     """Starts the process on construction; ``ports`` are the caller, readiness and metrics ports."""
@@ -31,8 +33,10 @@
         request_threads: int = 32,
         bounds: dict[str, Any] | None = None,
         machine: dict[str, float] | None = None,
+        module: str = DAEMON_MODULE,
     ) -> None:
         self.name = name
+        self._module = module
         self.settings: dict[str, Any] = {
             "instance": name,
             "failure_domain": "z1",
@@ -69,7 +73,7 @@
         self.ports = []
         self._log_offset = self.log.stat().st_size if self._pipe is None else 0
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "redwingscale_daemon", "--settings", str(self._file)],
+            [sys.executable, "-m", self._module, "--settings", str(self._file)],
             stdout=self._stdout,
             stderr=subprocess.STDOUT,
         )
--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/world.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/world.py
@@ -9,7 +9,7 @@
 from redwingscale_common.network.server import HttpServer, ServerLimits
 
 from redwingscale_standins.hosted.documents import document
-from redwingscale_standins.hosted.instance_process import InstanceProcess
+from redwingscale_standins.hosted.instance_process import DAEMON_MODULE, InstanceProcess
 from redwingscale_standins.hosted.model_worker import ModelWorker, WorkerTiming
 from redwingscale_standins.hosted.rows_api import RowsApi
 from redwingscale_standins.hosted.waiting import until
@@ -24,6 +24,7 @@
 STARTS_AT_ONCE = 6
 # An instance that starts asks so many peers for what they know.
 PEERS_ASKED = 3
+CUTTABLE_MODULE = "redwingscale_standins.versions.cut_process"
 
 
 class VersionPlace:
@@ -108,8 +109,12 @@
         software: Sequence[str],
         without_model: Collection[int] = (),
         unlisted: Collection[str] = (),
+        *,
+        cuttable: bool = False,
     ) -> None:
         self._directory = directory
+        # Whether the network of single instances can be cut, see `cut_process`.
+        self._module = CUTTABLE_MODULE if cuttable else DAEMON_MODULE
         self.rows = RowsApi()
         self._store = HttpServer(self.rows, "127.0.0.1", 0, ServerLimits(threads=96))
         self._store.start()
@@ -127,11 +132,18 @@
         ]
         self.instances: list[InstanceProcess] = []
 
+    @property
+    def store_port(self) -> int:
+        """The port of the store."""
+        return int(self._store.port)
+
     def start_instances(self, count: int) -> None:
         """Start ``count`` instances and wait until they are ready and know each other."""
         names = [f"n{number}" for number in range(count)]
         with ThreadPoolExecutor(STARTS_AT_ONCE) as pool:
-            self.instances += pool.map(partial(_start, self._store.port, self._directory), names)
+            self.instances += pool.map(
+                partial(_start, self.store_port, self._directory, self._module), names
+            )
         for one in self.instances:
             until(partial(is_ready, one), f"readiness of {one.name}")
         until(lambda: self.rows.value("redwingscale", "order-giver") is not None, "a leader")
@@ -149,8 +161,8 @@
         self._store.stop()
 
 
-def _start(store_port: int, directory: Path, name: str) -> InstanceProcess:
-    return InstanceProcess(name, store_port, directory)
+def _start(store_port: int, directory: Path, module: str, name: str) -> InstanceProcess:
+    return InstanceProcess(name, store_port, directory, module=module)
 
 
 def is_ready(instance: InstanceProcess) -> bool:
