Confirm the list before an unknown stream goes on at the only version

What callers saw: streams that had begun at a version which joined a moment before were taken up at an instance cut off from the others, and went on at the former version.

Cause: what nobody knew went on at the only version that the list named, if the list was less than two seconds old. An instance that lost touch took it for complete meanwhile. Updates that were held up on their way also counted as current from their arrival. The other instances were not asked.

Now the other instances are asked first. Then the list is read once more: only a read that began after the take-up names every version that may have begun the stream.

A unit test expected that nobody is asked while the list names one version. That was the fault: it now expects exactly one question, and three tests are new.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -30,6 +30,7 @@
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
 from redwingscale_daemon._internal.fleet.list_age import ListAge
+from redwingscale_daemon._internal.fleet.list_confirmation import ListConfirmation
 from redwingscale_daemon._internal.fleet.list_follower import ListFollower
 from redwingscale_daemon._internal.fleet.list_reads import READ_CHECK_SECONDS, ListReads
 from redwingscale_daemon._internal.fleet.own_reports import OwnReports
@@ -182,7 +183,17 @@
     reply_on_path = build_path_replies(
         settings, fleet, peer_port, lambda: callers.busy_fraction, list_age.seconds
     )
-    followers = _followers(settings.bounds, store, eras, routes, fleet, swaps, reads, own_reports)
+    followers = _followers(
+        settings.bounds,
+        store,
+        eras,
+        routes,
+        fleet,
+        swaps,
+        reads,
+        own_reports,
+        streams.confirmation,
+    )
     parts = IngressParts(
         callers=callers,
         peers=peer_port,
@@ -241,13 +252,14 @@
     swaps: Swaps,
     reads: StoreReads,
     own_reports: OwnReports,
+    confirmation: ListConfirmation,
 ) -> tuple[Periodic, ...]:
     list_reads = ListReads(
         swaps.is_leader,
         swaps.list_updates.replaces_read,
         lambda: own_reports.leader_silent,
         bounds.leave,
-        lambda: fleet.directory.copy.version.era < eras.newest,
+        lambda: confirmation.wanted or fleet.directory.copy.version.era < eras.newest,
     )
     route_follower = RouteFollower(
         store,
@@ -267,6 +279,7 @@
         fleet.directory,
         reads.upstreams,
         list_reads.not_due,
+        confirmation.note_read,
     )
     return (
         Periodic("configuration", 0.0, route_follower.step),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/stream_origins.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/stream_origins.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from redwingscale_daemon._internal.fleet.list_confirmation import ListConfirmation
 from redwingscale_daemon._internal.fleet.software_versions import SoftwareVersions
 from redwingscale_daemon._internal.fleet.unit import Unit
 from redwingscale_daemon._internal.fleet.upstream import Upstream
@@ -28,6 +29,7 @@
     origins: StreamOrigins
     resumption: StreamResumption
     link: OriginLink
+    confirmation: ListConfirmation
 
 
 def build_stream_origins(
@@ -54,10 +56,14 @@
     link = OriginLink(own_address, peers, leader, metrics.record_origin_datagrams)
     origins = StreamOrigins(link, stream_seconds, versions.note)
     link.connect(origins.receive, origins.entry)
+    confirmation = ListConfirmation()
     resumption = StreamResumption(
-        origins, versions, lambda result: metrics.taken_up.add(1, {"result": result})
+        origins,
+        versions,
+        lambda result: metrics.taken_up.add(1, {"result": result}),
+        confirmation.confirm,
     )
-    return StreamParts(versions, origins, resumption, link)
+    return StreamParts(versions, origins, resumption, link, confirmation)
 
 
 def load_seconds(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -36,6 +36,7 @@
         directory: UpstreamDirectory,
         state: LinkState,
         not_due: Callable[[float], bool] = lambda _: False,
+        on_read: Callable[[float], None] = lambda begun_at: None,
     ) -> None:
         self._store = store
         self._table = table
@@ -44,6 +45,8 @@
         self._state = state
         # Whether no read is due, by the monotonic time of the last one.
         self._not_due = not_due
+        # Called with when the read began whose list is in use now.
+        self._on_read = on_read
         self._retry = Backoff(immediate_first_retry=True)
         # Decoding errors of invalid entries, by the name of the entry.
         self._faults_by_name: dict[str, str] = {}
@@ -80,6 +83,7 @@
         if self._directory.replace(listed, version, lapsed):
             # Only now: a reader of the list's age must not find the former list.
             self._state.note_answer()
+            self._on_read(begun_at)
         else:
             known = self._directory.copy.version
             log_event(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_reads.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_reads.py
@@ -31,7 +31,7 @@
         leave_seconds: float = 2.0,
         outdated: Callable[[], bool] = lambda: False,
     ) -> None:
-        # Whether the list here is of an earlier era of the store.
+        # Whether the list here is of an earlier era of the store, or must be confirmed.
         self._outdated = outdated
         self._is_leader = is_leader
         # Whether the leader's updates replace a read, by the monotonic time of the last one.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_resumption.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/stream_resumption.py
@@ -29,7 +29,9 @@
     """Finds how a stream began: here, as told by another instance, or by asking the others.
 
     What is not known is not guessed: unless all workers have had one version for as long as a
-    stream can live, a stream whose begin is unknown is refused at once.
+    stream can live, a stream whose begin is unknown is refused at once. That they had is only
+    known of a list that was read after the stream was taken up: it may have begun at an upstream
+    that was listed a moment before.
     """
 
     def __init__(
@@ -37,11 +39,14 @@
         origins: StreamOrigins,
         versions: SoftwareVersions,
         on_result: Callable[[str], None] = lambda result: None,
+        confirm_list: Callable[[], bool] = lambda: True,
     ) -> None:
         self._origins = origins
         self._versions = versions
         # Counts a stream that was taken up, by how its origin is known or why it is refused.
         self._on_result = on_result
+        # Waits for a list that is read from now on; returns whether it is in use.
+        self._confirm_list = confirm_list
 
     def binding(self, service: str) -> StreamBinding:
         """Return the binding of a stream of ``service`` that has not begun."""
@@ -86,12 +91,20 @@
         named = 0 < len(name) <= MAX_ID_CHARACTERS and name != terms.request_id
         if named and (known := self._origins.known(workspace, name)) is not None:
             return known
-        sole = self._versions.sole(services[0]) if len(services) == 1 else None
-        if sole is not None:
-            if named:
-                self._origins.note(workspace, name, services[0], sole, tell=False)
-            return Found(services[0], sole, "sole", 0.0)
-        return self._origins.ask(workspace, name) if named else None
+        if named and (asked := self._origins.ask(workspace, name)) is not None:
+            return asked
+        sole = self._confirmed_sole(services[0]) if len(services) == 1 else None
+        if sole is None:
+            return None
+        if named:
+            self._origins.note(workspace, name, services[0], sole, tell=False)
+        return Found(services[0], sole, "sole", 0.0)
+
+    def _confirmed_sole(self, service: str) -> str | None:
+        # Without the wait where it would not help.
+        if self._versions.sole(service) is None or not self._confirm_list():
+            return None
+        return self._versions.sole(service)
 
     def _refused(self, terms: Terms, code: str, detail: str, services: list[str]) -> Refusal:
         self._on_result(code)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_stream_resumption.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_stream_resumption.py
@@ -110,7 +110,38 @@
     versions.only = "v1"
     found = resumption.find(route(), terms(), "")
     assert (found.software, found.source) == ("v1", "sole")
-    assert peers.asked == []
+    assert peers.asked == [origin_key("", "first")]
+
+
+def test_what_another_instance_knows_goes_before_the_only_version_listed(
+    resumption, versions, peers
+):
+    """Guards against a list here that lacks a version which joined a moment ago."""
+    versions.only = "v1"
+    key = origin_key("", "first")
+    peers.known[key] = OriginEntry(key, "llm", "v1.1", 0.2)
+    assert resumption.find(route(), terms(), "").software == "v1.1"
+
+
+def test_only_version_of_a_list_that_is_not_confirmed_is_not_used(origins, versions):
+    """Guards against an instance cut off from the store that takes its list for current."""
+    versions.only = "v1"
+    resumption = StreamResumption(origins, versions, confirm_list=lambda: False)
+    assert refused(resumption, route(), terms(), "") == "stream_unknown"
+
+
+def test_version_that_the_confirmed_list_names_beside_the_former_one_is_not_guessed(
+    origins, versions
+):
+    """Guards against a version that was read before the list was confirmed."""
+    versions.only = "v1"
+
+    def confirm():
+        versions.only = None
+        return True
+
+    resumption = StreamResumption(origins, versions, confirm_list=confirm)
+    assert refused(resumption, route(), terms(), "") == "stream_unknown"
 
 
 def test_caller_of_another_workspace_learns_nothing(resumption, origins):
