--- a/packages/redwingscale-daemon/tests/functional/hosted/test_instance_out_of_step.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_instance_out_of_step.py
@@ -12,6 +12,9 @@
     "stopped-without-datagrams": Way(lost=1.0, stopped=True),
     "cut-from-both-and-a-worker-ends": Way(instances=True, store=True, worker_ends=True),
     "cut-from-store-and-the-beginner-killed": Way(lost=1.0, store=True, beginner_killed=True),
+    "cut-while-the-version-comes-and-goes": Way(
+        instances=True, store=True, lost=1.0, leaves_again=True
+    ),
 }
 
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/cut_process.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/cut_process.py
@@ -15,11 +15,15 @@
 from pathlib import Path
 from typing import Any
 
+import pynng
+
 from redwingscale_standins.versions.cut import Cut, control_file
 
 POLL_SECONDS = 0.02
 _BYTE_CALLS = ("recv", "recv_into", "send", "sendall")
 _NO_CUT = Cut()
+# For sockets whose receiving has no time limit.
+_LONGEST_RECEIVE_SECONDS = 1.0
 
 
 class _Control:
@@ -90,6 +94,34 @@
     setattr(socket.socket, "recvfrom", receive_some)  # noqa: B010
 
 
+def _install_messages(control: _Control) -> None:
+    """Cut the message sockets: what is sent is lost, what has arrived is received late."""
+    send, receive = pynng.Socket.send, pynng.Socket.recv
+    late: dict[int, bytes] = {}
+
+    def send_some(one: pynng.Socket, data: bytes, block: bool = True) -> None:
+        if not control.cut.instances:
+            send(one, data, block)
+
+    def receive_late(one: pynng.Socket, block: bool = True) -> bytes:
+        limit_ms = one.recv_timeout
+        limit = _LONGEST_RECEIVE_SECONDS if limit_ms < 0 else limit_ms / 1000
+        ends_at = time.monotonic() + limit
+        while control.cut.instances:
+            if time.monotonic() >= ends_at:
+                raise pynng.Timeout("cut", 5)
+            time.sleep(POLL_SECONDS)
+        if id(one) in late:
+            return late.pop(id(one))
+        data: bytes = receive(one, block)
+        if control.cut.instances:
+            late[id(one)] = data
+            raise pynng.Timeout("cut", 5)
+        return data
+
+    pynng.Socket.send, pynng.Socket.recv = send_some, receive_late
+
+
 def _held(control: _Control, call: Callable[..., Any]) -> Callable[..., Any]:
     def wait_and_call(one: socket.socket, *arguments: Any) -> Any:
         control.wait(one)
@@ -102,5 +134,7 @@
 
 
 if __name__ == "__main__":
-    _install(_Control(control_file(Path(sys.argv[sys.argv.index("--settings") + 1]))))
+    control = _Control(control_file(Path(sys.argv[sys.argv.index("--settings") + 1])))
+    _install(control)
+    _install_messages(control)
     runpy.run_module("redwingscale_daemon", run_name="__main__", alter_sys=True)
--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/out_of_step.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/out_of_step.py
@@ -19,8 +19,10 @@
 SOFTWARE = (FIRST, FIRST, OTHER, OTHER)
 # Callers leave each instance at once, to go on at the one that is out of step.
 HABITS = Habits(leave_after=4, pause_seconds=0.0)
-# Before the new version is listed.
-SETTLE_SECONDS = 0.1
+# From the cut to the listing of the new version: the process reads its cut each 0.02 s.
+SETTLE_SECONDS = 0.2
+# How long the new version serves if it leaves again.
+SERVES_SECONDS = 1.3
 
 
 class Way(NamedTuple):
@@ -103,12 +105,12 @@
 
     def _fail(self) -> None:
         way, late = self._way, self._late
-        time.sleep(SETTLE_SECONDS)
         if way.beginner_killed:
             self._cut(self._beginner, Cut(lost=way.lost))
         self._cut(late, Cut(way.instances, way.store, way.lost))
         if way.stopped:
             late.process.send_signal(signal.SIGSTOP)
+        time.sleep(SETTLE_SECONDS)
         back_at = time.monotonic() + way.seconds
         for one in self._new:
             one.list()
@@ -116,7 +118,7 @@
             until(self._has_new_streams, "streams of the new version")
             self._beginner.end()
         if way.leaves_again:
-            time.sleep(way.seconds / 2)
+            time.sleep(SERVES_SECONDS)
             for one in self._new:
                 one.end()
         time.sleep(max(0.0, back_at - time.monotonic()))
