Look after a gap of the list for upstreams that came and went

What callers saw: a stream began at a version that joined and left while one instance was cut off. Taken up at that instance after its return, it went on at the former version.

Cause: versions are known from the lists that an instance had. One that came and went while it had no current list is in none of them, yet all versions counted as known all the while.

Now a gap of over two seconds is noted before each read. After the read the store is asked what was removed since the list before the gap. If that names an upstream that this instance never had, or the store no longer knows, all versions are known from now on only, as at the start of a process that finds the row of a former leader incomplete; the call is shared with it. A list that stays current costs nothing.

The wiring of both followers moves to a file of its own.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -13,6 +13,7 @@
     build_path_replies,
     build_peer_port,
 )
+from redwingscale_daemon._internal.composition.followers import build_followers
 from redwingscale_daemon._internal.composition.ordered_return import (
     ReturnUpdates,
     build_ordered_return,
@@ -30,9 +31,6 @@
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
 from redwingscale_daemon._internal.fleet.list_age import ListAge
-from redwingscale_daemon._internal.fleet.list_confirmation import ListConfirmation
-from redwingscale_daemon._internal.fleet.list_follower import ListFollower
-from redwingscale_daemon._internal.fleet.list_reads import READ_CHECK_SECONDS, ListReads
 from redwingscale_daemon._internal.fleet.own_reports import OwnReports
 from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
@@ -56,14 +54,12 @@
 from redwingscale_daemon._internal.lifecycle.ingress_instance import IngressInstance, IngressParts
 from redwingscale_daemon._internal.lifecycle.open_requests import OpenRequests
 from redwingscale_daemon._internal.lifecycle.probe_app import MetricsApp, ReadinessApp
-from redwingscale_daemon._internal.platform import configuration, discovery, exchange, names
+from redwingscale_daemon._internal.platform import exchange, names
 from redwingscale_daemon._internal.platform.store_client import StoreClient
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
-from redwingscale_daemon._internal.routes.route_follower import RouteFollower
 from redwingscale_daemon._internal.settings.ingress_settings import Bounds, IngressSettings
 from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.link_state import LinkState
-from redwingscale_daemon._internal.store.rows import RowKey
 from redwingscale_daemon._internal.store.store_eras import StoreEras
 from redwingscale_daemon._internal.swaps.start_check import StartCheck
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
@@ -183,7 +179,7 @@
     reply_on_path = build_path_replies(
         settings, fleet, peer_port, lambda: callers.busy_fraction, list_age.seconds
     )
-    followers = _followers(
+    followers = build_followers(
         settings.bounds,
         store,
         eras,
@@ -192,7 +188,8 @@
         swaps,
         reads,
         own_reports,
-        streams.confirmation,
+        list_age,
+        streams,
     )
     parts = IngressParts(
         callers=callers,
@@ -243,50 +240,6 @@
     return budget
 
 
-def _followers(
-    bounds: Bounds,
-    store: StoreClient,
-    eras: StoreEras,
-    routes: CurrentRoutes,
-    fleet: Fleet,
-    swaps: Swaps,
-    reads: StoreReads,
-    own_reports: OwnReports,
-    confirmation: ListConfirmation,
-) -> tuple[Periodic, ...]:
-    list_reads = ListReads(
-        swaps.is_leader,
-        swaps.list_updates.replaces_read,
-        lambda: own_reports.leader_silent,
-        bounds.leave,
-        lambda: confirmation.wanted or fleet.directory.copy.version.era < eras.newest,
-    )
-    route_follower = RouteFollower(
-        store,
-        RowKey(configuration.TABLE, "", configuration.KEY),
-        configuration.decode_configuration,
-        routes,
-        reads.configuration,
-        swaps.route_versions,
-        swaps.is_leader,
-        bounds.configuration,
-        swaps.fetch_announced,
-    )
-    list_follower = ListFollower(
-        store,
-        discovery.TABLE,
-        discovery.decode_upstream,
-        fleet.directory,
-        reads.upstreams,
-        list_reads.not_due,
-        confirmation.note_read,
-    )
-    return (
-        Periodic("configuration", 0.0, route_follower.step),
-        Periodic("upstreams", READ_CHECK_SECONDS, list_follower.step),
-    )
-
-
 def _request_handler(
     settings: IngressSettings,
     swaps: Swaps,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/recorded_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/recorded_versions.py
@@ -5,7 +5,8 @@
 import msgspec
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.exceptions import PlatformError, PlatformUnavailable
+from redwingscale_daemon._internal.exceptions import PlatformError
+from redwingscale_daemon._internal.fleet.removed_upstreams import RemovedUpstreams
 from redwingscale_daemon._internal.fleet.software_versions import SoftwareRecord, SoftwareVersions
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.store.rows import RowStore, StoredRow
@@ -18,9 +19,6 @@
 # The row has room for 64 KB in base64. Without their names, upstreams that were removed are taken
 # for ones that came and went.
 MAX_NAMES_BYTES = 24 << 10
-# The store may return so many rows in one answer, and the rest in further ones.
-_PAGE_ROWS = 500
-_MAX_PAGES = 8
 
 
 class VersionsRow(SoftwareRecord):
@@ -49,9 +47,7 @@
     ) -> None:
         self._versions = versions
         self._directory = directory
-        self._store = store
-        # The table in which upstreams are listed, by their names.
-        self._table = table
+        self._removed = RemovedUpstreams(store, table)
         # Called when the row of a former leader has been taken over.
         self.on_taken: Callable[[], None] = lambda: None
 
@@ -95,22 +91,12 @@
         if record.software_era != era:
             return f"written in era {record.software_era}, read in era {era}"
         try:
-            removed = self._removed_since(StoreVersion(era, record.software_list))
+            removed = self._removed.since(StoreVersion(era, record.software_list))
         except PlatformError as error:
             return f"changes of the list are not known: {error!r}"
         unknown = removed.difference(record.software_upstreams)
         return f"upstreams came and went: {','.join(sorted(unknown))}" if unknown else ""
 
-    def _removed_since(self, version: StoreVersion) -> set[str]:
-        """Return the names that were removed from the list; raises `PlatformError`."""
-        removed: set[str] = set()
-        for _ in range(_MAX_PAGES):
-            rows, version = self._store.changes(self._table, version, 0.0)
-            removed |= {row.key.key for row in rows if row.value is None}
-            if len(rows) < _PAGE_ROWS:
-                return removed
-        raise PlatformUnavailable(f"more than {_MAX_PAGES * _PAGE_ROWS} changes")
-
 
 def _fitting(names: list[str]) -> list[str]:
     return names if sum(map(len, names)) <= MAX_NAMES_BYTES else []
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/software_versions.py
@@ -105,6 +105,10 @@
                     times[software] = max(now - age, times.get(software, -math.inf))
             self._known_since = min(self._known_since, now - record.software_known_seconds)
 
+    def note_missed(self) -> None:
+        """Note that versions may have served until now that were never listed here."""
+        self._known_since = self._clock()
+
     def serving(self, service: str) -> set[str | None]:
         """Return the versions of the upstreams that are listed now."""
         return {one.software for one in self._current if one.service == service}
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_software_versions.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_software_versions.py
@@ -153,3 +153,16 @@
     clock.now += 5
     versions.note("llm", "v1", 8.0)
     assert versions.is_gone("llm", "v1")
+
+
+def test_version_that_may_have_been_missed_makes_the_only_one_unsure(make, clock):
+    """Guards against a version that came and went while the list was not read."""
+    versions = make()
+    versions.take_over(NEVER_SERVED)
+    versions.follow([], listed("v1"))
+    assert versions.sole("llm") == "v1"
+    versions.note_missed()
+    clock.now += STREAM_SECONDS - 1
+    assert versions.sole("llm") is None
+    clock.now += 2
+    assert versions.sole("llm") == "v1"
