--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -176,11 +176,11 @@
         except ProcessEnds as error:
             if call is None:
                 raise
-            refusal = end_refusal(call, error)
+            ending = end_refusal(call, error)
             if passed_on is not None and call.attempts.counts_as_lost and not reply.started:
-                self._log_end(request, terms, call, refusal)
+                self._log_end(request, terms, call, ending)
                 raise
-            self._end_refused(request, terms, call, reply, refusal, passed_on)
+            self._end_refused(request, terms, call, reply, ending, passed_on)
         except CallerLeft as error:
             self._note_cut(call, reply, error)
             if call is not None and not call.attempts.arrivals.possible:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
@@ -7,7 +7,7 @@
 
 import msgspec
 import pytest
-from redwingscale_daemon._internal.forwarding import envelope
+from redwingscale_daemon._internal.forwarding import answer_stream, envelope
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys, key_digest
 from redwingscale_daemon._internal.workspaces.use_limiter import Drawn
 from redwingscale_daemon._internal.workspaces.workspace import UseLimit, UseUnit, Workspace
@@ -15,6 +15,7 @@
 from .conftest import HOST, WAIT_SECONDS, breaks, events, read_response, sized
 from .test_bytes_held import wait_until
 from .test_passed_on import declines
+from .test_second_upstream import SILENCE_SECONDS, Pausing
 from .test_streams import numbers
 
 # Less than any route's limit in these tests.
@@ -195,3 +196,28 @@
     wait_until(lambda: cut.ended)
     held.goes_on.set()
     assert (cut.ended, refunded) == (["caller_left"], [])
+
+
+def test_second_upstream_is_not_asked_when_the_stream_cannot_end(world, monkeypatch):
+    """Guards against a run that is begun beside a silent one, and cut with the process."""
+    monkeypatch.setattr(answer_stream, "STREAM_SILENCE_SECONDS", SILENCE_SECONDS)
+    first = Pausing(3 * SILENCE_SECONDS, 1, 2, 3)
+    world.add("llm", drains_then(first, world))
+    world.add("llm", events(2, 3))
+    response = world.request("/long/x", model="m")
+    assert (numbers(response), response.whole) == ([1, 2, 3], True)
+    assert len(world.log) == 1
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+def test_request_that_waits_for_the_turn_of_a_suspect_is_refused(world, path, monkeypatch):
+    """Guards against a suspect that runs late since the wait for its turn asks nothing."""
+    world.add("plain", sized(b"answer"))
+
+    def wait_for_turn(*given):
+        drain(world)
+        given[-1]()
+
+    monkeypatch.setattr(type(world.quarantine), "active", True)
+    monkeypatch.setattr(world.quarantine, "wait_for_turn", wait_for_turn)
+    assert (world.request(path).status, world.ended, world.log) == (503, ["stopping"], [])
