Judge how long a request takes by answers, not by failures

What callers would see: on a route that has failed quickly for half a minute, requests of seconds are taken late in a planned stop and cut with the process. Found by reading; no run of a caller showed it.

Cause: failures of upstreams counted among the times of a route's requests.

Only successes count now. test_only_answers_of_the_service_tell_how_long_a_ request_takes[500 Failed] failed before and passes; [200 OK] shows that such a request is still taken by the answers of others.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -191,7 +191,9 @@
             )
             raise
         else:
-            self._run_times.note(call.route.name, time.monotonic() - request.arrived_at)
+            if reply.status < HTTPStatus.BAD_REQUEST:
+                # A failure may come quickly, and tells nothing of how long others run.
+                self._run_times.note(call.route.name, time.monotonic() - request.arrived_at)
             self._log_end(request, terms, call, None, reply.status)
 
     def _end_refused(
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 from redwingscale_daemon._internal.forwarding import answer_stream, envelope
+from redwingscale_daemon._internal.lifecycle.run_times import LEAST_ANSWERS
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys, key_digest
 from redwingscale_daemon._internal.workspaces.use_limiter import Drawn
 from redwingscale_daemon._internal.workspaces.workspace import UseLimit, UseUnit, Workspace
@@ -85,6 +86,18 @@
     assert not world.log
 
 
+@pytest.mark.parametrize(("status", "taken"), [("200 OK", 1), ("500 Failed", 0)])
+def test_only_answers_of_the_service_tell_how_long_a_request_takes(world, status, taken):
+    """Guards against a request taken, and cut, since others failed quickly."""
+    world.add("plain", sized(b"answer", status=status))
+    for _ in range(LEAST_ANSWERS):
+        world.request("/safe/x")
+    drain(world)
+    sent = len(world.log)
+    world.request("/safe/x")
+    assert len(world.log) - sent == taken
+
+
 def test_lost_request_is_not_repeated_when_the_repeat_cannot_end(world):
     """Guards against second attempts that are cut, and against a 503 after a possible run."""
     world.add("plain", drains_then(breaks, world))
