--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -176,11 +176,11 @@
         except ProcessEnds as error:
             if call is None:
                 raise
-            ended = end_refusal(call, error)
+            ending = end_refusal(call, error)
             if passed_on is not None and call.attempts.counts_as_lost and not reply.started:
-                self._log_end(request, terms, call, ended)
+                self._log_end(request, terms, call, ending)
                 raise
-            self._end_refused(request, terms, call, reply, ended, passed_on)
+            self._end_refused(request, terms, call, reply, ending, passed_on)
         except CallerLeft as error:
             self._note_cut(call, reply, error)
             if call is not None and not call.attempts.arrivals.possible:
@@ -191,7 +191,9 @@
             )
             raise
         else:
-            self._run_times.note(call.route.name, time.monotonic() - request.arrived_at)
+            if reply.status < HTTPStatus.BAD_REQUEST:
+                # A failure may come quickly, and tells nothing of how long others run.
+                self._run_times.note(call.route.name, time.monotonic() - request.arrived_at)
             self._log_end(request, terms, call, None, reply.status)
 
     def _end_refused(
