Count answers without end as no sign of a lost path

With four workers of five that answered reports with a trailer without end, an instance refused all requests with 503 no_path, also those for the sound worker: the log shows path_suspected and path_lost by the faulty ones only.

Cause: each call that failed was evidence that the path to upstreams is lost, including one that was given up because its bytes had no end. No other request is heard while one waits, so that two faulty workers suffice.

A call that has brought bytes, but no answer, is no evidence any more: the path has carried them. Connections that are closed without an answer, answers that break off, and silence count as before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -1,5 +1,6 @@
 """HTTP client for the reports of model workers and the orders to them."""
 
+import http.client
 import time
 from collections.abc import Callable
 from contextlib import closing
@@ -141,6 +142,9 @@
         )
 
     def _note_failed(self, upstream: Upstream, error: HTTPError, began_at: float) -> None:
+        if _brought_bytes(error):
+            # The upstream is faulty, and the path to it works.
+            return
         # An upstream may close a connection that was idle, but not the next one as well.
         again = upstream.id in self._broken
         if isinstance(error, ProtocolError):
@@ -162,5 +166,13 @@
         self._on_backpressure(upstream.id, backpressure)
 
 
+def _brought_bytes(error: HTTPError) -> bool:
+    """Return whether the call ended by bytes that are no answer, or an answer without an end."""
+    cause = error.args[-1] if isinstance(error, ProtocolError) else None
+    return isinstance(cause, http.client.HTTPException) and not isinstance(
+        cause, (http.client.RemoteDisconnected, http.client.IncompleteRead)
+    )
+
+
 def _url(upstream: Upstream, target: str) -> str:
     return f"http://{upstream.host}:{upstream.port}{target}"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
@@ -36,12 +36,16 @@
 
     def readinto(self, buffer: Any) -> int | None:
         if self._seconds_left <= 0:
-            raise TimeoutError("the answer has not ended in time")
+            raise self._time_out()
         timeout = self._sock.gettimeout()
         began_at = time.monotonic()
         self._sock.settimeout(min(self._seconds_left, timeout or self._seconds_left))
         try:
             count = self._raw.readinto(buffer)
+        except TimeoutError:
+            if self._seconds_left > (timeout or self._seconds_left):
+                raise
+            raise self._time_out() from None
         finally:
             # Bytes that have come do not count, however late this process reads them.
             self._seconds_left -= time.monotonic() - began_at
@@ -51,6 +55,11 @@
             raise http.client.HTTPException(f"the answer has more than {self._most_bytes} bytes")
         return count
 
+    def _time_out(self) -> Exception:
+        # The path to a host that has sent bytes of the answer works.
+        reason = "the answer has not ended in time"
+        return http.client.HTTPException(reason) if self._bytes else TimeoutError(reason)
+
     def close(self) -> None:
         self._raw.close()
         super().close()
--- a/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 from redwingscale_daemon._internal.exceptions import EraChanged, HistoryGone
+from redwingscale_daemon._internal.fleet.own_path import OwnPath
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
 from redwingscale_daemon._internal.platform import engine as platform_engine
 from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule
@@ -58,7 +59,13 @@
 
 
 @pytest.fixture
-def client():
+def own_path():
+    """What the calls show of the path to upstreams."""
+    return OwnPath()
+
+
+@pytest.fixture
+def client(own_path):
     """A client for the calls of the platform."""
     return OrderClient(
         EngineCalls(
@@ -68,7 +75,8 @@
             platform_engine.encode_order,
             platform_engine.order_headers,
             platform_engine.order_result,
-        )
+        ),
+        path=own_path,
     )
 
 
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_endless_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_endless_answers.py
@@ -84,3 +84,12 @@
     check = ProcessCheck(engine.REPORT_TARGET, lambda response: "other")
     check.note_broken(endless.id)
     assert result_of(lambda: check.finds_another(endless)) is False
+
+
+def test_answers_without_end_are_no_sign_of_a_lost_path(endless, client, own_path):
+    """Guards against an instance that refuses all requests since some upstreams are faulty."""
+    for name in ("u0", "u1"):
+        for _ in range(2):
+            faulty = endless._replace(id=name)
+            assert result_of(partial(client.report, faulty)) is None
+    assert not own_path.doubtful
