Bound the lines of answers to calls

A report in chunks of one byte took this process 0.46 s of processor time before it was given up at 1 MB, and a trailer without end 0.07 s. The interpreter runs no other thread for most of it, and reports are asked for several times a second.

Cause: the bound counted bytes, and each line costs the same however short.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
@@ -21,6 +21,11 @@
 MAX_STORE_ANSWER_BYTES = 8 << 20
 
 
+# The lines of an answer: its heads, the sizes of its chunks and its trailer. Each line takes the
+# interpreter some microseconds, in which no other thread runs.
+MAX_LINES_BYTES = 64 << 10
+
+
 class _BoundedReader(io.RawIOBase):
     """Reads one answer; raises `TimeoutError` or `http.client.HTTPException` beyond its bounds."""
 
@@ -66,11 +71,12 @@
 
 
 class _AnswerFile(io.BufferedReader):
-    """Raises `http.client.HTTPException` for a size that is not valid."""
+    """Raises `http.client.HTTPException` for a size that is not valid, and lines without end."""
 
     def __init__(self, raw: _BoundedReader, most_bytes: int) -> None:
         super().__init__(raw)
         self._most_bytes = most_bytes
+        self._bytes_of_lines = 0
 
     def read(self, size: int | None = -1, /) -> bytes:
         # The buffer for so many bytes may exceed the memory before any of them has come. A
@@ -79,6 +85,13 @@
             raise http.client.HTTPException(f"the size of a body or chunk is {size}")
         return super().read(size)
 
+    def readline(self, size: int | None = -1, /) -> bytes:
+        line = super().readline(size)
+        self._bytes_of_lines += len(line)
+        if self._bytes_of_lines > MAX_LINES_BYTES:
+            raise http.client.HTTPException("lines of the answer have no end")
+        return line
+
 
 class _BoundedSocket:
     """Wraps a socket for `http.client`, which makes a file for each answer."""
--- a/packages/redwingscale-daemon/tests/unit/utils/test_bounded_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/utils/test_bounded_answers.py
@@ -1,4 +1,4 @@
-"""Answers to calls whose sizes no memory holds."""
+"""Answers to calls whose sizes no memory holds, or whose lines have no end."""
 
 import contextlib
 import http.client
@@ -24,6 +24,12 @@
     "length-beyond-all-sizes": OK + b"Content-Length: 99999999999999999999\r\n\r\n",
     "length-beyond-the-memory": OK + b"Content-Length: 1099511627776\r\n\r\n",
 }
+# Fewer bytes than an answer may have.
+MANY_LINES = {
+    "chunks": CHUNKED + b"1\r\nx\r\n" * 30_000 + b"0\r\n\r\n",
+    "trailer": CHUNKED + b"0\r\n" + b"a: b\r\n" * 30_000 + b"\r\n",
+}
+FORMS = INVALID_SIZES | MANY_LINES
 
 
 @pytest.fixture
@@ -48,10 +54,10 @@
 
 
 @pytest.mark.parametrize("pool", [ShortAnswerPool, StoreAnswerPool])
-@pytest.mark.parametrize("form", INVALID_SIZES)
+@pytest.mark.parametrize("form", FORMS)
 def test_pool_takes_an_invalid_answer_for_a_broken_one(answering, pool, form):
     """Guards against an answer that raises what no call expects, such as `MemoryError`."""
-    port = answering(INVALID_SIZES[form])
+    port = answering(FORMS[form])
     with (
         pool("127.0.0.1", port, retries=False, timeout=TIMEOUT_SECONDS) as calls,
         pytest.raises(urllib3.exceptions.HTTPError),
@@ -59,10 +65,10 @@
         calls.request("GET", "/")
 
 
-@pytest.mark.parametrize("form", INVALID_SIZES)
+@pytest.mark.parametrize("form", FORMS)
 def test_connection_takes_an_invalid_answer_for_a_broken_one(answering, form):
     """Guards against a check of a worker that raises what no request expects."""
-    port = answering(INVALID_SIZES[form])
+    port = answering(FORMS[form])
     connection = ShortAnswerConnection("127.0.0.1", port, timeout=TIMEOUT_SECONDS)
     with contextlib.closing(connection):
         connection.request("GET", "/")
