--- a/packages/redwingscale-standins/src/redwingscale_standins/versions/out_of_step.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/versions/out_of_step.py
@@ -18,7 +18,7 @@
 PER_SECOND = 24.0
 SOFTWARE = (FIRST, FIRST, OTHER, OTHER)
 # Callers leave each instance at once, to go on at the one that is out of step.
-HABITS = Habits(leave_after=4, pause_seconds=0.0)
+HABITS = Habits(leave_after=4, pause_seconds=0.0, patience_seconds=5.0)
 # From the cut to the listing of the new version: the process reads its cut each 0.02 s.
 SETTLE_SECONDS = 0.2
 # How long the new version serves if it leaves again.
@@ -31,7 +31,8 @@
     It is cut off from other ``instances``, from the ``store``, loses the part ``lost`` of all
     datagrams, or stands still if ``stopped``. A worker may end as it comes back, and the
     instance at which streams begin may be killed before, which loses datagrams as well. With
-    ``leaves_again``, the new version is gone before the instance is back.
+    ``leaves_again``, the new version is gone before the instance is back. With ``leader``, the
+    instance leads the others before.
     """
 
     instances: bool = False
@@ -41,6 +42,7 @@
     worker_ends: bool = False
     beginner_killed: bool = False
     leaves_again: bool = False
+    leader: bool = False
     seconds: float = 2.5
 
 
@@ -76,8 +78,11 @@
         self._way, self._world, self._directory = way, world, directory
         leader = world.rows.value("redwingscale", "order-giver")["instance"]
         led = next(one for one in world.instances if one.name == leader)
-        self._beginner, self._late = (one for one in world.instances if one is not led)
-        self._order = [self._beginner, self._late, led]
+        follower, other = (one for one in world.instances if one is not led)
+        self._beginner, self._late, third = (
+            (follower, led, other) if way.leader else (follower, other, led)
+        )
+        self._order = [self._beginner, self._late, third]
         self._new = [one for one in world.places if one.worker.software == OTHER]
 
     def result(self) -> Across:
