Look into gaps of the list from 1.2 s on

What callers saw: streams of a version that served for 0.9 s while an instance was cut off for 1.5 s went on there at the former version.

Cause: a gap of the list counted from two seconds on, which is when a list is no longer used for decisions; a list that is read as planned is under one second old.

The new unit test failed before. A second one keeps reads that come as planned from costing a call.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_gaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_gaps.py
@@ -9,8 +9,9 @@
 from redwingscale_daemon._internal.fleet.upstream_directory import ListCopy, UpstreamDirectory
 from redwingscale_daemon._internal.store.store_version import NOTHING_READ
 
-# Own reads come each 0.84 s by default, of which one may be lost; the leader's lists are younger.
-GAP_SECONDS = 2.0
+# Own reads come each 0.84 s by default and are checked each 0.1 s; the leader's lists are younger.
+# At 2 s, a version that served for 0.9 s while an instance was cut off for 1.5 s went unnoticed.
+GAP_SECONDS = 1.2
 
 
 class ListGaps:
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_gaps.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_gaps.py
@@ -106,3 +106,18 @@
     follower.age = 0.1
     follower.read(9)
     assert (follower.missed, store.asked) == (1, [StoreVersion(0, 7)])
+
+
+def test_short_gap_is_looked_into(follower, store):
+    """Guards against a version that served for 0.9 s while an instance was cut off for 1.5 s."""
+    store.removed = ["u2"]
+    follower.age = 1.5
+    follower.read(8)
+    assert follower.missed == 1
+
+
+def test_list_that_is_as_old_as_usual_costs_no_call(follower, store):
+    """Guards against a call with each own read, which come each 0.84 s and are due each 0.1 s."""
+    follower.age = 1.0
+    follower.read(8)
+    assert store.asked == []
