--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/late_callers.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/late_callers.py
@@ -39,8 +39,16 @@
         self._node: Node = world.nodes[number % len(world.nodes)]
         self._random = random.Random(f"late {world.seed} {number}")
         self._sent_count = 0
+        self._open: socket.socket | None = None
         self.stopped = False
 
+    def stop(self) -> None:
+        """Stop at once; the caller of a request that is open leaves."""
+        self.stopped = True
+        if (sock := self._open) is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def run(self) -> None:
         """Send until stopped."""
         while not self.stopped:
@@ -51,6 +59,7 @@
             except (OSError, IndexError):
                 time.sleep(RETRY_SECONDS)
                 continue
+            self._open = sock
             with contextlib.closing(sock):
                 while not self.stopped and self._send(sock, process):
                     pass
@@ -124,7 +133,7 @@
             status=answer.status,
             sent_at=answer.first_at or answer.ended_at,
             ended_at=answer.ended_at,
-            disconnected=False,
+            disconnected=self.stopped,
             undisturbed_since=self._node.disturbance.last_at,
             process=process,
             complete=answer.whole,
