Ask the soak's stops for the answer of a worker after a run

The check of planned stops passed a request that a worker ran and that its instance answered 502 as its process ended. Such an answer is a finding now, unless the cut is excused.

--- a/packages/redwingscale-daemon/tests/functional/hosted/test_stop_answers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_stop_answers.py
@@ -43,6 +43,11 @@
     "worker broke off": (LATE, [LATE_RUN], {}, [Break("w1", 17.0, 17.1)]),
     "sent early, still at work": (CUT, [RUN], {("r1", "w1"): 17.5}),
     "sent early, at work as the last sixth began": (CUT, [RUN], {("r1", "w1"): 16.7}),
+    "sent early, still at work, answered 502": (
+        CUT._replace(status=502, complete=True),
+        [RUN],
+        {("r1", "w1"): 17.5},
+    ),
     "an unplanned fault was near": (LATE._replace(calm_since=13.0), [LATE_RUN]),
     "no stop of its instance": (LATE._replace(process=OTHER_PROCESS), [LATE_RUN]),
     "ended before SIGTERM": (CUT._replace(sent_at=5.0, last_byte_at=5.0, ended_at=9.9), [RUN]),
@@ -69,6 +74,8 @@
         [("r1", "w1")],
     ),
     "not run, answered as if it had": (ANSWERED._replace(status=502), []),
+    "not run, answered 500": (ANSWERED._replace(status=500), []),
+    "ran late, and answered 502 at the end": (LATE._replace(status=502, complete=True), [LATE_RUN]),
     "a fault that was over": (LATE._replace(calm_since=12.0), [LATE_RUN]),
 }
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/soak/stop_answers.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/soak/stop_answers.py
@@ -15,6 +15,8 @@
 # An unplanned fault may show so long after its end.
 CALM_SECONDS = 4.0
 NOT_RUN_STATUSES = frozenset({408, 503})
+# Failures after a run are the instance's own from the second status on; workers answer 500.
+FAILURE_STATUS, OWN_FAILURE_STATUS = 500, 502
 
 
 def check_stop_answers(ledger: Ledger) -> None:
@@ -53,12 +55,14 @@
     due_at = result.sent_at + result.limit_seconds - DEADLINE_TOLERANCE_SECONDS
     if result.ended_at >= due_at:
         return False
-    if result.complete:
-        failed = result.status is not None and result.status >= 500
-        return not runs and failed and result.status not in NOT_RUN_STATUSES
+    status = result.status or 0
     if not runs:
+        if result.complete:
+            return status >= FAILURE_STATUS and status not in NOT_RUN_STATUSES
         last_byte_at = result.last_byte_at
         return last_byte_at is not None and result.ended_at > last_byte_at + CROSSED_SECONDS
+    if result.complete and status < OWN_FAILURE_STATUS:
+        return False
     last = max(runs, key=lambda run: run.at)
     broken = any(
         one.place == last.worker
