--- a/packages/redwingscale-daemon/tests/functional/hosted/test_late_sendings.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_late_sendings.py
@@ -1,17 +1,15 @@
 """Requests that came in time, and would be sent late in the grace period of an instance."""
 
 import itertools
-import math
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-import cherrypy
 import pytest
-from redwingscale_common.network.exchange import read_body
-from redwingscale_standins.hosted.documents import document, stream_route
+from redwingscale_standins.hosted.documents import mixed_document
 from redwingscale_standins.hosted.late_caller import Part, send_late, split_request
-from redwingscale_standins.hosted.model_worker import BODY_LIMIT_BYTES, ModelWorker, WorkerTiming
+from redwingscale_standins.hosted.mixed_worker import MixedWorker
+from redwingscale_standins.hosted.model_worker import WorkerTiming
 from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.soak.process_paths import PathFault
 
@@ -28,37 +26,11 @@
 LEAST_THREADS = 8
 
 
-class ReluctantWorker(ModelWorker):
-    """Rejects plain requests until `opens_at`, and answers them after `run_seconds`."""
-
-    opens_at = -math.inf
-    run_seconds = RUN_SECONDS
-
-    def _run(self, headers):
-        if "X-Redwingscale-Model-Name" in headers:
-            return super()._run(headers)
-        read_body(BODY_LIMIT_BYTES)
-        if (seconds := self.opens_at - time.monotonic()) > 0:
-            return self._reject(seconds)
-        request = headers["X-Redwingscale-Request-Id"]
-        self.runs.append(request)
-        time.sleep(self.run_seconds)
-        cherrypy.response.headers["X-Redwingscale-Request-Id"] = request
-        cherrypy.response.headers["X-Redwingscale-Response-Seal"] = "seal"
-        return b"answer"
-
-
 def configuration():
-    made = document(1)
-    plain = {"Service": "plain", "Resumable": False}
-    made["Routes"] += [
-        stream_route("unsafe", "/unsafe/") | plain | {"Kind": "unsafe", "MaxAttempts": 1},
-        stream_route("safe", "/safe/") | plain | {"Kind": "safe"},
-    ]
+    made = mixed_document(1)
     engine = made["Services"][0]["Engine"]
     seconds = dict.fromkeys(("LoadS", "WarmS", "DiskS"), OPENS_SECONDS)
     engine["Models"] = [one | seconds for one in engine["Models"]]
-    made["Services"].append({"Name": "plain", "MaxConns": 100})
     return made
 
 
@@ -67,7 +39,10 @@
     """A model worker that loads slowly, and a plain worker."""
     deployment.rows.put("op", "config", configuration())
     timing = WorkerTiming(gap=RUN_SECONDS / EVENTS, load=OPENS_SECONDS)
-    made = [ReluctantWorker("w1", {"m1": set()}, timing), ReluctantWorker("p1", {})]
+    made = [
+        MixedWorker("w1", {"m1": set()}, RUN_SECONDS, timing),
+        MixedWorker("p1", {}, RUN_SECONDS),
+    ]
     deployment.plain_worker(made[1])
     port = deployment.link(deployment._serve(made[0]))
     deployment.rows.put("servers", "w1", deployment.entry(made[0], port))
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_planned_stop.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_planned_stop.py
@@ -5,12 +5,11 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-import cherrypy
 import pytest
-from redwingscale_common.network.exchange import read_body
-from redwingscale_standins.hosted.documents import document, stream_route
+from redwingscale_standins.hosted.documents import mixed_document
 from redwingscale_standins.hosted.late_caller import Part, send_late, split_request
-from redwingscale_standins.hosted.model_worker import BODY_LIMIT_BYTES, ModelWorker, WorkerTiming
+from redwingscale_standins.hosted.mixed_worker import MixedWorker
+from redwingscale_standins.hosted.model_worker import WorkerTiming
 from redwingscale_standins.hosted.waiting import until
 
 GRACE_SECONDS = 8
@@ -25,39 +24,14 @@
 SENT_EARLY = {"nothing": 0, "half the head": 1, "the head": 2}
 
 
-class SlowWorker(ModelWorker):
-    """Answers plain requests after `RUN_SECONDS`, and others as a model worker."""
-
-    def _run(self, headers):
-        if "X-Redwingscale-Model-Name" in headers:
-            return super()._run(headers)
-        read_body(BODY_LIMIT_BYTES)
-        request = headers["X-Redwingscale-Request-Id"]
-        self.runs.append(request)
-        time.sleep(RUN_SECONDS)
-        cherrypy.response.headers["X-Redwingscale-Request-Id"] = request
-        cherrypy.response.headers["X-Redwingscale-Response-Seal"] = "seal"
-        return b"answer"
-
-
-def configuration():
-    made = document(1)
-    made["Routes"].append(
-        stream_route("unsafe", "/unsafe/")
-        | {"Kind": "unsafe", "Service": "plain", "Resumable": False, "MaxAttempts": 1}
-    )
-    made["Services"].append({"Name": "plain", "MaxConns": 100})
-    return made
-
-
 @pytest.fixture
 def workers(deployment):
     """One model worker and one plain worker."""
-    deployment.rows.put("op", "config", configuration())
+    deployment.rows.put("op", "config", mixed_document(1))
     gap = RUN_SECONDS / EVENTS
     made = [
-        SlowWorker("w1", {"m1": set()}, WorkerTiming(gap=gap)),
-        deployment.plain_worker(SlowWorker("p1", {})),
+        MixedWorker("w1", {"m1": set()}, RUN_SECONDS, WorkerTiming(gap=gap)),
+        deployment.plain_worker(MixedWorker("p1", {}, RUN_SECONDS)),
     ]
     port = deployment._serve(made[0])
     deployment.rows.put("servers", "w1", deployment.entry(made[0], port))
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_stops_in_series.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_stops_in_series.py
@@ -5,13 +5,12 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-import cherrypy
 import pytest
-from redwingscale_common.network.exchange import read_body
 from redwingscale_standins.hosted.conversation import Conversation
-from redwingscale_standins.hosted.documents import HOST, document, stream_route
+from redwingscale_standins.hosted.documents import HOST, mixed_document
 from redwingscale_standins.hosted.late_caller import Part
-from redwingscale_standins.hosted.model_worker import BODY_LIMIT_BYTES, ModelWorker, WorkerTiming
+from redwingscale_standins.hosted.mixed_worker import MixedWorker
+from redwingscale_standins.hosted.model_worker import WorkerTiming
 from redwingscale_standins.hosted.waiting import until
 
 GRACE_SECONDS = 8
@@ -32,32 +31,14 @@
 PIECES = 6
 
 
-class SlowWorker(ModelWorker):
-    """Answers plain requests after `RUN_SECONDS`, and others as a model worker."""
-
-    def _run(self, headers):
-        if "X-Redwingscale-Model-Name" in headers:
-            return super()._run(headers)
-        read_body(BODY_LIMIT_BYTES)
-        request = headers["X-Redwingscale-Request-Id"]
-        self.runs.append(request)
-        time.sleep(RUN_SECONDS)
-        cherrypy.response.headers["X-Redwingscale-Request-Id"] = request
-        cherrypy.response.headers["X-Redwingscale-Response-Seal"] = "seal"
-        return b"answer"
-
-
 @pytest.fixture
 def workers(deployment):
     """One model worker and one plain worker."""
-    made = document(1)
-    unsafe = {"Kind": "unsafe", "Service": "plain", "Resumable": False, "MaxAttempts": 1}
-    made["Routes"].append(stream_route("unsafe", "/unsafe/") | unsafe)
-    made["Services"].append({"Name": "plain", "MaxConns": 100})
-    deployment.rows.put("op", "config", made)
-    model = SlowWorker("w1", {"m1": set()}, WorkerTiming(gap=RUN_SECONDS / EVENTS))
+    deployment.rows.put("op", "config", mixed_document(1))
+    timing = WorkerTiming(gap=RUN_SECONDS / EVENTS)
+    model = MixedWorker("w1", {"m1": set()}, RUN_SECONDS, timing)
     deployment.rows.put("servers", "w1", deployment.entry(model, deployment._serve(model)))
-    return [model, deployment.plain_worker(SlowWorker("p1", {}))]
+    return [model, deployment.plain_worker(MixedWorker("p1", {}, RUN_SECONDS))]
 
 
 def head(request, number, body, limit_ms=None, events=EVENTS):
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/documents.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/documents.py
@@ -48,6 +48,18 @@
     }
 
 
+def mixed_document(version: int) -> dict[str, Any]:
+    """Return that configuration with a plain service: one safe route, and one to run at most once."""
+    made = document(version)
+    plain = {"Service": "plain", "Resumable": False}
+    made["Routes"] += [
+        stream_route("unsafe", "/unsafe/") | plain | {"Kind": "unsafe", "MaxAttempts": 1},
+        stream_route("safe", "/safe/") | plain | {"Kind": "safe"},
+    ]
+    made["Services"].append({"Name": "plain", "MaxConns": 100})
+    return made
+
+
 def keyed_document(
     version: int, *keys: str, per_second: float = 0, burst: float = 0
 ) -> dict[str, Any]:
