Close connections that get no thread as their port closes

Callers whose connection waited for a thread when the port of a stopping instance closed waited on until a thread became free, or until the process ended, up to 5 s later, for a request that was often too late by then.

Cause: the queue of connections was served until the end of the grace. What is not read within 0.2 s of the closing of the port is now closed unread, so that its caller can send the request elsewhere at once.

Evidence: test_connection_that_gets_no_thread_is_closed_as_the_port_closes timed out before, and passes.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
@@ -21,6 +21,9 @@
 IDLE_SECONDS = 10.0
 # At most one log line in this time while all threads are busy.
 FULL_LOG_SECONDS = 5.0
+# How long a connection may wait for a thread once the port has closed.
+UNREAD_SECONDS = 0.2
+CHECK_SECONDS = 0.01
 # Time for the answers to requests that are open when the process ends.
 ENDING_SECONDS = 0.3
 
@@ -110,7 +113,7 @@
                 self._log_full()
 
     def stop(self, timeout: Any = 5) -> None:
-        """End all threads by `ends_at`, after the connections that wait were served.
+        """End all threads by `ends_at`, after the connections that they have were served.
 
         The requests that are open then get `ENDING_SECONDS` to end their answers.
         """
@@ -121,10 +124,8 @@
                 waiter.assign(_SHUTDOWNREQUEST)
             self._waiters.clear()
         threads = [*self._threads]
+        unread = self._close_unread()
         _join(threads, self.ends_at)
-        with self._lock:
-            unread = [*self._backlog]
-            self._backlog.clear()
         open_connections = [thread.conn for thread in threads if thread.conn is not None]
         if unread or open_connections:
             log_event(
@@ -132,14 +133,25 @@
                 level="WARNING",
                 port=self._name,
                 open=len(open_connections),
-                unread=len(unread),
+                unread=unread,
             )
-        for connection in unread:
-            connection.close()
         for connection in open_connections:
             self._end(connection)
         _join(threads, self.ends_at + ENDING_SECONDS)
 
+    def _close_unread(self) -> int:
+        """Close the connections that get no thread, so that their callers go elsewhere at once."""
+        waits_until = min(self.ends_at, time.monotonic() + UNREAD_SECONDS)
+        while self._backlog and time.monotonic() < waits_until:
+            time.sleep(CHECK_SECONDS)
+        with self._lock:
+            unread = [*self._backlog]
+            self._backlog.clear()
+        for connection in unread:
+            connection.is_turned_away = True
+            connection.close()
+        return len(unread)
+
     @staticmethod
     def _end(connection: Any) -> None:
         """End the reading side of a connection, which wakes the thread that waits for it."""
--- a/packages/redwingscale-daemon/tests/unit/ingress/test_end_of_stop.py
+++ b/packages/redwingscale-daemon/tests/unit/ingress/test_end_of_stop.py
@@ -14,6 +14,7 @@
 WAIT_SECONDS = 8.0
 GRACE_SECONDS = 0.8
 STEP_SECONDS = 3600.0
+THREADS = 12
 
 
 class Port:
@@ -23,7 +24,7 @@
         self.release = threading.Event()
         self.arrived = threading.Semaphore(0)
         self.ended = threading.Semaphore(0)
-        limits = PortLimits(12, 8 << 10, 8 << 10, 20, 2)
+        limits = PortLimits(THREADS, 8 << 10, 8 << 10, 20, 2)
         self.server = IngressServer(self.handle, "127.0.0.1", 0, limits)
         self.server.start()
 
@@ -83,6 +84,18 @@
     assert not port.release.is_set()
 
 
+def test_connection_that_gets_no_thread_is_closed_as_the_port_closes(port):
+    """Guards against a caller that waits until the process ends for a request that is not read."""
+    port.open("/hang", THREADS)
+    waiting = http.client.HTTPConnection("127.0.0.1", port.server.port, timeout=WAIT_SECONDS / 2)
+    waiting.request("GET", "/")
+    wait_for(lambda: port.server._threads.qsize)
+    port.stop(WAIT_SECONDS)
+    with pytest.raises(ConnectionError):
+        waiting.getresponse()
+    assert not port.release.is_set()
+
+
 @pytest.fixture
 def stepping_clock(monkeypatch):
     """Make each look at the time of day a step after the one before."""
