--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/instance_process.py
@@ -101,6 +101,14 @@
         url = f"http://127.0.0.1:{self.ports[2]}/metrics"
         return urllib3.request("GET", url, retries=False, timeout=5.0).data.decode()
 
+    def most_memory_mb(self) -> float:
+        """Return the most resident memory that the running process has had, in megabytes."""
+        assert self.process.poll() is None, f"{self.name} has ended"
+        text = Path(f"/proc/{self.process.pid}/status").read_text()
+        found = re.search(r"VmHWM:\s+(\d+) kB", text)
+        assert found is not None
+        return int(found.group(1)) * 1024 / 1e6
+
     def request_stream(
         self,
         model: str = "m1",
