--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -11,7 +11,6 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.exceptions import CallerLeft, ProcessEnds, Refusal
-from redwingscale_daemon._internal.fleet.prompt import format_parts
 from redwingscale_daemon._internal.forwarding.answer_end import AnswerEnds
 from redwingscale_daemon._internal.forwarding.attempts import Attempts
 from redwingscale_daemon._internal.forwarding.call import Call
@@ -22,6 +21,7 @@
 from redwingscale_daemon._internal.forwarding.plain_relay import PlainRelay
 from redwingscale_daemon._internal.forwarding.repeat_budget import RepeatBudget
 from redwingscale_daemon._internal.forwarding.reply_rest import finish, send_rest
+from redwingscale_daemon._internal.forwarding.request_log import RequestLog
 from redwingscale_daemon._internal.forwarding.stop_check import StopCheck, end_refusal
 from redwingscale_daemon._internal.forwarding.stream_origins import Found
 from redwingscale_daemon._internal.forwarding.stream_relay import StreamRelay
@@ -47,8 +47,6 @@
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 # Another instance can serve the request; here a thread becomes free when a stream ends.
 NO_THREAD_RETRY_SECONDS = 0.3
-# Characters of an id that its caller may have made up.
-MAX_LOGGED_ID = 64
 
 
 class DemandSink(Protocol):
@@ -89,7 +87,7 @@
         self._demand = demand
         self._budget = budget
         self._open_requests = open_requests
-        self._metrics = metrics
+        self._log = RequestLog(open_requests, metrics)
         self._limiter = limiter
         self._guard = guard
         self._resumption = resumption
@@ -142,8 +140,8 @@
             self._stop.check_head(route, _deadline(head, terms, route) - lease_clock())
             workspace_of(table, route, terms.key_digest)
         except Refusal as refusal:
-            self._log_if_stopping(head, terms)
-            self._log_end(head, terms, None, refusal)
+            self._log.received(head, terms)
+            self._log.ended(head, terms, None, refusal)
             self._close_in_stop(reply)
             reply.leave_body_unread()
             self._refuse(refusal, reply)
@@ -154,8 +152,8 @@
         """Refuse a request whose body was not read whole; raises `CallerLeft`."""
         terms = self._dialect.read_terms(head)
         if not isinstance(terms, str):
-            self._log_if_stopping(head, terms)
-            self._log_end(head, terms, None, refusal)
+            self._log.received(head, terms)
+            self._log.ended(head, terms, None, refusal)
         self._refuse(refusal, reply)
 
     def _handle(self, request: IngressRequest, reply: Reply, passed_on: Envelope | None) -> None:
@@ -165,7 +163,7 @@
             self._refuse(Refusal(400, "malformed", terms), reply)
             return
         reply.label(terms.request_id)
-        self._log_if_stopping(request, terms)
+        self._log.received(request, terms)
         call: Call | None = None
         try:
             call = self._route(request, terms, reply, passed_on)
@@ -178,23 +176,20 @@
                 raise
             ending = end_refusal(call, error)
             if passed_on is not None and call.attempts.counts_as_lost and not reply.started:
-                self._log_end(request, terms, call, ending)
+                self._log.ended(request, terms, call, ending)
                 raise
             self._end_refused(request, terms, call, reply, ending, passed_on)
         except CallerLeft as error:
             self._note_cut(call, reply, error)
             if call is not None and not call.attempts.arrivals.possible:
                 call.permit.refund()
-            self._metrics.record_request(request, "caller_left")
-            log_event(
-                "caller_left", request=terms.request_id, route=_route_name(call), detail=error
-            )
+            self._log.left(request, terms, call, error)
             raise
         else:
             if reply.status < HTTPStatus.BAD_REQUEST:
                 # A failure may come quickly, and tells nothing of how long others run.
                 self._run_times.note(call.route.name, time.monotonic() - request.arrived_at)
-            self._log_end(request, terms, call, None, reply.status)
+            self._log.ended(request, terms, call, None, reply.status)
 
     def _end_refused(
         self,
@@ -208,25 +203,12 @@
         if call is not None and refusal.run is RunState.NOT_RUN:
             call.permit.refund()
         self._note_cut(call, reply, refusal)
-        self._log_end(request, terms, call, refusal)
+        self._log.ended(request, terms, call, refusal)
         declined = passed_on is not None and _may_go_elsewhere(refusal, call)
         self._refuse(refusal, reply, declined=declined)
         if call is not None:
             send_rest(call)
 
-    def _log_if_stopping(self, request: IngressRequest, terms: Terms) -> None:
-        if not self._open_requests.draining:
-            return
-        now = time.monotonic()
-        log_event(
-            "received_in_stop",
-            request=terms.request_id,
-            stop_age=round(now - self._open_requests.drained_since, 3),
-            head_age=round(now - request.arrived_at, 3),
-            connection_age=round(now - request.connection.accepted_at, 3),
-            requests_before=request.connection.requests - 1,
-        )
-
     def _note_cut(self, call: Call | None, reply: Reply, error: Refusal | CallerLeft) -> None:
         if call is not None and reply.started:
             self._ends.note_cut(call, error)
@@ -265,20 +247,8 @@
         name = workspace.name if workspace else ""
         watch = Watch(request.socket, _deadline(request, terms, route), reply, request.connection)
         reply.set_delivery_limit(watch.remaining())
-        log_event(
-            "routed",
-            request=terms.request_id,
-            route=route.name,
-            workspace=workspace.name if workspace else "-",
-            service=service,
-            configuration=table.version,
-            unit=terms.prompt.unit if terms.prompt else "-",
-            tokens=_format_tokens(terms),
-            parts=format_parts(terms.prompt),
-            passed_on_by=passed_on.instance if passed_on else "-",
-            limit=round(watch.remaining(), 3),
-            resumes=terms.resumed_request[:MAX_LOGGED_ID] if terms.resumed_request else "-",
-            after_event="-" if terms.last_event is None else terms.last_event,
+        self._log.routed(
+            terms, route, workspace, service, table.version, passed_on, watch.remaining()
         )
         return Call(
             request=request,
@@ -377,36 +347,6 @@
             headers.append(("WWW-Authenticate", "Bearer"))
         reply.send(refusal.status, headers, refusal.document())
 
-    def _log_end(
-        self,
-        request: IngressRequest,
-        terms: Terms,
-        call: Call | None,
-        refusal: Refusal | None,
-        status: int = 0,
-    ) -> None:
-        attempts = call.attempts if call else None
-        if attempts is not None:
-            self._metrics.record_resumptions(
-                by_caller=terms.last_event is not None, software=attempts.software
-            )
-        seconds = self._metrics.record_request(request, refusal.code if refusal else "answered")
-        log_event(
-            "request_ended",
-            request=terms.request_id,
-            route=_route_name(call),
-            status=refusal.status if refusal else status,
-            outcome=refusal.code if refusal else "answered",
-            run=refusal.run if refusal else "run",
-            detail=refusal.detail if refusal else "",
-            sendings=attempts.count if attempts else "-",
-            history=";".join(attempts.history) if attempts else "",
-            software=",".join(attempts.software) or "-" if attempts else "-",
-            first_event=_format_seconds(attempts.first_event_seconds if attempts else None),
-            longest_gap=_format_seconds(attempts.longest_gap_seconds if attempts else None),
-            seconds=round(seconds, 4),
-        )
-
 
 def _urgency(table: RouteTable, route: Route, workspace: Workspace | None) -> Urgency:
     if table.keys is None or workspace is None:
@@ -429,16 +369,3 @@
     """
     not_run_here = call is not None and not call.attempts.possible_runs_here
     return (refusal.code == STOPPING and not_run_here) or is_no_path(refusal)
-
-
-def _format_seconds(seconds: float | None) -> str:
-    return "-" if seconds is None else f"{seconds:.4f}"
-
-
-def _format_tokens(terms: Terms) -> str:
-    prompt = terms.prompt
-    return f"{prompt.tokens_in}+{prompt.most_tokens_out}" if prompt else "-"
-
-
-def _route_name(call: Call | None) -> str:
-    return call.route.name if call else "-"
