Deliver answers that began before their port closed, although more bytes have come

A caller that had sent its next request before the end of an answer lost the end of that answer to a reset, if the answer had begun before the port closed and ended after it.

Cause: whether the connection is kept is decided as the head is sent. After the port has closed, the library closes such a connection at once, unread bytes and all, without the wait for delivery that other closes have.

Whether the port has closed is now asked once more after the answer, so the connection is closed like any other that is not kept: the answer is ended, and waits for its caller within its deadline.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_delivery.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_delivery.py
@@ -42,7 +42,8 @@
     def communicate(self) -> bool:
         """Handle one request; return whether the connection can be used for another."""
         self.is_answered, self.deliver_until = False, 0.0
-        keep = super().communicate()
+        # A port that has closed keeps no connection, also of an answer that began before.
+        keep = super().communicate() and bool(self.server.ready)
         if not keep and self.is_answered and not self.has_unread_input:
             await_delivery(self.socket, self.deliver_until)
         return keep
