Deliver on what is left of answers as the process ends their connections

A caller that was still taking an answer at the end of the grace period lost the rest of it to a reset, although its upstream had ended it and 0.3 s are meant for last bytes.

Cause: at that time the process shuts the reading side of its connections. Three waits for the caller poll for POLLRDHUP and took this for the caller's close: the wait until a reply is written (cut as process_ends), the sending of the rest (dropped, with a reset) and the wait for delivery (closed with unread bytes).

The third wait has no test of its own.

The state of the connection tells who ended it, and until when the rest is sent: 0.25 s after that end, so that the threads still end before the process. A caller that really resets meanwhile is still seen by POLLHUP or by the error of a write.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watch.py
@@ -5,7 +5,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 from redwingscale_daemon._internal.exceptions import (
     CallerLeft,
@@ -190,9 +190,13 @@
             raise ResumedBeforeSending(str(error)) from None
 
     def wait_until_written(self) -> None:
-        """Block until the caller has taken the whole reply; raises as above."""
-        while self._reply is not None and self._reply.unwritten:
-            self._poll_caller(self._time_left(self._reply))
+        """Block until the caller has taken the whole reply; raises `TimeLimitReached`, `CallerLeft`.
+
+        Returns once this process has ended the connection, which then sends what is left.
+        """
+        with suppress(ProcessEnds):
+            while self._reply is not None and self._reply.unwritten:
+                self._poll_caller(self._time_left(self._reply))
 
     def _wait_for_room(self, reply: Reply, count: int) -> None:
         # The upstream has bytes, so this is no silence of it.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/caller_connection.py
@@ -13,7 +13,6 @@
     DeliveringConnection,
 )
 from redwingscale_daemon._internal.ingress.caller_reader import CallerIO
-from redwingscale_daemon._internal.ingress.connection_state import ConnectionState
 from redwingscale_daemon._internal.ingress.pending_writer import PendingWriter
 from redwingscale_daemon._internal.ingress.strict_headers import StrictHeaderReader
 from redwingscale_daemon._internal.utils.sockets import (
@@ -48,10 +47,6 @@
     was_read = False
     is_turned_away = False
 
-    def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
-        super().__init__(server, sock, makefile)
-        self.state = ConnectionState()
-
     def communicate(self) -> bool:
         """Handle one request; return whether the connection can be used for another."""
         if not self.was_read and self.server.unread_closes.closes_late(self.socket):
@@ -79,7 +74,7 @@
         if self.wfile.pending:
             left = self.deliver_until - time.monotonic()
             with suppress(OSError):
-                self.wfile.drain(max(left, self.server.rest_seconds))
+                self.wfile.drain(max(left, self.server.rest_seconds), self.state)
         if not self.wfile.pending:
             return True
         self.wfile.expired = True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/connection_state.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/connection_state.py
@@ -1,5 +1,6 @@
 """What is known of one connection of a caller."""
 
+import math
 import time
 
 
@@ -12,3 +13,5 @@
         self.requests = 0
         # Whether this process has ended the connection, as it stops.
         self.ended = False
+        # Monotonic time until which it then sends what is left of an answer.
+        self.sends_until = math.inf
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/pending_writer.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/pending_writer.py
@@ -5,6 +5,7 @@
 import socket
 import time
 
+from redwingscale_daemon._internal.ingress.connection_state import ConnectionState
 from redwingscale_daemon._internal.ingress.held_bytes import HeldBytes
 
 # At most this much is passed to one call, of which the socket takes at most its own buffer.
@@ -55,14 +56,20 @@
                 break
         self._count()
 
-    def drain(self, seconds: float) -> None:
-        """Wait up to ``seconds`` until nothing is pending; raises `OSError`."""
+    def drain(self, seconds: float, state: ConnectionState | None = None) -> None:
+        """Wait up to ``seconds`` until nothing is pending; raises `OSError`.
+
+        A connection that this process ends looks like one that the caller has closed.
+        """
+        state = state or ConnectionState()
         ends_at = time.monotonic() + seconds
         poller = select.poll()
         poller.register(self._socket, select.POLLOUT | select.POLLRDHUP)
-        while self._pending and (left := ends_at - time.monotonic()) > 0:
+        while self._pending and (left := min(ends_at, state.sends_until) - time.monotonic()) > 0:
             for _, events in poller.poll(left * _MILLISECONDS_PER_SECOND + 1):
-                if events & (select.POLLRDHUP | select.POLLHUP):
+                if events & select.POLLRDHUP and state.ended:
+                    poller.modify(self._socket, select.POLLOUT)
+                elif events & (select.POLLRDHUP | select.POLLHUP):
                     raise ConnectionAbortedError("the caller closed its connection")
                 self.send_pending()
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/request_threads.py
@@ -23,6 +23,8 @@
 FULL_LOG_SECONDS = 5.0
 # Time for the answers to requests that are open when the process ends.
 ENDING_SECONDS = 0.3
+# Reserved at the end of that to close a connection whose caller does not take its answer.
+_CLOSING_SECONDS = 0.05
 
 
 class _Waiter:
@@ -140,9 +142,9 @@
             self._end(connection)
         _join(threads, self.ends_at + ENDING_SECONDS)
 
-    @staticmethod
-    def _end(connection: Any) -> None:
+    def _end(self, connection: Any) -> None:
         """End the reading side of a connection, which wakes the thread that waits for it."""
+        connection.state.sends_until = self.ends_at + ENDING_SECONDS - _CLOSING_SECONDS
         connection.state.ended = True
         with contextlib.suppress(OSError):
             connection.socket.shutdown(socket.SHUT_RD)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
@@ -8,6 +8,8 @@
 import msgspec
 import pytest
 from redwingscale_daemon._internal.forwarding import answer_stream, envelope
+from redwingscale_daemon._internal.ingress import request_threads
+from redwingscale_daemon._internal.ingress.request_threads import RequestThreads
 from redwingscale_daemon._internal.lifecycle.run_times import LEAST_ANSWERS
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys, key_digest
 from redwingscale_daemon._internal.workspaces.use_limiter import Drawn
@@ -193,6 +195,35 @@
     assert (response.status, len(cut.log)) == (status, asked)
 
 
+def test_answer_that_was_read_whole_is_delivered_on_as_the_process_ends(world, monkeypatch):
+    """Guards against an answer that ends with its connection although all of it is there."""
+    ended, end = threading.Event(), RequestThreads._end
+
+    def end_and_note(threads, connection):
+        end(threads, connection)
+        ended.set()
+
+    monkeypatch.setattr(RequestThreads, "_end", end_and_note)
+    # The real time is too short for a test on a busy machine.
+    monkeypatch.setattr(request_threads, "ENDING_SECONDS", WAIT_SECONDS)
+    body = b"x" * BODY_BYTES
+    world.add("plain", sized(body))
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.settimeout(WAIT_SECONDS)
+    caller.connect(("127.0.0.1", world.server.port))
+    world.send("/safe/x", caller=caller)
+    assert caller.recv(1, socket.MSG_PEEK)
+    stops = threading.Thread(target=world.server.stop, args=(STOP_SECONDS,))
+    stops.start()
+    assert ended.wait(WAIT_SECONDS)
+    # The thread of the request sees the end of its connection at once.
+    time.sleep(0.1)
+    response = read_response(caller)
+    stops.join()
+    assert (response.status, response.body == body) == (200, True)
+
+
 def test_units_are_not_refunded_when_the_caller_leaves_a_request_at_a_peer(cut, monkeypatch):
     """Guards against requests that run at another instance's upstream for nothing."""
     clerks = Workspace("clerks", 1, UseLimit(UseUnit.REQUESTS, 10.0, 1000.0))
--- a/packages/redwingscale-daemon/tests/unit/ingress/test_answers_in_stop.py
+++ b/packages/redwingscale-daemon/tests/unit/ingress/test_answers_in_stop.py
@@ -6,12 +6,13 @@
 import time
 
 import pytest
+from redwingscale_daemon._internal.ingress import request_threads
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
 
 WAIT_SECONDS = 8.0
 LONG_SECONDS = 60
-# More than a caller takes without reading, and less than the instance's socket holds beside it.
-SMALL_BODY = b"x" * (40 << 10)
+# Less than a caller takes without reading, and more than that and the instance's socket hold.
+SMALL_BODY, LARGE_BODY = b"x" * (40 << 10), b"x" * (600 << 10)
 BUFFER_BYTES = 4096
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
@@ -89,3 +90,17 @@
     # The answer is written, and its connection closed or kept, within this time.
     time.sleep(0.3)
     assert port.read() == SMALL_BODY
+
+
+def test_answer_is_delivered_on_as_the_process_ends_its_connection(make_port, monkeypatch):
+    """Guards against the process's own end of a connection that is taken for the caller's."""
+    # The real time is too short for a test on a busy machine.
+    monkeypatch.setattr(request_threads, "ENDING_SECONDS", WAIT_SECONDS)
+    port = make_port(LARGE_BODY)
+    port.ask()
+    port.go_on.set()
+    port.stop(0.3)
+    wait_until(lambda: port.connection.ended)
+    # The thread sees the end of the connection at once.
+    time.sleep(0.1)
+    assert port.read() == LARGE_BODY
