Accept the queue of a closing port on after an error for want of descriptors

Callers whose connections waited in the accept queue as the port closed saw a reset if no descriptor was left for the first of them, even if one became free right after.

Cause: the last accepts end at the first call that returns no connection. That means an empty queue, but also an accept that failed for want of room.

Evidence: the test with one EMFILE fails without this change (connection reset) and passes with it. A connection that was reset while it waited is accepted like others on Linux; its test passed before as well, and is kept.

Whether the queue is empty is now asked of the listener. The attempts end after 0.5 s: with all descriptors in use for longer, the rest of the queue is reset.

--- a/packages/redwingscale-common/src/redwingscale_common/network/accepting.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/accepting.py
@@ -15,6 +15,9 @@
 _NO_ROOM = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 # Without a pause the thread would try again at once, and take the time in which others end.
 ACCEPT_PAUSE_SECONDS = 0.05
+# How long a port that closes accepts what is in its queue: the rest is reset. Requests that end
+# meanwhile make room where no descriptor is left.
+LAST_ACCEPTS_SECONDS = 0.5
 # At most one log line in this time.
 LOG_SECONDS = 5.0
 
@@ -54,8 +57,11 @@
         super().stop()
         listener = self.server.socket
         listener.setblocking(False)
-        while (connection := self._from_server_socket(listener)) is not None:
-            self.server.process_conn(connection)
+        ends_at = time.monotonic() + LAST_ACCEPTS_SECONDS
+        # No connection may also mean that none could be accepted now.
+        while _is_readable(listener.fileno()) and time.monotonic() < ends_at:
+            if (connection := self._from_server_socket(listener)) is not None:
+                self.server.process_conn(connection)
 
     def close(self) -> None:
         """Close all idle connections, and serve those whose next request has come."""
--- a/packages/redwingscale-daemon/tests/unit/ingress/test_closing_port.py
+++ b/packages/redwingscale-daemon/tests/unit/ingress/test_closing_port.py
@@ -1,5 +1,6 @@
 """Connections that are established, or bring a request, as their port closes."""
 
+import errno
 import http.client
 import socket
 import threading
@@ -7,6 +8,7 @@
 
 import pytest
 from redwingscale_daemon._internal.ingress.ingress_server import IngressServer, PortLimits
+from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
 
 WAIT_SECONDS = 8.0
 # For open requests, and for a connection to bring one: no test waits for it.
@@ -113,3 +115,38 @@
     unread = port.connect()
     port.stop()
     assert [one.recv(1) for one in (idle, read, unread)] == [b""] * 3
+
+
+def test_connections_in_the_queue_are_answered_although_no_descriptor_is_left_at_first(
+    port, monkeypatch
+):
+    """Guards against a port that closes at the first connection it has no descriptor for."""
+    port.hold()
+    waiting = [port.connect() for _ in range(3)]
+    for one in waiting:
+        one.sendall(REQUEST)
+    accept, refused = socket.socket.accept, []
+
+    def accept_second_time(listener):
+        if not refused:
+            refused.append(listener)
+            raise OSError(errno.EMFILE, "no descriptor is left")
+        return accept(listener)
+
+    monkeypatch.setattr(socket.socket, "accept", accept_second_time)
+    port.stop()
+    assert refused
+    assert [read_status(one) for one in waiting] == [200] * 3
+
+
+def test_connections_behind_one_that_was_reset_are_answered_as_the_port_closes(port):
+    """Guards against a reset in the accept queue that ends the connections behind it."""
+    port.hold()
+    gone = port.connect()
+    waiting = [port.connect() for _ in range(3)]
+    for one in waiting:
+        one.sendall(REQUEST)
+    gone.setsockopt(*RESET_ON_CLOSE)
+    gone.close()
+    port.stop()
+    assert [read_status(one) for one in waiting] == [200] * 3
