Decide as an answer's head is sent whether its connection closes after it

A caller whose request had come before SIGTERM and was answered in the 2.4 s until the port closes got an answer without "Connection: close". It kept the connection, which is closed as the port closes, perhaps as the next request comes.

Cause: the header was decided when the request was read.

Evidence: the test fails without this change (no Connection header) and passes with it. Heads that were sent before SIGTERM cannot say so.

The reply asks whether the instance stops, or leaves the rotation, as its head is sent.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -109,13 +109,12 @@
         ``passed_on`` is set if another instance has passed the request on to this one.
         """
         with self._open_requests.track():
-            self._close_in_stop(reply)
+            reply.closes = self._closes_connections
             self._handle(request, reply, passed_on)
 
-    def _close_in_stop(self, reply: Reply) -> None:
-        if self._open_requests.draining or self._leaves_rotation():
-            # A persistent connection could carry the next request just as the port closes.
-            reply.close_after()
+    def _closes_connections(self) -> bool:
+        # A persistent connection could carry the next request just as the port closes.
+        return self._open_requests.draining or self._leaves_rotation()
 
     def claim(self, passing: str) -> int:
         """Return how many upstreams may run a passed-on request, and let no further one run it.
@@ -144,7 +143,7 @@
         except Refusal as refusal:
             self._log_if_stopping(head, terms)
             self._log_end(head, terms, None, refusal)
-            self._close_in_stop(reply)
+            reply.closes = self._closes_connections
             reply.leave_body_unread()
             self._refuse(refusal, reply)
             return True
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/reply.py
@@ -1,7 +1,7 @@
 """The answer to one request of a caller."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
 
@@ -25,6 +25,8 @@
         self._writer = server_request.conn.wfile
         self._writer.count_with(held)
         self.status = 0
+        # Asked as the head is sent: whether the connection is closed after this answer.
+        self.closes: Callable[[], bool] = lambda: False
 
     @property
     def started(self) -> bool:
@@ -112,6 +114,8 @@
 
     def _set_head(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
         self.status = status
+        if self.closes():
+            self.close_after()
         self._request.status = f"{status} {_phrase(status)}".encode("latin-1")
         self._request.outheaders = [
             (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
@@ -195,6 +195,19 @@
     assert (response.status, len(cut.log)) == (status, asked)
 
 
+def test_answer_to_a_request_of_before_the_stop_closes_its_connection(world):
+    """Guards against a next request on a connection that is closed as the port closes."""
+    held = Held()
+    world.add("plain", held)
+    caller = world.send("/safe/x")
+    assert held.received.wait(WAIT_SECONDS)
+    now = time.monotonic()
+    world.open_requests.drain(now + WAIT_SECONDS, now + 2 * WAIT_SECONDS)
+    held.goes_on.set()
+    response = read_response(caller)
+    assert (response.status, response.headers.get("Connection")) == (200, "close")
+
+
 def test_answer_that_was_read_whole_is_delivered_on_as_the_process_ends(world, monkeypatch):
     """Guards against an answer that ends with its connection although all of it is there."""
     ended, end = threading.Event(), RequestThreads._end
