Answer a next request that has begun beside another one with 408, not 400, in a stop

A caller whose connection brought the first bytes of its next request together with the request before got 400 for a proper request as the port closed.

Cause: a read that ends as the port closes asks whether the request has begun. That was decided by reads of the socket since the last request, and the reader had these bytes already.

Evidence: the test fails without this change (400, "HTTP requires CRLF terminators") and passes with it.

What the reader still holds counts as begun, so the request is read on, and is late at the time of the last heads.

--- a/packages/redwingscale-common/src/redwingscale_common/network/bounded.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/bounded.py
@@ -41,10 +41,13 @@
         self.expired = self._request_begun = False
         self.restart_deadline()
 
-    def restart_deadline(self) -> None:
-        """Set the deadline anew, counted from now."""
+    def restart_deadline(self, *, request_begun: bool = False) -> None:
+        """Set the deadline anew, counted from now.
+
+        ``request_begun``: bytes of the next request were read together with the one before.
+        """
         self._deadline = time.monotonic() + self._seconds
-        self._request_begun = False
+        self._request_begun = request_begun
 
     def readinto(self, buffer: Any) -> int | None:
         """Read the bytes that are available.
@@ -131,7 +134,7 @@
 
     def communicate(self) -> bool:
         """Handle one request; return whether the connection can be used for another."""
-        self.rfile.raw.restart_deadline()
+        self.rfile.raw.restart_deadline(request_begun=self.rfile.has_data())
         keep = bool(super().communicate())  # type: ignore[no-untyped-call]
         if not keep and self.has_unread_input:
             self._linger()
--- a/packages/redwingscale-daemon/tests/unit/ingress/test_closing_port.py
+++ b/packages/redwingscale-daemon/tests/unit/ingress/test_closing_port.py
@@ -13,6 +13,8 @@
 WAIT_SECONDS = 8.0
 # For open requests, and for a connection to bring one: no test waits for it.
 LONG_SECONDS = 60
+# Beyond the time in which the accept loop ends (0.5 s) and open requests end (0.3 s).
+SHORT_SECONDS = 2.0
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -150,3 +152,18 @@
     gone.close()
     port.stop()
     assert [read_status(one) for one in waiting] == [200] * 3
+
+
+def test_next_request_that_has_begun_beside_another_one_is_late_as_its_port_closes(port):
+    """Guards against 400 for a proper request whose first bytes came with the one before it."""
+    caller = port.connect()
+    caller.sendall(REQUEST + REQUEST[:9])
+    assert read_status(caller) == 200
+    # Read on by a thread, not by the loop.
+    wait_until(lambda: port.server._threads.busy)
+    stop = threading.Thread(target=port.server.stop, args=(SHORT_SECONDS,), daemon=True)
+    stop.start()
+    response = http.client.HTTPResponse(caller)
+    response.begin()
+    stop.join(WAIT_SECONDS)
+    assert response.status == 408, response.read()
