--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/raw_store.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/raw_store.py
@@ -1,13 +1,12 @@
 """A row store on plain sockets: passes calls on to another one, or answers without end."""
 
-import contextlib
 import http.client
 import socket
-import threading
 
 import urllib3
 
 from redwingscale_standins.hosted.endless_answers import EndlessSender
+from redwingscale_standins.hosted.raw_listener import RawListener
 
 _PASSED_ON = ("Store-Era", "Content-Type")
 
@@ -21,9 +20,8 @@
         self._sender: EndlessSender | None = None
         # The calls that were answered without end.
         self.endless = 0
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._listener = RawListener(self._serve)
+        self.port = self._listener.port
 
     def break_off(self, target: str, sender: EndlessSender) -> None:
         """Answer calls for ``target`` without end from now on."""
@@ -35,29 +33,20 @@
 
     def stop(self) -> None:
         """Accept no more connections."""
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+        self._listener.stop()
 
     def _serve(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError, ValueError), connection:
-            reader = connection.makefile("rb")
-            while line := reader.readline():
-                method, target = line.decode().split()[:2]
-                headers = http.client.parse_headers(reader)
-                body = reader.read(int(headers.get("Content-Length", "0")))
-                sender = self._sender
-                if sender is not None and target.startswith(self._target):
-                    self.endless += 1
-                    sender.send(connection, b"Store-Era: 0\r\n")
-                    return
-                connection.sendall(self._pass_on(method, target, body))
+        reader = connection.makefile("rb")
+        while line := reader.readline():
+            method, target = line.decode().split()[:2]
+            headers = http.client.parse_headers(reader)
+            body = reader.read(int(headers.get("Content-Length", "0")))
+            sender = self._sender
+            if sender is not None and target.startswith(self._target):
+                self.endless += 1
+                sender.send(connection, b"Store-Era: 0\r\n")
+                return
+            connection.sendall(self._pass_on(method, target, body))
 
     def _pass_on(self, method: str, target: str, body: bytes) -> bytes:
         headers = {"Content-Type": "application/json"} if body else {}
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/raw_worker.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/raw_worker.py
@@ -1,12 +1,12 @@
 """A model worker that answers requests with bytes of a script, on plain sockets."""
 
-import contextlib
 import http.client
 import json
 import socket
-import threading
 from collections.abc import Callable
 
+from redwingscale_standins.hosted.raw_listener import RawListener
+
 Script = Callable[[socket.socket, dict[str, str]], None]
 _JSON_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
 
@@ -29,37 +29,26 @@
         self._answers_calls = answers_calls
         self.requests: list[str] = []
         self._script = script
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._listener = RawListener(self._serve)
+        self.port = self._listener.port
 
     def stop(self) -> None:
         """Accept no more connections."""
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+        self._listener.stop()
 
     def _serve(self, connection: socket.socket) -> None:
-        # The instance resets connections that it has given up.
-        with contextlib.suppress(OSError, ValueError), connection:
-            reader = connection.makefile("rb")
-            while line := reader.readline():
-                target = line.split()[1].decode()
-                parsed = http.client.parse_headers(reader)
-                headers = {name.lower(): value for name, value in parsed.items()}
-                reader.read(int(headers.get("content-length", "0")))
-                if self._answers_calls and target.startswith(("/api/", "/healthz")):
-                    connection.sendall(self._report(target))
-                    continue
-                self.requests.append(headers.get("x-redwingscale-request-id", ""))
-                self._script(connection, headers)
-                return
+        reader = connection.makefile("rb")
+        while line := reader.readline():
+            target = line.split()[1].decode()
+            parsed = http.client.parse_headers(reader)
+            headers = {name.lower(): value for name, value in parsed.items()}
+            reader.read(int(headers.get("content-length", "0")))
+            if self._answers_calls and target.startswith(("/api/", "/healthz")):
+                connection.sendall(self._report(target))
+                continue
+            self.requests.append(headers.get("x-redwingscale-request-id", ""))
+            self._script(connection, headers)
+            return
 
     def _report(self, target: str) -> bytes:
         if target == "/healthz":
