--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_confirmation.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_confirmation.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-# The list is read within 0.1 s of the wish, and the store mostly answers within a few
+# The list is read within 0.1 s of the request for it, and the store mostly answers within a few
 # milliseconds.
 CONFIRM_SECONDS = 0.4
 
@@ -18,7 +18,7 @@
 
     def __init__(self) -> None:
         self._condition = threading.Condition()
-        # When the newest wish came, and when the newest read began that the list here is from.
+        # Monotonic times of the newest request, and of the begin of the read that the list is from.
         self._wanted_at = self._read_at = -math.inf
 
     @property
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -45,7 +45,7 @@
         self._state = state
         # Whether no read is due, by the monotonic time of the last one.
         self._not_due = not_due
-        # Called with when the read began whose list is in use now.
+        # Called with the monotonic time at which the read of the current list began.
         self._on_read = on_read
         self._retry = Backoff(immediate_first_retry=True)
         # Decoding errors of invalid entries, by the name of the entry.
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_gaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_gaps.py
@@ -10,7 +10,7 @@
 from redwingscale_daemon._internal.store.store_version import NOTHING_READ
 
 # Own reads come each 0.84 s by default and are checked each 0.1 s; the leader's lists are younger.
-# At 2 s, a version that served for 0.9 s while an instance was cut off for 1.5 s went unnoticed.
+# A longer bound would miss versions that serve for a second.
 GAP_SECONDS = 1.2
 
 
