Start tests of raw answers once the instance may send repeats

Seen: on, beside another pytest run of four workers, test_answer_without_end_is_given_up_and_the_request_goes_on failed for [no-end-of-an-event] and [no-http]: 502 in place of 200.

Cause, from both logs: the request came 0.2 s after the start, before the leader had told the instance its former repeats. The budget waits for that for one second after the start; under load it came later (0.09 to 0.84 s after the leader began, in 19 other starts of that time), and an instance that does not know its share divides by six: `repeat_refused used=0 allowed=0.15 instances=6`. That is how the budget is meant to start. These tests are about what happens to an answer, not about the start.

Change: the fixtures wait for the line `former_repeats` before the first request. All assertions stay as they are.

--- a/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
@@ -135,19 +135,31 @@
 
 
 @pytest.fixture
-def make_pair(deployment, raw_worker):
+def start_instance(deployment):
+    """Start an instance, and wait until the leader has told it which repeats it may send."""
+
+    def start():
+        made = deployment.instance("one")
+        until(lambda: b"event=former_repeats" in made.log.read_bytes(), "the former repeats")
+        return made
+
+    return start
+
+
+@pytest.fixture
+def make_pair(deployment, raw_worker, start_instance):
     """Start an instance before a raw worker with a script and a sound one."""
 
     def make(script, linked=False):
         deployment.worker("sound", "m1", linked=linked)
         raw = raw_worker(script, linked)
-        return deployment.instance("one"), raw
+        return start_instance(), raw
 
     return make
 
 
 @pytest.fixture
-def make_plain(deployment, raw_worker):
+def make_plain(deployment, raw_worker, start_instance):
     """Start an instance before a raw worker and a sound one of a plain service."""
 
     def make(kind, script):
@@ -158,7 +170,7 @@
         deployment.rows.put("op", "config", configuration)
         deployment.plain_worker(SoakWorker("sound", set(), Ledger()))
         raw = raw_worker(script, Service="plain")
-        return deployment.instance("one"), raw
+        return start_instance(), raw
 
     return make
 
