Refuse answers whose heads hold lines that are no fields

Callers saw: a 200 with a body that the worker had not sent. With a line that is no field before `Transfer-Encoding`, or with `Transfer-Encoding : chunked`, the sizes of the chunks were part of the body; with such a line before `Content-Length`, or after a bare CR that brought another length, the body was cut or ran to the end of the connection. A line such as `X(Odd): 1`, and values with NUL, \x01, a form feed or DEL, were passed on.

Cause: `http.client` has heads parsed by the `email` package, which ends a head at the first line that is no field, splits lines at a bare CR and reports neither. All clients read heads by it: requests to upstreams and peers, reports, orders, probes, the store, the product's own interfaces and the CLI.

Change: `network/grammar.py` holds the grammar of a field, for requests (the names, which `strict_headers.py` had to itself) and for answers. A response reads its head by it and hands to `http.client` only fields that are valid, without blanks around their values. Another line raises `HTTPException`: the connection is discarded, the request goes on at another upstream or is answered 502. Folded lines are refused, as RFC 9112 allows: a name that begins with a blank cannot be told from one. `whole_heads.py` becomes `strict_responses.py`, since it checks more than whether a head is whole.

Forms that have to go on being served are tests beside them.

The stand-in reader of answers in unit/forwarding/conftest.py decodes heads as Latin-1: it failed itself at bytes from 0x80 on.

--- a/packages/redwingscale-common/src/redwingscale_common/network/client.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/client.py
@@ -2,7 +2,7 @@
 
 import urllib3
 
-from redwingscale_common.network.whole_heads import WholeHeadPools
+from redwingscale_common.network.strict_responses import StrictPools
 
 MAX_IDLE_CONNECTIONS = 64
 
@@ -13,7 +13,7 @@
     By default urllib3 retries and follows redirects, which would run a request again
     without the knowledge of the retry policy.
     """
-    return WholeHeadPools(
+    return StrictPools(
         num_pools=2048,
         maxsize=connections,
         block=False,
--- /dev/null
+++ b/packages/redwingscale-common/src/redwingscale_common/network/strict_responses.py
@@ -0,0 +1,122 @@
+"""Responses whose heads follow the grammar of HTTP/1.1; others raise `HTTPException`.
+
+`http.client` ends a head at the first line that is no field, or at the end of the
+connection. What follows is lost then, such as the length of the body.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.client import CONTINUE, HTTPException, HTTPResponse, IncompleteRead
+from io import BytesIO
+from typing import Any, NamedTuple
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from redwingscale_common.network.grammar import parse_field
+
+_MAX_LINE_BYTES = 64 << 10
+# A head with the interim heads before it.
+_MAX_HEADS_BYTES = 256 << 10
+_CRLF = b"\r\n"
+
+
+def check_line(line: bytes, limit: int) -> bytes:
+    """Return ``line`` of at most ``limit`` bytes; raise `IncompleteRead` if it breaks off."""
+    if not line.endswith(b"\n") and len(line) < limit:
+        raise IncompleteRead(line)
+    return line
+
+
+def _read_line(reader: Any, *, may_end: bool = False) -> bytes:
+    """Return the next line; with ``may_end``, the connection may end before it."""
+    line: bytes = reader.readline(_MAX_LINE_BYTES)
+    if len(line) == _MAX_LINE_BYTES:
+        raise ValueError("a line of the response has no end")
+    return line if may_end and not line else check_line(line, _MAX_LINE_BYTES)
+
+
+@contextmanager
+def _raising_http_exception() -> Iterator[None]:
+    """Turn a ValueError, which the grammar raises, into what callers of `http.client` handle."""
+    try:
+        yield
+    except ValueError as error:
+        raise HTTPException(str(error)) from error
+
+
+class _Head(NamedTuple):
+    status_line: bytes
+    fields: tuple[tuple[bytes, bytes], ...]
+
+    def encode(self) -> bytes:
+        lines = (b"%s: %s\r\n" % field for field in self.fields)
+        return b"".join((self.status_line, *lines, _CRLF))
+
+
+class _HeadReader:
+    """Reads the heads of one response."""
+
+    def __init__(self, reader: Any) -> None:
+        self._reader = reader
+        self._bytes = 0
+
+    def read_final(self) -> _Head | None:
+        """Return the final head, None if the connection ends before its first byte."""
+        while line := self._read_line():
+            fields = tuple(map(parse_field, iter(self._read_field_line, b"")))
+            if line.split()[1:2] != [b"%d" % CONTINUE]:
+                return _Head(line, fields)
+        return None
+
+    def _read_field_line(self) -> bytes:
+        line = self._read_line()
+        return b"" if line in (_CRLF, b"\n") else line
+
+    def _read_line(self) -> bytes:
+        line = _read_line(self._reader, may_end=not self._bytes)
+        self._bytes += len(line)
+        if self._bytes > _MAX_HEADS_BYTES:
+            raise ValueError("the head of the response has no end")
+        return line
+
+
+class StrictResponse(HTTPResponse):
+    """Raises `HTTPException` for a head that is not valid.
+
+    One that breaks off raises `IncompleteRead`, which is one of them.
+    """
+
+    def begin(self) -> None:
+        """Read the head; interim responses before it are skipped."""
+        if self.headers is not None:
+            return
+        reader: Any = self.fp
+        with _raising_http_exception():
+            head = _HeadReader(reader).read_final()
+        # `http.client` parses lines that are valid, or none.
+        self.fp = BytesIO(b"" if head is None else head.encode())
+        try:
+            super().begin()
+        finally:
+            self.fp = reader
+
+
+class StrictConnection(HTTPConnection):
+    """A connection of urllib3 with such responses."""
+
+    response_class = StrictResponse
+
+
+class StrictPool(urllib3.HTTPConnectionPool):
+    """A pool of such connections; a response that is not valid raises `ProtocolError`."""
+
+    ConnectionCls = StrictConnection
+
+
+class StrictPools(urllib3.PoolManager):
+    """Such pools by host."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self.pool_classes_by_scheme = {"http": StrictPool}
--- /dev/null
+++ b/packages/redwingscale-common/tests/unit/test_strict_responses.py
@@ -0,0 +1,52 @@
+"""Clients read responses of any valid form, and take others for broken ones."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+import urllib3
+from redwingscale_common.network.client import new_pool
+from redwingscale_standins.hosted.answer_forms import BROKEN, VALID
+
+BODY = b"0123456789" * 5
+TIMEOUT_SECONDS = 5.0
+
+
+@pytest.fixture
+def answering():
+    """Return a function that opens a port which answers one call in a form, and closes."""
+    with contextlib.ExitStack() as stack:
+
+        def make(form):
+            listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+
+            def serve():
+                with contextlib.suppress(OSError):
+                    connection, _ = listener.accept()
+                    with connection:
+                        connection.recv(65536)
+                        connection.sendall(form.write("r", BODY))
+
+            threading.Thread(target=serve, daemon=True).start()
+            return f"http://127.0.0.1:{listener.getsockname()[1]}/"
+
+        yield make
+
+
+def read_whole(pool, url):
+    return pool.request("GET", url, timeout=TIMEOUT_SECONDS).data
+
+
+@pytest.mark.parametrize("form", BROKEN.values(), ids=BROKEN)
+def test_broken_response_raises_an_error_of_the_client(answering, form):
+    """Guards against a client that takes other bytes for the body than its server sent."""
+    with new_pool() as pool, pytest.raises(urllib3.exceptions.HTTPError):
+        read_whole(pool, answering(form))
+
+
+@pytest.mark.parametrize("form", VALID.values(), ids=VALID)
+def test_valid_response_is_read(answering, form):
+    """Guards against a valid response that is taken for a broken one."""
+    with new_pool() as pool:
+        assert read_whole(pool, answering(form)) == BODY
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/upstream_connection.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from http.client import HTTPResponse
 
-from redwingscale_common.network.whole_heads import WholeHeadConnection, WholeHeadResponse
+from redwingscale_common.network.strict_responses import StrictConnection, StrictResponse
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, NameResolutionError, NewConnectionError
 
@@ -32,7 +32,7 @@
 _BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
 
-class UpstreamConnection(WholeHeadConnection):
+class UpstreamConnection(StrictConnection):
     """Sends requests with their raw target; every read waits under a `Watch`."""
 
     def __init__(self, host: str, port: int, connect_seconds: float = CONNECT_SECONDS) -> None:
@@ -116,7 +116,7 @@
     def receive_extra_response(self, method: str) -> HTTPResponse:
         """Return the response after one that belonged to an earlier request."""
         assert self._watched is not None
-        response = WholeHeadResponse(self._watched, method=method)  # type: ignore[arg-type]
+        response = StrictResponse(self._watched, method=method)  # type: ignore[arg-type]
         self._watched.raw.lines = LineBound()
         try:
             response.begin()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watched_socket.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/watched_socket.py
@@ -7,7 +7,7 @@
 from http.client import HTTPException
 from typing import Any
 
-from redwingscale_common.network.whole_heads import check_line
+from redwingscale_common.network.strict_responses import check_line
 
 from redwingscale_daemon._internal.forwarding.line_bound import LineBound
 from redwingscale_daemon._internal.forwarding.watch import Watch
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/strict_headers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/strict_headers.py
@@ -4,9 +4,8 @@
 from typing import Any
 
 from cheroot.server import HeaderReader
+from redwingscale_common.network.grammar import FIELD_NAME
 
-# RFC 9110, section 5.6.2.
-_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _DIGITS = re.compile(rb"[0-9]{1,15}")
 _CONTENT_LENGTH = b"Content-Length"
 _TRANSFER_ENCODING = b"Transfer-Encoding"
@@ -55,7 +54,7 @@
         return hdict
 
     def _transform_key(self, key_name: bytes) -> bytes:
-        if not _TOKEN.fullmatch(key_name):
+        if not FIELD_NAME.fullmatch(key_name):
             raise ValueError(f"{key_name[:40]!r} is not a header name")
         return bytes(key_name.title())
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
@@ -6,11 +6,11 @@
 import time
 from typing import Any
 
-from redwingscale_common.network.whole_heads import (
-    WholeHeadConnection,
-    WholeHeadPool,
-    WholeHeadPools,
-    WholeHeadResponse,
+from redwingscale_common.network.strict_responses import (
+    StrictConnection,
+    StrictPool,
+    StrictPools,
+    StrictResponse,
 )
 
 # Answers to calls have some kilobytes and come at once.
@@ -128,7 +128,7 @@
     ``timeout`` bounds the connecting, and the whole answer.
     """
 
-    response_class = WholeHeadResponse
+    response_class = StrictResponse
 
     def __init__(self, host: str, port: int, timeout: float) -> None:
         super().__init__(host, port, timeout=timeout)
@@ -139,31 +139,31 @@
         self.sock = _BoundedSocket(self.sock, self._answer_seconds)
 
 
-class _PooledConnection(WholeHeadConnection):
+class _PooledConnection(StrictConnection):
     def connect(self) -> None:
         super().connect()
         self.sock = _BoundedSocket(self.sock)
 
 
-class ShortAnswerPool(WholeHeadPool):
+class ShortAnswerPool(StrictPool):
     """Connections to one host; an answer that has no end raises an `HTTPError` of ``urllib3``."""
 
     ConnectionCls = _PooledConnection
 
 
-class _StoreConnection(WholeHeadConnection):
+class _StoreConnection(StrictConnection):
     def connect(self) -> None:
         super().connect()
         self.sock = _PolledSocket(self.sock, most_bytes=MAX_STORE_ANSWER_BYTES)
 
 
-class StoreAnswerPool(WholeHeadPool):
+class StoreAnswerPool(StrictPool):
     """As `ShortAnswerPool`, for answers of the store, which are longer and may be waited for."""
 
     ConnectionCls = _StoreConnection
 
 
-class ShortAnswerPools(WholeHeadPools):
+class ShortAnswerPools(StrictPools):
     """Gives an answer up that has no end, with an `HTTPError` of ``urllib3``."""
 
     def __init__(self, **options: Any) -> None:
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
@@ -1,11 +1,13 @@
 """Answers on raw sockets: some end with their connection, others are none and never end."""
 
+import contextlib
 import itertools
 import time
 
 import pytest
 import urllib3
 from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
+from redwingscale_standins.hosted.answer_forms import BROKEN
 from redwingscale_standins.hosted.documents import HOST, document, stream_route
 from redwingscale_standins.hosted.raw_worker import RawWorker, events, stream_head
 from redwingscale_standins.hosted.waiting import until
@@ -60,6 +62,18 @@
     return chunked_head(headers) + chunk(events(first_event(headers), EVENTS))
 
 
+def answers(form, body):
+    """Return a script that answers in a form; the connection stays open until it is discarded."""
+
+    def script(connection, headers):
+        connection.sendall(form.write(headers["x-redwingscale-request-id"], body(headers)))
+        connection.settimeout(DEADLINE_SECONDS)
+        with contextlib.suppress(OSError):
+            connection.recv(1)
+
+    return script
+
+
 def sends_on(pieces, pause=0.0):
     """Return a script that sends ``pieces`` until the connection is closed."""
 
@@ -255,3 +269,31 @@
     """Guards against bytes that are no answer, and keep a request until its deadline."""
     instance, raw = make_pair(script)
     assert until_asked(instance, raw) == (200, WHOLE)
+
+
+BROKEN_FORMS = (
+    "line-no-field-before-chunks",
+    "name-blank-at-the-end",
+    "name-control-byte",
+)
+
+
+@pytest.mark.parametrize("name", BROKEN_FORMS)
+def test_broken_plain_answer_is_asked_for_again(make_plain, name):
+    """Guards against a caller that gets a body that the worker has not sent."""
+    answer, asked = ask_plain(*make_plain("safe", answers(BROKEN[name], lambda headers: PIECE)))
+    assert (answer.status, answer.data) == (200, f"{asked}:b".encode())
+
+
+@pytest.mark.parametrize("name", BROKEN_FORMS)
+def test_broken_plain_answer_is_no_success_if_it_may_not_run_again(make_plain, name):
+    """Guards against the same on a route whose requests run once at most."""
+    answer, _ = ask_plain(*make_plain("unsafe", answers(BROKEN[name], lambda headers: PIECE)))
+    assert answer.status == 502
+
+
+@pytest.mark.parametrize("name", BROKEN_FORMS)
+def test_stream_with_a_broken_answer_goes_on_elsewhere(make_pair, name):
+    """Guards against a stream that is cut though another worker could go on with it."""
+    script = answers(BROKEN[name], lambda headers: events(first_event(headers), EVENTS))
+    assert until_asked(*make_pair(script)) == (200, WHOLE)
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -118,7 +118,7 @@
 def _read_head(stream):
     lines = []
     while (line := stream.readline()) not in (b"", b"\r\n"):
-        lines.append(line.decode().rstrip("\r\n"))
+        lines.append(line.decode("latin-1").rstrip("\r\n"))
     return "\r\n".join(lines)
 
 
--- /dev/null
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_broken_answers.py
@@ -0,0 +1,108 @@
+"""Upstreams answer in forms that the grammar of HTTP/1.1 does not allow."""
+
+import contextlib
+
+import pytest
+from redwingscale_standins.hosted.answer_forms import BROKEN, VALID
+
+from .conftest import WAIT_SECONDS, sized
+
+BODY = b"0123456789" * 5
+EVENTS = 4
+
+
+def event(number):
+    return b"id: %d\ndata: token%d\n\n" % (number, number)
+
+
+def events_after(received):
+    """Return the events that a request for a stream asks for."""
+    last = int(received.header("Last-Event-Id") or 0)
+    return b"".join(event(number) for number in range(last + 1, EVENTS + 1))
+
+
+def answers(form, closes, body=lambda received: BODY):
+    """Return a script that answers in a form, and then closes the connection or leaves it open."""
+
+    def script(connection, received):
+        request_id = received.header("X-Redwingscale-Request-Id")
+        connection.sendall(form.write(request_id, body(received)))
+        if not closes:
+            connection.settimeout(WAIT_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                connection.recv(1)
+        return False
+
+    return script
+
+
+def ends_with_connection(form):
+    return "HTTP/1.0" in form.status_line or not form.lines
+
+
+@pytest.mark.parametrize("closes", [True, False], ids=["closes", "stays open"])
+@pytest.mark.parametrize("form", BROKEN.values(), ids=BROKEN)
+def test_request_with_a_broken_answer_goes_on_at_another_upstream(world, form, closes):
+    """Guards against a caller that gets a body that the upstream has not sent."""
+    world.add("plain", answers(form, closes))
+    world.add("plain", sized(b"ok"))
+    response = world.request("/safe/")
+    assert (response.status, response.body, response.whole) == (200, b"ok", True)
+    assert [received.upstream for received in world.log] == ["u0", "u1"]
+
+
+@pytest.mark.parametrize("closes", [True, False], ids=["closes", "stays open"])
+@pytest.mark.parametrize("form", BROKEN.values(), ids=BROKEN)
+def test_broken_answer_is_no_success_if_the_request_may_not_run_again(world, form, closes):
+    """Guards against the same on a route whose requests run once at most."""
+    world.add("plain", answers(form, closes))
+    world.add("plain", sized(b"ok"))
+    assert world.request("/once/").status == 502
+    assert len(world.log) == 1
+
+
+@pytest.mark.parametrize("closes", [True, False], ids=["closes", "stays open"])
+@pytest.mark.parametrize("form", BROKEN.values(), ids=BROKEN)
+def test_stream_with_a_broken_answer_goes_on_at_another_upstream(world, form, closes):
+    """Guards against a stream that is cut, or holds bytes of its framing."""
+    world.add("llm", answers(form, closes, events_after))
+    world.add("llm", answers(VALID["chunks"], closes, events_after))
+    response = world.request("/stream/", model="m")
+    whole = b"".join(map(event, range(1, EVENTS + 1)))
+    assert (response.status, response.body, response.whole) == (200, whole, True)
+
+
+@pytest.mark.parametrize("form", BROKEN.values(), ids=BROKEN)
+def test_broken_answer_of_a_peer_is_no_answer(world, form):
+    """Guards against a broken answer that reaches a caller by way of another instance."""
+    world.add_peer(answers(form, False))
+    world.add("plain", sized(b"unreached"))
+    world.lose_path()
+    assert world.request("/safe/").status in (502, 503)
+
+
+@pytest.mark.parametrize("form", VALID.values(), ids=VALID)
+@pytest.mark.parametrize("path", ["/safe/", "/once/"])
+def test_valid_answer_of_any_form_is_passed_on(world, path, form):
+    """Guards against a valid answer that is taken for a broken one."""
+    world.add("plain", answers(form, ends_with_connection(form)))
+    world.add("plain", sized(b"unreached"))
+    response = world.request(path)
+    assert (response.status, response.body, response.whole) == (200, BODY, True)
+
+
+@pytest.mark.parametrize("form", VALID.values(), ids=VALID)
+def test_valid_stream_of_any_form_is_passed_on(world, form):
+    """Guards against a valid stream that is taken for a broken one."""
+    world.add("llm", answers(form, ends_with_connection(form), events_after))
+    response = world.request("/stream/", model="m")
+    whole = b"".join(map(event, range(1, EVENTS + 1)))
+    assert (response.status, response.body, response.whole) == (200, whole, True)
+    assert len(world.log) == 1
+
+
+def test_values_reach_the_caller_without_blanks_around_them(world):
+    """Guards against a value that is changed on the way, or ends at a byte above 0x7f."""
+    world.add("plain", answers(VALID["values"], False))
+    headers = world.request("/safe/").headers
+    assert (headers["X-Empty"], headers["X-Note"]) == ("", "a b\tc")
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_cut_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_cut_answers.py
@@ -1,4 +1,4 @@
-"""Answers to calls whose heads break off in an orderly close."""
+"""Answers to calls whose heads break off in an orderly close, or are not valid."""
 
 import pytest
 import urllib3
@@ -21,11 +21,15 @@
     b"HTTP/1.1 200 OK\r\nStore-Era: 1",
     b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
 ]
+BROKEN_HEADS = [
+    b"HTTP/1.1 200 OK\r\nspoilt\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Redwingscale-Instance-Id: u\r\nOdd : 1\r\nContent-Length: 0\r\n\r\n",
+]
 
 
-@pytest.fixture(params=CUT_HEADS)
+@pytest.fixture(params=CUT_HEADS + BROKEN_HEADS)
 def cut(request):
-    """An upstream that closes its connection before the head of its answer is complete."""
+    """An upstream whose answer has no whole and valid head; it closes its connection."""
     raw = RawWorker(
         "u0",
         ("a",),
--- a/packages/redwingscale-daemon/tests/unit/utils/test_bounded_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/utils/test_bounded_answers.py
@@ -12,6 +12,7 @@
     ShortAnswerPool,
     StoreAnswerPool,
 )
+from redwingscale_standins.hosted.answer_forms import BROKEN
 
 TIMEOUT_SECONDS = 5.0
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -29,7 +30,8 @@
     "chunks": CHUNKED + b"1\r\nx\r\n" * 30_000 + b"0\r\n\r\n",
     "trailer": CHUNKED + b"0\r\n" + b"a: b\r\n" * 30_000 + b"\r\n",
 }
-FORMS = INVALID_SIZES | MANY_LINES
+BROKEN_FORMS = {name: form.write("r", b"{}") for name, form in BROKEN.items()}
+FORMS = INVALID_SIZES | MANY_LINES | BROKEN_FORMS
 
 
 @pytest.fixture
