Refuse answers whose length or coding is not valid

Callers saw: with `Content-Length: +50`, `0_50`, a control byte before the digits or two lengths, a part of a body as a whole answer; with `-5`, a word, a fraction, a list or no digit, a body that runs to the end of the connection, and 504 after the whole deadline if the worker keeps it open; with a `Transfer-Encoding` other than `chunked`, the sizes of the chunks as a part of the body.

Cause: `http.client` reads a length by `int`, takes the first of several, and none where `int` fails; a coding that it does not know counts as none. The framing was checked in requests only.

Change: `grammar.check_framing` is that check, for both sides. An answer may have one length (the same may come twice) or the coding `chunked`, not both, and no coding in HTTP/1.0 (RFC 9112, section 6). Others raise `HTTPException` before a byte of the body is read. A length may have leading zeros, also in requests. 204 and 304 end with their head, also where it names a coding: `http.client` waited for chunks.

--- a/packages/redwingscale-common/src/redwingscale_common/network/strict_responses.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/strict_responses.py
@@ -13,12 +13,14 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
-from redwingscale_common.network.grammar import parse_field
+from redwingscale_common.network.grammar import check_framing, parse_field
 
 _MAX_LINE_BYTES = 64 << 10
 # A head with the interim heads before it.
 _MAX_HEADS_BYTES = 256 << 10
 _CRLF = b"\r\n"
+_BODILESS = frozenset({204, 304})
+_OLD_VERSIONS = b"HTTP/1.0"
 
 
 def check_line(line: bytes, limit: int) -> bytes:
@@ -49,6 +51,15 @@
     status_line: bytes
     fields: tuple[tuple[bytes, bytes], ...]
 
+    def values(self, name: bytes) -> list[bytes]:
+        return [value for field, value in self.fields if field.lower() == name]
+
+    def check_framing(self) -> None:
+        codings = self.values(b"transfer-encoding")
+        check_framing(self.values(b"content-length"), codings)
+        if codings and self.status_line.startswith(_OLD_VERSIONS):
+            raise ValueError("Transfer-Encoding in a response of HTTP/1.0")
+
     def encode(self) -> bytes:
         lines = (b"%s: %s\r\n" % field for field in self.fields)
         return b"".join((self.status_line, *lines, _CRLF))
@@ -94,12 +105,16 @@
         reader: Any = self.fp
         with _raising_http_exception():
             head = _HeadReader(reader).read_final()
+            if head is not None:
+                head.check_framing()
         # `http.client` parses lines that are valid, or none.
         self.fp = BytesIO(b"" if head is None else head.encode())
         try:
             super().begin()
         finally:
             self.fp = reader
+        if self.status in _BODILESS:
+            self.chunked = False
 
 
 class StrictConnection(HTTPConnection):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/strict_headers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/strict_headers.py
@@ -1,12 +1,10 @@
 """Rejects request heads whose framing two parsers could read differently."""
 
-import re
 from typing import Any
 
 from cheroot.server import HeaderReader
-from redwingscale_common.network.grammar import FIELD_NAME
+from redwingscale_common.network.grammar import FIELD_NAME, check_framing
 
-_DIGITS = re.compile(rb"[0-9]{1,15}")
 _CONTENT_LENGTH = b"Content-Length"
 _TRANSFER_ENCODING = b"Transfer-Encoding"
 # If one of these came twice, this server and an upstream could use different values, and
@@ -60,11 +58,7 @@
 
 
 def _check_framing(headers: dict[bytes, bytes]) -> None:
-    length = headers.get(_CONTENT_LENGTH)
-    encoding = headers.get(_TRANSFER_ENCODING)
-    if length is not None and encoding is not None:
-        raise ValueError("both Content-Length and Transfer-Encoding")
-    if length is not None and not _DIGITS.fullmatch(length):
-        raise ValueError("Content-Length is not a number")
-    if encoding is not None and encoding.lower() != b"chunked":
-        raise ValueError("Transfer-Encoding is not chunked")
+    check_framing(
+        [headers[_CONTENT_LENGTH]] if _CONTENT_LENGTH in headers else [],
+        [headers[_TRANSFER_ENCODING]] if _TRANSFER_ENCODING in headers else [],
+    )
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
@@ -272,6 +272,9 @@
 
 
 BROKEN_FORMS = (
+    "length-sign",
+    "length-word",
+    "coding-list",
     "line-no-field-before-chunks",
     "name-blank-at-the-end",
     "name-control-byte",
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_broken_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_broken_answers.py
@@ -5,7 +5,7 @@
 import pytest
 from redwingscale_standins.hosted.answer_forms import BROKEN, VALID
 
-from .conftest import WAIT_SECONDS, sized
+from .conftest import WAIT_SECONDS, head, sized
 
 BODY = b"0123456789" * 5
 EVENTS = 4
@@ -106,3 +106,15 @@
     world.add("plain", answers(VALID["values"], False))
     headers = world.request("/safe/").headers
     assert (headers["X-Empty"], headers["X-Note"]) == ("", "a b\tc")
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_answer_without_a_body_ends_with_its_head(world, status):
+    """Guards against a wait for the chunks of a body that such an answer never has."""
+
+    def script(connection, received):
+        connection.sendall(head(received, f"{status} None", "Transfer-Encoding: chunked"))
+
+    world.add("plain", script)
+    response = world.request("/once/")
+    assert (response.status, response.body, response.whole) == (status, b"", True)
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/answer_forms.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/answer_forms.py
@@ -58,6 +58,27 @@
     return AnswerForm(lines or (CHUNKED,), chunks())
 
 
+BROKEN_LENGTHS = {
+    "sign": _lines("Content-Length: +{length}"),
+    "minus": _lines("Content-Length: -{length}"),
+    "underscore": _lines("Content-Length: 0_{length}"),
+    "fraction": _lines("Content-Length: {length}.0"),
+    "word": _lines("Content-Length: word"),
+    "empty": _lines("Content-Length:"),
+    "list": _lines("Content-Length: {length}, {length}"),
+    "control-byte": _lines("Content-Length: \x0b{length}"),
+    "two-lengths": _lines("Content-Length: 1", LENGTH),
+    "length-and-chunks": _chunked(LENGTH, CHUNKED),
+}
+BROKEN_CODINGS = {
+    "unknown": _chunked("Transfer-Encoding: xchunked"),
+    "identity": _chunked("Transfer-Encoding: identity"),
+    "list": _chunked("Transfer-Encoding: gzip, chunked"),
+    "chunked-twice": _chunked("Transfer-Encoding: chunked, chunked"),
+    "two-fields": _chunked("Transfer-Encoding: gzip", CHUNKED),
+    "empty": _lines("Transfer-Encoding:"),
+    "old-version": AnswerForm((CHUNKED,), chunks(), "HTTP/1.0 200 OK"),
+}
 BROKEN_LINES = {
     "no-field-before-chunks": _chunked("spoilt", CHUNKED),
     "no-field-before-a-length": _lines("spoilt", LENGTH),
@@ -83,6 +104,8 @@
 BROKEN = {
     f"{kind}-{name}": form
     for kind, forms in {
+        "length": BROKEN_LENGTHS,
+        "coding": BROKEN_CODINGS,
         "line": BROKEN_LINES,
         "name": BROKEN_NAMES,
     }.items()
