Refuse answers whose status line is not valid, and skip interim ones

Callers saw: a final 101 or 199 as an answer without a body. 102 and 103 before a 200 counted as the answer: another worker was asked, unsafe requests got 502. `+200`, `2_00`, a status from 600 on, `HTTP/1.x`, a control byte or a bare CR in the line passed as answers.

Cause: `http.client` reads the status by `int`, splits the line at any white space, and skips no interim status but 100.

Change: the status line is read by the grammar of RFC 9112, section 4, with a status of 100 to 599 (RFC 9110, section 15). Heads with a status of 1xx are skipped up to the final one, within the bounds for a head; they are checked like others. 101 is refused, as no request asks for another protocol. A connection that ends after an interim head counts as one that broke off.

--- a/packages/redwingscale-common/src/redwingscale_common/network/grammar.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/grammar.py
@@ -1,4 +1,4 @@
-"""The grammar of HTTP/1.1 messages (RFC 9110, section 5; RFC 9112, sections 5 and 6).
+"""The grammar of HTTP/1.1 messages (RFC 9110, section 5; RFC 9112, sections 4 to 6).
 
 Python's parsers accept more: signs, underscores and blanks in numbers, lines that are no
 fields, and a carriage return as the end of a line. Two processes that read a message
@@ -7,16 +7,35 @@
 
 import re
 from collections.abc import Sequence
+from typing import NamedTuple
 
 # RFC 9110, section 5.6.2.
 FIELD_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _FIELD_VALUE = re.compile(_TEXT)
+_STATUS_LINE = re.compile(
+    rb"(?P<version>HTTP/1\.[0-9])[ \t]+(?P<status>[1-5][0-9]{2})(?:[ \t](?P<reason>%s))?" % _TEXT
+)
 # More digits than any size has are refused, however large a number they are.
 _LENGTH = re.compile(rb"0*[0-9]{1,15}")
 _BLANKS = b" \t"
 
 
+class StatusLine(NamedTuple):
+    """The first line of a response."""
+
+    version: bytes
+    status: int
+    reason: bytes
+
+
+def parse_status_line(line: bytes) -> StatusLine:
+    """Return the parts of a status line, given with its end."""
+    if match := _STATUS_LINE.fullmatch(_without_end(line)):
+        return StatusLine(match["version"], int(match["status"]), match["reason"] or b"")
+    raise ValueError(f"{line[:80]!r} is no status line")
+
+
 def parse_field(line: bytes) -> tuple[bytes, bytes]:
     """Return the name and the value of a field, given as its line with its end.
 
--- a/packages/redwingscale-common/src/redwingscale_common/network/strict_responses.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/strict_responses.py
@@ -6,21 +6,28 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from http.client import CONTINUE, HTTPException, HTTPResponse, IncompleteRead
+from http.client import HTTPException, HTTPResponse, IncompleteRead
 from io import BytesIO
 from typing import Any, NamedTuple
 
 import urllib3
 from urllib3.connection import HTTPConnection
 
-from redwingscale_common.network.grammar import check_framing, parse_field
+from redwingscale_common.network.grammar import (
+    StatusLine,
+    check_framing,
+    parse_field,
+    parse_status_line,
+)
 
 _MAX_LINE_BYTES = 64 << 10
 # A head with the interim heads before it.
 _MAX_HEADS_BYTES = 256 << 10
 _CRLF = b"\r\n"
+_INTERIM = range(100, 200)
+_SWITCHING_PROTOCOLS = 101
 _BODILESS = frozenset({204, 304})
-_OLD_VERSIONS = b"HTTP/1.0"
+_OLD_VERSIONS = frozenset({b"HTTP/1.0"})
 
 
 def check_line(line: bytes, limit: int) -> bytes:
@@ -48,7 +55,7 @@
 
 
 class _Head(NamedTuple):
-    status_line: bytes
+    status_line: StatusLine
     fields: tuple[tuple[bytes, bytes], ...]
 
     def values(self, name: bytes) -> list[bytes]:
@@ -57,12 +64,13 @@
     def check_framing(self) -> None:
         codings = self.values(b"transfer-encoding")
         check_framing(self.values(b"content-length"), codings)
-        if codings and self.status_line.startswith(_OLD_VERSIONS):
+        if codings and self.status_line.version in _OLD_VERSIONS:
             raise ValueError("Transfer-Encoding in a response of HTTP/1.0")
 
     def encode(self) -> bytes:
-        lines = (b"%s: %s\r\n" % field for field in self.fields)
-        return b"".join((self.status_line, *lines, _CRLF))
+        version, status, reason = self.status_line
+        fields = (b"%s: %s\r\n" % field for field in self.fields)
+        return b"%s %d %s\r\n%s\r\n" % (version, status, reason, b"".join(fields))
 
 
 class _HeadReader:
@@ -75,9 +83,12 @@
     def read_final(self) -> _Head | None:
         """Return the final head, None if the connection ends before its first byte."""
         while line := self._read_line():
+            status_line = parse_status_line(line)
             fields = tuple(map(parse_field, iter(self._read_field_line, b"")))
-            if line.split()[1:2] != [b"%d" % CONTINUE]:
-                return _Head(line, fields)
+            if status_line.status == _SWITCHING_PROTOCOLS:
+                raise ValueError("a protocol that was not asked for")
+            if status_line.status not in _INTERIM:
+                return _Head(status_line, fields)
         return None
 
     def _read_field_line(self) -> bytes:
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
@@ -278,6 +278,7 @@
     "line-no-field-before-chunks",
     "name-blank-at-the-end",
     "name-control-byte",
+    "status-101 OK",
 )
 
 
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_broken_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_broken_answers.py
@@ -108,6 +108,18 @@
     assert (headers["X-Empty"], headers["X-Note"]) == ("", "a b\tc")
 
 
+@pytest.mark.parametrize("status", [101, 199])
+def test_interim_status_is_no_final_answer(world, status):
+    """Guards against an interim head that is passed on as an answer without a body."""
+
+    def script(connection, received):
+        connection.sendall(head(received, f"{status} Interim"))
+        return False
+
+    world.add("plain", script)
+    assert world.request("/once/").status == 502
+
+
 @pytest.mark.parametrize("status", [204, 304])
 def test_answer_without_a_body_ends_with_its_head(world, status):
     """Guards against a wait for the chunks of a body that such an answer never has."""
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_cut_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_cut_answers.py
@@ -25,6 +25,7 @@
     b"HTTP/1.1 200 OK\r\nspoilt\r\nContent-Length: 0\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nX-Redwingscale-Instance-Id: u\r\nOdd : 1\r\nContent-Length: 0\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nX-Redwingscale-Instance-Id: u\r\nContent-Length: +0\r\n\r\n",
+    b"HTTP/1.1 101 OK\r\nX-Redwingscale-Instance-Id: u\r\n\r\n",
 ]
 
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/answer_forms.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/answer_forms.py
@@ -101,6 +101,15 @@
     "brackets": _lines("X@Odd[]: 1", LENGTH),
     "not-ascii": _lines("X-\xe9: 1", LENGTH),
 }
+BROKEN_STATUSES = {
+    text: AnswerForm(status_line=f"HTTP/1.1 {text}")
+    for text in ("000 OK", "099 OK", "1000 OK", "abc OK", "600 OK", "+200 OK", "2_00 OK", "101 OK")
+} | {
+    "version": AnswerForm(status_line="HTTP/1.x 200 OK"),
+    "control-byte": AnswerForm(status_line="HTTP/1.1 200 O\x01K"),
+    "carriage-return": AnswerForm(status_line="HTTP/1.1 200 OK\rX-Note: 1"),
+    "broken-interim": AnswerForm(interim="HTTP/1.1 103 Early Hints\r\nspoilt\r\n\r\n"),
+}
 BROKEN = {
     f"{kind}-{name}": form
     for kind, forms in {
@@ -108,9 +117,11 @@
         "coding": BROKEN_CODINGS,
         "line": BROKEN_LINES,
         "name": BROKEN_NAMES,
+        "status": BROKEN_STATUSES,
     }.items()
     for name, form in forms.items()
 }
+_HINTS = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 VALID = {
     "length": AnswerForm(),
     "length-with-zeros": _lines("Content-Length: 000{length}"),
@@ -131,4 +142,5 @@
     ),
     "all-characters-of-a-name": _lines(f"{_TOKEN_CHARACTERS}: 1", LENGTH),
     "interim-100": AnswerForm(interim="HTTP/1.1 100 Continue\r\n\r\n"),
+    "interim-102-103": AnswerForm(interim="HTTP/1.1 102 Processing\r\n\r\n" + _HINTS + _HINTS),
 }
