Refuse chunks whose size, end or trailer is not valid

Callers saw: a size of `1_0`, `+32` or `0x32`, or with a control byte before it, taken for a number: a complete answer of as many bytes. Two other bytes in place of the end of a chunk, and a line that is no field in a trailer, passed. Such a line shows that the size before it was not the last one: the rest of the body is lost.

Cause: `http.client` reads sizes by `int` and skips the two bytes after a chunk and all lines of a trailer unread. The size of a chunk was checked in requests only. `BaseHTTPResponse.stream` of urllib3, by which the product's own engines and the CLI read streams, has a third parser of sizes.

Change: `grammar.parse_chunk_size` is the check of requests, now for both sides: hexadecimal digits, blanks, extensions without control bytes, CRLF. A response reads sizes, ends and trailers by it and raises `HTTPException` otherwise. Streams are read by `read_pieces`, that is by the same parser. In requests, a size with leading zeros or more than eight digits is a number now, bounded by the limit for a body (413 in place of 400).

Sizes without digits or with a minus were refused before; those tests are kept. A status of 000 is tried on a real instance too, and was refused before.

--- a/packages/redwingscale-cli/src/redwingscale_cli/_internal/network/callers_client.py
+++ b/packages/redwingscale-cli/src/redwingscale_cli/_internal/network/callers_client.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import urllib3
-from redwingscale_common.network.client import new_pool, timeout
+from redwingscale_common.network.client import new_pool, read_pieces, timeout
 
 from redwingscale_cli._internal.models.load_plan import Arrival, LoadPlan
 from redwingscale_cli._internal.models.load_result import RequestResult
@@ -55,8 +55,8 @@
         times: list[float] = []
         complete = False
         buffer = b""
-        for chunk in response.stream(decode_content=False):
-            buffer += chunk
+        for piece in read_pieces(response):
+            buffer += piece
             *events, buffer = buffer.split(EVENT_END)
             now = time.monotonic()
             times += [now for event in events if event.startswith(TOKEN_EVENT)]
--- a/packages/redwingscale-common/src/redwingscale_common/network/client.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/client.py
@@ -1,10 +1,13 @@
 """HTTP client by urllib3 without automatic retries and redirects."""
 
+from collections.abc import Iterator
+
 import urllib3
 
 from redwingscale_common.network.strict_responses import StrictPools
 
 MAX_IDLE_CONNECTIONS = 64
+PIECE_BYTES = 64 << 10
 
 
 def new_pool(*, connections: int = MAX_IDLE_CONNECTIONS) -> urllib3.PoolManager:
@@ -21,6 +24,15 @@
     )
 
 
+def read_pieces(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the body as it arrives; raises `HTTPError` if it is truncated or not valid.
+
+    `BaseHTTPResponse.stream` parses the sizes of chunks by itself, and accepts others.
+    """
+    while piece := response.read1(PIECE_BYTES, decode_content=False):
+        yield piece
+
+
 def timeout(connect: float, read: float) -> urllib3.Timeout:
     """Return the timeouts of one request in seconds: ``connect``, and ``read`` for each read."""
     return urllib3.Timeout(connect=connect, read=read)
--- a/packages/redwingscale-common/src/redwingscale_common/network/grammar.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/grammar.py
@@ -1,4 +1,4 @@
-"""The grammar of HTTP/1.1 messages (RFC 9110, section 5; RFC 9112, sections 4 to 6).
+"""The grammar of HTTP/1.1 messages (RFC 9110, section 5; RFC 9112, sections 2 to 7).
 
 Python's parsers accept more: signs, underscores and blanks in numbers, lines that are no
 fields, and a carriage return as the end of a line. Two processes that read a message
@@ -18,6 +18,7 @@
 )
 # More digits than any size has are refused, however large a number they are.
 _LENGTH = re.compile(rb"0*[0-9]{1,15}")
+_CHUNK_SIZE_LINE = re.compile(rb"(0*[0-9A-Fa-f]{1,15})[ \t]*(?:;%s)?\r\n" % _TEXT)
 _BLANKS = b" \t"
 
 
@@ -50,6 +51,13 @@
     return name, value
 
 
+def parse_chunk_size(line: bytes) -> int:
+    """Return the size in the line before a chunk, given with its end."""
+    if match := _CHUNK_SIZE_LINE.fullmatch(line):
+        return int(match[1], 16)
+    raise ValueError(f"{line[:80]!r} is no size of a chunk")
+
+
 def check_framing(lengths: Sequence[bytes], codings: Sequence[bytes]) -> None:
     """Check the values of Content-Length and of Transfer-Encoding in one head.
 
--- a/packages/redwingscale-common/src/redwingscale_common/network/strict_responses.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/strict_responses.py
@@ -1,4 +1,4 @@
-"""Responses whose heads follow the grammar of HTTP/1.1; others raise `HTTPException`.
+"""Responses that follow the grammar of HTTP/1.1; others raise `HTTPException`.
 
 `http.client` ends a head at the first line that is no field, or at the end of the
 connection. What follows is lost then, such as the length of the body.
@@ -16,6 +16,7 @@
 from redwingscale_common.network.grammar import (
     StatusLine,
     check_framing,
+    parse_chunk_size,
     parse_field,
     parse_status_line,
 )
@@ -24,6 +25,8 @@
 # A head with the interim heads before it.
 _MAX_HEADS_BYTES = 256 << 10
 _CRLF = b"\r\n"
+# The blank line after fields, also where the connection ends in it.
+_LAST_LINES = frozenset({_CRLF, b"\n", b"\r", b""})
 _INTERIM = range(100, 200)
 _SWITCHING_PROTOCOLS = 101
 _BODILESS = frozenset({204, 304})
@@ -38,11 +41,12 @@
 
 
 def _read_line(reader: Any, *, may_end: bool = False) -> bytes:
-    """Return the next line; with ``may_end``, the connection may end before it."""
+    """Return the next line; with ``may_end``, the connection may end before it or in its end."""
     line: bytes = reader.readline(_MAX_LINE_BYTES)
     if len(line) == _MAX_LINE_BYTES:
         raise ValueError("a line of the response has no end")
-    return line if may_end and not line else check_line(line, _MAX_LINE_BYTES)
+    ends = may_end and line in (b"", b"\r")
+    return line if ends else check_line(line, _MAX_LINE_BYTES)
 
 
 @contextmanager
@@ -104,9 +108,9 @@
 
 
 class StrictResponse(HTTPResponse):
-    """Raises `HTTPException` for a head that is not valid.
+    """Raises `HTTPException` for a head, a chunk or a trailer that is not valid.
 
-    One that breaks off raises `IncompleteRead`, which is one of them.
+    A head or body that breaks off raises `IncompleteRead`, which is one of them.
     """
 
     def begin(self) -> None:
@@ -127,6 +131,34 @@
         if self.status in _BODILESS:
             self.chunked = False
 
+    # The next three replace methods of `http.client`.
+
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left in this chunk, or in the next one; None at the end of the body."""
+        if self.chunk_left:
+            return self.chunk_left
+        # None before the first chunk, 0 at the end of each.
+        if self.chunk_left == 0 and self._safe_read(len(_CRLF)) != _CRLF:  # type: ignore[attr-defined]
+            raise HTTPException("a chunk does not end where its size says")
+        self.chunk_left = self._read_next_chunk_size() or None
+        if self.chunk_left is None:
+            self._read_and_discard_trailer()
+            self._close_conn()  # type: ignore[attr-defined]
+        return self.chunk_left
+
+    def _read_next_chunk_size(self) -> int:
+        with _raising_http_exception():
+            return parse_chunk_size(_read_line(self.fp))
+
+    def _read_and_discard_trailer(self) -> None:
+        """Check the fields of the trailer: another line shows that bytes of the body are lost.
+
+        The connection may end after the last chunk, which ends the body.
+        """
+        with _raising_http_exception():
+            while (line := _read_line(self.fp, may_end=True)) not in _LAST_LINES:
+                parse_field(line)
+
 
 class StrictConnection(HTTPConnection):
     """A connection of urllib3 with such responses."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/strict_chunks.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/ingress/strict_chunks.py
@@ -1,12 +1,11 @@
 """Reads chunked request bodies and rejects ambiguous framing."""
 
-import re
 from collections.abc import Callable
 from typing import Any
 
 from cheroot.errors import MaxSizeExceeded
+from redwingscale_common.network.grammar import parse_chunk_size
 
-_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
 _CRLF = b"\r\n"
 _MAX_LINE_BYTES = 4096
 
@@ -22,30 +21,23 @@
     reader accepts ``0x5``, ``+5`` and ``1_0`` as sizes.
     """
     body = bytearray()
-    while size := _parse_size(_read_line(stream)):
+    while size := parse_chunk_size(_read_line(stream)):
         if len(body) + size > max_bytes:
             raise MaxSizeExceeded
         reserve(size)
         body += _read_exactly(stream, size)
         if stream.read(len(_CRLF)) != _CRLF:
             raise ValueError("a chunk does not end where its size says")
-    while _read_line(stream):
+    while _read_line(stream) != _CRLF:
         pass
     return bytes(body)
 
 
-def _parse_size(line: bytes) -> int:
-    size = line.partition(b";")[0].rstrip(b" \t")
-    if not _SIZE.fullmatch(size):
-        raise ValueError("a chunk size is not hexadecimal digits")
-    return int(size, 16)
-
-
 def _read_line(stream: Any) -> bytes:
     line: bytes = stream.readline(_MAX_LINE_BYTES)
     if not line.endswith(_CRLF):
         raise ValueError("a line of a chunked body has no end")
-    return line[: -len(_CRLF)]
+    return line
 
 
 def _read_exactly(stream: Any, size: int) -> bytes:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/sse.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/upstreams/sse.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 import urllib3
+from redwingscale_common.network.client import read_pieces
 
 SEPARATOR = b"\n\n"
 
@@ -14,7 +15,7 @@
     error, so a truncated stream never looks like a short response.
     """
     buffer = b""
-    for chunk in response.stream(decode_content=False):
-        buffer = buffer + chunk if buffer else chunk
+    for piece in read_pieces(response):
+        buffer = buffer + piece if buffer else piece
         *events, buffer = buffer.split(SEPARATOR)
         yield from events
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_raw_answers.py
@@ -278,7 +278,9 @@
     "line-no-field-before-chunks",
     "name-blank-at-the-end",
     "name-control-byte",
+    "status-000 OK",
     "status-101 OK",
+    "chunk-underscore",
 )
 
 
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/answer_forms.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/answer_forms.py
@@ -110,6 +110,17 @@
     "carriage-return": AnswerForm(status_line="HTTP/1.1 200 OK\rX-Note: 1"),
     "broken-interim": AnswerForm(interim="HTTP/1.1 103 Early Hints\r\nspoilt\r\n\r\n"),
 }
+BROKEN_CHUNKS = {
+    "underscore": AnswerForm((CHUNKED,), chunks("0_{size:x}")),
+    "sign": AnswerForm((CHUNKED,), chunks("+{size:x}")),
+    "prefix": AnswerForm((CHUNKED,), chunks("0x{size:x}")),
+    "minus": AnswerForm((CHUNKED,), chunks("-{size:x}")),
+    "control-byte": AnswerForm((CHUNKED,), chunks("\x0b{size:x}")),
+    "extension": AnswerForm((CHUNKED,), chunks("{size:x};a=\0")),
+    "no-size": AnswerForm((CHUNKED,), chunks("")),
+    "other-end": AnswerForm((CHUNKED,), chunks(end="xx")),
+    "trailer": AnswerForm((CHUNKED,), chunks(last="0\r\nspoilt\r\n\r\n")),
+}
 BROKEN = {
     f"{kind}-{name}": form
     for kind, forms in {
@@ -118,6 +129,7 @@
         "line": BROKEN_LINES,
         "name": BROKEN_NAMES,
         "status": BROKEN_STATUSES,
+        "chunk": BROKEN_CHUNKS,
     }.items()
     for name, form in forms.items()
 }
