Ignore numbers in headers that are no ASCII digits

Callers saw: 500 in place of a whole answer, or a stream cut after its last event, where the worker's `Keep-Alive` named a time of `²` (byte 0xb2). A reader of the store failed at such a `Store-Era`, a request at such a `Last-Event-Id`.

Cause: `str.isdigit` is true for characters that `int` and `float` refuse, and `int` refuses numbers of thousands of digits: ValueError, which no caller of these functions expects.

Change: `parse_number` reads 1 to 19 ASCII digits; other text is no number. What happens without a number is as before: the header is ignored, the era is untold.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/exchange.py
@@ -13,6 +13,7 @@
 from redwingscale_daemon._internal.forwarding.terms import Terms
 from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
 from redwingscale_daemon._internal.platform import names
+from redwingscale_daemon._internal.utils.numbers import parse_number
 from redwingscale_daemon._internal.workspaces.keys import key_digest
 
 _MILLISECONDS = 1000.0
@@ -53,7 +54,7 @@
         request_id=request_id,
         deadline_seconds=deadline_seconds,
         prompt=prompt,
-        last_event=int(last_event) if last_event.isdigit() else None,
+        last_event=parse_number(last_event),
         tokens=_total_tokens(values),
         key_digest=_key_digest(values),
         resumed_request=values.get(names.RESUMED_REQUEST.lower()),
@@ -174,8 +175,8 @@
         return 0.0
     for part in _tokens(response.headers.get_all("Keep-Alive", [])):
         name, _, value = part.partition("=")
-        if name == "timeout" and value.isdigit():
-            return float(value)
+        if name == "timeout" and (seconds := parse_number(value)) is not None:
+            return float(seconds)
     return None
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -20,6 +20,7 @@
 from redwingscale_daemon._internal.store.store_eras import UNTOLD_ERA, StoreEras
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.utils.bounded_answers import StoreAnswerPool
+from redwingscale_daemon._internal.utils.numbers import parse_number
 
 _OK = 200
 _GONE = 410
@@ -171,8 +172,8 @@
 
 
 def _era(response: urllib3.BaseHTTPResponse) -> int:
-    value = response.headers.get(_ERA_HEADER, "")
-    return int(value) if value.isdigit() else UNTOLD_ERA
+    era = parse_number(response.headers.get(_ERA_HEADER, ""))
+    return UNTOLD_ERA if era is None else era
 
 
 def _failure(answer: _Answer) -> PlatformUnavailable | WriteUnknown:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_broken_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_broken_answers.py
@@ -130,3 +130,25 @@
     world.add("plain", script)
     response = world.request("/once/")
     assert (response.status, response.body, response.whole) == (status, b"", True)
+
+
+@pytest.mark.parametrize("path", ["/safe/", "/stream/"])
+def test_idle_time_that_is_no_number_is_ignored(world, path):
+    """Guards against a request that fails after its answer, as its connection is kept."""
+    model = "m" if path == "/stream/" else None
+    lines = ("Keep-Alive: timeout=\xb2",)
+    form = VALID["length"]._replace(lines=(*lines, *VALID["length"].lines))
+    body = events_after if model else (lambda received: BODY)
+    world.add("llm" if model else "plain", answers(form, False, body))
+    response = world.request(path, model=model)
+    assert (response.status, response.whole) == (200, True)
+
+
+def test_stream_whose_event_has_a_number_without_end_goes_on_at_another_upstream(world):
+    """Guards against a stream that fails at an event whose id no number holds."""
+    odd = b"id: %s\ndata: odd\n\n" % (b"9" * 5000)
+    world.add("llm", answers(VALID["chunks"], False, lambda received: event(1) + odd))
+    world.add("llm", answers(VALID["chunks"], False, events_after))
+    response = world.request("/stream/", model="m")
+    whole = b"".join(map(event, range(1, EVENTS + 1)))
+    assert (response.status, response.body, response.whole) == (200, whole, True)
--- a/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
@@ -107,6 +107,15 @@
     assert UseLimit(UseUnit.REQUESTS, 1, 1).cost(terms.tokens) == 1.0
 
 
+@pytest.mark.parametrize("value", ["\xb2", "+1", "9" * 5000])
+def test_last_event_that_is_no_number_is_none(value):
+    """Guards against a request that fails for a number that is none."""
+    headers = (("X-Redwingscale-Request-Id", "r"), ("Last-Event-Id", value))
+    assert (
+        exchange.read_terms(IngressRequest("GET", "/", "a", headers, 0.0, None)).last_event is None
+    )
+
+
 @pytest.mark.parametrize("kind", ["keyed", "new-kind"])
 def test_unknown_kind_of_route_runs_at_most_once(kind):
     """Guards against a request running twice because a later version introduced its kind."""
--- a/packages/redwingscale-daemon/tests/unit/platform/test_store_client.py
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_store_client.py
@@ -9,7 +9,7 @@
 )
 from redwingscale_daemon._internal.platform.store_client import StoreClient
 from redwingscale_daemon._internal.store.rows import RowKey
-from redwingscale_daemon._internal.store.store_eras import StoreEras
+from redwingscale_daemon._internal.store.store_eras import UNTOLD_ERA, StoreEras
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 from urllib3 import HTTPResponse
 
@@ -55,6 +55,12 @@
         answer((200, FIRST_PAGE, 1), (200, LAST_PAGE, 2)).read("servers", "")
 
 
+def test_era_that_is_no_number_is_untold(answer):
+    """Guards against an answer for which the reader of the store fails."""
+    snapshot = answer((200, LAST_PAGE, "\xb2")).read("servers", "")
+    assert snapshot.version == StoreVersion(UNTOLD_ERA, 8)
+
+
 def test_answer_of_an_earlier_era_counts_as_none(answer, eras):
     """Guards against a slow read that undoes what was read after the copy."""
     eras.note(2, "peer")
