Reject documents that are nested too deeply

Callers saw, as reported by other operators and shown here: one entry among those of the workers with an unknown field nested 5,000 deep, and no instance follows the list any more; workers that join are not used, and an instance that starts beside it never becomes ready.

Cause: msgspec raises RecursionError there, also for a field that the type does not have. It is no `DecodeError`, by which an entry that cannot be read is left out: the step that reads the whole list failed, ten times a second.

Change: `decode_json` and `decode_message` raise `DecodeError` for it. The entries, reports, configurations, rows and store answers that this process decodes go through them, and so do tables, queries, their answers and what instances tell the leader. Such an entry is logged as `upstream_invalid` and costs the others nothing. The server for queries of other instances ended its thread at such a message; it goes on.

An entry that is nested itself, without its closing brackets, or with a port out of range was left out before as well; those tests are kept.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/recorded_versions.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/recorded_versions.py
@@ -12,6 +12,7 @@
 from redwingscale_daemon._internal.store.rows import RowStore, StoredRow
 from redwingscale_daemon._internal.store.store_eras import UNTOLD_ERA
 from redwingscale_daemon._internal.store.store_version import StoreVersion
+from redwingscale_daemon._internal.utils.documents import decode_json
 
 # Before the first leader of a deployment, no stream has begun anywhere.
 NEVER_SERVED_SECONDS = 1e6
@@ -75,7 +76,7 @@
                 self._versions.take_over(SoftwareRecord({}, NEVER_SERVED_SECONDS))
             return
         try:
-            record = msgspec.json.decode(row.value or b"{}", type=VersionsRow)
+            record = decode_json(row.value or b"{}", VersionsRow)
         except msgspec.DecodeError as error:
             log_event("software_row_invalid", level="WARNING", error=error)
             return
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/envelope.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from redwingscale_daemon._internal.ingress.ingress_request import Headers, IngressRequest
+from redwingscale_daemon._internal.utils.documents import decode_json
 
 HEADER = "Redwingscale-Passed-On"
 # Set in an answer of a peer that has not taken the request, and never will.
@@ -54,7 +55,7 @@
     if len(values) != 1:
         return request._replace(headers=kept), None
     try:
-        envelope = msgspec.json.decode(values[0].encode("latin-1"), type=Envelope)
+        envelope = decode_json(values[0].encode("latin-1"), Envelope)
     except msgspec.DecodeError:
         return request._replace(headers=kept), None
     arrived_at = request.arrived_at - max(0.0, envelope.waited)
@@ -69,7 +70,7 @@
 def read_software(value: str | None) -> str | None:
     """Return the version in a `SOFTWARE_HEADER`, None without a valid one."""
     try:
-        return msgspec.json.decode((value or "").encode("latin-1"), type=str)
+        return decode_json((value or "").encode("latin-1"), str)
     except (msgspec.DecodeError, UnicodeError):
         return None
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/origin_rows.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/origin_rows.py
@@ -16,6 +16,7 @@
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.rows import RowKey, RowStore
 from redwingscale_daemon._internal.store.store_version import NO_ROW_NUMBER, StoreVersion
+from redwingscale_daemon._internal.utils.documents import decode_message
 
 # A table of its own: instances without a leader wait for changes in that of the leader's row.
 TABLE = "redwingscale-streams"
@@ -139,6 +140,6 @@
 
 
 def _decode(value: bytes) -> Iterator[OriginEntry]:
-    for one in msgspec.msgpack.decode(value, type=list[_Origins]):
+    for one in decode_message(value, list[_Origins]):
         for start in range(0, len(one.keys), KEY_BYTES):
             yield OriginEntry(one.keys[start : start + KEY_BYTES], one.service, one.software)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/configuration.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/configuration.py
@@ -6,6 +6,7 @@
 from redwingscale_daemon._internal.routes.route import Route, WeightedService
 from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
 from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule, ServiceRule
+from redwingscale_daemon._internal.utils.documents import decode_json
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys, key_digest
 from redwingscale_daemon._internal.workspaces.workspace import UseLimit, UseUnit, Workspace
 
@@ -102,7 +103,7 @@
 
 def decode_configuration(document: bytes) -> RouteTable:
     """Return the route table in ``document``; raise `msgspec.DecodeError`."""
-    decoded = msgspec.json.decode(document, type=_Document)
+    decoded = decode_json(document, _Document)
     limits = decoded.limits
     return RouteTable(
         version=decoded.version,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
@@ -7,6 +7,7 @@
 
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
 from redwingscale_daemon._internal.store.store_version import StoreVersion
+from redwingscale_daemon._internal.utils.documents import decode_json
 
 TABLE = "servers"
 _DRAINING = "draining"
@@ -54,7 +55,7 @@
 
 def decode_upstream(name: str, row_version: StoreVersion, document: bytes) -> Upstream:
     """Return the upstream that ``document`` describes; raise `msgspec.DecodeError`."""
-    entry = msgspec.json.decode(document, type=_Entry)
+    entry = decode_json(document, _Entry)
     host, port = _address(entry.address)
     return Upstream(
         id=start_id(name, entry.born),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/engine.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/engine.py
@@ -8,6 +8,7 @@
 from redwingscale_daemon._internal.platform import names
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult
+from redwingscale_daemon._internal.utils.documents import decode_json
 
 _RESULTS_BY_STATUS = {
     200: OrderResult.IN_EFFECT,
@@ -39,7 +40,7 @@
 
 def decode_report(document: bytes) -> EngineReport:
     """Return the report in ``document``; raise `msgspec.DecodeError`."""
-    report = msgspec.json.decode(document, type=_Report)
+    report = decode_json(document, _Report)
     return EngineReport(
         resident={model.name: frozenset(model.adapters) for model in report.models},
         arriving=frozenset(map(_unit, report.loading)),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -20,6 +20,7 @@
 from redwingscale_daemon._internal.store.store_eras import UNTOLD_ERA, StoreEras
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.utils.bounded_answers import StoreAnswerPool
+from redwingscale_daemon._internal.utils.documents import decode_json
 from redwingscale_daemon._internal.utils.numbers import parse_number
 
 _OK = 200
@@ -183,7 +184,7 @@
 
 def _decode(body: bytes) -> _Rows:
     try:
-        return msgspec.json.decode(body, type=_Rows)
+        return decode_json(body, _Rows)
     except msgspec.DecodeError as error:
         raise PlatformUnavailable(f"the answer does not contain rows: {error}") from error
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/row_store.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/quarantine/row_store.py
@@ -12,6 +12,7 @@
 from redwingscale_daemon._internal.quarantine.store import StoredQuarantine
 from redwingscale_daemon._internal.store.rows import RowKey, RowStore
 from redwingscale_daemon._internal.store.store_version import NO_ROW_NUMBER, StoreVersion
+from redwingscale_daemon._internal.utils.documents import decode_json
 
 QUARANTINE_ROW = RowKey("redwingscale-quarantine", "", "requests")
 MAX_STORED = 256
@@ -99,7 +100,7 @@
         if row is None or row.value is None:
             return StoreVersion(read_at.era, NO_ROW_NUMBER), []
         try:
-            return row.version, msgspec.json.decode(row.value, type=list[_StoredRequest])
+            return row.version, decode_json(row.value, list[_StoredRequest])
         except msgspec.DecodeError as error:
             log_event("quarantine_row_invalid", level="WARNING", error=error)
             return row.version, []
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/table_difference.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/table_difference.py
@@ -10,6 +10,7 @@
     keys_of,
     workspace_records,
 )
+from redwingscale_daemon._internal.utils.documents import decode_message
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys
 
 
@@ -58,7 +59,7 @@
 
     Raises `msgspec.DecodeError` if ``data`` is invalid or leads from another table.
     """
-    record = msgspec.msgpack.decode(data, type=_TableDifference)
+    record = decode_message(data, _TableDifference)
     if record.base != base.digest:
         raise msgspec.ValidationError("the difference leads from another table")
     routes = base.by_host_and_prefix | {(one.host, one.prefix): one for one in record.routes}
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/table_record.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/table_record.py
@@ -7,6 +7,7 @@
 from redwingscale_daemon._internal.routes.route import Route
 from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
 from redwingscale_daemon._internal.routes.service_rule import ServiceRule
+from redwingscale_daemon._internal.utils.documents import decode_message
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys
 from redwingscale_daemon._internal.workspaces.workspace import Workspace
 
@@ -41,7 +42,7 @@
 
     Raises `msgspec.DecodeError` if ``data`` is invalid.
     """
-    record = msgspec.msgpack.decode(data, type=_TableRecord)
+    record = decode_message(data, _TableRecord)
     return RouteTable(
         record.version,
         record.routes,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_client.py
@@ -100,7 +100,7 @@
             except pynng.Timeout:
                 self._empty_seconds += _RECEIVE_TIMEOUT_MS / 1000
                 continue
-            except (pynng.NNGException, msgspec.DecodeError) as error:
+            except (pynng.NNGException, msgspec.DecodeError, RecursionError) as error:
                 log_event("giver_news_invalid", level="WARNING", error=repr(error))
                 self._close()
                 continue
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_server.py
@@ -9,6 +9,7 @@
 from redwingscale_common.utils.logs import log_event
 
 from redwingscale_daemon._internal.swaps.messages import InstanceUpdate, LeaderUpdate
+from redwingscale_daemon._internal.utils.documents import decode_message
 
 _RECEIVE_TIMEOUT_MS = 1000
 # Updates come four times a second: an instance without one for this long has stopped or
@@ -68,10 +69,9 @@
         return sum(1 for received_at in list(self._received_at.values()) if received_at > since)
 
     def _run(self) -> None:
-        decoder = msgspec.msgpack.Decoder(InstanceUpdate)
         while not self._stopped:
             try:
-                update = decoder.decode(self._pull.recv())
+                update = decode_message(self._pull.recv(), InstanceUpdate)
             except pynng.Timeout:
                 continue
             except pynng.Closed:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lease_record.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/lease_record.py
@@ -7,6 +7,7 @@
 
 from redwingscale_daemon._internal.fleet.software_versions import SoftwareRecord
 from redwingscale_daemon._internal.store.rows import RowKey, StoredRow
+from redwingscale_daemon._internal.utils.documents import decode_json
 
 LEASE_ROW = RowKey("redwingscale", "", "order-giver")
 
@@ -61,7 +62,7 @@
 def read_record(row: StoredRow) -> LeaderRecord | None:
     """Return the record in ``row``, None if it is invalid."""
     try:
-        return msgspec.json.decode(row.value or b"", type=LeaderRecord)
+        return decode_json(row.value or b"", LeaderRecord)
     except msgspec.DecodeError as error:
         log_event("giver_row_invalid", level="WARNING", error=error)
         return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -19,6 +19,7 @@
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.lease_record import LeaderRecord
 from redwingscale_daemon._internal.swaps.peer_server import PeerRequest, PeerResponse
+from redwingscale_daemon._internal.utils.documents import decode_message
 
 MAX_PEERS = 32
 # A peer may be rejected by the store as well; another one is queried then.
@@ -180,7 +181,7 @@
             with pynng.Req0(**options) as link:
                 link.dial(f"tcp://{address}", block=False)
                 link.send(msgspec.msgpack.encode(request))
-                return msgspec.msgpack.decode(link.recv(), type=PeerResponse)
+                return decode_message(link.recv(), PeerResponse)
         except (pynng.NNGException, msgspec.DecodeError) as error:
             log_event("peer_silent", peer=address, error=repr(error))
             return None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
@@ -16,6 +16,7 @@
 from redwingscale_daemon._internal.swaps.leader_server import open_port
 from redwingscale_daemon._internal.swaps.lease_record import LeaderRecord
 from redwingscale_daemon._internal.swaps.table_replies import TableReplies
+from redwingscale_daemon._internal.utils.documents import decode_message
 
 _TIMEOUT_MS = 1000
 
@@ -132,7 +133,7 @@
     def _run(self) -> None:
         while not self._stopped:
             try:
-                request = msgspec.msgpack.decode(self._socket.recv(), type=PeerRequest)
+                request = decode_message(self._socket.recv(), PeerRequest)
                 self._receive_rates(request.rates)
                 response = self._make_response(request)
                 if request.path is not None:
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_starts.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_starts.py
@@ -98,8 +98,12 @@
 
 
 @pytest.mark.parametrize(
-    "bad", [b"", b"\xff", b"{}", ENTRY.replace(b"ready", b"warming"), ENTRY.replace(b"4", b'"4"')]
-)
+    "bad",
+    [
+        b"", b"\xff", b"{}", ENTRY.replace(b"ready", b"warming"), ENTRY.replace(b"4", b'"4"'),
+        ENTRY[:-1] + b',"Note":' + b"[" * 5000 + b"]" * 5000 + b"}",
+    ],
+)  # fmt: skip
 def test_invalid_entry_does_not_affect_the_others(bad, capsys):
     # Guards against an entry written by another process that makes the whole list
     # unreadable, or gets callers' requests.
--- a/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
@@ -183,6 +183,38 @@
         )
 
 
+NESTED = msgspec.Raw(b"[" * 5000 + b"]" * 5000)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("Note", NESTED)],
+)
+def test_entry_that_fits_into_no_message_is_rejected(field, value):
+    """Guards against an entry that ends the read of the list, or the updates to instances."""
+    with pytest.raises(msgspec.DecodeError):
+        discovery.decode_upstream(
+            "i-1", StoreVersion(0, 1), msgspec.json.encode({**ENTRY, field: value})
+        )
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("Note", NESTED)],
+)
+def test_report_that_fits_into_no_message_is_rejected(field, value):
+    """Guards against a report that ends the follower of its worker."""
+    with pytest.raises(msgspec.DecodeError):
+        engine.decode_report(msgspec.json.encode({"Models": [], "Seq": 1, field: value}))
+
+
+@pytest.mark.parametrize(("field", "value"), [("Note", NESTED)])
+def test_configuration_that_fits_into_no_message_is_rejected(field, value):
+    """Guards against a version that ends the follower of the configuration."""
+    with pytest.raises(msgspec.DecodeError):
+        decoded_with(**{field: value})
+
+
 def test_two_starts_of_a_process_are_two_upstreams():
     starts = [
         discovery.decode_upstream(
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pynng
+import pytest
 from redwingscale_daemon._internal.fleet.rate_limits import RateLimits
 from redwingscale_daemon._internal.platform.configuration import decode_configuration
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
@@ -73,6 +74,19 @@
     assert requester.version == 2
 
 
+def test_query_nested_too_deeply_does_not_end_the_server(start):
+    """Guards against an instance that answers no other one any more."""
+    peer = start(table(2))
+    fields = b"".join(map(msgspec.msgpack.encode, (1, [], [], False, None, b"", "")))
+    with pynng.Req0(recv_timeout=300) as link:
+        link.dial(f"tcp://{peer.server.address}", block=True)
+        # One field more than a query has.
+        link.send(b"\x98" + fields + b"\x91" * 5000 + b"\x01")
+        with pytest.raises(pynng.Timeout):
+            link.recv()
+    assert ask(peer, 1).configuration == 2
+
+
 def test_no_peer_is_queried_without_need(start, requester):
     requester.needed = False
     requester.client.remember([start(table(2)).server.address])
