Reject documents with integers that no message can hold

Callers saw, as reported by other operators and shown here: one entry with a `Slots` of 30 digits, and no instance follows the list any more; an instance that starts beside it never becomes ready.

Cause: JSON has no bound for integers and msgspec takes any, but MessagePack holds 64 bits: `OverflowError` as the list was encoded, in each step that had read it.

Change: integers of entries, reports, configurations and rows of the store are bounded to 64 bits as they are decoded. An entry beyond it is left out and logged like any other that is invalid; a configuration beyond it is refused, and the one in force stays.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/configuration.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/configuration.py
@@ -6,7 +6,7 @@
 from redwingscale_daemon._internal.routes.route import Route, WeightedService
 from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
 from redwingscale_daemon._internal.routes.service_rule import EngineRule, ModelRule, ServiceRule
-from redwingscale_daemon._internal.utils.documents import decode_json
+from redwingscale_daemon._internal.utils.documents import Integer, decode_json
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys, key_digest
 from redwingscale_daemon._internal.workspaces.workspace import UseLimit, UseUnit, Workspace
 
@@ -25,29 +25,29 @@
     name: str
     weights_mb: float
     load_s: float
-    adapters: int = 0
+    adapters: Integer = 0
     adapter_mb: float = 0.0
     warm_s: float | None = None
     disk_s: float | None = None
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
-    slots: int
-    kv_capacity: int
+    slots: Integer
+    kv_capacity: Integer
     models: list[_Model] = []
     weights_mb: float = 0.0
-    adapter_slots: int = 0
+    adapter_slots: Integer = 0
     # Loads a second from the weight store over all upstreams, not for one upstream.
     loads_per_s: float = 1.0
     host_mb: float | None = None
     disk_mb: float | None = None
     # Tokens in an event of a stream.
-    stride: int = 1
+    stride: Integer = 1
 
 
 class _Service(msgspec.Struct, rename="pascal"):
     name: str
-    max_conns: int = 64
+    max_conns: Integer = 64
     engine: _Engine | None = None
 
 
@@ -63,10 +63,10 @@
     kind: str
     timeout_ms: float
     target_latency_ms: float = 0.0
-    priority: int = 0
+    priority: Integer = 0
     service: str = ""
     traffic_split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     resumable: bool = False
     gap_target_ms: float = 0.0
     # Callers need no API key.
@@ -76,7 +76,7 @@
 class _Tenant(msgspec.Struct, rename="pascal"):
     name: str
     api_keys: list[str]
-    priority: int = 0
+    priority: Integer = 0
     # Limits requests unless this is ``token_stream``.
     unit: str = ""
     plain_tokens: float = 0.0
@@ -86,14 +86,14 @@
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 << 20
+    max_header_bytes: Integer = 16384
+    max_body_bytes: Integer = 4 << 20
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
 
 class _Document(msgspec.Struct, rename="pascal"):
-    version: int
+    version: Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
@@ -7,19 +7,23 @@
 
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
 from redwingscale_daemon._internal.store.store_version import StoreVersion
-from redwingscale_daemon._internal.utils.documents import decode_json
+from redwingscale_daemon._internal.utils.documents import (
+    Count,
+    Integer,
+    PositiveInteger,
+    decode_json,
+)
 
 TABLE = "servers"
 _DRAINING = "draining"
 _MILLISECONDS = 1000.0
 _LAST_PORT = 65535
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _Model(msgspec.Struct, rename="pascal"):
     name: str
-    version: int = 0
+    version: Integer = 0
     adapters: list[str] = []
 
 
@@ -40,14 +44,14 @@
     zone: _Text
     # The version of the upstream's software.
     version: _Text
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: PositiveInteger
     state: Literal["ready", "draining"]
     # How much longer the upstream is slow after its start; checked but not used.
     cold_left_ms: float
     # Number of orders that the upstream has accepted; its reports have the number that is used.
-    seq: _Count
+    seq: Count
     # Start of the process in Unix milliseconds; the only lower-case field.
-    born: int | None = msgspec.field(default=None, name="born")
+    born: Integer | None = msgspec.field(default=None, name="born")
     models: list[_Model] = []
     at_hand: _AtHand = msgspec.field(default_factory=_AtHand)
     remaining_ms: float | None = None
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/engine.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/engine.py
@@ -8,7 +8,7 @@
 from redwingscale_daemon._internal.platform import names
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Load, Order, OrderResult
-from redwingscale_daemon._internal.utils.documents import decode_json
+from redwingscale_daemon._internal.utils.documents import Integer, decode_json
 
 _RESULTS_BY_STATUS = {
     200: OrderResult.IN_EFFECT,
@@ -23,7 +23,7 @@
 
 class _Model(msgspec.Struct, rename="pascal"):
     name: str
-    version: int = 0
+    version: Integer = 0
     adapters: list[str] = []
 
 
@@ -31,9 +31,9 @@
     models: list[_Model] = []
     busy: bool = False
     # Number of orders accepted since the start of the process.
-    seq: int = 0
+    seq: Integer = 0
     # Start of the process in Unix milliseconds; the only lower-case field.
-    born: int | None = msgspec.field(default=None, name="born")
+    born: Integer | None = msgspec.field(default=None, name="born")
     # Adapters that are loading, written MODEL/NAME@VERSION.
     loading: list[str] = []
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -20,7 +20,7 @@
 from redwingscale_daemon._internal.store.store_eras import UNTOLD_ERA, StoreEras
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.utils.bounded_answers import StoreAnswerPool
-from redwingscale_daemon._internal.utils.documents import decode_json
+from redwingscale_daemon._internal.utils.documents import Integer, decode_json
 from redwingscale_daemon._internal.utils.numbers import parse_number
 
 _OK = 200
@@ -45,14 +45,14 @@
     part: str = msgspec.field(default="", name="part")
     key: str = ""
     value: str = ""
-    row_version: int = 0
+    row_version: Integer = 0
     deleted: bool = False
 
 
 class _Rows(msgspec.Struct, rename="pascal"):
     rows: list[_Row] = []
     truncated: bool = False
-    row_version: int = 0
+    row_version: Integer = 0
 
 
 class _Answer(NamedTuple):
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_odd_entries.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_odd_entries.py
@@ -17,10 +17,14 @@
     return msgspec.json.encode(odd | fields | raw)
 
 
+LARGE = b"9" * 30
 ODD = {
     "nested-arrays": entry(Note=b"[" * DEPTH + b"]" * DEPTH),
     "nested-objects": entry(Note=b'{"a":' * DEPTH + b"1" + b"}" * DEPTH),
     "nested-without-end": b"[" * DEPTH,
+    "large-slots": entry(Slots=LARGE),
+    "large-start": entry(born=LARGE),
+    "large-version": entry(Models=b'[{"Name":"m1","Version":%s}]' % LARGE),
     "port-out-of-range": entry(Address="127.0.0.1:65536"),
 }
 
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_starts.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_starts.py
@@ -101,7 +101,7 @@
     "bad",
     [
         b"", b"\xff", b"{}", ENTRY.replace(b"ready", b"warming"), ENTRY.replace(b"4", b'"4"'),
-        ENTRY[:-1] + b',"Note":' + b"[" * 5000 + b"]" * 5000 + b"}",
+        ENTRY.replace(b"4", b"9" * 30), ENTRY[:-1] + b',"Note":' + b"[" * 5000 + b"]" * 5000 + b"}",
     ],
 )  # fmt: skip
 def test_invalid_entry_does_not_affect_the_others(bad, capsys):
--- a/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
@@ -183,12 +183,14 @@
         )
 
 
+LARGE = msgspec.Raw(b"9" * 30)
+LARGE_MODEL = msgspec.Raw(b'[{"Name":"m","Version":%s}]' % bytes(LARGE))
 NESTED = msgspec.Raw(b"[" * 5000 + b"]" * 5000)
 
 
 @pytest.mark.parametrize(
     ("field", "value"),
-    [("Note", NESTED)],
+    [("Slots", LARGE), ("Seq", LARGE), ("born", LARGE), ("Models", LARGE_MODEL), ("Note", NESTED)],
 )
 def test_entry_that_fits_into_no_message_is_rejected(field, value):
     """Guards against an entry that ends the read of the list, or the updates to instances."""
@@ -200,7 +202,7 @@
 
 @pytest.mark.parametrize(
     ("field", "value"),
-    [("Note", NESTED)],
+    [("Seq", LARGE), ("born", LARGE), ("Models", LARGE_MODEL), ("Note", NESTED)],
 )
 def test_report_that_fits_into_no_message_is_rejected(field, value):
     """Guards against a report that ends the follower of its worker."""
@@ -208,7 +210,7 @@
         engine.decode_report(msgspec.json.encode({"Models": [], "Seq": 1, field: value}))
 
 
-@pytest.mark.parametrize(("field", "value"), [("Note", NESTED)])
+@pytest.mark.parametrize(("field", "value"), [("Version", LARGE), ("Note", NESTED)])
 def test_configuration_that_fits_into_no_message_is_rejected(field, value):
     """Guards against a version that ends the follower of the configuration."""
     with pytest.raises(msgspec.DecodeError):
