Reject ports that are no ASCII digits in entries

Seen on the code before: an entry with a port of `1_0`, `+80`, ` 80` or digits of another script was taken for an upstream's, at another port than its writer may have meant.

Cause: `int` accepts all of them.

Change: the port is read by `parse_number`, as numbers in headers are.

Evidence: four cases of test_entry_with_an_invalid_value_is_rejected failed on the commit before and pass now. A port of 5,000 digits was refused before as well.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/discovery.py
@@ -13,6 +13,7 @@
     PositiveInteger,
     decode_json,
 )
+from redwingscale_daemon._internal.utils.numbers import parse_number
 
 TABLE = "servers"
 _DRAINING = "draining"
@@ -98,9 +99,9 @@
 
 
 def _port(text: str) -> int:
-    port = int(text)
-    if not 0 < port <= _LAST_PORT:
-        raise ValueError(f"port {port} is out of range")
+    port = parse_number(text)
+    if port is None or not 0 < port <= _LAST_PORT:
+        raise ValueError(f"{text[:80]!r} is no port")
     return port
 
 
--- a/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
+++ b/packages/redwingscale-daemon/tests/unit/platform/test_decoding.py
@@ -174,6 +174,8 @@
         ("ColdLeftMs", "soon"), ("Version", 1), ("Models", {}), ("AtHand", []),
         ("born", "1700000000123"), ("born", 1.5), ("Address", "10.0.0.9"), ("Address", ":80"),
         ("Address", "10.0.0.9:0"), ("Address", "10.0.0.9:70000"), ("Address", "10.0.0:80"),
+        ("Address", "10.0.0.9:1_0"), ("Address", "10.0.0.9:+80"), ("Address", "10.0.0.9: 80"),
+        ("Address", "10.0.0.9:\u0668\u0660"), ("Address", "10.0.0.9:" + "8" * 5000),
     ],
 )  # fmt: skip
 def test_entry_with_an_invalid_value_is_rejected(field, value):
