Log answers to calls that are not valid

Seen: a worker whose answers to reports, orders, questions for its name and probes were broken left no line in the log; the calls only counted as unanswered.

Change: `call_answer_broken` names the upstream and what was wrong, also for a report that cannot be decoded. What follows from such an answer is as before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_probe.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/connection_probe.py
@@ -8,7 +8,10 @@
 
 from redwingscale_daemon._internal.fleet.upstream import Upstream
 from redwingscale_daemon._internal.forwarding.upstream_connection import CONNECT_SECONDS
-from redwingscale_daemon._internal.utils.bounded_answers import ShortAnswerConnection
+from redwingscale_daemon._internal.utils.bounded_answers import (
+    ShortAnswerConnection,
+    log_answer_broken,
+)
 
 # A path that breaks new connections does so within a round trip.
 SETTLE_SECONDS = 0.1
@@ -31,7 +34,10 @@
             connection.getresponse().read()
         except ConnectionError:
             return ProbeResult.REFUSED
-        except (OSError, http.client.HTTPException):
+        except OSError:
+            return ProbeResult.FAILED
+        except http.client.HTTPException as error:
+            log_answer_broken(upstream.id, error)
             return ProbeResult.FAILED
     return ProbeResult.WORKS
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/process_check.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/process_check.py
@@ -8,7 +8,10 @@
 from contextlib import closing
 
 from redwingscale_daemon._internal.fleet.upstream import Upstream
-from redwingscale_daemon._internal.utils.bounded_answers import ShortAnswerConnection
+from redwingscale_daemon._internal.utils.bounded_answers import (
+    ShortAnswerConnection,
+    log_answer_broken,
+)
 
 # A process answers within a few milliseconds. Requests wait this long at most, twice: for the
 # connection and for the answer.
@@ -116,6 +119,9 @@
                 connection.request("GET", self._target, headers={"Connection": "close"})
                 response = connection.getresponse()
                 response.read()
-            except (OSError, http.client.HTTPException):
+            except OSError:
+                return None
+            except http.client.HTTPException as error:
+                log_answer_broken(upstream.id, error)
                 return None
             return self._read_name(response)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/order_client.py
@@ -24,7 +24,11 @@
 from redwingscale_daemon._internal.forwarding.dialect import HeaderValues
 from redwingscale_daemon._internal.swaps.engine_report import EngineReport
 from redwingscale_daemon._internal.swaps.order import Order, OrderResult
-from redwingscale_daemon._internal.utils.bounded_answers import ShortAnswerPool, ShortAnswerPools
+from redwingscale_daemon._internal.utils.bounded_answers import (
+    ShortAnswerPool,
+    ShortAnswerPools,
+    log_answer_broken,
+)
 from redwingscale_daemon._internal.utils.sockets import RESET_ON_CLOSE
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -103,7 +107,8 @@
         except HTTPError as error:
             self._note_failed(upstream, error, began_at)
             return None
-        except msgspec.DecodeError:
+        except msgspec.DecodeError as error:
+            log_answer_broken(upstream.id, error)
             return None
 
     def order(self, upstream: Upstream, order: Order) -> OrderResult:
@@ -144,6 +149,7 @@
     def _note_failed(self, upstream: Upstream, error: HTTPError, began_at: float) -> None:
         if _brought_bytes(error):
             # The upstream is faulty, and the path to it works.
+            log_answer_broken(upstream.id, error)
             return
         # An upstream may close a connection that was idle, but not the next one as well.
         again = upstream.id in self._broken
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/utils/bounded_answers.py
@@ -12,6 +12,7 @@
     StrictPools,
     StrictResponse,
 )
+from redwingscale_common.utils.logs import log_event
 
 # Answers to calls have some kilobytes and come at once.
 MAX_ANSWER_BYTES = 1 << 20
@@ -26,6 +27,11 @@
 MAX_LINES_BYTES = 64 << 10
 
 
+def log_answer_broken(upstream_id: str, error: Exception) -> None:
+    """Log an answer of an upstream to a call that is not valid."""
+    log_event("call_answer_broken", level="WARNING", upstream=upstream_id, error=repr(error))
+
+
 class _BoundedReader(io.RawIOBase):
     """Reads one answer; raises `TimeoutError` or `http.client.HTTPException` beyond its bounds."""
 
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_cut_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_cut_answers.py
@@ -2,6 +2,7 @@
 
 import pytest
 import urllib3
+from loguru import logger
 from redwingscale_common.network.client import new_pool
 from redwingscale_daemon._internal.exceptions import WriteUnknown
 from redwingscale_daemon._internal.fleet.unit import Unit
@@ -66,3 +67,19 @@
     """Guards against an empty answer of an engine or the platform that passes for a whole one."""
     with pytest.raises(urllib3.exceptions.ProtocolError):
         new_pool().request("GET", f"http://{cut.host}:{cut.port}/")
+
+
+@pytest.fixture
+def logged():
+    """The events that are logged from now on."""
+    events = []
+    handle = logger.add(lambda message: events.append(message.record["message"]))
+    yield events
+    logger.remove(handle)
+
+
+@pytest.mark.parametrize("cut", BROKEN_HEADS, indirect=True)
+def test_broken_answer_to_a_call_is_logged(cut, client, logged):
+    """Guards against a worker whose answers to calls are broken and nobody is told of."""
+    assert client.report(cut) is None
+    assert logged == ["call_answer_broken"]
