Share the stand-ins for raw answers, and split their tests

The port that answers one call, which two packages had written twice, is a fixture for all.

Also names and comments in strict_responses.py.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,8 @@
 """Fixtures that the tests of all packages share."""
 
+import contextlib
+import socket
+import threading
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -64,6 +67,27 @@
         deployment.stop()
 
 
+@pytest.fixture
+def open_answering_port() -> Iterator[Callable[[bytes], int]]:
+    """Open ports that answer one call with given bytes, and close the connection."""
+    with contextlib.ExitStack() as stack:
+
+        def open_port(data: bytes) -> int:
+            listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+
+            def serve() -> None:
+                with contextlib.suppress(OSError):
+                    connection, _ = listener.accept()
+                    with connection:
+                        connection.recv(65536)
+                        connection.sendall(data)
+
+            threading.Thread(target=serve, daemon=True).start()
+            return int(listener.getsockname()[1])
+
+        yield open_port
+
+
 @pytest.fixture(scope="session")
 def izmir_text() -> str:
     """The operators' text of the İzmir example."""
--- a/packages/redwingscale-common/src/redwingscale_common/network/strict_responses.py
+++ b/packages/redwingscale-common/src/redwingscale_common/network/strict_responses.py
@@ -30,7 +30,7 @@
 _INTERIM = range(100, 200)
 _SWITCHING_PROTOCOLS = 101
 _BODILESS = frozenset({204, 304})
-_OLD_VERSIONS = frozenset({b"HTTP/1.0"})
+_HTTP_1_0 = b"HTTP/1.0"
 
 
 def check_line(line: bytes, limit: int) -> bytes:
@@ -63,15 +63,18 @@
     fields: tuple[tuple[bytes, bytes], ...]
 
     def values(self, name: bytes) -> list[bytes]:
+        """Return the values of the fields with the lower-case ``name``."""
         return [value for field, value in self.fields if field.lower() == name]
 
     def check_framing(self) -> None:
+        """Raise ValueError if the end of the body is not stated, or stated in two ways."""
         codings = self.values(b"transfer-encoding")
         check_framing(self.values(b"content-length"), codings)
-        if codings and self.status_line.version in _OLD_VERSIONS:
+        if codings and self.status_line.version == _HTTP_1_0:
             raise ValueError("Transfer-Encoding in a response of HTTP/1.0")
 
     def encode(self) -> bytes:
+        """Return the head in the form that each parser reads alike."""
         version, status, reason = self.status_line
         fields = (b"%s: %s\r\n" % field for field in self.fields)
         return b"%s %d %s\r\n%s\r\n" % (version, status, reason, b"".join(fields))
@@ -131,7 +134,8 @@
         if self.status in _BODILESS:
             self.chunked = False
 
-    # The next three replace methods of `http.client`.
+    # These replace methods of `http.client`, which reads sizes by `int`, and skips the bytes after a
+    # chunk and the lines of a trailer unread.
 
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left in this chunk, or in the next one; None at the end of the body."""
--- a/packages/redwingscale-common/tests/unit/test_strict_responses.py
+++ b/packages/redwingscale-common/tests/unit/test_strict_responses.py
@@ -1,9 +1,5 @@
 """Clients read responses of any valid form, and take others for broken ones."""
 
-import contextlib
-import socket
-import threading
-
 import pytest
 import urllib3
 from redwingscale_common.network.client import new_pool, read_pieces
@@ -14,24 +10,9 @@
 
 
 @pytest.fixture
-def answering():
-    """Return a function that opens a port which answers one call in a form, and closes."""
-    with contextlib.ExitStack() as stack:
-
-        def make(form):
-            listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-
-            def serve():
-                with contextlib.suppress(OSError):
-                    connection, _ = listener.accept()
-                    with connection:
-                        connection.recv(65536)
-                        connection.sendall(form.write("r", BODY))
-
-            threading.Thread(target=serve, daemon=True).start()
-            return f"http://127.0.0.1:{listener.getsockname()[1]}/"
-
-        yield make
+def answering(open_answering_port):
+    """Open ports that answer one call in a form; return their URLs."""
+    return lambda form: f"http://127.0.0.1:{open_answering_port(form.write('r', BODY))}/"
 
 
 def read_whole(pool, url):
--- a/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/conftest.py
@@ -1,15 +1,24 @@
 """Fixtures: real instances, with a row store and model workers in the test's process."""
 
 import pytest
+import urllib3
 from redwingscale_common.network.server import HttpServer, ServerLimits
-from redwingscale_standins.hosted.documents import document
+from redwingscale_standins.hosted.documents import HOST, document, stream_route
 from redwingscale_standins.hosted.instance_process import InstanceProcess
 from redwingscale_standins.hosted.model_worker import ModelWorker, WorkerTiming
+from redwingscale_standins.hosted.raw_worker import RawWorker
 from redwingscale_standins.hosted.rows_api import RowsApi
 from redwingscale_standins.hosted.waiting import until
 from redwingscale_standins.hosted.worker_process import WorkerProcess
 from redwingscale_standins.soak.faulty_link import FaultyLink
+from redwingscale_standins.soak.ledger import Ledger
 from redwingscale_standins.soak.process_paths import PathFault, ProcessPaths
+from redwingscale_standins.soak.soak_worker import SoakWorker
+
+EVENTS = 6
+# A stream is asked for at the faulty worker first, since the sound one is in another domain.
+WHOLE = [*range(1, EVENTS + 1)]
+DEADLINE_SECONDS = 8.0
 
 
 class Deployment:
@@ -116,3 +125,91 @@
     made = Deployment(tmp_path)
     yield made
     made.stop()
+
+
+@pytest.fixture
+def raw_worker(deployment):
+    """Start workers with a script, listed with ``entry``; a link passes on no resets."""
+    made = []
+
+    def make(script, linked=False, **entry):
+        raw = RawWorker("raw", ("m1",), script)
+        made.append(raw)
+        port = deployment.link(raw.port) if linked else raw.port
+        deployment.rows.put("servers", raw.id, deployment.entry(raw, port) | entry)
+        return raw
+
+    yield make
+    for raw in made:
+        raw.stop()
+
+
+@pytest.fixture
+def start_instance(deployment):
+    """Start an instance, and wait until the leader has told it which repeats it may send."""
+
+    def start():
+        made = deployment.instance("one")
+        until(lambda: b"event=former_repeats" in made.log.read_bytes(), "the former repeats")
+        return made
+
+    return start
+
+
+@pytest.fixture
+def make_pair(deployment, raw_worker, start_instance):
+    """Start an instance before a raw worker with a script and a sound one."""
+
+    def make(script, linked=False):
+        deployment.worker("sound", "m1", linked=linked)
+        raw = raw_worker(script, linked)
+        return start_instance(), raw
+
+    return make
+
+
+@pytest.fixture
+def make_plain(deployment, raw_worker, start_instance):
+    """Start an instance before a raw worker and a sound one of a plain service."""
+
+    def make(kind, script):
+        configuration = document(1)
+        plain = {"Kind": kind, "Service": "plain", "Resumable": False}
+        configuration["Routes"].append(stream_route("plain", "/plain/") | plain)
+        configuration["Services"].append({"Name": "plain", "MaxConns": 100})
+        deployment.rows.put("op", "config", configuration)
+        deployment.plain_worker(SoakWorker("sound", set(), Ledger()))
+        raw = raw_worker(script, Service="plain")
+        return start_instance(), raw
+
+    return make
+
+
+def first_event(headers):
+    """Return the number of the event from which a request asks for a stream."""
+    return int(headers.get("last-event-id", "0")) + 1
+
+
+def until_asked(instance, raw):
+    """Request streams until the raw worker was asked; return the answer of that request."""
+    for number in range(40):
+        answer = instance.request_stream(
+            "m1", EVENTS, request=f"r{number}", timeout=DEADLINE_SECONDS
+        )
+        if raw.requests:
+            return answer
+    raise AssertionError("the raw worker was never asked")
+
+
+def ask_plain(instance, raw):
+    """Send plain requests until the raw worker was asked; return that answer and its id."""
+    url = f"http://127.0.0.1:{instance.ports[0]}/plain/x"
+    for number in range(40):
+        name = f"p{number}"
+        headers = {"Host": HOST, "X-Redwingscale-Request-Id": name}
+        answer = urllib3.request(
+            "POST", url, body=b"b", headers=headers, retries=False, timeout=DEADLINE_SECONDS
+        )
+        if raw.requests:
+            return answer, name
+    raise AssertionError("the raw worker was never asked")
--- a/packages/redwingscale-daemon/tests/unit/utils/test_bounded_answers.py
+++ b/packages/redwingscale-daemon/tests/unit/utils/test_bounded_answers.py
@@ -2,8 +2,6 @@
 
 import contextlib
 import http.client
-import socket
-import threading
 
 import pytest
 import urllib3
@@ -35,24 +33,9 @@
 
 
 @pytest.fixture
-def answering():
-    """Return a function that opens a port which answers one call with bytes, and closes."""
-    with contextlib.ExitStack() as stack:
-
-        def make(data):
-            listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-
-            def serve():
-                with contextlib.suppress(OSError):
-                    connection, _ = listener.accept()
-                    with connection:
-                        connection.recv(65536)
-                        connection.sendall(data + b"x" * 1000)
-
-            threading.Thread(target=serve, daemon=True).start()
-            return listener.getsockname()[1]
-
-        yield make
+def answering(open_answering_port):
+    """Open ports that answer one call with bytes and some more."""
+    return lambda data: open_answering_port(data + b"x" * 1000)
 
 
 @pytest.mark.parametrize("pool", [ShortAnswerPool, StoreAnswerPool])
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/answer_forms.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/answer_forms.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+# Frames a body.
+Framing = Callable[[bytes], bytes]
 _TOKEN_CHARACTERS = "!#$%&'*+-.^_`|~09AZaz"
 
 
@@ -11,7 +13,7 @@
     return body
 
 
-def chunks(size: str = "{size:x}", end: str = "\r\n", last: str = "0\r\n\r\n") -> "Framing":
+def chunks(size: str = "{size:x}", end: str = "\r\n", last: str = "0\r\n\r\n") -> Framing:
     """Return a framing in one chunk: its ``size`` line, its ``end`` and the ``last`` chunk."""
 
     def frame(body: bytes) -> bytes:
@@ -21,7 +23,6 @@
     return frame
 
 
-Framing = Callable[[bytes], bytes]
 CHUNKED = "Transfer-Encoding: chunked"
 LENGTH = "Content-Length: {length}"
 
