--- a/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_list_after_a_cut.py
@@ -204,6 +204,18 @@
     assert deployment.instance.known() == {"u0", "u2"}
 
 
+def test_upstream_removed_while_reads_are_lost_for_a_moment_is_dropped_in_time(deployment):
+    """Guards against a removed entry that is kept as lapsed after an outage too short for that."""
+    deployment.hears_giver = False
+    deployment.run(2.0)
+    deployment.instance.cut = True
+    deployment.store.remove("u1")
+    deployment.run(0.75)
+    deployment.instance.cut = False
+    deployment.run(LEAVE_SECONDS - 0.75)
+    assert deployment.instance.known() == {"u0", "u2"}
+
+
 def test_updates_of_the_same_leader_after_a_cut_replace_no_read(deployment):
     # An instance is cut off from store and leader for some seconds. An upstream begins to
     # leave, which the leader announces for 3 s, during the cut. Updates arrive again just
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_entry_exchange.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_entry_exchange.py
@@ -9,6 +9,9 @@
 from redwingscale_daemon._internal.swaps.entry_exchange import EntryExchange
 
 WAIT_SECONDS = 10.0
+# What a link of 10 Mbit/s carries within the time that a peer may take to answer.
+ANSWERED_BYTES = 400_000
+VALUE_BYTES = 200
 
 
 class Links:
@@ -18,15 +21,20 @@
         self.exchanges = {}
         self.states = {}
         self.cut = set()
+        self.largest_answered = ANSWERED_BYTES
+        self.messages = 0
 
     def add(self, name):
         state = self.states[name] = GossipState(name)
 
         def send(address, entries, asks):
+            self.messages += 1
             peer = self.exchanges.get(address)
             if peer is None or {name, address} in self.cut_pairs():
                 return None
             peer.receive(entries)
+            if sum(len(entry.payload) for entry in entries) > self.largest_answered:
+                return None
             return peer.entries() if asks else []
 
         def peers():
@@ -49,6 +57,16 @@
     def values(self, name):
         return {entry.payload for entry in self.states[name].entries("topic")}
 
+    def until_silent(self):
+        """Wait until all entries are acknowledged: what is not is sent again twice a second."""
+
+        def is_silent():
+            before = self.messages
+            time.sleep(1.0)
+            return self.messages == before
+
+        until(is_silent)
+
     def stop(self):
         for exchange in self.exchanges.values():
             exchange.stop()
@@ -111,6 +129,38 @@
     until(lambda: all(links.values(n) == {bytes([49])} for n in "abc"))
 
 
+def test_messages_shrink_until_a_peer_answers_them(links):
+    """Guards against entries that are sent to a peer again and again, each time with more."""
+    links.largest_answered = 10_000
+    state = links.add("a")
+    for number in range(300):
+        state.publish("topic", str(number), bytes(VALUE_BYTES))
+    links.add("b")
+    until(lambda: len(links.states["b"].entries("topic")) == 300)
+    links.until_silent()
+
+
+def test_entries_beyond_what_one_message_carries_are_acknowledged(links):
+    """Guards against instances that keep their links full after a burst of entries."""
+    state = links.add("a")
+    for number in range(3 * ANSWERED_BYTES // VALUE_BYTES):
+        state.publish("topic", str(number), bytes(VALUE_BYTES))
+    links.add("b")
+    links.until_silent()
+
+
+def test_silent_peer_is_asked_ever_more_rarely(links):
+    """Guards against instances that spend their time on messages that nobody answers."""
+    links.add("a").publish("topic", "key", "value")
+    links.add("b")
+    until(lambda: links.values("b"))
+    links.cut_off({"b"})
+    links.states["a"].publish("topic", "key", "other")
+    before = links.messages
+    time.sleep(4.0)
+    assert links.messages - before <= 5
+
+
 def test_entries_expire(links):
     """Guards against a list of entries that grows for as long as an instance runs."""
     state = links.add("a")
--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
@@ -21,7 +21,7 @@
 class RowsApi:
     """Stores rows by table, partition and key; ``down`` makes every request fail with 503.
 
-    `restore` brings it back from an older copy, which begins a new ``era``.
+    Each answer to a read comes ``read_seconds`` late, with the rows as of its begin. `restore` brings it back from an older copy, which begins a new ``era``.
     """
 
     def __init__(self) -> None:
@@ -33,6 +33,7 @@
         self._copies.keep(RowState({}, {}, 0))
         self.era = FIRST_ERA
         self.down = False
+        self.read_seconds = 0.0
 
     def put(self, table: str, key: str, value: object) -> None:
         """Write a row unconditionally, as the platform does."""
@@ -93,7 +94,9 @@
             raise cherrypy.HTTPError(503)
         match cherrypy.request.method, segments:
             case "GET", ("api", "rows-get"):
-                return self._get(query["Table"], query.get("part", ""))
+                answer = self._get(query["Table"], query.get("part", ""))
+                time.sleep(self.read_seconds)
+                return answer
             case "GET", ("api", "rows-feed"):
                 return self._feed(query["Table"], int(query["after"]), int(query["WaitMs"]))
             case "POST", ("api", "rows-tx"):
--- a/packages/redwingscale-standins/src/redwingscale_standins/leaving/play.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/leaving/play.py
@@ -1,4 +1,4 @@
-"""Plays workers that leave after the store came back from an older copy.
+"""Plays workers that leave while the store answers late, or came back from an older copy.
 
 ``python -m redwingscale_standins.leaving.play MODE`` prints what reached them too late.
 """
@@ -22,14 +22,19 @@
 STREAMS_PER_SECOND, CALLER_THREADS = 12.0, 48
 AWAY_AT_SECONDS, AWAY_SECONDS = 5.5, 0.5
 COPIES_GAP_SECONDS = 1.5
+LATE_FROM_SECONDS, LATE_UNTIL_SECONDS = 4.8, 12.0
 END_SECONDS = 13.0
 
 
 class Mode(NamedTuple):
-    """How old the copies are, in seconds, and how often workers write their entries."""
+    """How old the copies are, in seconds, and how often workers write their entries.
+
+    Answers to reads of the store are ``read_seconds`` late for a while.
+    """
 
     copies: tuple[float, ...] = ()
     heartbeat_seconds: float = 0.4
+    read_seconds: float = 0.0
 
 
 MODES = {
@@ -38,6 +43,8 @@
     "old-copy": Mode((12.0,)),
     "few-writes": Mode((4.0,), heartbeat_seconds=3.0),
     "two-copies": Mode((4.0, 4.0)),
+    "late-reads": Mode(read_seconds=0.9),
+    "later-reads": Mode(read_seconds=1.5),
 }
 
 
@@ -131,7 +138,15 @@
             (at, partial(self._leave, state))
             for at, state in ((6.3, "draining"), (7.0, "gone"), (9.0, "draining"))
         ]
-        return [*copies, *leaves, *([(AWAY_AT_SECONDS, self._go_away)] if copies else [])]
+        late = [
+            (LATE_FROM_SECONDS, partial(self._delay_reads, self._mode.read_seconds)),
+            (LATE_UNTIL_SECONDS, partial(self._delay_reads, 0.0)),
+        ]
+        away = [(AWAY_AT_SECONDS, self._go_away)] if copies else []
+        return [*copies, *leaves, *late, *away]
+
+    def _delay_reads(self, seconds: float) -> None:
+        self._world.rows.read_seconds = seconds
 
     def _go_away(self) -> None:
         self._world.rows.down = True
