--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 
@@ -151,6 +152,7 @@
                 return
             entries, asks = [entry for entry, _ in outbox.entries.values()], outbox.asks
         received: Sequence[Entry] | None = None
+        began_at = time.monotonic()
         try:
             received = self._send(address, entries, asks)
         except Exception as error:
@@ -165,8 +167,20 @@
                     outbox.drop(entries)
                     outbox.asks = False
         if received is None:
-            log_event("entries_not_acknowledged", peer=address, entries=len(entries))
+            log_event(
+                "entries_not_acknowledged",
+                peer=address,
+                entries=len(entries),
+                bytes=sum(len(entry.payload) for entry in entries),
+                seconds=round(time.monotonic() - began_at, 3),
+                topics=_counts_by_topic(entries),
+            )
         elif asks:
             log_event("entries_received", peer=address, entries=len(received))
             self.receive(received)
         self._periodic.wake()
+
+
+def _counts_by_topic(entries: Iterable[Entry]) -> str:
+    counts = Counter(entry.topic for entry in entries)
+    return ",".join(f"{topic}:{count}" for topic, count in counts.most_common())
