Bound the messages of entries between instances, and back off from silent peers

Callers of deployments with 67 and more instances were served in time ever more rarely after a burst of broken answers, and this lasted until all instances were restarted.

Cause: a message held all entries that a peer had not acknowledged, and its answer had to come within 0.4 s. On a link of 10 Mbit/s a message of some 2,000 entries can't be answered in that time, so it was sent again, with more, each half second to each of 32 peers for up to two minutes: the work of repeating it kept the cause alive. The answer to an instance that asks for all entries had no bound either.

A message now holds at most 32 KB, half as much after each one without an answer, and the pause before the next one doubles up to 4 s; a message from the peer ends the pause. An instance that asks gets a first message, and the rest as entries to acknowledge. The entries of an outbox are in order of their age, so that dropping old ones no longer looks at all of them, and expired entries are looked for once a minute, not at each step.

test_entry_exchange.py: three tests failed before (sent whole twice a second; 8 messages in 4 s to a silent peer) and pass now, and one of the bounded answer is new.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
@@ -9,20 +9,18 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.membership.entry import Entry, EntryKey
+from redwingscale_daemon._internal.membership.entry import Entry
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
+from redwingscale_daemon._internal.swaps.outbox import Outbox
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 # An entry of another instance is passed on to so many peers, in case its origin does not
 # know or reach all of them.
 FANOUT = 4
 STEP_SECONDS = 0.25
-# A peer that did not answer is tried again after this time.
-RETRY_SECONDS = 0.5
-# Entries for a peer that answers none of them are kept for this long.
-PENDING_SECONDS = 120.0
 # Entries are dropped after this time; no quarantine lasts longer.
 KEPT_SECONDS = 7200.0
+EXPIRE_SECONDS = 60.0
 # How many peers an instance that has started asks for all entries.
 INITIAL_PEERS = 3
 THREADS = 8
@@ -32,31 +30,6 @@
 Send = Callable[[str, list[Entry], bool], Sequence[Entry] | None]
 
 
-class _Outbox:
-    """What one peer has not acknowledged yet."""
-
-    def __init__(self) -> None:
-        self.entries: dict[EntryKey, tuple[Entry, float]] = {}
-        self.asks = False
-        self.due_at = 0.0
-        self.sending = False
-
-    def add(self, entries: Iterable[Entry]) -> None:
-        now = time.monotonic()
-        self.entries |= {entry.entry_key: (entry, now) for entry in entries}
-
-    def drop(self, sent: Iterable[Entry]) -> None:
-        """Drop entries that were acknowledged and are not replaced by newer ones."""
-        for entry in sent:
-            kept = self.entries.get(entry.entry_key)
-            if kept is not None and kept[0] == entry:
-                del self.entries[entry.entry_key]
-
-    def drop_old(self) -> None:
-        oldest = time.monotonic() - PENDING_SECONDS
-        self.entries = {key: kept for key, kept in self.entries.items() if kept[1] > oldest}
-
-
 class EntryExchange:
     """Sends each entry of the gossip state to every known peer until the peer has answered.
 
@@ -69,8 +42,9 @@
         self._peers = peers
         self._send = send
         self._lock = threading.Lock()
-        self._outboxes: dict[str, _Outbox] = {}
+        self._outboxes: dict[str, Outbox] = {}
         self._asked = 0
+        self._expired_at = time.monotonic()
         # Where entries that this thread receives are passed on to.
         self._batch = threading.local()
         # Not for secrets: it only spreads the messages.
@@ -92,11 +66,13 @@
         """Note that the known peers have changed."""
         self._periodic.wake()
 
-    def receive(self, entries: Iterable[Entry]) -> None:
-        """Take the entries that a peer has sent."""
+    def receive(self, entries: Iterable[Entry], sender: str = "") -> None:
+        """Take the entries that a peer has sent, whose address is ``sender`` if it is known."""
         with self._lock:
             self._follow_peers()
             addresses = list(self._outboxes)
+            if (outbox := self._outboxes.get(sender)) is not None:
+                outbox.note_heard()
         # The same peers for the whole batch, so that they get one message.
         self._batch.addresses = self._random.sample(addresses, min(FANOUT, len(addresses)))
         try:
@@ -105,14 +81,30 @@
         finally:
             self._batch.addresses = None
 
-    def entries(self) -> list[Entry]:
-        """Return all entries, for a peer that asks for them."""
-        return self._gossip.entries()
+    def answer_to(self, asker: str) -> list[Entry]:
+        """Return entries for a peer that asks for all; the rest is sent to it later.
+
+        The answer must come in time, so it holds no more than a message. An ``asker`` whose
+        address is not known yet is sent everything once it is, as each new peer.
+        """
+        entries = self._gossip.entries()
+        if not asker:
+            # An instance of an older release, which may not be told of others' addresses.
+            return entries
+        rest = Outbox()
+        rest.add(entries)
+        first = rest.message()
+        with self._lock:
+            if (outbox := self._outboxes.get(asker)) is not None:
+                outbox.add(entries[len(first) :])
+        self._periodic.wake()
+        return first
 
     def _forward(self, entry: Entry) -> None:
         addresses = getattr(self._batch, "addresses", None)
         with self._lock:
-            self._follow_peers()
+            if addresses is None:
+                self._follow_peers()
             for address in self._outboxes if addresses is None else addresses:
                 if (outbox := self._outboxes.get(address)) is not None:
                     outbox.add([entry])
@@ -125,21 +117,22 @@
         new = known - self._outboxes.keys()
         entries = self._gossip.entries() if new else []
         for address in sorted(new):
-            outbox = self._outboxes[address] = _Outbox()
+            outbox = self._outboxes[address] = Outbox()
             outbox.add(entries)
             outbox.asks = self._asked < INITIAL_PEERS
             self._asked += outbox.asks
 
     def step(self) -> None:
         """Send what is due."""
-        self._gossip.expire(KEPT_SECONDS)
         now = time.monotonic()
+        if now - self._expired_at >= EXPIRE_SECONDS:
+            self._expired_at = now
+            self._gossip.expire(KEPT_SECONDS)
         with self._lock:
             self._follow_peers()
             for outbox in self._outboxes.values():
                 outbox.drop_old()
-            waiting = {a: o for a, o in self._outboxes.items() if o.entries or o.asks}
-            due = [a for a, o in waiting.items() if not o.sending and o.due_at <= now]
+            due = [address for address, outbox in self._outboxes.items() if outbox.due]
             for address in due:
                 self._outboxes[address].sending = True
         for address in due:
@@ -150,7 +143,7 @@
             outbox = self._outboxes.get(address)
             if outbox is None:
                 return
-            entries, asks = [entry for entry, _ in outbox.entries.values()], outbox.asks
+            entries, asks = outbox.message(), outbox.asks
         received: Sequence[Entry] | None = None
         began_at = time.monotonic()
         try:
@@ -162,9 +155,9 @@
             with self._lock:
                 outbox.sending = False
                 if received is None:
-                    outbox.due_at = time.monotonic() + RETRY_SECONDS
+                    outbox.note_unanswered()
                 else:
-                    outbox.drop(entries)
+                    outbox.note_answered(entries)
                     outbox.asks = False
         if received is None:
             log_event(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
@@ -72,11 +72,11 @@
 class Entries(Protocol):
     """The entries that all instances exchange."""
 
-    def receive(self, entries: Iterable[Entry]) -> None:
-        """Take the entries that a peer has sent."""
+    def receive(self, entries: Iterable[Entry], sender: str = "") -> None:
+        """Take the entries that the peer at the address ``sender`` has sent."""
 
-    def entries(self) -> list[Entry]:
-        """Return all entries."""
+    def answer_to(self, asker: str) -> list[Entry]:
+        """Return entries for the peer at the address ``asker``, which asks for all of them."""
 
 
 class LeaseState(NamedTuple):
@@ -151,9 +151,10 @@
         table = self._routes.get()
         lease = self._lease()
         exchange = self._entries()
+        entries: list[Entry] = []
         if exchange is not None:
-            exchange.receive(request.entries)
-        entries = exchange.entries() if exchange is not None and request.asks else []
+            exchange.receive(request.entries, request.address)
+            entries = exchange.answer_to(request.address) if request.asks else []
         if table is None:
             return PeerResponse(
                 0,
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_entry_exchange.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_entry_exchange.py
@@ -32,10 +32,10 @@
             peer = self.exchanges.get(address)
             if peer is None or {name, address} in self.cut_pairs():
                 return None
-            peer.receive(entries)
+            peer.receive(entries, name)
             if sum(len(entry.payload) for entry in entries) > self.largest_answered:
                 return None
-            return peer.entries() if asks else []
+            return peer.answer_to(name) if asks else []
 
         def peers():
             return [other for other in self.exchanges if other != name]
@@ -149,6 +149,17 @@
     links.until_silent()
 
 
+def test_answer_to_a_peer_that_asks_for_all_is_bounded(links):
+    """Guards against an instance that starts among many entries and never gets an answer."""
+    state = links.add("a")
+    for number in range(3 * ANSWERED_BYTES // VALUE_BYTES):
+        state.publish("topic", str(number), bytes(VALUE_BYTES))
+    links.add("b")
+    answer = links.exchanges["a"].answer_to("b")
+    assert 0 < sum(len(entry.payload) for entry in answer) <= ANSWERED_BYTES
+    until(lambda: len(links.states["b"].entries("topic")) == len(state.entries("topic")))
+
+
 def test_silent_peer_is_asked_ever_more_rarely(links):
     """Guards against instances that spend their time on messages that nobody answers."""
     links.add("a").publish("topic", "key", "value")
