Use the list of each read however late it is answered

Cause: each read of the list was given up 0.8 s after it began, and the next one began anew with the same limit. A read that takes 0.9 s never succeeded, whether the store, the link or the reader's own process was slow, though a list that is 1.5 s old is in time.

A further read now begins after 0.4 s without an answer, up to five at once, and each answer is used unless a later read's came first. The store counts as lost after 0.8 s of silence in which the reader's process had processor time.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/followers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/followers.py
@@ -1,5 +1,8 @@
 """Wires what follows the store: the configuration and the list of upstreams."""
 
+import threading
+from collections.abc import Callable
+
 from redwingscale_daemon._internal.composition.store_reads import StoreReads
 from redwingscale_daemon._internal.composition.stream_origins import StreamParts
 from redwingscale_daemon._internal.composition.swaps import Swaps
@@ -23,6 +26,7 @@
 def build_followers(
     bounds: Bounds,
     store: StoreClient,
+    list_store: StoreClient,
     eras: StoreEras,
     routes: CurrentRoutes,
     fleet: Fleet,
@@ -32,7 +36,10 @@
     list_age: ListAge,
     streams: StreamParts,
 ) -> tuple[Periodic, ...]:
-    """Return the steps that follow the configuration and the list of upstreams."""
+    """Return the steps that follow the configuration and the list of upstreams.
+
+    ``list_store`` is used for the list alone, and waits longer for answers.
+    """
     list_reads = ListReads(
         swaps.is_leader,
         swaps.list_updates.replaces_read,
@@ -64,13 +71,14 @@
         streams.confirmation.note_read(begun_at)
 
     list_follower = ListFollower(
-        store,
+        list_store,
         discovery.TABLE,
         discovery.decode_upstream,
         fleet.directory,
         reads.upstreams,
         list_reads.not_due,
         note_read,
+        _start_thread,
     )
 
     def follow_list() -> None:
@@ -81,3 +89,7 @@
         Periodic("configuration", 0.0, route_follower.step),
         Periodic("upstreams", READ_CHECK_SECONDS, follow_list),
     )
+
+
+def _start_thread(task: Callable[[], None]) -> None:
+    threading.Thread(target=task, name="upstreams-read", daemon=True).start()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -87,6 +87,10 @@
     """Return the instance for ``settings``; nothing is started yet."""
     eras = StoreEras()
     store = StoreClient(settings.store.host, settings.store.port, eras)
+    # An older answer is of no use: it may have missed an upstream that leaves for too long.
+    list_store = StoreClient(
+        settings.store.host, settings.store.port, eras, answer_seconds=settings.bounds.leave
+    )
     routes = CurrentRoutes()
     fleet = new_fleet(settings.instance, lambda: swaps.instances())
     idle = idle_limits(settings.machine.descriptors)
@@ -182,6 +186,7 @@
     followers = build_followers(
         settings.bounds,
         store,
+        list_store,
         eras,
         routes,
         fleet,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -1,7 +1,9 @@
 """Keeps the directory up to date with the list of upstreams in the store."""
 
+import threading
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 
 import msgspec
 from redwingscale_common.utils.logs import log_event
@@ -11,7 +13,7 @@
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
 from redwingscale_daemon._internal.store.backoff import Backoff
 from redwingscale_daemon._internal.store.link_state import LinkState
-from redwingscale_daemon._internal.store.rows import RowStore, StoredRow
+from redwingscale_daemon._internal.store.rows import RowStore, Snapshot, StoredRow
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 # Entries that lapse during a store outage are written again within two seconds after it:
@@ -21,12 +23,27 @@
 # than the time after which a leaving upstream gets no new work.
 SEEN_RETURN_SECONDS = 1.5
 
+# A further read begins if the last one has had no answer for this long. Each answer is used,
+# however late it is: with one read after the other, a store that is slower than a time limit
+# would never be read.
+FURTHER_READ_SECONDS = 0.4
+MAX_OPEN_READS = 5
+# The store counts as lost after this long without an answer to any read, in which this process
+# had processor time.
+SILENT_SECONDS = 0.8
+# The most that counts of the time between two steps: the process was slow, not the store.
+MAX_STEP_SECONDS = 0.2
+
 # Called with the name of the entry, its row version and its value.
 Decode = Callable[[str, StoreVersion, bytes], Upstream]
 
 
 class ListFollower:
-    """Reads the whole list; each step is one read."""
+    """Reads the whole list; each step begins a read if one is due.
+
+    Further reads begin while others have no answer yet; an answer to an earlier read than the
+    one in use is ignored.
+    """
 
     def __init__(
         self,
@@ -37,16 +54,25 @@
         state: LinkState,
         not_due: Callable[[float], bool] = lambda _: False,
         on_read: Callable[[float], None] = lambda begun_at: None,
+        run: Callable[[Callable[[], None]], None] = lambda read: read(),
     ) -> None:
         self._store = store
         self._table = table
         self._decode = decode
         self._directory = directory
         self._state = state
-        # Whether no read is due, by the monotonic time of the last one.
+        # Whether no read is due, by the monotonic time at which that of the list in use began.
         self._not_due = not_due
         # Called with the monotonic time at which the read of the current list began.
         self._on_read = on_read
+        # Runs a read, in another thread if steps shall go on meanwhile.
+        self._run = run
+        self._lock = threading.Lock()
+        # When the reads without an answer began, and the last one of all.
+        self._open: set[float] = set()
+        self._begun_at = self._stepped_at = float("-inf")
+        # For how long all open reads have been silent.
+        self._silent_seconds = 0.0
         self._retry = Backoff(immediate_first_retry=True)
         # Decoding errors of invalid entries, by the name of the entry.
         self._faults_by_name: dict[str, str] = {}
@@ -59,30 +85,67 @@
         self._seen_at = float("-inf")
 
     def step(self) -> None:
-        """Read the list once if a read is due.
+        """Begin a read of the list if one is due.
 
         The last list stays in use while the store is unavailable, without the upstreams that
         it lacked and whose entries have not come back in time.
         """
-        self._drop_overdue()
-        if self._not_due(self._state.answered_at) or not self._retry.due:
+        now = time.monotonic()
+        with self._lock:
+            self._drop_overdue()
+            self._note_silence(now)
+            if not self._may_begin(now):
+                return
+            self._begun_at = now
+            self._open.add(now)
+        try:
+            self._run(partial(self._read, now))
+        except RuntimeError:
+            # The machine has no room for a thread.
+            self._open.discard(now)
+            raise
+
+    def _may_begin(self, now: float) -> bool:
+        waits = now - self._begun_at < FURTHER_READ_SECONDS
+        if self._open and (waits or len(self._open) >= MAX_OPEN_READS):
+            return False
+        return not self._not_due(self._state.answered_at) and self._retry.due
+
+    def _note_silence(self, now: float) -> None:
+        elapsed, self._stepped_at = now - self._stepped_at, now
+        if not self._open:
+            self._silent_seconds = 0.0
             return
-        begun_at = time.monotonic()
+        self._silent_seconds += min(elapsed, MAX_STEP_SECONDS)
+        if self._silent_seconds >= SILENT_SECONDS:
+            self._state.note_failure(TimeoutError(f"no answer to {len(self._open)} reads"))
+
+    def _read(self, begun_at: float) -> None:
         try:
             snapshot = self._store.read(self._table, "")
         except PlatformError as error:
-            self._state.note_failure(error)
-            self._retry.note_failure()
+            with self._lock:
+                if begun_at >= self._seen_at:
+                    self._state.note_failure(error)
+                    self._retry.note_failure()
             return
+        finally:
+            self._open.discard(begun_at)
+        with self._lock:
+            if begun_at >= self._seen_at:
+                self._take(snapshot, begun_at)
+
+    def _take(self, snapshot: Snapshot, begun_at: float) -> None:
         self._retry.note_answer()
+        self._silent_seconds = 0.0
         rows, version = snapshot
         listed = [upstream for row in rows if (upstream := self._decode_row(row))]
         self._forget_faults(row.key.key for row in rows)
         lapsed = self._lapsed(listed, version)
         self._seen_ids, self._seen_at = frozenset(one.id for one in listed), begun_at
-        if self._directory.replace(listed, version, lapsed):
+        if self._directory.replace(listed, version, lapsed, begun_at):
             # Only now: a reader of the list's age must not find the former list.
-            self._state.note_answer()
+            self._state.note_answer(begun_at)
             self._on_read(begun_at)
         else:
             known = self._directory.copy.version
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/upstream_directory.py
@@ -82,16 +82,18 @@
         listed: Iterable[Upstream],
         version: StoreVersion = NOTHING_READ,
         kept: Iterable[Upstream] = (),
+        begun_at: float | None = None,
     ) -> bool:
         """Take a full list that was read at ``version``; return False if it is outdated.
 
-        Upstreams in ``kept`` are used as well, although they are missing from the list.
+        Upstreams in ``kept`` are used as well, although they are missing from the list. The read
+        began at the monotonic time ``begun_at``, by default now.
         """
         kept_by_id = {upstream.id: upstream for upstream in kept}
         upstreams = [*listed, *kept_by_id.values()]
         taken = self._take(lambda _: upstreams, version, frozenset(kept_by_id))
         if taken:
-            self._read_at = time.monotonic()
+            self._read_at = time.monotonic() if begun_at is None else begun_at
         return taken
 
     def update(
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/platform/store_client.py
@@ -36,7 +36,6 @@
 # How much longer than the requested wait the answer to a long poll may take.
 FEED_MARGIN_SECONDS = 0.5
 _MAX_PAGES = 20
-_TIMEOUT = urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS)
 
 
 class _Row(msgspec.Struct, rename="pascal"):
@@ -68,8 +67,15 @@
     An answer from before the newest era in ``eras`` counts as none.
     """
 
-    def __init__(self, host: str, port: int, eras: StoreEras | None = None) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        eras: StoreEras | None = None,
+        answer_seconds: float = ANSWER_SECONDS,
+    ) -> None:
         self._eras = eras or StoreEras()
+        self._timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=answer_seconds)
         self._pool = StoreAnswerPool(
             host,
             port,
@@ -152,7 +158,7 @@
                 body=body or None,
                 headers=headers,
                 redirect=False,
-                timeout=timeout or _TIMEOUT,
+                timeout=timeout or self._timeout,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise PlatformUnavailable(repr(error)) from error
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/link_state.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/store/link_state.py
@@ -21,7 +21,7 @@
 
     @property
     def answered_at(self) -> float:
-        """The monotonic time of the last answer."""
+        """The monotonic time from which on the last answer holds."""
         return self._answered_at
 
     @property
@@ -31,16 +31,19 @@
 
     @property
     def age(self) -> float:
-        """Seconds since the last answer."""
+        """Seconds since the time from which on the last answer holds."""
         return time.monotonic() - self._answered_at
 
-    def note_answer(self) -> None:
-        """Note an answer."""
+    def note_answer(self, as_of: float | None = None) -> None:
+        """Note an answer to a call that began at the monotonic time ``as_of``, by default now.
+
+        The state that a late answer tells may be as old as the call.
+        """
         now = time.monotonic()
         if self._lost_at is not None:
             log_event("store_regained", what=self._what, lost_for=round(now - self._lost_at, 3))
             self._lost_at = None
-        self._answered_at = now
+        self._answered_at = now if as_of is None else as_of
 
     def note_failure(self, error: Exception) -> None:
         """Note a call without a usable answer; the log has the age of the last one."""
