Keep no entry as lapsed after an outage too short for that

Cause: in the first list after reads were lost, a missing entry counts as one that lapsed in the outage and is kept for two seconds, however short the outage was. A read that was lost for half a second and an entry that is kept, each allowed, exceed the bound together.

Entries lapse after three check-in intervals without a write. If the list was read less than 2 s before, a missing entry is now kept until 1.5 s after the read that had it, as after the store's return from a copy.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -23,6 +23,8 @@
 # than the time after which a leaving upstream gets no new work.
 SEEN_RETURN_SECONDS = 1.5
 
+# Entries lapse after three check-in intervals without a write: not in a shorter outage.
+LEAST_OUTAGE_SECONDS = 2.0
 # A further read begins if the last one has had no answer for this long. Each answer is used,
 # however late it is: with one read after the other, a store that is slower than a time limit
 # would never be read.
@@ -80,7 +82,7 @@
         # and until when the kept upstreams are kept.
         self._reconnected_at = self._lapsed_until = float("-inf")
         self._kept_until: dict[str, float] = {}
-        # The upstreams of the last list since then, and when that read began.
+        # The upstreams of the last list, unless an outage has come since, and when that read began.
         self._seen_ids: frozenset[str] = frozenset()
         self._seen_at = float("-inf")
 
@@ -178,7 +180,8 @@
         # After a read that failed longer ago, the leader's updates replaced reads and
         # announced which upstreams left since then.
         if self._state.lost and now - self._state.failed_at < LAPSED_RETURN_SECONDS:
-            self._note_return(now, now + LAPSED_RETURN_SECONDS)
+            short = now - self._seen_at < LEAST_OUTAGE_SECONDS
+            self._note_return(now, now + LAPSED_RETURN_SECONDS, forget_seen=not short)
         elif version.era > self._directory.copy.version.era:
             # What upstreams have written since the copy is written again as well.
             self._note_return(now, now + SEEN_RETURN_SECONDS)
@@ -198,9 +201,10 @@
         self._kept_until = {one.id: self._kept_until[one.id] for one in kept}
         return kept
 
-    def _note_return(self, now: float, lapsed_until: float) -> None:
+    def _note_return(self, now: float, lapsed_until: float, *, forget_seen: bool = True) -> None:
         self._reconnected_at, self._lapsed_until = now, lapsed_until
-        self._seen_ids = frozenset()
+        if forget_seen:
+            self._seen_ids = frozenset()
 
     def _decode_row(self, row: StoredRow) -> Upstream | None:
         """Return the upstream that an entry describes, None if the entry is invalid.
