Check the list and the upstream right before each sending

Callers' requests reached upstreams that had been leaving for longer than allowed.

Cause: whether an upstream may get work was decided at its choice alone. That its leaving is known by then follows from a chain of intervals, which holds only while every thread has processor time, and nothing looked again after a slow connection.

Before the first byte, the upstream must still be listed and not leave; else the request goes on elsewhere. If the list is older than 0.85 of the time allowed, the request waits for the next one, which leaves the processor to the thread that reads it. While the store is lost the last list is used, as before. By the constants, an outage that begins in silence holds requests for up to 0.4 s once; that was not measured.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -31,6 +31,7 @@
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import Fleet, new_fleet
 from redwingscale_daemon._internal.fleet.list_age import ListAge
+from redwingscale_daemon._internal.fleet.list_check import ListCheck
 from redwingscale_daemon._internal.fleet.own_reports import OwnReports
 from redwingscale_daemon._internal.fleet.stream_pauses import StreamPauses
 from redwingscale_daemon._internal.fleet.upstream_directory import UpstreamDirectory
@@ -162,6 +163,13 @@
         repeat_budget,
         lambda: callers.crowded,
         streams.resumption,
+        ListCheck(
+            fleet.directory,
+            list_age.seconds,
+            lambda: reads.upstreams.lost,
+            settings.bounds.leave,
+            streams.confirmation.wait,
+        ),
     )
     budget = ByteBudget(limits_of(settings.machine.memory_mb))
     metrics.observe_bytes_held(lambda: budget.held)
@@ -262,6 +270,7 @@
     budget: RepeatBudget,
     crowded: Callable[[], bool],
     resumption: StreamResumption,
+    list_check: ListCheck,
 ) -> RequestHandler:
     pauses = StreamPauses(
         PauseRules(routes, settings.scheduling.stream_pauses).rule_of,
@@ -288,6 +297,7 @@
         fleet.path,
         fleet.new_connections,
         _process_check(fleet),
+        list_check,
     )
     parts = RelayParts(
         exchange,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_confirmation.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_confirmation.py
@@ -32,6 +32,12 @@
             self._read_at = max(self._read_at, begun_at)
             self._condition.notify_all()
 
+    def wait(self, seconds: float) -> None:
+        """Return once a further list is in use, or after ``seconds``."""
+        with self._condition:
+            before = self._read_at
+            self._condition.wait_for(lambda: self._read_at > before, seconds)
+
     def confirm(self) -> bool:
         """Return whether a list that is read from now on is in use within `CONFIRM_SECONDS`."""
         with self._condition:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/attempt_failure.py
@@ -30,8 +30,8 @@
                 parts.health.note_silent(outcome.upstream.id)
             else:
                 parts.health.note_failure(outcome.upstream.id)
-        case NotRun(no_repeat=True):
-            # It says nothing about the upstream.
+        case NotRun(no_repeat=True) | NotRun(left=True):
+            # It says nothing about the health of the upstream.
             pass
         case NotRun(reached=False, slow=False):
             parts.health.note_unreachable(outcome.upstream.id)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/outcome.py
@@ -25,6 +25,7 @@
     connections, ``slow`` if a connection did not open in the short time of a second attempt).
     ``retry_later``: the upstream named a time from which it accepts requests
     again. ``no_repeat``: nothing was sent, since the budget allows no further sending.
+    ``left``: nothing was sent, since the upstream has begun to leave or is no longer listed.
     """
 
     upstream: Upstream
@@ -36,6 +37,7 @@
     refused: bool = False
     slow: bool = False
     no_repeat: bool = False
+    left: bool = False
 
 
 class Lost(NamedTuple):
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/sender.py
@@ -16,6 +16,7 @@
 )
 from redwingscale_daemon._internal.fleet.backpressure import Backpressure
 from redwingscale_daemon._internal.fleet.backpressure_tracker import BackpressureTracker
+from redwingscale_daemon._internal.fleet.list_check import ListCheck
 from redwingscale_daemon._internal.fleet.new_connections import NewConnections
 from redwingscale_daemon._internal.fleet.own_path import OwnPath
 from redwingscale_daemon._internal.fleet.upstream import Upstream
@@ -47,6 +48,7 @@
         path: OwnPath | None = None,
         connections: NewConnections | None = None,
         check: ProcessCheck | None = None,
+        list_check: ListCheck | None = None,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
@@ -55,6 +57,7 @@
         self._path = path or OwnPath()
         self._connections = connections or NewConnections()
         self._check = check or ProcessCheck()
+        self._list_check = list_check
         pool.on_broken = self._check.note_broken
 
     def send(
@@ -78,6 +81,9 @@
         was sent. The connection is closed unless it is returned in an `Answering` or can
         be reused after a refusal: an upstream aborts what it runs for a closed connection.
         """
+        if self._list_check is not None:
+            # Not while a connection is held, which others could use.
+            self._list_check.wait_until_current(request_id, watch.check_before_sending)
         size = len(request.body)
         if not self._open_bytes.take(upstream.id, size):
             return NotRun(upstream, "too many bytes open", misdirected=False, reached=True)
@@ -102,6 +108,9 @@
         sent_at = time.monotonic()
         try:
             watch.check_before_sending()
+            if (left := self._left(upstream, request_id, watch)) is not None:
+                connection.discard()
+                return left
             if not take_sending():
                 connection.discard()
                 return _no_repeat(upstream)
@@ -140,6 +149,16 @@
             return refused._replace(retry_later=bool(backpressure.retry_after_seconds))
         return Answering(upstream, connection, response)
 
+    def _left(self, upstream: Upstream, request_id: str, watch: Watch) -> NotRun | None:
+        """Return the outcome if ``upstream`` has begun to leave since it was chosen."""
+        if self._list_check is None:
+            return None
+        self._list_check.wait_until_current(request_id, watch.check_before_sending)
+        reason = self._list_check.reason_not_to_send(upstream.id)
+        if reason is None:
+            return None
+        return NotRun(upstream, reason, misdirected=False, reached=False, left=True)
+
     def _open(
         self, upstream: Upstream, began_at: float, watch: Watch, *, is_second: bool
     ) -> UpstreamConnection | NotRun:
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -12,6 +12,7 @@
 import pytest
 from redwingscale_daemon._internal.fleet.chooser import Chooser
 from redwingscale_daemon._internal.fleet.fleet import new_fleet
+from redwingscale_daemon._internal.fleet.list_check import ListCheck
 from redwingscale_daemon._internal.fleet.path_messages import PathReply
 from redwingscale_daemon._internal.fleet.upstream import ResidentModel, Upstream
 from redwingscale_daemon._internal.fleet.upstream_ends import UpstreamEnds
@@ -277,6 +278,7 @@
         self.peers = {}
         self.peer_port = None
         self.list_outdated_since = None
+        self.list_age, self.store_lost = 0.0, False
         self.offers = PeerOffers(
             "z1", lambda: self.peers, lambda address, query: self.peers[address]
         )
@@ -288,7 +290,15 @@
         parts = RelayParts(
             exchange,
             Sender(
-                self.pool, exchange, fleet.backpressure, open_bytes, fleet.path, check=self.check
+                self.pool,
+                exchange,
+                fleet.backpressure,
+                open_bytes,
+                fleet.path,
+                check=self.check,
+                list_check=ListCheck(
+                    fleet.directory, lambda: self.list_age, lambda: self.store_lost
+                ),
             ),
             chooser,
             fleet.load_tracker,
