Choose peers that differ between instances and stay the same

Callers of deployments with more than 33 instances were served in time ever more rarely once upstreams had ended, until all instances were restarted.

Cause: an instance used the 32 peers that the leader had announced last. The leader announces eight of all at a time, each 0.3 to 2 s, and all instances hear the same. So eight peers changed each time, what those had acknowledged was dropped with them, and each instance sent every entry of two hours anew to the eight new ones; links of 10 Mbit/s were full of it, and requests, updates and reads of the store waited. It does not end by itself, as entries are kept. All instances also knew the same 32: the others heard of no suspect request at all until they were announced.

The peers are now chosen by a hash of both addresses from all that were announced in two minutes, and what a peer has acknowledged is kept for two minutes after it was known last. test_peers.py and test_entry_exchange.py: four new tests, red before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
@@ -18,6 +18,8 @@
 # know or reach all of them.
 FANOUT = 4
 STEP_SECONDS = 0.25
+# What a peer has acknowledged is kept for this long after it was known last.
+FORGET_SECONDS = 120.0
 # Entries are dropped after this time; no quarantine lasts longer.
 KEPT_SECONDS = 7200.0
 EXPIRE_SECONDS = 60.0
@@ -43,6 +45,8 @@
         self._send = send
         self._lock = threading.Lock()
         self._outboxes: dict[str, Outbox] = {}
+        # When each peer with an outbox was known last.
+        self._known_at: dict[str, float] = {}
         self._asked = 0
         self._expired_at = time.monotonic()
         # Where entries that this thread receives are passed on to.
@@ -69,8 +73,7 @@
     def receive(self, entries: Iterable[Entry], sender: str = "") -> None:
         """Take the entries that a peer has sent, whose address is ``sender`` if it is known."""
         with self._lock:
-            self._follow_peers()
-            addresses = list(self._outboxes)
+            addresses = list(self._follow_peers())
             if (outbox := self._outboxes.get(sender)) is not None:
                 outbox.note_heard()
         # The same peers for the whole batch, so that they get one message.
@@ -110,10 +113,15 @@
                     outbox.add([entry])
         self._periodic.wake()
 
-    def _follow_peers(self) -> None:
-        known = set(self._peers())
-        for address in self._outboxes.keys() - known:
-            del self._outboxes[address]
+    def _follow_peers(self) -> set[str]:
+        """Return the addresses of the known peers, each of which has an outbox."""
+        known, now = set(self._peers()), time.monotonic()
+        self._known_at |= dict.fromkeys(known, now)
+        if len(self._known_at) > len(known):
+            for address, at in list(self._known_at.items()):
+                if now - at > FORGET_SECONDS:
+                    del self._known_at[address]
+                    self._outboxes.pop(address, None)
         new = known - self._outboxes.keys()
         entries = self._gossip.entries() if new else []
         for address in sorted(new):
@@ -121,6 +129,7 @@
             outbox.add(entries)
             outbox.asks = self._asked < INITIAL_PEERS
             self._asked += outbox.asks
+        return known
 
     def step(self) -> None:
         """Send what is due."""
@@ -129,10 +138,10 @@
             self._expired_at = now
             self._gossip.expire(KEPT_SECONDS)
         with self._lock:
-            self._follow_peers()
+            known = self._follow_peers()
             for outbox in self._outboxes.values():
                 outbox.drop_old()
-            due = [address for address, outbox in self._outboxes.items() if outbox.due]
+            due = [address for address in known if self._outboxes[address].due]
             for address in due:
                 self._outboxes[address].sending = True
         for address in due:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -22,6 +22,9 @@
 from redwingscale_daemon._internal.utils.documents import decode_message
 
 MAX_PEERS = 32
+# An instance that the leader has not announced for this long may be gone. The leader announces
+# eight of all instances at a time, each two seconds or sooner.
+ANNOUNCED_SECONDS = 120.0
 # A peer may be rejected by the store as well; another one is queried then.
 MAX_QUERIES_PER_STEP = 4
 RESPONSE_TIMEOUT_MS = 400
@@ -36,7 +39,7 @@
 
 
 class PeerClient:
-    """Remembers the peers that the leader announces, and queries some of them in turn."""
+    """Chooses from the peers that the leader announces, and queries some of them in turn."""
 
     def __init__(
         self,
@@ -51,27 +54,39 @@
         self._learn_leader = learn_leader
         self._own_address = own_address
         self._on_new_peers = on_new_peers
-        # When each address was last announced.
+        # When each address was last announced, and those of them that are used.
         self._announced_at: dict[str, float] = {}
+        self._addresses: list[str] = []
         # Whether `fetch` is under way: what other queries receive meanwhile would come twice.
         self._fetching = False
         # Not for secrets: it only spreads the queries.
         self._random = random.Random()
 
     def remember(self, peers: Iterable[str]) -> None:
-        """Remember ``peers``; only the `MAX_PEERS` announced last are kept."""
-        now = time.monotonic()
+        """Remember ``peers``, and choose `MAX_PEERS` of all that are known.
+
+        The choice differs between instances, and changes only as instances come and go: all of
+        them hear the same announcements, and whoever no instance has chosen would hear of
+        nothing.
+        """
+        now, own = time.monotonic(), self._own_address()
         announced_at = self._announced_at | dict.fromkeys(peers, now)
-        announced_at.pop(self._own_address(), None)
-        newest = sorted(announced_at, key=announced_at.__getitem__, reverse=True)[:MAX_PEERS]
-        known = self._announced_at.keys()
-        self._announced_at = {address: announced_at[address] for address in newest}
-        if not known >= self._announced_at.keys():
+        self._announced_at = {
+            address: at
+            for address, at in announced_at.items()
+            if now - at < ANNOUNCED_SECONDS and address != own
+        }
+        before = set(self._addresses)
+        if self._announced_at.keys() == announced_at.keys() == before:
+            return
+        chosen = sorted(self._announced_at, key=lambda one: zlib.crc32(f"{own}/{one}".encode()))
+        self._addresses = chosen[:MAX_PEERS]
+        if not before >= set(self._addresses):
             self._on_new_peers()
 
     def addresses(self) -> list[str]:
-        """Return the addresses of the remembered peers."""
-        return list(self._announced_at)
+        """Return the addresses of the chosen peers."""
+        return list(self._addresses)
 
     def push(self, address: str, rates: list[RateLimitEntry]) -> None:
         """Send changed rate limits to a peer, and apply its response."""
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_entry_exchange.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_entry_exchange.py
@@ -3,6 +3,7 @@
 import itertools
 import threading
 import time
+from collections import Counter
 
 import pytest
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
@@ -23,12 +24,16 @@
         self.cut = set()
         self.largest_answered = ANSWERED_BYTES
         self.messages = 0
+        self.entries_sent = Counter()
+        # Instances that the others do not know at the moment.
+        self.unknown = set()
 
     def add(self, name):
         state = self.states[name] = GossipState(name)
 
         def send(address, entries, asks):
             self.messages += 1
+            self.entries_sent[name] += len(entries)
             peer = self.exchanges.get(address)
             if peer is None or {name, address} in self.cut_pairs():
                 return None
@@ -38,7 +43,7 @@
             return peer.answer_to(name) if asks else []
 
         def peers():
-            return [other for other in self.exchanges if other != name]
+            return [one for one in self.exchanges if one not in self.unknown | {name}]
 
         exchange = EntryExchange(state, peers, send)
         self.exchanges[name] = exchange
@@ -129,6 +134,25 @@
     until(lambda: all(links.values(n) == {bytes([49])} for n in "abc"))
 
 
+def test_peer_that_is_known_again_is_sent_only_what_it_lacks(links):
+    """Guards against instances that send all entries anew as the peers they know change."""
+    state = links.add("a")
+    for number in range(200):
+        state.publish("topic", str(number), "value")
+    links.add("b")
+    until(lambda: len(links.states["b"].entries("topic")) == 200)
+    links.until_silent()
+    links.unknown = {"b"}
+    links.exchanges["a"].step()
+    state.publish("topic", "later", "value")
+    before = links.entries_sent["a"]
+    links.unknown = set()
+    links.exchanges["a"].note_peers()
+    until(lambda: len(links.states["b"].entries("topic")) == 201)
+    links.until_silent()
+    assert links.entries_sent["a"] - before == 1
+
+
 def test_messages_shrink_until_a_peer_answers_them(links):
     """Guards against entries that are sent to a peer again and again, each time with more."""
     links.largest_answered = 10_000
@@ -165,6 +189,7 @@
     links.add("a").publish("topic", "key", "value")
     links.add("b")
     until(lambda: links.values("b"))
+    links.until_silent()
     links.cut_off({"b"})
     links.states["a"].publish("topic", "key", "other")
     before = links.messages
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
@@ -1,6 +1,9 @@
 """What an instance receives from its peers while the store rejects it."""
 
+import random
 import socket
+import time
+from collections import Counter
 
 import msgspec
 import pynng
@@ -11,7 +14,11 @@
 from redwingscale_daemon._internal.routes.table_record import decode_table, encode_table
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease, LeaderRecord, LeaseTiming
-from redwingscale_daemon._internal.swaps.peer_client import PeerClient
+from redwingscale_daemon._internal.swaps.peer_client import (
+    ANNOUNCED_SECONDS,
+    MAX_PEERS,
+    PeerClient,
+)
 from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerServer
 from redwingscale_daemon._internal.swaps.rate_limit_gossip import RateLimitGossip
 from redwingscale_daemon._internal.workspaces.keys import key_digest
@@ -156,3 +163,51 @@
     silent.append(True)
     gossip.check(2.6)
     assert [entry.per_second for _, entries in sent for entry in entries] == [3.0]
+
+
+def announce_in_turns(clients, addresses, rounds):
+    """Announce eight of all ``addresses`` at a time, to all clients."""
+    drawn = random.Random(1)
+    for _ in range(rounds):
+        sample = drawn.sample(addresses, 8)
+        for client in clients:
+            client.remember(sample)
+
+
+def test_chosen_peers_do_not_change_with_each_announcement():
+    """Guards against instances that send all entries anew to peers announced again."""
+    addresses = [f"10.0.0.{number}:1" for number in range(80)]
+    changes = []
+    client = PeerClient(
+        CurrentRoutes(), lambda: False, lambda *_: None, lambda: addresses[0],
+        lambda: changes.append(True),
+    )  # fmt: skip
+    announce_in_turns([client], addresses, 100)
+    chosen = set(client.addresses())
+    assert len(chosen) == MAX_PEERS
+    changes.clear()
+    announce_in_turns([client], addresses, 50)
+    assert (set(client.addresses()), changes) == (chosen, [])
+
+
+def test_each_instance_is_chosen_by_some_peers():
+    """Guards against instances that hear of no entry since all others know the same peers."""
+    addresses = [f"10.0.0.{number}:1" for number in range(80)]
+    clients = [
+        PeerClient(CurrentRoutes(), lambda: False, lambda *_: None, lambda own=own: own)
+        for own in addresses
+    ]
+    announce_in_turns(clients, addresses, 100)
+    chosen = Counter(address for client in clients for address in client.addresses())
+    assert min(chosen[address] for address in addresses) >= 10
+
+
+def test_peer_that_is_announced_no_more_is_dropped(monkeypatch):
+    """Guards against entries and questions for an instance that is gone."""
+    now = [1000.0]
+    monkeypatch.setattr(time, "monotonic", lambda: now[0])
+    client = PeerClient(CurrentRoutes(), lambda: False, lambda *_: None, lambda: "own")
+    client.remember(["a", "b"])
+    now[0] += ANNOUNCED_SECONDS
+    client.remember(["b"])
+    assert client.addresses() == ["b"]
