Ask for all entries message by message, and send new peers only own ones

The answer to an instance that asks now holds one message and tells how many entries follow; what was asked for is not passed on, and a peer that becomes known is sent only what this instance has published, as all of them would send the same otherwise. An instance of the release before sends all at once, as before, and is sent one message.

test_entry_exchange.py: one new test, red before.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/entry.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/entry.py
@@ -1,5 +1,6 @@
 """Versioned entries that instances replicate to each other."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 
@@ -32,3 +33,10 @@
     def is_newer_than(self, other: "Entry | None") -> bool:
         """Return whether this entry replaces ``other``."""
         return other is None or (self.boot, self.sequence) > (other.boot, other.sequence)
+
+
+class EntryPage(NamedTuple):
+    """Some of an instance's entries, in order, and how many follow them."""
+
+    entries: Sequence[Entry]
+    left: int = 0
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/gossip_state.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/membership/gossip_state.py
@@ -67,6 +67,10 @@
         """Return all entries, or those of ``topic``."""
         return [k.entry for k in self.stored_entries() if topic is None or k.entry.topic == topic]
 
+    def own_entries(self) -> list[Entry]:
+        """Return the entries that this instance has published."""
+        return [entry for entry in self.entries() if entry.origin == self._instance]
+
     def stored_entries(self) -> list[StoredEntry]:
         """Return all entries with their hashes and times."""
         with self._lock:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
@@ -9,9 +9,9 @@
 
 from redwingscale_common.utils.logs import log_event
 
-from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.membership.entry import Entry, EntryPage
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
-from redwingscale_daemon._internal.swaps.outbox import Outbox
+from redwingscale_daemon._internal.swaps.outbox import Outbox, first_entries
 from redwingscale_daemon._internal.utils.periodic import Periodic
 
 # An entry of another instance is passed on to so many peers, in case its origin does not
@@ -27,16 +27,17 @@
 INITIAL_PEERS = 3
 THREADS = 8
 
-# Sends entries to an address and, if the flag is set, asks for all of its entries. Returns
-# the entries received, None if the peer did not answer.
-Send = Callable[[str, list[Entry], bool], Sequence[Entry] | None]
+# Sends entries to an address and asks for its own, unless the number of those to skip is None.
+# Returns what was received, None if the peer did not answer.
+Send = Callable[[str, list[Entry], int | None], EntryPage | None]
 
 
 class EntryExchange:
-    """Sends each entry of the gossip state to every known peer until the peer has answered.
+    """Sends what this instance publishes to every known peer until the peer has answered.
 
-    An instance that joins receives all entries from those that learn of it, and asks some
-    of the peers that it learns of first.
+    What it receives it passes on to some of them. An instance that joins asks some of the peers
+    that it learns of first for all entries. Others that learn of it send only their own: each of
+    them would send the same.
     """
 
     def __init__(self, gossip: GossipState, peers: Callable[[], Sequence[str]], send: Send) -> None:
@@ -71,37 +72,27 @@
         self._periodic.wake()
 
     def receive(self, entries: Iterable[Entry], sender: str = "") -> None:
-        """Take the entries that a peer has sent, whose address is ``sender`` if it is known."""
+        """Take what a peer has sent, whose address is ``sender`` if known, and pass it on."""
         with self._lock:
             addresses = list(self._follow_peers())
             if (outbox := self._outboxes.get(sender)) is not None:
                 outbox.note_heard()
         # The same peers for the whole batch, so that they get one message.
-        self._batch.addresses = self._random.sample(addresses, min(FANOUT, len(addresses)))
+        self._take(entries, self._random.sample(addresses, min(FANOUT, len(addresses))))
+
+    def _take(self, entries: Iterable[Entry], pass_on_to: list[str]) -> None:
+        self._batch.addresses = pass_on_to
         try:
             for entry in entries:
                 self._gossip.accept(entry, entry.origin)
         finally:
             self._batch.addresses = None
 
-    def answer_to(self, asker: str) -> list[Entry]:
-        """Return entries for a peer that asks for all; the rest is sent to it later.
-
-        The answer must come in time, so it holds no more than a message. An ``asker`` whose
-        address is not known yet is sent everything once it is, as each new peer.
-        """
-        entries = self._gossip.entries()
-        if not asker:
-            # An instance of an older release, which may not be told of others' addresses.
-            return entries
-        rest = Outbox()
-        rest.add(entries)
-        first = rest.message()
-        with self._lock:
-            if (outbox := self._outboxes.get(asker)) is not None:
-                outbox.add(entries[len(first) :])
-        self._periodic.wake()
-        return first
+    def page(self, skip: int) -> EntryPage:
+        """Return a message of all entries but the first ``skip``, which a peer asks for."""
+        entries = self._gossip.entries()[skip:]
+        chosen = first_entries(entries)
+        return EntryPage(chosen, len(entries) - len(chosen))
 
     def _forward(self, entry: Entry) -> None:
         addresses = getattr(self._batch, "addresses", None)
@@ -123,12 +114,13 @@
                     del self._known_at[address]
                     self._outboxes.pop(address, None)
         new = known - self._outboxes.keys()
-        entries = self._gossip.entries() if new else []
+        entries = self._gossip.own_entries() if new else []
         for address in sorted(new):
             outbox = self._outboxes[address] = Outbox()
             outbox.add(entries)
-            outbox.asks = self._asked < INITIAL_PEERS
-            self._asked += outbox.asks
+            if self._asked < INITIAL_PEERS:
+                self._asked += 1
+                outbox.asks_from = 0
         return known
 
     def step(self) -> None:
@@ -152,23 +144,24 @@
             outbox = self._outboxes.get(address)
             if outbox is None:
                 return
-            entries, asks = outbox.message(), outbox.asks
-        received: Sequence[Entry] | None = None
+            entries, skip = outbox.message(), outbox.asks_from
+        page: EntryPage | None = None
         began_at = time.monotonic()
         try:
-            received = self._send(address, entries, asks)
+            page = self._send(address, entries, skip)
         except Exception as error:
             # The thread serves other peers as well.
             log_event("entries_not_sent", level="WARNING", peer=address, error=repr(error))
         finally:
             with self._lock:
                 outbox.sending = False
-                if received is None:
+                if page is None:
                     outbox.note_unanswered()
                 else:
                     outbox.note_answered(entries)
-                    outbox.asks = False
-        if received is None:
+                    if skip is not None:
+                        outbox.asks_from = skip + len(page.entries) if page.left else None
+        if page is None:
             log_event(
                 "entries_not_acknowledged",
                 peer=address,
@@ -177,9 +170,10 @@
                 seconds=round(time.monotonic() - began_at, 3),
                 topics=_counts_by_topic(entries),
             )
-        elif asks:
-            log_event("entries_received", peer=address, entries=len(received))
-            self.receive(received)
+        elif skip is not None:
+            log_event("entries_received", peer=address, entries=len(page.entries), left=page.left)
+            # Not passed on: the others have them.
+            self._take(page.entries, [])
         self._periodic.wake()
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/outbox.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/outbox.py
@@ -19,6 +19,17 @@
 MAX_RETRY_SECONDS = 4.0
 
 
+def first_entries(entries: Iterable[Entry], most_bytes: int = MAX_MESSAGE_BYTES) -> list[Entry]:
+    """Return the first of ``entries`` that have at most ``most_bytes``, at least one."""
+    chosen: list[Entry] = []
+    for entry in entries:
+        most_bytes -= len(entry.payload) + ENTRY_OVERHEAD_BYTES
+        if chosen and most_bytes < 0:
+            break
+        chosen.append(entry)
+    return chosen
+
+
 class Outbox:
     """Bounds what is sent at once, and how often while the peer does not answer.
 
@@ -33,14 +44,14 @@
         self._message_bytes = MAX_MESSAGE_BYTES
         self._retry_seconds = FIRST_RETRY_SECONDS
         self._due_at = 0.0
-        # Whether the peer is to be asked for all of its entries.
-        self.asks = False
+        # How many of the peer's entries have come, if it is to be asked for all of them.
+        self.asks_from: int | None = None
         self.sending = False
 
     @property
     def due(self) -> bool:
         """Whether a message is to be sent now."""
-        wanted = bool(self._pending) or self.asks
+        wanted = bool(self._pending) or self.asks_from is not None
         return wanted and not self.sending and self._due_at <= self._clock()
 
     def add(self, entries: Iterable[Entry]) -> None:
@@ -52,14 +63,7 @@
 
     def message(self) -> list[Entry]:
         """Return the oldest entries, as many as the next message may hold."""
-        chosen: list[Entry] = []
-        left = self._message_bytes
-        for entry, _ in self._pending.values():
-            left -= len(entry.payload) + ENTRY_OVERHEAD_BYTES
-            if chosen and left < 0:
-                break
-            chosen.append(entry)
-        return chosen
+        return first_entries((entry for entry, _ in self._pending.values()), self._message_bytes)
 
     def note_answered(self, sent: Iterable[Entry]) -> None:
         """Drop what was acknowledged and is not replaced by newer entries."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -11,7 +11,7 @@
 
 from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
 from redwingscale_daemon._internal.fleet.rate_limit_messages import RateLimitEntry
-from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.membership.entry import Entry, EntryPage
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_table import RouteTable
 from redwingscale_daemon._internal.routes.table_difference import apply_difference
@@ -94,13 +94,13 @@
         if response is not None:
             self._apply(address, response)
 
-    def exchange(self, address: str, entries: list[Entry], asks: bool) -> Sequence[Entry] | None:
-        """Send entries to a peer; return those it sent, all of them if ``asks``.
+    def exchange(self, address: str, entries: list[Entry], skip: int | None) -> EntryPage | None:
+        """Send entries to a peer; return its own but for the first ``skip``, none if that is None.
 
         Returns None if the peer did not answer.
         """
-        response = self._query(address, entries=entries, asks=asks, takes_table=False)
-        return None if response is None else response.entries
+        response = self._query(address, entries=entries, skip=skip, takes_table=False)
+        return None if response is None else EntryPage(response.entries, response.entries_left)
 
     def ask_path(self, address: str, query: PathQuery) -> PathReply | None:
         """Ask a peer which upstreams it reaches; None if it does not answer that."""
@@ -177,7 +177,7 @@
         address: str,
         rates: Sequence[RateLimitEntry] = (),
         entries: Sequence[Entry] = (),
-        asks: bool = False,
+        skip: int | None = None,
         path: PathQuery | None = None,
         takes_table: bool = True,
     ) -> PeerResponse | None:
@@ -185,7 +185,8 @@
         version = (table.version if table else 0) if takes_table else NO_TABLE_ABOVE
         base = table.digest if table else b""
         own = self._own_address()
-        request = PeerRequest(version, list(rates), list(entries), asks, path, base, own)
+        asks = skip is not None
+        request = PeerRequest(version, list(rates), list(entries), asks, path, base, own, skip or 0)
         # By default the socket resends a request by itself; -1 disables that.
         options = {
             "send_timeout": RESPONSE_TIMEOUT_MS,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
@@ -10,7 +10,7 @@
 
 from redwingscale_daemon._internal.fleet.path_messages import PathQuery, PathReply
 from redwingscale_daemon._internal.fleet.rate_limit_messages import RateLimitEntry
-from redwingscale_daemon._internal.membership.entry import Entry
+from redwingscale_daemon._internal.membership.entry import Entry, EntryPage
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 from redwingscale_daemon._internal.swaps.leader_server import open_port
@@ -25,7 +25,7 @@
     """The version of the sender's configuration, and what has changed there.
 
     ``rates`` are rate limits, ``entries`` those that all instances exchange. ``asks``:
-    the response shall contain all entries of the peer. ``path`` asks which upstreams it
+    the response shall contain entries of the peer, all but the first ``skip``. ``path`` asks which upstreams it
     reaches; a peer of an older release does not know the question. ``base`` is the digest of
     the sender's configuration, empty if it knows no differences. ``address`` is that of the
     sender's peer server, empty if it knows no ``holders``.
@@ -38,6 +38,7 @@
     path: PathQuery | None = None
     base: bytes = b""
     address: str = ""
+    skip: int = 0
 
 
 class PeerResponse(msgspec.Struct, array_like=True):
@@ -62,6 +63,8 @@
     holders: list[str] = []
     # The era of ``lease_version``.
     lease_era: int = 0
+    # How many entries follow ``entries``; an instance of an older release sends all at once.
+    entries_left: int = 0
 
     @property
     def lease_version(self) -> StoreVersion:
@@ -75,8 +78,8 @@
     def receive(self, entries: Iterable[Entry], sender: str = "") -> None:
         """Take the entries that the peer at the address ``sender`` has sent."""
 
-    def answer_to(self, asker: str) -> list[Entry]:
-        """Return entries for the peer at the address ``asker``, which asks for all of them."""
+    def page(self, skip: int) -> EntryPage:
+        """Return entries after the first ``skip``."""
 
 
 class LeaseState(NamedTuple):
@@ -151,10 +154,10 @@
         table = self._routes.get()
         lease = self._lease()
         exchange = self._entries()
-        entries: list[Entry] = []
+        page = EntryPage([])
         if exchange is not None:
             exchange.receive(request.entries, request.address)
-            entries = exchange.answer_to(request.address) if request.asks else []
+            page = exchange.page(request.skip) if request.asks else page
         if table is None:
             return PeerResponse(
                 0,
@@ -162,8 +165,9 @@
                 float("inf"),
                 lease.row_version.number,
                 lease.record,
-                entries,
+                list(page.entries),
                 lease_era=lease.row_version.era,
+                entries_left=page.left,
             )
         newer = self._tables.reply_to(request.configuration, request.base, request.address)
         return PeerResponse(
@@ -172,8 +176,9 @@
             self._age(),
             lease.row_version.number,
             lease.record,
-            entries,
+            list(page.entries),
             difference=newer.difference,
             holders=newer.holders,
             lease_era=lease.row_version.era,
+            entries_left=page.left,
         )
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_differences_to_peers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_differences_to_peers.py
@@ -63,7 +63,7 @@
 @pytest.mark.parametrize(
     "query",
     [
-        lambda client, address: client.exchange(address, [], asks=True),
+        lambda client, address: client.exchange(address, [], skip=0),
         lambda client, address: client.ask_path(address, PathQuery([], 1.0)),
     ],
 )
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_entry_exchange.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_entry_exchange.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 import pytest
+from redwingscale_daemon._internal.membership.entry import EntryPage
 from redwingscale_daemon._internal.membership.gossip_state import GossipState
 from redwingscale_daemon._internal.swaps.entry_exchange import EntryExchange
 
@@ -31,7 +32,7 @@
     def add(self, name):
         state = self.states[name] = GossipState(name)
 
-        def send(address, entries, asks):
+        def send(address, entries, skip):
             self.messages += 1
             self.entries_sent[name] += len(entries)
             peer = self.exchanges.get(address)
@@ -40,7 +41,7 @@
             peer.receive(entries, name)
             if sum(len(entry.payload) for entry in entries) > self.largest_answered:
                 return None
-            return peer.answer_to(name) if asks else []
+            return EntryPage([]) if skip is None else peer.page(skip)
 
         def peers():
             return [one for one in self.exchanges if one not in self.unknown | {name}]
@@ -153,6 +154,19 @@
     assert links.entries_sent["a"] - before == 1
 
 
+def test_peer_that_becomes_known_is_not_sent_what_others_have_published(links):
+    """Guards against an instance that starts and sends all that it was sent to all peers."""
+    state = links.add("a")
+    for number in range(200):
+        state.publish("topic", str(number), "value")
+    links.add("b")
+    until(lambda: len(links.states["b"].entries("topic")) == 200)
+    links.add("c")
+    until(lambda: len(links.states["c"].entries("topic")) == 200)
+    links.until_silent()
+    assert links.entries_sent["b"] + links.entries_sent["c"] == 0
+
+
 def test_messages_shrink_until_a_peer_answers_them(links):
     """Guards against entries that are sent to a peer again and again, each time with more."""
     links.largest_answered = 10_000
@@ -178,9 +192,10 @@
     state = links.add("a")
     for number in range(3 * ANSWERED_BYTES // VALUE_BYTES):
         state.publish("topic", str(number), bytes(VALUE_BYTES))
+    page = links.exchanges["a"].page(0)
+    assert sum(len(entry.payload) for entry in page.entries) <= ANSWERED_BYTES
+    assert len(page.entries) + page.left == len(state.entries())
     links.add("b")
-    answer = links.exchanges["a"].answer_to("b")
-    assert 0 < sum(len(entry.payload) for entry in answer) <= ANSWERED_BYTES
     until(lambda: len(links.states["b"].entries("topic")) == len(state.entries("topic")))
 
 
