Use chosen peers for entries only, and those announced last for questions

The peers announced last are alive: with a failure domain cut off, questions about the configuration, the leader and the path go to others within some seconds. Chosen peers stay for two minutes, so a third of such questions would wait for nobody. Entries are the only thing that needs the same peers over time.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -110,7 +110,7 @@
         lambda: exchange.note_peers(),
     )
     entries = GossipState(settings.instance)
-    exchange = EntryExchange(entries, peer_client.addresses, peer_client.exchange)
+    exchange = EntryExchange(entries, peer_client.partners, peer_client.exchange)
     queries = Periodic("peer-questions", PEER_QUERY_SECONDS, peer_client.step)
     gossip = RateLimitGossip(
         fleet.rates,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/entry_exchange.py
@@ -98,7 +98,7 @@
                 self._follow_peers()
                 outboxes = list(self._outboxes.values())
             else:
-                found = map(self._outboxes.get, self._batch.addresses)
+                found = map(self._outboxes.get, getattr(self._batch, "addresses", ()))
                 outboxes = [outbox for outbox in found if outbox is not None]
             for outbox in outboxes:
                 outbox.add([entry])
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -39,7 +39,7 @@
 
 
 class PeerClient:
-    """Chooses from the peers that the leader announces, and queries some of them in turn."""
+    """Remembers the peers that the leader announces, and queries some of them in turn."""
 
     def __init__(
         self,
@@ -54,39 +54,46 @@
         self._learn_leader = learn_leader
         self._own_address = own_address
         self._on_new_peers = on_new_peers
-        # When each address was last announced, and those of them that are used.
+        # When each address was last announced.
         self._announced_at: dict[str, float] = {}
-        self._addresses: list[str] = []
+        # The addresses announced last, and those of the peers to exchange entries with.
+        self._newest: list[str] = []
+        self._partners: list[str] = []
         # Whether `fetch` is under way: what other queries receive meanwhile would come twice.
         self._fetching = False
         # Not for secrets: it only spreads the queries.
         self._random = random.Random()
 
     def remember(self, peers: Iterable[str]) -> None:
-        """Remember ``peers``, and choose `MAX_PEERS` of all that are known.
-
-        The choice differs between instances, and changes only as instances come and go: all of
-        them hear the same announcements, and whoever no instance has chosen would hear of
-        nothing.
-        """
-        now, own = time.monotonic(), self._own_address()
-        announced_at = self._announced_at | dict.fromkeys(peers, now)
-        self._announced_at = {
+        """Remember ``peers`` for `ANNOUNCED_SECONDS`."""
+        announced = dict.fromkeys(peers, time.monotonic())
+        if not announced:
+            return
+        oldest, own = time.monotonic() - ANNOUNCED_SECONDS, self._own_address()
+        announced_at = self._announced_at = {
             address: at
-            for address, at in announced_at.items()
-            if now - at < ANNOUNCED_SECONDS and address != own
+            for address, at in (self._announced_at | announced).items()
+            if at > oldest and address != own
         }
-        before = set(self._addresses)
-        if self._announced_at.keys() == announced_at.keys() == before:
-            return
-        chosen = sorted(self._announced_at, key=lambda one: zlib.crc32(f"{own}/{one}".encode()))
-        self._addresses = chosen[:MAX_PEERS]
-        if not before >= set(self._addresses):
+        newest = sorted(announced_at, key=announced_at.__getitem__, reverse=True)
+        partners = sorted(announced_at, key=lambda one: zlib.crc32(f"{own}/{one}".encode()))
+        before = set(self._partners)
+        self._newest, self._partners = newest[:MAX_PEERS], partners[:MAX_PEERS]
+        if not before >= set(self._partners):
             self._on_new_peers()
 
     def addresses(self) -> list[str]:
-        """Return the addresses of the chosen peers."""
-        return list(self._addresses)
+        """Return the addresses announced last: these instances are alive."""
+        return list(self._newest)
+
+    def partners(self) -> list[str]:
+        """Return the addresses of the peers to exchange entries with.
+
+        They change only as instances come and go, and differ between instances. All hear the
+        same announcements: with those announced last, each would be told everything anew each
+        time, and whoever is not among them would hear of nothing.
+        """
+        return list(self._partners)
 
     def push(self, address: str, rates: list[RateLimitEntry]) -> None:
         """Send changed rate limits to a peer, and apply its response."""
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_server.py
@@ -25,10 +25,10 @@
     """The version of the sender's configuration, and what has changed there.
 
     ``rates`` are rate limits, ``entries`` those that all instances exchange. ``asks``:
-    the response shall contain entries of the peer, all but the first ``skip``. ``path`` asks which upstreams it
-    reaches; a peer of an older release does not know the question. ``base`` is the digest of
-    the sender's configuration, empty if it knows no differences. ``address`` is that of the
-    sender's peer server, empty if it knows no ``holders``.
+    the response shall contain entries of the peer, all but the first ``skip``. ``path`` asks
+    which upstreams it reaches; a peer of an older release does not know the question. ``base`` is
+    the digest of the sender's configuration, empty if it knows no differences. ``address`` is that
+    of the sender's peer server, empty if it knows no ``holders``.
     """
 
     configuration: int
