Wait until the instance has noted its answers in a test of stops

Cause: the caller has its answer before the thread of the request has noted how long it took, so 19 of the 20 that are needed were known as the stop began. With 0.05 s of sleep before the note, a trial, the test failed each time; it passes with the wait. What it checks is the same.

--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_stop_check.py
@@ -94,6 +94,8 @@
     world.add("plain", sized(b"answer", status=status))
     for _ in range(LEAST_ANSWERS):
         world.request("/safe/x")
+    # Its caller has an answer before the instance has noted it.
+    wait_until(lambda: len(world.ended) == LEAST_ANSWERS)
     drain(world)
     sent = len(world.log)
     world.request("/safe/x")
