Show that the bound at the sending is open for a process that stays slow

Found while the landing was checked against the issue: the check of the list before each sending is skipped while the store is lost, and each late step of a slow process counts up to 0.2 s as silence of the store.

--- a/packages/redwingscale-daemon/tests/unit/fleet/test_late_list_reads.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_late_list_reads.py
@@ -132,3 +132,12 @@
     world.steps(0.1)
     world.reads[0]()
     assert world.listed() == {"a", "b"}
+
+
+def test_process_that_stays_slow_does_not_take_the_store_for_lost(world):
+    """Guards against requests sent by an old list by an instance without processor time."""
+    world.steps(0.1)
+    for _ in range(5):
+        world.now += 1.0
+        world.follower.step()
+    assert not world.state.lost
