--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -93,6 +93,8 @@
         self.version = 0
         self.history = []
         self.era = 1
+        # While set, no call is answered.
+        self.silent = threading.Event()
         self._states = [(time.monotonic(), {}, 0, 0)]
         store = self
 
@@ -107,10 +109,12 @@
                 self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
             def do_GET(self):
-                store._get(self)
+                if not store._is_lost(self):
+                    store._get(self)
 
             def do_POST(self):
-                store._post(self)
+                if not store._is_lost(self):
+                    store._post(self)
 
         self._server = _Server(("127.0.0.1", 0), Handler)
         self.port = self._server.server_address[1]
@@ -151,6 +155,15 @@
             self._keep()
             self._condition.notify_all()
 
+    def _is_lost(self, request):
+        """Return whether a call is not answered; its channel delivers nothing further."""
+        if not self.silent.is_set():
+            return False
+        request.close_connection = True
+        while self.silent.is_set():
+            time.sleep(0.05)
+        return True
+
     def _write(self, key, text):
         self.version += 1
         if text is None:
@@ -367,11 +380,13 @@
 class Instance:
     """One process of the project's program."""
 
-    def __init__(self, name, store_port, folder, zone="izmir-a"):
-        self.name, self._folder, self.zone = name, folder, zone
+    def __init__(self, name, store_port, folder, zone="izmir-a", **bounds):
+        self.name = name
         ports = free_ports(5)
         self.front, self.readiness, self.metrics = ports[:3]
-        fields = SETTINGS | {
+        fields = {
+            "Limits": SETTINGS["Limits"],
+            "Bounds": SETTINGS["Bounds"] | bounds,
             "NodeName": name,
             "Zone": zone,
             "Ip": "127.0.0.1",
