--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -319,6 +319,12 @@
                     status = 200 if self.state == "ready" else 503
                     connection.sendall(answer(status, {"X-Redwingscale-Instance-Id": self.id}))
                     continue
+                if target.startswith("/api/"):
+                    body = reader.read(int(headers.get("content-length", "0")))
+                    if (reply := self.call(target, headers, body)) is None:
+                        return
+                    connection.sendall(reply)
+                    continue
                 request = headers.get("x-redwingscale-request-id")
                 if request is None:
                     connection.sendall(answer(400, {"X-Redwingscale-Not-Executed": "1"}))
@@ -332,6 +338,10 @@
                 if not self.serve(connection, reader, headers, request):
                     return
 
+    def call(self, target, headers, body):
+        """Return the answer to a call of the system, None to give none."""
+        return answer(404, {})
+
     def refusal(self, status, request):
         """Return a refusal of a request that it has not run."""
         named = {
