Log how long reads of the configuration take, and by how current a one requests are refused

The log of an instance could not tell a large read from a late one, nor how old the configuration was by which a request was refused with 404 or 401. Adds configuration_read, configuration_read_failed and refused_by_configuration, and keeps in CurrentRoutes until when a version was known to be the newest.

No decision changes. Unit tests of routes, forwarding and swaps passed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/swaps.py
@@ -207,6 +207,7 @@
             list_updates.take(update.fence, update.store.upstreams)
             apply_announced(routes, update.store.configuration, update.configuration_difference)
             route_versions.take(update.store.configuration, update.store.configuration_age)
+            routes.note_newest(update.store.configuration, update.store.configuration_age)
 
     def read_for_all(changes: ListChanges) -> StoreUpdate:
         table = routes.get()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -44,6 +44,8 @@
 from redwingscale_daemon._internal.workspaces.use_limiter import UseLimiter
 from redwingscale_daemon._internal.workspaces.workspace import Workspace
 
+# No such route, or no such key.
+JUDGED_BY_CONFIGURATION = frozenset({HTTPStatus.NOT_FOUND, HTTPStatus.UNAUTHORIZED})
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 # Another instance can serve the request; here a thread becomes free when a stream ends.
 NO_THREAD_RETRY_SECONDS = 0.3
@@ -139,6 +141,7 @@
             self._stop.check_head(route, _deadline(head, terms, route) - lease_clock())
             workspace_of(table, route, terms.key_digest)
         except Refusal as refusal:
+            self._note_judged(terms, refusal)
             self._log.received(head, terms)
             self._log.ended(head, terms, None, refusal)
             reply.closes = self._closes_connections
@@ -169,6 +172,7 @@
             self._relay(call)
             finish(call)
         except Refusal as refusal:
+            self._note_judged(terms, refusal)
             self._end_refused(request, terms, call, reply, refusal, passed_on)
         except ProcessEnds as error:
             if call is None:
@@ -208,6 +212,18 @@
         if call is not None:
             send_rest(call)
 
+    def _note_judged(self, terms: Terms, refusal: Refusal) -> None:
+        """Log how current the configuration is by which a request is refused for good."""
+        table = self._routes.get()
+        if refusal.status in JUDGED_BY_CONFIGURATION and table is not None:
+            log_event(
+                "refused_by_configuration",
+                request=terms.request_id,
+                version=table.version,
+                newest=self._routes.newest,
+                age=round(self._routes.age, 3),
+            )
+
     def _note_cut(self, call: Call | None, reply: Reply, error: Refusal | CallerLeft) -> None:
         if call is not None and reply.started:
             self._ends.note_cut(call, error)
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/current_routes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/current_routes.py
@@ -1,7 +1,9 @@
 """The route table in force."""
 
 import threading
+import time
 from collections import deque
+from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
@@ -13,6 +15,13 @@
 FORMER_TABLES = 3
 
 
+class _Newest(NamedTuple):
+    """The newest version that is known to exist, and until when it was known to be the newest."""
+
+    version: int
+    as_of: float
+
+
 class CurrentRoutes:
     """Holds the newest table seen; its version never decreases while the process runs.
 
@@ -24,6 +33,7 @@
         self._lock = threading.Lock()
         self._table: RouteTable | None = None
         self._former: deque[RouteTable] = deque(maxlen=FORMER_TABLES)
+        self._newest = _Newest(0, float("-inf"))
 
     def get(self) -> RouteTable | None:
         """Return the table in force, None before the first one."""
@@ -34,6 +44,31 @@
         with self._lock:
             return list(self._former)
 
+    @property
+    def newest(self) -> int:
+        """The newest version that is known to exist, 0 for none."""
+        return self._newest.version
+
+    @property
+    def age(self) -> float:
+        """Seconds since the table in force was known to be the newest.
+
+        Infinite before the first table, and while a newer version is known.
+        """
+        table, newest = self._table, self._newest
+        if table is None or table.version < newest.version:
+            return float("inf")
+        return time.monotonic() - newest.as_of
+
+    def note_newest(self, version: int, age: float = 0.0) -> None:
+        """Note that ``version`` was the newest ``age`` seconds ago.
+
+        A source that names an older version than another one is behind, and ignored.
+        """
+        newest = _Newest(version, time.monotonic() - age)
+        with self._lock:
+            self._newest = max(self._newest, newest)
+
     def engine(self, service: str) -> EngineRule | None:
         """Return the engine of a service, None if it runs no models or is not known."""
         table = self._table
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
@@ -1,7 +1,7 @@
 """Keeps the route table up to date with the configuration in the store."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 import msgspec
 from redwingscale_common.utils.logs import log_event
@@ -67,17 +67,22 @@
         """
         if self._relies_on_leader() and not self._must_read_newer():
             return
+        begun_at = time.monotonic()
         try:
-            self._take(self._changes())
+            self._take(self._changes(), begun_at)
         except HistoryGone:
             log_event("configuration_history_gone", read_at=self._version)
             self._version = None
         except PlatformError as error:
+            seconds = round(time.monotonic() - begun_at, 4)
+            log_event("configuration_read_failed", seconds=seconds, error=error)
             self._state.note_failure(error)
             time.sleep(self._retry.note_failure())
         else:
             self._retry.note_answer()
             self._state.note_answer()
+            if (table := self._current.get()) is not None:
+                self._current.note_newest(table.version)
 
     def _relies_on_leader(self) -> bool:
         known = self._current.get() is not None
@@ -113,7 +118,7 @@
         self._version = None
         return not self._fetch_announced()
 
-    def _changes(self) -> Iterable[StoredRow]:
+    def _changes(self) -> Sequence[StoredRow]:
         if self._version is None:
             snapshot = self._store.read(self._row.table, self._row.partition)
         else:
@@ -131,7 +136,14 @@
         fraction = WAIT_FRACTION_FOR_ALL if self._reads_for_all() else WAIT_FRACTION
         return self._in_force_seconds * fraction
 
-    def _take(self, rows: Iterable[StoredRow]) -> None:
+    def _take(self, rows: Sequence[StoredRow], read_begun_at: float) -> None:
+        if rows:
+            log_event(
+                "configuration_read",
+                rows=len(rows),
+                bytes=sum(len(row.value or b"") for row in rows),
+                seconds=round(time.monotonic() - read_begun_at, 4),
+            )
         for row in rows:
             if row.key != self._row or row.value is None:
                 continue
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -217,6 +217,7 @@
             age=round(response.age, 3),
             giver=response.leader.instance if response.leader else None,
         )
+        self._routes.note_newest(response.configuration, response.age)
         if response.leader is not None:
             self._learn_leader(response.lease_version, response.leader)
         data = response.table or response.difference
