Show that reads of the configuration grow with the time since the last one

What callers saw: requests refused with 404, or run by an old version, more than 3 s after a change was confirmed. The stand-in of the store returned the last state of each changed row; the store returns every change in order. It now does that too, and answers 410 beyond its history.

--- a/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
+++ b/packages/redwingscale-standins/src/redwingscale_standins/hosted/rows_api.py
@@ -3,7 +3,8 @@
 import base64
 import threading
 import time
-from typing import Any
+from collections import deque
+from typing import Any, NamedTuple
 
 import cherrypy
 import msgspec
@@ -16,18 +17,33 @@
 _KEY_FIELDS = ("Table", "part", "Key")
 ERA_HEADER = "Store-Era"
 FIRST_ERA = 0
+# Changes since a version before these writes get 410.
+KEPT_WRITES = 20_000
+
+
+class _Write(NamedTuple):
+    """One row that transaction ``version`` wrote, encoded; ``value`` is None if it dropped it."""
+
+    version: int
+    key: RowKey
+    value: str | None
 
 
 class RowsApi:
     """Stores rows by table, partition and key; ``down`` makes every request fail with 503.
 
-    Each answer to a read comes ``read_seconds`` late, with the rows as of its begin. `restore` brings it back from an older copy, which begins a new ``era``.
+    Each answer to a read comes ``read_seconds`` late, with the rows as of its begin. The changes
+    since a version are all writes after it, in order. `restore` brings it back from an older copy,
+    which begins a new ``era``.
     """
 
     def __init__(self) -> None:
         self._condition = threading.Condition()
         self._rows: dict[RowKey, tuple[int, str]] = {}
         self._deleted: dict[RowKey, int] = {}
+        self._writes: deque[_Write] = deque(maxlen=KEPT_WRITES)
+        # Changes since an earlier version are no longer known.
+        self._kept_after = 0
         self._version = 0
         self._copies = RowCopies()
         self._copies.keep(RowState({}, {}, 0))
@@ -41,6 +57,7 @@
         with self._condition:
             self._version += 1
             self._rows[(table, "", key)] = (self._version, encoded)
+            self._keep_write((table, "", key), encoded)
             self._copies.note_write((table, "", key), value)
             self._note_change()
 
@@ -50,6 +67,7 @@
             self._version += 1
             self._rows.pop((table, "", key), None)
             self._deleted[(table, "", key)] = self._version
+            self._keep_write((table, "", key), None)
             self._copies.note_write((table, "", key), None)
             self._note_change()
 
@@ -62,6 +80,8 @@
         with self._condition:
             lost = self._copies.writes_since(since)
             self._rows, self._deleted, self._version = self._copies.state_at(since)
+            kept = [write for write in self._writes if write.version <= self._version]
+            self._writes = deque(kept, maxlen=KEPT_WRITES)
             self.era += 1
             self._note_change()
         return lost
@@ -113,23 +133,27 @@
         with self._condition:
             while not (changed := self._changed(table, after)):
                 remaining = deadline - time.monotonic()
-                if remaining <= 0 or after > self._version:
+                if remaining <= 0 or not self._has_history(after):
                     break
                 self._condition.wait(remaining)
-            if after > self._version:
+            if not self._has_history(after):
                 cherrypy.response.status = 410
             return self._respond(changed)
 
+    def _has_history(self, after: int) -> bool:
+        return self._kept_after <= after <= self._version
+
     def _changed(self, table: str, after: int) -> list[dict[str, Any]]:
-        written = [key for key, (version, _) in self._rows.items() if version > after]
-        deleted = [key for key, version in self._deleted.items() if version > after]
-        rows = [self._row(key) for key in written if key[0] == table]
-        rows += [
-            {**dict(zip(_KEY_FIELDS, key, strict=True)), "Deleted": True}
-            for key in deleted
-            if key[0] == table
+        return [
+            self._written_row(write)
+            for write in self._writes
+            if write.version > after and write.key[0] == table
         ]
-        return rows
+
+    def _keep_write(self, key: RowKey, value: str | None) -> None:
+        if len(self._writes) == KEPT_WRITES:
+            self._kept_after = self._writes[0].version
+        self._writes.append(_Write(self._version, key, value))
 
     def _write(self, body: dict[str, Any]) -> bytes:
         with self._condition:
@@ -140,6 +164,7 @@
             self._version += 1
             for put in body["Puts"]:
                 self._rows[_row_key(put)] = (self._version, put["Value"])
+                self._keep_write(_row_key(put), put["Value"])
             self._note_change()
             return self._respond([])
 
@@ -149,8 +174,14 @@
 
     def _row(self, key: RowKey) -> dict[str, Any]:
         version, value = self._rows[key]
-        key_fields = dict(zip(_KEY_FIELDS, key, strict=True))
-        return {**key_fields, "Value": value, "RowVersion": version}
+        return self._written_row(_Write(version, key, value))
+
+    @staticmethod
+    def _written_row(write: _Write) -> dict[str, Any]:
+        key_fields = dict(zip(_KEY_FIELDS, write.key, strict=True))
+        if write.value is None:
+            return {**key_fields, "Deleted": True, "RowVersion": write.version}
+        return {**key_fields, "Value": write.value, "RowVersion": write.version}
 
     def _respond(self, rows: list[dict[str, Any]]) -> bytes:
         status = cherrypy.response.status or 200
