Read the row of the configuration where several versions may have come

What callers saw: 404 for a route, 3.05 s and more after it was confirmed, at instances that the store answers, and DENIED for each of them. Cause: an instance that relied on the leader's updates kept the version of its last own read, and asked for the changes since then once the leader lost the store. The store answers that with each version in between, whole; the answer did not end in time on a thin link and was discarded.

A waiting read now begins only where the last answer is fresh and had one version at most. After a pause, a failed read or an answer with several versions, the row itself is read, whose size does not depend on the time that has passed. Its answer has a quarter of the bound, so that one read may still be lost after the last update of a leader (test_change_in_time.py, whose store had the shorter limit of a query for changes there before; the bound is the same). The configuration counts as known as of the begin of such a read, not of its end.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/followers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/followers.py
@@ -27,6 +27,7 @@
     bounds: Bounds,
     store: StoreClient,
     list_store: StoreClient,
+    route_store: StoreClient,
     eras: StoreEras,
     routes: CurrentRoutes,
     fleet: Fleet,
@@ -38,7 +39,8 @@
 ) -> tuple[Periodic, ...]:
     """Return the steps that follow the configuration and the list of upstreams.
 
-    ``list_store`` is used for the list alone, and waits longer for answers.
+    ``list_store`` is used for the list alone, and waits longer for answers; ``route_store``
+    is used for the configuration alone, and waits less long.
     """
     list_reads = ListReads(
         swaps.is_leader,
@@ -48,7 +50,7 @@
         lambda: streams.confirmation.wanted or fleet.directory.copy.version.era < eras.newest,
     )
     route_follower = RouteFollower(
-        store,
+        route_store,
         RowKey(configuration.TABLE, "", configuration.KEY),
         configuration.decode_configuration,
         routes,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -58,6 +58,7 @@
 from redwingscale_daemon._internal.platform import exchange, names
 from redwingscale_daemon._internal.platform.store_client import StoreClient
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
+from redwingscale_daemon._internal.routes.route_follower import ANSWER_FRACTION
 from redwingscale_daemon._internal.settings.ingress_settings import Bounds, IngressSettings
 from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.link_state import LinkState
@@ -92,6 +93,12 @@
     list_store = StoreClient(
         settings.store.host, settings.store.port, eras, answer_seconds=settings.bounds.leave
     )
+    route_store = StoreClient(
+        settings.store.host,
+        settings.store.port,
+        eras,
+        answer_seconds=settings.bounds.configuration * ANSWER_FRACTION,
+    )
     routes = CurrentRoutes()
     fleet = new_fleet(settings.instance, lambda: swaps.instances())
     idle = idle_limits(settings.machine.descriptors)
@@ -195,6 +202,7 @@
         settings.bounds,
         store,
         list_store,
+        route_store,
         eras,
         routes,
         fleet,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/route_follower.py
@@ -21,6 +21,10 @@
 WAIT_FRACTION = 0.6
 # The same for the leader, shorter since its updates reach the others only after its reads.
 WAIT_FRACTION_FOR_ALL = 0.25
+# How long the answer to a read without a wait may take, as a fraction of that time: after the
+# last update of a leader that falls silent, one read may be lost. After a longer pause between
+# two reads, there may be several versions.
+ANSWER_FRACTION = 0.25
 # How often an instance that relies on the leader's updates checks that they arrive.
 VERSION_CHECK_SECONDS = 0.25
 
@@ -28,7 +32,11 @@
 
 
 class RouteFollower:
-    """Follows the changes of one row; each step is one read."""
+    """Follows the changes of one row; each step is one read.
+
+    The store answers a query for changes with each version since the one that it names. Where
+    these may be several, the row itself is read: its size does not depend on how many there are.
+    """
 
     def __init__(
         self,
@@ -53,14 +61,13 @@
         # Whether this instance reads for all and announces versions to the others.
         self._reads_for_all = reads_for_all
         self._in_force_seconds = in_force_seconds
+        # Where the next waiting read begins, None to read the row itself.
         self._version: StoreVersion | None = None
         self._retry = Backoff(immediate_first_retry=True)
         self._relied_on_leader = False
-        # Whether the next read is the first one after relying on the leader's updates.
-        self._read_without_wait = False
 
     def step(self) -> None:
-        """Read once: the whole row at first and after a gap, otherwise its changes.
+        """Read once: the row itself at first and after a gap, otherwise its next change.
 
         While the leader announces versions, the row is read only for a newer version that
         cannot be fetched from the leader.
@@ -69,26 +76,25 @@
             return
         begun_at = time.monotonic()
         try:
-            self._take(self._changes(), begun_at)
+            as_of = self._read(begun_at)
         except HistoryGone:
             log_event("configuration_history_gone", read_at=self._version)
             self._version = None
         except PlatformError as error:
             seconds = round(time.monotonic() - begun_at, 4)
             log_event("configuration_read_failed", seconds=seconds, error=error)
+            self._version = None
             self._state.note_failure(error)
             time.sleep(self._retry.note_failure())
         else:
             self._retry.note_answer()
-            self._state.note_answer()
+            self._state.note_answer(as_of)
             if (table := self._current.get()) is not None:
-                self._current.note_newest(table.version)
+                self._current.note_newest(table.version, self._state.age)
 
     def _relies_on_leader(self) -> bool:
         known = self._current.get() is not None
         relies = known and self._versions.current and not self._reads_for_all()
-        if self._relied_on_leader and not relies:
-            self._read_without_wait = True
         self._log_source(relies)
         return relies
 
@@ -114,38 +120,45 @@
         if table is not None and table.version >= self._versions.version:
             # The update that announced the version also brought it.
             return False
-        # Read the whole row: a waiting read might use a connection that has gone silent.
+        # A waiting read might use a connection that has gone silent.
         self._version = None
         return not self._fetch_announced()
 
-    def _changes(self) -> Sequence[StoredRow]:
-        if self._version is None:
+    def _read(self, begun_at: float) -> float:
+        """Read and use the row or its next change; return the time as of which it was read."""
+        if begun_at - self._state.answered_at > self._in_force_seconds * ANSWER_FRACTION:
+            self._version = None
+        since, as_of = self._version, begun_at
+        if since is None:
             snapshot = self._store.read(self._row.table, self._row.partition)
         else:
             wait_seconds = self._wait_seconds()
-            snapshot = self._store.changes(self._row.table, self._version, wait_seconds)
-        self._version = snapshot.version
-        return snapshot.rows
+            snapshot = self._store.changes(self._row.table, since, wait_seconds)
+            as_of = min(time.monotonic(), begun_at + wait_seconds)
+        self._log_read(snapshot.rows, begun_at)
+        versions = [row for row in snapshot.rows if row.key == self._row]
+        several = since is not None and len(versions) > 1
+        self._version = None if several else snapshot.version
+        self._take_newest(versions)
+        return as_of
 
     def _wait_seconds(self) -> float:
-        if self._read_without_wait:
-            # A waiting read on a connection that has gone silent meanwhile would use up most
-            # of the time in which a change must be in force.
-            self._read_without_wait = False
-            return 0.0
         fraction = WAIT_FRACTION_FOR_ALL if self._reads_for_all() else WAIT_FRACTION
         return self._in_force_seconds * fraction
 
-    def _take(self, rows: Sequence[StoredRow], read_begun_at: float) -> None:
+    def _log_read(self, rows: Sequence[StoredRow], begun_at: float) -> None:
         if rows:
             log_event(
                 "configuration_read",
                 rows=len(rows),
                 bytes=sum(len(row.value or b"") for row in rows),
-                seconds=round(time.monotonic() - read_begun_at, 4),
+                seconds=round(time.monotonic() - begun_at, 4),
             )
-        for row in rows:
-            if row.key != self._row or row.value is None:
+
+    def _take_newest(self, rows: Sequence[StoredRow]) -> None:
+        """Use the newest valid one of ``rows``, which are in order."""
+        for row in reversed(rows):
+            if row.value is None:
                 continue
             begun_at = time.monotonic()
             try:
@@ -163,3 +176,4 @@
                 build_seconds=round(time.monotonic() - begun_at, 4),
             )
             self._current.offer(table)
+            return
--- a/packages/redwingscale-daemon/tests/unit/routes/test_change_in_time.py
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_change_in_time.py
@@ -4,12 +4,9 @@
 
 import pytest
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable
-from redwingscale_daemon._internal.platform.store_client import (
-    ANSWER_SECONDS,
-    FEED_MARGIN_SECONDS,
-)
+from redwingscale_daemon._internal.platform.store_client import FEED_MARGIN_SECONDS
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
-from redwingscale_daemon._internal.routes.route_follower import RouteFollower
+from redwingscale_daemon._internal.routes.route_follower import ANSWER_FRACTION, RouteFollower
 from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
 from redwingscale_daemon._internal.routes.route_version_tracker import RouteVersionTracker
 from redwingscale_daemon._internal.store.link_state import LinkState
@@ -33,13 +30,14 @@
 class Store:
     """Answers with the newest version; the next ``lost`` calls get no answer."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, in_force_seconds):
         self.version = 1
+        self._answer_seconds = in_force_seconds * ANSWER_FRACTION
         self.lost = 0
         self._clock = clock
 
     def read(self, table, partition):
-        return self._answer(ANSWER_SECONDS)
+        return self._answer(self._answer_seconds)
 
     def changes(self, table, after, wait_seconds):
         return self._answer(wait_seconds + FEED_MARGIN_SECONDS)
@@ -66,11 +64,6 @@
     return made
 
 
-@pytest.fixture
-def store(clock):
-    return Store(clock)
-
-
 def in_force_after(clock, store, versions, in_force_seconds):
     """Return how long version 2 takes if it is confirmed just after the leader's last update."""
     routes = CurrentRoutes()
@@ -95,11 +88,10 @@
 
 
 @pytest.mark.parametrize("in_force_seconds", [2.0, 3.0])
-def test_change_is_in_time_if_the_leader_falls_silent_and_one_read_is_lost(
-    clock, store, in_force_seconds
-):
+def test_change_is_in_time_if_the_leader_falls_silent_and_one_read_is_lost(clock, in_force_seconds):
     # Guards against requests that are refused as unknown after their route was confirmed.
     versions = RouteVersionTracker(in_force_seconds)
+    store = Store(clock, in_force_seconds)
 
     def wait_for_newer(version, seconds):
         clock.sleep(seconds)
--- a/packages/redwingscale-daemon/tests/unit/routes/test_read_sizes.py
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_read_sizes.py
@@ -1,5 +1,7 @@
 """How much of the configuration an instance reads at once."""
 
+import time
+
 import pytest
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_follower import RouteFollower
@@ -11,6 +13,7 @@
 
 ROW = RowKey("op", "", "config")
 SERIES = 40
+VERSION_SECONDS = 0.1
 READS = 9
 
 
@@ -41,6 +44,13 @@
     return RouteTable(int(value), (), {}, IngressLimits(1000, 1000, 1.0, 1.0))
 
 
+@pytest.fixture
+def clock(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(time, "monotonic", lambda: now[0])
+    return now
+
+
 @pytest.fixture
 def routes():
     return CurrentRoutes()
@@ -56,7 +66,7 @@
     return RouteFollower(store, ROW, decode, routes, state, versions, lambda: reads_for_all)
 
 
-def test_one_version_is_read_after_a_series_from_the_leader(routes, versions):
+def test_one_version_is_read_after_a_series_from_the_leader(clock, routes, versions):
     """Guards against an answer that grows with the time since the last own read."""
     store = Store()
     follower = follow(store, routes, versions, reads_for_all=False)
@@ -65,7 +75,8 @@
     for number in range(2, SERIES):
         routes.offer(decode(str(number).encode()))
         versions.take(number, 0.0)
-        follower.step()
+        clock[0] += VERSION_SECONDS
+    follower.step()
     versions.take(SERIES - 1, 2.0)
     follower.step()
     assert routes.get().version == SERIES
