Refuse nothing for good by a configuration that may be outdated

Cause: requests were judged by whatever table was in force, however long ago it was known to be the newest; the list of upstreams has such a check before each sending, the configuration had none.

CurrentRoutes now keeps as of when the table in force was known to be the newest, from own reads, the leader and peers; a source that is behind does not count, and a newer version known by name alone does not renew an older table. Peers tell each other this age: an instance that had been told of a version it lacked answered peers as if its own were current. A refusal after a possible run is left as it is.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/ingress.py
@@ -59,6 +59,7 @@
 from redwingscale_daemon._internal.platform.store_client import StoreClient
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_follower import ANSWER_FRACTION
+from redwingscale_daemon._internal.routes.table_check import TableCheck
 from redwingscale_daemon._internal.settings.ingress_settings import Bounds, IngressSettings
 from redwingscale_daemon._internal.settings.scheduling import is_on
 from redwingscale_daemon._internal.store.link_state import LinkState
@@ -177,6 +178,7 @@
             settings.bounds.leave,
             streams.confirmation.wait,
         ),
+        TableCheck(routes, settings.bounds.configuration, lambda: reads.configuration.failed_at),
     )
     budget = ByteBudget(limits_of(settings.machine.memory_mb))
     metrics.observe_bytes_held(lambda: budget.held)
@@ -279,6 +281,7 @@
     crowded: Callable[[], bool],
     resumption: StreamResumption,
     list_check: ListCheck,
+    table_check: TableCheck,
 ) -> RequestHandler:
     pauses = StreamPauses(
         PauseRules(routes, settings.scheduling.stream_pauses).rule_of,
@@ -365,6 +368,7 @@
         crowded,
         AnswerEnds(open_requests, lambda reason: metrics.answers_cut.add(1, {"reason": reason})),
         resumption,
+        table_check,
     )
 
 
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -71,7 +71,7 @@
         settings.host,
         first_port + PEER_SERVER_PORT if first_port else 0,
         routes,
-        lambda: min(reads.configuration.age, route_versions.age),
+        lambda: routes.age,
         lambda: LeaseState(lease.row_version, lease.record),
         fleet.rates.receive_from_peer,
         lambda: exchange,
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/forwarding/request_handler.py
@@ -1,5 +1,6 @@
 """Handles each request of a caller from arrival to reply."""
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -38,14 +39,13 @@
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route import Route
 from redwingscale_daemon._internal.routes.route_table import RouteTable, draw_service
+from redwingscale_daemon._internal.routes.table_check import TableCheck
 from redwingscale_daemon._internal.routes.urgency import Urgency
 from redwingscale_daemon._internal.telemetry.ingress_metrics import IngressMetrics
 from redwingscale_daemon._internal.workspaces.request_permit import Permit, workspace_of
 from redwingscale_daemon._internal.workspaces.use_limiter import UseLimiter
 from redwingscale_daemon._internal.workspaces.workspace import Workspace
 
-# No such route, or no such key.
-JUDGED_BY_CONFIGURATION = frozenset({HTTPStatus.NOT_FOUND, HTTPStatus.UNAUTHORIZED})
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 # Another instance can serve the request; here a thread becomes free when a stream ends.
 NO_THREAD_RETRY_SECONDS = 0.3
@@ -77,7 +77,9 @@
         crowded: Callable[[], bool] = lambda: False,
         ends: AnswerEnds | None = None,
         resumption: StreamResumption | None = None,
+        table_check: TableCheck | None = None,
     ) -> None:
+        self._table_check = table_check or TableCheck(routes, math.inf)
         # Whether callers should use another instance from now on.
         self._leaves_rotation = leaves_rotation
         # Whether all threads that may serve requests are in use.
@@ -141,7 +143,10 @@
             self._stop.check_head(route, _deadline(head, terms, route) - lease_clock())
             workspace_of(table, route, terms.key_digest)
         except Refusal as refusal:
-            self._note_judged(terms, refusal)
+            if self._table_check.is_doubtful(refusal):
+                # It is judged again before it is routed, which may wait for a newer table.
+                return False
+            refusal = self._table_check.final_refusal(terms.request_id, refusal)
             self._log.received(head, terms)
             self._log.ended(head, terms, None, refusal)
             reply.closes = self._closes_connections
@@ -172,7 +177,8 @@
             self._relay(call)
             finish(call)
         except Refusal as refusal:
-            self._note_judged(terms, refusal)
+            if call is None:
+                refusal = self._table_check.final_refusal(terms.request_id, refusal)
             self._end_refused(request, terms, call, reply, refusal, passed_on)
         except ProcessEnds as error:
             if call is None:
@@ -212,18 +218,6 @@
         if call is not None:
             send_rest(call)
 
-    def _note_judged(self, terms: Terms, refusal: Refusal) -> None:
-        """Log how current the configuration is by which a request is refused for good."""
-        table = self._routes.get()
-        if refusal.status in JUDGED_BY_CONFIGURATION and table is not None:
-            log_event(
-                "refused_by_configuration",
-                request=terms.request_id,
-                version=table.version,
-                newest=self._routes.newest,
-                age=round(self._routes.age, 3),
-            )
-
     def _note_cut(self, call: Call | None, reply: Reply, error: Refusal | CallerLeft) -> None:
         if call is not None and reply.started:
             self._ends.note_cut(call, error)
@@ -243,6 +237,8 @@
                 "no configuration is known yet",
                 retry_after_seconds=NO_CONFIGURATION_RETRY_SECONDS,
             )
+        self._table_check.wait_until_current(terms.request_id)
+        table = self._routes.get() or table
         route = table.find(request.host, request.path)
         if route is None:
             place = f"{request.host}{request.path} in version {table.version}"
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/current_routes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/current_routes.py
@@ -3,7 +3,6 @@
 import threading
 import time
 from collections import deque
-from typing import NamedTuple
 
 from redwingscale_common.utils.logs import log_event
 
@@ -15,13 +14,6 @@
 FORMER_TABLES = 3
 
 
-class _Newest(NamedTuple):
-    """The newest version that is known to exist, and until when it was known to be the newest."""
-
-    version: int
-    as_of: float
-
-
 class CurrentRoutes:
     """Holds the newest table seen; its version never decreases while the process runs.
 
@@ -30,10 +22,14 @@
     """
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
+        self._lock = threading.Condition()
         self._table: RouteTable | None = None
         self._former: deque[RouteTable] = deque(maxlen=FORMER_TABLES)
-        self._newest = _Newest(0, float("-inf"))
+        # The newest version that is known to exist, and as of when it is known to be the newest.
+        self._newest = 0
+        self._newest_as_of = float("-inf")
+        # The same for the table in force.
+        self._as_of = float("-inf")
 
     def get(self) -> RouteTable | None:
         """Return the table in force, None before the first one."""
@@ -47,27 +43,37 @@
     @property
     def newest(self) -> int:
         """The newest version that is known to exist, 0 for none."""
-        return self._newest.version
+        return self._newest
 
     @property
     def age(self) -> float:
-        """Seconds since the table in force was known to be the newest.
-
-        Infinite before the first table, and while a newer version is known.
-        """
-        table, newest = self._table, self._newest
-        if table is None or table.version < newest.version:
-            return float("inf")
-        return time.monotonic() - newest.as_of
+        """Seconds since the table in force was known to be the newest, infinite without one."""
+        return time.monotonic() - self._as_of
 
     def note_newest(self, version: int, age: float = 0.0) -> None:
         """Note that ``version`` was the newest ``age`` seconds ago.
 
         A source that names an older version than another one is behind, and ignored.
         """
-        newest = _Newest(version, time.monotonic() - age)
+        as_of = time.monotonic() - age
+        with self._lock:
+            if version < self._newest:
+                return
+            if version > self._newest:
+                self._newest_as_of = as_of
+            self._newest = version
+            self._newest_as_of = max(self._newest_as_of, as_of)
+            self._confirm()
+
+    def wait_for_news(self, seconds: float) -> None:
+        """Return once the table is newer or known to be the newest, or after ``seconds``."""
         with self._lock:
-            self._newest = max(self._newest, newest)
+            self._lock.wait(seconds)
+
+    def _confirm(self) -> None:
+        if self._table is not None and self._table.version >= self._newest:
+            self._as_of = max(self._as_of, self._newest_as_of)
+            self._lock.notify_all()
 
     def engine(self, service: str) -> EngineRule | None:
         """Return the engine of a service, None if it runs no models or is not known."""
@@ -84,6 +90,7 @@
             if self._table is not None:
                 self._former.appendleft(self._table)
             self._table = table
+            self._confirm()
         log_event(
             "configuration_in_force",
             version=table.version,
--- a/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/conftest.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import math
 import random
 import socket
 import threading
@@ -42,6 +43,7 @@
 from redwingscale_daemon._internal.routes.idempotency import Idempotency
 from redwingscale_daemon._internal.routes.route import Route, WeightedService
 from redwingscale_daemon._internal.routes.route_table import IngressLimits, RouteTable
+from redwingscale_daemon._internal.routes.table_check import TableCheck
 from redwingscale_daemon._internal.swaps.local_demand import LocalDemand
 from redwingscale_daemon._internal.workspaces.use_limiter import UseLimiter
 
@@ -243,6 +245,15 @@
         return iter(())
 
 
+class SettableCheck(TableCheck):
+    """Has a table whose age the test sets."""
+
+    outdated = False
+
+    def wait_until_current(self, request_id):
+        pass
+
+
 class World:
     """One instance's request path in front of scripted upstreams."""
 
@@ -251,6 +262,7 @@
         self.upstreams = []
         self._request_numbers = itertools.count(1)
         self.routes = CurrentRoutes()
+        self.table_check = SettableCheck(self.routes, math.inf)
         fleet = new_fleet()
         self.changes, self.residency = fleet.changes, fleet.residency
         self.directory = fleet.directory
@@ -329,6 +341,7 @@
             self.routes, exchange, PlainRelay(parts, self.changes), StreamRelay(parts, wait, fleet.prefixes),
             self.local_demand, budget, self.open_requests, _OutcomeLog(self.ended),
             self.limiter, self.guard, ends=AnswerEnds(self.open_requests, self.cuts.append),
+            table_check=self.table_check,
         )  # fmt: skip
         self.server = IngressServer(
             handler.handle, "127.0.0.1", 0, limits, handler.screen, handler.refuse_unread, held
--- a/packages/redwingscale-daemon/tests/unit/forwarding/test_keys.py
+++ b/packages/redwingscale-daemon/tests/unit/forwarding/test_keys.py
@@ -55,6 +55,15 @@
     assert response.headers["WWW-Authenticate"] == "Bearer"
 
 
+@pytest.mark.parametrize("path", ["/safe/", "/nowhere/"])
+def test_outdated_configuration_refuses_nothing_for_good(keyed, path):
+    """Guards against 401 or 404 for a key or route that was confirmed long before."""
+    keyed.table_check.outdated = True
+    response = keyed.request(path, b"body", headers=("X-Other: 1",))
+    assert (response.status, keyed.ended) == (503, ["configuration_outdated"])
+    assert float(response.headers["Retry-After"]) > 0
+
+
 def test_unknown_key_is_refused_before_the_body_is_read(keyed):
     """Guards against a caller without a key that occupies a thread with a slow body."""
     caller = keyed.connect()
