Ask peers for the configuration while an own read has no answer, and all at once

Cause: reliance on the leader (0.6 of the bound), an own read and peers came one after the other, and four peers in turn with 0.4 s for each silent one; their sum is beyond the bound. Evidence: at edge-lj-a-18 three peer_silent at 8.82, 9.22 and 9.62 s, answered only at 10.23 s by a fourth.

Peers are asked from 0.7 of the bound on, while an own read that began at 0.6 may still be answered, and four at once; each answer is used. The age that a peer tells counts from when it was asked, since its answer may be late. PeerQueryRule holds the decision, which was a closure. With the former PeerClient test_silent_peers_do_not_delay_the_answer_of_another fails (BrokenBarrierError).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/composition/peers.py
@@ -17,18 +17,16 @@
 from redwingscale_daemon._internal.swaps.leader_lease import LeaderLease
 from redwingscale_daemon._internal.swaps.lease_record import LeaderRecord
 from redwingscale_daemon._internal.swaps.peer_client import PeerClient
+from redwingscale_daemon._internal.swaps.peer_query_rule import PeerQueryRule
 from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerServer
 from redwingscale_daemon._internal.swaps.rate_limit_gossip import RateLimitGossip
 from redwingscale_daemon._internal.utils.periodic import Periodic
-from redwingscale_daemon._internal.utils.sustained_condition import SustainedCondition
 
 # Offset from the first peer port. The first two ports carry the updates between the leader
 # and the instances.
 PEER_SERVER_PORT = 2
 # How often an instance that cannot read the store queries its peers.
 PEER_QUERY_SECONDS = 0.4
-# An announced version is read from the store first; peers are queried after this time.
-BEHIND_BEFORE_QUERY_SECONDS = 0.3
 # Fraction of the time in which a change must be in force that its fetch from instances may
 # take. The leader has read it before, and an instance without it reads the store after.
 FETCH_FRACTION = 0.3
@@ -78,17 +76,13 @@
         reply_on_path,
         settings.machine.link_mbps,
     )
-    behind = SustainedCondition(BEHIND_BEFORE_QUERY_SECONDS)
-
-    def may_be_outdated() -> bool:
-        """Return whether there may be a configuration or a leader unknown to this instance."""
-        table = routes.get()
-        current_version = table.version if table else 0
-        if told_by_instances() > current_version:
-            return True
-        if route_versions.current:
-            return behind.update(route_versions.version > current_version)
-        return reads.configuration.lost or reads.configuration.age > settings.bounds.configuration
+    rule = PeerQueryRule(
+        routes,
+        route_versions,
+        reads.configuration,
+        told_by_instances,
+        settings.bounds.configuration,
+    )
 
     def fetch_announced() -> bool:
         record = lease.record
@@ -104,7 +98,7 @@
 
     peer_client = PeerClient(
         routes,
-        may_be_outdated,
+        rule.due,
         adopt_record,
         lambda: peer_server.address,
         lambda: exchange.note_peers(),
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/peer_client.py
@@ -4,6 +4,7 @@
 import time
 import zlib
 from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor, as_completed
 
 import msgspec
 import pynng
@@ -28,8 +29,6 @@
 # A peer may be rejected by the store as well; another one is queried then.
 MAX_QUERIES_PER_STEP = 4
 RESPONSE_TIMEOUT_MS = 400
-# A configuration that a peer knew to be in force within this time ends the queries.
-FRESH_CONFIGURATION_SECONDS = 1.5
 # Pause before the next query for a configuration that a peer may not send: some of those
 # that it names receive theirs only now.
 HOLDER_QUERY_SECONDS = (0.02, 0.06)
@@ -63,6 +62,7 @@
         self._fetching = False
         # Not for secrets: it only spreads the queries.
         self._random = random.Random()
+        self._pool = ThreadPoolExecutor(MAX_QUERIES_PER_STEP, thread_name_prefix="peer-query")
 
     def remember(self, peers: Iterable[str]) -> None:
         """Remember ``peers`` for `ANNOUNCED_SECONDS`."""
@@ -115,17 +115,16 @@
         return None if response is None else response.path
 
     def step(self) -> None:
-        """Query peers, if needed, until one knows the configuration that is in force now."""
+        """Query some peers at once, if needed, and use what each of them answers."""
         if self._fetching or not self._needed():
             return
         addresses = self.addresses()
-        for address in self._random.sample(addresses, min(MAX_QUERIES_PER_STEP, len(addresses))):
-            response = self._query(address)
-            if response is None:
-                continue
-            self._apply(address, response)
-            if response.age < FRESH_CONFIGURATION_SECONDS:
-                return
+        chosen = self._random.sample(addresses, min(MAX_QUERIES_PER_STEP, len(addresses)))
+        queries = {self._pool.submit(self._query, address): address for address in chosen}
+        for query in as_completed(queries):
+            response = query.result()
+            if response is not None:
+                self._apply(queries[query], response)
 
     def confirm(self, address: str, seconds: float) -> bool:
         """Query a peer, and take its configuration within ``seconds`` if it is newer.
@@ -200,11 +199,14 @@
             "recv_timeout": RESPONSE_TIMEOUT_MS,
             "resend_time": -1,
         }
+        begun_at = time.monotonic()
         try:
             with pynng.Req0(**options) as link:
                 link.dial(f"tcp://{address}", block=False)
                 link.send(msgspec.msgpack.encode(request))
-                return decode_message(link.recv(), PeerResponse)
+                response = decode_message(link.recv(), PeerResponse)
+                age = response.age + time.monotonic() - begun_at
+                return msgspec.structs.replace(response, age=age)
         except (pynng.NNGException, msgspec.DecodeError) as error:
             log_event("peer_silent", peer=address, error=repr(error))
             return None
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_peers.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+import threading
 import time
 from collections import Counter
 
@@ -17,6 +18,7 @@
 from redwingscale_daemon._internal.swaps.peer_client import (
     ANNOUNCED_SECONDS,
     MAX_PEERS,
+    MAX_QUERIES_PER_STEP,
     PeerClient,
 )
 from redwingscale_daemon._internal.swaps.peer_server import LeaseState, PeerServer
@@ -81,6 +83,19 @@
     assert requester.version == 2
 
 
+def test_silent_peers_do_not_delay_the_answer_of_another(requester, monkeypatch):
+    """Guards against a version that is late by the time limit of each silent peer before it."""
+    all_asked = threading.Barrier(MAX_QUERIES_PER_STEP)
+
+    def query(address):
+        all_asked.wait(5.0)
+
+    monkeypatch.setattr(requester.client, "_query", query)
+    requester.client.remember([f"peer{number}:1" for number in range(MAX_QUERIES_PER_STEP)])
+    requester.client.step()
+    assert not all_asked.broken
+
+
 def test_query_nested_too_deeply_does_not_end_the_server(start):
     """Guards against an instance that answers no other one any more."""
     peer = start(table(2))
