Read the list again while the changes during a gap are asked for

What callers saw: requests wait for a list, or reach an upstream that leaves, after an instance was cut off from the store; one such request is in the record, not shown to be of this cause. Cause: after a gap, the follower asked the store for all changes of the list since then, and held the lock that each further read needs. The answer has every write of every upstream during the gap; on a thin link it is given up after 1.5 s, and the list ages meanwhile by as much. Evidence: with the former follower test_list_is_read_again_while_what_follows_a_read_has_no_answer fails; the record has such queries that timed out (software_row_incomplete).

What follows a read is now called in the order of reads, under a lock of its own. The log tells how large the answers are (list_changes_read). Unit tests of the list passed.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/list_follower.py
@@ -70,6 +70,8 @@
         # Runs a read, in another thread if steps shall go on meanwhile.
         self._run = run
         self._lock = threading.Lock()
+        # Held while ``on_read`` runs, which may ask the store: further reads begin meanwhile.
+        self._report_lock = threading.Lock()
         # When the reads without an answer began, and the last one of all.
         self._open: set[float] = set()
         self._begun_at = self._stepped_at = float("-inf")
@@ -134,10 +136,13 @@
         finally:
             self._open.discard(begun_at)
         with self._lock:
-            if begun_at >= self._seen_at:
-                self._take(snapshot, begun_at)
+            in_use = begun_at >= self._seen_at and self._take(snapshot, begun_at)
+        if in_use:
+            with self._report_lock:
+                self._on_read(begun_at)
 
-    def _take(self, snapshot: Snapshot, begun_at: float) -> None:
+    def _take(self, snapshot: Snapshot, begun_at: float) -> bool:
+        """Use a list; return whether it is in use now."""
         self._retry.note_answer()
         self._silent_seconds = 0.0
         rows, version = snapshot
@@ -148,17 +153,17 @@
         if self._directory.replace(listed, version, lapsed, begun_at):
             # Only now: a reader of the list's age must not find the former list.
             self._state.note_answer(begun_at)
-            self._on_read(begun_at)
-        else:
-            known = self._directory.copy.version
-            log_event(
-                "list_outdated",
-                level="WARNING",
-                era=version.era,
-                list_version=version.number,
-                known_era=known.era,
-                known=known.number,
-            )
+            return True
+        known = self._directory.copy.version
+        log_event(
+            "list_outdated",
+            level="WARNING",
+            era=version.era,
+            list_version=version.number,
+            known_era=known.era,
+            known=known.number,
+        )
+        return False
 
     def _drop_overdue(self) -> None:
         now = time.monotonic()
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/removed_upstreams.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/fleet/removed_upstreams.py
@@ -1,5 +1,9 @@
 """Which upstreams were removed from the list since a version of the store."""
 
+import time
+
+from redwingscale_common.utils.logs import log_event
+
 from redwingscale_daemon._internal.exceptions import PlatformUnavailable
 from redwingscale_daemon._internal.store.rows import RowStore
 from redwingscale_daemon._internal.store.store_version import StoreVersion
@@ -21,7 +25,14 @@
         """Return the names that were removed from the list; raises `PlatformError`."""
         removed: set[str] = set()
         for _ in range(_MAX_PAGES):
+            begun_at = time.monotonic()
             rows, version = self._store.changes(self._table, version, 0.0)
+            log_event(
+                "list_changes_read",
+                rows=len(rows),
+                bytes=sum(len(row.value or b"") for row in rows),
+                seconds=round(time.monotonic() - begun_at, 4),
+            )
             removed |= {row.key.key for row in rows if row.value is None}
             if len(rows) < _PAGE_ROWS:
                 return removed
--- a/packages/redwingscale-daemon/tests/unit/fleet/test_late_list_reads.py
+++ b/packages/redwingscale-daemon/tests/unit/fleet/test_late_list_reads.py
@@ -1,5 +1,6 @@
 """Reads of the list that are answered late."""
 
+import threading
 import time
 
 import pytest
@@ -12,6 +13,7 @@
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 STEP_SECONDS = 0.1
+WAIT_SECONDS = 5.0
 
 
 def decode(name, row_version, value):
@@ -31,9 +33,11 @@
         self.reads = []
         self.directory = new_fleet().directory
         self.state = LinkState("upstreams")
+        self.on_read = lambda begun_at: None
         self.follower = ListFollower(
-            self, "servers", decode, self.directory, self.state, run=self.reads.append
-        )
+            self, "servers", decode, self.directory, self.state,
+            on_read=lambda begun_at: self.on_read(begun_at), run=self.reads.append,
+        )  # fmt: skip
 
     def read(self, table, partition):
         if self.names is None:
@@ -79,6 +83,20 @@
     assert world.listed() == {"a", "b"}
 
 
+def test_list_is_read_again_while_what_follows_a_read_has_no_answer(world):
+    """Guards against a list that ages while the changes during a gap are asked for."""
+    world.steps(0.1)
+
+    def step_meanwhile(begun_at):
+        step = threading.Thread(target=world.steps, args=(0.1,), daemon=True)
+        step.start()
+        step.join(WAIT_SECONDS)
+
+    world.on_read = step_meanwhile
+    world.reads[0]()
+    assert len(world.reads) == 2
+
+
 def test_answer_that_a_later_read_has_overtaken_is_ignored(world):
     """Guards against an upstream that a late answer lists again after its removal."""
     world.steps(0.6)
