Read the leader's row after a pause, not its renewals since then

The same class as the configuration's reads: an instance that hears the leader keeps the version of its last answer, and asks for the changes since then once it no longer hears it. After a pause of over a second the row itself is read. With the former code test_watch_after_a_pause_does_not_ask_for_the_renewals_in_between fails (changes in place of read).

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/swaps/leader_lease.py
@@ -31,6 +31,8 @@
 # One call reads the row, one waits for a change, and one more waits if the lease holder
 # has renewed the row meanwhile.
 MAX_CALLS_PER_WATCH = 3
+# After a longer pause the row itself is read: its changes hold each renewal in between.
+MAX_PAUSE_SECONDS = 1.0
 
 
 class LeaderLease:
@@ -79,6 +81,8 @@
         self._row_version = NOTHING_READ
         # The store's version as of the last read, None if the row must be read again.
         self._store_version: StoreVersion | None = None
+        # When that answer came.
+        self._read_at = -math.inf
         self._changed_at = clock()
         # The newest row version announced by the lease holder, and when it was first received.
         self._announced_renewal = (NOTHING_READ, -math.inf)
@@ -177,7 +181,8 @@
             seconds_left = end - self._clock()
             if seconds_left <= 0:
                 return
-            if self._store_version is None:
+            paused = self._clock() - self._read_at > MAX_PAUSE_SECONDS
+            if paused or self._store_version is None:
                 self._read()
             else:
                 takeable_in = self._seconds_until_takeable() if self._may_lead() else math.inf
@@ -254,12 +259,12 @@
             log_event("giver_row_history_gone", era=version.era, row_version=version.number)
             self._store_version = None
             return
-        self._store_version = changes.version
+        self._store_version, self._read_at = changes.version, self._clock()
         self._observe_newest(row for row in changes.rows if row.key == LEASE_ROW)
 
     def _read(self) -> None:
         snapshot = self._store.read(LEASE_ROW.table, LEASE_ROW.partition)
-        self._store_version = snapshot.version
+        self._store_version, self._read_at = snapshot.version, self._clock()
         if not self._observe_newest(row for row in snapshot.rows if row.key == LEASE_ROW):
             self._take_software(None, snapshot.version.era)
             self._observe(StoreVersion(snapshot.version.era, NO_ROW_NUMBER), None)
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_leader_lease.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_leader_lease.py
@@ -311,6 +311,19 @@
     assert store.calls == ["read", "changes", "changes"]
 
 
+def test_watch_after_a_pause_does_not_ask_for_the_renewals_in_between(make_lease, clock, store):
+    """Guards against an answer that grows with the time for which a leader was heard."""
+    first, second = make_lease("a"), make_lease("b")
+    first.step()
+    second.watch(1.5)
+    clock.now += 60.0
+    first.step()
+    store.calls.clear()
+    second.watch(1.5)
+    assert store.calls[0] == "read"
+    assert second.record.instance == "a"
+
+
 def test_watch_continues_after_a_gap_in_the_history(make_lease, clock, store):
     # The store drops its history while an instance waits: its copy of the row may be stale,
     # so it reads the row again.
