Announce differences that lead from several earlier versions

The difference in the leader's update led from the version before alone. A difference now has all that differs from any of up to four tables, those of the last updates first, and so leads from each of them; one that would be too large for an update leads from the last one alone. An earlier release takes it from that one base.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/table_difference.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/table_difference.py
@@ -1,4 +1,7 @@
-"""Encoding of what a version of the configuration changes in an earlier one."""
+"""Encoding of what a version of the configuration changes in earlier ones."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 
@@ -13,6 +16,9 @@
 from redwingscale_daemon._internal.utils.documents import decode_message
 from redwingscale_daemon._internal.workspaces.keys import WorkspaceKeys
 
+_Key = TypeVar("_Key")
+_Value = TypeVar("_Value")
+
 
 class _KeyDifference(msgspec.Struct, array_like=True):
     """``changed`` has the digests that are new or belong to another workspace now."""
@@ -22,9 +28,10 @@
 
 
 class _TableDifference(msgspec.Struct, array_like=True):
-    """``base`` is the digest of the earlier table; ``routes`` and ``services`` are new or changed.
+    """``base`` is the digest of an earlier table; ``routes`` and ``services`` are new or changed.
 
-    ``workspaces`` is None if callers need no key, as for a route table.
+    ``workspaces`` is None if callers need no key, as for a route table. ``other_bases`` are the
+    digests of further tables that the difference leads from; an earlier release ignores them.
     """
 
     base: bytes
@@ -35,21 +42,34 @@
     dropped_services: list[str]
     limits: IngressLimits
     workspaces: _KeyDifference | None
+    other_bases: list[bytes] = []
+
+
+class _Changes(NamedTuple):
+    changed: dict[Any, Any]
+    dropped: set[Any]
+
 
+def encode_difference(
+    base: RouteTable, table: RouteTable, other_bases: Sequence[RouteTable] = ()
+) -> bytes:
+    """Return what leads from ``base`` to ``table``, for `apply_difference`.
 
-def encode_difference(base: RouteTable, table: RouteTable) -> bytes:
-    """Return what leads from ``base`` to ``table``, for `apply_difference`."""
-    routes, before = table.by_host_and_prefix, base.by_host_and_prefix
-    services, services_before = table.services_by_name, base.services_by_name
+    It leads to ``table`` from each of ``other_bases`` as well.
+    """
+    bases = (base, *other_bases)
+    routes = _changes([one.by_host_and_prefix for one in bases], table.by_host_and_prefix)
+    services = _changes([one.services_by_name for one in bases], table.services_by_name)
     record = _TableDifference(
         base.digest,
         table.version,
-        [route for key, route in routes.items() if before.get(key) != route],
-        list(before.keys() - routes.keys()),
-        [rule for name, rule in services.items() if services_before.get(name) != rule],
-        list(services_before.keys() - services.keys()),
+        list(routes.changed.values()),
+        list(routes.dropped),
+        list(services.changed.values()),
+        list(services.dropped),
         table.limits,
-        None if table.keys is None else _key_difference(base.keys, table.keys),
+        None if table.keys is None else _key_difference(bases, table.keys),
+        [one.digest for one in other_bases],
     )
     return msgspec.msgpack.encode(record)
 
@@ -60,7 +80,7 @@
     Raises `msgspec.DecodeError` if ``data`` is invalid or leads from another table.
     """
     record = decode_message(data, _TableDifference)
-    if record.base != base.digest:
+    if base.digest not in (record.base, *record.other_bases):
         raise msgspec.ValidationError("the difference leads from another table")
     routes = base.by_host_and_prefix | {(one.host, one.prefix): one for one in record.routes}
     for key in record.dropped_routes:
@@ -72,11 +92,20 @@
     return RouteTable(record.version, routes.values(), services, record.limits, keys)
 
 
-def _key_difference(base: WorkspaceKeys | None, keys: WorkspaceKeys) -> _KeyDifference:
-    before = base.workspaces_by_digest if base else {}
-    now = keys.workspaces_by_digest
-    changed = {key: workspace for key, workspace in now.items() if before.get(key) != workspace}
-    return _KeyDifference(workspace_records(changed), list(before.keys() - now.keys()))
+def _changes(bases: Iterable[Mapping[_Key, _Value]], now: Mapping[_Key, _Value]) -> _Changes:
+    """Return what must be set and dropped in each of ``bases`` so that it is ``now``."""
+    changed: dict[_Key, _Value] = {}
+    dropped: set[_Key] = set()
+    for before in bases:
+        changed |= {key: value for key, value in now.items() if before.get(key) != value}
+        dropped |= before.keys() - now.keys()
+    return _Changes(changed, dropped)
+
+
+def _key_difference(bases: Iterable[RouteTable], keys: WorkspaceKeys) -> _KeyDifference:
+    before = [one.keys.workspaces_by_digest if one.keys else {} for one in bases]
+    changes = _changes(before, keys.workspaces_by_digest)
+    return _KeyDifference(workspace_records(changes.changed), list(changes.dropped))
 
 
 def _apply_keys(base: WorkspaceKeys | None, difference: _KeyDifference) -> WorkspaceKeys:
--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/version_announcements.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/version_announcements.py
@@ -1,6 +1,7 @@
 """What a new version of the configuration changes, sent along with its announcement."""
 
 import zlib
+from collections import deque
 
 import msgspec
 from redwingscale_common.utils.logs import log_event
@@ -16,6 +17,9 @@
 ANNOUNCED_UPDATES = 2
 # A larger difference is fetched, within the bounds of what an instance sends at once.
 MAX_DIFFERENCE_BYTES = 1024
+# Updates may skip versions, and instances may miss updates: a difference leads from so many
+# earlier tables, or from the last one alone if it would be too large.
+MAX_BASES = 4
 
 
 class VersionAnnouncements:
@@ -28,6 +32,8 @@
     def __init__(self, routes: CurrentRoutes) -> None:
         self._routes = routes
         self._table: RouteTable | None = None
+        # The tables of earlier updates, the newest first.
+        self._earlier: deque[RouteTable] = deque(maxlen=MAX_BASES)
         self._difference = b""
         self._updates_left = 0
 
@@ -35,6 +41,8 @@
         """Return the compressed difference for the update to send now, empty for none."""
         table = self._routes.get()
         if table is not self._table:
+            if self._table is not None:
+                self._earlier.appendleft(self._table)
             self._table = table
             self._difference = self._encode()
             self._updates_left = ANNOUNCED_UPDATES
@@ -44,14 +52,26 @@
         return self._difference
 
     def _encode(self) -> bytes:
-        table, former = self._routes.get(), self._routes.former()
-        if table is None or not former:
+        table, bases = self._table, self._bases()
+        if table is None or not bases:
             return b""
-        difference = zlib.compress(encode_difference(former[0], table))
-        if len(difference) > MAX_DIFFERENCE_BYTES:
-            return b""
-        log_event("configuration_announced", version=table.version, bytes=len(difference))
-        return difference
+        for others in (bases[1:], []):
+            difference = zlib.compress(encode_difference(bases[0], table, others))
+            if len(difference) <= MAX_DIFFERENCE_BYTES:
+                log_event(
+                    "configuration_announced",
+                    version=table.version,
+                    bytes=len(difference),
+                    bases=len(others) + 1,
+                )
+                return difference
+        return b""
+
+    def _bases(self) -> list[RouteTable]:
+        """Return the tables that other instances may have, the most likely one first."""
+        former = self._routes.former()
+        by_version = {one.version: one for one in (*self._earlier, *former)}
+        return list(by_version.values())[:MAX_BASES]
 
 
 def apply_announced(routes: CurrentRoutes, version: int, difference: bytes) -> None:
--- a/packages/redwingscale-daemon/tests/unit/routes/test_table_difference.py
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_table_difference.py
@@ -78,6 +78,17 @@
         apply_difference(other, encode_difference(base, table(many(), 2)))
 
 
+def test_difference_leads_from_each_of_its_bases():
+    """Guards against a value of one base that stays in the table of another one."""
+    first, later = table(many(), 1), table(many(), 3)
+    between = table(many(), 2)
+    key = next(iter(between.by_host_and_prefix))
+    between.by_host_and_prefix[key] = between.by_host_and_prefix[key]._replace(priority=9)
+    difference = encode_difference(between, later, [first])
+    for base in (first, between):
+        assert apply_difference(base, difference).digest == later.digest
+
+
 def test_digest_is_the_same_wherever_a_table_was_built():
     """Guards against whole tables where a difference would do."""
     base = table(many(), 1)
