Test on processes that an instance without news refuses no unknown route for good

An instance that hears neither the store nor the leader answered 404 for a route that it does not have, however long ago it heard last. Without TableCheck the test times out waiting for 503; known routes are served.

--- a/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/current_routes.py
+++ b/packages/redwingscale-daemon/src/redwingscale_daemon/_internal/routes/current_routes.py
@@ -59,10 +59,8 @@
         with self._lock:
             if version < self._newest:
                 return
-            if version > self._newest:
-                self._newest_as_of = as_of
-            self._newest = version
-            self._newest_as_of = max(self._newest_as_of, as_of)
+            known = self._newest_as_of if version == self._newest else as_of
+            self._newest, self._newest_as_of = version, max(as_of, known)
             self._confirm()
 
     def wait_for_news(self, seconds: float) -> None:
--- a/packages/redwingscale-daemon/tests/functional/hosted/test_cut_from_the_store.py
+++ b/packages/redwingscale-daemon/tests/functional/hosted/test_cut_from_the_store.py
@@ -75,6 +75,21 @@
     assert b"event=passed_on" in two.log.read_bytes()
 
 
+def test_unknown_route_is_not_refused_for_good_by_an_instance_that_hears_nobody(
+    deployment, store_link
+):
+    """Guards against a 404 for a route that was confirmed after this instance heard last."""
+    deployment.worker("w1", "m1")
+    one, two = deployment.instance("one"), deployment.instance("two", store_port=store_link.port)
+    until(lambda: deployment.leader() == "one", "the leader")
+    until(lambda: b"source=order_giver" in two.log.read_bytes(), "the leader's updates")
+    assert two.request_stream(path="/new/x")[0] == 404
+    store_link.hold_from = True
+    one.end(signal.SIGKILL)
+    until(lambda: two.request_stream(path="/new/x")[0] == 503, "a refusal that allows a retry")
+    assert two.request_stream(path="/live/x")[0] == 200
+
+
 def test_key_withdrawn_during_a_cut_is_refused_at_once(deployment, store_link):
     """Guards against a withdrawn key that still works at an instance cut off from the store."""
     deployment.rows.put("op", "config", keyed_document(2, "k1", "k2"))
--- a/packages/redwingscale-daemon/tests/unit/routes/test_read_sizes.py
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_read_sizes.py
@@ -1,7 +1,5 @@
 """How much of the configuration an instance reads at once."""
 
-import time
-
 import pytest
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_follower import RouteFollower
@@ -44,13 +42,6 @@
     return RouteTable(int(value), (), {}, IngressLimits(1000, 1000, 1.0, 1.0))
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    now = [100.0]
-    monkeypatch.setattr(time, "monotonic", lambda: now[0])
-    return now
-
-
 @pytest.fixture
 def routes():
     return CurrentRoutes()
@@ -75,7 +66,7 @@
     for number in range(2, SERIES):
         routes.offer(decode(str(number).encode()))
         versions.take(number, 0.0)
-        clock[0] += VERSION_SECONDS
+        clock.now += VERSION_SECONDS
     follower.step()
     versions.take(SERIES - 1, 2.0)
     follower.step()
--- a/packages/redwingscale-daemon/tests/unit/routes/test_table_check.py
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_table_check.py
@@ -1,7 +1,6 @@
 """Whether a route table is current enough to judge requests."""
 
 import threading
-import time
 
 import pytest
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
@@ -27,17 +26,10 @@
     return TableCheck(routes, IN_FORCE_SECONDS)
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    now = [100.0]
-    monkeypatch.setattr(time, "monotonic", lambda: now[0])
-    return now
-
-
 def test_newer_version_that_is_known_only_by_name_does_not_renew_the_table(clock, routes):
     """Guards against a table that counts as current for as long as newer ones are announced."""
     routes.note_newest(1)
-    clock[0] += IN_FORCE_SECONDS
+    clock.now += IN_FORCE_SECONDS
     routes.note_newest(2)
     assert routes.age == IN_FORCE_SECONDS
     routes.offer(table(2))
@@ -47,7 +39,7 @@
 def test_source_that_is_behind_does_not_renew_the_table(clock, routes):
     """Guards against a peer without the newest version that makes an old table look current."""
     routes.note_newest(2)
-    clock[0] += IN_FORCE_SECONDS
+    clock.now += IN_FORCE_SECONDS
     routes.note_newest(1)
     assert routes.age > IN_FORCE_SECONDS
 
@@ -64,7 +56,7 @@
 def test_request_does_not_wait_while_the_store_gives_no_answer(clock, routes):
     """Guards against requests that are held while nobody can tell of a newer version."""
     routes.note_newest(1, IN_FORCE_SECONDS)
-    check = TableCheck(routes, IN_FORCE_SECONDS, lambda: clock[0])
+    check = TableCheck(routes, IN_FORCE_SECONDS, lambda: clock.now)
     routes.wait_for_news = lambda seconds: pytest.fail("it waits")
     check.wait_until_current("r1")
     assert check.outdated
@@ -74,9 +66,9 @@
     routes.note_newest(1, IN_FORCE_SECONDS)
 
     def advance(seconds):
-        clock[0] += seconds
+        clock.now += seconds
 
     routes.wait_for_news = advance
-    began_at = clock[0]
+    began_at = clock.now
     check.wait_until_current("r1")
-    assert clock[0] - began_at == pytest.approx(MAX_WAIT_SECONDS, abs=0.1)
+    assert clock.now - began_at == pytest.approx(MAX_WAIT_SECONDS, abs=0.1)
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_peer_query_rule.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_peer_query_rule.py
@@ -1,7 +1,5 @@
 """When an instance asks its peers for a newer configuration."""
 
-import time
-
 import pytest
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_version_tracker import (
@@ -16,13 +14,6 @@
 IN_FORCE_SECONDS = 2.0
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    now = [100.0]
-    monkeypatch.setattr(time, "monotonic", lambda: now[0])
-    return now
-
-
 class Instance:
     def __init__(self):
         self.routes = CurrentRoutes()
@@ -48,15 +39,15 @@
 
 def test_peers_are_asked_before_an_own_read_has_failed(clock, instance):
     """Guards against peers that are asked only once the own read has failed beyond the bound."""
-    clock[0] += IN_FORCE_SECONDS * CURRENT_FRACTION
+    clock.now += IN_FORCE_SECONDS * CURRENT_FRACTION
     assert not instance.rule.due()
-    clock[0] += IN_FORCE_SECONDS / 8
+    clock.now += IN_FORCE_SECONDS / 8
     assert not instance.reads.lost
     assert instance.rule.due()
 
 
 def test_peers_are_not_asked_while_the_leader_is_heard(clock, instance):
-    clock[0] += IN_FORCE_SECONDS
+    clock.now += IN_FORCE_SECONDS
     instance.reads.note_failure(OSError())
     instance.hear_leader()
     assert not instance.rule.due()
