--- a/packages/redwingscale-daemon/tests/unit/routes/test_route_follower.py
+++ b/packages/redwingscale-daemon/tests/unit/routes/test_route_follower.py
@@ -11,28 +11,38 @@
 from redwingscale_daemon._internal.store.store_version import StoreVersion
 
 ROW = RowKey("op", "", "config")
+SERIES = 40
+VERSION_SECONDS = 0.1
+READS = 9
 
 
 class Store:
-    """One row whose value is its version; records the reads."""
+    """Keeps each version, and writes ``per_row`` more while a row is sent; records the reads."""
 
     def __init__(self):
         self.value = 1
+        self.per_row = 0
         self.reads = []
+        # How many versions each answer has.
+        self.sizes = []
         self.fail = False
 
     def read(self, table, partition):
-        return self._answer("read")
+        return self._answer("read", self.value - 1)
 
     def changes(self, table, after, wait):
-        return self._answer("changes")
+        return self._answer("changes", after.number)
 
-    def _answer(self, what):
+    def _answer(self, what, after):
         self.reads.append(what)
         if self.fail:
             raise PlatformUnavailable("down")
-        row = StoredRow(ROW, StoreVersion(0, self.value), str(self.value).encode())
-        return Snapshot((row,), StoreVersion(0, self.value))
+        versions = range(after + 1, self.value + 1)
+        rows = tuple(StoredRow(ROW, StoreVersion(0, one), str(one).encode()) for one in versions)
+        self.sizes.append(len(rows))
+        answer = Snapshot(rows, StoreVersion(0, self.value))
+        self.value += self.per_row * len(rows)
+        return answer
 
 
 def decode(value):
@@ -114,3 +124,29 @@
     follower.step()
     assert routes.get().version == 2
     assert len(store.reads) == reads
+
+
+def test_one_version_is_read_after_a_series_from_the_leader(
+    clock, follower, store, versions, routes
+):
+    """Guards against an answer that grows with the time since the last own read."""
+    follower.step()
+    store.value = SERIES
+    for number in range(2, SERIES):
+        routes.offer(decode(str(number).encode()))
+        versions.take(number, 0.0)
+        clock.now += VERSION_SECONDS
+    versions.take(SERIES - 1, 2.0)
+    follower.step()
+    assert routes.get().version == SERIES
+    assert store.sizes == [1, 1]
+
+
+def test_answers_do_not_grow_while_versions_come_faster_than_reads(store, versions, routes):
+    """Guards against a leader whose reads fall behind a series further with each answer."""
+    store.per_row = 2
+    follower = RouteFollower(store, ROW, decode, routes, LinkState("configuration"), versions)
+    for _ in range(READS):
+        follower.step()
+    assert max(store.sizes) <= store.per_row
+    assert routes.get().version >= store.value - store.per_row**2
--- a/packages/redwingscale-daemon/tests/unit/swaps/test_peer_query_rule.py
+++ b/packages/redwingscale-daemon/tests/unit/swaps/test_peer_query_rule.py
@@ -1,5 +1,7 @@
 """When an instance asks its peers for a newer configuration."""
 
+from types import SimpleNamespace
+
 import pytest
 from redwingscale_daemon._internal.routes.current_routes import CurrentRoutes
 from redwingscale_daemon._internal.routes.route_version_tracker import (
@@ -14,26 +16,24 @@
 IN_FORCE_SECONDS = 2.0
 
 
-class Instance:
-    def __init__(self):
-        self.routes = CurrentRoutes()
-        self.routes.offer(table(1))
-        self.versions = RouteVersionTracker(IN_FORCE_SECONDS)
-        self.reads = LinkState("configuration")
-        self.told = 0
-        self.rule = PeerQueryRule(
-            self.routes, self.versions, self.reads, lambda: self.told, IN_FORCE_SECONDS
-        )
-
-    def hear_leader(self):
-        self.versions.take(1, 0.0)
-        self.routes.note_newest(1)
+def hear_leader(instance):
+    instance.versions.take(1, 0.0)
+    instance.routes.note_newest(1)
 
 
 @pytest.fixture
 def instance(clock):
-    made = Instance()
-    made.hear_leader()
+    """What an instance has heard, and its rule."""
+    made = SimpleNamespace(
+        routes=CurrentRoutes(),
+        versions=RouteVersionTracker(IN_FORCE_SECONDS),
+        reads=LinkState("configuration"),
+        told=0,
+    )
+    made.routes.offer(table(1))
+    hear_leader(made)
+    heard = made.routes, made.versions, made.reads, lambda: made.told
+    made.rule = PeerQueryRule(*heard, IN_FORCE_SECONDS)
     return made
 
 
@@ -49,7 +49,7 @@
 def test_peers_are_not_asked_while_the_leader_is_heard(clock, instance):
     clock.now += IN_FORCE_SECONDS
     instance.reads.note_failure(OSError())
-    instance.hear_leader()
+    hear_leader(instance)
     assert not instance.rule.due()
 
 
